Serve one request over the whole path

Cause: the repository was empty. Before: nothing. Conclusion: the messages, events and effects between the packages are settled; each request goes to one agent, whose record of the attempt is made before the engine sees it, so the parts that follow can be built side by side.

--- /dev/null
+++ b/eslint.config.js
@@ -0,0 +1,105 @@
+import * as fs from 'node:fs';
+import * as airbnb from 'eslint-config-airbnb-extended';
+import * as prettierConfig from 'eslint-config-prettier';
+import * as globals from 'globals';
+import * as tseslint from 'typescript-eslint';
+
+const verbs = JSON.parse(fs.readFileSync(new URL('./docs/verbs.json', import.meta.url), 'utf8'));
+const verbPattern = `/^(${verbs.join('|')})([A-Z0-9]|$)/`;
+
+// House rules that go before Airbnb; docs/STYLE.md gives the reason for each.
+const restrictedSyntax = [
+  'error',
+  { selector: 'ForInStatement', message: 'Use Object.entries.' },
+  { selector: 'ForOfStatement[await=false]', message: 'Use array methods.' },
+  { selector: 'LabeledStatement', message: 'Labels make code hard to follow.' },
+  { selector: 'WithStatement', message: 'with is not allowed.' },
+  { selector: 'ImportSpecifier', message: 'Use a namespace import.' },
+  { selector: 'ImportDefaultSpecifier', message: 'Use a namespace import.' },
+  { selector: 'ExportDefaultDeclaration', message: 'Use named exports.' },
+  { selector: 'TSInterfaceDeclaration', message: 'Use type.' },
+  {
+    selector: `FunctionDeclaration > Identifier.id[name!=${verbPattern}]`,
+    message: 'Functions begin with a verb of docs/verbs.json.',
+  },
+];
+
+const coreRestrictions = [
+  {
+    selector: "MemberExpression[object.name='Date'][property.name='now']",
+    message: 'Take now as an argument.',
+  },
+  {
+    selector: "MemberExpression[object.name='Math'][property.name='random']",
+    message: 'Take random as an argument.',
+  },
+  {
+    selector: 'CallExpression[callee.name=/^set(Timeout|Interval|Immediate)$/]',
+    message: 'Core has no timers.',
+  },
+  {
+    selector: "NewExpression[callee.name='Date'][arguments.length=0]",
+    message: 'Take now as an argument.',
+  },
+];
+
+export default [
+  { ignores: ['**/dist/**', '**/node_modules/**', '**/generated/**'] },
+  airbnb.plugins.stylistic,
+  airbnb.plugins.importX,
+  airbnb.plugins.node,
+  airbnb.plugins.typescriptEslint,
+  ...airbnb.configs.base.recommended,
+  ...airbnb.configs.base.typescript,
+  prettierConfig.default,
+  { languageOptions: { globals: globals.default.node } },
+  {
+    files: ['**/*.ts'],
+    languageOptions: {
+      parserOptions: { projectService: true, tsconfigRootDir: import.meta.dirname },
+    },
+  },
+  {
+    files: ['**/*.ts', '**/*.js'],
+    rules: {
+      // Compiled modules of this workspace are resolved by tsc, not by the linter.
+      'import-x/no-unresolved': 'off',
+      'import-x/extensions': 'off',
+      'import-x/prefer-default-export': 'off',
+      'import-x/no-namespace': 'off',
+      'import-x/no-extraneous-dependencies': 'off',
+      'import-x/no-rename-default': 'off',
+      'import-x/namespace': 'off',
+      // Generated code and messages carry names of the wire.
+      'no-underscore-dangle': 'off',
+      // A task owns its state and hands it to functions that change it.
+      'no-param-reassign': ['error', { props: false }],
+      // The formatter decides on layout.
+      '@stylistic/max-len': 'off',
+      // Functions are hoisted; the public one stands first in its module.
+      'no-use-before-define': 'off',
+      '@typescript-eslint/no-use-before-define': [
+        'error',
+        { functions: false, classes: true, variables: true },
+      ],
+      '@typescript-eslint/consistent-type-definitions': ['error', 'type'],
+      // Tasks wait for one message at a time.
+      'no-await-in-loop': 'off',
+      'no-continue': 'off',
+      'no-restricted-syntax': restrictedSyntax,
+      'max-lines-per-function': ['error', { max: 60, skipBlankLines: true, skipComments: true }],
+      'max-lines': ['error', { max: 320 }],
+    },
+  },
+  {
+    files: ['packages/core/src/**/*.ts'],
+    ignores: ['**/*.test.ts'],
+    rules: { 'no-restricted-syntax': [...restrictedSyntax, ...coreRestrictions] },
+  },
+  {
+    files: ['**/*.test.ts'],
+    rules: { 'max-lines-per-function': 'off' },
+  },
+  { files: ['**/*.js', '**/*.mjs'], ...tseslint.configs.disableTypeChecked },
+  { files: ['eslint.config.js'], rules: { 'no-restricted-syntax': 'off', 'no-console': 'off' } },
+];
--- /dev/null
+++ b/packages/agent/src/app.ts
@@ -0,0 +1,116 @@
+/** The agent daemon: joins the core to its tasks. */
+import * as crypto from 'node:crypto';
+import type * as bunyan from 'bunyan';
+import * as core from '@toucanproxy/core';
+import * as runtime from '@toucanproxy/runtime';
+import * as schema from '@toucanproxy/schema';
+import * as engineClient from './engine-client.js';
+import * as status from './status.js';
+
+export type AgentDaemon = {
+  linkPort: number;
+  operatorPort: number;
+  /** Refuses new work, lets what runs end, then stops. */
+  shutDown: () => void;
+  stop: () => void;
+};
+
+type AgentTask = runtime.CoreTask<core.AgentEvent, core.AgentEffect>;
+
+/** The tasks that carry out the core's effects. */
+type Parts = {
+  logger: bunyan;
+  metrics: runtime.Metrics;
+  links: runtime.LinkServer;
+  engine: engineClient.EngineClient;
+  receiveDocument: (json: string) => void;
+  stopped: () => void;
+};
+
+type Executors = {
+  [K in core.AgentEffect['kind']]: (effect: Extract<core.AgentEffect, { kind: K }>) => void;
+};
+
+const DEFAULT_WATCH_WAIT_MS = 30_000;
+const DEFAULT_HOST = '127.0.0.1';
+
+/** Names the task that carries out each effect. */
+function buildExecutors(parts: Parts): Executors {
+  const { logger, metrics, links, engine } = parts;
+  return {
+    sendToEntry: (effect) => links.send(effect.linkId, effect.message),
+    closeLink: (effect) => links.closeLink(effect.linkId),
+    startOnEngine: (effect) => engine.start(effect.refKey, effect.offer),
+    cancelOnEngine: (effect) => engine.cancel(effect.refKey),
+    documentReceived: (effect) => parts.receiveDocument(effect.json),
+    stopped: () => {
+      logger.info({ event: 'stopped' }, 'stopped');
+      parts.stopped();
+    },
+    log: (effect) => runtime.writeLog(logger, effect),
+    observe: (effect) => runtime.recordObservation(metrics, effect.observation),
+  };
+}
+
+/** Starts to listen for entries. */
+function startLinks(settings: schema.AgentSettings, task: AgentTask): Promise<runtime.LinkServer> {
+  return runtime.startLinkServer({
+    host: settings.links?.host ?? DEFAULT_HOST,
+    port: settings.links?.port ?? 0,
+    opened: (linkId) => task.post({ kind: 'linkOpened', linkId }),
+    receive: (linkId, message) => task.post({ kind: 'entryMessage', linkId, message }),
+    closed: (linkId) => task.post({ kind: 'linkClosed', linkId }),
+  });
+}
+
+/** Creates the state of a new life of this agent. */
+function createState(settings: schema.AgentSettings): core.AgentState {
+  const { backendServerId, service } = settings;
+  const life = crypto.randomUUID();
+  return core.createAgentState({ backendServerId, service, life }, Date.now());
+}
+
+/** Starts an agent. `stopped` is called once after a graceful shutdown. */
+export async function startAgent(
+  settings: schema.AgentSettings,
+  stopped: () => void,
+): Promise<AgentDaemon> {
+  const state = createState(settings);
+  const { backendServerId, service, life } = state;
+  const logger = runtime.createLogger('toucanproxy-agent', { agent: backendServerId, life });
+  const metrics = runtime.createMetrics();
+  const task: AgentTask = runtime.createCoreTask({
+    state,
+    handleEvent: core.handleAgentEvent,
+    readClock: Date.now,
+    buildTick: (): core.AgentEvent => ({ kind: 'ticked' }),
+  });
+  const { engineUrl } = settings;
+  const engine = engineClient.createEngineClient({ engineUrl, post: task.post });
+  const receiveDocument = runtime.createDocumentReceiver(logger, task.post);
+  const links = await startLinks(settings, task);
+  const executors = buildExecutors({ logger, metrics, links, engine, receiveDocument, stopped });
+  task.start((effect) => executors[effect.kind](effect as never));
+  const operators = await runtime.startOperatorServer({
+    host: settings.operators?.host ?? DEFAULT_HOST,
+    port: settings.operators?.port ?? 0,
+    renderMetrics: () => runtime.renderMetrics(metrics),
+    describeStatus: () => status.describeStatus(state),
+  });
+  const watch = runtime.startConfigurationWatch({
+    configurationUrl: settings.platform?.configurationUrl ?? '',
+    service,
+    waitMs: settings.platform?.watchWaitMs || DEFAULT_WATCH_WAIT_MS,
+    getVersion: () => core.getVersion(state.documents, service),
+    receiveDocument,
+    reportFailure: (reason) => logger.warn({ event: 'configuration-failed', reason }),
+    drawRandom: Math.random,
+  });
+  const ports = { linkPort: links.port, operatorPort: operators.port };
+  logger.info({ event: 'started', ...ports }, 'started');
+  return {
+    ...ports,
+    shutDown: () => task.post({ kind: 'shutdownStarted' }),
+    stop: () => [watch, task, links, operators, engine].forEach((part) => part.stop()),
+  };
+}
--- /dev/null
+++ b/packages/agent/src/index.ts
@@ -0,0 +1,2 @@
+/** The agent daemon. */
+export * from './app.js';
--- /dev/null
+++ b/packages/cli/src/index.ts
@@ -0,0 +1,3 @@
+/** The toucanproxy command line. */
+export * from './app.js';
+export * from './exit-code.js';
--- /dev/null
+++ b/packages/core/src/agent/agent-state.ts
@@ -0,0 +1,72 @@
+/** The state that one agent task owns. */
+import * as schema from '@toucanproxy/schema';
+import * as documentStore from '../shared/document-store.js';
+import * as documentTiming from '../shared/document-timing.js';
+import * as runRecord from './run-record.js';
+import * as startQueue from './start-queue.js';
+
+/** One entry at the other end of a link. */
+export type EntryLink = {
+  linkId: number;
+  entryId: string;
+  lastHeardMs: number;
+  lastSentMs: number;
+  heartbeatsSent: number;
+};
+
+export type AgentState = {
+  backendServerId: string;
+  service: string;
+  /** Incarnation; offers meant for another life are refused. */
+  life: string;
+  lifeBeganMs: number;
+  documents: documentStore.DocumentStore;
+  runs: Map<string, runRecord.RunRecord>;
+  queue: startQueue.StartQueue;
+  running: Set<string>;
+  runningTokens: number;
+  links: Map<number, EntryLink>;
+  engineAvailable: boolean;
+  leaving: boolean;
+  shutdownStarted: boolean;
+  stopped: boolean;
+};
+
+export type AgentIdentity = {
+  backendServerId: string;
+  service: string;
+  life: string;
+};
+
+/** Creates the state of an agent whose process has just started. */
+export function createAgentState(identity: AgentIdentity, now: number): AgentState {
+  return {
+    ...identity,
+    lifeBeganMs: now,
+    documents: new Map(),
+    runs: new Map(),
+    queue: startQueue.createStartQueue(),
+    running: new Set(),
+    runningTokens: 0,
+    links: new Map(),
+    engineAvailable: true,
+    leaving: false,
+    shutdownStarted: false,
+    stopped: false,
+  };
+}
+
+/** Gets the service document in force, if there is one yet. */
+export function getDocument(state: AgentState): schema.ServiceDocument | undefined {
+  return state.documents.get(state.service)?.document;
+}
+
+/** Gets the limits in force. */
+export function getLimits(state: AgentState): documentTiming.Limits {
+  return documentTiming.getLimits(getDocument(state));
+}
+
+/** Gets the timing in force. */
+export function getTiming(state: AgentState): documentTiming.Timing {
+  return documentTiming.getTiming(getDocument(state));
+}
--- /dev/null
+++ b/packages/core/src/agent/offers.ts
@@ -0,0 +1,193 @@
+/** Decides on offers, withdrawals, resumptions and cancellations. */
+import * as schema from '@toucanproxy/schema';
+import * as attemptRef from '../shared/attempt-ref.js';
+import * as effect from '../shared/effect.js';
+import * as agentEvent from './agent-event.js';
+import * as agentMessages from './agent-messages.js';
+import * as agentState from './agent-state.js';
+import * as answers from './answers.js';
+import * as runRecord from './run-record.js';
+import * as runs from './runs.js';
+import * as startQueue from './start-queue.js';
+
+type Effects = agentEvent.AgentEffect[];
+
+/** Says why an offer is refused, or undefined where it may be queued. */
+function findRefusal(
+  state: agentState.AgentState,
+  offer: schema.Offer,
+  now: number,
+): schema.ResultCode | undefined {
+  const timing = agentState.getTiming(state);
+  if (state.leaving) {
+    return schema.ResultCode.SHUTTING_DOWN;
+  }
+  // A copy that was held up (a paused process, a silent link) may arrive after
+  // the record of its attempt has expired, and would then run again. Records
+  // are kept longer than offers are accepted, so refusing old offers is enough.
+  if (now - offer.issuedMs > timing.keyWindowMs) {
+    return schema.ResultCode.STALE_OFFER;
+  }
+  if (now >= offer.deadlineMs) {
+    return schema.ResultCode.DEADLINE_UNREACHABLE;
+  }
+  return undefined;
+}
+
+/** Makes room in a full queue by refusing a less urgent attempt. */
+function evictLessUrgent(state: agentState.AgentState, tierRank: number, now: number): Effects {
+  const victim = startQueue.takeLessUrgent(state.queue, tierRank);
+  const record = victim && state.runs.get(victim.refKey);
+  return record === undefined ? [] : runs.refuse(state, record, schema.ResultCode.EVICTED, now);
+}
+
+/** Queues an offer, or refuses it where the queue is full of work as urgent. */
+function enqueueOffer(
+  state: agentState.AgentState,
+  record: runRecord.RunRecord,
+  offer: schema.Offer,
+  now: number,
+): Effects {
+  const { maxQueued } = agentState.getLimits(state);
+  const full = state.queue.items.length >= maxQueued;
+  const evicted = full ? evictLessUrgent(state, offer.tierRank, now) : [];
+  if (full && evicted.length === 0) {
+    return runs.refuse(state, record, schema.ResultCode.QUEUE_FULL, now);
+  }
+  startQueue.enqueue(state.queue, {
+    refKey: record.refKey,
+    tierRank: offer.tierRank,
+    workspace: offer.workspace,
+    estimatedTokens: offer.estimatedTokens,
+    queuedMs: now,
+  });
+  const accepted = answers.publish(record, agentMessages.buildAccepted(record.ref));
+  return [...evicted, ...accepted, ...runs.startQueued(state, now)];
+}
+
+/** Tells an entry that this life cannot say what an earlier one did. */
+function replyOtherLife(linkId: number, ref: schema.AttemptRef): Effects {
+  const body = agentMessages.buildRunFailed(ref, schema.ResultCode.AGENT_RESTARTED);
+  return [agentMessages.sendToEntry(linkId, body)];
+}
+
+/** Decides on an offer. A copy of a known attempt never starts again. */
+export function acceptOffer(
+  state: agentState.AgentState,
+  linkId: number,
+  offer: schema.Offer,
+  now: number,
+): Effects {
+  const { ref } = offer;
+  if (ref === undefined) {
+    return [];
+  }
+  if (offer.agentLife !== state.life) {
+    return replyOtherLife(linkId, ref);
+  }
+  const refKey = attemptRef.toRefKey(ref);
+  const known = state.runs.get(refKey);
+  if (known !== undefined) {
+    const dropped = { kind: 'dropped', reason: effect.DropReason.DUPLICATE } as const;
+    return [effect.observe(dropped), ...answers.subscribe(known, linkId, 0)];
+  }
+  const record = runRecord.makeRunRecord(refKey, ref, offer, now);
+  record.subscribers.add(linkId);
+  state.runs.set(refKey, record);
+  const refusal = findRefusal(state, offer, now);
+  return refusal === undefined
+    ? enqueueOffer(state, record, offer, now)
+    : runs.refuse(state, record, refusal, now);
+}
+
+/**
+ * Finds the record of an attempt, or makes a tombstone where none is known.
+ *
+ * The offer may still be on its way. With the tombstone in place it is refused
+ * when it comes, so that "not run" stays true.
+ */
+function findOrBury(
+  state: agentState.AgentState,
+  ref: schema.AttemptRef,
+  now: number,
+): runRecord.RunRecord {
+  const refKey = attemptRef.toRefKey(ref);
+  const known = state.runs.get(refKey);
+  if (known !== undefined) {
+    return known;
+  }
+  const tombstone = runRecord.makeRunRecord(refKey, ref, undefined, now);
+  tombstone.code = schema.ResultCode.CANCELLED;
+  state.runs.set(refKey, tombstone);
+  return tombstone;
+}
+
+/** Answers an entry that wants an attempt confirmed as not run. */
+export function withdraw(
+  state: agentState.AgentState,
+  linkId: number,
+  request: schema.Withdraw,
+  now: number,
+): Effects {
+  const { ref } = request;
+  if (ref === undefined) {
+    return [];
+  }
+  if (request.agentLife !== state.life) {
+    return replyOtherLife(linkId, ref);
+  }
+  const record = findOrBury(state, ref, now);
+  if (record.status !== runRecord.RunStatus.QUEUED) {
+    return answers.subscribe(record, linkId, record.parts.length);
+  }
+  record.subscribers.add(linkId);
+  return runs.refuse(state, record, schema.ResultCode.CANCELLED, now);
+}
+
+/** Sends an entry what it misses of an attempt. */
+export function resume(
+  state: agentState.AgentState,
+  linkId: number,
+  request: schema.Resume,
+  now: number,
+): Effects {
+  const { ref } = request;
+  if (ref === undefined) {
+    return [];
+  }
+  if (request.agentLife !== state.life) {
+    return replyOtherLife(linkId, ref);
+  }
+  const record = findOrBury(state, ref, now);
+  // An entry that asks for another workspace's attempt has crossed its
+  // requests; answering would show one workspace's work to another.
+  if (record.offer !== undefined && record.offer.workspace !== request.workspace) {
+    const body = agentMessages.buildRunFailed(ref, schema.ResultCode.KEY_UNDECIDED);
+    return [
+      effect.observe({ kind: 'invariantBroken', name: 'workspace-crossed' }),
+      agentMessages.sendToEntry(linkId, body),
+    ];
+  }
+  return answers.subscribe(record, linkId, request.nextSequence);
+}
+
+/** Handles a caller's leaving: a queued attempt is refused, a run may be cut. */
+export function cancel(
+  state: agentState.AgentState,
+  linkId: number,
+  ref: schema.AttemptRef,
+  now: number,
+): Effects {
+  const record = findOrBury(state, ref, now);
+  record.subscribers.delete(linkId);
+  if (record.status === runRecord.RunStatus.QUEUED && record.subscribers.size === 0) {
+    return runs.refuse(state, record, schema.ResultCode.CANCELLED, now);
+  }
+  const cuttable = record.status === runRecord.RunStatus.STARTED && record.subscribers.size === 0;
+  // A request that may run only once runs on: cut short, it could be neither
+  // repeated nor answered when its caller comes back.
+  if (!cuttable || record.offer?.repeatable !== true) {
+    return [];
+  }
+  return [{ kind: 'cancelOnEngine', refKey: record.refKey }];
+}
--- /dev/null
+++ b/packages/core/src/agent/run-record.ts
@@ -0,0 +1,61 @@
+/**
+ * One attempt as its agent remembers it, from the offer until the record
+ * expires. The record is what makes the agent the only gate to its engine.
+ */
+import * as schema from '@toucanproxy/schema';
+
+export enum RunStatus {
+  QUEUED = 'queued',
+  /** Handed to the engine; irrevocable. */
+  STARTED = 'started',
+  COMPLETED = 'completed',
+  /** Started and ended without a whole answer. */
+  FAILED = 'failed',
+  /** Tombstone: confirmed not run; a late copy of the offer is refused. */
+  NOT_RUN = 'not_run',
+}
+
+/** Content of one answer part; the sequence number is its index. */
+export type PartContent = schema.AnswerPart['content'];
+
+export type RunRecord = {
+  refKey: string;
+  ref: schema.AttemptRef;
+  /** Undefined in a tombstone made for an offer that never came. */
+  offer: schema.Offer | undefined;
+  status: RunStatus;
+  /** Why the run failed or was not run. */
+  code: schema.ResultCode;
+  parts: PartContent[];
+  /** Links that want the answer. */
+  subscribers: Set<number>;
+  /** When the record last changed its status, milliseconds. */
+  changedMs: number;
+  /** Set once an entry has acknowledged the whole answer. */
+  acknowledged: boolean;
+};
+
+/** Makes a record for an offer, or a tombstone where the offer never came. */
+export function makeRunRecord(
+  refKey: string,
+  ref: schema.AttemptRef,
+  offer: schema.Offer | undefined,
+  now: number,
+): RunRecord {
+  return {
+    refKey,
+    ref,
+    offer,
+    status: offer === undefined ? RunStatus.NOT_RUN : RunStatus.QUEUED,
+    code: schema.ResultCode.UNSPECIFIED,
+    parts: [],
+    subscribers: new Set(),
+    changedMs: now,
+    acknowledged: false,
+  };
+}
+
+/** Tells whether an attempt has ended in whatever way. */
+export function isEnded(record: RunRecord): boolean {
+  return record.status !== RunStatus.QUEUED && record.status !== RunStatus.STARTED;
+}
--- /dev/null
+++ b/packages/core/src/entry/admission.ts
@@ -0,0 +1,113 @@
+/** Decides whether a request is taken in, and with which rights. */
+import * as schema from '@toucanproxy/schema';
+import * as entryEvent from './entry-event.js';
+import * as entryState from './entry-state.js';
+import * as outcomes from './outcomes.js';
+
+/** Seconds are for people; callers that meet a full entry come back after this. */
+const FULL_RETRY_AFTER_MS = 1000;
+
+type Admitted = { kind: 'admitted'; request: entryState.EntryRequest };
+type Rejected = { kind: 'rejected'; failure: outcomes.Failure };
+
+/** Finds the route that serves a path: the longest prefix wins. */
+export function findRoute(
+  document: schema.ServiceDocument,
+  path: string,
+): schema.Route | undefined {
+  const matching = document.routes.filter((route) => path.startsWith(route.pathPrefix));
+  matching.sort((a, b) => b.pathPrefix.length - a.pathPrefix.length);
+  return matching[0];
+}
+
+/** Rejects a request without running it. */
+function reject(code: schema.ResultCode, retryAfterMs = 0): Rejected {
+  return { kind: 'rejected', failure: outcomes.buildNotRun(code, retryAfterMs) };
+}
+
+/** Counts the requests of a workspace that this entry holds. */
+function countOfWorkspace(
+  state: entryState.EntryState,
+  service: string,
+  workspace: string,
+): number {
+  return [...state.requests.values()].filter(
+    (request) => request.workspace === workspace && request.arrived.service === service,
+  ).length;
+}
+
+/** Computes when a request must be done, milliseconds since the Unix epoch. */
+function computeDeadline(
+  state: entryState.EntryState,
+  arrived: entryEvent.ArrivedRequest,
+  now: number,
+): number {
+  const timing = entryState.getTiming(state, arrived.service);
+  const asked = arrived.timeoutMs > 0 ? arrived.timeoutMs : timing.defaultDeadlineMs;
+  return now + Math.min(asked, timing.maxDeadlineMs);
+}
+
+/** Builds the record of a request that is taken in. */
+function buildRequest(
+  state: entryState.EntryState,
+  arrived: entryEvent.ArrivedRequest,
+  credential: schema.Credential,
+  route: schema.Route,
+  now: number,
+): entryState.EntryRequest {
+  const document = entryState.getDocument(state, arrived.service);
+  const workspace = document?.workspaces.find((one) => one.name === credential.workspace);
+  const serial = state.nextSerial;
+  state.nextSerial += 1;
+  return {
+    requestId: `${state.entryId}-${state.life}-${serial}`,
+    arrived,
+    workspace: credential.workspace,
+    weight: workspace?.weight || 1,
+    tierRank: document?.tiers.indexOf(credential.tier) ?? 0,
+    tierName: credential.tier,
+    repeatable: route.repeat === schema.Repeat.ALLOWED,
+    arrivedMs: now,
+    deadlineMs: computeDeadline(state, arrived, now),
+    status: entryState.RequestStatus.WAITING,
+    attempts: 0,
+    target: undefined,
+    refusedBy: new Set(),
+    head: undefined,
+    collected: [],
+    firstByteSent: false,
+  };
+}
+
+/** Decides on an arrived request. The tier comes from its credential alone. */
+export function admit(
+  state: entryState.EntryState,
+  arrived: entryEvent.ArrivedRequest,
+  now: number,
+): Admitted | Rejected {
+  const document = entryState.getDocument(state, arrived.service);
+  if (document === undefined) {
+    return reject(schema.ResultCode.UNKNOWN_SERVICE);
+  }
+  const credential = document.credentials.find((one) => one.tokenSha256 === arrived.tokenSha256);
+  if (credential === undefined) {
+    return reject(schema.ResultCode.UNAUTHENTICATED);
+  }
+  const route = findRoute(document, arrived.path);
+  if (route === undefined) {
+    return reject(schema.ResultCode.UNKNOWN_PATH);
+  }
+  const limits = entryState.getLimits(state, arrived.service);
+  if (arrived.payload.length > limits.maxBodyBytes) {
+    return reject(schema.ResultCode.BODY_TOO_LARGE);
+  }
+  if (state.shutdownStarted) {
+    return reject(schema.ResultCode.SHUTTING_DOWN, FULL_RETRY_AFTER_MS);
+  }
+  const held = countOfWorkspace(state, arrived.service, credential.workspace);
+  const own = document.workspaces.find((one) => one.name === credential.workspace);
+  if (held >= (own?.maxRequests || limits.maxRequestsPerWorkspace)) {
+    return reject(schema.ResultCode.WORKSPACE_LIMIT, FULL_RETRY_AFTER_MS);
+  }
+  return { kind: 'admitted', request: buildRequest(state, arrived, credential, route, now) };
+}
--- /dev/null
+++ b/packages/core/src/entry/agent-links.ts
@@ -0,0 +1,200 @@
+/** Links to agents: opening, heartbeats in both directions, resumption. */
+import * as schema from '@toucanproxy/schema';
+import * as documentStore from '../shared/document-store.js';
+import * as dispatch from './dispatch.js';
+import * as entryEvent from './entry-event.js';
+import * as entryMessages from './entry-messages.js';
+import * as entryState from './entry-state.js';
+
+type Effects = entryEvent.EntryEffect[];
+
+/** Pause before a link that failed is opened again, milliseconds. */
+const REOPEN_MIN_MS = 100;
+const REOPEN_SPREAD_MS = 400;
+
+/** Makes the view of a backend server that a document names for the first time. */
+function makeView(service: string, server: schema.BackendServer): entryState.AgentView {
+  return {
+    backendServerId: server.id,
+    service,
+    address: server.address,
+    failureDomain: server.failureDomain,
+    linked: false,
+    opening: false,
+    agentLife: '',
+    lifeBeganMs: 0,
+    leaving: false,
+    lastHeardMs: 0,
+    lastSentMs: 0,
+    heartbeatsSent: 0,
+    load: undefined,
+    outstandingTokens: 0,
+    nextOpenMs: 0,
+  };
+}
+
+/** Brings the views in line with a document that has come into force. */
+export function applyBackendServers(
+  state: entryState.EntryState,
+  document: schema.ServiceDocument,
+): void {
+  document.backendServers.forEach((server) => {
+    const view = state.agents.get(server.id) ?? makeView(document.service, server);
+    view.address = server.address;
+    view.leaving = view.leaving || server.state >= schema.BackendServerState.LEAVING;
+    state.agents.set(server.id, view);
+  });
+  const named = new Set(document.backendServers.map((server) => server.id));
+  [...state.agents.values()]
+    .filter((view) => view.service === document.service && !named.has(view.backendServerId))
+    .forEach((view) => {
+      view.leaving = true;
+    });
+}
+
+/** Opens links that are wanted and not open. */
+export function openWanted(state: entryState.EntryState, now: number): Effects {
+  return [...state.agents.values()]
+    .filter((view) => !view.linked && !view.opening && now >= view.nextOpenMs)
+    .map((view): entryEvent.EntryEffect => {
+      view.opening = true;
+      view.lastHeardMs = now;
+      return { kind: 'openLink', backendServerId: view.backendServerId, address: view.address };
+    });
+}
+
+/** Says hello on a link that has opened. */
+export function sendHello(state: entryState.EntryState, backendServerId: string): Effects {
+  const hello = schema.create(schema.EntryHelloSchema, {
+    entryId: state.entryId,
+    entryLife: state.life,
+    failureDomain: state.failureDomain,
+  });
+  return [entryMessages.sendToAgent(backendServerId, { case: 'hello', value: hello })];
+}
+
+/** Marks a link as gone; its requests wait to be resumed over a new one. */
+export function handleLinkClosed(
+  state: entryState.EntryState,
+  backendServerId: string,
+  now: number,
+): Effects {
+  const view = state.agents.get(backendServerId);
+  if (view !== undefined) {
+    view.linked = false;
+    view.opening = false;
+    view.nextOpenMs = now + REOPEN_MIN_MS + state.policy.drawRandom() * REOPEN_SPREAD_MS;
+  }
+  return [];
+}
+
+/** Lists the requests that one agent holds. */
+export function listHeldBy(
+  state: entryState.EntryState,
+  backendServerId: string,
+): entryState.EntryRequest[] {
+  return [...state.requests.values()].filter(
+    (request) => request.target?.backendServerId === backendServerId,
+  );
+}
+
+/** Learns which life answers, and asks it for what this entry misses. */
+export function acceptHello(
+  state: entryState.EntryState,
+  backendServerId: string,
+  hello: schema.AgentHello,
+  now: number,
+): Effects {
+  const view = state.agents.get(backendServerId);
+  if (view === undefined || hello.backendServerId !== backendServerId) {
+    return [{ kind: 'closeLink', backendServerId }];
+  }
+  view.linked = true;
+  view.opening = false;
+  view.agentLife = hello.agentLife;
+  view.lifeBeganMs = hello.lifeBeganMs;
+  const resumes = listHeldBy(state, backendServerId).flatMap((request) =>
+    request.target === undefined
+      ? []
+      : [
+          entryMessages.sendToAgent(
+            backendServerId,
+            entryMessages.buildResume(request, request.target),
+          ),
+        ],
+  );
+  return [...resumes, ...dispatch.placeWaiting(state, view.service, now)];
+}
+
+/** Takes in an agent's load, and asks for its document where it is newer. */
+export function handleHeartbeat(
+  state: entryState.EntryState,
+  backendServerId: string,
+  heartbeat: schema.AgentHeartbeat,
+  now: number,
+): Effects {
+  const view = state.agents.get(backendServerId);
+  if (view === undefined) {
+    return [];
+  }
+  view.load = heartbeat.load;
+  view.leaving = view.leaving || (heartbeat.load?.leaving ?? false);
+  const theirs = heartbeat.document?.version ?? 0;
+  const newer = theirs > documentStore.getVersion(state.documents, view.service);
+  const request = schema.create(schema.DocumentRequestSchema, { service: view.service });
+  const ask = newer
+    ? [entryMessages.sendToAgent(backendServerId, { case: 'documentRequest', value: request })]
+    : [];
+  return [...ask, ...dispatch.placeWaiting(state, view.service, now)];
+}
+
+/** Sends the document in force to an agent that asked for it. */
+export function replyDocument(
+  state: entryState.EntryState,
+  backendServerId: string,
+  request: schema.DocumentRequest,
+): Effects {
+  const stored = state.documents.get(request.service);
+  if (stored === undefined) {
+    return [];
+  }
+  const body = schema.create(schema.DocumentBodySchema, { json: stored.json });
+  return [entryMessages.sendToAgent(backendServerId, { case: 'documentBody', value: body })];
+}
+
+/** Sends one heartbeat. */
+function sendHeartbeat(
+  state: entryState.EntryState,
+  view: entryState.AgentView,
+  now: number,
+): Effects {
+  view.lastSentMs = now;
+  view.heartbeatsSent += 1;
+  const version = documentStore.getVersion(state.documents, view.service);
+  const heartbeat = schema.create(schema.EntryHeartbeatSchema, {
+    document: { service: view.service, version },
+    sequence: view.heartbeatsSent,
+  });
+  const body = { case: 'heartbeat', value: heartbeat } as const;
+  return [entryMessages.sendToAgent(view.backendServerId, body)];
+}
+
+/**
+ * Sends heartbeats that are due and gives up links that have gone silent.
+ *
+ * A middlebox may have lost a connection while both ends think it open. The
+ * agent keeps every answer until it is acknowledged, so giving up the link and
+ * resuming over a new one repeats no run.
+ */
+export function sendDueHeartbeats(state: entryState.EntryState, now: number): Effects {
+  return [...state.agents.values()].flatMap((view): Effects => {
+    const timing = entryState.getTiming(state, view.service);
+    const waitsForPeer = view.linked || view.opening;
+    if (waitsForPeer && now - view.lastHeardMs > timing.heartbeatTimeoutMs) {
+      handleLinkClosed(state, view.backendServerId, now);
+      return [{ kind: 'closeLink', backendServerId: view.backendServerId }];
+    }
+    const due = view.linked && now - view.lastSentMs >= timing.heartbeatIntervalMs;
+    return due ? sendHeartbeat(state, view, now) : [];
+  });
+}
--- /dev/null
+++ b/packages/core/src/entry/entry-messages.ts
@@ -0,0 +1,69 @@
+/** Builds the messages that an entry sends to an agent. */
+import * as schema from '@toucanproxy/schema';
+import * as entryEvent from './entry-event.js';
+import * as entryState from './entry-state.js';
+
+type Body = schema.EntryMessage['body'];
+
+/** Builds the effect that sends one message to one agent. */
+export function sendToAgent(backendServerId: string, body: Body): entryEvent.EntryEffect {
+  const message = schema.create(schema.EntryMessageSchema, { body });
+  return { kind: 'sendToAgent', backendServerId, message };
+}
+
+/** Builds the offer of a request to its target. */
+export function buildOffer(
+  request: entryState.EntryRequest,
+  target: entryState.Target,
+  now: number,
+): Body {
+  const { arrived } = request;
+  const offer = schema.create(schema.OfferSchema, {
+    ref: target.ref,
+    agentLife: target.agentLife,
+    workspace: request.workspace,
+    tierRank: request.tierRank,
+    weight: request.weight,
+    issuedMs: now,
+    deadlineMs: request.deadlineMs,
+    estimatedTokens: arrived.estimatedTokens,
+    repeatable: request.repeatable,
+    contentDigest: arrived.contentDigest,
+    method: arrived.method,
+    path: arrived.path,
+    contentType: arrived.contentType,
+    payload: arrived.payload,
+    prefixHashes: arrived.prefixHashes,
+  });
+  return { case: 'offer', value: offer };
+}
+
+/** Builds the question for the parts that an entry misses. */
+export function buildResume(request: entryState.EntryRequest, target: entryState.Target): Body {
+  const resume = schema.create(schema.ResumeSchema, {
+    ref: target.ref,
+    agentLife: target.agentLife,
+    workspace: request.workspace,
+    nextSequence: target.nextSequence,
+  });
+  return { case: 'resume', value: resume };
+}
+
+/** Builds the question for a confirmation that an attempt will not run. */
+export function buildWithdraw(target: entryState.Target): Body {
+  const { ref, agentLife } = target;
+  return { case: 'withdraw', value: schema.create(schema.WithdrawSchema, { ref, agentLife }) };
+}
+
+/** Builds the notice that the entry no longer wants an attempt. */
+export function buildCancel(target: entryState.Target): Body {
+  const { ref } = target;
+  return { case: 'cancel', value: schema.create(schema.CancelSchema, { ref }) };
+}
+
+/** Builds the acknowledgement of the parts received so far. */
+export function buildAcknowledge(target: entryState.Target): Body {
+  const { ref, nextSequence } = target;
+  const value = schema.create(schema.AcknowledgeSchema, { ref, nextSequence });
+  return { case: 'acknowledge', value };
+}
--- /dev/null
+++ b/packages/core/src/entry/handle-entry-event.ts
@@ -0,0 +1,153 @@
+/** The entry's decisions: one event in, the effects it calls for out. */
+import * as schema from '@toucanproxy/schema';
+import * as documentStore from '../shared/document-store.js';
+import * as effect from '../shared/effect.js';
+import * as admission from './admission.js';
+import * as agentLinks from './agent-links.js';
+import * as answerFlow from './answer-flow.js';
+import * as deadlines from './deadlines.js';
+import * as dispatch from './dispatch.js';
+import * as entryEvent from './entry-event.js';
+import * as entryState from './entry-state.js';
+
+type Effects = entryEvent.EntryEffect[];
+type EventOf<K extends entryEvent.EntryEvent['kind']> = Extract<entryEvent.EntryEvent, { kind: K }>;
+
+/** Takes in a request, or rejects it at once. */
+function handleArrival(
+  state: entryState.EntryState,
+  event: EventOf<'requestArrived'>,
+  now: number,
+): Effects {
+  const { request: arrived } = event;
+  const decision = admission.admit(state, arrived, now);
+  if (decision.kind === 'rejected') {
+    const { callerId, service } = arrived;
+    const { failure } = decision;
+    return [
+      effect.logDecision('rejected', { service, result: schema.ResultCode[failure.code] }),
+      effect.observe({ kind: 'outcome', service, tier: '', code: failure.code, inTime: false }),
+      { kind: 'answerFailure', callerId, requestId: '', ...failure },
+    ];
+  }
+  const { request } = decision;
+  state.requests.set(request.requestId, request);
+  state.requestByCaller.set(arrived.callerId, request.requestId);
+  return dispatch.place(state, request, now);
+}
+
+/** Routes one message of an agent to its decision. */
+function handleAgentMessage(
+  state: entryState.EntryState,
+  event: EventOf<'agentMessage'>,
+  now: number,
+): Effects {
+  const { backendServerId: id } = event;
+  const { body } = event.message;
+  const view = state.agents.get(id);
+  if (view !== undefined) {
+    view.lastHeardMs = now;
+  }
+  switch (body.case) {
+    case 'hello':
+      return agentLinks.acceptHello(state, id, body.value, now);
+    case 'heartbeat':
+      return agentLinks.handleHeartbeat(state, id, body.value, now);
+    case 'part':
+      return answerFlow.takePart(state, id, body.value, now);
+    case 'started':
+      return answerFlow.handleStarted(state, id, body.value);
+    case 'notRun':
+      return answerFlow.handleNotRun(state, id, body.value, now);
+    case 'failed':
+      return answerFlow.handleRunFailed(state, id, body.value, now);
+    case 'documentRequest':
+      return agentLinks.replyDocument(state, id, body.value);
+    case 'documentBody':
+      return [{ kind: 'documentReceived', json: body.value.json }];
+    default:
+      return [];
+  }
+}
+
+/** Takes a newer document into force. */
+function applyDocument(
+  state: entryState.EntryState,
+  event: EventOf<'documentRead'>,
+  now: number,
+): Effects {
+  const { document } = event.stored;
+  if (!documentStore.storeDocument(state.documents, event.stored)) {
+    return [];
+  }
+  agentLinks.applyBackendServers(state, document);
+  return [
+    effect.logDecision('document', { service: document.service, version: document.version }),
+    ...agentLinks.openWanted(state, now),
+  ];
+}
+
+/** Gives no more work to VMs that the platform lists as leaving. */
+function handleVmsLeaving(state: entryState.EntryState, event: EventOf<'vmsLeaving'>): Effects {
+  const addresses = new Set(event.addresses);
+  [...state.agents.values()]
+    .filter((view) => addresses.has(view.address))
+    .forEach((view) => {
+      view.leaving = true;
+    });
+  return [];
+}
+
+/** Stops once every request has ended. */
+function stopWhenIdle(state: entryState.EntryState): Effects {
+  if (!state.shutdownStarted || state.stopped || state.requests.size > 0) {
+    return [];
+  }
+  state.stopped = true;
+  return [{ kind: 'stopped' }];
+}
+
+/** Does what is due by time alone. */
+function handleTick(state: entryState.EntryState, now: number): Effects {
+  return [
+    ...deadlines.endOverdue(state, now),
+    ...agentLinks.sendDueHeartbeats(state, now),
+    ...agentLinks.openWanted(state, now),
+    ...stopWhenIdle(state),
+  ];
+}
+
+/**
+ * Applies one event to the entry's state.
+ *
+ * @param now present time, milliseconds since the Unix epoch
+ */
+export function handleEntryEvent(
+  state: entryState.EntryState,
+  event: entryEvent.EntryEvent,
+  now: number,
+): Effects {
+  switch (event.kind) {
+    case 'requestArrived':
+      return handleArrival(state, event, now);
+    case 'callerLeft':
+      return deadlines.handleCallerLeft(state, event.callerId, now);
+    case 'linkOpened':
+      return agentLinks.sendHello(state, event.backendServerId);
+    case 'linkClosed':
+      return agentLinks.handleLinkClosed(state, event.backendServerId, now);
+    case 'agentMessage':
+      return handleAgentMessage(state, event, now);
+    case 'documentRead':
+      return applyDocument(state, event, now);
+    case 'vmsLeaving':
+      return handleVmsLeaving(state, event);
+    case 'ticked':
+      return handleTick(state, now);
+    case 'shutdownStarted':
+      state.shutdownStarted = true;
+      return stopWhenIdle(state);
+    default:
+      return [];
+  }
+}
--- /dev/null
+++ b/packages/core/src/entry/index.ts
@@ -0,0 +1,13 @@
+/** The entry's decisions. */
+export * from './entry-event.js';
+export {
+  createEntryState,
+  RequestStatus,
+  type AgentView,
+  type EntryIdentity,
+  type EntryPolicy,
+  type EntryRequest,
+  type EntryState,
+} from './entry-state.js';
+export * from './handle-entry-event.js';
+export * from './placement.js';
--- /dev/null
+++ b/packages/core/src/entry/outcomes.ts
@@ -0,0 +1,116 @@
+/** Ends requests. Every request ends here, once. */
+import * as schema from '@toucanproxy/schema';
+import * as effect from '../shared/effect.js';
+import * as entryEvent from './entry-event.js';
+import * as entryState from './entry-state.js';
+
+type Effects = entryEvent.EntryEffect[];
+
+/** What a caller is told when its request did not complete. */
+export type Failure = {
+  code: schema.ResultCode;
+  runState: schema.RunState;
+  retryAfterMs: number;
+};
+
+/** Builds a failure of a request that was not run. */
+export function buildNotRun(code: schema.ResultCode, retryAfterMs = 0): Failure {
+  return { code, runState: schema.RunState.NOT_RUN, retryAfterMs };
+}
+
+/** Builds a failure of a request that was started. */
+export function buildRan(code: schema.ResultCode): Failure {
+  return { code, runState: schema.RunState.RAN, retryAfterMs: 0 };
+}
+
+/** Builds a failure where nobody can say whether the request was started. */
+export function buildMayHaveRun(code: schema.ResultCode): Failure {
+  return { code, runState: schema.RunState.MAY_HAVE_RUN, retryAfterMs: 0 };
+}
+
+/** Takes a request out of the state. */
+function forget(state: entryState.EntryState, request: entryState.EntryRequest): void {
+  releaseTarget(state, request);
+  state.requests.delete(request.requestId);
+  state.requestByCaller.delete(request.arrived.callerId);
+}
+
+/** Frees the place that a request takes in the accounts of its target. */
+export function releaseTarget(
+  state: entryState.EntryState,
+  request: entryState.EntryRequest,
+): void {
+  const agent = request.target && state.agents.get(request.target.backendServerId);
+  if (agent !== undefined) {
+    agent.outstandingTokens -= request.arrived.estimatedTokens;
+  }
+  request.target = undefined;
+}
+
+/** Counts how a request ended. */
+function observeOutcome(
+  request: entryState.EntryRequest,
+  code: schema.ResultCode,
+  now: number,
+): entryEvent.EntryEffect {
+  return effect.observe({
+    kind: 'outcome',
+    service: request.arrived.service,
+    tier: request.tierName,
+    code,
+    inTime: now <= request.deadlineMs,
+  });
+}
+
+/** Ends a request with a failure. */
+export function fail(
+  state: entryState.EntryState,
+  request: entryState.EntryRequest,
+  failure: Failure,
+  now: number,
+): Effects {
+  const { requestId } = request;
+  const { callerId } = request.arrived;
+  const attempt = request.target?.ref.attempt ?? request.attempts;
+  forget(state, request);
+  return [
+    effect.logDecision('failure', {
+      request: requestId,
+      attempt,
+      code: failure.code,
+      result: schema.ResultCode[failure.code],
+      runState: schema.RunState[failure.runState],
+    }),
+    observeOutcome(request, failure.code, now),
+    { kind: 'answerFailure', callerId, requestId, ...failure },
+  ];
+}
+
+/** Ends a request whose whole answer has been received. */
+export function complete(
+  state: entryState.EntryState,
+  request: entryState.EntryRequest,
+  now: number,
+): Effects {
+  const { callerId } = request.arrived;
+  forget(state, request);
+  return [
+    effect.logDecision('completed', {
+      request: request.requestId,
+      attempts: request.attempts,
+      ms: now - request.arrivedMs,
+    }),
+    observeOutcome(request, schema.ResultCode.COMPLETED, now),
+    { kind: 'answerEnd', callerId },
+  ];
+}
+
+/** Ends a request whose caller has gone; there is nobody to answer. */
+export function abandon(
+  state: entryState.EntryState,
+  request: entryState.EntryRequest,
+  now: number,
+): Effects {
+  forget(state, request);
+  return [observeOutcome(request, schema.ResultCode.CLIENT_LEFT, now)];
+}
--- /dev/null
+++ b/packages/core/src/shared/effect.ts
@@ -0,0 +1,47 @@
+/** Effects that both cores ask of their daemons. */
+import * as schema from '@toucanproxy/schema';
+
+/** One line for the log; `event` names the decision. */
+export type LogEffect = {
+  kind: 'log';
+  level: schema.LogLevel;
+  event: string;
+  fields: Record<string, unknown>;
+};
+
+/** Why prompt work was thrown away. */
+export enum WasteCause {
+  CANCELLED = 'cancelled',
+  CRASHED = 'crashed',
+  EVICTED = 'evicted',
+  REPEATED = 'repeated',
+}
+
+/** Why a message was dropped. */
+export enum DropReason {
+  OLD_ATTEMPT = 'old_attempt',
+  DUPLICATE = 'duplicate',
+  OUT_OF_ORDER = 'out_of_order',
+  UNKNOWN_REQUEST = 'unknown_request',
+}
+
+/** Something worth counting. Times in milliseconds, amounts in tokens. */
+export type Observation =
+  | { kind: 'outcome'; service: string; tier: string; code: schema.ResultCode; inTime: boolean }
+  | { kind: 'firstByte'; service: string; tier: string; ms: number }
+  | { kind: 'queueWait'; tier: string; ms: number }
+  | { kind: 'wastedPrefill'; cause: WasteCause; tokens: number }
+  | { kind: 'dropped'; reason: DropReason }
+  | { kind: 'invariantBroken'; name: string };
+
+export type ObserveEffect = { kind: 'observe'; observation: Observation };
+
+/** Builds the log line of one decision. */
+export function logDecision(event: string, fields: Record<string, unknown>): LogEffect {
+  return { kind: 'log', level: schema.LogLevel.INFO, event, fields };
+}
+
+/** Builds an effect that counts one observation. */
+export function observe(observation: Observation): ObserveEffect {
+  return { kind: 'observe', observation };
+}
--- /dev/null
+++ b/packages/entry/src/index.ts
@@ -0,0 +1,2 @@
+/** The entry daemon. */
+export * from './app.js';
--- /dev/null
+++ b/packages/entry/src/request-cost.ts
@@ -0,0 +1,12 @@
+/** Estimates what a request costs before it runs. */
+
+/** Rough length of a token in bytes of JSON text. */
+const BYTES_PER_TOKEN = 4;
+/** Answer length assumed where the caller gives no bound, tokens. */
+const ASSUMED_ANSWER_TOKENS = 256;
+
+/** Estimates tokens of prompt and answer. */
+export function estimateTokens(payloadBytes: number, maxTokens: unknown): number {
+  const answer = typeof maxTokens === 'number' && maxTokens > 0 ? maxTokens : ASSUMED_ANSWER_TOKENS;
+  return Math.ceil(payloadBytes / BYTES_PER_TOKEN) + answer;
+}
--- /dev/null
+++ b/packages/runtime/src/document-receiver.ts
@@ -0,0 +1,27 @@
+/** Checks documents that come from the platform or from a peer. */
+import type * as bunyan from 'bunyan';
+import * as core from '@toucanproxy/core';
+import * as schema from '@toucanproxy/schema';
+import * as logger from './logger.js';
+
+/**
+ * Creates the function that takes the text of a document.
+ *
+ * A faulty document is refused whole and logged with its faults; the version
+ * in force stays.
+ */
+export function createDocumentReceiver(
+  log: bunyan,
+  post: (event: { kind: 'documentRead'; stored: core.StoredDocument }) => void,
+): (json: string) => void {
+  return (json) => {
+    const parsed = schema.parseDocument(json);
+    if (parsed.kind === 'faulty') {
+      const code = schema.ResultCode.DOCUMENT_FAULT;
+      log.warn({ event: 'document-refused', code, faults: parsed.faults }, 'document-refused');
+      return;
+    }
+    logger.setLevel(log, parsed.value.logLevel);
+    post({ kind: 'documentRead', stored: { document: parsed.value, json } });
+  };
+}
--- /dev/null
+++ b/packages/runtime/src/index.ts
@@ -0,0 +1,10 @@
+/** What the entry and the agent daemon share. */
+export * from './configuration-watch.js';
+export * from './core-task.js';
+export * from './document-receiver.js';
+export * from './link-client.js';
+export * from './link-server.js';
+export * from './logger.js';
+export * from './metrics.js';
+export * from './operator-server.js';
+export * from './vm-list-poll.js';
--- /dev/null
+++ b/packages/runtime/src/operator-server.ts
@@ -0,0 +1,45 @@
+/** The port for operators: metrics, status and health. */
+import * as http from 'node:http';
+import * as net from 'node:net';
+
+export type OperatorServer = { port: number; stop: () => void };
+
+type OperatorServerOptions = {
+  host: string;
+  port: number;
+  renderMetrics: () => string;
+  describeStatus: () => unknown;
+};
+
+const TEXT = { 'content-type': 'text/plain; version=0.0.4' };
+const JSON_TYPE = { 'content-type': 'application/json' };
+
+/** Starts to listen. */
+export async function startOperatorServer(options: OperatorServerOptions): Promise<OperatorServer> {
+  const server = http.createServer((request, response) => {
+    switch (request.url) {
+      case '/metrics':
+        response.writeHead(200, TEXT).end(options.renderMetrics());
+        return;
+      case '/status':
+        response.writeHead(200, JSON_TYPE).end(JSON.stringify(options.describeStatus()));
+        return;
+      case '/health':
+        response.writeHead(200, TEXT).end('ok\n');
+        return;
+      default:
+        response.writeHead(404, TEXT).end('not found\n');
+    }
+  });
+  await new Promise<void>((resolve, reject) => {
+    server.once('error', reject);
+    server.listen(options.port, options.host, resolve);
+  });
+  return {
+    port: (server.address() as net.AddressInfo).port,
+    stop: () => {
+      server.close();
+      server.closeAllConnections();
+    },
+  };
+}
--- /dev/null
+++ b/packages/runtime/src/vm-list-poll.ts
@@ -0,0 +1,48 @@
+/** The task that reads the platform's list of VMs. The list lags. */
+import * as undici from 'undici';
+
+const POLL_MIN_MS = 1500;
+const POLL_SPREAD_MS = 1000;
+const ANSWER_MS = 2000;
+
+type VmListOptions = {
+  vmListUrl: string;
+  /** Takes the addresses of VMs that are leaving. */
+  receiveLeaving: (addresses: string[]) => void;
+  reportFailure: (reason: string) => void;
+  drawRandom: () => number;
+};
+
+type VmListEntry = { address: string; state: string };
+
+export type VmListPoll = { stop: () => void };
+
+/** Reads the list once. */
+async function readList(options: VmListOptions): Promise<void> {
+  const signal = AbortSignal.timeout(ANSWER_MS);
+  const response = await undici.request(options.vmListUrl, { signal });
+  const list = (await response.body.json()) as { vms: VmListEntry[] };
+  const leaving = list.vms.filter((vm) => vm.state === 'leaving').map((vm) => vm.address);
+  options.receiveLeaving(leaving);
+}
+
+/** Starts reading the list; nothing to do where the platform has none. */
+export function startVmListPoll(options: VmListOptions): VmListPoll {
+  let timer: NodeJS.Timeout | undefined;
+  let stopped = false;
+  const poll = async () => {
+    await readList(options).catch((error) => options.reportFailure(String(error)));
+    if (!stopped) {
+      timer = setTimeout(poll, POLL_MIN_MS + options.drawRandom() * POLL_SPREAD_MS);
+    }
+  };
+  if (options.vmListUrl !== '') {
+    poll();
+  }
+  return {
+    stop: () => {
+      stopped = true;
+      clearTimeout(timer);
+    },
+  };
+}
--- /dev/null
+++ b/packages/schema/src/index.ts
@@ -0,0 +1,10 @@
+/**
+ * The schema of toucanproxy: messages between processes, settings and
+ * service documents. The code under `generated/` is made by `npm run generate`.
+ */
+export * from './generated/toucanproxy/v1/document_pb.js';
+export * from './generated/toucanproxy/v1/link_pb.js';
+export * from './generated/toucanproxy/v1/result_pb.js';
+export * from './generated/toucanproxy/v1/settings_pb.js';
+export { create, fromJson, toBinary, toJson, fromBinary } from '@bufbuild/protobuf';
+export * from './parse-document.js';
