--- a/packages/core/src/entry/dispatch.ts
+++ b/packages/core/src/entry/dispatch.ts
@@ -1,10 +1,9 @@
 /** Hands waiting requests to agents. */
 import * as schema from '@toucanproxy/schema';
-import * as attemptRef from '../shared/attempt-ref.js';
 import * as effect from '../shared/effect.js';
 import * as entryEvent from './entry-event.js';
-import * as entryMessages from './entry-messages.js';
 import * as entryState from './entry-state.js';
+import * as handOver from './hand-over.js';
 import * as outcomes from './outcomes.js';
 import * as placement from './placement.js';
 
@@ -30,29 +29,6 @@
   };
 }
 
-/** Offers a request to one agent, under a new attempt number. */
-function offerTo(
-  state: entryState.EntryState,
-  request: entryState.EntryRequest,
-  agent: entryState.AgentView,
-  now: number,
-): Effects {
-  request.attempts += 1;
-  request.status = entryState.RequestStatus.OFFERED;
-  const target: entryState.Target = {
-    backendServerId: agent.backendServerId,
-    agentLife: agent.agentLife,
-    ref: attemptRef.buildRef(request.requestId, request.attempts),
-    nextSequence: 0,
-    started: false,
-    withdrawnMs: 0,
-  };
-  request.target = target;
-  agent.outstandingTokens += request.arrived.estimatedTokens;
-  const body = entryMessages.buildOffer(request, target, now);
-  return [entryMessages.sendToAgent(agent.backendServerId, body)];
-}
-
 /** Places one waiting request, or leaves it waiting where no agent is linked. */
 export function place(
   state: entryState.EntryState,
@@ -83,7 +59,7 @@
     chosen: chosen.backendServerId,
     outstandingTokens: chosen.outstandingTokens,
   });
-  return [line, ...offerTo(state, request, agent, now)];
+  return [line, ...handOver.offerTo(state, request, agent, now)];
 }
 
 /** Places every waiting request of a service, the most urgent first. */
