Check settings and documents whole

Cause: the parser stopped at its first fault and looked at types only. Before: a document with six faults named one; cross references were not looked at. Conclusion: the daemons and the command line share one check. Times and limits moved to the schema package, so that the check sees the values in force.

--- a/packages/core/src/entry/answer-flow.ts
+++ b/packages/core/src/entry/answer-flow.ts
@@ -57,7 +57,7 @@
 
 /** Sends the head, once, when the first bytes follow. */
 function sendHead(request: entryState.EntryRequest, now: number): Effects {
-  const { head, arrived } = request;
+  const { head, arrived, requestId } = request;
   if (request.firstByteSent || head === undefined) {
     return [];
   }
@@ -66,7 +66,7 @@
   const ms = now - request.arrivedMs;
   return [
     effect.observe({ kind: 'firstByte', service, tier: request.tierName, ms }),
-    { kind: 'answerHead', callerId, status: head.status, contentType: head.contentType },
+    { kind: 'answerHead', callerId, requestId, status: head.status, contentType: head.contentType },
   ];
 }
 
--- a/packages/core/src/entry/entry-event.ts
+++ b/packages/core/src/entry/entry-event.ts
@@ -41,7 +41,13 @@
   | { kind: 'openLink'; backendServerId: string; address: string }
   | { kind: 'closeLink'; backendServerId: string }
   | { kind: 'sendToAgent'; backendServerId: string; message: schema.EntryMessage }
-  | { kind: 'answerHead'; callerId: number; status: number; contentType: string }
+  | {
+      kind: 'answerHead';
+      callerId: number;
+      requestId: string;
+      status: number;
+      contentType: string;
+    }
   | { kind: 'answerData'; callerId: number; data: Uint8Array }
   | { kind: 'answerEnd'; callerId: number }
   | {
--- a/packages/core/src/shared/document-timing.ts
+++ b/packages/core/src/shared/document-timing.ts
@@ -1,51 +1,6 @@
 /** Times and limits of a document, with the defaults for those it leaves out. */
 import * as schema from '@toucanproxy/schema';
 
-const SECOND_MS = 1000;
-const MINUTE_MS = 60 * SECOND_MS;
-
-/** Milliseconds throughout. */
-export const DEFAULT_TIMING = {
-  defaultDeadlineMs: 2 * MINUTE_MS,
-  maxDeadlineMs: 10 * MINUTE_MS,
-  keyWindowMs: 15 * MINUTE_MS,
-  clockSkewMs: 2 * SECOND_MS,
-  heartbeatIntervalMs: 500,
-  heartbeatTimeoutMs: 2 * SECOND_MS,
-};
-
-export const DEFAULT_LIMITS = {
-  maxBodyBytes: 8 * 1024 * 1024,
-  maxWaiting: 1000,
-  maxRequestsPerWorkspace: 500,
-  maxQueued: 64,
-  maxRunning: 16,
-  maxRunningTokens: 65_536,
-  urgentHeadroomPercent: 10,
-  retryBudgetPercent: 10,
-};
-
-export type Timing = typeof DEFAULT_TIMING;
-export type Limits = typeof DEFAULT_LIMITS;
-
-/** Fills each zero or missing field from the defaults. */
-function applyDefaults<T extends Record<string, number>>(
-  given: Partial<Record<keyof T, unknown>> | undefined,
-  defaults: T,
-): T {
-  const entries = Object.entries(defaults).map(([name, value]) => {
-    const set = given?.[name as keyof T];
-    return [name, typeof set === 'number' && set > 0 ? set : value];
-  });
-  return Object.fromEntries(entries) as T;
-}
-
-/** Gets the timing of a document in force. */
-export function getTiming(document: schema.ServiceDocument | undefined): Timing {
-  return applyDefaults(document?.timing, DEFAULT_TIMING);
-}
-
-/** Gets the limits of a document in force. */
-export function getLimits(document: schema.ServiceDocument | undefined): Limits {
-  return applyDefaults(document?.limits, DEFAULT_LIMITS);
-}
+export const { DEFAULT_LIMITS, DEFAULT_TIMING, getLimits, getTiming } = schema;
+export type Limits = schema.EffectiveLimits;
+export type Timing = schema.EffectiveTiming;
--- /dev/null
+++ b/packages/schema/src/check-document.ts
@@ -0,0 +1,246 @@
+/** What a service document has to hold beyond its structure; one small check each. */
+import * as address from './address.js';
+import * as documentDefaults from './document-defaults.js';
+import * as fault from './fault.js';
+import * as documentPb from './generated/toucanproxy/v1/document_pb.js';
+
+type DocumentCheck = fault.Check<documentPb.ServiceDocument>;
+type Ranges = Record<string, [least: number, most: number]>;
+
+const { expectThat, listRepeated } = fault;
+
+const NAME_PATTERN = /^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$/;
+const NAME_RULE = 'up to 63 letters, digits, ".", "_" and "-", the first a letter or digit';
+const DIGEST_PATTERN = /^[0-9a-f]{64}$/;
+const DIGEST_RULE = 'the SHA-256 of the token as 64 lower-case hexadecimal digits';
+
+/** No service may allow a larger body, bytes. */
+export const HARD_BODY_LIMIT = 64 * 1024 * 1024;
+
+const SECOND_MS = 1000;
+const MINUTE_MS = 60 * SECOND_MS;
+const DAY_MS = 24 * 60 * MINUTE_MS;
+
+/** Milliseconds; 0 stands for the default. */
+const TIMING_RANGES: Ranges = {
+  defaultDeadlineMs: [1, DAY_MS],
+  maxDeadlineMs: [1, DAY_MS],
+  keyWindowMs: [1, DAY_MS],
+  clockSkewMs: [1, MINUTE_MS],
+  heartbeatIntervalMs: [10, MINUTE_MS],
+  heartbeatTimeoutMs: [20, 10 * MINUTE_MS],
+};
+
+/** 0 stands for the default. */
+const LIMIT_RANGES: Ranges = {
+  maxBodyBytes: [1, HARD_BODY_LIMIT],
+  maxWaiting: [1, 1_000_000],
+  maxRequestsPerWorkspace: [1, 1_000_000],
+  maxQueued: [1, 100_000],
+  maxRunning: [1, 10_000],
+  maxRunningTokens: [1, 100_000_000],
+  urgentHeadroomPercent: [1, 90],
+  retryBudgetPercent: [1, 100],
+};
+
+const checkIdentity: DocumentCheck = (document) => [
+  ...expectThat(NAME_PATTERN.test(document.service), '$.service', document.service, NAME_RULE),
+  ...expectThat(document.version > 0, '$.version', document.version, 'a whole number from 1'),
+  ...expectThat(
+    document.kind !== documentPb.ServiceKind.UNSPECIFIED,
+    '$.kind',
+    documentPb.ServiceKind[document.kind],
+    'SERVICE_KIND_MODEL or SERVICE_KIND_PLAIN',
+  ),
+];
+
+const checkTiers: DocumentCheck = ({ tiers }) => [
+  ...expectThat(tiers.length > 0, '$.tiers', tiers, 'at least one tier, the most urgent first'),
+  ...tiers.flatMap((tier, index) =>
+    expectThat(NAME_PATTERN.test(tier), `$.tiers[${index}]`, tier, NAME_RULE),
+  ),
+  ...listRepeated(tiers, (index) => `$.tiers[${index}]`),
+];
+
+const checkRoutes: DocumentCheck = ({ routes }) => {
+  const prefixes = routes.map((route) => route.pathPrefix);
+  const toPath = (index: number) => `$.routes[${index}].pathPrefix`;
+  return [
+    ...expectThat(routes.length > 0, '$.routes', routes, 'at least one route'),
+    ...prefixes.flatMap((prefix, index) =>
+      expectThat(prefix.startsWith('/'), toPath(index), prefix, 'a path that begins with "/"'),
+    ),
+    ...listRepeated(prefixes, toPath),
+  ];
+};
+
+const checkWorkspaces: DocumentCheck = ({ workspaces }) => {
+  const names = workspaces.map((workspace) => workspace.name);
+  const toPath = (index: number) => `$.workspaces[${index}].name`;
+  return [
+    ...names.flatMap((name, index) =>
+      expectThat(NAME_PATTERN.test(name), toPath(index), name, NAME_RULE),
+    ),
+    ...listRepeated(names, toPath),
+  ];
+};
+
+/** Describes a token's digest without showing it: it may be the token itself. */
+function describeDigest(value: string): string {
+  return `${value.length} characters, not shown`;
+}
+
+const checkTokens: DocumentCheck = ({ credentials }) => {
+  const digests = credentials.map((credential) => credential.tokenSha256);
+  const toPath = (index: number) => `$.credentials[${index}].tokenSha256`;
+  const wrong = digests.flatMap((digest, index) =>
+    DIGEST_PATTERN.test(digest)
+      ? []
+      : [{ path: toPath(index), found: describeDigest(digest), allowed: DIGEST_RULE }],
+  );
+  return [...wrong, ...listRepeated(digests, toPath, describeDigest)];
+};
+
+const checkCredentials: DocumentCheck = ({ credentials, workspaces, tiers }) => {
+  const names = workspaces.map((workspace) => workspace.name);
+  return credentials.flatMap(({ workspace, tier }, index) => {
+    const path = `$.credentials[${index}]`;
+    return [
+      ...expectThat(
+        names.includes(workspace),
+        `${path}.workspace`,
+        workspace,
+        `a name of $.workspaces: ${names.join(', ')}`,
+      ),
+      ...expectThat(
+        tiers.includes(tier),
+        `${path}.tier`,
+        tier,
+        `a name of $.tiers: ${tiers.join(', ')}`,
+      ),
+    ];
+  });
+};
+
+const checkServerNames: DocumentCheck = ({ backendServers }) => {
+  const toPath = (index: number) => `$.backendServers[${index}].id`;
+  const ids = backendServers.map((server) => server.id);
+  return [
+    ...ids.flatMap((id, index) => expectThat(NAME_PATTERN.test(id), toPath(index), id, NAME_RULE)),
+    ...listRepeated(ids, toPath),
+  ];
+};
+
+const checkServerAddresses: DocumentCheck = ({ backendServers }) =>
+  backendServers.flatMap((server, index) => {
+    const path = `$.backendServers[${index}].address`;
+    const first = backendServers.findIndex(
+      (one) => one.address === server.address && one.state !== documentPb.BackendServerState.GONE,
+    );
+    const taken = server.state !== documentPb.BackendServerState.GONE && first < index;
+    return [
+      ...expectThat(address.isAddress(server.address), path, server.address, address.ADDRESS_RULE),
+      ...expectThat(!taken, path, server.address, `an address other than that of [${first}]`),
+    ];
+  });
+
+const checkServerDomains: DocumentCheck = ({ backendServers }) =>
+  backendServers.flatMap((server, index) =>
+    expectThat(
+      server.failureDomain !== '',
+      `$.backendServers[${index}].failureDomain`,
+      server.failureDomain,
+      'the name of a failure domain',
+    ),
+  );
+
+const checkServerVersions: DocumentCheck = ({ backendServers, version }) =>
+  backendServers.flatMap((server, index) => {
+    const { addedInVersion: added, goneInVersion: gone } = server;
+    const path = `$.backendServers[${index}]`;
+    const isGone = server.state === documentPb.BackendServerState.GONE;
+    const goneRule = isGone
+      ? `BACKEND_SERVER_STATE_GONE needs a version from ${added} to ${version}`
+      : '0, or the state BACKEND_SERVER_STATE_GONE';
+    return [
+      ...expectThat(
+        added >= 1 && added <= version,
+        `${path}.addedInVersion`,
+        added,
+        `a version from 1 to ${version}`,
+      ),
+      ...expectThat(
+        isGone ? gone >= added && gone <= version && gone > 0 : gone === 0,
+        `${path}.goneInVersion`,
+        gone,
+        goneRule,
+      ),
+    ];
+  });
+
+const checkSettled: DocumentCheck = ({ settledVersion, version }) =>
+  expectThat(
+    settledVersion <= version,
+    '$.settledVersion',
+    settledVersion,
+    `a version from 0 to ${version}`,
+  );
+
+/** Checks that each number set is within its range. */
+function checkRanges(path: string, given: object | undefined, ranges: Ranges): fault.Fault[] {
+  return Object.entries(ranges).flatMap(([name, [least, most]]) => {
+    const value = (given as Record<string, number> | undefined)?.[name] ?? 0;
+    const isRight = value === 0 || (value >= least && value <= most);
+    return expectThat(isRight, `${path}.${name}`, value, `${least} to ${most}, 0 for the default`);
+  });
+}
+
+const checkTimingRanges: DocumentCheck = (document) =>
+  checkRanges('$.timing', document.timing, TIMING_RANGES);
+
+const checkLimitRanges: DocumentCheck = (document) =>
+  checkRanges('$.limits', document.limits, LIMIT_RANGES);
+
+const checkDeadlines: DocumentCheck = (document) => {
+  const { defaultDeadlineMs, maxDeadlineMs } = documentDefaults.getTiming(document);
+  return expectThat(
+    defaultDeadlineMs <= maxDeadlineMs,
+    '$.timing.defaultDeadlineMs',
+    defaultDeadlineMs,
+    `at most maxDeadlineMs, which is ${maxDeadlineMs}`,
+  );
+};
+
+// A timeout of two intervals or less gives a link up when a single heartbeat is late.
+const checkHeartbeats: DocumentCheck = (document) => {
+  const { heartbeatIntervalMs, heartbeatTimeoutMs } = documentDefaults.getTiming(document);
+  return expectThat(
+    heartbeatTimeoutMs > 2 * heartbeatIntervalMs,
+    '$.timing.heartbeatTimeoutMs',
+    heartbeatTimeoutMs,
+    `more than twice heartbeatIntervalMs, which is ${heartbeatIntervalMs}`,
+  );
+};
+
+const DOCUMENT_CHECKS: DocumentCheck[] = [
+  checkIdentity,
+  checkTiers,
+  checkRoutes,
+  checkWorkspaces,
+  checkTokens,
+  checkCredentials,
+  checkServerNames,
+  checkServerAddresses,
+  checkServerDomains,
+  checkServerVersions,
+  checkSettled,
+  checkTimingRanges,
+  checkLimitRanges,
+  checkDeadlines,
+  checkHeartbeats,
+];
+
+/** Lists every fault of a document whose structure is right. */
+export function checkDocument(document: documentPb.ServiceDocument): fault.Fault[] {
+  return DOCUMENT_CHECKS.flatMap((check) => check(document));
+}
--- /dev/null
+++ b/packages/schema/src/check-settings.ts
@@ -0,0 +1,106 @@
+/** What settings have to hold beyond their structure. */
+import * as net from 'node:net';
+import * as address from './address.js';
+import * as fault from './fault.js';
+import * as settingsPb from './generated/toucanproxy/v1/settings_pb.js';
+import * as settingsDefaults from './settings-defaults.js';
+
+const { expectThat, listRepeated } = fault;
+
+const NAME_PATTERN = /^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$/;
+const NAME_RULE = 'up to 63 letters, digits, ".", "_" and "-", the first a letter or digit';
+const MAX_WATCH_WAIT_MS = 600_000;
+
+/** Ranges of the limits on callers; 0 stands for the default. */
+const CALLER_LIMIT_RANGES: Record<
+  keyof settingsDefaults.EffectiveCallerLimits,
+  [least: number, most: number]
+> = {
+  maxConnections: [1, 1_000_000],
+  maxHeaderBytes: [1024, 1_048_576],
+  headersTimeoutMs: [100, 600_000],
+  bodyTimeoutMs: [100, 3_600_000],
+  maxAnswerBufferBytes: [65_536, 1_073_741_824],
+  readTimeoutMs: [100, 3_600_000],
+  maxPipelined: [1, 1000],
+};
+
+/** Checks a name. */
+function checkName(path: string, name: string): fault.Fault[] {
+  return expectThat(NAME_PATTERN.test(name), path, name, NAME_RULE);
+}
+
+/** Checks an address to listen on; where it is left out, the default stands. */
+function checkListen(path: string, listen: settingsPb.ListenAddress | undefined): fault.Fault[] {
+  const { host = '', port = 0 } = listen ?? {};
+  return [
+    ...expectThat(host === '' || net.isIP(host) > 0, `${path}.host`, host, 'an IP number'),
+    ...expectThat(port === 0 || address.isPort(port), `${path}.port`, port, '0 to 65535'),
+  ];
+}
+
+/** Checks where the platform is. */
+function checkPlatform(platform: settingsPb.PlatformSettings | undefined): fault.Fault[] {
+  const { configurationUrl = '', vmListUrl = '', watchWaitMs = 0 } = platform ?? {};
+  return [
+    ...expectThat(
+      address.isHttpUrl(configurationUrl),
+      '$.platform.configurationUrl',
+      configurationUrl,
+      address.URL_RULE,
+    ),
+    ...expectThat(
+      vmListUrl === '' || address.isHttpUrl(vmListUrl),
+      '$.platform.vmListUrl',
+      vmListUrl,
+      `${address.URL_RULE}, or empty`,
+    ),
+    ...expectThat(
+      watchWaitMs <= MAX_WATCH_WAIT_MS,
+      '$.platform.watchWaitMs',
+      watchWaitMs,
+      `0 to ${MAX_WATCH_WAIT_MS}, 0 for the default`,
+    ),
+  ];
+}
+
+/** Checks the limits on callers. */
+function checkCallerLimits(limits: settingsPb.CallerLimits | undefined): fault.Fault[] {
+  return Object.entries(CALLER_LIMIT_RANGES).flatMap(([name, [least, most]]) => {
+    const value = limits?.[name as keyof settingsDefaults.EffectiveCallerLimits] ?? 0;
+    const isRight = value === 0 || (value >= least && value <= most);
+    const allowed = `${least} to ${most}, 0 for the default`;
+    return expectThat(isRight, `$.callerLimits.${name}`, value, allowed);
+  });
+}
+
+/** Lists every fault of an entry's settings whose structure is right. */
+export function checkEntrySettings(settings: settingsPb.EntrySettings): fault.Fault[] {
+  const { services } = settings;
+  const toPath = (index: number) => `$.services[${index}]`;
+  return [
+    ...checkName('$.entryId', settings.entryId),
+    ...checkName('$.failureDomain', settings.failureDomain),
+    ...checkListen('$.callers', settings.callers),
+    ...checkListen('$.operators', settings.operators),
+    ...checkPlatform(settings.platform),
+    ...expectThat(services.length > 0, '$.services', services, 'at least one service'),
+    ...services.flatMap((service, index) => checkName(toPath(index), service)),
+    ...listRepeated(services, toPath),
+    ...checkCallerLimits(settings.callerLimits),
+  ];
+}
+
+/** Lists every fault of an agent's settings whose structure is right. */
+export function checkAgentSettings(settings: settingsPb.AgentSettings): fault.Fault[] {
+  const { engineUrl } = settings;
+  return [
+    ...checkName('$.backendServerId', settings.backendServerId),
+    ...checkName('$.service', settings.service),
+    ...checkName('$.failureDomain', settings.failureDomain),
+    ...checkListen('$.links', settings.links),
+    ...checkListen('$.operators', settings.operators),
+    ...checkPlatform(settings.platform),
+    ...expectThat(address.isHttpUrl(engineUrl), '$.engineUrl', engineUrl, address.URL_RULE),
+  ];
+}
