Refuse bad callers with a code and go on

Cause: the body limit was applied after the whole body was in memory, slow and malformed callers got the library's own answers or none, the digest key differed between entries, and a path below a service could name another host. Conclusion: limits are applied at the head and while the body comes, answers to earlier pipelined requests leave before a refusal, and a path must be resolved already.

--- a/packages/agent/src/app.ts
+++ b/packages/agent/src/app.ts
@@ -19,6 +19,7 @@
 
 /** The tasks that carry out the core's effects. */
 type Parts = {
+  state: core.AgentState;
   logger: bunyan;
   metrics: runtime.Metrics;
   links: runtime.LinkServer;
@@ -36,7 +37,7 @@
 
 /** Names the task that carries out each effect. */
 function buildExecutors(parts: Parts): Executors {
-  const { logger, metrics, links, engine } = parts;
+  const { state, logger, metrics, links, engine } = parts;
   return {
     sendToEntry: (effect) => links.send(effect.linkId, effect.message),
     closeLink: (effect) => links.closeLink(effect.linkId),
@@ -47,7 +48,10 @@
       logger.info({ event: 'stopped' }, 'stopped');
       parts.stopped();
     },
-    log: (effect) => runtime.writeLog(logger, effect),
+    log: (effect) => {
+      runtime.applyLogLevel(logger, state.documents);
+      runtime.writeLog(logger, effect);
+    },
     observe: (effect) => runtime.recordObservation(metrics, effect.observation),
   };
 }
@@ -89,7 +93,8 @@
   const engine = engineClient.createEngineClient({ engineUrl, post: task.post });
   const receiveDocument = runtime.createDocumentReceiver(logger, task.post);
   const links = await startLinks(settings, task);
-  const executors = buildExecutors({ logger, metrics, links, engine, receiveDocument, stopped });
+  const parts = { state, logger, metrics, links, engine, receiveDocument, stopped };
+  const executors = buildExecutors(parts);
   task.start((effect) => executors[effect.kind](effect as never));
   const operators = await runtime.startOperatorServer({
     host: settings.operators?.host ?? DEFAULT_HOST,
--- a/packages/entry/src/api-path.ts
+++ b/packages/entry/src/api-path.ts
@@ -2,13 +2,33 @@
 
 /** OpenAI-style paths, where the body's `model` names the service. */
 const MODEL_PATHS = new Set(['/v1/chat/completions', '/v1/completions']);
-const SERVICE_PATTERN = /^\/services\/([^/]+)(\/.*)$/;
+const SERVICE_PATTERN = /^\/services\/([A-Za-z0-9._-]+)(\/.*)$/;
+const BASE_URL = 'http://service';
 
 export type ApiPath =
   | { kind: 'model'; path: string }
   | { kind: 'service'; service: string; path: string }
+  | { kind: 'malformed' }
   | { kind: 'unknown' };
 
+/**
+ * Resolves a path below a service; undefined where it would leave it.
+ *
+ * The agent joins the path to the URL of its service. "//10.0.0.9/" would
+ * send the request to another host, and "/open/../closed" would be matched by
+ * one route and served by another. A path that is resolved already, on the
+ * same host, can do neither.
+ */
+function resolvePath(path: string): string | undefined {
+  if (!URL.canParse(path, BASE_URL)) {
+    return undefined;
+  }
+  const [pathname] = path.split(/[?#]/);
+  const url = new URL(path, BASE_URL);
+  const isSame = url.origin === BASE_URL && url.pathname === pathname;
+  return isSame ? `${url.pathname}${url.search}` : undefined;
+}
+
 /** Reads the URL of a request. */
 export function parseApiPath(url: string): ApiPath {
   const [pathname] = url.split('?');
@@ -19,5 +39,6 @@
   if (match === null) {
     return { kind: 'unknown' };
   }
-  return { kind: 'service', service: match[1], path: match[2] };
+  const path = resolvePath(match[2]);
+  return path === undefined ? { kind: 'malformed' } : { kind: 'service', service: match[1], path };
 }
--- a/packages/entry/src/app.ts
+++ b/packages/entry/src/app.ts
@@ -1,12 +1,12 @@
 /** The entry daemon: joins the core to its tasks. */
 import * as crypto from 'node:crypto';
-import * as fs from 'node:fs';
 import type * as bunyan from 'bunyan';
 import * as core from '@toucanproxy/core';
 import * as runtime from '@toucanproxy/runtime';
 import * as schema from '@toucanproxy/schema';
 import * as agentLinkTask from './agent-link-task.js';
 import * as callerServer from './caller-server.js';
+import * as contentDigest from './content-digest.js';
 import * as status from './status.js';
 
 export type EntryDaemon = {
@@ -21,6 +21,7 @@
 
 /** The tasks that carry out the core's effects. */
 type Parts = {
+  state: core.EntryState;
   logger: bunyan;
   metrics: runtime.Metrics;
   links: agentLinkTask.AgentLinkTask;
@@ -41,18 +42,11 @@
   task: EntryTask;
 };
 
-const DEFAULT_WATCH_WAIT_MS = 30_000;
-const DEFAULT_HOST = '127.0.0.1';
 const LIFE_BYTES = 6;
 
-/** Reads the key for content digests; a key of this life where none is set. */
-function readDigestKey(path: string): string {
-  return path === '' ? crypto.randomUUID() : fs.readFileSync(path, 'utf8').trim();
-}
-
 /** Names the task that carries out each effect. */
 function buildExecutors(parts: Parts): Executors {
-  const { logger, metrics, links, callers } = parts;
+  const { state, logger, metrics, links, callers } = parts;
   return {
     openLink: (effect) => links.open(effect.backendServerId, effect.address),
     closeLink: (effect) => links.close(effect.backendServerId),
@@ -62,11 +56,16 @@
     answerEnd: callers.answer,
     answerFailure: callers.answer,
     documentReceived: (effect) => parts.receiveDocument(effect.json),
-    stopped: () => {
-      logger.info({ event: 'stopped' }, 'stopped');
-      parts.stopped();
+    // The core has ended every request; the last bytes may still be on their way.
+    stopped: () =>
+      callers.notifyIdle(() => {
+        logger.info({ event: 'stopped' }, 'stopped');
+        parts.stopped();
+      }),
+    log: (effect) => {
+      runtime.applyLogLevel(logger, state.documents);
+      runtime.writeLog(logger, effect);
     },
-    log: (effect) => runtime.writeLog(logger, effect),
     observe: (effect) => runtime.recordObservation(metrics, effect.observation),
   };
 }
@@ -89,7 +88,7 @@
     runtime.startConfigurationWatch({
       configurationUrl: settings.platform?.configurationUrl ?? '',
       service,
-      waitMs: settings.platform?.watchWaitMs || DEFAULT_WATCH_WAIT_MS,
+      waitMs: settings.platform?.watchWaitMs ?? 0,
       getVersion: () => core.getVersion(state.documents, service),
       receiveDocument,
       reportFailure: (reason) => logger.warn({ event: 'configuration-failed', service, reason }),
@@ -105,11 +104,40 @@
   return [...watches, vmList];
 }
 
+/** Starts to listen for callers. */
+function startCallers(
+  settings: schema.EntrySettings,
+  task: EntryTask,
+  state: core.EntryState,
+  report: { logger: bunyan; metrics: runtime.Metrics },
+): Promise<callerServer.CallerServer> {
+  const { callers, callerLimits, services, digestKeyFile } = settings;
+  const { logger, metrics } = report;
+  if (digestKeyFile === '') {
+    logger.warn({ event: 'digest-key-default' }, 'digest-key-default');
+  }
+  const digestKey = contentDigest.readDigestKey(digestKeyFile);
+  const { documents } = state;
+  return callerServer.startCallerServer({
+    host: callers?.host ?? '',
+    port: callers?.port ?? 0,
+    limits: schema.getCallerLimits(callerLimits),
+    context: { documents, services, digestKey, bodyBudget: { usedBytes: 0 } },
+    post: task.post,
+    reportRefusal: (code) => {
+      logger.info({ event: 'rejected', code, result: schema.ResultCode[code] }, 'rejected');
+      const outcome = { kind: 'outcome', service: '', tier: '', code, inTime: false } as const;
+      runtime.recordObservation(metrics, outcome);
+    },
+  });
+}
+
 /** Starts an entry. `stopped` is called once after a graceful shutdown. */
 export async function startEntry(
-  settings: schema.EntrySettings,
+  given: schema.EntrySettings,
   stopped: () => void,
 ): Promise<EntryDaemon> {
+  const settings = schema.applyEntryDefaults(given);
   const state = createState(settings);
   const { entryId, life } = state;
   const logger = runtime.createLogger('toucanproxy-entry', { entry: entryId, life });
@@ -122,17 +150,12 @@
   });
   const receiveDocument = runtime.createDocumentReceiver(logger, task.post);
   const links = agentLinkTask.createAgentLinkTask(task.post);
-  const callers = await callerServer.startCallerServer({
-    host: settings.callers?.host ?? DEFAULT_HOST,
-    port: settings.callers?.port ?? 0,
-    limits: settings.callerLimits,
-    digestKey: readDigestKey(settings.digestKeyFile),
-    post: task.post,
-  });
-  const executors = buildExecutors({ logger, metrics, links, callers, receiveDocument, stopped });
+  const callers = await startCallers(settings, task, state, { logger, metrics });
+  const parts = { state, logger, metrics, links, callers, receiveDocument, stopped };
+  const executors = buildExecutors(parts);
   task.start((effect) => executors[effect.kind](effect as never));
   const operators = await runtime.startOperatorServer({
-    host: settings.operators?.host ?? DEFAULT_HOST,
+    host: settings.operators?.host ?? '',
     port: settings.operators?.port ?? 0,
     renderMetrics: () => runtime.renderMetrics(metrics),
     describeStatus: () => status.describeStatus(state),
@@ -142,7 +165,10 @@
   logger.info({ event: 'started', ...ports }, 'started');
   return {
     ...ports,
-    shutDown: () => task.post({ kind: 'shutdownStarted' }),
+    shutDown: () => {
+      callers.stopListening();
+      task.post({ kind: 'shutdownStarted' });
+    },
     stop: () => [...readers, task, links, callers, operators].forEach((part) => part.stop()),
   };
 }
--- /dev/null
+++ b/packages/entry/src/caller-answer.ts
@@ -0,0 +1,150 @@
+/** Writes answers to callers' connections. */
+import * as http from 'node:http';
+import * as core from '@toucanproxy/core';
+import * as schema from '@toucanproxy/schema';
+import * as failureAnswer from './failure-answer.js';
+
+export type CallerEffect = Extract<
+  core.EntryEffect,
+  { kind: 'answerHead' | 'answerData' | 'answerEnd' | 'answerFailure' }
+>;
+type EffectOf<K extends CallerEffect['kind']> = Extract<CallerEffect, { kind: K }>;
+
+export enum ExchangePhase {
+  /** Its body is still coming. */
+  READING = 'reading',
+  /** The core decides on it, or its answer is on the way. */
+  HELD = 'held',
+}
+
+/** One request of a caller with the answer to it. */
+export type Exchange = {
+  callerId: number;
+  request: http.IncomingMessage;
+  response: http.ServerResponse;
+  phase: ExchangePhase;
+  streamed: boolean;
+  writtenBytes: number;
+  stallTimer: NodeJS.Timeout | undefined;
+};
+
+export type AnswerLimits = {
+  maxAnswerBufferBytes: number;
+  readTimeoutMs: number;
+};
+
+const EVENT_STREAM = 'text/event-stream';
+const RESULT_HEADER = 'x-toucanproxy-result';
+const COMPLETED = String(schema.ResultCode.COMPLETED);
+
+/** Builds the record of a request that has begun to arrive. */
+export function makeExchange(
+  callerId: number,
+  request: http.IncomingMessage,
+  response: http.ServerResponse,
+): Exchange {
+  const phase = ExchangePhase.READING;
+  const base = { callerId, request, response, phase };
+  return { ...base, streamed: false, writtenBytes: 0, stallTimer: undefined };
+}
+
+/** Computes the bytes that have left this process for the caller. */
+function computeSentBytes(exchange: Exchange): number {
+  return exchange.writtenBytes - exchange.response.writableLength;
+}
+
+/**
+ * Ends an answer that its caller has stopped reading.
+ *
+ * The bytes it does not read stay in this process. A caller that opens many
+ * streams and reads none would otherwise take all its memory.
+ */
+function watchReading(exchange: Exchange, limits: AnswerLimits): void {
+  const { response } = exchange;
+  if (exchange.stallTimer !== undefined || response.writableLength === 0) {
+    return;
+  }
+  const sentBefore = computeSentBytes(exchange);
+  exchange.stallTimer = setTimeout(() => {
+    exchange.stallTimer = undefined;
+    if (response.writableLength > 0 && computeSentBytes(exchange) <= sentBefore) {
+      response.destroy();
+      return;
+    }
+    watchReading(exchange, limits);
+  }, limits.readTimeoutMs);
+}
+
+/** Sends the head; the result of a streamed answer is known at its end only. */
+function sendHead(exchange: Exchange, effect: EffectOf<'answerHead'>): void {
+  const { status, contentType, requestId } = effect;
+  exchange.streamed = contentType.startsWith(EVENT_STREAM);
+  const result = exchange.streamed ? { trailer: RESULT_HEADER } : { [RESULT_HEADER]: COMPLETED };
+  const headers = { 'content-type': contentType, 'x-request-id': requestId, ...result };
+  exchange.response.writeHead(status, headers);
+}
+
+/** Sends one part of an answer. */
+function sendData(exchange: Exchange, data: Uint8Array, limits: AnswerLimits): void {
+  const { response } = exchange;
+  exchange.writtenBytes += data.length;
+  response.write(data);
+  if (exchange.streamed && response.writableLength > limits.maxAnswerBufferBytes) {
+    response.destroy();
+    return;
+  }
+  watchReading(exchange, limits);
+}
+
+/** Sends the end of a whole answer. */
+function sendEnd(exchange: Exchange, limits: AnswerLimits): void {
+  const { response } = exchange;
+  if (exchange.streamed) {
+    response.addTrailers({ [RESULT_HEADER]: COMPLETED });
+  }
+  response.end();
+  watchReading(exchange, limits);
+}
+
+/** Ends a started answer with an error event and never with the normal end mark. */
+function closeBroken(exchange: Exchange, body: string, limits: AnswerLimits): void {
+  const { response, streamed } = exchange;
+  const event = streamed ? `event: error\ndata: ${body}\n\n` : '';
+  // Destroyed rather than ended: the missing last chunk tells a client that
+  // the answer is not whole even where it ignores the event. Only once the
+  // event has left, because destroying throws away what is buffered.
+  response.write(event, () => response.destroy());
+  watchReading(exchange, limits);
+}
+
+/** Sends a failure, before or after the answer began. */
+export function sendFailure(
+  exchange: Exchange,
+  failure: failureAnswer.Failure,
+  limits: AnswerLimits,
+): void {
+  const { response } = exchange;
+  const answer = failureAnswer.buildFailureAnswer(failure);
+  if (response.headersSent) {
+    closeBroken(exchange, answer.body, limits);
+    return;
+  }
+  response.writeHead(answer.status, answer.headers).end(answer.body);
+}
+
+/** Carries out one effect on a caller's connection. */
+export function applyEffect(exchange: Exchange, effect: CallerEffect, limits: AnswerLimits): void {
+  switch (effect.kind) {
+    case 'answerHead':
+      sendHead(exchange, effect);
+      return;
+    case 'answerData':
+      sendData(exchange, effect.data, limits);
+      return;
+    case 'answerEnd':
+      sendEnd(exchange, limits);
+      return;
+    default:
+      sendFailure(exchange, effect, limits);
+  }
+}
--- a/packages/entry/src/caller-server.ts
+++ b/packages/entry/src/caller-server.ts
@@ -3,126 +3,225 @@
 import * as net from 'node:net';
 import * as core from '@toucanproxy/core';
 import * as schema from '@toucanproxy/schema';
+import * as callerAnswer from './caller-answer.js';
+import * as clientError from './client-error.js';
 import * as failureAnswer from './failure-answer.js';
 import * as requestReader from './request-reader.js';
 
-type CallerEffect = Extract<
-  core.EntryEffect,
-  { kind: 'answerHead' | 'answerData' | 'answerEnd' | 'answerFailure' }
->;
-
 export type CallerServer = {
   port: number;
-  answer: (effect: CallerEffect) => void;
+  answer: (effect: callerAnswer.CallerEffect) => void;
+  /** Takes no new connection and ends idle ones. */
+  stopListening: () => void;
+  /** Calls once every answer has left. */
+  notifyIdle: (idle: () => void) => void;
   stop: () => void;
 };
 
-type CallerServerOptions = {
+export type CallerServerOptions = {
   host: string;
   port: number;
-  limits: schema.CallerLimits | undefined;
-  digestKey: string;
+  limits: schema.EffectiveCallerLimits;
+  context: requestReader.ReaderContext;
   post: (event: core.EntryEvent) => void;
+  /** Told of requests that are refused before the core sees them. */
+  reportRefusal: (code: schema.ResultCode) => void;
+};
+
+type ServerState = {
+  options: CallerServerOptions;
+  exchanges: Map<number, callerAnswer.Exchange>;
+  bySocket: WeakMap<net.Socket, Set<callerAnswer.Exchange>>;
+  connections: Set<net.Socket>;
+  /** Connections that were opened beyond the limit. */
+  surplus: WeakSet<net.Socket>;
+  nextCallerId: number;
+  closing: boolean;
+  idle: (() => void) | undefined;
 };
 
-const DEFAULT_MAX_CONNECTIONS = 10_000;
-const DEFAULT_MAX_HEADER_BYTES = 16_384;
-const DEFAULT_HEADERS_TIMEOUT_MS = 10_000;
-const DEFAULT_BODY_TIMEOUT_MS = 60_000;
+/** How often slow requests are looked for, milliseconds. */
+const MAX_TIMEOUT_CHECK_MS = 1000;
+/** Connections beyond the limit that are still told so, rather than dropped. */
+const SPARE_CONNECTIONS = 64;
 
-/** Ends a started stream with an error event and never with the normal end mark. */
-function closeBroken(response: http.ServerResponse, body: string): void {
-  const type = String(response.getHeader('content-type') ?? '');
-  if (type.startsWith('text/event-stream')) {
-    response.write(`event: error\ndata: ${body}\n\n`);
+const { ExchangePhase } = callerAnswer;
+
+/** Refuses a request that the core has not seen. */
+function refuse(
+  state: ServerState,
+  exchange: callerAnswer.Exchange,
+  code: schema.ResultCode,
+): void {
+  state.options.reportRefusal(code);
+  if (exchange.response.headersSent || exchange.response.destroyed) {
+    return;
   }
-  // Destroyed rather than ended: the missing last chunk tells a client that
-  // the answer is not whole even where it ignores the event.
-  response.destroy();
+  exchange.phase = ExchangePhase.HELD;
+  const failure = failureAnswer.buildRefusal(code);
+  callerAnswer.sendFailure(exchange, failure, state.options.limits);
 }
 
-/** Sends a failure, before or after the answer began. */
-function sendFailure(
+/** Forgets a request whose answer has left or whose caller has gone. */
+function closeExchange(state: ServerState, exchange: callerAnswer.Exchange): void {
+  const { callerId, request } = exchange;
+  clearTimeout(exchange.stallTimer);
+  state.exchanges.delete(callerId);
+  state.bySocket.get(request.socket)?.delete(exchange);
+  state.options.post({ kind: 'callerLeft', callerId });
+  if (state.exchanges.size === 0) {
+    state.idle?.();
+  }
+}
+
+/** Opens the record of a request. */
+function openExchange(
+  state: ServerState,
+  request: http.IncomingMessage,
   response: http.ServerResponse,
-  effect: Extract<CallerEffect, { kind: 'answerFailure' }>,
-): void {
-  const answer = failureAnswer.buildFailureAnswer(effect);
-  if (response.headersSent) {
-    closeBroken(response, answer.body);
+): callerAnswer.Exchange {
+  const exchange = callerAnswer.makeExchange(state.nextCallerId, request, response);
+  state.nextCallerId += 1;
+  state.exchanges.set(exchange.callerId, exchange);
+  const { socket } = request;
+  const ofSocket = state.bySocket.get(socket) ?? new Set();
+  state.bySocket.set(socket, ofSocket.add(exchange));
+  response.on('close', () => closeExchange(state, exchange));
+  response.on('error', () => response.destroy());
+  return exchange;
+}
+
+/** Finds the limit on connections that a new request breaks. */
+function findRefusal(
+  state: ServerState,
+  exchange: callerAnswer.Exchange,
+): schema.ResultCode | undefined {
+  const { limits } = state.options;
+  if (state.closing) {
+    return schema.ResultCode.SHUTTING_DOWN;
+  }
+  const { socket } = exchange.request;
+  const pipelined = state.bySocket.get(socket)?.size ?? 0;
+  const tooMany = state.surplus.has(socket) || pipelined > limits.maxPipelined;
+  return tooMany ? schema.ResultCode.QUEUE_FULL : undefined;
+}
+
+/** Reads one request and hands it to the core, or refuses it. */
+async function handleRequest(
+  state: ServerState,
+  request: http.IncomingMessage,
+  response: http.ServerResponse,
+  expectsContinue: boolean,
+): Promise<void> {
+  const exchange = openExchange(state, request, response);
+  const { context, post } = state.options;
+  const refusal = findRefusal(state, exchange);
+  if (refusal !== undefined) {
+    response.setHeader('connection', 'close');
+    refuse(state, exchange, refusal);
+    return;
+  }
+  const head = requestReader.readHead(request, context);
+  if (head.kind === 'faulty') {
+    if (expectsContinue) {
+      response.setHeader('connection', 'close');
+    }
+    refuse(state, exchange, head.code);
+    return;
+  }
+  if (expectsContinue) {
+    response.writeContinue();
+  }
+  const read = await requestReader.readRequest(request, head, exchange.callerId, context);
+  if (read.kind === 'faulty') {
+    refuse(state, exchange, read.code);
     return;
   }
-  response.writeHead(answer.status, answer.headers).end(answer.body);
+  exchange.phase = ExchangePhase.HELD;
+  post({ kind: 'requestArrived', request: read.request });
 }
 
-/** Carries out one effect on a caller's connection. */
-function applyEffect(response: http.ServerResponse, effect: CallerEffect): void {
-  switch (effect.kind) {
-    case 'answerHead':
-      response.writeHead(effect.status, { 'content-type': effect.contentType });
-      return;
-    case 'answerData':
-      response.write(effect.data);
-      return;
-    case 'answerEnd':
-      response.end();
-      return;
-    default:
-      sendFailure(response, effect);
+/**
+ * Answers a connection on which the parser gave up or the time ran out.
+ *
+ * Answers to earlier requests of the connection leave first: written over them,
+ * the refusal would end up in the middle of another answer.
+ */
+function handleClientError(state: ServerState, error: Error, socket: net.Socket): void {
+  const code = clientError.toResultCode(error);
+  if (code === undefined) {
+    socket.destroy();
+    return;
+  }
+  const exchanges = [...(state.bySocket.get(socket) ?? [])];
+  const reading = exchanges.find(
+    (exchange) => exchange.phase === ExchangePhase.READING && !exchange.request.complete,
+  );
+  if (reading !== undefined) {
+    reading.response.setHeader('connection', 'close');
+    refuse(state, reading, code);
+    return;
   }
+  const last = exchanges.at(-1);
+  if (last === undefined) {
+    state.options.reportRefusal(code);
+    clientError.writeRefusal(socket, code);
+    return;
+  }
+  last.response.once('close', () => handleClientError(state, error, socket));
 }
 
 /** Creates the HTTP server with its limits. */
-function createServer(
-  limits: schema.CallerLimits | undefined,
-  listener: http.RequestListener,
-): http.Server {
-  const server = http.createServer(
-    {
-      maxHeaderSize: limits?.maxHeaderBytes || DEFAULT_MAX_HEADER_BYTES,
-      headersTimeout: limits?.headersTimeoutMs || DEFAULT_HEADERS_TIMEOUT_MS,
-      requestTimeout: limits?.bodyTimeoutMs || DEFAULT_BODY_TIMEOUT_MS,
-    },
-    listener,
+function createServer(state: ServerState): http.Server {
+  const { limits } = state.options;
+  const headersTimeout = Math.min(limits.headersTimeoutMs, limits.bodyTimeoutMs);
+  const server = http.createServer({
+    maxHeaderSize: limits.maxHeaderBytes,
+    headersTimeout,
+    requestTimeout: limits.bodyTimeoutMs,
+    connectionsCheckingInterval: Math.min(MAX_TIMEOUT_CHECK_MS, headersTimeout),
+  });
+  server.maxConnections = limits.maxConnections + SPARE_CONNECTIONS;
+  const listen =
+    (expectsContinue: boolean): http.RequestListener =>
+    (request, response) => {
+      handleRequest(state, request, response, expectsContinue).catch(() => response.destroy());
+    };
+  server.on('request', listen(false));
+  server.on('checkExpectation', listen(false));
+  server.on('checkContinue', listen(true));
+  server.on('clientError', (error, socket) =>
+    handleClientError(state, error, socket as net.Socket),
   );
-  server.maxConnections = limits?.maxConnections || DEFAULT_MAX_CONNECTIONS;
+  server.on('connect', (_request, socket) =>
+    clientError.writeRefusal(socket as net.Socket, schema.ResultCode.MALFORMED_REQUEST),
+  );
+  server.on('connection', (socket) => openConnection(state, socket));
   return server;
 }
 
+/** Counts a connection, and marks it where it is one too many. */
+function openConnection(state: ServerState, socket: net.Socket): void {
+  state.connections.add(socket);
+  socket.on('close', () => state.connections.delete(socket));
+  if (state.connections.size > state.options.limits.maxConnections) {
+    state.surplus.add(socket);
+  }
+}
+
 /** Starts to listen. */
 export async function startCallerServer(options: CallerServerOptions): Promise<CallerServer> {
-  const { post } = options;
-  const responses = new Map<number, http.ServerResponse>();
-  let nextCallerId = 1;
-
-  const handleRequest = async (request: http.IncomingMessage, response: http.ServerResponse) => {
-    const callerId = nextCallerId;
-    nextCallerId += 1;
-    responses.set(callerId, response);
-    response.on('close', () => {
-      responses.delete(callerId);
-      post({ kind: 'callerLeft', callerId });
-    });
-    const read = await requestReader.readRequest(request, callerId, options.digestKey);
-    if (read.kind === 'read') {
-      post({ kind: 'requestArrived', request: read.request });
-      return;
-    }
-    const { code } = read;
-    const runState = schema.RunState.NOT_RUN;
-    sendFailure(response, {
-      kind: 'answerFailure',
-      callerId,
-      requestId: '',
-      code,
-      runState,
-      retryAfterMs: 0,
-    });
+  const state: ServerState = {
+    options,
+    exchanges: new Map(),
+    bySocket: new WeakMap(),
+    connections: new Set(),
+    surplus: new WeakSet(),
+    nextCallerId: 1,
+    closing: false,
+    idle: undefined,
   };
-
-  const server = createServer(options.limits, (request, response) => {
-    // A caller that leaves while its body is read has nobody to be told.
-    handleRequest(request, response).catch(() => response.destroy());
-  });
+  const server = createServer(state);
   await new Promise<void>((resolve, reject) => {
     server.once('error', reject);
     server.listen(options.port, options.host, resolve);
@@ -130,9 +229,20 @@
   return {
     port: (server.address() as net.AddressInfo).port,
     answer: (effect) => {
-      const response = responses.get(effect.callerId);
-      if (response !== undefined) {
-        applyEffect(response, effect);
+      const exchange = state.exchanges.get(effect.callerId);
+      if (exchange !== undefined && !exchange.response.destroyed) {
+        callerAnswer.applyEffect(exchange, effect, options.limits);
+      }
+    },
+    stopListening: () => {
+      state.closing = true;
+      server.close();
+      server.closeIdleConnections();
+    },
+    notifyIdle: (idle) => {
+      state.idle = idle;
+      if (state.exchanges.size === 0) {
+        idle();
       }
     },
     stop: () => {
--- /dev/null
+++ b/packages/entry/src/client-error.ts
@@ -0,0 +1,35 @@
+/** Answers what the HTTP parser cannot take: every refusal has its code. */
+import * as http from 'node:http';
+import * as net from 'node:net';
+import * as schema from '@toucanproxy/schema';
+import * as failureAnswer from './failure-answer.js';
+
+const CODE_BY_ERROR: Record<string, schema.ResultCode> = {
+  HPE_HEADER_OVERFLOW: schema.ResultCode.HEADERS_TOO_LARGE,
+  ERR_HTTP_REQUEST_TIMEOUT: schema.ResultCode.REQUEST_TIMEOUT,
+};
+
+/** Finds the result of an error; undefined where there is nobody to be told. */
+export function toResultCode(error: Error): schema.ResultCode | undefined {
+  const name = (error as NodeJS.ErrnoException).code ?? '';
+  const isSyntax = name.startsWith('HPE_');
+  return CODE_BY_ERROR[name] ?? (isSyntax ? schema.ResultCode.MALFORMED_REQUEST : undefined);
+}
+
+/** Writes a refusal to a connection on which no request could be read. */
+export function writeRefusal(socket: net.Socket, code: schema.ResultCode): void {
+  if (!socket.writable) {
+    socket.destroy();
+    return;
+  }
+  const { status, headers, body } = failureAnswer.buildFailureAnswer(
+    failureAnswer.buildRefusal(code),
+  );
+  const lines = [
+    `HTTP/1.1 ${status} ${http.STATUS_CODES[status] ?? ''}`,
+    ...Object.entries(headers).map(([name, value]) => `${name}: ${value}`),
+    `content-length: ${Buffer.byteLength(body)}`,
+    'connection: close',
+  ];
+  socket.end(`${lines.join('\r\n')}\r\n\r\n${body}`, () => socket.destroySoon());
+}
--- a/packages/entry/src/failure-answer.ts
+++ b/packages/entry/src/failure-answer.ts
@@ -2,12 +2,17 @@
 import * as core from '@toucanproxy/core';
 import * as schema from '@toucanproxy/schema';
 
-type Failure = Extract<core.EntryEffect, { kind: 'answerFailure' }>;
+/** What a failure says, whoever decided on it. */
+export type Failure = Pick<
+  Extract<core.EntryEffect, { kind: 'answerFailure' }>,
+  'requestId' | 'code' | 'runState' | 'retryAfterMs'
+>;
 
 const { ResultCode } = schema;
 
 /** HTTP status for each code; docs/RESULT-CODES.md explains them. */
 const STATUS_BY_CODE: Partial<Record<schema.ResultCode, number>> = {
+  [ResultCode.COMPLETED]: 200,
   [ResultCode.MALFORMED_REQUEST]: 400,
   [ResultCode.UNKNOWN_SERVICE]: 404,
   [ResultCode.UNAUTHENTICATED]: 401,
@@ -26,7 +31,9 @@
   [ResultCode.SHUTTING_DOWN]: 503,
   [ResultCode.EVICTED]: 503,
   [ResultCode.QUEUE_FULL]: 503,
+  [ResultCode.STALE_OFFER]: 503,
   [ResultCode.RETRY_BUDGET_SPENT]: 503,
+  [ResultCode.CANCELLED]: 503,
   [ResultCode.LINK_LOST]: 504,
   [ResultCode.AGENT_RESTARTED]: 502,
   [ResultCode.KEY_UNDECIDED]: 409,
@@ -45,6 +52,12 @@
 };
 
 const MS_PER_SECOND = 1000;
+const DEFAULT_STATUS = 500;
+/** Told where the core names no time of its own. */
+const LEAST_RETRY_AFTER_MS = 1000;
+/** Codes from 201 to 299 are about capacity and membership. */
+const CAPACITY_HUNDRED = 2;
+const HUNDRED = 100;
 
 export type FailureAnswer = {
   status: number;
@@ -52,9 +65,41 @@
   body: string;
 };
 
+/** Gets the HTTP status that a result is answered with. */
+export function getStatus(code: schema.ResultCode): number {
+  return STATUS_BY_CODE[code] ?? DEFAULT_STATUS;
+}
+
+/** Builds the failure of a request that was refused before the core saw it. */
+export function buildRefusal(code: schema.ResultCode): Failure {
+  return { requestId: '', code, runState: schema.RunState.NOT_RUN, retryAfterMs: 0 };
+}
+
+/** Tells whether the same request may succeed later without doing anything twice. */
+function isWorthRetrying(failure: Failure): boolean {
+  const ofCapacity = Math.floor(failure.code / HUNDRED) === CAPACITY_HUNDRED;
+  return ofCapacity && failure.runState === schema.RunState.NOT_RUN;
+}
+
+/** Builds the headers of a failure. */
+function buildHeaders(failure: Failure): Record<string, string> {
+  const { code, requestId, retryAfterMs } = failure;
+  const retriable = isWorthRetrying(failure);
+  const waitMs = retriable ? Math.max(retryAfterMs, LEAST_RETRY_AFTER_MS) : retryAfterMs;
+  return {
+    'content-type': 'application/json',
+    'x-toucanproxy-result': String(code),
+    // OpenAI-style clients send again by themselves after most statuses, with
+    // no key. This stops them where the request may have been run already.
+    'x-should-retry': String(retriable),
+    ...(requestId === '' ? {} : { 'x-request-id': requestId }),
+    ...(waitMs === 0 ? {} : { 'retry-after': String(Math.ceil(waitMs / MS_PER_SECOND)) }),
+  };
+}
+
 /** Builds the answer; its shape is the one that OpenAI-style clients know. */
 export function buildFailureAnswer(failure: Failure): FailureAnswer {
-  const { code, requestId, retryAfterMs } = failure;
+  const { code, requestId } = failure;
   const name = ResultCode[code].toLowerCase();
   const error = {
     message: `toucanproxy: ${name.replaceAll('_', ' ')}`,
@@ -63,12 +108,6 @@
     run_state: RUN_STATE_NAMES[failure.runState],
     request_id: requestId,
   };
-  const headers: Record<string, string> = {
-    'content-type': 'application/json',
-    'x-toucanproxy-result': String(code),
-  };
-  if (retryAfterMs > 0) {
-    headers['retry-after'] = String(Math.ceil(retryAfterMs / MS_PER_SECOND));
-  }
-  return { status: STATUS_BY_CODE[code] ?? 500, headers, body: JSON.stringify({ error }) };
+  const headers = buildHeaders(failure);
+  return { status: getStatus(code), headers, body: JSON.stringify({ error }) };
 }
--- a/packages/entry/src/request-reader.ts
+++ b/packages/entry/src/request-reader.ts
@@ -4,14 +4,40 @@
 import * as core from '@toucanproxy/core';
 import * as schema from '@toucanproxy/schema';
 import * as apiPath from './api-path.js';
+import * as callerRights from './caller-rights.js';
+import * as contentDigest from './content-digest.js';
+import * as requestBody from './request-body.js';
 import * as requestCost from './request-cost.js';
 
-type Read =
-  { kind: 'read'; request: core.ArrivedRequest } | { kind: 'faulty'; code: schema.ResultCode };
+/** What reading needs to know of this entry. */
+export type ReaderContext = {
+  documents: core.DocumentStore;
+  services: readonly string[];
+  digestKey: string;
+  bodyBudget: requestBody.BodyBudget;
+};
 
-/** Bound on any body, whatever the service allows, bytes. */
-const HARD_BODY_LIMIT = 64 * 1024 * 1024;
-const BEARER_PATTERN = /^Bearer (\S+)$/;
+type Fault = { kind: 'faulty'; code: schema.ResultCode };
+type Read = { kind: 'read'; request: core.ArrivedRequest } | Fault;
+type ServicePath = Extract<apiPath.ApiPath, { kind: 'model' | 'service' }>;
+
+/** What the head of a request says. */
+export type RequestHead = {
+  kind: 'head';
+  target: ServicePath;
+  method: string;
+  contentType: string;
+  tokenSha256: string;
+  key: string;
+  timeoutMs: number;
+  maxBodyBytes: number;
+};
+
+const BEARER_PATTERN = /^Bearer (\S+)$/i;
+const KEY_PATTERN = /^[\x21-\x7e]{0,255}$/;
+const TIMEOUT_PATTERN = /^[0-9]{1,9}$/;
+const SERVICE_METHODS = new Set(['GET', 'HEAD', 'POST', 'PUT', 'PATCH', 'DELETE', 'OPTIONS']);
+const { ResultCode } = schema;
 
 /** Gets one header as text. */
 function getHeader(request: http.IncomingMessage, name: string): string {
@@ -19,18 +45,9 @@
   return typeof value === 'string' ? value : '';
 }
 
-/** Reads a body; undefined where it is larger than any service allows. */
-async function readBody(request: http.IncomingMessage): Promise<Buffer | undefined> {
-  const chunks: Buffer[] = [];
-  let size = 0;
-  for await (const chunk of request) {
-    size += (chunk as Buffer).length;
-    if (size > HARD_BODY_LIMIT) {
-      return undefined;
-    }
-    chunks.push(chunk as Buffer);
-  }
-  return Buffer.concat(chunks);
+/** Builds the fault that a request is refused with. */
+function refuse(code: schema.ResultCode): Fault {
+  return { kind: 'faulty', code };
 }
 
 /** Hashes the bearer token; empty where there is none. */
@@ -39,6 +56,64 @@
   return match === null ? '' : crypto.createHash('sha256').update(match[1]).digest('hex');
 }
 
+/** Reads the caller's timeout; 0 where it names none, undefined where it is no whole number. */
+function parseTimeout(text: string): number | undefined {
+  if (text === '') {
+    return 0;
+  }
+  const value = TIMEOUT_PATTERN.test(text) ? Number(text) : 0;
+  return value > 0 ? value : undefined;
+}
+
+/** Checks that path and method are served here. */
+function parseTarget(request: http.IncomingMessage): ServicePath | Fault {
+  const target = apiPath.parseApiPath(request.url ?? '/');
+  const method = request.method ?? '';
+  switch (target.kind) {
+    case 'model':
+      return method === 'POST' ? target : refuse(ResultCode.UNKNOWN_PATH);
+    case 'service':
+      return SERVICE_METHODS.has(method) ? target : refuse(ResultCode.MALFORMED_REQUEST);
+    case 'malformed':
+      return refuse(ResultCode.MALFORMED_REQUEST);
+    default:
+      return refuse(ResultCode.UNKNOWN_PATH);
+  }
+}
+
+/** Reads the head; a request that can be refused by it is not read further. */
+export function readHead(
+  request: http.IncomingMessage,
+  context: ReaderContext,
+): RequestHead | Fault {
+  const target = parseTarget(request);
+  if (target.kind === 'faulty') {
+    return target;
+  }
+  const tokenSha256 = hashToken(request);
+  const service = target.kind === 'service' ? target.service : undefined;
+  const { documents, services } = context;
+  const rights = callerRights.findRights(documents, services, service, tokenSha256);
+  if (rights.kind === 'refused') {
+    return refuse(rights.code);
+  }
+  const timeoutMs = parseTimeout(getHeader(request, 'x-request-timeout-ms'));
+  if (timeoutMs === undefined) {
+    return refuse(ResultCode.DEADLINE_INVALID);
+  }
+  const key = getHeader(request, 'idempotency-key');
+  if (!KEY_PATTERN.test(key)) {
+    return refuse(ResultCode.KEY_INVALID);
+  }
+  const { maxBodyBytes } = rights;
+  if (requestBody.isDeclaredTooLarge(request, maxBodyBytes)) {
+    return refuse(ResultCode.BODY_TOO_LARGE);
+  }
+  const method = request.method ?? 'GET';
+  const contentType = getHeader(request, 'content-type');
+  return { kind: 'head', target, method, contentType, tokenSha256, key, timeoutMs, maxBodyBytes };
+}
+
 type ModelBody = { model?: unknown; max_tokens?: unknown };
 
 /** Parses a model request's body; undefined where it is not a JSON object. */
@@ -51,51 +126,38 @@
   }
 }
 
-/** Reads the caller's timeout; undefined where it is not a positive number. */
-function parseTimeout(text: string): number | undefined {
-  if (text === '') {
-    return 0;
-  }
-  const value = Number(text);
-  return Number.isFinite(value) && value > 0 ? value : undefined;
-}
-
-/** Reads one request whole. */
+/** Reads the body and builds the request that the core decides on. */
 export async function readRequest(
   request: http.IncomingMessage,
+  head: RequestHead,
   callerId: number,
-  digestKey: string,
+  context: ReaderContext,
 ): Promise<Read> {
-  const target = apiPath.parseApiPath(request.url ?? '/');
-  if (target.kind === 'unknown') {
-    return { kind: 'faulty', code: schema.ResultCode.UNKNOWN_PATH };
-  }
-  const payload = await readBody(request);
-  if (payload === undefined) {
-    return { kind: 'faulty', code: schema.ResultCode.BODY_TOO_LARGE };
+  const read = await requestBody.readBody(request, head.maxBodyBytes, context.bodyBudget);
+  if (read.kind === 'faulty') {
+    return read;
   }
+  const { payload } = read;
+  const { target, method, contentType, tokenSha256, key, timeoutMs } = head;
+  const { path } = target;
   const body = target.kind === 'model' ? parseModelBody(payload) : {};
   const service = target.kind === 'model' ? body?.model : target.service;
   if (typeof service !== 'string') {
-    return { kind: 'faulty', code: schema.ResultCode.MALFORMED_REQUEST };
+    return refuse(ResultCode.MALFORMED_REQUEST);
   }
-  const timeoutMs = parseTimeout(getHeader(request, 'x-request-timeout-ms'));
-  if (timeoutMs === undefined) {
-    return { kind: 'faulty', code: schema.ResultCode.DEADLINE_INVALID };
-  }
-  const tokenSha256 = hashToken(request);
-  const digest = crypto.createHmac('sha256', digestKey).update(tokenSha256).update(payload);
+  const workspace = callerRights.findWorkspace(context.documents, service, tokenSha256);
+  const content = { workspace, method, path, contentType, payload };
   const arrived: core.ArrivedRequest = {
     callerId,
     service,
-    method: request.method ?? 'GET',
-    path: target.path,
-    contentType: getHeader(request, 'content-type'),
+    method,
+    path,
+    contentType,
     payload,
     tokenSha256,
-    key: getHeader(request, 'idempotency-key'),
+    key,
     timeoutMs,
-    contentDigest: digest.digest('hex'),
+    contentDigest: contentDigest.computeDigest(context.digestKey, content),
     estimatedTokens: requestCost.estimateTokens(payload.length, body?.max_tokens),
     prefixHashes: [],
   };
--- a/packages/proofs/src/mocks/process-fleet.ts
+++ b/packages/proofs/src/mocks/process-fleet.ts
@@ -82,7 +82,7 @@
 /** Starts a stand-in. */
 export function startStandIn(
   fleet: Fleet,
-  kind: 'engine' | 'platform',
+  kind: 'engine' | 'platform' | 'plain-service' | 'weight-store',
   options: Record<string, unknown>,
 ): Promise<Running> {
   return startProcess(fleet, [STAND_INS, kind, JSON.stringify(options)]);
--- a/packages/runtime/src/document-receiver.ts
+++ b/packages/runtime/src/document-receiver.ts
@@ -2,7 +2,6 @@
 import type * as bunyan from 'bunyan';
 import * as core from '@toucanproxy/core';
 import * as schema from '@toucanproxy/schema';
-import * as logger from './logger.js';
 
 /**
  * Creates the function that takes the text of a document.
@@ -21,7 +20,6 @@
       log.warn({ event: 'document-refused', code, faults: parsed.faults }, 'document-refused');
       return;
     }
-    logger.setLevel(log, parsed.value.logLevel);
     post({ kind: 'documentRead', stored: { document: parsed.value, json } });
   };
 }
--- a/packages/runtime/src/logger.ts
+++ b/packages/runtime/src/logger.ts
@@ -16,9 +16,18 @@
   return bunyan.createLogger({ name, ...fields });
 }
 
-/** Sets the least level that is written. */
-export function setLevel(logger: bunyan, level: schema.LogLevel): void {
-  logger.level(LEVELS[level]);
+/**
+ * Sets the least level that is written, from the documents in force.
+ *
+ * A process with several documents follows the most talkative one, so that
+ * none of their owners misses lines that were asked for.
+ */
+export function applyLogLevel(logger: bunyan, documents: core.DocumentStore): void {
+  const levels = [...documents.values()].map(
+    ({ document }) => document.logLevel || schema.LogLevel.INFO,
+  );
+  const least = levels.length === 0 ? schema.LogLevel.INFO : Math.min(...levels);
+  logger.level(LEVELS[least as schema.LogLevel]);
 }
 
 /** Writes one line that a core asked for. */
--- a/packages/stand-ins/src/main.ts
+++ b/packages/stand-ins/src/main.ts
@@ -1,19 +1,21 @@
-/** Runs one stand-in as a process: `main.js engine|platform JSON-OPTIONS`. */
+/** Runs one stand-in as a process: `main.js KIND JSON-OPTIONS`. */
 import * as engine from './engine.js';
+import * as plainService from './plain-service.js';
 import * as platform from './platform.js';
+import * as weightStore from './weight-store.js';
 
-type PlatformOptions = { host: string; port: number };
+type Options = Partial<
+  engine.EngineOptions & plainService.PlainServiceOptions & weightStore.WeightStoreOptions
+>;
+type Start = (options: Options) => Promise<{ port: number }>;
 
-const [, , kind, json = '{}'] = process.argv;
-const options = JSON.parse(json) as Partial<engine.EngineOptions & PlatformOptions>;
-
-/** Starts the stand-in that was asked for and prints its port. */
-async function start(): Promise<void> {
-  const started =
-    kind === 'engine'
-      ? await engine.startEngine(options)
-      : await platform.startPlatform(options.host, options.port);
-  process.stdout.write(`${JSON.stringify({ event: 'started', port: started.port })}\n`);
-}
+const STARTS: Record<string, Start> = {
+  engine: engine.startEngine,
+  platform: (options) => platform.startPlatform(options.host, options.port),
+  'plain-service': plainService.startPlainService,
+  'weight-store': weightStore.startWeightStore,
+};
 
-await start();
+const [, , kind, json = '{}'] = process.argv;
+const started = await STARTS[kind](JSON.parse(json) as Options);
+process.stdout.write(`${JSON.stringify({ event: 'started', port: started.port })}\n`);
