Join the cores to a virtual fleet

Cause: the cores had no test that joins entries, agents and engines without processes, so lost, late and doubled messages could not be brought about at will. Conclusion: the fakes stay at the interfaces (links, engine, platform, callers).

--- a/packages/proofs/src/index.ts
+++ b/packages/proofs/src/index.ts
@@ -1,1 +1,12 @@
-export {};
+/** The virtual fleet, for proofs and measurements. */
+export * from './mocks/call-payload.js';
+export * from './mocks/example-document.js';
+export * from './mocks/fleet-processes.js';
+export * from './mocks/fleet-state.js';
+export * from './mocks/random-source.js';
+export * from './mocks/virtual-callers.js';
+export * from './mocks/virtual-engine.js';
+export * from './mocks/virtual-fleet.js';
+export * from './mocks/virtual-network.js';
+export * from './mocks/virtual-platform.js';
+export * from './mocks/virtual-processes.js';
--- a/packages/proofs/src/mocks/example-document.ts
+++ b/packages/proofs/src/mocks/example-document.ts
@@ -13,6 +13,7 @@
   service: string,
   version: number,
   agents: TestAgent[],
+  overrides: Record<string, unknown> = {},
 ): Record<string, unknown> {
   return {
     service,
@@ -34,5 +35,6 @@
       failureDomain: 'suva-loft',
       addedInVersion: 1,
     })),
+    ...overrides,
   };
 }
