Tell what became of all attempts, not of the last alone

Cause: a repeatable request whose attempt had broken was offered again; when the second agent refused it, the caller was told "not run" although an engine had started it. Conclusion: the request keeps what earlier attempts came to, and a refusal cannot speak for them.

--- a/packages/core/src/entry/admission.ts
+++ b/packages/core/src/entry/admission.ts
@@ -72,6 +72,7 @@
     status: entryState.RequestStatus.WAITING,
     attempts: 0,
     target: undefined,
+    earlierRun: schema.RunState.NOT_RUN,
     refusedBy: new Set(),
     head: undefined,
     collected: [],
--- a/packages/core/src/entry/answer-flow.ts
+++ b/packages/core/src/entry/answer-flow.ts
@@ -163,9 +163,11 @@
   now: number,
 ): Effects {
   const mayRepeat = request.repeatable && !request.firstByteSent && now < request.deadlineMs;
-  return mayRepeat
-    ? dispatch.placeAgain(state, request, now)
-    : outcomes.fail(state, request, failure, now);
+  if (!mayRepeat) {
+    return outcomes.fail(state, request, failure, now);
+  }
+  outcomes.recordEarlierRun(request, failure.runState);
+  return dispatch.placeAgain(state, request, now);
 }
 
 /** Handles the agent's report that an attempt did not complete. */
--- a/packages/core/src/entry/entry-state.ts
+++ b/packages/core/src/entry/entry-state.ts
@@ -38,6 +38,8 @@
   status: RequestStatus;
   attempts: number;
   target: Target | undefined;
+  /** What earlier attempts of a repeatable request came to. */
+  earlierRun: schema.RunState;
   /** Backend servers that refused the request since it began to wait. */
   refusedBy: Set<string>;
   head: schema.AnswerHead | undefined;
--- a/packages/core/src/entry/outcomes.ts
+++ b/packages/core/src/entry/outcomes.ts
@@ -62,6 +62,26 @@
   });
 }
 
+/** Notes that an attempt ran, or may have, before the request is placed again. */
+export function recordEarlierRun(
+  request: entryState.EntryRequest,
+  runState: schema.RunState,
+): void {
+  if (request.earlierRun !== schema.RunState.RAN) {
+    request.earlierRun = runState;
+  }
+}
+
+/**
+ * Says what is known of the whole request, not of its last attempt alone.
+ *
+ * A repeatable request whose first attempt broke and whose second was refused
+ * would otherwise be told as not run although an engine had started it.
+ */
+function computeRunState(request: entryState.EntryRequest, failure: Failure): schema.RunState {
+  return failure.runState === schema.RunState.NOT_RUN ? request.earlierRun : failure.runState;
+}
+
 /** Ends a request with a failure. */
 export function fail(
   state: entryState.EntryState,
@@ -72,6 +92,7 @@
   const { requestId } = request;
   const { callerId } = request.arrived;
   const attempt = request.target?.ref.attempt ?? request.attempts;
+  const runState = computeRunState(request, failure);
   forget(state, request);
   return [
     effect.logDecision('failure', {
@@ -79,10 +100,10 @@
       attempt,
       code: failure.code,
       result: schema.ResultCode[failure.code],
-      runState: schema.RunState[failure.runState],
+      runState: schema.RunState[runState],
     }),
     observeOutcome(request, failure.code, now),
-    { kind: 'answerFailure', callerId, requestId, ...failure },
+    { kind: 'answerFailure', callerId, requestId, ...failure, runState },
   ];
 }
 
