--- a/packages/entry/src/app.ts
+++ b/packages/entry/src/app.ts
@@ -121,7 +121,13 @@
   return callerServer.startCallerServer({
     host: callers?.host ?? '',
     port: callers?.port ?? 0,
-    limits: schema.getCallerLimits(callerLimits),
+    limits: {
+      ...schema.getCallerLimits(callerLimits),
+      reportCut: (callerId, unreadBytes) => {
+        logger.warn({ event: 'caller-cut', callerId, unreadBytes }, 'caller-cut');
+        runtime.addCount(metrics, 'callers_cut_total', {});
+      },
+    },
     context: { documents, services, digestKey, bodyBudget: { usedBytes: 0 } },
     post: task.post,
     reportRefusal: (code) => {
@@ -167,6 +173,7 @@
     ...ports,
     shutDown: () => {
       callers.stopListening();
+      logger.info({ event: 'shutdown' }, 'shutdown');
       task.post({ kind: 'shutdownStarted' });
     },
     stop: () => [...readers, task, links, callers, operators].forEach((part) => part.stop()),
--- a/packages/entry/src/caller-answer.ts
+++ b/packages/entry/src/caller-answer.ts
@@ -31,6 +31,8 @@
 export type AnswerLimits = {
   maxAnswerBufferBytes: number;
   readTimeoutMs: number;
+  /** Told of a caller that was given up because it does not read. */
+  reportCut: (callerId: number, unreadBytes: number) => void;
 };
 
 const EVENT_STREAM = 'text/event-stream';
@@ -53,6 +55,13 @@
   return exchange.writtenBytes - exchange.response.writableLength;
 }
 
+/** Gives a caller up that does not read. */
+function dropCaller(exchange: Exchange, limits: AnswerLimits): void {
+  const { callerId, response } = exchange;
+  limits.reportCut(callerId, response.writableLength);
+  response.destroy();
+}
+
 /**
  * Ends an answer that its caller has stopped reading.
  *
@@ -68,7 +77,7 @@
   exchange.stallTimer = setTimeout(() => {
     exchange.stallTimer = undefined;
     if (response.writableLength > 0 && computeSentBytes(exchange) <= sentBefore) {
-      response.destroy();
+      dropCaller(exchange, limits);
       return;
     }
     watchReading(exchange, limits);
@@ -90,7 +99,7 @@
   exchange.writtenBytes += data.length;
   response.write(data);
   if (exchange.streamed && response.writableLength > limits.maxAnswerBufferBytes) {
-    response.destroy();
+    dropCaller(exchange, limits);
     return;
   }
   watchReading(exchange, limits);
--- a/packages/entry/src/caller-server.ts
+++ b/packages/entry/src/caller-server.ts
@@ -21,7 +21,7 @@
 export type CallerServerOptions = {
   host: string;
   port: number;
-  limits: schema.EffectiveCallerLimits;
+  limits: schema.EffectiveCallerLimits & callerAnswer.AnswerLimits;
   context: requestReader.ReaderContext;
   post: (event: core.EntryEvent) => void;
   /** Told of requests that are refused before the core sees them. */
