Add check, status and explain to the command line

Cause: operators had no way to check a file before a daemon refused it, to see a process's state, or to follow one request. Conclusion: daemons and command line share one check.

--- a/packages/cli/src/agent-command.ts
+++ b/packages/cli/src/agent-command.ts
@@ -2,6 +2,8 @@
 import * as clipanion from 'clipanion';
 import * as agent from '@toucanproxy/agent';
 import * as schema from '@toucanproxy/schema';
+import * as daemonCommand from './daemon-command.js';
+import * as inputFile from './input-file.js';
 import * as runDaemon from './run-daemon.js';
 
 export class AgentCommand extends clipanion.Command {
@@ -9,13 +11,25 @@
 
   static override usage = clipanion.Command.Usage({
     description: 'run an agent beside its backend server',
-    examples: [['Run an agent from its settings', 'toucanproxy agent --settings agent-1.json']],
+    details: `
+      Is the only gate to its backend server until SIGTERM or SIGINT; a second signal stops
+      it at once. Ends with 0 after a graceful shutdown, 130 after a second signal, 4 where
+      the settings are faulty, 1 where it cannot listen.
+    `,
+    examples: [['Run an agent from its settings', 'toucanproxy agent --settings runner-1.json']],
   });
 
-  settings = clipanion.Option.String('--settings', { required: true });
+  settings = clipanion.Option.String('--settings', { required: true, description: 'JSON file' });
 
   async execute(): Promise<number> {
-    const settings = runDaemon.readSettings(this.settings, schema.parseAgentSettings);
-    return runDaemon.runDaemon(settings, agent.startAgent);
+    const read = daemonCommand.readSettings(
+      this.context,
+      this.settings,
+      inputFile.FileKind.AGENT,
+      schema.parseAgentSettings,
+    );
+    return read.kind === 'refused'
+      ? read.exitCode
+      : runDaemon.runDaemon(schema.applyAgentDefaults(read.settings), agent.startAgent);
   }
 }
--- a/packages/cli/src/app.ts
+++ b/packages/cli/src/app.ts
@@ -1,7 +1,11 @@
 /** The commands of `toucanproxy`, registered by name. */
 import * as clipanion from 'clipanion';
 import * as agentCommand from './agent-command.js';
+import * as checkCommand from './check-command.js';
 import * as entryCommand from './entry-command.js';
+import * as exitCode from './exit-code.js';
+import * as explainCommand from './explain-command.js';
+import * as statusCommand from './status-command.js';
 
 const VERSION = '0.1.0';
 
@@ -16,5 +20,24 @@
   cli.register(clipanion.Builtins.VersionCommand);
   cli.register(entryCommand.EntryCommand);
   cli.register(agentCommand.AgentCommand);
+  cli.register(checkCommand.CheckCommand);
+  cli.register(statusCommand.StatusCommand);
+  cli.register(explainCommand.ExplainCommand);
   return cli;
 }
+
+/** Runs the program with its arguments and gives its exit code. */
+export async function runCli(
+  args: string[],
+  context: clipanion.BaseContext = clipanion.Cli.defaultContext,
+): Promise<number> {
+  const cli = buildCli();
+  let command: clipanion.Command;
+  try {
+    command = cli.process(args);
+  } catch (error) {
+    context.stderr.write(cli.error(error));
+    return exitCode.ExitCode.USAGE;
+  }
+  return cli.run(command, context);
+}
--- /dev/null
+++ b/packages/cli/src/check-command.ts
@@ -0,0 +1,101 @@
+/** The command that checks settings and service documents. */
+import * as clipanion from 'clipanion';
+import * as schema from '@toucanproxy/schema';
+import * as effectiveValues from './effective-values.js';
+import * as exitCode from './exit-code.js';
+import * as inputFile from './input-file.js';
+
+const { ExitCode } = exitCode;
+const { FileKind } = inputFile;
+
+export class CheckCommand extends clipanion.Command {
+  static override paths = [['check']];
+
+  static override usage = clipanion.Command.Usage({
+    description: 'check settings and service documents',
+    details: `
+      Lists all faults at once, each with its place, the value found and what is allowed.
+      The daemons refuse the same faults. Ends with 0 where there are none, with 4 where
+      there are, with 2 where a file cannot be read.
+    `,
+    examples: [
+      ['Check files, whose kind is recognised', 'toucanproxy check entry-1.json brimwit.json'],
+      ['Show the values in force, defaults included', 'toucanproxy check --effective brimwit.json'],
+      ['Check a change', 'toucanproxy check --after brimwit-6.json brimwit-7.json'],
+    ],
+  });
+
+  kind = clipanion.Option.String('--kind', {
+    description: 'document, entry or agent; recognised by content where it is left out',
+  });
+
+  effective = clipanion.Option.Boolean('--effective', false, {
+    description: 'print each file with the defaults for what it leaves out',
+  });
+
+  after = clipanion.Option.String('--after', {
+    description: 'the document in force, which the file is to replace',
+  });
+
+  files = clipanion.Option.Rest({ required: 1, name: 'FILE' });
+
+  async execute(): Promise<number> {
+    const kinds = Object.values(FileKind) as string[];
+    if (this.kind !== undefined && !kinds.includes(this.kind)) {
+      this.context.stderr.write(`--kind: found ${this.kind}; allowed: ${kinds.join(', ')}\n`);
+      return ExitCode.USAGE;
+    }
+    const codes = this.files.map((path) => this.checkFile(path));
+    return [ExitCode.USAGE, ExitCode.FAULTY].find((code) => codes.includes(code)) ?? ExitCode.OK;
+  }
+
+  /** Checks one file and prints the verdict. */
+  private checkFile(path: string): exitCode.ExitCode {
+    const input = inputFile.readInput(path, this.kind as inputFile.FileKind | undefined);
+    if (input.kind === 'unreadable') {
+      this.context.stderr.write(`${path}: cannot be read: ${input.reason}\n`);
+      return ExitCode.USAGE;
+    }
+    if (input.kind === 'faulty') {
+      this.context.stdout.write(inputFile.formatFaults(path, input.fileKind, input.faults));
+      return ExitCode.FAULTY;
+    }
+    if (this.after !== undefined) {
+      return this.checkStep(path, this.after, input);
+    }
+    this.printGood(path, input);
+    return ExitCode.OK;
+  }
+
+  /** Checks the step from the document in force to a new one. */
+  private checkStep(
+    path: string,
+    before: string,
+    after: Extract<inputFile.Input, { kind: 'good' }>,
+  ): exitCode.ExitCode {
+    const old = inputFile.readInput(before, FileKind.DOCUMENT);
+    if (old.kind !== 'good' || old.fileKind !== FileKind.DOCUMENT) {
+      this.context.stderr.write(`${before}: --after needs a document without faults\n`);
+      return ExitCode.USAGE;
+    }
+    if (after.fileKind !== FileKind.DOCUMENT) {
+      this.context.stderr.write(`${path}: --after compares service documents only\n`);
+      return ExitCode.USAGE;
+    }
+    const faults = schema.checkChange(old.value, after.value);
+    if (faults.length > 0) {
+      this.context.stdout.write(inputFile.formatFaults(path, FileKind.DOCUMENT, faults));
+      return ExitCode.FAULTY;
+    }
+    this.printGood(path, after);
+    return ExitCode.OK;
+  }
+
+  /** Prints that a file has no fault, or its values in force. */
+  private printGood(path: string, input: Extract<inputFile.Input, { kind: 'good' }>): void {
+    const text = this.effective
+      ? effectiveValues.formatEffective(input)
+      : `${path}: ${input.fileKind} without faults`;
+    this.context.stdout.write(`${text}\n`);
+  }
+}
--- a/packages/cli/src/entry-command.ts
+++ b/packages/cli/src/entry-command.ts
@@ -2,6 +2,8 @@
 import * as clipanion from 'clipanion';
 import * as entry from '@toucanproxy/entry';
 import * as schema from '@toucanproxy/schema';
+import * as daemonCommand from './daemon-command.js';
+import * as inputFile from './input-file.js';
 import * as runDaemon from './run-daemon.js';
 
 export class EntryCommand extends clipanion.Command {
@@ -9,13 +11,25 @@
 
   static override usage = clipanion.Command.Usage({
     description: 'run an entry',
+    details: `
+      Takes requests from callers until SIGTERM or SIGINT; a second signal stops it at once.
+      Ends with 0 after a graceful shutdown, 130 after a second signal, 4 where the settings
+      are faulty, 1 where it cannot listen.
+    `,
     examples: [['Run an entry from its settings', 'toucanproxy entry --settings entry-1.json']],
   });
 
-  settings = clipanion.Option.String('--settings', { required: true });
+  settings = clipanion.Option.String('--settings', { required: true, description: 'JSON file' });
 
   async execute(): Promise<number> {
-    const settings = runDaemon.readSettings(this.settings, schema.parseEntrySettings);
-    return runDaemon.runDaemon(settings, entry.startEntry);
+    const read = daemonCommand.readSettings(
+      this.context,
+      this.settings,
+      inputFile.FileKind.ENTRY,
+      schema.parseEntrySettings,
+    );
+    return read.kind === 'refused'
+      ? read.exitCode
+      : runDaemon.runDaemon(schema.applyEntryDefaults(read.settings), entry.startEntry);
   }
 }
--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -2,5 +2,5 @@
 /** The one program: `toucanproxy`. */
 import * as app from './app.js';
 
-process.exitCode = await app.buildCli().run(process.argv.slice(2));
+process.exitCode = await app.runCli(process.argv.slice(2));
 process.exit();
--- a/packages/cli/src/run-daemon.ts
+++ b/packages/cli/src/run-daemon.ts
@@ -1,7 +1,4 @@
 /** Runs a daemon until it is told to stop. */
-import * as fs from 'node:fs';
-import * as clipanion from 'clipanion';
-import * as schema from '@toucanproxy/schema';
 import * as exitCode from './exit-code.js';
 
 type Daemon = { shutDown: () => void; stop: () => void };
@@ -35,13 +32,3 @@
     }, reject);
   });
 }
-
-/** Reads settings from a file; throws a usage error that lists the faults. */
-export function readSettings<T>(path: string, parse: (json: string) => schema.Parsed<T>): T {
-  const parsed = parse(fs.readFileSync(path, 'utf8'));
-  if (parsed.kind === 'faulty') {
-    const lines = parsed.faults.map((fault) => `${fault.path}: ${fault.found}`);
-    throw new clipanion.UsageError(`${path} is faulty:\n${lines.join('\n')}`);
-  }
-  return parsed.value;
-}
--- /dev/null
+++ b/packages/cli/src/status-table.ts
@@ -0,0 +1,42 @@
+/** Formats a status as text: single values a line each, lists as tables. */
+
+type Row = Record<string, unknown>;
+
+/** Formats one value. */
+function formatValue(value: unknown): string {
+  if (typeof value !== 'object' || value === null) {
+    return String(value);
+  }
+  const parts = Array.isArray(value)
+    ? value.map(formatValue)
+    : Object.entries(value).map(([name, one]) => `${name}=${formatValue(one)}`);
+  return parts.length === 0 ? '-' : parts.join(' ');
+}
+
+/** Tells whether a value is a list of records. */
+function isTable(value: unknown): value is Row[] {
+  return Array.isArray(value) && value.length > 0 && typeof value[0] === 'object';
+}
+
+/** Formats records as a table with a head. */
+function formatTable(name: string, rows: Row[]): string[] {
+  const columns = [...new Set(rows.flatMap((row) => Object.keys(row)))];
+  const cells = [columns, ...rows.map((row) => columns.map((key) => formatValue(row[key] ?? '-')))];
+  const widths = columns.map((_, index) => Math.max(...cells.map((line) => line[index].length)));
+  const lines = cells.map((line) =>
+    line.map((cell, index) => cell.padEnd(widths[index])).join('  '),
+  );
+  return ['', `${name}:`, ...lines.map((line) => `  ${line.trimEnd()}`)];
+}
+
+/** Formats the status of one process. */
+export function formatStatus(status: Row): string {
+  const entries = Object.entries(status);
+  const single = entries.filter(([, value]) => !isTable(value));
+  const width = Math.max(...single.map(([name]) => name.length));
+  const lines = single.map(([name, value]) => `${name.padEnd(width)}  ${formatValue(value)}`);
+  const tables = entries.flatMap(([name, value]) =>
+    isTable(value) ? formatTable(name, value) : [],
+  );
+  return [...lines, ...tables].join('\n');
+}
--- a/packages/schema/src/check-document.ts
+++ b/packages/schema/src/check-document.ts
@@ -222,25 +222,21 @@
   );
 };
 
-const DOCUMENT_CHECKS: DocumentCheck[] = [
-  checkIdentity,
-  checkTiers,
-  checkRoutes,
-  checkWorkspaces,
-  checkTokens,
-  checkCredentials,
-  checkServerNames,
-  checkServerAddresses,
-  checkServerDomains,
-  checkServerVersions,
-  checkSettled,
-  checkTimingRanges,
-  checkLimitRanges,
-  checkDeadlines,
-  checkHeartbeats,
+/** Every rule of a document whose structure is right. */
+export const DOCUMENT_RULES: fault.Rule<documentPb.ServiceDocument>[] = [
+  { reads: ['service', 'version', 'kind'], check: checkIdentity },
+  { reads: ['tiers'], check: checkTiers },
+  { reads: ['routes'], check: checkRoutes },
+  { reads: ['workspaces'], check: checkWorkspaces },
+  { reads: ['credentials'], check: checkTokens },
+  { reads: ['credentials', 'workspaces', 'tiers'], check: checkCredentials },
+  { reads: ['backendServers'], check: checkServerNames },
+  { reads: ['backendServers'], check: checkServerAddresses },
+  { reads: ['backendServers'], check: checkServerDomains },
+  { reads: ['backendServers', 'version'], check: checkServerVersions },
+  { reads: ['settledVersion', 'version'], check: checkSettled },
+  { reads: ['timing'], check: checkTimingRanges },
+  { reads: ['limits'], check: checkLimitRanges },
+  { reads: ['timing'], check: checkDeadlines },
+  { reads: ['timing'], check: checkHeartbeats },
 ];
-
-/** Lists every fault of a document whose structure is right. */
-export function checkDocument(document: documentPb.ServiceDocument): fault.Fault[] {
-  return DOCUMENT_CHECKS.flatMap((check) => check(document));
-}
--- a/packages/schema/src/check-settings.ts
+++ b/packages/schema/src/check-settings.ts
@@ -74,33 +74,41 @@
   });
 }
 
-/** Lists every fault of an entry's settings whose structure is right. */
-export function checkEntrySettings(settings: settingsPb.EntrySettings): fault.Fault[] {
-  const { services } = settings;
+/** Checks the services that an entry serves. */
+function checkServices(services: string[]): fault.Fault[] {
   const toPath = (index: number) => `$.services[${index}]`;
   return [
-    ...checkName('$.entryId', settings.entryId),
-    ...checkName('$.failureDomain', settings.failureDomain),
-    ...checkListen('$.callers', settings.callers),
-    ...checkListen('$.operators', settings.operators),
-    ...checkPlatform(settings.platform),
     ...expectThat(services.length > 0, '$.services', services, 'at least one service'),
     ...services.flatMap((service, index) => checkName(toPath(index), service)),
     ...listRepeated(services, toPath),
-    ...checkCallerLimits(settings.callerLimits),
   ];
 }
 
-/** Lists every fault of an agent's settings whose structure is right. */
-export function checkAgentSettings(settings: settingsPb.AgentSettings): fault.Fault[] {
-  const { engineUrl } = settings;
-  return [
-    ...checkName('$.backendServerId', settings.backendServerId),
-    ...checkName('$.service', settings.service),
-    ...checkName('$.failureDomain', settings.failureDomain),
-    ...checkListen('$.links', settings.links),
-    ...checkListen('$.operators', settings.operators),
-    ...checkPlatform(settings.platform),
-    ...expectThat(address.isHttpUrl(engineUrl), '$.engineUrl', engineUrl, address.URL_RULE),
-  ];
-}
+/** Every rule of an entry's settings whose structure is right. */
+export const ENTRY_RULES: fault.Rule<settingsPb.EntrySettings>[] = [
+  { reads: ['entryId'], check: (one) => checkName('$.entryId', one.entryId) },
+  { reads: ['failureDomain'], check: (one) => checkName('$.failureDomain', one.failureDomain) },
+  { reads: ['callers'], check: (one) => checkListen('$.callers', one.callers) },
+  { reads: ['operators'], check: (one) => checkListen('$.operators', one.operators) },
+  { reads: ['platform'], check: (one) => checkPlatform(one.platform) },
+  { reads: ['services'], check: (one) => checkServices(one.services) },
+  { reads: ['callerLimits'], check: (one) => checkCallerLimits(one.callerLimits) },
+];
+
+/** Every rule of an agent's settings whose structure is right. */
+export const AGENT_RULES: fault.Rule<settingsPb.AgentSettings>[] = [
+  {
+    reads: ['backendServerId'],
+    check: (one) => checkName('$.backendServerId', one.backendServerId),
+  },
+  { reads: ['service'], check: (one) => checkName('$.service', one.service) },
+  { reads: ['failureDomain'], check: (one) => checkName('$.failureDomain', one.failureDomain) },
+  { reads: ['links'], check: (one) => checkListen('$.links', one.links) },
+  { reads: ['operators'], check: (one) => checkListen('$.operators', one.operators) },
+  { reads: ['platform'], check: (one) => checkPlatform(one.platform) },
+  {
+    reads: ['engineUrl'],
+    check: ({ engineUrl }) =>
+      expectThat(address.isHttpUrl(engineUrl), '$.engineUrl', engineUrl, address.URL_RULE),
+  },
+];
--- a/packages/schema/src/check-structure.ts
+++ b/packages/schema/src/check-structure.ts
@@ -84,7 +84,7 @@
   return Object.entries(json).flatMap(([name, value]) => {
     const field = descriptor.fields.find((one) => one.jsonName === name);
     return field === undefined
-      ? [{ path: `${path}.${name}`, found: 'an unknown field', allowed: names.join(', ') }]
+      ? [{ path: `${path}.${name}`, found: fault.UNKNOWN_FIELD, allowed: names.join(', ') }]
       : checkField(field, value, `${path}.${name}`);
   });
 }
--- a/packages/schema/src/fault.ts
+++ b/packages/schema/src/fault.ts
@@ -10,9 +10,15 @@
 
 export type Parsed<T> = { kind: 'parsed'; value: T } | { kind: 'faulty'; faults: Fault[] };
 
-/** A check of a whole message; all faults at once. */
+/** A check of a message; all faults at once. */
 export type Check<T> = (message: T) => Fault[];
 
+/** A check with the fields that it looks at. */
+export type Rule<T> = { reads: (keyof T & string)[]; check: Check<T> };
+
+/** What is found in place of a field that the schema does not know. */
+export const UNKNOWN_FIELD = 'an unknown field';
+
 const MAX_SHOWN_CHARACTERS = 60;
 
 /** Describes a value that was found, shortened. */
--- a/packages/schema/src/parse-document.test.ts
+++ b/packages/schema/src/parse-document.test.ts
@@ -54,6 +54,12 @@
   ]);
 });
 
+nodeTest.test('structure and content at once', () => {
+  // Rules that read `version` are passed over, the others are not.
+  const paths = listPaths({ version: '3', colour: 'red', tiers: ['stall', 'draft', 'stall'] });
+  assert.deepEqual(paths.sort(), ['$.colour', '$.tiers[2]', '$.version']);
+});
+
 nodeTest.test('a fault says what was found and what is allowed', () => {
   const parsed = parseDocument.parseDocument(JSON.stringify(buildDocument({ version: 0 })));
   assert.ok(parsed.kind === 'faulty');
--- a/packages/schema/src/parse-document.ts
+++ b/packages/schema/src/parse-document.ts
@@ -16,11 +16,49 @@
   return { kind: 'faulty', faults: [{ path: '$', found, allowed }] };
 }
 
-/** Parses JSON text into a message: first its structure, then what it holds. */
+/** Tells whether a value can be read although it has faults. */
+function isReadable(faults: fault.Fault[]): boolean {
+  return faults.every((one) => one.found === fault.UNKNOWN_FIELD);
+}
+
+/** Lists the fields of a message whose values cannot be read. */
+function listUnreadable(descriptor: protobuf.DescMessage, data: object): Set<string> {
+  const unreadable = Object.entries(data).filter(
+    ([name, value]) => !isReadable(checkStructure.checkStructure(descriptor, { [name]: value })),
+  );
+  return new Set(unreadable.map(([name]) => name));
+}
+
+/**
+ * Parses JSON data into a message and lists all its faults.
+ *
+ * Rules that read a field of the wrong type are passed over: what they said
+ * would follow from that fault alone.
+ */
+function parseData<S extends protobuf.DescMessage>(
+  descriptor: S,
+  data: protobuf.JsonValue,
+  rules: fault.Rule<protobuf.MessageShape<S>>[],
+): fault.Parsed<protobuf.MessageShape<S>> {
+  const structural = checkStructure.checkStructure(descriptor, data);
+  if (typeof data !== 'object' || data === null || Array.isArray(data)) {
+    return { kind: 'faulty', faults: structural };
+  }
+  const unreadable = listUnreadable(descriptor, data);
+  const readable = Object.entries(data).filter(([name]) => !unreadable.has(name));
+  const value = protobuf.fromJson(descriptor, Object.fromEntries(readable), {
+    ignoreUnknownFields: true,
+  });
+  const checked = rules.filter((rule) => !rule.reads.some((name) => unreadable.has(name)));
+  const faults = [...structural, ...checked.flatMap((rule) => rule.check(value))];
+  return faults.length > 0 ? { kind: 'faulty', faults } : { kind: 'parsed', value };
+}
+
+/** Parses JSON text into a message. */
 function parseMessage<S extends protobuf.DescMessage>(
   descriptor: S,
   json: string,
-  check: fault.Check<protobuf.MessageShape<S>>,
+  rules: fault.Rule<protobuf.MessageShape<S>>[],
 ): fault.Parsed<protobuf.MessageShape<S>> {
   let data: protobuf.JsonValue;
   try {
@@ -28,14 +66,8 @@
   } catch (error) {
     return buildUnreadable(error, 'JSON');
   }
-  const structural = checkStructure.checkStructure(descriptor, data);
-  if (structural.length > 0) {
-    return { kind: 'faulty', faults: structural };
-  }
   try {
-    const value = protobuf.fromJson(descriptor, data, { ignoreUnknownFields: false });
-    const faults = check(value);
-    return faults.length > 0 ? { kind: 'faulty', faults } : { kind: 'parsed', value };
+    return parseData(descriptor, data, rules);
   } catch (error) {
     return buildUnreadable(error, descriptor.typeName);
   }
@@ -43,15 +75,15 @@
 
 /** Parses a service document. */
 export function parseDocument(json: string): fault.Parsed<documentPb.ServiceDocument> {
-  return parseMessage(documentPb.ServiceDocumentSchema, json, checkDocument.checkDocument);
+  return parseMessage(documentPb.ServiceDocumentSchema, json, checkDocument.DOCUMENT_RULES);
 }
 
 /** Parses the settings of an entry. */
 export function parseEntrySettings(json: string): fault.Parsed<settingsPb.EntrySettings> {
-  return parseMessage(settingsPb.EntrySettingsSchema, json, checkSettings.checkEntrySettings);
+  return parseMessage(settingsPb.EntrySettingsSchema, json, checkSettings.ENTRY_RULES);
 }
 
 /** Parses the settings of an agent. */
 export function parseAgentSettings(json: string): fault.Parsed<settingsPb.AgentSettings> {
-  return parseMessage(settingsPb.AgentSettingsSchema, json, checkSettings.checkAgentSettings);
+  return parseMessage(settingsPb.AgentSettingsSchema, json, checkSettings.AGENT_RULES);
 }
