Count goodput and shed by tier, describe every metric

Cause: the metrics had no HELP or TYPE lines, quantiles since the process began, and a label taken from callers' text. Before: goodput had to be worked out from requests_total, and each unknown service name made a series. Conclusion: the series of a process are bounded by its documents.

--- a/packages/agent/src/app.ts
+++ b/packages/agent/src/app.ts
@@ -99,7 +99,7 @@
   const operators = await runtime.startOperatorServer({
     host: settings.operators?.host ?? DEFAULT_HOST,
     port: settings.operators?.port ?? 0,
-    renderMetrics: () => runtime.renderMetrics(metrics),
+    renderMetrics: () => runtime.renderMetrics(metrics, Date.now()),
     describeStatus: () => status.describeStatus(state),
   });
   const watch = runtime.startConfigurationWatch({
--- a/packages/entry/src/app.ts
+++ b/packages/entry/src/app.ts
@@ -7,6 +7,7 @@
 import * as agentLinkTask from './agent-link-task.js';
 import * as callerServer from './caller-server.js';
 import * as contentDigest from './content-digest.js';
+import * as gauges from './gauges.js';
 import * as status from './status.js';
 
 export type EntryDaemon = {
@@ -163,8 +164,9 @@
   const operators = await runtime.startOperatorServer({
     host: settings.operators?.host ?? '',
     port: settings.operators?.port ?? 0,
-    renderMetrics: () => runtime.renderMetrics(metrics),
-    describeStatus: () => status.describeStatus(state),
+    renderMetrics: () => runtime.renderMetrics(metrics, Date.now(), gauges.listGauges(state)),
+    describeStatus: () => status.describeStatus(state, Date.now()),
+    isReady: () => !state.shutdownStarted,
   });
   const readers = startReaders({ settings, state, logger, receiveDocument, task });
   const ports = { callerPort: callers.port, operatorPort: operators.port };
--- /dev/null
+++ b/packages/entry/src/gauges.ts
@@ -0,0 +1,41 @@
+/** Present values of an entry for its metrics. */
+import * as core from '@toucanproxy/core';
+import type * as runtime from '@toucanproxy/runtime';
+import * as status from './status.js';
+
+/** Lists the documents in force. */
+function listVersions(state: core.EntryState): runtime.Gauge[] {
+  return [...state.documents].map(([service, stored]) => ({
+    name: 'document_version',
+    labels: { service },
+    value: stored.document.version,
+  }));
+}
+
+/** Lists requests in hand by tier. */
+function listHeld(state: core.EntryState): runtime.Gauge[] {
+  return status.countByTier(state).flatMap(({ service, tier, waiting, offered }) => [
+    { name: 'requests_held', labels: { service, tier, status: 'waiting' }, value: waiting },
+    { name: 'requests_held', labels: { service, tier, status: 'offered' }, value: offered },
+  ]);
+}
+
+/** Lists how many backend servers are in each state. */
+function listServers(state: core.EntryState): runtime.Gauge[] {
+  const views = [...state.agents.values()];
+  return [...state.documents.keys()].flatMap((service) => {
+    const states = views
+      .filter((view) => view.service === service)
+      .map((view) => status.toServerState(view));
+    return Object.values(status.ServerState).map((name) => ({
+      name: 'backend_servers',
+      labels: { service, state: name },
+      value: states.filter((one) => one === name).length,
+    }));
+  });
+}
+
+/** Lists every gauge of an entry. */
+export function listGauges(state: core.EntryState): runtime.Gauge[] {
+  return [...listVersions(state), ...listHeld(state), ...listServers(state)];
+}
--- a/packages/entry/src/request-reader.ts
+++ b/packages/entry/src/request-reader.ts
@@ -34,6 +34,8 @@
 };
 
 const BEARER_PATTERN = /^Bearer (\S+)$/i;
+/** Names of services; any other text is neither looked up nor logged. */
+const SERVICE_PATTERN = /^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$/;
 const KEY_PATTERN = /^[\x21-\x7e]{0,255}$/;
 const TIMEOUT_PATTERN = /^[0-9]{1,9}$/;
 const SERVICE_METHODS = new Set(['GET', 'HEAD', 'POST', 'PUT', 'PATCH', 'DELETE', 'OPTIONS']);
@@ -145,6 +147,9 @@
   if (typeof service !== 'string') {
     return refuse(ResultCode.MALFORMED_REQUEST);
   }
+  if (!SERVICE_PATTERN.test(service)) {
+    return refuse(ResultCode.UNKNOWN_SERVICE);
+  }
   const workspace = callerRights.findWorkspace(context.documents, service, tokenSha256);
   const content = { workspace, method, path, contentType, payload };
   const arrived: core.ArrivedRequest = {
--- a/packages/entry/src/status.ts
+++ b/packages/entry/src/status.ts
@@ -1,33 +1,71 @@
 /** What the operator port of an entry says of its state. */
 import * as core from '@toucanproxy/core';
 
-/** Counts requests by service, tier and status. */
-function countRequests(state: core.EntryState): Record<string, number> {
-  const counts: Record<string, number> = {};
-  state.requests.forEach((request) => {
-    const key = `${request.arrived.service}/${request.tierName}/${request.status}`;
-    counts[key] = (counts[key] ?? 0) + 1;
-  });
-  return counts;
+/** A backend server as this entry sees it. */
+export enum ServerState {
+  LIVE = 'live',
+  LEAVING = 'leaving',
+  /** Not linked: unreachable, silent, or not yet connected. */
+  SILENT = 'silent',
 }
 
-/** Describes an entry for `toucanproxy status`. */
-export function describeStatus(state: core.EntryState): unknown {
+export type TierCount = { service: string; tier: string; waiting: number; offered: number };
+
+/** Tells the state of one backend server. */
+export function toServerState(view: core.AgentView): ServerState {
+  if (view.leaving) {
+    return ServerState.LEAVING;
+  }
+  return view.linked ? ServerState.LIVE : ServerState.SILENT;
+}
+
+/** Counts requests in hand for every tier of every document, the most urgent first. */
+export function countByTier(state: core.EntryState): TierCount[] {
+  const requests = [...state.requests.values()];
+  return [...state.documents].flatMap(([service, stored]) =>
+    stored.document.tiers.map((tier) => {
+      const ofTier = requests.filter(
+        (request) => request.arrived.service === service && request.tierName === tier,
+      );
+      const waiting = ofTier.filter((request) => request.target === undefined).length;
+      return { service, tier, waiting, offered: ofTier.length - waiting };
+    }),
+  );
+}
+
+/** Describes one backend server; times in milliseconds. */
+function describeServer(view: core.AgentView, now: number): Record<string, unknown> {
+  return {
+    id: view.backendServerId,
+    service: view.service,
+    state: toServerState(view),
+    failureDomain: view.failureDomain,
+    address: view.address,
+    life: view.agentLife,
+    silentForMs: view.lastHeardMs === 0 ? 'never heard' : now - view.lastHeardMs,
+    queued: view.load?.queued ?? 0,
+    running: view.load?.running ?? 0,
+    ownTokens: view.outstandingTokens,
+  };
+}
+
+/**
+ * Describes an entry for `toucanproxy status`.
+ *
+ * @param now present time, milliseconds since the Unix epoch
+ */
+export function describeStatus(state: core.EntryState, now: number): unknown {
   return {
     role: 'entry',
     entryId: state.entryId,
     life: state.life,
+    failureDomain: state.failureDomain,
     shuttingDown: state.shutdownStarted,
-    documentVersions: Object.fromEntries(
-      [...state.documents].map(([service, stored]) => [service, stored.document.version]),
-    ),
-    requests: countRequests(state),
-    backendServers: [...state.agents.values()].map((view) => ({
-      id: view.backendServerId,
-      service: view.service,
-      linked: view.linked,
-      leaving: view.leaving,
-      lastHeardMs: view.lastHeardMs,
+    documents: [...state.documents].map(([service, stored]) => ({
+      service,
+      version: stored.document.version,
     })),
+    tiers: countByTier(state),
+    backendServers: [...state.agents.values()].map((view) => describeServer(view, now)),
   };
 }
--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -5,6 +5,7 @@
 export * from './link-client.js';
 export * from './link-server.js';
 export * from './logger.js';
+export * from './metric-definitions.js';
 export * from './metrics.js';
 export * from './operator-server.js';
 export * from './vm-list-poll.js';
--- /dev/null
+++ b/packages/runtime/src/metric-definitions.ts
@@ -0,0 +1,69 @@
+/** The metrics by name: what each counts and of which type it is. */
+
+export enum MetricType {
+  COUNTER = 'counter',
+  GAUGE = 'gauge',
+  SUMMARY = 'summary',
+}
+
+export type MetricDefinition = { type: MetricType; help: string };
+
+/** Names without the prefix `toucanproxy_`. */
+export const METRIC_DEFINITIONS: Record<string, MetricDefinition> = {
+  requests_total: {
+    type: MetricType.COUNTER,
+    help: 'Requests that ended, by result and by whether they ended before their deadline.',
+  },
+  goodput_total: {
+    type: MetricType.COUNTER,
+    help: 'Requests that completed before their deadline.',
+  },
+  shed_total: {
+    type: MetricType.COUNTER,
+    help: 'Requests that were not run for lack of capacity.',
+  },
+  first_byte_ms: {
+    type: MetricType.SUMMARY,
+    help: 'Milliseconds from the arrival of a request to the first byte of its answer.',
+  },
+  queue_wait_ms: {
+    type: MetricType.SUMMARY,
+    help: 'Milliseconds that attempts waited in the agent before they started.',
+  },
+  wasted_prefill_tokens_total: {
+    type: MetricType.COUNTER,
+    help: 'Prompt tokens that were worked through and thrown away, by cause.',
+  },
+  dropped_messages_total: {
+    type: MetricType.COUNTER,
+    help: 'Messages between processes that were dropped, by reason.',
+  },
+  invariants_broken_total: {
+    type: MetricType.COUNTER,
+    help: 'Checks inside the program that failed. Each one is a fault of the program.',
+  },
+  callers_cut_total: {
+    type: MetricType.COUNTER,
+    help: 'Callers that were given up because they did not read their answer.',
+  },
+  document_version: {
+    type: MetricType.GAUGE,
+    help: 'Version of the service document in force.',
+  },
+  requests_held: {
+    type: MetricType.GAUGE,
+    help: 'Requests in hand, by tier and by whether an agent holds them.',
+  },
+  backend_servers: {
+    type: MetricType.GAUGE,
+    help: 'Backend servers as this process sees them, by state.',
+  },
+  process_resident_bytes: {
+    type: MetricType.GAUGE,
+    help: 'Memory of the process, bytes.',
+  },
+  process_cpu_seconds_total: {
+    type: MetricType.COUNTER,
+    help: 'Processor time of the process, seconds.',
+  },
+};
--- a/packages/runtime/src/operator-server.ts
+++ b/packages/runtime/src/operator-server.ts
@@ -9,11 +9,18 @@
   port: number;
   renderMetrics: () => string;
   describeStatus: () => unknown;
+  /** False once the process takes no new work. */
+  isReady?: () => boolean;
 };
 
 const TEXT = { 'content-type': 'text/plain; version=0.0.4' };
 const JSON_TYPE = { 'content-type': 'application/json' };
 
+/** Says whether the platform's balancer may send work here. */
+function serveHealth(response: http.ServerResponse, isReady: boolean): void {
+  response.writeHead(isReady ? 200 : 503, TEXT).end(isReady ? 'ok\n' : 'leaving\n');
+}
+
 /** Starts to listen. */
 export async function startOperatorServer(options: OperatorServerOptions): Promise<OperatorServer> {
   const server = http.createServer((request, response) => {
@@ -25,7 +32,7 @@
         response.writeHead(200, JSON_TYPE).end(JSON.stringify(options.describeStatus()));
         return;
       case '/health':
-        response.writeHead(200, TEXT).end('ok\n');
+        serveHealth(response, options.isReady?.() ?? true);
         return;
       default:
         response.writeHead(404, TEXT).end('not found\n');
