--- /dev/null
+++ b/.ci/run-tests.js
@@ -0,0 +1,74 @@
+/**
+ * Runs every test and writes "PASSED FAILED" to the file named.
+ *
+ * Tests that KNOWN-RED.txt lists are run and printed, and do not count as
+ * failed. Each of its lines is "command | test | cause | issue".
+ */
+import * as fs from 'node:fs';
+import * as path from 'node:path';
+import * as nodeTest from 'node:test';
+
+const KNOWN_RED_FILE = 'KNOWN-RED.txt';
+const KNOWN_RED_MOST = 3;
+/** Test files at once; tests over real processes start several each. */
+const CONCURRENCY = 4;
+const SOURCE_PATTERN = /^packages\/[^/]+\/src\/.*\.test\.ts$/;
+
+/** Lists the compiled test files; those whose source is gone are left out. */
+function listTestFiles() {
+  return fs
+    .readdirSync('packages', { recursive: true })
+    .map((file) => path.posix.join('packages', file))
+    .filter((file) => SOURCE_PATTERN.test(file))
+    .map((file) => path.resolve(file.replace('/src/', '/dist/').replace(/\.ts$/, '.js')))
+    .sort();
+}
+
+/** Reads the names of the tests that are known to fail. */
+function readKnownRed() {
+  if (!fs.existsSync(KNOWN_RED_FILE)) {
+    return [];
+  }
+  const lines = fs.readFileSync(KNOWN_RED_FILE, 'utf8').split('\n');
+  return lines.filter((line) => line.trim() !== '').map((line) => line.split('|')[1]?.trim());
+}
+
+const [, , countsFile] = process.argv;
+const knownRed = readKnownRed();
+const failures = [];
+const red = [];
+let passed = 0;
+
+/** Notes one test that did not pass. */
+function noteFailure(data) {
+  const { name, details } = data;
+  const isFile = details.type === 'suite' || name.endsWith('.test.js');
+  if (knownRed.includes(name)) {
+    red.push(name);
+    return;
+  }
+  failures.push(name);
+  const error = details.error?.cause ?? details.error;
+  process.stdout.write(`FAILED ${name}${isFile ? ' (file)' : ''}\n${error?.stack ?? error}\n`);
+}
+
+const run = nodeTest.run({ files: listTestFiles(), concurrency: CONCURRENCY });
+run.on('test:pass', (data) => {
+  if (data.skip !== undefined || data.todo !== undefined) {
+    noteFailure({ ...data, details: { error: new Error('skipped tests count as failed') } });
+    return;
+  }
+  passed += 1;
+  process.stdout.write(`passed ${data.name}\n`);
+});
+run.on('test:fail', noteFailure);
+run.on('test:stderr', (data) => process.stderr.write(data.message));
+run.once('end', () => {
+  red.forEach((name) => process.stdout.write(`known red: ${name}\n`));
+  const surplus = Math.max(knownRed.length - KNOWN_RED_MOST, 0);
+  if (surplus > 0) {
+    process.stdout.write(`FAILED ${KNOWN_RED_FILE} lists more than ${KNOWN_RED_MOST} tests\n`);
+  }
+  fs.writeFileSync(countsFile, `${passed} ${failures.length + surplus}\n`);
+});
+run.resume();
