--- /dev/null
+++ b/packages/stand-ins/src/start-example.ts
@@ -0,0 +1,173 @@
+/**
+ * Starts a worked example on the stand-ins: `npm start`, or
+ * `npm start -- --deployment cooperative --runners 13`.
+ *
+ * Engines and the platform run in this process, entries and agents each in
+ * their own, from settings files. Ctrl-C stops all.
+ */
+import * as crypto from 'node:crypto';
+import * as fs from 'node:fs';
+import * as os from 'node:os';
+import * as path from 'node:path';
+import * as util from 'node:util';
+import * as engine from './engine.js';
+import * as exampleDeployments from './example-deployments.js';
+import * as exampleProcesses from './example-processes.js';
+import * as plainService from './plain-service.js';
+import * as platform from './platform.js';
+
+const DEFAULT_DEPLOYMENT = 'quebrada';
+/** Backend servers of each service, at most; the brief's counts with --runners 13. */
+const DEFAULT_RUNNERS = '2';
+const ENTRY_COUNT = 2;
+const SIGNALS = ['SIGINT', 'SIGTERM', 'SIGHUP'] as const;
+
+type Running = {
+  folder: string;
+  configurationUrl: string;
+  deployment: exampleDeployments.ExampleDeployment;
+  runners: number;
+  agents: exampleProcesses.ExampleProcess[];
+  entries: exampleProcesses.ExampleProcess[];
+};
+
+/** Starts the engine or plain service of one backend server. */
+async function startBackend(kind: exampleDeployments.EngineKind): Promise<string> {
+  const started =
+    kind === exampleDeployments.EngineKind.PLAIN
+      ? await plainService.startPlainService({})
+      : // The engines share this process; a crash must not take the others.
+        await engine.startEngine({ crash: () => {} });
+  return `http://127.0.0.1:${started.port}`;
+}
+
+/** Starts one backend server with its agent. */
+async function startRunner(
+  running: Running,
+  service: exampleDeployments.ExampleService,
+  index: number,
+): Promise<exampleDeployments.ExampleServer> {
+  const { failureDomains } = running.deployment;
+  const id = `${service.name}-${index + 1}`;
+  const failureDomain = failureDomains[index % failureDomains.length];
+  const agent = await exampleProcesses.startExampleProcess(running.folder, 'agent', id, {
+    backendServerId: id,
+    service: service.name,
+    failureDomain,
+    platform: { configurationUrl: running.configurationUrl },
+    engineUrl: await startBackend(service.engineKind),
+  });
+  running.agents.push(agent);
+  return { id, address: `127.0.0.1:${agent.started.linkPort}`, failureDomain };
+}
+
+/** Starts the backend servers of one service and publishes its document. */
+async function startService(
+  running: Running,
+  service: exampleDeployments.ExampleService,
+  publish: (service: string, json: string) => void,
+): Promise<void> {
+  const count = Math.min(service.runners, running.runners);
+  const indexes = Array.from({ length: count }, (_, index) => index);
+  const servers = await Promise.all(indexes.map((index) => startRunner(running, service, index)));
+  const document = exampleDeployments.buildExampleDocument(service, servers);
+  const json = JSON.stringify(document, undefined, 2);
+  fs.writeFileSync(path.join(running.folder, `${service.name}.document.json`), json);
+  publish(service.name, json);
+}
+
+/** Starts one entry for all services. */
+async function startEntry(running: Running, index: number): Promise<void> {
+  const { failureDomains, services } = running.deployment;
+  const id = `entry-${index + 1}`;
+  const digestKeyFile = path.join(running.folder, 'digest.key');
+  const settings = {
+    entryId: id,
+    failureDomain: failureDomains[index % failureDomains.length],
+    services: services.map((service) => service.name),
+    platform: { configurationUrl: running.configurationUrl },
+    digestKeyFile,
+  };
+  const entry = await exampleProcesses.startExampleProcess(
+    running.folder,
+    'entry',
+    id,
+    settings,
+    services.length,
+  );
+  running.entries.push(entry);
+}
+
+/** Formats what to paste. */
+function formatGuide(running: Running): string {
+  const [first] = running.entries;
+  const baseUrl = `http://127.0.0.1:${first.started.callerPort}`;
+  const calls = running.deployment.services
+    .flatMap((service) => service.calls)
+    .flatMap(([title, token, args]) => {
+      const filled = args.replace('URL', baseUrl).replace('KEY', crypto.randomUUID());
+      return [`# ${title}`, `curl -sS -H 'authorization: Bearer ${token}' ${filled}`, ''];
+    });
+  const operators = [...running.entries, ...running.agents].map(
+    (one) => `127.0.0.1:${one.started.operatorPort}`,
+  );
+  return [
+    `Settings, documents and logs: ${running.folder}`,
+    ...running.entries.map((one) => `${one.name}: http://127.0.0.1:${one.started.callerPort}`),
+    '',
+    ...calls,
+    '# state of every process',
+    `npx toucanproxy status ${operators.join(' ')}`,
+    '',
+    '# one request, by the x-request-id of its answer (curl -i shows it)',
+    `npx toucanproxy explain REQUEST_ID ${running.folder}/*.log`,
+    '',
+    'Ready. Ctrl-C stops all.',
+    '',
+  ].join('\n');
+}
+
+/** Stops entries first, so that what they hold can still end. */
+async function stopAll(running: Running): Promise<void> {
+  await exampleProcesses.stopExampleProcesses(running.entries);
+  await exampleProcesses.stopExampleProcesses(running.agents);
+}
+
+/** Starts everything and prints what to paste. */
+async function startExample(): Promise<Running> {
+  const { values } = util.parseArgs({
+    options: {
+      deployment: { type: 'string', default: DEFAULT_DEPLOYMENT },
+      runners: { type: 'string', default: DEFAULT_RUNNERS },
+    },
+  });
+  const deployment = exampleDeployments.EXAMPLE_DEPLOYMENTS[values.deployment];
+  if (deployment === undefined) {
+    const names = Object.keys(exampleDeployments.EXAMPLE_DEPLOYMENTS).join(', ');
+    throw new Error(`--deployment: found ${values.deployment}; allowed: ${names}`);
+  }
+  const started = await platform.startPlatform();
+  const folder = fs.mkdtempSync(path.join(os.tmpdir(), 'toucanproxy-example-'));
+  fs.writeFileSync(path.join(folder, 'digest.key'), crypto.randomUUID());
+  const running: Running = {
+    folder,
+    configurationUrl: `http://127.0.0.1:${started.port}`,
+    deployment,
+    runners: Number(values.runners),
+    agents: [],
+    entries: [],
+  };
+  const stop = () => {
+    process.stdout.write('Stopping.\n');
+    stopAll(running).finally(() => process.exit());
+  };
+  SIGNALS.forEach((signal) => process.once(signal, stop));
+  await Promise.all(
+    deployment.services.map((service) => startService(running, service, started.publish)),
+  );
+  const indexes = Array.from({ length: ENTRY_COUNT }, (_, index) => index);
+  await Promise.all(indexes.map((index) => startEntry(running, index)));
+  return running;
+}
+
+process.stdout.write(formatGuide(await startExample()));
