Grant places to reservations

Cause: an entry could only push whole requests at agents whose load it knows late. Before: Reserve and Release were ignored; one sorted array held the start queue, without workspaces.

--- a/packages/core/src/agent/agent-state.ts
+++ b/packages/core/src/agent/agent-state.ts
@@ -2,6 +2,7 @@
 import * as schema from '@toucanproxy/schema';
 import * as documentStore from '../shared/document-store.js';
 import * as documentTiming from '../shared/document-timing.js';
+import * as reservation from './reservation.js';
 import * as runRecord from './run-record.js';
 import * as startQueue from './start-queue.js';
 
@@ -23,6 +24,10 @@
   documents: documentStore.DocumentStore;
   runs: Map<string, runRecord.RunRecord>;
   queue: startQueue.StartQueue;
+  /** Reservations queued and places held, by request id. */
+  reservations: Map<string, reservation.Reservation>;
+  holds: Map<string, reservation.Hold>;
+  heldTokens: number;
   running: Set<string>;
   runningTokens: number;
   links: Map<number, EntryLink>;
@@ -46,6 +51,9 @@
     documents: new Map(),
     runs: new Map(),
     queue: startQueue.createStartQueue(),
+    reservations: new Map(),
+    holds: new Map(),
+    heldTokens: 0,
     running: new Set(),
     runningTokens: 0,
     links: new Map(),
