Outlive engine crashes and refuse content that causes them

Before: each resend of a crashing request crashed an engine; wasted prefill was counted as crashed whatever its cause; an agent that the document did not name yet stayed leaving for ever. Conclusion: the crash bound holds per group of processes that hear each other; only a crash alone adds to a count, so innocents cannot be condemned.

--- a/packages/core/src/agent/admission.ts
+++ b/packages/core/src/agent/admission.ts
@@ -33,6 +33,9 @@
   if (state.leaving) {
     return schema.ResultCode.SHUTTING_DOWN;
   }
+  if (!state.engineAvailable) {
+    return schema.ResultCode.NO_BACKEND_SERVER;
+  }
   return now >= wish.deadlineMs ? schema.ResultCode.DEADLINE_UNREACHABLE : undefined;
 }
 
--- a/packages/core/src/agent/agent-event.ts
+++ b/packages/core/src/agent/agent-event.ts
@@ -22,6 +22,7 @@
   | { kind: 'engineEnd'; refKey: string }
   | { kind: 'engineFailed'; refKey: string; fault: EngineFault }
   | { kind: 'engineAvailable'; available: boolean }
+  | { kind: 'vmLeaving'; leaving: boolean }
   | { kind: 'documentRead'; stored: documentStore.StoredDocument }
   | { kind: 'ticked' }
   | { kind: 'shutdownStarted' };
--- a/packages/core/src/agent/agent-state.ts
+++ b/packages/core/src/agent/agent-state.ts
@@ -2,7 +2,9 @@
 import * as schema from '@toucanproxy/schema';
 import * as documentStore from '../shared/document-store.js';
 import * as documentTiming from '../shared/document-timing.js';
+import * as suspects from '../shared/suspects.js';
 import * as reservation from './reservation.js';
+import * as runMemory from './run-memory.js';
 import * as runRecord from './run-record.js';
 import * as startQueue from './start-queue.js';
 
@@ -13,6 +15,8 @@
   lastHeardMs: number;
   lastSentMs: number;
   heartbeatsSent: number;
+  /** Revision of the suspects last sent over this link. */
+  suspectsRevision: number;
 };
 
 export type AgentState = {
@@ -32,7 +36,15 @@
   runningTokens: number;
   links: Map<number, EntryLink>;
   engineAvailable: boolean;
+  suspects: suspects.Suspects;
+  /** The suspect that runs alone at present; empty where none does. */
+  soloRefKey: string;
+  /** What ended attempts take in memory. */
+  memory: runMemory.RunMemory;
+  /** Any of the three reasons below holds. */
   leaving: boolean;
+  documentLeaving: boolean;
+  vmLeaving: boolean;
   shutdownStarted: boolean;
   stopped: boolean;
 };
@@ -58,7 +70,12 @@
     runningTokens: 0,
     links: new Map(),
     engineAvailable: true,
+    suspects: suspects.createSuspects(),
+    soloRefKey: '',
+    memory: runMemory.createRunMemory(),
     leaving: false,
+    documentLeaving: false,
+    vmLeaving: false,
     shutdownStarted: false,
     stopped: false,
   };
--- a/packages/core/src/agent/answers.ts
+++ b/packages/core/src/agent/answers.ts
@@ -3,6 +3,7 @@
 import * as agentEvent from './agent-event.js';
 import * as agentMessages from './agent-messages.js';
 import * as agentState from './agent-state.js';
+import * as runMemory from './run-memory.js';
 import * as runRecord from './run-record.js';
 
 type Effects = agentEvent.AgentEffect[];
@@ -31,6 +32,10 @@
       return agentMessages.buildStarted(record.ref);
     case runRecord.RunStatus.NOT_RUN:
       return agentMessages.buildNotRun(record.ref, record.code, 0);
+    case runRecord.RunStatus.COMPLETED:
+      return record.answerDropped
+        ? agentMessages.buildRunFailed(record.ref, schema.ResultCode.ANSWER_BROKEN)
+        : undefined;
     case runRecord.RunStatus.FAILED:
       return agentMessages.buildRunFailed(record.ref, record.code);
     default:
@@ -60,8 +65,25 @@
   return [...missing, ...statusEffects];
 }
 
+/** Drops the bytes of ended answers that no longer fit. */
+function trimAnswers(state: agentState.AgentState): void {
+  runMemory
+    .takeExcessAnswers(state.memory, runMemory.MAX_ANSWER_BYTES)
+    .flatMap((refKey) => state.runs.get(refKey) ?? [])
+    .forEach((record) => {
+      record.parts = [];
+      record.answerDropped = true;
+    });
+}
+
+/** Keeps the answer of an attempt that has ended until it is acknowledged. */
+export function keepAnswer(state: agentState.AgentState, record: runRecord.RunRecord): void {
+  runMemory.keepAnswer(state.memory, record);
+  trimAnswers(state);
+}
+
 /**
- * Drops the answer bytes that an entry has received whole.
+ * Notes the answer that an entry has received whole.
  *
  * The record itself stays: without it a late copy of the offer would start a
  * second run. Records expire only when such a copy would be refused as stale.
@@ -72,6 +94,6 @@
     return;
   }
   if (next >= record.parts.length) {
-    record.acknowledged = true;
+    runMemory.noteAcknowledged(state.memory, refKey);
   }
 }
--- a/packages/core/src/agent/engine-runs.ts
+++ b/packages/core/src/agent/engine-runs.ts
@@ -5,6 +5,9 @@
 import * as agentMessages from './agent-messages.js';
 import * as agentState from './agent-state.js';
 import * as answers from './answers.js';
+import * as crashBlame from './crash-blame.js';
+import * as engineAvailability from './engine-availability.js';
+import * as refusals from './refusals.js';
 import * as runRecord from './run-record.js';
 import * as runs from './runs.js';
 
@@ -24,7 +27,9 @@
   runs.endRun(state, record, runRecord.RunStatus.COMPLETED, now);
   const effects = answers.addPart(record, { case: 'end', value: end });
   record.subscribers.clear();
-  return [...effects, ...runs.startQueued(state, now)];
+  answers.keepAnswer(state, record);
+  const cleared = crashBlame.clearBlame(state, record, now);
+  return [...effects, ...cleared, ...runs.startQueued(state, now)];
 }
 
 /** Maps an engine fault to the code that callers see. */
@@ -34,6 +39,19 @@
     : schema.ResultCode.ENGINE_FAILED;
 }
 
+/** Names the cause for which the prompt work of a failed attempt is lost. */
+function toWasteCause(
+  record: runRecord.RunRecord,
+  fault: agentEvent.EngineFault,
+): effect.WasteCause {
+  if (record.cancelled) {
+    return effect.WasteCause.CANCELLED;
+  }
+  return fault === agentEvent.EngineFault.CRASHED
+    ? effect.WasteCause.CRASHED
+    : effect.WasteCause.FAILED;
+}
+
 /** Ends an attempt whose engine gave no whole answer. */
 function failRun(
   state: agentState.AgentState,
@@ -43,16 +61,75 @@
 ): Effects {
   record.code = toResultCode(fault);
   runs.endRun(state, record, runRecord.RunStatus.FAILED, now);
-  const tokens = record.offer?.estimatedTokens ?? 0;
+  record.parts = [];
   const effects = answers.publish(record, agentMessages.buildRunFailed(record.ref, record.code));
   record.subscribers.clear();
+  const cause = toWasteCause(record, fault);
   return [
-    effect.observe({ kind: 'wastedPrefill', cause: effect.WasteCause.CRASHED, tokens }),
+    effect.observe({ kind: 'wastedPrefill', cause, tokens: record.promptTokens }),
     ...effects,
     ...runs.startQueued(state, now),
   ];
 }
 
+/** Takes the engine out of use and puts the blame for its crash down. */
+function handleCrash(
+  state: agentState.AgentState,
+  record: runRecord.RunRecord,
+  now: number,
+): Effects {
+  // Each attempt's connection breaks by itself, some after the engine is back.
+  // The first one tells of the crash; one crash must not count for more.
+  const noted = record.crashed
+    ? []
+    : [
+        ...crashBlame.recordCrash(state, now),
+        ...engineAvailability.setAvailable(state, false, now),
+      ];
+  return [...noted, ...failRun(state, record, agentEvent.EngineFault.CRASHED, now)];
+}
+
+/**
+ * Ends an attempt whose connection the engine refused.
+ *
+ * The system refused to connect, so not one byte of the request left this
+ * process: it is as certain as for a queued attempt that it did not run, and
+ * that may be confirmed though it was marked as started. A connection that was
+ * made and then broke is another fault and counts as run.
+ */
+function handleUnreachable(
+  state: agentState.AgentState,
+  record: runRecord.RunRecord,
+  now: number,
+): Effects {
+  if (record.parts.length > 0) {
+    const broken = effect.observe({ kind: 'invariantBroken', name: 'answered-unreachable' });
+    return [broken, ...failRun(state, record, agentEvent.EngineFault.FAILED, now)];
+  }
+  runs.releasePlace(state, record);
+  return [
+    ...refusals.refuseAttempt(state, record, schema.ResultCode.NO_BACKEND_SERVER, now),
+    ...engineAvailability.setAvailable(state, false, now),
+  ];
+}
+
+/** Ends an attempt by the fault that its daemon met. */
+function handleFault(
+  state: agentState.AgentState,
+  record: runRecord.RunRecord,
+  fault: agentEvent.EngineFault,
+  now: number,
+): Effects {
+  switch (fault) {
+    case agentEvent.EngineFault.CRASHED:
+      return handleCrash(state, record, now);
+    case agentEvent.EngineFault.UNREACHABLE:
+      return handleUnreachable(state, record, now);
+    default:
+      return failRun(state, record, fault, now);
+  }
+}
+
 /** Applies one engine event; events of attempts that have ended are dropped. */
 export function handleEngineEvent(
   state: agentState.AgentState,
@@ -74,6 +151,6 @@
     case 'engineEnd':
       return completeRun(state, record, now);
     default:
-      return failRun(state, record, event.fault, now);
+      return handleFault(state, record, event.fault, now);
   }
 }
--- a/packages/core/src/agent/entry-links.ts
+++ b/packages/core/src/agent/entry-links.ts
@@ -1,6 +1,7 @@
 /** Links to entries: hello, heartbeats in both directions, and document spread. */
 import * as schema from '@toucanproxy/schema';
 import * as documentStore from '../shared/document-store.js';
+import * as suspects from '../shared/suspects.js';
 import * as agentEvent from './agent-event.js';
 import * as agentMessages from './agent-messages.js';
 import * as agentState from './agent-state.js';
@@ -17,6 +18,7 @@
     lastHeardMs: now,
     lastSentMs: now,
     heartbeatsSent: 0,
+    suspectsRevision: -1,
   });
   const hello = schema.create(schema.AgentHelloSchema, {
     backendServerId: state.backendServerId,
@@ -56,12 +58,14 @@
   return [];
 }
 
-/** Asks for the entry's document where it is newer than ours. */
+/** Learns suspects, and asks for the entry's document where it is newer than ours. */
 export function handleHeartbeat(
   state: agentState.AgentState,
   linkId: number,
   heartbeat: schema.EntryHeartbeat,
+  now: number,
 ): Effects {
+  suspects.mergeSuspects(state.suspects, heartbeat.suspects, now);
   const theirs = heartbeat.document?.version ?? 0;
   if (theirs <= documentStore.getVersion(state.documents, state.service)) {
     return [];
@@ -104,6 +108,8 @@
   }
   link.lastSentMs = now;
   link.heartbeatsSent += 1;
+  const changed = link.suspectsRevision !== state.suspects.revision;
+  link.suspectsRevision = state.suspects.revision;
   const heartbeat = schema.create(schema.AgentHeartbeatSchema, {
     document: {
       service: state.service,
@@ -111,6 +117,7 @@
     },
     sequence: link.heartbeatsSent,
     load: describeLoad(state),
+    suspects: changed ? suspects.listSuspects(state.suspects) : [],
   });
   return [agentMessages.sendToEntry(linkId, { case: 'heartbeat', value: heartbeat })];
 }
--- a/packages/core/src/agent/handle-agent-event.ts
+++ b/packages/core/src/agent/handle-agent-event.ts
@@ -1,18 +1,19 @@
 /** The agent's decisions: one event in, the effects it calls for out. */
 import * as schema from '@toucanproxy/schema';
 import * as attemptRef from '../shared/attempt-ref.js';
-import * as documentStore from '../shared/document-store.js';
-import * as effect from '../shared/effect.js';
+import * as suspects from '../shared/suspects.js';
 import * as agentEvent from './agent-event.js';
 import * as agentState from './agent-state.js';
 import * as answers from './answers.js';
+import * as engineAvailability from './engine-availability.js';
 import * as engineRuns from './engine-runs.js';
 import * as entryLinks from './entry-links.js';
+import * as leaving from './leaving.js';
 import * as offers from './offers.js';
 import * as holds from './holds.js';
 import * as refusals from './refusals.js';
 import * as reservations from './reservations.js';
-import * as runRecord from './run-record.js';
+import * as runMemory from './run-memory.js';
 import * as runs from './runs.js';
 import * as startQueue from './start-queue.js';
 
@@ -32,7 +33,10 @@
     case 'hello':
       return entryLinks.acceptHello(state, linkId, body.value);
     case 'heartbeat':
-      return entryLinks.handleHeartbeat(state, linkId, body.value);
+      return [
+        ...entryLinks.handleHeartbeat(state, linkId, body.value, now),
+        ...refusals.refuseCondemned(state, now),
+      ];
     case 'offer':
       return offers.acceptOffer(state, linkId, body.value, now);
     case 'reserve':
@@ -59,34 +63,14 @@
   }
 }
 
-/** Takes a newer document into force. */
-function applyDocument(state: agentState.AgentState, event: EventOf<'documentRead'>): Effects {
-  const { document } = event.stored;
-  if (document.service !== state.service) {
-    return [];
-  }
-  if (!documentStore.storeDocument(state.documents, event.stored)) {
-    return [];
-  }
-  const own = document.backendServers.find((server) => server.id === state.backendServerId);
-  const leaving = own === undefined || own.state >= schema.BackendServerState.LEAVING;
-  state.leaving = state.leaving || leaving;
-  return [
-    effect.logDecision('document', {
-      service: document.service,
-      version: document.version,
-      leaving,
-    }),
-  ];
-}
-
 /** Forgets attempts whose late copies would be refused as stale anyway. */
 function expireRecords(state: agentState.AgentState, now: number): void {
   const timing = agentState.getTiming(state);
   const keepMs = timing.keyWindowMs + 2 * timing.clockSkewMs;
-  [...state.runs.values()]
-    .filter((record) => runRecord.isEnded(record) && now - record.changedMs > keepMs)
-    .forEach((record) => state.runs.delete(record.refKey));
+  runMemory.takeEndedBefore(state.memory, now - keepMs).forEach((refKey) => {
+    runMemory.forgetAnswer(state.memory, refKey);
+    state.runs.delete(refKey);
+  });
 }
 
 /** Refuses queued work whose deadline has passed. */
@@ -99,41 +83,16 @@
     );
 }
 
-/** Stops once leaving, with nothing queued or running. */
-function stopWhenIdle(state: agentState.AgentState): Effects {
-  const idle = startQueue.countQueued(state.queue) === 0 && state.running.size === 0;
-  if (!state.shutdownStarted || state.stopped || !idle) {
-    return [];
-  }
-  state.stopped = true;
-  return [{ kind: 'stopped' }];
-}
-
 /** Does what is due by time alone. */
 function handleTick(state: agentState.AgentState, now: number): Effects {
   expireRecords(state, now);
+  suspects.expireSuspects(state.suspects, now);
   return [
     ...refuseOverdue(state, now),
     ...entryLinks.sendDueHeartbeats(state, now),
     ...holds.expireHolds(state, now),
     ...runs.startQueued(state, now),
-    ...stopWhenIdle(state),
-  ];
-}
-
-/** Refuses what has not started; what runs is left to end. */
-function startShutdown(state: agentState.AgentState, now: number): Effects {
-  state.leaving = true;
-  state.shutdownStarted = true;
-  const refused = refusals.refuseAll(state, schema.ResultCode.SHUTTING_DOWN, now);
-  const refusedHolds = [...state.holds.values()].flatMap((hold) =>
-    holds.refuseHold(state, hold, schema.ResultCode.SHUTTING_DOWN),
-  );
-  return [
-    ...refused,
-    ...refusedHolds,
-    ...entryLinks.sendHeartbeats(state, now),
-    ...stopWhenIdle(state),
+    ...leaving.stopWhenIdle(state),
   ];
 }
 
@@ -161,14 +120,15 @@
     case 'engineFailed':
       return engineRuns.handleEngineEvent(state, event, now);
     case 'engineAvailable':
-      state.engineAvailable = event.available;
-      return runs.startQueued(state, now);
+      return engineAvailability.setAvailable(state, event.available, now);
+    case 'vmLeaving':
+      return leaving.setVmLeaving(state, event.leaving, now);
     case 'documentRead':
-      return applyDocument(state, event);
+      return leaving.applyDocument(state, event.stored, now);
     case 'ticked':
       return handleTick(state, now);
     case 'shutdownStarted':
-      return startShutdown(state, now);
+      return leaving.startShutdown(state, now);
     default:
       return [];
   }
--- a/packages/core/src/agent/offers.ts
+++ b/packages/core/src/agent/offers.ts
@@ -2,6 +2,7 @@
 import * as schema from '@toucanproxy/schema';
 import * as attemptRef from '../shared/attempt-ref.js';
 import * as effect from '../shared/effect.js';
+import * as suspects from '../shared/suspects.js';
 import * as admission from './admission.js';
 import * as agentEvent from './agent-event.js';
 import * as agentMessages from './agent-messages.js';
@@ -10,6 +11,7 @@
 import * as holds from './holds.js';
 import * as refusals from './refusals.js';
 import * as reservations from './reservations.js';
+import * as runMemory from './run-memory.js';
 import * as runRecord from './run-record.js';
 import * as runs from './runs.js';
 import * as startQueue from './start-queue.js';
@@ -27,7 +29,9 @@
   reservations.dropQueued(state, requestId);
   const held = holds.dropHold(state, requestId) !== undefined;
   const wish = { ...offer, requestId };
-  if (held && admission.findRefusal(state, wish, now) === undefined) {
+  // A suspect waits until nothing else runs, also where a place is held for it.
+  const alone = suspects.isSuspect(state.suspects, offer.contentDigest);
+  if (held && !alone && admission.findRefusal(state, wish, now) === undefined) {
     return runs.startOne(state, record, now);
   }
   const admitted = admission.admit(state, wish, now);
@@ -91,8 +95,11 @@
   const record = runRecord.makeRunRecord(refKey, ref, offer, now);
   record.subscribers.add(linkId);
   state.runs.set(refKey, record);
-  return isStale(state, offer, now)
-    ? refusals.refuseAttempt(state, record, schema.ResultCode.STALE_OFFER, now)
+  if (isStale(state, offer, now)) {
+    return refusals.refuseAttempt(state, record, schema.ResultCode.STALE_OFFER, now);
+  }
+  return suspects.isCondemned(state.suspects, offer.contentDigest)
+    ? refusals.refuseAttempt(state, record, schema.ResultCode.CONTENT_REFUSED, now)
     : enqueueOffer(state, record, offer, now);
 }
 
@@ -114,6 +121,7 @@
   }
   const tombstone = runRecord.makeRunRecord(refKey, ref, undefined, now);
   tombstone.code = schema.ResultCode.CANCELLED;
+  runMemory.noteEnded(state.memory, refKey, now);
   state.runs.set(refKey, tombstone);
   return tombstone;
 }
@@ -185,5 +193,6 @@
   if (!cuttable || record.offer?.repeatable !== true) {
     return [];
   }
+  record.cancelled = true;
   return [{ kind: 'cancelOnEngine', refKey: record.refKey }];
 }
--- a/packages/core/src/agent/places.ts
+++ b/packages/core/src/agent/places.ts
@@ -1,7 +1,13 @@
 /** Tells whether the engine has a place. */
 import * as agentState from './agent-state.js';
 
-type Sized = { tierRank: number; estimatedTokens: number };
+/** What an attempt or reservation asks of the engine. */
+export type Wish = {
+  tierRank: number;
+  estimatedTokens: number;
+  /** A suspect: nothing else may run beside it. */
+  alone: boolean;
+};
 
 /** Counts places in use: running attempts and those held for requests on their way. */
 export function countUsed(state: agentState.AgentState): number {
@@ -19,17 +25,20 @@
 }
 
 /** Tells whether the engine has a place for one more. */
-export function hasRoom(state: agentState.AgentState, item: Sized): boolean {
+export function hasRoom(state: agentState.AgentState, wish: Wish): boolean {
   const limits = agentState.getLimits(state);
-  if (!state.engineAvailable) {
+  if (!state.engineAvailable || state.soloRefKey !== '') {
     return false;
   }
   const used = countUsed(state);
   if (used === 0) {
     return true;
   }
+  if (wish.alone) {
+    return false;
+  }
   const percent = limits.urgentHeadroomPercent;
-  const maxPlaces = keepHeadroom(limits.maxRunning, item.tierRank, percent);
-  const maxTokens = keepHeadroom(limits.maxRunningTokens, item.tierRank, percent);
-  return used < maxPlaces && countUsedTokens(state) + item.estimatedTokens <= maxTokens;
+  const maxPlaces = keepHeadroom(limits.maxRunning, wish.tierRank, percent);
+  const maxTokens = keepHeadroom(limits.maxRunningTokens, wish.tierRank, percent);
+  return used < maxPlaces && countUsedTokens(state) + wish.estimatedTokens <= maxTokens;
 }
--- a/packages/core/src/agent/refusals.ts
+++ b/packages/core/src/agent/refusals.ts
@@ -1,10 +1,13 @@
 /** Confirms that attempts and reservations were not run. */
 import * as schema from '@toucanproxy/schema';
 import * as effect from '../shared/effect.js';
+import * as suspects from '../shared/suspects.js';
 import * as agentEvent from './agent-event.js';
 import * as agentMessages from './agent-messages.js';
 import * as agentState from './agent-state.js';
 import * as answers from './answers.js';
+import * as holds from './holds.js';
+import * as runMemory from './run-memory.js';
 import * as runRecord from './run-record.js';
 import * as startQueue from './start-queue.js';
 
@@ -21,6 +24,8 @@
   record.status = runRecord.RunStatus.NOT_RUN;
   record.code = code;
   record.changedMs = now;
+  runRecord.dropPayload(record);
+  runMemory.noteEnded(state.memory, record.refKey, now);
   const body = agentMessages.buildNotRun(record.ref, code, 0);
   const effects = answers.publish(record, body);
   record.subscribers.clear();
@@ -60,11 +65,32 @@
   return record === undefined ? [] : refuseAttempt(state, record, code, now);
 }
 
-/** Refuses everything queued. */
+/** Tells whether an item is an attempt whose content is refused. */
+function isCondemned(state: agentState.AgentState, item: startQueue.QueuedItem): boolean {
+  const digest = state.runs.get(item.id)?.offer?.contentDigest ?? '';
+  const isAttempt = item.kind === startQueue.QueuedKind.ATTEMPT;
+  return isAttempt && suspects.isCondemned(state.suspects, digest);
+}
+
+/** Refuses queued attempts whose content has crashed engines too often. */
+export function refuseCondemned(state: agentState.AgentState, now: number): Effects {
+  return startQueue
+    .listItems(state.queue)
+    .filter((item) => isCondemned(state, item))
+    .flatMap((item) => refuseItem(state, item, schema.ResultCode.CONTENT_REFUSED, now));
+}
+
+/** Refuses everything queued and gives up every place that is held. */
 export function refuseAll(
   state: agentState.AgentState,
   code: schema.ResultCode,
   now: number,
 ): Effects {
-  return startQueue.listItems(state.queue).flatMap((item) => refuseItem(state, item, code, now));
+  const refusedHolds = [...state.holds.values()].flatMap((hold) =>
+    holds.refuseHold(state, hold, code),
+  );
+  const refused = startQueue
+    .listItems(state.queue)
+    .flatMap((item) => refuseItem(state, item, code, now));
+  return [...refused, ...refusedHolds];
 }
--- a/packages/core/src/agent/run-record.ts
+++ b/packages/core/src/agent/run-record.ts
@@ -31,10 +31,19 @@
   subscribers: Set<number>;
   /** When the record last changed its status, milliseconds. */
   changedMs: number;
-  /** Set once an entry has acknowledged the whole answer. */
-  acknowledged: boolean;
+  /** Set once the bytes of an ended answer have been dropped. */
+  answerDropped: boolean;
+  /** Set once the attempt has been cut short on its entry's wish. */
+  cancelled: boolean;
+  /** Set once a crash of the engine has been put down to this attempt. */
+  crashed: boolean;
+  /** Estimated tokens of the prompt. */
+  promptTokens: number;
 };
 
+/** Bytes of a request that make one token of a prompt, about. */
+const BYTES_PER_TOKEN = 4;
+
 /** Makes a record for an offer, or a tombstone where the offer never came. */
 export function makeRunRecord(
   refKey: string,
@@ -51,10 +60,20 @@
     parts: [],
     subscribers: new Set(),
     changedMs: now,
-    acknowledged: false,
+    answerDropped: false,
+    cancelled: false,
+    crashed: false,
+    promptTokens: Math.ceil((offer?.payload.length ?? 0) / BYTES_PER_TOKEN),
   };
 }
 
+/** Drops the request's bytes, which are of no use once it has been handed over. */
+export function dropPayload(record: RunRecord): void {
+  if (record.offer !== undefined) {
+    record.offer = { ...record.offer, payload: new Uint8Array() };
+  }
+}
+
 /** Tells whether an attempt has ended in whatever way. */
 export function isEnded(record: RunRecord): boolean {
   return record.status !== RunStatus.QUEUED && record.status !== RunStatus.STARTED;
--- a/packages/core/src/agent/runs.ts
+++ b/packages/core/src/agent/runs.ts
@@ -4,6 +4,7 @@
  */
 import * as schema from '@toucanproxy/schema';
 import * as effect from '../shared/effect.js';
+import * as suspects from '../shared/suspects.js';
 import * as agentEvent from './agent-event.js';
 import * as agentMessages from './agent-messages.js';
 import * as agentState from './agent-state.js';
@@ -11,6 +12,7 @@
 import * as holds from './holds.js';
 import * as places from './places.js';
 import * as refusals from './refusals.js';
+import * as runMemory from './run-memory.js';
 import * as runRecord from './run-record.js';
 import * as startQueue from './start-queue.js';
 
@@ -31,15 +33,21 @@
   // later finds the record and is not started a second time.
   record.status = runRecord.RunStatus.STARTED;
   record.changedMs = now;
+  const alone = suspects.isSuspect(state.suspects, offer.contentDigest);
+  state.soloRefKey = alone ? record.refKey : state.soloRefKey;
+  const inCompany = alone && state.running.size > 0;
+  runRecord.dropPayload(record);
   state.running.add(record.refKey);
   state.runningTokens += offer.estimatedTokens;
   return [
+    ...(inCompany ? [effect.observe({ kind: 'invariantBroken', name: 'suspect-in-company' })] : []),
     effect.observe({ kind: 'queueWait', tier: String(offer.tierRank), ms: waitedMs }),
     effect.logDecision('start', {
       request: record.refKey,
       tierRank: offer.tierRank,
       queued: startQueue.countQueued(state.queue),
       running: state.running.size,
+      alone,
     }),
     ...answers.publish(record, agentMessages.buildStarted(record.ref)),
     { kind: 'startOnEngine', refKey: record.refKey, offer },
@@ -62,12 +70,19 @@
   return record === undefined ? [] : startOne(state, record, now);
 }
 
+/** Says what an item asks of the engine. */
+function toWish(state: agentState.AgentState, item: startQueue.QueuedItem): places.Wish {
+  const { tierRank, estimatedTokens } = item;
+  const digest = state.runs.get(item.id)?.offer?.contentDigest ?? '';
+  return { tierRank, estimatedTokens, alone: suspects.isSuspect(state.suspects, digest) };
+}
+
 /** Starts what is queued while the engine has places. */
 export function startQueued(state: agentState.AgentState, now: number): Effects {
   const effects: Effects = [];
   for (;;) {
     const item = startQueue.findNext(state.queue);
-    if (item === undefined || !places.hasRoom(state, item)) {
+    if (item === undefined || !places.hasRoom(state, toWish(state, item))) {
       return effects;
     }
     // Work that cannot end in time would only take the place of work that can.
@@ -88,6 +103,15 @@
 ): void {
   record.status = status;
   record.changedMs = now;
+  runMemory.noteEnded(state.memory, record.refKey, now);
+  releasePlace(state, record);
+}
+
+/** Frees the place of an attempt that no longer runs. */
+export function releasePlace(state: agentState.AgentState, record: runRecord.RunRecord): void {
+  if (state.soloRefKey === record.refKey) {
+    state.soloRefKey = '';
+  }
   if (state.running.delete(record.refKey)) {
     state.runningTokens -= record.offer?.estimatedTokens ?? 0;
   }
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -11,3 +11,4 @@
 export * from './shared/document-timing.js';
 export * from './shared/effect.js';
 export * from './shared/rendezvous.js';
+export * from './shared/suspects.js';
--- a/packages/core/src/shared/effect.ts
+++ b/packages/core/src/shared/effect.ts
@@ -13,6 +13,8 @@
 export enum WasteCause {
   CANCELLED = 'cancelled',
   CRASHED = 'crashed',
+  /** The engine gave up by itself. */
+  FAILED = 'failed',
   EVICTED = 'evicted',
   REPEATED = 'repeated',
 }
