Learn the engine's batch and refuse what cannot end in time

Cause: an engine that is given more than its batch holds queues the rest without tiers, and work was started whose deadline could not be met. The speed in heartbeats was 0 and retry_after_ms 0.

--- a/packages/core/src/agent/admission.ts
+++ b/packages/core/src/agent/admission.ts
@@ -4,6 +4,7 @@
 import * as agentEvent from './agent-event.js';
 import * as agentState from './agent-state.js';
 import * as holds from './holds.js';
+import * as reachability from './reachability.js';
 import * as refusals from './refusals.js';
 import * as reservation from './reservation.js';
 import * as runs from './runs.js';
@@ -87,6 +88,9 @@
   if (refusal !== undefined) {
     return { kind: 'refused', effects: [], code: refusal };
   }
+  if (!reachability.isQueuedReachable(state, wish, now)) {
+    return { kind: 'refused', effects: [], code: schema.ResultCode.DEADLINE_UNREACHABLE };
+  }
   const effects: Effects = [];
   while (isFull(state)) {
     const evicted = evictLessUrgent(state, wish.tierRank, now);
--- a/packages/core/src/agent/agent-state.ts
+++ b/packages/core/src/agent/agent-state.ts
@@ -3,6 +3,8 @@
 import * as documentStore from '../shared/document-store.js';
 import * as documentTiming from '../shared/document-timing.js';
 import * as suspects from '../shared/suspects.js';
+import * as engineLimit from './engine-limit.js';
+import * as engineSpeed from './engine-speed.js';
 import * as reservation from './reservation.js';
 import * as runMemory from './run-memory.js';
 import * as runRecord from './run-record.js';
@@ -36,6 +38,8 @@
   runningTokens: number;
   links: Map<number, EntryLink>;
   engineAvailable: boolean;
+  speed: engineSpeed.EngineSpeed;
+  limit: engineLimit.EngineLimit;
   suspects: suspects.Suspects;
   /** The suspect that runs alone at present; empty where none does. */
   soloRefKey: string;
@@ -70,6 +74,8 @@
     runningTokens: 0,
     links: new Map(),
     engineAvailable: true,
+    speed: engineSpeed.createEngineSpeed(now),
+    limit: engineLimit.createEngineLimit(),
     suspects: suspects.createSuspects(),
     soloRefKey: '',
     memory: runMemory.createRunMemory(),
--- a/packages/core/src/agent/crash-blame.ts
+++ b/packages/core/src/agent/crash-blame.ts
@@ -1,8 +1,10 @@
 /** Decides what a crash of the engine says of the attempts that ran. */
+import * as schema from '@toucanproxy/schema';
 import * as suspects from '../shared/suspects.js';
 import * as agentEvent from './agent-event.js';
 import * as agentState from './agent-state.js';
 import * as entryLinks from './entry-links.js';
+import * as refusals from './refusals.js';
 import * as runRecord from './run-record.js';
 
 type Effects = agentEvent.AgentEffect[];
@@ -24,6 +26,16 @@
   return entryLinks.sendHeartbeats(state, now);
 }
 
+/** Learns what others know of crashes and refuses what they have condemned. */
+export function mergeHeard(
+  state: agentState.AgentState,
+  heard: readonly schema.Suspect[],
+  now: number,
+): Effects {
+  const changed = suspects.mergeSuspects(state.suspects, heard, now);
+  return changed ? refusals.refuseCondemned(state, now) : [];
+}
+
 /** Clears the content of an attempt that the engine answered whole. */
 export function clearBlame(
   state: agentState.AgentState,
--- a/packages/core/src/agent/engine-runs.ts
+++ b/packages/core/src/agent/engine-runs.ts
@@ -6,12 +6,15 @@
 import * as agentState from './agent-state.js';
 import * as answers from './answers.js';
 import * as crashBlame from './crash-blame.js';
+import * as engineLimit from './engine-limit.js';
 import * as engineAvailability from './engine-availability.js';
 import * as refusals from './refusals.js';
 import * as runRecord from './run-record.js';
 import * as runs from './runs.js';
 
 type Effects = agentEvent.AgentEffect[];
+
+const EVENT_STREAM = 'text/event-stream';
 type EngineEvent = Extract<
   agentEvent.AgentEvent,
   { kind: 'engineHead' | 'engineData' | 'engineEnd' | 'engineFailed' }
@@ -130,6 +133,21 @@
   }
 }
 
+/** Measures the first byte of a streamed answer; others come all at the end. */
+function noteFirstByte(
+  state: agentState.AgentState,
+  record: runRecord.RunRecord,
+  now: number,
+): void {
+  const [head] = record.parts;
+  const streamed = head?.case === 'head' && head.value.contentType.startsWith(EVENT_STREAM);
+  if (streamed && record.parts.length === 1) {
+    const limits = agentState.getLimits(state);
+    const waitedMs = now - record.changedMs;
+    engineLimit.noteFirstByte(state.limit, limits, record.promptTokens, waitedMs);
+  }
+}
+
 /** Applies one engine event; events of attempts that have ended are dropped. */
 export function handleEngineEvent(
   state: agentState.AgentState,
@@ -147,6 +165,7 @@
       return answers.addPart(record, { case: 'head', value: head });
     }
     case 'engineData':
+      noteFirstByte(state, record, now);
       return answers.addPart(record, { case: 'data', value: event.data });
     case 'engineEnd':
       return completeRun(state, record, now);
--- a/packages/core/src/agent/entry-links.ts
+++ b/packages/core/src/agent/entry-links.ts
@@ -58,14 +58,12 @@
   return [];
 }
 
-/** Learns suspects, and asks for the entry's document where it is newer than ours. */
+/** Asks for the entry's document where it is newer than ours. */
 export function handleHeartbeat(
   state: agentState.AgentState,
   linkId: number,
   heartbeat: schema.EntryHeartbeat,
-  now: number,
 ): Effects {
-  suspects.mergeSuspects(state.suspects, heartbeat.suspects, now);
   const theirs = heartbeat.document?.version ?? 0;
   if (theirs <= documentStore.getVersion(state.documents, state.service)) {
     return [];
@@ -95,6 +93,7 @@
     running: places.countUsed(state),
     queuedTokens: startQueue.countTokens(state.queue),
     runningTokens: places.countUsedTokens(state),
+    tokensPerSecond: places.getTokensPerSecond(state),
     leaving: state.leaving,
     queuedByTier: startQueue.countByTier(state.queue),
   });
--- a/packages/core/src/agent/handle-agent-event.ts
+++ b/packages/core/src/agent/handle-agent-event.ts
@@ -5,12 +5,14 @@
 import * as agentEvent from './agent-event.js';
 import * as agentState from './agent-state.js';
 import * as answers from './answers.js';
+import * as crashBlame from './crash-blame.js';
 import * as engineAvailability from './engine-availability.js';
 import * as engineRuns from './engine-runs.js';
 import * as entryLinks from './entry-links.js';
 import * as leaving from './leaving.js';
 import * as offers from './offers.js';
 import * as holds from './holds.js';
+import * as places from './places.js';
 import * as refusals from './refusals.js';
 import * as reservations from './reservations.js';
 import * as runMemory from './run-memory.js';
@@ -34,8 +36,8 @@
       return entryLinks.acceptHello(state, linkId, body.value);
     case 'heartbeat':
       return [
-        ...entryLinks.handleHeartbeat(state, linkId, body.value, now),
-        ...refusals.refuseCondemned(state, now),
+        ...entryLinks.handleHeartbeat(state, linkId, body.value),
+        ...crashBlame.mergeHeard(state, body.value.suspects, now),
       ];
     case 'offer':
       return offers.acceptOffer(state, linkId, body.value, now);
@@ -76,8 +78,7 @@
 /** Refuses queued work whose deadline has passed. */
 function refuseOverdue(state: agentState.AgentState, now: number): Effects {
   return startQueue
-    .listItems(state.queue)
-    .filter((item) => now >= item.deadlineMs)
+    .listOverdue(state.queue, now)
     .flatMap((item) =>
       refusals.refuseItem(state, item, schema.ResultCode.DEADLINE_UNREACHABLE, now),
     );
@@ -85,6 +86,7 @@
 
 /** Does what is due by time alone. */
 function handleTick(state: agentState.AgentState, now: number): Effects {
+  places.noteTime(state, now);
   expireRecords(state, now);
   suspects.expireSuspects(state.suspects, now);
   return [
--- a/packages/core/src/agent/holds.ts
+++ b/packages/core/src/agent/holds.ts
@@ -4,6 +4,7 @@
 import * as agentEvent from './agent-event.js';
 import * as agentMessages from './agent-messages.js';
 import * as agentState from './agent-state.js';
+import * as reachability from './reachability.js';
 import * as reservation from './reservation.js';
 
 type Effects = agentEvent.AgentEffect[];
@@ -67,6 +68,10 @@
   code: schema.ResultCode,
 ): Effects {
   dropHold(state, hold.requestId);
-  const body = agentMessages.buildReserveRefused(hold.requestId, code, 0);
+  const body = agentMessages.buildReserveRefused(
+    hold.requestId,
+    code,
+    reachability.estimateRetryMs(state, code),
+  );
   return [agentMessages.sendToEntry(hold.linkId, body)];
 }
--- a/packages/core/src/agent/places.ts
+++ b/packages/core/src/agent/places.ts
@@ -1,5 +1,8 @@
-/** Tells whether the engine has a place. */
+/** Places on the engine: how many are in use and whether one is free. */
 import * as agentState from './agent-state.js';
+import * as engineLimit from './engine-limit.js';
+import * as engineSpeed from './engine-speed.js';
+import * as startQueue from './start-queue.js';
 
 /** What an attempt or reservation asks of the engine. */
 export type Wish = {
@@ -19,12 +22,24 @@
   return state.runningTokens + state.heldTokens;
 }
 
+/** Accounts for the time that the engine has worked with more work queued. */
+export function noteTime(state: agentState.AgentState, now: number): void {
+  const queued = startQueue.countQueued(state.queue) > 0;
+  engineSpeed.noteTime(state.speed, queued && state.running.size > 0, now);
+}
+
+/** Gets the engine's measured speed, tokens per second; 0 while unknown. */
+export function getTokensPerSecond(state: agentState.AgentState): number {
+  const places = engineLimit.getPlaces(state.limit, agentState.getLimits(state));
+  return engineSpeed.getTokensPerSecond(state.speed, places);
+}
+
 /** Keeps part of a limit free for the most urgent tier. */
 function keepHeadroom(limit: number, tierRank: number, headroomPercent: number): number {
   return tierRank === 0 ? limit : limit - Math.floor((limit * headroomPercent) / 100);
 }
 
-/** Tells whether the engine has a place for one more. */
+/** Tells whether the engine has a place for one more, and notes what holds it back. */
 export function hasRoom(state: agentState.AgentState, wish: Wish): boolean {
   const limits = agentState.getLimits(state);
   if (!state.engineAvailable || state.soloRefKey !== '') {
@@ -38,7 +53,12 @@
     return false;
   }
   const percent = limits.urgentHeadroomPercent;
-  const maxPlaces = keepHeadroom(limits.maxRunning, wish.tierRank, percent);
-  const maxTokens = keepHeadroom(limits.maxRunningTokens, wish.tierRank, percent);
-  return used < maxPlaces && countUsedTokens(state) + wish.estimatedTokens <= maxTokens;
+  const { limit } = state;
+  const places = keepHeadroom(engineLimit.getPlaces(limit, limits), wish.tierRank, percent);
+  const tokens = keepHeadroom(engineLimit.getTokens(limit, limits), wish.tierRank, percent);
+  const heldByPlaces = used >= places;
+  const heldByTokens = countUsedTokens(state) + wish.estimatedTokens > tokens;
+  limit.heldByPlaces = limit.heldByPlaces || heldByPlaces;
+  limit.heldByTokens = limit.heldByTokens || heldByTokens;
+  return !heldByPlaces && !heldByTokens;
 }
--- a/packages/core/src/agent/refusals.ts
+++ b/packages/core/src/agent/refusals.ts
@@ -7,6 +7,7 @@
 import * as agentState from './agent-state.js';
 import * as answers from './answers.js';
 import * as holds from './holds.js';
+import * as reachability from './reachability.js';
 import * as runMemory from './run-memory.js';
 import * as runRecord from './run-record.js';
 import * as startQueue from './start-queue.js';
@@ -26,7 +27,11 @@
   record.changedMs = now;
   runRecord.dropPayload(record);
   runMemory.noteEnded(state.memory, record.refKey, now);
-  const body = agentMessages.buildNotRun(record.ref, code, 0);
+  const body = agentMessages.buildNotRun(
+    record.ref,
+    code,
+    reachability.estimateRetryMs(state, code),
+  );
   const effects = answers.publish(record, body);
   record.subscribers.clear();
   return [
@@ -47,7 +52,11 @@
   if (reservation === undefined) {
     return [];
   }
-  const body = agentMessages.buildReserveRefused(requestId, code, 0);
+  const body = agentMessages.buildReserveRefused(
+    requestId,
+    code,
+    reachability.estimateRetryMs(state, code),
+  );
   return [agentMessages.sendToEntry(reservation.linkId, body)];
 }
 
--- a/packages/core/src/agent/reservations.ts
+++ b/packages/core/src/agent/reservations.ts
@@ -10,7 +10,9 @@
 import * as agentEvent from './agent-event.js';
 import * as agentMessages from './agent-messages.js';
 import * as agentState from './agent-state.js';
+import * as engineSpeed from './engine-speed.js';
 import * as holds from './holds.js';
+import * as reachability from './reachability.js';
 import * as runs from './runs.js';
 import * as startQueue from './start-queue.js';
 
@@ -26,7 +28,11 @@
   const { requestId } = reserve;
   const admitted = admission.admit(state, reserve, now);
   if (admitted.kind === 'refused') {
-    const body = agentMessages.buildReserveRefused(requestId, admitted.code, 0);
+    const body = agentMessages.buildReserveRefused(
+      requestId,
+      admitted.code,
+      reachability.estimateRetryMs(state, admitted.code),
+    );
     return [...admitted.effects, agentMessages.sendToEntry(linkId, body)];
   }
   state.reservations.set(requestId, { linkId, reserve, queuedMs: now });
@@ -70,6 +76,10 @@
 
 /** Gives up what an entry no longer needs. */
 export function release(state: agentState.AgentState, requestId: string, now: number): Effects {
+  const queued = startQueue.findItem(state.queue, startQueue.QueuedKind.RESERVATION, requestId);
+  if (queued !== undefined) {
+    engineSpeed.noteDrained(state.speed, queued.estimatedTokens);
+  }
   dropQueued(state, requestId);
   holds.dropHold(state, requestId);
   return runs.startQueued(state, now);
--- a/packages/core/src/agent/runs.ts
+++ b/packages/core/src/agent/runs.ts
@@ -9,8 +9,10 @@
 import * as agentMessages from './agent-messages.js';
 import * as agentState from './agent-state.js';
 import * as answers from './answers.js';
+import * as engineSpeed from './engine-speed.js';
 import * as holds from './holds.js';
 import * as places from './places.js';
+import * as reachability from './reachability.js';
 import * as refusals from './refusals.js';
 import * as runMemory from './run-memory.js';
 import * as runRecord from './run-record.js';
@@ -61,6 +63,7 @@
   now: number,
 ): Effects {
   startQueue.takeItem(state.queue, item);
+  engineSpeed.noteDrained(state.speed, item.estimatedTokens);
   if (item.kind === startQueue.QueuedKind.RESERVATION) {
     const queued = state.reservations.get(item.id);
     state.reservations.delete(item.id);
@@ -79,6 +82,7 @@
 
 /** Starts what is queued while the engine has places. */
 export function startQueued(state: agentState.AgentState, now: number): Effects {
+  places.noteTime(state, now);
   const effects: Effects = [];
   for (;;) {
     const item = startQueue.findNext(state.queue);
@@ -87,9 +91,9 @@
     }
     // Work that cannot end in time would only take the place of work that can.
     effects.push(
-      ...(now >= item.deadlineMs
-        ? refusals.refuseItem(state, item, schema.ResultCode.DEADLINE_UNREACHABLE, now)
-        : serveItem(state, item, now)),
+      ...(reachability.isRunReachable(state, item, 0, now)
+        ? serveItem(state, item, now)
+        : refusals.refuseItem(state, item, schema.ResultCode.DEADLINE_UNREACHABLE, now)),
     );
   }
 }
@@ -101,6 +105,11 @@
   status: runRecord.RunStatus.COMPLETED | runRecord.RunStatus.FAILED,
   now: number,
 ): void {
+  if (status === runRecord.RunStatus.COMPLETED) {
+    const queued = startQueue.countQueued(state.queue) > 0;
+    const tokens = record.offer?.estimatedTokens ?? 0;
+    engineSpeed.noteRun(state.speed, tokens, now - record.changedMs, queued);
+  }
   record.status = status;
   record.changedMs = now;
   runMemory.noteEnded(state.memory, record.refKey, now);
--- a/packages/core/src/agent/start-queue.ts
+++ b/packages/core/src/agent/start-queue.ts
@@ -44,6 +44,8 @@
   items: Map<string, QueuedItem>;
   /** Tiers with queued items, the most urgent first. */
   tiers: TierQueue[];
+  /** No queued item has an earlier deadline, milliseconds since the Unix epoch. */
+  earliestDeadlineMs: number;
 };
 
 /** Tokens that one turn adds for each unit of weight. */
@@ -60,7 +62,7 @@
 
 /** Creates an empty queue. */
 export function createStartQueue(): StartQueue {
-  return { items: new Map(), tiers: [] };
+  return { items: new Map(), tiers: [], earliestDeadlineMs: Number.POSITIVE_INFINITY };
 }
 
 /** Builds the map key of an item; the kinds share one queue. */
@@ -93,6 +95,17 @@
   return queue.items.get(toItemKey(kind, id));
 }
 
+/** Lists items whose deadline has passed; cheap while there are none. */
+export function listOverdue(queue: StartQueue, now: number): QueuedItem[] {
+  if (now < queue.earliestDeadlineMs) {
+    return [];
+  }
+  const items = listItems(queue);
+  const later = items.filter((item) => now < item.deadlineMs).map((item) => item.deadlineMs);
+  queue.earliestDeadlineMs = Math.min(...later, Number.POSITIVE_INFINITY);
+  return items.filter((item) => now >= item.deadlineMs);
+}
+
 /** Lists everything queued. */
 export function listItems(queue: StartQueue): QueuedItem[] {
   return [...queue.items.values()];
@@ -126,6 +139,7 @@
     estimatedTokens: trimTokens(given.estimatedTokens),
   };
   queue.items.set(key, item);
+  queue.earliestDeadlineMs = Math.min(queue.earliestDeadlineMs, item.deadlineMs);
   const tier = getTier(queue, item.tierRank);
   tier.count += 1;
   tier.tokens += item.estimatedTokens;
