Resume broken engine streams and probe the engine

Cause: a connection to the engine that ends in the middle of an answer is thrown as a parser error by the HTTP library and was reported as FAILED, also where the engine's process had died; no probe told that an engine was down or back; a kept-alive connection that the engine closes looks like a crash. Conclusion: resumption and cancellation by path are used on model services only, where a plain service might take the path for an order. The stand-in engine has a prefix cache, resumption, health and slow-down, in three files.

--- a/packages/agent/src/app.ts
+++ b/packages/agent/src/app.ts
@@ -5,6 +5,7 @@
 import * as runtime from '@toucanproxy/runtime';
 import * as schema from '@toucanproxy/schema';
 import * as engineClient from './engine-client.js';
+import * as engineProbe from './engine-probe.js';
 import * as status from './status.js';
 
 export type AgentDaemon = {
@@ -70,6 +71,26 @@
   return core.createAgentState({ backendServerId, service, life }, Date.now());
 }
 
+/** Starts to read whether the platform lists this VM as leaving. */
+function startVmList(
+  settings: schema.AgentSettings,
+  linkPort: number,
+  task: AgentTask,
+  logger: bunyan,
+): runtime.VmListPoll {
+  const host = settings.links?.host ?? DEFAULT_HOST;
+  const ownAddress = `${host}:${linkPort}`;
+  return runtime.startVmListPoll({
+    vmListUrl: settings.platform?.vmListUrl ?? '',
+    receiveLeaving: (addresses) => {
+      const leaving = addresses.includes(ownAddress);
+      task.post({ kind: 'vmLeaving', leaving });
+    },
+    reportFailure: (reason) => logger.warn({ event: 'vm-list-failed', reason }),
+    drawRandom: Math.random,
+  });
+}
+
 /** Starts an agent. `stopped` is called once after a graceful shutdown. */
 export async function startAgent(
   settings: schema.AgentSettings,
@@ -86,7 +107,19 @@
     buildTick: (): core.AgentEvent => ({ kind: 'ticked' }),
   });
   const { engineUrl } = settings;
-  const engine = engineClient.createEngineClient({ engineUrl, post: task.post });
+  const probe = engineProbe.startEngineProbe({
+    engineUrl,
+    report: (available) => task.post({ kind: 'engineAvailable', available }),
+  });
+  const noticeFault = probe.probeNow;
+  const isModelEngine = () =>
+    state.documents.get(service)?.document.kind === schema.ServiceKind.MODEL;
+  const engine = engineClient.createEngineClient({
+    engineUrl,
+    isModelEngine,
+    post: task.post,
+    noticeFault,
+  });
   const receiveDocument = runtime.createDocumentReceiver(logger, task.post);
   const links = await startLinks(settings, task);
   const executors = buildExecutors({ logger, metrics, links, engine, receiveDocument, stopped });
@@ -106,11 +139,13 @@
     reportFailure: (reason) => logger.warn({ event: 'configuration-failed', reason }),
     drawRandom: Math.random,
   });
+  const vmList = startVmList(settings, links.port, task, logger);
   const ports = { linkPort: links.port, operatorPort: operators.port };
   logger.info({ event: 'started', ...ports }, 'started');
   return {
     ...ports,
     shutDown: () => task.post({ kind: 'shutdownStarted' }),
-    stop: () => [watch, task, links, operators, engine].forEach((part) => part.stop()),
+    stop: () =>
+      [watch, vmList, task, links, operators, probe, engine].forEach((part) => part.stop()),
   };
 }
--- a/packages/stand-ins/src/engine.ts
+++ b/packages/stand-ins/src/engine.ts
@@ -7,6 +7,8 @@
 import * as fs from 'node:fs';
 import * as http from 'node:http';
 import * as net from 'node:net';
+import * as engineBatch from './engine-batch.js';
+import * as engineCache from './engine-cache.js';
 
 export type EngineOptions = {
   host: string;
@@ -17,7 +19,11 @@
   maxBatch: number;
   /** Prompt tokens worked through in one step. */
   prefillTokensPerStep: number;
-  /** File that gets one JSON line for each start and end; empty for none. */
+  /** Blocks of prompts that the prefix cache holds. */
+  cacheBlocks: number;
+  /** Whether a broken stream can be resumed; else a closed connection cancels its run. */
+  resumable: boolean;
+  /** File that gets one JSON line for each start, end and cancel; empty for none. */
   journalFile: string;
   /** Called when a request holds the crash mark. */
   crash: () => void;
@@ -29,6 +35,8 @@
   stepMs: 4,
   maxBatch: 16,
   prefillTokensPerStep: 512,
+  cacheBlocks: 4096,
+  resumable: true,
   journalFile: '',
   crash: () => process.exit(1),
 };
@@ -38,27 +46,28 @@
 
 export type Engine = { port: number; setStepMs: (stepMs: number) => void; stop: () => void };
 
-const BYTES_PER_TOKEN = 4;
+const STREAMS_PATH = '/v1/streams/';
+
 const DEFAULT_ANSWER_TOKENS = 16;
 
-type Run = {
-  requestId: string;
-  response: http.ServerResponse;
-  stream: boolean;
-  promptDigest: string;
-  prefillLeft: number;
-  tokensLeft: number;
-  words: string[];
-};
+/** Answers that can still be resumed after their end. */
+const MAX_KEPT_RUNS = 256;
+
+/** How long a run goes on without a connection, milliseconds. */
+const DETACHED_MS = 5000;
 
 type EngineState = {
   options: EngineOptions;
-  waiting: Run[];
-  batch: Run[];
+  batch: engineBatch.Batch;
+  cache: engineCache.PrefixCache;
+  /** Runs that can be resumed, by request id, the oldest first. */
+  kept: Map<string, engineBatch.Run>;
+  sockets: Set<net.Socket>;
+  setStepMs: (stepMs: number) => void;
 };
 
 /** Adds one line to the journal. */
-function writeJournal(state: EngineState, event: string, run: Run): void {
+function writeJournal(state: EngineState, event: string, run: engineBatch.Run): void {
   if (state.options.journalFile !== '') {
     const { requestId, promptDigest } = run;
     const line = JSON.stringify({ event, requestId, promptDigest });
@@ -66,58 +75,55 @@
   }
 }
 
-/** Formats one streamed token. */
-function formatChunk(word: string): string {
-  return `data: ${JSON.stringify({ object: 'chat.completion.chunk', choices: [{ index: 0, delta: { content: word } }] })}\n\n`;
+/** Digests a prompt, so that a test can tell whose answer it got. */
+export function hashPrompt(text: string): string {
+  return crypto.createHash('sha256').update(text).digest('hex');
 }
 
-/** Ends a run whose every token is out. */
-function endRun(state: EngineState, run: Run): void {
-  writeJournal(state, 'end', run);
-  if (run.stream) {
-    run.response.end('data: [DONE]\n\n');
-    return;
+/** Cancels a run that has not ended. */
+function cancelRun(state: EngineState, run: engineBatch.Run): void {
+  if (engineBatch.removeRun(state.batch, run)) {
+    writeJournal(state, 'cancel', run);
+    state.kept.delete(run.requestId);
+    run.response?.destroy();
   }
-  const content = run.words.join('');
-  const message = { role: 'assistant', content };
-  const body = {
-    id: run.requestId,
-    object: 'chat.completion',
-    choices: [{ index: 0, message, finish_reason: 'stop' }],
-  };
-  run.response.writeHead(200, { 'content-type': 'application/json' }).end(JSON.stringify(body));
 }
 
-/** Gives one run its part of a step; true once it has ended. */
-function advanceRun(state: EngineState, run: Run): boolean {
-  if (run.prefillLeft > 0) {
-    run.prefillLeft -= state.options.prefillTokensPerStep;
-    return false;
-  }
-  const word = `${run.promptDigest.slice(0, 8)}-${run.words.length} `;
-  run.words.push(word);
-  run.tokensLeft -= 1;
-  if (run.stream) {
-    run.response.write(formatChunk(word));
+/** Sends a run's answer to a connection from one byte on. */
+function joinResponse(
+  state: EngineState,
+  run: engineBatch.Run,
+  response: http.ServerResponse,
+  from: number,
+): void {
+  const contentType = run.stream ? 'text/event-stream' : 'application/json';
+  response.writeHead(200, { 'content-type': contentType });
+  const missing = run.output.slice(from);
+  if (missing !== '') {
+    response.write(missing);
   }
-  if (run.tokensLeft > 0) {
-    return false;
+  if (run.ended) {
+    response.end();
+    return;
   }
-  endRun(state, run);
-  return true;
+  run.response = response;
+  response.on('close', () => {
+    if (run.response !== response) {
+      return;
+    }
+    run.response = undefined;
+    const waitMs = state.options.resumable ? DETACHED_MS : 0;
+    setTimeout(() => run.response === undefined && cancelRun(state, run), waitMs).unref();
+  });
 }
 
-/** Does one engine step: admits requests, then serves each in the batch. */
-function advance(state: EngineState): void {
-  while (state.batch.length < state.options.maxBatch && state.waiting.length > 0) {
-    state.batch.push(state.waiting.shift() as Run);
+/** Keeps a run for connections that come later, in bounded memory. */
+function keepRun(state: EngineState, run: engineBatch.Run): void {
+  state.kept.set(run.requestId, run);
+  const [oldest] = state.kept.keys();
+  if (state.kept.size > MAX_KEPT_RUNS) {
+    state.kept.delete(oldest);
   }
-  state.batch = state.batch.filter((run) => !run.response.destroyed && !advanceRun(state, run));
-}
-
-/** Digests a prompt, so that a test can tell whose answer it got. */
-export function hashPrompt(text: string): string {
-  return crypto.createHash('sha256').update(text).digest('hex');
 }
 
 /** Takes in one completion request. */
@@ -128,24 +134,44 @@
   text: string,
 ): void {
   const body = JSON.parse(text) as { stream?: boolean; max_tokens?: number };
-  const run: Run = {
+  const run: engineBatch.Run = {
     requestId: String(request.headers['x-request-id'] ?? ''),
-    response,
     stream: body.stream === true,
     promptDigest: hashPrompt(text),
-    prefillLeft: Math.ceil(text.length / BYTES_PER_TOKEN),
+    prefillLeft: engineCache.takePrompt(state.cache, text),
     tokensLeft: body.max_tokens ?? DEFAULT_ANSWER_TOKENS,
     words: [],
+    output: '',
+    ended: false,
+    response: undefined,
   };
   writeJournal(state, 'start', run);
   if (text.includes(CRASH_MARK)) {
     state.options.crash();
     return;
   }
-  if (run.stream) {
-    response.writeHead(200, { 'content-type': 'text/event-stream' });
+  keepRun(state, run);
+  joinResponse(state, run, response, 0);
+  state.batch.waiting.push(run);
+}
+
+/** Serves a resumption or a cancellation. */
+function serveStream(
+  state: EngineState,
+  method: string,
+  url: URL,
+  response: http.ServerResponse,
+): void {
+  const requestId = decodeURIComponent(url.pathname.slice(STREAMS_PATH.length));
+  const run = state.options.resumable ? state.kept.get(requestId) : undefined;
+  if (run === undefined) {
+    response.writeHead(404).end();
+  } else if (method === 'DELETE') {
+    cancelRun(state, run);
+    response.writeHead(204).end();
+  } else {
+    joinResponse(state, run, response, Number(url.searchParams.get('from') ?? 0));
   }
-  state.waiting.push(run);
 }
 
 /** Reads a body as text. */
@@ -157,27 +183,69 @@
   return Buffer.concat(chunks).toString('utf8');
 }
 
+/** Serves one call. */
+async function serve(
+  state: EngineState,
+  request: http.IncomingMessage,
+  response: http.ServerResponse,
+): Promise<void> {
+  const url = new URL(request.url ?? '/', 'http://engine');
+  const text = await readText(request);
+  if (url.pathname.startsWith(STREAMS_PATH)) {
+    serveStream(state, request.method ?? '', url, response);
+  } else if (url.pathname === '/health') {
+    response.writeHead(200).end('ok');
+  } else if (url.pathname === '/test/step-ms') {
+    state.setStepMs(Number(text));
+    response.writeHead(204).end();
+  } else if (url.pathname === '/test/break') {
+    // Breaks every connection while the engine lives on.
+    state.sockets.forEach((socket) => socket.destroy());
+  } else {
+    admitRun(state, request, response, text);
+  }
+}
+
+/** Creates the state of an engine. */
+function createState(options: EngineOptions): EngineState {
+  const { maxBatch, prefillTokensPerStep, cacheBlocks } = options;
+  return {
+    options,
+    batch: { waiting: [], running: [], maxBatch, prefillTokensPerStep },
+    cache: { blocks: new Set(), maxBlocks: cacheBlocks },
+    kept: new Map(),
+    sockets: new Set(),
+    setStepMs: () => {},
+  };
+}
+
 /** Starts an engine. */
 export async function startEngine(given: Partial<EngineOptions>): Promise<Engine> {
   const options = { ...DEFAULT_ENGINE_OPTIONS, ...given };
-  const state: EngineState = { options, waiting: [], batch: [] };
+  const state = createState(options);
   const server = http.createServer((request, response) => {
-    readText(request)
-      .then((text) => admitRun(state, request, response, text))
-      .catch(() => response.writeHead(400).end());
+    serve(state, request, response).catch(() => response.writeHead(400).end());
   });
-  let timer = setInterval(() => advance(state), options.stepMs);
+  server.on('connection', (socket) => {
+    state.sockets.add(socket);
+    socket.on('close', () => state.sockets.delete(socket));
+  });
+  const step = () =>
+    engineBatch.advance(state.batch).forEach((run) => writeJournal(state, 'end', run));
+  let timer = setInterval(step, options.stepMs);
+  state.setStepMs = (stepMs) => {
+    clearInterval(timer);
+    timer = setInterval(step, stepMs);
+  };
   await new Promise<void>((resolve) => {
     server.listen(options.port, options.host, resolve);
   });
   return {
     port: (server.address() as net.AddressInfo).port,
-    setStepMs: (stepMs) => {
-      clearInterval(timer);
-      timer = setInterval(() => advance(state), stepMs);
-    },
+    setStepMs: state.setStepMs,
     stop: () => {
       clearInterval(timer);
+      options.journalFile = '';
       server.close();
       server.closeAllConnections();
     },
