Wait for the last answers before an agent stops

Cause: an agent stopped on the first tick after its last run ended and its daemon destroyed the links, with the last parts possibly still on their way. Before: 'stopped' came with answers not acknowledged. After: it waits for the acknowledgements, 10 s at most where an entry is gone, and 250 ms for messages that nobody acknowledges. Refused reservations get a log line; a request that is started again here is counted as repeated prefill, or as a broken invariant where it may run only once. Conclusion: a shutdown cuts no answer that its entry is there to take.

--- a/packages/core/src/agent/admission.ts
+++ b/packages/core/src/agent/admission.ts
@@ -3,7 +3,6 @@
 import * as effect from '../shared/effect.js';
 import * as agentEvent from './agent-event.js';
 import * as agentState from './agent-state.js';
-import * as holds from './holds.js';
 import * as reachability from './reachability.js';
 import * as refusals from './refusals.js';
 import * as reservation from './reservation.js';
@@ -67,7 +66,7 @@
   }
   // The place goes to the head of the queue, which makes room behind it.
   return [
-    ...holds.refuseHold(state, hold, schema.ResultCode.EVICTED),
+    ...refusals.refuseHold(state, hold, schema.ResultCode.EVICTED),
     ...runs.startQueued(state, now),
   ];
 }
--- a/packages/core/src/agent/agent-state.ts
+++ b/packages/core/src/agent/agent-state.ts
@@ -50,6 +50,8 @@
   documentLeaving: boolean;
   vmLeaving: boolean;
   shutdownStarted: boolean;
+  /** Since when a shutdown has waited for acknowledgements alone. */
+  idleSinceMs: number | undefined;
   stopped: boolean;
 };
 
@@ -83,6 +85,7 @@
     documentLeaving: false,
     vmLeaving: false,
     shutdownStarted: false,
+    idleSinceMs: undefined,
     stopped: false,
   };
 }
--- a/packages/core/src/agent/handle-agent-event.ts
+++ b/packages/core/src/agent/handle-agent-event.ts
@@ -94,7 +94,7 @@
     ...entryLinks.sendDueHeartbeats(state, now),
     ...holds.expireHolds(state, now),
     ...runs.startQueued(state, now),
-    ...leaving.stopWhenIdle(state),
+    ...leaving.stopWhenIdle(state, now),
   ];
 }
 
--- a/packages/core/src/agent/holds.ts
+++ b/packages/core/src/agent/holds.ts
@@ -1,10 +1,8 @@
 /** Places that are kept free for requests on their way. */
-import * as schema from '@toucanproxy/schema';
 import * as effect from '../shared/effect.js';
 import * as agentEvent from './agent-event.js';
 import * as agentMessages from './agent-messages.js';
 import * as agentState from './agent-state.js';
-import * as reachability from './reachability.js';
 import * as reservation from './reservation.js';
 
 type Effects = agentEvent.AgentEffect[];
@@ -60,18 +58,3 @@
     return effect.logDecision('hold-lapsed', { request: hold.requestId });
   });
 }
-
-/** Frees a held place and tells its entry. */
-export function refuseHold(
-  state: agentState.AgentState,
-  hold: reservation.Hold,
-  code: schema.ResultCode,
-): Effects {
-  dropHold(state, hold.requestId);
-  const body = agentMessages.buildReserveRefused(
-    hold.requestId,
-    code,
-    reachability.estimateRetryMs(state, code),
-  );
-  return [agentMessages.sendToEntry(hold.linkId, body)];
-}
--- a/packages/core/src/agent/leaving.test.ts
+++ b/packages/core/src/agent/leaving.test.ts
@@ -1,6 +1,8 @@
 import * as assert from 'node:assert/strict';
 import * as nodeTest from 'node:test';
 import * as schema from '@toucanproxy/schema';
+import * as attemptRef from '../shared/attempt-ref.js';
+import * as agentEvent from './agent-event.js';
 import * as bench from './mocks/agent-bench.js';
 
 nodeTest.test('leaving by document refuses what has not started', () => {
@@ -20,3 +22,29 @@
   bench.handle(agent, { kind: 'vmLeaving', leaving: false });
   assert.deepEqual(bench.listStarted(bench.offer(agent, 'back')), ['back']);
 });
+
+nodeTest.test('a graceful shutdown waits until its answers have arrived', () => {
+  // SIGTERM comes while a request runs. The run ends, but the last parts are
+  // still on their way; a process that stopped now would cut the answer short.
+  const agent = bench.createBench();
+  bench.offer(agent, 'running');
+  const stops = (effects: agentEvent.AgentEffect[]) =>
+    effects.some((effect) => effect.kind === 'stopped');
+  assert.equal(stops(bench.handle(agent, { kind: 'shutdownStarted' })), false);
+  assert.equal(stops(bench.complete(agent, 'running')), false);
+  assert.equal(stops(bench.advance(agent, 1000)), false);
+  const fields = { ref: attemptRef.buildRef('running', 1), nextSequence: 2 };
+  const value = schema.create(schema.AcknowledgeSchema, fields);
+  bench.receive(agent, { case: 'acknowledge', value });
+  assert.equal(stops(bench.advance(agent, 250)), true);
+});
+
+nodeTest.test('a graceful shutdown ends though an entry is gone', () => {
+  const agent = bench.createBench();
+  bench.offer(agent, 'running');
+  bench.handle(agent, { kind: 'shutdownStarted' });
+  bench.complete(agent, 'running');
+  bench.advance(agent, 25);
+  const effects = bench.advance(agent, 10_000);
+  assert.ok(effects.some((effect) => effect.kind === 'stopped'));
+});
--- a/packages/core/src/agent/leaving.ts
+++ b/packages/core/src/agent/leaving.ts
@@ -10,6 +10,12 @@
 
 type Effects = agentEvent.AgentEffect[];
 
+/** Time for messages that nobody acknowledges to leave the process, milliseconds. */
+const FLUSH_MS = 250;
+
+/** How long answers wait for their acknowledgement, milliseconds. */
+const ACKNOWLEDGE_WAIT_MS = 10_000;
+
 /** Brings the agent in line with the reasons to leave that hold now. */
 function updateLeaving(state: agentState.AgentState, now: number): Effects {
   const before = state.leaving;
@@ -56,13 +62,26 @@
 /** Begins a graceful shutdown. */
 export function startShutdown(state: agentState.AgentState, now: number): Effects {
   state.shutdownStarted = true;
-  return [...updateLeaving(state, now), ...stopWhenIdle(state)];
+  return [...updateLeaving(state, now), ...stopWhenIdle(state, now)];
 }
 
-/** Stops once shutting down, with nothing queued or running. */
-export function stopWhenIdle(state: agentState.AgentState): Effects {
-  const idle = startQueue.countQueued(state.queue) === 0 && state.running.size === 0;
-  if (!state.shutdownStarted || state.stopped || !idle) {
+/**
+ * Stops once shutting down, with nothing queued or running.
+ *
+ * Parts of the last answers may still be on their way when the runs have ended;
+ * stopping then would cut them short for their callers. The agent waits until
+ * entries have acknowledged them, for a bounded time where an entry is gone.
+ */
+export function stopWhenIdle(state: agentState.AgentState, now: number): Effects {
+  const busy = startQueue.countQueued(state.queue) > 0 || state.running.size > 0;
+  if (!state.shutdownStarted || state.stopped || busy) {
+    state.idleSinceMs = undefined;
+    return [];
+  }
+  state.idleSinceMs ??= now;
+  const idleMs = now - state.idleSinceMs;
+  const received = state.memory.waiting.size === 0 && idleMs >= FLUSH_MS;
+  if (!received && idleMs < ACKNOWLEDGE_WAIT_MS) {
     return [];
   }
   state.stopped = true;
--- a/packages/core/src/agent/refusals.ts
+++ b/packages/core/src/agent/refusals.ts
@@ -8,6 +8,7 @@
 import * as answers from './answers.js';
 import * as holds from './holds.js';
 import * as reachability from './reachability.js';
+import * as reservation from './reservation.js';
 import * as runMemory from './run-memory.js';
 import * as runRecord from './run-record.js';
 import * as startQueue from './start-queue.js';
@@ -27,37 +28,56 @@
   record.changedMs = now;
   runRecord.dropPayload(record);
   runMemory.noteEnded(state.memory, record.refKey, now);
-  const body = agentMessages.buildNotRun(
-    record.ref,
-    code,
-    reachability.estimateRetryMs(state, code),
-  );
+  const retryAfterMs = reachability.estimateRetryMs(state, code);
+  const result = schema.ResultCode[code];
+  const body = agentMessages.buildNotRun(record.ref, code, retryAfterMs);
   const effects = answers.publish(record, body);
   record.subscribers.clear();
   return [
-    effect.logDecision('refuse', { request: record.refKey, result: schema.ResultCode[code] }),
+    effect.logDecision('refuse', { request: record.refKey, result, retryAfterMs }),
     ...effects,
   ];
 }
 
+/** Tells an entry that its reservation is refused. */
+export function sendReserveRefused(
+  state: agentState.AgentState,
+  linkId: number,
+  requestId: string,
+  code: schema.ResultCode,
+): Effects {
+  const retryAfterMs = reachability.estimateRetryMs(state, code);
+  const result = schema.ResultCode[code];
+  const body = agentMessages.buildReserveRefused(requestId, code, retryAfterMs);
+  return [
+    effect.logDecision('refuse-reservation', { request: requestId, result, retryAfterMs }),
+    agentMessages.sendToEntry(linkId, body),
+  ];
+}
+
 /** Takes a reservation out of the queue and tells its entry. */
 export function refuseReservation(
   state: agentState.AgentState,
   requestId: string,
   code: schema.ResultCode,
 ): Effects {
-  const reservation = state.reservations.get(requestId);
+  const queued = state.reservations.get(requestId);
   state.reservations.delete(requestId);
   startQueue.removeItem(state.queue, startQueue.QueuedKind.RESERVATION, requestId);
-  if (reservation === undefined) {
+  if (queued === undefined) {
     return [];
   }
-  const body = agentMessages.buildReserveRefused(
-    requestId,
-    code,
-    reachability.estimateRetryMs(state, code),
-  );
-  return [agentMessages.sendToEntry(reservation.linkId, body)];
+  return sendReserveRefused(state, queued.linkId, requestId, code);
+}
+
+/** Frees a held place and tells its entry. */
+export function refuseHold(
+  state: agentState.AgentState,
+  hold: reservation.Hold,
+  code: schema.ResultCode,
+): Effects {
+  holds.dropHold(state, hold.requestId);
+  return sendReserveRefused(state, hold.linkId, hold.requestId, code);
 }
 
 /** Refuses whatever is queued under an item. */
@@ -95,9 +115,7 @@
   code: schema.ResultCode,
   now: number,
 ): Effects {
-  const refusedHolds = [...state.holds.values()].flatMap((hold) =>
-    holds.refuseHold(state, hold, code),
-  );
+  const refusedHolds = [...state.holds.values()].flatMap((hold) => refuseHold(state, hold, code));
   const refused = startQueue
     .listItems(state.queue)
     .flatMap((item) => refuseItem(state, item, code, now));
--- a/packages/core/src/agent/reservations.ts
+++ b/packages/core/src/agent/reservations.ts
@@ -8,11 +8,10 @@
 import * as effect from '../shared/effect.js';
 import * as admission from './admission.js';
 import * as agentEvent from './agent-event.js';
-import * as agentMessages from './agent-messages.js';
 import * as agentState from './agent-state.js';
 import * as engineSpeed from './engine-speed.js';
 import * as holds from './holds.js';
-import * as reachability from './reachability.js';
+import * as refusals from './refusals.js';
 import * as runs from './runs.js';
 import * as startQueue from './start-queue.js';
 
@@ -28,12 +27,8 @@
   const { requestId } = reserve;
   const admitted = admission.admit(state, reserve, now);
   if (admitted.kind === 'refused') {
-    const body = agentMessages.buildReserveRefused(
-      requestId,
-      admitted.code,
-      reachability.estimateRetryMs(state, admitted.code),
-    );
-    return [...admitted.effects, agentMessages.sendToEntry(linkId, body)];
+    const refused = refusals.sendReserveRefused(state, linkId, requestId, admitted.code);
+    return [...admitted.effects, ...refused];
   }
   state.reservations.set(requestId, { linkId, reserve, queuedMs: now });
   startQueue.enqueue(state.queue, {
--- a/packages/core/src/agent/runs.ts
+++ b/packages/core/src/agent/runs.ts
@@ -3,6 +3,7 @@
  * attempt to the engine.
  */
 import * as schema from '@toucanproxy/schema';
+import * as attemptRef from '../shared/attempt-ref.js';
 import * as effect from '../shared/effect.js';
 import * as suspects from '../shared/suspects.js';
 import * as agentEvent from './agent-event.js';
@@ -20,6 +21,39 @@
 
 type Effects = agentEvent.AgentEffect[];
 
+/** Earlier attempts of a request that are looked up when it starts. */
+const MAX_EARLIER_ATTEMPTS = 8;
+
+/** Finds an earlier attempt of the same request that was started here. */
+function findStartedBefore(
+  state: agentState.AgentState,
+  record: runRecord.RunRecord,
+): runRecord.RunRecord | undefined {
+  const { requestId, attempt } = record.ref;
+  const first = Math.max(attempt - MAX_EARLIER_ATTEMPTS, 0);
+  return Array.from({ length: attempt - first }, (_, index) => first + index)
+    .flatMap((earlier) => {
+      const refKey = attemptRef.toRefKey(attemptRef.buildRef(requestId, earlier));
+      return state.runs.get(refKey) ?? [];
+    })
+    .find((earlier) => earlier.status !== runRecord.RunStatus.NOT_RUN && earlier !== record);
+}
+
+/** Counts a request that is started again, and notes where it may not be. */
+function observeRepeat(repeated: runRecord.RunRecord | undefined, offer: schema.Offer): Effects {
+  if (repeated === undefined) {
+    return [];
+  }
+  if (!offer.repeatable) {
+    return [effect.observe({ kind: 'invariantBroken', name: 'request-started-twice' })];
+  }
+  // A failed attempt has been counted by the cause of its failure.
+  const counted = repeated.status === runRecord.RunStatus.FAILED;
+  const cause = effect.WasteCause.REPEATED;
+  const tokens = repeated.promptTokens;
+  return counted ? [] : [effect.observe({ kind: 'wastedPrefill', cause, tokens })];
+}
+
 /** Hands one attempt to the engine. */
 export function startOne(
   state: agentState.AgentState,
@@ -30,6 +64,7 @@
   if (offer === undefined || record.status !== runRecord.RunStatus.QUEUED) {
     return [effect.observe({ kind: 'invariantBroken', name: 'started-twice' })];
   }
+  const repeated = findStartedBefore(state, record);
   const waitedMs = now - record.changedMs;
   // Recorded before the first byte goes out: a copy of the offer that comes
   // later finds the record and is not started a second time.
@@ -42,6 +77,7 @@
   state.running.add(record.refKey);
   state.runningTokens += offer.estimatedTokens;
   return [
+    ...observeRepeat(repeated, offer),
     ...(inCompany ? [effect.observe({ kind: 'invariantBroken', name: 'suspect-in-company' })] : []),
     effect.observe({ kind: 'queueWait', tier: String(offer.tierRank), ms: waitedMs }),
     effect.logDecision('start', {
