--- a/packages/core/src/agent/entry-links.ts
+++ b/packages/core/src/agent/entry-links.ts
@@ -1,9 +1,12 @@
 /** Links to entries: hello, heartbeats in both directions, and document spread. */
 import * as schema from '@toucanproxy/schema';
 import * as documentStore from '../shared/document-store.js';
+import * as suspects from '../shared/suspects.js';
 import * as agentEvent from './agent-event.js';
 import * as agentMessages from './agent-messages.js';
 import * as agentState from './agent-state.js';
+import * as places from './places.js';
+import * as startQueue from './start-queue.js';
 
 type Effects = agentEvent.AgentEffect[];
 
@@ -15,6 +18,7 @@
     lastHeardMs: now,
     lastSentMs: now,
     heartbeatsSent: 0,
+    suspectsRevision: -1,
   });
   const hello = schema.create(schema.AgentHelloSchema, {
     backendServerId: state.backendServerId,
@@ -84,13 +88,14 @@
 
 /** Describes the present load. */
 function describeLoad(state: agentState.AgentState): schema.AgentLoad {
-  const queuedTokens = state.queue.items.reduce((sum, item) => sum + item.estimatedTokens, 0);
   return schema.create(schema.AgentLoadSchema, {
-    queued: state.queue.items.length,
-    running: state.running.size,
-    queuedTokens,
-    runningTokens: state.runningTokens,
+    queued: startQueue.countQueued(state.queue),
+    running: places.countUsed(state),
+    queuedTokens: startQueue.countTokens(state.queue),
+    runningTokens: places.countUsedTokens(state),
+    tokensPerSecond: places.getTokensPerSecond(state),
     leaving: state.leaving,
+    queuedByTier: startQueue.countByTier(state.queue),
   });
 }
 
@@ -102,6 +107,8 @@
   }
   link.lastSentMs = now;
   link.heartbeatsSent += 1;
+  const changed = link.suspectsRevision !== state.suspects.revision;
+  link.suspectsRevision = state.suspects.revision;
   const heartbeat = schema.create(schema.AgentHeartbeatSchema, {
     document: {
       service: state.service,
@@ -109,6 +116,7 @@
     },
     sequence: link.heartbeatsSent,
     load: describeLoad(state),
+    suspects: changed ? suspects.listSuspects(state.suspects) : [],
   });
   return [agentMessages.sendToEntry(linkId, { case: 'heartbeat', value: heartbeat })];
 }
--- /dev/null
+++ b/packages/core/src/agent/refusals.ts
@@ -0,0 +1,123 @@
+/** Confirms that attempts and reservations were not run. */
+import * as schema from '@toucanproxy/schema';
+import * as effect from '../shared/effect.js';
+import * as suspects from '../shared/suspects.js';
+import * as agentEvent from './agent-event.js';
+import * as agentMessages from './agent-messages.js';
+import * as agentState from './agent-state.js';
+import * as answers from './answers.js';
+import * as holds from './holds.js';
+import * as reachability from './reachability.js';
+import * as reservation from './reservation.js';
+import * as runMemory from './run-memory.js';
+import * as runRecord from './run-record.js';
+import * as startQueue from './start-queue.js';
+
+type Effects = agentEvent.AgentEffect[];
+
+/** Ends an attempt as not run and leaves its record as a tombstone. */
+export function refuseAttempt(
+  state: agentState.AgentState,
+  record: runRecord.RunRecord,
+  code: schema.ResultCode,
+  now: number,
+): Effects {
+  startQueue.removeItem(state.queue, startQueue.QueuedKind.ATTEMPT, record.refKey);
+  record.status = runRecord.RunStatus.NOT_RUN;
+  record.code = code;
+  record.changedMs = now;
+  runRecord.dropPayload(record);
+  runMemory.noteEnded(state.memory, record.refKey, now);
+  const retryAfterMs = reachability.estimateRetryMs(state, code);
+  const result = schema.ResultCode[code];
+  const body = agentMessages.buildNotRun(record.ref, code, retryAfterMs);
+  const effects = answers.publish(record, body);
+  record.subscribers.clear();
+  return [
+    effect.logDecision('refuse', { request: record.refKey, result, retryAfterMs }),
+    ...effects,
+  ];
+}
+
+/** Tells an entry that its reservation is refused. */
+export function sendReserveRefused(
+  state: agentState.AgentState,
+  linkId: number,
+  requestId: string,
+  code: schema.ResultCode,
+): Effects {
+  const retryAfterMs = reachability.estimateRetryMs(state, code);
+  const result = schema.ResultCode[code];
+  const body = agentMessages.buildReserveRefused(requestId, code, retryAfterMs);
+  return [
+    effect.logDecision('refuse-reservation', { request: requestId, result, retryAfterMs }),
+    agentMessages.sendToEntry(linkId, body),
+  ];
+}
+
+/** Takes a reservation out of the queue and tells its entry. */
+export function refuseReservation(
+  state: agentState.AgentState,
+  requestId: string,
+  code: schema.ResultCode,
+): Effects {
+  const queued = state.reservations.get(requestId);
+  state.reservations.delete(requestId);
+  startQueue.removeItem(state.queue, startQueue.QueuedKind.RESERVATION, requestId);
+  if (queued === undefined) {
+    return [];
+  }
+  return sendReserveRefused(state, queued.linkId, requestId, code);
+}
+
+/** Frees a held place and tells its entry. */
+export function refuseHold(
+  state: agentState.AgentState,
+  hold: reservation.Hold,
+  code: schema.ResultCode,
+): Effects {
+  holds.dropHold(state, hold.requestId);
+  return sendReserveRefused(state, hold.linkId, hold.requestId, code);
+}
+
+/** Refuses whatever is queued under an item. */
+export function refuseItem(
+  state: agentState.AgentState,
+  item: startQueue.QueuedItem,
+  code: schema.ResultCode,
+  now: number,
+): Effects {
+  if (item.kind === startQueue.QueuedKind.RESERVATION) {
+    return refuseReservation(state, item.id, code);
+  }
+  const record = state.runs.get(item.id);
+  return record === undefined ? [] : refuseAttempt(state, record, code, now);
+}
+
+/** Tells whether an item is an attempt whose content is refused. */
+function isCondemned(state: agentState.AgentState, item: startQueue.QueuedItem): boolean {
+  const digest = state.runs.get(item.id)?.offer?.contentDigest ?? '';
+  const isAttempt = item.kind === startQueue.QueuedKind.ATTEMPT;
+  return isAttempt && suspects.isCondemned(state.suspects, digest);
+}
+
+/** Refuses queued attempts whose content has crashed engines too often. */
+export function refuseCondemned(state: agentState.AgentState, now: number): Effects {
+  return startQueue
+    .listItems(state.queue)
+    .filter((item) => isCondemned(state, item))
+    .flatMap((item) => refuseItem(state, item, schema.ResultCode.CONTENT_REFUSED, now));
+}
+
+/** Refuses everything queued and gives up every place that is held. */
+export function refuseAll(
+  state: agentState.AgentState,
+  code: schema.ResultCode,
+  now: number,
+): Effects {
+  const refusedHolds = [...state.holds.values()].flatMap((hold) => refuseHold(state, hold, code));
+  const refused = startQueue
+    .listItems(state.queue)
+    .flatMap((item) => refuseItem(state, item, code, now));
+  return [...refused, ...refusedHolds];
+}
