--- a/packages/proofs/src/callers-input.test.ts
+++ b/packages/proofs/src/callers-input.test.ts
@@ -160,6 +160,21 @@
   await assertServing();
 });
 
+nodeTest.test('operator port: metrics, status and health', async () => {
+  await assertServing();
+  const base = `http://127.0.0.1:${running.entry.started.operatorPort}`;
+  const read = async (path: string) => (await undici.request(`${base}${path}`)).body.text();
+  const metrics = await read('/metrics');
+  assert.match(metrics, /\ntoucanproxy_goodput_total\{service="brimwit",tier="stall"\} [1-9]/);
+  assert.match(metrics, /\ntoucanproxy_document_version\{service="brimwit"\} 1\n/);
+  const status = JSON.parse(await read('/status')) as { backendServers: { state: string }[] };
+  assert.deepEqual(
+    status.backendServers.map((server) => server.state),
+    ['live'],
+  );
+  assert.equal(await read('/health'), 'ok\n');
+});
+
 nodeTest.test('no token and no payload in the logs', async () => {
   await send({ body: callerFleet.buildChat({ messages: ['secret-words'] }) });
   await send({ headers: { authorization: 'Bearer secret-token' } });
