--- a/packages/entry/src/caller-answer.ts
+++ b/packages/entry/src/caller-answer.ts
@@ -24,6 +24,8 @@
   response: http.ServerResponse;
   phase: ExchangePhase;
   streamed: boolean;
+  /** The result follows the body as a trailer. */
+  trailing: boolean;
   writtenBytes: number;
   stallTimer: NodeJS.Timeout | undefined;
 };
@@ -37,6 +39,7 @@
 
 const EVENT_STREAM = 'text/event-stream';
 const RESULT_HEADER = 'x-toucanproxy-result';
+const BODILESS_STATUSES = new Set([204, 304]);
 const COMPLETED = String(schema.ResultCode.COMPLETED);
 
 /** Builds the record of a request that has begun to arrive. */
@@ -47,7 +50,7 @@
 ): Exchange {
   const phase = ExchangePhase.READING;
   const base = { callerId, request, response, phase };
-  return { ...base, streamed: false, writtenBytes: 0, stallTimer: undefined };
+  return { ...base, streamed: false, trailing: false, writtenBytes: 0, stallTimer: undefined };
 }
 
 /** Computes the bytes that have left this process for the caller. */
@@ -84,11 +87,25 @@
   }, limits.readTimeoutMs);
 }
 
+/**
+ * Tells whether the result may follow the body as a trailer.
+ *
+ * Node.js throws where a trailer is announced for an answer without chunks: to
+ * a caller of HTTP/1.0, or an answer without a body.
+ */
+function hasTrailer(exchange: Exchange, status: number): boolean {
+  const { request, streamed } = exchange;
+  const hasBody = request.method !== 'HEAD' && !BODILESS_STATUSES.has(status);
+  return streamed && hasBody && request.httpVersion === '1.1';
+}
+
 /** Sends the head; the result of a streamed answer is known at its end only. */
 function sendHead(exchange: Exchange, effect: EffectOf<'answerHead'>): void {
   const { status, contentType, requestId } = effect;
   exchange.streamed = contentType.startsWith(EVENT_STREAM);
-  const result = exchange.streamed ? { trailer: RESULT_HEADER } : { [RESULT_HEADER]: COMPLETED };
+  exchange.trailing = hasTrailer(exchange, status);
+  const trailer = exchange.trailing ? { trailer: RESULT_HEADER } : {};
+  const result = exchange.streamed ? trailer : { [RESULT_HEADER]: COMPLETED };
   const headers = { 'content-type': contentType, 'x-request-id': requestId, ...result };
   exchange.response.writeHead(status, headers);
 }
@@ -108,7 +125,7 @@
 /** Sends the end of a whole answer. */
 function sendEnd(exchange: Exchange, limits: AnswerLimits): void {
   const { response } = exchange;
-  if (exchange.streamed) {
+  if (exchange.trailing) {
     response.addTrailers({ [RESULT_HEADER]: COMPLETED });
   }
   response.end();
--- /dev/null
+++ b/packages/entry/src/caller-server.test.ts
@@ -0,0 +1,157 @@
+import * as assert from 'node:assert/strict';
+import * as http from 'node:http';
+import * as net from 'node:net';
+import * as nodeTest from 'node:test';
+import * as core from '@toucanproxy/core';
+import * as schema from '@toucanproxy/schema';
+import * as callerServer from './caller-server.js';
+
+const SERVICE = 'ledgerhat';
+const BUFFER_BYTES = 65_536;
+const TOKEN_SHA256 = '9f86d081884c7d659a2feaa0c55ad015a3bf4f1b2b0b822cd15d6c15b0f00a08';
+const HEAD = `POST /services/${SERVICE}/x HTTP/1.1\r\nhost: x\r\nauthorization: Bearer test\r\n`;
+
+type Setup = {
+  server: callerServer.CallerServer;
+  refusals: schema.ResultCode[];
+  cuts: number[];
+  /** Resolves with the next request that reaches the core. */
+  waitForRequest: () => Promise<core.ArrivedRequest>;
+};
+
+/** Starts a server with one service and small limits. */
+async function startServer(context: nodeTest.TestContext): Promise<Setup> {
+  const document = schema.create(schema.ServiceDocumentSchema, {
+    service: SERVICE,
+    credentials: [{ tokenSha256: TOKEN_SHA256, workspace: 'brim', tier: 'stall' }],
+    limits: { maxBodyBytes: 100 },
+  });
+  const arrived: core.ArrivedRequest[] = [];
+  const waiting: ((request: core.ArrivedRequest) => void)[] = [];
+  const refusals: schema.ResultCode[] = [];
+  const cuts: number[] = [];
+  const server = await callerServer.startCallerServer({
+    host: '127.0.0.1',
+    port: 0,
+    limits: {
+      ...schema.DEFAULT_CALLER_LIMITS,
+      maxConnections: 2,
+      maxAnswerBufferBytes: BUFFER_BYTES,
+      reportCut: (callerId) => cuts.push(callerId),
+    },
+    context: {
+      documents: new Map([[SERVICE, { document, json: '' }]]),
+      services: [SERVICE],
+      digestKey: 'key',
+      bodyBudget: { usedBytes: 0 },
+    },
+    post: (event) => {
+      if (event.kind === 'requestArrived') {
+        arrived.push(event.request);
+        waiting.shift()?.(event.request);
+      }
+    },
+    reportRefusal: (code) => refusals.push(code),
+  });
+  context.after(() => server.stop());
+  const waitForRequest = () =>
+    new Promise<core.ArrivedRequest>((resolve) => {
+      waiting.push(resolve);
+    });
+  return { server, refusals, cuts, waitForRequest };
+}
+
+/** Sends bytes and collects what comes until the connection closes or matches. */
+function sendBytes(context: nodeTest.TestContext, port: number, bytes: string) {
+  const socket = net.connect(port, '127.0.0.1', () => socket.write(bytes));
+  context.after(() => socket.destroy());
+  let text = '';
+  const read = (pattern: RegExp) =>
+    new Promise<string>((resolve) => {
+      const check = () => pattern.test(text) && resolve(text);
+      socket.on('data', check);
+      socket.on('close', () => resolve(text));
+      check();
+    });
+  socket.on('data', (data) => {
+    text += data.toString('latin1');
+  });
+  socket.on('error', () => {});
+  return { socket, read };
+}
+
+nodeTest.test('connections beyond the limit are told so', async (context) => {
+  const { server, refusals } = await startServer(context);
+  const open = await Promise.all(
+    [1, 2].map(
+      () =>
+        new Promise<net.Socket>((resolve) => {
+          const socket = net.connect(server.port, '127.0.0.1', () => resolve(socket));
+          context.after(() => socket.destroy());
+        }),
+    ),
+  );
+  const bytes = `${HEAD}content-length: 1\r\n\r\nx`;
+  const third = sendBytes(context, server.port, bytes);
+  assert.match(await third.read(/never/), /^HTTP\/1.1 503 [^]*"code":207/);
+  // The two within the limit are still served.
+  open[0].write(`${HEAD}content-length: 101\r\n\r\n`);
+  const answer = await new Promise((resolve) => {
+    open[0].once('data', (data) => resolve(String(data)));
+  });
+  assert.match(String(answer), /^HTTP\/1.1 413 /);
+  assert.deepEqual(refusals, [schema.ResultCode.QUEUE_FULL, schema.ResultCode.BODY_TOO_LARGE]);
+});
+
+nodeTest.test('a body that is too long is refused before it is sent', async (context) => {
+  const { server } = await startServer(context);
+  const head = `${HEAD}expect: 100-continue\r\n`;
+  const refused = sendBytes(context, server.port, `${head}content-length: 101\r\n\r\n`);
+  assert.match(await refused.read(/never/), /^HTTP\/1.1 413 [^]*"code":104/);
+  const taken = sendBytes(context, server.port, `${head}content-length: 1\r\n\r\n`);
+  assert.match(await taken.read(/\r\n\r\n/), /^HTTP\/1.1 100 Continue/);
+});
+
+nodeTest.test('a stream that its caller does not read is bounded', async (context) => {
+  // The engine streams faster than the caller reads. What waits in this
+  // process stays within the limit; then the caller loses its connection.
+  const { server, cuts, waitForRequest } = await startServer(context);
+  const arrival = waitForRequest();
+  const client = sendBytes(context, server.port, `${HEAD}content-length: 1\r\n\r\nx`);
+  const { callerId } = await arrival;
+  client.socket.pause();
+  const contentType = 'text/event-stream';
+  server.answer({ kind: 'answerHead', callerId, requestId: 'r', status: 200, contentType });
+  const data = new Uint8Array(BUFFER_BYTES / 4);
+  const parts = Array.from({ length: 4000 });
+  parts.forEach(() => server.answer({ kind: 'answerData', callerId, data }));
+  assert.deepEqual(cuts, [callerId]);
+});
+
+nodeTest.test('HTTP/1.0 gets a stream without trailer', async (context) => {
+  const { server, waitForRequest } = await startServer(context);
+  const arrival = waitForRequest();
+  const head = HEAD.replace('HTTP/1.1', 'HTTP/1.0');
+  const client = sendBytes(context, server.port, `${head}content-length: 1\r\n\r\nx`);
+  const { callerId } = await arrival;
+  const contentType = 'text/event-stream';
+  server.answer({ kind: 'answerHead', callerId, requestId: 'r', status: 200, contentType });
+  server.answer({ kind: 'answerData', callerId, data: Buffer.from('data: [DONE]\n\n') });
+  server.answer({ kind: 'answerEnd', callerId });
+  assert.match(await client.read(/never/), /\r\n\r\ndata: \[DONE\]\n\n$/);
+});
+
+nodeTest.test('an answer that HTTP cannot carry ends its own connection', async (context) => {
+  const { server, waitForRequest } = await startServer(context);
+  const arrival = waitForRequest();
+  const options = { port: server.port, path: `/services/${SERVICE}/x`, agent: false };
+  const headers = { authorization: 'Bearer test' };
+  const call = http.get({ ...options, headers });
+  const failed = new Promise((resolve) => {
+    call.once('error', resolve);
+  });
+  const { callerId } = await arrival;
+  const contentType = 'a\nb';
+  server.answer({ kind: 'answerHead', callerId, requestId: 'r', status: 200, contentType });
+  assert.match(String(await failed), /socket hang up/);
+});
--- a/packages/entry/src/caller-server.ts
+++ b/packages/entry/src/caller-server.ts
@@ -209,6 +209,21 @@
   }
 }
 
+/** Carries out one effect on a caller that is still there. */
+function answerCaller(state: ServerState, effect: callerAnswer.CallerEffect): void {
+  const exchange = state.exchanges.get(effect.callerId);
+  if (exchange === undefined || exchange.response.destroyed) {
+    return;
+  }
+  try {
+    callerAnswer.applyEffect(exchange, effect, state.options.limits);
+  } catch {
+    // An answer that HTTP cannot carry ends its own connection. Thrown further,
+    // it would stop the task that serves every other caller.
+    exchange.response.destroy();
+  }
+}
+
 /** Starts to listen. */
 export async function startCallerServer(options: CallerServerOptions): Promise<CallerServer> {
   const state: ServerState = {
@@ -228,12 +243,7 @@
   });
   return {
     port: (server.address() as net.AddressInfo).port,
-    answer: (effect) => {
-      const exchange = state.exchanges.get(effect.callerId);
-      if (exchange !== undefined && !exchange.response.destroyed) {
-        callerAnswer.applyEffect(exchange, effect, options.limits);
-      }
-    },
+    answer: (effect) => answerCaller(state, effect),
     stopListening: () => {
       state.closing = true;
       server.close();
