Show an agent's queue by tier and its suspects

Cause: status and metrics of an agent named one number for its whole queue. Before: an operator could not see which tier waits or which content is a suspect.

--- a/packages/agent/src/app.ts
+++ b/packages/agent/src/app.ts
@@ -6,6 +6,7 @@
 import * as schema from '@toucanproxy/schema';
 import * as engineClient from './engine-client.js';
 import * as engineProbe from './engine-probe.js';
+import * as gauges from './gauges.js';
 import * as status from './status.js';
 
 export type AgentDaemon = {
@@ -132,8 +133,9 @@
   const operators = await runtime.startOperatorServer({
     host: settings.operators?.host ?? DEFAULT_HOST,
     port: settings.operators?.port ?? 0,
-    renderMetrics: () => runtime.renderMetrics(metrics, Date.now()),
+    renderMetrics: () => runtime.renderMetrics(metrics, Date.now(), gauges.listGauges(state)),
     describeStatus: () => status.describeStatus(state),
+    isReady: () => !state.leaving,
   });
   const watch = runtime.startConfigurationWatch({
     configurationUrl: settings.platform?.configurationUrl ?? '',
--- a/packages/runtime/src/metric-definitions.ts
+++ b/packages/runtime/src/metric-definitions.ts
@@ -58,6 +58,22 @@
     type: MetricType.GAUGE,
     help: 'Backend servers as this process sees them, by state.',
   },
+  attempts_queued: {
+    type: MetricType.GAUGE,
+    help: 'Attempts and reservations that wait in an agent, by tier.',
+  },
+  attempts_running: {
+    type: MetricType.GAUGE,
+    help: 'Attempts that run on the engine of an agent.',
+  },
+  engine_available: {
+    type: MetricType.GAUGE,
+    help: '1 while the engine of an agent can be reached.',
+  },
+  suspects: {
+    type: MetricType.GAUGE,
+    help: 'Contents that were running when an engine crashed.',
+  },
   process_resident_bytes: {
     type: MetricType.GAUGE,
     help: 'Memory of the process, bytes.',
