Close connections after their last answer on shutdown

Cause: on shutdown an idle connection stayed open after its answers, and callers sent on it again; a stock client sends again by itself after a 502. Before: no test for either.

--- a/packages/entry/src/caller-server.test.ts
+++ b/packages/entry/src/caller-server.test.ts
@@ -155,3 +155,27 @@
   server.answer({ kind: 'answerHead', callerId, requestId: 'r', status: 200, contentType });
   assert.match(String(await failed), /socket hang up/);
 });
+
+nodeTest.test('shutdown: every answer on a connection, then it closes', async (context) => {
+  // Two requests are in hand on one connection when the entry stops listening.
+  // Closing after the first answer would lose the second.
+  const { server, waitForRequest } = await startServer(context);
+  const arrivals = [waitForRequest(), waitForRequest()];
+  const one = `${HEAD}content-length: 1\r\n\r\nx`;
+  const client = sendBytes(context, server.port, `${one}${one}`);
+  const requests = await Promise.all(arrivals);
+  server.stopListening();
+  const idle = new Promise<void>((resolve) => {
+    server.notifyIdle(resolve);
+  });
+  const contentType = 'text/plain';
+  requests.forEach(({ callerId }) => {
+    server.answer({ kind: 'answerHead', callerId, requestId: 'r', status: 200, contentType });
+    server.answer({ kind: 'answerData', callerId, data: Buffer.from(`answer-${callerId}`) });
+    server.answer({ kind: 'answerEnd', callerId });
+  });
+  const text = await client.read(/never/);
+  assert.match(text, /answer-1[^]*connection: close[^]*answer-2/i);
+  assert.doesNotMatch(text, /connection: close[^]*answer-1/i);
+  await idle;
+});
--- a/packages/entry/src/caller-server.ts
+++ b/packages/entry/src/caller-server.ts
@@ -224,6 +224,22 @@
   }
 }
 
+/**
+ * Asks for each connection to be closed after the last answer in hand on it.
+ *
+ * The last one only: a connection closes after the first answer that says so,
+ * and answers behind it would be lost.
+ */
+function closeAfterAnswers(state: ServerState): void {
+  const exchanges = [...state.exchanges.values()];
+  const lastBySocket = new Map(exchanges.map((exchange) => [exchange.request.socket, exchange]));
+  lastBySocket.forEach(({ response }) => {
+    if (!response.headersSent) {
+      response.setHeader('connection', 'close');
+    }
+  });
+}
+
 /** Starts to listen. */
 export async function startCallerServer(options: CallerServerOptions): Promise<CallerServer> {
   const state: ServerState = {
@@ -248,6 +264,7 @@
       state.closing = true;
       server.close();
       server.closeIdleConnections();
+      closeAfterAnswers(state);
     },
     notifyIdle: (idle) => {
       state.idle = idle;
--- a/packages/entry/src/content-digest.ts
+++ b/packages/entry/src/content-digest.ts
@@ -16,9 +16,13 @@
   payload: Uint8Array;
 };
 
-/** Reads the key that all processes share. */
+/** Reads the key that all processes share; throws where the file holds none. */
 export function readDigestKey(file: string): string {
-  return file === '' ? FALLBACK_KEY : fs.readFileSync(file, 'utf8').trim();
+  const key = file === '' ? FALLBACK_KEY : fs.readFileSync(file, 'utf8').trim();
+  if (key === '') {
+    throw new Error(`digestKeyFile ${file} is empty`);
+  }
+  return key;
 }
 
 /** Computes the digest, hexadecimal. */
--- a/packages/proofs/src/callers-answers.test.ts
+++ b/packages/proofs/src/callers-answers.test.ts
@@ -1,5 +1,9 @@
 import * as assert from 'node:assert/strict';
+import * as fs from 'node:fs';
+import * as os from 'node:os';
+import * as path from 'node:path';
 import * as nodeTest from 'node:test';
+import * as timers from 'node:timers/promises';
 import * as openai from 'openai';
 import * as undici from 'undici';
 import * as callerFleet from './mocks/caller-fleet.js';
@@ -7,6 +11,8 @@
 import * as rawClient from './mocks/raw-client.js';
 
 const { SERVICE, TOKEN } = callerFleet;
+const POLL_MS = 10;
+const WAIT_MS = 30_000;
 const HEADERS = { authorization: `Bearer ${TOKEN}` };
 
 /** Starts a fleet that ends with its test. */
@@ -115,6 +121,30 @@
   assert.equal(starts.length, 1);
 });
 
+nodeTest.test('stock client: a run that failed is not sent again', async (context) => {
+  // The engine dies while it works on an answer that is not streamed. The
+  // library sends again after a 502 by itself, with no key, and the request
+  // would run twice; the answer tells it not to.
+  const journalFile = path.join(os.tmpdir(), `toucanproxy-journal-${process.pid}`);
+  context.after(() => fs.rmSync(journalFile, { force: true }));
+  const running = await startFleet(context, { engine: { stepMs: 20, journalFile } });
+  const request = { model: SERVICE, messages: [], max_tokens: 500 };
+  const answer = createClient(running).chat.completions.create(request);
+  const rejected = assert.rejects(answer, (error) => {
+    assert.ok(error instanceof openai.InternalServerError);
+    assert.equal((error.error as { run_state: string }).run_state, 'ran');
+    return true;
+  });
+  const signal = AbortSignal.timeout(WAIT_MS);
+  while (!fs.existsSync(journalFile)) {
+    await timers.setTimeout(POLL_MS, undefined, { signal });
+  }
+  running.engine.child.kill('SIGKILL');
+  await rejected;
+  const placements = running.entry.lines.filter((line) => line.event === 'placement');
+  assert.equal(placements.length, 1);
+});
+
 nodeTest.test('plain service: body and content type untouched', async (context) => {
   const running = await startFleet(context, {
     engineKind: 'plain-service',
--- a/packages/proofs/src/callers-docs.test.ts
+++ b/packages/proofs/src/callers-docs.test.ts
@@ -35,6 +35,31 @@
   assert.deepEqual(listed, known.sort());
 });
 
+type Manifest = {
+  dependencies?: Record<string, string>;
+  devDependencies?: Record<string, string>;
+};
+
+nodeTest.test('dependencies: each is listed with its version', () => {
+  const root = new URL('../', DOCS);
+  const folders = fs.readdirSync(new URL('packages/', root)).map((name) => `packages/${name}/`);
+  const manifests = ['', ...folders].map(
+    (folder) =>
+      JSON.parse(fs.readFileSync(new URL(`${folder}package.json`, root), 'utf8')) as Manifest,
+  );
+  const used = manifests
+    .flatMap((one) => Object.entries({ ...one.dependencies, ...one.devDependencies }))
+    .filter(([name]) => !name.startsWith('@toucanproxy/'));
+  const rows = readPage('DEPENDENCIES.md')
+    .split('\n')
+    .filter((line) => line.startsWith('| `'));
+  used.forEach(([name, version]) => {
+    const row = rows.find((line) => line.startsWith(`| \`${name}\` `));
+    assert.ok(row?.split('|')[2].includes(version), `${name} ${version}`);
+  });
+  assert.equal(rows.length, new Set(used.map(([name]) => name)).size);
+});
+
 nodeTest.test('names: verbs are listed, sorted and single', () => {
   const verbs = JSON.parse(readPage('verbs.json')) as string[];
   assert.deepEqual(verbs, [...new Set(verbs)].sort());
