Fill test documents through the store

Cause: two tests built the store's records by hand. Conclusion: the tests no longer know the record.

--- a/packages/entry/src/caller-server.test.ts
+++ b/packages/entry/src/caller-server.test.ts
@@ -26,7 +26,8 @@
     credentials: [{ tokenSha256: TOKEN_SHA256, workspace: 'brim', tier: 'stall' }],
     limits: { maxBodyBytes: 100 },
   });
-  const arrived: core.ArrivedRequest[] = [];
+  const documents: core.DocumentStore = new Map();
+  core.storeDocument(documents, { document, json: '' });
   const waiting: ((request: core.ArrivedRequest) => void)[] = [];
   const refusals: schema.ResultCode[] = [];
   const cuts: number[] = [];
@@ -40,14 +41,13 @@
       reportCut: (callerId) => cuts.push(callerId),
     },
     context: {
-      documents: new Map([[SERVICE, { document, json: '' }]]),
+      documents,
       services: [SERVICE],
       digestKey: 'key',
       bodyBudget: { usedBytes: 0 },
     },
     post: (event) => {
       if (event.kind === 'requestArrived') {
-        arrived.push(event.request);
         waiting.shift()?.(event.request);
       }
     },
