--- a/packages/proofs/src/callers-docs.test.ts
+++ b/packages/proofs/src/callers-docs.test.ts
@@ -35,6 +35,25 @@
   assert.deepEqual(listed, known.sort());
 });
 
+nodeTest.test('operations: every log event is listed', () => {
+  const root = new URL('../', DOCS);
+  const sources = ['core', 'runtime', 'entry', 'agent'].flatMap((name) => {
+    const folder = new URL(`packages/${name}/src/`, root);
+    return fs
+      .readdirSync(folder, { recursive: true })
+      .map(String)
+      .filter((file) => file.endsWith('.ts') && !file.endsWith('.test.ts'))
+      .map((file) => fs.readFileSync(new URL(file, folder), 'utf8'));
+  });
+  const written = [...sources.join('\n').matchAll(/(?:logDecision\(\s*|event: )'([a-z-]+)'/g)];
+  const rows = readPage('OPERATIONS.md').split('\n');
+  const listed = rows
+    .filter((row) => /^\| `.*\| (both|entry|agent) /.test(row))
+    .flatMap((row) => [...row.split('|')[1].matchAll(/`([a-z-]+)`/g)].map(([, name]) => name));
+  const missing = written.map(([, name]) => name).filter((name) => !listed.includes(name));
+  assert.deepEqual(missing, []);
+});
+
 type Manifest = {
   dependencies?: Record<string, string>;
   devDependencies?: Record<string, string>;
