Survive a tunnel that is reset

Cause: Node.js leaves no listener on the connection of CONNECT, and a reset while the refusal was written ended the process. Conclusion: every refusal takes its connection's errors.

--- a/packages/entry/src/caller-server.test.ts
+++ b/packages/entry/src/caller-server.test.ts
@@ -179,3 +179,26 @@
   assert.doesNotMatch(text, /connection: close[^]*answer-1/i);
   await idle;
 });
+
+nodeTest.test('a tunnel that is reset ends its own connection', async (context) => {
+  // Node.js hands the connection of CONNECT over without any listener. A reset
+  // while the refusal is written would be an error that nobody takes, and the
+  // process would end.
+  const { server, waitForRequest } = await startServer(context);
+  const resets = Array.from(
+    { length: 20 },
+    () =>
+      new Promise<void>((resolve) => {
+        const socket = net.connect(server.port, '127.0.0.1', () => {
+          socket.write('CONNECT x:1 HTTP/1.1\r\nhost: x\r\n\r\n', () => socket.resetAndDestroy());
+        });
+        socket.on('error', () => {});
+        socket.on('close', () => resolve());
+      }),
+  );
+  await Promise.all(resets);
+  const arrival = waitForRequest();
+  const client = sendBytes(context, server.port, `${HEAD}content-length: 1\r\n\r\nx`);
+  await arrival;
+  client.socket.destroy();
+});
--- a/packages/entry/src/client-error.ts
+++ b/packages/entry/src/client-error.ts
@@ -18,6 +18,9 @@
 
 /** Writes a refusal to a connection on which no request could be read. */
 export function writeRefusal(socket: net.Socket, code: schema.ResultCode): void {
+  // Node.js leaves no listener on the connection of a tunnel; an error that
+  // nobody takes would end the process.
+  socket.on('error', () => socket.destroy());
   if (!socket.writable) {
     socket.destroy();
     return;
