Bind requests late and keep the entry's queue

Cause: the entry pushed each request whole to one agent at arrival, chosen by its own outstanding tokens, scanned all requests at each tick and message, and told "not run" after a repeat although the attempt before it had run.

--- a/packages/core/src/entry/agent-links.ts
+++ b/packages/core/src/entry/agent-links.ts
@@ -1,16 +1,22 @@
 /** Links to agents: opening, heartbeats in both directions, resumption. */
 import * as schema from '@toucanproxy/schema';
 import * as documentStore from '../shared/document-store.js';
+import * as suspectTable from '../shared/suspect-table.js';
+import * as accounts from './accounts.js';
+import * as agentHealth from './agent-health.js';
 import * as dispatch from './dispatch.js';
 import * as entryEvent from './entry-event.js';
 import * as entryMessages from './entry-messages.js';
 import * as entryState from './entry-state.js';
+import * as grants from './grants.js';
 
 type Effects = entryEvent.EntryEffect[];
 
 /** Pause before a link that failed is opened again, milliseconds. */
 const REOPEN_MIN_MS = 100;
 const REOPEN_SPREAD_MS = 400;
+/** Suspects in one heartbeat; the rest follow in the next ones. */
+const MAX_SUSPECTS_SENT = 8;
 
 /** Makes the view of a backend server that a document names for the first time. */
 function makeView(service: string, server: schema.BackendServer): entryState.AgentView {
@@ -30,6 +36,10 @@
     load: undefined,
     outstandingTokens: 0,
     nextOpenMs: 0,
+    heldIds: new Set(),
+    reservedIds: new Set(),
+    health: agentHealth.createAgentHealth(),
+    suspectsSent: 0,
   };
 }
 
@@ -80,12 +90,12 @@
   now: number,
 ): Effects {
   const view = state.agents.get(backendServerId);
-  if (view !== undefined) {
-    view.linked = false;
-    view.opening = false;
-    view.nextOpenMs = now + REOPEN_MIN_MS + state.policy.drawRandom() * REOPEN_SPREAD_MS;
+  if (view === undefined) {
+    return [];
   }
-  return [];
+  accounts.markUnlinked(state, view, now);
+  view.nextOpenMs = now + REOPEN_MIN_MS + state.policy.drawRandom() * REOPEN_SPREAD_MS;
+  return grants.handleLinkLost(state, view, now);
 }
 
 /** Lists the requests that one agent holds. */
@@ -93,9 +103,9 @@
   state: entryState.EntryState,
   backendServerId: string,
 ): entryState.EntryRequest[] {
-  return [...state.requests.values()].filter(
-    (request) => request.target?.backendServerId === backendServerId,
-  );
+  return [...(state.agents.get(backendServerId)?.heldIds ?? [])]
+    .map((requestId) => state.requests.get(requestId))
+    .filter((request) => request !== undefined);
 }
 
 /** Learns which life answers, and asks it for what this entry misses. */
@@ -109,8 +119,8 @@
   if (view === undefined || hello.backendServerId !== backendServerId) {
     return [{ kind: 'closeLink', backendServerId }];
   }
-  view.linked = true;
-  view.opening = false;
+  accounts.markLinked(state, view, now);
+  view.suspectsSent = 0;
   view.agentLife = hello.agentLife;
   view.lifeBeganMs = hello.lifeBeganMs;
   const resumes = listHeldBy(state, backendServerId).flatMap((request) =>
@@ -123,7 +133,7 @@
           ),
         ],
   );
-  return [...resumes, ...dispatch.placeWaiting(state, view.service, now)];
+  return [...resumes, ...dispatch.retryParked(state, view, now)];
 }
 
 /** Takes in an agent's load, and asks for its document where it is newer. */
@@ -138,6 +148,7 @@
     return [];
   }
   view.load = heartbeat.load;
+  suspectTable.mergeSuspects(state.suspects, heartbeat.suspects, now);
   view.leaving = view.leaving || (heartbeat.load?.leaving ?? false);
   const theirs = heartbeat.document?.version ?? 0;
   const newer = theirs > documentStore.getVersion(state.documents, view.service);
@@ -145,7 +156,7 @@
   const ask = newer
     ? [entryMessages.sendToAgent(backendServerId, { case: 'documentRequest', value: request })]
     : [];
-  return [...ask, ...dispatch.placeWaiting(state, view.service, now)];
+  return [...ask, ...dispatch.retryParked(state, view, now)];
 }
 
 /** Sends the document in force to an agent that asked for it. */
@@ -171,7 +182,10 @@
   view.lastSentMs = now;
   view.heartbeatsSent += 1;
   const version = documentStore.getVersion(state.documents, view.service);
+  const suspects = suspectTable.listChanged(state.suspects, view.suspectsSent, MAX_SUSPECTS_SENT);
+  view.suspectsSent = suspects.at(-1)?.revision ?? view.suspectsSent;
   const heartbeat = schema.create(schema.EntryHeartbeatSchema, {
+    suspects,
     document: { service: view.service, version },
     sequence: view.heartbeatsSent,
   });
@@ -191,8 +205,10 @@
     const timing = entryState.getTiming(state, view.service);
     const waitsForPeer = view.linked || view.opening;
     if (waitsForPeer && now - view.lastHeardMs > timing.heartbeatTimeoutMs) {
-      handleLinkClosed(state, view.backendServerId, now);
-      return [{ kind: 'closeLink', backendServerId: view.backendServerId }];
+      return [
+        { kind: 'closeLink', backendServerId: view.backendServerId },
+        ...handleLinkClosed(state, view.backendServerId, now),
+      ];
     }
     const due = view.linked && now - view.lastSentMs >= timing.heartbeatIntervalMs;
     return due ? sendHeartbeat(state, view, now) : [];
--- a/packages/core/src/entry/answer-flow.ts
+++ b/packages/core/src/entry/answer-flow.ts
@@ -2,11 +2,17 @@
 import * as schema from '@toucanproxy/schema';
 import * as attemptRef from '../shared/attempt-ref.js';
 import * as effect from '../shared/effect.js';
+import * as accounts from './accounts.js';
+import * as agentHealth from './agent-health.js';
+import * as costModel from './cost-model.js';
 import * as dispatch from './dispatch.js';
 import * as entryEvent from './entry-event.js';
 import * as entryMessages from './entry-messages.js';
 import * as entryState from './entry-state.js';
+import * as observations from './observations.js';
 import * as outcomes from './outcomes.js';
+import * as repeats from './repeats.js';
+import * as shedding from './shedding.js';
 
 type Effects = entryEvent.EntryEffect[];
 type Held = { request: entryState.EntryRequest; target: entryState.Target };
@@ -21,6 +27,7 @@
   schema.ResultCode.STALE_OFFER,
   schema.ResultCode.NO_BACKEND_SERVER,
   schema.ResultCode.CANCELLED,
+  schema.ResultCode.DEADLINE_UNREACHABLE,
 ]);
 
 /**
@@ -71,13 +78,24 @@
 }
 
 /** Passes bytes on, or keeps them until an unstreamed answer is whole. */
-function passData(request: entryState.EntryRequest, data: Uint8Array, now: number): Effects {
-  if (!isStreamed(request)) {
+function passData(
+  state: entryState.EntryState,
+  request: entryState.EntryRequest,
+  data: Uint8Array,
+  now: number,
+): Effects {
+  const streamed = isStreamed(request);
+  const first = request.answerTokens === 0;
+  request.answerTokens += costModel.countAnswerTokens(data, streamed);
+  const noted = first
+    ? observations.noteDuration(state, request, agentHealth.Stage.FIRST_BYTE, now)
+    : [];
+  if (!streamed) {
     request.collected.push(data);
-    return [];
+    return noted;
   }
   const { callerId } = request.arrived;
-  return [...sendHead(request, now), { kind: 'answerData', callerId, data }];
+  return [...noted, ...sendHead(request, now), { kind: 'answerData', callerId, data }];
 }
 
 /** Ends an answer whose every part has come. */
@@ -93,8 +111,10 @@
     target.backendServerId,
     entryMessages.buildAcknowledge(target),
   );
+  const noted = observations.noteCompleted(state, request, now);
   return [
     acknowledge,
+    ...noted,
     ...sendHead(request, now),
     ...data,
     ...outcomes.complete(state, request, now),
@@ -121,13 +141,13 @@
     return [effect.observe({ kind: 'dropped', reason })];
   }
   target.nextSequence += 1;
-  target.started = true;
+  accounts.markStarted(state, request, now);
   switch (part.content.case) {
     case 'head':
       request.head = part.content.value;
       return [];
     case 'data':
-      return passData(request, part.content.value, now);
+      return passData(state, request, part.content.value, now);
     case 'end':
       return passEnd(state, held, now);
     default:
@@ -147,25 +167,17 @@
     return dropOld();
   }
   const { request } = held;
+  if (notRun.code === schema.ResultCode.DEADLINE_UNREACHABLE) {
+    request.unreachableBy.add(backendServerId);
+  }
   if (ELSEWHERE_CODES.has(notRun.code) && now < request.deadlineMs) {
     return dispatch.placeAgain(state, request, now);
   }
   const code = now >= request.deadlineMs ? schema.ResultCode.DEADLINE_UNREACHABLE : notRun.code;
-  const failure = outcomes.buildNotRun(code, notRun.retryAfterMs);
-  return outcomes.fail(state, request, failure, now);
-}
-
-/** Ends or repeats a request whose attempt was lost or broke. */
-export function handleBrokenRun(
-  state: entryState.EntryState,
-  request: entryState.EntryRequest,
-  failure: outcomes.Failure,
-  now: number,
-): Effects {
-  const mayRepeat = request.repeatable && !request.firstByteSent && now < request.deadlineMs;
-  return mayRepeat
-    ? dispatch.placeAgain(state, request, now)
-    : outcomes.fail(state, request, failure, now);
+  const service = accounts.getServiceOf(state, request);
+  const retryAfterMs =
+    notRun.retryAfterMs || shedding.drawRetryAfter(state, service, request.tierRank, now);
+  return outcomes.fail(state, request, outcomes.buildNotRun(code, retryAfterMs), now);
 }
 
 /** Handles the agent's report that an attempt did not complete. */
@@ -186,7 +198,10 @@
     undecided && !held.target.started
       ? outcomes.buildMayHaveRun(failed.code)
       : outcomes.buildRan(failed.code);
-  return handleBrokenRun(state, held.request, failure, now);
+  return [
+    ...observations.noteFailure(state, held.request, now),
+    ...repeats.handleBrokenRun(state, held.request, failure, now),
+  ];
 }
 
 /** Notes that an attempt was started. */
@@ -194,11 +209,12 @@
   state: entryState.EntryState,
   backendServerId: string,
   started: schema.Started,
+  now: number,
 ): Effects {
   const held = findHeld(state, backendServerId, started.ref);
   if (held === undefined) {
     return dropOld();
   }
-  held.target.started = true;
+  accounts.markStarted(state, held.request, now);
   return [];
 }
--- a/packages/core/src/entry/entry-messages.ts
+++ b/packages/core/src/entry/entry-messages.ts
@@ -38,6 +38,26 @@
   return { case: 'offer', value: offer };
 }
 
+/** Builds the question for a place, without the request itself. */
+export function buildReserve(request: entryState.EntryRequest): Body {
+  const { arrived } = request;
+  const reserve = schema.create(schema.ReserveSchema, {
+    requestId: request.requestId,
+    tierRank: request.tierRank,
+    workspace: request.workspace,
+    estimatedTokens: arrived.estimatedTokens,
+    deadlineMs: request.deadlineMs,
+    prefixHashes: arrived.prefixHashes,
+    weight: request.weight,
+  });
+  return { case: 'reserve', value: reserve };
+}
+
+/** Builds the notice that a place is no longer needed. */
+export function buildRelease(requestId: string): Body {
+  return { case: 'release', value: schema.create(schema.ReleaseSchema, { requestId }) };
+}
+
 /** Builds the question for the parts that an entry misses. */
 export function buildResume(request: entryState.EntryRequest, target: entryState.Target): Body {
   const resume = schema.create(schema.ResumeSchema, {
--- a/packages/core/src/entry/entry-state.ts
+++ b/packages/core/src/entry/entry-state.ts
@@ -2,8 +2,12 @@
 import * as schema from '@toucanproxy/schema';
 import * as documentStore from '../shared/document-store.js';
 import * as documentTiming from '../shared/document-timing.js';
+import * as priorityHeap from '../shared/priority-heap.js';
+import * as suspectTable from '../shared/suspect-table.js';
+import * as agentHealth from './agent-health.js';
 import * as entryEvent from './entry-event.js';
-import * as placement from './placement.js';
+import * as entryPolicy from './entry-policy.js';
+import * as serviceState from './service-state.js';
 
 /** The one agent that an attempt was handed to. */
 export type Target = {
@@ -44,6 +48,26 @@
   /** Parts of an answer that is not streamed, until it is whole. */
   collected: Uint8Array[];
   firstByteSent: boolean;
+  /** Class of its cost: route and tier. */
+  className: string;
+  /** Backend servers that were asked for a place and have not refused. */
+  reservedAt: Set<string>;
+  /** When one more backend server is asked, milliseconds since the Unix epoch. */
+  askMoreMs: number;
+  /** Pause before a repeat ends at this time; 0 where there is none. */
+  retryAtMs: number;
+  /** What is known of the attempts before the present one. */
+  earlierRun: schema.RunState;
+  /** Backend servers that cannot end it in time, as they said since it began to wait. */
+  unreachableBy: Set<string>;
+  /** Attempts that were repeated after a run. */
+  repeats: number;
+  /** Attempts during which an engine crashed. */
+  crashes: number;
+  /** When the present attempt started; 0 where that is not known. */
+  startedMs: number;
+  /** Tokens of the answer so far, counted. */
+  answerTokens: number;
 };
 
 /** A backend server as this entry sees it. */
@@ -65,25 +89,29 @@
   /** Estimated tokens of this entry's own requests there. */
   outstandingTokens: number;
   nextOpenMs: number;
-};
-
-/** Behaviour that varies, handed in by the daemon, a test or a measurement. */
-export type EntryPolicy = {
-  chooseBackendServer: placement.ChooseBackendServer;
-  /** Uniform in [0, 1). */
-  drawRandom: () => number;
+  /** Requests whose target it is. */
+  heldIds: Set<string>;
+  /** Requests that asked it for a place. */
+  reservedIds: Set<string>;
+  health: agentHealth.AgentHealth;
+  /** Revision of the suspects that it was last sent. */
+  suspectsSent: number;
 };
 
 export type EntryState = {
   entryId: string;
   life: string;
   failureDomain: string;
-  policy: EntryPolicy;
+  policy: entryPolicy.EntryPolicy;
   nextSerial: number;
   documents: documentStore.DocumentStore;
   requests: Map<string, EntryRequest>;
   requestByCaller: Map<number, string>;
   agents: Map<string, AgentView>;
+  services: Map<string, serviceState.ServiceState>;
+  /** When something is due for each request, milliseconds since the Unix epoch. */
+  due: priorityHeap.PriorityHeap;
+  suspects: suspectTable.SuspectTable;
   shutdownStarted: boolean;
   stopped: boolean;
 };
@@ -95,7 +123,10 @@
 };
 
 /** Creates the state of an entry whose process has just started. */
-export function createEntryState(identity: EntryIdentity, policy: EntryPolicy): EntryState {
+export function createEntryState(
+  identity: EntryIdentity,
+  policy: entryPolicy.EntryPolicy,
+): EntryState {
   return {
     ...identity,
     policy,
@@ -104,6 +135,9 @@
     requests: new Map(),
     requestByCaller: new Map(),
     agents: new Map(),
+    services: new Map(),
+    due: priorityHeap.createPriorityHeap(),
+    suspects: suspectTable.createSuspectTable(),
     shutdownStarted: false,
     stopped: false,
   };
@@ -117,12 +151,19 @@
   return state.documents.get(service)?.document;
 }
 
+/** Gets the state of a service, made where there is none. */
+export function getService(state: EntryState, service: string): serviceState.ServiceState {
+  const known = state.services.get(service) ?? serviceState.createServiceState(service);
+  state.services.set(service, known);
+  return known;
+}
+
 /** Gets the timing of a service. */
 export function getTiming(state: EntryState, service: string): documentTiming.Timing {
-  return documentTiming.getTiming(getDocument(state, service));
+  return state.services.get(service)?.index?.timing ?? documentTiming.DEFAULT_TIMING;
 }
 
 /** Gets the limits of a service. */
 export function getLimits(state: EntryState, service: string): documentTiming.Limits {
-  return documentTiming.getLimits(getDocument(state, service));
+  return state.services.get(service)?.index?.limits ?? documentTiming.DEFAULT_LIMITS;
 }
--- a/packages/core/src/entry/hand-over.ts
+++ b/packages/core/src/entry/hand-over.ts
@@ -1,5 +1,6 @@
 /** Hands a request to the agent that was chosen for it. */
 import * as attemptRef from '../shared/attempt-ref.js';
+import * as accounts from './accounts.js';
 import * as entryEvent from './entry-event.js';
 import * as entryMessages from './entry-messages.js';
 import * as entryState from './entry-state.js';
@@ -23,8 +24,7 @@
     started: false,
     withdrawnMs: 0,
   };
-  request.target = target;
-  agent.outstandingTokens += request.arrived.estimatedTokens;
+  accounts.addTarget(request, agent, target);
   const body = entryMessages.buildOffer(request, target, now);
   return [entryMessages.sendToAgent(agent.backendServerId, body)];
 }
--- a/packages/core/src/entry/handle-entry-event.ts
+++ b/packages/core/src/entry/handle-entry-event.ts
@@ -1,5 +1,6 @@
 /** The entry's decisions: one event in, the effects it calls for out. */
 import * as schema from '@toucanproxy/schema';
+import * as documentIndex from '../shared/document-index.js';
 import * as documentStore from '../shared/document-store.js';
 import * as effect from '../shared/effect.js';
 import * as admission from './admission.js';
@@ -9,6 +10,7 @@
 import * as dispatch from './dispatch.js';
 import * as entryEvent from './entry-event.js';
 import * as entryState from './entry-state.js';
+import * as grants from './grants.js';
 
 type Effects = entryEvent.EntryEffect[];
 type EventOf<K extends entryEvent.EntryEvent['kind']> = Extract<entryEvent.EntryEvent, { kind: K }>;
@@ -30,17 +32,32 @@
       { kind: 'answerFailure', callerId, requestId: '', ...failure },
     ];
   }
-  const { request } = decision;
-  state.requests.set(request.requestId, request);
-  state.requestByCaller.set(arrived.callerId, request.requestId);
-  return dispatch.place(state, request, now);
+  return dispatch.placeNew(state, decision.request, now);
 }
 
-/** Routes one message of an agent to its decision. */
+/** Takes a message of an agent; one that ends an attempt is a sign of room there. */
 function handleAgentMessage(
   state: entryState.EntryState,
   event: EventOf<'agentMessage'>,
   now: number,
+): Effects {
+  const { body } = event.message;
+  const endsAttempt =
+    body.case === 'notRun' ||
+    body.case === 'failed' ||
+    (body.case === 'part' && body.value.content.case === 'end');
+  const effects = routeAgentMessage(state, event, now);
+  const view = state.agents.get(event.backendServerId);
+  return endsAttempt && view !== undefined
+    ? [...effects, ...dispatch.retryParked(state, view, now, 1)]
+    : effects;
+}
+
+/** Routes one message of an agent to its decision. */
+function routeAgentMessage(
+  state: entryState.EntryState,
+  event: EventOf<'agentMessage'>,
+  now: number,
 ): Effects {
   const { backendServerId: id } = event;
   const { body } = event.message;
@@ -56,11 +73,15 @@
     case 'part':
       return answerFlow.takePart(state, id, body.value, now);
     case 'started':
-      return answerFlow.handleStarted(state, id, body.value);
+      return answerFlow.handleStarted(state, id, body.value, now);
     case 'notRun':
       return answerFlow.handleNotRun(state, id, body.value, now);
     case 'failed':
       return answerFlow.handleRunFailed(state, id, body.value, now);
+    case 'grant':
+      return grants.handleGrant(state, id, body.value, now);
+    case 'reserveRefused':
+      return grants.handleReserveRefused(state, id, body.value, now);
     case 'documentRequest':
       return agentLinks.replyDocument(state, id, body.value);
     case 'documentBody':
@@ -80,6 +101,9 @@
   if (!documentStore.storeDocument(state.documents, event.stored)) {
     return [];
   }
+  const service = entryState.getService(state, document.service);
+  service.index = documentIndex.buildDocumentIndex(document);
+  service.lastLinkedMs = service.lastLinkedMs || now;
   agentLinks.applyBackendServers(state, document);
   return [
     effect.logDecision('document', { service: document.service, version: document.version }),
@@ -110,7 +134,7 @@
 /** Does what is due by time alone. */
 function handleTick(state: entryState.EntryState, now: number): Effects {
   return [
-    ...deadlines.endOverdue(state, now),
+    ...deadlines.handleAllDue(state, now),
     ...agentLinks.sendDueHeartbeats(state, now),
     ...agentLinks.openWanted(state, now),
     ...stopWhenIdle(state),
--- a/packages/core/src/entry/outcomes.ts
+++ b/packages/core/src/entry/outcomes.ts
@@ -1,8 +1,10 @@
 /** Ends requests. Every request ends here, once. */
 import * as schema from '@toucanproxy/schema';
 import * as effect from '../shared/effect.js';
+import * as accounts from './accounts.js';
 import * as entryEvent from './entry-event.js';
 import * as entryState from './entry-state.js';
+import * as reservationBook from './reservation-book.js';
 
 type Effects = entryEvent.EntryEffect[];
 
@@ -28,23 +30,32 @@
   return { code, runState: schema.RunState.MAY_HAVE_RUN, retryAfterMs: 0 };
 }
 
-/** Takes a request out of the state. */
-function forget(state: entryState.EntryState, request: entryState.EntryRequest): void {
-  releaseTarget(state, request);
-  state.requests.delete(request.requestId);
-  state.requestByCaller.delete(request.arrived.callerId);
+/**
+ * Combines what is known of two attempts.
+ *
+ * A repeat that is not run does not make its request "not run": the attempt
+ * before it was started, and a caller told otherwise would order again.
+ */
+export function mergeRunStates(a: schema.RunState, b: schema.RunState): schema.RunState {
+  const { RAN, MAY_HAVE_RUN, NOT_RUN } = schema.RunState;
+  return [RAN, MAY_HAVE_RUN].find((known) => a === known || b === known) ?? NOT_RUN;
 }
 
-/** Frees the place that a request takes in the accounts of its target. */
-export function releaseTarget(
+/** Ends the waiting of a request: its reservations are released. */
+export function endWaiting(
   state: entryState.EntryState,
   request: entryState.EntryRequest,
-): void {
-  const agent = request.target && state.agents.get(request.target.backendServerId);
-  if (agent !== undefined) {
-    agent.outstandingTokens -= request.arrived.estimatedTokens;
-  }
-  request.target = undefined;
+): Effects {
+  accounts.endWaiting(state, request);
+  accounts.endUnstarted(state, request);
+  return reservationBook.releaseReservations(state, request);
+}
+
+/** Takes a request out of the state. */
+function forget(state: entryState.EntryState, request: entryState.EntryRequest): Effects {
+  const released = endWaiting(state, request);
+  accounts.removeRequest(state, request);
+  return released;
 }
 
 /** Counts how a request ended. */
@@ -72,17 +83,19 @@
   const { requestId } = request;
   const { callerId } = request.arrived;
   const attempt = request.target?.ref.attempt ?? request.attempts;
-  forget(state, request);
+  const released = forget(state, request);
+  const runState = mergeRunStates(request.earlierRun, failure.runState);
   return [
+    ...released,
     effect.logDecision('failure', {
       request: requestId,
       attempt,
       code: failure.code,
       result: schema.ResultCode[failure.code],
-      runState: schema.RunState[failure.runState],
+      runState: schema.RunState[runState],
     }),
     observeOutcome(request, failure.code, now),
-    { kind: 'answerFailure', callerId, requestId, ...failure },
+    { kind: 'answerFailure', callerId, requestId, ...failure, runState },
   ];
 }
 
@@ -93,8 +106,9 @@
   now: number,
 ): Effects {
   const { callerId } = request.arrived;
-  forget(state, request);
+  const released = forget(state, request);
   return [
+    ...released,
     effect.logDecision('completed', {
       request: request.requestId,
       attempts: request.attempts,
@@ -111,6 +125,6 @@
   request: entryState.EntryRequest,
   now: number,
 ): Effects {
-  forget(state, request);
-  return [observeOutcome(request, schema.ResultCode.CLIENT_LEFT, now)];
+  const released = forget(state, request);
+  return [...released, observeOutcome(request, schema.ResultCode.CLIENT_LEFT, now)];
 }
