Claim keys at their home agents before an offer

Cause: a call sent again through another entry was a second request to the agents and could be dispatched twice. Before: an Idempotency-Key was read and not used. After: homes bind or close keys, entries claim before an offer, join a bound attempt, and close before they tell "not run". Records are confirmed as not run only while they cannot have been forgotten (issue time on Resume, Withdraw and Cancel). Entries keep links to a subset of agents and open others on demand.

--- a/packages/core/src/agent/agent-state.ts
+++ b/packages/core/src/agent/agent-state.ts
@@ -2,6 +2,7 @@
 import * as schema from '@toucanproxy/schema';
 import * as documentStore from '../shared/document-store.js';
 import * as documentTiming from '../shared/document-timing.js';
+import type * as claims from './claims.js';
 import * as runRecord from './run-record.js';
 import * as startQueue from './start-queue.js';
 
@@ -22,6 +23,8 @@
   lifeBeganMs: number;
   documents: documentStore.DocumentStore;
   runs: Map<string, runRecord.RunRecord>;
+  /** The keys that this agent is home of. */
+  keys: claims.KeyTable;
   queue: startQueue.StartQueue;
   running: Set<string>;
   runningTokens: number;
@@ -45,6 +48,7 @@
     lifeBeganMs: now,
     documents: new Map(),
     runs: new Map(),
+    keys: new Map(),
     queue: startQueue.createStartQueue(),
     running: new Set(),
     runningTokens: 0,
--- a/packages/core/src/agent/handle-agent-event.ts
+++ b/packages/core/src/agent/handle-agent-event.ts
@@ -6,6 +6,7 @@
 import * as agentEvent from './agent-event.js';
 import * as agentState from './agent-state.js';
 import * as answers from './answers.js';
+import * as claims from './claims.js';
 import * as engineRuns from './engine-runs.js';
 import * as entryLinks from './entry-links.js';
 import * as offers from './offers.js';
@@ -36,12 +37,14 @@
     case 'resume':
       return offers.resume(state, linkId, body.value, now);
     case 'cancel':
-      return body.value.ref === undefined ? [] : offers.cancel(state, linkId, body.value.ref, now);
+      return offers.cancel(state, linkId, body.value, now);
     case 'acknowledge':
       if (body.value.ref !== undefined) {
         answers.acknowledge(state, attemptRef.toRefKey(body.value.ref), body.value.nextSequence);
       }
       return [];
+    case 'claim':
+      return claims.replyClaim(state, linkId, body.value, now);
     case 'documentRequest':
       return entryLinks.replyDocument(state, linkId, body.value);
     case 'documentBody':
--- a/packages/core/src/agent/offers.ts
+++ b/packages/core/src/agent/offers.ts
@@ -2,6 +2,7 @@
 import * as schema from '@toucanproxy/schema';
 import * as attemptRef from '../shared/attempt-ref.js';
 import * as effect from '../shared/effect.js';
+import * as keyRetention from '../shared/key-retention.js';
 import * as agentEvent from './agent-event.js';
 import * as agentMessages from './agent-messages.js';
 import * as agentState from './agent-state.js';
@@ -104,24 +105,36 @@
  * Finds the record of an attempt, or makes a tombstone where none is known.
  *
  * The offer may still be on its way. With the tombstone in place it is refused
- * when it comes, so that "not run" stays true.
+ * when it comes, so that "not run" stays true. Undefined where the record may
+ * have expired: an entry that was paused asks late, and "not run" would be
+ * wrong for an attempt that ran and was forgotten.
  */
 function findOrBury(
   state: agentState.AgentState,
   ref: schema.AttemptRef,
+  issuedMs: number,
   now: number,
-): runRecord.RunRecord {
+): runRecord.RunRecord | undefined {
   const refKey = attemptRef.toRefKey(ref);
   const known = state.runs.get(refKey);
   if (known !== undefined) {
     return known;
   }
+  if (!keyRetention.isRemembered(agentState.getTiming(state), issuedMs, now)) {
+    return undefined;
+  }
   const tombstone = runRecord.makeRunRecord(refKey, ref, undefined, now);
   tombstone.code = schema.ResultCode.CANCELLED;
   state.runs.set(refKey, tombstone);
   return tombstone;
 }
 
+/** Tells an entry that this agent may have forgotten an attempt. */
+function replyForgotten(linkId: number, ref: schema.AttemptRef): Effects {
+  const body = agentMessages.buildRunFailed(ref, schema.ResultCode.KEY_UNDECIDED);
+  return [agentMessages.sendToEntry(linkId, body)];
+}
+
 /** Answers an entry that wants an attempt confirmed as not run. */
 export function withdraw(
   state: agentState.AgentState,
@@ -136,7 +149,10 @@
   if (request.agentLife !== state.life) {
     return replyOtherLife(linkId, ref);
   }
-  const record = findOrBury(state, ref, now);
+  const record = findOrBury(state, ref, request.issuedMs, now);
+  if (record === undefined) {
+    return replyForgotten(linkId, ref);
+  }
   if (record.status !== runRecord.RunStatus.QUEUED) {
     return answers.subscribe(record, linkId, record.parts.length);
   }
@@ -158,7 +174,10 @@
   if (request.agentLife !== state.life) {
     return replyOtherLife(linkId, ref);
   }
-  const record = findOrBury(state, ref, now);
+  const record = findOrBury(state, ref, request.issuedMs, now);
+  if (record === undefined) {
+    return replyForgotten(linkId, ref);
+  }
   // An entry that asks for another workspace's attempt has crossed its
   // requests; answering would show one workspace's work to another.
   if (record.offer !== undefined && record.offer.workspace !== request.workspace) {
@@ -175,10 +194,14 @@
 export function cancel(
   state: agentState.AgentState,
   linkId: number,
-  ref: schema.AttemptRef,
+  request: schema.Cancel,
   now: number,
 ): Effects {
-  const record = findOrBury(state, ref, now);
+  const { ref } = request;
+  const record = ref && findOrBury(state, ref, request.issuedMs, now);
+  if (record === undefined) {
+    return [];
+  }
   record.subscribers.delete(linkId);
   if (record.status === runRecord.RunStatus.QUEUED && record.subscribers.size === 0) {
     return runs.refuse(state, record, schema.ResultCode.CANCELLED, now);
--- a/packages/core/src/entry/admission.ts
+++ b/packages/core/src/entry/admission.ts
@@ -1,5 +1,6 @@
 /** Decides whether a request is taken in, and with which rights. */
 import * as schema from '@toucanproxy/schema';
+import * as keyTime from '../shared/key-time.js';
 import * as entryEvent from './entry-event.js';
 import * as entryState from './entry-state.js';
 import * as outcomes from './outcomes.js';
@@ -9,6 +10,13 @@
 
 type Admitted = { kind: 'admitted'; request: entryState.EntryRequest };
 type Rejected = { kind: 'rejected'; failure: outcomes.Failure };
+/** Not taken in for want of room, but an earlier call with its key may run. */
+type Closing = { kind: 'closing'; request: entryState.EntryRequest; failure: outcomes.Failure };
+
+/** Longest key, characters. */
+const MAX_KEY_LENGTH = 255;
+/** Requests of one entry whose keys are being claimed or closed, at most. */
+const MAX_CLAIMING = 4000;
 
 /** Finds the route that serves a path: the longest prefix wins. */
 export function findRoute(
@@ -72,6 +80,11 @@
     status: entryState.RequestStatus.WAITING,
     attempts: 0,
     target: undefined,
+    claim: undefined,
+    replaceable: [],
+    givenUp: undefined,
+    claimRounds: 0,
+    claimWaived: false,
     refusedBy: new Set(),
     head: undefined,
     collected: [],
@@ -79,12 +92,49 @@
   };
 }
 
+/**
+ * Says why a key cannot be used. A key that is ahead of the clocks could be
+ * bound by one life of its home and then be taken by the next for a new one.
+ */
+function findKeyFault(
+  state: entryState.EntryState,
+  arrived: entryEvent.ArrivedRequest,
+  now: number,
+): outcomes.Failure | undefined {
+  const { clockSkewMs } = entryState.getTiming(state, arrived.service);
+  const aheadMs = keyTime.readKeyTime(arrived.key) - now;
+  if (arrived.key.length > MAX_KEY_LENGTH || aheadMs > 2 * clockSkewMs) {
+    return outcomes.buildNotRun(schema.ResultCode.KEY_INVALID);
+  }
+  // An entry whose clock is ahead of this one's may have taken the key.
+  return aheadMs > clockSkewMs
+    ? outcomes.buildMayHaveRun(schema.ResultCode.KEY_INVALID)
+    : undefined;
+}
+
+/** Refuses a request for want of room. */
+function refuseForLoad(
+  state: entryState.EntryState,
+  request: entryState.EntryRequest,
+  code: schema.ResultCode,
+): Rejected | Closing {
+  const failure = outcomes.buildNotRun(code, FULL_RETRY_AFTER_MS);
+  if (request.arrived.key === '' || request.repeatable) {
+    return { kind: 'rejected', failure };
+  }
+  if (state.claiming.size >= MAX_CLAIMING) {
+    const untold = outcomes.buildMayHaveRun(code);
+    return { kind: 'rejected', failure: { ...untold, retryAfterMs: FULL_RETRY_AFTER_MS } };
+  }
+  return { kind: 'closing', request, failure };
+}
+
 /** Decides on an arrived request. The tier comes from its credential alone. */
 export function admit(
   state: entryState.EntryState,
   arrived: entryEvent.ArrivedRequest,
   now: number,
-): Admitted | Rejected {
+): Admitted | Rejected | Closing {
   const document = entryState.getDocument(state, arrived.service);
   if (document === undefined) {
     return reject(schema.ResultCode.UNKNOWN_SERVICE);
@@ -101,13 +151,18 @@
   if (arrived.payload.length > limits.maxBodyBytes) {
     return reject(schema.ResultCode.BODY_TOO_LARGE);
   }
+  const keyFault = findKeyFault(state, arrived, now);
+  if (keyFault !== undefined) {
+    return { kind: 'rejected', failure: keyFault };
+  }
+  const request = buildRequest(state, arrived, credential, route, now);
   if (state.shutdownStarted) {
-    return reject(schema.ResultCode.SHUTTING_DOWN, FULL_RETRY_AFTER_MS);
+    return refuseForLoad(state, request, schema.ResultCode.SHUTTING_DOWN);
   }
   const held = countOfWorkspace(state, arrived.service, credential.workspace);
   const own = document.workspaces.find((one) => one.name === credential.workspace);
   if (held >= (own?.maxRequests || limits.maxRequestsPerWorkspace)) {
-    return reject(schema.ResultCode.WORKSPACE_LIMIT, FULL_RETRY_AFTER_MS);
+    return refuseForLoad(state, request, schema.ResultCode.WORKSPACE_LIMIT);
   }
-  return { kind: 'admitted', request: buildRequest(state, arrived, credential, route, now) };
+  return { kind: 'admitted', request };
 }
--- a/packages/core/src/entry/answer-flow.ts
+++ b/packages/core/src/entry/answer-flow.ts
@@ -1,15 +1,15 @@
 /** Follows an offered request through its agent's messages to the caller's answer. */
 import * as schema from '@toucanproxy/schema';
-import * as attemptRef from '../shared/attempt-ref.js';
 import * as effect from '../shared/effect.js';
 import * as dispatch from './dispatch.js';
 import * as entryEvent from './entry-event.js';
 import * as entryMessages from './entry-messages.js';
 import * as entryState from './entry-state.js';
+import * as heldAttempts from './held-attempts.js';
 import * as outcomes from './outcomes.js';
 
 type Effects = entryEvent.EntryEffect[];
-type Held = { request: entryState.EntryRequest; target: entryState.Target };
+type Held = heldAttempts.Held;
 
 const EVENT_STREAM = 'text/event-stream';
 
@@ -23,26 +23,15 @@
   schema.ResultCode.CANCELLED,
 ]);
 
-/**
- * Finds the request whose present attempt a message is about.
- *
- * A message of an earlier attempt, or from another agent, may come late over a
- * link that was thought dead. Taking it would mix two runs into one answer.
- */
-export function findHeld(
+/** Applies a message to each request that waits for its attempt. */
+function applyToHeld(
   state: entryState.EntryState,
   backendServerId: string,
   ref: schema.AttemptRef | undefined,
-): Held | undefined {
-  const request = ref && state.requests.get(ref.requestId);
-  const target = request?.target;
-  if (ref === undefined || request === undefined || target === undefined) {
-    return undefined;
-  }
-  const same =
-    target.backendServerId === backendServerId &&
-    attemptRef.toRefKey(target.ref) === attemptRef.toRefKey(ref);
-  return same ? { request, target } : undefined;
+  apply: (held: Held) => Effects,
+): Effects {
+  const held = heldAttempts.listHeld(state, backendServerId, ref);
+  return held.length === 0 ? dropOld() : held.flatMap(apply);
 }
 
 /** Counts a message that belongs to no present attempt. */
@@ -108,10 +97,18 @@
   part: schema.AnswerPart,
   now: number,
 ): Effects {
-  const held = findHeld(state, backendServerId, part.ref);
-  if (held === undefined) {
-    return dropOld();
-  }
+  return applyToHeld(state, backendServerId, part.ref, (held) =>
+    takeHeldPart(state, held, part, now),
+  );
+}
+
+/** Takes the next part for one request. */
+function takeHeldPart(
+  state: entryState.EntryState,
+  held: Held,
+  part: schema.AnswerPart,
+  now: number,
+): Effects {
   const { request, target } = held;
   if (part.sequence !== target.nextSequence) {
     const reason =
@@ -142,12 +139,22 @@
   notRun: schema.NotRun,
   now: number,
 ): Effects {
-  const held = findHeld(state, backendServerId, notRun.ref);
-  if (held === undefined) {
-    return dropOld();
-  }
-  const { request } = held;
-  if (ELSEWHERE_CODES.has(notRun.code) && now < request.deadlineMs) {
+  return applyToHeld(state, backendServerId, notRun.ref, (held) =>
+    handleHeldNotRun(state, held, notRun, now),
+  );
+}
+
+/** Places one request elsewhere, or tells its caller that it was not run. */
+function handleHeldNotRun(
+  state: entryState.EntryState,
+  held: Held,
+  notRun: schema.NotRun,
+  now: number,
+): Effects {
+  const { request, target } = held;
+  // The deadline that a joined attempt missed was that of another call.
+  const missedOther = target.joined && notRun.code === schema.ResultCode.DEADLINE_UNREACHABLE;
+  if ((ELSEWHERE_CODES.has(notRun.code) || missedOther) && now < request.deadlineMs) {
     return dispatch.placeAgain(state, request, now);
   }
   const code = now >= request.deadlineMs ? schema.ResultCode.DEADLINE_UNREACHABLE : notRun.code;
@@ -175,10 +182,18 @@
   failed: schema.RunFailed,
   now: number,
 ): Effects {
-  const held = findHeld(state, backendServerId, failed.ref);
-  if (held === undefined) {
-    return dropOld();
-  }
+  return applyToHeld(state, backendServerId, failed.ref, (held) =>
+    handleHeldFailed(state, held, failed, now),
+  );
+}
+
+/** Ends or repeats one request whose attempt did not complete. */
+function handleHeldFailed(
+  state: entryState.EntryState,
+  held: Held,
+  failed: schema.RunFailed,
+  now: number,
+): Effects {
   const undecided =
     failed.code === schema.ResultCode.AGENT_RESTARTED ||
     failed.code === schema.ResultCode.KEY_UNDECIDED;
@@ -195,10 +210,8 @@
   backendServerId: string,
   started: schema.Started,
 ): Effects {
-  const held = findHeld(state, backendServerId, started.ref);
-  if (held === undefined) {
-    return dropOld();
-  }
-  held.target.started = true;
-  return [];
+  return applyToHeld(state, backendServerId, started.ref, (held) => {
+    held.target.started = true;
+    return [];
+  });
 }
--- a/packages/core/src/entry/deadlines.ts
+++ b/packages/core/src/entry/deadlines.ts
@@ -3,6 +3,7 @@
 import * as entryEvent from './entry-event.js';
 import * as entryMessages from './entry-messages.js';
 import * as entryState from './entry-state.js';
+import * as heldAttempts from './held-attempts.js';
 import * as outcomes from './outcomes.js';
 
 type Effects = entryEvent.EntryEffect[];
@@ -10,6 +11,13 @@
 /** How long an agent may take to say what became of an overdue attempt. */
 const WITHDRAW_GRACE_MS = 250;
 
+/** Tells the agent that nobody waits for an attempt any more, where that is so. */
+function sendCancel(state: entryState.EntryState, target: entryState.Target): Effects {
+  return heldAttempts.isShared(state, target)
+    ? []
+    : [entryMessages.sendToAgent(target.backendServerId, entryMessages.buildCancel(target))];
+}
+
 /** Asks the agent what became of an overdue attempt, or gives up waiting for it. */
 function handleOverdueOffer(
   state: entryState.EntryState,
@@ -17,12 +25,13 @@
   target: entryState.Target,
   now: number,
 ): Effects {
-  if (target.withdrawnMs === 0) {
+  // A joined attempt belongs to another call, whose time may not be up.
+  if (target.withdrawnMs === 0 && !target.joined) {
     target.withdrawnMs = now;
     const body = entryMessages.buildWithdraw(target);
     return [entryMessages.sendToAgent(target.backendServerId, body)];
   }
-  if (!target.started && now - target.withdrawnMs < WITHDRAW_GRACE_MS) {
+  if (!target.started && !target.joined && now - target.withdrawnMs < WITHDRAW_GRACE_MS) {
     return [];
   }
   // Time alone says nothing about the agent: it may be paused and start the
@@ -30,11 +39,8 @@
   const failure = target.started
     ? outcomes.buildRan(schema.ResultCode.DEADLINE_EXCEEDED)
     : outcomes.buildMayHaveRun(schema.ResultCode.LINK_LOST);
-  const cancel = entryMessages.sendToAgent(
-    target.backendServerId,
-    entryMessages.buildCancel(target),
-  );
-  return [cancel, ...outcomes.fail(state, request, failure, now)];
+  const cancel = sendCancel(state, target);
+  return [...cancel, ...outcomes.fail(state, request, failure, now)];
 }
 
 /** Ends requests whose time is up. */
@@ -62,9 +68,6 @@
     return [];
   }
   const { target } = request;
-  const cancel =
-    target === undefined
-      ? []
-      : [entryMessages.sendToAgent(target.backendServerId, entryMessages.buildCancel(target))];
+  const cancel = target === undefined ? [] : sendCancel(state, target);
   return [...cancel, ...outcomes.abandon(state, request, now)];
 }
--- a/packages/core/src/entry/dispatch.ts
+++ b/packages/core/src/entry/dispatch.ts
@@ -14,7 +14,7 @@
 /** Lists the agents of a service that may be given new work. */
 export function listUsable(state: entryState.EntryState, service: string): entryState.AgentView[] {
   return [...state.agents.values()].filter(
-    (agent) => agent.service === service && agent.linked && !agent.leaving,
+    (agent) => agent.service === service && agent.linked && agent.kept && !agent.leaving,
   );
 }
 
@@ -80,6 +80,7 @@
 ): Effects {
   if (request.target !== undefined) {
     request.refusedBy.add(request.target.backendServerId);
+    request.replaceable.push(request.target.ref);
   }
   outcomes.releaseTarget(state, request);
   request.status = entryState.RequestStatus.WAITING;
--- a/packages/core/src/entry/entry-messages.ts
+++ b/packages/core/src/entry/entry-messages.ts
@@ -12,11 +12,7 @@
 }
 
 /** Builds the offer of a request to its target. */
-export function buildOffer(
-  request: entryState.EntryRequest,
-  target: entryState.Target,
-  now: number,
-): Body {
+export function buildOffer(request: entryState.EntryRequest, target: entryState.Target): Body {
   const { arrived } = request;
   const offer = schema.create(schema.OfferSchema, {
     ref: target.ref,
@@ -24,7 +20,7 @@
     workspace: request.workspace,
     tierRank: request.tierRank,
     weight: request.weight,
-    issuedMs: now,
+    issuedMs: target.issuedMs,
     deadlineMs: request.deadlineMs,
     estimatedTokens: arrived.estimatedTokens,
     repeatable: request.repeatable,
@@ -44,6 +40,7 @@
     ref: target.ref,
     agentLife: target.agentLife,
     workspace: request.workspace,
+    issuedMs: target.issuedMs,
     nextSequence: target.nextSequence,
   });
   return { case: 'resume', value: resume };
@@ -51,14 +48,15 @@
 
 /** Builds the question for a confirmation that an attempt will not run. */
 export function buildWithdraw(target: entryState.Target): Body {
-  const { ref, agentLife } = target;
-  return { case: 'withdraw', value: schema.create(schema.WithdrawSchema, { ref, agentLife }) };
+  const { ref, agentLife, issuedMs } = target;
+  const value = schema.create(schema.WithdrawSchema, { ref, agentLife, issuedMs });
+  return { case: 'withdraw', value };
 }
 
 /** Builds the notice that the entry no longer wants an attempt. */
 export function buildCancel(target: entryState.Target): Body {
-  const { ref } = target;
-  return { case: 'cancel', value: schema.create(schema.CancelSchema, { ref }) };
+  const { ref, issuedMs } = target;
+  return { case: 'cancel', value: schema.create(schema.CancelSchema, { ref, issuedMs }) };
 }
 
 /** Builds the acknowledgement of the parts received so far. */
--- a/packages/core/src/entry/entry-state.ts
+++ b/packages/core/src/entry/entry-state.ts
@@ -3,6 +3,9 @@
 import * as documentStore from '../shared/document-store.js';
 import * as documentTiming from '../shared/document-timing.js';
 import * as entryEvent from './entry-event.js';
+import type * as keyClaim from './key-claim.js';
+import * as linkSelection from './link-selection.js';
+import type * as outcomes from './outcomes.js';
 import * as placement from './placement.js';
 
 /** The one agent that an attempt was handed to. */
@@ -10,6 +13,10 @@
   backendServerId: string;
   agentLife: string;
   ref: schema.AttemptRef;
+  /** Issue time of the attempt, milliseconds. */
+  issuedMs: number;
+  /** Another call with the same key started this attempt; this one reads its answer. */
+  joined: boolean;
   /** Sequence number of the answer part that comes next. */
   nextSequence: number;
   /** The agent said that it started the attempt. */
@@ -23,6 +30,10 @@
   WAITING = 'waiting',
   /** One agent holds it, and only that agent says what became of it. */
   OFFERED = 'offered',
+  /** Its key is being claimed for an attempt that is not offered yet. */
+  CLAIMING = 'claiming',
+  /** Given up; its key is being closed so that its caller can be told. */
+  CLOSING = 'closing',
 }
 
 export type EntryRequest = {
@@ -38,6 +49,15 @@
   status: RequestStatus;
   attempts: number;
   target: Target | undefined;
+  /** The claim in progress for its key. */
+  claim: keyClaim.KeyClaim | undefined;
+  /** Attempts of its key that were confirmed as not run, or may be repeated. */
+  replaceable: schema.AttemptRef[];
+  /** Why it was given up, while its key is being closed. */
+  givenUp: outcomes.Failure | undefined;
+  claimRounds: number;
+  /** Its homes could not decide; it may be repeated and goes on without. */
+  claimWaived: boolean;
   /** Backend servers that refused the request since it began to wait. */
   refusedBy: Set<string>;
   head: schema.AnswerHead | undefined;
@@ -57,7 +77,16 @@
   opening: boolean;
   agentLife: string;
   lifeBeganMs: number;
+  /** Takes no new work, for one of the three reasons that follow. */
   leaving: boolean;
+  /** The document in force says so. */
+  documentLeaving: boolean;
+  /** This life of the agent has said so. */
+  reportedLeaving: boolean;
+  /** The platform's list says so; it lags, and does not know of a later life. */
+  listedLeaving: boolean;
+  /** The life that the list was first seen to name; undefined while it names none. */
+  listedLife: string | undefined;
   lastHeardMs: number;
   lastSentMs: number;
   heartbeatsSent: number;
@@ -65,6 +94,12 @@
   /** Estimated tokens of this entry's own requests there. */
   outstandingTokens: number;
   nextOpenMs: number;
+  /** One of the links that this entry keeps; others are opened on demand. */
+  kept: boolean;
+  /** When a link on demand was last needed, milliseconds; 0 if never. */
+  neededMs: number;
+  /** Attempts of this entry's requests there. */
+  heldCount: number;
 };
 
 /** Behaviour that varies, handed in by the daemon, a test or a measurement. */
@@ -74,15 +109,27 @@
   drawRandom: () => number;
 };
 
+/** What is left to do for a request once the present event has been applied. */
+export type FollowUp = { kind: 'place' | 'close'; requestId: string };
+
 export type EntryState = {
   entryId: string;
   life: string;
   failureDomain: string;
+  /** Links kept for each service. */
+  linksPerService: number;
   policy: EntryPolicy;
   nextSerial: number;
   documents: documentStore.DocumentStore;
   requests: Map<string, EntryRequest>;
   requestByCaller: Map<number, string>;
+  /** Requests whose keys are being claimed or closed. */
+  claiming: Set<string>;
+  followUps: FollowUp[];
+  /** Requests that read the answer of another call's attempt, by its reference. */
+  joins: Map<string, Set<string>>;
+  /** When this process first saw a backend server declared gone, milliseconds. */
+  goneSeenMs: Map<string, number>;
   agents: Map<string, AgentView>;
   shutdownStarted: boolean;
   stopped: boolean;
@@ -92,17 +139,24 @@
   entryId: string;
   life: string;
   failureDomain: string;
+  /** Links kept for each service; the default where left out. */
+  linksPerService?: number;
 };
 
 /** Creates the state of an entry whose process has just started. */
 export function createEntryState(identity: EntryIdentity, policy: EntryPolicy): EntryState {
   return {
     ...identity,
+    linksPerService: identity.linksPerService || linkSelection.DEFAULT_LINKS_PER_SERVICE,
     policy,
     nextSerial: 1,
     documents: new Map(),
     requests: new Map(),
     requestByCaller: new Map(),
+    claiming: new Set(),
+    followUps: [],
+    joins: new Map(),
+    goneSeenMs: new Map(),
     agents: new Map(),
     shutdownStarted: false,
     stopped: false,
--- a/packages/core/src/entry/handle-entry-event.ts
+++ b/packages/core/src/entry/handle-entry-event.ts
@@ -9,6 +9,8 @@
 import * as dispatch from './dispatch.js';
 import * as entryEvent from './entry-event.js';
 import * as entryState from './entry-state.js';
+import * as keyClaims from './key-claims.js';
+import * as outcomes from './outcomes.js';
 
 type Effects = entryEvent.EntryEffect[];
 type EventOf<K extends entryEvent.EntryEvent['kind']> = Extract<entryEvent.EntryEvent, { kind: K }>;
@@ -33,7 +35,9 @@
   const { request } = decision;
   state.requests.set(request.requestId, request);
   state.requestByCaller.set(arrived.callerId, request.requestId);
-  return dispatch.place(state, request, now);
+  return decision.kind === 'closing'
+    ? outcomes.fail(state, request, decision.failure, now)
+    : dispatch.place(state, request, now);
 }
 
 /** Routes one message of an agent to its decision. */
@@ -61,6 +65,8 @@
       return answerFlow.handleNotRun(state, id, body.value, now);
     case 'failed':
       return answerFlow.handleRunFailed(state, id, body.value, now);
+    case 'claimReply':
+      return keyClaims.handleClaimReply(state, id, body.value, now);
     case 'documentRequest':
       return agentLinks.replyDocument(state, id, body.value);
     case 'documentBody':
@@ -80,24 +86,14 @@
   if (!documentStore.storeDocument(state.documents, event.stored)) {
     return [];
   }
-  agentLinks.applyBackendServers(state, document);
+  const closed = agentLinks.applyBackendServers(state, document, now);
   return [
     effect.logDecision('document', { service: document.service, version: document.version }),
+    ...closed,
     ...agentLinks.openWanted(state, now),
   ];
 }
 
-/** Gives no more work to VMs that the platform lists as leaving. */
-function handleVmsLeaving(state: entryState.EntryState, event: EventOf<'vmsLeaving'>): Effects {
-  const addresses = new Set(event.addresses);
-  [...state.agents.values()]
-    .filter((view) => addresses.has(view.address))
-    .forEach((view) => {
-      view.leaving = true;
-    });
-  return [];
-}
-
 /** Stops once every request has ended. */
 function stopWhenIdle(state: entryState.EntryState): Effects {
   if (!state.shutdownStarted || state.stopped || state.requests.size > 0) {
@@ -111,12 +107,28 @@
 function handleTick(state: entryState.EntryState, now: number): Effects {
   return [
     ...deadlines.endOverdue(state, now),
+    ...keyClaims.handleDue(state, now),
     ...agentLinks.sendDueHeartbeats(state, now),
     ...agentLinks.openWanted(state, now),
     ...stopWhenIdle(state),
   ];
 }
 
+/** Does what the present event has left to do for single requests. */
+function applyFollowUps(state: entryState.EntryState, now: number): Effects {
+  const effects: Effects = [];
+  let next = state.followUps.shift();
+  while (next !== undefined) {
+    const request = state.requests.get(next.requestId);
+    if (request !== undefined) {
+      const apply = next.kind === 'close' ? keyClaims.startClose : dispatch.place;
+      effects.push(...apply(state, request, now));
+    }
+    next = state.followUps.shift();
+  }
+  return effects;
+}
+
 /**
  * Applies one event to the entry's state.
  *
@@ -126,6 +138,16 @@
   state: entryState.EntryState,
   event: entryEvent.EntryEvent,
   now: number,
+): Effects {
+  const effects = routeEvent(state, event, now);
+  return [...effects, ...applyFollowUps(state, now)];
+}
+
+/** Routes one event to its decision. */
+function routeEvent(
+  state: entryState.EntryState,
+  event: entryEvent.EntryEvent,
+  now: number,
 ): Effects {
   switch (event.kind) {
     case 'requestArrived':
@@ -141,7 +163,8 @@
     case 'documentRead':
       return applyDocument(state, event, now);
     case 'vmsLeaving':
-      return handleVmsLeaving(state, event);
+      agentLinks.markListed(state, event.addresses);
+      return [];
     case 'ticked':
       return handleTick(state, now);
     case 'shutdownStarted':
--- a/packages/core/src/entry/outcomes.ts
+++ b/packages/core/src/entry/outcomes.ts
@@ -1,8 +1,10 @@
 /** Ends requests. Every request ends here, once. */
 import * as schema from '@toucanproxy/schema';
+import * as attemptRef from '../shared/attempt-ref.js';
 import * as effect from '../shared/effect.js';
 import * as entryEvent from './entry-event.js';
 import * as entryState from './entry-state.js';
+import * as heldAttempts from './held-attempts.js';
 
 type Effects = entryEvent.EntryEffect[];
 
@@ -32,6 +34,7 @@
 function forget(state: entryState.EntryState, request: entryState.EntryRequest): void {
   releaseTarget(state, request);
   state.requests.delete(request.requestId);
+  state.claiming.delete(request.requestId);
   state.requestByCaller.delete(request.arrived.callerId);
 }
 
@@ -40,9 +43,14 @@
   state: entryState.EntryState,
   request: entryState.EntryRequest,
 ): void {
-  const agent = request.target && state.agents.get(request.target.backendServerId);
+  const { target } = request;
+  const agent = target && state.agents.get(target.backendServerId);
   if (agent !== undefined) {
     agent.outstandingTokens -= request.arrived.estimatedTokens;
+    agent.heldCount -= 1;
+  }
+  if (target?.joined === true) {
+    heldAttempts.removeJoin(state, attemptRef.toRefKey(target.ref), request.requestId);
   }
   request.target = undefined;
 }
@@ -62,12 +70,40 @@
   });
 }
 
-/** Ends a request with a failure. */
+/**
+ * Gives a request up. A keyed request of a route that runs once is not told
+ * "not run" before its key is closed: an earlier call with the same key, paused
+ * or waiting elsewhere, could still run, and its caller would order again.
+ */
 export function fail(
   state: entryState.EntryState,
   request: entryState.EntryRequest,
   failure: Failure,
   now: number,
+): Effects {
+  const keyed = request.arrived.key !== '' && !request.repeatable;
+  if (!keyed || failure.runState !== schema.RunState.NOT_RUN) {
+    return endFailed(state, request, failure, now);
+  }
+  if (request.status === entryState.RequestStatus.CLOSING) {
+    return [];
+  }
+  if (request.target !== undefined) {
+    request.replaceable.push(request.target.ref);
+  }
+  releaseTarget(state, request);
+  request.status = entryState.RequestStatus.CLOSING;
+  request.givenUp = failure;
+  state.followUps.push({ kind: 'close', requestId: request.requestId });
+  return [];
+}
+
+/** Ends a request with a failure. */
+export function endFailed(
+  state: entryState.EntryState,
+  request: entryState.EntryRequest,
+  failure: Failure,
+  now: number,
 ): Effects {
   const { requestId } = request;
   const { callerId } = request.arrived;
