--- a/packages/core/src/agent/agent-state.ts
+++ b/packages/core/src/agent/agent-state.ts
@@ -3,6 +3,7 @@
 import * as documentStore from '../shared/document-store.js';
 import * as documentTiming from '../shared/document-timing.js';
 import * as reservation from './reservation.js';
+import type * as claims from './claims.js';
 import * as runRecord from './run-record.js';
 import * as startQueue from './start-queue.js';
 
@@ -23,6 +24,8 @@
   lifeBeganMs: number;
   documents: documentStore.DocumentStore;
   runs: Map<string, runRecord.RunRecord>;
+  /** The keys that this agent is home of. */
+  keys: claims.KeyTable;
   queue: startQueue.StartQueue;
   /** Reservations queued and places held, by request id. */
   reservations: Map<string, reservation.Reservation>;
@@ -50,6 +53,7 @@
     lifeBeganMs: now,
     documents: new Map(),
     runs: new Map(),
+    keys: new Map(),
     queue: startQueue.createStartQueue(),
     reservations: new Map(),
     holds: new Map(),
--- a/packages/core/src/entry/accounts.ts
+++ b/packages/core/src/entry/accounts.ts
@@ -3,9 +3,11 @@
  * is kept as requests move, so that no decision scans what is held.
  */
 import * as startQueue from '../agent/start-queue.js';
+import * as attemptRef from '../shared/attempt-ref.js';
 import * as priorityHeap from '../shared/priority-heap.js';
 import * as drainRate from './drain-rate.js';
 import * as entryState from './entry-state.js';
+import * as heldAttempts from './held-attempts.js';
 import * as serviceState from './service-state.js';
 
 const { RESERVATION } = startQueue.QueuedKind;
@@ -82,6 +84,7 @@
   endUnstarted(state, request);
   priorityHeap.removeId(state.due, request.requestId);
   state.requests.delete(request.requestId);
+  state.claiming.delete(request.requestId);
   state.requestByCaller.delete(request.arrived.callerId);
   const held = (service.heldByWorkspace.get(request.workspace) ?? 1) - 1;
   if (held > 0) {
@@ -168,13 +171,16 @@
 
 /** Notes that an agent holds a request from now on. */
 export function addTarget(
+  state: entryState.EntryState,
   request: entryState.EntryRequest,
-  agent: entryState.AgentView,
   target: entryState.Target,
 ): void {
   request.target = target;
-  agent.heldIds.add(request.requestId);
-  agent.outstandingTokens += request.arrived.estimatedTokens;
+  const agent = state.agents.get(target.backendServerId);
+  if (agent !== undefined) {
+    agent.heldIds.add(request.requestId);
+    agent.outstandingTokens += request.arrived.estimatedTokens;
+  }
 }
 
 /** Frees the place that a request takes in the accounts of its target. */
@@ -186,6 +192,10 @@
   if (agent?.heldIds.delete(request.requestId)) {
     agent.outstandingTokens -= request.arrived.estimatedTokens;
   }
+  if (request.target?.joined === true) {
+    const refKey = attemptRef.toRefKey(request.target.ref);
+    heldAttempts.removeJoin(state, refKey, request.requestId);
+  }
   request.target = undefined;
 }
 
--- a/packages/core/src/entry/admission.ts
+++ b/packages/core/src/entry/admission.ts
@@ -1,6 +1,7 @@
 /** Decides whether a request is taken in, and with which rights. */
 import * as schema from '@toucanproxy/schema';
 import * as documentIndex from '../shared/document-index.js';
+import * as keyTime from '../shared/key-time.js';
 import * as suspectTable from '../shared/suspect-table.js';
 import * as costModel from './cost-model.js';
 import * as entryEvent from './entry-event.js';
@@ -13,10 +14,17 @@
 
 type Admitted = { kind: 'admitted'; request: entryState.EntryRequest };
 type Rejected = { kind: 'rejected'; failure: outcomes.Failure };
+/** Not taken in, but an earlier call with its key may run. */
+type Closing = { kind: 'closing'; request: entryState.EntryRequest; failure: outcomes.Failure };
+
+/** Longest key, characters. */
+const MAX_KEY_LENGTH = 255;
+/** Requests of one entry whose keys are being claimed or closed, at most. */
+const MAX_CLAIMING = 4000;
 
 /** Rejects a request without running it. */
-function reject(code: schema.ResultCode, retryAfterMs = 0): Rejected {
-  return { kind: 'rejected', failure: outcomes.buildNotRun(code, retryAfterMs) };
+function reject(code: schema.ResultCode): Rejected {
+  return { kind: 'rejected', failure: outcomes.buildNotRun(code) };
 }
 
 /** Computes when a request must be done, milliseconds since the Unix epoch. */
@@ -72,6 +80,11 @@
     status: entryState.RequestStatus.WAITING,
     attempts: 0,
     target: undefined,
+    claim: undefined,
+    replaceable: [],
+    givenUp: undefined,
+    claimRounds: 0,
+    claimWaived: false,
     refusedBy: new Set(),
     head: undefined,
     collected: [],
@@ -89,29 +102,62 @@
   };
 }
 
-/** Finds a limit that a request with valid rights meets. */
-function findLimit(
+/**
+ * Says why a key cannot be used. A key that is ahead of the clocks could be
+ * bound by one life of its home and then be taken by the next for a new one.
+ */
+function findKeyFault(
   state: entryState.EntryState,
   arrived: entryEvent.ArrivedRequest,
-  workspace: string,
+  now: number,
+): outcomes.Failure | undefined {
+  const { clockSkewMs } = entryState.getTiming(state, arrived.service);
+  const aheadMs = keyTime.readKeyTime(arrived.key) - now;
+  if (arrived.key.length > MAX_KEY_LENGTH || aheadMs > 2 * clockSkewMs) {
+    return outcomes.buildNotRun(schema.ResultCode.KEY_INVALID);
+  }
+  // An entry whose clock is ahead of this one's may have taken the key.
+  return aheadMs > clockSkewMs
+    ? outcomes.buildMayHaveRun(schema.ResultCode.KEY_INVALID)
+    : undefined;
+}
+
+/** Refuses a request that this call will not run. */
+function refuse(
+  state: entryState.EntryState,
+  request: entryState.EntryRequest,
+  failure: outcomes.Failure,
+): Rejected | Closing {
+  if (request.arrived.key === '' || request.repeatable) {
+    return { kind: 'rejected', failure };
+  }
+  if (state.claiming.size >= MAX_CLAIMING) {
+    const untold = { ...failure, runState: schema.RunState.MAY_HAVE_RUN };
+    return { kind: 'rejected', failure: untold };
+  }
+  return { kind: 'closing', request, failure };
+}
+
+/** Finds why a request with valid rights is not taken in now. */
+function findLimit(
+  state: entryState.EntryState,
+  request: entryState.EntryRequest,
   index: documentIndex.DocumentIndex,
   now: number,
-): Rejected | undefined {
+): outcomes.Failure | undefined {
   const { limits } = index;
-  if (arrived.payload.length > limits.maxBodyBytes) {
-    return reject(schema.ResultCode.BODY_TOO_LARGE);
-  }
+  const { arrived, workspace } = request;
   if (state.shutdownStarted) {
-    return reject(schema.ResultCode.SHUTTING_DOWN, FULL_RETRY_AFTER_MS);
+    return outcomes.buildNotRun(schema.ResultCode.SHUTTING_DOWN, FULL_RETRY_AFTER_MS);
   }
   if (suspectTable.isRefused(state.suspects, arrived.contentDigest, now)) {
-    return reject(schema.ResultCode.CONTENT_REFUSED);
+    return outcomes.buildNotRun(schema.ResultCode.CONTENT_REFUSED);
   }
   const service = entryState.getService(state, arrived.service);
   const held = service.heldByWorkspace.get(workspace) ?? 0;
   const own = index.workspaceByName.get(workspace)?.maxRequests;
   return held >= (own || limits.maxRequestsPerWorkspace)
-    ? reject(schema.ResultCode.WORKSPACE_LIMIT, FULL_RETRY_AFTER_MS)
+    ? outcomes.buildNotRun(schema.ResultCode.WORKSPACE_LIMIT, FULL_RETRY_AFTER_MS)
     : undefined;
 }
 
@@ -120,7 +166,7 @@
   state: entryState.EntryState,
   arrived: entryEvent.ArrivedRequest,
   now: number,
-): Admitted | Rejected {
+): Admitted | Rejected | Closing {
   const index = state.services.get(arrived.service)?.index;
   if (index === undefined) {
     return reject(schema.ResultCode.UNKNOWN_SERVICE);
@@ -133,11 +179,14 @@
   if (route === undefined) {
     return reject(schema.ResultCode.UNKNOWN_PATH);
   }
-  const limit = findLimit(state, arrived, credential.workspace, index, now);
-  return (
-    limit ?? {
-      kind: 'admitted',
-      request: buildRequest(state, arrived, { credential, route }, index, now),
-    }
-  );
+  if (arrived.payload.length > index.limits.maxBodyBytes) {
+    return reject(schema.ResultCode.BODY_TOO_LARGE);
+  }
+  const keyFault = findKeyFault(state, arrived, now);
+  if (keyFault !== undefined) {
+    return { kind: 'rejected', failure: keyFault };
+  }
+  const request = buildRequest(state, arrived, { credential, route }, index, now);
+  const limit = findLimit(state, request, index, now);
+  return limit === undefined ? { kind: 'admitted', request } : refuse(state, request, limit);
 }
--- a/packages/core/src/entry/candidates.ts
+++ b/packages/core/src/entry/candidates.ts
@@ -18,7 +18,7 @@
 
 /** Tells whether an agent may be given new work. */
 export function isUsable(agent: entryState.AgentView): boolean {
-  return agent.linked && !agent.leaving;
+  return agent.linked && agent.kept && !agent.leaving;
 }
 
 /** Lists the agents of a service that may be given new work; ejected ones only where all are. */
--- a/packages/core/src/entry/deadlines.ts
+++ b/packages/core/src/entry/deadlines.ts
@@ -6,12 +6,20 @@
 import * as entryEvent from './entry-event.js';
 import * as entryMessages from './entry-messages.js';
 import * as entryState from './entry-state.js';
+import * as heldAttempts from './held-attempts.js';
 import * as observations from './observations.js';
 import * as outcomes from './outcomes.js';
 import * as shedding from './shedding.js';
 
 type Effects = entryEvent.EntryEffect[];
 
+/** Tells the agent that nobody waits for an attempt any more, where that is so. */
+function sendCancel(state: entryState.EntryState, target: entryState.Target): Effects {
+  return heldAttempts.isShared(state, target)
+    ? []
+    : [entryMessages.sendToAgent(target.backendServerId, entryMessages.buildCancel(target))];
+}
+
 /** Gives up an overdue attempt. */
 function endOffer(
   state: entryState.EntryState,
@@ -24,12 +32,9 @@
   const failure = target.started
     ? outcomes.buildRan(schema.ResultCode.DEADLINE_EXCEEDED)
     : outcomes.buildMayHaveRun(schema.ResultCode.LINK_LOST);
-  const cancel = entryMessages.sendToAgent(
-    target.backendServerId,
-    entryMessages.buildCancel(target),
-  );
+  const cancel = sendCancel(state, target);
   const noted = observations.noteFailure(state, request, now);
-  return [cancel, ...noted, ...outcomes.fail(state, request, failure, now)];
+  return [...cancel, ...noted, ...outcomes.fail(state, request, failure, now)];
 }
 
 /** Asks the agent what became of an overdue attempt, or gives up waiting for it. */
@@ -40,8 +45,9 @@
   now: number,
 ): Effects {
   const asked = target.withdrawnMs !== 0;
+  // A joined attempt belongs to another call, whose time may not be up.
   const waits = !asked || now - target.withdrawnMs < accounts.WITHDRAW_GRACE_MS;
-  if (target.started || !waits) {
+  if (target.started || target.joined || !waits) {
     return endOffer(state, request, target, now);
   }
   target.withdrawnMs = target.withdrawnMs || now;
@@ -106,9 +112,6 @@
     return [];
   }
   const { target } = request;
-  const cancel =
-    target === undefined
-      ? []
-      : [entryMessages.sendToAgent(target.backendServerId, entryMessages.buildCancel(target))];
+  const cancel = target === undefined ? [] : sendCancel(state, target);
   return [...cancel, ...outcomes.abandon(state, request, now)];
 }
--- a/packages/core/src/entry/dispatch.ts
+++ b/packages/core/src/entry/dispatch.ts
@@ -181,8 +181,7 @@
 ): Effects {
   accounts.addRequest(state, request, now);
   const shed = shedding.shedOverflow(state, accounts.getServiceOf(state, request), now);
-  const waits = state.requests.has(request.requestId) && request.reservedAt.size === 0;
-  const placed = waits && request.target === undefined ? place(state, request, now) : [];
+  const placed = isIdle(state, request) ? place(state, request, now) : [];
   return [...shed, ...placed];
 }
 
@@ -262,6 +261,7 @@
 ): void {
   if (request.target !== undefined) {
     request.refusedBy.add(request.target.backendServerId);
+    request.replaceable.push(request.target.ref);
   }
   accounts.getServiceOf(state, request).withdrawnIds.delete(request.requestId);
   accounts.releaseTarget(state, request);
--- a/packages/core/src/entry/entry-state.ts
+++ b/packages/core/src/entry/entry-state.ts
@@ -7,6 +7,9 @@
 import * as agentHealth from './agent-health.js';
 import * as entryEvent from './entry-event.js';
 import * as entryPolicy from './entry-policy.js';
+import type * as keyClaim from './key-claim.js';
+import * as linkSelection from './link-selection.js';
+import type * as outcomes from './outcomes.js';
 import * as serviceState from './service-state.js';
 
 /** The one agent that an attempt was handed to. */
@@ -14,6 +17,10 @@
   backendServerId: string;
   agentLife: string;
   ref: schema.AttemptRef;
+  /** Issue time of the attempt, milliseconds. */
+  issuedMs: number;
+  /** Another call with the same key started this attempt; this one reads its answer. */
+  joined: boolean;
   /** Sequence number of the answer part that comes next. */
   nextSequence: number;
   /** The agent said that it started the attempt. */
@@ -27,6 +34,10 @@
   WAITING = 'waiting',
   /** One agent holds it, and only that agent says what became of it. */
   OFFERED = 'offered',
+  /** Its key is being claimed for an attempt that is not offered yet. */
+  CLAIMING = 'claiming',
+  /** Given up; its key is being closed so that its caller can be told. */
+  CLOSING = 'closing',
 }
 
 export type EntryRequest = {
@@ -42,6 +53,15 @@
   status: RequestStatus;
   attempts: number;
   target: Target | undefined;
+  /** The claim in progress for its key. */
+  claim: keyClaim.KeyClaim | undefined;
+  /** Attempts of its key that were confirmed as not run, or may be repeated. */
+  replaceable: schema.AttemptRef[];
+  /** Why it was given up, while its key is being closed. */
+  givenUp: outcomes.Failure | undefined;
+  claimRounds: number;
+  /** Its homes could not decide; it may be repeated and goes on without. */
+  claimWaived: boolean;
   /** Backend servers that refused the request since it began to wait. */
   refusedBy: Set<string>;
   head: schema.AnswerHead | undefined;
@@ -81,7 +101,16 @@
   opening: boolean;
   agentLife: string;
   lifeBeganMs: number;
+  /** Takes no new work, for one of the three reasons that follow. */
   leaving: boolean;
+  /** The document in force says so. */
+  documentLeaving: boolean;
+  /** This life of the agent has said so. */
+  reportedLeaving: boolean;
+  /** The platform's list says so; it lags, and does not know of a later life. */
+  listedLeaving: boolean;
+  /** The life that the list was first seen to name; undefined while it names none. */
+  listedLife: string | undefined;
   lastHeardMs: number;
   lastSentMs: number;
   heartbeatsSent: number;
@@ -96,17 +125,33 @@
   health: agentHealth.AgentHealth;
   /** Revision of the suspects that it was last sent. */
   suspectsSent: number;
+  /** One of the links that this entry keeps; others are opened on demand. */
+  kept: boolean;
+  /** When a link on demand was last needed, milliseconds; 0 if never. */
+  neededMs: number;
 };
 
+/** What is left to do for a request once the present event has been applied. */
+export type FollowUp = { kind: 'place' | 'close'; requestId: string };
+
 export type EntryState = {
   entryId: string;
   life: string;
   failureDomain: string;
+  /** Links kept for each service. */
+  linksPerService: number;
   policy: entryPolicy.EntryPolicy;
   nextSerial: number;
   documents: documentStore.DocumentStore;
   requests: Map<string, EntryRequest>;
   requestByCaller: Map<number, string>;
+  /** Requests whose keys are being claimed or closed. */
+  claiming: Set<string>;
+  followUps: FollowUp[];
+  /** Requests that read the answer of another call's attempt, by its reference. */
+  joins: Map<string, Set<string>>;
+  /** When this process first saw a backend server declared gone, milliseconds. */
+  goneSeenMs: Map<string, number>;
   agents: Map<string, AgentView>;
   services: Map<string, serviceState.ServiceState>;
   /** When something is due for each request, milliseconds since the Unix epoch. */
@@ -120,6 +165,8 @@
   entryId: string;
   life: string;
   failureDomain: string;
+  /** Links kept for each service; the default where left out. */
+  linksPerService?: number;
 };
 
 /** Creates the state of an entry whose process has just started. */
@@ -129,11 +176,16 @@
 ): EntryState {
   return {
     ...identity,
+    linksPerService: identity.linksPerService || linkSelection.DEFAULT_LINKS_PER_SERVICE,
     policy,
     nextSerial: 1,
     documents: new Map(),
     requests: new Map(),
     requestByCaller: new Map(),
+    claiming: new Set(),
+    followUps: [],
+    joins: new Map(),
+    goneSeenMs: new Map(),
     agents: new Map(),
     services: new Map(),
     due: priorityHeap.createPriorityHeap(),
--- a/packages/core/src/entry/handle-entry-event.ts
+++ b/packages/core/src/entry/handle-entry-event.ts
@@ -3,6 +3,7 @@
 import * as documentIndex from '../shared/document-index.js';
 import * as documentStore from '../shared/document-store.js';
 import * as effect from '../shared/effect.js';
+import * as accounts from './accounts.js';
 import * as admission from './admission.js';
 import * as agentLinks from './agent-links.js';
 import * as answerFlow from './answer-flow.js';
@@ -11,6 +12,8 @@
 import * as entryEvent from './entry-event.js';
 import * as entryState from './entry-state.js';
 import * as grants from './grants.js';
+import * as keyClaims from './key-claims.js';
+import * as outcomes from './outcomes.js';
 
 type Effects = entryEvent.EntryEffect[];
 type EventOf<K extends entryEvent.EntryEvent['kind']> = Extract<entryEvent.EntryEvent, { kind: K }>;
@@ -32,7 +35,12 @@
       { kind: 'answerFailure', callerId, requestId: '', ...failure },
     ];
   }
-  return dispatch.placeNew(state, decision.request, now);
+  const { request } = decision;
+  if (decision.kind === 'closing') {
+    accounts.addRequest(state, request, now);
+    return outcomes.fail(state, request, decision.failure, now);
+  }
+  return dispatch.placeNew(state, request, now);
 }
 
 /** Takes a message of an agent; one that ends an attempt is a sign of room there. */
@@ -82,6 +90,8 @@
       return grants.handleGrant(state, id, body.value, now);
     case 'reserveRefused':
       return grants.handleReserveRefused(state, id, body.value, now);
+    case 'claimReply':
+      return keyClaims.handleClaimReply(state, id, body.value, now);
     case 'documentRequest':
       return agentLinks.replyDocument(state, id, body.value);
     case 'documentBody':
@@ -104,24 +114,14 @@
   const service = entryState.getService(state, document.service);
   service.index = documentIndex.buildDocumentIndex(document);
   service.lastLinkedMs = service.lastLinkedMs || now;
-  agentLinks.applyBackendServers(state, document);
+  const closed = agentLinks.applyBackendServers(state, document, now);
   return [
     effect.logDecision('document', { service: document.service, version: document.version }),
+    ...closed,
     ...agentLinks.openWanted(state, now),
   ];
 }
 
-/** Gives no more work to VMs that the platform lists as leaving. */
-function handleVmsLeaving(state: entryState.EntryState, event: EventOf<'vmsLeaving'>): Effects {
-  const addresses = new Set(event.addresses);
-  [...state.agents.values()]
-    .filter((view) => addresses.has(view.address))
-    .forEach((view) => {
-      view.leaving = true;
-    });
-  return [];
-}
-
 /** Stops once every request has ended. */
 function stopWhenIdle(state: entryState.EntryState): Effects {
   if (!state.shutdownStarted || state.stopped || state.requests.size > 0) {
@@ -135,12 +135,28 @@
 function handleTick(state: entryState.EntryState, now: number): Effects {
   return [
     ...deadlines.handleAllDue(state, now),
+    ...keyClaims.handleDue(state, now),
     ...agentLinks.sendDueHeartbeats(state, now),
     ...agentLinks.openWanted(state, now),
     ...stopWhenIdle(state),
   ];
 }
 
+/** Does what the present event has left to do for single requests. */
+function applyFollowUps(state: entryState.EntryState, now: number): Effects {
+  const effects: Effects = [];
+  let next = state.followUps.shift();
+  while (next !== undefined) {
+    const request = state.requests.get(next.requestId);
+    if (request !== undefined) {
+      const apply = next.kind === 'close' ? keyClaims.startClose : dispatch.placeAgain;
+      effects.push(...apply(state, request, now));
+    }
+    next = state.followUps.shift();
+  }
+  return effects;
+}
+
 /**
  * Applies one event to the entry's state.
  *
@@ -150,6 +166,16 @@
   state: entryState.EntryState,
   event: entryEvent.EntryEvent,
   now: number,
+): Effects {
+  const effects = routeEvent(state, event, now);
+  return [...effects, ...applyFollowUps(state, now)];
+}
+
+/** Routes one event to its decision. */
+function routeEvent(
+  state: entryState.EntryState,
+  event: entryEvent.EntryEvent,
+  now: number,
 ): Effects {
   switch (event.kind) {
     case 'requestArrived':
@@ -165,7 +191,8 @@
     case 'documentRead':
       return applyDocument(state, event, now);
     case 'vmsLeaving':
-      return handleVmsLeaving(state, event);
+      agentLinks.markListed(state, event.addresses);
+      return [];
     case 'ticked':
       return handleTick(state, now);
     case 'shutdownStarted':
--- a/packages/core/src/entry/observations.ts
+++ b/packages/core/src/entry/observations.ts
@@ -33,7 +33,9 @@
   state: entryState.EntryState,
   request: entryState.EntryRequest,
 ): entryState.AgentView | undefined {
-  return request.target && state.agents.get(request.target.backendServerId);
+  const { target } = request;
+  // The times of a joined attempt are those of another call.
+  return target?.joined === false ? state.agents.get(target.backendServerId) : undefined;
 }
 
 /** Notes how long a started request took to a stage. */
@@ -72,6 +74,9 @@
   request: entryState.EntryRequest,
   now: number,
 ): Effects {
+  if (request.target?.joined === true) {
+    return [];
+  }
   const { costs } = accounts.getServiceOf(state, request);
   costModel.recordAnswer(costs, request.className, request.answerTokens);
   return noteDuration(state, request, agentHealth.Stage.COMPLETION, now);
--- a/packages/core/src/entry/outcomes.ts
+++ b/packages/core/src/entry/outcomes.ts
@@ -73,12 +73,40 @@
   });
 }
 
-/** Ends a request with a failure. */
+/**
+ * Gives a request up. A keyed request of a route that runs once is not told
+ * "not run" before its key is closed: an earlier call with the same key, paused
+ * or waiting elsewhere, could still run, and its caller would order again.
+ */
 export function fail(
   state: entryState.EntryState,
   request: entryState.EntryRequest,
   failure: Failure,
   now: number,
+): Effects {
+  const keyed = request.arrived.key !== '' && !request.repeatable;
+  if (!keyed || failure.runState !== schema.RunState.NOT_RUN) {
+    return endFailed(state, request, failure, now);
+  }
+  if (request.status === entryState.RequestStatus.CLOSING) {
+    return [];
+  }
+  if (request.target !== undefined) {
+    request.replaceable.push(request.target.ref);
+  }
+  accounts.releaseTarget(state, request);
+  request.status = entryState.RequestStatus.CLOSING;
+  request.givenUp = failure;
+  state.followUps.push({ kind: 'close', requestId: request.requestId });
+  return endWaiting(state, request);
+}
+
+/** Ends a request with a failure. */
+export function endFailed(
+  state: entryState.EntryState,
+  request: entryState.EntryRequest,
+  failure: Failure,
+  now: number,
 ): Effects {
   const { requestId } = request;
   const { callerId } = request.arrived;
