--- a/packages/core/src/entry/accounts.ts
+++ b/packages/core/src/entry/accounts.ts
@@ -147,6 +147,11 @@
   return counts.slice(0, tierRank + 1).reduce((sum, count) => sum + count, 0);
 }
 
+/** Tells whether the entry holds unstarted requests that are less urgent than a tier. */
+export function hasLessUrgent(service: serviceState.ServiceState, tierRank: number): boolean {
+  return startQueue.findLessUrgent(service.unstarted, tierRank) !== undefined;
+}
+
 /** Notes that a request may have started, or that its agent was asked to give it up. */
 export function endUnstarted(state: entryState.EntryState, request: entryState.EntryRequest): void {
   const service = getServiceOf(state, request);
--- a/packages/core/src/entry/repeats.ts
+++ b/packages/core/src/entry/repeats.ts
@@ -13,6 +13,7 @@
 
 /** Crashes after which a request is not repeated: it is then a likely cause. */
 const MAX_CRASHES = 1;
+const MAX_REPEATS = 3;
 
 /** Waits out a pause before the request is placed again. */
 function beginPause(
@@ -51,13 +52,17 @@
     request.repeatable &&
     !request.firstByteSent &&
     now < request.deadlineMs &&
+    request.repeats < MAX_REPEATS &&
     request.crashes <= MAX_CRASHES;
   if (!mayRepeat) {
     return outcomes.fail(state, request, failure, now);
   }
   const service = accounts.getServiceOf(state, request);
   const { retryBudgetPercent } = entryState.getLimits(state, service.service);
-  if (retryBudget.takeRepeat(service.retries, retryBudgetPercent, now)) {
+  // A spent budget sheds load, and no urgent request is shed before less urgent
+  // ones. Those that this entry holds make room for the repeat.
+  const yields = accounts.hasLessUrgent(service, request.tierRank);
+  if (retryBudget.takeRepeat(service.retries, retryBudgetPercent, now) || yields) {
     return beginPause(state, request, failure, now);
   }
   const retryAfterMs = shedding.drawRetryAfter(state, service, request.tierRank, now);
--- a/packages/core/src/entry/shedding.ts
+++ b/packages/core/src/entry/shedding.ts
@@ -33,11 +33,9 @@
   now: number,
 ): Effects {
   const service = accounts.getServiceOf(state, request);
-  const leastUrgent = service.unstarted.tiers.at(-1)?.tierRank ?? 0;
-  const broken: Effects =
-    leastUrgent > request.tierRank
-      ? [effect.observe({ kind: 'invariantBroken', name: 'shed-before-less-urgent' })]
-      : [];
+  const broken: Effects = accounts.hasLessUrgent(service, request.tierRank)
+    ? [effect.observe({ kind: 'invariantBroken', name: 'shed-before-less-urgent' })]
+    : [];
   const retryAfterMs = drawRetryAfter(state, service, request.tierRank, now);
   const failure = outcomes.buildNotRun(schema.ResultCode.SHED, retryAfterMs);
   return [...broken, ...outcomes.fail(state, request, failure, now)];
