--- a/packages/agent/src/status.ts
+++ b/packages/agent/src/status.ts
@@ -11,7 +11,7 @@
     documentVersion: core.getVersion(state.documents, state.service),
     leaving: state.leaving,
     engineAvailable: state.engineAvailable,
-    queued: state.queue.items.length,
+    queued: state.queue.items.size,
     running: state.running.size,
     runningTokens: state.runningTokens,
     remembered: state.runs.size,
--- a/packages/core/src/agent/agent-messages.ts
+++ b/packages/core/src/agent/agent-messages.ts
@@ -49,3 +49,18 @@
     value: schema.create(schema.AnswerPartSchema, { ref, sequence, content }),
   };
 }
+
+/** Builds the news that a place is held for a request. */
+export function buildGrant(requestId: string, holdMs: number): Body {
+  return { case: 'grant', value: schema.create(schema.GrantSchema, { requestId, holdMs }) };
+}
+
+/** Builds the refusal of a reservation. */
+export function buildReserveRefused(
+  requestId: string,
+  code: schema.ResultCode,
+  retryAfterMs: number,
+): Body {
+  const value = schema.create(schema.ReserveRefusedSchema, { requestId, code, retryAfterMs });
+  return { case: 'reserveRefused', value };
+}
--- a/packages/core/src/agent/agent-state.ts
+++ b/packages/core/src/agent/agent-state.ts
@@ -2,6 +2,8 @@
 import * as schema from '@toucanproxy/schema';
 import * as documentStore from '../shared/document-store.js';
 import * as documentTiming from '../shared/document-timing.js';
+import * as reservation from './reservation.js';
+import type * as claims from './claims.js';
 import * as runRecord from './run-record.js';
 import * as startQueue from './start-queue.js';
 
@@ -22,7 +24,13 @@
   lifeBeganMs: number;
   documents: documentStore.DocumentStore;
   runs: Map<string, runRecord.RunRecord>;
+  /** The keys that this agent is home of. */
+  keys: claims.KeyTable;
   queue: startQueue.StartQueue;
+  /** Reservations queued and places held, by request id. */
+  reservations: Map<string, reservation.Reservation>;
+  holds: Map<string, reservation.Hold>;
+  heldTokens: number;
   running: Set<string>;
   runningTokens: number;
   links: Map<number, EntryLink>;
@@ -45,7 +53,11 @@
     lifeBeganMs: now,
     documents: new Map(),
     runs: new Map(),
+    keys: new Map(),
     queue: startQueue.createStartQueue(),
+    reservations: new Map(),
+    holds: new Map(),
+    heldTokens: 0,
     running: new Set(),
     runningTokens: 0,
     links: new Map(),
--- a/packages/core/src/agent/entry-links.ts
+++ b/packages/core/src/agent/entry-links.ts
@@ -4,6 +4,8 @@
 import * as agentEvent from './agent-event.js';
 import * as agentMessages from './agent-messages.js';
 import * as agentState from './agent-state.js';
+import * as places from './places.js';
+import * as startQueue from './start-queue.js';
 
 type Effects = agentEvent.AgentEffect[];
 
@@ -84,13 +86,13 @@
 
 /** Describes the present load. */
 function describeLoad(state: agentState.AgentState): schema.AgentLoad {
-  const queuedTokens = state.queue.items.reduce((sum, item) => sum + item.estimatedTokens, 0);
   return schema.create(schema.AgentLoadSchema, {
-    queued: state.queue.items.length,
-    running: state.running.size,
-    queuedTokens,
-    runningTokens: state.runningTokens,
+    queued: startQueue.countQueued(state.queue),
+    running: places.countUsed(state),
+    queuedTokens: startQueue.countTokens(state.queue),
+    runningTokens: places.countUsedTokens(state),
     leaving: state.leaving,
+    queuedByTier: startQueue.countByTier(state.queue),
   });
 }
 
--- a/packages/core/src/agent/handle-agent-event.ts
+++ b/packages/core/src/agent/handle-agent-event.ts
@@ -6,11 +6,16 @@
 import * as agentEvent from './agent-event.js';
 import * as agentState from './agent-state.js';
 import * as answers from './answers.js';
+import * as claims from './claims.js';
 import * as engineRuns from './engine-runs.js';
 import * as entryLinks from './entry-links.js';
 import * as offers from './offers.js';
+import * as holds from './holds.js';
+import * as refusals from './refusals.js';
+import * as reservations from './reservations.js';
 import * as runRecord from './run-record.js';
 import * as runs from './runs.js';
+import * as startQueue from './start-queue.js';
 
 type Effects = agentEvent.AgentEffect[];
 type EventOf<K extends agentEvent.AgentEvent['kind']> = Extract<agentEvent.AgentEvent, { kind: K }>;
@@ -31,17 +36,23 @@
       return entryLinks.handleHeartbeat(state, linkId, body.value);
     case 'offer':
       return offers.acceptOffer(state, linkId, body.value, now);
+    case 'reserve':
+      return reservations.acceptReserve(state, linkId, body.value, now);
+    case 'release':
+      return reservations.release(state, body.value.requestId, now);
     case 'withdraw':
       return offers.withdraw(state, linkId, body.value, now);
     case 'resume':
       return offers.resume(state, linkId, body.value, now);
     case 'cancel':
-      return body.value.ref === undefined ? [] : offers.cancel(state, linkId, body.value.ref, now);
+      return offers.cancel(state, linkId, body.value, now);
     case 'acknowledge':
       if (body.value.ref !== undefined) {
         answers.acknowledge(state, attemptRef.toRefKey(body.value.ref), body.value.nextSequence);
       }
       return [];
+    case 'claim':
+      return claims.replyClaim(state, linkId, body.value, now);
     case 'documentRequest':
       return entryLinks.replyDocument(state, linkId, body.value);
     case 'documentBody':
@@ -81,21 +92,19 @@
     .forEach((record) => state.runs.delete(record.refKey));
 }
 
-/** Refuses queued attempts whose deadline has passed. */
+/** Refuses queued work whose deadline has passed. */
 function refuseOverdue(state: agentState.AgentState, now: number): Effects {
-  return state.queue.items
-    .map((item) => state.runs.get(item.refKey))
-    .filter((record) => record?.offer !== undefined && now >= record.offer.deadlineMs)
-    .flatMap((record) =>
-      record === undefined
-        ? []
-        : runs.refuse(state, record, schema.ResultCode.DEADLINE_UNREACHABLE, now),
+  return startQueue
+    .listItems(state.queue)
+    .filter((item) => now >= item.deadlineMs)
+    .flatMap((item) =>
+      refusals.refuseItem(state, item, schema.ResultCode.DEADLINE_UNREACHABLE, now),
     );
 }
 
 /** Stops once leaving, with nothing queued or running. */
 function stopWhenIdle(state: agentState.AgentState): Effects {
-  const idle = state.queue.items.length === 0 && state.running.size === 0;
+  const idle = startQueue.countQueued(state.queue) === 0 && state.running.size === 0;
   if (!state.shutdownStarted || state.stopped || !idle) {
     return [];
   }
@@ -109,6 +118,7 @@
   return [
     ...refuseOverdue(state, now),
     ...entryLinks.sendDueHeartbeats(state, now),
+    ...holds.expireHolds(state, now),
     ...runs.startQueued(state, now),
     ...stopWhenIdle(state),
   ];
@@ -118,12 +128,16 @@
 function startShutdown(state: agentState.AgentState, now: number): Effects {
   state.leaving = true;
   state.shutdownStarted = true;
-  const refused = state.queue.items
-    .map((item) => state.runs.get(item.refKey))
-    .flatMap((record) =>
-      record === undefined ? [] : runs.refuse(state, record, schema.ResultCode.SHUTTING_DOWN, now),
-    );
-  return [...refused, ...entryLinks.sendHeartbeats(state, now), ...stopWhenIdle(state)];
+  const refused = refusals.refuseAll(state, schema.ResultCode.SHUTTING_DOWN, now);
+  const refusedHolds = [...state.holds.values()].flatMap((hold) =>
+    holds.refuseHold(state, hold, schema.ResultCode.SHUTTING_DOWN),
+  );
+  return [
+    ...refused,
+    ...refusedHolds,
+    ...entryLinks.sendHeartbeats(state, now),
+    ...stopWhenIdle(state),
+  ];
 }
 
 /**
@@ -141,7 +155,7 @@
       return entryLinks.openLink(state, event.linkId, now);
     case 'linkClosed':
       entryLinks.closeLink(state, event.linkId);
-      return [];
+      return reservations.dropLink(state, event.linkId, now);
     case 'entryMessage':
       return handleEntryMessage(state, event, now);
     case 'engineHead':
--- a/packages/core/src/agent/offers.ts
+++ b/packages/core/src/agent/offers.ts
@@ -2,67 +2,65 @@
 import * as schema from '@toucanproxy/schema';
 import * as attemptRef from '../shared/attempt-ref.js';
 import * as effect from '../shared/effect.js';
+import * as admission from './admission.js';
+import * as keyRetention from '../shared/key-retention.js';
 import * as agentEvent from './agent-event.js';
 import * as agentMessages from './agent-messages.js';
 import * as agentState from './agent-state.js';
 import * as answers from './answers.js';
+import * as holds from './holds.js';
+import * as refusals from './refusals.js';
+import * as reservations from './reservations.js';
 import * as runRecord from './run-record.js';
 import * as runs from './runs.js';
 import * as startQueue from './start-queue.js';
 
 type Effects = agentEvent.AgentEffect[];
 
-/** Says why an offer is refused, or undefined where it may be queued. */
-function findRefusal(
-  state: agentState.AgentState,
-  offer: schema.Offer,
-  now: number,
-): schema.ResultCode | undefined {
-  const timing = agentState.getTiming(state);
-  if (state.leaving) {
-    return schema.ResultCode.SHUTTING_DOWN;
-  }
-  // A copy that was held up (a paused process, a silent link) may arrive after
-  // the record of its attempt has expired, and would then run again. Records
-  // are kept longer than offers are accepted, so refusing old offers is enough.
-  if (now - offer.issuedMs > timing.keyWindowMs) {
-    return schema.ResultCode.STALE_OFFER;
-  }
-  if (now >= offer.deadlineMs) {
-    return schema.ResultCode.DEADLINE_UNREACHABLE;
-  }
-  return undefined;
-}
-
-/** Makes room in a full queue by refusing a less urgent attempt. */
-function evictLessUrgent(state: agentState.AgentState, tierRank: number, now: number): Effects {
-  const victim = startQueue.takeLessUrgent(state.queue, tierRank);
-  const record = victim && state.runs.get(victim.refKey);
-  return record === undefined ? [] : runs.refuse(state, record, schema.ResultCode.EVICTED, now);
-}
-
-/** Queues an offer, or refuses it where the queue is full of work as urgent. */
+/** Queues an offer, or starts it where a place is held for it. */
 function enqueueOffer(
   state: agentState.AgentState,
   record: runRecord.RunRecord,
   offer: schema.Offer,
   now: number,
 ): Effects {
-  const { maxQueued } = agentState.getLimits(state);
-  const full = state.queue.items.length >= maxQueued;
-  const evicted = full ? evictLessUrgent(state, offer.tierRank, now) : [];
-  if (full && evicted.length === 0) {
-    return runs.refuse(state, record, schema.ResultCode.QUEUE_FULL, now);
+  const { requestId } = record.ref;
+  reservations.dropQueued(state, requestId);
+  const held = holds.dropHold(state, requestId) !== undefined;
+  const wish = { ...offer, requestId };
+  if (held && admission.findRefusal(state, wish, now) === undefined) {
+    return runs.startOne(state, record, now);
+  }
+  const admitted = admission.admit(state, wish, now);
+  if (admitted.kind === 'refused') {
+    return [
+      ...admitted.effects,
+      ...refusals.refuseAttempt(state, record, admitted.code, now),
+      ...runs.startQueued(state, now),
+    ];
   }
   startQueue.enqueue(state.queue, {
-    refKey: record.refKey,
+    kind: startQueue.QueuedKind.ATTEMPT,
+    id: record.refKey,
     tierRank: offer.tierRank,
     workspace: offer.workspace,
+    weight: offer.weight,
     estimatedTokens: offer.estimatedTokens,
-    queuedMs: now,
+    deadlineMs: offer.deadlineMs,
   });
   const accepted = answers.publish(record, agentMessages.buildAccepted(record.ref));
-  return [...evicted, ...accepted, ...runs.startQueued(state, now)];
+  return [...admitted.effects, ...accepted, ...runs.startQueued(state, now)];
+}
+
+/**
+ * Tells whether an offer is too old to be taken.
+ *
+ * A copy that was held up (a paused process, a silent link) may arrive after
+ * the record of its attempt has expired, and would then run again. Records are
+ * kept longer than offers are accepted, so refusing old offers is enough.
+ */
+function isStale(state: agentState.AgentState, offer: schema.Offer, now: number): boolean {
+  return now - offer.issuedMs > agentState.getTiming(state).keyWindowMs;
 }
 
 /** Tells an entry that this life cannot say what an earlier one did. */
@@ -94,34 +92,45 @@
   const record = runRecord.makeRunRecord(refKey, ref, offer, now);
   record.subscribers.add(linkId);
   state.runs.set(refKey, record);
-  const refusal = findRefusal(state, offer, now);
-  return refusal === undefined
-    ? enqueueOffer(state, record, offer, now)
-    : runs.refuse(state, record, refusal, now);
+  return isStale(state, offer, now)
+    ? refusals.refuseAttempt(state, record, schema.ResultCode.STALE_OFFER, now)
+    : enqueueOffer(state, record, offer, now);
 }
 
 /**
  * Finds the record of an attempt, or makes a tombstone where none is known.
  *
  * The offer may still be on its way. With the tombstone in place it is refused
- * when it comes, so that "not run" stays true.
+ * when it comes, so that "not run" stays true. Undefined where the record may
+ * have expired: an entry that was paused asks late, and "not run" would be
+ * wrong for an attempt that ran and was forgotten.
  */
 function findOrBury(
   state: agentState.AgentState,
   ref: schema.AttemptRef,
+  issuedMs: number,
   now: number,
-): runRecord.RunRecord {
+): runRecord.RunRecord | undefined {
   const refKey = attemptRef.toRefKey(ref);
   const known = state.runs.get(refKey);
   if (known !== undefined) {
     return known;
   }
+  if (!keyRetention.isRemembered(agentState.getTiming(state), issuedMs, now)) {
+    return undefined;
+  }
   const tombstone = runRecord.makeRunRecord(refKey, ref, undefined, now);
   tombstone.code = schema.ResultCode.CANCELLED;
   state.runs.set(refKey, tombstone);
   return tombstone;
 }
 
+/** Tells an entry that this agent may have forgotten an attempt. */
+function replyForgotten(linkId: number, ref: schema.AttemptRef): Effects {
+  const body = agentMessages.buildRunFailed(ref, schema.ResultCode.KEY_UNDECIDED);
+  return [agentMessages.sendToEntry(linkId, body)];
+}
+
 /** Answers an entry that wants an attempt confirmed as not run. */
 export function withdraw(
   state: agentState.AgentState,
@@ -136,12 +145,15 @@
   if (request.agentLife !== state.life) {
     return replyOtherLife(linkId, ref);
   }
-  const record = findOrBury(state, ref, now);
+  const record = findOrBury(state, ref, request.issuedMs, now);
+  if (record === undefined) {
+    return replyForgotten(linkId, ref);
+  }
   if (record.status !== runRecord.RunStatus.QUEUED) {
     return answers.subscribe(record, linkId, record.parts.length);
   }
   record.subscribers.add(linkId);
-  return runs.refuse(state, record, schema.ResultCode.CANCELLED, now);
+  return refusals.refuseAttempt(state, record, schema.ResultCode.CANCELLED, now);
 }
 
 /** Sends an entry what it misses of an attempt. */
@@ -158,7 +170,10 @@
   if (request.agentLife !== state.life) {
     return replyOtherLife(linkId, ref);
   }
-  const record = findOrBury(state, ref, now);
+  const record = findOrBury(state, ref, request.issuedMs, now);
+  if (record === undefined) {
+    return replyForgotten(linkId, ref);
+  }
   // An entry that asks for another workspace's attempt has crossed its
   // requests; answering would show one workspace's work to another.
   if (record.offer !== undefined && record.offer.workspace !== request.workspace) {
@@ -175,13 +190,17 @@
 export function cancel(
   state: agentState.AgentState,
   linkId: number,
-  ref: schema.AttemptRef,
+  request: schema.Cancel,
   now: number,
 ): Effects {
-  const record = findOrBury(state, ref, now);
+  const { ref } = request;
+  const record = ref && findOrBury(state, ref, request.issuedMs, now);
+  if (record === undefined) {
+    return [];
+  }
   record.subscribers.delete(linkId);
   if (record.status === runRecord.RunStatus.QUEUED && record.subscribers.size === 0) {
-    return runs.refuse(state, record, schema.ResultCode.CANCELLED, now);
+    return refusals.refuseAttempt(state, record, schema.ResultCode.CANCELLED, now);
   }
   const cuttable = record.status === runRecord.RunStatus.STARTED && record.subscribers.size === 0;
   // A request that may run only once runs on: cut short, it could be neither
--- a/packages/core/src/agent/runs.ts
+++ b/packages/core/src/agent/runs.ts
@@ -1,5 +1,5 @@
 /**
- * Starts and ends attempts. `startQueued` is the only place that hands an
+ * Starts and ends attempts. `startOne` is the only place that hands an
  * attempt to the engine.
  */
 import * as schema from '@toucanproxy/schema';
@@ -8,43 +8,20 @@
 import * as agentMessages from './agent-messages.js';
 import * as agentState from './agent-state.js';
 import * as answers from './answers.js';
+import * as holds from './holds.js';
+import * as places from './places.js';
+import * as refusals from './refusals.js';
 import * as runRecord from './run-record.js';
 import * as startQueue from './start-queue.js';
 
 type Effects = agentEvent.AgentEffect[];
 
-/** Ends an attempt as not run and leaves its record as a tombstone. */
-export function refuse(
+/** Hands one attempt to the engine. */
+export function startOne(
   state: agentState.AgentState,
   record: runRecord.RunRecord,
-  code: schema.ResultCode,
   now: number,
 ): Effects {
-  record.status = runRecord.RunStatus.NOT_RUN;
-  record.code = code;
-  record.changedMs = now;
-  startQueue.removeAttempt(state.queue, record.refKey);
-  const retryAfterMs = 0;
-  const effects = answers.publish(
-    record,
-    agentMessages.buildNotRun(record.ref, code, retryAfterMs),
-  );
-  record.subscribers.clear();
-  return effects;
-}
-
-/** Tells whether the engine has a place for an attempt. */
-function hasRoom(state: agentState.AgentState, item: startQueue.QueuedAttempt): boolean {
-  const limits = agentState.getLimits(state);
-  if (!state.engineAvailable || state.running.size >= limits.maxRunning) {
-    return false;
-  }
-  const tokens = state.runningTokens + item.estimatedTokens;
-  return state.running.size === 0 || tokens <= limits.maxRunningTokens;
-}
-
-/** Hands one attempt to the engine. */
-function startOne(state: agentState.AgentState, record: runRecord.RunRecord, now: number): Effects {
   const { offer } = record;
   if (offer === undefined || record.status !== runRecord.RunStatus.QUEUED) {
     return [effect.observe({ kind: 'invariantBroken', name: 'started-twice' })];
@@ -61,7 +38,7 @@
     effect.logDecision('start', {
       request: record.refKey,
       tierRank: offer.tierRank,
-      queued: state.queue.items.length,
+      queued: startQueue.countQueued(state.queue),
       running: state.running.size,
     }),
     ...answers.publish(record, agentMessages.buildStarted(record.ref)),
@@ -69,23 +46,37 @@
   ];
 }
 
-/** Starts queued attempts while the engine has places. */
+/** Starts an attempt, or grants a reservation, whose turn it is. */
+function serveItem(
+  state: agentState.AgentState,
+  item: startQueue.QueuedItem,
+  now: number,
+): Effects {
+  startQueue.takeItem(state.queue, item);
+  if (item.kind === startQueue.QueuedKind.RESERVATION) {
+    const queued = state.reservations.get(item.id);
+    state.reservations.delete(item.id);
+    return queued === undefined ? [] : holds.holdPlace(state, queued, item.estimatedTokens, now);
+  }
+  const record = state.runs.get(item.id);
+  return record === undefined ? [] : startOne(state, record, now);
+}
+
+/** Starts what is queued while the engine has places. */
 export function startQueued(state: agentState.AgentState, now: number): Effects {
   const effects: Effects = [];
-  while (state.queue.items[0] !== undefined && hasRoom(state, state.queue.items[0])) {
-    const item = startQueue.takeNext(state.queue);
-    const record = item && state.runs.get(item.refKey);
-    if (record?.offer === undefined) {
-      break;
+  for (;;) {
+    const item = startQueue.findNext(state.queue);
+    if (item === undefined || !places.hasRoom(state, item)) {
+      return effects;
     }
     // Work that cannot end in time would only take the place of work that can.
     effects.push(
-      ...(now >= record.offer.deadlineMs
-        ? refuse(state, record, schema.ResultCode.DEADLINE_UNREACHABLE, now)
-        : startOne(state, record, now)),
+      ...(now >= item.deadlineMs
+        ? refusals.refuseItem(state, item, schema.ResultCode.DEADLINE_UNREACHABLE, now)
+        : serveItem(state, item, now)),
     );
   }
-  return effects;
 }
 
 /** Ends a started attempt and frees its place. */
--- a/packages/core/src/agent/start-queue.ts
+++ b/packages/core/src/agent/start-queue.ts
@@ -1,48 +1,248 @@
-/** Attempts that wait for a place on the engine, the most urgent tier first. */
+/**
+ * What waits for a place on the engine: offered attempts and reservations.
+ *
+ * The most urgent tier goes first. Within a tier, workspaces take turns by
+ * deficit round robin over estimated tokens (Shreedhar and Varghese, 1995).
+ */
 
-export type QueuedAttempt = {
-  refKey: string;
+export enum QueuedKind {
+  ATTEMPT = 'attempt',
+  RESERVATION = 'reservation',
+}
+
+export type QueuedItem = {
+  kind: QueuedKind;
+  /** Reference key of an attempt, request id of a reservation. */
+  id: string;
   tierRank: number;
   workspace: string;
+  /** Share against other workspaces of the tier. */
+  weight: number;
   estimatedTokens: number;
-  queuedMs: number;
+  deadlineMs: number;
+};
+
+type WorkspaceQueue = {
+  /** Tokens that the workspace may start before its turn ends. */
+  deficit: number;
+  tokens: number;
+  /** In order of arrival. */
+  items: Map<string, QueuedItem>;
+};
+
+type TierQueue = {
+  tierRank: number;
+  count: number;
+  tokens: number;
+  /** Workspaces with queued items; the first one has the turn. */
+  workspaces: Map<string, WorkspaceQueue>;
+  /** Items in order of arrival; those that have left the queue are skipped. */
+  arrivals: QueuedItem[];
 };
 
 export type StartQueue = {
-  items: QueuedAttempt[];
+  items: Map<string, QueuedItem>;
+  /** Tiers with queued items, the most urgent first. */
+  tiers: TierQueue[];
 };
 
+/** Tokens that one turn adds for each unit of weight. */
+const QUANTUM_TOKENS = 2048;
+
+/** Cost above which an estimate is cut, so that a turn's loop stays short. */
+const MAX_ITEM_TOKENS = 1_048_576;
+
+/** Least urgent rank that is told apart; bounds the counts by tier. */
+const MAX_TIER_RANK = 63;
+
+/** Stale arrivals that a tier keeps before it drops them. */
+const MIN_STALE_ARRIVALS = 64;
+
 /** Creates an empty queue. */
 export function createStartQueue(): StartQueue {
-  return { items: [] };
+  return { items: new Map(), tiers: [] };
 }
 
-/** Adds an attempt behind those of its tier and of more urgent tiers. */
-export function enqueue(queue: StartQueue, item: QueuedAttempt): void {
-  const index = queue.items.findIndex((other) => other.tierRank > item.tierRank);
-  queue.items.splice(index === -1 ? queue.items.length : index, 0, item);
+/** Builds the map key of an item; the kinds share one queue. */
+function toItemKey(kind: QueuedKind, id: string): string {
+  return `${kind}/${id}`;
 }
 
-/** Takes the attempt to start next. */
-export function takeNext(queue: StartQueue): QueuedAttempt | undefined {
-  return queue.items.shift();
+/** Counts what is queued. */
+export function countQueued(queue: StartQueue): number {
+  return queue.items.size;
 }
 
-/** Takes out the newest attempt of the least urgent tier below `tierRank`. */
-export function takeLessUrgent(queue: StartQueue, tierRank: number): QueuedAttempt | undefined {
-  const last = queue.items.at(-1);
-  if (last === undefined || last.tierRank <= tierRank) {
-    return undefined;
+/** Counts the queued tokens. */
+export function countTokens(queue: StartQueue): number {
+  return queue.tiers.reduce((sum, tier) => sum + tier.tokens, 0);
+}
+
+/** Counts the queued items by tier rank, the most urgent first. */
+export function countByTier(queue: StartQueue): number[] {
+  const last = queue.tiers.at(-1);
+  const counts = new Array<number>(last === undefined ? 0 : last.tierRank + 1).fill(0);
+  queue.tiers.forEach((tier) => {
+    counts[tier.tierRank] = tier.count;
+  });
+  return counts;
+}
+
+/** Finds a queued item. */
+export function findItem(queue: StartQueue, kind: QueuedKind, id: string): QueuedItem | undefined {
+  return queue.items.get(toItemKey(kind, id));
+}
+
+/** Lists everything queued. */
+export function listItems(queue: StartQueue): QueuedItem[] {
+  return [...queue.items.values()];
+}
+
+/** Gets the queue of a tier, made where there is none. */
+function getTier(queue: StartQueue, tierRank: number): TierQueue {
+  const index = queue.tiers.findIndex((tier) => tier.tierRank >= tierRank);
+  if (index !== -1 && queue.tiers[index].tierRank === tierRank) {
+    return queue.tiers[index];
   }
-  return queue.items.pop();
+  const tier = { tierRank, count: 0, tokens: 0, workspaces: new Map(), arrivals: [] };
+  queue.tiers.splice(index === -1 ? queue.tiers.length : index, 0, tier);
+  return tier;
+}
+
+/** Bounds an estimate that came over a link. */
+function trimTokens(estimatedTokens: number): number {
+  return estimatedTokens >= 1 ? Math.min(estimatedTokens, MAX_ITEM_TOKENS) : 1;
 }
 
-/** Removes an attempt; true where it was queued. */
-export function removeAttempt(queue: StartQueue, refKey: string): boolean {
-  const index = queue.items.findIndex((item) => item.refKey === refKey);
-  if (index === -1) {
+/** Adds an item; false where it is queued already. */
+export function enqueue(queue: StartQueue, given: QueuedItem): boolean {
+  const key = toItemKey(given.kind, given.id);
+  if (queue.items.has(key)) {
     return false;
   }
-  queue.items.splice(index, 1);
+  const item = {
+    ...given,
+    tierRank: Math.min(given.tierRank, MAX_TIER_RANK),
+    estimatedTokens: trimTokens(given.estimatedTokens),
+  };
+  queue.items.set(key, item);
+  const tier = getTier(queue, item.tierRank);
+  tier.count += 1;
+  tier.tokens += item.estimatedTokens;
+  tier.arrivals.push(item);
+  const workspace = tier.workspaces.get(item.workspace) ?? {
+    deficit: 0,
+    tokens: 0,
+    items: new Map(),
+  };
+  workspace.tokens += item.estimatedTokens;
+  workspace.items.set(key, item);
+  tier.workspaces.set(item.workspace, workspace);
   return true;
 }
+
+/** Drops arrivals that have left the queue once they are the greater part. */
+function trimArrivals(queue: StartQueue, tier: TierQueue): void {
+  if (tier.arrivals.length > 2 * tier.count + MIN_STALE_ARRIVALS) {
+    tier.arrivals = tier.arrivals.filter(
+      (item) => queue.items.get(toItemKey(item.kind, item.id)) === item,
+    );
+  }
+}
+
+/** Removes an item; undefined where it was not queued. */
+export function removeItem(
+  queue: StartQueue,
+  kind: QueuedKind,
+  id: string,
+): QueuedItem | undefined {
+  const key = toItemKey(kind, id);
+  const item = queue.items.get(key);
+  if (item === undefined) {
+    return undefined;
+  }
+  queue.items.delete(key);
+  const tier = getTier(queue, item.tierRank);
+  tier.count -= 1;
+  tier.tokens -= item.estimatedTokens;
+  const workspace = tier.workspaces.get(item.workspace);
+  if (workspace !== undefined) {
+    workspace.items.delete(key);
+    workspace.tokens -= item.estimatedTokens;
+    if (workspace.items.size === 0) {
+      tier.workspaces.delete(item.workspace);
+    }
+  }
+  if (tier.count === 0) {
+    queue.tiers.splice(queue.tiers.indexOf(tier), 1);
+  }
+  trimArrivals(queue, tier);
+  return item;
+}
+
+/** Finds the item of a tier whose turn it is; turns pass until one can pay. */
+function findTurn(tier: TierQueue): QueuedItem | undefined {
+  for (;;) {
+    const [turn] = tier.workspaces;
+    if (turn === undefined) {
+      return undefined;
+    }
+    const [name, workspace] = turn;
+    const [item] = workspace.items.values();
+    if (workspace.deficit >= item.estimatedTokens) {
+      return item;
+    }
+    workspace.deficit += QUANTUM_TOKENS * Math.max(item.weight, 1);
+    tier.workspaces.delete(name);
+    tier.workspaces.set(name, workspace);
+  }
+}
+
+/** Finds the item to start next and leaves it in the queue. */
+export function findNext(queue: StartQueue): QueuedItem | undefined {
+  return queue.tiers[0] && findTurn(queue.tiers[0]);
+}
+
+/** Takes an item that starts out of the queue and charges its workspace. */
+export function takeItem(queue: StartQueue, item: QueuedItem): void {
+  const workspace = getTier(queue, item.tierRank).workspaces.get(item.workspace);
+  if (workspace !== undefined) {
+    workspace.deficit -= item.estimatedTokens;
+  }
+  removeItem(queue, item.kind, item.id);
+}
+
+/** Finds the newest item of the least urgent tier, where that is below `tierRank`. */
+export function findLessUrgent(queue: StartQueue, tierRank: number): QueuedItem | undefined {
+  const tier = queue.tiers.at(-1);
+  if (tier === undefined || tier.tierRank <= tierRank) {
+    return undefined;
+  }
+  for (;;) {
+    const newest = tier.arrivals.at(-1);
+    if (newest === undefined || queue.items.get(toItemKey(newest.kind, newest.id)) === newest) {
+      return newest;
+    }
+    tier.arrivals.pop();
+  }
+}
+
+/** Estimates the tokens that start before a new item of a workspace. */
+export function estimateTokensAhead(
+  queue: StartQueue,
+  tierRank: number,
+  workspaceName: string,
+  estimatedTokens: number,
+): number {
+  const moreUrgent = queue.tiers
+    .filter((tier) => tier.tierRank < tierRank)
+    .reduce((sum, tier) => sum + tier.tokens, 0);
+  const tier = queue.tiers.find((one) => one.tierRank === tierRank);
+  if (tier === undefined) {
+    return moreUrgent;
+  }
+  const ownTokens = (tier.workspaces.get(workspaceName)?.tokens ?? 0) + estimatedTokens;
+  // Turns hold a workspace with little queued back by its own work times the
+  // number of workspaces at most, not by all that others have queued.
+  return moreUrgent + Math.min(tier.tokens, ownTokens * tier.workspaces.size);
+}
--- /dev/null
+++ b/packages/core/src/entry/accounts.ts
@@ -0,0 +1,228 @@
+/**
+ * Moves requests between the sets that the entry counts them in. Every count
+ * is kept as requests move, so that no decision scans what is held.
+ */
+import * as startQueue from '../agent/start-queue.js';
+import * as attemptRef from '../shared/attempt-ref.js';
+import * as priorityHeap from '../shared/priority-heap.js';
+import * as drainRate from './drain-rate.js';
+import * as entryState from './entry-state.js';
+import * as heldAttempts from './held-attempts.js';
+import * as serviceState from './service-state.js';
+
+const { RESERVATION } = startQueue.QueuedKind;
+
+/** How long an agent may take to say what became of an overdue attempt. */
+export const WITHDRAW_GRACE_MS = 250;
+
+/** Gets the state of a request's service. */
+export function getServiceOf(
+  state: entryState.EntryState,
+  request: entryState.EntryRequest,
+): serviceState.ServiceState {
+  return entryState.getService(state, request.arrived.service);
+}
+
+/** Describes a request for a queue by tier and workspace. */
+function toQueuedItem(request: entryState.EntryRequest): startQueue.QueuedItem {
+  return {
+    kind: RESERVATION,
+    id: request.requestId,
+    tierRank: request.tierRank,
+    workspace: request.workspace,
+    weight: request.weight,
+    estimatedTokens: request.arrived.estimatedTokens,
+    deadlineMs: request.deadlineMs,
+  };
+}
+
+/** Computes when something is due for a request, milliseconds since the Unix epoch. */
+function computeDue(request: entryState.EntryRequest, now: number): number {
+  if (request.status === entryState.RequestStatus.WAITING) {
+    const retryAtMs = request.retryAtMs || Infinity;
+    return Math.min(request.deadlineMs, request.askMoreMs, retryAtMs);
+  }
+  const withdrawnMs = request.target?.withdrawnMs ?? 0;
+  return now < request.deadlineMs || withdrawnMs === 0
+    ? request.deadlineMs
+    : withdrawnMs + WITHDRAW_GRACE_MS;
+}
+
+/** Brings the time at which something is due for a held request up to date. */
+export function updateDue(
+  state: entryState.EntryState,
+  request: entryState.EntryRequest,
+  now: number,
+): void {
+  if (state.requests.get(request.requestId) === request) {
+    priorityHeap.setPriority(state.due, request.requestId, computeDue(request, now));
+  }
+}
+
+/** Adds a request that was taken in. */
+export function addRequest(
+  state: entryState.EntryState,
+  request: entryState.EntryRequest,
+  now: number,
+): void {
+  const service = getServiceOf(state, request);
+  const held = service.heldByWorkspace.get(request.workspace) ?? 0;
+  service.heldByWorkspace.set(request.workspace, held + 1);
+  state.requests.set(request.requestId, request);
+  state.requestByCaller.set(request.arrived.callerId, request.requestId);
+  beginWaiting(state, request, now);
+}
+
+/** Takes a request that has ended out of every set. */
+export function removeRequest(
+  state: entryState.EntryState,
+  request: entryState.EntryRequest,
+): void {
+  const service = getServiceOf(state, request);
+  releaseTarget(state, request);
+  endWaiting(state, request);
+  endUnstarted(state, request);
+  priorityHeap.removeId(state.due, request.requestId);
+  state.requests.delete(request.requestId);
+  state.claiming.delete(request.requestId);
+  state.requestByCaller.delete(request.arrived.callerId);
+  const held = (service.heldByWorkspace.get(request.workspace) ?? 1) - 1;
+  if (held > 0) {
+    service.heldByWorkspace.set(request.workspace, held);
+  } else {
+    service.heldByWorkspace.delete(request.workspace);
+  }
+}
+
+/** Puts a request that no agent holds among those that wait. */
+export function beginWaiting(
+  state: entryState.EntryState,
+  request: entryState.EntryRequest,
+  now: number,
+): void {
+  const service = getServiceOf(state, request);
+  request.status = entryState.RequestStatus.WAITING;
+  request.askMoreMs = Infinity;
+  request.startedMs = 0;
+  request.answerTokens = 0;
+  service.waitingIds.add(request.requestId);
+  startQueue.enqueue(service.unstarted, toQueuedItem(request));
+  updateDue(state, request, now);
+}
+
+/** Takes a request out of those that wait. */
+export function endWaiting(state: entryState.EntryState, request: entryState.EntryRequest): void {
+  const service = getServiceOf(state, request);
+  service.waitingIds.delete(request.requestId);
+  startQueue.removeItem(service.parked, RESERVATION, request.requestId);
+}
+
+/** Lets a waiting request wait for room at any agent. */
+export function addParked(
+  state: entryState.EntryState,
+  request: entryState.EntryRequest,
+  now: number,
+): void {
+  request.askMoreMs = Infinity;
+  startQueue.enqueue(getServiceOf(state, request).parked, toQueuedItem(request));
+  updateDue(state, request, now);
+}
+
+/** Estimates the tokens that go before a request that waits for room. */
+export function estimateTokensAhead(
+  state: entryState.EntryState,
+  request: entryState.EntryRequest,
+): number {
+  return startQueue.estimateTokensAhead(
+    getServiceOf(state, request).parked,
+    request.tierRank,
+    request.workspace,
+    request.arrived.estimatedTokens,
+  );
+}
+
+/** Counts waiting requests that go before a new one of a tier. */
+export function countAhead(service: serviceState.ServiceState, tierRank: number): number {
+  const counts = startQueue.countByTier(service.unstarted);
+  return counts.slice(0, tierRank + 1).reduce((sum, count) => sum + count, 0);
+}
+
+/** Notes that a request may have started, or that its agent was asked to give it up. */
+export function endUnstarted(state: entryState.EntryState, request: entryState.EntryRequest): void {
+  const service = getServiceOf(state, request);
+  startQueue.removeItem(service.unstarted, RESERVATION, request.requestId);
+  service.withdrawnIds.delete(request.requestId);
+}
+
+/** Notes that an agent started the present attempt. */
+export function markStarted(
+  state: entryState.EntryState,
+  request: entryState.EntryRequest,
+  now: number,
+): void {
+  if (request.target === undefined || request.target.started) {
+    return;
+  }
+  request.target.started = true;
+  request.startedMs = now;
+  endUnstarted(state, request);
+  drainRate.noteStart(getServiceOf(state, request).drain, request.arrived.estimatedTokens, now);
+}
+
+/** Notes that an agent holds a request from now on. */
+export function addTarget(
+  state: entryState.EntryState,
+  request: entryState.EntryRequest,
+  target: entryState.Target,
+): void {
+  request.target = target;
+  const agent = state.agents.get(target.backendServerId);
+  if (agent !== undefined) {
+    agent.heldIds.add(request.requestId);
+    agent.outstandingTokens += request.arrived.estimatedTokens;
+  }
+}
+
+/** Frees the place that a request takes in the accounts of its target. */
+export function releaseTarget(
+  state: entryState.EntryState,
+  request: entryState.EntryRequest,
+): void {
+  const agent = request.target && state.agents.get(request.target.backendServerId);
+  if (agent?.heldIds.delete(request.requestId)) {
+    agent.outstandingTokens -= request.arrived.estimatedTokens;
+  }
+  if (request.target?.joined === true) {
+    const refKey = attemptRef.toRefKey(request.target.ref);
+    heldAttempts.removeJoin(state, refKey, request.requestId);
+  }
+  request.target = undefined;
+}
+
+/** Notes that a link is open. */
+export function markLinked(
+  state: entryState.EntryState,
+  agent: entryState.AgentView,
+  now: number,
+): void {
+  const service = entryState.getService(state, agent.service);
+  agent.linked = true;
+  agent.opening = false;
+  service.linkedIds.add(agent.backendServerId);
+  service.lastLinkedMs = now;
+}
+
+/** Notes that a link is gone. */
+export function markUnlinked(
+  state: entryState.EntryState,
+  agent: entryState.AgentView,
+  now: number,
+): void {
+  const service = entryState.getService(state, agent.service);
+  if (agent.linked) {
+    service.lastLinkedMs = now;
+  }
+  agent.linked = false;
+  agent.opening = false;
+  service.linkedIds.delete(agent.backendServerId);
+}
--- a/packages/core/src/entry/admission.ts
+++ b/packages/core/src/entry/admission.ts
@@ -1,39 +1,30 @@
 /** Decides whether a request is taken in, and with which rights. */
 import * as schema from '@toucanproxy/schema';
+import * as documentIndex from '../shared/document-index.js';
+import * as keyTime from '../shared/key-time.js';
+import * as suspectTable from '../shared/suspect-table.js';
+import * as costModel from './cost-model.js';
 import * as entryEvent from './entry-event.js';
 import * as entryState from './entry-state.js';
 import * as outcomes from './outcomes.js';
+import * as serviceState from './service-state.js';
 
 /** Seconds are for people; callers that meet a full entry come back after this. */
 const FULL_RETRY_AFTER_MS = 1000;
 
 type Admitted = { kind: 'admitted'; request: entryState.EntryRequest };
 type Rejected = { kind: 'rejected'; failure: outcomes.Failure };
+/** Not taken in, but an earlier call with its key may run. */
+type Closing = { kind: 'closing'; request: entryState.EntryRequest; failure: outcomes.Failure };
 
-/** Finds the route that serves a path: the longest prefix wins. */
-export function findRoute(
-  document: schema.ServiceDocument,
-  path: string,
-): schema.Route | undefined {
-  const matching = document.routes.filter((route) => path.startsWith(route.pathPrefix));
-  matching.sort((a, b) => b.pathPrefix.length - a.pathPrefix.length);
-  return matching[0];
-}
+/** Longest key, characters. */
+const MAX_KEY_LENGTH = 255;
+/** Requests of one entry whose keys are being claimed or closed, at most. */
+const MAX_CLAIMING = 4000;
 
 /** Rejects a request without running it. */
-function reject(code: schema.ResultCode, retryAfterMs = 0): Rejected {
-  return { kind: 'rejected', failure: outcomes.buildNotRun(code, retryAfterMs) };
-}
-
-/** Counts the requests of a workspace that this entry holds. */
-function countOfWorkspace(
-  state: entryState.EntryState,
-  service: string,
-  workspace: string,
-): number {
-  return [...state.requests.values()].filter(
-    (request) => request.workspace === workspace && request.arrived.service === service,
-  ).length;
+function reject(code: schema.ResultCode): Rejected {
+  return { kind: 'rejected', failure: outcomes.buildNotRun(code) };
 }
 
 /** Computes when a request must be done, milliseconds since the Unix epoch. */
@@ -47,68 +38,155 @@
   return now + Math.min(asked, timing.maxDeadlineMs);
 }
 
+type Rights = { credential: schema.Credential; route: schema.Route };
+
+/** Estimates the cost of a request from what was learned of its class. */
+function estimateTokens(
+  service: serviceState.ServiceState,
+  className: string,
+  arrived: entryEvent.ArrivedRequest,
+): number {
+  return costModel.estimateTokens(
+    service.costs,
+    className,
+    arrived.payload.length,
+    arrived.answerTokensBound ?? 0,
+    arrived.estimatedTokens,
+  );
+}
+
 /** Builds the record of a request that is taken in. */
 function buildRequest(
   state: entryState.EntryState,
-  arrived: entryEvent.ArrivedRequest,
-  credential: schema.Credential,
-  route: schema.Route,
+  given: entryEvent.ArrivedRequest,
+  { credential, route }: Rights,
+  index: documentIndex.DocumentIndex,
   now: number,
 ): entryState.EntryRequest {
-  const document = entryState.getDocument(state, arrived.service);
-  const workspace = document?.workspaces.find((one) => one.name === credential.workspace);
+  const service = entryState.getService(state, given.service);
+  const className = `${route.pathPrefix} ${credential.tier}`;
   const serial = state.nextSerial;
   state.nextSerial += 1;
   return {
     requestId: `${state.entryId}-${state.life}-${serial}`,
-    arrived,
+    arrived: { ...given, estimatedTokens: estimateTokens(service, className, given) },
     workspace: credential.workspace,
-    weight: workspace?.weight || 1,
-    tierRank: document?.tiers.indexOf(credential.tier) ?? 0,
+    weight: index.workspaceByName.get(credential.workspace)?.weight || 1,
+    tierRank: index.tierRankByName.get(credential.tier) ?? index.tierRankByName.size,
     tierName: credential.tier,
     repeatable: route.repeat === schema.Repeat.ALLOWED,
     arrivedMs: now,
-    deadlineMs: computeDeadline(state, arrived, now),
+    deadlineMs: computeDeadline(state, given, now),
     status: entryState.RequestStatus.WAITING,
     attempts: 0,
     target: undefined,
-    earlierRun: schema.RunState.NOT_RUN,
+    claim: undefined,
+    replaceable: [],
+    givenUp: undefined,
+    claimRounds: 0,
+    claimWaived: false,
     refusedBy: new Set(),
     head: undefined,
     collected: [],
     firstByteSent: false,
+    className,
+    reservedAt: new Set(),
+    askMoreMs: Infinity,
+    retryAtMs: 0,
+    earlierRun: schema.RunState.NOT_RUN,
+    unreachableBy: new Set(),
+    repeats: 0,
+    crashes: 0,
+    startedMs: 0,
+    answerTokens: 0,
   };
 }
 
+/**
+ * Says why a key cannot be used. A key that is ahead of the clocks could be
+ * bound by one life of its home and then be taken by the next for a new one.
+ */
+function findKeyFault(
+  state: entryState.EntryState,
+  arrived: entryEvent.ArrivedRequest,
+  now: number,
+): outcomes.Failure | undefined {
+  const { clockSkewMs } = entryState.getTiming(state, arrived.service);
+  const aheadMs = keyTime.readKeyTime(arrived.key) - now;
+  if (arrived.key.length > MAX_KEY_LENGTH || aheadMs > 2 * clockSkewMs) {
+    return outcomes.buildNotRun(schema.ResultCode.KEY_INVALID);
+  }
+  // An entry whose clock is ahead of this one's may have taken the key.
+  return aheadMs > clockSkewMs
+    ? outcomes.buildMayHaveRun(schema.ResultCode.KEY_INVALID)
+    : undefined;
+}
+
+/** Refuses a request that this call will not run. */
+function refuse(
+  state: entryState.EntryState,
+  request: entryState.EntryRequest,
+  failure: outcomes.Failure,
+): Rejected | Closing {
+  if (request.arrived.key === '' || request.repeatable) {
+    return { kind: 'rejected', failure };
+  }
+  if (state.claiming.size >= MAX_CLAIMING) {
+    const untold = { ...failure, runState: schema.RunState.MAY_HAVE_RUN };
+    return { kind: 'rejected', failure: untold };
+  }
+  return { kind: 'closing', request, failure };
+}
+
+/** Finds why a request with valid rights is not taken in now. */
+function findLimit(
+  state: entryState.EntryState,
+  request: entryState.EntryRequest,
+  index: documentIndex.DocumentIndex,
+  now: number,
+): outcomes.Failure | undefined {
+  const { limits } = index;
+  const { arrived, workspace } = request;
+  if (state.shutdownStarted) {
+    return outcomes.buildNotRun(schema.ResultCode.SHUTTING_DOWN, FULL_RETRY_AFTER_MS);
+  }
+  if (suspectTable.isRefused(state.suspects, arrived.contentDigest, now)) {
+    return outcomes.buildNotRun(schema.ResultCode.CONTENT_REFUSED);
+  }
+  const service = entryState.getService(state, arrived.service);
+  const held = service.heldByWorkspace.get(workspace) ?? 0;
+  const own = index.workspaceByName.get(workspace)?.maxRequests;
+  return held >= (own || limits.maxRequestsPerWorkspace)
+    ? outcomes.buildNotRun(schema.ResultCode.WORKSPACE_LIMIT, FULL_RETRY_AFTER_MS)
+    : undefined;
+}
+
 /** Decides on an arrived request. The tier comes from its credential alone. */
 export function admit(
   state: entryState.EntryState,
   arrived: entryEvent.ArrivedRequest,
   now: number,
-): Admitted | Rejected {
-  const document = entryState.getDocument(state, arrived.service);
-  if (document === undefined) {
+): Admitted | Rejected | Closing {
+  const index = state.services.get(arrived.service)?.index;
+  if (index === undefined) {
     return reject(schema.ResultCode.UNKNOWN_SERVICE);
   }
-  const credential = document.credentials.find((one) => one.tokenSha256 === arrived.tokenSha256);
+  const credential = index.credentialByToken.get(arrived.tokenSha256);
   if (credential === undefined) {
     return reject(schema.ResultCode.UNAUTHENTICATED);
   }
-  const route = findRoute(document, arrived.path);
+  const route = documentIndex.findRoute(index, arrived.path);
   if (route === undefined) {
     return reject(schema.ResultCode.UNKNOWN_PATH);
   }
-  const limits = entryState.getLimits(state, arrived.service);
-  if (arrived.payload.length > limits.maxBodyBytes) {
+  if (arrived.payload.length > index.limits.maxBodyBytes) {
     return reject(schema.ResultCode.BODY_TOO_LARGE);
   }
-  if (state.shutdownStarted) {
-    return reject(schema.ResultCode.SHUTTING_DOWN, FULL_RETRY_AFTER_MS);
-  }
-  const held = countOfWorkspace(state, arrived.service, credential.workspace);
-  const own = document.workspaces.find((one) => one.name === credential.workspace);
-  if (held >= (own?.maxRequests || limits.maxRequestsPerWorkspace)) {
-    return reject(schema.ResultCode.WORKSPACE_LIMIT, FULL_RETRY_AFTER_MS);
+  const keyFault = findKeyFault(state, arrived, now);
+  if (keyFault !== undefined) {
+    return { kind: 'rejected', failure: keyFault };
   }
-  return { kind: 'admitted', request: buildRequest(state, arrived, credential, route, now) };
+  const request = buildRequest(state, arrived, { credential, route }, index, now);
+  const limit = findLimit(state, request, index, now);
+  return limit === undefined ? { kind: 'admitted', request } : refuse(state, request, limit);
 }
--- /dev/null
+++ b/packages/core/src/entry/agent-health.ts
@@ -0,0 +1,168 @@
+/**
+ * What this entry itself sees of a backend server's speed and failures.
+ *
+ * Speeds are compared with the median of the peers; because engines are unlike,
+ * a backend server is ejected as slow only where it has also become slower than
+ * it was. One that fails several times in a row is ejected too. An ejection is
+ * bounded in time and followed by a slow start.
+ */
+
+/** Time per estimated token, recent and long-run, milliseconds. */
+type Pace = { recentMs: number; usualMs: number; samples: number };
+
+/** What a pace is measured over. */
+export enum Stage {
+  FIRST_BYTE = 'firstByte',
+  COMPLETION = 'completion',
+}
+
+export type AgentHealth = {
+  paces: Record<Stage, Pace>;
+  failuresInRow: number;
+  ejections: number;
+  /** Ejected until this time, milliseconds since the Unix epoch; 0 if never. */
+  ejectedUntilMs: number;
+};
+
+export enum EjectionCause {
+  FAILING = 'failing',
+  SLOW = 'slow',
+}
+
+const STAGES = [Stage.FIRST_BYTE, Stage.COMPLETION];
+
+const RECENT_WEIGHT = 0.3;
+const USUAL_WEIGHT = 0.02;
+/** Samples before a speed is compared. */
+const MIN_SAMPLES = 5;
+/** Peers with a speed, the candidate itself included, that make a median. */
+const MIN_PEERS = 3;
+/** Cost of a request besides its tokens, in tokens. */
+const BASE_TOKENS = 64;
+
+const SLOW_AGAINST_PEERS = 4;
+const SLOW_AGAINST_ITSELF = 2;
+const FAILURES_IN_ROW = 3;
+
+const EJECTION_MS = 5000;
+const MAX_EJECTION_MS = 60_000;
+const SLOW_START_MS = 10_000;
+const MIN_SHARE = 0.1;
+/** Largest part of a service's linked backend servers that is ejected at once. */
+const MAX_EJECTED_SHARE = 0.34;
+
+/** Creates a pace of which nothing is known. */
+function createPace(): Pace {
+  return { recentMs: 0, usualMs: 0, samples: 0 };
+}
+
+/** Creates the health of a backend server of which nothing is known. */
+export function createAgentHealth(): AgentHealth {
+  return {
+    paces: { [Stage.FIRST_BYTE]: createPace(), [Stage.COMPLETION]: createPace() },
+    failuresInRow: 0,
+    ejections: 0,
+    ejectedUntilMs: 0,
+  };
+}
+
+/** Takes in how long a started request took, to its first byte or to its end. */
+export function recordDuration(
+  health: AgentHealth,
+  stage: Stage,
+  durationMs: number,
+  tokens: number,
+): void {
+  const pace = health.paces[stage];
+  const ms = durationMs / (tokens + BASE_TOKENS);
+  pace.samples += 1;
+  pace.recentMs += Math.max(RECENT_WEIGHT, 1 / pace.samples) * (ms - pace.recentMs);
+  pace.usualMs += Math.max(USUAL_WEIGHT, 1 / pace.samples) * (ms - pace.usualMs);
+  health.failuresInRow = 0;
+}
+
+/** Takes in a failure of the backend server. */
+export function recordFailure(health: AgentHealth): void {
+  health.failuresInRow += 1;
+}
+
+/** Computes how much slower than the median of its peers one is in a stage; 1 at least. */
+function computeStageSlowness(
+  health: AgentHealth,
+  peers: readonly AgentHealth[],
+  stage: Stage,
+): number {
+  const measured = peers.map((peer) => peer.paces[stage]).filter(isMeasured);
+  if (!isMeasured(health.paces[stage]) || measured.length < MIN_PEERS) {
+    return 1;
+  }
+  const paces = measured.map((pace) => pace.recentMs).sort((a, b) => a - b);
+  const median = paces[Math.floor((paces.length - 1) / 2)];
+  return median > 0 ? Math.max(health.paces[stage].recentMs / median, 1) : 1;
+}
+
+/** Tells whether enough is known of a pace to compare it. */
+function isMeasured(pace: Pace): boolean {
+  return pace.samples >= MIN_SAMPLES;
+}
+
+/** Computes how much slower than the median of its peers one is; 1 at least. */
+export function computeSlowness(health: AgentHealth, peers: readonly AgentHealth[]): number {
+  const slowness = STAGES.map((stage) => computeStageSlowness(health, peers, stage));
+  return Math.max(...slowness);
+}
+
+/** Tells whether a stage is far slower than at the peers, and than it used to be. */
+function isSlow(health: AgentHealth, peers: readonly AgentHealth[], stage: Stage): boolean {
+  const { recentMs, usualMs } = health.paces[stage];
+  const againstPeers = computeStageSlowness(health, peers, stage);
+  return againstPeers > SLOW_AGAINST_PEERS && recentMs > SLOW_AGAINST_ITSELF * usualMs;
+}
+
+/** Tells whether a backend server gets no new work for now. */
+export function isEjected(health: AgentHealth, now: number): boolean {
+  return now < health.ejectedUntilMs;
+}
+
+/** Computes the share of its usual traffic that it may get, growing after an ejection. */
+export function computeTrafficShare(health: AgentHealth, now: number): number {
+  if (health.ejectedUntilMs === 0) {
+    return 1;
+  }
+  const grown = (now - health.ejectedUntilMs) / SLOW_START_MS;
+  return Math.min(Math.max(grown, MIN_SHARE), 1);
+}
+
+/** Finds why a backend server should be ejected. */
+function findCause(health: AgentHealth, peers: readonly AgentHealth[]): EjectionCause | undefined {
+  if (health.failuresInRow >= FAILURES_IN_ROW) {
+    return EjectionCause.FAILING;
+  }
+  const slow = STAGES.some((stage) => isSlow(health, peers, stage));
+  return slow ? EjectionCause.SLOW : undefined;
+}
+
+/**
+ * Ejects a backend server that fails or has become slow.
+ *
+ * When most of a pool is slow the cause is load, and ejecting would move that
+ * load onto the rest until they fail too; the cap keeps the greater part in use.
+ *
+ * @param peers the linked backend servers of the service, this one included
+ */
+export function ejectOutlier(
+  health: AgentHealth,
+  peers: readonly AgentHealth[],
+  now: number,
+): EjectionCause | undefined {
+  const cause = findCause(health, peers);
+  const ejected = peers.filter((peer) => isEjected(peer, now)).length;
+  const capped = ejected + 1 > Math.floor(peers.length * MAX_EJECTED_SHARE);
+  if (cause === undefined || isEjected(health, now) || capped) {
+    return undefined;
+  }
+  const pauseMs = Math.min(EJECTION_MS * 2 ** health.ejections, MAX_EJECTION_MS);
+  const ejections = health.ejections + 1;
+  Object.assign(health, createAgentHealth(), { ejections, ejectedUntilMs: now + pauseMs });
+  return cause;
+}
--- a/packages/core/src/entry/agent-links.ts
+++ b/packages/core/src/entry/agent-links.ts
@@ -1,16 +1,25 @@
 /** Links to agents: opening, heartbeats in both directions, resumption. */
 import * as schema from '@toucanproxy/schema';
 import * as documentStore from '../shared/document-store.js';
+import * as suspectTable from '../shared/suspect-table.js';
+import * as accounts from './accounts.js';
+import * as agentHealth from './agent-health.js';
 import * as dispatch from './dispatch.js';
 import * as entryEvent from './entry-event.js';
 import * as entryMessages from './entry-messages.js';
 import * as entryState from './entry-state.js';
+import * as grants from './grants.js';
+import * as keyClaim from './key-claim.js';
+import * as linkOpening from './link-opening.js';
+import * as linkSelection from './link-selection.js';
 
 type Effects = entryEvent.EntryEffect[];
 
 /** Pause before a link that failed is opened again, milliseconds. */
 const REOPEN_MIN_MS = 100;
 const REOPEN_SPREAD_MS = 400;
+/** Suspects in one heartbeat; the rest follow in the next ones. */
+const MAX_SUSPECTS_SENT = 8;
 
 /** Makes the view of a backend server that a document names for the first time. */
 function makeView(service: string, server: schema.BackendServer): entryState.AgentView {
@@ -24,43 +33,125 @@
     agentLife: '',
     lifeBeganMs: 0,
     leaving: false,
+    documentLeaving: false,
+    reportedLeaving: false,
+    listedLeaving: false,
+    listedLife: undefined,
     lastHeardMs: 0,
     lastSentMs: 0,
     heartbeatsSent: 0,
     load: undefined,
     outstandingTokens: 0,
     nextOpenMs: 0,
+    heldIds: new Set(),
+    reservedIds: new Set(),
+    health: agentHealth.createAgentHealth(),
+    suspectsSent: 0,
+    kept: false,
+    neededMs: 0,
   };
 }
 
+/**
+ * Brings one view in line with a document. An agent that has moved to another
+ * address is linked anew: the process at the old one is not it any more.
+ */
+function applyBackendServer(
+  state: entryState.EntryState,
+  service: string,
+  server: schema.BackendServer,
+  now: number,
+): Effects {
+  const known = state.agents.get(server.id);
+  const view = known ?? makeView(service, server);
+  const moved = view.address !== server.address && (view.linked || view.opening);
+  view.address = server.address;
+  view.failureDomain = server.failureDomain;
+  view.documentLeaving = server.state >= schema.BackendServerState.LEAVING;
+  updateLeaving(view);
+  state.agents.set(server.id, view);
+  const gone = server.goneInVersion > 0 || server.state === schema.BackendServerState.GONE;
+  if (gone && !state.goneSeenMs.has(server.id)) {
+    state.goneSeenMs.set(server.id, now);
+  }
+  return moved ? giveUpLink(state, view, now) : [];
+}
+
 /** Brings the views in line with a document that has come into force. */
 export function applyBackendServers(
   state: entryState.EntryState,
   document: schema.ServiceDocument,
-): void {
-  document.backendServers.forEach((server) => {
-    const view = state.agents.get(server.id) ?? makeView(document.service, server);
-    view.address = server.address;
-    view.leaving = view.leaving || server.state >= schema.BackendServerState.LEAVING;
-    state.agents.set(server.id, view);
-  });
+  now: number,
+): Effects {
+  const effects = document.backendServers.flatMap((server) =>
+    applyBackendServer(state, document.service, server, now),
+  );
   const named = new Set(document.backendServers.map((server) => server.id));
-  [...state.agents.values()]
-    .filter((view) => view.service === document.service && !named.has(view.backendServerId))
+  const views = listOfService(state, document.service);
+  views
+    .filter((view) => !named.has(view.backendServerId))
     .forEach((view) => {
-      view.leaving = true;
+      view.documentLeaving = true;
+      updateLeaving(view);
     });
+  keepLinks(state, views);
+  return effects;
+}
+
+/** Lists the views of one service. */
+function listOfService(state: entryState.EntryState, service: string): entryState.AgentView[] {
+  return [...state.agents.values()].filter((view) => view.service === service);
+}
+
+/** Decides from all that is known whether an agent takes new work. */
+export function updateLeaving(view: entryState.AgentView): void {
+  view.leaving = view.documentLeaving || view.listedLeaving || view.reportedLeaving;
+}
+
+/**
+ * Gives no more work to VMs that the platform lists as leaving.
+ *
+ * The list lags: it may still name the life before the present one. A life that
+ * began after the list was first seen to name its VM is taken at its own word.
+ */
+export function markListed(state: entryState.EntryState, addresses: readonly string[]): void {
+  const listed = new Set(addresses);
+  state.agents.forEach((view) => {
+    const isListed = listed.has(view.address);
+    if (!isListed) {
+      view.listedLife = undefined;
+    } else if (!view.listedLife) {
+      view.listedLife = view.agentLife;
+    }
+    view.listedLeaving = isListed && view.listedLife === view.agentLife;
+    updateLeaving(view);
+  });
+}
+
+/** Marks the links that this entry keeps for a service. */
+function keepLinks(state: entryState.EntryState, views: entryState.AgentView[]): void {
+  const staying = views.filter((view) => !view.documentLeaving);
+  const { entryId, failureDomain, linksPerService } = state;
+  const chosen = linkSelection.selectLinks(entryId, failureDomain, staying, linksPerService);
+  const kept = new Set(chosen);
+  views.forEach((view) => {
+    view.kept = kept.has(view.backendServerId);
+  });
+}
+
+/** Gives up a link; the attempts there are resumed over the next one. */
+function giveUpLink(
+  state: entryState.EntryState,
+  view: entryState.AgentView,
+  now: number,
+): Effects {
+  const { backendServerId } = view;
+  return [{ kind: 'closeLink', backendServerId }, ...handleLinkClosed(state, backendServerId, now)];
 }
 
 /** Opens links that are wanted and not open. */
 export function openWanted(state: entryState.EntryState, now: number): Effects {
-  return [...state.agents.values()]
-    .filter((view) => !view.linked && !view.opening && now >= view.nextOpenMs)
-    .map((view): entryEvent.EntryEffect => {
-      view.opening = true;
-      view.lastHeardMs = now;
-      return { kind: 'openLink', backendServerId: view.backendServerId, address: view.address };
-    });
+  return [...state.agents.values()].flatMap((view) => linkOpening.openIfWanted(view, now));
 }
 
 /** Says hello on a link that has opened. */
@@ -80,12 +171,13 @@
   now: number,
 ): Effects {
   const view = state.agents.get(backendServerId);
-  if (view !== undefined) {
-    view.linked = false;
-    view.opening = false;
-    view.nextOpenMs = now + REOPEN_MIN_MS + state.policy.drawRandom() * REOPEN_SPREAD_MS;
+  if (view === undefined) {
+    return [];
   }
-  return [];
+  accounts.markUnlinked(state, view, now);
+  keyClaim.noteHomeLost(state, backendServerId);
+  view.nextOpenMs = now + REOPEN_MIN_MS + state.policy.drawRandom() * REOPEN_SPREAD_MS;
+  return grants.handleLinkLost(state, view, now);
 }
 
 /** Lists the requests that one agent holds. */
@@ -93,9 +185,9 @@
   state: entryState.EntryState,
   backendServerId: string,
 ): entryState.EntryRequest[] {
-  return [...state.requests.values()].filter(
-    (request) => request.target?.backendServerId === backendServerId,
-  );
+  return [...(state.agents.get(backendServerId)?.heldIds ?? [])]
+    .map((requestId) => state.requests.get(requestId))
+    .filter((request) => request !== undefined);
 }
 
 /** Learns which life answers, and asks it for what this entry misses. */
@@ -109,8 +201,14 @@
   if (view === undefined || hello.backendServerId !== backendServerId) {
     return [{ kind: 'closeLink', backendServerId }];
   }
-  view.linked = true;
-  view.opening = false;
+  accounts.markLinked(state, view, now);
+  view.suspectsSent = 0;
+  // What the platform's list and earlier heartbeats said was of another life.
+  if (view.agentLife !== '' && view.agentLife !== hello.agentLife) {
+    view.reportedLeaving = false;
+    view.listedLeaving = false;
+    updateLeaving(view);
+  }
   view.agentLife = hello.agentLife;
   view.lifeBeganMs = hello.lifeBeganMs;
   const resumes = listHeldBy(state, backendServerId).flatMap((request) =>
@@ -123,7 +221,8 @@
           ),
         ],
   );
-  return [...resumes, ...dispatch.placeWaiting(state, view.service, now)];
+  const claims = keyClaim.sendWaiting(state, backendServerId);
+  return [...resumes, ...claims, ...dispatch.retryParked(state, view, now)];
 }
 
 /** Takes in an agent's load, and asks for its document where it is newer. */
@@ -138,14 +237,16 @@
     return [];
   }
   view.load = heartbeat.load;
-  view.leaving = view.leaving || (heartbeat.load?.leaving ?? false);
+  suspectTable.mergeSuspects(state.suspects, heartbeat.suspects, now);
+  view.reportedLeaving = view.reportedLeaving || (heartbeat.load?.leaving ?? false);
+  updateLeaving(view);
   const theirs = heartbeat.document?.version ?? 0;
   const newer = theirs > documentStore.getVersion(state.documents, view.service);
   const request = schema.create(schema.DocumentRequestSchema, { service: view.service });
   const ask = newer
     ? [entryMessages.sendToAgent(backendServerId, { case: 'documentRequest', value: request })]
     : [];
-  return [...ask, ...dispatch.placeWaiting(state, view.service, now)];
+  return [...ask, ...dispatch.retryParked(state, view, now)];
 }
 
 /** Sends the document in force to an agent that asked for it. */
@@ -171,7 +272,10 @@
   view.lastSentMs = now;
   view.heartbeatsSent += 1;
   const version = documentStore.getVersion(state.documents, view.service);
+  const suspects = suspectTable.listChanged(state.suspects, view.suspectsSent, MAX_SUSPECTS_SENT);
+  view.suspectsSent = suspects.at(-1)?.revision ?? view.suspectsSent;
   const heartbeat = schema.create(schema.EntryHeartbeatSchema, {
+    suspects,
     document: { service: view.service, version },
     sequence: view.heartbeatsSent,
   });
@@ -191,8 +295,10 @@
     const timing = entryState.getTiming(state, view.service);
     const waitsForPeer = view.linked || view.opening;
     if (waitsForPeer && now - view.lastHeardMs > timing.heartbeatTimeoutMs) {
-      handleLinkClosed(state, view.backendServerId, now);
-      return [{ kind: 'closeLink', backendServerId: view.backendServerId }];
+      return giveUpLink(state, view, now);
+    }
+    if (waitsForPeer && !linkOpening.isWanted(view, now)) {
+      return giveUpLink(state, view, now);
     }
     const due = view.linked && now - view.lastSentMs >= timing.heartbeatIntervalMs;
     return due ? sendHeartbeat(state, view, now) : [];
--- a/packages/core/src/entry/answer-flow.ts
+++ b/packages/core/src/entry/answer-flow.ts
@@ -1,15 +1,21 @@
 /** Follows an offered request through its agent's messages to the caller's answer. */
 import * as schema from '@toucanproxy/schema';
-import * as attemptRef from '../shared/attempt-ref.js';
 import * as effect from '../shared/effect.js';
+import * as accounts from './accounts.js';
+import * as agentHealth from './agent-health.js';
+import * as costModel from './cost-model.js';
 import * as dispatch from './dispatch.js';
 import * as entryEvent from './entry-event.js';
 import * as entryMessages from './entry-messages.js';
 import * as entryState from './entry-state.js';
+import * as heldAttempts from './held-attempts.js';
+import * as observations from './observations.js';
 import * as outcomes from './outcomes.js';
+import * as repeats from './repeats.js';
+import * as shedding from './shedding.js';
 
 type Effects = entryEvent.EntryEffect[];
-type Held = { request: entryState.EntryRequest; target: entryState.Target };
+type Held = heldAttempts.Held;
 
 const EVENT_STREAM = 'text/event-stream';
 
@@ -21,28 +27,18 @@
   schema.ResultCode.STALE_OFFER,
   schema.ResultCode.NO_BACKEND_SERVER,
   schema.ResultCode.CANCELLED,
+  schema.ResultCode.DEADLINE_UNREACHABLE,
 ]);
 
-/**
- * Finds the request whose present attempt a message is about.
- *
- * A message of an earlier attempt, or from another agent, may come late over a
- * link that was thought dead. Taking it would mix two runs into one answer.
- */
-export function findHeld(
+/** Applies a message to each request that waits for its attempt. */
+function applyToHeld(
   state: entryState.EntryState,
   backendServerId: string,
   ref: schema.AttemptRef | undefined,
-): Held | undefined {
-  const request = ref && state.requests.get(ref.requestId);
-  const target = request?.target;
-  if (ref === undefined || request === undefined || target === undefined) {
-    return undefined;
-  }
-  const same =
-    target.backendServerId === backendServerId &&
-    attemptRef.toRefKey(target.ref) === attemptRef.toRefKey(ref);
-  return same ? { request, target } : undefined;
+  apply: (held: Held) => Effects,
+): Effects {
+  const held = heldAttempts.listHeld(state, backendServerId, ref);
+  return held.length === 0 ? dropOld() : held.flatMap(apply);
 }
 
 /** Counts a message that belongs to no present attempt. */
@@ -71,13 +67,24 @@
 }
 
 /** Passes bytes on, or keeps them until an unstreamed answer is whole. */
-function passData(request: entryState.EntryRequest, data: Uint8Array, now: number): Effects {
-  if (!isStreamed(request)) {
+function passData(
+  state: entryState.EntryState,
+  request: entryState.EntryRequest,
+  data: Uint8Array,
+  now: number,
+): Effects {
+  const streamed = isStreamed(request);
+  const first = request.answerTokens === 0;
+  request.answerTokens += costModel.countAnswerTokens(data, streamed);
+  const noted = first
+    ? observations.noteDuration(state, request, agentHealth.Stage.FIRST_BYTE, now)
+    : [];
+  if (!streamed) {
     request.collected.push(data);
-    return [];
+    return noted;
   }
   const { callerId } = request.arrived;
-  return [...sendHead(request, now), { kind: 'answerData', callerId, data }];
+  return [...noted, ...sendHead(request, now), { kind: 'answerData', callerId, data }];
 }
 
 /** Ends an answer whose every part has come. */
@@ -93,8 +100,10 @@
     target.backendServerId,
     entryMessages.buildAcknowledge(target),
   );
+  const noted = observations.noteCompleted(state, request, now);
   return [
     acknowledge,
+    ...noted,
     ...sendHead(request, now),
     ...data,
     ...outcomes.complete(state, request, now),
@@ -108,10 +117,18 @@
   part: schema.AnswerPart,
   now: number,
 ): Effects {
-  const held = findHeld(state, backendServerId, part.ref);
-  if (held === undefined) {
-    return dropOld();
-  }
+  return applyToHeld(state, backendServerId, part.ref, (held) =>
+    takeHeldPart(state, held, part, now),
+  );
+}
+
+/** Takes the next part for one request. */
+function takeHeldPart(
+  state: entryState.EntryState,
+  held: Held,
+  part: schema.AnswerPart,
+  now: number,
+): Effects {
   const { request, target } = held;
   if (part.sequence !== target.nextSequence) {
     const reason =
@@ -121,13 +138,13 @@
     return [effect.observe({ kind: 'dropped', reason })];
   }
   target.nextSequence += 1;
-  target.started = true;
+  accounts.markStarted(state, request, now);
   switch (part.content.case) {
     case 'head':
       request.head = part.content.value;
       return [];
     case 'data':
-      return passData(request, part.content.value, now);
+      return passData(state, request, part.content.value, now);
     case 'end':
       return passEnd(state, held, now);
     default:
@@ -142,45 +159,52 @@
   notRun: schema.NotRun,
   now: number,
 ): Effects {
-  const held = findHeld(state, backendServerId, notRun.ref);
-  if (held === undefined) {
-    return dropOld();
+  return applyToHeld(state, backendServerId, notRun.ref, (held) =>
+    handleHeldNotRun(state, held, notRun, now),
+  );
+}
+
+/** Places one request elsewhere, or tells its caller that it was not run. */
+function handleHeldNotRun(
+  state: entryState.EntryState,
+  held: Held,
+  notRun: schema.NotRun,
+  now: number,
+): Effects {
+  const { request, target } = held;
+  // The deadline that a joined attempt missed was that of another call.
+  if (notRun.code === schema.ResultCode.DEADLINE_UNREACHABLE && !target.joined) {
+    request.unreachableBy.add(target.backendServerId);
   }
-  const { request } = held;
   if (ELSEWHERE_CODES.has(notRun.code) && now < request.deadlineMs) {
     return dispatch.placeAgain(state, request, now);
   }
   const code = now >= request.deadlineMs ? schema.ResultCode.DEADLINE_UNREACHABLE : notRun.code;
-  const failure = outcomes.buildNotRun(code, notRun.retryAfterMs);
-  return outcomes.fail(state, request, failure, now);
+  const service = accounts.getServiceOf(state, request);
+  const retryAfterMs =
+    notRun.retryAfterMs || shedding.drawRetryAfter(state, service, request.tierRank, now);
+  return outcomes.fail(state, request, outcomes.buildNotRun(code, retryAfterMs), now);
 }
 
-/** Ends or repeats a request whose attempt was lost or broke. */
-export function handleBrokenRun(
+/** Handles the agent's report that an attempt did not complete. */
+export function handleRunFailed(
   state: entryState.EntryState,
-  request: entryState.EntryRequest,
-  failure: outcomes.Failure,
+  backendServerId: string,
+  failed: schema.RunFailed,
   now: number,
 ): Effects {
-  const mayRepeat = request.repeatable && !request.firstByteSent && now < request.deadlineMs;
-  if (!mayRepeat) {
-    return outcomes.fail(state, request, failure, now);
-  }
-  outcomes.recordEarlierRun(request, failure.runState);
-  return dispatch.placeAgain(state, request, now);
+  return applyToHeld(state, backendServerId, failed.ref, (held) =>
+    handleHeldFailed(state, held, failed, now),
+  );
 }
 
-/** Handles the agent's report that an attempt did not complete. */
-export function handleRunFailed(
+/** Ends or repeats one request whose attempt did not complete. */
+function handleHeldFailed(
   state: entryState.EntryState,
-  backendServerId: string,
+  held: Held,
   failed: schema.RunFailed,
   now: number,
 ): Effects {
-  const held = findHeld(state, backendServerId, failed.ref);
-  if (held === undefined) {
-    return dropOld();
-  }
   const undecided =
     failed.code === schema.ResultCode.AGENT_RESTARTED ||
     failed.code === schema.ResultCode.KEY_UNDECIDED;
@@ -188,7 +212,10 @@
     undecided && !held.target.started
       ? outcomes.buildMayHaveRun(failed.code)
       : outcomes.buildRan(failed.code);
-  return handleBrokenRun(state, held.request, failure, now);
+  return [
+    ...observations.noteFailure(state, held.request, now),
+    ...repeats.handleBrokenRun(state, held.request, failure, now),
+  ];
 }
 
 /** Notes that an attempt was started. */
@@ -196,11 +223,10 @@
   state: entryState.EntryState,
   backendServerId: string,
   started: schema.Started,
+  now: number,
 ): Effects {
-  const held = findHeld(state, backendServerId, started.ref);
-  if (held === undefined) {
-    return dropOld();
-  }
-  held.target.started = true;
-  return [];
+  return applyToHeld(state, backendServerId, started.ref, ({ request }) => {
+    accounts.markStarted(state, request, now);
+    return [];
+  });
 }
--- /dev/null
+++ b/packages/core/src/entry/asking.ts
@@ -0,0 +1,62 @@
+/** Gives one request to one agent, or asks it for a place, as the policy says. */
+import * as schema from '@toucanproxy/schema';
+import * as suspectTable from '../shared/suspect-table.js';
+import * as accounts from './accounts.js';
+import * as entryEvent from './entry-event.js';
+import * as entryState from './entry-state.js';
+import * as handOver from './hand-over.js';
+import * as outcomes from './outcomes.js';
+import * as prefixMemory from './prefix-memory.js';
+import * as reservationBook from './reservation-book.js';
+import * as retryBudget from './retry-budget.js';
+
+type Effects = entryEvent.EntryEffect[];
+
+/** Hands a waiting request to one agent. */
+export function giveTo(
+  state: entryState.EntryState,
+  request: entryState.EntryRequest,
+  agent: entryState.AgentView,
+  now: number,
+): Effects {
+  const { contentDigest, prefixHashes } = request.arrived;
+  // The content may have crashed a second engine while this request waited.
+  if (suspectTable.isRefused(state.suspects, contentDigest, now)) {
+    const failure = outcomes.buildNotRun(schema.ResultCode.CONTENT_REFUSED);
+    return outcomes.fail(state, request, failure, now);
+  }
+  const service = accounts.getServiceOf(state, request);
+  if (request.attempts === 0) {
+    retryBudget.noteFirstAttempt(service.retries, now);
+  }
+  service.placements += 1;
+  const { backendServerId } = agent;
+  prefixMemory.recordPrefix(
+    service.prefixes,
+    request.workspace,
+    prefixHashes,
+    backendServerId,
+    now,
+  );
+  accounts.endWaiting(state, request);
+  const released = reservationBook.releaseReservations(state, request, backendServerId);
+  const offered = handOver.offerTo(state, request, agent, now);
+  // What is being claimed can no longer be taken back by a shed.
+  if (request.status !== entryState.RequestStatus.OFFERED) {
+    accounts.endUnstarted(state, request);
+  }
+  accounts.updateDue(state, request, now);
+  return [...released, ...offered];
+}
+
+/** Asks one agent to take a waiting request. */
+export function askAgent(
+  state: entryState.EntryState,
+  request: entryState.EntryRequest,
+  agent: entryState.AgentView,
+  now: number,
+): Effects {
+  return state.policy.way.kind === 'push'
+    ? giveTo(state, request, agent, now)
+    : reservationBook.addReservation(request, agent);
+}
--- /dev/null
+++ b/packages/core/src/entry/candidates.ts
@@ -0,0 +1,83 @@
+/** The agents that a request may go to, as this entry sees them. */
+import * as rendezvous from '../shared/rendezvous.js';
+import * as agentHealth from './agent-health.js';
+import * as entryState from './entry-state.js';
+import * as placement from './placement.js';
+import * as prefixMemory from './prefix-memory.js';
+
+/** Rough length of a token in bytes of text. */
+const BYTES_PER_TOKEN = 4;
+
+/** Lists the agents of a service with an open link. */
+export function listLinked(state: entryState.EntryState, service: string): entryState.AgentView[] {
+  return [...entryState.getService(state, service).linkedIds]
+    .map((id) => state.agents.get(id))
+    .filter((agent) => agent !== undefined)
+    .filter((agent) => agent.linked);
+}
+
+/** Tells whether an agent may be given new work. */
+export function isUsable(agent: entryState.AgentView): boolean {
+  return agent.linked && agent.kept && !agent.leaving;
+}
+
+/** Lists the agents of a service that may be given new work; ejected ones only where all are. */
+export function listUsable(
+  state: entryState.EntryState,
+  service: string,
+  now: number,
+): entryState.AgentView[] {
+  const usable = listLinked(state, service).filter(isUsable);
+  const sound = usable.filter((agent) => !agentHealth.isEjected(agent.health, now));
+  return sound.length > 0 ? sound : usable;
+}
+
+/** Lists the health of the linked agents of a service. */
+export function listPeerHealth(
+  state: entryState.EntryState,
+  service: string,
+): agentHealth.AgentHealth[] {
+  return listLinked(state, service).map((agent) => agent.health);
+}
+
+/** Finds where a prefix goes that nobody remembers, the same on every entry. */
+function findPreferred(
+  request: entryState.EntryRequest,
+  agents: readonly entryState.AgentView[],
+): string {
+  const [firstHash] = request.arrived.prefixHashes;
+  if (firstHash === undefined) {
+    return '';
+  }
+  const ids = agents.map((agent) => agent.backendServerId);
+  return rendezvous.rankByRendezvous(`${request.workspace}/${firstHash}`, ids)[0] ?? '';
+}
+
+/** Describes agents for a choice. */
+export function listCandidates(
+  state: entryState.EntryState,
+  request: entryState.EntryRequest,
+  agents: readonly entryState.AgentView[],
+  now: number,
+): placement.Candidate[] {
+  const { service, prefixHashes, payload } = request.arrived;
+  const { prefixes } = entryState.getService(state, service);
+  const match = prefixMemory.findPrefix(prefixes, request.workspace, prefixHashes, now);
+  const preferred = findPreferred(request, agents);
+  const peers = listPeerHealth(state, service);
+  return agents.map((agent) => {
+    const { load, backendServerId } = agent;
+    const promptTokens = payload.length / BYTES_PER_TOKEN;
+    const known = match?.backendServerId === backendServerId ? match.cachedTokens : 0;
+    return {
+      backendServerId,
+      outstandingTokens: agent.outstandingTokens,
+      reportedTokens: (load?.queuedTokens ?? 0) + (load?.runningTokens ?? 0),
+      tokensPerSecond: load?.tokensPerSecond ?? 0,
+      cachedTokens: Math.min(known, promptTokens),
+      slowness: agentHealth.computeSlowness(agent.health, peers),
+      trafficShare: agentHealth.computeTrafficShare(agent.health, now),
+      preferred: backendServerId === preferred,
+    };
+  });
+}
--- a/packages/core/src/entry/deadlines.ts
+++ b/packages/core/src/entry/deadlines.ts
@@ -1,53 +1,103 @@
-/** What happens when a request's time is up or its caller has gone. */
+/** What happens when something is due for a request, or its caller has gone. */
 import * as schema from '@toucanproxy/schema';
+import * as priorityHeap from '../shared/priority-heap.js';
+import * as accounts from './accounts.js';
+import * as dispatch from './dispatch.js';
 import * as entryEvent from './entry-event.js';
 import * as entryMessages from './entry-messages.js';
 import * as entryState from './entry-state.js';
+import * as heldAttempts from './held-attempts.js';
+import * as observations from './observations.js';
 import * as outcomes from './outcomes.js';
+import * as shedding from './shedding.js';
 
 type Effects = entryEvent.EntryEffect[];
 
-/** How long an agent may take to say what became of an overdue attempt. */
-const WITHDRAW_GRACE_MS = 250;
+/** Tells the agent that nobody waits for an attempt any more, where that is so. */
+function sendCancel(state: entryState.EntryState, target: entryState.Target): Effects {
+  return heldAttempts.isShared(state, target)
+    ? []
+    : [entryMessages.sendToAgent(target.backendServerId, entryMessages.buildCancel(target))];
+}
 
-/** Asks the agent what became of an overdue attempt, or gives up waiting for it. */
-function handleOverdueOffer(
+/** Gives up an overdue attempt. */
+function endOffer(
   state: entryState.EntryState,
   request: entryState.EntryRequest,
   target: entryState.Target,
   now: number,
 ): Effects {
-  if (target.withdrawnMs === 0) {
-    target.withdrawnMs = now;
-    const body = entryMessages.buildWithdraw(target);
-    return [entryMessages.sendToAgent(target.backendServerId, body)];
-  }
-  if (!target.started && now - target.withdrawnMs < WITHDRAW_GRACE_MS) {
-    return [];
-  }
   // Time alone says nothing about the agent: it may be paused and start the
   // request when it wakes. Only its own word turns into "not run".
   const failure = target.started
     ? outcomes.buildRan(schema.ResultCode.DEADLINE_EXCEEDED)
     : outcomes.buildMayHaveRun(schema.ResultCode.LINK_LOST);
-  const cancel = entryMessages.sendToAgent(
-    target.backendServerId,
-    entryMessages.buildCancel(target),
-  );
-  return [cancel, ...outcomes.fail(state, request, failure, now)];
+  const cancel = sendCancel(state, target);
+  const noted = observations.noteFailure(state, request, now);
+  return [...cancel, ...noted, ...outcomes.fail(state, request, failure, now)];
+}
+
+/** Asks the agent what became of an overdue attempt, or gives up waiting for it. */
+function handleOverdueOffer(
+  state: entryState.EntryState,
+  request: entryState.EntryRequest,
+  target: entryState.Target,
+  now: number,
+): Effects {
+  const asked = target.withdrawnMs !== 0;
+  // A joined attempt belongs to another call, whose time may not be up.
+  const waits = !asked || now - target.withdrawnMs < accounts.WITHDRAW_GRACE_MS;
+  if (target.started || target.joined || !waits) {
+    return endOffer(state, request, target, now);
+  }
+  target.withdrawnMs = target.withdrawnMs || now;
+  accounts.updateDue(state, request, now);
+  return asked
+    ? []
+    : [entryMessages.sendToAgent(target.backendServerId, entryMessages.buildWithdraw(target))];
+}
+
+/** Ends a request whose time is up. */
+function handleOverdue(
+  state: entryState.EntryState,
+  request: entryState.EntryRequest,
+  now: number,
+): Effects {
+  if (request.target !== undefined) {
+    return handleOverdueOffer(state, request, request.target, now);
+  }
+  const service = accounts.getServiceOf(state, request);
+  const retryAfterMs = shedding.drawRetryAfter(state, service, request.tierRank, now);
+  const code = schema.ResultCode.DEADLINE_UNREACHABLE;
+  return outcomes.fail(state, request, outcomes.buildNotRun(code, retryAfterMs), now);
+}
+
+/** Does what is due for one request. */
+function handleDue(
+  state: entryState.EntryState,
+  request: entryState.EntryRequest,
+  now: number,
+): Effects {
+  if (now >= request.deadlineMs) {
+    return handleOverdue(state, request, now);
+  }
+  const waits = request.status === entryState.RequestStatus.WAITING;
+  if (waits && (now >= request.askMoreMs || request.retryAtMs > 0)) {
+    request.askMoreMs = Infinity;
+    request.retryAtMs = 0;
+    accounts.updateDue(state, request, now);
+    return dispatch.place(state, request, now);
+  }
+  accounts.updateDue(state, request, now);
+  return [];
 }
 
-/** Ends requests whose time is up. */
-export function endOverdue(state: entryState.EntryState, now: number): Effects {
-  return [...state.requests.values()]
-    .filter((request) => now >= request.deadlineMs)
-    .flatMap((request) => {
-      if (request.target !== undefined) {
-        return handleOverdueOffer(state, request, request.target, now);
-      }
-      const failure = outcomes.buildNotRun(schema.ResultCode.DEADLINE_UNREACHABLE);
-      return outcomes.fail(state, request, failure, now);
-    });
+/** Does what is due by now, at a cost that grows with that alone. */
+export function handleAllDue(state: entryState.EntryState, now: number): Effects {
+  return priorityHeap.takeUpTo(state.due, now).flatMap((requestId) => {
+    const request = state.requests.get(requestId);
+    return request === undefined ? [] : handleDue(state, request, now);
+  });
 }
 
 /** Handles a caller that closed its connection before the answer ended. */
@@ -62,9 +112,6 @@
     return [];
   }
   const { target } = request;
-  const cancel =
-    target === undefined
-      ? []
-      : [entryMessages.sendToAgent(target.backendServerId, entryMessages.buildCancel(target))];
+  const cancel = target === undefined ? [] : sendCancel(state, target);
   return [...cancel, ...outcomes.abandon(state, request, now)];
 }
--- a/packages/core/src/entry/entry-event.ts
+++ b/packages/core/src/entry/entry-event.ts
@@ -23,7 +23,10 @@
   contentDigest: string;
   /** Estimated cost in tokens, prompt and answer. */
   estimatedTokens: number;
+  /** Hashes of leading pieces of the prompt, the shortest first; each piece is twice as long. */
   prefixHashes: number[];
+  /** The caller's own bound on the answer, tokens; 0 or absent where it gave none. */
+  answerTokensBound?: number;
 };
 
 export type EntryEvent =
--- a/packages/core/src/entry/entry-messages.ts
+++ b/packages/core/src/entry/entry-messages.ts
@@ -12,11 +12,7 @@
 }
 
 /** Builds the offer of a request to its target. */
-export function buildOffer(
-  request: entryState.EntryRequest,
-  target: entryState.Target,
-  now: number,
-): Body {
+export function buildOffer(request: entryState.EntryRequest, target: entryState.Target): Body {
   const { arrived } = request;
   const offer = schema.create(schema.OfferSchema, {
     ref: target.ref,
@@ -24,7 +20,7 @@
     workspace: request.workspace,
     tierRank: request.tierRank,
     weight: request.weight,
-    issuedMs: now,
+    issuedMs: target.issuedMs,
     deadlineMs: request.deadlineMs,
     estimatedTokens: arrived.estimatedTokens,
     repeatable: request.repeatable,
@@ -38,12 +34,33 @@
   return { case: 'offer', value: offer };
 }
 
+/** Builds the question for a place, without the request itself. */
+export function buildReserve(request: entryState.EntryRequest): Body {
+  const { arrived } = request;
+  const reserve = schema.create(schema.ReserveSchema, {
+    requestId: request.requestId,
+    tierRank: request.tierRank,
+    workspace: request.workspace,
+    estimatedTokens: arrived.estimatedTokens,
+    deadlineMs: request.deadlineMs,
+    prefixHashes: arrived.prefixHashes,
+    weight: request.weight,
+  });
+  return { case: 'reserve', value: reserve };
+}
+
+/** Builds the notice that a place is no longer needed. */
+export function buildRelease(requestId: string): Body {
+  return { case: 'release', value: schema.create(schema.ReleaseSchema, { requestId }) };
+}
+
 /** Builds the question for the parts that an entry misses. */
 export function buildResume(request: entryState.EntryRequest, target: entryState.Target): Body {
   const resume = schema.create(schema.ResumeSchema, {
     ref: target.ref,
     agentLife: target.agentLife,
     workspace: request.workspace,
+    issuedMs: target.issuedMs,
     nextSequence: target.nextSequence,
   });
   return { case: 'resume', value: resume };
@@ -51,14 +68,15 @@
 
 /** Builds the question for a confirmation that an attempt will not run. */
 export function buildWithdraw(target: entryState.Target): Body {
-  const { ref, agentLife } = target;
-  return { case: 'withdraw', value: schema.create(schema.WithdrawSchema, { ref, agentLife }) };
+  const { ref, agentLife, issuedMs } = target;
+  const value = schema.create(schema.WithdrawSchema, { ref, agentLife, issuedMs });
+  return { case: 'withdraw', value };
 }
 
 /** Builds the notice that the entry no longer wants an attempt. */
 export function buildCancel(target: entryState.Target): Body {
-  const { ref } = target;
-  return { case: 'cancel', value: schema.create(schema.CancelSchema, { ref }) };
+  const { ref, issuedMs } = target;
+  return { case: 'cancel', value: schema.create(schema.CancelSchema, { ref, issuedMs }) };
 }
 
 /** Builds the acknowledgement of the parts received so far. */
--- a/packages/core/src/entry/entry-state.ts
+++ b/packages/core/src/entry/entry-state.ts
@@ -2,14 +2,25 @@
 import * as schema from '@toucanproxy/schema';
 import * as documentStore from '../shared/document-store.js';
 import * as documentTiming from '../shared/document-timing.js';
+import * as priorityHeap from '../shared/priority-heap.js';
+import * as suspectTable from '../shared/suspect-table.js';
+import * as agentHealth from './agent-health.js';
 import * as entryEvent from './entry-event.js';
-import * as placement from './placement.js';
+import * as entryPolicy from './entry-policy.js';
+import type * as keyClaim from './key-claim.js';
+import * as linkSelection from './link-selection.js';
+import type * as outcomes from './outcomes.js';
+import * as serviceState from './service-state.js';
 
 /** The one agent that an attempt was handed to. */
 export type Target = {
   backendServerId: string;
   agentLife: string;
   ref: schema.AttemptRef;
+  /** Issue time of the attempt, milliseconds. */
+  issuedMs: number;
+  /** Another call with the same key started this attempt; this one reads its answer. */
+  joined: boolean;
   /** Sequence number of the answer part that comes next. */
   nextSequence: number;
   /** The agent said that it started the attempt. */
@@ -23,6 +34,10 @@
   WAITING = 'waiting',
   /** One agent holds it, and only that agent says what became of it. */
   OFFERED = 'offered',
+  /** Its key is being claimed for an attempt that is not offered yet. */
+  CLAIMING = 'claiming',
+  /** Given up; its key is being closed so that its caller can be told. */
+  CLOSING = 'closing',
 }
 
 export type EntryRequest = {
@@ -38,14 +53,41 @@
   status: RequestStatus;
   attempts: number;
   target: Target | undefined;
-  /** What earlier attempts of a repeatable request came to. */
-  earlierRun: schema.RunState;
+  /** The claim in progress for its key. */
+  claim: keyClaim.KeyClaim | undefined;
+  /** Attempts of its key that were confirmed as not run, or may be repeated. */
+  replaceable: schema.AttemptRef[];
+  /** Why it was given up, while its key is being closed. */
+  givenUp: outcomes.Failure | undefined;
+  claimRounds: number;
+  /** Its homes could not decide; it may be repeated and goes on without. */
+  claimWaived: boolean;
   /** Backend servers that refused the request since it began to wait. */
   refusedBy: Set<string>;
   head: schema.AnswerHead | undefined;
   /** Parts of an answer that is not streamed, until it is whole. */
   collected: Uint8Array[];
   firstByteSent: boolean;
+  /** Class of its cost: route and tier. */
+  className: string;
+  /** Backend servers that were asked for a place and have not refused. */
+  reservedAt: Set<string>;
+  /** When one more backend server is asked, milliseconds since the Unix epoch. */
+  askMoreMs: number;
+  /** Pause before a repeat ends at this time; 0 where there is none. */
+  retryAtMs: number;
+  /** What is known of the attempts before the present one. */
+  earlierRun: schema.RunState;
+  /** Backend servers that cannot end it in time, as they said since it began to wait. */
+  unreachableBy: Set<string>;
+  /** Attempts that were repeated after a run. */
+  repeats: number;
+  /** Attempts during which an engine crashed. */
+  crashes: number;
+  /** When the present attempt started; 0 where that is not known. */
+  startedMs: number;
+  /** Tokens of the answer so far, counted. */
+  answerTokens: number;
 };
 
 /** A backend server as this entry sees it. */
@@ -59,7 +101,16 @@
   opening: boolean;
   agentLife: string;
   lifeBeganMs: number;
+  /** Takes no new work, for one of the three reasons that follow. */
   leaving: boolean;
+  /** The document in force says so. */
+  documentLeaving: boolean;
+  /** This life of the agent has said so. */
+  reportedLeaving: boolean;
+  /** The platform's list says so; it lags, and does not know of a later life. */
+  listedLeaving: boolean;
+  /** The life that the list was first seen to name; undefined while it names none. */
+  listedLife: string | undefined;
   lastHeardMs: number;
   lastSentMs: number;
   heartbeatsSent: number;
@@ -67,25 +118,45 @@
   /** Estimated tokens of this entry's own requests there. */
   outstandingTokens: number;
   nextOpenMs: number;
+  /** Requests whose target it is. */
+  heldIds: Set<string>;
+  /** Requests that asked it for a place. */
+  reservedIds: Set<string>;
+  health: agentHealth.AgentHealth;
+  /** Revision of the suspects that it was last sent. */
+  suspectsSent: number;
+  /** One of the links that this entry keeps; others are opened on demand. */
+  kept: boolean;
+  /** When a link on demand was last needed, milliseconds; 0 if never. */
+  neededMs: number;
 };
 
-/** Behaviour that varies, handed in by the daemon, a test or a measurement. */
-export type EntryPolicy = {
-  chooseBackendServer: placement.ChooseBackendServer;
-  /** Uniform in [0, 1). */
-  drawRandom: () => number;
-};
+/** What is left to do for a request once the present event has been applied. */
+export type FollowUp = { kind: 'place' | 'close'; requestId: string };
 
 export type EntryState = {
   entryId: string;
   life: string;
   failureDomain: string;
-  policy: EntryPolicy;
+  /** Links kept for each service. */
+  linksPerService: number;
+  policy: entryPolicy.EntryPolicy;
   nextSerial: number;
   documents: documentStore.DocumentStore;
   requests: Map<string, EntryRequest>;
   requestByCaller: Map<number, string>;
+  /** Requests whose keys are being claimed or closed. */
+  claiming: Set<string>;
+  followUps: FollowUp[];
+  /** Requests that read the answer of another call's attempt, by its reference. */
+  joins: Map<string, Set<string>>;
+  /** When this process first saw a backend server declared gone, milliseconds. */
+  goneSeenMs: Map<string, number>;
   agents: Map<string, AgentView>;
+  services: Map<string, serviceState.ServiceState>;
+  /** When something is due for each request, milliseconds since the Unix epoch. */
+  due: priorityHeap.PriorityHeap;
+  suspects: suspectTable.SuspectTable;
   shutdownStarted: boolean;
   stopped: boolean;
 };
@@ -94,18 +165,31 @@
   entryId: string;
   life: string;
   failureDomain: string;
+  /** Links kept for each service; the default where left out. */
+  linksPerService?: number;
 };
 
 /** Creates the state of an entry whose process has just started. */
-export function createEntryState(identity: EntryIdentity, policy: EntryPolicy): EntryState {
+export function createEntryState(
+  identity: EntryIdentity,
+  policy: entryPolicy.EntryPolicy,
+): EntryState {
   return {
     ...identity,
+    linksPerService: identity.linksPerService || linkSelection.DEFAULT_LINKS_PER_SERVICE,
     policy,
     nextSerial: 1,
     documents: new Map(),
     requests: new Map(),
     requestByCaller: new Map(),
+    claiming: new Set(),
+    followUps: [],
+    joins: new Map(),
+    goneSeenMs: new Map(),
     agents: new Map(),
+    services: new Map(),
+    due: priorityHeap.createPriorityHeap(),
+    suspects: suspectTable.createSuspectTable(),
     shutdownStarted: false,
     stopped: false,
   };
@@ -119,12 +203,19 @@
   return state.documents.get(service)?.document;
 }
 
+/** Gets the state of a service, made where there is none. */
+export function getService(state: EntryState, service: string): serviceState.ServiceState {
+  const known = state.services.get(service) ?? serviceState.createServiceState(service);
+  state.services.set(service, known);
+  return known;
+}
+
 /** Gets the timing of a service. */
 export function getTiming(state: EntryState, service: string): documentTiming.Timing {
-  return documentTiming.getTiming(getDocument(state, service));
+  return state.services.get(service)?.index?.timing ?? documentTiming.DEFAULT_TIMING;
 }
 
 /** Gets the limits of a service. */
 export function getLimits(state: EntryState, service: string): documentTiming.Limits {
-  return documentTiming.getLimits(getDocument(state, service));
+  return state.services.get(service)?.index?.limits ?? documentTiming.DEFAULT_LIMITS;
 }
--- a/packages/core/src/entry/hand-over.ts
+++ b/packages/core/src/entry/hand-over.ts
@@ -1,30 +1,24 @@
 /** Hands a request to the agent that was chosen for it. */
 import * as attemptRef from '../shared/attempt-ref.js';
 import * as entryEvent from './entry-event.js';
-import * as entryMessages from './entry-messages.js';
 import * as entryState from './entry-state.js';
+import * as keyClaims from './key-claims.js';
+import * as offering from './offering.js';
 
-type Effects = entryEvent.EntryEffect[];
-
-/** Offers a request to one agent, under a new attempt number. */
+/**
+ * Offers a request to one agent, under a new attempt number. A request with a
+ * key is claimed first and offered once its homes have granted it.
+ */
 export function offerTo(
   state: entryState.EntryState,
   request: entryState.EntryRequest,
   agent: entryState.AgentView,
   now: number,
-): Effects {
+): entryEvent.EntryEffect[] {
+  if (request.arrived.key !== '' && !request.claimWaived) {
+    return keyClaims.startBind(state, request, agent, now);
+  }
   request.attempts += 1;
-  request.status = entryState.RequestStatus.OFFERED;
-  const target: entryState.Target = {
-    backendServerId: agent.backendServerId,
-    agentLife: agent.agentLife,
-    ref: attemptRef.buildRef(request.requestId, request.attempts),
-    nextSequence: 0,
-    started: false,
-    withdrawnMs: 0,
-  };
-  request.target = target;
-  agent.outstandingTokens += request.arrived.estimatedTokens;
-  const body = entryMessages.buildOffer(request, target, now);
-  return [entryMessages.sendToAgent(agent.backendServerId, body)];
+  const ref = attemptRef.buildRef(request.requestId, request.attempts);
+  return offering.sendOffer(state, request, agent, ref);
 }
--- a/packages/core/src/entry/handle-entry-event.ts
+++ b/packages/core/src/entry/handle-entry-event.ts
@@ -1,7 +1,9 @@
 /** The entry's decisions: one event in, the effects it calls for out. */
 import * as schema from '@toucanproxy/schema';
+import * as documentIndex from '../shared/document-index.js';
 import * as documentStore from '../shared/document-store.js';
 import * as effect from '../shared/effect.js';
+import * as accounts from './accounts.js';
 import * as admission from './admission.js';
 import * as agentLinks from './agent-links.js';
 import * as answerFlow from './answer-flow.js';
@@ -9,6 +11,9 @@
 import * as dispatch from './dispatch.js';
 import * as entryEvent from './entry-event.js';
 import * as entryState from './entry-state.js';
+import * as grants from './grants.js';
+import * as keyClaims from './key-claims.js';
+import * as outcomes from './outcomes.js';
 
 type Effects = entryEvent.EntryEffect[];
 type EventOf<K extends entryEvent.EntryEvent['kind']> = Extract<entryEvent.EntryEvent, { kind: K }>;
@@ -31,16 +36,36 @@
     ];
   }
   const { request } = decision;
-  state.requests.set(request.requestId, request);
-  state.requestByCaller.set(arrived.callerId, request.requestId);
-  return dispatch.place(state, request, now);
+  if (decision.kind === 'closing') {
+    accounts.addRequest(state, request, now);
+    return outcomes.fail(state, request, decision.failure, now);
+  }
+  return dispatch.placeNew(state, request, now);
 }
 
-/** Routes one message of an agent to its decision. */
+/** Takes a message of an agent; one that ends an attempt is a sign of room there. */
 function handleAgentMessage(
   state: entryState.EntryState,
   event: EventOf<'agentMessage'>,
   now: number,
+): Effects {
+  const { body } = event.message;
+  const endsAttempt =
+    body.case === 'notRun' ||
+    body.case === 'failed' ||
+    (body.case === 'part' && body.value.content.case === 'end');
+  const effects = routeAgentMessage(state, event, now);
+  const view = state.agents.get(event.backendServerId);
+  return endsAttempt && view !== undefined
+    ? [...effects, ...dispatch.retryParked(state, view, now, 1)]
+    : effects;
+}
+
+/** Routes one message of an agent to its decision. */
+function routeAgentMessage(
+  state: entryState.EntryState,
+  event: EventOf<'agentMessage'>,
+  now: number,
 ): Effects {
   const { backendServerId: id } = event;
   const { body } = event.message;
@@ -56,11 +81,17 @@
     case 'part':
       return answerFlow.takePart(state, id, body.value, now);
     case 'started':
-      return answerFlow.handleStarted(state, id, body.value);
+      return answerFlow.handleStarted(state, id, body.value, now);
     case 'notRun':
       return answerFlow.handleNotRun(state, id, body.value, now);
     case 'failed':
       return answerFlow.handleRunFailed(state, id, body.value, now);
+    case 'grant':
+      return grants.handleGrant(state, id, body.value, now);
+    case 'reserveRefused':
+      return grants.handleReserveRefused(state, id, body.value, now);
+    case 'claimReply':
+      return keyClaims.handleClaimReply(state, id, body.value, now);
     case 'documentRequest':
       return agentLinks.replyDocument(state, id, body.value);
     case 'documentBody':
@@ -80,24 +111,17 @@
   if (!documentStore.storeDocument(state.documents, event.stored)) {
     return [];
   }
-  agentLinks.applyBackendServers(state, document);
+  const service = entryState.getService(state, document.service);
+  service.index = documentIndex.buildDocumentIndex(document);
+  service.lastLinkedMs = service.lastLinkedMs || now;
+  const closed = agentLinks.applyBackendServers(state, document, now);
   return [
     effect.logDecision('document', { service: document.service, version: document.version }),
+    ...closed,
     ...agentLinks.openWanted(state, now),
   ];
 }
 
-/** Gives no more work to VMs that the platform lists as leaving. */
-function handleVmsLeaving(state: entryState.EntryState, event: EventOf<'vmsLeaving'>): Effects {
-  const addresses = new Set(event.addresses);
-  [...state.agents.values()]
-    .filter((view) => addresses.has(view.address))
-    .forEach((view) => {
-      view.leaving = true;
-    });
-  return [];
-}
-
 /** Stops once every request has ended. */
 function stopWhenIdle(state: entryState.EntryState): Effects {
   if (!state.shutdownStarted || state.stopped || state.requests.size > 0) {
@@ -110,13 +134,29 @@
 /** Does what is due by time alone. */
 function handleTick(state: entryState.EntryState, now: number): Effects {
   return [
-    ...deadlines.endOverdue(state, now),
+    ...deadlines.handleAllDue(state, now),
+    ...keyClaims.handleDue(state, now),
     ...agentLinks.sendDueHeartbeats(state, now),
     ...agentLinks.openWanted(state, now),
     ...stopWhenIdle(state),
   ];
 }
 
+/** Does what the present event has left to do for single requests. */
+function applyFollowUps(state: entryState.EntryState, now: number): Effects {
+  const effects: Effects = [];
+  let next = state.followUps.shift();
+  while (next !== undefined) {
+    const request = state.requests.get(next.requestId);
+    if (request !== undefined) {
+      const apply = next.kind === 'close' ? keyClaims.startClose : dispatch.placeAgain;
+      effects.push(...apply(state, request, now));
+    }
+    next = state.followUps.shift();
+  }
+  return effects;
+}
+
 /**
  * Applies one event to the entry's state.
  *
@@ -126,6 +166,16 @@
   state: entryState.EntryState,
   event: entryEvent.EntryEvent,
   now: number,
+): Effects {
+  const effects = routeEvent(state, event, now);
+  return [...effects, ...applyFollowUps(state, now)];
+}
+
+/** Routes one event to its decision. */
+function routeEvent(
+  state: entryState.EntryState,
+  event: entryEvent.EntryEvent,
+  now: number,
 ): Effects {
   switch (event.kind) {
     case 'requestArrived':
@@ -141,7 +191,8 @@
     case 'documentRead':
       return applyDocument(state, event, now);
     case 'vmsLeaving':
-      return handleVmsLeaving(state, event);
+      agentLinks.markListed(state, event.addresses);
+      return [];
     case 'ticked':
       return handleTick(state, now);
     case 'shutdownStarted':
--- /dev/null
+++ b/packages/core/src/entry/held-attempts.ts
@@ -0,0 +1,56 @@
+/** Finds the requests that wait for an attempt: the one that offered it and those that joined it. */
+import * as schema from '@toucanproxy/schema';
+import * as attemptRef from '../shared/attempt-ref.js';
+import type * as entryState from './entry-state.js';
+
+export type Held = { request: entryState.EntryRequest; target: entryState.Target };
+
+/** Lists the requests whose present attempt on this agent a message is about. */
+export function listHeld(
+  state: entryState.EntryState,
+  backendServerId: string,
+  ref: schema.AttemptRef | undefined,
+): Held[] {
+  if (ref === undefined) {
+    return [];
+  }
+  const refKey = attemptRef.toRefKey(ref);
+  const joined = state.joins.get(refKey) ?? [];
+  return [...new Set([ref.requestId, ...joined])].flatMap((requestId): Held[] => {
+    const request = state.requests.get(requestId);
+    const target = request?.target;
+    // A message of an earlier attempt, or from another agent, may come late
+    // over a link that was thought dead. Taking it would mix two runs into one
+    // answer.
+    const same =
+      target !== undefined &&
+      target.backendServerId === backendServerId &&
+      attemptRef.toRefKey(target.ref) === refKey;
+    return request !== undefined && same ? [{ request, target }] : [];
+  });
+}
+
+/**
+ * Tells whether another request of this entry waits for the same attempt. The
+ * agent knows one subscription for each link, so a cancellation by one of them
+ * would cut the answer of the others.
+ */
+export function isShared(state: entryState.EntryState, target: entryState.Target): boolean {
+  return listHeld(state, target.backendServerId, target.ref).length > 1;
+}
+
+/** Notes that a request reads the answer of another call's attempt. */
+export function addJoin(state: entryState.EntryState, refKey: string, requestId: string): void {
+  const joined = state.joins.get(refKey) ?? new Set();
+  joined.add(requestId);
+  state.joins.set(refKey, joined);
+}
+
+/** Forgets a join that has ended. */
+export function removeJoin(state: entryState.EntryState, refKey: string, requestId: string): void {
+  const joined = state.joins.get(refKey);
+  joined?.delete(requestId);
+  if (joined?.size === 0) {
+    state.joins.delete(refKey);
+  }
+}
--- a/packages/core/src/entry/index.ts
+++ b/packages/core/src/entry/index.ts
@@ -5,9 +5,10 @@
   RequestStatus,
   type AgentView,
   type EntryIdentity,
-  type EntryPolicy,
   type EntryRequest,
   type EntryState,
 } from './entry-state.js';
+export * from './entry-policy.js';
 export * from './handle-entry-event.js';
 export * from './placement.js';
+export { FIRST_PREFIX_TOKENS } from './prefix-memory.js';
--- /dev/null
+++ b/packages/core/src/entry/key-claim.ts
@@ -0,0 +1,126 @@
+/** One claim for the key of one request, and the question that it puts to a home. */
+import * as schema from '@toucanproxy/schema';
+import * as effect from '../shared/effect.js';
+import * as keyRetention from '../shared/key-retention.js';
+import * as keyTime from '../shared/key-time.js';
+import * as entryEvent from './entry-event.js';
+import * as entryMessages from './entry-messages.js';
+import * as entryState from './entry-state.js';
+import type * as keyJoins from './key-joins.js';
+
+type Effects = entryEvent.EntryEffect[];
+
+export enum ClaimPurpose {
+  BIND = 'bind',
+  CLOSE = 'close',
+}
+
+/** A claim in progress. */
+export type KeyClaim = {
+  purpose: ClaimPurpose;
+  claimId: string;
+  /** The attempt that the key is to be bound to. */
+  ref: schema.AttemptRef;
+  /** The agent that holds a place for it; empty in a close. */
+  backendServerId: string;
+  agentLife: string;
+  homes: string[];
+  /** The home that is asked now. */
+  index: number;
+  /** The question went out over the present link of the home. */
+  sent: boolean;
+  askedMs: number;
+  /** The attempt to join once the call that bound it has had time to offer it. */
+  join: keyJoins.PendingJoin | undefined;
+};
+
+/** Tells whether the key could have been bound at a home that is lost with its bindings. */
+export function hasLostHome(
+  state: entryState.EntryState,
+  request: entryState.EntryRequest,
+  lost: readonly string[],
+  now: number,
+): boolean {
+  const timing = entryState.getTiming(state, request.arrived.service);
+  const keyMs = keyTime.readKeyTime(request.arrived.key);
+  return lost.some((id) => {
+    const goneMs = state.goneSeenMs.get(id) ?? now;
+    const issuedLater = keyMs > goneMs + 2 * timing.clockSkewMs;
+    return !issuedLater && now - goneMs <= keyRetention.computeRetention(timing);
+  });
+}
+
+/** Builds the question to the present home. */
+function buildClaim(
+  state: entryState.EntryState,
+  request: entryState.EntryRequest,
+  claim: KeyClaim,
+): schema.Claim {
+  const { arrived } = request;
+  return schema.create(schema.ClaimSchema, {
+    claimId: claim.claimId,
+    workspace: request.workspace,
+    key: arrived.key,
+    keyIssuedMs: keyTime.readKeyTime(arrived.key),
+    contentDigest: arrived.contentDigest,
+    ref: claim.ref,
+    backendServerId: claim.backendServerId,
+    agentLife: claim.agentLife,
+    replaces: request.replaceable,
+    close: claim.purpose === ClaimPurpose.CLOSE,
+    arrivedMs: request.arrivedMs,
+    documentVersion: entryState.getDocument(state, arrived.service)?.version ?? 0,
+  });
+}
+
+/** Sends the question over the home's link, if there is one. */
+export function sendClaim(
+  state: entryState.EntryState,
+  request: entryState.EntryRequest,
+  claim: KeyClaim,
+): Effects {
+  const home = state.agents.get(claim.homes[claim.index]);
+  if (home?.linked !== true) {
+    return [];
+  }
+  claim.sent = true;
+  const value = buildClaim(state, request, claim);
+  return [entryMessages.sendToAgent(home.backendServerId, { case: 'claim', value })];
+}
+
+/** Writes the line that says how a claim ended. */
+export function logClaim(
+  request: entryState.EntryRequest,
+  outcome: string,
+): entryEvent.EntryEffect {
+  const { claim } = request;
+  return effect.logDecision('claim', {
+    request: request.requestId,
+    attempt: claim?.ref.attempt,
+    purpose: claim?.purpose,
+    homes: claim?.homes,
+    outcome,
+  });
+}
+
+/** Sends the questions that waited for a home's link. */
+export function sendWaiting(state: entryState.EntryState, homeId: string): Effects {
+  return [...state.claiming].flatMap((requestId): Effects => {
+    const request = state.requests.get(requestId);
+    const claim = request?.claim;
+    const waits = claim?.homes[claim.index] === homeId && !claim.sent && claim.join === undefined;
+    return request !== undefined && claim !== undefined && waits
+      ? sendClaim(state, request, claim)
+      : [];
+  });
+}
+
+/** Notes that a home's link is gone: a question without an answer is sent again over the next. */
+export function noteHomeLost(state: entryState.EntryState, homeId: string): void {
+  state.claiming.forEach((requestId) => {
+    const claim = state.requests.get(requestId)?.claim;
+    if (claim?.homes[claim.index] === homeId) {
+      claim.sent = false;
+    }
+  });
+}
--- /dev/null
+++ b/packages/core/src/entry/key-claims.ts
@@ -0,0 +1,298 @@
+/**
+ * Claims the key of a request at its home agents before the request is offered,
+ * and closes the key before its caller is told "not run".
+ *
+ * The homes are asked one after another, the oldest first, so that two calls
+ * with one key meet at the first home that they share. What a home does not
+ * answer is never taken as granted.
+ */
+import * as schema from '@toucanproxy/schema';
+import * as attemptRef from '../shared/attempt-ref.js';
+import * as effect from '../shared/effect.js';
+import * as keyHomes from '../shared/key-homes.js';
+import * as entryEvent from './entry-event.js';
+import * as entryMessages from './entry-messages.js';
+import * as entryState from './entry-state.js';
+import * as keyClaim from './key-claim.js';
+import * as keyJoins from './key-joins.js';
+import * as linkOpening from './link-opening.js';
+import * as offering from './offering.js';
+import * as outcomes from './outcomes.js';
+
+type Effects = entryEvent.EntryEffect[];
+
+/** Time that one home has to answer, the opening of its link included, milliseconds. */
+const CLAIM_TIMEOUT_MS = 1000;
+/** Claims of one request, at most; two entries may undo each other's attempts in turn. */
+const MAX_CLAIM_ROUNDS = 8;
+/** When a caller that cannot be told more may send its key again, milliseconds. */
+const UNDECIDED_RETRY_AFTER_MS = 2000;
+
+/** Asks the present home, or goes on where all have been asked. */
+function claimAtHome(
+  state: entryState.EntryState,
+  request: entryState.EntryRequest,
+  claim: keyClaim.KeyClaim,
+  now: number,
+): Effects {
+  if (claim.index >= claim.homes.length) {
+    return completeClaim(state, request, claim, now);
+  }
+  const home = state.agents.get(claim.homes[claim.index]);
+  if (home === undefined) {
+    return endUndecided(state, request, now);
+  }
+  claim.sent = false;
+  claim.askedMs = now;
+  return [...linkOpening.openNeeded(home, now), ...keyClaim.sendClaim(state, request, claim)];
+}
+
+/** Begins to ask the homes of a key. */
+function startClaim(
+  state: entryState.EntryState,
+  request: entryState.EntryRequest,
+  purpose: keyClaim.ClaimPurpose,
+  agent: { backendServerId: string; agentLife: string },
+  now: number,
+): Effects {
+  const { service, key } = request.arrived;
+  const document = entryState.getDocument(state, service);
+  const { homes, lost } =
+    document === undefined
+      ? { homes: [], lost: [] }
+      : keyHomes.listKeyHomes(document, request.workspace, key);
+  request.claimRounds += 1;
+  const claim: keyClaim.KeyClaim = {
+    purpose,
+    claimId: `${request.requestId}/${request.claimRounds}`,
+    ref: attemptRef.buildRef(request.requestId, request.attempts),
+    backendServerId: agent.backendServerId,
+    agentLife: agent.agentLife,
+    homes,
+    index: 0,
+    sent: false,
+    askedMs: now,
+    join: undefined,
+  };
+  request.claim = claim;
+  state.claiming.add(request.requestId);
+  const undecidable =
+    homes.length === 0 ||
+    request.claimRounds > MAX_CLAIM_ROUNDS ||
+    keyClaim.hasLostHome(state, request, lost, now);
+  return undecidable ? endUndecided(state, request, now) : claimAtHome(state, request, claim, now);
+}
+
+/** Begins to bind the key of a request to a new attempt on the agent chosen for it. */
+export function startBind(
+  state: entryState.EntryState,
+  request: entryState.EntryRequest,
+  agent: entryState.AgentView,
+  now: number,
+): Effects {
+  request.attempts += 1;
+  request.status = entryState.RequestStatus.CLAIMING;
+  return startClaim(state, request, keyClaim.ClaimPurpose.BIND, agent, now);
+}
+
+/** Ends the claim of an attempt that will not be offered, and frees its place. */
+function dropClaim(request: entryState.EntryRequest): Effects {
+  const { claim } = request;
+  request.claim = undefined;
+  if (claim?.purpose !== keyClaim.ClaimPurpose.BIND) {
+    return [];
+  }
+  // This entry alone could offer the attempt, and it will not.
+  request.replaceable.push(claim.ref);
+  const { requestId } = request;
+  const value = schema.create(schema.ReleaseSchema, { requestId });
+  return [entryMessages.sendToAgent(claim.backendServerId, { case: 'release', value })];
+}
+
+/** Begins to close the key of a request that was given up. */
+export function startClose(
+  state: entryState.EntryState,
+  request: entryState.EntryRequest,
+  now: number,
+): Effects {
+  const released = dropClaim(request);
+  request.status = entryState.RequestStatus.CLOSING;
+  const nobody = { backendServerId: '', agentLife: '' };
+  return [...released, ...startClaim(state, request, keyClaim.ClaimPurpose.CLOSE, nobody, now)];
+}
+
+/** Puts a request back to waiting for a place. */
+function placeAgain(state: entryState.EntryState, request: entryState.EntryRequest): Effects {
+  const released = dropClaim(request);
+  state.claiming.delete(request.requestId);
+  request.status = entryState.RequestStatus.WAITING;
+  state.followUps.push({ kind: 'place', requestId: request.requestId });
+  return released;
+}
+
+/** Goes on where every home has granted. */
+function completeClaim(
+  state: entryState.EntryState,
+  request: entryState.EntryRequest,
+  claim: keyClaim.KeyClaim,
+  now: number,
+): Effects {
+  const line = keyClaim.logClaim(request, 'granted');
+  if (claim.purpose === keyClaim.ClaimPurpose.CLOSE) {
+    const failure = request.givenUp ?? outcomes.buildNotRun(schema.ResultCode.CANCELLED);
+    return [line, ...outcomes.endFailed(state, request, failure, now)];
+  }
+  const agent = state.agents.get(claim.backendServerId);
+  const usable = agent?.linked === true && agent.agentLife === claim.agentLife && !agent.leaving;
+  if (!usable) {
+    return [line, ...placeAgain(state, request)];
+  }
+  state.claiming.delete(request.requestId);
+  if (now >= request.deadlineMs) {
+    const failure = outcomes.buildNotRun(schema.ResultCode.DEADLINE_UNREACHABLE);
+    return [line, ...outcomes.fail(state, request, failure, now)];
+  }
+  request.claim = undefined;
+  return [line, ...offering.sendOffer(state, request, agent, claim.ref)];
+}
+
+/**
+ * Ends a claim that no home answered for.
+ *
+ * A route that may be repeated goes on: a second run does no harm there. A
+ * route that runs once does not: an earlier call may have been dispatched.
+ */
+function endUndecided(
+  state: entryState.EntryState,
+  request: entryState.EntryRequest,
+  now: number,
+): Effects {
+  const line = keyClaim.logClaim(request, 'undecided');
+  if (request.repeatable) {
+    request.claimWaived = true;
+    return [line, ...placeAgain(state, request)];
+  }
+  const failure = {
+    ...outcomes.buildMayHaveRun(schema.ResultCode.KEY_UNDECIDED),
+    retryAfterMs: UNDECIDED_RETRY_AFTER_MS,
+  };
+  return [line, ...dropClaim(request), ...outcomes.endFailed(state, request, failure, now)];
+}
+
+/** Gives up a call that came before its key was closed, and closes its other homes too. */
+function acceptClosed(
+  state: entryState.EntryState,
+  request: entryState.EntryRequest,
+  claim: keyClaim.KeyClaim,
+  now: number,
+): Effects {
+  if (claim.purpose === keyClaim.ClaimPurpose.CLOSE || request.repeatable) {
+    claim.index += 1;
+    return claimAtHome(state, request, claim, now);
+  }
+  const { clockSkewMs } = entryState.getTiming(state, request.arrived.service);
+  // A call that comes within the skew after the close would be refused again.
+  request.givenUp = outcomes.buildNotRun(schema.ResultCode.CANCELLED, 2 * clockSkewMs);
+  return startClose(state, request, now);
+}
+
+/** Joins the attempt that the key is bound to. */
+function acceptBound(
+  state: entryState.EntryState,
+  request: entryState.EntryRequest,
+  claim: keyClaim.KeyClaim,
+  reply: schema.ClaimReply,
+  now: number,
+): Effects {
+  const join = keyJoins.readJoin(state, reply, now);
+  if (join === undefined || now >= request.deadlineMs) {
+    return endUndecided(state, request, now);
+  }
+  const line = keyClaim.logClaim(request, 'bound');
+  const released = dropClaim(request);
+  request.claim = { ...claim, purpose: keyClaim.ClaimPurpose.CLOSE, join };
+  request.status = entryState.RequestStatus.CLAIMING;
+  return [line, ...released, ...joinIfDue(state, request, join, now)];
+}
+
+/** Joins once the call that bound the key has had time to offer its attempt. */
+function joinIfDue(
+  state: entryState.EntryState,
+  request: entryState.EntryRequest,
+  join: keyJoins.PendingJoin,
+  now: number,
+): Effects {
+  if (now < join.dueMs) {
+    return [];
+  }
+  request.claim = undefined;
+  request.givenUp = undefined;
+  state.claiming.delete(request.requestId);
+  return keyJoins.startJoin(state, request, join.target, now);
+}
+
+/** Ends a request whose key cannot be used. */
+function refuseKey(
+  state: entryState.EntryState,
+  request: entryState.EntryRequest,
+  failure: outcomes.Failure,
+  now: number,
+): Effects {
+  return [...dropClaim(request), ...outcomes.endFailed(state, request, failure, now)];
+}
+
+/** Handles a home's answer. One to a question that is no longer open is dropped. */
+export function handleClaimReply(
+  state: entryState.EntryState,
+  homeId: string,
+  reply: schema.ClaimReply,
+  now: number,
+): Effects {
+  const requestId = reply.claimId.slice(0, reply.claimId.lastIndexOf('/'));
+  const request = state.requests.get(requestId);
+  const claim = request?.claim;
+  const awaited =
+    claim?.claimId === reply.claimId && claim.homes[claim.index] === homeId && claim.sent;
+  if (request === undefined || claim === undefined || !awaited || claim.join !== undefined) {
+    return [effect.observe({ kind: 'dropped', reason: effect.DropReason.LATE_CLAIM_REPLY })];
+  }
+  switch (reply.outcome) {
+    case schema.ClaimOutcome.GRANTED:
+      claim.index += 1;
+      return claimAtHome(state, request, claim, now);
+    case schema.ClaimOutcome.CLOSED:
+      return acceptClosed(state, request, claim, now);
+    case schema.ClaimOutcome.BOUND:
+      return acceptBound(state, request, claim, reply, now);
+    case schema.ClaimOutcome.EXPIRED: {
+      const failure = outcomes.buildMayHaveRun(schema.ResultCode.KEY_EXPIRED);
+      return refuseKey(state, request, failure, now);
+    }
+    case schema.ClaimOutcome.REUSED: {
+      // Another home that was not asked may hold a binding of this very content.
+      const failure =
+        claim.homes.length === 1
+          ? outcomes.buildNotRun(schema.ResultCode.KEY_REUSED)
+          : outcomes.buildMayHaveRun(schema.ResultCode.KEY_REUSED);
+      return refuseKey(state, request, failure, now);
+    }
+    default:
+      return endUndecided(state, request, now);
+  }
+}
+
+/** Joins what is due and ends claims whose home has been silent for too long. */
+export function handleDue(state: entryState.EntryState, now: number): Effects {
+  return [...state.claiming].flatMap((requestId): Effects => {
+    const request = state.requests.get(requestId);
+    const claim = request?.claim;
+    if (request === undefined || claim === undefined) {
+      state.claiming.delete(requestId);
+      return [];
+    }
+    if (claim.join !== undefined) {
+      return joinIfDue(state, request, claim.join, now);
+    }
+    return now - claim.askedMs > CLAIM_TIMEOUT_MS ? endUndecided(state, request, now) : [];
+  });
+}
--- /dev/null
+++ b/packages/core/src/entry/link-opening.ts
@@ -0,0 +1,30 @@
+/** Opens links: those that are kept, and those that a claim or a join needs. */
+import * as entryEvent from './entry-event.js';
+import type * as entryState from './entry-state.js';
+
+/** How long a link on demand stays open after it was last needed, milliseconds. */
+const IDLE_MS = 3000;
+
+/** Tells whether a link is to be open now. */
+export function isWanted(view: entryState.AgentView, now: number): boolean {
+  const needed = view.neededMs > 0 && now - view.neededMs <= IDLE_MS;
+  return view.kept || view.heldIds.size > 0 || needed;
+}
+
+/** Opens the link of one agent where it is wanted and not open. */
+export function openIfWanted(view: entryState.AgentView, now: number): entryEvent.EntryEffect[] {
+  const open = view.linked || view.opening;
+  if (open || now < view.nextOpenMs || !isWanted(view, now)) {
+    return [];
+  }
+  view.opening = true;
+  view.lastHeardMs = now;
+  const { backendServerId, address } = view;
+  return [{ kind: 'openLink', backendServerId, address }];
+}
+
+/** Notes that a link is needed and opens it where it is not open. */
+export function openNeeded(view: entryState.AgentView, now: number): entryEvent.EntryEffect[] {
+  view.neededMs = now;
+  return openIfWanted(view, now);
+}
--- /dev/null
+++ b/packages/core/src/entry/offering.ts
@@ -0,0 +1,40 @@
+/** Sends offers. From here on only the agent says what became of the attempt. */
+import * as schema from '@toucanproxy/schema';
+import * as accounts from './accounts.js';
+import * as entryEvent from './entry-event.js';
+import * as entryMessages from './entry-messages.js';
+import * as entryState from './entry-state.js';
+
+/** Makes an attempt on one agent the request's present one and counts it there. */
+export function setTarget(
+  state: entryState.EntryState,
+  request: entryState.EntryRequest,
+  target: entryState.Target,
+): void {
+  request.status = entryState.RequestStatus.OFFERED;
+  accounts.addTarget(state, request, target);
+}
+
+/** Offers a request to one agent under an attempt number that is its own. */
+export function sendOffer(
+  state: entryState.EntryState,
+  request: entryState.EntryRequest,
+  agent: entryState.AgentView,
+  ref: schema.AttemptRef,
+): entryEvent.EntryEffect[] {
+  const target: entryState.Target = {
+    backendServerId: agent.backendServerId,
+    agentLife: agent.agentLife,
+    ref,
+    // The time of the call, not of the sending: an entry that pauses between
+    // its decision and the offer must not make a stale offer look fresh.
+    issuedMs: request.arrivedMs,
+    joined: false,
+    nextSequence: 0,
+    started: false,
+    withdrawnMs: 0,
+  };
+  setTarget(state, request, target);
+  const body = entryMessages.buildOffer(request, target);
+  return [entryMessages.sendToAgent(agent.backendServerId, body)];
+}
--- a/packages/core/src/entry/outcomes.ts
+++ b/packages/core/src/entry/outcomes.ts
@@ -1,8 +1,10 @@
 /** Ends requests. Every request ends here, once. */
 import * as schema from '@toucanproxy/schema';
 import * as effect from '../shared/effect.js';
+import * as accounts from './accounts.js';
 import * as entryEvent from './entry-event.js';
 import * as entryState from './entry-state.js';
+import * as reservationBook from './reservation-book.js';
 
 type Effects = entryEvent.EntryEffect[];
 
@@ -28,23 +30,32 @@
   return { code, runState: schema.RunState.MAY_HAVE_RUN, retryAfterMs: 0 };
 }
 
-/** Takes a request out of the state. */
-function forget(state: entryState.EntryState, request: entryState.EntryRequest): void {
-  releaseTarget(state, request);
-  state.requests.delete(request.requestId);
-  state.requestByCaller.delete(request.arrived.callerId);
+/**
+ * Combines what is known of two attempts.
+ *
+ * A repeat that is not run does not make its request "not run": the attempt
+ * before it was started, and a caller told otherwise would order again.
+ */
+export function mergeRunStates(a: schema.RunState, b: schema.RunState): schema.RunState {
+  const { RAN, MAY_HAVE_RUN, NOT_RUN } = schema.RunState;
+  return [RAN, MAY_HAVE_RUN].find((known) => a === known || b === known) ?? NOT_RUN;
 }
 
-/** Frees the place that a request takes in the accounts of its target. */
-export function releaseTarget(
+/** Ends the waiting of a request: its reservations are released. */
+export function endWaiting(
   state: entryState.EntryState,
   request: entryState.EntryRequest,
-): void {
-  const agent = request.target && state.agents.get(request.target.backendServerId);
-  if (agent !== undefined) {
-    agent.outstandingTokens -= request.arrived.estimatedTokens;
-  }
-  request.target = undefined;
+): Effects {
+  accounts.endWaiting(state, request);
+  accounts.endUnstarted(state, request);
+  return reservationBook.releaseReservations(state, request);
+}
+
+/** Takes a request out of the state. */
+function forget(state: entryState.EntryState, request: entryState.EntryRequest): Effects {
+  const released = endWaiting(state, request);
+  accounts.removeRequest(state, request);
+  return released;
 }
 
 /** Counts how a request ended. */
@@ -62,28 +73,36 @@
   });
 }
 
-/** Notes that an attempt ran, or may have, before the request is placed again. */
-export function recordEarlierRun(
-  request: entryState.EntryRequest,
-  runState: schema.RunState,
-): void {
-  if (request.earlierRun !== schema.RunState.RAN) {
-    request.earlierRun = runState;
-  }
-}
-
 /**
- * Says what is known of the whole request, not of its last attempt alone.
- *
- * A repeatable request whose first attempt broke and whose second was refused
- * would otherwise be told as not run although an engine had started it.
+ * Gives a request up. A keyed request of a route that runs once is not told
+ * "not run" before its key is closed: an earlier call with the same key, paused
+ * or waiting elsewhere, could still run, and its caller would order again.
  */
-function computeRunState(request: entryState.EntryRequest, failure: Failure): schema.RunState {
-  return failure.runState === schema.RunState.NOT_RUN ? request.earlierRun : failure.runState;
+export function fail(
+  state: entryState.EntryState,
+  request: entryState.EntryRequest,
+  failure: Failure,
+  now: number,
+): Effects {
+  const keyed = request.arrived.key !== '' && !request.repeatable;
+  if (!keyed || failure.runState !== schema.RunState.NOT_RUN) {
+    return endFailed(state, request, failure, now);
+  }
+  if (request.status === entryState.RequestStatus.CLOSING) {
+    return [];
+  }
+  if (request.target !== undefined) {
+    request.replaceable.push(request.target.ref);
+  }
+  accounts.releaseTarget(state, request);
+  request.status = entryState.RequestStatus.CLOSING;
+  request.givenUp = failure;
+  state.followUps.push({ kind: 'close', requestId: request.requestId });
+  return endWaiting(state, request);
 }
 
 /** Ends a request with a failure. */
-export function fail(
+export function endFailed(
   state: entryState.EntryState,
   request: entryState.EntryRequest,
   failure: Failure,
@@ -92,9 +111,10 @@
   const { requestId } = request;
   const { callerId } = request.arrived;
   const attempt = request.target?.ref.attempt ?? request.attempts;
-  const runState = computeRunState(request, failure);
-  forget(state, request);
+  const released = forget(state, request);
+  const runState = mergeRunStates(request.earlierRun, failure.runState);
   return [
+    ...released,
     effect.logDecision('failure', {
       request: requestId,
       attempt,
@@ -114,8 +134,9 @@
   now: number,
 ): Effects {
   const { callerId } = request.arrived;
-  forget(state, request);
+  const released = forget(state, request);
   return [
+    ...released,
     effect.logDecision('completed', {
       request: request.requestId,
       attempts: request.attempts,
@@ -132,6 +153,6 @@
   request: entryState.EntryRequest,
   now: number,
 ): Effects {
-  forget(state, request);
-  return [observeOutcome(request, schema.ResultCode.CLIENT_LEFT, now)];
+  const released = forget(state, request);
+  return [...released, observeOutcome(request, schema.ResultCode.CLIENT_LEFT, now)];
 }
--- a/packages/core/src/entry/placement.ts
+++ b/packages/core/src/entry/placement.ts
@@ -1,4 +1,4 @@
-/** Ways to choose a backend server for a request. */
+/** Ways to choose among backend servers. All are pure functions. */
 
 /** What a choice may look at. */
 export type Candidate = {
@@ -9,29 +9,150 @@
   reportedTokens: number;
   /** Measured speed; 0 while unknown. */
   tokensPerSecond: number;
+  /** Prompt tokens of the request that are likely to be in its prefix cache. */
+  cachedTokens: number;
+  /** Own observations against the median of its peers; 1 is as fast as they are. */
+  slowness: number;
+  /** Share of its usual traffic that it may get, above 0; below 1 after an ejection. */
+  trafficShare: number;
+  /** Where this prefix goes when nobody remembers it, the same on every entry. */
+  preferred: boolean;
+};
+
+export type PlacementContext = {
+  /** Uniform in [0, 1). */
+  drawRandom: () => number;
+  /** Placements of this service so far. */
+  serial: number;
+  /** Cost of the request, tokens. */
+  estimatedTokens: number;
 };
 
 /** Chooses one of at least one candidates. */
 export type ChooseBackendServer = (
   candidates: readonly Candidate[],
-  drawRandom: () => number,
+  context: PlacementContext,
 ) => Candidate;
 
+/** Which backend servers are asked for a place now, and when more are asked. */
+export type AskPlan = {
+  asked: Candidate[];
+  /** Time to wait for a grant before one more is asked, milliseconds. */
+  waitMs: number;
+};
+
+/** Plans whom to ask; candidates have not been asked for this request yet. */
+export type PlanAsks = (
+  candidates: readonly Candidate[],
+  context: PlacementContext,
+  count: number,
+) => AskPlan;
+
 /** Speed assumed until one has been measured, tokens per second. */
 const ASSUMED_TOKENS_PER_SECOND = 1000;
 
+const MS_PER_SECOND = 1000;
+/** Wait for a grant before one more backend server is asked, milliseconds. */
+const ASK_MORE_MS = 500;
+/** Shortest wait for the backend server that has the prefix, milliseconds. */
+const MIN_AFFINITY_WAIT_MS = 20;
+
+/** Gets the speed to reckon with, tokens per second. */
+function getSpeed(candidate: Candidate): number {
+  return candidate.tokensPerSecond || ASSUMED_TOKENS_PER_SECOND;
+}
+
 /** Estimates how long a candidate needs for what this entry gave it, in seconds. */
-function estimateDelay(candidate: Candidate): number {
-  const speed = candidate.tokensPerSecond || ASSUMED_TOKENS_PER_SECOND;
-  return candidate.outstandingTokens / speed;
+function estimateOwnDelay(candidate: Candidate): number {
+  return candidate.outstandingTokens / getSpeed(candidate);
 }
 
-/** Chooses the candidate that ends this entry's own work soonest. */
-export function chooseLeastOutstanding(
+/** Estimates when a candidate would end a request, in seconds from now. */
+export function estimateDelay(candidate: Candidate, estimatedTokens: number): number {
+  const ahead = Math.max(candidate.outstandingTokens, candidate.reportedTokens);
+  const own = Math.max(estimatedTokens - candidate.cachedTokens, 0);
+  return (((ahead + own) / getSpeed(candidate)) * candidate.slowness) / candidate.trafficShare;
+}
+
+/** Picks one of the candidates that score least. */
+function pickLeast(
   candidates: readonly Candidate[],
+  estimate: (candidate: Candidate) => number,
   drawRandom: () => number,
 ): Candidate {
-  const least = Math.min(...candidates.map(estimateDelay));
-  const best = candidates.filter((candidate) => estimateDelay(candidate) === least);
+  const scores = candidates.map(estimate);
+  const least = Math.min(...scores);
+  const best = candidates.filter((_, index) => scores[index] === least);
   return best[Math.floor(drawRandom() * best.length)];
 }
+
+/** Chooses in turn. */
+export function chooseInTurn(
+  candidates: readonly Candidate[],
+  context: PlacementContext,
+): Candidate {
+  return candidates[context.serial % candidates.length];
+}
+
+/** Chooses the better of two drawn at random, by the load that they reported. */
+export function chooseBetterOfTwo(
+  candidates: readonly Candidate[],
+  context: PlacementContext,
+): Candidate {
+  const first = Math.floor(context.drawRandom() * candidates.length);
+  const step = 1 + Math.floor(context.drawRandom() * Math.max(candidates.length - 1, 0));
+  const a = candidates[first];
+  const b = candidates[(first + step) % candidates.length];
+  return b.reportedTokens < a.reportedTokens ? b : a;
+}
+
+/** Chooses the candidate that ends this entry's own work soonest. */
+export function chooseLeastOutstanding(
+  candidates: readonly Candidate[],
+  context: PlacementContext,
+): Candidate {
+  return pickLeast(candidates, estimateOwnDelay, context.drawRandom);
+}
+
+/** Sorts by estimated delay; equal ones in random order, so that entries spread. */
+function sortByDelay(candidates: readonly Candidate[], context: PlacementContext): Candidate[] {
+  const scored = candidates.map((candidate) => ({
+    candidate,
+    delay: estimateDelay(candidate, context.estimatedTokens),
+    tie: context.drawRandom(),
+  }));
+  scored.sort((a, b) => a.delay - b.delay || a.tie - b.tie);
+  return scored.map((one) => one.candidate);
+}
+
+/**
+ * Asks the backend servers with the least estimated delay.
+ *
+ * One that has the prompt's prefix is asked alone, for as long as the prefill
+ * that it saves would take: waiting longer would cost more than it saves. So
+ * affinity is bounded by load without a threshold to set.
+ */
+export function selectLeastDelay(
+  candidates: readonly Candidate[],
+  context: PlacementContext,
+  count: number,
+): AskPlan {
+  const sorted = sortByDelay(candidates, context);
+  const [best] = sorted;
+  if (best !== undefined && best.cachedTokens > 0) {
+    const savedMs = (best.cachedTokens / getSpeed(best)) * MS_PER_SECOND;
+    const waitMs = Math.min(Math.max(savedMs, MIN_AFFINITY_WAIT_MS), ASK_MORE_MS);
+    return { asked: [best], waitMs };
+  }
+  const asked = sorted.slice(0, count);
+  const preferred = sorted.find((candidate) => candidate.preferred);
+  // Entries that do not know a prefix yet meet at the same backend server, and
+  // leave it out where it is much busier than the others.
+  if (preferred !== undefined && !asked.includes(preferred) && asked.length > 1) {
+    const least = estimateDelay(best, context.estimatedTokens);
+    if (estimateDelay(preferred, context.estimatedTokens) <= 2 * least) {
+      asked[asked.length - 1] = preferred;
+    }
+  }
+  return { asked, waitMs: ASK_MORE_MS };
+}
--- /dev/null
+++ b/packages/core/src/entry/repeats.ts
@@ -0,0 +1,66 @@
+/** Repeats idempotent requests whose run broke, within a budget. */
+import * as schema from '@toucanproxy/schema';
+import * as effect from '../shared/effect.js';
+import * as accounts from './accounts.js';
+import * as dispatch from './dispatch.js';
+import * as entryEvent from './entry-event.js';
+import * as entryState from './entry-state.js';
+import * as outcomes from './outcomes.js';
+import * as retryBudget from './retry-budget.js';
+import * as shedding from './shedding.js';
+
+type Effects = entryEvent.EntryEffect[];
+
+/** Crashes after which a request is not repeated: it is then a likely cause. */
+const MAX_CRASHES = 1;
+
+/** Waits out a pause before the request is placed again. */
+function beginPause(
+  state: entryState.EntryState,
+  request: entryState.EntryRequest,
+  failure: outcomes.Failure,
+  now: number,
+): Effects {
+  request.earlierRun = outcomes.mergeRunStates(request.earlierRun, failure.runState);
+  dispatch.beginAgain(state, request, now);
+  const pauseMs = retryBudget.drawBackoff(request.repeats, state.policy.drawRandom);
+  request.repeats += 1;
+  request.retryAtMs = now + pauseMs;
+  accounts.updateDue(state, request, now);
+  return [
+    effect.logDecision('repeat', {
+      request: request.requestId,
+      attempt: request.attempts,
+      result: schema.ResultCode[failure.code],
+      pauseMs: Math.round(pauseMs),
+    }),
+  ];
+}
+
+/** Ends or repeats a request whose attempt was lost or broke. */
+export function handleBrokenRun(
+  state: entryState.EntryState,
+  request: entryState.EntryRequest,
+  failure: outcomes.Failure,
+  now: number,
+): Effects {
+  if (failure.code === schema.ResultCode.ENGINE_CRASHED) {
+    request.crashes += 1;
+  }
+  const mayRepeat =
+    request.repeatable &&
+    !request.firstByteSent &&
+    now < request.deadlineMs &&
+    request.crashes <= MAX_CRASHES;
+  if (!mayRepeat) {
+    return outcomes.fail(state, request, failure, now);
+  }
+  const service = accounts.getServiceOf(state, request);
+  const { retryBudgetPercent } = entryState.getLimits(state, service.service);
+  if (retryBudget.takeRepeat(service.retries, retryBudgetPercent, now)) {
+    return beginPause(state, request, failure, now);
+  }
+  const retryAfterMs = shedding.drawRetryAfter(state, service, request.tierRank, now);
+  const code = schema.ResultCode.RETRY_BUDGET_SPENT;
+  return outcomes.fail(state, request, { ...failure, code, retryAfterMs }, now);
+}
--- /dev/null
+++ b/packages/core/src/entry/reservation-book.ts
@@ -0,0 +1,45 @@
+/** Which agents were asked for a place for which requests. */
+import * as entryEvent from './entry-event.js';
+import * as entryMessages from './entry-messages.js';
+import * as entryState from './entry-state.js';
+
+type Effects = entryEvent.EntryEffect[];
+
+/** Asks an agent for a place. */
+export function addReservation(
+  request: entryState.EntryRequest,
+  agent: entryState.AgentView,
+): Effects {
+  request.reservedAt.add(agent.backendServerId);
+  agent.reservedIds.add(request.requestId);
+  const body = entryMessages.buildReserve(request);
+  return [entryMessages.sendToAgent(agent.backendServerId, body)];
+}
+
+/** Forgets a reservation that its agent has ended. */
+export function removeReservation(
+  state: entryState.EntryState,
+  request: entryState.EntryRequest,
+  backendServerId: string,
+): void {
+  request.reservedAt.delete(backendServerId);
+  state.agents.get(backendServerId)?.reservedIds.delete(request.requestId);
+}
+
+/** Builds the notice that a place at an agent is not needed. */
+export function sendRelease(backendServerId: string, requestId: string): entryEvent.EntryEffect {
+  return entryMessages.sendToAgent(backendServerId, entryMessages.buildRelease(requestId));
+}
+
+/** Releases each reservation of a request but the one that is used. */
+export function releaseReservations(
+  state: entryState.EntryState,
+  request: entryState.EntryRequest,
+  usedAt = '',
+): Effects {
+  const asked = [...request.reservedAt];
+  asked.forEach((id) => removeReservation(state, request, id));
+  return asked
+    .filter((id) => id !== usedAt && state.agents.get(id)?.linked === true)
+    .map((id) => sendRelease(id, request.requestId));
+}
--- /dev/null
+++ b/packages/core/src/entry/shedding.ts
@@ -0,0 +1,129 @@
+/** Keeps the waiting requests of a service within their bound. */
+import * as schema from '@toucanproxy/schema';
+import * as startQueue from '../agent/start-queue.js';
+import * as effect from '../shared/effect.js';
+import * as accounts from './accounts.js';
+import * as asking from './asking.js';
+import * as candidates from './candidates.js';
+import * as drainRate from './drain-rate.js';
+import * as entryEvent from './entry-event.js';
+import * as entryMessages from './entry-messages.js';
+import * as entryState from './entry-state.js';
+import * as outcomes from './outcomes.js';
+import * as serviceState from './service-state.js';
+
+type Effects = entryEvent.EntryEffect[];
+type Step = { effects: Effects; madeRoom: boolean };
+
+/** Draws when a caller of a tier should come back, milliseconds. */
+export function drawRetryAfter(
+  state: entryState.EntryState,
+  service: serviceState.ServiceState,
+  tierRank: number,
+  now: number,
+): number {
+  const ahead = accounts.countAhead(service, tierRank);
+  return drainRate.drawRetryAfter(service.drain, ahead, now, state.policy.drawRandom);
+}
+
+/** Ends a waiting request so that others find room. */
+export function shed(
+  state: entryState.EntryState,
+  request: entryState.EntryRequest,
+  now: number,
+): Effects {
+  const service = accounts.getServiceOf(state, request);
+  const leastUrgent = service.unstarted.tiers.at(-1)?.tierRank ?? 0;
+  const broken: Effects =
+    leastUrgent > request.tierRank
+      ? [effect.observe({ kind: 'invariantBroken', name: 'shed-before-less-urgent' })]
+      : [];
+  const retryAfterMs = drawRetryAfter(state, service, request.tierRank, now);
+  const failure = outcomes.buildNotRun(schema.ResultCode.SHED, retryAfterMs);
+  return [...broken, ...outcomes.fail(state, request, failure, now)];
+}
+
+/** Asks an agent to give up a request that it may not have started. */
+function withdrawOffer(
+  state: entryState.EntryState,
+  request: entryState.EntryRequest,
+  target: entryState.Target,
+  now: number,
+): Effects {
+  accounts.endUnstarted(state, request);
+  accounts.getServiceOf(state, request).withdrawnIds.add(request.requestId);
+  target.withdrawnMs = now;
+  const body = entryMessages.buildWithdraw(target);
+  return [entryMessages.sendToAgent(target.backendServerId, body)];
+}
+
+/** Tells whether less urgent work waits at an agent, as it last reported. */
+function hasLessUrgent(agent: entryState.AgentView, tierRank: number): boolean {
+  return (agent.load?.queuedByTier ?? []).slice(tierRank + 1).some((count) => count > 0);
+}
+
+/**
+ * Finds an agent where less urgent work waits and that has not refused a request.
+ *
+ * The agent evicts that work for this request, so shedding this one before it
+ * was asked would lose an urgent request while a less urgent one runs.
+ */
+function findEvicting(
+  state: entryState.EntryState,
+  request: entryState.EntryRequest,
+  now: number,
+): entryState.AgentView | undefined {
+  return candidates
+    .listUsable(state, request.arrived.service, now)
+    .filter((agent) => !request.refusedBy.has(agent.backendServerId))
+    .find((agent) => hasLessUrgent(agent, request.tierRank));
+}
+
+/** Sheds one waiting request, unless an agent is still to be asked. */
+function shedWaiting(
+  state: entryState.EntryState,
+  request: entryState.EntryRequest,
+  now: number,
+): Step {
+  const agent = findEvicting(state, request, now);
+  if (agent === undefined) {
+    return { effects: shed(state, request, now), madeRoom: true };
+  }
+  const asked = request.reservedAt.has(agent.backendServerId);
+  const effects = asked ? [] : asking.askAgent(state, request, agent, now);
+  const service = accounts.getServiceOf(state, request);
+  return { effects, madeRoom: !service.waitingIds.has(request.requestId) };
+}
+
+/** Makes room for one request: the newest of the least urgent tier gives way. */
+function makeRoom(
+  state: entryState.EntryState,
+  service: serviceState.ServiceState,
+  now: number,
+): Step {
+  const victim = startQueue.findLessUrgent(service.unstarted, -1);
+  const request = victim && state.requests.get(victim.id);
+  if (request === undefined) {
+    return { effects: [], madeRoom: false };
+  }
+  return request.target === undefined
+    ? shedWaiting(state, request, now)
+    : { effects: withdrawOffer(state, request, request.target, now), madeRoom: true };
+}
+
+/** Sheds requests until those that wait are within the bound of the document. */
+export function shedOverflow(
+  state: entryState.EntryState,
+  service: serviceState.ServiceState,
+  now: number,
+): Effects {
+  const { maxWaiting } = entryState.getLimits(state, service.service);
+  const effects: Effects = [];
+  let excess = service.waitingIds.size - service.withdrawnIds.size - maxWaiting;
+  while (excess > 0) {
+    const step = makeRoom(state, service, now);
+    effects.push(...step.effects);
+    excess = step.madeRoom ? excess - 1 : 0;
+  }
+  return effects;
+}
--- /dev/null
+++ b/packages/core/src/shared/document-index.ts
@@ -0,0 +1,37 @@
+/**
+ * What is looked up in a document for each request, indexed once when the
+ * document comes into force: a request costs the same with 15,000 credentials.
+ */
+import * as schema from '@toucanproxy/schema';
+import * as documentTiming from './document-timing.js';
+
+export type DocumentIndex = {
+  version: number;
+  credentialByToken: Map<string, schema.Credential>;
+  workspaceByName: Map<string, schema.Workspace>;
+  tierRankByName: Map<string, number>;
+  /** The longest path prefix first. */
+  routes: schema.Route[];
+  timing: documentTiming.Timing;
+  limits: documentTiming.Limits;
+};
+
+/** Indexes a document. */
+export function buildDocumentIndex(document: schema.ServiceDocument): DocumentIndex {
+  const routes = [...document.routes];
+  routes.sort((a, b) => b.pathPrefix.length - a.pathPrefix.length);
+  return {
+    version: document.version,
+    credentialByToken: new Map(document.credentials.map((one) => [one.tokenSha256, one])),
+    workspaceByName: new Map(document.workspaces.map((one) => [one.name, one])),
+    tierRankByName: new Map(document.tiers.map((name, rank) => [name, rank])),
+    routes,
+    timing: documentTiming.getTiming(document),
+    limits: documentTiming.getLimits(document),
+  };
+}
+
+/** Finds the route that serves a path: the longest prefix wins. */
+export function findRoute(index: DocumentIndex, path: string): schema.Route | undefined {
+  return index.routes.find((route) => path.startsWith(route.pathPrefix));
+}
--- a/packages/core/src/shared/effect.ts
+++ b/packages/core/src/shared/effect.ts
@@ -23,6 +23,7 @@
   DUPLICATE = 'duplicate',
   OUT_OF_ORDER = 'out_of_order',
   UNKNOWN_REQUEST = 'unknown_request',
+  LATE_CLAIM_REPLY = 'late_claim_reply',
 }
 
 /** Something worth counting. Times in milliseconds, amounts in tokens. */
--- a/packages/entry/src/app.ts
+++ b/packages/entry/src/app.ts
@@ -75,10 +75,7 @@
 function createState(settings: schema.EntrySettings): core.EntryState {
   const { entryId, failureDomain } = settings;
   const life = crypto.randomBytes(LIFE_BYTES).toString('hex');
-  const policy = {
-    chooseBackendServer: core.chooseLeastOutstanding,
-    drawRandom: Math.random,
-  };
+  const policy = core.createLateBindingPolicy(Math.random);
   return core.createEntryState({ entryId, life, failureDomain }, policy);
 }
 
--- a/packages/proofs/src/mocks/fleet-state.ts
+++ b/packages/proofs/src/mocks/fleet-state.ts
@@ -65,10 +65,7 @@
   latencyMs: 1.5,
   jitterMs: 0.5,
   clockSkewMs: 0,
-  buildPolicy: (drawRandom) => ({
-    chooseBackendServer: core.chooseLeastOutstanding,
-    drawRandom,
-  }),
+  buildPolicy: core.createLateBindingPolicy,
   handleEntryEvent: core.handleEntryEvent,
   handleAgentEvent: core.handleAgentEvent,
   observe: () => {},
