--- a/packages/core/src/agent/runs.ts
+++ b/packages/core/src/agent/runs.ts
@@ -4,13 +4,17 @@
  */
 import * as schema from '@toucanproxy/schema';
 import * as effect from '../shared/effect.js';
+import * as suspects from '../shared/suspects.js';
 import * as agentEvent from './agent-event.js';
 import * as agentMessages from './agent-messages.js';
 import * as agentState from './agent-state.js';
 import * as answers from './answers.js';
+import * as engineSpeed from './engine-speed.js';
 import * as holds from './holds.js';
 import * as places from './places.js';
+import * as reachability from './reachability.js';
 import * as refusals from './refusals.js';
+import * as runMemory from './run-memory.js';
 import * as runRecord from './run-record.js';
 import * as startQueue from './start-queue.js';
 
@@ -31,15 +35,21 @@
   // later finds the record and is not started a second time.
   record.status = runRecord.RunStatus.STARTED;
   record.changedMs = now;
+  const alone = suspects.isSuspect(state.suspects, offer.contentDigest);
+  state.soloRefKey = alone ? record.refKey : state.soloRefKey;
+  const inCompany = alone && state.running.size > 0;
+  runRecord.dropPayload(record);
   state.running.add(record.refKey);
   state.runningTokens += offer.estimatedTokens;
   return [
+    ...(inCompany ? [effect.observe({ kind: 'invariantBroken', name: 'suspect-in-company' })] : []),
     effect.observe({ kind: 'queueWait', tier: String(offer.tierRank), ms: waitedMs }),
     effect.logDecision('start', {
       request: record.refKey,
       tierRank: offer.tierRank,
       queued: startQueue.countQueued(state.queue),
       running: state.running.size,
+      alone,
     }),
     ...answers.publish(record, agentMessages.buildStarted(record.ref)),
     { kind: 'startOnEngine', refKey: record.refKey, offer },
@@ -53,6 +63,7 @@
   now: number,
 ): Effects {
   startQueue.takeItem(state.queue, item);
+  engineSpeed.noteDrained(state.speed, item.estimatedTokens);
   if (item.kind === startQueue.QueuedKind.RESERVATION) {
     const queued = state.reservations.get(item.id);
     state.reservations.delete(item.id);
@@ -62,19 +73,27 @@
   return record === undefined ? [] : startOne(state, record, now);
 }
 
+/** Says what an item asks of the engine. */
+function toWish(state: agentState.AgentState, item: startQueue.QueuedItem): places.Wish {
+  const { tierRank, estimatedTokens } = item;
+  const digest = state.runs.get(item.id)?.offer?.contentDigest ?? '';
+  return { tierRank, estimatedTokens, alone: suspects.isSuspect(state.suspects, digest) };
+}
+
 /** Starts what is queued while the engine has places. */
 export function startQueued(state: agentState.AgentState, now: number): Effects {
+  places.noteTime(state, now);
   const effects: Effects = [];
   for (;;) {
     const item = startQueue.findNext(state.queue);
-    if (item === undefined || !places.hasRoom(state, item)) {
+    if (item === undefined || !places.hasRoom(state, toWish(state, item))) {
       return effects;
     }
     // Work that cannot end in time would only take the place of work that can.
     effects.push(
-      ...(now >= item.deadlineMs
-        ? refusals.refuseItem(state, item, schema.ResultCode.DEADLINE_UNREACHABLE, now)
-        : serveItem(state, item, now)),
+      ...(reachability.isRunReachable(state, item, 0, now)
+        ? serveItem(state, item, now)
+        : refusals.refuseItem(state, item, schema.ResultCode.DEADLINE_UNREACHABLE, now)),
     );
   }
 }
@@ -86,8 +105,22 @@
   status: runRecord.RunStatus.COMPLETED | runRecord.RunStatus.FAILED,
   now: number,
 ): void {
+  if (status === runRecord.RunStatus.COMPLETED) {
+    const queued = startQueue.countQueued(state.queue) > 0;
+    const tokens = record.offer?.estimatedTokens ?? 0;
+    engineSpeed.noteRun(state.speed, tokens, now - record.changedMs, queued);
+  }
   record.status = status;
   record.changedMs = now;
+  runMemory.noteEnded(state.memory, record.refKey, now);
+  releasePlace(state, record);
+}
+
+/** Frees the place of an attempt that no longer runs. */
+export function releasePlace(state: agentState.AgentState, record: runRecord.RunRecord): void {
+  if (state.soloRefKey === record.refKey) {
+    state.soloRefKey = '';
+  }
   if (state.running.delete(record.refKey)) {
     state.runningTokens -= record.offer?.estimatedTokens ?? 0;
   }
