--- a/packages/core/src/agent/agent-state.ts
+++ b/packages/core/src/agent/agent-state.ts
@@ -2,8 +2,12 @@
 import * as schema from '@toucanproxy/schema';
 import * as documentStore from '../shared/document-store.js';
 import * as documentTiming from '../shared/document-timing.js';
-import * as reservation from './reservation.js';
+import * as suspects from '../shared/suspects.js';
 import type * as claims from './claims.js';
+import * as engineLimit from './engine-limit.js';
+import * as engineSpeed from './engine-speed.js';
+import * as reservation from './reservation.js';
+import * as runMemory from './run-memory.js';
 import * as runRecord from './run-record.js';
 import * as startQueue from './start-queue.js';
 
@@ -14,6 +18,8 @@
   lastHeardMs: number;
   lastSentMs: number;
   heartbeatsSent: number;
+  /** Revision of the suspects last sent over this link. */
+  suspectsRevision: number;
 };
 
 export type AgentState = {
@@ -35,7 +41,17 @@
   runningTokens: number;
   links: Map<number, EntryLink>;
   engineAvailable: boolean;
+  speed: engineSpeed.EngineSpeed;
+  limit: engineLimit.EngineLimit;
+  suspects: suspects.Suspects;
+  /** The suspect that runs alone at present; empty where none does. */
+  soloRefKey: string;
+  /** What ended attempts take in memory. */
+  memory: runMemory.RunMemory;
+  /** Any of the three reasons below holds. */
   leaving: boolean;
+  documentLeaving: boolean;
+  vmLeaving: boolean;
   shutdownStarted: boolean;
   stopped: boolean;
 };
@@ -62,7 +78,14 @@
     runningTokens: 0,
     links: new Map(),
     engineAvailable: true,
+    speed: engineSpeed.createEngineSpeed(now),
+    limit: engineLimit.createEngineLimit(),
+    suspects: suspects.createSuspects(),
+    soloRefKey: '',
+    memory: runMemory.createRunMemory(),
     leaving: false,
+    documentLeaving: false,
+    vmLeaving: false,
     shutdownStarted: false,
     stopped: false,
   };
--- a/packages/core/src/entry/admission.ts
+++ b/packages/core/src/entry/admission.ts
@@ -2,7 +2,7 @@
 import * as schema from '@toucanproxy/schema';
 import * as documentIndex from '../shared/document-index.js';
 import * as keyTime from '../shared/key-time.js';
-import * as suspectTable from '../shared/suspect-table.js';
+import * as suspects from '../shared/suspects.js';
 import * as costModel from './cost-model.js';
 import * as entryEvent from './entry-event.js';
 import * as entryState from './entry-state.js';
@@ -143,14 +143,13 @@
   state: entryState.EntryState,
   request: entryState.EntryRequest,
   index: documentIndex.DocumentIndex,
-  now: number,
 ): outcomes.Failure | undefined {
   const { limits } = index;
   const { arrived, workspace } = request;
   if (state.shutdownStarted) {
     return outcomes.buildNotRun(schema.ResultCode.SHUTTING_DOWN, FULL_RETRY_AFTER_MS);
   }
-  if (suspectTable.isRefused(state.suspects, arrived.contentDigest, now)) {
+  if (suspects.isCondemned(state.suspects, arrived.contentDigest)) {
     return outcomes.buildNotRun(schema.ResultCode.CONTENT_REFUSED);
   }
   const service = entryState.getService(state, arrived.service);
@@ -187,6 +186,6 @@
     return { kind: 'rejected', failure: keyFault };
   }
   const request = buildRequest(state, arrived, { credential, route }, index, now);
-  const limit = findLimit(state, request, index, now);
+  const limit = findLimit(state, request, index);
   return limit === undefined ? { kind: 'admitted', request } : refuse(state, request, limit);
 }
--- a/packages/core/src/entry/agent-links.ts
+++ b/packages/core/src/entry/agent-links.ts
@@ -1,7 +1,7 @@
 /** Links to agents: opening, heartbeats in both directions, resumption. */
 import * as schema from '@toucanproxy/schema';
 import * as documentStore from '../shared/document-store.js';
-import * as suspectTable from '../shared/suspect-table.js';
+import * as suspects from '../shared/suspects.js';
 import * as accounts from './accounts.js';
 import * as agentHealth from './agent-health.js';
 import * as dispatch from './dispatch.js';
@@ -18,8 +18,6 @@
 /** Pause before a link that failed is opened again, milliseconds. */
 const REOPEN_MIN_MS = 100;
 const REOPEN_SPREAD_MS = 400;
-/** Suspects in one heartbeat; the rest follow in the next ones. */
-const MAX_SUSPECTS_SENT = 8;
 
 /** Makes the view of a backend server that a document names for the first time. */
 function makeView(service: string, server: schema.BackendServer): entryState.AgentView {
@@ -237,7 +235,7 @@
     return [];
   }
   view.load = heartbeat.load;
-  suspectTable.mergeSuspects(state.suspects, heartbeat.suspects, now);
+  suspects.mergeSuspects(state.suspects, heartbeat.suspects, now);
   view.reportedLeaving = view.reportedLeaving || (heartbeat.load?.leaving ?? false);
   updateLeaving(view);
   const theirs = heartbeat.document?.version ?? 0;
@@ -272,10 +270,10 @@
   view.lastSentMs = now;
   view.heartbeatsSent += 1;
   const version = documentStore.getVersion(state.documents, view.service);
-  const suspects = suspectTable.listChanged(state.suspects, view.suspectsSent, MAX_SUSPECTS_SENT);
-  view.suspectsSent = suspects.at(-1)?.revision ?? view.suspectsSent;
+  const changed = view.suspectsSent !== state.suspects.revision;
+  view.suspectsSent = state.suspects.revision;
   const heartbeat = schema.create(schema.EntryHeartbeatSchema, {
-    suspects,
+    suspects: changed ? suspects.listSuspects(state.suspects) : [],
     document: { service: view.service, version },
     sequence: view.heartbeatsSent,
   });
--- a/packages/core/src/entry/asking.ts
+++ b/packages/core/src/entry/asking.ts
@@ -1,6 +1,6 @@
 /** Gives one request to one agent, or asks it for a place, as the policy says. */
 import * as schema from '@toucanproxy/schema';
-import * as suspectTable from '../shared/suspect-table.js';
+import * as suspects from '../shared/suspects.js';
 import * as accounts from './accounts.js';
 import * as entryEvent from './entry-event.js';
 import * as entryState from './entry-state.js';
@@ -21,7 +21,7 @@
 ): Effects {
   const { contentDigest, prefixHashes } = request.arrived;
   // The content may have crashed a second engine while this request waited.
-  if (suspectTable.isRefused(state.suspects, contentDigest, now)) {
+  if (suspects.isCondemned(state.suspects, contentDigest)) {
     const failure = outcomes.buildNotRun(schema.ResultCode.CONTENT_REFUSED);
     return outcomes.fail(state, request, failure, now);
   }
--- a/packages/core/src/entry/entry-state.ts
+++ b/packages/core/src/entry/entry-state.ts
@@ -3,7 +3,7 @@
 import * as documentStore from '../shared/document-store.js';
 import * as documentTiming from '../shared/document-timing.js';
 import * as priorityHeap from '../shared/priority-heap.js';
-import * as suspectTable from '../shared/suspect-table.js';
+import * as suspects from '../shared/suspects.js';
 import * as agentHealth from './agent-health.js';
 import * as entryEvent from './entry-event.js';
 import * as entryPolicy from './entry-policy.js';
@@ -156,7 +156,7 @@
   services: Map<string, serviceState.ServiceState>;
   /** When something is due for each request, milliseconds since the Unix epoch. */
   due: priorityHeap.PriorityHeap;
-  suspects: suspectTable.SuspectTable;
+  suspects: suspects.Suspects;
   shutdownStarted: boolean;
   stopped: boolean;
 };
@@ -189,7 +189,7 @@
     agents: new Map(),
     services: new Map(),
     due: priorityHeap.createPriorityHeap(),
-    suspects: suspectTable.createSuspectTable(),
+    suspects: suspects.createSuspects(),
     shutdownStarted: false,
     stopped: false,
   };
--- a/packages/core/src/entry/handle-entry-event.ts
+++ b/packages/core/src/entry/handle-entry-event.ts
@@ -4,6 +4,7 @@
 import * as documentStore from '../shared/document-store.js';
 import * as effect from '../shared/effect.js';
 import * as accounts from './accounts.js';
+import * as suspects from '../shared/suspects.js';
 import * as admission from './admission.js';
 import * as agentLinks from './agent-links.js';
 import * as answerFlow from './answer-flow.js';
@@ -133,6 +134,7 @@
 
 /** Does what is due by time alone. */
 function handleTick(state: entryState.EntryState, now: number): Effects {
+  suspects.expireSuspects(state.suspects, now);
   return [
     ...deadlines.handleAllDue(state, now),
     ...keyClaims.handleDue(state, now),
