Test the entry's decisions and mend what the tests found

Cause: the entry's half of overload, repeats and placement had no focused tests. Conclusion: drain rates count only time in which a request waited; refusals wake nobody; a withdrawn request gives its place to those that made it yield.

--- a/packages/core/src/entry/accounts.ts
+++ b/packages/core/src/entry/accounts.ts
@@ -171,7 +171,8 @@
   request.target.started = true;
   request.startedMs = now;
   endUnstarted(state, request);
-  drainRate.noteStart(getServiceOf(state, request).drain, request.arrived.estimatedTokens, now);
+  const { drain } = getServiceOf(state, request);
+  drainRate.noteStart(drain, request.arrived.estimatedTokens, request.arrivedMs, now);
 }
 
 /** Notes that an agent holds a request from now on. */
--- /dev/null
+++ b/packages/core/src/entry/agent-health.test.ts
@@ -0,0 +1,64 @@
+import * as assert from 'node:assert/strict';
+import * as nodeTest from 'node:test';
+import * as agentHealth from './agent-health.js';
+
+const { Stage } = agentHealth;
+const NOW = 1_000_000;
+
+/** Makes a pool whose members each took a time for some requests. */
+function makePool(times: number[]): agentHealth.AgentHealth[] {
+  return times.map((ms) => {
+    const health = agentHealth.createAgentHealth();
+    recordTimes(health, ms, 10);
+    return health;
+  });
+}
+
+function recordTimes(health: agentHealth.AgentHealth, ms: number, count: number): void {
+  for (let index = 0; index < count; index += 1) {
+    agentHealth.recordDuration(health, Stage.COMPLETION, ms, 100);
+  }
+}
+
+nodeTest.test('a slow generation of engines is not an outlier', () => {
+  const pool = makePool([100, 100, 100, 600, 600]);
+  assert.equal(agentHealth.ejectOutlier(pool[4], pool, NOW), undefined);
+  assert.ok(agentHealth.computeSlowness(pool[4], pool) > 5);
+});
+
+nodeTest.test('one that has become slow is ejected and comes back slowly', () => {
+  // An engine becomes eight times slower without a failure. It gets less work
+  // as soon as its times show, none for some seconds, then more little by little.
+  const pool = makePool([100, 100, 100, 100, 100]);
+  const [slow] = pool;
+  recordTimes(slow, 800, 2);
+  assert.ok(agentHealth.computeSlowness(slow, pool) > 2);
+  recordTimes(slow, 800, 4);
+  const cause = agentHealth.ejectOutlier(slow, pool, NOW);
+  assert.equal(cause, agentHealth.EjectionCause.SLOW);
+  assert.ok(agentHealth.isEjected(slow, NOW + 4999));
+  assert.ok(!agentHealth.isEjected(slow, NOW + 5000));
+  const shares = [5000, 10_000, 15_000].map((ms) =>
+    agentHealth.computeTrafficShare(slow, NOW + ms),
+  );
+  assert.deepEqual(shares, [0.1, 0.5, 1]);
+});
+
+nodeTest.test('failures in a row eject, but only a part of the pool', () => {
+  // Every backend server fails. Ejecting all would leave none to serve, and
+  // ejecting half would put double load on the rest.
+  const pool = makePool([100, 100, 100, 100, 100, 100]);
+  const ejected = pool.filter((health) => {
+    [1, 2, 3].forEach(() => agentHealth.recordFailure(health));
+    return agentHealth.ejectOutlier(health, pool, NOW) !== undefined;
+  });
+  assert.equal(ejected.length, 2);
+});
+
+nodeTest.test('a success ends a row of failures', () => {
+  const pool = makePool([100, 100, 100]);
+  [1, 2].forEach(() => agentHealth.recordFailure(pool[0]));
+  recordTimes(pool[0], 100, 1);
+  agentHealth.recordFailure(pool[0]);
+  assert.equal(agentHealth.ejectOutlier(pool[0], pool, NOW), undefined);
+});
--- a/packages/core/src/entry/agent-health.ts
+++ b/packages/core/src/entry/agent-health.ts
@@ -76,8 +76,9 @@
   const pace = health.paces[stage];
   const ms = durationMs / (tokens + BASE_TOKENS);
   pace.samples += 1;
-  pace.recentMs += Math.max(RECENT_WEIGHT, 1 / pace.samples) * (ms - pace.recentMs);
-  pace.usualMs += Math.max(USUAL_WEIGHT, 1 / pace.samples) * (ms - pace.usualMs);
+  const firstWeight = pace.samples <= MIN_SAMPLES ? 1 / pace.samples : 0;
+  pace.recentMs += Math.max(RECENT_WEIGHT, firstWeight) * (ms - pace.recentMs);
+  pace.usualMs += Math.max(USUAL_WEIGHT, firstWeight) * (ms - pace.usualMs);
   health.failuresInRow = 0;
 }
 
--- a/packages/core/src/entry/answer-flow.ts
+++ b/packages/core/src/entry/answer-flow.ts
@@ -176,13 +176,20 @@
   if (notRun.code === schema.ResultCode.DEADLINE_UNREACHABLE && !target.joined) {
     request.unreachableBy.add(target.backendServerId);
   }
+  const service = accounts.getServiceOf(state, request);
+  // It was taken back to make room, and the place that it leaves is for others.
+  const givesWay =
+    service.withdrawnIds.has(request.requestId) &&
+    !accounts.hasLessUrgent(service, request.tierRank);
+  if (givesWay && now < request.deadlineMs) {
+    return shedding.shed(state, request, now);
+  }
   if (ELSEWHERE_CODES.has(notRun.code) && now < request.deadlineMs) {
     return dispatch.placeAgain(state, request, now);
   }
   const code = now >= request.deadlineMs ? schema.ResultCode.DEADLINE_UNREACHABLE : notRun.code;
-  const service = accounts.getServiceOf(state, request);
   const retryAfterMs =
-    notRun.retryAfterMs || shedding.drawRetryAfter(state, service, request.tierRank, now);
+    notRun.retryAfterMs || shedding.drawRetryAfter(state, service, request.tierRank);
   return outcomes.fail(state, request, outcomes.buildNotRun(code, retryAfterMs), now);
 }
 
--- a/packages/core/src/entry/deadlines.ts
+++ b/packages/core/src/entry/deadlines.ts
@@ -67,7 +67,7 @@
     return handleOverdueOffer(state, request, request.target, now);
   }
   const service = accounts.getServiceOf(state, request);
-  const retryAfterMs = shedding.drawRetryAfter(state, service, request.tierRank, now);
+  const retryAfterMs = shedding.drawRetryAfter(state, service, request.tierRank);
   const code = schema.ResultCode.DEADLINE_UNREACHABLE;
   return outcomes.fail(state, request, outcomes.buildNotRun(code, retryAfterMs), now);
 }
--- a/packages/core/src/entry/dispatch.ts
+++ b/packages/core/src/entry/dispatch.ts
@@ -66,11 +66,11 @@
 ): Effects {
   const service = accounts.getServiceOf(state, request);
   const ahead = accounts.estimateTokensAhead(state, request);
-  const waitMs = drainRate.estimateWaitMs(service.drain, ahead, now);
+  const waitMs = drainRate.estimateWaitMs(service.drain, ahead);
   const unreachable =
     request.refusedBy.size > 0 && request.unreachableBy.size >= request.refusedBy.size;
   if (unreachable || now + waitMs >= request.deadlineMs) {
-    const retryAfterMs = shedding.drawRetryAfter(state, service, request.tierRank, now);
+    const retryAfterMs = shedding.drawRetryAfter(state, service, request.tierRank);
     const code = schema.ResultCode.DEADLINE_UNREACHABLE;
     return outcomes.fail(state, request, outcomes.buildNotRun(code, retryAfterMs), now);
   }
@@ -96,7 +96,7 @@
 ): Effects {
   const service = accounts.getServiceOf(state, request);
   if (!isOpening(state, service.service, now)) {
-    const retryAfterMs = shedding.drawRetryAfter(state, service, request.tierRank, now);
+    const retryAfterMs = shedding.drawRetryAfter(state, service, request.tierRank);
     const code = schema.ResultCode.NO_BACKEND_SERVER;
     return outcomes.fail(state, request, outcomes.buildNotRun(code, retryAfterMs), now);
   }
--- a/packages/core/src/entry/handle-entry-event.ts
+++ b/packages/core/src/entry/handle-entry-event.ts
@@ -44,20 +44,32 @@
   return dispatch.placeNew(state, request, now);
 }
 
-/** Takes a message of an agent; one that ends an attempt is a sign of room there. */
+/**
+ * Tells whether a message is a sign of room at its agent. A refusal is none: a
+ * request that waits would be sent again at once, and be refused again.
+ */
+function isSignOfRoom({ body }: schema.AgentMessage): boolean {
+  switch (body.case) {
+    case 'failed':
+      return true;
+    case 'part':
+      return body.value.content.case === 'end';
+    case 'notRun':
+      return body.value.code === schema.ResultCode.CANCELLED;
+    default:
+      return false;
+  }
+}
+
+/** Takes a message of an agent. */
 function handleAgentMessage(
   state: entryState.EntryState,
   event: EventOf<'agentMessage'>,
   now: number,
 ): Effects {
-  const { body } = event.message;
-  const endsAttempt =
-    body.case === 'notRun' ||
-    body.case === 'failed' ||
-    (body.case === 'part' && body.value.content.case === 'end');
   const effects = routeAgentMessage(state, event, now);
   const view = state.agents.get(event.backendServerId);
-  return endsAttempt && view !== undefined
+  return isSignOfRoom(event.message) && view !== undefined
     ? [...effects, ...dispatch.retryParked(state, view, now, 1)]
     : effects;
 }
--- /dev/null
+++ b/packages/core/src/entry/mocks/entry-bench.ts
@@ -0,0 +1,224 @@
+/** Drives an entry's core in tests: builds events and reads its effects. */
+import * as schema from '@toucanproxy/schema';
+import * as entryEvent from '../entry-event.js';
+import * as entryPolicy from '../entry-policy.js';
+import * as entryState from '../entry-state.js';
+import * as handleEntryEvent from '../handle-entry-event.js';
+
+export const SERVICE = 'brimwit';
+
+export type Bench = {
+  state: entryState.EntryState;
+  now: number;
+  nextCallerId: number;
+  /** Every effect so far. */
+  effects: entryEvent.EntryEffect[];
+};
+
+type Sent = schema.EntryMessage['body'];
+type SentOf<C extends Sent['case']> = Extract<Sent, { case: C }>;
+type Received = schema.AgentMessage['body'];
+type Fields<T> = Partial<Omit<T, '$typeName' | '$unknown'>>;
+
+export type BenchOptions = {
+  agents: string[];
+  policy?: entryPolicy.EntryPolicy;
+  limits?: Fields<schema.Limits>;
+};
+
+/** Applies one event at the bench's present time. */
+export function handle(bench: Bench, event: entryEvent.EntryEvent): entryEvent.EntryEffect[] {
+  const effects = handleEntryEvent.handleEntryEvent(bench.state, event, bench.now);
+  bench.effects.push(...effects);
+  return effects;
+}
+
+/** Passes time and applies a tick. */
+export function advance(bench: Bench, ms: number): entryEvent.EntryEffect[] {
+  bench.now += ms;
+  return handle(bench, { kind: 'ticked' });
+}
+
+/** Hands in one message of an agent. */
+export function receive(
+  bench: Bench,
+  backendServerId: string,
+  body: Received,
+): entryEvent.EntryEffect[] {
+  const message = schema.create(schema.AgentMessageSchema, { body });
+  return handle(bench, { kind: 'agentMessage', backendServerId, message });
+}
+
+/** Opens the link of an agent. */
+export function openLink(bench: Bench, backendServerId: string): entryEvent.EntryEffect[] {
+  const fields = { backendServerId, agentLife: `life-${backendServerId}` };
+  const value = schema.create(schema.AgentHelloSchema, fields);
+  return receive(bench, backendServerId, { case: 'hello', value });
+}
+
+/** Builds a document of two tiers and two workspaces. */
+export function buildDocument(version: number, options: BenchOptions): schema.ServiceDocument {
+  return schema.create(schema.ServiceDocumentSchema, {
+    service: SERVICE,
+    version,
+    tiers: ['stall', 'draft'],
+    routes: [{ pathPrefix: '/once' }, { pathPrefix: '/repeat', repeat: schema.Repeat.ALLOWED }],
+    workspaces: [{ name: 'brim' }, { name: 'band' }],
+    credentials: ['brim', 'band'].flatMap((workspace) =>
+      ['stall', 'draft'].map((tier) => ({ tokenSha256: `${workspace}-${tier}`, workspace, tier })),
+    ),
+    backendServers: options.agents.map((id) => ({ id, address: '127.0.0.1:1' })),
+    limits: options.limits ?? {},
+  });
+}
+
+/** Creates an entry with a document of two tiers and its links open. */
+export function createBench(options: BenchOptions): Bench {
+  const policy = options.policy ?? entryPolicy.createLateBindingPolicy(() => 0.5);
+  const identity = { entryId: 'entry-1', life: 'e1', failureDomain: 'suva-loft' };
+  const state = entryState.createEntryState(identity, policy);
+  const bench: Bench = { state, now: 1_000_000, nextCallerId: 1, effects: [] };
+  const document = buildDocument(1, options);
+  handle(bench, { kind: 'documentRead', stored: { document, json: '{}' } });
+  options.agents.forEach((id) => openLink(bench, id));
+  return bench;
+}
+
+/** Lets a caller's request arrive and gets its caller id. */
+export function sendRequest(bench: Bench, fields: Partial<entryEvent.ArrivedRequest> = {}): number {
+  const callerId = bench.nextCallerId;
+  bench.nextCallerId += 1;
+  const request = {
+    callerId,
+    service: SERVICE,
+    method: 'POST',
+    path: '/once',
+    contentType: 'application/json',
+    payload: new Uint8Array(),
+    tokenSha256: 'brim-stall',
+    key: '',
+    timeoutMs: 10_000,
+    contentDigest: `content-${callerId}`,
+    estimatedTokens: 100,
+    prefixHashes: [],
+    ...fields,
+  };
+  handle(bench, { kind: 'requestArrived', request });
+  return callerId;
+}
+
+/** Gets the id of a caller's request. */
+export function getRequestId(bench: Bench, callerId: number): string {
+  return bench.state.requestByCaller.get(callerId) ?? '';
+}
+
+/** Lists the messages of one kind that were sent, with whom they went to. */
+export function listSent<C extends Sent['case']>(
+  effects: readonly entryEvent.EntryEffect[],
+  kind: C,
+): { to: string; value: SentOf<C>['value'] }[] {
+  return effects.flatMap((effect) => {
+    const body = effect.kind === 'sendToAgent' ? effect.message.body : undefined;
+    return effect.kind === 'sendToAgent' && body?.case === kind
+      ? [{ to: effect.backendServerId, value: body.value as SentOf<C>['value'] }]
+      : [];
+  });
+}
+
+/** Lists whom a request's place was asked of. */
+export function listAsked(bench: Bench, callerId: number): string[] {
+  const requestId = getRequestId(bench, callerId);
+  return listSent(bench.effects, 'reserve')
+    .filter((sent) => sent.value.requestId === requestId)
+    .map((sent) => sent.to);
+}
+
+/** Finds the failure that a caller was told. */
+export function findFailure(
+  bench: Bench,
+  callerId: number,
+): Extract<entryEvent.EntryEffect, { kind: 'answerFailure' }> | undefined {
+  return bench.effects
+    .filter((effect) => effect.kind === 'answerFailure')
+    .find((effect) => effect.callerId === callerId);
+}
+
+/** Lets an agent grant a place. */
+export function grant(bench: Bench, from: string, requestId: string): entryEvent.EntryEffect[] {
+  const value = schema.create(schema.GrantSchema, { requestId, holdMs: 200 });
+  return receive(bench, from, { case: 'grant', value });
+}
+
+/** Lets an agent refuse a place. */
+export function refuse(
+  bench: Bench,
+  from: string,
+  requestId: string,
+  code = schema.ResultCode.QUEUE_FULL,
+): entryEvent.EntryEffect[] {
+  const value = schema.create(schema.ReserveRefusedSchema, { requestId, code });
+  return receive(bench, from, { case: 'reserveRefused', value });
+}
+
+/** Lets an agent report its load. */
+export function report(
+  bench: Bench,
+  from: string,
+  load: Fields<schema.AgentLoad>,
+  suspects: Fields<schema.Suspect>[] = [],
+): entryEvent.EntryEffect[] {
+  const value = schema.create(schema.AgentHeartbeatSchema, {
+    load: schema.create(schema.AgentLoadSchema, load),
+    suspects: suspects.map((one) => schema.create(schema.SuspectSchema, one)),
+  });
+  return receive(bench, from, { case: 'heartbeat', value });
+}
+
+/** Builds the reference of an attempt. */
+export function buildRef(requestId: string, attempt = 1): schema.AttemptRef {
+  return schema.create(schema.AttemptRefSchema, { requestId, attempt });
+}
+
+/** Lets an agent start an attempt. */
+export function start(bench: Bench, from: string, requestId: string, attempt = 1): void {
+  const value = schema.create(schema.StartedSchema, { ref: buildRef(requestId, attempt) });
+  receive(bench, from, { case: 'started', value });
+}
+
+/** Lets an agent report that a started attempt broke. */
+export function fail(
+  bench: Bench,
+  from: string,
+  requestId: string,
+  code: schema.ResultCode,
+  attempt = 1,
+): void {
+  const ref = buildRef(requestId, attempt);
+  const value = schema.create(schema.RunFailedSchema, { ref, code });
+  receive(bench, from, { case: 'failed', value });
+}
+
+/** Lets an agent answer a started attempt whole. */
+export function complete(bench: Bench, from: string, requestId: string, data: Uint8Array): void {
+  const contents: schema.AnswerPart['content'][] = [
+    { case: 'head', value: schema.create(schema.AnswerHeadSchema, { status: 200 }) },
+    { case: 'data', value: data },
+    { case: 'end', value: schema.create(schema.AnswerEndSchema, { partCount: 3 }) },
+  ];
+  contents.forEach((content, sequence) => {
+    const ref = buildRef(requestId);
+    const value = schema.create(schema.AnswerPartSchema, { ref, sequence, content });
+    receive(bench, from, { case: 'part', value });
+  });
+}
+
+/** Lets an agent confirm that an attempt never ran. */
+export function reportNotRun(
+  bench: Bench,
+  from: string,
+  requestId: string,
+  code = schema.ResultCode.QUEUE_FULL,
+): void {
+  const value = schema.create(schema.NotRunSchema, { ref: buildRef(requestId), code });
+  receive(bench, from, { case: 'notRun', value });
+}
--- a/packages/core/src/entry/repeats.ts
+++ b/packages/core/src/entry/repeats.ts
@@ -65,7 +65,7 @@
   if (retryBudget.takeRepeat(service.retries, retryBudgetPercent, now) || yields) {
     return beginPause(state, request, failure, now);
   }
-  const retryAfterMs = shedding.drawRetryAfter(state, service, request.tierRank, now);
+  const retryAfterMs = shedding.drawRetryAfter(state, service, request.tierRank);
   const code = schema.ResultCode.RETRY_BUDGET_SPENT;
   return outcomes.fail(state, request, { ...failure, code, retryAfterMs }, now);
 }
--- a/packages/core/src/entry/shedding.ts
+++ b/packages/core/src/entry/shedding.ts
@@ -20,10 +20,9 @@
   state: entryState.EntryState,
   service: serviceState.ServiceState,
   tierRank: number,
-  now: number,
 ): number {
   const ahead = accounts.countAhead(service, tierRank);
-  return drainRate.drawRetryAfter(service.drain, ahead, now, state.policy.drawRandom);
+  return drainRate.drawRetryAfter(service.drain, ahead, state.policy.drawRandom);
 }
 
 /** Ends a waiting request so that others find room. */
@@ -36,7 +35,7 @@
   const broken: Effects = accounts.hasLessUrgent(service, request.tierRank)
     ? [effect.observe({ kind: 'invariantBroken', name: 'shed-before-less-urgent' })]
     : [];
-  const retryAfterMs = drawRetryAfter(state, service, request.tierRank, now);
+  const retryAfterMs = drawRetryAfter(state, service, request.tierRank);
   const failure = outcomes.buildNotRun(schema.ResultCode.SHED, retryAfterMs);
   return [...broken, ...outcomes.fail(state, request, failure, now)];
 }
