--- a/packages/core/src/agent/agent-state.ts
+++ b/packages/core/src/agent/agent-state.ts
@@ -53,6 +53,8 @@
   documentLeaving: boolean;
   vmLeaving: boolean;
   shutdownStarted: boolean;
+  /** Since when a shutdown has waited for acknowledgements alone. */
+  idleSinceMs: number | undefined;
   stopped: boolean;
 };
 
@@ -87,6 +89,7 @@
     documentLeaving: false,
     vmLeaving: false,
     shutdownStarted: false,
+    idleSinceMs: undefined,
     stopped: false,
   };
 }
