Hash prompt prefixes and pass the caller's answer bound on

Cause: requests came to the core without prefix hashes, and without a bound the learned answer length could not tell a default from a limit. Before: prefixHashes always empty.

--- a/packages/entry/src/request-cost.ts
+++ b/packages/entry/src/request-cost.ts
@@ -5,8 +5,13 @@
 /** Answer length assumed where the caller gives no bound, tokens. */
 const ASSUMED_ANSWER_TOKENS = 256;
 
+/** Reads the caller's bound on its answer, tokens; 0 where it gives none. */
+export function readAnswerBound(maxTokens: unknown): number {
+  return typeof maxTokens === 'number' && maxTokens > 0 ? maxTokens : 0;
+}
+
 /** Estimates tokens of prompt and answer. */
 export function estimateTokens(payloadBytes: number, maxTokens: unknown): number {
-  const answer = typeof maxTokens === 'number' && maxTokens > 0 ? maxTokens : ASSUMED_ANSWER_TOKENS;
+  const answer = readAnswerBound(maxTokens) || ASSUMED_ANSWER_TOKENS;
   return Math.ceil(payloadBytes / BYTES_PER_TOKEN) + answer;
 }
--- a/packages/entry/src/request-reader.ts
+++ b/packages/entry/src/request-reader.ts
@@ -6,6 +6,7 @@
 import * as apiPath from './api-path.js';
 import * as callerRights from './caller-rights.js';
 import * as contentDigest from './content-digest.js';
+import * as prefixHashes from './prefix-hashes.js';
 import * as requestBody from './request-body.js';
 import * as requestCost from './request-cost.js';
 
@@ -116,7 +117,7 @@
   return { kind: 'head', target, method, contentType, tokenSha256, key, timeoutMs, maxBodyBytes };
 }
 
-type ModelBody = { model?: unknown; max_tokens?: unknown };
+type ModelBody = prefixHashes.PromptBody & { model?: unknown; max_tokens?: unknown };
 
 /** Parses a model request's body; undefined where it is not a JSON object. */
 function parseModelBody(payload: Buffer): ModelBody | undefined {
@@ -164,7 +165,8 @@
     timeoutMs,
     contentDigest: contentDigest.computeDigest(context.digestKey, content),
     estimatedTokens: requestCost.estimateTokens(payload.length, body?.max_tokens),
-    prefixHashes: [],
+    prefixHashes: prefixHashes.hashPromptPrefixes(body),
+    answerTokensBound: requestCost.readAnswerBound(body?.max_tokens),
   };
   return { kind: 'read', request: arrived };
 }
