--- a/packages/core/src/agent/reachability.ts
+++ b/packages/core/src/agent/reachability.ts
@@ -12,13 +12,6 @@
   deadlineMs: number;
 };
 
-/**
- * Part of the estimated time that has to fit before the deadline. Estimates
- * are rough; work refused that would have made it is lost for certain, work
- * started that does not make it only may be.
- */
-const SURE_PART = 0.7;
-
 const UNKNOWN_RETRY_MS = 1000;
 const MIN_RETRY_MS = 100;
 const MAX_RETRY_MS = 30_000;
@@ -39,7 +32,7 @@
     return true;
   }
   const runMs = engineSpeed.estimateRunMs(state.speed, wish.estimatedTokens);
-  return now + SURE_PART * (waitMs + runMs) <= wish.deadlineMs;
+  return now + waitMs + runMs <= wish.deadlineMs;
 }
 
 /** Tells whether a wish that is queued now can end by its deadline. */
