--- a/packages/agent/src/app.ts
+++ b/packages/agent/src/app.ts
@@ -20,6 +20,7 @@
 
 /** The tasks that carry out the core's effects. */
 type Parts = {
+  state: core.AgentState;
   logger: bunyan;
   metrics: runtime.Metrics;
   links: runtime.LinkServer;
@@ -37,7 +38,7 @@
 
 /** Names the task that carries out each effect. */
 function buildExecutors(parts: Parts): Executors {
-  const { logger, metrics, links, engine } = parts;
+  const { state, logger, metrics, links, engine } = parts;
   return {
     sendToEntry: (effect) => links.send(effect.linkId, effect.message),
     closeLink: (effect) => links.closeLink(effect.linkId),
@@ -48,7 +49,10 @@
       logger.info({ event: 'stopped' }, 'stopped');
       parts.stopped();
     },
-    log: (effect) => runtime.writeLog(logger, effect),
+    log: (effect) => {
+      runtime.applyLogLevel(logger, state.documents);
+      runtime.writeLog(logger, effect);
+    },
     observe: (effect) => runtime.recordObservation(metrics, effect.observation),
   };
 }
@@ -122,12 +126,13 @@
   });
   const receiveDocument = runtime.createDocumentReceiver(logger, task.post);
   const links = await startLinks(settings, task);
-  const executors = buildExecutors({ logger, metrics, links, engine, receiveDocument, stopped });
+  const parts = { state, logger, metrics, links, engine, receiveDocument, stopped };
+  const executors = buildExecutors(parts);
   task.start((effect) => executors[effect.kind](effect as never));
   const operators = await runtime.startOperatorServer({
     host: settings.operators?.host ?? DEFAULT_HOST,
     port: settings.operators?.port ?? 0,
-    renderMetrics: () => runtime.renderMetrics(metrics),
+    renderMetrics: () => runtime.renderMetrics(metrics, Date.now()),
     describeStatus: () => status.describeStatus(state),
   });
   const watch = runtime.startConfigurationWatch({
