Let the virtual engine's agent hear that its engine is back

Cause: an agent takes its engine out of use at a crash until a probe finds it; the virtual fleet has no probe, so that an agent refused everything after its engine's first crash and the random runs lost what comes after it.

--- a/packages/proofs/src/mocks/fleet-processes.ts
+++ b/packages/proofs/src/mocks/fleet-processes.ts
@@ -63,6 +63,17 @@
 function applyTick(fleet: fleetState.VirtualFleet, process: virtualProcesses.VirtualProcess): void {
   if (fleet.nowMs >= process.pausedUntilMs) {
     fleetState.applyEvent(fleet, process, { kind: 'ticked' });
+    checkEngine(fleet, process);
+  }
+}
+
+/** Tells an agent that its engine is back, as its daemon's probe does. */
+function checkEngine(
+  fleet: fleetState.VirtualFleet,
+  process: virtualProcesses.VirtualProcess,
+): void {
+  if (process.kind === 'agent' && process.engine.up && !process.state.engineAvailable) {
+    fleet.applyAgent(process, { kind: 'engineAvailable', available: true });
   }
 }
 
