Keep the batch full where late first bytes have another cause

Cause: long prompts that share the engine's prefill, cached prefixes and slow engines make first bytes late though the engine queues nothing; the limit fell and cost throughput.

--- a/packages/core/src/agent/engine-runs.ts
+++ b/packages/core/src/agent/engine-runs.ts
@@ -133,18 +133,18 @@
   }
 }
 
-/** Measures the first byte of a streamed answer; others come all at the end. */
-function noteFirstByte(
-  state: agentState.AgentState,
-  record: runRecord.RunRecord,
-  now: number,
-): void {
+/** Measures streamed answers; others come all at the end and tell nothing on the way. */
+function notePiece(state: agentState.AgentState, record: runRecord.RunRecord, now: number): void {
   const [head] = record.parts;
   const streamed = head?.case === 'head' && head.value.contentType.startsWith(EVENT_STREAM);
-  if (streamed && record.parts.length === 1) {
-    const limits = agentState.getLimits(state);
-    const waitedMs = now - record.changedMs;
-    engineLimit.noteFirstByte(state.limit, limits, record.promptTokens, waitedMs);
+  if (!streamed) {
+    return;
+  }
+  engineLimit.notePiece(state.limit);
+  if (record.parts.length === 1) {
+    const { promptTokens } = record;
+    const run = { promptTokens, ms: now - record.changedMs };
+    engineLimit.noteFirstByte(state.limit, agentState.getLimits(state), run, now);
   }
 }
 
@@ -165,7 +165,7 @@
       return answers.addPart(record, { case: 'head', value: head });
     }
     case 'engineData':
-      noteFirstByte(state, record, now);
+      notePiece(state, record, now);
       return answers.addPart(record, { case: 'data', value: event.data });
     case 'engineEnd':
       return completeRun(state, record, now);
--- a/packages/core/src/agent/mocks/batch-engine.ts
+++ b/packages/core/src/agent/mocks/batch-engine.ts
@@ -14,6 +14,7 @@
 const PREFILL_TOKENS_PER_STEP = 512;
 const BYTES_PER_TOKEN = 4;
 const STREAM = 'text/event-stream';
+const PIECE = new Uint8Array(1);
 
 /** Takes in what the agent starts; an answer has half of the estimated tokens. */
 export function admit(engine: BatchEngine, effects: agentEvent.AgentEffect[]): void {
@@ -41,8 +42,8 @@
     run.begun = true;
     const head = { kind: 'engineHead', refKey, status: 200, contentType: STREAM } as const;
     effects.push(...bench.handle(agent, head));
-    effects.push(...bench.handle(agent, { kind: 'engineData', refKey, data: new Uint8Array(1) }));
   }
+  effects.push(...bench.handle(agent, { kind: 'engineData', refKey, data: PIECE }));
   if (run.tokensLeft <= 0) {
     effects.push(...bench.handle(agent, { kind: 'engineEnd', refKey }));
   }
