Leave refused answers out of the measured speed

Cause: an engine that turns a request away with an error answers at once, and the whole estimate of the request was counted as work done. Before: one 400 answered in a millisecond raised the measured speed of runs as if its tokens had been generated.

--- a/packages/core/src/agent/crash-blame.ts
+++ b/packages/core/src/agent/crash-blame.ts
@@ -42,9 +42,7 @@
   record: runRecord.RunRecord,
   now: number,
 ): Effects {
-  const [head] = record.parts;
-  const engineFault = head?.case === 'head' && head.value.status >= MIN_SERVER_ERROR;
-  if (engineFault) {
+  if (runRecord.getStatus(record) >= MIN_SERVER_ERROR) {
     return [];
   }
   const cleared = suspects.clearSuspect(state.suspects, record.offer?.contentDigest ?? '', now);
--- a/packages/core/src/agent/run-record.ts
+++ b/packages/core/src/agent/run-record.ts
@@ -74,6 +74,12 @@
   }
 }
 
+/** Gets the HTTP status that the engine answered with; 0 while there is none. */
+export function getStatus(record: RunRecord): number {
+  const [head] = record.parts;
+  return head?.case === 'head' ? head.value.status : 0;
+}
+
 /** Tells whether an attempt has ended in whatever way. */
 export function isEnded(record: RunRecord): boolean {
   return record.status !== RunStatus.QUEUED && record.status !== RunStatus.STARTED;
--- a/packages/core/src/agent/runs.ts
+++ b/packages/core/src/agent/runs.ts
@@ -24,6 +24,9 @@
 /** Earlier attempts of a request that are looked up when it starts. */
 const MAX_EARLIER_ATTEMPTS = 8;
 
+/** HTTP statuses from here on are errors. */
+const MIN_ERROR_STATUS = 400;
+
 /** Finds an earlier attempt of the same request that was started here. */
 function findStartedBefore(
   state: agentState.AgentState,
@@ -141,7 +144,9 @@
   status: runRecord.RunStatus.COMPLETED | runRecord.RunStatus.FAILED,
   now: number,
 ): void {
-  if (status === runRecord.RunStatus.COMPLETED) {
+  // Requests that the engine turned away took no time for their tokens.
+  const answered = runRecord.getStatus(record) < MIN_ERROR_STATUS;
+  if (status === runRecord.RunStatus.COMPLETED && answered) {
     const queued = startQueue.countQueued(state.queue) > 0;
     const tokens = record.offer?.estimatedTokens ?? 0;
     engineSpeed.noteRun(state.speed, tokens, now - record.changedMs, queued);
