--- a/packages/core/src/agent/places.ts
+++ b/packages/core/src/agent/places.ts
@@ -28,10 +28,14 @@
   engineSpeed.noteTime(state.speed, queued && state.running.size > 0, now);
 }
 
+/** Gets the requests that the engine is given at once at present. */
+export function getEnginePlaces(state: agentState.AgentState): number {
+  return engineLimit.getPlaces(state.limit, agentState.getLimits(state));
+}
+
 /** Gets the engine's measured speed, tokens per second; 0 while unknown. */
 export function getTokensPerSecond(state: agentState.AgentState): number {
-  const places = engineLimit.getPlaces(state.limit, agentState.getLimits(state));
-  return engineSpeed.getTokensPerSecond(state.speed, places);
+  return engineSpeed.getTokensPerSecond(state.speed, getEnginePlaces(state));
 }
 
 /** Keeps part of a limit free for the most urgent tier. */
