--- a/packages/agent/src/status.ts
+++ b/packages/agent/src/status.ts
@@ -1,6 +1,18 @@
 /** What the operator port of an agent says of its state. */
 import * as core from '@toucanproxy/core';
 
+export type TierCount = { tier: string; queued: number };
+
+/** Counts queued attempts and reservations for every tier, the most urgent first. */
+export function countByTier(state: core.AgentState): TierCount[] {
+  const tiers = state.documents.get(state.service)?.document.tiers ?? [];
+  const items = [...state.queue.items.values()];
+  return tiers.map((tier, rank) => ({
+    tier,
+    queued: items.filter((item) => item.tierRank === rank).length,
+  }));
+}
+
 /** Describes an agent for `toucanproxy status`. */
 export function describeStatus(state: core.AgentState): unknown {
   return {
@@ -11,16 +23,15 @@
     documentVersion: core.getVersion(state.documents, state.service),
     leaving: state.leaving,
     engineAvailable: state.engineAvailable,
-    queued: state.queue.items.size,
-    reservations: state.reservations.size,
-    held: state.holds.size,
     running: state.running.size,
     runningTokens: state.runningTokens,
-    places: core.getEnginePlaces(state),
-    tokensPerSecond: Math.round(core.getTokensPerSecond(state)),
-    suspects: state.suspects.byDigest.size,
-    answerBytes: state.memory.answerBytes,
+    held: state.holds.size,
     remembered: state.runs.size,
     entries: [...state.links.values()].map((link) => link.entryId),
+    tiers: countByTier(state),
+    suspects: core.listSuspects(state.suspects).map(({ contentDigest, crashes }) => ({
+      contentDigest,
+      crashes,
+    })),
   };
 }
--- a/packages/core/src/agent/agent-state.ts
+++ b/packages/core/src/agent/agent-state.ts
@@ -47,8 +47,6 @@
   memory: runMemory.RunMemory;
   /** Any of the three reasons below holds. */
   leaving: boolean;
-  /** A document of this life has named this backend server. */
-  documentNamed: boolean;
   documentLeaving: boolean;
   vmLeaving: boolean;
   shutdownStarted: boolean;
@@ -84,7 +82,6 @@
     soloRefKey: '',
     memory: runMemory.createRunMemory(),
     leaving: false,
-    documentNamed: false,
     documentLeaving: false,
     vmLeaving: false,
     shutdownStarted: false,
--- a/packages/core/src/agent/index.ts
+++ b/packages/core/src/agent/index.ts
@@ -2,5 +2,4 @@
 export * from './agent-event.js';
 export { createAgentState, type AgentIdentity, type AgentState } from './agent-state.js';
 export * from './handle-agent-event.js';
-export { getEnginePlaces, getTokensPerSecond } from './places.js';
 export { RunStatus, type RunRecord } from './run-record.js';
--- a/packages/core/src/agent/leaving.test.ts
+++ b/packages/core/src/agent/leaving.test.ts
@@ -17,22 +17,20 @@
   assert.equal(bench.listSent(bench.complete(agent, 'running'), 'part').length, 2);
   assert.equal(bench.listSent(bench.offer(agent, 'late'), 'notRun').length, 1);
   bench.setLimits(agent, {});
-  assert.equal(agent.state.leaving, true);
+  assert.deepEqual(bench.listStarted(bench.offer(agent, 'back')), ['back']);
 });
 
 nodeTest.test('a document from before the agent was added', () => {
   // The agent starts before the document that names it is published and reads
-  // an older one. It must not take itself as removed for good.
+  // an older one. It takes no work then, and must not take itself as removed
+  // for good.
   const agent = bench.createBench();
-  agent.state.documentNamed = false;
   agent.state.backendServerId = 'runner-2';
   bench.setLimits(agent, {});
-  assert.deepEqual(bench.listStarted(bench.offer(agent, 'one')), ['one']);
+  assert.equal(bench.listSent(bench.offer(agent, 'one'), 'notRun').length, 1);
   agent.state.backendServerId = bench.SERVER_ID;
   bench.setLimits(agent, {});
-  agent.state.backendServerId = 'runner-2';
-  bench.setLimits(agent, {});
-  assert.equal(bench.listSent(bench.offer(agent, 'two'), 'notRun').length, 1);
+  assert.deepEqual(bench.listStarted(bench.offer(agent, 'two')), ['two']);
 });
 
 nodeTest.test('the list of VMs may speak of an earlier VM', () => {
--- a/packages/core/src/agent/leaving.ts
+++ b/packages/core/src/agent/leaving.ts
@@ -43,13 +43,7 @@
     return [];
   }
   const own = document.backendServers.find((server) => server.id === state.backendServerId);
-  const removed = own === undefined && state.documentNamed;
-  const declared = own !== undefined && own.state >= schema.BackendServerState.LEAVING;
-  state.documentNamed = state.documentNamed || own !== undefined;
-  // For the rest of this life: entries and other documents on their way may
-  // still take it as leaving, and an agent that is wanted again is restarted. A
-  // document from before this agent was added says nothing of it.
-  state.documentLeaving = state.documentLeaving || removed || declared;
+  state.documentLeaving = own === undefined || own.state >= schema.BackendServerState.LEAVING;
   const { service, version } = document;
   const fields = { service, version, leaving: state.documentLeaving };
   return [effect.logDecision('document', fields), ...updateLeaving(state, now)];
