Ask the best backend server first and judge times by their kind

One with room is asked alone for as long as it is better than the next; times are taken against the usual ones of their class and cost; what was seen of a slow one fades; agents known to be full are not asked.

--- a/packages/core/src/entry/agent-health.ts
+++ b/packages/core/src/entry/agent-health.ts
@@ -7,8 +7,8 @@
  * bounded in time and followed by a slow start.
  */
 
-/** Time per estimated token, recent and long-run, milliseconds. */
-type Pace = { recentMs: number; usualMs: number; samples: number };
+/** Times against the usual ones of their kinds, recent and long-run. */
+type Pace = { recent: number; usual: number; samples: number; updatedMs: number };
 
 /** What a pace is measured over. */
 export enum Stage {
@@ -31,14 +31,14 @@
 
 const STAGES = [Stage.FIRST_BYTE, Stage.COMPLETION];
 
-const RECENT_WEIGHT = 0.3;
+const RECENT_WEIGHT = 0.15;
 const USUAL_WEIGHT = 0.02;
+/** Time in which what was seen of a pace fades to 1/e, milliseconds. */
+const PACE_FADE_MS = 30_000;
 /** Samples before a speed is compared. */
-const MIN_SAMPLES = 5;
+const MIN_SAMPLES = 8;
 /** Peers with a speed, the candidate itself included, that make a median. */
 const MIN_PEERS = 3;
-/** Cost of a request besides its tokens, in tokens. */
-const BASE_TOKENS = 64;
 
 const SLOW_AGAINST_PEERS = 4;
 const SLOW_AGAINST_ITSELF = 2;
@@ -53,7 +53,7 @@
 
 /** Creates a pace of which nothing is known. */
 function createPace(): Pace {
-  return { recentMs: 0, usualMs: 0, samples: 0 };
+  return { recent: 0, usual: 0, samples: 0, updatedMs: 0 };
 }
 
 /** Creates the health of a backend server of which nothing is known. */
@@ -66,19 +66,22 @@
   };
 }
 
-/** Takes in how long a started request took, to its first byte or to its end. */
-export function recordDuration(
-  health: AgentHealth,
-  stage: Stage,
-  durationMs: number,
-  tokens: number,
-): void {
+/**
+ * Takes in how long a started request took.
+ *
+ * @param ratio the time against the usual one of its kind
+ */
+export function recordRatio(health: AgentHealth, stage: Stage, ratio: number, now: number): void {
   const pace = health.paces[stage];
-  const ms = durationMs / (tokens + BASE_TOKENS);
   pace.samples += 1;
+  pace.updatedMs = now;
   const firstWeight = pace.samples <= MIN_SAMPLES ? 1 / pace.samples : 0;
-  pace.recentMs += Math.max(RECENT_WEIGHT, firstWeight) * (ms - pace.recentMs);
-  pace.usualMs += Math.max(USUAL_WEIGHT, firstWeight) * (ms - pace.usualMs);
+  pace.recent += Math.max(RECENT_WEIGHT, firstWeight) * (ratio - pace.recent);
+  pace.usual += Math.max(USUAL_WEIGHT, firstWeight) * (ratio - pace.usual);
+}
+
+/** Takes in that a request ended well. */
+export function recordSuccess(health: AgentHealth): void {
   health.failuresInRow = 0;
 }
 
@@ -87,19 +90,41 @@
   health.failuresInRow += 1;
 }
 
+/** Finds the median pace of a stage; 0 where too few peers have one. */
+export function findMedianPace(peers: readonly AgentHealth[], stage: Stage): number {
+  const measured = peers.map((peer) => peer.paces[stage]).filter(isMeasured);
+  if (measured.length < MIN_PEERS) {
+    return 0;
+  }
+  const paces = measured.map((pace) => pace.recent).sort((a, b) => a - b);
+  return paces[Math.floor((paces.length - 1) / 2)];
+}
+
+/**
+ * Estimates the time of a request against the usual one of its kind.
+ *
+ * One that was slow gets less work and shows no new times. So that it is tried
+ * again, what was seen of it fades towards the median.
+ */
+export function estimateRatio(health: AgentHealth, median: number, now: number): number {
+  const pace = health.paces[Stage.COMPLETION];
+  if (median === 0 || !isMeasured(pace)) {
+    return median || 1;
+  }
+  const kept = Math.exp(-Math.max(now - pace.updatedMs, 0) / PACE_FADE_MS);
+  return median + kept * (pace.recent - median);
+}
+
 /** Computes how much slower than the median of its peers one is in a stage; 1 at least. */
 function computeStageSlowness(
   health: AgentHealth,
   peers: readonly AgentHealth[],
   stage: Stage,
 ): number {
-  const measured = peers.map((peer) => peer.paces[stage]).filter(isMeasured);
-  if (!isMeasured(health.paces[stage]) || measured.length < MIN_PEERS) {
-    return 1;
-  }
-  const paces = measured.map((pace) => pace.recentMs).sort((a, b) => a - b);
-  const median = paces[Math.floor((paces.length - 1) / 2)];
-  return median > 0 ? Math.max(health.paces[stage].recentMs / median, 1) : 1;
+  const median = findMedianPace(peers, stage);
+  return median > 0 && isMeasured(health.paces[stage])
+    ? Math.max(health.paces[stage].recent / median, 1)
+    : 1;
 }
 
 /** Tells whether enough is known of a pace to compare it. */
@@ -107,17 +132,11 @@
   return pace.samples >= MIN_SAMPLES;
 }
 
-/** Computes how much slower than the median of its peers one is; 1 at least. */
-export function computeSlowness(health: AgentHealth, peers: readonly AgentHealth[]): number {
-  const slowness = STAGES.map((stage) => computeStageSlowness(health, peers, stage));
-  return Math.max(...slowness);
-}
-
 /** Tells whether a stage is far slower than at the peers, and than it used to be. */
 function isSlow(health: AgentHealth, peers: readonly AgentHealth[], stage: Stage): boolean {
-  const { recentMs, usualMs } = health.paces[stage];
+  const { recent, usual } = health.paces[stage];
   const againstPeers = computeStageSlowness(health, peers, stage);
-  return againstPeers > SLOW_AGAINST_PEERS && recentMs > SLOW_AGAINST_ITSELF * usualMs;
+  return againstPeers > SLOW_AGAINST_PEERS && recent > SLOW_AGAINST_ITSELF * usual;
 }
 
 /** Tells whether a backend server gets no new work for now. */
--- a/packages/core/src/entry/candidates.ts
+++ b/packages/core/src/entry/candidates.ts
@@ -1,6 +1,7 @@
 /** The agents that a request may go to, as this entry sees them. */
 import * as rendezvous from '../shared/rendezvous.js';
 import * as agentHealth from './agent-health.js';
+import * as durationModel from './duration-model.js';
 import * as entryState from './entry-state.js';
 import * as placement from './placement.js';
 import * as prefixMemory from './prefix-memory.js';
@@ -60,11 +61,20 @@
   agents: readonly entryState.AgentView[],
   now: number,
 ): placement.Candidate[] {
-  const { service, prefixHashes, payload } = request.arrived;
-  const { prefixes } = entryState.getService(state, service);
+  const { service, prefixHashes, payload, estimatedTokens } = request.arrived;
+  const { prefixes, durations } = entryState.getService(state, service);
   const match = prefixMemory.findPrefix(prefixes, request.workspace, prefixHashes, now);
   const preferred = findPreferred(request, agents);
   const peers = listPeerHealth(state, service);
+  const { COMPLETION } = agentHealth.Stage;
+  const median = agentHealth.findMedianPace(peers, COMPLETION);
+  const usualMs = durationModel.getDuration(
+    durations,
+    COMPLETION,
+    request.className,
+    estimatedTokens,
+  );
+  const paceMs = usualMs / Math.max(estimatedTokens, 1);
   return agents.map((agent) => {
     const { load, backendServerId } = agent;
     const promptTokens = payload.length / BYTES_PER_TOKEN;
@@ -73,9 +83,11 @@
       backendServerId,
       outstandingTokens: agent.outstandingTokens,
       reportedTokens: (load?.queuedTokens ?? 0) + (load?.runningTokens ?? 0),
+      queued: Math.max(load?.queued ?? 0, agent.reservedIds.size),
+      queuedTokens: load?.queuedTokens ?? 0,
       tokensPerSecond: load?.tokensPerSecond ?? 0,
       cachedTokens: Math.min(known, promptTokens),
-      slowness: agentHealth.computeSlowness(agent.health, peers),
+      paceMs: paceMs * agentHealth.estimateRatio(agent.health, median, now),
       trafficShare: agentHealth.computeTrafficShare(agent.health, now),
       preferred: backendServerId === preferred,
     };
--- a/packages/core/src/entry/dispatch.ts
+++ b/packages/core/src/entry/dispatch.ts
@@ -21,6 +21,8 @@
 
 /** How long a service without any agent waits for links to open, milliseconds. */
 const LINK_GRACE_MS = 2000;
+/** Wait for the grant of an agent that had room before others are asked, milliseconds. */
+const ASK_MORE_MS = 500;
 /** Requests that one sign of room at an agent wakes, at most. */
 const MAX_WOKEN = 32;
 
@@ -33,7 +35,7 @@
 ): entryEvent.EntryEffect {
   const describe = (one: placement.Candidate) => ({
     id: one.backendServerId,
-    delayMs: Math.round(placement.estimateDelay(one, request.arrived.estimatedTokens) * 1000),
+    delayMs: Math.round(placement.estimateDelay(one, request.arrived.estimatedTokens)),
     cachedTokens: one.cachedTokens,
   });
   return effect.logDecision(event, {
@@ -154,6 +156,19 @@
   ];
 }
 
+/**
+ * Lists the agents whose queue, as last reported, takes a request. Asking the
+ * others costs two messages each and ends in a refusal; they wake the request
+ * when they have room.
+ */
+function listWithRoom(
+  state: entryState.EntryState,
+  agents: readonly entryState.AgentView[],
+  request: entryState.EntryRequest,
+): entryState.AgentView[] {
+  return agents.filter((agent) => countRoom(state, agent, request.tierRank) > 0);
+}
+
 /** Finds agents for one waiting request. */
 export function place(
   state: entryState.EntryState,
@@ -164,13 +179,13 @@
   if (usable.length === 0) {
     return handleNoAgent(state, request, now);
   }
+  const { way } = state.policy;
   const open = usable.filter(
     ({ backendServerId: id }) => !request.refusedBy.has(id) && !request.reservedAt.has(id),
   );
-  const { way } = state.policy;
   return way.kind === 'push'
     ? pushRequest(state, request, open, way, now)
-    : reservePlaces(state, request, open, way, now);
+    : reservePlaces(state, request, listWithRoom(state, open, request), way, now);
 }
 
 /** Takes in a new request: what gives way for it is decided first. */
@@ -209,7 +224,7 @@
   now: number,
   leastRoom = 0,
 ): Effects {
-  if (!candidates.isUsable(agent)) {
+  if (!candidates.listUsable(state, agent.service, now).includes(agent)) {
     return [];
   }
   const { parked } = entryState.getService(state, agent.service);
@@ -226,7 +241,9 @@
     startQueue.takeItem(parked, item);
     request.refusedBy.delete(agent.backendServerId);
     request.unreachableBy.delete(agent.backendServerId);
-    effects.push(...place(state, request, now));
+    request.askMoreMs = now + ASK_MORE_MS;
+    accounts.updateDue(state, request, now);
+    effects.push(...asking.askAgent(state, request, agent, now));
   }
   return effects;
 }
--- a/packages/core/src/entry/grants.ts
+++ b/packages/core/src/entry/grants.ts
@@ -11,6 +11,9 @@
 
 type Effects = entryEvent.EntryEffect[];
 
+/** Refusals for want of room in the agent's queue. */
+const FULL_CODES = new Set([schema.ResultCode.QUEUE_FULL, schema.ResultCode.EVICTED]);
+
 /** Finds a request that waits and is not in the pause before a repeat. */
 function findWaiting(
   state: entryState.EntryState,
@@ -79,6 +82,18 @@
   return [line, ...asking.giveTo(state, request, agent, now)];
 }
 
+/** Notes that an agent has no room for a tier, until its next report. */
+function noteFull(
+  state: entryState.EntryState,
+  agent: entryState.AgentView,
+  tierRank: number,
+): void {
+  const { maxQueued } = entryState.getLimits(state, agent.service);
+  const queuedByTier = (agent.load?.queuedByTier ?? []).slice(0, tierRank + 1);
+  const known = agent.load ?? schema.create(schema.AgentLoadSchema);
+  agent.load = { ...known, queued: Math.max(known.queued, maxQueued), queuedByTier };
+}
+
 /** Asks further agents after a refusal. */
 export function handleReserveRefused(
   state: entryState.EntryState,
@@ -93,6 +108,10 @@
   if (refused.code === schema.ResultCode.DEADLINE_UNREACHABLE) {
     request.unreachableBy.add(backendServerId);
   }
+  const agent = state.agents.get(backendServerId);
+  if (agent !== undefined && FULL_CODES.has(refused.code)) {
+    noteFull(state, agent, request.tierRank);
+  }
   const line = effect.logDecision('reserve-refused', {
     request: request.requestId,
     backendServer: backendServerId,
--- a/packages/core/src/entry/mocks/entry-bench.ts
+++ b/packages/core/src/entry/mocks/entry-bench.ts
@@ -24,6 +24,8 @@
   agents: string[];
   policy?: entryPolicy.EntryPolicy;
   limits?: Fields<schema.Limits>;
+  /** Each agent has reported a short queue, so that several are asked at once. */
+  busy?: boolean;
 };
 
 /** Applies one event at the bench's present time. */
@@ -81,6 +83,9 @@
   const document = buildDocument(1, options);
   handle(bench, { kind: 'documentRead', stored: { document, json: '{}' } });
   options.agents.forEach((id) => openLink(bench, id));
+  if (options.busy === true) {
+    options.agents.forEach((id) => report(bench, id, { queued: 1, queuedTokens: 100 }));
+  }
   return bench;
 }
 
--- a/packages/core/src/entry/observations.ts
+++ b/packages/core/src/entry/observations.ts
@@ -4,6 +4,7 @@
 import * as agentHealth from './agent-health.js';
 import * as candidates from './candidates.js';
 import * as costModel from './cost-model.js';
+import * as durationModel from './duration-model.js';
 import * as entryEvent from './entry-event.js';
 import * as entryState from './entry-state.js';
 
@@ -49,8 +50,16 @@
   if (agent === undefined || request.startedMs === 0) {
     return [];
   }
+  const { durations } = accounts.getServiceOf(state, request);
   const { estimatedTokens } = request.arrived;
-  agentHealth.recordDuration(agent.health, stage, now - request.startedMs, estimatedTokens);
+  const { className } = request;
+  const ms = now - request.startedMs;
+  const usualMs = durationModel.getDuration(durations, stage, className, estimatedTokens);
+  durationModel.recordDuration(durations, stage, className, estimatedTokens, ms);
+  if (usualMs === 0) {
+    return [];
+  }
+  agentHealth.recordRatio(agent.health, stage, ms / usualMs, now);
   return ejectWhereBad(state, agent, now);
 }
 
@@ -79,5 +88,9 @@
   }
   const { costs } = accounts.getServiceOf(state, request);
   costModel.recordAnswer(costs, request.className, request.answerTokens);
+  const agent = findAgent(state, request);
+  if (agent !== undefined) {
+    agentHealth.recordSuccess(agent.health);
+  }
   return noteDuration(state, request, agentHealth.Stage.COMPLETION, now);
 }
--- a/packages/core/src/entry/placement.ts
+++ b/packages/core/src/entry/placement.ts
@@ -7,12 +7,16 @@
   outstandingTokens: number;
   /** Tokens queued and running there as last reported; stale by nature. */
   reportedTokens: number;
+  /** Requests queued there, as reported or because its grants are still awaited. */
+  queued: number;
+  /** Their estimated tokens. */
+  queuedTokens: number;
   /** Measured speed; 0 while unknown. */
   tokensPerSecond: number;
   /** Prompt tokens of the request that are likely to be in its prefix cache. */
   cachedTokens: number;
-  /** Own observations against the median of its peers; 1 is as fast as they are. */
-  slowness: number;
+  /** Time that a request takes there for each token, as seen by this entry; 0 while unknown. */
+  paceMs: number;
   /** Share of its usual traffic that it may get, above 0; below 1 after an ejection. */
   trafficShare: number;
   /** Where this prefix goes when nobody remembers it, the same on every entry. */
@@ -54,6 +58,8 @@
 const MS_PER_SECOND = 1000;
 /** Wait for a grant before one more backend server is asked, milliseconds. */
 const ASK_MORE_MS = 500;
+/** Wait for one that seems to have room before others are asked, milliseconds. */
+const FIRST_ASK_MS = 10;
 /** Shortest wait for the backend server that has the prefix, milliseconds. */
 const MIN_AFFINITY_WAIT_MS = 20;
 
@@ -67,11 +73,19 @@
   return candidate.outstandingTokens / getSpeed(candidate);
 }
 
-/** Estimates when a candidate would end a request, in seconds from now. */
+/**
+ * Estimates when a candidate would end a request, milliseconds from now.
+ *
+ * This entry's own work there is known as of now, the queue as of the last
+ * report; both hold a request up.
+ */
 export function estimateDelay(candidate: Candidate, estimatedTokens: number): number {
-  const ahead = Math.max(candidate.outstandingTokens, candidate.reportedTokens);
+  const ahead = candidate.outstandingTokens + candidate.queuedTokens;
+  const aheadMs = (ahead / getSpeed(candidate)) * MS_PER_SECOND;
   const own = Math.max(estimatedTokens - candidate.cachedTokens, 0);
-  return (((ahead + own) / getSpeed(candidate)) * candidate.slowness) / candidate.trafficShare;
+  const ownMs =
+    candidate.paceMs > 0 ? own * candidate.paceMs : (own / getSpeed(candidate)) * MS_PER_SECOND;
+  return (aheadMs + ownMs) / candidate.trafficShare;
 }
 
 /** Picks one of the candidates that score least. */
@@ -125,6 +139,12 @@
   return scored.map((one) => one.candidate);
 }
 
+/** Computes how much sooner the first would end a request than the second, milliseconds. */
+function computeGap(sorted: readonly Candidate[], estimatedTokens: number): number {
+  const [first, second] = sorted.map((candidate) => estimateDelay(candidate, estimatedTokens));
+  return second === undefined ? ASK_MORE_MS : second - first;
+}
+
 /**
  * Asks the backend servers with the least estimated delay.
  *
@@ -144,6 +164,11 @@
     const waitMs = Math.min(Math.max(savedMs, MIN_AFFINITY_WAIT_MS), ASK_MORE_MS);
     return { asked: [best], waitMs };
   }
+  // Where all have room, the first grant comes from the nearest, not the best.
+  if (best?.queued === 0) {
+    const gapMs = computeGap(sorted, context.estimatedTokens);
+    return { asked: [best], waitMs: Math.min(Math.max(gapMs, FIRST_ASK_MS), ASK_MORE_MS) };
+  }
   const asked = sorted.slice(0, count);
   const preferred = sorted.find((candidate) => candidate.preferred);
   // Entries that do not know a prefix yet meet at the same backend server, and
--- a/packages/core/src/entry/service-state.ts
+++ b/packages/core/src/entry/service-state.ts
@@ -3,6 +3,7 @@
 import * as documentIndex from '../shared/document-index.js';
 import * as costModel from './cost-model.js';
 import * as drainRate from './drain-rate.js';
+import * as durationModel from './duration-model.js';
 import * as prefixMemory from './prefix-memory.js';
 import * as retryBudget from './retry-budget.js';
 
@@ -27,6 +28,7 @@
   drain: drainRate.DrainRate;
   retries: retryBudget.RetryBudget;
   costs: costModel.CostModel;
+  durations: durationModel.DurationModel;
   prefixes: prefixMemory.PrefixMemory;
   /** Placements so far. */
   placements: number;
@@ -47,6 +49,7 @@
     drain: drainRate.createDrainRate(),
     retries: retryBudget.createRetryBudget(),
     costs: new Map(),
+    durations: new Map(),
     prefixes: new Map(),
     placements: 0,
   };
