--- /dev/null
+++ b/packages/core/src/agent/claims.test.ts
@@ -0,0 +1,106 @@
+import * as assert from 'node:assert/strict';
+import * as nodeTest from 'node:test';
+import * as schema from '@toucanproxy/schema';
+import * as smallFleet from '../mocks/small-fleet.js';
+import * as documentTiming from '../shared/document-timing.js';
+import * as keyRetention from '../shared/key-retention.js';
+import * as claims from './claims.js';
+
+const BEGAN_MS = smallFleet.START_MS;
+const { document } = smallFleet.buildDocument(['a'], { version: 5, settledVersion: 3 });
+const TIMING = documentTiming.getTiming(document);
+const RETENTION_MS = keyRetention.computeRetention(TIMING);
+const { ClaimOutcome } = schema;
+
+/** Creates a home that has just started. */
+function createHome(): claims.HomeView {
+  return { keys: new Map(), lifeBeganMs: BEGAN_MS, document };
+}
+
+/** Builds a claim of a call that arrives now. */
+function buildClaim(now: number, fields: Partial<schema.Claim> = {}): schema.Claim {
+  const ref = schema.create(schema.AttemptRefSchema, { requestId: 'r1', attempt: 1 });
+  const claim = schema.create(schema.ClaimSchema, {
+    workspace: 'brim',
+    key: 'k',
+    contentDigest: 'digest',
+    ref,
+    arrivedMs: now,
+    documentVersion: 5,
+  });
+  return Object.assign(claim, fields);
+}
+
+/** Names another attempt. */
+function buildOther(requestId: string): schema.AttemptRef {
+  return schema.create(schema.AttemptRefSchema, { requestId, attempt: 1 });
+}
+
+nodeTest.test('new life and key without a time', () => {
+  // An earlier life may have bound the key. The home says so until no call of
+  // that time can arrive any more.
+  const home = createHome();
+  const early = BEGAN_MS + RETENTION_MS;
+  const undecided = claims.resolveClaim(home, buildClaim(early), early);
+  assert.equal(undecided.outcome, ClaimOutcome.UNDECIDED);
+  const granted = claims.resolveClaim(home, buildClaim(early + 1), early + 1);
+  assert.equal(granted.outcome, ClaimOutcome.GRANTED);
+});
+
+nodeTest.test('new life and key with a time', () => {
+  const home = createHome();
+  const now = BEGAN_MS + 60_000;
+  const edge = BEGAN_MS + 2 * TIMING.clockSkewMs;
+  const before = claims.resolveClaim(home, buildClaim(now, { keyIssuedMs: edge }), now);
+  assert.equal(before.outcome, ClaimOutcome.UNDECIDED);
+  const after = claims.resolveClaim(home, buildClaim(now, { keyIssuedMs: edge + 1 }), now);
+  assert.equal(after.outcome, ClaimOutcome.GRANTED);
+});
+
+nodeTest.test('only a named binding is replaced', () => {
+  // Two calls saw the same attempt confirmed as not run. The first replaces it;
+  // the second, which names the old one alone, learns of the new.
+  const home = createHome();
+  const now = BEGAN_MS + RETENTION_MS + 1;
+  const ask = (requestId: string, replaces: schema.AttemptRef[]) =>
+    claims.resolveClaim(home, buildClaim(now, { ref: buildOther(requestId), replaces }), now);
+  assert.equal(ask('r1', []).outcome, ClaimOutcome.GRANTED);
+  assert.equal(ask('r1', []).outcome, ClaimOutcome.GRANTED);
+  assert.equal(ask('r2', [buildOther('r1')]).outcome, ClaimOutcome.GRANTED);
+  const third = ask('r3', [buildOther('r1')]);
+  assert.equal(third.outcome, ClaimOutcome.BOUND);
+  assert.equal(third.record?.binding?.ref.requestId, 'r2');
+});
+
+nodeTest.test('claims that come too late', () => {
+  // An entry pauses with a claim in hand. By the time that the home could have
+  // forgotten the key's first call, it takes no claim of that age.
+  const home = createHome();
+  const now = BEGAN_MS + 2 * RETENTION_MS;
+  const oldest = now - TIMING.maxDeadlineMs - TIMING.clockSkewMs;
+  const late = claims.resolveClaim(home, buildClaim(oldest - 1), now);
+  assert.equal(late.outcome, ClaimOutcome.UNDECIDED);
+  assert.equal(claims.resolveClaim(home, buildClaim(oldest), now).outcome, ClaimOutcome.GRANTED);
+  const stale = claims.resolveClaim(home, buildClaim(now, { documentVersion: 2 }), now);
+  assert.equal(stale.outcome, ClaimOutcome.UNDECIDED);
+});
+
+nodeTest.test('closed to earlier calls only', () => {
+  const home = createHome();
+  const now = BEGAN_MS + RETENTION_MS + 1;
+  claims.resolveClaim(home, buildClaim(now, { close: true }), now);
+  const skew = TIMING.clockSkewMs;
+  const early = claims.resolveClaim(home, buildClaim(now + skew), now + skew);
+  assert.equal(early.outcome, ClaimOutcome.CLOSED);
+  const later = claims.resolveClaim(home, buildClaim(now + skew + 1), now + skew + 1);
+  assert.equal(later.outcome, ClaimOutcome.GRANTED);
+});
+
+nodeTest.test('keys are forgotten in order', () => {
+  const home = createHome();
+  const now = BEGAN_MS + RETENTION_MS + 1;
+  claims.resolveClaim(home, buildClaim(now, { key: 'old' }), now);
+  claims.resolveClaim(home, buildClaim(now + 10, { key: 'new' }), now + 10);
+  claims.expireKeys(home.keys, RETENTION_MS, now + RETENTION_MS + 5);
+  assert.deepEqual([...home.keys.keys()], ['brim\u0000new']);
+});
--- /dev/null
+++ b/packages/core/src/entry/key-claims.test.ts
@@ -0,0 +1,251 @@
+import * as assert from 'node:assert/strict';
+import * as nodeTest from 'node:test';
+import * as schema from '@toucanproxy/schema';
+import * as smallFleet from '../mocks/small-fleet.js';
+import * as effect from '../shared/effect.js';
+import * as keyHomes from '../shared/key-homes.js';
+
+const AGENTS = ['a', 'b', 'c'];
+/** Longer than the pause before a join and the time a home has to answer, milliseconds. */
+const WHILE_MS = 1500;
+
+/** Makes a key whose homes by a document are the agents named. */
+function makeKeyAt(
+  fleet: smallFleet.SmallFleet,
+  homes: string[],
+  stored = smallFleet.buildDocument(AGENTS),
+): string {
+  const keys = Array.from({ length: 500 }, (_, index) => smallFleet.buildKey(fleet.now, index));
+  const found = keys.find((key) => {
+    const listed = keyHomes.listKeyHomes(stored.document, smallFleet.WORKSPACE, key).homes;
+    return listed.join() === homes.join();
+  });
+  assert.ok(found);
+  return found;
+}
+
+nodeTest.test('resend joins the run', () => {
+  // A caller loses its connection and sends its order again through another
+  // entry, once while the first call runs and once after. Both read the one run.
+  const fleet = smallFleet.createSmallFleet(['e1', 'e2'], AGENTS);
+  const key = smallFleet.buildKey(fleet.now);
+  smallFleet.sendCall(fleet, 'e1', 1, { key });
+  smallFleet.sendCall(fleet, 'e2', 2, { key });
+  smallFleet.passTime(fleet, WHILE_MS);
+  smallFleet.completeRun(fleet, 0);
+  smallFleet.sendCall(fleet, 'e2', 3, { key });
+  smallFleet.passTime(fleet, WHILE_MS);
+  const told = [1, 2, 3].map((caller) => smallFleet.formatTold(fleet, caller));
+  assert.deepEqual(told, ['answer 0', 'answer 0', 'answer 0']);
+  assert.equal(fleet.dispatched.length, 1);
+});
+
+nodeTest.test('same key twice in one entry', () => {
+  // Two calls with one key come in together and share one link to the agent.
+  // The first caller leaves; its cancellation must not cut the other's answer.
+  const fleet = smallFleet.createSmallFleet(['e1'], AGENTS);
+  const key = smallFleet.buildKey(fleet.now);
+  smallFleet.sendCall(fleet, 'e1', 1, { key });
+  smallFleet.sendCall(fleet, 'e1', 2, { key });
+  smallFleet.passTime(fleet, WHILE_MS);
+  smallFleet.applyToEntry(fleet, 'e1', { kind: 'callerLeft', callerId: 1 });
+  smallFleet.passMessages(fleet);
+  smallFleet.completeRun(fleet, 0);
+  assert.equal(smallFleet.formatTold(fleet, 2), 'answer 0');
+  assert.equal(fleet.dispatched.length, 1);
+  assert.equal(fleet.entries.get('e1')?.joins.size, 0);
+});
+
+nodeTest.test('entry killed between claim and offer', () => {
+  // The entry dies with the key bound and its offer on the way. The resend asks
+  // the agent, which refuses the offer from then on, so the resend may take the
+  // binding over; the late offer starts nothing.
+  const fleet = smallFleet.createSmallFleet(['e1', 'e2'], AGENTS);
+  const key = smallFleet.buildKey(fleet.now);
+  smallFleet.keepBack(fleet, 'e1', 'offer');
+  smallFleet.sendCall(fleet, 'e1', 1, { key });
+  smallFleet.sendCall(fleet, 'e2', 2, { key });
+  smallFleet.passTime(fleet, WHILE_MS);
+  assert.equal(fleet.held.length, 1);
+  smallFleet.releaseHeld(fleet);
+  smallFleet.passTime(fleet, WHILE_MS);
+  assert.equal(fleet.dispatched.length, 1);
+  smallFleet.completeRun(fleet, 0);
+  assert.equal(smallFleet.formatTold(fleet, 2), 'answer 0');
+  // The first entry was only slow: it reads the run of the resend.
+  assert.equal(smallFleet.formatTold(fleet, 1), 'answer 0');
+});
+
+nodeTest.test('resend while the offer is on its way', () => {
+  // The offer takes 300 ms. A resend that asked the agent at once would have it
+  // refuse the offer, and two entries could undo each other's attempts in turn.
+  const fleet = smallFleet.createSmallFleet(['e1', 'e2'], AGENTS);
+  const key = smallFleet.buildKey(fleet.now);
+  smallFleet.keepBack(fleet, 'e1', 'offer');
+  smallFleet.sendCall(fleet, 'e1', 1, { key });
+  smallFleet.sendCall(fleet, 'e2', 2, { key });
+  smallFleet.passTime(fleet, 300);
+  smallFleet.releaseHeld(fleet);
+  smallFleet.passTime(fleet, WHILE_MS);
+  assert.equal(fleet.dispatched.length, 1);
+  assert.match(fleet.dispatched[0].refKey, /^e1-life-1-1#1$/);
+});
+
+nodeTest.test('home restarted between claim and offer', () => {
+  // The home forgets the binding while the offer is on its way. It cannot tell
+  // a resend whether the key was bound, so the resend is not dispatched.
+  const fleet = smallFleet.createSmallFleet(['e1', 'e2'], AGENTS);
+  const key = makeKeyAt(fleet, ['b']);
+  smallFleet.keepBack(fleet, 'e1', 'offer');
+  smallFleet.sendCall(fleet, 'e1', 1, { key });
+  const stored = smallFleet.buildDocument(AGENTS);
+  smallFleet.startAgent(fleet, 'b', 'b-life-2');
+  smallFleet.applyToAgent(fleet, 'b', { kind: 'documentRead', stored });
+  smallFleet.passTime(fleet, 4000);
+  smallFleet.sendCall(fleet, 'e2', 2, { key });
+  smallFleet.passTime(fleet, WHILE_MS);
+  assert.equal(smallFleet.formatTold(fleet, 2), 'KEY_UNDECIDED MAY_HAVE_RUN');
+  smallFleet.releaseHeld(fleet);
+  assert.equal(fleet.dispatched.length, 1);
+});
+
+nodeTest.test('entries on different versions', () => {
+  // A backend server is added and becomes the key's home for entries that know
+  // of it. They ask the home before it too, where the other entry's binding is.
+  const newer = smallFleet.buildDocument(AGENTS, { version: 2 });
+  newer.document.backendServers[2].addedInVersion = 2;
+  const fleet = smallFleet.createSmallFleet(
+    ['e1', 'e2'],
+    AGENTS,
+    smallFleet.buildDocument(['a', 'b']),
+  );
+  smallFleet.applyToAgent(fleet, 'c', { kind: 'documentRead', stored: newer });
+  smallFleet.keepBack(fleet, 'e1', 'heartbeat');
+  smallFleet.applyToEntry(fleet, 'e2', { kind: 'documentRead', stored: newer });
+  smallFleet.passMessages(fleet);
+  const key = makeKeyAt(fleet, ['b', 'c'], newer);
+  smallFleet.sendCall(fleet, 'e1', 1, { key });
+  smallFleet.sendCall(fleet, 'e2', 2, { key });
+  smallFleet.passTime(fleet, WHILE_MS);
+  assert.equal(fleet.dispatched.length, 1);
+  smallFleet.completeRun(fleet, 0);
+  assert.equal(smallFleet.formatTold(fleet, 2), 'answer 0');
+});
+
+nodeTest.test('home gone with its bindings', () => {
+  // The home dies for good and the document declares it gone. Its successor
+  // never saw the binding; a key from before the loss must not be bound anew.
+  const fleet = smallFleet.createSmallFleet(['e1', 'e2'], AGENTS);
+  const key = makeKeyAt(fleet, ['b']);
+  smallFleet.sendCall(fleet, 'e1', 1, { key });
+  fleet.agents.delete('b');
+  const stored = smallFleet.buildDocument(AGENTS, { version: 2 });
+  stored.document.backendServers[1].goneInVersion = 2;
+  stored.document.backendServers[1].state = schema.BackendServerState.GONE;
+  smallFleet.applyToEntry(fleet, 'e2', { kind: 'documentRead', stored });
+  smallFleet.passTime(fleet, 5000);
+  smallFleet.sendCall(fleet, 'e2', 2, { key });
+  assert.equal(smallFleet.formatTold(fleet, 2), 'KEY_UNDECIDED MAY_HAVE_RUN');
+  smallFleet.sendCall(fleet, 'e2', 3, { key: smallFleet.buildKey(fleet.now) });
+  assert.equal(fleet.dispatched.length, 2);
+});
+
+nodeTest.test('bound agent restarted', () => {
+  // The agent that ran the order restarts and has forgotten it. The resend
+  // asks the new life, which cannot say; nothing is dispatched again.
+  const fleet = smallFleet.createSmallFleet(['e1', 'e2'], AGENTS);
+  const key = makeKeyAt(fleet, ['b']);
+  smallFleet.sendCall(fleet, 'e1', 1, { key });
+  assert.equal(fleet.dispatched[0].agentId, 'a');
+  smallFleet.startAgent(fleet, 'a', 'a-life-2');
+  smallFleet.passTime(fleet, 4000);
+  smallFleet.sendCall(fleet, 'e2', 2, { key });
+  smallFleet.passTime(fleet, 4000);
+  assert.equal(smallFleet.formatTold(fleet, 2), 'AGENT_RESTARTED MAY_HAVE_RUN');
+  assert.equal(fleet.dispatched.length, 1);
+});
+
+nodeTest.test('silent home', () => {
+  // The home's answer is held up past its time. An order is not dispatched, a
+  // query goes on without; the answers that come late are dropped and counted.
+  const fleet = smallFleet.createSmallFleet(['e1'], AGENTS);
+  smallFleet.keepBack(fleet, 'e1', 'claimReply');
+  const [order, query] = [1, 2].map((serial) => smallFleet.buildKey(fleet.now, serial));
+  smallFleet.sendCall(fleet, 'e1', 1, { key: order });
+  smallFleet.sendCall(fleet, 'e1', 2, { key: query, path: '/look' });
+  smallFleet.passTime(fleet, WHILE_MS);
+  assert.equal(smallFleet.formatTold(fleet, 1), 'KEY_UNDECIDED MAY_HAVE_RUN');
+  assert.equal(fleet.dispatched.length, 1);
+  smallFleet.releaseHeld(fleet);
+  assert.equal(fleet.dispatched.length, 1);
+  assert.equal(
+    fleet.dropped.filter((reason) => reason === effect.DropReason.LATE_CLAIM_REPLY).length,
+    2,
+  );
+});
+
+nodeTest.test('closed before a paused call wakes', () => {
+  // The first call is paused with its claim unanswered. The resend is given up
+  // at its deadline and told "not run", which stays true when the first wakes;
+  // a later call opens the key again.
+  const fleet = smallFleet.createSmallFleet(['e1', 'e2'], AGENTS);
+  const key = makeKeyAt(fleet, ['b']);
+  smallFleet.keepBack(fleet, 'e1', 'claim');
+  smallFleet.sendCall(fleet, 'e1', 1, { key });
+  smallFleet.applyToEntry(fleet, 'e2', { kind: 'shutdownStarted' });
+  smallFleet.sendCall(fleet, 'e2', 2, { key });
+  assert.equal(smallFleet.formatTold(fleet, 2), 'SHUTTING_DOWN NOT_RUN');
+  smallFleet.releaseHeld(fleet);
+  smallFleet.passTime(fleet, WHILE_MS);
+  assert.equal(smallFleet.formatTold(fleet, 1), 'CANCELLED NOT_RUN');
+  assert.equal(fleet.dispatched.length, 0);
+  smallFleet.passTime(fleet, 4000);
+  smallFleet.sendCall(fleet, 'e1', 3, { key });
+  assert.equal(fleet.dispatched.length, 1);
+});
+
+nodeTest.test('given up while an earlier call runs', () => {
+  // A resend meets an entry that shuts down. It may not be told "not run",
+  // since its earlier call is running; it reads that call's answer.
+  const fleet = smallFleet.createSmallFleet(['e1', 'e2'], AGENTS);
+  const key = smallFleet.buildKey(fleet.now);
+  smallFleet.sendCall(fleet, 'e1', 1, { key });
+  smallFleet.applyToEntry(fleet, 'e2', { kind: 'shutdownStarted' });
+  smallFleet.sendCall(fleet, 'e2', 2, { key });
+  smallFleet.passTime(fleet, WHILE_MS);
+  smallFleet.completeRun(fleet, 0);
+  assert.equal(smallFleet.formatTold(fleet, 2), 'answer 0');
+});
+
+nodeTest.test('keys that cannot be used', () => {
+  const fleet = smallFleet.createSmallFleet(['e1'], AGENTS);
+  const ask = (callerId: number, key: string, contentDigest = 'digest') => {
+    smallFleet.sendCall(fleet, 'e1', callerId, { key, contentDigest });
+    return smallFleet.formatTold(fleet, callerId);
+  };
+  const key = smallFleet.buildKey(fleet.now);
+  assert.equal(ask(1, key), '');
+  assert.equal(ask(2, key, 'other'), 'KEY_REUSED NOT_RUN');
+  assert.equal(ask(3, smallFleet.buildKey(fleet.now + 60_000)), 'KEY_INVALID NOT_RUN');
+  assert.equal(ask(4, smallFleet.buildKey(fleet.now + 3000)), 'KEY_INVALID MAY_HAVE_RUN');
+  assert.equal(ask(5, smallFleet.buildKey(fleet.now - 3_600_000)), 'KEY_EXPIRED MAY_HAVE_RUN');
+  assert.equal(ask(6, 'x'.repeat(256)), 'KEY_INVALID NOT_RUN');
+  assert.equal(ask(7, 'without-a-time'), 'KEY_UNDECIDED MAY_HAVE_RUN');
+  assert.equal(fleet.dispatched.length, 1);
+});
+
+nodeTest.test('paused entry asks about a forgotten run', () => {
+  // An entry pauses for longer than records are kept and then asks what became
+  // of its attempt. The agent has run and forgotten it and must not say "not run".
+  const fleet = smallFleet.createSmallFleet(['e1'], ['a']);
+  fleet.isHeld = (message) => !message.toAgent;
+  smallFleet.sendCall(fleet, 'e1', 1, { key: '' });
+  smallFleet.completeRun(fleet, 0);
+  fleet.held = [];
+  fleet.now += 3_600_000;
+  smallFleet.applyToAgent(fleet, 'a', { kind: 'ticked' });
+  assert.equal(fleet.agents.get('a')?.runs.size, 0);
+  smallFleet.releaseHeld(fleet);
+  smallFleet.passTime(fleet, 4000);
+  assert.equal(smallFleet.formatTold(fleet, 1), 'KEY_UNDECIDED MAY_HAVE_RUN');
+});
--- /dev/null
+++ b/packages/core/src/entry/link-selection.test.ts
@@ -0,0 +1,55 @@
+import * as assert from 'node:assert/strict';
+import * as nodeTest from 'node:test';
+import * as linkSelection from './link-selection.js';
+
+const DOMAINS = Array.from({ length: 7 }, (_, index) => `domain-${index}`);
+const ENTRIES = 410;
+
+/** Builds agents spread over the failure domains. */
+function buildAgents(count: number): linkSelection.Linkable[] {
+  return Array.from({ length: count }, (_, index) => ({
+    backendServerId: `runner-${index}`,
+    failureDomain: DOMAINS[index % DOMAINS.length],
+  }));
+}
+
+/** Counts the entries that each agent has, without those of one failure domain. */
+function countEntries(agents: linkSelection.Linkable[], links: number, lost = ''): number[] {
+  const counts = new Map(agents.map((agent) => [agent.backendServerId, 0]));
+  Array.from({ length: ENTRIES }, (_, index) => index).forEach((index) => {
+    const domain = DOMAINS[index % DOMAINS.length];
+    const chosen = linkSelection.selectLinks(`entry-${index}`, domain, agents, links);
+    assert.equal(chosen.length, Math.min(links, agents.length));
+    if (domain !== lost) {
+      chosen.forEach((id) => counts.set(id, (counts.get(id) ?? 0) + 1));
+    }
+  });
+  return agents
+    .filter((agent) => agent.failureDomain !== lost)
+    .map((agent) => counts.get(agent.backendServerId) ?? 0);
+}
+
+nodeTest.test('agents keep enough entries', () => {
+  // One service of all 600 runners, and one of 18 as with 33 models. A failure
+  // domain goes with its entries and agents; the rest keep entries to serve.
+  const cases = [
+    { agents: 600, links: 16, least: 2 },
+    { agents: 18, links: 3, least: 30 },
+  ];
+  cases.forEach(({ agents, links, least }) => {
+    const built = buildAgents(agents);
+    const whole = Math.min(...countEntries(built, links));
+    const afterLoss = Math.min(...countEntries(built, links, DOMAINS[0]));
+    assert.ok(whole >= least, `${agents} agents: ${whole}`);
+    assert.ok(afterLoss >= least, `${agents} agents after the loss: ${afterLoss}`);
+  });
+});
+
+nodeTest.test('links outside the own domain', () => {
+  const agents = buildAgents(600);
+  const chosen = linkSelection.selectLinks('entry-1', 'domain-1', agents, 16);
+  const far = chosen.filter((id) => Number(id.split('-')[1]) % DOMAINS.length !== 1);
+  assert.equal(far.length, 4);
+  const alone = linkSelection.selectLinks('entry-1', 'elsewhere', agents, 16);
+  assert.equal(alone.length, 16);
+});
