--- a/packages/core/src/entry/admission.ts
+++ b/packages/core/src/entry/admission.ts
@@ -85,6 +85,7 @@
     givenUp: undefined,
     claimRounds: 0,
     claimWaived: false,
+    earlierRun: schema.RunState.NOT_RUN,
     refusedBy: new Set(),
     head: undefined,
     collected: [],
--- a/packages/core/src/entry/agent-links.ts
+++ b/packages/core/src/entry/agent-links.ts
@@ -83,9 +83,13 @@
     .filter((view) => !named.has(view.backendServerId))
     .forEach((view) => {
       view.documentLeaving = true;
+      view.kept = false;
       updateLeaving(view);
     });
-  keepLinks(state, views);
+  keepLinks(
+    state,
+    views.filter((view) => named.has(view.backendServerId)),
+  );
   return effects;
 }
 
@@ -119,14 +123,18 @@
   });
 }
 
-/** Marks the links that this entry keeps for a service. */
+/**
+ * Marks the links that this entry keeps for a service. One to an agent that
+ * leaves is kept until the agent closes it, without counting for the choice.
+ */
 function keepLinks(state: entryState.EntryState, views: entryState.AgentView[]): void {
   const staying = views.filter((view) => !view.documentLeaving);
   const { entryId, failureDomain, linksPerService } = state;
   const chosen = linkSelection.selectLinks(entryId, failureDomain, staying, linksPerService);
   const kept = new Set(chosen);
   views.forEach((view) => {
-    view.kept = kept.has(view.backendServerId);
+    const drains = view.kept && view.documentLeaving && !state.goneSeenMs.has(view.backendServerId);
+    view.kept = drains || kept.has(view.backendServerId);
   });
 }
 
--- a/packages/core/src/entry/entry-state.ts
+++ b/packages/core/src/entry/entry-state.ts
@@ -58,6 +58,8 @@
   claimRounds: number;
   /** Its homes could not decide; it may be repeated and goes on without. */
   claimWaived: boolean;
+  /** What earlier attempts of a repeatable request came to. */
+  earlierRun: schema.RunState;
   /** Backend servers that refused the request since it began to wait. */
   refusedBy: Set<string>;
   head: schema.AnswerHead | undefined;
--- a/packages/core/src/entry/outcomes.ts
+++ b/packages/core/src/entry/outcomes.ts
@@ -70,6 +70,26 @@
   });
 }
 
+/** Notes that an attempt ran, or may have, before the request is placed again. */
+export function recordEarlierRun(
+  request: entryState.EntryRequest,
+  runState: schema.RunState,
+): void {
+  if (request.earlierRun !== schema.RunState.RAN) {
+    request.earlierRun = runState;
+  }
+}
+
+/**
+ * Says what is known of the whole request, not of its last attempt alone.
+ *
+ * A repeatable request whose first attempt broke and whose second was refused
+ * would otherwise be told as not run although an engine had started it.
+ */
+function computeRunState(request: entryState.EntryRequest, failure: Failure): schema.RunState {
+  return failure.runState === schema.RunState.NOT_RUN ? request.earlierRun : failure.runState;
+}
+
 /**
  * Gives a request up. A keyed request of a route that runs once is not told
  * "not run" before its key is closed: an earlier call with the same key, paused
@@ -108,6 +128,7 @@
   const { requestId } = request;
   const { callerId } = request.arrived;
   const attempt = request.target?.ref.attempt ?? request.attempts;
+  const runState = computeRunState(request, failure);
   forget(state, request);
   return [
     effect.logDecision('failure', {
@@ -115,10 +136,10 @@
       attempt,
       code: failure.code,
       result: schema.ResultCode[failure.code],
-      runState: schema.RunState[failure.runState],
+      runState: schema.RunState[runState],
     }),
     observeOutcome(request, failure.code, now),
-    { kind: 'answerFailure', callerId, requestId, ...failure },
+    { kind: 'answerFailure', callerId, requestId, ...failure, runState },
   ];
 }
 
