--- a/packages/core/src/mocks/small-fleet.ts
+++ b/packages/core/src/mocks/small-fleet.ts
@@ -24,6 +24,8 @@
   /** Messages that a test keeps from arriving. */
   held: Message[];
   isHeld: (message: Message) => boolean;
+  /** Nothing passes between processes, and no end of a link learns of it. */
+  silent: boolean;
   /** Attempts handed to engines, in order. */
   dispatched: { agentId: string; refKey: string }[];
   /** What callers were told, by caller. */
@@ -71,6 +73,7 @@
     queue: [],
     held: [],
     isHeld: () => false,
+    silent: false,
     dispatched: [],
     told: new Map(),
     dropped: [],
@@ -119,7 +122,7 @@
   switch (effect.kind) {
     case 'openLink': {
       const agentId = effect.backendServerId;
-      if (fleet.agents.has(agentId)) {
+      if (fleet.agents.has(agentId) && !fleet.silent) {
         applyToEntry(fleet, entryId, { kind: 'linkOpened', backendServerId: agentId });
         applyToAgent(fleet, agentId, { kind: 'linkOpened', linkId: findLinkId(fleet, entryId) });
       }
@@ -127,7 +130,9 @@
     }
     case 'closeLink': {
       const linkId = findLinkId(fleet, entryId);
-      applyToAgent(fleet, effect.backendServerId, { kind: 'linkClosed', linkId });
+      if (!fleet.silent) {
+        applyToAgent(fleet, effect.backendServerId, { kind: 'linkClosed', linkId });
+      }
       return;
     }
     case 'sendToAgent': {
@@ -185,7 +190,7 @@
   while (message !== undefined) {
     if (fleet.isHeld(message)) {
       fleet.held.push(message);
-    } else {
+    } else if (!fleet.silent) {
       passMessage(fleet, message);
     }
     message = fleet.queue.shift();
--- a/packages/runtime/src/link-client.ts
+++ b/packages/runtime/src/link-client.ts
@@ -1,8 +1,8 @@
 /** The entry's end of links: one HTTP/2 connection each, so that a silent one can be given up. */
-import * as stream from 'node:stream';
 import * as connect from '@connectrpc/connect';
 import * as connectNode from '@connectrpc/connect-node';
 import * as schema from '@toucanproxy/schema';
+import * as linkOutbox from './link-outbox.js';
 
 export type LinkClient = {
   send: (message: schema.EntryMessage) => void;
@@ -13,6 +13,8 @@
   /** Address of the agent, "IP:port". */
   address: string;
   receive: (message: schema.AgentMessage) => void;
+  /** Bytes that may wait to be sent; the default where left out. */
+  maxWaitingBytes?: number;
   /** Called once, for whatever reason the link ended. */
   closed: () => void;
 };
@@ -38,7 +40,7 @@
     sessionManager,
   });
   const client = connect.createClient(schema.LinkService, transport);
-  const outbox = new stream.PassThrough({ objectMode: true });
+  const outbox = linkOutbox.createLinkOutbox<schema.EntryMessage>(options.maxWaitingBytes);
   const controller = new AbortController();
   let open = true;
   const close = () => {
@@ -47,16 +49,16 @@
     }
     open = false;
     controller.abort();
-    outbox.destroy();
+    outbox.close();
     sessionManager.abort();
     options.closed();
   };
-  const answers = client.connect(outbox, { signal: controller.signal });
+  const answers = client.connect(outbox.messages, { signal: controller.signal });
   readMessages(answers, (message) => open && options.receive(message)).then(close, close);
   return {
     send: (message) => {
-      if (open) {
-        outbox.write(message);
+      if (open && !outbox.push(message)) {
+        close();
       }
     },
     close,
--- a/packages/runtime/src/link-server.ts
+++ b/packages/runtime/src/link-server.ts
@@ -1,9 +1,9 @@
 /** The agent's end of links. */
 import * as http2 from 'node:http2';
 import * as net from 'node:net';
-import * as stream from 'node:stream';
 import * as connectNode from '@connectrpc/connect-node';
 import * as schema from '@toucanproxy/schema';
+import * as linkOutbox from './link-outbox.js';
 
 export type LinkServer = {
   /** Port that the server listens on. */
@@ -13,15 +13,20 @@
   stop: () => void;
 };
 
+/** Silence after which a connection is closed, milliseconds. */
+const SESSION_TIMEOUT_MS = 30_000;
+
 type LinkServerOptions = {
   host: string;
   port: number;
   opened: (linkId: number) => void;
   receive: (linkId: number, message: schema.EntryMessage) => void;
   closed: (linkId: number) => void;
+  /** Bytes that may wait to be sent on one link; the default where left out. */
+  maxWaitingBytes?: number;
 };
 
-type OpenLink = { outbox: stream.PassThrough; controller: AbortController };
+type OpenLink = { outbox: linkOutbox.LinkOutbox<schema.AgentMessage> };
 
 /** Reads messages until the link ends. */
 async function readMessages(
@@ -45,18 +50,14 @@
       return;
     }
     links.delete(linkId);
-    link.controller.abort();
-    link.outbox.end();
+    link.outbox.close();
     options.closed(linkId);
   };
 
   async function* serveLink(messages: AsyncIterable<schema.EntryMessage>) {
     const linkId = nextLinkId;
     nextLinkId += 1;
-    const link = {
-      outbox: new stream.PassThrough({ objectMode: true }),
-      controller: new AbortController(),
-    };
+    const link: OpenLink = { outbox: linkOutbox.createLinkOutbox(options.maxWaitingBytes) };
     links.set(linkId, link);
     options.opened(linkId);
     const receive = (message: schema.EntryMessage) =>
@@ -66,7 +67,7 @@
       () => closeLink(linkId),
     );
     try {
-      yield* link.outbox as AsyncIterable<schema.AgentMessage>;
+      yield* link.outbox.messages;
     } finally {
       closeLink(linkId);
     }
@@ -78,6 +79,10 @@
   const server = http2.createServer(handler);
   server.on('session', (session) => {
     sessions.add(session);
+    // A link that was given up as silent leaves its connection behind: the
+    // peer's end of it is lost and no close will come. Links in use carry
+    // heartbeats far more often than this.
+    session.setTimeout(SESSION_TIMEOUT_MS, () => session.destroy());
     session.on('error', () => session.destroy());
     session.on('close', () => sessions.delete(session));
   });
@@ -87,7 +92,11 @@
   });
   return {
     port: (server.address() as net.AddressInfo).port,
-    send: (linkId, message) => links.get(linkId)?.outbox.write(message),
+    send: (linkId, message) => {
+      if (links.get(linkId)?.outbox.push(message) === false) {
+        closeLink(linkId);
+      }
+    },
     closeLink,
     stop: () => {
       [...links.keys()].forEach(closeLink);
