Spread documents whole and show two under one version

Cause: a process asked every peer that showed a newer version for the same document, a new process acted on a stale first answer, and two documents under one version went unnoticed. Before: as many fetches as links; no conflict shown. Links per service follow from the number of services. The homes of a key never leave out the version before the one in force.

--- a/packages/core/src/agent/agent-state.ts
+++ b/packages/core/src/agent/agent-state.ts
@@ -23,6 +23,7 @@
   lifeBeganMs: number;
   documents: documentStore.DocumentStore;
   runs: Map<string, runRecord.RunRecord>;
+  newerSeen: documentStore.NewerVersions;
   /** The keys that this agent is home of. */
   keys: claims.KeyTable;
   queue: startQueue.StartQueue;
@@ -48,6 +49,7 @@
     lifeBeganMs: now,
     documents: new Map(),
     runs: new Map(),
+    newerSeen: new Map(),
     keys: new Map(),
     queue: startQueue.createStartQueue(),
     running: new Set(),
--- a/packages/core/src/agent/entry-links.ts
+++ b/packages/core/src/agent/entry-links.ts
@@ -21,9 +21,11 @@
     agentLife: state.life,
     lifeBeganMs: state.lifeBeganMs,
   });
+  // The heartbeat goes first: an entry with an older document learns of the
+  // newer one before the hello lets it offer anything here.
   return [
-    agentMessages.sendToEntry(linkId, { case: 'hello', value: hello }),
     ...sendHeartbeat(state, linkId, now),
+    agentMessages.sendToEntry(linkId, { case: 'hello', value: hello }),
   ];
 }
 
@@ -59,10 +61,13 @@
   state: agentState.AgentState,
   linkId: number,
   heartbeat: schema.EntryHeartbeat,
+  now: number,
 ): Effects {
+  const conflict = documentStore.noteVersion(state.documents, heartbeat.document);
   const theirs = heartbeat.document?.version ?? 0;
-  if (theirs <= documentStore.getVersion(state.documents, state.service)) {
-    return [];
+  const newer = theirs > documentStore.getVersion(state.documents, state.service);
+  if (!newer || !documentStore.noteNewer(state.newerSeen, state.service, theirs, now)) {
+    return conflict;
   }
   const request = schema.create(schema.DocumentRequestSchema, { service: state.service });
   return [agentMessages.sendToEntry(linkId, { case: 'documentRequest', value: request })];
@@ -103,10 +108,7 @@
   link.lastSentMs = now;
   link.heartbeatsSent += 1;
   const heartbeat = schema.create(schema.AgentHeartbeatSchema, {
-    document: {
-      service: state.service,
-      version: documentStore.getVersion(state.documents, state.service),
-    },
+    document: documentStore.describeVersion(state.documents, state.service),
     sequence: link.heartbeatsSent,
     load: describeLoad(state),
   });
--- a/packages/core/src/agent/handle-agent-event.ts
+++ b/packages/core/src/agent/handle-agent-event.ts
@@ -29,7 +29,7 @@
     case 'hello':
       return entryLinks.acceptHello(state, linkId, body.value);
     case 'heartbeat':
-      return entryLinks.handleHeartbeat(state, linkId, body.value);
+      return entryLinks.handleHeartbeat(state, linkId, body.value, now);
     case 'offer':
       return offers.acceptOffer(state, linkId, body.value, now);
     case 'withdraw':
@@ -61,7 +61,7 @@
     return [];
   }
   if (!documentStore.storeDocument(state.documents, event.stored)) {
-    return [];
+    return documentStore.noteRefused(state.documents, event.stored);
   }
   const own = document.backendServers.find((server) => server.id === state.backendServerId);
   const leaving = own === undefined || own.state >= schema.BackendServerState.LEAVING;
--- a/packages/core/src/entry/admission.ts
+++ b/packages/core/src/entry/admission.ts
@@ -55,6 +55,29 @@
   return now + Math.min(asked, timing.maxDeadlineMs);
 }
 
+/**
+ * Refuses requests that wait without a place and whose credential a newer
+ * document has revoked. They were taken in by a document that was stale.
+ */
+export function checkWaiting(
+  state: entryState.EntryState,
+  document: schema.ServiceDocument,
+  now: number,
+): entryEvent.EntryEffect[] {
+  const valid = new Set(document.credentials.map((one) => one.tokenSha256));
+  return [...state.requests.values()]
+    .filter(
+      (request) =>
+        request.status === entryState.RequestStatus.WAITING &&
+        request.arrived.service === document.service &&
+        !valid.has(request.arrived.tokenSha256),
+    )
+    .flatMap((request) => {
+      const failure = outcomes.buildNotRun(schema.ResultCode.UNAUTHENTICATED);
+      return outcomes.fail(state, request, failure, now);
+    });
+}
+
 /** Builds the record of a request that is taken in. */
 function buildRequest(
   state: entryState.EntryState,
--- a/packages/core/src/entry/dispatch.ts
+++ b/packages/core/src/entry/dispatch.ts
@@ -36,7 +36,7 @@
   now: number,
 ): Effects {
   const usable = listUsable(state, request.arrived.service);
-  if (usable.length === 0) {
+  if (usable.length === 0 || entryState.isBehind(state, request.arrived.service, now)) {
     return [];
   }
   const open = usable.filter((agent) => !request.refusedBy.has(agent.backendServerId));
--- a/packages/core/src/entry/entry-state.ts
+++ b/packages/core/src/entry/entry-state.ts
@@ -130,6 +130,8 @@
   followUps: FollowUp[];
   /** Requests that read the answer of another call's attempt, by its reference. */
   joins: Map<string, Set<string>>;
+  /** The newest version that a peer has shown, by service. */
+  newerSeen: documentStore.NewerVersions;
   /** When this process first saw a backend server declared gone, milliseconds. */
   goneSeenMs: Map<string, number>;
   agents: Map<string, AgentView>;
@@ -158,6 +160,7 @@
     claiming: new Set(),
     followUps: [],
     joins: new Map(),
+    newerSeen: new Map(),
     goneSeenMs: new Map(),
     agents: new Map(),
     shutdownStarted: false,
@@ -173,6 +176,20 @@
   return state.documents.get(service)?.document;
 }
 
+/**
+ * Tells whether an entry knows of a newer document that it is about to get.
+ *
+ * A process that has just started may have been given a stale document by the
+ * configuration service. It places nothing by it while a peer is sending the
+ * newer one; bounded, since the newer one may be faulty for this process.
+ */
+export function isBehind(state: EntryState, service: string, now: number): boolean {
+  const newer = state.newerSeen.get(service);
+  const version = documentStore.getVersion(state.documents, service);
+  const waits = newer !== undefined && newer.version > version;
+  return waits && now - newer.sinceMs <= documentStore.DOCUMENT_ANSWER_MS;
+}
+
 /** Gets the timing of a service. */
 export function getTiming(state: EntryState, service: string): documentTiming.Timing {
   return documentTiming.getTiming(getDocument(state, service));
--- a/packages/core/src/entry/handle-entry-event.ts
+++ b/packages/core/src/entry/handle-entry-event.ts
@@ -10,6 +10,8 @@
 import * as entryEvent from './entry-event.js';
 import * as entryState from './entry-state.js';
 import * as keyClaims from './key-claims.js';
+import * as linkOpening from './link-opening.js';
+import * as membership from './membership.js';
 import * as outcomes from './outcomes.js';
 
 type Effects = entryEvent.EntryEffect[];
@@ -84,12 +86,14 @@
 ): Effects {
   const { document } = event.stored;
   if (!documentStore.storeDocument(state.documents, event.stored)) {
-    return [];
+    return documentStore.noteRefused(state.documents, event.stored);
   }
-  const closed = agentLinks.applyBackendServers(state, document, now);
+  const closed = membership.applyBackendServers(state, document, now);
   return [
     effect.logDecision('document', { service: document.service, version: document.version }),
     ...closed,
+    ...admission.checkWaiting(state, document, now),
+    ...dispatch.placeWaiting(state, document.service, now),
     ...agentLinks.openWanted(state, now),
   ];
 }
@@ -155,15 +159,15 @@
     case 'callerLeft':
       return deadlines.handleCallerLeft(state, event.callerId, now);
     case 'linkOpened':
-      return agentLinks.sendHello(state, event.backendServerId);
+      return agentLinks.sendHello(state, event.backendServerId, now);
     case 'linkClosed':
-      return agentLinks.handleLinkClosed(state, event.backendServerId, now);
+      return linkOpening.handleLinkClosed(state, event.backendServerId, now);
     case 'agentMessage':
       return handleAgentMessage(state, event, now);
     case 'documentRead':
       return applyDocument(state, event, now);
     case 'vmsLeaving':
-      agentLinks.markListed(state, event.addresses);
+      membership.markListed(state, event.addresses);
       return [];
     case 'ticked':
       return handleTick(state, now);
--- a/packages/core/src/entry/index.ts
+++ b/packages/core/src/entry/index.ts
@@ -10,4 +10,5 @@
   type EntryState,
 } from './entry-state.js';
 export * from './handle-entry-event.js';
+export * from './link-selection.js';
 export * from './placement.js';
--- a/packages/core/src/entry/link-opening.ts
+++ b/packages/core/src/entry/link-opening.ts
@@ -1,6 +1,11 @@
-/** Opens links: those that are kept, and those that a claim or a join needs. */
+/** Opens and gives up links: those that are kept, and those that a claim or a join needs. */
 import * as entryEvent from './entry-event.js';
 import type * as entryState from './entry-state.js';
+import * as keyClaim from './key-claim.js';
+
+/** Pause before a link that failed is opened again, milliseconds. */
+const REOPEN_MIN_MS = 100;
+const REOPEN_SPREAD_MS = 400;
 
 /** How long a link on demand stays open after it was last needed, milliseconds. */
 const IDLE_MS = 3000;
@@ -28,3 +33,30 @@
   view.neededMs = now;
   return openIfWanted(view, now);
 }
+
+/** Marks a link as gone; its requests wait to be resumed over a new one. */
+export function handleLinkClosed(
+  state: entryState.EntryState,
+  backendServerId: string,
+  now: number,
+): entryEvent.EntryEffect[] {
+  const view = state.agents.get(backendServerId);
+  if (view !== undefined) {
+    view.linked = false;
+    view.opening = false;
+    keyClaim.noteHomeLost(state, backendServerId);
+    view.nextOpenMs = now + REOPEN_MIN_MS + state.policy.drawRandom() * REOPEN_SPREAD_MS;
+  }
+  return [];
+}
+
+/** Gives up a link; the attempts there are resumed over the next one. */
+export function abandonLink(
+  state: entryState.EntryState,
+  view: entryState.AgentView,
+  now: number,
+): entryEvent.EntryEffect[] {
+  const { backendServerId } = view;
+  handleLinkClosed(state, backendServerId, now);
+  return [{ kind: 'closeLink', backendServerId }];
+}
--- a/packages/core/src/entry/link-selection.ts
+++ b/packages/core/src/entry/link-selection.ts
@@ -7,11 +7,23 @@
  */
 import * as rendezvous from '../shared/rendezvous.js';
 
+/** Links that one entry keeps over all its services, about. */
+const LINKS_PER_ENTRY = 64;
+const MIN_LINKS_PER_SERVICE = 3;
 export const DEFAULT_LINKS_PER_SERVICE = 16;
 
 /** Of the links, one in this many goes to other failure domains. */
 const FAR_SHARE = 4;
 
+/**
+ * Computes the links kept for each of several services, so that the heartbeats
+ * of an entry stay within its budget for control.
+ */
+export function computeLinksPerService(services: number): number {
+  const share = Math.floor(LINKS_PER_ENTRY / Math.max(services, 1));
+  return Math.min(DEFAULT_LINKS_PER_SERVICE, Math.max(MIN_LINKS_PER_SERVICE, share));
+}
+
 /** What the choice looks at. */
 export type Linkable = { backendServerId: string; failureDomain: string };
 
--- /dev/null
+++ b/packages/core/src/entry/membership.ts
@@ -0,0 +1,131 @@
+/** Which backend servers this entry knows, which it keeps links to, and which take new work. */
+import * as schema from '@toucanproxy/schema';
+import * as entryEvent from './entry-event.js';
+import * as entryState from './entry-state.js';
+import * as linkOpening from './link-opening.js';
+import * as linkSelection from './link-selection.js';
+
+type Effects = entryEvent.EntryEffect[];
+
+/** Makes the view of a backend server that a document names for the first time. */
+function makeView(service: string, server: schema.BackendServer): entryState.AgentView {
+  return {
+    backendServerId: server.id,
+    service,
+    address: server.address,
+    failureDomain: server.failureDomain,
+    linked: false,
+    opening: false,
+    agentLife: '',
+    lifeBeganMs: 0,
+    leaving: false,
+    documentLeaving: false,
+    reportedLeaving: false,
+    listedLeaving: false,
+    listedLife: undefined,
+    lastHeardMs: 0,
+    lastSentMs: 0,
+    heartbeatsSent: 0,
+    load: undefined,
+    outstandingTokens: 0,
+    nextOpenMs: 0,
+    kept: false,
+    neededMs: 0,
+    heldCount: 0,
+  };
+}
+
+/**
+ * Brings one view in line with a document. An agent that has moved to another
+ * address is linked anew: the process at the old one is not it any more.
+ */
+function applyBackendServer(
+  state: entryState.EntryState,
+  service: string,
+  server: schema.BackendServer,
+  now: number,
+): Effects {
+  const known = state.agents.get(server.id);
+  const view = known ?? makeView(service, server);
+  const moved = view.address !== server.address && (view.linked || view.opening);
+  view.address = server.address;
+  view.failureDomain = server.failureDomain;
+  view.documentLeaving = server.state >= schema.BackendServerState.LEAVING;
+  updateLeaving(view);
+  state.agents.set(server.id, view);
+  const gone = server.goneInVersion > 0 || server.state === schema.BackendServerState.GONE;
+  if (gone && !state.goneSeenMs.has(server.id)) {
+    state.goneSeenMs.set(server.id, now);
+  }
+  return moved ? linkOpening.abandonLink(state, view, now) : [];
+}
+
+/** Brings the views in line with a document that has come into force. */
+export function applyBackendServers(
+  state: entryState.EntryState,
+  document: schema.ServiceDocument,
+  now: number,
+): Effects {
+  const effects = document.backendServers.flatMap((server) =>
+    applyBackendServer(state, document.service, server, now),
+  );
+  const named = new Set(document.backendServers.map((server) => server.id));
+  const views = listOfService(state, document.service);
+  views
+    .filter((view) => !named.has(view.backendServerId))
+    .forEach((view) => {
+      view.documentLeaving = true;
+      view.kept = false;
+      updateLeaving(view);
+    });
+  keepLinks(
+    state,
+    views.filter((view) => named.has(view.backendServerId)),
+  );
+  return effects;
+}
+
+/** Lists the views of one service. */
+function listOfService(state: entryState.EntryState, service: string): entryState.AgentView[] {
+  return [...state.agents.values()].filter((view) => view.service === service);
+}
+
+/** Decides from all that is known whether an agent takes new work. */
+export function updateLeaving(view: entryState.AgentView): void {
+  view.leaving = view.documentLeaving || view.listedLeaving || view.reportedLeaving;
+}
+
+/**
+ * Gives no more work to VMs that the platform lists as leaving.
+ *
+ * The list lags: it may still name the life before the present one. A life that
+ * began after the list was first seen to name its VM is taken at its own word.
+ */
+export function markListed(state: entryState.EntryState, addresses: readonly string[]): void {
+  const listed = new Set(addresses);
+  state.agents.forEach((view) => {
+    const isListed = listed.has(view.address);
+    if (!isListed) {
+      view.listedLife = undefined;
+    } else if (!view.listedLife) {
+      view.listedLife = view.agentLife;
+    }
+    view.listedLeaving = isListed && view.listedLife === view.agentLife;
+    updateLeaving(view);
+  });
+}
+
+/**
+ * Marks the links that this entry keeps for a service. One to an agent that
+ * leaves is kept until the agent closes it, without counting for the choice.
+ */
+function keepLinks(state: entryState.EntryState, views: entryState.AgentView[]): void {
+  const staying = views.filter((view) => !view.documentLeaving);
+  const { entryId, failureDomain, linksPerService } = state;
+  const chosen = linkSelection.selectLinks(entryId, failureDomain, staying, linksPerService);
+  const kept = new Set(chosen);
+  views.forEach((view) => {
+    const drains = view.kept && view.documentLeaving && !state.goneSeenMs.has(view.backendServerId);
+    view.kept = drains || kept.has(view.backendServerId);
+  });
+}
--- a/packages/core/src/mocks/small-fleet.ts
+++ b/packages/core/src/mocks/small-fleet.ts
@@ -31,6 +31,10 @@
   /** What callers were told, by caller. */
   told: Map<number, core.EntryEffect[]>;
   dropped: core.DropReason[];
+  /** Events of log lines, in order. */
+  logged: string[];
+  /** Processes that were sent a document by a peer, in order. */
+  fetched: string[];
 };
 
 /** Builds a document with one backend server for each agent named. */
@@ -51,7 +55,17 @@
     backendServers: agentIds.map((id) => ({ id, address: id, addedInVersion: 1 })),
   });
   Object.assign(document, fields);
-  return { document, json: `version ${document.version}` };
+  const json = JSON.stringify(schema.toJson(schema.ServiceDocumentSchema, document));
+  return { document, json };
+}
+
+/** Reads the text of a document that a peer has sent. */
+function parseStored(json: string): core.StoredDocument {
+  const parsed = schema.parseDocument(json);
+  if (parsed.kind === 'faulty') {
+    throw new Error(JSON.stringify(parsed.faults));
+  }
+  return { document: parsed.value, json };
 }
 
 /** Starts a life of an agent. */
@@ -60,6 +74,13 @@
   fleet.agents.set(id, core.createAgentState(identity, fleet.now));
 }
 
+/** Starts an entry. */
+export function startEntry(fleet: SmallFleet, entryId: string): void {
+  const policy = { chooseBackendServer: core.chooseLeastOutstanding, drawRandom: () => 0 };
+  const identity = { entryId, life: 'life-1', failureDomain: '' };
+  fleet.entries.set(entryId, core.createEntryState(identity, policy));
+}
+
 /** Creates a fleet that runs one document. */
 export function createSmallFleet(
   entryIds: readonly string[],
@@ -77,13 +98,13 @@
     dispatched: [],
     told: new Map(),
     dropped: [],
+    logged: [],
+    fetched: [],
   };
   agentIds.forEach((id) => startAgent(fleet, id, `${id}-life-1`));
   agentIds.forEach((id) => applyToAgent(fleet, id, { kind: 'documentRead', stored }));
-  const policy = { chooseBackendServer: core.chooseLeastOutstanding, drawRandom: () => 0 };
   entryIds.forEach((entryId) => {
-    const identity = { entryId, life: 'life-1', failureDomain: '' };
-    fleet.entries.set(entryId, core.createEntryState(identity, policy));
+    startEntry(fleet, entryId);
     applyToEntry(fleet, entryId, { kind: 'documentRead', stored });
   });
   passMessages(fleet);
@@ -146,6 +167,13 @@
     case 'answerFailure':
       fleet.told.set(effect.callerId, [...(fleet.told.get(effect.callerId) ?? []), effect]);
       return;
+    case 'documentReceived':
+      fleet.fetched.push(entryId);
+      applyToEntry(fleet, entryId, { kind: 'documentRead', stored: parseStored(effect.json) });
+      return;
+    case 'log':
+      fleet.logged.push(effect.event);
+      return;
     case 'observe':
       if (effect.observation.kind === 'dropped') {
         fleet.dropped.push(effect.observation.reason);
@@ -160,6 +188,13 @@
   if (effect.kind === 'startOnEngine') {
     fleet.dispatched.push({ agentId, refKey: effect.refKey });
   }
+  if (effect.kind === 'documentReceived') {
+    fleet.fetched.push(agentId);
+    applyToAgent(fleet, agentId, { kind: 'documentRead', stored: parseStored(effect.json) });
+  }
+  if (effect.kind === 'log') {
+    fleet.logged.push(effect.event);
+  }
   const entryId =
     effect.kind === 'sendToEntry' ? [...fleet.entries.keys()][effect.linkId] : undefined;
   if (effect.kind === 'sendToEntry' && entryId !== undefined) {
--- a/packages/core/src/shared/key-homes.ts
+++ b/packages/core/src/shared/key-homes.ts
@@ -24,7 +24,10 @@
 
 /** Lists the versions since the settled one at which the members changed. */
 function listChangedVersions(document: schema.ServiceDocument): number[] {
-  const { settledVersion, version } = document;
+  const { version } = document;
+  // A version cannot be settled while it is being published. Two documents
+  // published under one version would else have no home in common.
+  const settledVersion = Math.min(document.settledVersion, Math.max(version - 1, 0));
   const changes = document.backendServers
     .flatMap((server) => [server.addedInVersion, server.goneInVersion])
     .filter((changed) => changed > settledVersion && changed <= version);
--- a/packages/entry/src/app.ts
+++ b/packages/entry/src/app.ts
@@ -73,13 +73,14 @@
 
 /** Creates the state of a new life of this entry. */
 function createState(settings: schema.EntrySettings): core.EntryState {
-  const { entryId, failureDomain } = settings;
+  const { entryId, failureDomain, services } = settings;
+  const linksPerService = settings.linksPerService || core.computeLinksPerService(services.length);
   const life = crypto.randomBytes(LIFE_BYTES).toString('hex');
   const policy = {
     chooseBackendServer: core.chooseLeastOutstanding,
     drawRandom: Math.random,
   };
-  return core.createEntryState({ entryId, life, failureDomain }, policy);
+  return core.createEntryState({ entryId, life, failureDomain, linksPerService }, policy);
 }
 
 /** Starts the tasks that read what the platform publishes. */
