--- a/packages/runtime/src/vm-list-poll.ts
+++ b/packages/runtime/src/vm-list-poll.ts
@@ -1,8 +1,9 @@
 /** The task that reads the platform's list of VMs. The list lags. */
 import * as undici from 'undici';
 
-const POLL_MIN_MS = 1500;
-const POLL_SPREAD_MS = 1000;
+/** The list lags anyway; what an agent says of itself comes first. */
+const POLL_MIN_MS = 3000;
+const POLL_SPREAD_MS = 2000;
 const ANSWER_MS = 2000;
 
 type VmListOptions = {
@@ -21,6 +22,10 @@
 async function readList(options: VmListOptions): Promise<void> {
   const signal = AbortSignal.timeout(ANSWER_MS);
   const response = await undici.request(options.vmListUrl, { signal });
+  if (response.statusCode !== 200) {
+    await response.body.dump();
+    throw new Error(`VM list answered ${response.statusCode}`);
+  }
   const list = (await response.body.json()) as { vms: VmListEntry[] };
   const leaving = list.vms.filter((vm) => vm.state === 'leaving').map((vm) => vm.address);
   options.receiveLeaving(leaving);
