--- a/packages/agent/src/status.ts
+++ b/packages/agent/src/status.ts
@@ -9,6 +9,8 @@
     life: state.life,
     service: state.service,
     documentVersion: core.getVersion(state.documents, state.service),
+    documents: core.describeDocuments(state.documents),
+    keys: state.keys.size,
     leaving: state.leaving,
     engineAvailable: state.engineAvailable,
     queued: state.queue.items.length,
--- a/packages/core/src/entry/link-selection.ts
+++ b/packages/core/src/entry/link-selection.ts
@@ -8,9 +8,9 @@
 import * as rendezvous from '../shared/rendezvous.js';
 
 /** Links that one entry keeps over all its services, about. */
-const LINKS_PER_ENTRY = 64;
+const LINKS_PER_ENTRY = 40;
 const MIN_LINKS_PER_SERVICE = 3;
-export const DEFAULT_LINKS_PER_SERVICE = 16;
+export const DEFAULT_LINKS_PER_SERVICE = 32;
 
 /** Of the links, one in this many goes to other failure domains. */
 const FAR_SHARE = 4;
--- a/packages/core/src/shared/document-store.ts
+++ b/packages/core/src/shared/document-store.ts
@@ -84,6 +84,17 @@
   return schema.create(schema.DocumentVersionSchema, { service, version, contentHash });
 }
 
+/** Describes the documents in force for a status page. */
+export function describeDocuments(store: DocumentStore): unknown[] {
+  return [...store.values()].map(({ document, contentHash, conflicts }) => ({
+    service: document.service,
+    version: document.version,
+    settledVersion: document.settledVersion,
+    contentHash,
+    conflictingHashes: [...conflicts],
+  }));
+}
+
 /**
  * Notes a version that a peer or the service has shown, and reports another
  * content under the version in force, once.
--- a/packages/core/src/shared/key-homes.test.ts
+++ b/packages/core/src/shared/key-homes.test.ts
@@ -63,6 +63,17 @@
   });
 });
 
+nodeTest.test('two documents under one version', () => {
+  // Two operators publish different servers as version 5, both as settled. The
+  // homes of the version before are the same in both and are asked by both.
+  const one = buildDocument(5, 5, { a: [1, 0], b: [1, 0], c: [5, 0] });
+  const two = buildDocument(5, 5, { a: [1, 0], b: [1, 0], d: [5, 0] });
+  KEYS.forEach((key) => {
+    const [first] = keyHomes.listKeyHomes(one, 'brim', key).homes;
+    assert.equal(first, keyHomes.listKeyHomes(two, 'brim', key).homes[0]);
+  });
+});
+
 nodeTest.test('issue time of a key', () => {
   assert.equal(keyTime.readKeyTime('0192f3a0-0000-7abc-9def-000000000001'), 0x0192f3a00000);
   assert.equal(keyTime.readKeyTime('0192f3a0-0000-4abc-9def-000000000001'), 0);
--- a/packages/entry/src/status.ts
+++ b/packages/entry/src/status.ts
@@ -21,11 +21,13 @@
     documentVersions: Object.fromEntries(
       [...state.documents].map(([service, stored]) => [service, stored.document.version]),
     ),
+    documents: core.describeDocuments(state.documents),
     requests: countRequests(state),
     backendServers: [...state.agents.values()].map((view) => ({
       id: view.backendServerId,
       service: view.service,
       linked: view.linked,
+      kept: view.kept,
       leaving: view.leaving,
       lastHeardMs: view.lastHeardMs,
     })),
