--- a/packages/core/src/entry/admission.ts
+++ b/packages/core/src/entry/admission.ts
@@ -147,7 +147,7 @@
     return { kind: 'rejected', failure };
   }
   if (state.claiming.size >= MAX_CLAIMING) {
-    const untold = outcomes.buildMayHaveRun(code);
+    const untold = outcomes.buildMayHaveRun(schema.ResultCode.KEY_UNDECIDED);
     return { kind: 'rejected', failure: { ...untold, retryAfterMs: FULL_RETRY_AFTER_MS } };
   }
   return { kind: 'closing', request, failure };
