Let a server that a document takes back start work again in the checks

Cause: an entry now follows a later document that no longer marks a server as leaving, as its agent does; the check remembered the first mark for the agent's whole life (trace: version 2 marks runner-1, version 3 does not, a start on runner-1 at 6.6 s). After: the mark is forgotten when the agent itself no longer leaves; while it leaves the check is as strict as before. Conclusion: the check was wrong, not the program.

--- a/packages/proofs/src/invariants.ts
+++ b/packages/proofs/src/invariants.ts
@@ -251,6 +251,10 @@
   if (agent.state.leaving && !checker.leavingSinceMs.has(key)) {
     checker.leavingSinceMs.set(key, checker.fleet?.nowMs ?? 0);
   }
+  // A later document may take the server back into service.
+  if (!agent.state.leaving) {
+    checker.leavingSinceMs.delete(key);
+  }
   effects.forEach((effect) => {
     checkObservation(checker, effect);
     checkAgentShed(checker, agent, effect);
