--- a/packages/core/src/entry/accounts.ts
+++ b/packages/core/src/entry/accounts.ts
@@ -231,4 +231,10 @@
   agent.linked = false;
   agent.opening = false;
   service.linkedIds.delete(agent.backendServerId);
+  // Its reservations are lost with the link; no grant will come for them.
+  agent.reservedIds.forEach((requestId) => {
+    state.requests.get(requestId)?.reservedAt.delete(agent.backendServerId);
+    state.followUps.push({ kind: 'ask', requestId });
+  });
+  agent.reservedIds.clear();
 }
--- a/packages/core/src/entry/admission.ts
+++ b/packages/core/src/entry/admission.ts
@@ -40,6 +40,26 @@
 
 type Rights = { credential: schema.Credential; route: schema.Route };
 
+/**
+ * Refuses requests that wait without a place and whose credential a newer
+ * document has revoked. They were taken in by a document that was stale.
+ */
+export function checkWaiting(
+  state: entryState.EntryState,
+  document: schema.ServiceDocument,
+  now: number,
+): entryEvent.EntryEffect[] {
+  const service = entryState.getService(state, document.service);
+  return [...service.waitingIds]
+    .map((requestId) => state.requests.get(requestId))
+    .filter((request) => request !== undefined)
+    .filter((request) => !service.index?.credentialByToken.has(request.arrived.tokenSha256))
+    .flatMap((request) => {
+      const failure = outcomes.buildNotRun(schema.ResultCode.UNAUTHENTICATED);
+      return outcomes.fail(state, request, failure, now);
+    });
+}
+
 /** Estimates the cost of a request from what was learned of its class. */
 function estimateTokens(
   service: serviceState.ServiceState,
@@ -132,8 +152,8 @@
     return { kind: 'rejected', failure };
   }
   if (state.claiming.size >= MAX_CLAIMING) {
-    const untold = { ...failure, runState: schema.RunState.MAY_HAVE_RUN };
-    return { kind: 'rejected', failure: untold };
+    const untold = outcomes.buildMayHaveRun(schema.ResultCode.KEY_UNDECIDED);
+    return { kind: 'rejected', failure: { ...untold, retryAfterMs: FULL_RETRY_AFTER_MS } };
   }
   return { kind: 'closing', request, failure };
 }
--- a/packages/core/src/entry/agent-links.ts
+++ b/packages/core/src/entry/agent-links.ts
@@ -3,179 +3,37 @@
 import * as documentStore from '../shared/document-store.js';
 import * as suspects from '../shared/suspects.js';
 import * as accounts from './accounts.js';
-import * as agentHealth from './agent-health.js';
 import * as dispatch from './dispatch.js';
 import * as entryEvent from './entry-event.js';
 import * as entryMessages from './entry-messages.js';
 import * as entryState from './entry-state.js';
-import * as grants from './grants.js';
 import * as keyClaim from './key-claim.js';
 import * as linkOpening from './link-opening.js';
-import * as linkSelection from './link-selection.js';
+import * as membership from './membership.js';
 
 type Effects = entryEvent.EntryEffect[];
 
-/** Pause before a link that failed is opened again, milliseconds. */
-const REOPEN_MIN_MS = 100;
-const REOPEN_SPREAD_MS = 400;
-
-/** Makes the view of a backend server that a document names for the first time. */
-function makeView(service: string, server: schema.BackendServer): entryState.AgentView {
-  return {
-    backendServerId: server.id,
-    service,
-    address: server.address,
-    failureDomain: server.failureDomain,
-    linked: false,
-    opening: false,
-    agentLife: '',
-    lifeBeganMs: 0,
-    leaving: false,
-    documentLeaving: false,
-    reportedLeaving: false,
-    listedLeaving: false,
-    listedLife: undefined,
-    lastHeardMs: 0,
-    lastSentMs: 0,
-    heartbeatsSent: 0,
-    load: undefined,
-    outstandingTokens: 0,
-    nextOpenMs: 0,
-    heldIds: new Set(),
-    reservedIds: new Set(),
-    health: agentHealth.createAgentHealth(),
-    suspectsSent: 0,
-    kept: false,
-    neededMs: 0,
-  };
-}
-
-/**
- * Brings one view in line with a document. An agent that has moved to another
- * address is linked anew: the process at the old one is not it any more.
- */
-function applyBackendServer(
-  state: entryState.EntryState,
-  service: string,
-  server: schema.BackendServer,
-  now: number,
-): Effects {
-  const known = state.agents.get(server.id);
-  const view = known ?? makeView(service, server);
-  const moved = view.address !== server.address && (view.linked || view.opening);
-  view.address = server.address;
-  view.failureDomain = server.failureDomain;
-  view.documentLeaving = server.state >= schema.BackendServerState.LEAVING;
-  updateLeaving(view);
-  state.agents.set(server.id, view);
-  const gone = server.goneInVersion > 0 || server.state === schema.BackendServerState.GONE;
-  if (gone && !state.goneSeenMs.has(server.id)) {
-    state.goneSeenMs.set(server.id, now);
-  }
-  return moved ? giveUpLink(state, view, now) : [];
-}
-
-/** Brings the views in line with a document that has come into force. */
-export function applyBackendServers(
-  state: entryState.EntryState,
-  document: schema.ServiceDocument,
-  now: number,
-): Effects {
-  const effects = document.backendServers.flatMap((server) =>
-    applyBackendServer(state, document.service, server, now),
-  );
-  const named = new Set(document.backendServers.map((server) => server.id));
-  const views = listOfService(state, document.service);
-  views
-    .filter((view) => !named.has(view.backendServerId))
-    .forEach((view) => {
-      view.documentLeaving = true;
-      updateLeaving(view);
-    });
-  keepLinks(state, views);
-  return effects;
-}
-
-/** Lists the views of one service. */
-function listOfService(state: entryState.EntryState, service: string): entryState.AgentView[] {
-  return [...state.agents.values()].filter((view) => view.service === service);
-}
-
-/** Decides from all that is known whether an agent takes new work. */
-export function updateLeaving(view: entryState.AgentView): void {
-  view.leaving = view.documentLeaving || view.listedLeaving || view.reportedLeaving;
-}
-
-/**
- * Gives no more work to VMs that the platform lists as leaving.
- *
- * The list lags: it may still name the life before the present one. A life that
- * began after the list was first seen to name its VM is taken at its own word.
- */
-export function markListed(state: entryState.EntryState, addresses: readonly string[]): void {
-  const listed = new Set(addresses);
-  state.agents.forEach((view) => {
-    const isListed = listed.has(view.address);
-    if (!isListed) {
-      view.listedLife = undefined;
-    } else if (!view.listedLife) {
-      view.listedLife = view.agentLife;
-    }
-    view.listedLeaving = isListed && view.listedLife === view.agentLife;
-    updateLeaving(view);
-  });
-}
-
-/** Marks the links that this entry keeps for a service. */
-function keepLinks(state: entryState.EntryState, views: entryState.AgentView[]): void {
-  const staying = views.filter((view) => !view.documentLeaving);
-  const { entryId, failureDomain, linksPerService } = state;
-  const chosen = linkSelection.selectLinks(entryId, failureDomain, staying, linksPerService);
-  const kept = new Set(chosen);
-  views.forEach((view) => {
-    view.kept = kept.has(view.backendServerId);
-  });
-}
-
-/** Gives up a link; the attempts there are resumed over the next one. */
-function giveUpLink(
-  state: entryState.EntryState,
-  view: entryState.AgentView,
-  now: number,
-): Effects {
-  const { backendServerId } = view;
-  return [{ kind: 'closeLink', backendServerId }, ...handleLinkClosed(state, backendServerId, now)];
-}
-
 /** Opens links that are wanted and not open. */
 export function openWanted(state: entryState.EntryState, now: number): Effects {
   return [...state.agents.values()].flatMap((view) => linkOpening.openIfWanted(view, now));
 }
 
 /** Says hello on a link that has opened. */
-export function sendHello(state: entryState.EntryState, backendServerId: string): Effects {
+export function sendHello(
+  state: entryState.EntryState,
+  backendServerId: string,
+  now: number,
+): Effects {
   const hello = schema.create(schema.EntryHelloSchema, {
     entryId: state.entryId,
     entryLife: state.life,
     failureDomain: state.failureDomain,
   });
-  return [entryMessages.sendToAgent(backendServerId, { case: 'hello', value: hello })];
-}
-
-/** Marks a link as gone; its requests wait to be resumed over a new one. */
-export function handleLinkClosed(
-  state: entryState.EntryState,
-  backendServerId: string,
-  now: number,
-): Effects {
   const view = state.agents.get(backendServerId);
-  if (view === undefined) {
-    return [];
-  }
-  accounts.markUnlinked(state, view, now);
-  keyClaim.noteHomeLost(state, backendServerId);
-  view.nextOpenMs = now + REOPEN_MIN_MS + state.policy.drawRandom() * REOPEN_SPREAD_MS;
-  return grants.handleLinkLost(state, view, now);
+  return [
+    entryMessages.sendToAgent(backendServerId, { case: 'hello', value: hello }),
+    ...(view === undefined ? [] : sendHeartbeat(state, view, now)),
+  ];
 }
 
 /** Lists the requests that one agent holds. */
@@ -201,11 +59,11 @@
   }
   accounts.markLinked(state, view, now);
   view.suspectsSent = 0;
-  // What the platform's list and earlier heartbeats said was of another life.
+  // What the platform's list said was of another life. The heartbeat that came
+  // before this hello has told whether the present one leaves.
   if (view.agentLife !== '' && view.agentLife !== hello.agentLife) {
-    view.reportedLeaving = false;
     view.listedLeaving = false;
-    updateLeaving(view);
+    membership.updateLeaving(view);
   }
   view.agentLife = hello.agentLife;
   view.lifeBeganMs = hello.lifeBeganMs;
@@ -236,15 +94,17 @@
   }
   view.load = heartbeat.load;
   suspects.mergeSuspects(state.suspects, heartbeat.suspects, now);
-  view.reportedLeaving = view.reportedLeaving || (heartbeat.load?.leaving ?? false);
-  updateLeaving(view);
+  view.reportedLeaving = heartbeat.load?.leaving ?? false;
+  membership.updateLeaving(view);
+  const conflict = documentStore.noteVersion(state.documents, heartbeat.document);
   const theirs = heartbeat.document?.version ?? 0;
   const newer = theirs > documentStore.getVersion(state.documents, view.service);
+  const due = newer && documentStore.noteNewer(state.newerSeen, view.service, theirs, now);
   const request = schema.create(schema.DocumentRequestSchema, { service: view.service });
-  const ask = newer
+  const ask = due
     ? [entryMessages.sendToAgent(backendServerId, { case: 'documentRequest', value: request })]
     : [];
-  return [...ask, ...dispatch.retryParked(state, view, now)];
+  return [...conflict, ...ask, ...dispatch.retryParked(state, view, now)];
 }
 
 /** Sends the document in force to an agent that asked for it. */
@@ -269,12 +129,12 @@
 ): Effects {
   view.lastSentMs = now;
   view.heartbeatsSent += 1;
-  const version = documentStore.getVersion(state.documents, view.service);
+  const document = documentStore.describeVersion(state.documents, view.service);
   const changed = view.suspectsSent !== state.suspects.revision;
   view.suspectsSent = state.suspects.revision;
   const heartbeat = schema.create(schema.EntryHeartbeatSchema, {
     suspects: changed ? suspects.listSuspects(state.suspects) : [],
-    document: { service: view.service, version },
+    document,
     sequence: view.heartbeatsSent,
   });
   const body = { case: 'heartbeat', value: heartbeat } as const;
@@ -293,10 +153,10 @@
     const timing = entryState.getTiming(state, view.service);
     const waitsForPeer = view.linked || view.opening;
     if (waitsForPeer && now - view.lastHeardMs > timing.heartbeatTimeoutMs) {
-      return giveUpLink(state, view, now);
+      return linkOpening.abandonLink(state, view, now);
     }
     if (waitsForPeer && !linkOpening.isWanted(view, now)) {
-      return giveUpLink(state, view, now);
+      return linkOpening.abandonLink(state, view, now);
     }
     const due = view.linked && now - view.lastSentMs >= timing.heartbeatIntervalMs;
     return due ? sendHeartbeat(state, view, now) : [];
--- a/packages/core/src/entry/dispatch.ts
+++ b/packages/core/src/entry/dispatch.ts
@@ -175,7 +175,14 @@
   request: entryState.EntryRequest,
   now: number,
 ): Effects {
-  const usable = candidates.listUsable(state, request.arrived.service, now);
+  const { service } = request.arrived;
+  if (entryState.isBehind(state, service, now)) {
+    accounts.addParked(state, request, now);
+    request.askMoreMs = now + ASK_MORE_MS;
+    accounts.updateDue(state, request, now);
+    return [];
+  }
+  const usable = candidates.listUsable(state, service, now);
   if (usable.length === 0) {
     return handleNoAgent(state, request, now);
   }
@@ -224,7 +231,8 @@
   now: number,
   leastRoom = 0,
 ): Effects {
-  if (!candidates.listUsable(state, agent.service, now).includes(agent)) {
+  const usable = candidates.listUsable(state, agent.service, now).includes(agent);
+  if (!usable || entryState.isBehind(state, agent.service, now)) {
     return [];
   }
   const { parked } = entryState.getService(state, agent.service);
@@ -248,6 +256,27 @@
   return effects;
 }
 
+/** Asks every agent that has room for requests that wait for it. */
+export function retryAllParked(
+  state: entryState.EntryState,
+  service: string,
+  now: number,
+): Effects {
+  return candidates
+    .listUsable(state, service, now)
+    .flatMap((agent) => retryParked(state, agent, now));
+}
+
+/** Asks for a place in the stead of one that was lost. */
+export function askAgain(
+  state: entryState.EntryState,
+  request: entryState.EntryRequest,
+  now: number,
+): Effects {
+  const waits = request.status === entryState.RequestStatus.WAITING && request.retryAtMs === 0;
+  return waits ? place(state, request, now) : [];
+}
+
 /** Puts a request that was not run back to waiting and tries other agents. */
 export function placeAgain(
   state: entryState.EntryState,
--- a/packages/core/src/entry/grants.ts
+++ b/packages/core/src/entry/grants.ts
@@ -119,19 +119,3 @@
   });
   return [line, ...handleNoPlace(state, request, backendServerId, now)];
 }
-
-/** Asks elsewhere for places that were lost with a link. */
-export function handleLinkLost(
-  state: entryState.EntryState,
-  agent: entryState.AgentView,
-  now: number,
-): Effects {
-  const requestIds = [...agent.reservedIds];
-  agent.reservedIds.clear();
-  return requestIds.flatMap((requestId) => {
-    const request = state.requests.get(requestId);
-    request?.reservedAt.delete(agent.backendServerId);
-    const waits = request?.status === entryState.RequestStatus.WAITING;
-    return request !== undefined && waits ? dispatch.place(state, request, now) : [];
-  });
-}
