--- a/packages/core/src/agent/handle-agent-event.ts
+++ b/packages/core/src/agent/handle-agent-event.ts
@@ -37,7 +37,7 @@
       return entryLinks.acceptHello(state, linkId, body.value);
     case 'heartbeat':
       return [
-        ...entryLinks.handleHeartbeat(state, linkId, body.value),
+        ...entryLinks.handleHeartbeat(state, linkId, body.value, now),
         ...crashBlame.mergeHeard(state, body.value.suspects, now),
       ];
     case 'offer':
--- a/packages/core/src/entry/entry-state.ts
+++ b/packages/core/src/entry/entry-state.ts
@@ -132,7 +132,7 @@
 };
 
 /** What is left to do for a request once the present event has been applied. */
-export type FollowUp = { kind: 'place' | 'close'; requestId: string };
+export type FollowUp = { kind: 'place' | 'ask' | 'close'; requestId: string };
 
 export type EntryState = {
   entryId: string;
@@ -150,6 +150,8 @@
   followUps: FollowUp[];
   /** Requests that read the answer of another call's attempt, by its reference. */
   joins: Map<string, Set<string>>;
+  /** The newest version that a peer has shown, by service. */
+  newerSeen: documentStore.NewerVersions;
   /** When this process first saw a backend server declared gone, milliseconds. */
   goneSeenMs: Map<string, number>;
   agents: Map<string, AgentView>;
@@ -185,6 +187,7 @@
     claiming: new Set(),
     followUps: [],
     joins: new Map(),
+    newerSeen: new Map(),
     goneSeenMs: new Map(),
     agents: new Map(),
     services: new Map(),
@@ -210,6 +213,20 @@
   return known;
 }
 
+/**
+ * Tells whether an entry knows of a newer document that it is about to get.
+ *
+ * A process that has just started may have been given a stale document by the
+ * configuration service. It places nothing by it while a peer is sending the
+ * newer one; bounded, since the newer one may be faulty for this process.
+ */
+export function isBehind(state: EntryState, service: string, now: number): boolean {
+  const newer = state.newerSeen.get(service);
+  const version = documentStore.getVersion(state.documents, service);
+  const waits = newer !== undefined && newer.version > version;
+  return waits && now - newer.sinceMs <= documentStore.DOCUMENT_ANSWER_MS;
+}
+
 /** Gets the timing of a service. */
 export function getTiming(state: EntryState, service: string): documentTiming.Timing {
   return state.services.get(service)?.index?.timing ?? documentTiming.DEFAULT_TIMING;
--- a/packages/core/src/entry/handle-entry-event.ts
+++ b/packages/core/src/entry/handle-entry-event.ts
@@ -14,6 +14,8 @@
 import * as entryState from './entry-state.js';
 import * as grants from './grants.js';
 import * as keyClaims from './key-claims.js';
+import * as linkOpening from './link-opening.js';
+import * as membership from './membership.js';
 import * as outcomes from './outcomes.js';
 
 type Effects = entryEvent.EntryEffect[];
@@ -122,15 +124,17 @@
 ): Effects {
   const { document } = event.stored;
   if (!documentStore.storeDocument(state.documents, event.stored)) {
-    return [];
+    return documentStore.noteRefused(state.documents, event.stored);
   }
   const service = entryState.getService(state, document.service);
   service.index = documentIndex.buildDocumentIndex(document);
   service.lastLinkedMs = service.lastLinkedMs || now;
-  const closed = agentLinks.applyBackendServers(state, document, now);
+  const closed = membership.applyBackendServers(state, document, now);
   return [
     effect.logDecision('document', { service: document.service, version: document.version }),
     ...closed,
+    ...admission.checkWaiting(state, document, now),
+    ...dispatch.retryAllParked(state, document.service, now),
     ...agentLinks.openWanted(state, now),
   ];
 }
@@ -156,6 +160,13 @@
   ];
 }
 
+/** What is done for a request after the event that called for it. */
+const FOLLOW_UPS = {
+  place: dispatch.placeAgain,
+  ask: dispatch.askAgain,
+  close: keyClaims.startClose,
+};
+
 /** Does what the present event has left to do for single requests. */
 function applyFollowUps(state: entryState.EntryState, now: number): Effects {
   const effects: Effects = [];
@@ -163,8 +174,7 @@
   while (next !== undefined) {
     const request = state.requests.get(next.requestId);
     if (request !== undefined) {
-      const apply = next.kind === 'close' ? keyClaims.startClose : dispatch.placeAgain;
-      effects.push(...apply(state, request, now));
+      effects.push(...FOLLOW_UPS[next.kind](state, request, now));
     }
     next = state.followUps.shift();
   }
@@ -197,15 +207,15 @@
     case 'callerLeft':
       return deadlines.handleCallerLeft(state, event.callerId, now);
     case 'linkOpened':
-      return agentLinks.sendHello(state, event.backendServerId);
+      return agentLinks.sendHello(state, event.backendServerId, now);
     case 'linkClosed':
-      return agentLinks.handleLinkClosed(state, event.backendServerId, now);
+      return linkOpening.handleLinkClosed(state, event.backendServerId, now);
     case 'agentMessage':
       return handleAgentMessage(state, event, now);
     case 'documentRead':
       return applyDocument(state, event, now);
     case 'vmsLeaving':
-      agentLinks.markListed(state, event.addresses);
+      membership.markListed(state, event.addresses);
       return [];
     case 'ticked':
       return handleTick(state, now);
--- a/packages/stand-ins/src/start-example.ts
+++ b/packages/stand-ins/src/start-example.ts
@@ -9,8 +9,10 @@
 import * as fs from 'node:fs';
 import * as os from 'node:os';
 import * as path from 'node:path';
+import * as timers from 'node:timers/promises';
 import * as util from 'node:util';
 import * as engine from './engine.js';
+import * as exampleKey from './example-key.js';
 import * as exampleDeployments from './example-deployments.js';
 import * as exampleProcesses from './example-processes.js';
 import * as plainService from './plain-service.js';
@@ -20,6 +22,8 @@
 /** Backend servers of each service, at most; the brief's counts with --runners 13. */
 const DEFAULT_RUNNERS = '2';
 const ENTRY_COUNT = 2;
+/** An agent binds keys that were issued later than its start by twice the clock skew. */
+const KEYS_READY_MS = 3 * exampleDeployments.CLOCK_SKEW_MS;
 const SIGNALS = ['SIGINT', 'SIGTERM', 'SIGHUP'] as const;
 
 type Running = {
@@ -105,7 +109,7 @@
   const calls = running.deployment.services
     .flatMap((service) => service.calls)
     .flatMap(([title, token, args]) => {
-      const filled = args.replace('URL', baseUrl).replace('KEY', crypto.randomUUID());
+      const filled = args.replace('URL', baseUrl).replace('KEY', exampleKey.makeKey(Date.now()));
       return [`# ${title}`, `curl -sS -H 'authorization: Bearer ${token}' ${filled}`, ''];
     });
   const operators = [...running.entries, ...running.agents].map(
@@ -167,6 +171,7 @@
   );
   const indexes = Array.from({ length: ENTRY_COUNT }, (_, index) => index);
   await Promise.all(indexes.map((index) => startEntry(running, index)));
+  await timers.setTimeout(KEYS_READY_MS);
   return running;
 }
 
