--- /dev/null
+++ b/packages/proofs/src/failures-configuration.test.ts
@@ -0,0 +1,122 @@
+import * as assert from 'node:assert/strict';
+import * as http from 'node:http';
+import * as net from 'node:net';
+import * as nodeTest from 'node:test';
+import * as standIns from '@toucanproxy/stand-ins';
+import * as exampleDocument from './mocks/example-document.js';
+import * as processFleet from './mocks/process-fleet.js';
+import * as processScene from './mocks/process-scene.js';
+
+const NEW_TOKEN = 'band-stall';
+const WITH_NEW_TOKEN = {
+  credentials: [
+    {
+      tokenSha256: exampleDocument.hashToken('brim-stall'),
+      workspace: 'brim',
+      tier: 'stall',
+    },
+    { tokenSha256: exampleDocument.hashToken(NEW_TOKEN), workspace: 'band', tier: 'stall' },
+  ],
+};
+
+/** Lists the versions that a process has taken, in order. */
+function listVersions(running: processFleet.Running): number[] {
+  return running.lines
+    .filter((line) => line.event === 'document')
+    .map((line) => line.version as number);
+}
+
+/** Waits until a process has taken a version. */
+function waitForVersion(
+  running: processFleet.Running,
+  version: number,
+): Promise<processFleet.LogLine> {
+  return running.waitForLine((line) => line.event === 'document' && line.version === version);
+}
+
+type OldService = { port: number; setOutage: (out: boolean) => void; countReads: () => number };
+
+/** Starts a configuration service that answers every call with one old document. */
+async function startOldService(context: nodeTest.TestContext, json: string): Promise<OldService> {
+  let out = false;
+  let reads = 0;
+  const server = http.createServer((_request, response) => {
+    if (out) {
+      response.writeHead(503).end();
+      return;
+    }
+    reads += 1;
+    response.end(json);
+  });
+  await new Promise<void>((resolve) => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  context.after(() => server.close());
+  return {
+    port: (server.address() as net.AddressInfo).port,
+    setOutage: (value) => {
+      out = value;
+    },
+    countReads: () => reads,
+  };
+}
+
+// An entry's configuration service is out, and later answers with an older
+// document. The entry learns a new credential from the agents all the same, its
+// callers get their answers, and the older document never comes back into force.
+nodeTest.test('configuration out, then older', async (context) => {
+  const scene = await processScene.createScene();
+  context.after(() => processScene.stopScene(scene));
+  await processScene.addRunner(scene);
+  const first = JSON.stringify(processScene.buildNextDocument(scene));
+  scene.platform.publish(processScene.SERVICE, first);
+  const service = await startOldService(context, first);
+  const entry = await processScene.addEntry(scene, service);
+
+  service.setOutage(true);
+  processScene.publishNext(scene, WITH_NEW_TOKEN);
+  await waitForVersion(entry, 2);
+  const request = { prompt: 'new token', token: NEW_TOKEN };
+  const during = await processScene.sendChat(entry, request);
+  assert.equal(during.status, 200, during.text);
+
+  service.setOutage(false);
+  const reads = service.countReads();
+  await processScene.waitUntil('reads of the old one', () => service.countReads() > reads + 1);
+  const after = { prompt: 'still new', token: NEW_TOKEN };
+  assert.equal((await processScene.sendChat(entry, after)).status, 200);
+  assert.deepEqual(listVersions(entry), [1, 2]);
+});
+
+// Two operators publish at the same time, each to its own replica of the
+// service, the higher version in the one and the lower in the other. Every
+// process ends on the higher one, whichever it read first, and none goes back.
+nodeTest.test("two operators' documents racing", async (context) => {
+  const scene = await processScene.createScene();
+  context.after(() => processScene.stopScene(scene));
+  const runner = await processScene.addRunner(scene);
+  const platform = await standIns.startPlatform();
+  context.after(() => platform.stop());
+  const first = JSON.stringify(processScene.buildNextDocument(scene));
+  scene.platform.publish(processScene.SERVICE, first);
+  platform.publish(processScene.SERVICE, first);
+  const near = await processScene.addEntry(scene);
+  const far = await processScene.addEntry(scene, platform);
+  const processes = [runner.agent, near, far];
+  await Promise.all(processes.map((one) => waitForVersion(one, 1)));
+
+  const lower = JSON.stringify(processScene.buildNextDocument(scene));
+  const higher = JSON.stringify(processScene.buildNextDocument(scene, WITH_NEW_TOKEN));
+  platform.publish(processScene.SERVICE, higher);
+  scene.platform.publish(processScene.SERVICE, lower);
+  await Promise.all(processes.map((one) => waitForVersion(one, 3)));
+
+  const request = { prompt: 'new token', token: NEW_TOKEN };
+  assert.equal((await processScene.sendChat(near, request)).status, 200);
+  assert.equal((await processScene.sendChat(far, request)).status, 200);
+  processes.forEach((one) => {
+    const versions = listVersions(one);
+    assert.deepEqual(versions, [...versions].sort());
+    assert.equal(versions.at(-1), 3);
+  });
+});
--- /dev/null
+++ b/packages/proofs/src/failures-processes.test.ts
@@ -0,0 +1,121 @@
+import * as assert from 'node:assert/strict';
+import * as nodeTest from 'node:test';
+import * as processScene from './mocks/process-scene.js';
+
+const SLOW = { stepMs: 20 };
+const ONE_AT_A_TIME = { limits: { maxRunning: 1 } };
+const REPEATABLE = '/v1/completions';
+
+// Callers of a killed entry see their connections break, one while its request
+// runs and others while theirs wait. Nobody can answer them any more; what the
+// agent holds may run once, and nothing of it runs twice. Another entry serves.
+nodeTest.test('entry killed while requests wait', async (context) => {
+  const scene = await processScene.startScene({ runners: 1, entries: 2 }, SLOW, ONE_AT_A_TIME);
+  context.after(() => processScene.stopScene(scene));
+  const requests = ['one', 'two', 'three'].map((prompt) => ({ prompt, tokens: 20 }));
+  const answers = requests.map((request) => processScene.sendChat(scene.entries[0], request));
+  await processScene.waitUntil('first start', () => processScene.readJournals(scene).length > 0);
+  scene.entries[0].child.kill('SIGKILL');
+  (await Promise.all(answers)).forEach((answer) => assert.equal(answer.broken, true));
+
+  const later = { prompt: 'later' };
+  const answer = await processScene.sendChat(scene.entries[1], later);
+  assert.equal(answer.status, 200, answer.text);
+  assert.equal(processScene.readWords(answer), processScene.buildExpectedWords(later));
+  requests.forEach((request) => assert.ok(processScene.countStarts(scene, request) <= 1));
+});
+
+// The caller is told that its request ran or may have run: the agent that held
+// it is gone and nobody else can say. It is not dispatched again; the backend
+// server that is left serves the next request.
+nodeTest.test('agent killed while it runs a request', async (context) => {
+  const scene = await processScene.startScene({ runners: 2, entries: 1 }, SLOW);
+  context.after(() => processScene.stopScene(scene));
+  const request = { prompt: 'held', tokens: 100, timeoutMs: 4000 };
+  const pending = processScene.sendChat(scene.entries[0], request);
+  await processScene.waitForStart(scene, request);
+  const holder = scene.runners.find((runner) =>
+    runner.agent.lines.some((line) => line.event === 'start'),
+  );
+  holder?.agent.child.kill('SIGKILL');
+
+  const next = { prompt: 'next' };
+  const other = await processScene.sendChat(scene.entries[0], next);
+  assert.equal(processScene.readWords(other), processScene.buildExpectedWords(next));
+  const answer = await pending;
+  assert.ok(['ran', 'may_have_run'].includes(processScene.readRunState(answer)), answer.text);
+  assert.equal(processScene.countStarts(scene, request), 1);
+});
+
+// The engine dies while it streams. A request that may run once ends with an
+// error that says it ran; one that may be repeated, and of which the caller has
+// seen nothing, runs on the other backend server and is answered whole.
+nodeTest.test('engine killed while it runs requests', async (context) => {
+  const scene = await processScene.startScene({ runners: 2, entries: 1 }, SLOW);
+  context.after(() => processScene.stopScene(scene));
+  const once = { prompt: 'once', tokens: 100 };
+  const repeatable = { prompt: 'repeatable', tokens: 100, path: REPEATABLE };
+  const pending = [once, repeatable].map((one) => processScene.sendChat(scene.entries[0], one));
+  await processScene.waitForStart(scene, once);
+  await processScene.waitForStart(scene, repeatable);
+  scene.runners[0].engine.child.kill('SIGKILL');
+
+  const [first, second] = await Promise.all(pending);
+  const expected = processScene.buildExpectedWords(repeatable);
+  assert.equal(processScene.readWords(second), expected);
+  assert.equal(processScene.countStarts(scene, once), 1);
+  if (first.status === 200) {
+    assert.equal(processScene.readWords(first), processScene.buildExpectedWords(once));
+  } else {
+    assert.equal(processScene.readRunState(first), 'ran');
+  }
+});
+
+// The agent is frozen when the offer reaches it, and woken after the deadline.
+// The caller is told at once that its request may have run. The agent wakes
+// with the offer in its hands and does not start it: its time is over.
+nodeTest.test('frozen agent woken after the deadline', async (context) => {
+  const scene = await processScene.startScene({ runners: 1, entries: 1 });
+  context.after(() => processScene.stopScene(scene));
+  const { agent } = scene.runners[0];
+  const warm = { prompt: 'warm' };
+  assert.equal((await processScene.sendChat(scene.entries[0], warm)).status, 200);
+
+  agent.child.kill('SIGSTOP');
+  const request = { prompt: 'late', timeoutMs: 500 };
+  const answer = await processScene.sendChat(scene.entries[0], request);
+  assert.equal(processScene.readRunState(answer), 'may_have_run', answer.text);
+  agent.child.kill('SIGCONT');
+
+  const next = { prompt: 'next' };
+  assert.equal((await processScene.sendChat(scene.entries[0], next)).status, 200);
+  assert.equal(processScene.countStarts(scene, request), 0);
+  assert.equal(processScene.countStarts(scene, next), 1);
+});
+
+// The agent is killed and started again while a request waits in its queue. The
+// new life has forgotten the request, and says so rather than starting it.
+nodeTest.test('agent restarted while requests wait', async (context) => {
+  const scene = await processScene.startScene({ runners: 1, entries: 1 }, SLOW, ONE_AT_A_TIME);
+  context.after(() => processScene.stopScene(scene));
+  const running = { prompt: 'running', tokens: 100 };
+  const queued = { prompt: 'queued', timeoutMs: 4000 };
+  const first = processScene.sendChat(scene.entries[0], running);
+  await processScene.waitForStart(scene, running);
+  const second = processScene.sendChat(scene.entries[0], queued);
+  const [runner] = scene.runners;
+  await scene.entries[0].waitForLine((line) => String(line.request).endsWith('-2'));
+  runner.agent.child.kill('SIGKILL');
+  await processScene.waitForExit(runner.agent);
+  await processScene.startAgent(scene, runner.id, runner.engine.started.port, {
+    links: { host: '127.0.0.1', port: runner.agent.started.linkPort as number },
+  });
+
+  const states = (await Promise.all([first, second])).map(processScene.readRunState);
+  assert.ok(['ran', 'may_have_run'].includes(states[0]), states[0]);
+  const starts = processScene.countStarts(scene, queued);
+  assert.ok(states[1] === 'not_run' ? starts === 0 : starts <= 1);
+  assert.equal(processScene.countStarts(scene, running), 1);
+  const next = { prompt: 'next' };
+  assert.equal((await processScene.sendChat(scene.entries[0], next)).status, 200);
+});
