--- a/packages/schema/src/parse-document.ts
+++ b/packages/schema/src/parse-document.ts
@@ -1,38 +1,89 @@
-/** Reads service documents and settings from JSON and lists their faults. */
+/** Reads service documents and settings from JSON and lists all their faults. */
 import * as protobuf from '@bufbuild/protobuf';
+import * as checkDocument from './check-document.js';
+import * as checkSettings from './check-settings.js';
+import * as checkStructure from './check-structure.js';
+import * as fault from './fault.js';
 import * as documentPb from './generated/toucanproxy/v1/document_pb.js';
 import * as settingsPb from './generated/toucanproxy/v1/settings_pb.js';
 
-/** One fault: where it is, what was found, and what is allowed. */
-export type Fault = { path: string; found: string; allowed: string };
+/** Builds the result for text that could not be read at all. */
+function buildUnreadable(
+  error: unknown,
+  allowed: string,
+): { kind: 'faulty'; faults: fault.Fault[] } {
+  const found = error instanceof Error ? error.name : 'unreadable text';
+  return { kind: 'faulty', faults: [{ path: '$', found, allowed }] };
+}
+
+/** Tells whether a value can be read although it has faults. */
+function isReadable(faults: fault.Fault[]): boolean {
+  return faults.every((one) => one.found === fault.UNKNOWN_FIELD);
+}
 
-export type Parsed<T> = { kind: 'parsed'; value: T } | { kind: 'faulty'; faults: Fault[] };
+/** Lists the fields of a message whose values cannot be read. */
+function listUnreadable(descriptor: protobuf.DescMessage, data: object): Set<string> {
+  const unreadable = Object.entries(data).filter(
+    ([name, value]) => !isReadable(checkStructure.checkStructure(descriptor, { [name]: value })),
+  );
+  return new Set(unreadable.map(([name]) => name));
+}
 
-/** Parses JSON text into a message; unknown fields are faults. */
+/**
+ * Parses JSON data into a message and lists all its faults.
+ *
+ * Rules that read a field of the wrong type are passed over: what they said
+ * would follow from that fault alone.
+ */
+function parseData<S extends protobuf.DescMessage>(
+  descriptor: S,
+  data: protobuf.JsonValue,
+  rules: fault.Rule<protobuf.MessageShape<S>>[],
+): fault.Parsed<protobuf.MessageShape<S>> {
+  const structural = checkStructure.checkStructure(descriptor, data);
+  if (typeof data !== 'object' || data === null || Array.isArray(data)) {
+    return { kind: 'faulty', faults: structural };
+  }
+  const unreadable = listUnreadable(descriptor, data);
+  const readable = Object.entries(data).filter(([name]) => !unreadable.has(name));
+  const value = protobuf.fromJson(descriptor, Object.fromEntries(readable), {
+    ignoreUnknownFields: true,
+  });
+  const checked = rules.filter((rule) => !rule.reads.some((name) => unreadable.has(name)));
+  const faults = [...structural, ...checked.flatMap((rule) => rule.check(value))];
+  return faults.length > 0 ? { kind: 'faulty', faults } : { kind: 'parsed', value };
+}
+
+/** Parses JSON text into a message. */
 function parseMessage<S extends protobuf.DescMessage>(
   descriptor: S,
   json: string,
-): Parsed<protobuf.MessageShape<S>> {
+  rules: fault.Rule<protobuf.MessageShape<S>>[],
+): fault.Parsed<protobuf.MessageShape<S>> {
+  let data: protobuf.JsonValue;
+  try {
+    data = JSON.parse(json) as protobuf.JsonValue;
+  } catch (error) {
+    return buildUnreadable(error, 'JSON');
+  }
   try {
-    const value = protobuf.fromJson(descriptor, JSON.parse(json), { ignoreUnknownFields: false });
-    return { kind: 'parsed', value };
+    return parseData(descriptor, data, rules);
   } catch (error) {
-    const found = error instanceof Error ? error.message : String(error);
-    return { kind: 'faulty', faults: [{ path: '', found, allowed: descriptor.typeName }] };
+    return buildUnreadable(error, descriptor.typeName);
   }
 }
 
 /** Parses a service document. */
-export function parseDocument(json: string): Parsed<documentPb.ServiceDocument> {
-  return parseMessage(documentPb.ServiceDocumentSchema, json);
+export function parseDocument(json: string): fault.Parsed<documentPb.ServiceDocument> {
+  return parseMessage(documentPb.ServiceDocumentSchema, json, checkDocument.DOCUMENT_RULES);
 }
 
 /** Parses the settings of an entry. */
-export function parseEntrySettings(json: string): Parsed<settingsPb.EntrySettings> {
-  return parseMessage(settingsPb.EntrySettingsSchema, json);
+export function parseEntrySettings(json: string): fault.Parsed<settingsPb.EntrySettings> {
+  return parseMessage(settingsPb.EntrySettingsSchema, json, checkSettings.ENTRY_RULES);
 }
 
 /** Parses the settings of an agent. */
-export function parseAgentSettings(json: string): Parsed<settingsPb.AgentSettings> {
-  return parseMessage(settingsPb.AgentSettingsSchema, json);
+export function parseAgentSettings(json: string): fault.Parsed<settingsPb.AgentSettings> {
+  return parseMessage(settingsPb.AgentSettingsSchema, json, checkSettings.AGENT_RULES);
 }
