Test that a joined call gives its held place back

Cause: the release of a granted place on a join had no test. Before: none. Conclusion: a join holds no place at the agent that it does not use.

--- a/packages/core/src/entry/key-claims.test.ts
+++ b/packages/core/src/entry/key-claims.test.ts
@@ -38,6 +38,8 @@
   const told = [1, 2, 3].map((caller) => smallFleet.formatTold(fleet, caller));
   assert.deepEqual(told, ['answer 0', 'answer 0', 'answer 0']);
   assert.equal(fleet.dispatched.length, 1);
+  // The places that were held for the resends go back to their agents.
+  assert.deepEqual(fleet.released, ['e2-life-1-1', 'e2-life-1-2']);
 });
 
 nodeTest.test('same key twice in one entry', () => {
--- a/packages/core/src/mocks/small-fleet.ts
+++ b/packages/core/src/mocks/small-fleet.ts
@@ -31,6 +31,8 @@
   /** What callers were told, by caller. */
   told: Map<number, core.EntryEffect[]>;
   dropped: core.DropReason[];
+  /** Requests whose places entries gave back, in order. */
+  released: string[];
   /** Events of log lines, in order. */
   logged: string[];
   /** Processes that were sent a document by a peer, in order. */
@@ -94,6 +96,7 @@
     dispatched: [],
     told: new Map(),
     dropped: [],
+    released: [],
     logged: [],
     fetched: [],
   };
@@ -155,6 +158,9 @@
     case 'sendToAgent': {
       const agentId = effect.backendServerId;
       fleet.queue.push({ toAgent: true, entryId, agentId, body: effect.message });
+      if (effect.message.body.case === 'release') {
+        fleet.released.push(effect.message.body.value.requestId);
+      }
       return;
     }
     case 'answerHead':
