--- a/packages/core/src/entry/agent-links.ts
+++ b/packages/core/src/entry/agent-links.ts
@@ -5,87 +5,33 @@
 import * as entryEvent from './entry-event.js';
 import * as entryMessages from './entry-messages.js';
 import * as entryState from './entry-state.js';
+import * as keyClaim from './key-claim.js';
+import * as linkOpening from './link-opening.js';
+import * as membership from './membership.js';
 
 type Effects = entryEvent.EntryEffect[];
 
-/** Pause before a link that failed is opened again, milliseconds. */
-const REOPEN_MIN_MS = 100;
-const REOPEN_SPREAD_MS = 400;
-
-/** Makes the view of a backend server that a document names for the first time. */
-function makeView(service: string, server: schema.BackendServer): entryState.AgentView {
-  return {
-    backendServerId: server.id,
-    service,
-    address: server.address,
-    failureDomain: server.failureDomain,
-    linked: false,
-    opening: false,
-    agentLife: '',
-    lifeBeganMs: 0,
-    leaving: false,
-    lastHeardMs: 0,
-    lastSentMs: 0,
-    heartbeatsSent: 0,
-    load: undefined,
-    outstandingTokens: 0,
-    nextOpenMs: 0,
-  };
-}
-
-/** Brings the views in line with a document that has come into force. */
-export function applyBackendServers(
-  state: entryState.EntryState,
-  document: schema.ServiceDocument,
-): void {
-  document.backendServers.forEach((server) => {
-    const view = state.agents.get(server.id) ?? makeView(document.service, server);
-    view.address = server.address;
-    view.leaving = view.leaving || server.state >= schema.BackendServerState.LEAVING;
-    state.agents.set(server.id, view);
-  });
-  const named = new Set(document.backendServers.map((server) => server.id));
-  [...state.agents.values()]
-    .filter((view) => view.service === document.service && !named.has(view.backendServerId))
-    .forEach((view) => {
-      view.leaving = true;
-    });
-}
-
 /** Opens links that are wanted and not open. */
 export function openWanted(state: entryState.EntryState, now: number): Effects {
-  return [...state.agents.values()]
-    .filter((view) => !view.linked && !view.opening && now >= view.nextOpenMs)
-    .map((view): entryEvent.EntryEffect => {
-      view.opening = true;
-      view.lastHeardMs = now;
-      return { kind: 'openLink', backendServerId: view.backendServerId, address: view.address };
-    });
+  return [...state.agents.values()].flatMap((view) => linkOpening.openIfWanted(view, now));
 }
 
 /** Says hello on a link that has opened. */
-export function sendHello(state: entryState.EntryState, backendServerId: string): Effects {
+export function sendHello(
+  state: entryState.EntryState,
+  backendServerId: string,
+  now: number,
+): Effects {
   const hello = schema.create(schema.EntryHelloSchema, {
     entryId: state.entryId,
     entryLife: state.life,
     failureDomain: state.failureDomain,
   });
-  return [entryMessages.sendToAgent(backendServerId, { case: 'hello', value: hello })];
-}
-
-/** Marks a link as gone; its requests wait to be resumed over a new one. */
-export function handleLinkClosed(
-  state: entryState.EntryState,
-  backendServerId: string,
-  now: number,
-): Effects {
   const view = state.agents.get(backendServerId);
-  if (view !== undefined) {
-    view.linked = false;
-    view.opening = false;
-    view.nextOpenMs = now + REOPEN_MIN_MS + state.policy.drawRandom() * REOPEN_SPREAD_MS;
-  }
-  return [];
+  return [
+    entryMessages.sendToAgent(backendServerId, { case: 'hello', value: hello }),
+    ...(view === undefined ? [] : sendHeartbeat(state, view, now)),
+  ];
 }
 
 /** Lists the requests that one agent holds. */
@@ -111,6 +57,12 @@
   }
   view.linked = true;
   view.opening = false;
+  // What the platform's list said was of another life. The heartbeat that came
+  // before this hello has told whether the present one leaves.
+  if (view.agentLife !== '' && view.agentLife !== hello.agentLife) {
+    view.listedLeaving = false;
+    membership.updateLeaving(view);
+  }
   view.agentLife = hello.agentLife;
   view.lifeBeganMs = hello.lifeBeganMs;
   const resumes = listHeldBy(state, backendServerId).flatMap((request) =>
@@ -123,7 +75,8 @@
           ),
         ],
   );
-  return [...resumes, ...dispatch.placeWaiting(state, view.service, now)];
+  const claims = keyClaim.sendWaiting(state, backendServerId);
+  return [...resumes, ...claims, ...dispatch.placeWaiting(state, view.service, now)];
 }
 
 /** Takes in an agent's load, and asks for its document where it is newer. */
@@ -138,14 +91,17 @@
     return [];
   }
   view.load = heartbeat.load;
-  view.leaving = view.leaving || (heartbeat.load?.leaving ?? false);
+  view.reportedLeaving = heartbeat.load?.leaving ?? false;
+  membership.updateLeaving(view);
+  const conflict = documentStore.noteVersion(state.documents, heartbeat.document);
   const theirs = heartbeat.document?.version ?? 0;
   const newer = theirs > documentStore.getVersion(state.documents, view.service);
+  const due = newer && documentStore.noteNewer(state.newerSeen, view.service, theirs, now);
   const request = schema.create(schema.DocumentRequestSchema, { service: view.service });
-  const ask = newer
+  const ask = due
     ? [entryMessages.sendToAgent(backendServerId, { case: 'documentRequest', value: request })]
     : [];
-  return [...ask, ...dispatch.placeWaiting(state, view.service, now)];
+  return [...conflict, ...ask, ...dispatch.placeWaiting(state, view.service, now)];
 }
 
 /** Sends the document in force to an agent that asked for it. */
@@ -170,9 +126,9 @@
 ): Effects {
   view.lastSentMs = now;
   view.heartbeatsSent += 1;
-  const version = documentStore.getVersion(state.documents, view.service);
+  const document = documentStore.describeVersion(state.documents, view.service);
   const heartbeat = schema.create(schema.EntryHeartbeatSchema, {
-    document: { service: view.service, version },
+    document,
     sequence: view.heartbeatsSent,
   });
   const body = { case: 'heartbeat', value: heartbeat } as const;
@@ -191,8 +147,10 @@
     const timing = entryState.getTiming(state, view.service);
     const waitsForPeer = view.linked || view.opening;
     if (waitsForPeer && now - view.lastHeardMs > timing.heartbeatTimeoutMs) {
-      handleLinkClosed(state, view.backendServerId, now);
-      return [{ kind: 'closeLink', backendServerId: view.backendServerId }];
+      return linkOpening.abandonLink(state, view, now);
+    }
+    if (waitsForPeer && !linkOpening.isWanted(view, now)) {
+      return linkOpening.abandonLink(state, view, now);
     }
     const due = view.linked && now - view.lastSentMs >= timing.heartbeatIntervalMs;
     return due ? sendHeartbeat(state, view, now) : [];
--- a/packages/stand-ins/src/example-deployments.ts
+++ b/packages/stand-ins/src/example-deployments.ts
@@ -123,6 +123,9 @@
   },
 };
 
+/** All processes of the example read one clock. */
+export const CLOCK_SKEW_MS = 50;
+
 export type ExampleServer = { id: string; address: string; failureDomain: string };
 
 /** Builds the service document of an example, as JSON data. */
@@ -145,5 +148,6 @@
       tier,
     })),
     backendServers: servers.map((server) => ({ ...server, addedInVersion: 1 })),
+    timing: { clockSkewMs: CLOCK_SKEW_MS },
   };
 }
