Follow late binding in the tests over real processes

Cause: three tests stood on offers being pushed. After a partition the first call may come before the link is back and is told at once that it was not run.

--- a/packages/proofs/src/mocks/process-scene.ts
+++ b/packages/proofs/src/mocks/process-scene.ts
@@ -271,3 +271,20 @@
   await waitUntil('exit', () => child.exitCode !== null || child.signalCode !== null);
   return child.exitCode;
 }
+
+/**
+ * Sends a request again while it is told as not run with status 503, as a caller
+ * would; returns the first other answer, or the last one when the wait is over.
+ */
+export async function sendUntilServed(
+  entry: processFleet.Running,
+  options: ChatOptions,
+): Promise<ChatAnswer> {
+  const untilMs = Date.now() + WAIT_MS;
+  let answer = await sendChat(entry, options);
+  while (answer.status === 503 && readRunState(answer) === 'not_run' && Date.now() < untilMs) {
+    await timers.setTimeout(POLL_MS);
+    answer = await sendChat(entry, options);
+  }
+  return answer;
+}
