--- a/packages/core/src/agent/handle-agent-event.ts
+++ b/packages/core/src/agent/handle-agent-event.ts
@@ -5,6 +5,7 @@
 import * as agentEvent from './agent-event.js';
 import * as agentState from './agent-state.js';
 import * as answers from './answers.js';
+import * as claims from './claims.js';
 import * as crashBlame from './crash-blame.js';
 import * as engineAvailability from './engine-availability.js';
 import * as engineRuns from './engine-runs.js';
@@ -36,7 +37,7 @@
       return entryLinks.acceptHello(state, linkId, body.value);
     case 'heartbeat':
       return [
-        ...entryLinks.handleHeartbeat(state, linkId, body.value),
+        ...entryLinks.handleHeartbeat(state, linkId, body.value, now),
         ...crashBlame.mergeHeard(state, body.value.suspects, now),
       ];
     case 'offer':
@@ -50,12 +51,14 @@
     case 'resume':
       return offers.resume(state, linkId, body.value, now);
     case 'cancel':
-      return body.value.ref === undefined ? [] : offers.cancel(state, linkId, body.value.ref, now);
+      return offers.cancel(state, linkId, body.value, now);
     case 'acknowledge':
       if (body.value.ref !== undefined) {
         answers.acknowledge(state, attemptRef.toRefKey(body.value.ref), body.value.nextSequence);
       }
       return [];
+    case 'claim':
+      return claims.replyClaim(state, linkId, body.value, now);
     case 'documentRequest':
       return entryLinks.replyDocument(state, linkId, body.value);
     case 'documentBody':
--- a/packages/entry/src/status.ts
+++ b/packages/entry/src/status.ts
@@ -40,6 +40,7 @@
     service: view.service,
     state: toServerState(view),
     failureDomain: view.failureDomain,
+    kept: view.kept,
     address: view.address,
     life: view.agentLife,
     silentForMs: view.agentLife === '' ? 'never heard' : now - view.lastHeardMs,
@@ -61,10 +62,7 @@
     life: state.life,
     failureDomain: state.failureDomain,
     shuttingDown: state.shutdownStarted,
-    documents: [...state.documents].map(([service, stored]) => ({
-      service,
-      version: stored.document.version,
-    })),
+    documents: core.describeDocuments(state.documents),
     tiers: countByTier(state),
     backendServers: [...state.agents.values()].map((view) => describeServer(view, now)),
   };
--- a/packages/proofs/src/mocks/fleet-processes.ts
+++ b/packages/proofs/src/mocks/fleet-processes.ts
@@ -63,6 +63,17 @@
 function applyTick(fleet: fleetState.VirtualFleet, process: virtualProcesses.VirtualProcess): void {
   if (fleet.nowMs >= process.pausedUntilMs) {
     fleetState.applyEvent(fleet, process, { kind: 'ticked' });
+    checkEngine(fleet, process);
+  }
+}
+
+/** Tells an agent that its engine is back, as its daemon's probe does. */
+function checkEngine(
+  fleet: fleetState.VirtualFleet,
+  process: virtualProcesses.VirtualProcess,
+): void {
+  if (process.kind === 'agent' && process.engine.up && !process.state.engineAvailable) {
+    fleet.applyAgent(process, { kind: 'engineAvailable', available: true });
   }
 }
 
@@ -81,11 +92,21 @@
       fleetState.applyEvent(fleet, process, { kind: 'documentRead', stored }),
     );
   }
-  if (process.kind === 'entry' && platform.leavingAddresses.length > 0) {
-    const addresses = [...platform.leavingAddresses];
-    fleetState.runIn(fleet, process, life, () =>
-      fleet.applyEntry(process, { kind: 'vmsLeaving', addresses }),
-    );
+  const addresses = [...platform.leavingAddresses];
+  fleetState.runIn(fleet, process, life, () => applyVmList(fleet, process, addresses));
+}
+
+/** Hands the VMs listed as leaving to a process. */
+function applyVmList(
+  fleet: fleetState.VirtualFleet,
+  process: virtualProcesses.VirtualProcess,
+  addresses: string[],
+): void {
+  if (process.kind === 'entry') {
+    fleet.applyEntry(process, { kind: 'vmsLeaving', addresses });
+  } else {
+    const leaving = addresses.includes(process.address);
+    fleet.applyAgent(process, { kind: 'vmLeaving', leaving });
   }
 }
 
