Tell silent backend servers from unlinked and ejected ones

Cause: entries now keep links to some agents only and eject slow ones. Before: a backend server without a link counted as silent, and the alert on it would fire for ever in a large fleet. Conclusion: the alert on silent backend servers holds at any fleet size.

--- a/packages/entry/src/app.ts
+++ b/packages/entry/src/app.ts
@@ -162,7 +162,10 @@
   const operators = await runtime.startOperatorServer({
     host: settings.operators?.host ?? '',
     port: settings.operators?.port ?? 0,
-    renderMetrics: () => runtime.renderMetrics(metrics, Date.now(), gauges.listGauges(state)),
+    renderMetrics: () => {
+      const now = Date.now();
+      return runtime.renderMetrics(metrics, now, gauges.listGauges(state, now));
+    },
     describeStatus: () => status.describeStatus(state, Date.now()),
     isReady: () => !state.shutdownStarted,
   });
--- a/packages/entry/src/gauges.ts
+++ b/packages/entry/src/gauges.ts
@@ -21,12 +21,12 @@
 }
 
 /** Lists how many backend servers are in each state. */
-function listServers(state: core.EntryState): runtime.Gauge[] {
+function listServers(state: core.EntryState, now: number): runtime.Gauge[] {
   const views = [...state.agents.values()];
   return [...state.documents.keys()].flatMap((service) => {
     const states = views
       .filter((view) => view.service === service)
-      .map((view) => status.toServerState(view));
+      .map((view) => status.toServerState(view, now));
     return Object.values(status.ServerState).map((name) => ({
       name: 'backend_servers',
       labels: { service, state: name },
@@ -35,7 +35,12 @@
   });
 }
 
-/** Lists every gauge of an entry. */
-export function listGauges(state: core.EntryState): runtime.Gauge[] {
-  return [...listVersions(state), ...listHeld(state), ...listServers(state)];
+/**
+ * Lists every gauge of an entry.
+ *
+ * @param now present time, milliseconds since the Unix epoch
+ */
+export function listGauges(state: core.EntryState, now: number): runtime.Gauge[] {
+  const suspects = { name: 'suspects', labels: {}, value: state.suspects.byDigest.size };
+  return [...listVersions(state), ...listHeld(state), ...listServers(state, now), suspects];
 }
--- a/packages/entry/src/status.ts
+++ b/packages/entry/src/status.ts
@@ -5,18 +5,25 @@
 export enum ServerState {
   LIVE = 'live',
   LEAVING = 'leaving',
-  /** Not linked: unreachable, silent, or not yet connected. */
+  /** Slow or failing of late; gets no work for a while. */
+  EJECTED = 'ejected',
+  /** Ought to be linked and is not: unreachable, silent, or not yet connected. */
   SILENT = 'silent',
+  /** Not among the links that this entry keeps. */
+  UNLINKED = 'unlinked',
 }
 
 export type TierCount = { service: string; tier: string; waiting: number; offered: number };
 
 /** Tells the state of one backend server. */
-export function toServerState(view: core.AgentView): ServerState {
+export function toServerState(view: core.AgentView, now: number): ServerState {
   if (view.leaving) {
     return ServerState.LEAVING;
   }
-  return view.linked ? ServerState.LIVE : ServerState.SILENT;
+  if (!view.linked) {
+    return view.kept ? ServerState.SILENT : ServerState.UNLINKED;
+  }
+  return view.health.ejectedUntilMs > now ? ServerState.EJECTED : ServerState.LIVE;
 }
 
 /** Counts requests in hand for every tier of every document, the most urgent first. */
@@ -38,9 +45,8 @@
   return {
     id: view.backendServerId,
     service: view.service,
-    state: toServerState(view),
+    state: toServerState(view, now),
     failureDomain: view.failureDomain,
-    kept: view.kept,
     address: view.address,
     life: view.agentLife,
     silentForMs: view.agentLife === '' ? 'never heard' : now - view.lastHeardMs,
@@ -65,5 +71,9 @@
     documents: core.describeDocuments(state.documents),
     tiers: countByTier(state),
     backendServers: [...state.agents.values()].map((view) => describeServer(view, now)),
+    suspects: core.listSuspects(state.suspects).map(({ contentDigest, crashes }) => ({
+      contentDigest,
+      crashes,
+    })),
   };
 }
