--- a/packages/core/src/entry/agent-links.ts
+++ b/packages/core/src/entry/agent-links.ts
@@ -3,13 +3,13 @@
 import * as documentStore from '../shared/document-store.js';
 import * as suspects from '../shared/suspects.js';
 import * as accounts from './accounts.js';
-import * as dispatch from './dispatch.js';
 import * as entryEvent from './entry-event.js';
 import * as entryMessages from './entry-messages.js';
 import * as entryState from './entry-state.js';
 import * as keyClaim from './key-claim.js';
 import * as linkOpening from './link-opening.js';
 import * as membership from './membership.js';
+import * as parking from './parking.js';
 
 type Effects = entryEvent.EntryEffect[];
 
@@ -78,7 +78,7 @@
         ],
   );
   const claims = keyClaim.sendWaiting(state, backendServerId);
-  return [...resumes, ...claims, ...dispatch.retryParked(state, view, now)];
+  return [...resumes, ...claims, ...parking.retryParked(state, view, now)];
 }
 
 /** Takes in an agent's load, and asks for its document where it is newer. */
@@ -104,7 +104,7 @@
   const ask = due
     ? [entryMessages.sendToAgent(backendServerId, { case: 'documentRequest', value: request })]
     : [];
-  return [...conflict, ...ask, ...dispatch.retryParked(state, view, now)];
+  return [...conflict, ...ask, ...parking.retryParked(state, view, now)];
 }
 
 /** Sends the document in force to an agent that asked for it. */
--- a/packages/core/src/entry/asking.ts
+++ b/packages/core/src/entry/asking.ts
@@ -1,5 +1,6 @@
 /** Gives one request to one agent, or asks it for a place, as the policy says. */
 import * as schema from '@toucanproxy/schema';
+import * as effect from '../shared/effect.js';
 import * as suspects from '../shared/suspects.js';
 import * as accounts from './accounts.js';
 import * as entryEvent from './entry-event.js';
@@ -49,14 +50,33 @@
   return [...released, ...offered];
 }
 
+/** Why one agent is asked without a choice among several. */
+export enum AskReason {
+  /** It has room for a request that waited for it. */
+  ROOM = 'room',
+  /** Less urgent work waits there, which it evicts. */
+  EVICTS = 'evicts',
+}
+
 /** Asks one agent to take a waiting request. */
 export function askAgent(
   state: entryState.EntryState,
   request: entryState.EntryRequest,
   agent: entryState.AgentView,
+  reason: AskReason,
   now: number,
 ): Effects {
-  return state.policy.way.kind === 'push'
-    ? giveTo(state, request, agent, now)
-    : reservationBook.addReservation(request, agent);
+  const line = effect.logDecision('ask', {
+    request: request.requestId,
+    attempt: request.attempts + 1,
+    service: request.arrived.service,
+    tier: request.tierName,
+    chosen: [agent.backendServerId],
+    reason,
+  });
+  const asked =
+    state.policy.way.kind === 'push'
+      ? giveTo(state, request, agent, now)
+      : reservationBook.addReservation(request, agent);
+  return [line, ...asked];
 }
--- a/packages/core/src/entry/dispatch.ts
+++ b/packages/core/src/entry/dispatch.ts
@@ -1,16 +1,14 @@
 /** Finds agents for requests that wait. */
-import * as schema from '@toucanproxy/schema';
-import * as startQueue from '../agent/start-queue.js';
 import * as effect from '../shared/effect.js';
 import * as accounts from './accounts.js';
 import * as asking from './asking.js';
 import * as candidates from './candidates.js';
-import * as drainRate from './drain-rate.js';
 import * as entryEvent from './entry-event.js';
 import * as entryPolicy from './entry-policy.js';
 import * as entryState from './entry-state.js';
-import * as outcomes from './outcomes.js';
+import * as parking from './parking.js';
 import * as placement from './placement.js';
+import * as reservationBook from './reservation-book.js';
 import * as shedding from './shedding.js';
 
 type Effects = entryEvent.EntryEffect[];
@@ -19,13 +17,6 @@
   { kind: K }
 >;
 
-/** How long a service without any agent waits for links to open, milliseconds. */
-const LINK_GRACE_MS = 2000;
-/** Wait for the grant of an agent that had room before others are asked, milliseconds. */
-const ASK_MORE_MS = 500;
-/** Requests that one sign of room at an agent wakes, at most. */
-const MAX_WOKEN = 32;
-
 /** Logs a decision with what it was taken from. */
 function logPlacement(
   event: string,
@@ -60,54 +51,6 @@
   };
 }
 
-/** Lets a request wait until an agent has room, where that can be in time. */
-function waitForRoom(
-  state: entryState.EntryState,
-  request: entryState.EntryRequest,
-  now: number,
-): Effects {
-  const service = accounts.getServiceOf(state, request);
-  const ahead = accounts.estimateTokensAhead(state, request);
-  const waitMs = drainRate.estimateWaitMs(service.drain, ahead);
-  const unreachable =
-    request.refusedBy.size > 0 && request.unreachableBy.size >= request.refusedBy.size;
-  if (unreachable || now + waitMs >= request.deadlineMs) {
-    const retryAfterMs = shedding.drawRetryAfter(state, service, request.tierRank);
-    const code = schema.ResultCode.DEADLINE_UNREACHABLE;
-    return outcomes.fail(state, request, outcomes.buildNotRun(code, retryAfterMs), now);
-  }
-  accounts.addParked(state, request, now);
-  return shedding.shedOverflow(state, service, now);
-}
-
-/** Tells whether links of a service may still open soon. */
-function isOpening(state: entryState.EntryState, service: string, now: number): boolean {
-  const { lastLinkedMs } = entryState.getService(state, service);
-  const document = entryState.getDocument(state, service);
-  const staying = document?.backendServers.some(
-    (server) => state.agents.get(server.id)?.leaving === false,
-  );
-  return staying === true && now - lastLinkedMs < LINK_GRACE_MS;
-}
-
-/** Decides on a request whose service has no agent at all. */
-function handleNoAgent(
-  state: entryState.EntryState,
-  request: entryState.EntryRequest,
-  now: number,
-): Effects {
-  const service = accounts.getServiceOf(state, request);
-  if (!isOpening(state, service.service, now)) {
-    const retryAfterMs = shedding.drawRetryAfter(state, service, request.tierRank);
-    const code = schema.ResultCode.NO_BACKEND_SERVER;
-    return outcomes.fail(state, request, outcomes.buildNotRun(code, retryAfterMs), now);
-  }
-  accounts.addParked(state, request, now);
-  request.askMoreMs = service.lastLinkedMs + LINK_GRACE_MS;
-  accounts.updateDue(state, request, now);
-  return shedding.shedOverflow(state, service, now);
-}
-
 /** Pushes a request to one of the agents that have not refused it. */
 function pushRequest(
   state: entryState.EntryState,
@@ -117,7 +60,7 @@
   now: number,
 ): Effects {
   if (open.length === 0) {
-    return waitForRoom(state, request, now);
+    return parking.waitForRoom(state, request, now);
   }
   const considered = candidates.listCandidates(state, request, open, now);
   const chosen = way.choose(considered, buildContext(state, request));
@@ -140,7 +83,7 @@
   if (open.length === 0) {
     request.askMoreMs = Infinity;
     accounts.updateDue(state, request, now);
-    return request.reservedAt.size > 0 ? [] : waitForRoom(state, request, now);
+    return request.reservedAt.size > 0 ? [] : parking.waitForRoom(state, request, now);
   }
   const considered = candidates.listCandidates(state, request, open, now);
   const count = Math.max(way.askCount - request.reservedAt.size, 1);
@@ -152,23 +95,10 @@
     logPlacement('reserve', request, considered, ids),
     ...open
       .filter((agent) => ids.includes(agent.backendServerId))
-      .flatMap((agent) => asking.askAgent(state, request, agent, now)),
+      .flatMap((agent) => reservationBook.addReservation(request, agent)),
   ];
 }
 
-/**
- * Lists the agents whose queue, as last reported, takes a request. Asking the
- * others costs two messages each and ends in a refusal; they wake the request
- * when they have room.
- */
-function listWithRoom(
-  state: entryState.EntryState,
-  agents: readonly entryState.AgentView[],
-  request: entryState.EntryRequest,
-): entryState.AgentView[] {
-  return agents.filter((agent) => countRoom(state, agent, request.tierRank) > 0);
-}
-
 /** Finds agents for one waiting request. */
 export function place(
   state: entryState.EntryState,
@@ -178,13 +108,13 @@
   const { service } = request.arrived;
   if (entryState.isBehind(state, service, now)) {
     accounts.addParked(state, request, now);
-    request.askMoreMs = now + ASK_MORE_MS;
+    request.askMoreMs = now + parking.ASK_MORE_MS;
     accounts.updateDue(state, request, now);
     return [];
   }
   const usable = candidates.listUsable(state, service, now);
   if (usable.length === 0) {
-    return handleNoAgent(state, request, now);
+    return parking.handleNoAgent(state, request, now);
   }
   const { way } = state.policy;
   const open = usable.filter(
@@ -192,7 +122,7 @@
   );
   return way.kind === 'push'
     ? pushRequest(state, request, open, way, now)
-    : reservePlaces(state, request, listWithRoom(state, open, request), way, now);
+    : reservePlaces(state, request, parking.listWithRoom(state, open, request), way, now);
 }
 
 /** Takes in a new request: what gives way for it is decided first. */
@@ -207,66 +137,6 @@
   return [...shed, ...placed];
 }
 
-/** Counts the requests of a tier that an agent has room for, as it last reported. */
-function countRoom(
-  state: entryState.EntryState,
-  agent: entryState.AgentView,
-  tierRank: number,
-): number {
-  const { maxQueued } = entryState.getLimits(state, agent.service);
-  const evictable = (agent.load?.queuedByTier ?? [])
-    .slice(tierRank + 1)
-    .reduce((sum, count) => sum + count, 0);
-  return maxQueued - (agent.load?.queued ?? 0) + evictable;
-}
-
-/**
- * Asks an agent that has room for requests that wait for it, in their turn.
- *
- * @param leastRoom room that is known of besides what the agent last reported
- */
-export function retryParked(
-  state: entryState.EntryState,
-  agent: entryState.AgentView,
-  now: number,
-  leastRoom = 0,
-): Effects {
-  const usable = candidates.listUsable(state, agent.service, now).includes(agent);
-  if (!usable || entryState.isBehind(state, agent.service, now)) {
-    return [];
-  }
-  const { parked } = entryState.getService(state, agent.service);
-  const effects: Effects = [];
-  for (let woken = 0; woken < MAX_WOKEN; woken += 1) {
-    const item = startQueue.findNext(parked);
-    const request = item && state.requests.get(item.id);
-    if (item === undefined || request === undefined) {
-      break;
-    }
-    if (woken >= Math.max(countRoom(state, agent, item.tierRank), leastRoom)) {
-      break;
-    }
-    startQueue.takeItem(parked, item);
-    request.refusedBy.delete(agent.backendServerId);
-    request.unreachableBy.delete(agent.backendServerId);
-    request.askMoreMs = now + ASK_MORE_MS;
-    accounts.updateDue(state, request, now);
-    effects.push(...asking.askAgent(state, request, agent, now));
-  }
-  return effects;
-}
-
-/** Asks every agent that has room for requests that wait for it. */
-export function retryAllParked(
-  state: entryState.EntryState,
-  service: string,
-  now: number,
-): Effects {
-  return candidates
-    .listUsable(state, service, now)
-    .flatMap((agent) => retryParked(state, agent, now));
-}
-
 /** Asks for a place in the stead of one that was lost. */
 export function askAgain(
   state: entryState.EntryState,
--- a/packages/core/src/entry/handle-entry-event.ts
+++ b/packages/core/src/entry/handle-entry-event.ts
@@ -17,6 +17,7 @@
 import * as linkOpening from './link-opening.js';
 import * as membership from './membership.js';
 import * as outcomes from './outcomes.js';
+import * as parking from './parking.js';
 
 type Effects = entryEvent.EntryEffect[];
 type EventOf<K extends entryEvent.EntryEvent['kind']> = Extract<entryEvent.EntryEvent, { kind: K }>;
@@ -72,7 +73,7 @@
   const effects = routeAgentMessage(state, event, now);
   const view = state.agents.get(event.backendServerId);
   return isSignOfRoom(event.message) && view !== undefined
-    ? [...effects, ...dispatch.retryParked(state, view, now, 1)]
+    ? [...effects, ...parking.retryParked(state, view, now, 1)]
     : effects;
 }
 
@@ -134,7 +135,7 @@
     effect.logDecision('document', { service: document.service, version: document.version }),
     ...closed,
     ...admission.checkWaiting(state, document, now),
-    ...dispatch.retryAllParked(state, document.service, now),
+    ...parking.retryAllParked(state, document.service, now),
     ...agentLinks.openWanted(state, now),
   ];
 }
--- /dev/null
+++ b/packages/core/src/entry/parking.ts
@@ -0,0 +1,149 @@
+/** Requests that wait in the entry until an agent has room for them. */
+import * as schema from '@toucanproxy/schema';
+import * as startQueue from '../agent/start-queue.js';
+import * as effect from '../shared/effect.js';
+import * as accounts from './accounts.js';
+import * as asking from './asking.js';
+import * as candidates from './candidates.js';
+import * as drainRate from './drain-rate.js';
+import * as entryEvent from './entry-event.js';
+import * as entryState from './entry-state.js';
+import * as outcomes from './outcomes.js';
+import * as shedding from './shedding.js';
+
+type Effects = entryEvent.EntryEffect[];
+
+/** How long a service without any agent waits for links to open, milliseconds. */
+const LINK_GRACE_MS = 2000;
+/** Wait for the grant of an agent that had room before others are asked, milliseconds. */
+export const ASK_MORE_MS = 500;
+/** Requests that one sign of room at an agent wakes, at most. */
+const MAX_WOKEN = 32;
+
+/** Lets a request wait until an agent has room, where that can be in time. */
+export function waitForRoom(
+  state: entryState.EntryState,
+  request: entryState.EntryRequest,
+  now: number,
+): Effects {
+  const service = accounts.getServiceOf(state, request);
+  const ahead = accounts.estimateTokensAhead(state, request);
+  const waitMs = drainRate.estimateWaitMs(service.drain, ahead);
+  const unreachable =
+    request.refusedBy.size > 0 && request.unreachableBy.size >= request.refusedBy.size;
+  if (unreachable || now + waitMs >= request.deadlineMs) {
+    const retryAfterMs = shedding.drawRetryAfter(state, service, request.tierRank);
+    const code = schema.ResultCode.DEADLINE_UNREACHABLE;
+    return outcomes.fail(state, request, outcomes.buildNotRun(code, retryAfterMs), now);
+  }
+  accounts.addParked(state, request, now);
+  const line = effect.logDecision('parked', {
+    request: request.requestId,
+    service: service.service,
+    tier: request.tierName,
+    refusedBy: [...request.refusedBy],
+    tokensAhead: ahead,
+  });
+  return [line, ...shedding.shedOverflow(state, service, now)];
+}
+
+/** Tells whether links of a service may still open soon. */
+function isOpening(state: entryState.EntryState, service: string, now: number): boolean {
+  const { lastLinkedMs } = entryState.getService(state, service);
+  const document = entryState.getDocument(state, service);
+  const staying = document?.backendServers.some(
+    (server) => state.agents.get(server.id)?.leaving === false,
+  );
+  return staying === true && now - lastLinkedMs < LINK_GRACE_MS;
+}
+
+/** Decides on a request whose service has no agent at all. */
+export function handleNoAgent(
+  state: entryState.EntryState,
+  request: entryState.EntryRequest,
+  now: number,
+): Effects {
+  const service = accounts.getServiceOf(state, request);
+  if (!isOpening(state, service.service, now)) {
+    const retryAfterMs = shedding.drawRetryAfter(state, service, request.tierRank);
+    const code = schema.ResultCode.NO_BACKEND_SERVER;
+    return outcomes.fail(state, request, outcomes.buildNotRun(code, retryAfterMs), now);
+  }
+  accounts.addParked(state, request, now);
+  request.askMoreMs = service.lastLinkedMs + LINK_GRACE_MS;
+  accounts.updateDue(state, request, now);
+  return shedding.shedOverflow(state, service, now);
+}
+
+/**
+ * Lists the agents whose queue, as last reported, takes a request. Asking the
+ * others costs two messages each and ends in a refusal; they wake the request
+ * when they have room.
+ */
+export function listWithRoom(
+  state: entryState.EntryState,
+  agents: readonly entryState.AgentView[],
+  request: entryState.EntryRequest,
+): entryState.AgentView[] {
+  return agents.filter((agent) => countRoom(state, agent, request.tierRank) > 0);
+}
+
+/** Counts the requests of a tier that an agent has room for, as it last reported. */
+function countRoom(
+  state: entryState.EntryState,
+  agent: entryState.AgentView,
+  tierRank: number,
+): number {
+  const { maxQueued } = entryState.getLimits(state, agent.service);
+  const evictable = (agent.load?.queuedByTier ?? [])
+    .slice(tierRank + 1)
+    .reduce((sum, count) => sum + count, 0);
+  return maxQueued - (agent.load?.queued ?? 0) + evictable;
+}
+
+/**
+ * Asks an agent that has room for requests that wait for it, in their turn.
+ *
+ * @param leastRoom room that is known of besides what the agent last reported
+ */
+export function retryParked(
+  state: entryState.EntryState,
+  agent: entryState.AgentView,
+  now: number,
+  leastRoom = 0,
+): Effects {
+  const usable = candidates.listUsable(state, agent.service, now).includes(agent);
+  if (!usable || entryState.isBehind(state, agent.service, now)) {
+    return [];
+  }
+  const { parked } = entryState.getService(state, agent.service);
+  const effects: Effects = [];
+  for (let woken = 0; woken < MAX_WOKEN; woken += 1) {
+    const item = startQueue.findNext(parked);
+    const request = item && state.requests.get(item.id);
+    if (item === undefined || request === undefined) {
+      break;
+    }
+    if (woken >= Math.max(countRoom(state, agent, item.tierRank), leastRoom)) {
+      break;
+    }
+    startQueue.takeItem(parked, item);
+    request.refusedBy.delete(agent.backendServerId);
+    request.unreachableBy.delete(agent.backendServerId);
+    request.askMoreMs = now + ASK_MORE_MS;
+    accounts.updateDue(state, request, now);
+    effects.push(...asking.askAgent(state, request, agent, asking.AskReason.ROOM, now));
+  }
+  return effects;
+}
+
+/** Asks every agent that has room for requests that wait for it. */
+export function retryAllParked(
+  state: entryState.EntryState,
+  service: string,
+  now: number,
+): Effects {
+  return candidates
+    .listUsable(state, service, now)
+    .flatMap((agent) => retryParked(state, agent, now));
+}
--- a/packages/core/src/entry/shedding.ts
+++ b/packages/core/src/entry/shedding.ts
@@ -87,7 +87,7 @@
     return { effects: shed(state, request, now), madeRoom: true };
   }
   const asked = request.reservedAt.has(agent.backendServerId);
-  const effects = asked ? [] : asking.askAgent(state, request, agent, now);
+  const effects = asked ? [] : asking.askAgent(state, request, agent, asking.AskReason.EVICTS, now);
   const service = accounts.getServiceOf(state, request);
   return { effects, madeRoom: !service.waitingIds.has(request.requestId) };
 }
