Do not tell "not run" of a key that another call may run

Cause: keys of repeatable requests are never closed, so a call that was given up was told "not run" while another call with its key ran. Conclusion: such a call is told "may have run"; its Retry-After stays.

--- a/packages/core/src/entry/admission.ts
+++ b/packages/core/src/entry/admission.ts
@@ -148,9 +148,13 @@
   request: entryState.EntryRequest,
   failure: outcomes.Failure,
 ): Rejected | Closing {
-  if (request.arrived.key === '' || request.repeatable) {
+  if (request.arrived.key === '') {
     return { kind: 'rejected', failure };
   }
+  if (request.repeatable) {
+    const runState = schema.RunState.MAY_HAVE_RUN;
+    return { kind: 'rejected', failure: { ...failure, runState } };
+  }
   if (state.claiming.size >= MAX_CLAIMING) {
     const untold = outcomes.buildMayHaveRun(schema.ResultCode.KEY_UNDECIDED);
     return { kind: 'rejected', failure: { ...untold, retryAfterMs: FULL_RETRY_AFTER_MS } };
--- a/packages/core/src/entry/outcomes.ts
+++ b/packages/core/src/entry/outcomes.ts
@@ -41,6 +41,15 @@
   return [RAN, MAY_HAVE_RUN].find((known) => a === known || b === known) ?? NOT_RUN;
 }
 
+/** Says what is known of a request, of its earlier attempts and of its key. */
+function computeRunState(request: entryState.EntryRequest, failure: Failure): schema.RunState {
+  const known = mergeRunStates(request.earlierRun, failure.runState);
+  // The key of a repeatable request is not closed: another call with it may
+  // run, and "not run" would be wrong for what the caller thinks of as one.
+  const open = request.repeatable && request.arrived.key !== '';
+  return open ? mergeRunStates(known, schema.RunState.MAY_HAVE_RUN) : known;
+}
+
 /** Ends the waiting of a request: its reservations are released. */
 export function endWaiting(
   state: entryState.EntryState,
@@ -112,7 +121,7 @@
   const { callerId } = request.arrived;
   const attempt = request.target?.ref.attempt ?? request.attempts;
   const released = forget(state, request);
-  const runState = mergeRunStates(request.earlierRun, failure.runState);
+  const runState = computeRunState(request, failure);
   return [
     ...released,
     effect.logDecision('failure', {
--- a/packages/core/src/entry/repeats.test.ts
+++ b/packages/core/src/entry/repeats.test.ts
@@ -100,3 +100,14 @@
   }
   assert.equal(entryBench.findFailure(bench, draft), undefined);
 });
+
+nodeTest.test('a key that may be repeated is not told as not run', () => {
+  // A call is sent again under its key through this entry, which has no agent
+  // and gives it up, while the first call runs through another entry. Nobody
+  // closes the key of a repeatable request, so the caller is not told "not run".
+  const bench = entryBench.createBench({ agents: [] });
+  const keyed = entryBench.sendRequest(bench, { ...REPEAT, key: 'key-1' });
+  const plain = entryBench.sendRequest(bench, REPEAT);
+  const states = [keyed, plain].map((caller) => entryBench.findFailure(bench, caller)?.runState);
+  assert.deepEqual(states, [RunState.MAY_HAVE_RUN, RunState.NOT_RUN]);
+});
