Test that plain services are not asked to resume

Cause: the guard that keeps resumption and cancellation to model engines had no test. Before: without the guard the stand-in resumes the run ('a broken stream is resumed' shows it). Conclusion: a path that a plain service may take for an order is never called.

--- a/packages/proofs/src/engine-client.test.ts
+++ b/packages/proofs/src/engine-client.test.ts
@@ -25,6 +25,7 @@
 async function startSetting(
   context: nodeTest.TestContext,
   options: Partial<standIns.EngineOptions>,
+  isModel = true,
 ): Promise<Setting> {
   const folder = fs.mkdtempSync(path.join(os.tmpdir(), 'toucanproxy-'));
   const journalFile = path.join(folder, 'journal');
@@ -36,7 +37,7 @@
     events.push(event);
     waiting.forEach((check) => check());
   };
-  const isModelEngine = () => true;
+  const isModelEngine = () => isModel;
   const noticeFault = () => {};
   const client = agent.createEngineClient({ engineUrl, isModelEngine, post, noticeFault });
   const waitFor = (matches: (event: core.AgentEvent) => boolean) =>
@@ -107,6 +108,22 @@
   assert.deepEqual(await setting.waitFor(isEnd), { kind: 'engineFailed', refKey: REF_KEY, fault });
 });
 
+nodeTest.test('a plain service is not asked to resume or cancel', async (context) => {
+  // The paths of a model engine could be an order on a plain service. The
+  // stand-in would resume the run; the client reports it as run and broken, and
+  // asks for nothing.
+  const setting = await startSetting(context, { stepMs: 20 }, false);
+  setting.client.start(REF_KEY, buildOffer(BODY));
+  await setting.waitFor((event) => event.kind === 'engineData');
+  await undici.request(`${setting.engineUrl}/test/break`, { method: 'POST' }).catch(() => {});
+  const fault = core.EngineFault.CRASHED;
+  assert.deepEqual(await setting.waitFor(isEnd), { kind: 'engineFailed', refKey: REF_KEY, fault });
+  setting.client.cancel(REF_KEY);
+  const later = await undici.request(`${setting.engineUrl}/health`);
+  await later.body.dump();
+  assert.deepEqual(listJournal(setting), ['start']);
+});
+
 nodeTest.test('a cancelled run ends on the engine too', async (context) => {
   const setting = await startSetting(context, { stepMs: 20 });
   setting.client.start(REF_KEY, buildOffer(BODY));
