--- a/packages/entry/src/caller-server.test.ts
+++ b/packages/entry/src/caller-server.test.ts
@@ -31,8 +31,6 @@
   const waiting: ((request: core.ArrivedRequest) => void)[] = [];
   const refusals: schema.ResultCode[] = [];
   const cuts: number[] = [];
-  const documents: core.DocumentStore = new Map();
-  core.storeDocument(documents, { document, json: '' });
   const server = await callerServer.startCallerServer({
     host: '127.0.0.1',
     port: 0,
