Measure placement policies side by side on the virtual fleet

Cause: the ways of placing requests were to be weighed by figures and none could be had. Before: no measurement.

--- /dev/null
+++ b/packages/measure/src/run-load.ts
@@ -0,0 +1,141 @@
+/** Runs one load on one deployment under one policy, on a virtual fleet. */
+import * as core from '@toucanproxy/core';
+import * as proofs from '@toucanproxy/proofs';
+import * as controlBytes from './control-bytes.js';
+import * as deployments from './deployment.js';
+import * as tally from './tally.js';
+
+export type LoadOptions = {
+  deployment: deployments.Deployment;
+  /** Arrivals as a share of the estimated capacity. */
+  load: number;
+  faults: proofs.FaultSpec[];
+  seed: number;
+  buildPolicy: (drawRandom: () => number) => core.EntryPolicy;
+  /** Time over which requests arrive, milliseconds. */
+  durationMs: number;
+};
+
+const WARM_UP_MS = 2000;
+const MS_PER_SECOND = 1000;
+
+const TIMING = {
+  defaultDeadlineMs: 15_000,
+  maxDeadlineMs: 20_000,
+  keyWindowMs: 120_000,
+  clockSkewMs: 100,
+  heartbeatIntervalMs: 500,
+  heartbeatTimeoutMs: 2000,
+};
+
+/** Makes names of a number of processes. */
+function makeIds(prefix: string, count: number): string[] {
+  return Array.from({ length: count }, (_, index) => `${prefix}-${index + 1}`);
+}
+
+/** Publishes the deployment's only document. */
+function publishDocument(fleet: proofs.VirtualFleet): void {
+  const { options, platform } = fleet;
+  const agents = options.agentIds.map((id) => ({ id, address: proofs.getAddress(fleet, id) }));
+  const limits = { maxRunning: 8, maxQueued: 32, maxRequestsPerWorkspace: 5000, maxWaiting: 400 };
+  const document = proofs.buildDocument(options.service, 1, agents, { timing: TIMING, limits });
+  proofs.publishDocument(platform, document);
+}
+
+/** Draws the class of the next request. */
+function drawClass(
+  drawRandom: () => number,
+  classes: readonly deployments.RequestClass[],
+): deployments.RequestClass {
+  const [first, ...rest] = classes;
+  let left = drawRandom();
+  let chosen = first;
+  [first, ...rest].some((one) => {
+    chosen = one;
+    left -= one.share;
+    return left < 0;
+  });
+  return chosen;
+}
+
+/** Draws a size between its bounds, tokens. */
+function drawSize(drawRandom: () => number, [low, high]: [number, number]): number {
+  return Math.round(proofs.drawBetween(drawRandom, low, high));
+}
+
+/** Builds one request. */
+function buildPlan(
+  service: string,
+  one: deployments.RequestClass,
+  contentId: string,
+  drawRandom: () => number,
+): proofs.CallPlan {
+  const once = drawRandom() < 0.5;
+  return {
+    service,
+    path: once ? '/v1/chat/completions' : '/v1/completions',
+    token: one.token,
+    key: '',
+    timeoutMs: one.timeoutMs,
+    payload: {
+      contentId,
+      promptTokens: drawSize(drawRandom, one.promptTokens),
+      answerTokens: drawSize(drawRandom, one.answerTokens),
+      stream: drawRandom() < 0.7,
+      crash: false,
+    },
+    prefixHashes: [],
+  };
+}
+
+/** Schedules arrivals at random times; the same seed gives the same requests to any policy. */
+function scheduleArrivals(fleet: proofs.VirtualFleet, options: LoadOptions): void {
+  const { deployment, load, durationMs, seed } = options;
+  const drawRandom = proofs.createRandomSource(seed + 7919);
+  const ratePerMs = (deployments.estimateCapacity(deployment) * load) / MS_PER_SECOND;
+  let atMs = 0;
+  let serial = 0;
+  while (atMs < durationMs) {
+    atMs += -Math.log(1 - drawRandom()) / ratePerMs;
+    serial += 1;
+    const one = drawClass(drawRandom, deployment.classes);
+    const plan = buildPlan(deployment.name, one, `w${serial}`, drawRandom);
+    const entryId = `entry-${1 + Math.floor(drawRandom() * deployment.entries)}`;
+    proofs.schedule(fleet, atMs, () => {
+      proofs.sendCall(fleet, entryId, plan);
+    });
+  }
+}
+
+/** Schedules the faults. */
+function scheduleFaults(fleet: proofs.VirtualFleet, faults: readonly proofs.FaultSpec[]): void {
+  const target = { fleet, publish: () => {}, sendBurst: () => {} };
+  faults.forEach((fault) => {
+    proofs.schedule(fleet, fault.atMs, () => proofs.applyFault(target, fault));
+  });
+}
+
+/** Runs a load and counts what came of it. */
+export function runLoad(options: LoadOptions): tally.Tally {
+  const { deployment, durationMs } = options;
+  const control = controlBytes.createControlBytes();
+  const fleet = proofs.createVirtualFleet({
+    seed: options.seed,
+    service: deployment.name,
+    entryIds: makeIds('entry', deployment.entries),
+    agentIds: makeIds('runner', deployment.agents),
+    engineSpeeds: deployment.speeds,
+    latencyMs: deployment.latencyMs,
+    buildPolicy: options.buildPolicy,
+    observe: (occurrence) => controlBytes.addOccurrence(control, occurrence),
+  });
+  publishDocument(fleet);
+  proofs.advanceFleet(fleet, WARM_UP_MS);
+  scheduleArrivals(fleet, options);
+  scheduleFaults(fleet, options.faults);
+  const longestMs = Math.max(...deployment.classes.map((one) => one.timeoutMs));
+  proofs.advanceFleet(fleet, durationMs + longestMs + WARM_UP_MS);
+  const seconds = fleet.nowMs === 0 ? 1 : (durationMs + longestMs) / MS_PER_SECOND;
+  const nodes = deployment.entries + deployment.agents;
+  return tally.countTally(fleet, deployment, control.bytes / seconds / nodes);
+}
--- a/packages/proofs/src/index.ts
+++ b/packages/proofs/src/index.ts
@@ -10,3 +10,5 @@
 export * from './mocks/virtual-network.js';
 export * from './mocks/virtual-platform.js';
 export * from './mocks/virtual-processes.js';
+export { applyFault } from './random-runs/apply-fault.js';
+export type { FaultSpec } from './random-runs/scenario.js';
