--- a/packages/proofs/src/random-runs/run-scenario.ts
+++ b/packages/proofs/src/random-runs/run-scenario.ts
@@ -23,7 +23,7 @@
 
 /** Behaviour that a run may replace, to show that the checks can fail. */
 export type Broken = Partial<
-  Pick<fleetState.FleetOptions, 'handleEntryEvent' | 'handleAgentEvent'>
+  Pick<fleetState.FleetOptions, 'handleEntryEvent' | 'handleAgentEvent' | 'buildPolicy'>
 >;
 
 const SERVICE = 'brimwit';
