--- a/packages/core/src/agent/agent-state.ts
+++ b/packages/core/src/agent/agent-state.ts
@@ -2,8 +2,8 @@
 import * as schema from '@toucanproxy/schema';
 import * as documentStore from '../shared/document-store.js';
 import * as documentTiming from '../shared/document-timing.js';
-import type * as claims from './claims.js';
 import * as suspects from '../shared/suspects.js';
+import type * as claims from './claims.js';
 import * as engineLimit from './engine-limit.js';
 import * as engineSpeed from './engine-speed.js';
 import * as reservation from './reservation.js';
--- a/packages/core/src/entry/admission.ts
+++ b/packages/core/src/entry/admission.ts
@@ -1,16 +1,20 @@
 /** Decides whether a request is taken in, and with which rights. */
 import * as schema from '@toucanproxy/schema';
+import * as documentIndex from '../shared/document-index.js';
 import * as keyTime from '../shared/key-time.js';
+import * as suspects from '../shared/suspects.js';
+import * as costModel from './cost-model.js';
 import * as entryEvent from './entry-event.js';
 import * as entryState from './entry-state.js';
 import * as outcomes from './outcomes.js';
+import * as serviceState from './service-state.js';
 
 /** Seconds are for people; callers that meet a full entry come back after this. */
 const FULL_RETRY_AFTER_MS = 1000;
 
 type Admitted = { kind: 'admitted'; request: entryState.EntryRequest };
 type Rejected = { kind: 'rejected'; failure: outcomes.Failure };
-/** Not taken in for want of room, but an earlier call with its key may run. */
+/** Not taken in, but an earlier call with its key may run. */
 type Closing = { kind: 'closing'; request: entryState.EntryRequest; failure: outcomes.Failure };
 
 /** Longest key, characters. */
@@ -18,30 +22,9 @@
 /** Requests of one entry whose keys are being claimed or closed, at most. */
 const MAX_CLAIMING = 4000;
 
-/** Finds the route that serves a path: the longest prefix wins. */
-export function findRoute(
-  document: schema.ServiceDocument,
-  path: string,
-): schema.Route | undefined {
-  const matching = document.routes.filter((route) => path.startsWith(route.pathPrefix));
-  matching.sort((a, b) => b.pathPrefix.length - a.pathPrefix.length);
-  return matching[0];
-}
-
 /** Rejects a request without running it. */
-function reject(code: schema.ResultCode, retryAfterMs = 0): Rejected {
-  return { kind: 'rejected', failure: outcomes.buildNotRun(code, retryAfterMs) };
-}
-
-/** Counts the requests of a workspace that this entry holds. */
-function countOfWorkspace(
-  state: entryState.EntryState,
-  service: string,
-  workspace: string,
-): number {
-  return [...state.requests.values()].filter(
-    (request) => request.workspace === workspace && request.arrived.service === service,
-  ).length;
+function reject(code: schema.ResultCode): Rejected {
+  return { kind: 'rejected', failure: outcomes.buildNotRun(code) };
 }
 
 /** Computes when a request must be done, milliseconds since the Unix epoch. */
@@ -55,6 +38,8 @@
   return now + Math.min(asked, timing.maxDeadlineMs);
 }
 
+type Rights = { credential: schema.Credential; route: schema.Route };
+
 /**
  * Refuses requests that wait without a place and whose credential a newer
  * document has revoked. They were taken in by a document that was stale.
@@ -64,42 +49,54 @@
   document: schema.ServiceDocument,
   now: number,
 ): entryEvent.EntryEffect[] {
-  const valid = new Set(document.credentials.map((one) => one.tokenSha256));
-  return [...state.requests.values()]
-    .filter(
-      (request) =>
-        request.status === entryState.RequestStatus.WAITING &&
-        request.arrived.service === document.service &&
-        !valid.has(request.arrived.tokenSha256),
-    )
+  const service = entryState.getService(state, document.service);
+  return [...service.waitingIds]
+    .map((requestId) => state.requests.get(requestId))
+    .filter((request) => request !== undefined)
+    .filter((request) => !service.index?.credentialByToken.has(request.arrived.tokenSha256))
     .flatMap((request) => {
       const failure = outcomes.buildNotRun(schema.ResultCode.UNAUTHENTICATED);
       return outcomes.fail(state, request, failure, now);
     });
 }
 
+/** Estimates the cost of a request from what was learned of its class. */
+function estimateTokens(
+  service: serviceState.ServiceState,
+  className: string,
+  arrived: entryEvent.ArrivedRequest,
+): number {
+  return costModel.estimateTokens(
+    service.costs,
+    className,
+    arrived.payload.length,
+    arrived.answerTokensBound ?? 0,
+    arrived.estimatedTokens,
+  );
+}
+
 /** Builds the record of a request that is taken in. */
 function buildRequest(
   state: entryState.EntryState,
-  arrived: entryEvent.ArrivedRequest,
-  credential: schema.Credential,
-  route: schema.Route,
+  given: entryEvent.ArrivedRequest,
+  { credential, route }: Rights,
+  index: documentIndex.DocumentIndex,
   now: number,
 ): entryState.EntryRequest {
-  const document = entryState.getDocument(state, arrived.service);
-  const workspace = document?.workspaces.find((one) => one.name === credential.workspace);
+  const service = entryState.getService(state, given.service);
+  const className = `${route.pathPrefix} ${credential.tier}`;
   const serial = state.nextSerial;
   state.nextSerial += 1;
   return {
     requestId: `${state.entryId}-${state.life}-${serial}`,
-    arrived,
+    arrived: { ...given, estimatedTokens: estimateTokens(service, className, given) },
     workspace: credential.workspace,
-    weight: workspace?.weight || 1,
-    tierRank: document?.tiers.indexOf(credential.tier) ?? 0,
+    weight: index.workspaceByName.get(credential.workspace)?.weight || 1,
+    tierRank: index.tierRankByName.get(credential.tier) ?? index.tierRankByName.size,
     tierName: credential.tier,
     repeatable: route.repeat === schema.Repeat.ALLOWED,
     arrivedMs: now,
-    deadlineMs: computeDeadline(state, arrived, now),
+    deadlineMs: computeDeadline(state, given, now),
     status: entryState.RequestStatus.WAITING,
     attempts: 0,
     target: undefined,
@@ -108,11 +105,20 @@
     givenUp: undefined,
     claimRounds: 0,
     claimWaived: false,
-    earlierRun: schema.RunState.NOT_RUN,
     refusedBy: new Set(),
     head: undefined,
     collected: [],
     firstByteSent: false,
+    className,
+    reservedAt: new Set(),
+    askMoreMs: Infinity,
+    retryAtMs: 0,
+    earlierRun: schema.RunState.NOT_RUN,
+    unreachableBy: new Set(),
+    repeats: 0,
+    crashes: 0,
+    startedMs: 0,
+    answerTokens: 0,
   };
 }
 
@@ -136,13 +142,12 @@
     : undefined;
 }
 
-/** Refuses a request for want of room. */
-function refuseForLoad(
+/** Refuses a request that this call will not run. */
+function refuse(
   state: entryState.EntryState,
   request: entryState.EntryRequest,
-  code: schema.ResultCode,
+  failure: outcomes.Failure,
 ): Rejected | Closing {
-  const failure = outcomes.buildNotRun(code, FULL_RETRY_AFTER_MS);
   if (request.arrived.key === '' || request.repeatable) {
     return { kind: 'rejected', failure };
   }
@@ -153,40 +158,54 @@
   return { kind: 'closing', request, failure };
 }
 
+/** Finds why a request with valid rights is not taken in now. */
+function findLimit(
+  state: entryState.EntryState,
+  request: entryState.EntryRequest,
+  index: documentIndex.DocumentIndex,
+): outcomes.Failure | undefined {
+  const { limits } = index;
+  const { arrived, workspace } = request;
+  if (state.shutdownStarted) {
+    return outcomes.buildNotRun(schema.ResultCode.SHUTTING_DOWN, FULL_RETRY_AFTER_MS);
+  }
+  if (suspects.isCondemned(state.suspects, arrived.contentDigest)) {
+    return outcomes.buildNotRun(schema.ResultCode.CONTENT_REFUSED);
+  }
+  const service = entryState.getService(state, arrived.service);
+  const held = service.heldByWorkspace.get(workspace) ?? 0;
+  const own = index.workspaceByName.get(workspace)?.maxRequests;
+  return held >= (own || limits.maxRequestsPerWorkspace)
+    ? outcomes.buildNotRun(schema.ResultCode.WORKSPACE_LIMIT, FULL_RETRY_AFTER_MS)
+    : undefined;
+}
+
 /** Decides on an arrived request. The tier comes from its credential alone. */
 export function admit(
   state: entryState.EntryState,
   arrived: entryEvent.ArrivedRequest,
   now: number,
 ): Admitted | Rejected | Closing {
-  const document = entryState.getDocument(state, arrived.service);
-  if (document === undefined) {
+  const index = state.services.get(arrived.service)?.index;
+  if (index === undefined) {
     return reject(schema.ResultCode.UNKNOWN_SERVICE);
   }
-  const credential = document.credentials.find((one) => one.tokenSha256 === arrived.tokenSha256);
+  const credential = index.credentialByToken.get(arrived.tokenSha256);
   if (credential === undefined) {
     return reject(schema.ResultCode.UNAUTHENTICATED);
   }
-  const route = findRoute(document, arrived.path);
+  const route = documentIndex.findRoute(index, arrived.path);
   if (route === undefined) {
     return reject(schema.ResultCode.UNKNOWN_PATH);
   }
-  const limits = entryState.getLimits(state, arrived.service);
-  if (arrived.payload.length > limits.maxBodyBytes) {
+  if (arrived.payload.length > index.limits.maxBodyBytes) {
     return reject(schema.ResultCode.BODY_TOO_LARGE);
   }
   const keyFault = findKeyFault(state, arrived, now);
   if (keyFault !== undefined) {
     return { kind: 'rejected', failure: keyFault };
   }
-  const request = buildRequest(state, arrived, credential, route, now);
-  if (state.shutdownStarted) {
-    return refuseForLoad(state, request, schema.ResultCode.SHUTTING_DOWN);
-  }
-  const held = countOfWorkspace(state, arrived.service, credential.workspace);
-  const own = document.workspaces.find((one) => one.name === credential.workspace);
-  if (held >= (own?.maxRequests || limits.maxRequestsPerWorkspace)) {
-    return refuseForLoad(state, request, schema.ResultCode.WORKSPACE_LIMIT);
-  }
-  return { kind: 'admitted', request };
+  const request = buildRequest(state, arrived, { credential, route }, index, now);
+  const limit = findLimit(state, request, index);
+  return limit === undefined ? { kind: 'admitted', request } : refuse(state, request, limit);
 }
--- a/packages/core/src/entry/agent-links.ts
+++ b/packages/core/src/entry/agent-links.ts
@@ -1,6 +1,8 @@
 /** Links to agents: opening, heartbeats in both directions, resumption. */
 import * as schema from '@toucanproxy/schema';
 import * as documentStore from '../shared/document-store.js';
+import * as suspects from '../shared/suspects.js';
+import * as accounts from './accounts.js';
 import * as dispatch from './dispatch.js';
 import * as entryEvent from './entry-event.js';
 import * as entryMessages from './entry-messages.js';
@@ -39,9 +41,9 @@
   state: entryState.EntryState,
   backendServerId: string,
 ): entryState.EntryRequest[] {
-  return [...state.requests.values()].filter(
-    (request) => request.target?.backendServerId === backendServerId,
-  );
+  return [...(state.agents.get(backendServerId)?.heldIds ?? [])]
+    .map((requestId) => state.requests.get(requestId))
+    .filter((request) => request !== undefined);
 }
 
 /** Learns which life answers, and asks it for what this entry misses. */
@@ -55,8 +57,8 @@
   if (view === undefined || hello.backendServerId !== backendServerId) {
     return [{ kind: 'closeLink', backendServerId }];
   }
-  view.linked = true;
-  view.opening = false;
+  accounts.markLinked(state, view, now);
+  view.suspectsSent = 0;
   // What the platform's list said was of another life. The heartbeat that came
   // before this hello has told whether the present one leaves.
   if (view.agentLife !== '' && view.agentLife !== hello.agentLife) {
@@ -76,7 +78,7 @@
         ],
   );
   const claims = keyClaim.sendWaiting(state, backendServerId);
-  return [...resumes, ...claims, ...dispatch.placeWaiting(state, view.service, now)];
+  return [...resumes, ...claims, ...dispatch.retryParked(state, view, now)];
 }
 
 /** Takes in an agent's load, and asks for its document where it is newer. */
@@ -91,6 +93,7 @@
     return [];
   }
   view.load = heartbeat.load;
+  suspects.mergeSuspects(state.suspects, heartbeat.suspects, now);
   view.reportedLeaving = heartbeat.load?.leaving ?? false;
   membership.updateLeaving(view);
   const conflict = documentStore.noteVersion(state.documents, heartbeat.document);
@@ -101,7 +104,7 @@
   const ask = due
     ? [entryMessages.sendToAgent(backendServerId, { case: 'documentRequest', value: request })]
     : [];
-  return [...conflict, ...ask, ...dispatch.placeWaiting(state, view.service, now)];
+  return [...conflict, ...ask, ...dispatch.retryParked(state, view, now)];
 }
 
 /** Sends the document in force to an agent that asked for it. */
@@ -127,7 +130,10 @@
   view.lastSentMs = now;
   view.heartbeatsSent += 1;
   const document = documentStore.describeVersion(state.documents, view.service);
+  const changed = view.suspectsSent !== state.suspects.revision;
+  view.suspectsSent = state.suspects.revision;
   const heartbeat = schema.create(schema.EntryHeartbeatSchema, {
+    suspects: changed ? suspects.listSuspects(state.suspects) : [],
     document,
     sequence: view.heartbeatsSent,
   });
--- a/packages/core/src/entry/answer-flow.ts
+++ b/packages/core/src/entry/answer-flow.ts
@@ -1,12 +1,18 @@
 /** Follows an offered request through its agent's messages to the caller's answer. */
 import * as schema from '@toucanproxy/schema';
 import * as effect from '../shared/effect.js';
+import * as accounts from './accounts.js';
+import * as agentHealth from './agent-health.js';
+import * as costModel from './cost-model.js';
 import * as dispatch from './dispatch.js';
 import * as entryEvent from './entry-event.js';
 import * as entryMessages from './entry-messages.js';
 import * as entryState from './entry-state.js';
 import * as heldAttempts from './held-attempts.js';
+import * as observations from './observations.js';
 import * as outcomes from './outcomes.js';
+import * as repeats from './repeats.js';
+import * as shedding from './shedding.js';
 
 type Effects = entryEvent.EntryEffect[];
 type Held = heldAttempts.Held;
@@ -21,6 +27,7 @@
   schema.ResultCode.STALE_OFFER,
   schema.ResultCode.NO_BACKEND_SERVER,
   schema.ResultCode.CANCELLED,
+  schema.ResultCode.DEADLINE_UNREACHABLE,
 ]);
 
 /** Applies a message to each request that waits for its attempt. */
@@ -60,13 +67,24 @@
 }
 
 /** Passes bytes on, or keeps them until an unstreamed answer is whole. */
-function passData(request: entryState.EntryRequest, data: Uint8Array, now: number): Effects {
-  if (!isStreamed(request)) {
+function passData(
+  state: entryState.EntryState,
+  request: entryState.EntryRequest,
+  data: Uint8Array,
+  now: number,
+): Effects {
+  const streamed = isStreamed(request);
+  const first = request.answerTokens === 0;
+  request.answerTokens += costModel.countAnswerTokens(data, streamed);
+  const noted = first
+    ? observations.noteDuration(state, request, agentHealth.Stage.FIRST_BYTE, now)
+    : [];
+  if (!streamed) {
     request.collected.push(data);
-    return [];
+    return noted;
   }
   const { callerId } = request.arrived;
-  return [...sendHead(request, now), { kind: 'answerData', callerId, data }];
+  return [...noted, ...sendHead(request, now), { kind: 'answerData', callerId, data }];
 }
 
 /** Ends an answer whose every part has come. */
@@ -82,8 +100,10 @@
     target.backendServerId,
     entryMessages.buildAcknowledge(target),
   );
+  const noted = observations.noteCompleted(state, request, now);
   return [
     acknowledge,
+    ...noted,
     ...sendHead(request, now),
     ...data,
     ...outcomes.complete(state, request, now),
@@ -118,13 +138,13 @@
     return [effect.observe({ kind: 'dropped', reason })];
   }
   target.nextSequence += 1;
-  target.started = true;
+  accounts.markStarted(state, request, now);
   switch (part.content.case) {
     case 'head':
       request.head = part.content.value;
       return [];
     case 'data':
-      return passData(request, part.content.value, now);
+      return passData(state, request, part.content.value, now);
     case 'end':
       return passEnd(state, held, now);
     default:
@@ -153,28 +173,24 @@
 ): Effects {
   const { request, target } = held;
   // The deadline that a joined attempt missed was that of another call.
-  const missedOther = target.joined && notRun.code === schema.ResultCode.DEADLINE_UNREACHABLE;
-  if ((ELSEWHERE_CODES.has(notRun.code) || missedOther) && now < request.deadlineMs) {
+  if (notRun.code === schema.ResultCode.DEADLINE_UNREACHABLE && !target.joined) {
+    request.unreachableBy.add(target.backendServerId);
+  }
+  const service = accounts.getServiceOf(state, request);
+  // It was taken back to make room, and the place that it leaves is for others.
+  const givesWay =
+    service.withdrawnIds.has(request.requestId) &&
+    !accounts.hasLessUrgent(service, request.tierRank);
+  if (givesWay && now < request.deadlineMs) {
+    return shedding.shed(state, request, now);
+  }
+  if (ELSEWHERE_CODES.has(notRun.code) && now < request.deadlineMs) {
     return dispatch.placeAgain(state, request, now);
   }
   const code = now >= request.deadlineMs ? schema.ResultCode.DEADLINE_UNREACHABLE : notRun.code;
-  const failure = outcomes.buildNotRun(code, notRun.retryAfterMs);
-  return outcomes.fail(state, request, failure, now);
-}
-
-/** Ends or repeats a request whose attempt was lost or broke. */
-export function handleBrokenRun(
-  state: entryState.EntryState,
-  request: entryState.EntryRequest,
-  failure: outcomes.Failure,
-  now: number,
-): Effects {
-  const mayRepeat = request.repeatable && !request.firstByteSent && now < request.deadlineMs;
-  if (!mayRepeat) {
-    return outcomes.fail(state, request, failure, now);
-  }
-  outcomes.recordEarlierRun(request, failure.runState);
-  return dispatch.placeAgain(state, request, now);
+  const retryAfterMs =
+    notRun.retryAfterMs || shedding.drawRetryAfter(state, service, request.tierRank);
+  return outcomes.fail(state, request, outcomes.buildNotRun(code, retryAfterMs), now);
 }
 
 /** Handles the agent's report that an attempt did not complete. */
@@ -203,7 +219,10 @@
     undecided && !held.target.started
       ? outcomes.buildMayHaveRun(failed.code)
       : outcomes.buildRan(failed.code);
-  return handleBrokenRun(state, held.request, failure, now);
+  return [
+    ...observations.noteFailure(state, held.request, now),
+    ...repeats.handleBrokenRun(state, held.request, failure, now),
+  ];
 }
 
 /** Notes that an attempt was started. */
@@ -211,9 +230,10 @@
   state: entryState.EntryState,
   backendServerId: string,
   started: schema.Started,
+  now: number,
 ): Effects {
-  return applyToHeld(state, backendServerId, started.ref, (held) => {
-    held.target.started = true;
+  return applyToHeld(state, backendServerId, started.ref, ({ request }) => {
+    accounts.markStarted(state, request, now);
     return [];
   });
 }
--- a/packages/core/src/entry/entry-state.ts
+++ b/packages/core/src/entry/entry-state.ts
@@ -2,11 +2,15 @@
 import * as schema from '@toucanproxy/schema';
 import * as documentStore from '../shared/document-store.js';
 import * as documentTiming from '../shared/document-timing.js';
+import * as priorityHeap from '../shared/priority-heap.js';
+import * as suspects from '../shared/suspects.js';
+import * as agentHealth from './agent-health.js';
 import * as entryEvent from './entry-event.js';
+import * as entryPolicy from './entry-policy.js';
 import type * as keyClaim from './key-claim.js';
 import * as linkSelection from './link-selection.js';
 import type * as outcomes from './outcomes.js';
-import * as placement from './placement.js';
+import * as serviceState from './service-state.js';
 
 /** The one agent that an attempt was handed to. */
 export type Target = {
@@ -58,14 +62,32 @@
   claimRounds: number;
   /** Its homes could not decide; it may be repeated and goes on without. */
   claimWaived: boolean;
-  /** What earlier attempts of a repeatable request came to. */
-  earlierRun: schema.RunState;
   /** Backend servers that refused the request since it began to wait. */
   refusedBy: Set<string>;
   head: schema.AnswerHead | undefined;
   /** Parts of an answer that is not streamed, until it is whole. */
   collected: Uint8Array[];
   firstByteSent: boolean;
+  /** Class of its cost: route and tier. */
+  className: string;
+  /** Backend servers that were asked for a place and have not refused. */
+  reservedAt: Set<string>;
+  /** When one more backend server is asked, milliseconds since the Unix epoch. */
+  askMoreMs: number;
+  /** Pause before a repeat ends at this time; 0 where there is none. */
+  retryAtMs: number;
+  /** What is known of the attempts before the present one. */
+  earlierRun: schema.RunState;
+  /** Backend servers that cannot end it in time, as they said since it began to wait. */
+  unreachableBy: Set<string>;
+  /** Attempts that were repeated after a run. */
+  repeats: number;
+  /** Attempts during which an engine crashed. */
+  crashes: number;
+  /** When the present attempt started; 0 where that is not known. */
+  startedMs: number;
+  /** Tokens of the answer so far, counted. */
+  answerTokens: number;
 };
 
 /** A backend server as this entry sees it. */
@@ -96,23 +118,21 @@
   /** Estimated tokens of this entry's own requests there. */
   outstandingTokens: number;
   nextOpenMs: number;
+  /** Requests whose target it is. */
+  heldIds: Set<string>;
+  /** Requests that asked it for a place. */
+  reservedIds: Set<string>;
+  health: agentHealth.AgentHealth;
+  /** Revision of the suspects that it was last sent. */
+  suspectsSent: number;
   /** One of the links that this entry keeps; others are opened on demand. */
   kept: boolean;
   /** When a link on demand was last needed, milliseconds; 0 if never. */
   neededMs: number;
-  /** Attempts of this entry's requests there. */
-  heldCount: number;
-};
-
-/** Behaviour that varies, handed in by the daemon, a test or a measurement. */
-export type EntryPolicy = {
-  chooseBackendServer: placement.ChooseBackendServer;
-  /** Uniform in [0, 1). */
-  drawRandom: () => number;
 };
 
 /** What is left to do for a request once the present event has been applied. */
-export type FollowUp = { kind: 'place' | 'close'; requestId: string };
+export type FollowUp = { kind: 'place' | 'ask' | 'close'; requestId: string };
 
 export type EntryState = {
   entryId: string;
@@ -120,7 +140,7 @@
   failureDomain: string;
   /** Links kept for each service. */
   linksPerService: number;
-  policy: EntryPolicy;
+  policy: entryPolicy.EntryPolicy;
   nextSerial: number;
   documents: documentStore.DocumentStore;
   requests: Map<string, EntryRequest>;
@@ -135,6 +155,10 @@
   /** When this process first saw a backend server declared gone, milliseconds. */
   goneSeenMs: Map<string, number>;
   agents: Map<string, AgentView>;
+  services: Map<string, serviceState.ServiceState>;
+  /** When something is due for each request, milliseconds since the Unix epoch. */
+  due: priorityHeap.PriorityHeap;
+  suspects: suspects.Suspects;
   shutdownStarted: boolean;
   stopped: boolean;
 };
@@ -148,7 +172,10 @@
 };
 
 /** Creates the state of an entry whose process has just started. */
-export function createEntryState(identity: EntryIdentity, policy: EntryPolicy): EntryState {
+export function createEntryState(
+  identity: EntryIdentity,
+  policy: entryPolicy.EntryPolicy,
+): EntryState {
   return {
     ...identity,
     linksPerService: identity.linksPerService || linkSelection.DEFAULT_LINKS_PER_SERVICE,
@@ -163,6 +190,9 @@
     newerSeen: new Map(),
     goneSeenMs: new Map(),
     agents: new Map(),
+    services: new Map(),
+    due: priorityHeap.createPriorityHeap(),
+    suspects: suspects.createSuspects(),
     shutdownStarted: false,
     stopped: false,
   };
@@ -176,6 +206,13 @@
   return state.documents.get(service)?.document;
 }
 
+/** Gets the state of a service, made where there is none. */
+export function getService(state: EntryState, service: string): serviceState.ServiceState {
+  const known = state.services.get(service) ?? serviceState.createServiceState(service);
+  state.services.set(service, known);
+  return known;
+}
+
 /**
  * Tells whether an entry knows of a newer document that it is about to get.
  *
@@ -192,10 +229,10 @@
 
 /** Gets the timing of a service. */
 export function getTiming(state: EntryState, service: string): documentTiming.Timing {
-  return documentTiming.getTiming(getDocument(state, service));
+  return state.services.get(service)?.index?.timing ?? documentTiming.DEFAULT_TIMING;
 }
 
 /** Gets the limits of a service. */
 export function getLimits(state: EntryState, service: string): documentTiming.Limits {
-  return documentTiming.getLimits(getDocument(state, service));
+  return state.services.get(service)?.index?.limits ?? documentTiming.DEFAULT_LIMITS;
 }
--- a/packages/core/src/entry/link-opening.ts
+++ b/packages/core/src/entry/link-opening.ts
@@ -1,4 +1,5 @@
 /** Opens and gives up links: those that are kept, and those that a claim or a join needs. */
+import * as accounts from './accounts.js';
 import * as entryEvent from './entry-event.js';
 import type * as entryState from './entry-state.js';
 import * as keyClaim from './key-claim.js';
@@ -13,7 +14,7 @@
 /** Tells whether a link is to be open now. */
 export function isWanted(view: entryState.AgentView, now: number): boolean {
   const needed = view.neededMs > 0 && now - view.neededMs <= IDLE_MS;
-  return view.kept || view.heldCount > 0 || needed;
+  return view.kept || view.heldIds.size > 0 || needed;
 }
 
 /** Opens the link of one agent where it is wanted and not open. */
@@ -42,8 +43,7 @@
 ): entryEvent.EntryEffect[] {
   const view = state.agents.get(backendServerId);
   if (view !== undefined) {
-    view.linked = false;
-    view.opening = false;
+    accounts.markUnlinked(state, view, now);
     keyClaim.noteHomeLost(state, backendServerId);
     view.nextOpenMs = now + REOPEN_MIN_MS + state.policy.drawRandom() * REOPEN_SPREAD_MS;
   }
--- a/packages/core/src/entry/membership.ts
+++ b/packages/core/src/entry/membership.ts
@@ -1,5 +1,6 @@
 /** Which backend servers this entry knows, which it keeps links to, and which take new work. */
 import * as schema from '@toucanproxy/schema';
+import * as agentHealth from './agent-health.js';
 import * as entryEvent from './entry-event.js';
 import * as entryState from './entry-state.js';
 import * as linkOpening from './link-opening.js';
@@ -31,7 +32,10 @@
     nextOpenMs: 0,
     kept: false,
     neededMs: 0,
-    heldCount: 0,
+    heldIds: new Set(),
+    reservedIds: new Set(),
+    health: agentHealth.createAgentHealth(),
+    suspectsSent: 0,
   };
 }
 
--- a/packages/core/src/mocks/small-fleet.ts
+++ b/packages/core/src/mocks/small-fleet.ts
@@ -74,7 +74,7 @@
 
 /** Starts an entry. */
 export function startEntry(fleet: SmallFleet, entryId: string): void {
-  const policy = { chooseBackendServer: core.chooseLeastOutstanding, drawRandom: () => 0 };
+  const policy = core.createLeastOutstandingPolicy(() => 0);
   const identity = { entryId, life: 'life-1', failureDomain: '' };
   fleet.entries.set(entryId, core.createEntryState(identity, policy));
 }
--- a/packages/entry/src/app.ts
+++ b/packages/entry/src/app.ts
@@ -76,10 +76,7 @@
   const { entryId, failureDomain, services } = settings;
   const linksPerService = settings.linksPerService || core.computeLinksPerService(services.length);
   const life = crypto.randomBytes(LIFE_BYTES).toString('hex');
-  const policy = {
-    chooseBackendServer: core.chooseLeastOutstanding,
-    drawRandom: Math.random,
-  };
+  const policy = core.createLateBindingPolicy(Math.random);
   return core.createEntryState({ entryId, life, failureDomain, linksPerService }, policy);
 }
 
--- a/packages/entry/src/caller-server.ts
+++ b/packages/entry/src/caller-server.ts
@@ -209,6 +209,37 @@
   }
 }
 
+/** Carries out one effect on a caller that is still there. */
+function answerCaller(state: ServerState, effect: callerAnswer.CallerEffect): void {
+  const exchange = state.exchanges.get(effect.callerId);
+  if (exchange === undefined || exchange.response.destroyed) {
+    return;
+  }
+  try {
+    callerAnswer.applyEffect(exchange, effect, state.options.limits);
+  } catch {
+    // An answer that HTTP cannot carry ends its own connection. Thrown further,
+    // it would stop the task that serves every other caller.
+    exchange.response.destroy();
+  }
+}
+
+/**
+ * Asks for each connection to be closed after the last answer in hand on it.
+ *
+ * The last one only: a connection closes after the first answer that says so,
+ * and answers behind it would be lost.
+ */
+function closeAfterAnswers(state: ServerState): void {
+  const exchanges = [...state.exchanges.values()];
+  const lastBySocket = new Map(exchanges.map((exchange) => [exchange.request.socket, exchange]));
+  lastBySocket.forEach(({ response }) => {
+    if (!response.headersSent) {
+      response.setHeader('connection', 'close');
+    }
+  });
+}
+
 /** Starts to listen. */
 export async function startCallerServer(options: CallerServerOptions): Promise<CallerServer> {
   const state: ServerState = {
@@ -228,16 +259,12 @@
   });
   return {
     port: (server.address() as net.AddressInfo).port,
-    answer: (effect) => {
-      const exchange = state.exchanges.get(effect.callerId);
-      if (exchange !== undefined && !exchange.response.destroyed) {
-        callerAnswer.applyEffect(exchange, effect, options.limits);
-      }
-    },
+    answer: (effect) => answerCaller(state, effect),
     stopListening: () => {
       state.closing = true;
       server.close();
       server.closeIdleConnections();
+      closeAfterAnswers(state);
     },
     notifyIdle: (idle) => {
       state.idle = idle;
