--- a/packages/core/src/agent/agent-state.ts
+++ b/packages/core/src/agent/agent-state.ts
@@ -3,6 +3,7 @@
 import * as documentStore from '../shared/document-store.js';
 import * as documentTiming from '../shared/document-timing.js';
 import * as suspects from '../shared/suspects.js';
+import type * as claims from './claims.js';
 import * as engineLimit from './engine-limit.js';
 import * as engineSpeed from './engine-speed.js';
 import * as reservation from './reservation.js';
@@ -29,6 +30,9 @@
   lifeBeganMs: number;
   documents: documentStore.DocumentStore;
   runs: Map<string, runRecord.RunRecord>;
+  newerSeen: documentStore.NewerVersions;
+  /** The keys that this agent is home of. */
+  keys: claims.KeyTable;
   queue: startQueue.StartQueue;
   /** Reservations queued and places held, by request id. */
   reservations: Map<string, reservation.Reservation>;
@@ -68,6 +72,8 @@
     lifeBeganMs: now,
     documents: new Map(),
     runs: new Map(),
+    newerSeen: new Map(),
+    keys: new Map(),
     queue: startQueue.createStartQueue(),
     reservations: new Map(),
     holds: new Map(),
--- a/packages/entry/src/status.ts
+++ b/packages/entry/src/status.ts
@@ -40,9 +40,10 @@
     service: view.service,
     state: toServerState(view),
     failureDomain: view.failureDomain,
+    kept: view.kept,
     address: view.address,
     life: view.agentLife,
-    silentForMs: view.lastHeardMs === 0 ? 'never heard' : now - view.lastHeardMs,
+    silentForMs: view.agentLife === '' ? 'never heard' : now - view.lastHeardMs,
     queued: view.load?.queued ?? 0,
     running: view.load?.running ?? 0,
     ownTokens: view.outstandingTokens,
@@ -61,10 +62,7 @@
     life: state.life,
     failureDomain: state.failureDomain,
     shuttingDown: state.shutdownStarted,
-    documents: [...state.documents].map(([service, stored]) => ({
-      service,
-      version: stored.document.version,
-    })),
+    documents: core.describeDocuments(state.documents),
     tiers: countByTier(state),
     backendServers: [...state.agents.values()].map((view) => describeServer(view, now)),
   };
--- a/packages/proofs/src/invariants.ts
+++ b/packages/proofs/src/invariants.ts
@@ -207,6 +207,10 @@
   } else if (!checker.leavingSinceMs.has(key)) {
     checker.leavingSinceMs.set(key, checker.fleet?.nowMs ?? 0);
   }
+  // A later document may take the server back into service.
+  if (!agent.state.leaving) {
+    checker.leavingSinceMs.delete(key);
+  }
   effects.forEach((effect) => {
     checkObservation(checker, effect);
     shedChecks.checkAgentShed(checker, agent, effect);
