--- a/packages/core/src/entry/dispatch.ts
+++ b/packages/core/src/entry/dispatch.ts
@@ -92,7 +92,7 @@
   request.askMoreMs = now + waitMs;
   accounts.updateDue(state, request, now);
   return [
-    logPlacement('reserve', request, considered, ids),
+    logPlacement('ask', request, considered, ids),
     ...open
       .filter((agent) => ids.includes(agent.backendServerId))
       .flatMap((agent) => reservationBook.addReservation(request, agent)),
