Resend keys through other entries in the randomised runs

Cause: keys landed; the same key sent again across kill, partition, pause and a change of document must not be dispatched twice.

--- a/packages/proofs/src/invariants.test.ts
+++ b/packages/proofs/src/invariants.test.ts
@@ -1,57 +1,16 @@
-import * as assert from 'node:assert/strict';
 import * as nodeTest from 'node:test';
 import * as core from '@toucanproxy/core';
 import * as schema from '@toucanproxy/schema';
 import * as invariants from './invariants.js';
-import * as runScenario from './random-runs/run-scenario.js';
+import * as brokenVariant from './random-runs/broken-variant.js';
 import * as scenarios from './random-runs/scenario.js';
 
 // Each test takes one safeguard out of the program and asserts that the check
 // meant for it fails on a scenario where the whole program passes. A check
 // that cannot fail proves nothing.
 
-const CALL: scenarios.CallSpec = {
-  atMs: 100,
-  entry: 0,
-  urgent: false,
-  once: true,
-  stream: true,
-  promptTokens: 200,
-  answerTokens: 60,
-  timeoutMs: 7000,
-  leaveAfterMs: 0,
-  poison: false,
-  resends: [],
-};
-
-const SCENARIO: scenarios.Scenario = {
-  seed: 11,
-  entries: 1,
-  agents: 1,
-  maxRunning: 2,
-  maxQueued: 8,
-  calls: [CALL, CALL, CALL],
-  faults: [],
-};
-
-// Under late binding a leaving agent refuses the reservation, and an offer finds
-// its place held: these safeguards stand alone only where offers are pushed.
-const buildPolicy = core.createLeastOutstandingPolicy;
-
 const DOUBLED: scenarios.FaultSpec = { atMs: 0, kind: 'messagesDoubled', percent: 100, ms: 8000 };
 
-/** Asserts that a scenario passes, and breaks an invariant without a safeguard. */
-function expectCaught(
-  scenario: scenarios.Scenario,
-  broken: runScenario.Broken,
-  invariant: invariants.Invariant,
-): void {
-  const whole = broken.buildPolicy === undefined ? {} : { buildPolicy: broken.buildPolicy };
-  assert.deepEqual(runScenario.runScenario(scenario, whole).violations, []);
-  const [first] = runScenario.runScenario(scenario, broken).violations;
-  assert.equal(first?.invariant, invariant, first?.detail);
-}
-
 nodeTest.test('agent that forgets what it ran', () => {
   const handleAgentEvent: typeof core.handleAgentEvent = (state, event, now) => {
     if (event.kind === 'entryMessage' && event.message.body.case === 'offer') {
@@ -60,8 +19,12 @@
     }
     return core.handleAgentEvent(state, event, now);
   };
-  const scenario = { ...SCENARIO, faults: [DOUBLED] };
-  expectCaught(scenario, { handleAgentEvent }, invariants.Invariant.ATTEMPT_STARTED_ONCE);
+  const scenario = { ...brokenVariant.SCENARIO, faults: [DOUBLED] };
+  brokenVariant.expectCaught(
+    scenario,
+    { handleAgentEvent },
+    invariants.Invariant.ATTEMPT_STARTED_ONCE,
+  );
 });
 
 nodeTest.test('agent that takes offers meant for an earlier life', () => {
@@ -78,8 +41,12 @@
     told: true,
     downMs: 100,
   };
-  const scenario = { ...SCENARIO, faults: [DOUBLED, stopped] };
-  expectCaught(scenario, { handleAgentEvent }, invariants.Invariant.ATTEMPT_STARTED_ONCE);
+  const scenario = { ...brokenVariant.SCENARIO, faults: [DOUBLED, stopped] };
+  brokenVariant.expectCaught(
+    scenario,
+    { handleAgentEvent },
+    invariants.Invariant.ATTEMPT_STARTED_ONCE,
+  );
 });
 
 nodeTest.test('entry that takes a lost link for not run', () => {
@@ -101,8 +68,8 @@
     return [...effects, ...forged];
   };
   const closed: scenarios.FaultSpec = { atMs: 300, kind: 'linkClosed', entry: 0, agent: 0 };
-  const scenario = { ...SCENARIO, agents: 2, faults: [closed] };
-  expectCaught(scenario, { handleEntryEvent }, invariants.Invariant.DISPATCHED_ONCE);
+  const scenario = { ...brokenVariant.SCENARIO, agents: 2, faults: [closed] };
+  brokenVariant.expectCaught(scenario, { handleEntryEvent }, invariants.Invariant.DISPATCHED_ONCE);
 });
 
 nodeTest.test('entry that takes a timeout for not run', () => {
@@ -112,8 +79,11 @@
       .map((effect) =>
         effect.kind === 'answerFailure' ? { ...effect, runState: schema.RunState.NOT_RUN } : effect,
       );
-  const scenario = { ...SCENARIO, calls: [{ ...CALL, timeoutMs: 400 }] };
-  expectCaught(scenario, { handleEntryEvent }, invariants.Invariant.NOT_RUN_IS_TRUE);
+  const scenario = {
+    ...brokenVariant.SCENARIO,
+    calls: [{ ...brokenVariant.CALL, timeoutMs: 400 }],
+  };
+  brokenVariant.expectCaught(scenario, { handleEntryEvent }, invariants.Invariant.NOT_RUN_IS_TRUE);
 });
 
 nodeTest.test('entry that answers twice', () => {
@@ -123,7 +93,11 @@
       .flatMap((effect): core.EntryEffect[] =>
         effect.kind === 'answerEnd' ? [effect, effect] : [effect],
       );
-  expectCaught(SCENARIO, { handleEntryEvent }, invariants.Invariant.ONE_FINAL_ANSWER);
+  brokenVariant.expectCaught(
+    brokenVariant.SCENARIO,
+    { handleEntryEvent },
+    invariants.Invariant.ONE_FINAL_ANSWER,
+  );
 });
 
 nodeTest.test('entry that never answers', () => {
@@ -131,7 +105,11 @@
     core
       .handleEntryEvent(state, event, now)
       .filter((effect) => effect.kind !== 'answerEnd' && effect.kind !== 'answerFailure');
-  expectCaught(SCENARIO, { handleEntryEvent }, invariants.Invariant.ONE_FINAL_ANSWER);
+  brokenVariant.expectCaught(
+    brokenVariant.SCENARIO,
+    { handleEntryEvent },
+    invariants.Invariant.ONE_FINAL_ANSWER,
+  );
 });
 
 nodeTest.test('entry that takes any part', () => {
@@ -146,8 +124,8 @@
     }
     return core.handleEntryEvent(state, event, now);
   };
-  const scenario = { ...SCENARIO, faults: [DOUBLED] };
-  expectCaught(scenario, { handleEntryEvent }, invariants.Invariant.OWN_WHOLE_ANSWER);
+  const scenario = { ...brokenVariant.SCENARIO, faults: [DOUBLED] };
+  brokenVariant.expectCaught(scenario, { handleEntryEvent }, invariants.Invariant.OWN_WHOLE_ANSWER);
 });
 
 nodeTest.test('entry that offers to a leaving backend server', () => {
@@ -164,10 +142,10 @@
     return effects;
   };
   const published: scenarios.FaultSpec = { atMs: 0, kind: 'documentPublished', leaving: [0] };
-  const calls = [{ ...CALL, atMs: 2000, timeoutMs: 2000 }];
-  const scenario = { ...SCENARIO, calls, faults: [published] };
-  const broken = { handleEntryEvent, buildPolicy };
-  expectCaught(scenario, broken, invariants.Invariant.NO_OFFER_TO_LEAVING);
+  const calls = [{ ...brokenVariant.CALL, atMs: 2000, timeoutMs: 2000 }];
+  const scenario = { ...brokenVariant.SCENARIO, calls, faults: [published] };
+  const broken = { handleEntryEvent, buildPolicy: brokenVariant.buildPushPolicy };
+  brokenVariant.expectCaught(scenario, broken, invariants.Invariant.NO_OFFER_TO_LEAVING);
 });
 
 nodeTest.test('agent that goes on starting while it leaves', () => {
@@ -190,10 +168,10 @@
     return effects;
   };
   const published: scenarios.FaultSpec = { atMs: 0, kind: 'documentPublished', leaving: [0] };
-  const calls = [{ ...CALL, atMs: 7500, timeoutMs: 2000 }];
-  const scenario = { ...SCENARIO, calls, faults: [published] };
+  const calls = [{ ...brokenVariant.CALL, atMs: 7500, timeoutMs: 2000 }];
+  const scenario = { ...brokenVariant.SCENARIO, calls, faults: [published] };
   const broken = { handleAgentEvent, handleEntryEvent };
-  expectCaught(scenario, broken, invariants.Invariant.NO_START_AFTER_LEAVING);
+  brokenVariant.expectCaught(scenario, broken, invariants.Invariant.NO_START_AFTER_LEAVING);
 });
 
 nodeTest.test('entry that takes an older document', () => {
@@ -205,8 +183,12 @@
   };
   const published: scenarios.FaultSpec = { atMs: 0, kind: 'documentPublished', leaving: [] };
   const stale: scenarios.FaultSpec = { atMs: 2000, kind: 'documentStale', ms: 2000 };
-  const scenario = { ...SCENARIO, faults: [published, stale] };
-  expectCaught(scenario, { handleEntryEvent }, invariants.Invariant.VERSION_NEVER_DOWN);
+  const scenario = { ...brokenVariant.SCENARIO, faults: [published, stale] };
+  brokenVariant.expectCaught(
+    scenario,
+    { handleEntryEvent },
+    invariants.Invariant.VERSION_NEVER_DOWN,
+  );
 });
 
 nodeTest.test('agent that keeps its first document', () => {
@@ -215,8 +197,8 @@
       ? []
       : core.handleAgentEvent(state, event, now);
   const published: scenarios.FaultSpec = { atMs: 0, kind: 'documentPublished', leaving: [] };
-  const scenario = { ...SCENARIO, faults: [published] };
-  expectCaught(scenario, { handleAgentEvent }, invariants.Invariant.VERSION_SPREADS);
+  const scenario = { ...brokenVariant.SCENARIO, faults: [published] };
+  brokenVariant.expectCaught(scenario, { handleAgentEvent }, invariants.Invariant.VERSION_SPREADS);
 });
 
 nodeTest.test('entry that sheds whoever comes last', () => {
@@ -240,9 +222,13 @@
     told: true,
     downMs: 2000,
   };
-  const calls = [CALL, { ...CALL, urgent: true, atMs: 500 }];
-  const scenario = { ...SCENARIO, calls, faults: [stopped] };
-  expectCaught(scenario, { handleEntryEvent }, invariants.Invariant.SHED_LEAST_URGENT);
+  const calls = [brokenVariant.CALL, { ...brokenVariant.CALL, urgent: true, atMs: 500 }];
+  const scenario = { ...brokenVariant.SCENARIO, calls, faults: [stopped] };
+  brokenVariant.expectCaught(
+    scenario,
+    { handleEntryEvent },
+    invariants.Invariant.SHED_LEAST_URGENT,
+  );
 });
 
 nodeTest.test('agent that sheds whoever comes last', () => {
@@ -261,10 +247,16 @@
       const body = { case: 'notRun', value } as const;
       return { ...effect, message: schema.create(schema.AgentMessageSchema, { body }) };
     });
-  const calls = [CALL, CALL, CALL, CALL, { ...CALL, urgent: true, atMs: 150 }];
-  const scenario = { ...SCENARIO, calls };
-  const broken = { handleAgentEvent, buildPolicy };
-  expectCaught(scenario, broken, invariants.Invariant.SHED_LEAST_URGENT);
+  const calls = [
+    brokenVariant.CALL,
+    brokenVariant.CALL,
+    brokenVariant.CALL,
+    brokenVariant.CALL,
+    { ...brokenVariant.CALL, urgent: true, atMs: 150 },
+  ];
+  const scenario = { ...brokenVariant.SCENARIO, calls };
+  const broken = { handleAgentEvent, buildPolicy: brokenVariant.buildPushPolicy };
+  brokenVariant.expectCaught(scenario, broken, invariants.Invariant.SHED_LEAST_URGENT);
 });
 
 nodeTest.test('agent that stops at once', () => {
@@ -277,8 +269,12 @@
     return [...effects, { kind: 'stopped' }];
   };
   const shut: scenarios.FaultSpec = { atMs: 300, kind: 'agentShutDown', agent: 0, downMs: 1000 };
-  const scenario = { ...SCENARIO, faults: [shut] };
-  expectCaught(scenario, { handleAgentEvent }, invariants.Invariant.SHUTDOWN_CUTS_NOTHING);
+  const scenario = { ...brokenVariant.SCENARIO, faults: [shut] };
+  brokenVariant.expectCaught(
+    scenario,
+    { handleAgentEvent },
+    invariants.Invariant.SHUTDOWN_CUTS_NOTHING,
+  );
 });
 
 nodeTest.test('entry that resumes for another workspace', () => {
@@ -292,6 +288,10 @@
     return effects;
   };
   const closed: scenarios.FaultSpec = { atMs: 300, kind: 'linkClosed', entry: 0, agent: 0 };
-  const scenario = { ...SCENARIO, faults: [closed] };
-  expectCaught(scenario, { handleEntryEvent }, invariants.Invariant.PROGRAM_INVARIANT);
+  const scenario = { ...brokenVariant.SCENARIO, faults: [closed] };
+  brokenVariant.expectCaught(
+    scenario,
+    { handleEntryEvent },
+    invariants.Invariant.PROGRAM_INVARIANT,
+  );
 });
--- a/packages/proofs/src/mocks/process-scene.ts
+++ b/packages/proofs/src/mocks/process-scene.ts
@@ -137,12 +137,14 @@
 export async function addEntry(
   scene: Scene,
   platform: { port: number } = scene.platform,
+  extra: Record<string, unknown> = {},
 ): Promise<processFleet.Running> {
   const entry = await processFleet.startDaemon(scene.fleet, 'entry', {
     entryId: `entry-${scene.entries.length + 1}`,
     failureDomain: 'suva-loft',
     services: [SERVICE],
     platform: { configurationUrl: getPlatformUrl(platform) },
+    ...extra,
   });
   scene.entries.push(entry);
   await entry.waitForLine((line) => line.event === 'document');
--- a/packages/proofs/src/random-runs/found-scenarios.test.ts
+++ b/packages/proofs/src/random-runs/found-scenarios.test.ts
@@ -15,6 +15,7 @@
   timeoutMs: 300,
   leaveAfterMs: 0,
   poison: false,
+  plainKey: false,
   resends: [],
 };
 
--- a/packages/proofs/src/random-runs/run-scenario.ts
+++ b/packages/proofs/src/random-runs/run-scenario.ts
@@ -96,14 +96,27 @@
   return run;
 }
 
-/** Builds what a caller sends. */
-function buildPlan(spec: scenarios.CallSpec, contentId: string): virtualCallers.CallPlan {
+/** Builds a UUID of version 7, which says when it was issued. */
+function buildKey(issuedMs: number, serial: number): string {
+  const time = Math.floor(issuedMs).toString(16).padStart(12, '0');
+  const tail = serial.toString(16).padStart(12, '0');
+  return `${time.slice(0, 8)}-${time.slice(8)}-7000-8000-${tail}`;
+}
+
+/** Builds what a caller sends; its key says when it was issued, or not. */
+function buildPlan(
+  spec: scenarios.CallSpec,
+  contentId: string,
+  fleet: fleetState.VirtualFleet,
+): virtualCallers.CallPlan {
   const { promptTokens, answerTokens, stream, poison } = spec;
+  const timed = buildKey(fleet.nowMs, fleet.calls.length);
+  const key = spec.plainKey ? `key-${contentId}` : timed;
   return {
     service: SERVICE,
     path: spec.once ? '/v1/chat/completions' : '/v1/completions',
     token: spec.urgent ? 'brim-stall' : 'band-draft',
-    key: spec.resends.length > 0 ? `key-${contentId}` : '',
+    key: spec.resends.length > 0 ? key : '',
     timeoutMs: spec.timeoutMs,
     payload: { contentId, promptTokens, answerTokens, stream, crash: poison },
     prefixHashes: [],
@@ -113,7 +126,7 @@
 /** Sends one call, and again by its plan until one of them has completed. */
 function sendWithResends(run: Run, spec: scenarios.CallSpec, contentId: string): void {
   const { fleet } = run;
-  const plan = buildPlan(spec, contentId);
+  const plan = buildPlan(spec, contentId, fleet);
   const sent: virtualCallers.Call[] = [];
   const send = (entry: number) => {
     const ids = fleet.options.entryIds;
@@ -149,6 +162,7 @@
       timeoutMs: 2000 + Math.floor(drawRandom() * 5000),
       leaveAfterMs: 0,
       poison: false,
+      plainKey: false,
       resends: [],
     };
     sendWithResends(run, spec, `b${fault.atMs}-${index}-${run.fleet.calls.length}`);
--- a/packages/proofs/src/random-runs/scenario.ts
+++ b/packages/proofs/src/random-runs/scenario.ts
@@ -16,6 +16,8 @@
   /** When the caller leaves; 0 for never. */
   leaveAfterMs: number;
   poison: boolean;
+  /** The key does not say when it was issued. */
+  plainKey: boolean;
   /** Sent again with the same key, unless it completed by then. */
   resends: Resend[];
 };
@@ -87,6 +89,7 @@
       { weight: 1, arbitrary: fastCheck.integer({ min: 1, max: 3000 }) },
     ),
     poison: fastCheck.integer({ min: 0, max: 39 }).map((draw) => draw === 39),
+    plainKey: fastCheck.integer({ min: 0, max: 4 }).map((draw) => draw === 4),
     resends: fastCheck.oneof(
       { weight: 2, arbitrary: fastCheck.constant<Resend[]>([]) },
       {
--- a/packages/proofs/src/random-runs/soak.ts
+++ b/packages/proofs/src/random-runs/soak.ts
@@ -35,7 +35,7 @@
 function runSoak(minutes: number, firstSeed: number): boolean {
   const totals: Totals = { runs: 0, events: 0, calls: 0, virtualMs: 0, faults: {}, ends: {} };
   const untilMs = Date.now() + minutes * MS_PER_MINUTE;
-  const property = fastCheck.property(scenarios.buildScenarios({ resends: false }), (scenario) =>
+  const property = fastCheck.property(scenarios.buildScenarios({ resends: true }), (scenario) =>
     addRun(totals, runScenario.expectNoViolation(scenario)),
   );
   let seed = firstSeed;
