--- a/packages/entry/src/caller-rights.test.ts
+++ b/packages/entry/src/caller-rights.test.ts
@@ -16,7 +16,6 @@
     ];
     const document = schema.create(schema.ServiceDocumentSchema, {
       service,
-      version: 1,
       credentials,
       limits: { maxBodyBytes },
     });
