Tell a key that cannot be taken in as may have run

Cause: an entry that had just started and had no document told a caller who sent its key again that the request was not run, although the killed life before had handed it to an agent. The same holds for a token, path or size that another document allowed. Conclusion: without a key nothing changes; with one, only what the key came to is told as not run.

--- a/packages/core/src/entry/admission.ts
+++ b/packages/core/src/entry/admission.ts
@@ -22,9 +22,15 @@
 /** Requests of one entry whose keys are being claimed or closed, at most. */
 const MAX_CLAIMING = 4000;
 
-/** Rejects a request without running it. */
-function reject(code: schema.ResultCode): Rejected {
-  return { kind: 'rejected', failure: outcomes.buildNotRun(code) };
+/**
+ * Rejects a request without running it.
+ *
+ * The document may be missing or another one than an earlier call with the same
+ * key met. That call may have run; its caller, told otherwise, would order again.
+ */
+function reject(arrived: entryEvent.ArrivedRequest, code: schema.ResultCode): Rejected {
+  const failure = arrived.key === '' ? outcomes.buildNotRun(code) : outcomes.buildMayHaveRun(code);
+  return { kind: 'rejected', failure };
 }
 
 /** Computes when a request must be done, milliseconds since the Unix epoch. */
@@ -192,18 +198,18 @@
 ): Admitted | Rejected | Closing {
   const index = state.services.get(arrived.service)?.index;
   if (index === undefined) {
-    return reject(schema.ResultCode.UNKNOWN_SERVICE);
+    return reject(arrived, schema.ResultCode.UNKNOWN_SERVICE);
   }
   const credential = index.credentialByToken.get(arrived.tokenSha256);
   if (credential === undefined) {
-    return reject(schema.ResultCode.UNAUTHENTICATED);
+    return reject(arrived, schema.ResultCode.UNAUTHENTICATED);
   }
   const route = documentIndex.findRoute(index, arrived.path);
   if (route === undefined) {
-    return reject(schema.ResultCode.UNKNOWN_PATH);
+    return reject(arrived, schema.ResultCode.UNKNOWN_PATH);
   }
   if (arrived.payload.length > index.limits.maxBodyBytes) {
-    return reject(schema.ResultCode.BODY_TOO_LARGE);
+    return reject(arrived, schema.ResultCode.BODY_TOO_LARGE);
   }
   const keyFault = findKeyFault(state, arrived, now);
   if (keyFault !== undefined) {
--- a/packages/proofs/src/random-runs/found-scenarios.test.ts
+++ b/packages/proofs/src/random-runs/found-scenarios.test.ts
@@ -53,6 +53,24 @@
   });
 });
 
+// An entry is killed while it runs a keyed request, and started again while the
+// configuration service is out. The caller sends its key again, and the new life,
+// which knows no document yet, told it that the request was not run.
+nodeTest.test('key sent to an entry without a document', () => {
+  runScenario.expectNoViolation({
+    seed: 493662,
+    entries: 1,
+    agents: 1,
+    maxRunning: 1,
+    maxQueued: 1,
+    calls: [{ ...CALL, atMs: 4688, once: true, resends: [{ entry: 0, afterMs: 63 }] }, CALL],
+    faults: [
+      { atMs: 4700, kind: 'entryStopped', entry: 0, told: false, downMs: 50 },
+      { atMs: 0, kind: 'documentOut', ms: 4752 },
+    ],
+  });
+});
+
 // The document says that the only backend server leaves while requests wait in
 // its queue behind slow ones. Started later, they would keep it busy long after
 // the operators wanted it gone; it refuses them at once instead.
