Pass news of a crash on ahead of the next offer

Cause: an agent counts a crash on top of the crashes it has heard of. An entry kept the news of the first crash until its next heartbeat, so the second agent counted its own crash as the first and a third engine ran the content. Ruled out: the first agent's side; it sends its heartbeat before it reports the failed attempt. Conclusion: the bound of two holds for resends; two crashes at the same moment on two agents may still count as one (docs/design/backend-failures.md).

--- a/packages/core/src/entry/agent-links.ts
+++ b/packages/core/src/entry/agent-links.ts
@@ -93,7 +93,8 @@
     return [];
   }
   view.load = heartbeat.load;
-  suspects.mergeSuspects(state.suspects, heartbeat.suspects, now);
+  const learned = suspects.mergeSuspects(state.suspects, heartbeat.suspects, now);
+  const news = learned ? sendSuspects(state, now) : [];
   view.reportedLeaving = heartbeat.load?.leaving ?? false;
   membership.updateLeaving(view);
   const conflict = documentStore.noteVersion(state.documents, heartbeat.document);
@@ -104,7 +105,21 @@
   const ask = due
     ? [entryMessages.sendToAgent(backendServerId, { case: 'documentRequest', value: request })]
     : [];
-  return [...conflict, ...ask, ...parking.retryParked(state, view, now)];
+  return [...news, ...conflict, ...ask, ...parking.retryParked(state, view, now)];
+}
+
+/**
+ * Tells every agent of suspects at once.
+ *
+ * Content that crashed one engine may be sent again within milliseconds through
+ * this entry. An agent that had not heard of the first crash would count its own
+ * as the first, and a third engine would run the content. On each link the news
+ * goes ahead of any offer that follows, so the agent knows before it starts it.
+ */
+function sendSuspects(state: entryState.EntryState, now: number): Effects {
+  return [...state.agents.values()]
+    .filter((view) => view.linked && view.suspectsSent !== state.suspects.revision)
+    .flatMap((view) => sendHeartbeat(state, view, now));
 }
 
 /** Sends the document in force to an agent that asked for it. */
--- a/packages/runtime/src/core-task.ts
+++ b/packages/runtime/src/core-task.ts
@@ -4,7 +4,7 @@
  */
 
 /** Milliseconds between ticks; what is due by time alone is late by this much at most. */
-const TICK_MS = 25;
+const TICK_MS = 50;
 
 export type CoreTask<Event, Effect> = {
   /** Applies the event before it returns, unless another is being applied. */
