--- a/packages/measure/src/capacity/daemon-slopes.ts
+++ b/packages/measure/src/capacity/daemon-slopes.ts
@@ -22,18 +22,27 @@
 const LONG_TOKENS = 104;
 const IDLE_MS = 8000;
 const MS_PER_SECOND = 1000;
-/** Heartbeat intervals at which a process at rest is measured, milliseconds. */
-const OFTEN_MS = 20;
-const SELDOM_MS = 2000;
+/** Entries, and agents, of the scene at rest; each has links to all of the others. */
+const REST_SIZE = 6;
+/** Heartbeat intervals of the scene at rest, milliseconds: multiples of a tick. */
+const OFTEN_MS = 150;
+const SELDOM_MS = 3000;
+/** Less than the interval, so that the tick at its end is never a moment too early. */
+const EARLY_MS = 20;
 
 /** Lists the processes that are measured, by role. */
-function listRoles(scene: proofs.Scene): Record<string, number> {
+function listRoles(scene: proofs.Scene): Record<string, number[]> {
   return {
-    entry: scene.entries[0].child.pid ?? 0,
-    agent: scene.runners[0].agent.child.pid ?? 0,
+    entry: scene.entries.map((entry) => entry.child.pid ?? 0),
+    agent: scene.runners.map((runner) => runner.agent.child.pid ?? 0),
   };
 }
 
+/** Computes the mean over the processes of a role. */
+function computeMean(pids: readonly number[], read: (pid: number) => number): number {
+  return pids.reduce((sum, pid) => sum + read(pid), 0) / pids.length;
+}
+
 /** Measures the processor time that some work takes, by role, milliseconds. */
 async function measureSpent(
   scene: proofs.Scene,
@@ -41,7 +50,9 @@
 ): Promise<Record<string, number>> {
   const roles = listRoles(scene);
   const read = () =>
-    Object.entries(roles).map(([name, pid]) => [name, processCost.readProcessorMs(pid)] as const);
+    Object.entries(roles).map(
+      ([name, pids]) => [name, computeMean(pids, processCost.readProcessorMs)] as const,
+    );
   const before = new Map(read());
   await work();
   return Object.fromEntries(read().map(([name, ms]) => [name, ms - (before.get(name) ?? 0)]));
@@ -83,10 +94,13 @@
 /** Measures the share of a core that a process takes at rest, by role. */
 async function measureRest(
   scene: proofs.Scene,
-  heartbeatIntervalMs: number,
+  intervalMs: number,
 ): Promise<Record<string, number>> {
-  const heartbeatTimeoutMs = 5 * SELDOM_MS;
-  proofs.publishNext(scene, { timing: { heartbeatIntervalMs, heartbeatTimeoutMs } });
+  const timing = {
+    heartbeatIntervalMs: intervalMs - EARLY_MS,
+    heartbeatTimeoutMs: 5 * SELDOM_MS,
+  };
+  proofs.publishNext(scene, { timing });
   await timers.setTimeout(MS_PER_SECOND);
   const spent = await measureSpent(scene, () => timers.setTimeout(IDLE_MS));
   return Object.fromEntries(Object.entries(spent).map(([name, ms]) => [name, ms / IDLE_MS]));
@@ -94,31 +108,60 @@
 
 /** Works out the processor time of one heartbeat each way, milliseconds. */
 function computePerHeartbeat(often: number, seldom: number): number {
-  const perSecond = MS_PER_SECOND / OFTEN_MS - MS_PER_SECOND / SELDOM_MS;
+  const perSecond = REST_SIZE * (MS_PER_SECOND / OFTEN_MS - MS_PER_SECOND / SELDOM_MS);
   return ((often - seldom) * MS_PER_SECOND) / perSecond;
 }
 
-/** Measures the daemons over loopback, one entry and one agent. */
-export async function measureDaemons(): Promise<DaemonSlopes> {
+type RestSlopes = Pick<DaemonSlopes, 'restShare' | 'perHeartbeat'>;
+
+/** Measures daemons that have links and no requests. */
+async function measureIdleDaemons(): Promise<RestSlopes> {
+  const scene = await proofs.startScene({ runners: REST_SIZE, entries: REST_SIZE });
+  try {
+    const seldom = await measureRest(scene, SELDOM_MS);
+    const often = await measureRest(scene, OFTEN_MS);
+    const perHeartbeat = Object.fromEntries(
+      Object.keys(seldom).map((role) => [role, computePerHeartbeat(often[role], seldom[role])]),
+    );
+    const seldomPerSecond = (REST_SIZE * MS_PER_SECOND) / SELDOM_MS;
+    const restShare = Object.fromEntries(
+      Object.entries(seldom).map(([role, share]) => [
+        role,
+        share - (perHeartbeat[role] * seldomPerSecond) / MS_PER_SECOND,
+      ]),
+    );
+    return { restShare, perHeartbeat };
+  } finally {
+    proofs.stopScene(scene);
+  }
+}
+
+/** Measures one entry and one agent at work. */
+async function measureBusyDaemons(): Promise<Omit<DaemonSlopes, keyof RestSlopes>> {
   const scene = await proofs.startScene({ runners: 1, entries: 1 });
   try {
     await measureRequests(scene, SHORT_TOKENS);
     const short = await measureRequests(scene, SHORT_TOKENS);
     const long = await measureRequests(scene, LONG_TOKENS);
     const roles = Object.entries(listRoles(scene));
-    const toTable = (read: (role: string, pid: number) => number) =>
-      Object.fromEntries(roles.map(([role, pid]) => [role, read(role, pid)]));
-    const residentBytes = toTable((_role, pid) => processCost.readResidentBytes(pid));
-    const seldom = await measureRest(scene, SELDOM_MS);
-    const often = await measureRest(scene, OFTEN_MS);
+    const toTable = (read: (role: string, pids: number[]) => number) =>
+      Object.fromEntries(roles.map(([role, pids]) => [role, read(role, pids)]));
+    const residentBytes = toTable((_role, pids) =>
+      computeMean(pids, processCost.readResidentBytes),
+    );
     return {
       perRequest: toTable((role) => computeSlopes(short, long, role)[0]),
       perToken: toTable((role) => computeSlopes(short, long, role)[1]),
-      restShare: seldom,
-      perHeartbeat: toTable((role) => computePerHeartbeat(often[role], seldom[role])),
       residentBytes,
     };
   } finally {
     proofs.stopScene(scene);
   }
 }
+
+/** Measures the daemons over loopback, busy and at rest. */
+export async function measureDaemons(): Promise<DaemonSlopes> {
+  const busy = await measureBusyDaemons();
+  const rest = await measureIdleDaemons();
+  return { ...busy, ...rest };
+}
--- a/packages/proofs/src/model/key-protocol.ts
+++ b/packages/proofs/src/model/key-protocol.ts
@@ -188,15 +188,13 @@
   }
   const known = agent.records[ref];
   if (message.kind === 'offer') {
-    if (known === undefined || (!safeguards.offerRecords && known === 'started')) {
-      agent.records[ref] = 'queued';
-    }
-    return;
+    const startsAgain = !safeguards.offerRecords && known === 'started';
+    agent.records[ref] = known === undefined || startsAgain ? 'queued' : known;
+  } else if (known === undefined && safeguards.tombstones) {
+    agent.records[ref] = 'notRun';
   }
-  if (known === undefined) {
-    if (safeguards.tombstones) {
-      agent.records[ref] = 'notRun';
-    }
+  const isUnknown = message.kind === 'resume' && known === undefined;
+  if (isUnknown || agent.records[ref] === 'notRun') {
     send(world, { kind: 'word', ref, word: 'notRun' });
   }
 }
