Name things by the field's terms and answer entries' questions in one place

Cause: the read-through met words that a newcomer has to guess (wish, blame, condemned, bury) and the same three checks twice in offers.ts. Before: withdraw and resume each checked reference, life and record. No behaviour changed.

--- a/packages/core/src/agent/admission.ts
+++ b/packages/core/src/agent/admission.ts
@@ -12,7 +12,7 @@
 type Effects = agentEvent.AgentEffect[];
 
 /** What an offer and a reservation have in common. */
-export type Wish = {
+export type Demand = {
   requestId: string;
   tierRank: number;
   workspace: string;
@@ -24,10 +24,10 @@
   | { kind: 'admitted'; effects: Effects }
   | { kind: 'refused'; effects: Effects; code: schema.ResultCode };
 
-/** Says why nothing may be taken in now, or that this wish is too late. */
+/** Says why nothing may be taken in now, or that this demand is too late. */
 export function findRefusal(
   state: agentState.AgentState,
-  wish: Wish,
+  demand: Demand,
   now: number,
 ): schema.ResultCode | undefined {
   if (state.leaving) {
@@ -36,7 +36,7 @@
   if (!state.engineAvailable) {
     return schema.ResultCode.NO_BACKEND_SERVER;
   }
-  return now >= wish.deadlineMs ? schema.ResultCode.DEADLINE_UNREACHABLE : undefined;
+  return now >= demand.deadlineMs ? schema.ResultCode.DEADLINE_UNREACHABLE : undefined;
 }
 
 /** Tells whether the start queue has reached its bound. */
@@ -71,7 +71,7 @@
   ];
 }
 
-/** Asserts that nothing less urgent waits while a wish is refused for want of room. */
+/** Asserts that nothing less urgent waits while a demand is refused for want of room. */
 function assertNoneLessUrgent(state: agentState.AgentState, tierRank: number): Effects {
   const broken =
     startQueue.findLessUrgent(state.queue, tierRank) !== undefined ||
@@ -81,20 +81,20 @@
     : [];
 }
 
-/** Takes a wish in, evicting less urgent work where the queue is full. */
-export function admit(state: agentState.AgentState, wish: Wish, now: number): Admission {
-  const refusal = findRefusal(state, wish, now);
+/** Takes a demand in, evicting less urgent work where the queue is full. */
+export function admit(state: agentState.AgentState, demand: Demand, now: number): Admission {
+  const refusal = findRefusal(state, demand, now);
   if (refusal !== undefined) {
     return { kind: 'refused', effects: [], code: refusal };
   }
-  if (!reachability.isQueuedReachable(state, wish, now)) {
+  if (!reachability.isQueuedReachable(state, demand, now)) {
     return { kind: 'refused', effects: [], code: schema.ResultCode.DEADLINE_UNREACHABLE };
   }
   const effects: Effects = [];
   while (isFull(state)) {
-    const evicted = evictLessUrgent(state, wish.tierRank, now);
+    const evicted = evictLessUrgent(state, demand.tierRank, now);
     if (evicted.length === 0) {
-      effects.push(...assertNoneLessUrgent(state, wish.tierRank));
+      effects.push(...assertNoneLessUrgent(state, demand.tierRank));
       return { kind: 'refused', effects, code: schema.ResultCode.QUEUE_FULL };
     }
     effects.push(...evicted);
--- a/packages/core/src/agent/crash-blame.ts
+++ b/packages/core/src/agent/crash-suspects.ts
@@ -26,18 +26,18 @@
   return entryLinks.sendHeartbeats(state, now);
 }
 
-/** Learns what others know of crashes and refuses what they have condemned. */
+/** Learns what others know of crashes and refuses what they have blocked. */
 export function mergeHeard(
   state: agentState.AgentState,
   heard: readonly schema.Suspect[],
   now: number,
 ): Effects {
   const changed = suspects.mergeSuspects(state.suspects, heard, now);
-  return changed ? refusals.refuseCondemned(state, now) : [];
+  return changed ? refusals.refuseBlocked(state, now) : [];
 }
 
 /** Clears the content of an attempt that the engine answered whole. */
-export function clearBlame(
+export function clearSuspicion(
   state: agentState.AgentState,
   record: runRecord.RunRecord,
   now: number,
--- a/packages/core/src/agent/engine-runs.ts
+++ b/packages/core/src/agent/engine-runs.ts
@@ -5,7 +5,7 @@
 import * as agentMessages from './agent-messages.js';
 import * as agentState from './agent-state.js';
 import * as answers from './answers.js';
-import * as crashBlame from './crash-blame.js';
+import * as crashSuspects from './crash-suspects.js';
 import * as engineLimit from './engine-limit.js';
 import * as engineAvailability from './engine-availability.js';
 import * as refusals from './refusals.js';
@@ -31,7 +31,7 @@
   const effects = answers.addPart(record, { case: 'end', value: end });
   record.subscribers.clear();
   answers.keepAnswer(state, record);
-  const cleared = crashBlame.clearBlame(state, record, now);
+  const cleared = crashSuspects.clearSuspicion(state, record, now);
   return [...effects, ...cleared, ...runs.startQueued(state, now)];
 }
 
@@ -75,7 +75,7 @@
   ];
 }
 
-/** Takes the engine out of use and puts the blame for its crash down. */
+/** Takes the engine out of use and records what ran at its crash. */
 function handleCrash(
   state: agentState.AgentState,
   record: runRecord.RunRecord,
@@ -86,7 +86,7 @@
   const noted = record.crashed
     ? []
     : [
-        ...crashBlame.recordCrash(state, now),
+        ...crashSuspects.recordCrash(state, now),
         ...engineAvailability.setAvailable(state, false, now),
       ];
   return [...noted, ...failRun(state, record, agentEvent.EngineFault.CRASHED, now)];
--- a/packages/core/src/agent/handle-agent-event.ts
+++ b/packages/core/src/agent/handle-agent-event.ts
@@ -6,7 +6,7 @@
 import * as agentState from './agent-state.js';
 import * as answers from './answers.js';
 import * as claims from './claims.js';
-import * as crashBlame from './crash-blame.js';
+import * as crashSuspects from './crash-suspects.js';
 import * as engineAvailability from './engine-availability.js';
 import * as engineRuns from './engine-runs.js';
 import * as entryLinks from './entry-links.js';
@@ -38,7 +38,7 @@
     case 'heartbeat':
       return [
         ...entryLinks.handleHeartbeat(state, linkId, body.value, now),
-        ...crashBlame.mergeHeard(state, body.value.suspects, now),
+        ...crashSuspects.mergeHeard(state, body.value.suspects, now),
       ];
     case 'offer':
       return offers.acceptOffer(state, linkId, body.value, now);
--- a/packages/core/src/agent/offers.ts
+++ b/packages/core/src/agent/offers.ts
@@ -29,13 +29,13 @@
   const { requestId } = record.ref;
   reservations.dropQueued(state, requestId);
   const held = holds.dropHold(state, requestId) !== undefined;
-  const wish = { ...offer, requestId };
+  const demand = { ...offer, requestId };
   // A suspect waits until nothing else runs, also where a place is held for it.
   const alone = suspects.isSuspect(state.suspects, offer.contentDigest);
-  if (held && !alone && admission.findRefusal(state, wish, now) === undefined) {
+  if (held && !alone && admission.findRefusal(state, demand, now) === undefined) {
     return runs.startOne(state, record, now);
   }
-  const admitted = admission.admit(state, wish, now);
+  const admitted = admission.admit(state, demand, now);
   if (admitted.kind === 'refused') {
     return [
       ...admitted.effects,
@@ -99,7 +99,7 @@
   if (isStale(state, offer, now)) {
     return refusals.refuseAttempt(state, record, schema.ResultCode.STALE_OFFER, now);
   }
-  return suspects.isCondemned(state.suspects, offer.contentDigest)
+  return suspects.isBlocked(state.suspects, offer.contentDigest)
     ? refusals.refuseAttempt(state, record, schema.ResultCode.CONTENT_REFUSED, now)
     : enqueueOffer(state, record, offer, now);
 }
@@ -112,7 +112,7 @@
  * have expired: an entry that was paused asks late, and "not run" would be
  * wrong for an attempt that ran and was forgotten.
  */
-function findOrBury(
+function findOrMakeTombstone(
   state: agentState.AgentState,
   ref: schema.AttemptRef,
   issuedMs: number,
@@ -139,6 +139,34 @@
   return [agentMessages.sendToEntry(linkId, body)];
 }
 
+/** What withdrawals and resumptions have in common. */
+type Question = { ref?: schema.AttemptRef; agentLife: string; issuedMs: number };
+
+type Answer =
+  | { kind: 'known'; record: runRecord.RunRecord }
+  /** This agent cannot say what became of the attempt, or was not asked. */
+  | { kind: 'untold'; effects: Effects };
+
+/** Finds the attempt that an entry asks about. */
+function findAsked(
+  state: agentState.AgentState,
+  linkId: number,
+  question: Question,
+  now: number,
+): Answer {
+  const { ref } = question;
+  if (ref === undefined) {
+    return { kind: 'untold', effects: [] };
+  }
+  if (question.agentLife !== state.life) {
+    return { kind: 'untold', effects: replyOtherLife(linkId, ref) };
+  }
+  const record = findOrMakeTombstone(state, ref, question.issuedMs, now);
+  return record === undefined
+    ? { kind: 'untold', effects: replyForgotten(linkId, ref) }
+    : { kind: 'known', record };
+}
+
 /** Answers an entry that wants an attempt confirmed as not run. */
 export function withdraw(
   state: agentState.AgentState,
@@ -146,17 +174,11 @@
   request: schema.Withdraw,
   now: number,
 ): Effects {
-  const { ref } = request;
-  if (ref === undefined) {
-    return [];
-  }
-  if (request.agentLife !== state.life) {
-    return replyOtherLife(linkId, ref);
-  }
-  const record = findOrBury(state, ref, request.issuedMs, now);
-  if (record === undefined) {
-    return replyForgotten(linkId, ref);
+  const answer = findAsked(state, linkId, request, now);
+  if (answer.kind === 'untold') {
+    return answer.effects;
   }
+  const { record } = answer;
   if (record.status !== runRecord.RunStatus.QUEUED) {
     return answers.subscribe(record, linkId, record.parts.length);
   }
@@ -171,21 +193,15 @@
   request: schema.Resume,
   now: number,
 ): Effects {
-  const { ref } = request;
-  if (ref === undefined) {
-    return [];
-  }
-  if (request.agentLife !== state.life) {
-    return replyOtherLife(linkId, ref);
-  }
-  const record = findOrBury(state, ref, request.issuedMs, now);
-  if (record === undefined) {
-    return replyForgotten(linkId, ref);
+  const answer = findAsked(state, linkId, request, now);
+  if (answer.kind === 'untold') {
+    return answer.effects;
   }
+  const { record } = answer;
   // An entry that asks for another workspace's attempt has crossed its
   // requests; answering would show one workspace's work to another.
   if (record.offer !== undefined && record.offer.workspace !== request.workspace) {
-    const body = agentMessages.buildRunFailed(ref, schema.ResultCode.KEY_UNDECIDED);
+    const body = agentMessages.buildRunFailed(record.ref, schema.ResultCode.KEY_UNDECIDED);
     return [
       effect.observe({ kind: 'invariantBroken', name: 'workspace-crossed' }),
       agentMessages.sendToEntry(linkId, body),
@@ -202,7 +218,7 @@
   now: number,
 ): Effects {
   const { ref } = request;
-  const record = ref && findOrBury(state, ref, request.issuedMs, now);
+  const record = ref && findOrMakeTombstone(state, ref, request.issuedMs, now);
   if (record === undefined) {
     return [];
   }
--- a/packages/core/src/agent/places.ts
+++ b/packages/core/src/agent/places.ts
@@ -5,7 +5,7 @@
 import * as startQueue from './start-queue.js';
 
 /** What an attempt or reservation asks of the engine. */
-export type Wish = {
+export type Demand = {
   tierRank: number;
   estimatedTokens: number;
   /** A suspect: nothing else may run beside it. */
@@ -44,7 +44,7 @@
 }
 
 /** Tells whether the engine has a place for one more, and notes what holds it back. */
-export function hasRoom(state: agentState.AgentState, wish: Wish): boolean {
+export function hasRoom(state: agentState.AgentState, demand: Demand): boolean {
   const limits = agentState.getLimits(state);
   if (!state.engineAvailable || state.soloRefKey !== '') {
     return false;
@@ -53,15 +53,15 @@
   if (used === 0) {
     return true;
   }
-  if (wish.alone) {
+  if (demand.alone) {
     return false;
   }
   const percent = limits.urgentHeadroomPercent;
   const { limit } = state;
-  const places = keepHeadroom(engineLimit.getPlaces(limit, limits), wish.tierRank, percent);
-  const tokens = keepHeadroom(engineLimit.getTokens(limit, limits), wish.tierRank, percent);
+  const places = keepHeadroom(engineLimit.getPlaces(limit, limits), demand.tierRank, percent);
+  const tokens = keepHeadroom(engineLimit.getTokens(limit, limits), demand.tierRank, percent);
   const heldByPlaces = used >= places;
-  const heldByTokens = countUsedTokens(state) + wish.estimatedTokens > tokens;
+  const heldByTokens = countUsedTokens(state) + demand.estimatedTokens > tokens;
   limit.heldByPlaces = limit.heldByPlaces || heldByPlaces;
   limit.heldByTokens = limit.heldByTokens || heldByTokens;
   return !heldByPlaces && !heldByTokens;
--- a/packages/core/src/agent/reachability.ts
+++ b/packages/core/src/agent/reachability.ts
@@ -5,7 +5,7 @@
 import * as engineSpeed from './engine-speed.js';
 import * as startQueue from './start-queue.js';
 
-type Wish = {
+type Demand = {
   tierRank: number;
   workspace: string;
   estimatedTokens: number;
@@ -19,11 +19,11 @@
 /** Tells whether a run that starts now can end by its deadline. */
 export function isRunReachable(
   state: agentState.AgentState,
-  wish: Wish,
+  demand: Demand,
   waitMs: number,
   now: number,
 ): boolean {
-  if (now >= wish.deadlineMs) {
+  if (now >= demand.deadlineMs) {
     return false;
   }
   // An idle engine takes whatever comes: a measure from slow times would else
@@ -31,20 +31,24 @@
   if (state.running.size === 0) {
     return true;
   }
-  const runMs = engineSpeed.estimateRunMs(state.speed, wish.estimatedTokens);
-  return now + waitMs + runMs <= wish.deadlineMs;
+  const runMs = engineSpeed.estimateRunMs(state.speed, demand.estimatedTokens);
+  return now + waitMs + runMs <= demand.deadlineMs;
 }
 
-/** Tells whether a wish that is queued now can end by its deadline. */
-export function isQueuedReachable(state: agentState.AgentState, wish: Wish, now: number): boolean {
+/** Tells whether a demand that is queued now can end by its deadline. */
+export function isQueuedReachable(
+  state: agentState.AgentState,
+  demand: Demand,
+  now: number,
+): boolean {
   const ahead = startQueue.estimateTokensAhead(
     state.queue,
-    wish.tierRank,
-    wish.workspace,
-    wish.estimatedTokens,
+    demand.tierRank,
+    demand.workspace,
+    demand.estimatedTokens,
   );
   const waitMs = engineSpeed.estimateWaitMs(state.speed, ahead);
-  return isRunReachable(state, wish, waitMs, now);
+  return isRunReachable(state, demand, waitMs, now);
 }
 
 /** Estimates when it is worth asking again, milliseconds from now. */
--- a/packages/core/src/agent/refusals.ts
+++ b/packages/core/src/agent/refusals.ts
@@ -95,17 +95,17 @@
 }
 
 /** Tells whether an item is an attempt whose content is refused. */
-function isCondemned(state: agentState.AgentState, item: startQueue.QueuedItem): boolean {
+function isBlocked(state: agentState.AgentState, item: startQueue.QueuedItem): boolean {
   const digest = state.runs.get(item.id)?.offer?.contentDigest ?? '';
   const isAttempt = item.kind === startQueue.QueuedKind.ATTEMPT;
-  return isAttempt && suspects.isCondemned(state.suspects, digest);
+  return isAttempt && suspects.isBlocked(state.suspects, digest);
 }
 
 /** Refuses queued attempts whose content has crashed engines too often. */
-export function refuseCondemned(state: agentState.AgentState, now: number): Effects {
+export function refuseBlocked(state: agentState.AgentState, now: number): Effects {
   return startQueue
     .listItems(state.queue)
-    .filter((item) => isCondemned(state, item))
+    .filter((item) => isBlocked(state, item))
     .flatMap((item) => refuseItem(state, item, schema.ResultCode.CONTENT_REFUSED, now));
 }
 
--- a/packages/core/src/agent/reservation.ts
+++ b/packages/core/src/agent/reservation.ts
@@ -1,7 +1,7 @@
 /** Places asked for without the request itself, and places held for one. */
 import * as schema from '@toucanproxy/schema';
 
-/** A queued wish for a place. */
+/** A queued demand for a place. */
 export type Reservation = {
   linkId: number;
   reserve: schema.Reserve;
--- a/packages/core/src/agent/reservations.test.ts
+++ b/packages/core/src/agent/reservations.test.ts
@@ -42,7 +42,7 @@
 });
 
 nodeTest.test('a closed link gives its places up', () => {
-  // The link of an entry closes with one place held and one wish queued. The
+  // The link of an entry closes with one place held and one demand queued. The
   // other entry's request gets the place, and nothing is granted to nobody.
   const agent = bench.createBench({ maxRunning: 1 });
   bench.reserve(agent, 'held');
@@ -79,7 +79,7 @@
 });
 
 nodeTest.test('a leaving agent refuses reservations and frees its places', () => {
-  // SIGTERM comes while a place is held and a wish is queued. Both entries are
+  // SIGTERM comes while a place is held and a demand is queued. Both entries are
   // told at once, and the offer for the held place is confirmed as not run.
   const agent = bench.createBench({ maxRunning: 1 });
   bench.reserve(agent, 'held');
--- a/packages/core/src/agent/run-record.ts
+++ b/packages/core/src/agent/run-record.ts
@@ -33,7 +33,7 @@
   changedMs: number;
   /** Set once the bytes of an ended answer have been dropped. */
   answerDropped: boolean;
-  /** Set once the attempt has been cut short on its entry's wish. */
+  /** Set once the attempt has been cut short at its entry's request. */
   cancelled: boolean;
   /** Set once a crash of the engine has been put down to this attempt. */
   crashed: boolean;
--- a/packages/core/src/agent/runs.ts
+++ b/packages/core/src/agent/runs.ts
@@ -113,7 +113,7 @@
 }
 
 /** Says what an item asks of the engine. */
-function toWish(state: agentState.AgentState, item: startQueue.QueuedItem): places.Wish {
+function toDemand(state: agentState.AgentState, item: startQueue.QueuedItem): places.Demand {
   const { tierRank, estimatedTokens } = item;
   const digest = state.runs.get(item.id)?.offer?.contentDigest ?? '';
   return { tierRank, estimatedTokens, alone: suspects.isSuspect(state.suspects, digest) };
@@ -125,7 +125,7 @@
   const effects: Effects = [];
   for (;;) {
     const item = startQueue.findNext(state.queue);
-    if (item === undefined || !places.hasRoom(state, toWish(state, item))) {
+    if (item === undefined || !places.hasRoom(state, toDemand(state, item))) {
       return effects;
     }
     // Work that cannot end in time would only take the place of work that can.
--- a/packages/core/src/entry/admission.ts
+++ b/packages/core/src/entry/admission.ts
@@ -179,7 +179,7 @@
   if (state.shutdownStarted) {
     return outcomes.buildNotRun(schema.ResultCode.SHUTTING_DOWN, FULL_RETRY_AFTER_MS);
   }
-  if (suspects.isCondemned(state.suspects, arrived.contentDigest)) {
+  if (suspects.isBlocked(state.suspects, arrived.contentDigest)) {
     return outcomes.buildNotRun(schema.ResultCode.CONTENT_REFUSED);
   }
   const service = entryState.getService(state, arrived.service);
--- a/packages/core/src/entry/asking.ts
+++ b/packages/core/src/entry/asking.ts
@@ -22,7 +22,7 @@
 ): Effects {
   const { contentDigest, prefixHashes } = request.arrived;
   // The content may have crashed a second engine while this request waited.
-  if (suspects.isCondemned(state.suspects, contentDigest)) {
+  if (suspects.isBlocked(state.suspects, contentDigest)) {
     const failure = outcomes.buildNotRun(schema.ResultCode.CONTENT_REFUSED);
     return outcomes.fail(state, request, failure, now);
   }
--- a/packages/core/src/shared/suspects.test.ts
+++ b/packages/core/src/shared/suspects.test.ts
@@ -39,15 +39,15 @@
     suspects.recordCrash(list, `innocent-${index}`, false, 3 + index);
   });
   assert.equal(suspects.listSuspects(list).length, suspects.MAX_SUSPECTS);
-  assert.equal(suspects.isCondemned(list, 'poison'), true);
+  assert.equal(suspects.isBlocked(list, 'poison'), true);
   suspects.expireSuspects(list, 2 + suspects.SUSPECT_KEEP_MS);
   assert.equal(suspects.isSuspect(list, 'poison'), false);
 });
 
-nodeTest.test('crashes in company never condemn', () => {
+nodeTest.test('crashes in company never block', () => {
   const list = suspects.createSuspects();
   suspects.recordCrash(list, 'innocent', false, 1);
   suspects.recordCrash(list, 'innocent', false, 2);
   assert.equal(suspects.isSuspect(list, 'innocent'), true);
-  assert.equal(suspects.isCondemned(list, 'innocent'), false);
+  assert.equal(suspects.isBlocked(list, 'innocent'), false);
 });
--- a/packages/core/src/shared/suspects.ts
+++ b/packages/core/src/shared/suspects.ts
@@ -38,7 +38,7 @@
 }
 
 /** Tells whether content is refused. */
-export function isCondemned(suspects: Suspects, contentDigest: string): boolean {
+export function isBlocked(suspects: Suspects, contentDigest: string): boolean {
   return countCrashes(suspects, contentDigest) >= MAX_CRASHES;
 }
 
