Wait for two reads as long as two pauses may last

Cause: configuration out, then older waits for two calls that bring nothing new; each is followed by a pause of 10 to 20 s, and the wait was 30 s. Ruled out: the entry, which never went back. After: the bound is 60 s; 2 passed, 0 failed; the asserts are the same. The whole run before this change: 281 passed, 0 failed. Conclusion: the verdict no longer depends on the draws.

--- a/packages/proofs/src/failures-configuration.test.ts
+++ b/packages/proofs/src/failures-configuration.test.ts
@@ -26,6 +26,9 @@
     .map((line) => line.version as number);
 }
 
+/** Two calls that bring nothing new pause for up to 20 s each; half as long again, milliseconds. */
+const TWO_READS_MS = 60_000;
+
 /** Waits until a process has taken a version. */
 function waitForVersion(
   running: processFleet.Running,
@@ -82,7 +85,8 @@
 
   service.setOutage(false);
   const reads = service.countReads();
-  await processScene.waitUntil('reads of the old one', () => service.countReads() > reads + 1);
+  const hasReadTwice = () => service.countReads() > reads + 1;
+  await processScene.waitUntil('reads of the old one', hasReadTwice, TWO_READS_MS);
   const after = { prompt: 'still new', token: NEW_TOKEN };
   assert.equal((await processScene.sendChat(entry, after)).status, 200);
   assert.deepEqual(listVersions(entry), [1, 2]);
--- a/packages/proofs/src/mocks/process-scene.ts
+++ b/packages/proofs/src/mocks/process-scene.ts
@@ -46,8 +46,12 @@
 const TIMING = { heartbeatIntervalMs: 100, heartbeatTimeoutMs: 1000 };
 
 /** Waits until a condition holds. */
-export async function waitUntil(what: string, holds: () => boolean): Promise<void> {
-  const untilMs = Date.now() + WAIT_MS;
+export async function waitUntil(
+  what: string,
+  holds: () => boolean,
+  waitMs = WAIT_MS,
+): Promise<void> {
+  const untilMs = Date.now() + waitMs;
   while (!holds()) {
     if (Date.now() > untilMs) {
       throw new Error(`not reached: ${what}`);
