--- a/packages/measure/src/run-load.ts
+++ b/packages/measure/src/run-load.ts
@@ -1,6 +1,7 @@
 /** Runs one load on one deployment under one policy, on a virtual fleet. */
 import * as core from '@toucanproxy/core';
 import * as proofs from '@toucanproxy/proofs';
+import * as arrivals from './arrivals.js';
 import * as controlBytes from './control-bytes.js';
 import * as deployments from './deployment.js';
 import * as tally from './tally.js';
@@ -42,52 +43,6 @@
   proofs.publishDocument(platform, document);
 }
 
-/** Draws the class of the next request. */
-function drawClass(
-  drawRandom: () => number,
-  classes: readonly deployments.RequestClass[],
-): deployments.RequestClass {
-  const [first, ...rest] = classes;
-  let left = drawRandom();
-  let chosen = first;
-  [first, ...rest].some((one) => {
-    chosen = one;
-    left -= one.share;
-    return left < 0;
-  });
-  return chosen;
-}
-
-/** Draws a size between its bounds, tokens. */
-function drawSize(drawRandom: () => number, [low, high]: [number, number]): number {
-  return Math.round(proofs.drawBetween(drawRandom, low, high));
-}
-
-/** Builds one request. */
-function buildPlan(
-  service: string,
-  one: deployments.RequestClass,
-  contentId: string,
-  drawRandom: () => number,
-): proofs.CallPlan {
-  const once = drawRandom() < 0.5;
-  return {
-    service,
-    path: once ? '/v1/chat/completions' : '/v1/completions',
-    token: one.token,
-    key: '',
-    timeoutMs: one.timeoutMs,
-    payload: {
-      contentId,
-      promptTokens: drawSize(drawRandom, one.promptTokens),
-      answerTokens: drawSize(drawRandom, one.answerTokens),
-      stream: drawRandom() < 0.7,
-      crash: false,
-    },
-    prefixHashes: [],
-  };
-}
-
 /**
  * Picks the entry that the platform's balancer sends a request to: the one
  * drawn, or the next that is up and has its document. A real balancer learns of
@@ -103,23 +58,18 @@
   return ready ?? inTurn[0];
 }
 
-/** Schedules arrivals at random times; the same seed gives the same requests to any policy. */
+/** Schedules the requests of a load. */
 function scheduleArrivals(fleet: proofs.VirtualFleet, options: LoadOptions): void {
   const { deployment, load, durationMs, seed } = options;
-  const drawRandom = proofs.createRandomSource(seed + 7919);
-  const ratePerMs = (deployments.estimateCapacity(deployment) * load) / MS_PER_SECOND;
-  let atMs = 0;
-  let serial = 0;
-  while (atMs < durationMs) {
-    atMs += -Math.log(1 - drawRandom()) / ratePerMs;
-    serial += 1;
-    const one = drawClass(drawRandom, deployment.classes);
-    const plan = buildPlan(deployment.name, one, `w${serial}`, drawRandom);
-    const drawn = Math.floor(drawRandom() * deployment.entries);
-    proofs.schedule(fleet, atMs, () => {
-      proofs.sendCall(fleet, pickEntry(fleet, drawn), plan);
+  arrivals.listArrivals(deployment, load, durationMs, seed).forEach((arrival) => {
+    const { one, path, payload } = arrival;
+    const { token, timeoutMs } = one;
+    const service = deployment.name;
+    const plan = { service, path, token, key: '', timeoutMs, payload, prefixHashes: [] };
+    proofs.schedule(fleet, arrival.atMs, () => {
+      proofs.sendCall(fleet, pickEntry(fleet, arrival.entry), plan);
     });
-  }
+  });
 }
 
 /** Schedules the faults. */
--- a/packages/measure/src/tally.ts
+++ b/packages/measure/src/tally.ts
@@ -10,6 +10,8 @@
   /** Told as not run. */
   notRun: number;
   firstByteMs: number[];
+  /** Times to the end of those completed in time. */
+  completedMs: number[];
 };
 
 export type Tally = {
@@ -86,10 +88,19 @@
 
 /** Counts one call into its tier and the table of refusals. */
 function countCall(tally: Tally, tier: string, call: proofs.Call): void {
-  const counts = tally.tiers[tier] ?? { sent: 0, inTime: 0, notRun: 0, firstByteMs: [] };
+  const counts = tally.tiers[tier] ?? {
+    sent: 0,
+    inTime: 0,
+    notRun: 0,
+    firstByteMs: [],
+    completedMs: [],
+  };
   tally.tiers[tier] = counts;
   counts.sent += 1;
-  counts.inTime += isInTime(call) ? 1 : 0;
+  if (isInTime(call)) {
+    counts.inTime += 1;
+    counts.completedMs.push(call.endedMs - call.sentMs);
+  }
   if (call.heads > 0) {
     counts.firstByteMs.push(call.firstByteMs - call.sentMs);
   }
--- a/packages/proofs/src/index.ts
+++ b/packages/proofs/src/index.ts
@@ -12,5 +12,14 @@
 export * from './mocks/virtual-processes.js';
 export { applyFault } from './random-runs/apply-fault.js';
 export type { FaultSpec } from './random-runs/scenario.js';
-export { publishNext, sendChat, startScene, stopScene, type Scene } from './mocks/process-scene.js';
+export {
+  addEntry,
+  addRunner,
+  createScene,
+  publishNext,
+  sendChat,
+  startScene,
+  stopScene,
+  type Scene,
+} from './mocks/process-scene.js';
 export type { Running } from './mocks/process-fleet.js';
