--- a/packages/proofs/src/model/explore.ts
+++ b/packages/proofs/src/model/explore.ts
@@ -1,41 +1,37 @@
-/** Explores the specification with the adjacency map of `xstate/graph`. */
+/** Explores a specification with the adjacency map of `xstate/graph`. */
 import * as crypto from 'node:crypto';
 import * as xstate from 'xstate';
 import * as graph from 'xstate/graph';
 
-import * as keyProtocolProperties from './key-protocol-properties.js';
-import * as keyProtocolSteps from './key-protocol-steps.js';
-import * as model from './world.js';
+/** A world of plain data, its steps, and what must hold in it. */
+export type Specification<World, Step extends { type: string }> = {
+  initial: World;
+  listSteps: (world: World) => Step[];
+  /** Gives a new world; the one before stays as it was. */
+  applyStep: (world: World, step: Step) => World;
+  /** Names the properties that a world breaks. */
+  findBroken: (world: World) => string[];
+  /** Writes a world as text: equal worlds, and only they, give equal text. */
+  formatWorld: (world: World) => string;
+};
 
-export type Exploration = {
+export type Exploration<Step> = {
   states: number;
-  /** Property broken first, with the steps that lead there; undefined where none is. */
-  broken: { properties: string[]; steps: keyProtocolSteps.Step[] } | undefined;
+  /** Properties broken first, with the steps that lead there; undefined where none is. */
+  broken: { properties: string[]; steps: Step[] } | undefined;
 };
 
-type Origin = { step: keyProtocolSteps.Step; before: model.World };
-type Logic = ReturnType<typeof buildLogic>;
-type WorldSnapshot = xstate.SnapshotFrom<Logic>;
-
-type Apply = (world: model.World, step: keyProtocolSteps.Step) => model.World;
-
-/** Wraps the specification as the logic of an actor. */
-function buildLogic(apply: Apply, bounds: keyProtocolSteps.Bounds) {
-  return xstate.fromTransition(apply, model.makeWorld(bounds.restarts, bounds.attempts));
-}
+type Origin<World, Step> = { step: Step; before: World };
 
-/** Hashes a world; equal worlds, and only they, give equal text. */
-function hashWorld(world: model.World): string {
-  const network = world.network.map(model.formatMessage).sort();
-  const { agents, calls, starts, restartsLeft } = world;
-  const text = JSON.stringify([agents, calls, network, starts, restartsLeft]);
+/** Hashes the text of a world. */
+function hashWorld(text: string): string {
   // Digests keep the explorer's map small; SHA-1 does not collide by chance.
   return crypto.createHash('sha1').update(text).digest('base64');
 }
 
 /** Lists the steps that led to a world. */
-function listTrace(origins: Map<model.World, Origin>, world: model.World): keyProtocolSteps.Step[] {
-  const steps: keyProtocolSteps.Step[] = [];
+function listTrace<World, Step>(origins: Map<World, Origin<World, Step>>, world: World): Step[] {
+  const steps: Step[] = [];
   let origin = origins.get(world);
   while (origin !== undefined) {
     steps.unshift(origin.step);
@@ -45,31 +41,31 @@
 }
 
 /** Explores every reachable world; ends at the first that breaks a property. */
-export function explore(
-  safeguards: model.Safeguards,
-  bounds: keyProtocolSteps.Bounds,
-): Exploration {
-  const results = new WeakMap<keyProtocolSteps.Step, model.World>();
-  const apply: Apply = (world, step) =>
-    results.get(step) ?? keyProtocolSteps.applyStep(world, step, safeguards);
-  const logic = buildLogic(apply, bounds);
-  const origins = new Map<model.World, Origin>();
+export function explore<World extends object, Step extends { type: string }>(
+  specification: Specification<World, Step>,
+): Exploration<Step> {
+  const { initial, listSteps, findBroken, formatWorld } = specification;
+  const results = new WeakMap<Step, World>();
+  const apply = (world: World, step: Step): World =>
+    results.get(step) ?? specification.applyStep(world, step);
+  const logic = xstate.fromTransition(apply, initial);
+  type WorldSnapshot = xstate.SnapshotFrom<typeof logic>;
+  const origins = new Map<World, Origin<World, Step>>();
   const seen = new Set<string>();
-  let broken: Exploration['broken'];
+  let broken: Exploration<Step>['broken'];
 
   const serializeState = (
-    snapshot: WorldSnapshot,
-    step: keyProtocolSteps.Step | undefined,
+    { context: world }: WorldSnapshot,
+    step: Step | undefined,
     before?: WorldSnapshot,
   ) => {
-    const { context: world } = snapshot;
     if (step !== undefined && before !== undefined && !origins.has(world)) {
       origins.set(world, { step, before: before.context });
     }
-    return hashWorld(world);
+    return hashWorld(formatWorld(world));
   };
   const stopWhen = ({ context: world }: WorldSnapshot) => {
-    const properties = keyProtocolProperties.findBroken(world);
+    const properties = findBroken(world);
     if (broken === undefined && properties.length > 0) {
       broken = { properties, steps: listTrace(origins, world) };
     }
@@ -77,19 +73,19 @@
   };
   // The explorer keeps every edge it is given. Edges to worlds it knows already
   // add nothing to what is reachable.
-  const filterEvents = ({ context: world }: WorldSnapshot, step: keyProtocolSteps.Step) => {
+  const filterEvents = ({ context: world }: WorldSnapshot, step: Step) => {
     const next = apply(world, step);
-    const key = hashWorld(next);
-    results.set(step, next);
+    const key = hashWorld(formatWorld(next));
     const isNew = !seen.has(key);
     seen.add(key);
+    results.set(step, next);
     return isNew;
   };
   const map = graph.getAdjacencyMap(logic, {
     serializeState,
     stopWhen,
     filterEvents,
-    events: ({ context: world }: WorldSnapshot) => keyProtocolSteps.listSteps(world, bounds),
+    events: ({ context: world }: WorldSnapshot) => listSteps(world),
   });
   return { states: Object.keys(map).length, broken };
 }
--- a/packages/proofs/src/model/key-protocol.test.ts
+++ b/packages/proofs/src/model/key-protocol.test.ts
@@ -1,6 +1,8 @@
 import * as assert from 'node:assert/strict';
 import * as nodeTest from 'node:test';
 import * as explore from './explore.js';
+import * as keyProtocolSteps from './key-protocol-steps.js';
+import * as keySpecification from './key-specification.js';
 import * as model from './world.js';
 
 // Two calls with one key, through two entries, over a network that loses,
@@ -12,8 +14,10 @@
 const RESTART = { restarts: 1, attempts: [1, 0], versions: [1] };
 
 /** Asserts that a bound explores whole and clean, with this many states. */
-function expectClean(bounds: Parameters<typeof explore.explore>[1], states: number): void {
-  const exploration = explore.explore(model.ALL_SAFEGUARDS, bounds);
+function expectClean(bounds: keyProtocolSteps.Bounds, states: number): void {
+  const exploration = explore.explore(
+    keySpecification.buildKeySpecification(model.ALL_SAFEGUARDS, bounds),
+  );
   assert.deepEqual(exploration.broken, undefined);
   assert.equal(exploration.states, states);
 }
@@ -22,7 +26,7 @@
 function expectFault(safeguard: keyof model.Safeguards, property: string): void {
   const safeguards = { ...model.ALL_SAFEGUARDS, [safeguard]: false };
   const bounds = { restarts: 1, attempts: [1, 1], versions: [1, 2] };
-  const exploration = explore.explore(safeguards, bounds);
+  const exploration = explore.explore(keySpecification.buildKeySpecification(safeguards, bounds));
   assert.ok(exploration.broken?.properties.includes(property), JSON.stringify(exploration.broken));
 }
 
--- a/packages/proofs/src/model/main.ts
+++ b/packages/proofs/src/model/main.ts
@@ -1,5 +1,6 @@
 /** Explores the specification within wide bounds: `npm run model`. Takes minutes. */
 import * as explore from './explore.js';
+import * as keySpecification from './key-specification.js';
 import * as model from './world.js';
 
 const BOUNDS = [
@@ -16,7 +17,9 @@
 
 /** Explores one bound with every safeguard in place; true where nothing broke. */
 function run(bounds: (typeof BOUNDS)[number]): boolean {
-  const { states, broken } = explore.explore(model.ALL_SAFEGUARDS, bounds);
+  const { states, broken } = explore.explore(
+    keySpecification.buildKeySpecification(model.ALL_SAFEGUARDS, bounds),
+  );
   const verdict = broken === undefined ? 'holds' : `broken: ${broken.properties.join(', ')}`;
   print(`${JSON.stringify(bounds)} states ${states} ${verdict}`);
   broken?.steps.forEach((step) => print(`  ${JSON.stringify(step)}`));
