Move the queue that both cores use to shared

Cause: the entry's waiting queue imported a module of the agent, against the layout that says who may import whom. Before: entry/parking.ts and others took agent/start-queue.ts. After: it stands in core/src/shared with its test; no import crosses from one core to the other. Conclusion: no behaviour changed.

--- a/packages/core/src/agent/admission.ts
+++ b/packages/core/src/agent/admission.ts
@@ -7,7 +7,7 @@
 import * as refusals from './refusals.js';
 import * as reservation from './reservation.js';
 import * as runs from './runs.js';
-import * as startQueue from './start-queue.js';
+import * as startQueue from '../shared/start-queue.js';
 
 type Effects = agentEvent.AgentEffect[];
 
--- a/packages/core/src/agent/agent-state.ts
+++ b/packages/core/src/agent/agent-state.ts
@@ -9,7 +9,7 @@
 import * as reservation from './reservation.js';
 import * as runMemory from './run-memory.js';
 import * as runRecord from './run-record.js';
-import * as startQueue from './start-queue.js';
+import * as startQueue from '../shared/start-queue.js';
 
 /** One entry at the other end of a link. */
 export type EntryLink = {
--- a/packages/core/src/agent/entry-links.ts
+++ b/packages/core/src/agent/entry-links.ts
@@ -6,7 +6,7 @@
 import * as agentMessages from './agent-messages.js';
 import * as agentState from './agent-state.js';
 import * as places from './places.js';
-import * as startQueue from './start-queue.js';
+import * as startQueue from '../shared/start-queue.js';
 
 type Effects = agentEvent.AgentEffect[];
 
--- a/packages/core/src/agent/handle-agent-event.ts
+++ b/packages/core/src/agent/handle-agent-event.ts
@@ -18,7 +18,7 @@
 import * as reservations from './reservations.js';
 import * as runMemory from './run-memory.js';
 import * as runs from './runs.js';
-import * as startQueue from './start-queue.js';
+import * as startQueue from '../shared/start-queue.js';
 
 type Effects = agentEvent.AgentEffect[];
 type EventOf<K extends agentEvent.AgentEvent['kind']> = Extract<agentEvent.AgentEvent, { kind: K }>;
--- a/packages/core/src/agent/offers.ts
+++ b/packages/core/src/agent/offers.ts
@@ -15,7 +15,7 @@
 import * as runMemory from './run-memory.js';
 import * as runRecord from './run-record.js';
 import * as runs from './runs.js';
-import * as startQueue from './start-queue.js';
+import * as startQueue from '../shared/start-queue.js';
 
 type Effects = agentEvent.AgentEffect[];
 
--- a/packages/core/src/agent/places.ts
+++ b/packages/core/src/agent/places.ts
@@ -2,7 +2,7 @@
 import * as agentState from './agent-state.js';
 import * as engineLimit from './engine-limit.js';
 import * as engineSpeed from './engine-speed.js';
-import * as startQueue from './start-queue.js';
+import * as startQueue from '../shared/start-queue.js';
 
 /** What an attempt or reservation asks of the engine. */
 export type Demand = {
--- a/packages/core/src/agent/reachability.ts
+++ b/packages/core/src/agent/reachability.ts
@@ -3,7 +3,7 @@
 import * as suspects from '../shared/suspects.js';
 import * as agentState from './agent-state.js';
 import * as engineSpeed from './engine-speed.js';
-import * as startQueue from './start-queue.js';
+import * as startQueue from '../shared/start-queue.js';
 
 type Demand = {
   tierRank: number;
--- a/packages/core/src/agent/refusals.ts
+++ b/packages/core/src/agent/refusals.ts
@@ -11,7 +11,7 @@
 import * as reservation from './reservation.js';
 import * as runMemory from './run-memory.js';
 import * as runRecord from './run-record.js';
-import * as startQueue from './start-queue.js';
+import * as startQueue from '../shared/start-queue.js';
 
 type Effects = agentEvent.AgentEffect[];
 
--- a/packages/core/src/agent/reservations.ts
+++ b/packages/core/src/agent/reservations.ts
@@ -13,7 +13,7 @@
 import * as holds from './holds.js';
 import * as refusals from './refusals.js';
 import * as runs from './runs.js';
-import * as startQueue from './start-queue.js';
+import * as startQueue from '../shared/start-queue.js';
 
 type Effects = agentEvent.AgentEffect[];
 
--- a/packages/core/src/agent/runs.ts
+++ b/packages/core/src/agent/runs.ts
@@ -17,7 +17,7 @@
 import * as refusals from './refusals.js';
 import * as runMemory from './run-memory.js';
 import * as runRecord from './run-record.js';
-import * as startQueue from './start-queue.js';
+import * as startQueue from '../shared/start-queue.js';
 
 type Effects = agentEvent.AgentEffect[];
 
--- a/packages/core/src/entry/accounts.ts
+++ b/packages/core/src/entry/accounts.ts
@@ -2,7 +2,7 @@
  * Moves requests between the sets that the entry counts them in. Every count
  * is kept as requests move, so that no decision scans what is held.
  */
-import * as startQueue from '../agent/start-queue.js';
+import * as startQueue from '../shared/start-queue.js';
 import * as attemptRef from '../shared/attempt-ref.js';
 import * as priorityHeap from '../shared/priority-heap.js';
 import * as drainRate from './drain-rate.js';
--- a/packages/core/src/entry/parking.ts
+++ b/packages/core/src/entry/parking.ts
@@ -1,6 +1,6 @@
 /** Requests that wait in the entry until an agent has room for them. */
 import * as schema from '@toucanproxy/schema';
-import * as startQueue from '../agent/start-queue.js';
+import * as startQueue from '../shared/start-queue.js';
 import * as effect from '../shared/effect.js';
 import * as accounts from './accounts.js';
 import * as asking from './asking.js';
--- a/packages/core/src/entry/service-state.ts
+++ b/packages/core/src/entry/service-state.ts
@@ -1,5 +1,5 @@
 /** What an entry keeps for one service beside its requests. */
-import * as startQueue from '../agent/start-queue.js';
+import * as startQueue from '../shared/start-queue.js';
 import * as documentIndex from '../shared/document-index.js';
 import * as costModel from './cost-model.js';
 import * as drainRate from './drain-rate.js';
--- a/packages/core/src/entry/shedding.ts
+++ b/packages/core/src/entry/shedding.ts
@@ -1,6 +1,6 @@
 /** Keeps the waiting requests of a service within their bound. */
 import * as schema from '@toucanproxy/schema';
-import * as startQueue from '../agent/start-queue.js';
+import * as startQueue from '../shared/start-queue.js';
 import * as effect from '../shared/effect.js';
 import * as accounts from './accounts.js';
 import * as asking from './asking.js';
--- a/packages/core/src/agent/start-queue.test.ts
+++ b/packages/core/src/shared/start-queue.test.ts
@@ -2,7 +2,7 @@
 import * as nodeTest from 'node:test';
 import * as fastCheck from 'fast-check';
 import * as schema from '@toucanproxy/schema';
-import * as bench from './mocks/agent-bench.js';
+import * as bench from '../agent/mocks/agent-bench.js';
 import * as startQueue from './start-queue.js';
 
 const ITEM: startQueue.QueuedItem = {
