Let the linter check who may import whom

Cause: the entry's core imported from the agent's and nothing said so. Before: a layout by habit. Conclusion: the layout holds by check.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -43,6 +43,12 @@
   },
 ];
 
+/** Says which folders a file may not import from; docs/STYLE.md has the table. */
+const forbidImports = (...group) => ({
+  'no-restricted-imports': ['error', { patterns: [{ group, message: 'See docs/STYLE.md.' }] }],
+});
+const TEST_ONLY = ['@toucanproxy/stand-ins', '@toucanproxy/proofs', '@toucanproxy/measure'];
+
 export default [
   { ignores: ['**/dist/**', '**/node_modules/**', '**/generated/**'] },
   airbnb.plugins.stylistic,
@@ -96,6 +102,26 @@
     ignores: ['**/*.test.ts'],
     rules: { 'no-restricted-syntax': [...restrictedSyntax, ...coreRestrictions] },
   },
+  {
+    files: ['packages/{schema,core,runtime,entry,agent,cli}/src/**/*.ts'],
+    ignores: ['**/*.test.ts', '**/mocks/**'],
+    rules: forbidImports('**/mocks/*', ...TEST_ONLY),
+  },
+  {
+    files: ['packages/core/src/agent/**/*.ts'],
+    ignores: ['**/*.test.ts', '**/mocks/**'],
+    rules: forbidImports('**/mocks/*', '../entry/*', ...TEST_ONLY),
+  },
+  {
+    files: ['packages/core/src/shared/**/*.ts'],
+    ignores: ['**/*.test.ts', '**/mocks/**'],
+    rules: forbidImports('**/mocks/*', '../agent/*', '../entry/*', ...TEST_ONLY),
+  },
+  {
+    files: ['packages/core/src/entry/**/*.ts'],
+    ignores: ['**/*.test.ts', '**/mocks/**'],
+    rules: forbidImports('**/mocks/*', '../agent/*', ...TEST_ONLY),
+  },
   {
     files: ['**/*.test.ts'],
     rules: { 'max-lines-per-function': 'off' },
