Index a document once for the core and the daemon

Before: two maps of up to 15,000 credentials for each document; three types of one name. After: getDocumentIndex serves both; PlaceDemand and TimedDemand are told apart. Conclusion: no behaviour changed.

--- a/packages/core/src/agent/places.ts
+++ b/packages/core/src/agent/places.ts
@@ -5,7 +5,7 @@
 import * as startQueue from '../shared/start-queue.js';
 
 /** What an attempt or reservation asks of the engine. */
-export type Demand = {
+export type PlaceDemand = {
   tierRank: number;
   estimatedTokens: number;
   /** A suspect: nothing else may run beside it. */
@@ -44,7 +44,7 @@
 }
 
 /** Tells whether the engine has a place for one more, and notes what holds it back. */
-export function hasRoom(state: agentState.AgentState, demand: Demand): boolean {
+export function hasRoom(state: agentState.AgentState, demand: PlaceDemand): boolean {
   const limits = agentState.getLimits(state);
   if (!state.engineAvailable || state.soloRefKey !== '') {
     return false;
--- a/packages/core/src/agent/reachability.ts
+++ b/packages/core/src/agent/reachability.ts
@@ -5,7 +5,8 @@
 import * as engineSpeed from './engine-speed.js';
 import * as startQueue from '../shared/start-queue.js';
 
-type Demand = {
+/** What has to end by a deadline. */
+type TimedDemand = {
   tierRank: number;
   workspace: string;
   estimatedTokens: number;
@@ -19,7 +20,7 @@
 /** Tells whether a run that starts now can end by its deadline. */
 export function isRunReachable(
   state: agentState.AgentState,
-  demand: Demand,
+  demand: TimedDemand,
   waitMs: number,
   now: number,
 ): boolean {
@@ -38,7 +39,7 @@
 /** Tells whether a demand that is queued now can end by its deadline. */
 export function isQueuedReachable(
   state: agentState.AgentState,
-  demand: Demand,
+  demand: TimedDemand,
   now: number,
 ): boolean {
   const ahead = startQueue.estimateTokensAhead(
--- a/packages/core/src/agent/runs.ts
+++ b/packages/core/src/agent/runs.ts
@@ -113,7 +113,7 @@
 }
 
 /** Says what an item asks of the engine. */
-function toDemand(state: agentState.AgentState, item: startQueue.QueuedItem): places.Demand {
+function toDemand(state: agentState.AgentState, item: startQueue.QueuedItem): places.PlaceDemand {
   const { tierRank, estimatedTokens } = item;
   const digest = state.runs.get(item.id)?.offer?.contentDigest ?? '';
   return { tierRank, estimatedTokens, alone: suspects.isSuspect(state.suspects, digest) };
--- a/packages/core/src/entry/handle-entry-event.ts
+++ b/packages/core/src/entry/handle-entry-event.ts
@@ -128,7 +128,7 @@
     return documentStore.noteRefused(state.documents, event.stored);
   }
   const service = entryState.getService(state, document.service);
-  service.index = documentIndex.buildDocumentIndex(document);
+  service.index = documentIndex.getDocumentIndex(document);
   service.lastLinkedMs = service.lastLinkedMs || now;
   const closed = membership.applyBackendServers(state, document, now);
   return [
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -7,6 +7,7 @@
 export * from './agent/index.js';
 export * from './entry/index.js';
 export * from './shared/attempt-ref.js';
+export { getDocumentIndex, type DocumentIndex } from './shared/document-index.js';
 export * from './shared/document-store.js';
 export * from './shared/document-timing.js';
 export * from './shared/effect.js';
--- a/packages/core/src/shared/document-index.ts
+++ b/packages/core/src/shared/document-index.ts
@@ -16,8 +16,17 @@
   limits: documentTiming.Limits;
 };
 
+const indexes = new WeakMap<schema.ServiceDocument, DocumentIndex>();
+
+/** Gets the index of a document, built the first time; documents in force never change. */
+export function getDocumentIndex(document: schema.ServiceDocument): DocumentIndex {
+  const index = indexes.get(document) ?? buildDocumentIndex(document);
+  indexes.set(document, index);
+  return index;
+}
+
 /** Indexes a document. */
-export function buildDocumentIndex(document: schema.ServiceDocument): DocumentIndex {
+function buildDocumentIndex(document: schema.ServiceDocument): DocumentIndex {
   const routes = [...document.routes];
   routes.sort((a, b) => b.pathPrefix.length - a.pathPrefix.length);
   return {
--- a/packages/entry/src/caller-rights.ts
+++ b/packages/entry/src/caller-rights.ts
@@ -5,23 +5,12 @@
 export type CallerRights =
   { kind: 'granted'; maxBodyBytes: number } | { kind: 'refused'; code: schema.ResultCode };
 
-type CredentialsByToken = Map<string, schema.Credential>;
-
-const credentialsByDocument = new WeakMap<schema.ServiceDocument, CredentialsByToken>();
-
 /** Finds the credential of a token in one document. */
 function findCredential(
   document: schema.ServiceDocument | undefined,
   tokenSha256: string,
 ): schema.Credential | undefined {
-  if (document === undefined) {
-    return undefined;
-  }
-  const known =
-    credentialsByDocument.get(document) ??
-    new Map(document.credentials.map((one) => [one.tokenSha256, one]));
-  credentialsByDocument.set(document, known);
-  return known.get(tokenSha256);
+  return document && core.getDocumentIndex(document).credentialByToken.get(tokenSha256);
 }
 
 /** Finds the workspace of a token; empty where the service does not know it. */
