--- a/packages/core/src/entry/accounts.ts
+++ b/packages/core/src/entry/accounts.ts
@@ -5,7 +5,7 @@
 import * as startQueue from '../shared/start-queue.js';
 import * as attemptRef from '../shared/attempt-ref.js';
 import * as priorityHeap from '../shared/priority-heap.js';
-import * as drainRate from './drain-rate.js';
+import * as drainRate from '../shared/drain-rate.js';
 import * as entryState from './entry-state.js';
 import * as heldAttempts from './held-attempts.js';
 import * as serviceState from './service-state.js';
--- a/packages/core/src/entry/asking.ts
+++ b/packages/core/src/entry/asking.ts
@@ -9,7 +9,7 @@
 import * as outcomes from './outcomes.js';
 import * as prefixMemory from './prefix-memory.js';
 import * as reservationBook from './reservation-book.js';
-import * as retryBudget from './retry-budget.js';
+import * as retryBudget from '../shared/retry-budget.js';
 
 type Effects = entryEvent.EntryEffect[];
 
--- a/packages/core/src/entry/repeats.ts
+++ b/packages/core/src/entry/repeats.ts
@@ -6,7 +6,7 @@
 import * as entryEvent from './entry-event.js';
 import * as entryState from './entry-state.js';
 import * as outcomes from './outcomes.js';
-import * as retryBudget from './retry-budget.js';
+import * as retryBudget from '../shared/retry-budget.js';
 import * as shedding from './shedding.js';
 
 type Effects = entryEvent.EntryEffect[];
--- a/packages/core/src/entry/service-state.ts
+++ b/packages/core/src/entry/service-state.ts
@@ -2,10 +2,10 @@
 import * as startQueue from '../shared/start-queue.js';
 import * as documentIndex from '../shared/document-index.js';
 import * as costModel from './cost-model.js';
-import * as drainRate from './drain-rate.js';
+import * as drainRate from '../shared/drain-rate.js';
 import * as durationModel from './duration-model.js';
 import * as prefixMemory from './prefix-memory.js';
-import * as retryBudget from './retry-budget.js';
+import * as retryBudget from '../shared/retry-budget.js';
 
 export type ServiceState = {
   service: string;
--- a/packages/core/src/entry/shedding.ts
+++ b/packages/core/src/entry/shedding.ts
@@ -5,7 +5,7 @@
 import * as accounts from './accounts.js';
 import * as asking from './asking.js';
 import * as candidates from './candidates.js';
-import * as drainRate from './drain-rate.js';
+import * as drainRate from '../shared/drain-rate.js';
 import * as entryEvent from './entry-event.js';
 import * as entryMessages from './entry-messages.js';
 import * as entryState from './entry-state.js';
--- /dev/null
+++ b/packages/core/src/gateway/attempt-end.ts
@@ -0,0 +1,153 @@
+/** What follows when a backend server has ended an attempt without a good answer. */
+import * as schema from '@toucanproxy/schema';
+import * as assignment from './assignment.js';
+import * as backendServers from './backend-servers.js';
+import * as gatewayRequest from './gateway-request.js';
+import * as gatewayState from './gateway-state.js';
+import * as refusal from './refusal.js';
+import * as requestEnd from './request-end.js';
+import * as serverLoad from './server-load.js';
+import * as turnAway from './turn-away.js';
+import * as waiting from './waiting.js';
+
+export enum AttemptFault {
+  /** No connection: no byte of the request left. */
+  UNREACHABLE = 'unreachable',
+  /** The backend server says that it did not run the request, as it is full. */
+  REFUSED = 'refused',
+  /** Another backend server is at the address, and did not run the request. */
+  MISDIRECTED = 'misdirected',
+  /** The backend server answered with a failure of its own. */
+  FAILED = 'failed',
+  /** The connection ended, or its bytes are no answer to this request. */
+  BROKEN = 'broken',
+}
+
+export type AttemptVerdict =
+  /** It waits again. */
+  | { kind: 'again' }
+  /** Its caller gets the failure of the backend server. */
+  | { kind: 'passFailure' }
+  | { kind: 'refuse'; refusal: refusal.Refusal };
+
+/** Sends of one request at most, those that did not run included. */
+const MAX_SENDS = 4;
+/** Pause in a stream that callers bear, milliseconds. */
+const RESUME_TARGET_MS = 400;
+/** Time that a further attempt needs at least, milliseconds. */
+const MIN_TIME_LEFT_MS = 20;
+
+const NOT_RUN = new Set([
+  AttemptFault.UNREACHABLE,
+  AttemptFault.REFUSED,
+  AttemptFault.MISDIRECTED,
+]);
+
+/** Notes what a fault says of the backend server. */
+function noteServerFault(
+  state: gatewayState.GatewayState,
+  serverId: string,
+  fault: AttemptFault,
+  now: number,
+): void {
+  const load = gatewayState.getLoad(state, serverId);
+  switch (fault) {
+    case AttemptFault.UNREACHABLE:
+    case AttemptFault.REFUSED:
+      serverLoad.pauseServer(load, now);
+      return;
+    case AttemptFault.MISDIRECTED:
+      backendServers.noteDisplaced(state.servers, serverId);
+      return;
+    default:
+      serverLoad.recordAnswer(load, false);
+  }
+}
+
+/** Tells whether one more attempt is allowed. */
+function isAgainAllowed(
+  state: gatewayState.GatewayState,
+  request: gatewayRequest.GatewayRequest,
+  notRun: boolean,
+  now: number,
+): boolean {
+  const { route } = request;
+  const runsLeft = notRun || (request.repeatable && request.runs < route.maxAttempts);
+  const timeLeft = request.giveUpMs - now > MIN_TIME_LEFT_MS;
+  return (
+    runsLeft &&
+    timeLeft &&
+    request.sends < MAX_SENDS &&
+    assignment.takeRepeat(state, request.service, now)
+  );
+}
+
+/** Builds the refusal of a request that is not tried again. */
+function buildRefusal(
+  state: gatewayState.GatewayState,
+  request: gatewayRequest.GatewayRequest,
+  fault: AttemptFault,
+): refusal.Refusal {
+  if (request.runs > 0) {
+    const code =
+      fault === AttemptFault.BROKEN
+        ? schema.ResultCode.ANSWER_BROKEN
+        : schema.ResultCode.ENGINE_FAILED;
+    return refusal.buildRefusal(code);
+  }
+  const { drain, queue } = gatewayState.getServiceWork(state, request.service);
+  const advice = turnAway.drawRetryAfter(drain, queue, state.drawRandom);
+  return refusal.buildRefusal(schema.ResultCode.NO_BACKEND_SERVER, advice);
+}
+
+/**
+ * Puts a request back to waiting. A caller that has a part of a stream already
+ * leaves after a short pause, so that the rest goes before everything else.
+ */
+function waitAgain(
+  state: gatewayState.GatewayState,
+  request: gatewayRequest.GatewayRequest,
+  hasBegun: boolean,
+  now: number,
+): void {
+  request.phase = gatewayRequest.RequestPhase.WAITING;
+  if (hasBegun) {
+    request.urgency = 0;
+    request.targetMs = now + RESUME_TARGET_MS;
+  }
+  waiting.enqueueRequest(state, request, now);
+}
+
+/**
+ * Decides what becomes of a request whose attempt has failed.
+ *
+ * @param hasBegun whether the caller has a part of the answer
+ */
+export function handleAttemptFault(
+  state: gatewayState.GatewayState,
+  request: gatewayRequest.GatewayRequest,
+  fault: AttemptFault,
+  hasBegun: boolean,
+  now: number,
+): AttemptVerdict {
+  const { serverId } = request;
+  const notRun = NOT_RUN.has(fault);
+  request.runs += notRun ? 0 : 1;
+  if (serverId !== undefined) {
+    noteServerFault(state, serverId, fault, now);
+    request.triedIds.add(serverId);
+  }
+  requestEnd.releaseServer(state, request);
+  if (isAgainAllowed(state, request, notRun, now)) {
+    waitAgain(state, request, hasBegun, now);
+    return { kind: 'again' };
+  }
+  if (request.runs === 0) {
+    requestEnd.endWithoutRun(state, request);
+  } else {
+    requestEnd.endRequest(state, request);
+  }
+  return fault === AttemptFault.FAILED
+    ? { kind: 'passFailure' }
+    : { kind: 'refuse', refusal: buildRefusal(state, request, fault) };
+}
--- /dev/null
+++ b/packages/core/src/gateway/configuration-index.ts
@@ -0,0 +1,67 @@
+/** A configuration with its lookups, built once for each version. */
+import type * as configuration from './configuration.js';
+
+export type ConfigurationIndex = {
+  configuration: configuration.Configuration;
+  /** Routes of a host, the longest prefix first. */
+  routesByHost: Map<string, configuration.Route[]>;
+  serviceByName: Map<string, configuration.ServiceDeclaration>;
+  /** Undefined where callers need no credentials. */
+  workspaceByCredential: Map<string, configuration.WorkspaceDeclaration> | undefined;
+  /** Workspaces with a quota. */
+  quotaByWorkspace: Map<string, configuration.Quota>;
+};
+
+/** Builds the routes of each host in the order in which they are tried. */
+function buildRoutes(routes: readonly configuration.Route[]): Map<string, configuration.Route[]> {
+  const byHost = new Map<string, configuration.Route[]>();
+  routes.forEach((route) => {
+    const host = route.hostname.toLowerCase();
+    byHost.set(host, [...(byHost.get(host) ?? []), route]);
+  });
+  byHost.forEach((ofHost) => ofHost.sort((a, b) => b.prefix.length - a.prefix.length));
+  return byHost;
+}
+
+/** Builds the lookups of a configuration. */
+export function buildConfigurationIndex(given: configuration.Configuration): ConfigurationIndex {
+  const { workspaces } = given;
+  const credentials = workspaces?.flatMap((workspace) =>
+    workspace.credentials.map((credential) => [credential, workspace] as const),
+  );
+  const quotas = (workspaces ?? []).flatMap(({ name, quota }) =>
+    quota === undefined ? [] : [[name, quota] as const],
+  );
+  return {
+    configuration: given,
+    routesByHost: buildRoutes(given.routes),
+    serviceByName: new Map(given.services.map((service) => [service.name, service])),
+    workspaceByCredential: credentials && new Map(credentials),
+    quotaByWorkspace: new Map(quotas),
+  };
+}
+
+/** Finds the route of a request: the longest prefix among those of its host. */
+export function findRoute(
+  index: ConfigurationIndex,
+  host: string,
+  path: string,
+): configuration.Route | undefined {
+  const [hostname] = host.toLowerCase().split(':');
+  return index.routesByHost.get(hostname)?.find((route) => path.startsWith(route.prefix));
+}
+
+/**
+ * Chooses the service of a request among the targets of its route.
+ *
+ * @param draw a number from 0 to 1, the same for all tries of one request
+ */
+export function chooseService(route: configuration.Route, draw: number): string | undefined {
+  const open = route.targets.filter((target) => target.weight > 0);
+  const total = open.reduce((sum, target) => sum + target.weight, 0);
+  let left = draw * total;
+  return open.find((target) => {
+    left -= target.weight;
+    return left < 0;
+  })?.service;
+}
--- /dev/null
+++ b/packages/core/src/gateway/gateway-request.ts
@@ -0,0 +1,58 @@
+/** A request while a gateway has it in hand. */
+import type * as configuration from './configuration.js';
+
+/** What a caller sent, as far as decisions need it. */
+export type ArrivedRequest = {
+  /** The caller's name for this try; unique. */
+  attemptId: string;
+  host: string;
+  /** Without the query. */
+  path: string;
+  credential: string | undefined;
+  /** Time that the caller will wait, milliseconds; undefined where it does not say. */
+  deadlineMs: number | undefined;
+  /** Prompt tokens and the most tokens of the answer; undefined for a plain request. */
+  tokens: { prompt: number; answer: number } | undefined;
+  /** The caller's guess at the tokens of the answer. */
+  answerGuess: number | undefined;
+  /** Digest of what a crash would be blamed on: caller, path and body. */
+  contentDigest: string;
+};
+
+export enum RequestPhase {
+  WAITING = 'waiting',
+  /** At a backend server. */
+  SENT = 'sent',
+}
+
+export type GatewayRequest = {
+  serial: number;
+  arrived: ArrivedRequest;
+  route: configuration.Route;
+  service: string;
+  workspace: string;
+  /** Names the tier of its place in the queue; 0 is the most urgent. */
+  urgency: number;
+  /** May run more than once. */
+  repeatable: boolean;
+  /** Estimated work, tokens. */
+  workTokens: number;
+  /** What it was charged against the quota of its workspace. */
+  quotaCost: number;
+  /** Version of the configuration that it was last checked against. */
+  version: number;
+  arrivedMs: number;
+  /** After this time its first byte comes late. */
+  targetMs: number;
+  /** It gets its final answer by this time. */
+  giveUpMs: number;
+  phase: RequestPhase;
+  /** The backend server that has it. */
+  serverId: string | undefined;
+  sentMs: number;
+  /** Backend servers that did not take it, or failed it. */
+  triedIds: Set<string>;
+  /** Times it was sent, and times it was run or may have been. */
+  sends: number;
+  runs: number;
+};
--- /dev/null
+++ b/packages/core/src/gateway/intake.ts
@@ -0,0 +1,167 @@
+/** Decides whether an arrived request is taken in. */
+import * as schema from '@toucanproxy/schema';
+import * as retryBudget from '../shared/retry-budget.js';
+import * as suspects from '../shared/suspects.js';
+import type * as belief from './belief.js';
+import * as configurationIndex from './configuration-index.js';
+import * as configuration from './configuration.js';
+import * as gatewayRequest from './gateway-request.js';
+import * as gatewayState from './gateway-state.js';
+import * as refusal from './refusal.js';
+import * as rights from './rights.js';
+import * as tokenQuota from './token-quota.js';
+import * as turnAway from './turn-away.js';
+import * as waiting from './waiting.js';
+
+/** Work of a request of a plain service, in tokens; only ratios matter. */
+const PLAIN_WORK_TOKENS = 500;
+/** Prompt tokens that cost an engine as much as one token of an answer. */
+const PROMPT_TOKENS_PER_ANSWER_TOKEN = 12;
+/** Time that the answer needs on its way, milliseconds. */
+const WAY_MS = 10;
+/** Urgencies of a route told apart within one of a workspace. */
+const ROUTE_URGENCIES = 8;
+/** Time that a caller waits where neither it nor its route says, milliseconds. */
+const DEFAULT_TIMEOUT_MS = 60_000;
+/** After this time without a configuration's answer a stopping gateway refuses, ms. */
+const SHUTDOWN_SERVE_MS = 2500;
+
+export type Intake =
+  | { kind: 'admitted'; request: gatewayRequest.GatewayRequest }
+  | { kind: 'refused'; refusal: refusal.Refusal };
+
+/** Estimates the work of a request, in tokens of an answer. */
+function estimateWork(arrived: gatewayRequest.ArrivedRequest): number {
+  const { tokens, answerGuess } = arrived;
+  if (tokens === undefined) {
+    return PLAIN_WORK_TOKENS;
+  }
+  const answer = Math.min(answerGuess ?? tokens.answer, tokens.answer);
+  return tokens.prompt / PROMPT_TOKENS_PER_ANSWER_TOKEN + answer;
+}
+
+/** Ranks a request: the urgency of its workspace goes before that of its route. */
+function rankUrgency({ route, workspace }: rights.Rights): number {
+  const ofRoute = Math.min(route.urgency, ROUTE_URGENCIES - 1);
+  return (workspace?.urgency ?? 0) * ROUTE_URGENCIES + ofRoute;
+}
+
+/** Tells whether requests of a route may run more than once. */
+function isRepeatable(route: configuration.Route): boolean {
+  const { RouteKind } = configuration;
+  return route.kind === RouteKind.SAFE || (route.kind === RouteKind.STREAM && route.resumable);
+}
+
+/** Makes the record of a request that has the given rights. */
+function makeRequest(
+  state: gatewayState.GatewayState,
+  arrived: gatewayRequest.ArrivedRequest,
+  granted: rights.Rights,
+  service: string,
+  now: number,
+): gatewayRequest.GatewayRequest {
+  const { route, workspace } = granted;
+  const serial = state.nextSerial;
+  state.nextSerial += 1;
+  const timeoutMs = Math.min(
+    arrived.deadlineMs ?? DEFAULT_TIMEOUT_MS,
+    route.timeoutMs || DEFAULT_TIMEOUT_MS,
+  );
+  return {
+    serial,
+    arrived,
+    route,
+    service,
+    workspace: workspace?.name ?? '',
+    urgency: rankUrgency(granted),
+    repeatable: isRepeatable(route),
+    workTokens: estimateWork(arrived),
+    quotaCost: 0,
+    version: state.index?.configuration.version ?? 0,
+    arrivedMs: now,
+    targetMs: now + route.targetMs - WAY_MS,
+    giveUpMs: now + Math.max(timeoutMs - WAY_MS, 0),
+    phase: gatewayRequest.RequestPhase.WAITING,
+    serverId: undefined,
+    sentMs: 0,
+    triedIds: new Set(),
+    sends: 0,
+    runs: 0,
+  };
+}
+
+/** Charges the quota of a workspace; gives the refusal where it is spent. */
+function chargeQuota(
+  state: gatewayState.GatewayState,
+  request: gatewayRequest.GatewayRequest,
+  quota: configuration.Quota | undefined,
+  now: number,
+): refusal.Refusal | undefined {
+  if (quota === undefined || quota.perSecond <= 0) {
+    return undefined;
+  }
+  const { tokens } = request.arrived;
+  const cost = tokenQuota.computeCost(quota, tokens && tokens.prompt + tokens.answer);
+  const share = gatewayState.computeShare(state, now);
+  const { workspace } = request;
+  const decision = tokenQuota.takeQuota(state.quotas, workspace, quota, cost, share, now);
+  if (decision.kind === 'beyond') {
+    return refusal.buildRefusal(schema.ResultCode.QUOTA_SPENT, decision.retryAfterMs);
+  }
+  request.quotaCost = cost;
+  return undefined;
+}
+
+/** Finds why a request with good rights is not taken in now. */
+function findLimit(
+  state: gatewayState.GatewayState,
+  request: gatewayRequest.GatewayRequest,
+  now: number,
+): refusal.Refusal | undefined {
+  const { ResultCode } = schema;
+  if (state.shutdownMs > 0 && now - state.shutdownMs > SHUTDOWN_SERVE_MS) {
+    return refusal.buildRefusal(ResultCode.SHUTTING_DOWN, 0);
+  }
+  if (suspects.isBlocked(state.suspects, request.arrived.contentDigest)) {
+    return refusal.buildRefusal(ResultCode.CONTENT_REFUSED);
+  }
+  const { queue, drain } = gatewayState.getServiceWork(state, request.service);
+  const ahead = waiting.countTokensAhead(queue, request);
+  return turnAway.isHopeless(drain, ahead, request.giveUpMs, now)
+    ? refusal.buildRefusal(
+        ResultCode.SHED,
+        turnAway.drawRetryAfter(drain, queue, state.drawRandom),
+      )
+    : undefined;
+}
+
+/** Takes an arrived request in, or refuses it. */
+export function admitRequest(
+  state: gatewayState.GatewayState,
+  arrived: gatewayRequest.ArrivedRequest,
+  clocks: belief.ClockReading,
+): Intake {
+  const now = clocks.steadyMs;
+  const decision = rights.findRights(state, arrived, clocks);
+  if (decision.kind === 'refused') {
+    return decision;
+  }
+  const { route, workspace } = decision.rights;
+  const service = configurationIndex.chooseService(route, state.drawRandom());
+  if (service === undefined) {
+    return {
+      kind: 'refused',
+      refusal: refusal.buildRefusal(schema.ResultCode.NO_BACKEND_SERVER),
+    };
+  }
+  const request = makeRequest(state, arrived, decision.rights, service, now);
+  const limit =
+    findLimit(state, request, now) ?? chargeQuota(state, request, workspace?.quota, now);
+  if (limit !== undefined) {
+    return { kind: 'refused', refusal: limit };
+  }
+  state.requests.set(request.serial, request);
+  retryBudget.noteFirstAttempt(gatewayState.getServiceWork(state, service).retries, now);
+  waiting.enqueueRequest(state, request, now);
+  return { kind: 'admitted', request };
+}
--- /dev/null
+++ b/packages/core/src/gateway/peer-view.ts
@@ -0,0 +1,135 @@
+/**
+ * What the other gateways have told.
+ *
+ * Reports carry totals since the start of the sender's life, so that a lost or
+ * doubled datagram does no harm: the next one makes up for it.
+ */
+
+export type PeerReport = {
+  /** Address of the sender, IP and port. */
+  address: string;
+  /** New with each start of the sender. */
+  life: string;
+  sequence: number;
+  /** The sender is leaving and will send nothing more. */
+  leaving: boolean;
+  /** Tokens or requests admitted since the start, by workspace. */
+  used: Map<string, number>;
+  /** Requests in flight by backend server. */
+  inFlight: Map<string, number>;
+  /** Other gateways that the sender hears. */
+  peers: string[];
+};
+
+type Peer = {
+  life: string;
+  sequence: number;
+  heardMs: number;
+  used: Map<string, number>;
+  inFlight: Map<string, number>;
+};
+
+export type PeerView = {
+  byAddress: Map<string, Peer>;
+  /** Gateways that only a peer has heard, with the time of that; they get reports too. */
+  hearsay: Map<string, number>;
+};
+
+/** A report is believed for this long, milliseconds: several rounds of reports. */
+const FRESH_MS = 1000;
+/**
+ * A silent peer keeps its share of quotas for this long, milliseconds. It may
+ * serve on behind a partition, which the users' platform has for minutes.
+ */
+const REMEMBER_MS = 60_000;
+/** What a peer has only heard of is kept for this long, milliseconds. */
+const HEARSAY_MS = 5000;
+
+/** Creates a view of nobody. */
+export function createPeerView(): PeerView {
+  return { byAddress: new Map(), hearsay: new Map() };
+}
+
+/** What a workspace has newly used, as a report tells. */
+export type UseIncrease = { workspace: string; amount: number };
+
+/**
+ * Lists what a report adds to what was known of its sender.
+ *
+ * The first report of a peer adds nothing: its totals may be hours old, and a
+ * gateway that has just started would refuse everybody until they are paid off.
+ */
+function listIncreases(known: Peer | undefined, report: PeerReport): UseIncrease[] {
+  if (known === undefined) {
+    return [];
+  }
+  const before = known.life === report.life ? known.used : undefined;
+  return [...report.used].map(([workspace, total]) => ({
+    workspace,
+    amount: total - (before?.get(workspace) ?? 0),
+  }));
+}
+
+/** Takes in a report; an older one than the last is left out. */
+export function applyReport(view: PeerView, report: PeerReport, now: number): UseIncrease[] {
+  const known = view.byAddress.get(report.address);
+  if (known?.life === report.life && report.sequence <= known.sequence) {
+    return [];
+  }
+  const increases = listIncreases(known, report);
+  if (report.leaving) {
+    view.byAddress.delete(report.address);
+    return increases;
+  }
+  const { life, sequence, inFlight } = report;
+  const used = known?.life === life ? new Map([...known.used, ...report.used]) : report.used;
+  view.byAddress.set(report.address, { life, sequence, heardMs: now, used, inFlight });
+  return increases;
+}
+
+/** Forgets peers that have been silent for long. */
+export function expirePeers(view: PeerView, now: number): void {
+  [...view.byAddress]
+    .filter(([, peer]) => now - peer.heardMs > REMEMBER_MS)
+    .forEach(([address]) => view.byAddress.delete(address));
+  [...view.hearsay]
+    .filter(([, heardMs]) => now - heardMs > HEARSAY_MS)
+    .forEach(([address]) => view.hearsay.delete(address));
+}
+
+/** Counts the gateways, this one included, that may be serving. */
+export function countGateways(view: PeerView): number {
+  return view.byAddress.size + 1;
+}
+
+/** Counts the peers that have fallen silent. */
+export function countSilent(view: PeerView, now: number): number {
+  return [...view.byAddress.values()].filter((peer) => now - peer.heardMs > FRESH_MS).length;
+}
+
+/** Lists the addresses of the peers that are heard. */
+export function listHeard(view: PeerView, now: number): string[] {
+  return [...view.byAddress]
+    .filter(([, peer]) => now - peer.heardMs <= FRESH_MS)
+    .map(([address]) => address);
+}
+
+/** Lists everyone who is known, by own hearing or that of a peer. */
+export function listContacts(view: PeerView): string[] {
+  return [...new Set([...view.byAddress.keys(), ...view.hearsay.keys()])];
+}
+
+/** Counts the requests that the peers have at a backend server, as they last told. */
+export function countInFlight(view: PeerView, serverId: string, now: number): number {
+  return [...view.byAddress.values()]
+    .filter((peer) => now - peer.heardMs <= FRESH_MS)
+    .reduce((sum, peer) => sum + (peer.inFlight.get(serverId) ?? 0), 0);
+}
+
+/**
+ * Notes a gateway that a peer hears. It gets reports from now on, but counts
+ * only once it has been heard here: a peer may tell of one that has left.
+ */
+export function addHearsay(view: PeerView, address: string, now: number): void {
+  view.hearsay.set(address, now);
+}
--- /dev/null
+++ b/packages/core/src/gateway/server-load.ts
@@ -0,0 +1,67 @@
+/** What a gateway sees of one backend server: requests there, speed, failures. */
+import * as enginePace from './engine-pace.js';
+
+export type ServerLoad = {
+  /** Requests of this gateway there. */
+  inFlight: number;
+  pace: enginePace.Pace;
+  failuresInRow: number;
+  /** Gets no new work until this time, milliseconds; 0 if never. */
+  pausedUntilMs: number;
+  /** Recent answers, and those among them that failed; older ones fade. */
+  answers: number;
+  failures: number;
+};
+
+/** What is kept of earlier answers with each new one: the last twenty or so count. */
+const KEPT_SHARE = 0.95;
+/** First pause after a failure to connect, milliseconds; doubles with each one. */
+const FIRST_PAUSE_MS = 250;
+/**
+ * Longest pause, milliseconds. A backend server that crashed is back after some
+ * seconds; the next try after that costs one connection.
+ */
+const LONGEST_PAUSE_MS = 2000;
+
+/** Creates the load of a backend server that was not used yet. */
+export function createServerLoad(): ServerLoad {
+  return {
+    inFlight: 0,
+    pace: enginePace.createPace(),
+    failuresInRow: 0,
+    pausedUntilMs: 0,
+    answers: 0,
+    failures: 0,
+  };
+}
+
+/** Takes in an answer that was the backend server's own. */
+export function recordAnswer(load: ServerLoad, good: boolean): void {
+  load.answers = KEPT_SHARE * load.answers + 1;
+  load.failures = KEPT_SHARE * load.failures + (good ? 0 : 1);
+  if (good) {
+    load.failuresInRow = 0;
+  }
+}
+
+/** Computes the recent share of answers that failed, 0 to 1. */
+export function computeFailureShare(load: ServerLoad): number {
+  return load.answers === 0 ? 0 : load.failures / load.answers;
+}
+
+/**
+ * Pauses a backend server that could not be reached, or broke off.
+ *
+ * Without the pause each waiting request would be sent to it in turn, since an
+ * empty backend server looks like the best choice.
+ */
+export function pauseServer(load: ServerLoad, now: number): void {
+  const pauseMs = Math.min(FIRST_PAUSE_MS * 2 ** load.failuresInRow, LONGEST_PAUSE_MS);
+  load.failuresInRow += 1;
+  load.pausedUntilMs = Math.max(load.pausedUntilMs, now + pauseMs);
+}
+
+/** Tells whether a backend server is left out for now. */
+export function isPaused(load: ServerLoad, now: number): boolean {
+  return now < load.pausedUntilMs;
+}
--- a/packages/core/src/entry/retry-budget.ts
+++ b/packages/core/src/shared/retry-budget.ts
@@ -4,7 +4,7 @@
  * When engines fail under load, repeats add load and make more of them fail. A
  * budget in percent of first attempts keeps a burst from multiplying itself.
  */
-import * as decayingCount from '../shared/decaying-count.js';
+import * as decayingCount from './decaying-count.js';
 
 export type RetryBudget = {
   firstAttempts: decayingCount.DecayingCount;
@@ -33,11 +33,20 @@
   decayingCount.addCount(budget.firstAttempts, 1, now, BUDGET_TAU_MS);
 }
 
-/** Takes one repeat from the budget; false where it is spent. */
-export function takeRepeat(budget: RetryBudget, percent: number, now: number): boolean {
+/**
+ * Takes one repeat from the budget; false where it is spent.
+ *
+ * @param floor repeats that a quiet service may always make
+ */
+export function takeRepeat(
+  budget: RetryBudget,
+  percent: number,
+  now: number,
+  floor = FLOOR_REPEATS,
+): boolean {
   const first = decayingCount.getCount(budget.firstAttempts, now, BUDGET_TAU_MS);
   const made = decayingCount.getCount(budget.repeats, now, BUDGET_TAU_MS);
-  if (made + 1 > FLOOR_REPEATS + (first * percent) / PERCENT) {
+  if (made + 1 > floor + (first * percent) / PERCENT) {
     return false;
   }
   decayingCount.addCount(budget.repeats, 1, now, BUDGET_TAU_MS);
--- a/packages/entry/src/caller-server.ts
+++ b/packages/entry/src/caller-server.ts
@@ -2,9 +2,9 @@
 import * as http from 'node:http';
 import * as net from 'node:net';
 import * as core from '@toucanproxy/core';
+import * as runtime from '@toucanproxy/runtime';
 import * as schema from '@toucanproxy/schema';
 import * as callerAnswer from './caller-answer.js';
-import * as clientError from './client-error.js';
 import * as failureAnswer from './failure-answer.js';
 import * as requestReader from './request-reader.js';
 
@@ -141,6 +141,12 @@
   post({ kind: 'requestArrived', request: read.request });
 }
 
+/** Refuses on a connection on which no request could be read. */
+function writeRefusal(socket: net.Socket, code: schema.ResultCode): void {
+  const answer = failureAnswer.buildFailureAnswer(failureAnswer.buildRefusal(code));
+  runtime.writeRefusal(socket, answer);
+}
+
 /**
  * Answers a connection on which the parser gave up or the time ran out.
  *
@@ -148,7 +154,7 @@
  * the refusal would end up in the middle of another answer.
  */
 function handleClientError(state: ServerState, error: Error, socket: net.Socket): void {
-  const code = clientError.toResultCode(error);
+  const code = runtime.toResultCode(error);
   if (code === undefined) {
     socket.destroy();
     return;
@@ -165,7 +171,7 @@
   const last = exchanges.at(-1);
   if (last === undefined) {
     state.options.reportRefusal(code);
-    clientError.writeRefusal(socket, code);
+    writeRefusal(socket, code);
     return;
   }
   last.response.once('close', () => handleClientError(state, error, socket));
@@ -194,7 +200,7 @@
     handleClientError(state, error, socket as net.Socket),
   );
   server.on('connect', (_request, socket) =>
-    clientError.writeRefusal(socket as net.Socket, schema.ResultCode.MALFORMED_REQUEST),
+    writeRefusal(socket as net.Socket, schema.ResultCode.MALFORMED_REQUEST),
   );
   server.on('connection', (socket) => openConnection(state, socket));
   return server;
--- a/packages/entry/src/failure-answer.ts
+++ b/packages/entry/src/failure-answer.ts
@@ -10,40 +10,6 @@
 
 const { ResultCode } = schema;
 
-/** HTTP status for each code; docs/RESULT-CODES.md explains them. */
-const STATUS_BY_CODE: Partial<Record<schema.ResultCode, number>> = {
-  [ResultCode.COMPLETED]: 200,
-  [ResultCode.MALFORMED_REQUEST]: 400,
-  [ResultCode.UNKNOWN_SERVICE]: 404,
-  [ResultCode.UNAUTHENTICATED]: 401,
-  [ResultCode.BODY_TOO_LARGE]: 413,
-  [ResultCode.HEADERS_TOO_LARGE]: 431,
-  [ResultCode.REQUEST_TIMEOUT]: 408,
-  [ResultCode.DEADLINE_INVALID]: 400,
-  [ResultCode.KEY_INVALID]: 400,
-  [ResultCode.KEY_EXPIRED]: 409,
-  [ResultCode.KEY_REUSED]: 422,
-  [ResultCode.UNKNOWN_PATH]: 404,
-  [ResultCode.WORKSPACE_LIMIT]: 429,
-  [ResultCode.SHED]: 503,
-  [ResultCode.DEADLINE_UNREACHABLE]: 503,
-  [ResultCode.NO_BACKEND_SERVER]: 503,
-  [ResultCode.SHUTTING_DOWN]: 503,
-  [ResultCode.EVICTED]: 503,
-  [ResultCode.QUEUE_FULL]: 503,
-  [ResultCode.STALE_OFFER]: 503,
-  [ResultCode.RETRY_BUDGET_SPENT]: 503,
-  [ResultCode.CANCELLED]: 503,
-  [ResultCode.LINK_LOST]: 504,
-  [ResultCode.AGENT_RESTARTED]: 502,
-  [ResultCode.KEY_UNDECIDED]: 409,
-  [ResultCode.ENGINE_FAILED]: 502,
-  [ResultCode.ENGINE_CRASHED]: 502,
-  [ResultCode.CONTENT_REFUSED]: 422,
-  [ResultCode.ANSWER_BROKEN]: 502,
-  [ResultCode.DEADLINE_EXCEEDED]: 504,
-};
-
 const RUN_STATE_NAMES: Record<schema.RunState, string> = {
   [schema.RunState.UNSPECIFIED]: 'unknown',
   [schema.RunState.NOT_RUN]: 'not_run',
@@ -52,7 +18,6 @@
 };
 
 const MS_PER_SECOND = 1000;
-const DEFAULT_STATUS = 500;
 /** Told where the core names no time of its own. */
 const LEAST_RETRY_AFTER_MS = 1000;
 /** Codes from 201 to 299 are about capacity and membership. */
@@ -65,11 +30,6 @@
   body: string;
 };
 
-/** Gets the HTTP status that a result is answered with. */
-export function getStatus(code: schema.ResultCode): number {
-  return STATUS_BY_CODE[code] ?? DEFAULT_STATUS;
-}
-
 /** Builds the failure of a request that was refused before the core saw it. */
 export function buildRefusal(code: schema.ResultCode): Failure {
   return { requestId: '', code, runState: schema.RunState.NOT_RUN, retryAfterMs: 0 };
@@ -109,5 +69,5 @@
     request_id: requestId,
   };
   const headers = buildHeaders(failure);
-  return { status: getStatus(code), headers, body: JSON.stringify({ error }) };
+  return { status: schema.getStatus(code), headers, body: JSON.stringify({ error }) };
 }
--- /dev/null
+++ b/packages/gateway/src/app.ts
@@ -0,0 +1,131 @@
+/** Starts a gateway: its tasks, and what passes between them. */
+import * as crypto from 'node:crypto';
+import * as gateway from '@toucanproxy/core/gateway';
+import * as runtime from '@toucanproxy/runtime';
+import * as schema from '@toucanproxy/schema';
+import * as backendConnections from './backend-connections.js';
+import * as callerServer from './caller-server.js';
+import * as clocks from './clocks.js';
+import * as configurationReader from './configuration-reader.js';
+import * as decisionLog from './decision-log.js';
+import * as gatewayMetrics from './gateway-metrics.js';
+import type * as gatewaySettings from './gateway-settings.js';
+import * as gatewayTask from './gateway-task.js';
+import * as peerTask from './peer-task.js';
+import * as serverReader from './server-reader.js';
+import * as shutdown from './shutdown.js';
+import type * as storeCodec from './store-codec.js';
+import type * as wireProtocol from './wire-protocol.js';
+
+export type GatewayDaemon = { shutDown: () => void; stop: () => void };
+
+export type GatewayOptions = {
+  settings: gatewaySettings.GatewaySettings;
+  protocol: wireProtocol.WireProtocol;
+  codec: storeCodec.StoreCodec;
+  /** Called once after a graceful shutdown. */
+  stopped: () => void;
+};
+
+/** Bytes of a life's random name. */
+const LIFE_BYTES = 4;
+/**
+ * Part of the revocation bound for which an answer of the store holds. The rest
+ * covers a store that tells of a change up to a second late.
+ */
+const LEASE_SHARE = 0.6;
+/** Living backend servers are back in the store this long after its return, ms. */
+const ENTRY_RETURN_MS = 2300;
+/**
+ * Part of the declared retry ratio that is used. The budget is kept over a
+ * fading window, the rule over a sliding one; the difference is below a fifth.
+ */
+const RETRY_USED_SHARE = 0.8;
+const PERCENT = 100;
+
+/** Builds the bounds that the core decides by. */
+function buildBounds(settings: gatewaySettings.GatewaySettings): gateway.GatewayBounds {
+  const { revocationMs, retryRatio, retryExtra } = settings;
+  return {
+    leaseMs: revocationMs === undefined ? Infinity : revocationMs * LEASE_SHARE,
+    entryReturnMs: ENTRY_RETURN_MS,
+    retryPercent: retryRatio * RETRY_USED_SHARE * PERCENT,
+    retryExtra: retryExtra * RETRY_USED_SHARE,
+  };
+}
+
+/** Tells whether the balancer may send callers here. */
+function isReady(state: gateway.GatewayState, readClocks: clocks.ReadClocks): boolean {
+  const { index, bounds, belief } = state;
+  const standing = gateway.getStanding(belief, index !== undefined, bounds.leaseMs, readClocks());
+  return state.shutdownMs === 0 && standing === gateway.Standing.CONFIRMED;
+}
+
+/** Starts a gateway. */
+export async function startGateway(options: GatewayOptions): Promise<GatewayDaemon> {
+  const { settings, protocol, codec } = options;
+  const life = crypto.randomBytes(LIFE_BYTES).toString('hex');
+  const logger = runtime.createLogger('toucanproxy-gateway', { gateway: settings.name, life });
+  const log = decisionLog.createDecisionLog(logger);
+  const readClocks = clocks.createClockReader();
+  const state = gateway.createGatewayState(
+    settings.failureDomain,
+    buildBounds(settings),
+    Math.random,
+  );
+  const connections = backendConnections.createBackendConnections();
+  let countHeld = () => 0;
+  const metrics = gatewayMetrics.createGatewayMetrics(state, () => countHeld());
+  const task = gatewayTask.createGatewayTask({
+    state,
+    protocol,
+    connections,
+    readClocks,
+    log,
+    metrics,
+  });
+  countHeld = task.countHeld;
+  const callers = await callerServer.startCallerServer({
+    listen: settings.callers,
+    receive: task.receive,
+    reportRefusal: (code) => {
+      log.write('refused', { result: schema.ResultCode[code] }, clocks.readSteadyMs());
+      metrics.recordEnd('', '', code, false);
+    },
+  });
+  const operators = await runtime.startOperatorServer({
+    host: settings.operators.host,
+    port: settings.operators.port,
+    renderMetrics: metrics.render,
+    describeStatus: () => ({
+      version: state.index?.configuration.version,
+      beliefAgeMs: gateway.computeAge(state.belief, readClocks()),
+      servers: [...state.servers.byId.values()],
+      peers: gateway.listContacts(state.peers),
+    }),
+    isReady: () => isReady(state, readClocks),
+    readinessPath: settings.readinessPath,
+  });
+  const readerParts = { state, settings, codec, readClocks, log, assign: task.assign };
+  const readers = [
+    configurationReader.startConfigurationReader({ ...readerParts, callers }),
+    serverReader.startServerReader({ ...readerParts, connections }),
+  ];
+  const peers = peerTask.startPeerTask({
+    listen: settings.peerListen,
+    seeds: settings.peerSeeds,
+    life,
+    state,
+    readNow: clocks.readSteadyMs,
+    reportProblem: (reason) => log.write('peer-problem', { reason }, clocks.readSteadyMs()),
+  });
+  task.start();
+  log.writeAlways('started', { ...settings });
+  const stop = () =>
+    [...readers, task, peers, callers, operators, connections].forEach((part) => part.stop());
+  return {
+    shutDown: () =>
+      shutdown.beginShutdown({ state, callers, task, peers, log, ...options }),
+    stop,
+  };
+}
--- /dev/null
+++ b/packages/gateway/src/configuration-reader.ts
@@ -0,0 +1,80 @@
+/** Takes configurations from the store into force. */
+import * as gateway from '@toucanproxy/core/gateway';
+import type * as callerServer from './caller-server.js';
+import type * as clocks from './clocks.js';
+import type * as decisionLog from './decision-log.js';
+import type * as gatewaySettings from './gateway-settings.js';
+import * as storeClient from './store-client.js';
+import type * as storeCodec from './store-codec.js';
+import * as storeReader from './store-reader.js';
+
+export type ReaderParts = {
+  state: gateway.GatewayState;
+  settings: gatewaySettings.GatewaySettings;
+  codec: storeCodec.StoreCodec;
+  readClocks: clocks.ReadClocks;
+  log: decisionLog.DecisionLog;
+  /** Called after what is known has changed. */
+  assign: () => void;
+};
+
+/**
+ * How long a call waits for a new configuration, milliseconds. Each answer
+ * renews the lease of the credentials, so that it is far below that.
+ */
+const WAIT_MS = 800;
+
+/** Takes one reading of the configuration in; older versions are left out. */
+function applyItem(
+  parts: ReaderParts & { callers: callerServer.CallerServer },
+  { value }: storeCodec.StoreItem,
+): void {
+  const { state, codec, log, callers } = parts;
+  if (value === undefined) {
+    log.writeAlways('configuration-deleted', {});
+    return;
+  }
+  const given = codec.decodeConfiguration(value);
+  const version = state.index?.configuration.version ?? -1;
+  if (given.version <= version) {
+    return;
+  }
+  state.index = gateway.buildConfigurationIndex(given);
+  callers.applyBounds(given.callerBounds);
+  log.writeAlways('configuration', { version: given.version, before: version });
+}
+
+/** Starts to follow the configuration. */
+export function startConfigurationReader(
+  parts: ReaderParts & { callers: callerServer.CallerServer },
+): { stop: () => void } {
+  const { state, settings, codec, readClocks, log, assign } = parts;
+  const applyItems = (items: storeCodec.StoreItem[]) => {
+    items
+      .filter((item) => item.key === settings.configurationKey)
+      .forEach((item) => {
+        try {
+          applyItem(parts, item);
+        } catch (error) {
+          // The version in force stays; a faulty one would take every route away.
+          log.writeAlways('configuration-faulty', { reason: (error as Error).message });
+        }
+      });
+    assign();
+  };
+  return storeReader.startStoreReader({
+    name: 'configuration',
+    client: storeClient.createStoreClient(settings.store),
+    codec,
+    prefix: settings.configurationKey,
+    waitMs: WAIT_MS,
+    pauseMs: 0,
+    readClocks,
+    drawRandom: state.drawRandom,
+    applySnapshot: applyItems,
+    applyChanges: applyItems,
+    confirm: (sent) => gateway.noteConfirmed(state.belief, sent),
+    reportLost: (name, reason) => log.writeAlways('store-lost', { reader: name, reason }),
+    reportRegained: (name, awayMs) => log.writeAlways('store-regained', { reader: name, awayMs }),
+  });
+}
--- /dev/null
+++ b/packages/gateway/src/gateway-metrics.ts
@@ -0,0 +1,41 @@
+/** What a gateway counts and times. */
+import type * as gateway from '@toucanproxy/core/gateway';
+import * as runtime from '@toucanproxy/runtime';
+import * as schema from '@toucanproxy/schema';
+
+export type GatewayMetrics = {
+  /** A request has got its final answer. */
+  recordEnd: (route: string, service: string, code: schema.ResultCode, inTime: boolean) => void;
+  recordFault: (service: string, fault: gateway.AttemptFault) => void;
+  /** Time from sending to the first event, milliseconds. */
+  recordFirstEvent: (route: string, ms: number) => void;
+  render: () => string;
+};
+
+/** Lists the present values of a gateway. */
+function listGauges(state: gateway.GatewayState, held: number): runtime.Gauge[] {
+  const version = state.index?.configuration.version ?? 0;
+  return [
+    { name: 'document_version', labels: {}, value: version },
+    { name: 'requests_held', labels: {}, value: held },
+    { name: 'backend_servers', labels: {}, value: state.servers.byId.size },
+    { name: 'peers', labels: {}, value: state.peers.byAddress.size },
+  ];
+}
+
+/** Creates the metrics of one gateway. */
+export function createGatewayMetrics(
+  state: gateway.GatewayState,
+  countHeld: () => number,
+): GatewayMetrics {
+  const metrics = runtime.createMetrics();
+  return {
+    recordEnd: (route, service, code, inTime) =>
+      runtime.recordObservation(metrics, { kind: 'outcome', service, tier: route, code, inTime }),
+    recordFault: (service, fault) =>
+      runtime.addCount(metrics, 'attempt_faults_total', { service, fault }),
+    recordFirstEvent: (route, ms) =>
+      runtime.recordObservation(metrics, { kind: 'firstByte', service: '', tier: route, ms }),
+    render: () => runtime.renderMetrics(metrics, Date.now(), listGauges(state, countHeld())),
+  };
+}
--- /dev/null
+++ b/packages/gateway/src/gateway-settings.ts
@@ -0,0 +1,30 @@
+/** What a gateway process is told at its start. */
+
+export type ListenAddress = { host: string; port: number };
+
+export type GatewaySettings = {
+  /** Name of the VM, for logs. */
+  name: string;
+  failureDomain: string;
+  /** Where callers are served. */
+  callers: ListenAddress;
+  /** Where readiness, status and metrics are served. */
+  operators: ListenAddress;
+  /** Path of the readiness question. */
+  readinessPath: string;
+  /** Where the other gateways send their reports. */
+  peerListen: ListenAddress;
+  /** Addresses, IP and port, of gateways to begin with; some may be gone. */
+  peerSeeds: string[];
+  store: ListenAddress;
+  /** Key of the configuration, and beginning of the keys of backend servers. */
+  configurationKey: string;
+  serversPrefix: string;
+  /** Revoked credentials must stop working within this time; undefined for no bound, ms. */
+  revocationMs: number | undefined;
+  /** A stopping process is killed after this time, milliseconds. */
+  stopMs: number;
+  /** Part of sends that may be repeats, and repeats allowed besides, over all gateways. */
+  retryRatio: number;
+  retryExtra: number;
+};
--- /dev/null
+++ b/packages/gateway/src/gateway-task.ts
@@ -0,0 +1,319 @@
+/** The task that owns a gateway's state and the requests in hand. */
+import * as gateway from '@toucanproxy/core/gateway';
+import * as schema from '@toucanproxy/schema';
+import * as answerRelay from './answer-relay.js';
+import * as backendAttempt from './backend-attempt.js';
+import type * as backendConnections from './backend-connections.js';
+import * as callerExchange from './caller-exchange.js';
+import type * as clocks from './clocks.js';
+import * as contentDigest from './content-digest.js';
+import type * as decisionLog from './decision-log.js';
+import * as endToEndHeaders from './end-to-end-headers.js';
+import * as eventStream from './event-stream.js';
+import type * as gatewayMetrics from './gateway-metrics.js';
+import type * as heldRequest from './held-request.js';
+import type * as wireProtocol from './wire-protocol.js';
+
+export type GatewayTask = {
+  receive: (exchange: callerExchange.CallerExchange) => void;
+  /** Assigns what can be assigned; called when something may have made room. */
+  assign: () => void;
+  countHeld: () => number;
+  /** Calls once nothing is in hand. */
+  notifyIdle: (idle: () => void) => void;
+  start: () => void;
+  stop: () => void;
+};
+
+export type GatewayTaskParts = {
+  state: gateway.GatewayState;
+  protocol: wireProtocol.WireProtocol;
+  connections: backendConnections.BackendConnections;
+  readClocks: clocks.ReadClocks;
+  log: decisionLog.DecisionLog;
+  metrics: gatewayMetrics.GatewayMetrics;
+};
+
+type TaskState = GatewayTaskParts & {
+  held: Map<number, heldRequest.HeldRequest>;
+  idle: (() => void) | undefined;
+};
+
+/** What is due by time alone is late by this much at most, milliseconds. */
+const TICK_MS = 50;
+const QUERY_START = '?';
+
+/** Logs and counts how a request ended. */
+function reportEnd(
+  task: TaskState,
+  held: heldRequest.HeldRequest,
+  code: schema.ResultCode,
+  fields: Record<string, unknown>,
+): void {
+  const { request } = held;
+  const now = task.readClocks().steadyMs;
+  const ms = Math.round(now - request.arrivedMs);
+  const { route, workspace, service } = request;
+  task.metrics.recordEnd(route.name, service, code, ms <= route.targetMs);
+  const { attemptId } = request.arrived;
+  const line = { id: attemptId, route: route.name, service, workspace, ms, ...fields };
+  const { sends, runs, version } = request;
+  task.log.write('end', { ...line, sends, runs, version, result: schema.ResultCode[code] }, now);
+}
+
+/** Forgets a request whose final answer has been given. */
+function forget(task: TaskState, held: heldRequest.HeldRequest): void {
+  held.done = true;
+  clearTimeout(held.giveUpTimer);
+  task.held.delete(held.request.serial);
+  if (task.held.size === 0) {
+    task.idle?.();
+  }
+}
+
+/** Gives a request its final answer: a refusal. */
+function refuse(task: TaskState, held: heldRequest.HeldRequest, refusal: gateway.Refusal): void {
+  forget(task, held);
+  reportEnd(task, held, refusal.code, { retryAfterMs: refusal.retryAfterMs });
+  callerExchange.sendRefusal(held.exchange, refusal);
+}
+
+/** Takes in how an attempt ended. */
+function handleOutcome(
+  task: TaskState,
+  held: heldRequest.HeldRequest,
+  outcome: answerRelay.AttemptOutcome,
+): void {
+  if (held.done) {
+    return;
+  }
+  const { request } = held;
+  const { serverId } = request;
+  const now = task.readClocks().steadyMs;
+  held.attempt = undefined;
+  if (outcome.kind === 'complete') {
+    if (serverId !== undefined) {
+      gateway.recordAnswer(gateway.getLoad(task.state, serverId), true);
+    }
+    gateway.endRequest(task.state, request);
+    forget(task, held);
+    const fields = { server: serverId, status: outcome.status };
+    reportEnd(task, held, schema.ResultCode.COMPLETED, fields);
+    assign(task);
+    return;
+  }
+  const { fault, reason, failure } = outcome;
+  const hasBegun = held.exchange.response.headersSent;
+  const verdict = gateway.handleAttemptFault(task.state, request, fault, hasBegun, now);
+  const { attemptId } = request.arrived;
+  const line = { id: attemptId, server: serverId, fault, reason, verdict: verdict.kind };
+  task.log.write('fault', line, now);
+  task.metrics.recordFault(request.service, fault);
+  applyVerdict(task, held, verdict, failure);
+  assign(task);
+}
+
+/** Carries out what was decided after a fault. */
+function applyVerdict(
+  task: TaskState,
+  held: heldRequest.HeldRequest,
+  verdict: gateway.AttemptVerdict,
+  failure: Extract<answerRelay.AttemptOutcome, { kind: 'fault' }>['failure'],
+): void {
+  if (verdict.kind === 'refuse') {
+    refuse(task, held, verdict.refusal);
+    return;
+  }
+  if (verdict.kind === 'again') {
+    return;
+  }
+  if (failure === undefined) {
+    refuse(task, held, { code: schema.ResultCode.ENGINE_FAILED, retryAfterMs: undefined });
+    return;
+  }
+  forget(task, held);
+  reportEnd(task, held, schema.ResultCode.ENGINE_FAILED, { status: failure.status });
+  callerExchange.sendAnswer(held.exchange, failure.status, failure.headers, failure.body);
+}
+
+/** Builds the request that a backend server gets. */
+function buildOutgoing(
+  task: TaskState,
+  held: heldRequest.HeldRequest,
+  server: gateway.BackendServerEntry,
+): backendAttempt.OutgoingRequest {
+  const { request, exchange, events } = held;
+  const deadlineLeftMs = Math.max(Math.floor(request.giveUpMs - request.sentMs), 1);
+  const hasBegun = exchange.response.headersSent;
+  const headers = task.protocol.buildForwardHeaders(
+    endToEndHeaders.listEndToEnd(exchange.headers),
+    {
+      deadlineLeftMs,
+      serverId: server.id,
+      workspace: request.workspace === '' ? undefined : request.workspace,
+      resumeAfter: hasBegun ? events?.lastId : undefined,
+    },
+  );
+  const body = exchange.body.length === 0 ? null : exchange.body;
+  return { method: exchange.method, path: exchange.target, headers, body };
+}
+
+/** Sends a request to a backend server. */
+function send(
+  task: TaskState,
+  held: heldRequest.HeldRequest,
+  { server, candidates }: Extract<gateway.Assignment, { kind: 'send' }>,
+): void {
+  const { request } = held;
+  const { attemptId } = request.arrived;
+  const waitMs = Math.round(request.sentMs - request.arrivedMs);
+  const weighed = candidates.map((one) => [one.id, one.ownInFlight, one.peersInFlight]);
+  const line = { id: attemptId, server: server.id, service: request.service, waitMs, weighed };
+  task.log.write('sent', { ...line, version: request.version }, request.sentMs);
+  const load = gateway.getLoad(task.state, server.id);
+  if (held.events !== undefined) {
+    held.events.rest = Buffer.alloc(0);
+  }
+  const readNow = () => task.readClocks().steadyMs;
+  const listener = answerRelay.createRelay({
+    held,
+    protocol: task.protocol,
+    readNow,
+    settle: (outcome) => handleOutcome(task, held, outcome),
+    observePace: (unitMs) => gateway.recordUnit(load.pace, unitMs, readNow()),
+    observeFirstEvent: (ms) => task.metrics.recordFirstEvent(request.route.name, ms),
+  });
+  const connection = task.connections.take(server.address);
+  held.attempt = backendAttempt.startAttempt(
+    connection,
+    buildOutgoing(task, held, server),
+    listener,
+  );
+}
+
+/** Assigns what can be assigned. */
+function assign(task: TaskState): void {
+  const assignments = gateway.assignWaiting(task.state, task.readClocks());
+  assignments.forEach((assignment) => {
+    const held = task.held.get(assignment.request.serial);
+    if (held === undefined) {
+      return;
+    }
+    if (assignment.kind === 'refuse') {
+      refuse(task, held, assignment.refusal);
+    } else {
+      send(task, held, assignment);
+    }
+  });
+}
+
+/** Ends a request whose time is over. */
+function giveUp(task: TaskState, held: heldRequest.HeldRequest): void {
+  if (held.done) {
+    return;
+  }
+  const mayHaveRun = held.request.runs > 0 || held.attempt?.mayHaveLeft() === true;
+  held.attempt?.abort();
+  gateway.abandonRequest(task.state, held.request, mayHaveRun);
+  const code = mayHaveRun
+    ? schema.ResultCode.DEADLINE_EXCEEDED
+    : schema.ResultCode.DEADLINE_UNREACHABLE;
+  refuse(task, held, { code, retryAfterMs: undefined });
+  assign(task);
+}
+
+/** Ends a request whose caller has left: what runs for it is cancelled at once. */
+function handleCallerLeft(task: TaskState, held: heldRequest.HeldRequest): void {
+  if (held.done) {
+    return;
+  }
+  const mayHaveRun = held.request.runs > 0 || held.attempt?.mayHaveLeft() === true;
+  held.attempt?.abort();
+  gateway.abandonRequest(task.state, held.request, mayHaveRun);
+  forget(task, held);
+  reportEnd(task, held, schema.ResultCode.CLIENT_LEFT, { server: held.request.serverId });
+  assign(task);
+}
+
+/** Refuses a request that was not taken in. */
+function refuseArrived(
+  task: TaskState,
+  exchange: callerExchange.CallerExchange,
+  attemptId: string,
+  refusal: gateway.Refusal,
+): void {
+  const now = task.readClocks().steadyMs;
+  const { code, retryAfterMs } = refusal;
+  const age = Math.round(gateway.computeAge(task.state.belief, task.readClocks()));
+  const version = task.state.index?.configuration.version;
+  const line = { id: attemptId, path: exchange.target, retryAfterMs, version, beliefAgeMs: age };
+  task.log.write('refused', { ...line, result: schema.ResultCode[code] }, now);
+  task.metrics.recordEnd('', '', code, false);
+  callerExchange.sendRefusal(exchange, refusal);
+}
+
+/** Holds a request that was taken in. */
+function hold(
+  task: TaskState,
+  exchange: callerExchange.CallerExchange,
+  request: gateway.GatewayRequest,
+): void {
+  const isStream = request.route.kind === gateway.RouteKind.STREAM;
+  const held: heldRequest.HeldRequest = {
+    request,
+    exchange,
+    attempt: undefined,
+    giveUpTimer: undefined,
+    events: isStream ? eventStream.createEventStream() : undefined,
+    done: false,
+  };
+  held.giveUpTimer = setTimeout(() => giveUp(task, held), request.giveUpMs - request.arrivedMs);
+  task.held.set(request.serial, held);
+  exchange.response.on('close', () => handleCallerLeft(task, held));
+  exchange.response.on('drain', () => held.attempt?.resume());
+}
+
+/** Takes in a request that has been read. */
+function receive(task: TaskState, exchange: callerExchange.CallerExchange): void {
+  const names = task.protocol.parseRequest(exchange.headers);
+  const host = endToEndHeaders.findHeader(exchange.headers, 'host');
+  if (names === undefined || host === undefined) {
+    const code = schema.ResultCode.MALFORMED_REQUEST;
+    refuseArrived(task, exchange, '', { code, retryAfterMs: undefined });
+    return;
+  }
+  const [path] = exchange.target.split(QUERY_START);
+  const digest = contentDigest.computeContentDigest(names.credential ?? '', exchange);
+  const arrived = { ...names, host, path, contentDigest: digest };
+  const intake = gateway.admitRequest(task.state, arrived, task.readClocks());
+  if (intake.kind === 'refused') {
+    refuseArrived(task, exchange, names.attemptId, intake.refusal);
+    return;
+  }
+  hold(task, exchange, intake.request);
+  assign(task);
+}
+
+/** Creates the task; it does nothing by time before it is started. */
+export function createGatewayTask(parts: GatewayTaskParts): GatewayTask {
+  const task: TaskState = { ...parts, held: new Map(), idle: undefined };
+  let timer: NodeJS.Timeout | undefined;
+  return {
+    receive: (exchange) => receive(task, exchange),
+    assign: () => assign(task),
+    countHeld: () => task.held.size,
+    notifyIdle: (idle) => {
+      task.idle = idle;
+      if (task.held.size === 0) {
+        idle();
+      }
+    },
+    start: () => {
+      timer = setInterval(() => assign(task), TICK_MS);
+    },
+    stop: () => {
+      clearInterval(timer);
+      [...task.held.values()].forEach((held) => held.attempt?.abort());
+    },
+  };
+}
--- /dev/null
+++ b/packages/gateway/src/index.ts
@@ -0,0 +1,5 @@
+/** The gateway daemon. */
+export * from './app.js';
+export * from './gateway-settings.js';
+export * from './store-codec.js';
+export * from './wire-protocol.js';
--- /dev/null
+++ b/packages/gateway/src/wire-protocol.ts
@@ -0,0 +1,44 @@
+/**
+ * What the adapter of a platform translates between callers, this product and
+ * backend servers. Nothing here decides.
+ */
+import type * as gateway from '@toucanproxy/core/gateway';
+
+/** Header lines as they came: names and values by turns. */
+export type RawHeaders = string[];
+
+/** What the headers of a request say. */
+export type RequestNames = Pick<
+  gateway.ArrivedRequest,
+  'attemptId' | 'credential' | 'deadlineMs' | 'tokens' | 'answerGuess'
+>;
+
+/** What the gateway itself tells a backend server about a request. */
+export type ForwardedFacts = {
+  deadlineLeftMs: number;
+  serverId: string;
+  /** Undefined where the request has no workspace. */
+  workspace: string | undefined;
+  /** Id of the last event that the caller has; undefined for a run from the start. */
+  resumeAfter: string | undefined;
+};
+
+/** What the head of an answer says. */
+export type AnswerNames = {
+  /** The request that it answers; undefined where it does not say. */
+  attemptId: string | undefined;
+  /** The backend server says that it did not run the request. */
+  isNotRun: boolean;
+  /** Another backend server than the one meant has answered. */
+  isMisdirected: boolean;
+  /** It bears the mark of a backend server. */
+  isSigned: boolean;
+};
+
+export type WireProtocol = {
+  /** Reads the headers of a request; undefined where they are faulty. */
+  parseRequest: (headers: RawHeaders) => RequestNames | undefined;
+  /** Builds the headers of a request for a backend server from end-to-end headers. */
+  buildForwardHeaders: (headers: RawHeaders, facts: ForwardedFacts) => RawHeaders;
+  parseAnswer: (status: number, headers: RawHeaders) => AnswerNames;
+};
--- a/packages/entry/src/client-error.ts
+++ b/packages/runtime/src/client-error.ts
@@ -2,7 +2,9 @@
 import * as http from 'node:http';
 import * as net from 'node:net';
 import * as schema from '@toucanproxy/schema';
-import * as failureAnswer from './failure-answer.js';
+
+/** An answer of this process itself. */
+export type OwnAnswer = { status: number; headers: Record<string, string>; body: string };
 
 const CODE_BY_ERROR: Record<string, schema.ResultCode> = {
   HPE_HEADER_OVERFLOW: schema.ResultCode.HEADERS_TOO_LARGE,
@@ -17,7 +19,7 @@
 }
 
 /** Writes a refusal to a connection on which no request could be read. */
-export function writeRefusal(socket: net.Socket, code: schema.ResultCode): void {
+export function writeRefusal(socket: net.Socket, answer: OwnAnswer): void {
   // Node.js leaves no listener on the connection of a tunnel; an error that
   // nobody takes would end the process.
   socket.on('error', () => socket.destroy());
@@ -25,9 +27,7 @@
     socket.destroy();
     return;
   }
-  const { status, headers, body } = failureAnswer.buildFailureAnswer(
-    failureAnswer.buildRefusal(code),
-  );
+  const { status, headers, body } = answer;
   const lines = [
     `HTTP/1.1 ${status} ${http.STATUS_CODES[status] ?? ''}`,
     ...Object.entries(headers).map(([name, value]) => `${name}: ${value}`),
--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -1,4 +1,5 @@
 /** What the entry and the agent daemon share. */
+export * from './client-error.js';
 export * from './configuration-watch.js';
 export * from './core-task.js';
 export * from './document-receiver.js';
--- a/packages/runtime/src/metric-definitions.ts
+++ b/packages/runtime/src/metric-definitions.ts
@@ -34,6 +34,14 @@
     type: MetricType.COUNTER,
     help: 'Prompt tokens that were worked through and thrown away, by cause.',
   },
+  attempt_faults_total: {
+    type: MetricType.COUNTER,
+    help: 'Attempts at backend servers that failed, by fault.',
+  },
+  peers: {
+    type: MetricType.GAUGE,
+    help: 'Other gateways that are not forgotten.',
+  },
   dropped_messages_total: {
     type: MetricType.COUNTER,
     help: 'Messages between processes that were dropped, by reason.',
--- a/packages/runtime/src/operator-server.ts
+++ b/packages/runtime/src/operator-server.ts
@@ -11,8 +11,11 @@
   describeStatus: () => unknown;
   /** False once the process takes no new work. */
   isReady?: () => boolean;
+  /** Where the platform's balancer asks, besides `/health`. */
+  readinessPath?: string;
 };
 
+const HEALTH_PATH = '/health';
 const TEXT = { 'content-type': 'text/plain; version=0.0.4' };
 const JSON_TYPE = { 'content-type': 'application/json' };
 
@@ -24,14 +27,15 @@
 /** Starts to listen. */
 export async function startOperatorServer(options: OperatorServerOptions): Promise<OperatorServer> {
   const server = http.createServer((request, response) => {
-    switch (request.url) {
+    const isReadiness = request.url === (options.readinessPath ?? HEALTH_PATH);
+    switch (isReadiness ? HEALTH_PATH : request.url) {
       case '/metrics':
         response.writeHead(200, TEXT).end(options.renderMetrics());
         return;
       case '/status':
         response.writeHead(200, JSON_TYPE).end(JSON.stringify(options.describeStatus()));
         return;
-      case '/health':
+      case HEALTH_PATH:
         serveHealth(response, options.isReady?.() ?? true);
         return;
       default:
--- a/packages/schema/src/index.ts
+++ b/packages/schema/src/index.ts
@@ -4,6 +4,7 @@
  */
 export * from './generated/toucanproxy/v1/document_pb.js';
 export * from './generated/toucanproxy/v1/link_pb.js';
+export * from './generated/toucanproxy/v1/peer_pb.js';
 export * from './generated/toucanproxy/v1/result_pb.js';
 export * from './generated/toucanproxy/v1/settings_pb.js';
 export { create, fromJson, toBinary, toJson, fromBinary } from '@bufbuild/protobuf';
@@ -13,4 +14,5 @@
 export { formatFault } from './fault.js';
 export type { Fault, Parsed } from './fault.js';
 export * from './parse-document.js';
+export * from './result-status.js';
 export * from './settings-defaults.js';
