--- a/.ci/run-tests.js
+++ b/.ci/run-tests.js
@@ -1,5 +1,6 @@
 /**
- * Runs every test and writes "PASSED FAILED" to the file named.
+ * Runs every test. Writes "PASSED FAILED" to the file that TEST_COUNTS_FILE names,
+ * where it names one.
  *
  * Tests that KNOWN-RED.txt lists are run and printed, and do not count as
  * failed. Each of its lines is "command | test | cause | issue".
@@ -12,13 +13,14 @@
 const KNOWN_RED_MOST = 3;
 /** Test files at once; tests over real processes start several each. */
 const CONCURRENCY = 4;
-const SOURCE_PATTERN = /^packages\/[^/]+\/src\/.*\.test\.ts$/;
+const SOURCE_PATTERN = /^(packages\/[^/]+|platform)\/src\/.*\.test\.ts$/;
+const SOURCE_FOLDERS = ['packages', 'platform'];
 
 /** Lists the compiled test files; those whose source is gone are left out. */
 function listTestFiles() {
-  return fs
-    .readdirSync('packages', { recursive: true })
-    .map((file) => path.posix.join('packages', file))
+  return SOURCE_FOLDERS.flatMap((folder) =>
+    fs.readdirSync(folder, { recursive: true }).map((file) => path.posix.join(folder, file)),
+  )
     .filter((file) => SOURCE_PATTERN.test(file))
     .map((file) => path.resolve(file.replace('/src/', '/dist/').replace(/\.ts$/, '.js')))
     .sort();
@@ -33,7 +35,7 @@
   return lines.filter((line) => line.trim() !== '').map((line) => line.split('|')[1]?.trim());
 }
 
-const [, , countsFile] = process.argv;
+const countsFile = process.env.TEST_COUNTS_FILE;
 const knownRed = readKnownRed();
 const failures = [];
 const red = [];
@@ -69,6 +71,11 @@
   if (surplus > 0) {
     process.stdout.write(`FAILED ${KNOWN_RED_FILE} lists more than ${KNOWN_RED_MOST} tests\n`);
   }
-  fs.writeFileSync(countsFile, `${passed} ${failures.length + surplus}\n`);
+  const failed = failures.length + surplus;
+  process.stdout.write(`${passed} passed, ${failed} failed\n`);
+  if (countsFile !== undefined) {
+    fs.writeFileSync(countsFile, `${passed} ${failed}\n`);
+  }
+  process.exitCode = failed === 0 ? 0 : 1;
 });
 run.resume();
--- a/eslint.config.js
+++ b/eslint.config.js
@@ -50,7 +50,7 @@
 const TEST_ONLY = ['@toucanproxy/stand-ins', '@toucanproxy/proofs', '@toucanproxy/measure'];
 
 export default [
-  { ignores: ['**/dist/**', '**/node_modules/**', '**/generated/**'] },
+  { ignores: ['**/dist/**', '**/target/**', '**/node_modules/**', '**/generated/**'] },
   airbnb.plugins.stylistic,
   airbnb.plugins.importX,
   airbnb.plugins.node,
--- a/packages/core/src/gateway/assignment.ts
+++ b/packages/core/src/gateway/assignment.ts
@@ -74,10 +74,7 @@
   request.version = version;
   return allowed
     ? undefined
-    : refusal.buildRefusal(
-        schema.ResultCode.NO_BACKEND_SERVER,
-        refusal.ELSEWHERE_RETRY_AFTER_MS,
-      );
+    : refusal.buildRefusal(schema.ResultCode.NO_BACKEND_SERVER, refusal.ELSEWHERE_RETRY_AFTER_MS);
 }
 
 /** Marks a request as sent to a backend server. */
@@ -135,13 +132,9 @@
 }
 
 /** Refuses the requests of a service that have no time left. */
-function refuseSpent(
-  state: gatewayState.GatewayState,
-  service: string,
-  now: number,
-): Assignment[] {
+function refuseSpent(state: gatewayState.GatewayState, service: string, now: number): Assignment[] {
   const { drain, queue } = gatewayState.getServiceWork(state, service);
-  return waiting.moveLate(state, service, now).map((request) => {
+  return waiting.updateLate(state, service, now).map((request) => {
     requestEnd.endWithoutRun(state, request);
     const advice = turnAway.drawRetryAfter(drain, queue, state.drawRandom);
     return {
--- a/packages/core/src/gateway/attempt-end.ts
+++ b/packages/core/src/gateway/attempt-end.ts
@@ -37,11 +37,7 @@
 /** Time that a further attempt needs at least, milliseconds. */
 const MIN_TIME_LEFT_MS = 20;
 
-const NOT_RUN = new Set([
-  AttemptFault.UNREACHABLE,
-  AttemptFault.REFUSED,
-  AttemptFault.MISDIRECTED,
-]);
+const NOT_RUN = new Set([AttemptFault.UNREACHABLE, AttemptFault.REFUSED, AttemptFault.MISDIRECTED]);
 
 /** Notes what a fault says of the backend server. */
 function noteServerFault(
--- a/packages/core/src/gateway/intake.ts
+++ b/packages/core/src/gateway/intake.ts
@@ -91,7 +91,7 @@
 }
 
 /** Charges the quota of a workspace; gives the refusal where it is spent. */
-function chargeQuota(
+function applyQuota(
   state: gatewayState.GatewayState,
   request: gatewayRequest.GatewayRequest,
   quota: configuration.Quota | undefined,
@@ -128,10 +128,7 @@
   const { queue, drain } = gatewayState.getServiceWork(state, request.service);
   const ahead = waiting.countTokensAhead(queue, request);
   return turnAway.isHopeless(drain, ahead, request.giveUpMs, now)
-    ? refusal.buildRefusal(
-        ResultCode.SHED,
-        turnAway.drawRetryAfter(drain, queue, state.drawRandom),
-      )
+    ? refusal.buildRefusal(ResultCode.SHED, turnAway.drawRetryAfter(drain, queue, state.drawRandom))
     : undefined;
 }
 
@@ -155,8 +152,7 @@
     };
   }
   const request = makeRequest(state, arrived, decision.rights, service, now);
-  const limit =
-    findLimit(state, request, now) ?? chargeQuota(state, request, workspace?.quota, now);
+  const limit = findLimit(state, request, now) ?? applyQuota(state, request, workspace?.quota, now);
   if (limit !== undefined) {
     return { kind: 'refused', refusal: limit };
   }
--- a/packages/core/src/gateway/rights.ts
+++ b/packages/core/src/gateway/rights.ts
@@ -14,8 +14,7 @@
 };
 
 export type RightsDecision =
-  | { kind: 'granted'; rights: Rights }
-  | { kind: 'refused'; refusal: refusal.Refusal };
+  { kind: 'granted'; rights: Rights } | { kind: 'refused'; refusal: refusal.Refusal };
 
 /** Refuses by a code. */
 function refuse(code: schema.ResultCode, retryAfterMs?: number): RightsDecision {
--- a/packages/core/src/gateway/token-quota.ts
+++ b/packages/core/src/gateway/token-quota.ts
@@ -7,9 +7,13 @@
  * would have, an equal share, is kept free for it, so that both sides of a
  * partition together stay within the limit.
  */
-import type * as configuration from './configuration.js';
+import * as configuration from './configuration.js';
 
-type Bucket = { level: number; updatedMs: number; /** Admitted here since the start. */ used: number };
+type Bucket = {
+  level: number;
+  updatedMs: number;
+  /** Admitted here since the start. */ used: number;
+};
 
 export type QuotaBook = { buckets: Map<string, Bucket> };
 
@@ -37,7 +41,7 @@
 
 /** Computes what a request costs in the unit of a quota. */
 export function computeCost(quota: configuration.Quota, tokens: number | undefined): number {
-  return quota.unit === 'tokens' ? (tokens ?? quota.defaultTokens) : 1;
+  return quota.unit === configuration.QuotaUnit.TOKENS ? (tokens ?? quota.defaultTokens) : 1;
 }
 
 export type QuotaDecision = { kind: 'within' } | { kind: 'beyond'; retryAfterMs: number };
@@ -79,7 +83,7 @@
 }
 
 /** Charges a workspace with what a peer has admitted. */
-export function chargePeerUse(book: QuotaBook, workspace: string, cost: number): void {
+export function applyPeerUse(book: QuotaBook, workspace: string, cost: number): void {
   const bucket = book.buckets.get(workspace);
   if (bucket !== undefined) {
     bucket.level -= cost;
--- a/packages/core/src/gateway/waiting.ts
+++ b/packages/core/src/gateway/waiting.ts
@@ -69,7 +69,7 @@
  * Moves requests that have become late behind those that have not, and lists
  * those that have no time left.
  */
-export function moveLate(
+export function updateLate(
   state: gatewayState.GatewayState,
   service: string,
   now: number,
--- a/packages/entry/src/result-codes.test.ts
+++ b/packages/entry/src/result-codes.test.ts
@@ -2,7 +2,6 @@
 import * as fs from 'node:fs';
 import * as nodeTest from 'node:test';
 import * as schema from '@toucanproxy/schema';
-import * as failureAnswer from './failure-answer.js';
 
 const TABLE = new URL('../../../docs/RESULT-CODES.md', import.meta.url);
 const RUN_STATES = ['not_run', 'ran', 'may_have_run'];
--- a/packages/gateway/src/answer-relay.ts
+++ b/packages/gateway/src/answer-relay.ts
@@ -53,7 +53,7 @@
 const MAX_SUCCESS = 299;
 
 /** Settles an attempt with a fault. */
-function settleFault(relay: Relay, fault: gateway.AttemptFault, reason: string): void {
+function endWithFault(relay: Relay, fault: gateway.AttemptFault, reason: string): void {
   relay.options.settle({ kind: 'fault', fault, reason, failure: undefined });
 }
 
@@ -90,16 +90,16 @@
 function takeHead(relay: Relay, head: heldRequest.AnswerHead, isFresh: boolean): boolean {
   const found = findHeadFault(relay, head, isFresh);
   if (found !== undefined) {
-    settleFault(relay, found.fault, found.reason);
+    endWithFault(relay, found.fault, found.reason);
     return false;
   }
   const { held } = relay.options;
   const isStream = held.events !== undefined && head.status <= MAX_SUCCESS;
   if (held.exchange.response.headersSent && !isStream) {
-    settleFault(relay, gateway.AttemptFault.FAILED, `resumed-${head.status}`);
+    endWithFault(relay, gateway.AttemptFault.FAILED, `resumed-${head.status}`);
     return false;
   }
-  relay.head = { status: head.status, headers: endToEndHeaders.listEndToEnd(head.headers) };
+  relay.head = { ...head, headers: endToEndHeaders.listEndToEnd(head.headers) };
   relay.isStream = isStream;
   return true;
 }
@@ -108,7 +108,7 @@
 function beginOnce(relay: Relay): void {
   const { exchange } = relay.options.held;
   if (relay.head !== undefined && !exchange.response.headersSent) {
-    callerExchange.beginAnswer(exchange, relay.head.status, relay.head.headers);
+    callerExchange.beginAnswer(exchange, relay.head);
   }
 }
 
@@ -166,10 +166,15 @@
   const { held, settle } = relay.options;
   const isMidEvent = held.request.repeatable && (held.events?.rest.length ?? 0) > 0;
   if (isMidEvent) {
-    settleFault(relay, gateway.AttemptFault.BROKEN, 'ended-in-event');
+    endWithFault(relay, gateway.AttemptFault.BROKEN, 'ended-in-event');
     return;
   }
   beginOnce(relay);
+  if (relay.head?.isFramed === false && held.exchange.response.useChunkedEncodingByDefault) {
+    // Begun by another run, in chunks; an end of them would say that it is whole.
+    endWithFault(relay, gateway.AttemptFault.BROKEN, 'ended-without-length');
+    return;
+  }
   held.exchange.response.end();
   settle({ kind: 'complete', status: relay.head?.status ?? 0 });
 }
@@ -193,7 +198,7 @@
   if (held.events === undefined) {
     observePace(readNow() - held.request.sentMs);
   }
-  callerExchange.sendAnswer(held.exchange, head.status, head.headers, body);
+  callerExchange.sendAnswer(held.exchange, head, body);
   settle({ kind: 'complete', status: head.status });
 }
 
@@ -209,12 +214,15 @@
     events: 0,
   };
   return {
-    onHead: (status, headers, isFresh) => takeHead(relay, { status, headers }, isFresh),
+    onHead: (status, headers, isFresh) => {
+      const isFramed = endToEndHeaders.isFramed(status, headers);
+      return takeHead(relay, { status, headers, isFramed }, isFresh);
+    },
     onData: (chunk) => takePart(relay, chunk),
     onEnd: () => (relay.isStream ? endStream(relay) : endPlain(relay)),
     onBroken: (reason, mayHaveLeft) => {
       const { BROKEN, UNREACHABLE } = gateway.AttemptFault;
-      settleFault(relay, mayHaveLeft ? BROKEN : UNREACHABLE, reason);
+      endWithFault(relay, mayHaveLeft ? BROKEN : UNREACHABLE, reason);
     },
   };
 }
--- a/packages/gateway/src/app.ts
+++ b/packages/gateway/src/app.ts
@@ -14,6 +14,7 @@
 import * as peerTask from './peer-task.js';
 import * as serverReader from './server-reader.js';
 import * as shutdown from './shutdown.js';
+import * as status from './status.js';
 import type * as storeCodec from './store-codec.js';
 import type * as wireProtocol from './wire-protocol.js';
 
@@ -61,30 +62,12 @@
   return state.shutdownMs === 0 && standing === gateway.Standing.CONFIRMED;
 }
 
-/** Starts a gateway. */
-export async function startGateway(options: GatewayOptions): Promise<GatewayDaemon> {
-  const { settings, protocol, codec } = options;
-  const life = crypto.randomBytes(LIFE_BYTES).toString('hex');
-  const logger = runtime.createLogger('toucanproxy-gateway', { gateway: settings.name, life });
-  const log = decisionLog.createDecisionLog(logger);
-  const readClocks = clocks.createClockReader();
-  const state = gateway.createGatewayState(
-    settings.failureDomain,
-    buildBounds(settings),
-    Math.random,
-  );
-  const connections = backendConnections.createBackendConnections();
-  let countHeld = () => 0;
-  const metrics = gatewayMetrics.createGatewayMetrics(state, () => countHeld());
-  const task = gatewayTask.createGatewayTask({
-    state,
-    protocol,
-    connections,
-    readClocks,
-    log,
-    metrics,
-  });
-  countHeld = task.countHeld;
+/** Starts the servers that others call. */
+async function startServers(
+  { settings }: GatewayOptions,
+  { state, readClocks, log, metrics }: gatewayTask.GatewayTaskParts,
+  task: gatewayTask.GatewayTask,
+): Promise<{ callers: callerServer.CallerServer; operators: runtime.OperatorServer }> {
   const callers = await callerServer.startCallerServer({
     listen: settings.callers,
     receive: task.receive,
@@ -94,22 +77,45 @@
     },
   });
   const operators = await runtime.startOperatorServer({
-    host: settings.operators.host,
-    port: settings.operators.port,
+    ...settings.operators,
     renderMetrics: metrics.render,
-    describeStatus: () => ({
-      version: state.index?.configuration.version,
-      beliefAgeMs: gateway.computeAge(state.belief, readClocks()),
-      servers: [...state.servers.byId.values()],
-      peers: gateway.listContacts(state.peers),
-    }),
+    describeStatus: () => status.describeStatus(state, readClocks()),
     isReady: () => isReady(state, readClocks),
     readinessPath: settings.readinessPath,
   });
-  const readerParts = { state, settings, codec, readClocks, log, assign: task.assign };
+  return { callers, operators };
+}
+
+/** Creates what the tasks of a gateway share. */
+function createParts({ settings, protocol }: GatewayOptions, life: string) {
+  const logger = runtime.createLogger('toucanproxy-gateway', { gateway: settings.name, life });
+  const state = gateway.createGatewayState(
+    settings.failureDomain,
+    buildBounds(settings),
+    Math.random,
+  );
+  return {
+    state,
+    protocol,
+    connections: backendConnections.createBackendConnections(),
+    readClocks: clocks.createClockReader(),
+    log: decisionLog.createDecisionLog(logger),
+    metrics: gatewayMetrics.createGatewayMetrics(state),
+  };
+}
+
+/** Starts a gateway. */
+export async function startGateway(options: GatewayOptions): Promise<GatewayDaemon> {
+  const { settings, codec } = options;
+  const life = crypto.randomBytes(LIFE_BYTES).toString('hex');
+  const parts = createParts(options, life);
+  const { state, connections, log } = parts;
+  const task = gatewayTask.createGatewayTask(parts);
+  const { callers, operators } = await startServers(options, parts, task);
+  const readerParts = { ...parts, settings, codec, assign: task.assign };
   const readers = [
     configurationReader.startConfigurationReader({ ...readerParts, callers }),
-    serverReader.startServerReader({ ...readerParts, connections }),
+    serverReader.startServerReader(readerParts),
   ];
   const peers = peerTask.startPeerTask({
     listen: settings.peerListen,
@@ -121,11 +127,9 @@
   });
   task.start();
   log.writeAlways('started', { ...settings });
-  const stop = () =>
-    [...readers, task, peers, callers, operators, connections].forEach((part) => part.stop());
   return {
-    shutDown: () =>
-      shutdown.beginShutdown({ state, callers, task, peers, log, ...options }),
-    stop,
+    shutDown: () => shutdown.beginShutdown({ state, callers, task, peers, log, ...options }),
+    stop: () =>
+      [...readers, task, peers, callers, operators, connections].forEach((part) => part.stop()),
   };
 }
--- a/packages/gateway/src/backend-attempt.ts
+++ b/packages/gateway/src/backend-attempt.ts
@@ -5,7 +5,6 @@
  * such an answer is cut, and its caller would not see it. So the connection
  * notes a reset by itself, before the library hears of it.
  */
-import type * as undici from 'undici';
 import type * as backendConnections from './backend-connections.js';
 import * as endToEndHeaders from './end-to-end-headers.js';
 import type * as wireProtocol from './wire-protocol.js';
@@ -77,9 +76,7 @@
       }
       resume = resumeReading;
       const headers = toRawHeaders(given);
-      hasLength = ['content-length', 'transfer-encoding'].some(
-        (name) => endToEndHeaders.findHeader(headers, name) !== undefined,
-      );
+      hasLength = endToEndHeaders.isFramed(status, headers);
       isKept = endToEndHeaders.findHeader(headers, 'connection')?.toLowerCase() !== 'close';
       if (!ended && !listener.onHead(status, headers, isFresh)) {
         end(() => {}, false);
@@ -97,10 +94,7 @@
     },
   };
   const options = { ...request, idempotent: true, blocking: false };
-  connection.client.dispatch(
-    options as undici.Dispatcher.DispatchOptions,
-    handler as undici.Dispatcher.DispatchHandler,
-  );
+  connection.client.dispatch(options, handler);
   return {
     abort: () => end(() => {}, false),
     resume: () => resume(),
--- a/packages/gateway/src/backend-connections.ts
+++ b/packages/gateway/src/backend-connections.ts
@@ -5,7 +5,6 @@
  * byte behind it. Bytes that come between two requests close it: the library
  * meets them without a request in hand.
  */
-import type * as net from 'node:net';
 import * as undici from 'undici';
 
 export type BackendConnection = {
@@ -53,7 +52,7 @@
     keepAliveMaxTimeout: IDLE_MS,
     connect: (options, callback) =>
       connector(options, (...results) => {
-        const socket = results[1] as net.Socket | null;
+        const socket = results[1];
         socket?.prependListener('error', () => {
           reset = true;
         });
--- a/packages/gateway/src/caller-exchange.ts
+++ b/packages/gateway/src/caller-exchange.ts
@@ -2,6 +2,7 @@
 import * as http from 'node:http';
 import type * as gateway from '@toucanproxy/core/gateway';
 import * as ownAnswer from './own-answer.js';
+import type * as heldRequest from './held-request.js';
 import type * as wireProtocol from './wire-protocol.js';
 
 export type CallerExchange = {
@@ -13,24 +14,31 @@
   response: http.ServerResponse;
 };
 
-/** Begins an answer whose length is not known yet. */
-export function beginAnswer(
-  exchange: CallerExchange,
-  status: number,
-  headers: wireProtocol.RawHeaders,
-): void {
-  exchange.response.sendDate = false;
-  exchange.response.writeHead(status, headers);
+/**
+ * Begins an answer.
+ *
+ * An answer without a length ends with its connection, cut short or not: nobody
+ * can tell. Given a length here, a short one would look whole to the caller. So
+ * it is passed on as it came, without a length.
+ */
+export function beginAnswer(exchange: CallerExchange, head: heldRequest.AnswerHead): void {
+  const { response } = exchange;
+  response.sendDate = false;
+  if (!head.isFramed) {
+    response.shouldKeepAlive = false;
+    response.useChunkedEncodingByDefault = false;
+  }
+  response.writeHead(head.status, head.headers);
 }
 
 /** Sends a whole answer. */
 export function sendAnswer(
   exchange: CallerExchange,
-  status: number,
-  headers: wireProtocol.RawHeaders,
+  head: heldRequest.AnswerHead,
   body: Buffer,
 ): void {
-  beginAnswer(exchange, status, [...headers, 'Content-Length', String(body.length)]);
+  const length = head.isFramed ? ['Content-Length', String(body.length)] : [];
+  beginAnswer(exchange, { ...head, headers: [...head.headers, ...length] });
   exchange.response.end(body);
 }
 
@@ -48,8 +56,13 @@
 /**
  * Cuts an answer that cannot be completed.
  *
- * Ended in the usual way, a caller would take the part that it has for the whole.
+ * Ended in the usual way, a caller would take the part that it has for the
+ * whole. An answer without a length needs a reset to look cut.
  */
-export function cutAnswer(exchange: CallerExchange): void {
-  exchange.response.destroy();
+export function cutAnswer({ response }: CallerExchange): void {
+  if (response.useChunkedEncodingByDefault) {
+    response.destroy();
+  } else {
+    response.socket?.resetAndDestroy();
+  }
 }
--- a/packages/gateway/src/end-to-end-headers.ts
+++ b/packages/gateway/src/end-to-end-headers.ts
@@ -41,3 +41,16 @@
   const index = headers.findIndex((one, at) => at % 2 === 0 && one.toLowerCase() === name);
   return index === -1 ? undefined : headers[index + 1];
 }
+
+const STATUS_NO_CONTENT = 204;
+const STATUS_NOT_MODIFIED = 304;
+
+/** Tells whether an answer says where it ends, other than by its connection's end. */
+export function isFramed(status: number, headers: wireProtocol.RawHeaders): boolean {
+  return (
+    status === STATUS_NO_CONTENT ||
+    status === STATUS_NOT_MODIFIED ||
+    findHeader(headers, 'content-length') !== undefined ||
+    findHeader(headers, 'transfer-encoding') !== undefined
+  );
+}
--- a/packages/gateway/src/gateway-metrics.ts
+++ b/packages/gateway/src/gateway-metrics.ts
@@ -13,21 +13,18 @@
 };
 
 /** Lists the present values of a gateway. */
-function listGauges(state: gateway.GatewayState, held: number): runtime.Gauge[] {
+function listGauges(state: gateway.GatewayState): runtime.Gauge[] {
   const version = state.index?.configuration.version ?? 0;
   return [
     { name: 'document_version', labels: {}, value: version },
-    { name: 'requests_held', labels: {}, value: held },
+    { name: 'requests_held', labels: {}, value: state.requests.size },
     { name: 'backend_servers', labels: {}, value: state.servers.byId.size },
     { name: 'peers', labels: {}, value: state.peers.byAddress.size },
   ];
 }
 
 /** Creates the metrics of one gateway. */
-export function createGatewayMetrics(
-  state: gateway.GatewayState,
-  countHeld: () => number,
-): GatewayMetrics {
+export function createGatewayMetrics(state: gateway.GatewayState): GatewayMetrics {
   const metrics = runtime.createMetrics();
   return {
     recordEnd: (route, service, code, inTime) =>
@@ -36,6 +33,6 @@
       runtime.addCount(metrics, 'attempt_faults_total', { service, fault }),
     recordFirstEvent: (route, ms) =>
       runtime.recordObservation(metrics, { kind: 'firstByte', service: '', tier: route, ms }),
-    render: () => runtime.renderMetrics(metrics, Date.now(), listGauges(state, countHeld())),
+    render: () => runtime.renderMetrics(metrics, Date.now(), listGauges(state)),
   };
 }
--- a/packages/gateway/src/gateway-task.ts
+++ b/packages/gateway/src/gateway-task.ts
@@ -133,7 +133,7 @@
   }
   forget(task, held);
   reportEnd(task, held, schema.ResultCode.ENGINE_FAILED, { status: failure.status });
-  callerExchange.sendAnswer(held.exchange, failure.status, failure.headers, failure.body);
+  callerExchange.sendAnswer(held.exchange, failure, failure.body);
 }
 
 /** Builds the request that a backend server gets. */
--- a/packages/gateway/src/held-request.ts
+++ b/packages/gateway/src/held-request.ts
@@ -6,7 +6,12 @@
 import type * as wireProtocol from './wire-protocol.js';
 
 /** The head of a backend server's answer. */
-export type AnswerHead = { status: number; headers: wireProtocol.RawHeaders };
+export type AnswerHead = {
+  status: number;
+  headers: wireProtocol.RawHeaders;
+  /** It says where it ends, other than by its connection's end. */
+  isFramed: boolean;
+};
 
 export type HeldRequest = {
   request: gateway.GatewayRequest;
--- a/packages/gateway/src/peer-task.ts
+++ b/packages/gateway/src/peer-task.ts
@@ -40,7 +40,7 @@
 type PeerState = { options: PeerTaskOptions; own: string; sequence: number };
 
 /** Rotates a list, so that a part of it in turn covers all of it. */
-function rotate<T>(items: T[], turn: number, most: number): T[] {
+function pickInTurn<T>(items: T[], turn: number, most: number): T[] {
   const begin = items.length > most ? (turn * most) % items.length : 0;
   return [...items.slice(begin), ...items.slice(0, begin)].slice(0, most);
 }
@@ -65,12 +65,12 @@
     life,
     sequence,
     leaving,
-    used: rotate(used, sequence, MAX_WORKSPACES).map(({ workspace, used: amount }) => ({
+    used: pickInTurn(used, sequence, MAX_WORKSPACES).map(({ workspace, used: amount }) => ({
       workspace,
       amount,
     })),
-    inFlight: rotate(inFlight, sequence, MAX_SERVERS),
-    peers: rotate(gateway.listHeard(state.peers, readNow()), sequence, MAX_PEERS),
+    inFlight: pickInTurn(inFlight, sequence, MAX_SERVERS),
+    peers: pickInTurn(gateway.listHeard(state.peers, readNow()), sequence, MAX_PEERS),
   });
   return schema.toBinary(schema.GatewayReportSchema, report);
 }
@@ -79,7 +79,7 @@
 function sendReport(peer: PeerState, socket: dgram.Socket, leaving: boolean): void {
   peer.sequence += 1;
   const bytes = buildReport(peer, leaving);
-  rotate(listAddresses(peer), peer.sequence, MAX_FAN_OUT).forEach((address) => {
+  pickInTurn(listAddresses(peer), peer.sequence, MAX_FAN_OUT).forEach((address) => {
     const [host, port] = address.split(':');
     socket.send(bytes, Number(port), host, (error) => {
       if (error !== null) {
@@ -108,9 +108,7 @@
   };
   gateway
     .applyReport(state.peers, report, now)
-    .forEach(({ workspace, amount }) =>
-      gateway.chargePeerUse(state.quotas, workspace, amount),
-    );
+    .forEach(({ workspace, amount }) => gateway.applyPeerUse(state.quotas, workspace, amount));
   peers
     .filter((one) => one !== peer.own)
     .forEach((one) => gateway.addHearsay(state.peers, one, now));
--- a/packages/gateway/src/server-reader.ts
+++ b/packages/gateway/src/server-reader.ts
@@ -70,7 +70,11 @@
       const now = readClocks().steadyMs;
       applyMembership(parts, gateway.applySnapshot(state.servers, entries, now));
     },
-    applyChanges: (items) => applyMembership(parts, items.map((item) => applyItem(parts, item))),
+    applyChanges: (items) =>
+      applyMembership(
+        parts,
+        items.map((item) => applyItem(parts, item)),
+      ),
     confirm: () => {},
     reportLost: (name, reason) => log.writeAlways('store-lost', { reader: name, reason }),
     reportRegained: (name, awayMs) => {
