Wait by what can still be on time, and send where a first token comes in time

Now a request waits as on time, as late, or not at all, by the expected wait against its target and its caller's patience; a backend server is chosen by its time to a first token.

--- a/packages/core/src/gateway/assignment.ts
+++ b/packages/core/src/gateway/assignment.ts
@@ -2,7 +2,6 @@
 import * as schema from '@toucanproxy/schema';
 import * as drainRate from '../shared/drain-rate.js';
 import * as retryBudget from '../shared/retry-budget.js';
-import * as startQueue from '../shared/start-queue.js';
 import * as backendServers from './backend-servers.js';
 import type * as belief from './belief.js';
 import * as enginePace from './engine-pace.js';
@@ -14,7 +13,6 @@
 import * as rights from './rights.js';
 import * as serverChoice from './server-choice.js';
 import * as serverLoad from './server-load.js';
-import * as turnAway from './turn-away.js';
 import * as waiting from './waiting.js';
 
 export type Assignment =
@@ -29,6 +27,8 @@
 
 /** Places of a plain service whose entry names none. */
 const DEFAULT_SLOTS = 4;
+/** Waiting requests that are looked at for one place; bounds the work of a burst. */
+const MAX_LOOK_AHEAD = 32;
 
 /** Lists the backend servers of a service that may get work now. */
 function listCandidates(
@@ -42,15 +42,19 @@
   const fastest = enginePace.findFastest(usable.map(({ load }) => load.pace));
   return usable
     .filter(({ load }) => !serverLoad.isPaused(load, now))
-    .map(({ entry, load }) => ({
-      id: entry.id,
-      slots: entry.slots || DEFAULT_SLOTS,
-      ownInFlight: load.inFlight,
-      peersInFlight: peerView.countInFlight(state.peers, entry.id, now),
-      slowness: enginePace.estimateSlowness(load.pace, fastest, now),
-      failureShare: serverLoad.computeFailureShare(load),
-      isNear: entry.failureDomain === state.failureDomain,
-    }));
+    .map(({ entry, load }) => {
+      const slowness = enginePace.estimateSlowness(load.pace, fastest, now);
+      return {
+        id: entry.id,
+        slots: entry.slots || DEFAULT_SLOTS,
+        ownInFlight: load.inFlight,
+        peersInFlight: peerView.countInFlight(state.peers, entry.id, now),
+        slowness,
+        firstRatio: enginePace.estimateFirstRatio(load.pace, slowness, now),
+        failureShare: serverLoad.computeFailureShare(load),
+        isNear: entry.failureDomain === state.failureDomain,
+      };
+    });
 }
 
 /**
@@ -93,15 +97,50 @@
   gatewayState.getLoad(state, serverId).inFlight += 1;
 }
 
-/** Assigns the next request of a service; undefined where none can be. */
-function assignNext(
+/** Tells whether a request would be on time at a backend server. */
+function isInTime(
+  request: gatewayRequest.GatewayRequest,
+  candidate: serverChoice.Candidate,
+  now: number,
+): boolean {
+  return now + waiting.estimateFirstMs(request) * candidate.firstRatio <= request.targetMs;
+}
+
+type Match = { request: gatewayRequest.GatewayRequest; chosen: serverChoice.Candidate };
+
+/**
+ * Finds a place for one waiting request.
+ *
+ * One that would be late at all open places leaves them to others while a
+ * backend server that is full now would have it on time. Load pattern: the fast
+ * engines are full, and a long prompt takes a second at a slow one, where ten
+ * short ones would be on time.
+ */
+function findMatch(
+  state: gatewayState.GatewayState,
+  request: gatewayRequest.GatewayRequest,
+  candidates: readonly serverChoice.Candidate[],
+  open: readonly serverChoice.Candidate[],
+  now: number,
+): Match | undefined {
+  const untried = open.filter((one) => !request.triedIds.has(one.id));
+  const places = untried.length > 0 ? untried : open;
+  const inTime = places.filter((one) => isInTime(request, one, now));
+  const mayWait = inTime.length === 0 && candidates.some((one) => isInTime(request, one, now));
+  const chosen = mayWait
+    ? undefined
+    : serverChoice.chooseServer(inTime.length > 0 ? inTime : places, state.drawRandom);
+  return chosen && { request, chosen };
+}
+
+/** Finds the first waiting request of a service that gets a place. */
+function findNextMatch(
   state: gatewayState.GatewayState,
   service: string,
-  clocks: belief.ClockReading,
-): Assignment | undefined {
-  const now = clocks.steadyMs;
+  now: number,
+): { match: Match; candidates: serverChoice.Candidate[] } | undefined {
   const { queue } = gatewayState.getServiceWork(state, service);
-  if (startQueue.countQueued(queue) === 0) {
+  if (queue.items.length === 0) {
     return undefined;
   }
   const candidates = listCandidates(state, service, now);
@@ -110,38 +149,45 @@
   if (open.length === 0) {
     return undefined;
   }
-  const item = startQueue.findNext(queue);
-  const request = item && state.requests.get(Number(item.id));
-  if (item === undefined || request === undefined) {
-    return undefined;
-  }
-  const untried = open.filter((one) => !request.triedIds.has(one.id));
-  const chosen = serverChoice.chooseServer(untried.length > 0 ? untried : open, state.drawRandom);
-  const known = chosen && state.servers.byId.get(chosen.id);
-  if (chosen === undefined || known === undefined) {
+  let match: Match | undefined;
+  queue.items.slice(0, MAX_LOOK_AHEAD).some((item) => {
+    const request = state.requests.get(item.serial);
+    match = request && findMatch(state, request, candidates, open, now);
+    return match !== undefined;
+  });
+  return match && { match, candidates };
+}
+
+/** Assigns the next request of a service; undefined where none can be. */
+function assignNext(
+  state: gatewayState.GatewayState,
+  service: string,
+  clocks: belief.ClockReading,
+): Assignment | undefined {
+  const now = clocks.steadyMs;
+  const found = findNextMatch(state, service, now);
+  const known = found && state.servers.byId.get(found.match.chosen.id);
+  if (found === undefined || known === undefined) {
     return undefined;
   }
-  startQueue.takeItem(queue, item);
+  const { request, chosen } = found.match;
   const obstacle = findObstacle(state, request, clocks);
+  waiting.removeRequest(state, request, obstacle === undefined);
   if (obstacle !== undefined) {
-    requestEnd.endWithoutRun(state, request);
-    return { kind: 'refuse', request, refusal: obstacle };
+    const told = requestEnd.refuseWaiting(state, request, obstacle);
+    return { kind: 'refuse', request, refusal: told };
   }
   beginSend(state, request, chosen.id, now);
-  return { kind: 'send', request, server: known.entry, candidates };
+  return { kind: 'send', request, server: known.entry, candidates: found.candidates };
 }
 
-/** Refuses the requests of a service that have no time left. */
+/** Refuses the requests of a service that would wait in vain. */
 function refuseSpent(state: gatewayState.GatewayState, service: string, now: number): Assignment[] {
-  const { drain, queue } = gatewayState.getServiceWork(state, service);
   return waiting.updateLate(state, service, now).map((request) => {
-    requestEnd.endWithoutRun(state, request);
-    const advice = turnAway.drawRetryAfter(drain, queue, state.drawRandom);
-    return {
-      kind: 'refuse',
-      request,
-      refusal: refusal.buildRefusal(schema.ResultCode.DEADLINE_UNREACHABLE, advice),
-    };
+    const advice = waiting.drawRetryAfter(state, service);
+    const notRun = refusal.buildRefusal(schema.ResultCode.DEADLINE_UNREACHABLE, advice);
+    const told = requestEnd.refuseWaiting(state, request, notRun);
+    return { kind: 'refuse', request, refusal: told };
   });
 }
 
--- a/packages/core/src/gateway/attempt-end.ts
+++ b/packages/core/src/gateway/attempt-end.ts
@@ -7,7 +7,6 @@
 import * as refusal from './refusal.js';
 import * as requestEnd from './request-end.js';
 import * as serverLoad from './server-load.js';
-import * as turnAway from './turn-away.js';
 import * as waiting from './waiting.js';
 
 export enum AttemptFault {
@@ -91,8 +90,7 @@
         : schema.ResultCode.ENGINE_FAILED;
     return refusal.buildRefusal(code);
   }
-  const { drain, queue } = gatewayState.getServiceWork(state, request.service);
-  const advice = turnAway.drawRetryAfter(drain, queue, state.drawRandom);
+  const advice = waiting.drawRetryAfter(state, request.service);
   return refusal.buildRefusal(schema.ResultCode.NO_BACKEND_SERVER, advice);
 }
 
@@ -105,13 +103,14 @@
   request: gatewayRequest.GatewayRequest,
   hasBegun: boolean,
   now: number,
-): void {
+): boolean {
   request.phase = gatewayRequest.RequestPhase.WAITING;
   if (hasBegun) {
     request.urgency = 0;
     request.targetMs = now + RESUME_TARGET_MS;
+    request.leaveMs = Math.min(now + request.route.patienceMs, request.giveUpMs);
   }
-  waiting.enqueueRequest(state, request, now);
+  return waiting.enqueueRequest(state, request, now);
 }
 
 /**
@@ -134,8 +133,7 @@
     request.triedIds.add(serverId);
   }
   requestEnd.releaseServer(state, request);
-  if (isAgainAllowed(state, request, notRun, now)) {
-    waitAgain(state, request, hasBegun, now);
+  if (isAgainAllowed(state, request, notRun, now) && waitAgain(state, request, hasBegun, now)) {
     return { kind: 'again' };
   }
   if (request.runs === 0) {
--- a/packages/core/src/gateway/configuration.ts
+++ b/packages/core/src/gateway/configuration.ts
@@ -23,6 +23,8 @@
   timeoutMs: number;
   /** Time within which an answer is on time, milliseconds. */
   targetMs: number;
+  /** Time that callers wait for a first part of an answer, milliseconds. */
+  patienceMs: number;
   /** 0 is the most urgent. */
   urgency: number;
   targets: RouteTarget[];
--- a/packages/core/src/gateway/gateway-request.ts
+++ b/packages/core/src/gateway/gateway-request.ts
@@ -44,6 +44,8 @@
   arrivedMs: number;
   /** After this time its first byte comes late. */
   targetMs: number;
+  /** Its caller leaves where no part of an answer has come by this time. */
+  leaveMs: number;
   /** It gets its final answer by this time. */
   giveUpMs: number;
   phase: RequestPhase;
--- a/packages/core/src/gateway/gateway-state.ts
+++ b/packages/core/src/gateway/gateway-state.ts
@@ -1,7 +1,6 @@
 /** The state that one gateway task owns. */
 import * as drainRate from '../shared/drain-rate.js';
 import * as retryBudget from '../shared/retry-budget.js';
-import * as startQueue from '../shared/start-queue.js';
 import * as suspects from '../shared/suspects.js';
 import * as backendServers from './backend-servers.js';
 import * as belief from './belief.js';
@@ -10,10 +9,11 @@
 import * as peerView from './peer-view.js';
 import * as serverLoad from './server-load.js';
 import * as tokenQuota from './token-quota.js';
+import * as waitQueue from './wait-queue.js';
 
 /** What waits for a service, and how fast it goes. */
 export type ServiceWork = {
-  queue: startQueue.StartQueue;
+  queue: waitQueue.WaitQueue;
   drain: drainRate.DrainRate;
   retries: retryBudget.RetryBudget;
 };
@@ -75,7 +75,7 @@
 /** Gets the work of a service, made where there is none. */
 export function getServiceWork(state: GatewayState, service: string): ServiceWork {
   const work = state.services.get(service) ?? {
-    queue: startQueue.createStartQueue(),
+    queue: waitQueue.createWaitQueue(),
     drain: drainRate.createDrainRate(),
     retries: retryBudget.createRetryBudget(),
   };
--- a/packages/core/src/gateway/index.ts
+++ b/packages/core/src/gateway/index.ts
@@ -15,4 +15,5 @@
 export * from './rights.js';
 export * from './server-load.js';
 export * from './token-quota.js';
+export * from './wait-queue.js';
 export * from './waiting.js';
--- a/packages/core/src/gateway/intake.ts
+++ b/packages/core/src/gateway/intake.ts
@@ -8,15 +8,15 @@
 import * as gatewayRequest from './gateway-request.js';
 import * as gatewayState from './gateway-state.js';
 import * as refusal from './refusal.js';
+import * as requestEnd from './request-end.js';
 import * as rights from './rights.js';
 import * as tokenQuota from './token-quota.js';
-import * as turnAway from './turn-away.js';
 import * as waiting from './waiting.js';
 
 /** Work of a request of a plain service, in tokens; only ratios matter. */
 const PLAIN_WORK_TOKENS = 500;
 /** Prompt tokens that cost an engine as much as one token of an answer. */
-const PROMPT_TOKENS_PER_ANSWER_TOKEN = 12;
+const PROMPT_TOKENS_PER_ANSWER_TOKEN = 19;
 /** Time that the answer needs on its way, milliseconds. */
 const WAY_MS = 10;
 /** Urgencies of a route told apart within one of a workspace. */
@@ -79,6 +79,7 @@
     quotaCost: 0,
     version: state.index?.configuration.version ?? 0,
     arrivedMs: now,
+    leaveMs: now + Math.min(timeoutMs, route.patienceMs) - WAY_MS,
     targetMs: now + route.targetMs - WAY_MS,
     giveUpMs: now + Math.max(timeoutMs - WAY_MS, 0),
     phase: gatewayRequest.RequestPhase.WAITING,
@@ -125,11 +126,7 @@
   if (suspects.isBlocked(state.suspects, request.arrived.contentDigest)) {
     return refusal.buildRefusal(ResultCode.CONTENT_REFUSED);
   }
-  const { queue, drain } = gatewayState.getServiceWork(state, request.service);
-  const ahead = waiting.countTokensAhead(queue, request);
-  return turnAway.isHopeless(drain, ahead, request.giveUpMs, now)
-    ? refusal.buildRefusal(ResultCode.SHED, turnAway.drawRetryAfter(drain, queue, state.drawRandom))
-    : undefined;
+  return undefined;
 }
 
 /** Takes an arrived request in, or refuses it. */
@@ -158,6 +155,10 @@
   }
   state.requests.set(request.serial, request);
   retryBudget.noteFirstAttempt(gatewayState.getServiceWork(state, service).retries, now);
-  waiting.enqueueRequest(state, request, now);
+  if (!waiting.enqueueRequest(state, request, now)) {
+    requestEnd.endWithoutRun(state, request);
+    const advice = waiting.drawRetryAfter(state, service);
+    return { kind: 'refused', refusal: refusal.buildRefusal(schema.ResultCode.SHED, advice) };
+  }
   return { kind: 'admitted', request };
 }
--- a/packages/core/src/gateway/request-end.ts
+++ b/packages/core/src/gateway/request-end.ts
@@ -1,6 +1,8 @@
 /** Ends requests and settles their accounts. */
+import * as schema from '@toucanproxy/schema';
 import type * as gatewayRequest from './gateway-request.js';
 import * as gatewayState from './gateway-state.js';
+import * as refusal from './refusal.js';
 import * as tokenQuota from './token-quota.js';
 import * as waiting from './waiting.js';
 
@@ -36,13 +38,31 @@
   }
 }
 
+/**
+ * Ends a request that waits and is given up, and builds what its caller is told.
+ *
+ * One that waits for a repeat has run before, so that "not run" would be untrue.
+ */
+export function refuseWaiting(
+  state: gatewayState.GatewayState,
+  request: gatewayRequest.GatewayRequest,
+  notRun: refusal.Refusal,
+): refusal.Refusal {
+  if (request.runs > 0) {
+    endRequest(state, request);
+    return refusal.buildRefusal(schema.ResultCode.ANSWER_BROKEN);
+  }
+  endWithoutRun(state, request);
+  return notRun;
+}
+
 /** Ends a request whose time is over or whose caller has left, wherever it is. */
 export function abandonRequest(
   state: gatewayState.GatewayState,
   request: gatewayRequest.GatewayRequest,
   mayHaveRun: boolean,
 ): void {
-  waiting.removeRequest(state, request);
+  waiting.removeRequest(state, request, false);
   if (mayHaveRun) {
     endRequest(state, request);
   } else {
--- a/packages/core/src/gateway/server-choice.ts
+++ b/packages/core/src/gateway/server-choice.ts
@@ -16,6 +16,8 @@
   peersInFlight: number;
   /** Times slower than the fastest of its service. */
   slowness: number;
+  /** Times that a first event takes longer than at an idle engine. */
+  firstRatio: number;
   /** Recent share of failed answers, 0 to 1. */
   failureShare: number;
   /** In the failure domain of this gateway. */
--- /dev/null
+++ b/packages/core/src/gateway/wait-queue.ts
@@ -0,0 +1,94 @@
+/**
+ * What waits for a service, in the order in which it should be sent.
+ *
+ * First by rank, then by start-time fair queueing (Goyal, Vin and Cheng, 1996):
+ * each workspace's work is numbered as if the service gave all of them equal
+ * shares. A workspace that sends ten times as much waits behind itself.
+ */
+
+export type WaitItem = {
+  serial: number;
+  /** 0 goes first. */
+  rank: number;
+  workspace: string;
+  workTokens: number;
+  /** When something is to be decided about it by time alone, milliseconds. */
+  dueMs: number;
+};
+
+type QueuedItem = WaitItem & { /** Start of its work in fair shares, tokens. */ startTag: number };
+
+export type WaitQueue = {
+  /** In the order of sending. */
+  items: QueuedItem[];
+  /** Start tag of the item that was sent last, by rank. */
+  virtualStart: Map<number, number>;
+  /** End of the last item of each workspace, by rank and workspace. */
+  finishTags: Map<string, number>;
+};
+
+/** Workspaces remembered while none of their requests waits; bounds the memory. */
+const MAX_FINISH_TAGS = 4096;
+
+/** Creates an empty queue. */
+export function createWaitQueue(): WaitQueue {
+  return { items: [], virtualStart: new Map(), finishTags: new Map() };
+}
+
+/** Tells whether an item goes before another. */
+function isBefore(a: QueuedItem, b: QueuedItem): boolean {
+  return a.rank - b.rank < 0 || (a.rank === b.rank && a.startTag < b.startTag);
+}
+
+/** Finds the place of an item by halving. */
+function findPlace(items: readonly QueuedItem[], item: QueuedItem): number {
+  let low = 0;
+  let high = items.length;
+  while (low < high) {
+    const middle = Math.floor((low + high) / 2);
+    if (isBefore(item, items[middle])) {
+      high = middle;
+    } else {
+      low = middle + 1;
+    }
+  }
+  return low;
+}
+
+/** Adds an item. */
+export function addItem(queue: WaitQueue, item: WaitItem): void {
+  if (queue.finishTags.size > MAX_FINISH_TAGS) {
+    queue.finishTags.clear();
+  }
+  const key = `${item.rank} ${item.workspace}`;
+  const virtual = queue.virtualStart.get(item.rank) ?? 0;
+  const startTag = Math.max(virtual, queue.finishTags.get(key) ?? 0);
+  queue.finishTags.set(key, startTag + item.workTokens);
+  const queued = { ...item, startTag };
+  queue.items.splice(findPlace(queue.items, queued), 0, queued);
+}
+
+/** Removes an item that is sent, or that is not waiting any more. */
+export function removeItem(queue: WaitQueue, serial: number, isSent: boolean): void {
+  const index = queue.items.findIndex((item) => item.serial === serial);
+  if (index === -1) {
+    return;
+  }
+  const [item] = queue.items.splice(index, 1);
+  if (isSent) {
+    const before = queue.virtualStart.get(item.rank) ?? 0;
+    queue.virtualStart.set(item.rank, Math.max(before, item.startTag));
+  }
+}
+
+/** Lists the items for which something is due. */
+export function listDue(queue: WaitQueue, now: number): WaitItem[] {
+  return queue.items.filter((item) => now >= item.dueMs);
+}
+
+/** Counts the tokens that would be sent before a new item of a rank. */
+export function countTokensAhead(queue: WaitQueue, rank: number): number {
+  return queue.items
+    .filter((item) => item.rank <= rank)
+    .reduce((sum, item) => sum + item.workTokens, 0);
+}
--- a/packages/gateway/src/gateway-task.ts
+++ b/packages/gateway/src/gateway-task.ts
@@ -181,7 +181,10 @@
     readNow,
     settle: (outcome) => handleOutcome(task, held, outcome),
     observePace: (unitMs) => gateway.recordUnit(load.pace, unitMs, readNow()),
-    observeFirstEvent: (ms) => task.metrics.recordFirstEvent(request.route.name, ms),
+    observeFirstEvent: (ms) => {
+      gateway.recordFirst(load.pace, ms / gateway.estimateFirstMs(request), readNow());
+      task.metrics.recordFirstEvent(request.route.name, ms);
+    },
   });
   const connection = task.connections.take(server.address);
   held.attempt = backendAttempt.startAttempt(
