--- /dev/null
+++ b/packages/core/src/gateway/assignment.test.ts
@@ -0,0 +1,131 @@
+import * as assert from 'node:assert/strict';
+import * as nodeTest from 'node:test';
+import * as schema from '@toucanproxy/schema';
+import * as assignment from './assignment.js';
+import * as belief from './belief.js';
+import * as configurationIndex from './configuration-index.js';
+import * as gatewayState from './gateway-state.js';
+import * as intake from './intake.js';
+import * as gatewayBench from './mocks/gateway-bench.js';
+import * as requestEnd from './request-end.js';
+
+const { test } = nodeTest;
+const { buildArrived, buildClocks, buildRoute, createBench } = gatewayBench;
+
+/** Lists the refusals among assignments by code. */
+function listRefusals(assignments: assignment.Assignment[]): string[] {
+  return assignments.flatMap((one) =>
+    one.kind === 'refuse' ? [schema.ResultCode[one.refusal.code]] : [],
+  );
+}
+
+test('never more than the places', () => {
+  const state = createBench(['a', 'bb']);
+  for (let index = 0; index < 10; index += 1) {
+    intake.admitRequest(state, buildArrived(String(index)), buildClocks(0));
+  }
+  assert.equal(assignment.assignWaiting(state, buildClocks(1)).length, 4);
+  assert.equal(gatewayState.getLoad(state, 'a').inFlight, 2);
+});
+
+test('key taken away while a request waits', () => {
+  // A request waits for a place; meanwhile a new version takes its key away. It
+  // must not run after that.
+  const state = createBench([]);
+  intake.admitRequest(state, buildArrived('1'), buildClocks(0));
+  const next = gatewayBench.buildConfiguration(2, [buildRoute()], []);
+  state.index = configurationIndex.buildConfigurationIndex(next);
+  state.servers.byId.set('a', {
+    entry: gatewayBench.buildEntry('a'),
+    missingUntilMs: undefined,
+    displaced: false,
+  });
+  assert.deepEqual(listRefusals(assignment.assignWaiting(state, buildClocks(10))), [
+    'UNAUTHENTICATED',
+  ]);
+});
+
+test('lease over while a request waits', () => {
+  // The process is suspended with a request in hand and wakes after the lease. It
+  // acts on what it believed before; the request is refused as not run.
+  const state = createBench(['a']);
+  intake.admitRequest(state, buildArrived('1'), buildClocks(0));
+  const woken = { steadyMs: 10, wallMs: 9000, uptimeMs: 9000 };
+  assert.deepEqual(listRefusals(assignment.assignWaiting(state, woken)), [
+    'CONFIGURATION_UNCONFIRMED',
+  ]);
+});
+
+test('public route needs no lease', () => {
+  const state = createBench(['a'], [buildRoute({ isPublic: true })]);
+  const arrived = buildArrived('1', { credential: undefined });
+  const late = buildClocks(60_000);
+  assert.equal(intake.admitRequest(state, arrived, late).kind, 'admitted');
+  assert.equal(assignment.assignWaiting(state, late)[0].kind, 'send');
+});
+
+test('long prompt waits for a fast engine', () => {
+  // The fast engine is full; a slow one has a place, where the first token of a
+  // long prompt takes a second too long. A short prompt behind it would be on
+  // time there. The long one waits, the short one goes.
+  const state = createBench(['fast', 'slow']);
+  const fast = gatewayState.getLoad(state, 'fast');
+  const slow = gatewayState.getLoad(state, 'slow');
+  Object.assign(fast.pace, { unitMs: 3, samples: 5, firstSamples: 0 });
+  Object.assign(slow.pace, { unitMs: 15, samples: 5, firstSamples: 0 });
+  fast.inFlight = 2;
+  const long = buildArrived('long', { tokens: { prompt: 10_000, answer: 100 } });
+  intake.admitRequest(state, long, buildClocks(0));
+  intake.admitRequest(state, buildArrived('short'), buildClocks(0));
+  const sent = assignment.assignWaiting(state, buildClocks(1));
+  assert.deepEqual(
+    sent.map(({ request }) => request.arrived.attemptId),
+    ['short'],
+  );
+});
+
+test('burst of twice the capacity', () => {
+  // Twice what the engines can do arrives for ten seconds, half of it urgent. The
+  // urgent half is served on time, and what is turned away is told soon after its
+  // target of 0.8 s, once its rank has stalled, not when its caller leaves at 3.2 s.
+  const routes = [
+    buildRoute({ name: 'urgent', prefix: '/a/', urgency: 0 }),
+    buildRoute({ name: 'other', prefix: '/b/', urgency: 1 }),
+  ];
+  const state = createBench(['a', 'bb'], routes);
+  const runMs = 400;
+  const running: { endMs: number; request: assignment.Assignment['request'] }[] = [];
+  const count = { urgent: 0, urgentInTime: 0, other: 0, otherSent: 0 };
+  let heldInVain = 0;
+  for (let now = 0; now < 10_000; now += 10) {
+    belief.noteConfirmed(state.belief, buildClocks(now));
+    running
+      .filter(({ endMs }) => endMs <= now)
+      .forEach((one) => {
+        running.splice(running.indexOf(one), 1);
+        requestEnd.endRequest(state, one.request);
+      });
+    // Four places at 400 ms serve one request in 100 ms; two arrive.
+    if (now % 100 === 0) {
+      ['/a/x', '/b/x'].forEach((path) => {
+        intake.admitRequest(state, buildArrived(`${path}${now}`, { path }), buildClocks(now));
+      });
+      count.urgent += 1;
+      count.other += 1;
+    }
+    assignment.assignWaiting(state, buildClocks(now)).forEach((one) => {
+      const { request } = one;
+      if (one.kind === 'refuse') {
+        heldInVain = Math.max(heldInVain, now - request.arrivedMs);
+        return;
+      }
+      running.push({ endMs: now + runMs, request });
+      const isUrgent = request.route.name === 'urgent';
+      count.urgentInTime += Number(isUrgent && now < request.targetMs);
+      count.otherSent += Number(!isUrgent);
+    });
+  }
+  assert.ok(count.urgentInTime >= 0.95 * count.urgent, JSON.stringify(count));
+  assert.ok(count.otherSent < 0.3 * count.other, JSON.stringify(count));
+  assert.ok(heldInVain <= 1600, String(heldInVain));
+});
--- a/packages/core/src/gateway/assignment.ts
+++ b/packages/core/src/gateway/assignment.ts
@@ -1,6 +1,5 @@
 /** Gives waiting requests to backend servers that have a place. */
 import * as schema from '@toucanproxy/schema';
-import * as drainRate from '../shared/drain-rate.js';
 import * as retryBudget from '../shared/retry-budget.js';
 import * as backendServers from './backend-servers.js';
 import type * as belief from './belief.js';
@@ -88,8 +87,7 @@
   serverId: string,
   now: number,
 ): void {
-  const { drain } = gatewayState.getServiceWork(state, request.service);
-  drainRate.noteStart(drain, request.workTokens, request.arrivedMs, now);
+  gatewayState.getServiceWork(state, request.service).inFlight += 1;
   request.phase = gatewayRequest.RequestPhase.SENT;
   request.serverId = serverId;
   request.sentMs = now;
@@ -144,8 +142,11 @@
     return undefined;
   }
   const candidates = listCandidates(state, service, now);
-  const gateways = peerView.countGateways(state.peers);
-  const open = candidates.filter((one) => serverChoice.hasPlace(one, gateways));
+  const own = gatewayState.getServiceWork(state, service).toldDemand;
+  const share = peerView.computeDemandShare(state.peers, state.address, service, own, now);
+  const open = candidates.filter((one) =>
+    serverChoice.hasPlace(one, share, gatewayState.getOffset(one.id)),
+  );
   if (open.length === 0) {
     return undefined;
   }
@@ -172,11 +173,12 @@
   }
   const { request, chosen } = found.match;
   const obstacle = findObstacle(state, request, clocks);
-  waiting.removeRequest(state, request, obstacle === undefined);
   if (obstacle !== undefined) {
+    waiting.removeRequest(state, request);
     const told = requestEnd.refuseWaiting(state, request, obstacle);
     return { kind: 'refuse', request, refusal: told };
   }
+  waiting.takeRequest(state, request, now);
   beginSend(state, request, chosen.id, now);
   return { kind: 'send', request, server: known.entry, candidates: found.candidates };
 }
--- /dev/null
+++ b/packages/core/src/gateway/attempt-end.test.ts
@@ -0,0 +1,120 @@
+import * as assert from 'node:assert/strict';
+import * as nodeTest from 'node:test';
+import * as schema from '@toucanproxy/schema';
+import * as assignment from './assignment.js';
+import * as attemptEnd from './attempt-end.js';
+import * as configuration from './configuration.js';
+import * as intake from './intake.js';
+import * as gatewayBench from './mocks/gateway-bench.js';
+
+const { test } = nodeTest;
+const { AttemptFault } = attemptEnd;
+
+/** Sends one request and lets its attempts end with faults until it is settled. */
+function runFaults(
+  route: Partial<configuration.Route>,
+  faults: attemptEnd.AttemptFault[],
+): { verdict: attemptEnd.AttemptVerdict['kind']; code: string; sends: number } {
+  const state = gatewayBench.createBench(['a', 'b', 'c'], [gatewayBench.buildRoute(route)]);
+  const clocks = gatewayBench.buildClocks(10);
+  const taken = intake.admitRequest(state, gatewayBench.buildArrived('1'), clocks);
+  assert.equal(taken.kind, 'admitted');
+  const [sent] = assignment.assignWaiting(state, clocks);
+  const { request } = sent;
+  let verdict: attemptEnd.AttemptVerdict = { kind: 'again' };
+  faults.forEach((fault, index) => {
+    if (verdict.kind === 'again') {
+      verdict = attemptEnd.handleAttemptFault(state, request, fault, false, 20 + index);
+      assignment.assignWaiting(state, gatewayBench.buildClocks(20 + index));
+    }
+  });
+  const settled = verdict as attemptEnd.AttemptVerdict;
+  const code = settled.kind === 'refuse' ? schema.ResultCode[settled.refusal.code] : '';
+  return { verdict: settled.kind, code, sends: request.sends };
+}
+
+test('unreachable costs the caller nothing', () => {
+  const { UNSAFE } = configuration.RouteKind;
+  const ended = runFaults({ kind: UNSAFE }, [AttemptFault.UNREACHABLE]);
+  assert.deepEqual(ended, { verdict: 'again', code: '', sends: 2 });
+});
+
+test('broken off once may have run', () => {
+  // The connection broke after the request was sent. A request that may run once
+  // only is not sent again, and its caller is not told that it was not run.
+  const { UNSAFE } = configuration.RouteKind;
+  const ended = runFaults({ kind: UNSAFE }, [AttemptFault.BROKEN]);
+  assert.deepEqual(ended, { verdict: 'refuse', code: 'ANSWER_BROKEN', sends: 1 });
+});
+
+test('refused everywhere was not run', () => {
+  // Every backend server refuses, again and again. The request is sent a few
+  // times at most and is then refused as not run.
+  const route = gatewayBench.buildRoute({ kind: configuration.RouteKind.UNSAFE });
+  const state = gatewayBench.createBench(['a', 'b', 'c'], [route]);
+  intake.admitRequest(state, gatewayBench.buildArrived('1'), gatewayBench.buildClocks(0));
+  let sends = 0;
+  let told = '';
+  for (let now = 0; now < 2900 && told === ''; now += 50) {
+    assignment.assignWaiting(state, gatewayBench.buildClocks(now)).forEach((one) => {
+      if (one.kind === 'refuse') {
+        told = schema.ResultCode[one.refusal.code];
+        return;
+      }
+      sends += 1;
+      const { REFUSED } = AttemptFault;
+      const verdict = attemptEnd.handleAttemptFault(state, one.request, REFUSED, false, now);
+      told = verdict.kind === 'refuse' ? schema.ResultCode[verdict.refusal.code] : '';
+    });
+  }
+  assert.ok(sends >= 3 && sends <= 4, String(sends));
+  assert.ok(['NO_BACKEND_SERVER', 'DEADLINE_UNREACHABLE'].includes(told), told);
+});
+
+test('run, then refused: not told as not run', () => {
+  // A repeatable request fails at one backend server and is then refused by the
+  // others. It has run once; "not run" would be untrue.
+  const { SAFE } = configuration.RouteKind;
+  const faults = [
+    AttemptFault.BROKEN,
+    ...Array<attemptEnd.AttemptFault>(4).fill(AttemptFault.REFUSED),
+  ];
+  const ended = runFaults({ kind: SAFE, maxAttempts: 3 }, faults);
+  assert.equal(ended.code, 'ENGINE_FAILED');
+});
+
+test('runs of a request are bounded', () => {
+  const { SAFE } = configuration.RouteKind;
+  const ended = runFaults({ kind: SAFE, maxAttempts: 2 }, Array(5).fill(AttemptFault.FAILED));
+  assert.deepEqual(ended, { verdict: 'passFailure', code: '', sends: 2 });
+});
+
+test('stream that may not be resumed runs once', () => {
+  assert.equal(runFaults({}, [AttemptFault.FAILED]).verdict, 'passFailure');
+  const resumable = { resumable: true, maxAttempts: 2 };
+  assert.equal(runFaults(resumable, [AttemptFault.FAILED]).verdict, 'again');
+});
+
+test('repeats are bounded over all requests', () => {
+  // All backend servers fail everything. Each request repeated would double the
+  // load on them; the budget lets a fifth through, and ten besides.
+  const route = gatewayBench.buildRoute({ kind: configuration.RouteKind.SAFE, maxAttempts: 2 });
+  const state = gatewayBench.createBench(['a', 'b', 'c'], [route]);
+  let repeats = 0;
+  for (let index = 0; index < 200; index += 1) {
+    const clocks = gatewayBench.buildClocks(index * 10);
+    const arrived = gatewayBench.buildArrived(String(index));
+    intake.admitRequest(state, arrived, clocks);
+    assignment.assignWaiting(state, clocks).forEach(({ request }) => {
+      const { FAILED } = AttemptFault;
+      const now = clocks.steadyMs;
+      const verdict = attemptEnd.handleAttemptFault(state, request, FAILED, false, now);
+      if (verdict.kind === 'again') {
+        repeats += 1;
+        assignment.assignWaiting(state, clocks);
+        attemptEnd.handleAttemptFault(state, request, FAILED, false, now);
+      }
+    });
+  }
+  assert.ok(repeats >= 10 && repeats <= 52, String(repeats));
+});
--- /dev/null
+++ b/packages/core/src/gateway/backend-servers.test.ts
@@ -0,0 +1,53 @@
+import * as assert from 'node:assert/strict';
+import * as nodeTest from 'node:test';
+import * as backendServers from './backend-servers.js';
+import * as gatewayBench from './mocks/gateway-bench.js';
+
+const { test } = nodeTest;
+const { buildEntry } = gatewayBench;
+const RETURN_MS = 2000;
+
+/** Creates a register with one backend server. */
+function createWithOne(): backendServers.BackendServers {
+  const servers = backendServers.createBackendServers();
+  backendServers.applyEntry(servers, buildEntry('a'));
+  return servers;
+}
+
+test('removed entry is gone at once', () => {
+  const servers = createWithOne();
+  assert.equal(backendServers.removeEntry(servers, 'a', 100)?.change, 'gone');
+  assert.equal(backendServers.isUsable(servers, 'a'), false);
+});
+
+test('entry that lapsed in an outage', () => {
+  // Entries lapse while the store is away, as nobody can renew them. Taken as
+  // gone at its return, all living backend servers would be left out at once.
+  const servers = createWithOne();
+  backendServers.noteStoreReturned(servers, RETURN_MS, 1000);
+  assert.equal(backendServers.applySnapshot(servers, [], 1000)[0].change, 'missing');
+  assert.equal(backendServers.isUsable(servers, 'a'), true);
+  assert.deepEqual(backendServers.expireMissing(servers, 2999), []);
+  assert.equal(backendServers.expireMissing(servers, 3000)[0].change, 'gone');
+  assert.equal(backendServers.isUsable(servers, 'a'), false);
+});
+
+test('leaving entry that lapsed does not stay', () => {
+  const servers = createWithOne();
+  backendServers.applyEntry(servers, buildEntry('a', { leaving: true }));
+  backendServers.noteStoreReturned(servers, RETURN_MS, 1000);
+  assert.equal(backendServers.removeEntry(servers, 'a', 1001)?.change, 'gone');
+});
+
+test('started again under its id', () => {
+  // A backend server crashed and is back under the same id, with a later start.
+  // What was held against its earlier life does not hold any more.
+  const servers = createWithOne();
+  backendServers.noteDisplaced(servers, 'a');
+  assert.equal(backendServers.isUsable(servers, 'a'), false);
+  backendServers.applyEntry(servers, buildEntry('a'));
+  assert.equal(backendServers.isUsable(servers, 'a'), false);
+  const change = backendServers.applyEntry(servers, buildEntry('a', { bornMs: 2 }));
+  assert.equal(change?.change, 'restarted');
+  assert.equal(backendServers.isUsable(servers, 'a'), true);
+});
--- a/packages/core/src/gateway/gateway-state.ts
+++ b/packages/core/src/gateway/gateway-state.ts
@@ -1,5 +1,6 @@
 /** The state that one gateway task owns. */
 import * as drainRate from '../shared/drain-rate.js';
+import * as rendezvous from '../shared/rendezvous.js';
 import * as retryBudget from '../shared/retry-budget.js';
 import * as suspects from '../shared/suspects.js';
 import * as backendServers from './backend-servers.js';
@@ -13,8 +14,14 @@
 
 /** What waits for a service, and how fast it goes. */
 export type ServiceWork = {
+  /** Requests of this gateway at its backend servers. */
+  inFlight: number;
+  /** Requests in hand, as the peers were last told. */
+  toldDemand: number;
   queue: waitQueue.WaitQueue;
+  /** How fast all requests go, and those of each rank of the queue. */
   drain: drainRate.DrainRate;
+  drainByRank: Map<number, drainRate.DrainRate>;
   retries: retryBudget.RetryBudget;
 };
 
@@ -31,6 +38,8 @@
 };
 
 export type GatewayState = {
+  /** Where its peers send to, IP and port; names it among them. */
+  address: string;
   failureDomain: string;
   bounds: GatewayBounds;
   drawRandom: () => number;
@@ -50,11 +59,13 @@
 
 /** Creates the state of a gateway that has just started. */
 export function createGatewayState(
+  address: string,
   failureDomain: string,
   bounds: GatewayBounds,
   drawRandom: () => number,
 ): GatewayState {
   return {
+    address,
     failureDomain,
     bounds,
     drawRandom,
@@ -75,8 +86,11 @@
 /** Gets the work of a service, made where there is none. */
 export function getServiceWork(state: GatewayState, service: string): ServiceWork {
   const work = state.services.get(service) ?? {
+    inFlight: 0,
+    toldDemand: 0,
     queue: waitQueue.createWaitQueue(),
     drain: drainRate.createDrainRate(),
+    drainByRank: new Map(),
     retries: retryBudget.createRetryBudget(),
   };
   state.services.set(service, work);
@@ -105,3 +119,26 @@
   const all = peerView.countGateways(state.peers);
   return (all - peerView.countSilent(state.peers, now)) / all;
 }
+
+/**
+ * Notes the requests in hand, waiting or sent, and lists them for a report.
+ *
+ * Shares are worked out from what was told, also here. With the present number
+ * each gateway would take a larger share at once, while the others give theirs
+ * up only with the next report.
+ */
+export function updateToldDemand(state: GatewayState): Map<string, number> {
+  state.services.forEach((work) => {
+    work.toldDemand = work.inFlight + work.queue.items.length;
+  });
+  const all = [...state.services].map(([service, work]) => [service, work.toldDemand] as const);
+  return new Map(all.filter(([, demand]) => demand > 0));
+}
+
+/** Numbers of `hashText` are below this. */
+const HASH_RANGE = 2 ** 32;
+
+/** Gets the fixed number, 0 to 1, where the rounding of a backend server's places begins. */
+export function getOffset(serverId: string): number {
+  return rendezvous.hashText(serverId) / HASH_RANGE;
+}
--- a/packages/core/src/gateway/index.ts
+++ b/packages/core/src/gateway/index.ts
@@ -13,6 +13,7 @@
 export * from './refusal.js';
 export * from './request-end.js';
 export * from './rights.js';
+export * from './server-choice.js';
 export * from './server-load.js';
 export * from './token-quota.js';
 export * from './wait-queue.js';
--- a/packages/core/src/gateway/peer-view.ts
+++ b/packages/core/src/gateway/peer-view.ts
@@ -17,6 +17,8 @@
   used: Map<string, number>;
   /** Requests in flight by backend server. */
   inFlight: Map<string, number>;
+  /** Requests in hand, waiting or sent, by service. */
+  demand: Map<string, number>;
   /** Other gateways that the sender hears. */
   peers: string[];
 };
@@ -27,6 +29,7 @@
   heardMs: number;
   used: Map<string, number>;
   inFlight: Map<string, number>;
+  demand: Map<string, number>;
 };
 
 export type PeerView = {
@@ -81,9 +84,10 @@
     view.byAddress.delete(report.address);
     return increases;
   }
-  const { life, sequence, inFlight } = report;
+  const { life, sequence, inFlight, demand } = report;
   const used = known?.life === life ? new Map([...known.used, ...report.used]) : report.used;
-  view.byAddress.set(report.address, { life, sequence, heardMs: now, used, inFlight });
+  const peer = { life, sequence, heardMs: now, used, inFlight, demand };
+  view.byAddress.set(report.address, peer);
   return increases;
 }
 
@@ -119,6 +123,34 @@
   return [...new Set([...view.byAddress.keys(), ...view.hearsay.keys()])];
 }
 
+/** Part of a whole that one gateway has, and the parts of those before it in order. */
+export type Share = { before: number; own: number };
+
+/**
+ * Computes the part of the requests for a service that this gateway has.
+ *
+ * Gateways are in the order of their addresses. Each counts as one request more,
+ * so that one that is idle can begin.
+ */
+export function computeDemandShare(
+  view: PeerView,
+  address: string,
+  service: string,
+  own: number,
+  now: number,
+): Share {
+  let before = 0;
+  let all = own + 1;
+  view.byAddress.forEach((peer, peerAddress) => {
+    if (now - peer.heardMs <= FRESH_MS) {
+      const demand = 1 + (peer.demand.get(service) ?? 0);
+      all += demand;
+      before += peerAddress < address ? demand : 0;
+    }
+  });
+  return { before: before / all, own: (own + 1) / all };
+}
+
 /** Counts the requests that the peers have at a backend server, as they last told. */
 export function countInFlight(view: PeerView, serverId: string, now: number): number {
   return [...view.byAddress.values()]
--- a/packages/core/src/gateway/request-end.ts
+++ b/packages/core/src/gateway/request-end.ts
@@ -14,6 +14,7 @@
   if (request.serverId !== undefined) {
     const load = gatewayState.getLoad(state, request.serverId);
     load.inFlight -= 1;
+    gatewayState.getServiceWork(state, request.service).inFlight -= 1;
     request.serverId = undefined;
   }
 }
@@ -62,7 +63,7 @@
   request: gatewayRequest.GatewayRequest,
   mayHaveRun: boolean,
 ): void {
-  waiting.removeRequest(state, request, false);
+  waiting.removeRequest(state, request);
   if (mayHaveRun) {
     endRequest(state, request);
   } else {
--- a/packages/core/src/gateway/server-choice.ts
+++ b/packages/core/src/gateway/server-choice.ts
@@ -7,6 +7,8 @@
  * used when the fast ones are full.
  */
 
+import type * as peerView from './peer-view.js';
+
 export type Candidate = {
   id: string;
   /** Requests that it works on at once. */
@@ -24,6 +26,11 @@
   isNear: boolean;
 };
 
+/**
+ * Requests beyond its places that a backend server may seem to have. Some of
+ * those that peers told of have ended since, at five reports a second about one.
+ */
+const OVERLAP = 0;
 /** How much a full backend server is slower than an empty one. */
 const LOAD_SLOWDOWN = 1;
 /** What a failed answer costs against one unit of slowness. */
@@ -32,15 +39,29 @@
 const DISTANCE_COST = 0.1;
 
 /**
- * Tells whether a backend server has a place.
+ * Tells whether a backend server has a place for this gateway.
+ *
+ * Its places are shared by all gateways in proportion to the requests that each
+ * has in hand. Reports are a fraction of a second old: if each gateway took any
+ * place that looked free, a backend server that has just come back would get
+ * three times what it works on at once (measured), and urgent work would wait in
+ * it behind less urgent work.
+ *
+ * The places are dealt in order of the gateways' addresses, so that fractions are
+ * rounded to the same sum by all; `offset` lets each backend server begin the
+ * rounding elsewhere.
  *
- * The reports of peers are a fraction of a second old. A gateway may always use
- * its equal share of the places, so that a stale report cannot starve it.
+ * @param share part of the requests for the service that this gateway has
+ * @param offset fixed number from 0 to 1 of the backend server
  */
-export function hasPlace(candidate: Candidate, gateways: number): boolean {
+export function hasPlace(candidate: Candidate, share: peerView.Share, offset: number): boolean {
   const { slots, ownInFlight, peersInFlight } = candidate;
-  const share = Math.ceil(slots / Math.max(gateways, 1));
-  return ownInFlight < share || ownInFlight + peersInFlight < slots;
+  if (ownInFlight + peersInFlight > slots + OVERLAP) {
+    return false;
+  }
+  const begin = Math.floor(offset + slots * share.before);
+  const end = Math.floor(offset + slots * (share.before + share.own));
+  return ownInFlight < end - begin;
 }
 
 /** Estimates the cost of placing a request; the least wins. */
--- /dev/null
+++ b/packages/core/src/gateway/token-quota.test.ts
@@ -0,0 +1,110 @@
+import * as assert from 'node:assert/strict';
+import * as nodeTest from 'node:test';
+import * as configuration from './configuration.js';
+import * as peerView from './peer-view.js';
+import * as tokenQuota from './token-quota.js';
+
+const { test } = nodeTest;
+const QUOTA: configuration.Quota = {
+  unit: configuration.QuotaUnit.TOKENS,
+  perSecond: 1000,
+  burst: 1000,
+  defaultTokens: 10,
+};
+
+/** Takes requests of 100 tokens and counts those that are within the quota. */
+function countWithin(book: tokenQuota.QuotaBook, share: number, fromMs: number, toMs: number) {
+  let within = 0;
+  for (let now = fromMs; now < toMs; now += 20) {
+    within += Number(tokenQuota.takeQuota(book, 'w', QUOTA, 100, share, now).kind === 'within');
+  }
+  return within;
+}
+
+test('rate and burst', () => {
+  const book = tokenQuota.createQuotaBook();
+  const within = countWithin(book, 1, 0, 4000);
+  assert.ok(within >= 49 && within <= 51, String(within));
+});
+
+test('two gateways that hear each other', () => {
+  // A workspace sends many times its quota to two gateways. Each tells the other
+  // five times a second what it admitted; together they stay near one quota.
+  const books = [tokenQuota.createQuotaBook(), tokenQuota.createQuotaBook()];
+  const told = [0, 0];
+  let within = 0;
+  for (let now = 0; now < 8000; now += 200) {
+    books.forEach((book) => {
+      within += countWithin(book, 1, now, now + 200);
+    });
+    books.forEach((book, index) => {
+      const used = tokenQuota.listUse(book, 1)[0]?.used ?? 0;
+      tokenQuota.applyPeerUse(books[1 - index], 'w', used - told[index]);
+      told[index] = used;
+    });
+  }
+  assert.ok(within * 100 <= 9000 * 1.25, String(within));
+  assert.ok(within * 100 >= 9000 * 0.8, String(within));
+});
+
+test('silent peer keeps its share', () => {
+  const book = tokenQuota.createQuotaBook();
+  const within = countWithin(book, 0.5, 0, 8000);
+  assert.ok(within * 100 <= 4600, String(within));
+});
+
+test('one larger than the burst', () => {
+  const book = tokenQuota.createQuotaBook();
+  assert.equal(tokenQuota.takeQuota(book, 'w', QUOTA, 3000, 1, 0).kind, 'within');
+  const next = tokenQuota.takeQuota(book, 'w', QUOTA, 100, 1, 0);
+  assert.equal(next.kind, 'beyond');
+  assert.equal(next.kind === 'beyond' && Math.round(next.retryAfterMs), 2100);
+});
+
+test('not run, not charged', () => {
+  const book = tokenQuota.createQuotaBook();
+  tokenQuota.takeQuota(book, 'w', QUOTA, 1000, 1, 0);
+  tokenQuota.releaseQuota(book, 'w', 1000);
+  assert.equal(tokenQuota.takeQuota(book, 'w', QUOTA, 1000, 1, 0).kind, 'within');
+});
+
+/** Builds a report of a peer. */
+function buildReport(sequence: number, used: number, life = 'a'): peerView.PeerReport {
+  return {
+    address: '10.0.0.2:1',
+    life,
+    sequence,
+    leaving: false,
+    used: new Map([['w', used]]),
+    inFlight: new Map([['s1', 2]]),
+    demand: new Map([['one', 3]]),
+    peers: [],
+  };
+}
+
+test('totals of peers', () => {
+  // Reports are lost, doubled and out of order, and a peer that has run for long
+  // is heard for the first time. What it admitted is charged once.
+  const view = peerView.createPeerView();
+  assert.deepEqual(peerView.applyReport(view, buildReport(900, 1e9), 0), []);
+  assert.deepEqual(peerView.applyReport(view, buildReport(905, 1e9 + 500), 1), [
+    { workspace: 'w', amount: 500 },
+  ]);
+  assert.deepEqual(peerView.applyReport(view, buildReport(905, 1e9 + 500), 2), []);
+  assert.deepEqual(peerView.applyReport(view, buildReport(903, 1e9 + 100), 2), []);
+  assert.deepEqual(peerView.applyReport(view, buildReport(1, 70, 'b'), 3), [
+    { workspace: 'w', amount: 70 },
+  ]);
+});
+
+test('silent peers count, departed ones do not', () => {
+  const view = peerView.createPeerView();
+  peerView.applyReport(view, buildReport(1, 0), 0);
+  assert.equal(peerView.countGateways(view), 2);
+  assert.equal(peerView.countSilent(view, 900), 0);
+  assert.equal(peerView.countSilent(view, 5000), 1);
+  assert.equal(peerView.countInFlight(view, 's1', 900), 2);
+  assert.equal(peerView.countInFlight(view, 's1', 5000), 0);
+  peerView.applyReport(view, { ...buildReport(2, 0), leaving: true }, 5001);
+  assert.equal(peerView.countGateways(view), 1);
+});
--- /dev/null
+++ b/packages/core/src/gateway/wait-queue.test.ts
@@ -0,0 +1,64 @@
+import * as assert from 'node:assert/strict';
+import * as nodeTest from 'node:test';
+import * as waitQueue from './wait-queue.js';
+
+const { test } = nodeTest;
+
+/** Sends everything and lists the serials in order. */
+function sendAll(queue: waitQueue.WaitQueue): number[] {
+  const sent: number[] = [];
+  while (queue.items.length > 0) {
+    const { serial } = queue.items[0];
+    sent.push(serial);
+    waitQueue.takeItem(queue, serial);
+  }
+  return sent;
+}
+
+/** Builds an item. */
+function buildItem(serial: number, rank: number, workspace: string): waitQueue.WaitItem {
+  return { serial, rank, workspace, workTokens: 100, enteredMs: 0, dueMs: serial };
+}
+
+test('urgent first, then in order', () => {
+  const queue = waitQueue.createWaitQueue();
+  waitQueue.addItem(queue, buildItem(1, 1, 'a'));
+  waitQueue.addItem(queue, buildItem(2, 0, 'a'));
+  waitQueue.addItem(queue, buildItem(3, 1, 'a'));
+  assert.deepEqual(sendAll(queue), [2, 1, 3]);
+});
+
+test('loud workspace waits behind itself', () => {
+  // One workspace sends ten requests at once, another one after that. In order of
+  // arrival the second would wait for all ten.
+  const queue = waitQueue.createWaitQueue();
+  Array.from({ length: 10 }, (_, index) => waitQueue.addItem(queue, buildItem(index, 0, 'loud')));
+  waitQueue.addItem(queue, buildItem(100, 0, 'quiet'));
+  assert.ok(sendAll(queue).indexOf(100) <= 1);
+});
+
+test('idle workspace saves up nothing', () => {
+  const queue = waitQueue.createWaitQueue();
+  Array.from({ length: 5 }, (_, index) => waitQueue.addItem(queue, buildItem(index, 0, 'a')));
+  sendAll(queue);
+  Array.from({ length: 3 }, (_, index) => waitQueue.addItem(queue, buildItem(10 + index, 0, 'b')));
+  waitQueue.addItem(queue, buildItem(20, 0, 'a'));
+  assert.ok(sendAll(queue).indexOf(20) <= 2);
+});
+
+test('due items and tokens ahead', () => {
+  const queue = waitQueue.createWaitQueue();
+  [1, 2, 3].forEach((serial) => waitQueue.addItem(queue, buildItem(serial, serial, 'a')));
+  assert.deepEqual(
+    waitQueue.listDue(queue, 2).map(({ serial }) => serial),
+    [1, 2],
+  );
+  assert.deepEqual(
+    [...waitQueue.sumTokensByRank(queue)],
+    [
+      [1, 100],
+      [2, 100],
+      [3, 100],
+    ],
+  );
+});
--- a/packages/core/src/gateway/wait-queue.ts
+++ b/packages/core/src/gateway/wait-queue.ts
@@ -12,6 +12,8 @@
   rank: number;
   workspace: string;
   workTokens: number;
+  /** When it began to wait at this rank, milliseconds. */
+  enteredMs: number;
   /** When something is to be decided about it by time alone, milliseconds. */
   dueMs: number;
 };
@@ -68,17 +70,20 @@
   queue.items.splice(findPlace(queue.items, queued), 0, queued);
 }
 
-/** Removes an item that is sent, or that is not waiting any more. */
-export function removeItem(queue: WaitQueue, serial: number, isSent: boolean): void {
+/** Removes an item that is not waiting any more; undefined where there is none. */
+export function removeItem(queue: WaitQueue, serial: number): WaitItem | undefined {
   const index = queue.items.findIndex((item) => item.serial === serial);
-  if (index === -1) {
-    return;
-  }
-  const [item] = queue.items.splice(index, 1);
-  if (isSent) {
+  return index === -1 ? undefined : queue.items.splice(index, 1)[0];
+}
+
+/** Removes an item that is sent: the others of its rank move up. */
+export function takeItem(queue: WaitQueue, serial: number): WaitItem | undefined {
+  const item = queue.items.find((one) => one.serial === serial);
+  if (item !== undefined) {
     const before = queue.virtualStart.get(item.rank) ?? 0;
     queue.virtualStart.set(item.rank, Math.max(before, item.startTag));
   }
+  return removeItem(queue, serial);
 }
 
 /** Lists the items for which something is due. */
@@ -86,9 +91,14 @@
   return queue.items.filter((item) => now >= item.dueMs);
 }
 
-/** Counts the tokens that would be sent before a new item of a rank. */
-export function countTokensAhead(queue: WaitQueue, rank: number): number {
-  return queue.items
-    .filter((item) => item.rank <= rank)
-    .reduce((sum, item) => sum + item.workTokens, 0);
+/** Sums the tokens that wait at each rank, the most urgent first. */
+export function sumTokensByRank(queue: WaitQueue): Map<number, number> {
+  const sums = new Map<number, number>();
+  queue.items.forEach(({ rank, workTokens }) => sums.set(rank, (sums.get(rank) ?? 0) + workTokens));
+  return sums;
+}
+
+/** Finds the item of a rank that would be sent first. */
+export function findFirst(queue: WaitQueue, rank: number): WaitItem | undefined {
+  return queue.items.find((item) => item.rank === rank);
 }
--- a/packages/core/src/gateway/waiting.ts
+++ b/packages/core/src/gateway/waiting.ts
@@ -23,6 +23,14 @@
  * is left for the run itself.
  */
 const HOLD_SHARE = 0.5;
+/**
+ * A rank of which nothing was sent for this time is stalled, milliseconds. An
+ * engine ends a request every two hundred milliseconds or so; three such times
+ * without a place mean that others take them all.
+ */
+const STALL_MS = 600;
+/** How often a late request is looked at again, milliseconds. */
+const CHECK_MS = 200;
 
 /** Estimates the time from sending to the first token at an idle engine, milliseconds. */
 export function estimateFirstMs(request: gatewayRequest.GatewayRequest): number {
@@ -40,9 +48,36 @@
   return request.leaveMs - estimateFirstMs(request);
 }
 
-/** Tells whether the wait behind some tokens leaves too little time. */
-function isTooLong(work: gatewayState.ServiceWork, ahead: number, leftMs: number): boolean {
-  return drainRate.estimateWaitMs(work.drain, ahead) > HOLD_SHARE * leftMs;
+/** Gets how fast the requests of a rank go. */
+function getDrain(work: gatewayState.ServiceWork, rank: number): drainRate.DrainRate {
+  const drain = work.drainByRank.get(rank) ?? drainRate.createDrainRate();
+  work.drainByRank.set(rank, drain);
+  return drain;
+}
+
+/**
+ * Tells whether nothing of a rank has gone for a while though some waited.
+ *
+ * While more urgent requests take all places, the rate at which the rank went
+ * before says nothing of its future.
+ */
+function isStalled(work: gatewayState.ServiceWork, rank: number, now: number): boolean {
+  const first = waitQueue.findFirst(work.queue, rank);
+  const lastStartMs = work.drainByRank.get(rank)?.lastStartMs ?? 0;
+  return first !== undefined && now - Math.max(first.enteredMs, lastStartMs) > STALL_MS;
+}
+
+/** Estimates how long a new request of a rank waits, milliseconds. */
+function estimateWaitMs(work: gatewayState.ServiceWork, rank: number, now: number): number {
+  if (isStalled(work, rank, now)) {
+    return Infinity;
+  }
+  return [...waitQueue.sumTokensByRank(work.queue)]
+    .filter(([other]) => other <= rank)
+    .reduce(
+      (sum, [other, tokens]) => sum + drainRate.estimateWaitMs(getDrain(work, other), tokens),
+      0,
+    );
 }
 
 /** Says how a request is to wait; undefined where it would wait in vain. */
@@ -53,16 +88,14 @@
 ): { rank: number; dueMs: number } | undefined {
   const { urgency } = request;
   const lateMs = computeLateMs(request);
-  const aheadOnTime = waitQueue.countTokensAhead(work.queue, urgency);
-  if (now < lateMs && !isTooLong(work, aheadOnTime, lateMs - now)) {
+  if (now < lateMs && estimateWaitMs(work, urgency, now) <= HOLD_SHARE * (lateMs - now)) {
     return { rank: urgency, dueMs: lateMs };
   }
   const rank = LATE_RANK + urgency;
-  const lastSendMs = computeLastSendMs(request);
-  const ahead = waitQueue.countTokensAhead(work.queue, rank);
-  return now >= lastSendMs || isTooLong(work, ahead, lastSendMs - now)
+  const leftMs = computeLastSendMs(request) - now;
+  return leftMs <= 0 || estimateWaitMs(work, rank, now) > HOLD_SHARE * leftMs
     ? undefined
-    : { rank, dueMs: lastSendMs };
+    : { rank, dueMs: now + Math.min(leftMs, CHECK_MS) };
 }
 
 /** Puts a request into the queue of its service; false where it would wait in vain. */
@@ -77,18 +110,48 @@
     return false;
   }
   const { serial, workspace, workTokens } = request;
-  waitQueue.addItem(work.queue, { serial, workspace, workTokens, ...place });
+  waitQueue.addItem(work.queue, { serial, workspace, workTokens, enteredMs: now, ...place });
   return true;
 }
 
-/** Takes a request out of the queue. */
+/** Takes a request that is not to be sent out of the queue. */
 export function removeRequest(
   state: gatewayState.GatewayState,
   request: gatewayRequest.GatewayRequest,
-  isSent: boolean,
 ): void {
   const { queue } = gatewayState.getServiceWork(state, request.service);
-  waitQueue.removeItem(queue, request.serial, isSent);
+  waitQueue.removeItem(queue, request.serial);
+}
+
+/** Takes a request that is sent out of the queue. */
+export function takeRequest(
+  state: gatewayState.GatewayState,
+  request: gatewayRequest.GatewayRequest,
+  now: number,
+): void {
+  const work = gatewayState.getServiceWork(state, request.service);
+  const item = waitQueue.takeItem(work.queue, request.serial);
+  if (item !== undefined) {
+    const { rank, workTokens, enteredMs } = item;
+    drainRate.noteStart(getDrain(work, rank), workTokens, enteredMs, now);
+    drainRate.noteStart(work.drain, workTokens, request.arrivedMs, now);
+  }
+}
+
+/** Tells whether a request that waits late goes on waiting. */
+function isHeldOn(
+  work: gatewayState.ServiceWork,
+  item: waitQueue.WaitItem,
+  request: gatewayRequest.GatewayRequest,
+  now: number,
+): boolean {
+  const isLate = item.rank >= LATE_RANK;
+  const leftMs = computeLastSendMs(request) - now;
+  if (!isLate || leftMs <= 0 || isStalled(work, item.rank, now)) {
+    return false;
+  }
+  item.dueMs = now + Math.min(leftMs, CHECK_MS);
+  return true;
 }
 
 /**
@@ -100,13 +163,16 @@
   service: string,
   now: number,
 ): gatewayRequest.GatewayRequest[] {
-  const { queue } = gatewayState.getServiceWork(state, service);
-  const due = waitQueue
-    .listDue(queue, now)
-    .map((item) => state.requests.get(item.serial))
-    .filter((request) => request !== undefined);
-  due.forEach((request) => removeRequest(state, request, false));
-  return due.filter((request) => !enqueueRequest(state, request, now));
+  const work = gatewayState.getServiceWork(state, service);
+  return waitQueue.listDue(work.queue, now).flatMap((item) => {
+    const request = state.requests.get(item.serial);
+    if (request === undefined || isHeldOn(work, item, request, now)) {
+      return [];
+    }
+    removeRequest(state, request);
+    const isMoved = item.rank < LATE_RANK && enqueueRequest(state, request, now);
+    return isMoved ? [] : [request];
+  });
 }
 
 /** Draws when a caller that is turned away should come back, milliseconds. */
--- a/packages/gateway/src/app.ts
+++ b/packages/gateway/src/app.ts
@@ -18,7 +18,13 @@
 import type * as storeCodec from './store-codec.js';
 import type * as wireProtocol from './wire-protocol.js';
 
-export type GatewayDaemon = { shutDown: () => void; stop: () => void };
+export type GatewayDaemon = {
+  callerPort: number;
+  operatorPort: number;
+  countBackendServers: () => number;
+  shutDown: () => void;
+  stop: () => void;
+};
 
 export type GatewayOptions = {
   settings: gatewaySettings.GatewaySettings;
@@ -65,7 +71,7 @@
 /** Starts the servers that others call. */
 async function startServers(
   { settings }: GatewayOptions,
-  { state, readClocks, log, metrics }: gatewayTask.GatewayTaskParts,
+  { state, readClocks, log, metrics, storeLost }: ReturnType<typeof createParts>,
   task: gatewayTask.GatewayTask,
 ): Promise<{ callers: callerServer.CallerServer; operators: runtime.OperatorServer }> {
   const callers = await callerServer.startCallerServer({
@@ -79,7 +85,7 @@
   const operators = await runtime.startOperatorServer({
     ...settings.operators,
     renderMetrics: metrics.render,
-    describeStatus: () => status.describeStatus(state, readClocks()),
+    describeStatus: () => status.describeStatus(state, storeLost, readClocks()),
     isReady: () => isReady(state, readClocks),
     readinessPath: settings.readinessPath,
   });
@@ -90,6 +96,7 @@
 function createParts({ settings, protocol }: GatewayOptions, life: string) {
   const logger = runtime.createLogger('toucanproxy-gateway', { gateway: settings.name, life });
   const state = gateway.createGatewayState(
+    `${settings.peerListen.host}:${settings.peerListen.port}`,
     settings.failureDomain,
     buildBounds(settings),
     Math.random,
@@ -100,6 +107,7 @@
     connections: backendConnections.createBackendConnections(),
     readClocks: clocks.createClockReader(),
     log: decisionLog.createDecisionLog(logger),
+    storeLost: new Set<string>(),
     metrics: gatewayMetrics.createGatewayMetrics(state),
   };
 }
@@ -128,6 +136,9 @@
   task.start();
   log.writeAlways('started', { ...settings });
   return {
+    callerPort: callers.port,
+    operatorPort: operators.port,
+    countBackendServers: () => state.servers.byId.size,
     shutDown: () => shutdown.beginShutdown({ state, callers, task, peers, log, ...options }),
     stop: () =>
       [...readers, task, peers, callers, operators, connections].forEach((part) => part.stop()),
--- a/packages/gateway/src/configuration-reader.ts
+++ b/packages/gateway/src/configuration-reader.ts
@@ -14,6 +14,8 @@
   codec: storeCodec.StoreCodec;
   readClocks: clocks.ReadClocks;
   log: decisionLog.DecisionLog;
+  /** Readers of the store whose last call failed. */
+  storeLost: Set<string>;
   /** Called after what is known has changed. */
   assign: () => void;
 };
@@ -44,6 +46,18 @@
   log.writeAlways('configuration', { version: given.version, before: version });
 }
 
+/** Notes that the store does not answer a reader any more. */
+export function reportLost(parts: ReaderParts, reader: string, reason: string): void {
+  parts.storeLost.add(reader);
+  parts.log.writeAlways('store-lost', { reader, reason });
+}
+
+/** Notes that the store answers a reader again. */
+export function reportRegained(parts: ReaderParts, reader: string, awayMs: number): void {
+  parts.storeLost.delete(reader);
+  parts.log.writeAlways('store-regained', { reader, awayMs: Math.round(awayMs) });
+}
+
 /** Starts to follow the configuration. */
 export function startConfigurationReader(
   parts: ReaderParts & { callers: callerServer.CallerServer },
@@ -74,7 +88,7 @@
     applySnapshot: applyItems,
     applyChanges: applyItems,
     confirm: (sent) => gateway.noteConfirmed(state.belief, sent),
-    reportLost: (name, reason) => log.writeAlways('store-lost', { reader: name, reason }),
-    reportRegained: (name, awayMs) => log.writeAlways('store-regained', { reader: name, awayMs }),
+    reportLost: (name, reason) => reportLost(parts, name, reason),
+    reportRegained: (name, awayMs) => reportRegained(parts, name, awayMs),
   });
 }
--- a/packages/gateway/src/gateway-task.ts
+++ b/packages/gateway/src/gateway-task.ts
@@ -12,6 +12,7 @@
 import * as eventStream from './event-stream.js';
 import type * as gatewayMetrics from './gateway-metrics.js';
 import type * as heldRequest from './held-request.js';
+import * as requestReports from './request-reports.js';
 import type * as wireProtocol from './wire-protocol.js';
 
 export type GatewayTask = {
@@ -43,24 +44,6 @@
 const TICK_MS = 50;
 const QUERY_START = '?';
 
-/** Logs and counts how a request ended. */
-function reportEnd(
-  task: TaskState,
-  held: heldRequest.HeldRequest,
-  code: schema.ResultCode,
-  fields: Record<string, unknown>,
-): void {
-  const { request } = held;
-  const now = task.readClocks().steadyMs;
-  const ms = Math.round(now - request.arrivedMs);
-  const { route, workspace, service } = request;
-  task.metrics.recordEnd(route.name, service, code, ms <= route.targetMs);
-  const { attemptId } = request.arrived;
-  const line = { id: attemptId, route: route.name, service, workspace, ms, ...fields };
-  const { sends, runs, version } = request;
-  task.log.write('end', { ...line, sends, runs, version, result: schema.ResultCode[code] }, now);
-}
-
 /** Forgets a request whose final answer has been given. */
 function forget(task: TaskState, held: heldRequest.HeldRequest): void {
   held.done = true;
@@ -74,7 +57,7 @@
 /** Gives a request its final answer: a refusal. */
 function refuse(task: TaskState, held: heldRequest.HeldRequest, refusal: gateway.Refusal): void {
   forget(task, held);
-  reportEnd(task, held, refusal.code, { retryAfterMs: refusal.retryAfterMs });
+  requestReports.reportEnd(task, held, refusal.code, { retryAfterMs: refusal.retryAfterMs });
   callerExchange.sendRefusal(held.exchange, refusal);
 }
 
@@ -98,17 +81,14 @@
     gateway.endRequest(task.state, request);
     forget(task, held);
     const fields = { server: serverId, status: outcome.status };
-    reportEnd(task, held, schema.ResultCode.COMPLETED, fields);
+    requestReports.reportEnd(task, held, schema.ResultCode.COMPLETED, fields);
     assign(task);
     return;
   }
   const { fault, reason, failure } = outcome;
   const hasBegun = held.exchange.response.headersSent;
   const verdict = gateway.handleAttemptFault(task.state, request, fault, hasBegun, now);
-  const { attemptId } = request.arrived;
-  const line = { id: attemptId, server: serverId, fault, reason, verdict: verdict.kind };
-  task.log.write('fault', line, now);
-  task.metrics.recordFault(request.service, fault);
+  requestReports.reportFault(task, held, { serverId, fault, reason, verdict: verdict.kind }, now);
   applyVerdict(task, held, verdict, failure);
   assign(task);
 }
@@ -132,7 +112,7 @@
     return;
   }
   forget(task, held);
-  reportEnd(task, held, schema.ResultCode.ENGINE_FAILED, { status: failure.status });
+  requestReports.reportEnd(task, held, schema.ResultCode.ENGINE_FAILED, { status: failure.status });
   callerExchange.sendAnswer(held.exchange, failure, failure.body);
 }
 
@@ -165,11 +145,7 @@
   { server, candidates }: Extract<gateway.Assignment, { kind: 'send' }>,
 ): void {
   const { request } = held;
-  const { attemptId } = request.arrived;
-  const waitMs = Math.round(request.sentMs - request.arrivedMs);
-  const weighed = candidates.map((one) => [one.id, one.ownInFlight, one.peersInFlight]);
-  const line = { id: attemptId, server: server.id, service: request.service, waitMs, weighed };
-  task.log.write('sent', { ...line, version: request.version }, request.sentMs);
+  requestReports.reportSent(task, held, server, candidates);
   const load = gateway.getLoad(task.state, server.id);
   if (held.events !== undefined) {
     held.events.rest = Buffer.alloc(0);
@@ -182,6 +158,7 @@
     settle: (outcome) => handleOutcome(task, held, outcome),
     observePace: (unitMs) => gateway.recordUnit(load.pace, unitMs, readNow()),
     observeFirstEvent: (ms) => {
+      held.firstEventMs ??= Math.round(readNow() - request.arrivedMs);
       gateway.recordFirst(load.pace, ms / gateway.estimateFirstMs(request), readNow());
       task.metrics.recordFirstEvent(request.route.name, ms);
     },
@@ -234,7 +211,9 @@
   held.attempt?.abort();
   gateway.abandonRequest(task.state, held.request, mayHaveRun);
   forget(task, held);
-  reportEnd(task, held, schema.ResultCode.CLIENT_LEFT, { server: held.request.serverId });
+  requestReports.reportEnd(task, held, schema.ResultCode.CLIENT_LEFT, {
+    server: held.request.serverId,
+  });
   assign(task);
 }
 
@@ -245,13 +224,7 @@
   attemptId: string,
   refusal: gateway.Refusal,
 ): void {
-  const now = task.readClocks().steadyMs;
-  const { code, retryAfterMs } = refusal;
-  const age = Math.round(gateway.computeAge(task.state.belief, task.readClocks()));
-  const version = task.state.index?.configuration.version;
-  const line = { id: attemptId, path: exchange.target, retryAfterMs, version, beliefAgeMs: age };
-  task.log.write('refused', { ...line, result: schema.ResultCode[code] }, now);
-  task.metrics.recordEnd('', '', code, false);
+  requestReports.reportRefused(task, exchange, attemptId, refusal);
   callerExchange.sendRefusal(exchange, refusal);
 }
 
@@ -268,6 +241,7 @@
     attempt: undefined,
     giveUpTimer: undefined,
     events: isStream ? eventStream.createEventStream() : undefined,
+    firstEventMs: undefined,
     done: false,
   };
   held.giveUpTimer = setTimeout(() => giveUp(task, held), request.giveUpMs - request.arrivedMs);
--- a/packages/gateway/src/held-request.ts
+++ b/packages/gateway/src/held-request.ts
@@ -20,6 +20,8 @@
   giveUpTimer: NodeJS.Timeout | undefined;
   /** Events passed on so far, over all attempts; undefined for other answers. */
   events: eventStream.EventStream | undefined;
+  /** Time from arrival to the first event, milliseconds; undefined before it. */
+  firstEventMs: number | undefined;
   /** The final answer has been given, or the caller has left. */
   done: boolean;
 };
--- a/packages/gateway/src/peer-task.ts
+++ b/packages/gateway/src/peer-task.ts
@@ -34,7 +34,8 @@
 const MAX_FAN_OUT = 16;
 /** What one report holds at most, so that it fits one datagram of 1,400 bytes. */
 const MAX_WORKSPACES = 20;
-const MAX_SERVERS = 30;
+const MAX_SERVERS = 24;
+const MAX_SERVICES = 8;
 const MAX_PEERS = 12;
 
 type PeerState = { options: PeerTaskOptions; own: string; sequence: number };
@@ -60,6 +61,10 @@
   const inFlight = [...state.loads]
     .filter(([, load]) => load.inFlight > 0)
     .map(([serverId, load]) => ({ serverId, requests: load.inFlight }));
+  const demand = [...gateway.updateToldDemand(state)].map(([service, requests]) => ({
+    service,
+    requests,
+  }));
   const report = schema.create(schema.GatewayReportSchema, {
     address: peer.own,
     life,
@@ -69,6 +74,7 @@
       workspace,
       amount,
     })),
+    demand: pickInTurn(demand, sequence, MAX_SERVICES),
     inFlight: pickInTurn(inFlight, sequence, MAX_SERVERS),
     peers: pickInTurn(gateway.listHeard(state.peers, readNow()), sequence, MAX_PEERS),
   });
@@ -92,7 +98,7 @@
 /** Takes in a report; charges quotas with what the sender has admitted. */
 function receiveReport(peer: PeerState, bytes: Uint8Array): void {
   const { state, readNow } = peer.options;
-  const { address, life, sequence, leaving, used, inFlight, peers } = schema.fromBinary(
+  const { address, life, sequence, leaving, used, inFlight, demand, peers } = schema.fromBinary(
     schema.GatewayReportSchema,
     bytes,
   );
@@ -103,6 +109,7 @@
     sequence,
     leaving,
     used: new Map(used.map((one) => [one.workspace, one.amount])),
+    demand: new Map(demand.map((one) => [one.service, one.requests])),
     inFlight: new Map(inFlight.map((one) => [one.serverId, one.requests])),
     peers,
   };
@@ -117,7 +124,7 @@
 /** Starts to exchange reports. */
 export function startPeerTask(options: PeerTaskOptions): PeerTask {
   const { host, port } = options.listen;
-  const peer: PeerState = { options, own: `${host}:${port}`, sequence: 0 };
+  const peer: PeerState = { options, own: options.state.address, sequence: 0 };
   const socket = dgram.createSocket('udp4');
   socket.on('error', (error) => options.reportProblem(error.message));
   socket.on('message', (bytes) => {
--- /dev/null
+++ b/packages/gateway/src/request-reports.ts
@@ -0,0 +1,105 @@
+/** Log lines and counts of what happens to requests. */
+import * as gateway from '@toucanproxy/core/gateway';
+import * as schema from '@toucanproxy/schema';
+import type * as callerExchange from './caller-exchange.js';
+import type * as clocks from './clocks.js';
+import type * as decisionLog from './decision-log.js';
+import type * as gatewayMetrics from './gateway-metrics.js';
+import type * as heldRequest from './held-request.js';
+
+export type ReportParts = {
+  state: gateway.GatewayState;
+  readClocks: clocks.ReadClocks;
+  log: decisionLog.DecisionLog;
+  metrics: gatewayMetrics.GatewayMetrics;
+};
+
+/** Tells that a request was refused on arrival, and what that was decided from. */
+export function reportRefused(
+  { state, readClocks, log, metrics }: ReportParts,
+  exchange: callerExchange.CallerExchange,
+  attemptId: string,
+  { code, retryAfterMs }: gateway.Refusal,
+): void {
+  const now = readClocks();
+  const beliefAgeMs = Math.round(gateway.computeAge(state.belief, now));
+  const version = state.index?.configuration.version;
+  const line = { id: attemptId, path: exchange.target, retryAfterMs, version, beliefAgeMs };
+  log.write('refused', { ...line, result: schema.ResultCode[code] }, now.steadyMs);
+  metrics.recordEnd('', '', code, false);
+}
+
+/** Tells that a request was sent, and among which backend servers it was weighed. */
+export function reportSent(
+  { log }: ReportParts,
+  { request }: heldRequest.HeldRequest,
+  server: gateway.BackendServerEntry,
+  candidates: readonly gateway.Candidate[],
+): void {
+  const { arrived, service, version, sentMs, sends } = request;
+  const line = {
+    id: arrived.attemptId,
+    server: server.id,
+    service,
+    waitMs: Math.round(sentMs - request.arrivedMs),
+    promptTokens: arrived.tokens?.prompt,
+    sends,
+    version,
+    // Id, own and peers' requests there, and slowness in hundredths.
+    weighed: candidates.map((one) => [
+      one.id,
+      one.ownInFlight,
+      one.peersInFlight,
+      Math.round(one.slowness * 100),
+    ]),
+  };
+  log.write('sent', line, sentMs);
+}
+
+type FaultFields = {
+  serverId: string | undefined;
+  fault: gateway.AttemptFault;
+  reason: string;
+  verdict: gateway.AttemptVerdict['kind'];
+};
+
+/** Tells that an attempt failed, and what was decided on that. */
+export function reportFault(
+  { log, metrics }: ReportParts,
+  { request, exchange }: heldRequest.HeldRequest,
+  { serverId, ...fields }: FaultFields,
+  now: number,
+): void {
+  const { arrived, service, sends, runs } = request;
+  const hasBegun = exchange.response.headersSent;
+  const line = { id: arrived.attemptId, server: serverId, ...fields, sends, runs, hasBegun };
+  log.write('fault', line, now);
+  metrics.recordFault(service, fields.fault);
+}
+
+/** Tells how a request ended. */
+export function reportEnd(
+  { readClocks, log, metrics }: ReportParts,
+  { request, firstEventMs }: heldRequest.HeldRequest,
+  code: schema.ResultCode,
+  fields: Record<string, unknown>,
+): void {
+  const now = readClocks().steadyMs;
+  const ms = Math.round(now - request.arrivedMs);
+  const { route, workspace, service, sends, runs, version } = request;
+  const line = {
+    id: request.arrived.attemptId,
+    route: route.name,
+    service,
+    workspace,
+    ms,
+    firstEventMs,
+    ...fields,
+    sends,
+    runs,
+    version,
+    result: schema.ResultCode[code],
+  };
+  metrics.recordEnd(route.name, service, code, (firstEventMs ?? ms) <= route.targetMs);
+  log.write('end', line, now);
+}
--- a/packages/gateway/src/server-reader.ts
+++ b/packages/gateway/src/server-reader.ts
@@ -1,7 +1,7 @@
 /** Follows the entries of backend servers in the store. */
 import * as gateway from '@toucanproxy/core/gateway';
 import type * as backendConnections from './backend-connections.js';
-import type * as configurationReader from './configuration-reader.js';
+import * as configurationReader from './configuration-reader.js';
 import * as storeClient from './store-client.js';
 import type * as storeCodec from './store-codec.js';
 import * as storeReader from './store-reader.js';
@@ -53,7 +53,7 @@
 
 /** Starts to follow the entries. */
 export function startServerReader(parts: ServerReaderParts): { stop: () => void } {
-  const { state, settings, codec, readClocks, log } = parts;
+  const { state, settings, codec, readClocks } = parts;
   return storeReader.startStoreReader({
     name: 'backend-servers',
     client: storeClient.createStoreClient(settings.store),
@@ -76,11 +76,11 @@
         items.map((item) => applyItem(parts, item)),
       ),
     confirm: () => {},
-    reportLost: (name, reason) => log.writeAlways('store-lost', { reader: name, reason }),
+    reportLost: (name, reason) => configurationReader.reportLost(parts, name, reason),
     reportRegained: (name, awayMs) => {
       const { entryReturnMs } = state.bounds;
       gateway.noteStoreReturned(state.servers, entryReturnMs, readClocks().steadyMs);
-      log.writeAlways('store-regained', { reader: name, awayMs });
+      configurationReader.reportRegained(parts, name, awayMs);
     },
   });
 }
