--- a/eslint.config.js
+++ b/eslint.config.js
@@ -47,6 +47,13 @@
 const forbidImports = (...group) => ({
   'no-restricted-imports': ['error', { patterns: [{ group, message: 'See docs/STYLE.md.' }] }],
 });
+const PLATFORM = '@toucanproxy/platform';
+// Names on the wire of the users' platform; only its adapter may know them.
+const platformNames = {
+  selector:
+    'Literal[value=/x-toucanproxy-(attempt|cred|tenant|expect|kv|pin|token|prefix|deadline|response|not-ex)|\\/api\\/(kv|ready|report)|^op\\/config|^servers\\//i]',
+  message: 'Names of the platform belong to platform/.',
+};
 const TEST_ONLY = ['@toucanproxy/stand-ins', '@toucanproxy/proofs', '@toucanproxy/measure'];
 
 export default [
@@ -100,27 +107,40 @@
   {
     files: ['packages/core/src/**/*.ts'],
     ignores: ['**/*.test.ts'],
-    rules: { 'no-restricted-syntax': [...restrictedSyntax, ...coreRestrictions] },
+    rules: { 'no-restricted-syntax': [...restrictedSyntax, ...coreRestrictions, platformNames] },
   },
   {
-    files: ['packages/{schema,core,runtime,entry,agent,cli}/src/**/*.ts'],
+    files: ['packages/{schema,runtime,entry,agent,gateway}/src/**/*.ts'],
+    ignores: ['**/*.test.ts', '**/mocks/**'],
+    rules: {
+      ...forbidImports('**/mocks/*', PLATFORM, ...TEST_ONLY),
+      'no-restricted-syntax': [...restrictedSyntax, platformNames],
+    },
+  },
+  {
+    files: ['packages/cli/src/**/*.ts', 'platform/src/**/*.ts'],
     ignores: ['**/*.test.ts', '**/mocks/**'],
     rules: forbidImports('**/mocks/*', ...TEST_ONLY),
   },
+  {
+    files: ['packages/core/src/gateway/**/*.ts'],
+    ignores: ['**/*.test.ts', '**/mocks/**'],
+    rules: forbidImports('**/mocks/*', '../agent/*', '../entry/*', PLATFORM, ...TEST_ONLY),
+  },
   {
     files: ['packages/core/src/agent/**/*.ts'],
     ignores: ['**/*.test.ts', '**/mocks/**'],
-    rules: forbidImports('**/mocks/*', '../entry/*', ...TEST_ONLY),
+    rules: forbidImports('**/mocks/*', '../entry/*', '../gateway/*', ...TEST_ONLY),
   },
   {
     files: ['packages/core/src/shared/**/*.ts'],
     ignores: ['**/*.test.ts', '**/mocks/**'],
-    rules: forbidImports('**/mocks/*', '../agent/*', '../entry/*', ...TEST_ONLY),
+    rules: forbidImports('**/mocks/*', '../agent/*', '../entry/*', '../gateway/*', ...TEST_ONLY),
   },
   {
     files: ['packages/core/src/entry/**/*.ts'],
     ignores: ['**/*.test.ts', '**/mocks/**'],
-    rules: forbidImports('**/mocks/*', '../agent/*', ...TEST_ONLY),
+    rules: forbidImports('**/mocks/*', '../agent/*', '../gateway/*', ...TEST_ONLY),
   },
   {
     files: ['**/*.test.ts'],
--- a/packages/cli/src/app.ts
+++ b/packages/cli/src/app.ts
@@ -5,6 +5,7 @@
 import * as entryCommand from './entry-command.js';
 import * as exitCode from './exit-code.js';
 import * as explainCommand from './explain-command.js';
+import * as gatewayCommand from './gateway-command.js';
 import * as statusCommand from './status-command.js';
 
 const VERSION = '0.1.0';
@@ -20,6 +21,7 @@
   cli.register(clipanion.Builtins.VersionCommand);
   cli.register(entryCommand.EntryCommand);
   cli.register(agentCommand.AgentCommand);
+  cli.register(gatewayCommand.GatewayCommand);
   cli.register(checkCommand.CheckCommand);
   cli.register(statusCommand.StatusCommand);
   cli.register(explainCommand.ExplainCommand);
--- a/packages/cli/src/check-command.ts
+++ b/packages/cli/src/check-command.ts
@@ -12,7 +12,7 @@
   static override paths = [['check']];
 
   static override usage = clipanion.Command.Usage({
-    description: 'check settings and service documents',
+    description: 'check settings, service documents and configurations',
     details: `
       Lists all faults at once, each with its place, the value found and what is allowed.
       The daemons refuse the same faults. Ends with 0 where there are none, with 4 where
@@ -26,7 +26,8 @@
   });
 
   kind = clipanion.Option.String('--kind', {
-    description: 'document, entry or agent; recognised by content where it is left out',
+    description:
+      'document, entry, agent, gateway or configuration; recognised by content where left out',
   });
 
   effective = clipanion.Option.Boolean('--effective', false, {
--- a/packages/cli/src/effective-values.ts
+++ b/packages/cli/src/effective-values.ts
@@ -39,6 +39,9 @@
       const settings = schema.applyAgentDefaults(input.value);
       return schema.toJson(schema.AgentSettingsSchema, settings, WITH_DEFAULTS);
     }
+    case inputFile.FileKind.GATEWAY:
+    case inputFile.FileKind.CONFIGURATION:
+      return input.value;
     default: {
       const document = applyDocumentDefaults(input.value);
       return schema.toJson(schema.ServiceDocumentSchema, document, WITH_DEFAULTS);
--- a/packages/cli/src/request-lines.ts
+++ b/packages/cli/src/request-lines.ts
@@ -5,7 +5,7 @@
 /** Fields of bunyan itself, and those that stand at the front of a line. */
 const HIDDEN_FIELDS = new Set([
   ...['name', 'hostname', 'pid', 'level', 'v', 'msg'],
-  ...['time', 'event', 'entry', 'agent', 'life', 'request'],
+  ...['time', 'event', 'entry', 'agent', 'gateway', 'life', 'request'],
 ]);
 
 /** Parses one line; undefined where it is no log line. */
@@ -38,6 +38,6 @@
   const fields = Object.entries(line)
     .filter(([name]) => !HIDDEN_FIELDS.has(name))
     .map(([name, value]) => `${name}=${typeof value === 'string' ? value : JSON.stringify(value)}`);
-  const processName = String(line.entry ?? line.agent ?? line.name ?? '');
+  const processName = String(line.entry ?? line.agent ?? line.gateway ?? line.name ?? '');
   return [line.time, processName, line.event, ...fields].join('  ');
 }
--- a/packages/core/src/gateway/assignment.test.ts
+++ b/packages/core/src/gateway/assignment.test.ts
@@ -96,7 +96,7 @@
   const runMs = 400;
   const running: { endMs: number; request: assignment.Assignment['request'] }[] = [];
   const count = { urgent: 0, urgentInTime: 0, other: 0, otherSent: 0 };
-  let heldInVain = 0;
+  const heldMs: number[] = [];
   for (let now = 0; now < 10_000; now += 10) {
     belief.noteConfirmed(state.belief, buildClocks(now));
     running
@@ -116,7 +116,7 @@
     assignment.assignWaiting(state, buildClocks(now)).forEach((one) => {
       const { request } = one;
       if (one.kind === 'refuse') {
-        heldInVain = Math.max(heldInVain, now - request.arrivedMs);
+        heldMs.push(now - request.arrivedMs);
         return;
       }
       running.push({ endMs: now + runMs, request });
@@ -127,5 +127,5 @@
   }
   assert.ok(count.urgentInTime >= 0.95 * count.urgent, JSON.stringify(count));
   assert.ok(count.otherSent < 0.3 * count.other, JSON.stringify(count));
-  assert.ok(heldInVain <= 1600, String(heldInVain));
+  assert.ok(Math.max(...heldMs) <= 1600, String(Math.max(...heldMs)));
 });
--- a/packages/core/src/gateway/attempt-end.test.ts
+++ b/packages/core/src/gateway/attempt-end.test.ts
@@ -4,6 +4,7 @@
 import * as assignment from './assignment.js';
 import * as attemptEnd from './attempt-end.js';
 import * as configuration from './configuration.js';
+import type * as gatewayState from './gateway-state.js';
 import * as intake from './intake.js';
 import * as gatewayBench from './mocks/gateway-bench.js';
 
@@ -33,6 +34,22 @@
   return { verdict: settled.kind, code, sends: request.sends };
 }
 
+/** Lets all assignments end with a fault and lists the codes of those refused. */
+function listEnds(
+  state: gatewayState.GatewayState,
+  assigned: assignment.Assignment[],
+  fault: attemptEnd.AttemptFault,
+  now: number,
+): string[] {
+  return assigned.flatMap((one) => {
+    const verdict =
+      one.kind === 'refuse'
+        ? one
+        : attemptEnd.handleAttemptFault(state, one.request, fault, false, now);
+    return verdict.kind === 'refuse' ? [schema.ResultCode[verdict.refusal.code]] : [];
+  });
+}
+
 test('unreachable costs the caller nothing', () => {
   const { UNSAFE } = configuration.RouteKind;
   const ended = runFaults({ kind: UNSAFE }, [AttemptFault.UNREACHABLE]);
@@ -53,22 +70,15 @@
   const route = gatewayBench.buildRoute({ kind: configuration.RouteKind.UNSAFE });
   const state = gatewayBench.createBench(['a', 'b', 'c'], [route]);
   intake.admitRequest(state, gatewayBench.buildArrived('1'), gatewayBench.buildClocks(0));
+  const told: string[] = [];
   let sends = 0;
-  let told = '';
-  for (let now = 0; now < 2900 && told === ''; now += 50) {
-    assignment.assignWaiting(state, gatewayBench.buildClocks(now)).forEach((one) => {
-      if (one.kind === 'refuse') {
-        told = schema.ResultCode[one.refusal.code];
-        return;
-      }
-      sends += 1;
-      const { REFUSED } = AttemptFault;
-      const verdict = attemptEnd.handleAttemptFault(state, one.request, REFUSED, false, now);
-      told = verdict.kind === 'refuse' ? schema.ResultCode[verdict.refusal.code] : '';
-    });
+  for (let now = 0; now < 2900 && told.length === 0; now += 50) {
+    const assigned = assignment.assignWaiting(state, gatewayBench.buildClocks(now));
+    sends += assigned.filter(({ kind }) => kind === 'send').length;
+    told.push(...listEnds(state, assigned, AttemptFault.REFUSED, now));
   }
   assert.ok(sends >= 3 && sends <= 4, String(sends));
-  assert.ok(['NO_BACKEND_SERVER', 'DEADLINE_UNREACHABLE'].includes(told), told);
+  assert.ok(['NO_BACKEND_SERVER', 'DEADLINE_UNREACHABLE'].includes(told[0]), told[0]);
 });
 
 test('run, then refused: not told as not run', () => {
@@ -100,21 +110,16 @@
   // load on them; the budget lets a fifth through, and ten besides.
   const route = gatewayBench.buildRoute({ kind: configuration.RouteKind.SAFE, maxAttempts: 2 });
   const state = gatewayBench.createBench(['a', 'b', 'c'], [route]);
-  let repeats = 0;
+  let sends = 0;
   for (let index = 0; index < 200; index += 1) {
     const clocks = gatewayBench.buildClocks(index * 10);
-    const arrived = gatewayBench.buildArrived(String(index));
-    intake.admitRequest(state, arrived, clocks);
-    assignment.assignWaiting(state, clocks).forEach(({ request }) => {
-      const { FAILED } = AttemptFault;
-      const now = clocks.steadyMs;
-      const verdict = attemptEnd.handleAttemptFault(state, request, FAILED, false, now);
-      if (verdict.kind === 'again') {
-        repeats += 1;
-        assignment.assignWaiting(state, clocks);
-        attemptEnd.handleAttemptFault(state, request, FAILED, false, now);
-      }
-    });
+    intake.admitRequest(state, gatewayBench.buildArrived(String(index)), clocks);
+    const first = assignment.assignWaiting(state, clocks);
+    listEnds(state, first, AttemptFault.FAILED, clocks.steadyMs);
+    const second = assignment.assignWaiting(state, clocks);
+    listEnds(state, second, AttemptFault.FAILED, clocks.steadyMs);
+    sends += first.length + second.length;
   }
+  const repeats = sends - 200;
   assert.ok(repeats >= 10 && repeats <= 52, String(repeats));
 });
--- a/packages/core/src/gateway/token-quota.test.ts
+++ b/packages/core/src/gateway/token-quota.test.ts
@@ -34,9 +34,9 @@
   const told = [0, 0];
   let within = 0;
   for (let now = 0; now < 8000; now += 200) {
-    books.forEach((book) => {
-      within += countWithin(book, 1, now, now + 200);
-    });
+    const beginMs = now;
+    const taken = books.map((book) => countWithin(book, 1, beginMs, beginMs + 200));
+    within += taken[0] + taken[1];
     books.forEach((book, index) => {
       const used = tokenQuota.listUse(book, 1)[0]?.used ?? 0;
       tokenQuota.applyPeerUse(books[1 - index], 'w', used - told[index]);
--- a/packages/core/src/gateway/wait-queue.test.ts
+++ b/packages/core/src/gateway/wait-queue.test.ts
@@ -54,7 +54,7 @@
     [1, 2],
   );
   assert.deepEqual(
-    [...waitQueue.sumTokensByRank(queue)],
+    [...waitQueue.countTokensByRank(queue)],
     [
       [1, 100],
       [2, 100],
--- a/packages/core/src/gateway/wait-queue.ts
+++ b/packages/core/src/gateway/wait-queue.ts
@@ -91,8 +91,8 @@
   return queue.items.filter((item) => now >= item.dueMs);
 }
 
-/** Sums the tokens that wait at each rank, the most urgent first. */
-export function sumTokensByRank(queue: WaitQueue): Map<number, number> {
+/** Counts the tokens that wait at each rank, the most urgent first. */
+export function countTokensByRank(queue: WaitQueue): Map<number, number> {
   const sums = new Map<number, number>();
   queue.items.forEach(({ rank, workTokens }) => sums.set(rank, (sums.get(rank) ?? 0) + workTokens));
   return sums;
--- a/packages/core/src/gateway/waiting.ts
+++ b/packages/core/src/gateway/waiting.ts
@@ -72,7 +72,7 @@
   if (isStalled(work, rank, now)) {
     return Infinity;
   }
-  return [...waitQueue.sumTokensByRank(work.queue)]
+  return [...waitQueue.countTokensByRank(work.queue)]
     .filter(([other]) => other <= rank)
     .reduce(
       (sum, [other, tokens]) => sum + drainRate.estimateWaitMs(getDrain(work, other), tokens),
--- a/packages/gateway/src/app.ts
+++ b/packages/gateway/src/app.ts
@@ -22,6 +22,8 @@
   callerPort: number;
   operatorPort: number;
   countBackendServers: () => number;
+  /** Takes changed bounds into force; addresses stay as they were at the start. */
+  reload: (settings: gatewaySettings.GatewaySettings) => void;
   shutDown: () => void;
   stop: () => void;
 };
@@ -139,6 +141,10 @@
     callerPort: callers.port,
     operatorPort: operators.port,
     countBackendServers: () => state.servers.byId.size,
+    reload: (changed) => {
+      state.bounds = buildBounds(changed);
+      log.writeAlways('reload', { ...changed });
+    },
     shutDown: () => shutdown.beginShutdown({ state, callers, task, peers, log, ...options }),
     stop: () =>
       [...readers, task, peers, callers, operators, connections].forEach((part) => part.stop()),
--- a/packages/gateway/src/request-reports.ts
+++ b/packages/gateway/src/request-reports.ts
@@ -24,7 +24,7 @@
   const now = readClocks();
   const beliefAgeMs = Math.round(gateway.computeAge(state.belief, now));
   const version = state.index?.configuration.version;
-  const line = { id: attemptId, path: exchange.target, retryAfterMs, version, beliefAgeMs };
+  const line = { request: attemptId, path: exchange.target, retryAfterMs, version, beliefAgeMs };
   log.write('refused', { ...line, result: schema.ResultCode[code] }, now.steadyMs);
   metrics.recordEnd('', '', code, false);
 }
@@ -38,7 +38,7 @@
 ): void {
   const { arrived, service, version, sentMs, sends } = request;
   const line = {
-    id: arrived.attemptId,
+    request: arrived.attemptId,
     server: server.id,
     service,
     waitMs: Math.round(sentMs - request.arrivedMs),
@@ -72,7 +72,7 @@
 ): void {
   const { arrived, service, sends, runs } = request;
   const hasBegun = exchange.response.headersSent;
-  const line = { id: arrived.attemptId, server: serverId, ...fields, sends, runs, hasBegun };
+  const line = { request: arrived.attemptId, server: serverId, ...fields, sends, runs, hasBegun };
   log.write('fault', line, now);
   metrics.recordFault(service, fields.fault);
 }
@@ -88,7 +88,7 @@
   const ms = Math.round(now - request.arrivedMs);
   const { route, workspace, service, sends, runs, version } = request;
   const line = {
-    id: request.arrived.attemptId,
+    request: request.arrived.attemptId,
     route: route.name,
     service,
     workspace,
