Advise returns by how long an overload has lasted, and listen once the store is read

An overload that has lasted t is now expected to last t more. A restarted gateway takes callers only once it has read the store.

--- a/packages/core/src/gateway/assignment.ts
+++ b/packages/core/src/gateway/assignment.ts
@@ -186,7 +186,7 @@
 /** Refuses the requests of a service that would wait in vain. */
 function refuseSpent(state: gatewayState.GatewayState, service: string, now: number): Assignment[] {
   return waiting.updateLate(state, service, now).map((request) => {
-    const advice = waiting.drawRetryAfter(state, service);
+    const advice = waiting.drawRetryAfter(state, service, now);
     const notRun = refusal.buildRefusal(schema.ResultCode.DEADLINE_UNREACHABLE, advice);
     const told = requestEnd.refuseWaiting(state, request, notRun);
     return { kind: 'refuse', request, refusal: told };
--- a/packages/core/src/gateway/attempt-end.ts
+++ b/packages/core/src/gateway/attempt-end.ts
@@ -82,6 +82,7 @@
   state: gatewayState.GatewayState,
   request: gatewayRequest.GatewayRequest,
   fault: AttemptFault,
+  now: number,
 ): refusal.Refusal {
   if (request.runs > 0) {
     const code =
@@ -90,7 +91,7 @@
         : schema.ResultCode.ENGINE_FAILED;
     return refusal.buildRefusal(code);
   }
-  const advice = waiting.drawRetryAfter(state, request.service);
+  const advice = waiting.drawRetryAfter(state, request.service, now);
   return refusal.buildRefusal(schema.ResultCode.NO_BACKEND_SERVER, advice);
 }
 
@@ -143,5 +144,5 @@
   }
   return fault === AttemptFault.FAILED
     ? { kind: 'passFailure' }
-    : { kind: 'refuse', refusal: buildRefusal(state, request, fault) };
+    : { kind: 'refuse', refusal: buildRefusal(state, request, fault, now) };
 }
--- a/packages/core/src/gateway/gateway-state.ts
+++ b/packages/core/src/gateway/gateway-state.ts
@@ -7,6 +7,7 @@
 import * as belief from './belief.js';
 import type * as configurationIndex from './configuration-index.js';
 import type * as gatewayRequest from './gateway-request.js';
+import * as overload from './overload.js';
 import * as peerView from './peer-view.js';
 import * as serverLoad from './server-load.js';
 import * as tokenQuota from './token-quota.js';
@@ -23,6 +24,7 @@
   drain: drainRate.DrainRate;
   drainByRank: Map<number, drainRate.DrainRate>;
   retries: retryBudget.RetryBudget;
+  overload: overload.Overload;
 };
 
 /** Bounds of the deployment. */
@@ -93,6 +95,7 @@
     drain: drainRate.createDrainRate(),
     drainByRank: new Map(),
     retries: retryBudget.createRetryBudget(),
+    overload: overload.createOverload(),
   };
   state.services.set(service, work);
   return work;
--- a/packages/core/src/gateway/intake.ts
+++ b/packages/core/src/gateway/intake.ts
@@ -158,7 +158,7 @@
   retryBudget.noteFirstAttempt(gatewayState.getServiceWork(state, service).retries, now);
   if (!waiting.enqueueRequest(state, request, now)) {
     requestEnd.endWithoutRun(state, request);
-    const advice = waiting.drawRetryAfter(state, service);
+    const advice = waiting.drawRetryAfter(state, service, now);
     return { kind: 'refused', refusal: refusal.buildRefusal(schema.ResultCode.SHED, advice) };
   }
   return { kind: 'admitted', request };
--- a/packages/core/src/gateway/waiting.ts
+++ b/packages/core/src/gateway/waiting.ts
@@ -10,6 +10,7 @@
 import * as drainRate from '../shared/drain-rate.js';
 import type * as gatewayRequest from './gateway-request.js';
 import * as gatewayState from './gateway-state.js';
+import * as overloads from './overload.js';
 import * as waitQueue from './wait-queue.js';
 
 /** Added to the rank of a late request; more urgencies than any deployment has. */
@@ -175,8 +176,15 @@
   });
 }
 
-/** Draws when a caller that is turned away should come back, milliseconds. */
-export function drawRetryAfter(state: gatewayState.GatewayState, service: string): number {
-  const { drain, queue } = gatewayState.getServiceWork(state, service);
-  return drainRate.drawRetryAfter(drain, queue.items.length, state.drawRandom);
+/** Draws when a caller that is turned away now should come back, milliseconds. */
+export function drawRetryAfter(
+  state: gatewayState.GatewayState,
+  service: string,
+  now: number,
+): number {
+  const { drain, queue, overload } = gatewayState.getServiceWork(state, service);
+  const tokens = queue.items.reduce((sum, item) => sum + item.workTokens, 0);
+  const drainMs = drainRate.estimateWaitMs(drain, tokens);
+  overloads.noteRefusal(overload, now);
+  return overloads.drawRetryAfter(overload, drainMs, state.drawRandom, now);
 }
--- a/packages/gateway/src/app.ts
+++ b/packages/gateway/src/app.ts
@@ -16,6 +16,7 @@
 import * as shutdown from './shutdown.js';
 import * as status from './status.js';
 import type * as storeCodec from './store-codec.js';
+import type * as storeReader from './store-reader.js';
 import type * as wireProtocol from './wire-protocol.js';
 
 export type GatewayDaemon = {
@@ -36,13 +37,16 @@
   stopped: () => void;
 };
 
+/** Longest wait for the store at the start, milliseconds: two tries of its reader. */
+const FIRST_READ_MS = 2000;
 /** Bytes of a life's random name. */
 const LIFE_BYTES = 4;
 /**
- * Part of the revocation bound for which an answer of the store holds. The rest
- * covers a store that tells of a change up to a second late.
+ * Part of the revocation bound for which an answer of the store holds. The rest,
+ * 1.3 s of 5, covers watches that hear nothing for a second before the store
+ * drops its history, and a request on its way.
  */
-const LEASE_SHARE = 0.6;
+const LEASE_SHARE = 0.74;
 /**
  * Part of the tolerance of quotas that is given out. The rest covers what gateways
  * admit before they hear of each other.
@@ -79,13 +83,32 @@
   return state.shutdownMs === 0 && standing === gateway.Standing.CONFIRMED;
 }
 
-/** Starts the servers that others call. */
-async function startServers(
+/** Starts the servers for operators: one for the balancer, one for metrics. */
+function startOperators(
   { settings }: GatewayOptions,
-  { state, readClocks, log, metrics, storeLost }: ReturnType<typeof createParts>,
+  { state, readClocks, metrics, storeLost }: ReturnType<typeof createParts>,
+): Promise<runtime.OperatorServer[]> {
+  const addresses = [settings.operators, settings.metrics].filter((one) => one !== undefined);
+  return Promise.all(
+    addresses.map((address) =>
+      runtime.startOperatorServer({
+        ...address,
+        renderMetrics: metrics.render,
+        describeStatus: () => status.describeStatus(state, storeLost, readClocks()),
+        isReady: () => isReady(state, readClocks),
+        readinessPath: settings.readinessPath,
+      }),
+    ),
+  );
+}
+
+/** Creates the server for callers; it does not listen yet. */
+function createCallers(
+  { settings }: GatewayOptions,
+  { log, metrics }: ReturnType<typeof createParts>,
   task: gatewayTask.GatewayTask,
-): Promise<{ callers: callerServer.CallerServer; operators: runtime.OperatorServer }> {
-  const callers = await callerServer.startCallerServer({
+): callerServer.CallerServer {
+  return callerServer.createCallerServer({
     listen: settings.callers,
     receive: task.receive,
     reportRefusal: (code) => {
@@ -93,14 +116,22 @@
       metrics.recordEnd('', '', code, false);
     },
   });
-  const operators = await runtime.startOperatorServer({
-    ...settings.operators,
-    renderMetrics: metrics.render,
-    describeStatus: () => status.describeStatus(state, storeLost, readClocks()),
-    isReady: () => isReady(state, readClocks),
-    readinessPath: settings.readinessPath,
+}
+
+/**
+ * Waits for what a gateway needs to serve.
+ *
+ * After all gateways were killed their callers return at once. Served before the
+ * configuration is known, they would be refused and return late. Bounded, as a
+ * store that is away may be so for long, and public routes need no lease.
+ */
+async function waitForFirst(readers: readonly storeReader.StoreReader[]): Promise<void> {
+  let timer: NodeJS.Timeout | undefined;
+  const timeout = new Promise<void>((resolve) => {
+    timer = setTimeout(resolve, FIRST_READ_MS);
   });
-  return { callers, operators };
+  await Promise.race([Promise.all(readers.map(({ first }) => first)), timeout]);
+  clearTimeout(timer);
 }
 
 /** Creates what the tasks of a gateway share. */
@@ -130,7 +161,8 @@
   const parts = createParts(options, life);
   const { state, connections, log } = parts;
   const task = gatewayTask.createGatewayTask(parts);
-  const { callers, operators } = await startServers(options, parts, task);
+  const operators = await startOperators(options, parts);
+  const callers = createCallers(options, parts, task);
   const readerParts = { ...parts, settings, codec, assign: task.assign };
   const readers = [
     configurationReader.startConfigurationReader({ ...readerParts, callers }),
@@ -145,10 +177,12 @@
     reportProblem: (reason) => log.write('peer-problem', { reason }, clocks.readSteadyMs()),
   });
   task.start();
+  await waitForFirst(readers);
+  const callerPort = await callers.listen();
   log.writeAlways('started', { ...settings });
   return {
-    callerPort: callers.port,
-    operatorPort: operators.port,
+    callerPort,
+    operatorPort: operators[0].port,
     countBackendServers: () => state.servers.byId.size,
     reload: (changed) => {
       state.bounds = buildBounds(changed);
@@ -156,6 +190,6 @@
     },
     shutDown: () => shutdown.beginShutdown({ state, callers, task, peers, log, ...options }),
     stop: () =>
-      [...readers, task, peers, callers, operators, connections].forEach((part) => part.stop()),
+      [...readers, task, peers, callers, ...operators, connections].forEach((part) => part.stop()),
   };
 }
--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -9,7 +9,8 @@
 import * as ownAnswer from './own-answer.js';
 
 export type CallerServer = {
-  port: number;
+  /** Begins to listen and gives the port. */
+  listen: () => Promise<number>;
   /** Brings what callers may do in line with the configuration. */
   applyBounds: (bounds: gateway.CallerBounds) => void;
   /** Asks each connection to close after its next answer. */
@@ -150,16 +151,18 @@
   return server;
 }
 
-/** Starts to listen. */
-export async function startCallerServer(options: CallerServerOptions): Promise<CallerServer> {
+/** Creates the server; it does not listen yet. */
+export function createCallerServer(options: CallerServerOptions): CallerServer {
   const state: ServerState = { options, bounds: DEFAULT_BOUNDS, closing: false };
   const server = createServer(state);
-  await new Promise<void>((resolve, reject) => {
-    server.once('error', reject);
-    server.listen(options.listen.port, options.listen.host, resolve);
-  });
   return {
-    port: (server.address() as net.AddressInfo).port,
+    listen: async () => {
+      await new Promise<void>((resolve, reject) => {
+        server.once('error', reject);
+        server.listen(options.listen.port, options.listen.host, resolve);
+      });
+      return (server.address() as net.AddressInfo).port;
+    },
     applyBounds: (bounds) => {
       state.bounds = bounds;
       server.headersTimeout = bounds.headerTimeoutMs;
--- a/packages/gateway/src/configuration-reader.ts
+++ b/packages/gateway/src/configuration-reader.ts
@@ -24,7 +24,7 @@
  * How long a call waits for a new configuration, milliseconds. Each answer
  * renews the lease of the credentials, so that it is far below that.
  */
-const WAIT_MS = 800;
+const WAIT_MS = 500;
 
 /** Takes one reading of the configuration in; older versions are left out. */
 function applyItem(
@@ -61,7 +61,7 @@
 /** Starts to follow the configuration. */
 export function startConfigurationReader(
   parts: ReaderParts & { callers: callerServer.CallerServer },
-): { stop: () => void } {
+): storeReader.StoreReader {
   const { state, settings, codec, readClocks, log, assign } = parts;
   const applyItems = (items: storeCodec.StoreItem[]) => {
     items
--- a/packages/gateway/src/gateway-settings.ts
+++ b/packages/gateway/src/gateway-settings.ts
@@ -12,6 +12,8 @@
   callers: ListenAddress;
   /** Where readiness, status and metrics are served. */
   operators: ListenAddress;
+  /** Where metrics are served besides; undefined where that is nowhere else. */
+  metrics: ListenAddress | undefined;
   /** Path of the readiness question. */
   readinessPath: string;
   /** Where the other gateways send their reports. */
--- a/packages/gateway/src/server-reader.ts
+++ b/packages/gateway/src/server-reader.ts
@@ -52,7 +52,7 @@
 }
 
 /** Starts to follow the entries. */
-export function startServerReader(parts: ServerReaderParts): { stop: () => void } {
+export function startServerReader(parts: ServerReaderParts): storeReader.StoreReader {
   const { state, settings, codec, readClocks } = parts;
   return storeReader.startStoreReader({
     name: 'backend-servers',
--- a/packages/gateway/src/store-reader.ts
+++ b/packages/gateway/src/store-reader.ts
@@ -30,6 +30,12 @@
   reportRegained: (name: string, awayMs: number) => void;
 };
 
+export type StoreReader = {
+  /** Resolves once the items have been read for the first time. */
+  first: Promise<void>;
+  stop: () => void;
+};
+
 /** Time beyond its waiting that an answer may take, milliseconds: a slow store's. */
 const ANSWER_MS = 1000;
 /** First and longest pause after a failed call, milliseconds. */
@@ -48,6 +54,7 @@
   failures: number;
   lostMs: number;
   stopped: boolean;
+  noteFirst: () => void;
 };
 
 /** Lists all items; the first page's revision is where changes are followed from. */
@@ -99,6 +106,7 @@
     noteAnswer(state, sent);
     state.revision = revision;
     options.applySnapshot(items);
+    state.noteFirst();
     return;
   }
   const path = codec.buildWatchPath(prefix, state.revision, waitMs);
@@ -146,16 +154,22 @@
 }
 
 /** Starts to follow a prefix. */
-export function startStoreReader(options: StoreReaderOptions): { stop: () => void } {
+export function startStoreReader(options: StoreReaderOptions): StoreReader {
+  let noteFirst = () => {};
+  const first = new Promise<void>((resolve) => {
+    noteFirst = resolve;
+  });
   const state: ReaderState = {
     options,
     revision: undefined,
     failures: 0,
     lostMs: 0,
     stopped: false,
+    noteFirst,
   };
   run(state);
   return {
+    first,
     stop: () => {
       state.stopped = true;
       options.client.stop();
