--- a/packages/core/src/gateway/assignment.test.ts
+++ b/packages/core/src/gateway/assignment.test.ts
@@ -84,6 +84,24 @@
   );
 });
 
+test('long answer is not begun where it cannot end', () => {
+  // A slow engine is free and a fast one is full. The answer takes four seconds on
+  // the slow one and its caller leaves after three: it waits for the fast one.
+  const state = createBench(['fast', 'slow']);
+  const fast = gatewayState.getLoad(state, 'fast');
+  const slow = gatewayState.getLoad(state, 'slow');
+  Object.assign(fast.pace, { unitMs: 20, samples: 5 });
+  Object.assign(slow.pace, { unitMs: 80, samples: 5 });
+  fast.inFlight = 2;
+  const tokens = { prompt: 100, answer: 250 };
+  const long = buildArrived('long', { tokens, deadlineMs: 3000 });
+  intake.admitRequest(state, long, buildClocks(0));
+  assert.deepEqual(assignment.assignWaiting(state, buildClocks(1)), []);
+  fast.inFlight = 0;
+  const [sent] = assignment.assignWaiting(state, buildClocks(2));
+  assert.equal(sent.kind === 'send' && sent.server.id, 'fast');
+});
+
 test('burst of twice the capacity', () => {
   // Twice what the engines can do arrives for ten seconds, half of it urgent. The
   // urgent half is served on time, and what is turned away is told soon after its
--- a/packages/core/src/gateway/assignment.ts
+++ b/packages/core/src/gateway/assignment.ts
@@ -49,6 +49,7 @@
         ownInFlight: load.inFlight,
         peersInFlight: peerView.countInFlight(state.peers, entry.id, now),
         slowness,
+        unitMs: fastest * slowness,
         firstRatio: enginePace.estimateFirstRatio(load.pace, slowness, now),
         failureShare: serverLoad.computeFailureShare(load),
         isNear: entry.failureDomain === state.failureDomain,
@@ -95,13 +96,23 @@
   gatewayState.getLoad(state, serverId).inFlight += 1;
 }
 
-/** Tells whether a request would be on time at a backend server. */
+/**
+ * Tells whether a request would be on time at a backend server: its first event
+ * before its target, its last one before its time is over. Load pattern: an answer
+ * of 45 events within 3 s, which a fast engine ends in one second and a slow one
+ * in four; cut at the end, all its work is lost.
+ */
 function isInTime(
   request: gatewayRequest.GatewayRequest,
   candidate: serverChoice.Candidate,
+  tokensPerEvent: number,
   now: number,
 ): boolean {
-  return now + waiting.estimateFirstMs(request) * candidate.firstRatio <= request.targetMs;
+  const firstMs = now + waiting.estimateFirstMs(request) * candidate.firstRatio;
+  const { tokens, answerGuess } = request.arrived;
+  const answer = Math.min(answerGuess ?? tokens?.answer ?? 0, tokens?.answer ?? 0);
+  const endMs = firstMs + (answer / tokensPerEvent) * candidate.unitMs;
+  return firstMs <= request.targetMs && endMs <= request.giveUpMs;
 }
 
 type Match = { request: gatewayRequest.GatewayRequest; chosen: serverChoice.Candidate };
@@ -123,8 +134,11 @@
 ): Match | undefined {
   const untried = open.filter((one) => !request.triedIds.has(one.id));
   const places = untried.length > 0 ? untried : open;
-  const inTime = places.filter((one) => isInTime(request, one, now));
-  const mayWait = inTime.length === 0 && candidates.some((one) => isInTime(request, one, now));
+  const tokensPerEvent =
+    state.index?.serviceByName.get(request.service)?.engine?.tokensPerEvent ?? 1;
+  const isGood = (one: serverChoice.Candidate) => isInTime(request, one, tokensPerEvent, now);
+  const inTime = places.filter(isGood);
+  const mayWait = inTime.length === 0 && candidates.some(isGood);
   const chosen = mayWait
     ? undefined
     : serverChoice.chooseServer(inTime.length > 0 ? inTime : places, state.drawRandom);
--- a/packages/core/src/gateway/configuration.ts
+++ b/packages/core/src/gateway/configuration.ts
@@ -40,6 +40,8 @@
 export type EngineTraits = {
   /** Requests that an engine works on at once. */
   slots: number;
+  /** Tokens that one event of a stream holds. */
+  tokensPerEvent: number;
 };
 
 export type ServiceDeclaration = {
--- a/packages/core/src/gateway/mocks/gateway-bench.ts
+++ b/packages/core/src/gateway/mocks/gateway-bench.ts
@@ -45,7 +45,7 @@
   return {
     version,
     routes,
-    services: [{ name: 'one', maxConnections: 100, engine: { slots: 2 } }],
+    services: [{ name: 'one', maxConnections: 100, engine: { slots: 2, tokensPerEvent: 5 } }],
     workspaces,
     callerBounds: {
       maxHeaderBytes: 1000,
--- a/packages/core/src/gateway/places.test.ts
+++ b/packages/core/src/gateway/places.test.ts
@@ -14,6 +14,7 @@
     ownInFlight: 0,
     peersInFlight: 0,
     slowness: 1,
+    unitMs: 0,
     firstRatio: 1,
     failureShare: 0,
     isNear: true,
--- a/packages/core/src/gateway/server-choice.ts
+++ b/packages/core/src/gateway/server-choice.ts
@@ -18,6 +18,8 @@
   peersInFlight: number;
   /** Times slower than the fastest of its service. */
   slowness: number;
+  /** Time of one unit of work, an event or an answer, milliseconds; 0 if unknown. */
+  unitMs: number;
   /** Times that a first event takes longer than at an idle engine. */
   firstRatio: number;
   /** Recent share of failed answers, 0 to 1. */
--- a/packages/gateway/src/backend-connections.ts
+++ b/packages/gateway/src/backend-connections.ts
@@ -43,21 +43,28 @@
   keep: (connection: BackendConnection) => void,
 ): BackendConnection {
   let reset = false;
-  const connector = undici.buildConnector({ timeout: CONNECT_TIMEOUT_MS });
-  const client = new undici.Client(`http://${address}`, {
+  const connector = undici.buildConnector({ timeout: 0 });
+  const client: undici.Client = new undici.Client(`http://${address}`, {
     pipelining: 1,
     headersTimeout: 0,
     bodyTimeout: 0,
     keepAliveTimeout: IDLE_MS,
     keepAliveMaxTimeout: IDLE_MS,
-    connect: (options, callback) =>
+    connect: (options, callback) => {
+      // The library's own timers for connections are up to a second late.
+      const timer = setTimeout(
+        () => client.destroy(new Error('connect-timeout')),
+        CONNECT_TIMEOUT_MS,
+      );
       connector(options, (...results) => {
+        clearTimeout(timer);
         const socket = results[1];
         socket?.prependListener('error', () => {
           reset = true;
         });
         callback(...results);
-      }),
+      });
+    },
   });
   const connection: BackendConnection = {
     client,
--- a/packages/gateway/src/gateway-task.ts
+++ b/packages/gateway/src/gateway-task.ts
@@ -55,9 +55,15 @@
 }
 
 /** Gives a request its final answer: a refusal. */
-function refuse(task: TaskState, held: heldRequest.HeldRequest, refusal: gateway.Refusal): void {
+function refuse(
+  task: TaskState,
+  held: heldRequest.HeldRequest,
+  refusal: gateway.Refusal,
+  fields: Record<string, unknown> = {},
+): void {
   forget(task, held);
-  requestReports.reportEnd(task, held, refusal.code, { retryAfterMs: refusal.retryAfterMs });
+  const { code, retryAfterMs } = refusal;
+  requestReports.reportEnd(task, held, code, { retryAfterMs, ...fields });
   callerExchange.sendRefusal(held.exchange, refusal);
 }
 
@@ -192,28 +198,32 @@
   if (held.done) {
     return;
   }
-  const mayHaveRun = held.request.runs > 0 || held.attempt?.mayHaveLeft() === true;
-  held.attempt?.abort();
-  gateway.abandonRequest(task.state, held.request, mayHaveRun);
+  const { serverId: server } = held.request;
+  const mayHaveRun = abandon(task, held);
   const code = mayHaveRun
     ? schema.ResultCode.DEADLINE_EXCEEDED
     : schema.ResultCode.DEADLINE_UNREACHABLE;
-  refuse(task, held, { code, retryAfterMs: undefined });
+  refuse(task, held, { code, retryAfterMs: undefined }, { server, mayHaveRun });
   assign(task);
 }
 
+/** Cancels what runs for a request, and tells whether it may have run. */
+function abandon(task: TaskState, held: heldRequest.HeldRequest): boolean {
+  const mayHaveRun = held.request.runs > 0 || held.attempt?.mayHaveLeft() === true;
+  held.attempt?.abort();
+  gateway.abandonRequest(task.state, held.request, mayHaveRun);
+  return mayHaveRun;
+}
+
 /** Ends a request whose caller has left: what runs for it is cancelled at once. */
 function handleCallerLeft(task: TaskState, held: heldRequest.HeldRequest): void {
   if (held.done) {
     return;
   }
-  const mayHaveRun = held.request.runs > 0 || held.attempt?.mayHaveLeft() === true;
-  held.attempt?.abort();
-  gateway.abandonRequest(task.state, held.request, mayHaveRun);
+  const { serverId: server } = held.request;
+  const mayHaveRun = abandon(task, held);
   forget(task, held);
-  requestReports.reportEnd(task, held, schema.ResultCode.CLIENT_LEFT, {
-    server: held.request.serverId,
-  });
+  requestReports.reportEnd(task, held, schema.ResultCode.CLIENT_LEFT, { server, mayHaveRun });
   assign(task);
 }
 
