--- a/packages/core/src/gateway/gateway-request.ts
+++ b/packages/core/src/gateway/gateway-request.ts
@@ -15,8 +15,6 @@
   tokens: { prompt: number; answer: number } | undefined;
   /** The caller's guess at the tokens of the answer. */
   answerGuess: number | undefined;
-  /** Digest of what a crash would be blamed on: caller, path and body. */
-  contentDigest: string;
 };
 
 export enum RequestPhase {
--- a/packages/core/src/gateway/gateway-state.ts
+++ b/packages/core/src/gateway/gateway-state.ts
@@ -2,7 +2,6 @@
 import * as drainRate from '../shared/drain-rate.js';
 import * as rendezvous from '../shared/rendezvous.js';
 import * as retryBudget from '../shared/retry-budget.js';
-import * as suspects from '../shared/suspects.js';
 import * as backendServers from './backend-servers.js';
 import * as belief from './belief.js';
 import type * as configurationIndex from './configuration-index.js';
@@ -54,7 +53,6 @@
   requests: Map<number, gatewayRequest.GatewayRequest>;
   quotas: tokenQuota.QuotaBook;
   peers: peerView.PeerView;
-  suspects: suspects.Suspects;
   nextSerial: number;
   /** Set once the process has been told to stop, milliseconds; 0 before. */
   shutdownMs: number;
@@ -80,7 +78,6 @@
     requests: new Map(),
     quotas: tokenQuota.createQuotaBook(),
     peers: peerView.createPeerView(),
-    suspects: suspects.createSuspects(),
     nextSerial: 1,
     shutdownMs: 0,
   };
--- a/packages/core/src/gateway/intake.ts
+++ b/packages/core/src/gateway/intake.ts
@@ -1,7 +1,6 @@
 /** Decides whether an arrived request is taken in. */
 import * as schema from '@toucanproxy/schema';
 import * as retryBudget from '../shared/retry-budget.js';
-import * as suspects from '../shared/suspects.js';
 import type * as belief from './belief.js';
 import * as configurationIndex from './configuration-index.js';
 import * as configuration from './configuration.js';
@@ -124,9 +123,6 @@
   if (state.shutdownMs > 0 && now - state.shutdownMs > SHUTDOWN_SERVE_MS) {
     return refusal.buildRefusal(ResultCode.SHUTTING_DOWN, 0);
   }
-  if (suspects.isBlocked(state.suspects, request.arrived.contentDigest)) {
-    return refusal.buildRefusal(ResultCode.CONTENT_REFUSED);
-  }
   return undefined;
 }
 
--- a/packages/gateway/src/gateway-task.ts
+++ b/packages/gateway/src/gateway-task.ts
@@ -6,7 +6,6 @@
 import type * as backendConnections from './backend-connections.js';
 import * as callerExchange from './caller-exchange.js';
 import type * as clocks from './clocks.js';
-import * as contentDigest from './content-digest.js';
 import type * as decisionLog from './decision-log.js';
 import * as endToEndHeaders from './end-to-end-headers.js';
 import * as eventStream from './event-stream.js';
@@ -270,8 +269,7 @@
     return;
   }
   const [path] = exchange.target.split(QUERY_START);
-  const digest = contentDigest.computeContentDigest(names.credential ?? '', exchange);
-  const arrived = { ...names, host, path, contentDigest: digest };
+  const arrived = { ...names, host, path };
   const intake = gateway.admitRequest(task.state, arrived, task.readClocks());
   if (intake.kind === 'refused') {
     refuseArrived(task, exchange, names.attemptId, intake.refusal);
