--- a/packages/core/src/gateway/backend-servers.test.ts
+++ b/packages/core/src/gateway/backend-servers.test.ts
@@ -7,6 +7,11 @@
 const { buildEntry } = gatewayBench;
 const RETURN_MS = 2000;
 
+/** Tells whether the one backend server may get new work. */
+function isUsable(servers: backendServers.BackendServers): boolean {
+  return backendServers.listUsable(servers, 'one').length === 1;
+}
+
 /** Creates a register with one backend server. */
 function createWithOne(): backendServers.BackendServers {
   const servers = backendServers.createBackendServers();
@@ -17,7 +22,7 @@
 test('removed entry is gone at once', () => {
   const servers = createWithOne();
   assert.equal(backendServers.removeEntry(servers, 'a', 100)?.change, 'gone');
-  assert.equal(backendServers.isUsable(servers, 'a'), false);
+  assert.equal(isUsable(servers), false);
 });
 
 test('entry that lapsed in an outage', () => {
@@ -26,10 +31,10 @@
   const servers = createWithOne();
   backendServers.noteStoreReturned(servers, RETURN_MS, 1000);
   assert.equal(backendServers.applySnapshot(servers, [], 1000)[0].change, 'missing');
-  assert.equal(backendServers.isUsable(servers, 'a'), true);
+  assert.equal(isUsable(servers), true);
   assert.deepEqual(backendServers.expireMissing(servers, 2999), []);
   assert.equal(backendServers.expireMissing(servers, 3000)[0].change, 'gone');
-  assert.equal(backendServers.isUsable(servers, 'a'), false);
+  assert.equal(isUsable(servers), false);
 });
 
 test('leaving entry that lapsed does not stay', () => {
@@ -44,10 +49,10 @@
   // What was held against its earlier life does not hold any more.
   const servers = createWithOne();
   backendServers.noteDisplaced(servers, 'a');
-  assert.equal(backendServers.isUsable(servers, 'a'), false);
+  assert.equal(isUsable(servers), false);
   backendServers.applyEntry(servers, buildEntry('a'));
-  assert.equal(backendServers.isUsable(servers, 'a'), false);
+  assert.equal(isUsable(servers), false);
   const change = backendServers.applyEntry(servers, buildEntry('a', { bornMs: 2 }));
   assert.equal(change?.change, 'restarted');
-  assert.equal(backendServers.isUsable(servers, 'a'), true);
+  assert.equal(isUsable(servers), true);
 });
--- a/packages/core/src/gateway/backend-servers.ts
+++ b/packages/core/src/gateway/backend-servers.ts
@@ -139,9 +139,3 @@
     .filter(({ entry, displaced }) => entry.service === service && !entry.leaving && !displaced)
     .map(({ entry }) => entry);
 }
-
-/** Tells whether a backend server may get new work. */
-export function isUsable(servers: BackendServers, id: string): boolean {
-  const known = servers.byId.get(id);
-  return known !== undefined && !known.entry.leaving && !known.displaced;
-}
--- a/packages/gateway/src/backend-connections.ts
+++ b/packages/gateway/src/backend-connections.ts
@@ -35,6 +35,8 @@
  * that meets the closing of its connection may have run.
  */
 const IDLE_MS = 3000;
+/** The same where the backend server names a time, milliseconds. */
+const LONGEST_IDLE_MS = 30_000;
 
 /** Opens a connection; its socket notes a reset before the library hears of it. */
 function openConnection(
@@ -49,7 +51,7 @@
     headersTimeout: 0,
     bodyTimeout: 0,
     keepAliveTimeout: IDLE_MS,
-    keepAliveMaxTimeout: IDLE_MS,
+    keepAliveMaxTimeout: LONGEST_IDLE_MS,
     connect: (options, callback) => {
       // The library's own timers for connections are up to a second late.
       const timer = setTimeout(
