Begin no stream again that cannot be gone on with, and believe reports as long as they take

A resumable stream whose events carry no id was run again from its start after a cut: its caller would get events twice. And among more than some 80 gateways each hears a peer less often than once a second, took all as silent, and kept nearly the whole of each quota free for them; a report is now believed for three turns of all peers. Nothing changes at four gateways.

--- a/packages/core/src/gateway/attempt-end.test.ts
+++ b/packages/core/src/gateway/attempt-end.test.ts
@@ -10,6 +10,7 @@
 
 const { test } = nodeTest;
 const { AttemptFault } = attemptEnd;
+const NOT_BEGUN = { hasBegun: false, canGoOn: true };
 
 /** Sends one request and lets its attempts end with faults until it is settled. */
 function runFaults(
@@ -25,7 +26,7 @@
   let verdict: attemptEnd.AttemptVerdict = { kind: 'again' };
   faults.forEach((fault, index) => {
     if (verdict.kind === 'again') {
-      verdict = attemptEnd.handleAttemptFault(state, request, fault, false, 20 + index);
+      verdict = attemptEnd.handleAttemptFault(state, request, fault, NOT_BEGUN, 20 + index);
       assignment.assignWaiting(state, gatewayBench.buildClocks(20 + index));
     }
   });
@@ -45,7 +46,7 @@
     const verdict =
       one.kind === 'refuse'
         ? one
-        : attemptEnd.handleAttemptFault(state, one.request, fault, false, now);
+        : attemptEnd.handleAttemptFault(state, one.request, fault, NOT_BEGUN, now);
     return verdict.kind === 'refuse' ? [schema.ResultCode[verdict.refusal.code]] : [];
   });
 }
--- a/packages/core/src/gateway/attempt-end.ts
+++ b/packages/core/src/gateway/attempt-end.ts
@@ -114,16 +114,19 @@
   return waiting.enqueueRequest(state, request, now);
 }
 
-/**
- * Decides what becomes of a request whose attempt has failed.
- *
- * @param hasBegun whether the caller has a part of the answer
- */
+/** What the caller has of the answer when an attempt fails. */
+export type AnswerProgress = {
+  hasBegun: boolean;
+  /** The rest can follow from another run: nothing has been passed on, or it is known where. */
+  canGoOn: boolean;
+};
+
+/** Decides what becomes of a request whose attempt has failed. */
 export function handleAttemptFault(
   state: gatewayState.GatewayState,
   request: gatewayRequest.GatewayRequest,
   fault: AttemptFault,
-  hasBegun: boolean,
+  { hasBegun, canGoOn }: AnswerProgress,
   now: number,
 ): AttemptVerdict {
   const { serverId } = request;
@@ -134,7 +137,8 @@
     request.triedIds.add(serverId);
   }
   requestEnd.releaseServer(state, request);
-  if (isAgainAllowed(state, request, notRun, now) && waitAgain(state, request, hasBegun, now)) {
+  const isAgain = canGoOn && isAgainAllowed(state, request, notRun, now);
+  if (isAgain && waitAgain(state, request, hasBegun, now)) {
     return { kind: 'again' };
   }
   if (request.runs === 0) {
--- a/packages/core/src/gateway/peer-view.ts
+++ b/packages/core/src/gateway/peer-view.ts
@@ -38,8 +38,17 @@
   hearsay: Map<string, number>;
 };
 
-/** A report is believed for this long, milliseconds: several rounds of reports. */
-const FRESH_MS = 1000;
+/**
+ * Time between reports, milliseconds. Places at engines turn over in a second or
+ * so; five reports a second keep what is known of them fresh.
+ */
+export const REPORT_MS = 200;
+/** Peers that one round is sent to; 16 times five datagrams of 1 KB are 80 KB/s. */
+export const MAX_FAN_OUT = 16;
+/** A report is believed for this long at least, milliseconds: five rounds. */
+const MIN_FRESH_MS = 1000;
+/** The same in turns of all peers, where one round does not reach all of them. */
+const FRESH_TURNS = 3;
 /**
  * A silent peer keeps its share of quotas for this long, milliseconds. It may
  * serve on behind a partition, which the users' platform has for minutes.
@@ -106,16 +115,26 @@
   return view.byAddress.size + 1;
 }
 
+/** Computes how long a report is believed, milliseconds. */
+function computeFreshMs(view: PeerView): number {
+  const turnMs = REPORT_MS * Math.ceil(view.byAddress.size / MAX_FAN_OUT);
+  return Math.max(MIN_FRESH_MS, FRESH_TURNS * turnMs);
+}
+
+/** Lists the peers whose last report is believed, by address. */
+function listFresh(view: PeerView, now: number): [string, Peer][] {
+  const freshMs = computeFreshMs(view);
+  return [...view.byAddress].filter(([, peer]) => now - peer.heardMs <= freshMs);
+}
+
 /** Counts the peers that have fallen silent. */
 export function countSilent(view: PeerView, now: number): number {
-  return [...view.byAddress.values()].filter((peer) => now - peer.heardMs > FRESH_MS).length;
+  return view.byAddress.size - listFresh(view, now).length;
 }
 
 /** Lists the addresses of the peers that are heard. */
 export function listHeard(view: PeerView, now: number): string[] {
-  return [...view.byAddress]
-    .filter(([, peer]) => now - peer.heardMs <= FRESH_MS)
-    .map(([address]) => address);
+  return listFresh(view, now).map(([address]) => address);
 }
 
 /** Lists everyone who is known, by own hearing or that of a peer. */
@@ -141,21 +160,20 @@
 ): Share {
   let before = 0;
   let all = own + 1;
-  view.byAddress.forEach((peer, peerAddress) => {
-    if (now - peer.heardMs <= FRESH_MS) {
-      const demand = 1 + (peer.demand.get(service) ?? 0);
-      all += demand;
-      before += peerAddress < address ? demand : 0;
-    }
+  listFresh(view, now).forEach(([peerAddress, peer]) => {
+    const demand = 1 + (peer.demand.get(service) ?? 0);
+    all += demand;
+    before += peerAddress < address ? demand : 0;
   });
   return { before: before / all, own: (own + 1) / all };
 }
 
 /** Counts the requests that the peers have at a backend server, as they last told. */
 export function countInFlight(view: PeerView, serverId: string, now: number): number {
-  return [...view.byAddress.values()]
-    .filter((peer) => now - peer.heardMs <= FRESH_MS)
-    .reduce((sum, peer) => sum + (peer.inFlight.get(serverId) ?? 0), 0);
+  return listFresh(view, now).reduce(
+    (sum, [, peer]) => sum + (peer.inFlight.get(serverId) ?? 0),
+    0,
+  );
 }
 
 /**
--- a/packages/core/src/gateway/token-quota.test.ts
+++ b/packages/core/src/gateway/token-quota.test.ts
@@ -97,6 +97,19 @@
   ]);
 });
 
+test('many peers are heard less often', () => {
+  // Reports go to sixteen peers in turn, so that among 410 gateways each is heard
+  // every five seconds. Taken as silent in between, nearly the whole of each quota
+  // would be kept free for them.
+  const view = peerView.createPeerView();
+  for (let index = 0; index < 409; index += 1) {
+    const address = `10.0.${Math.floor(index / 200)}.${index % 200}:1`;
+    peerView.applyReport(view, { ...buildReport(1, 0), address }, 0);
+  }
+  assert.equal(peerView.countSilent(view, 6000), 0);
+  assert.equal(peerView.countSilent(view, 30_000), 409);
+});
+
 test('silent peers count, departed ones do not', () => {
   const view = peerView.createPeerView();
   peerView.applyReport(view, buildReport(1, 0), 0);
--- a/packages/gateway/src/gateway-task.ts
+++ b/packages/gateway/src/gateway-task.ts
@@ -92,7 +92,9 @@
   }
   const { fault, reason, failure } = outcome;
   const hasBegun = held.exchange.response.headersSent;
-  const verdict = gateway.handleAttemptFault(task.state, request, fault, hasBegun, now);
+  const canGoOn = !hasBegun || held.events?.lastId !== undefined;
+  const progress = { hasBegun, canGoOn };
+  const verdict = gateway.handleAttemptFault(task.state, request, fault, progress, now);
   requestReports.reportFault(task, held, { serverId, fault, reason, verdict: verdict.kind }, now);
   applyVerdict(task, held, verdict, failure);
   assign(task);
--- a/packages/gateway/src/peer-task.ts
+++ b/packages/gateway/src/peer-task.ts
@@ -25,13 +25,6 @@
   reportProblem: (reason: string) => void;
 };
 
-/**
- * Time between reports, milliseconds. Places at engines turn over in a second
- * or so; five reports a second keep what is known of them fresh.
- */
-const REPORT_MS = 200;
-/** Peers that one round is sent to; 16 times five datagrams of 1 KB are 80 KB/s. */
-const MAX_FAN_OUT = 16;
 /** What one report holds at most, so that it fits one datagram of 1,400 bytes. */
 const MAX_WORKSPACES = 20;
 const MAX_SERVERS = 24;
@@ -85,7 +78,7 @@
 function sendReport(peer: PeerState, socket: dgram.Socket, leaving: boolean): void {
   peer.sequence += 1;
   const bytes = buildReport(peer, leaving);
-  pickInTurn(listAddresses(peer), peer.sequence, MAX_FAN_OUT).forEach((address) => {
+  pickInTurn(listAddresses(peer), peer.sequence, gateway.MAX_FAN_OUT).forEach((address) => {
     const [host, port] = address.split(':');
     socket.send(bytes, Number(port), host, (error) => {
       if (error !== null) {
@@ -138,7 +131,7 @@
   const timer = setInterval(() => {
     gateway.expirePeers(options.state.peers, options.readNow());
     sendReport(peer, socket, false);
-  }, REPORT_MS);
+  }, gateway.REPORT_MS);
   return {
     sendLeaving: () => sendReport(peer, socket, true),
     stop: () => {
