--- a/packages/gateway/src/app.ts
+++ b/packages/gateway/src/app.ts
@@ -179,14 +179,14 @@
   task.start();
   await waitForFirst(readers);
   const callerPort = await callers.listen();
-  log.writeAlways('started', { ...settings });
+  log.writeAlways('started', { settings });
   return {
     callerPort,
     operatorPort: operators[0].port,
     countBackendServers: () => state.servers.byId.size,
     reload: (changed) => {
       state.bounds = buildBounds(changed);
-      log.writeAlways('reload', { ...changed });
+      log.writeAlways('reload', { settings: changed });
     },
     shutDown: () => shutdown.beginShutdown({ state, callers, task, peers, log, ...options }),
     stop: () =>
