Place by the time that full engines take, and turn away content that crashes them

Places were shared by all requests in hand, so that gateways with late ones kept places from others' on time.

Changes: a delay beyond the idle engine is learned for each engine and service; of the open places' requests one that will be on time goes first; places are shared by requests that can still be on time. Log lines say urgency.

Failed and taken back: log lines gathered for 20 ms. The bound for a stalled reader stays.

--- a/packages/core/src/gateway/assignment.test.ts
+++ b/packages/core/src/gateway/assignment.test.ts
@@ -71,8 +71,8 @@
   const state = createBench(['fast', 'slow']);
   const fast = gatewayState.getLoad(state, 'fast');
   const slow = gatewayState.getLoad(state, 'slow');
-  Object.assign(fast.pace, { unitMs: 3, samples: 5, firstSamples: 0 });
-  Object.assign(slow.pace, { unitMs: 15, samples: 5, firstSamples: 0 });
+  Object.assign(fast.pace, { unitMs: 3, samples: 5 });
+  Object.assign(slow.pace, { unitMs: 15, samples: 5 });
   fast.inFlight = 2;
   const long = buildArrived('long', { tokens: { prompt: 10_000, answer: 100 } });
   intake.admitRequest(state, long, buildClocks(0));
--- a/packages/core/src/gateway/assignment.ts
+++ b/packages/core/src/gateway/assignment.ts
@@ -1,17 +1,16 @@
 /** Gives waiting requests to backend servers that have a place. */
 import * as schema from '@toucanproxy/schema';
 import * as retryBudget from '../shared/retry-budget.js';
-import * as backendServers from './backend-servers.js';
+import type * as backendServers from './backend-servers.js';
 import type * as belief from './belief.js';
-import * as enginePace from './engine-pace.js';
 import * as gatewayRequest from './gateway-request.js';
 import * as gatewayState from './gateway-state.js';
 import * as peerView from './peer-view.js';
 import * as refusal from './refusal.js';
 import * as requestEnd from './request-end.js';
 import * as rights from './rights.js';
-import * as serverChoice from './server-choice.js';
-import * as serverLoad from './server-load.js';
+import * as requestMatch from './request-match.js';
+import type * as serverChoice from './server-choice.js';
 import * as waiting from './waiting.js';
 
 export type Assignment =
@@ -24,39 +23,6 @@
     }
   | { kind: 'refuse'; request: gatewayRequest.GatewayRequest; refusal: refusal.Refusal };
 
-/** Places of a plain service whose entry names none. */
-const DEFAULT_SLOTS = 4;
-/** Waiting requests that are looked at for one place; bounds the work of a burst. */
-const MAX_LOOK_AHEAD = 32;
-
-/** Lists the backend servers of a service that may get work now. */
-function listCandidates(
-  state: gatewayState.GatewayState,
-  service: string,
-  now: number,
-): serverChoice.Candidate[] {
-  const usable = backendServers
-    .listUsable(state.servers, service)
-    .map((entry) => ({ entry, load: gatewayState.getLoad(state, entry.id) }));
-  const fastest = enginePace.findFastest(usable.map(({ load }) => load.pace));
-  return usable
-    .filter(({ load }) => !serverLoad.isPaused(load, now))
-    .map(({ entry, load }) => {
-      const slowness = enginePace.estimateSlowness(load.pace, fastest, now);
-      return {
-        id: entry.id,
-        slots: entry.slots || DEFAULT_SLOTS,
-        ownInFlight: load.inFlight,
-        peersInFlight: peerView.countInFlight(state.peers, entry.id, now),
-        slowness,
-        unitMs: fastest * slowness,
-        firstRatio: enginePace.estimateFirstRatio(load.pace, slowness, now),
-        failureShare: serverLoad.computeFailureShare(load),
-        isNear: entry.failureDomain === state.failureDomain,
-      };
-    });
-}
-
 /**
  * Checks a waiting request against the configuration in force, and against the
  * age of what is known. It may have waited through a change or a freeze.
@@ -85,92 +51,16 @@
 function beginSend(
   state: gatewayState.GatewayState,
   request: gatewayRequest.GatewayRequest,
-  serverId: string,
+  chosen: serverChoice.Candidate,
   now: number,
 ): void {
   gatewayState.getServiceWork(state, request.service).inFlight += 1;
   request.phase = gatewayRequest.RequestPhase.SENT;
-  request.serverId = serverId;
+  request.serverId = chosen.id;
   request.sentMs = now;
   request.sends += 1;
-  gatewayState.getLoad(state, serverId).inFlight += 1;
-}
-
-/**
- * Tells whether a request would be on time at a backend server: its first event
- * before its target, its last one before its time is over. Load pattern: an answer
- * of 45 events within 3 s, which a fast engine ends in one second and a slow one
- * in four; cut at the end, all its work is lost.
- */
-function isInTime(
-  request: gatewayRequest.GatewayRequest,
-  candidate: serverChoice.Candidate,
-  tokensPerEvent: number,
-  now: number,
-): boolean {
-  const firstMs = now + waiting.estimateFirstMs(request) * candidate.firstRatio;
-  const { tokens, answerGuess } = request.arrived;
-  const answer = Math.min(answerGuess ?? tokens?.answer ?? 0, tokens?.answer ?? 0);
-  const endMs = firstMs + (answer / tokensPerEvent) * candidate.unitMs;
-  return firstMs <= request.targetMs && endMs <= request.giveUpMs;
-}
-
-type Match = { request: gatewayRequest.GatewayRequest; chosen: serverChoice.Candidate };
-
-/**
- * Finds a place for one waiting request.
- *
- * One that would be late at all open places leaves them to others while a
- * backend server that is full now would have it on time. Load pattern: the fast
- * engines are full, and a long prompt takes a second at a slow one, where ten
- * short ones would be on time.
- */
-function findMatch(
-  state: gatewayState.GatewayState,
-  request: gatewayRequest.GatewayRequest,
-  candidates: readonly serverChoice.Candidate[],
-  open: readonly serverChoice.Candidate[],
-  now: number,
-): Match | undefined {
-  const untried = open.filter((one) => !request.triedIds.has(one.id));
-  const places = untried.length > 0 ? untried : open;
-  const tokensPerEvent =
-    state.index?.serviceByName.get(request.service)?.engine?.tokensPerEvent ?? 1;
-  const isGood = (one: serverChoice.Candidate) => isInTime(request, one, tokensPerEvent, now);
-  const inTime = places.filter(isGood);
-  const mayWait = inTime.length === 0 && candidates.some(isGood);
-  const chosen = mayWait
-    ? undefined
-    : serverChoice.chooseServer(inTime.length > 0 ? inTime : places, state.drawRandom);
-  return chosen && { request, chosen };
-}
-
-/** Finds the first waiting request of a service that gets a place. */
-function findNextMatch(
-  state: gatewayState.GatewayState,
-  service: string,
-  now: number,
-): { match: Match; candidates: serverChoice.Candidate[] } | undefined {
-  const { queue } = gatewayState.getServiceWork(state, service);
-  if (queue.items.length === 0) {
-    return undefined;
-  }
-  const candidates = listCandidates(state, service, now);
-  const own = gatewayState.getServiceWork(state, service).toldDemand;
-  const share = peerView.computeDemandShare(state.peers, state.address, service, own, now);
-  const open = candidates.filter((one) =>
-    serverChoice.hasPlace(one, share, gatewayState.getOffset(one.id)),
-  );
-  if (open.length === 0) {
-    return undefined;
-  }
-  let match: Match | undefined;
-  queue.items.slice(0, MAX_LOOK_AHEAD).some((item) => {
-    const request = state.requests.get(item.serial);
-    match = request && findMatch(state, request, candidates, open, now);
-    return match !== undefined;
-  });
-  return match && { match, candidates };
+  request.idleFirstMs = waiting.estimateFirstMs(request) * chosen.slowness;
+  gatewayState.getLoad(state, chosen.id).inFlight += 1;
 }
 
 /** Assigns the next request of a service; undefined where none can be. */
@@ -180,12 +70,12 @@
   clocks: belief.ClockReading,
 ): Assignment | undefined {
   const now = clocks.steadyMs;
-  const found = findNextMatch(state, service, now);
-  const known = found && state.servers.byId.get(found.match.chosen.id);
+  const found = requestMatch.findNextMatch(state, service, now);
+  const known = found && state.servers.byId.get(found.chosen.id);
   if (found === undefined || known === undefined) {
     return undefined;
   }
-  const { request, chosen } = found.match;
+  const { request, chosen } = found;
   const obstacle = findObstacle(state, request, clocks);
   if (obstacle !== undefined) {
     waiting.removeRequest(state, request);
@@ -193,7 +83,7 @@
     return { kind: 'refuse', request, refusal: told };
   }
   waiting.takeRequest(state, request, now);
-  beginSend(state, request, chosen.id, now);
+  beginSend(state, request, chosen, now);
   return { kind: 'send', request, server: known.entry, candidates: found.candidates };
 }
 
--- a/packages/core/src/gateway/attempt-end.test.ts
+++ b/packages/core/src/gateway/attempt-end.test.ts
@@ -26,7 +26,13 @@
   let verdict: attemptEnd.AttemptVerdict = { kind: 'again' };
   faults.forEach((fault, index) => {
     if (verdict.kind === 'again') {
-      verdict = attemptEnd.handleAttemptFault(state, request, fault, NOT_BEGUN, 20 + index);
+      verdict = attemptEnd.handleAttemptFault(
+        state,
+        request,
+        fault,
+        NOT_BEGUN,
+        gatewayBench.buildClocks(20 + index),
+      );
       assignment.assignWaiting(state, gatewayBench.buildClocks(20 + index));
     }
   });
@@ -46,7 +52,13 @@
     const verdict =
       one.kind === 'refuse'
         ? one
-        : attemptEnd.handleAttemptFault(state, one.request, fault, NOT_BEGUN, now);
+        : attemptEnd.handleAttemptFault(
+            state,
+            one.request,
+            fault,
+            NOT_BEGUN,
+            gatewayBench.buildClocks(now),
+          );
     return verdict.kind === 'refuse' ? [schema.ResultCode[verdict.refusal.code]] : [];
   });
 }
--- a/packages/core/src/gateway/attempt-end.ts
+++ b/packages/core/src/gateway/attempt-end.ts
@@ -2,6 +2,8 @@
 import * as schema from '@toucanproxy/schema';
 import * as assignment from './assignment.js';
 import * as backendServers from './backend-servers.js';
+import type * as belief from './belief.js';
+import * as crashWatch from './crash-watch.js';
 import * as gatewayRequest from './gateway-request.js';
 import * as gatewayState from './gateway-state.js';
 import * as refusal from './refusal.js';
@@ -59,6 +61,21 @@
   }
 }
 
+/** Notes what a fault says of a crash of the backend server. */
+function watchForCrash(
+  state: gatewayState.GatewayState,
+  { arrived }: gatewayRequest.GatewayRequest,
+  serverId: string,
+  fault: AttemptFault,
+  clocks: belief.ClockReading,
+): void {
+  if (fault === AttemptFault.BROKEN) {
+    crashWatch.noteBrokenRun(state, serverId, arrived.hashContent(), clocks.steadyMs);
+  } else if (fault === AttemptFault.UNREACHABLE) {
+    crashWatch.applyCrash(state, serverId, clocks);
+  }
+}
+
 /** Tells whether one more attempt is allowed. */
 function isAgainAllowed(
   state: gatewayState.GatewayState,
@@ -127,13 +144,15 @@
   request: gatewayRequest.GatewayRequest,
   fault: AttemptFault,
   { hasBegun, canGoOn }: AnswerProgress,
-  now: number,
+  clocks: belief.ClockReading,
 ): AttemptVerdict {
   const { serverId } = request;
+  const now = clocks.steadyMs;
   const notRun = NOT_RUN.has(fault);
   request.runs += notRun ? 0 : 1;
   if (serverId !== undefined) {
     noteServerFault(state, serverId, fault, now);
+    watchForCrash(state, request, serverId, fault, clocks);
     request.triedIds.add(serverId);
   }
   requestEnd.releaseServer(state, request);
--- a/packages/core/src/gateway/gateway-request.ts
+++ b/packages/core/src/gateway/gateway-request.ts
@@ -15,6 +15,8 @@
   tokens: { prompt: number; answer: number } | undefined;
   /** The caller's guess at the tokens of the answer. */
   answerGuess: number | undefined;
+  /** Computes a digest of what it asks for; the same for each try of its caller. */
+  hashContent: () => string;
 };
 
 export enum RequestPhase {
@@ -50,6 +52,8 @@
   /** The backend server that has it. */
   serverId: string | undefined;
   sentMs: number;
+  /** Time to its first event if that backend server were idle, milliseconds. */
+  idleFirstMs: number;
   /** Backend servers that did not take it, or failed it. */
   triedIds: Set<string>;
   /** Times it was sent, and times it was run or may have been. */
--- a/packages/core/src/gateway/gateway-state.ts
+++ b/packages/core/src/gateway/gateway-state.ts
@@ -2,9 +2,12 @@
 import * as drainRate from '../shared/drain-rate.js';
 import * as rendezvous from '../shared/rendezvous.js';
 import * as retryBudget from '../shared/retry-budget.js';
+import * as suspects from '../shared/suspects.js';
 import * as backendServers from './backend-servers.js';
 import * as belief from './belief.js';
 import type * as configurationIndex from './configuration-index.js';
+import type * as crashWatch from './crash-watch.js';
+import * as firstDelay from './first-delay.js';
 import type * as gatewayRequest from './gateway-request.js';
 import * as overload from './overload.js';
 import * as peerView from './peer-view.js';
@@ -16,7 +19,7 @@
 export type ServiceWork = {
   /** Requests of this gateway at its backend servers. */
   inFlight: number;
-  /** Requests in hand, as the peers were last told. */
+  /** Requests that places are shared by, as the peers were last told. */
   toldDemand: number;
   queue: waitQueue.WaitQueue;
   /** How fast all requests go, and those of each rank of the queue. */
@@ -24,6 +27,8 @@
   drainByRank: Map<number, drainRate.DrainRate>;
   retries: retryBudget.RetryBudget;
   overload: overload.Overload;
+  /** Seen at all its backend servers. */
+  firstDelay: firstDelay.FirstDelay;
 };
 
 /** Bounds of the deployment. */
@@ -53,6 +58,10 @@
   requests: Map<number, gatewayRequest.GatewayRequest>;
   quotas: tokenQuota.QuotaBook;
   peers: peerView.PeerView;
+  /** Content that was running when backend servers crashed. */
+  suspects: suspects.Suspects;
+  /** Requests that broke off lately, by backend server. */
+  brokenRuns: Map<string, crashWatch.BrokenRun[]>;
   nextSerial: number;
   /** Set once the process has been told to stop, milliseconds; 0 before. */
   shutdownMs: number;
@@ -78,6 +87,8 @@
     requests: new Map(),
     quotas: tokenQuota.createQuotaBook(),
     peers: peerView.createPeerView(),
+    suspects: suspects.createSuspects(),
+    brokenRuns: new Map(),
     nextSerial: 1,
     shutdownMs: 0,
   };
@@ -93,6 +104,7 @@
     drainByRank: new Map(),
     retries: retryBudget.createRetryBudget(),
     overload: overload.createOverload(),
+    firstDelay: firstDelay.createFirstDelay(),
   };
   state.services.set(service, work);
   return work;
@@ -115,27 +127,26 @@
   }
 }
 
+/** Notes how long a request waited for its first event at its backend server. */
+export function noteFirstEvent(
+  state: GatewayState,
+  { service, serverId, idleFirstMs }: gatewayRequest.GatewayRequest,
+  ms: number,
+  now: number,
+): void {
+  const extraMs = ms - idleFirstMs;
+  firstDelay.recordExtra(getServiceWork(state, service).firstDelay, extraMs, now);
+  if (serverId !== undefined) {
+    firstDelay.recordExtra(getLoad(state, serverId).firstDelay, extraMs, now);
+  }
+}
+
 /** Computes the part of shared limits that this gateway may use by itself. */
 export function computeShare(state: GatewayState, now: number): number {
   const all = peerView.countGateways(state.peers);
   return (all - peerView.countSilent(state.peers, now)) / all;
 }
 
-/**
- * Notes the requests in hand, waiting or sent, and lists them for a report.
- *
- * Shares are worked out from what was told, also here. With the present number
- * each gateway would take a larger share at once, while the others give theirs
- * up only with the next report.
- */
-export function updateToldDemand(state: GatewayState): Map<string, number> {
-  state.services.forEach((work) => {
-    work.toldDemand = work.inFlight + work.queue.items.length;
-  });
-  const all = [...state.services].map(([service, work]) => [service, work.toldDemand] as const);
-  return new Map(all.filter(([, demand]) => demand > 0));
-}
-
 /** Numbers of `hashText` are below this. */
 const HASH_RANGE = 2 ** 32;
 
--- a/packages/core/src/gateway/intake.ts
+++ b/packages/core/src/gateway/intake.ts
@@ -2,6 +2,7 @@
 import * as schema from '@toucanproxy/schema';
 import * as retryBudget from '../shared/retry-budget.js';
 import type * as belief from './belief.js';
+import * as crashWatch from './crash-watch.js';
 import * as configurationIndex from './configuration-index.js';
 import * as configuration from './configuration.js';
 import * as gatewayRequest from './gateway-request.js';
@@ -84,6 +85,7 @@
     phase: gatewayRequest.RequestPhase.WAITING,
     serverId: undefined,
     sentMs: 0,
+    idleFirstMs: 0,
     triedIds: new Set(),
     sends: 0,
     runs: 0,
@@ -123,6 +125,9 @@
   if (state.shutdownMs > 0 && now - state.shutdownMs > SHUTDOWN_SERVE_MS) {
     return refusal.buildRefusal(ResultCode.SHUTTING_DOWN, 0);
   }
+  if (crashWatch.isContentRefused(state, request.arrived.hashContent)) {
+    return refusal.buildRefusal(ResultCode.CONTENT_SUSPENDED);
+  }
   return undefined;
 }
 
--- a/packages/core/src/gateway/mocks/gateway-bench.ts
+++ b/packages/core/src/gateway/mocks/gateway-bench.ts
@@ -105,6 +105,7 @@
     deadlineMs: 15_000,
     tokens: { prompt: 1000, answer: 100 },
     answerGuess: undefined,
+    hashContent: () => attemptId,
     ...changes,
   };
 }
--- a/packages/core/src/gateway/places.test.ts
+++ b/packages/core/src/gateway/places.test.ts
@@ -15,7 +15,7 @@
     peersInFlight: 0,
     slowness: 1,
     unitMs: 0,
-    firstRatio: 1,
+    firstExtraMs: 0,
     failureShare: 0,
     isNear: true,
     ...changes,
--- a/packages/core/src/gateway/server-choice.ts
+++ b/packages/core/src/gateway/server-choice.ts
@@ -20,8 +20,8 @@
   slowness: number;
   /** Time of one unit of work, an event or an answer, milliseconds; 0 if unknown. */
   unitMs: number;
-  /** Times that a first event takes longer than at an idle engine. */
-  firstRatio: number;
+  /** Time that a first event takes beyond that of an idle engine, milliseconds. */
+  firstExtraMs: number;
   /** Recent share of failed answers, 0 to 1. */
   failureShare: number;
   /** In the failure domain of this gateway. */
--- a/packages/core/src/gateway/server-load.ts
+++ b/packages/core/src/gateway/server-load.ts
@@ -1,10 +1,12 @@
 /** What a gateway sees of one backend server: requests there, speed, failures. */
 import * as enginePace from './engine-pace.js';
+import * as firstDelay from './first-delay.js';
 
 export type ServerLoad = {
   /** Requests of this gateway there. */
   inFlight: number;
   pace: enginePace.Pace;
+  firstDelay: firstDelay.FirstDelay;
   failuresInRow: number;
   /** Gets no new work until this time, milliseconds; 0 if never. */
   pausedUntilMs: number;
@@ -28,6 +30,7 @@
   return {
     inFlight: 0,
     pace: enginePace.createPace(),
+    firstDelay: firstDelay.createFirstDelay(),
     failuresInRow: 0,
     pausedUntilMs: 0,
     answers: 0,
--- a/packages/core/src/gateway/waiting.ts
+++ b/packages/core/src/gateway/waiting.ts
@@ -8,6 +8,7 @@
  * the expected wait, those that can be on time are.
  */
 import * as drainRate from '../shared/drain-rate.js';
+import * as firstDelay from './first-delay.js';
 import type * as gatewayRequest from './gateway-request.js';
 import * as gatewayState from './gateway-state.js';
 import * as overloads from './overload.js';
@@ -39,14 +40,13 @@
   return FIRST_TOKEN_MS + prompt / PROMPT_TOKENS_PER_MS;
 }
 
-/** Computes until when a request must be sent to be on time, milliseconds. */
-function computeLateMs(request: gatewayRequest.GatewayRequest): number {
-  return request.targetMs - estimateFirstMs(request);
-}
-
-/** Computes until when it is worth sending a request, milliseconds. */
-function computeLastSendMs(request: gatewayRequest.GatewayRequest): number {
-  return request.leaveMs - estimateFirstMs(request);
+/** Estimates the same at an engine as they are now, milliseconds. */
+function estimateBusyFirstMs(
+  { firstDelay: seen }: gatewayState.ServiceWork,
+  request: gatewayRequest.GatewayRequest,
+  now: number,
+): number {
+  return estimateFirstMs(request) + firstDelay.estimateExtraMs(seen, now);
 }
 
 /** Gets how fast the requests of a rank go. */
@@ -88,12 +88,13 @@
   now: number,
 ): { rank: number; dueMs: number } | undefined {
   const { urgency } = request;
-  const lateMs = computeLateMs(request);
+  const firstMs = estimateBusyFirstMs(work, request, now);
+  const lateMs = request.targetMs - firstMs;
   if (now < lateMs && estimateWaitMs(work, urgency, now) <= HOLD_SHARE * (lateMs - now)) {
     return { rank: urgency, dueMs: lateMs };
   }
   const rank = LATE_RANK + urgency;
-  const leftMs = computeLastSendMs(request) - now;
+  const leftMs = request.leaveMs - firstMs - now;
   return leftMs <= 0 || estimateWaitMs(work, rank, now) > HOLD_SHARE * leftMs
     ? undefined
     : { rank, dueMs: now + Math.min(leftMs, CHECK_MS) };
@@ -147,7 +148,7 @@
   now: number,
 ): boolean {
   const isLate = item.rank >= LATE_RANK;
-  const leftMs = computeLastSendMs(request) - now;
+  const leftMs = request.leaveMs - estimateBusyFirstMs(work, request, now) - now;
   if (!isLate || leftMs <= 0 || isStalled(work, item.rank, now)) {
     return false;
   }
@@ -188,3 +189,22 @@
   overloads.noteRefusal(overload, now);
   return overloads.drawRetryAfter(overload, drainMs, state.drawRandom, now);
 }
+
+/**
+ * Notes the requests that places are shared by, and lists them for a report: those
+ * sent, and those that wait and can still be on time. Load pattern: all gateways
+ * have a queue. Where late requests count, a gateway with many of them takes the
+ * places that would have others' on time.
+ *
+ * Shares are worked out from what was told, also here. With the present number
+ * each gateway would take a larger share at once, while the others give theirs
+ * up only with the next report.
+ */
+export function updateToldDemand(state: gatewayState.GatewayState): Map<string, number> {
+  state.services.forEach((work) => {
+    const onTime = work.queue.items.filter(({ rank }) => rank < LATE_RANK).length;
+    work.toldDemand = work.inFlight + onTime;
+  });
+  const all = [...state.services].map(([service, work]) => [service, work.toldDemand] as const);
+  return new Map(all.filter(([, demand]) => demand > 0));
+}
--- a/packages/gateway/src/gateway-task.ts
+++ b/packages/gateway/src/gateway-task.ts
@@ -7,10 +7,12 @@
 import * as callerExchange from './caller-exchange.js';
 import type * as clocks from './clocks.js';
 import type * as decisionLog from './decision-log.js';
+import * as contentDigest from './content-digest.js';
 import * as endToEndHeaders from './end-to-end-headers.js';
 import * as eventStream from './event-stream.js';
 import type * as gatewayMetrics from './gateway-metrics.js';
 import type * as heldRequest from './held-request.js';
+import * as outgoingRequest from './outgoing-request.js';
 import * as requestReports from './request-reports.js';
 import type * as wireProtocol from './wire-protocol.js';
 
@@ -77,12 +79,14 @@
   }
   const { request } = held;
   const { serverId } = request;
-  const now = task.readClocks().steadyMs;
+  const clocks = task.readClocks();
+  const now = clocks.steadyMs;
   held.attempt = undefined;
   if (outcome.kind === 'complete') {
     if (serverId !== undefined) {
       gateway.recordAnswer(gateway.getLoad(task.state, serverId), true);
     }
+    gateway.noteWholeAnswer(task.state, request.arrived.hashContent, clocks);
     gateway.endRequest(task.state, request);
     forget(task, held);
     const fields = { server: serverId, status: outcome.status };
@@ -94,8 +98,12 @@
   const hasBegun = held.exchange.response.headersSent;
   const canGoOn = !hasBegun || held.events?.lastId !== undefined;
   const progress = { hasBegun, canGoOn };
-  const verdict = gateway.handleAttemptFault(task.state, request, fault, progress, now);
+  const { revision } = task.state.suspects;
+  const verdict = gateway.handleAttemptFault(task.state, request, fault, progress, clocks);
   requestReports.reportFault(task, held, { serverId, fault, reason, verdict: verdict.kind }, now);
+  if (task.state.suspects.revision !== revision) {
+    requestReports.reportSuspects(task, serverId);
+  }
   applyVerdict(task, held, verdict, failure);
   assign(task);
 }
@@ -123,28 +131,6 @@
   callerExchange.sendAnswer(held.exchange, failure, failure.body);
 }
 
-/** Builds the request that a backend server gets. */
-function buildOutgoing(
-  task: TaskState,
-  held: heldRequest.HeldRequest,
-  server: gateway.BackendServerEntry,
-): backendAttempt.OutgoingRequest {
-  const { request, exchange, events } = held;
-  const deadlineLeftMs = Math.max(Math.floor(request.giveUpMs - request.sentMs), 1);
-  const hasBegun = exchange.response.headersSent;
-  const headers = task.protocol.buildForwardHeaders(
-    endToEndHeaders.listEndToEnd(exchange.headers),
-    {
-      deadlineLeftMs,
-      serverId: server.id,
-      workspace: request.workspace === '' ? undefined : request.workspace,
-      resumeAfter: hasBegun ? events?.lastId : undefined,
-    },
-  );
-  const body = exchange.body.length === 0 ? null : exchange.body;
-  return { method: exchange.method, path: exchange.target, headers, body };
-}
-
 /** Sends a request to a backend server. */
 function send(
   task: TaskState,
@@ -166,14 +152,14 @@
     observePace: (unitMs) => gateway.recordUnit(load.pace, unitMs, readNow()),
     observeFirstEvent: (ms) => {
       held.firstEventMs ??= Math.round(readNow() - request.arrivedMs);
-      gateway.recordFirst(load.pace, ms / gateway.estimateFirstMs(request), readNow());
+      gateway.noteFirstEvent(task.state, request, ms, readNow());
       task.metrics.recordFirstEvent(request.route.name, ms);
     },
   });
   const connection = task.connections.take(server.address);
   held.attempt = backendAttempt.startAttempt(
     connection,
-    buildOutgoing(task, held, server),
+    outgoingRequest.buildOutgoing(task.protocol, held, server),
     listener,
   );
 }
@@ -271,7 +257,8 @@
     return;
   }
   const [path] = exchange.target.split(QUERY_START);
-  const arrived = { ...names, host, path };
+  const hashContent = () => contentDigest.hashContent(exchange);
+  const arrived = { ...names, host, path, hashContent };
   const intake = gateway.admitRequest(task.state, arrived, task.readClocks());
   if (intake.kind === 'refused') {
     refuseArrived(task, exchange, names.attemptId, intake.refusal);
--- a/packages/gateway/src/peer-task.ts
+++ b/packages/gateway/src/peer-task.ts
@@ -30,6 +30,7 @@
 const MAX_SERVERS = 24;
 const MAX_SERVICES = 8;
 const MAX_PEERS = 12;
+const MAX_SUSPECTS = 4;
 
 type PeerState = { options: PeerTaskOptions; own: string; sequence: number };
 
@@ -68,6 +69,7 @@
       amount,
     })),
     demand: pickInTurn(demand, sequence, MAX_SERVICES),
+    suspects: pickInTurn(gateway.listSuspects(state.suspects), sequence, MAX_SUSPECTS),
     inFlight: pickInTurn(inFlight, sequence, MAX_SERVERS),
     peers: pickInTurn(gateway.listHeard(state.peers, readNow()), sequence, MAX_PEERS),
   });
@@ -91,10 +93,8 @@
 /** Takes in a report; charges quotas with what the sender has admitted. */
 function receiveReport(peer: PeerState, bytes: Uint8Array): void {
   const { state, readNow } = peer.options;
-  const { address, life, sequence, leaving, used, inFlight, demand, peers } = schema.fromBinary(
-    schema.GatewayReportSchema,
-    bytes,
-  );
+  const received = schema.fromBinary(schema.GatewayReportSchema, bytes);
+  const { address, life, sequence, leaving, used, inFlight, demand, peers, suspects } = received;
   const now = readNow();
   const report: gateway.PeerReport = {
     address,
@@ -109,6 +109,7 @@
   gateway
     .applyReport(state.peers, report, now)
     .forEach(({ workspace, amount }) => gateway.applyPeerUse(state.quotas, workspace, amount));
+  gateway.mergeSuspects(state.suspects, suspects, Date.now());
   peers
     .filter((one) => one !== peer.own)
     .forEach((one) => gateway.addHearsay(state.peers, one, now));
@@ -130,6 +131,7 @@
   socket.bind(port, host);
   const timer = setInterval(() => {
     gateway.expirePeers(options.state.peers, options.readNow());
+    gateway.expireSuspects(options.state.suspects, Date.now());
     sendReport(peer, socket, false);
   }, gateway.REPORT_MS);
   return {
--- a/packages/gateway/src/request-reports.ts
+++ b/packages/gateway/src/request-reports.ts
@@ -36,11 +36,12 @@
   server: gateway.BackendServerEntry,
   candidates: readonly gateway.Candidate[],
 ): void {
-  const { arrived, service, version, sentMs, sends } = request;
+  const { arrived, service, urgency, version, sentMs, sends } = request;
   const line = {
     request: arrived.attemptId,
     server: server.id,
     service,
+    urgency,
     waitMs: Math.round(sentMs - request.arrivedMs),
     promptTokens: arrived.tokens?.prompt,
     sends,
@@ -77,6 +78,14 @@
   metrics.recordFault(service, fields.fault);
 }
 
+/** Tells which content is suspect after a backend server has crashed. */
+export function reportSuspects({ state, log }: ReportParts, server: string | undefined): void {
+  const suspects = [...state.suspects.byDigest.values()]
+    .filter(({ crashes }) => crashes > 0)
+    .map(({ contentDigest, crashes }) => ({ contentDigest, crashes }));
+  log.writeAlways('content-suspect', { server, suspects });
+}
+
 /** Tells how a request ended. */
 export function reportEnd(
   { readClocks, log, metrics }: ReportParts,
@@ -86,12 +95,13 @@
 ): void {
   const now = readClocks().steadyMs;
   const ms = Math.round(now - request.arrivedMs);
-  const { route, workspace, service, sends, runs, version } = request;
+  const { route, workspace, urgency, service, sends, runs, version } = request;
   const line = {
     request: request.arrived.attemptId,
     route: route.name,
     service,
     workspace,
+    urgency,
     ms,
     firstEventMs,
     ...fields,
--- a/packages/gateway/src/server-reader.ts
+++ b/packages/gateway/src/server-reader.ts
@@ -43,7 +43,13 @@
   expired.forEach((change) => log.writeAlways('backend-server', change));
   [...real, ...expired]
     .filter(({ change }) => change === 'restarted' || change === 'gone')
-    .forEach(({ id }) => gateway.forgetLoad(state, id));
+    .forEach(({ id }) => {
+      gateway.forgetLoad(state, id);
+      const suspects = gateway.applyCrash(state, id, readClocks());
+      if (suspects.length > 0) {
+        log.writeAlways('content-suspect', { server: id, suspects });
+      }
+    });
   if (real.length + expired.length > 0) {
     const known = [...state.servers.byId.values()].map(({ entry }) => entry.address);
     connections.closeOthers(new Set(known));
--- a/packages/runtime/src/log-output.ts
+++ b/packages/runtime/src/log-output.ts
@@ -1,9 +1,12 @@
 /**
- * Where log lines go: standard output, in batches and with a bound.
+ * Where log lines go: standard output, with a bound.
  *
  * A reader that stalls fills the pipe, and what is written after that is kept in
  * memory. Without a bound the process would grow until it is killed. Beyond the
  * bound lines are dropped, and their number is told once there is room again.
+ *
+ * Each line leaves at once. Gathered for some milliseconds they would be lost with
+ * a process that is killed, just those that tell what it did last.
  */
 
 /** The part of a writable stream that is used; standard output is one. */
@@ -13,59 +16,30 @@
   writableLength: number;
 };
 
-export type LogOutput = {
-  write: (line: string) => void;
-  /** Hands everything that waits to the sink. */
-  flush: () => void;
-};
-
-export type LogOutputOptions = {
-  sink: LogSink;
-  /** Calls back after a time in milliseconds. */
-  delay: (callback: () => void, ms: number) => void;
-  /** Told how many lines were dropped, once lines leave again. */
-  reportDropped: (lines: number) => void;
-};
+export type LogOutput = { write: (line: string) => void };
 
-/**
- * Lines are gathered for this time, milliseconds. One system call for each line
- * costs more than making the line; nobody reads a log sooner.
- */
-const GATHER_MS = 20;
 /** Kept for a reader that has stalled, bytes: ten seconds at 400 lines a second. */
 const MAX_KEPT_BYTES = 1_048_576;
 
-/** Creates an output over a sink. */
-export function createLogOutput({ sink, delay, reportDropped }: LogOutputOptions): LogOutput {
-  let gathered: string[] = [];
-  let isDue = false;
+/**
+ * Creates an output over a sink.
+ *
+ * @param reportDropped told how many lines were dropped, once lines leave again
+ */
+export function createLogOutput(sink: LogSink, reportDropped: (lines: number) => void): LogOutput {
   let dropped = 0;
-  const flush = () => {
-    isDue = false;
-    const lines = gathered;
-    gathered = [];
-    if (lines.length === 0) {
-      return;
-    }
-    if (sink.writableLength > MAX_KEPT_BYTES) {
-      dropped += lines.length;
-      return;
-    }
-    sink.write(lines.join(''));
-    if (dropped > 0) {
-      const told = dropped;
-      dropped = 0;
-      reportDropped(told);
-    }
-  };
   return {
     write: (line) => {
-      gathered.push(line);
-      if (!isDue) {
-        isDue = true;
-        delay(flush, GATHER_MS);
+      if (sink.writableLength > MAX_KEPT_BYTES) {
+        dropped += 1;
+        return;
+      }
+      if (dropped > 0) {
+        const told = dropped;
+        dropped = 0;
+        reportDropped(told);
       }
+      sink.write(line);
     },
-    flush,
   };
 }
--- a/packages/runtime/src/logger.ts
+++ b/packages/runtime/src/logger.ts
@@ -12,20 +12,12 @@
   [schema.LogLevel.ERROR]: 'error',
 };
 
-/** Outputs with lines that may not have left; a process has one, a test several. */
-const outputs: logOutput.LogOutput[] = [];
-process.on('exit', () => outputs.forEach((output) => output.flush()));
-
 /** Creates the log of one process. */
 export function createLogger(name: string, fields: Record<string, unknown>): bunyan {
   const direct = bunyan.createLogger({ name, ...fields });
-  const output = logOutput.createLogOutput({
-    sink: process.stdout,
-    // A process that has nothing else to do may end; the lines leave at its exit.
-    delay: (callback, ms) => setTimeout(callback, ms).unref(),
-    reportDropped: (lines) => direct.warn({ event: 'log-dropped', lines }, 'log-dropped'),
-  });
-  outputs.push(output);
+  const output = logOutput.createLogOutput(process.stdout, (lines) =>
+    direct.warn({ event: 'log-dropped', lines }, 'log-dropped'),
+  );
   const stream = { write: (line: object) => output.write(String(line)) };
   return bunyan.createLogger({ name, ...fields, streams: [{ stream }] });
 }
