Decide on plain keys from the first call of a new system

Cause: a home that has just started cannot tell whether an earlier life bound a key without an issue time, and says KEY_UNDECIDED (409) for 25 minutes; on a new system no earlier life had any caller. The operator can know that, the agent cannot: so the settings name the time before which no caller is let in, and a home that began before it (twice the skew earlier) binds such keys.

Ruled out: a setting that says only "first start". Left in place it would have a restarted agent bind keys of its earlier life; a time cannot.

Before: 409 for the first call with a plain key on npm start. After: 200, and the same answer again (test over real processes; a unit test holds the boundary and fails without the rule). The gateway does not use keys; its bundle is unchanged.

--- a/packages/agent/src/app.ts
+++ b/packages/agent/src/app.ts
@@ -71,9 +71,9 @@
 
 /** Creates the state of a new life of this agent. */
 function createState(settings: schema.AgentSettings): core.AgentState {
-  const { backendServerId, service } = settings;
+  const { backendServerId, service, firstTrafficMs } = settings;
   const life = crypto.randomUUID();
-  return core.createAgentState({ backendServerId, service, life }, Date.now());
+  return core.createAgentState({ backendServerId, service, life, firstTrafficMs }, Date.now());
 }
 
 /** Starts to read whether the platform lists this VM as leaving. */
--- a/packages/core/src/agent/agent-state.ts
+++ b/packages/core/src/agent/agent-state.ts
@@ -28,6 +28,8 @@
   /** Incarnation; offers meant for another life are refused. */
   life: string;
   lifeBeganMs: number;
+  /** No caller was let in before this time, milliseconds; 0 where nobody knows. */
+  firstTrafficMs: number;
   documents: documentStore.DocumentStore;
   runs: Map<string, runRecord.RunRecord>;
   newerSeen: documentStore.NewerVersions;
@@ -63,11 +65,13 @@
   backendServerId: string;
   service: string;
   life: string;
+  firstTrafficMs?: number;
 };
 
 /** Creates the state of an agent whose process has just started. */
 export function createAgentState(identity: AgentIdentity, now: number): AgentState {
   return {
+    firstTrafficMs: 0,
     ...identity,
     lifeBeganMs: now,
     documents: new Map(),
--- a/packages/core/src/agent/claims.test.ts
+++ b/packages/core/src/agent/claims.test.ts
@@ -14,7 +14,7 @@
 
 /** Creates a home that has just started. */
 function createHome(): claims.HomeView {
-  return { keys: new Map(), lifeBeganMs: BEGAN_MS, document };
+  return { keys: new Map(), lifeBeganMs: BEGAN_MS, firstTrafficMs: 0, document };
 }
 
 /** Builds a claim of a call that arrives now. */
@@ -57,6 +57,20 @@
   assert.equal(after.outcome, ClaimOutcome.GRANTED);
 });
 
+nodeTest.test('first life of a new system decides on plain keys', () => {
+  // On a new fleet the first caller with a plain key would be told for 25 minutes
+  // that its request may have run. Where no caller was let in before this life,
+  // nothing can have run. A life that began later, after a restart, cannot say so.
+  const now = BEGAN_MS + 60_000;
+  const skewMs = 2 * TIMING.clockSkewMs;
+  const first = { ...createHome(), firstTrafficMs: BEGAN_MS + skewMs };
+  const granted = claims.resolveClaim(first, buildClaim(now), now);
+  assert.equal(granted.outcome, ClaimOutcome.GRANTED);
+  const later = { ...createHome(), firstTrafficMs: BEGAN_MS + skewMs - 1 };
+  const undecided = claims.resolveClaim(later, buildClaim(now), now);
+  assert.equal(undecided.outcome, ClaimOutcome.UNDECIDED);
+});
+
 nodeTest.test('only a named binding is replaced', () => {
   // Two calls saw the same attempt confirmed as not run. The first replaces it;
   // the second, which names the old one alone, learns of the new.
--- a/packages/core/src/agent/claims.ts
+++ b/packages/core/src/agent/claims.ts
@@ -39,6 +39,8 @@
 export type HomeView = {
   keys: KeyTable;
   lifeBeganMs: number;
+  /** No caller was let in before this time, milliseconds; 0 where nobody knows. */
+  firstTrafficMs: number;
   /** Undefined while no document is in force. */
   document: schema.ServiceDocument | undefined;
 };
@@ -109,6 +111,27 @@
     : { outcome: schema.ClaimOutcome.BOUND, record };
 }
 
+/**
+ * Tells whether this life knows of every key that could have been bound here.
+ *
+ * An earlier life may have bound the key. A key issued after this life began cannot
+ * have been claimed before; twice the skew, since the entry allows a key that is
+ * ahead of its own clock by one. Without an issue time only the end of the retention
+ * rules an earlier binding out, or that no caller was let in before this life: on a
+ * new fleet each plain key would be undecided for 25 minutes otherwise.
+ */
+function isCovered(
+  { lifeBeganMs, firstTrafficMs }: HomeView,
+  { keyIssuedMs }: schema.Claim,
+  timing: documentTiming.Timing,
+  now: number,
+): boolean {
+  const skewMs = 2 * timing.clockSkewMs;
+  const issuedInThisLife = keyIssuedMs > lifeBeganMs + skewMs;
+  const lifeCoversKey = now - lifeBeganMs > keyRetention.computeRetention(timing);
+  return issuedInThisLife || lifeCoversKey || lifeBeganMs + skewMs <= firstTrafficMs;
+}
+
 /** Decides on a key that this home does not know. */
 function resolveUnknown(
   home: HomeView,
@@ -120,13 +143,7 @@
   if (keyIssuedMs > 0 && now - keyIssuedMs > timing.keyWindowMs) {
     return { outcome: schema.ClaimOutcome.EXPIRED };
   }
-  // An earlier life may have bound the key. A key issued after this life began
-  // cannot have been claimed before; twice the skew, since the entry allows a
-  // key that is ahead of its own clock by one. Without an issue time only the
-  // end of the retention rules an earlier binding out.
-  const issuedInThisLife = keyIssuedMs > home.lifeBeganMs + 2 * timing.clockSkewMs;
-  const lifeCoversKey = now - home.lifeBeganMs > keyRetention.computeRetention(timing);
-  if ((!issuedInThisLife && !lifeCoversKey) || home.keys.size >= MAX_KEYS) {
+  if (!isCovered(home, claim, timing, now) || home.keys.size >= MAX_KEYS) {
     return { outcome: schema.ClaimOutcome.UNDECIDED };
   }
   return writeRecord(home, claim, now);
@@ -160,9 +177,13 @@
   claim: schema.Claim,
   now: number,
 ): Effects {
-  const { keys, lifeBeganMs } = state;
+  const { keys, lifeBeganMs, firstTrafficMs } = state;
   const document = state.documents.get(state.service)?.document;
-  const { outcome, record } = resolveClaim({ keys, lifeBeganMs, document }, claim, now);
+  const { outcome, record } = resolveClaim(
+    { keys, lifeBeganMs, firstTrafficMs, document },
+    claim,
+    now,
+  );
   const binding = record?.binding;
   const reply = schema.create(schema.ClaimReplySchema, {
     claimId: claim.claimId,
--- a/packages/proofs/src/callers-example.test.ts
+++ b/packages/proofs/src/callers-example.test.ts
@@ -60,3 +60,15 @@
     assert.equal(await ended, 0);
   });
 });
+
+nodeTest.test('example: a plain key is decided on a new system', async (context) => {
+  // A new user names a key of their own. Nothing has run yet under any key; the
+  // first call is answered, and the same call again gets the same answer.
+  const { child, text } = await startExample('--deployment', 'cooperative', '--runners', '1');
+  context.after(() => child.kill('SIGINT'));
+  const tag = text.split('\n').find((line) => line.includes('idempotency-key')) ?? '';
+  const plain = tag.replace(/idempotency-key: [^']+/, 'idempotency-key: my-own-key');
+  const first = await sendPrinted(plain);
+  assert.equal(first.status, 200, first.text);
+  assert.deepEqual(await sendPrinted(plain), first);
+});
--- a/packages/schema/src/check-settings.ts
+++ b/packages/schema/src/check-settings.ts
@@ -111,4 +111,14 @@
     check: ({ engineUrl }) =>
       expectThat(address.isHttpUrl(engineUrl), '$.engineUrl', engineUrl, address.URL_RULE),
   },
+  {
+    reads: ['firstTrafficMs'],
+    check: ({ firstTrafficMs }) =>
+      expectThat(
+        Number.isInteger(firstTrafficMs) && firstTrafficMs >= 0,
+        '$.firstTrafficMs',
+        firstTrafficMs,
+        'a whole number of milliseconds since 1970, or 0',
+      ),
+  },
 ];
--- a/packages/stand-ins/src/start-example.ts
+++ b/packages/stand-ins/src/start-example.ts
@@ -26,11 +26,18 @@
 const KEYS_READY_MS = 3 * exampleDeployments.CLOCK_SKEW_MS;
 const SIGNALS = ['SIGINT', 'SIGTERM', 'SIGHUP'] as const;
 
+/**
+ * Time in which the agents of the example start, milliseconds. They are not
+ * restarted, so that callers who come sooner do no harm.
+ */
+const START_UP_MS = 60_000;
+
 type Running = {
   folder: string;
   configurationUrl: string;
   deployment: exampleDeployments.ExampleDeployment;
   runners: number;
+  firstTrafficMs: number;
   agents: exampleProcesses.ExampleProcess[];
   entries: exampleProcesses.ExampleProcess[];
 };
@@ -60,6 +67,7 @@
     failureDomain,
     platform: { configurationUrl: running.configurationUrl },
     engineUrl: await startBackend(service.engineKind),
+    firstTrafficMs: running.firstTrafficMs,
   });
   running.agents.push(agent);
   return { id, address: `127.0.0.1:${agent.started.linkPort}`, failureDomain };
@@ -156,6 +164,7 @@
   const running: Running = {
     folder,
     configurationUrl: `http://127.0.0.1:${started.port}`,
+    firstTrafficMs: Date.now() + START_UP_MS,
     deployment,
     runners: Number(values.runners),
     agents: [],
