Eject backend servers that fail, and replay the worst loads

Cause: a backend server that fails at once is always the emptiest.

Change: four failures in a row eject for 0.5 s, doubling to 4 s, then one request at a time; never more than half of a service.

--- a/packages/core/src/gateway/attempt-end.ts
+++ b/packages/core/src/gateway/attempt-end.ts
@@ -57,7 +57,7 @@
       backendServers.noteDisplaced(state.servers, serverId);
       return;
     default:
-      serverLoad.recordAnswer(load, false);
+      serverLoad.recordAnswer(load, false, now);
   }
 }
 
--- a/packages/core/src/gateway/candidates.ts
+++ b/packages/core/src/gateway/candidates.ts
@@ -7,6 +7,11 @@
 import type * as serverChoice from './server-choice.js';
 import * as serverLoad from './server-load.js';
 
+/**
+ * Where fewer than this share of the backend servers would be left, none is ejected
+ * for failures: then the requests are at fault, and waiting helps none of them.
+ */
+const MIN_SOUND_SHARE = 0.5;
 /** Places of a plain service whose entry names none. */
 const DEFAULT_SLOTS = 4;
 
@@ -22,20 +27,21 @@
   const { firstDelay: usual } = gatewayState.getServiceWork(state, service);
   const usualMs = firstDelay.estimateExtraMs(usual, now);
   const fastest = enginePace.findFastest(usable.map(({ load }) => load.pace));
-  return usable
-    .filter(({ load }) => !serverLoad.isPaused(load, now))
-    .map(({ entry, load }) => {
-      const slowness = enginePace.estimateSlowness(load.pace, fastest, now);
-      return {
-        id: entry.id,
-        slots: entry.slots || DEFAULT_SLOTS,
-        ownInFlight: load.inFlight,
-        peersInFlight: peerView.countInFlight(state.peers, entry.id, now),
-        slowness,
-        unitMs: fastest * slowness,
-        firstExtraMs: firstDelay.estimateExtraMs(load.firstDelay, now, usualMs),
-        failureShare: serverLoad.computeFailureShare(load),
-        isNear: entry.failureDomain === state.failureDomain,
-      };
-    });
+  const reachable = usable.filter(({ load }) => !serverLoad.isPaused(load, now));
+  const sound = reachable.filter(({ load }) => !serverLoad.isEjected(load, now));
+  const isCapped = sound.length < MIN_SOUND_SHARE * usable.length;
+  return (isCapped ? reachable : sound).map(({ entry, load }) => {
+    const slowness = enginePace.estimateSlowness(load.pace, fastest, now);
+    return {
+      id: entry.id,
+      slots: entry.slots || DEFAULT_SLOTS,
+      ownInFlight: load.inFlight,
+      peersInFlight: peerView.countInFlight(state.peers, entry.id, now),
+      slowness,
+      unitMs: fastest * slowness,
+      firstExtraMs: firstDelay.estimateExtraMs(load.firstDelay, now, usualMs),
+      failureShare: serverLoad.computeFailureShare(load),
+      isNear: entry.failureDomain === state.failureDomain,
+    };
+  });
 }
--- a/packages/core/src/gateway/server-load.ts
+++ b/packages/core/src/gateway/server-load.ts
@@ -13,6 +13,9 @@
   /** Recent answers, and those among them that failed; older ones fade. */
   answers: number;
   failures: number;
+  /** Ejected for its failures until this time, milliseconds; 0 if never. */
+  ejectedUntilMs: number;
+  ejections: number;
 };
 
 /** What is kept of earlier answers with each new one: the last twenty or so count. */
@@ -25,6 +28,17 @@
  */
 const LONGEST_PAUSE_MS = 2000;
 
+/** A backend server is ejected where this share of its recent answers failed. */
+const EJECT_SHARE = 0.5;
+/**
+ * Answers that must have been seen for that. Older ones count a little less, so that
+ * the fourth failure in a row ejects; two or three may be chance.
+ */
+const EJECT_ANSWERS = 3;
+/** First ejection, milliseconds; doubles with each failure after it. */
+const FIRST_EJECTION_MS = 500;
+const LONGEST_EJECTION_MS = 4000;
+
 /** Creates the load of a backend server that was not used yet. */
 export function createServerLoad(): ServerLoad {
   return {
@@ -35,16 +49,36 @@
     pausedUntilMs: 0,
     answers: 0,
     failures: 0,
+    ejectedUntilMs: 0,
+    ejections: 0,
   };
 }
 
 /** Takes in an answer that was the backend server's own. */
-export function recordAnswer(load: ServerLoad, good: boolean): void {
+export function recordAnswer(load: ServerLoad, good: boolean, now: number): void {
   load.answers = KEPT_SHARE * load.answers + 1;
   load.failures = KEPT_SHARE * load.failures + (good ? 0 : 1);
   if (good) {
     load.failuresInRow = 0;
+    load.ejections = 0;
+    return;
   }
+  const isFailing = computeFailureShare(load) >= EJECT_SHARE && load.answers >= EJECT_ANSWERS;
+  if (isFailing && now >= load.ejectedUntilMs) {
+    load.ejectedUntilMs =
+      now + Math.min(FIRST_EJECTION_MS * 2 ** load.ejections, LONGEST_EJECTION_MS);
+    load.ejections += 1;
+  }
+}
+
+/**
+ * Tells whether a backend server is left out for its failures.
+ *
+ * One that fails at once is always the emptiest and draws the work of all others
+ * to it. After its ejection it gets one request at a time until one succeeds.
+ */
+export function isEjected(load: ServerLoad, now: number): boolean {
+  return now < load.ejectedUntilMs || (load.ejections > 0 && load.inFlight > 0);
 }
 
 /** Computes the recent share of answers that failed, 0 to 1. */
--- a/packages/gateway/src/gateway-task.ts
+++ b/packages/gateway/src/gateway-task.ts
@@ -84,7 +84,7 @@
   held.attempt = undefined;
   if (outcome.kind === 'complete') {
     if (serverId !== undefined) {
-      gateway.recordAnswer(gateway.getLoad(task.state, serverId), true);
+      gateway.recordAnswer(gateway.getLoad(task.state, serverId), true, now);
     }
     gateway.noteWholeAnswer(task.state, request.arrived.hashContent, clocks);
     gateway.endRequest(task.state, request);
--- /dev/null
+++ b/packages/measure/src/gateway-load/replay-world.ts
@@ -0,0 +1,148 @@
+/** The fleet of a replay: gateways, engines, and the calls that are on their way. */
+import * as gateway from '@toucanproxy/core/gateway';
+import * as proofs from '@toucanproxy/proofs';
+import * as engineModel from './engine-model.js';
+import * as loadPattern from './load-pattern.js';
+
+/** What the gateways are told. */
+export type Knowledge = {
+  /** Reports of the other gateways. */
+  reports: boolean;
+  /** Times of first events, of single events, and failures of backend servers. */
+  firstEvents: boolean;
+  paces: boolean;
+  failures: boolean;
+};
+
+export type ReplayOptions = {
+  pattern: loadPattern.LoadPattern;
+  knowledge: Knowledge;
+  gateways: number;
+  engines: number;
+  seed: number;
+};
+
+export type KindResult = { asked: number; inTime: number; late: number; failed: number };
+
+export type ReplayResult = {
+  byKind: Map<string, KindResult>;
+  /** Requests of the workspaces that are not hot, in time and asked. */
+  quietInTime: number;
+  quietAsked: number;
+  /** Most requests that one engine had at a time. */
+  mostAtEngine: number;
+};
+
+/** One caller's request, over its tries. */
+export type Call = {
+  id: string;
+  kind: loadPattern.RequestKind;
+  workspace: number;
+  firstSentMs: number;
+  tries: number;
+  dueMs: number;
+};
+
+export type Live = { call: Call; gateway: number; request: gateway.GatewayRequest };
+
+export type World = {
+  options: ReplayOptions;
+  draw: proofs.DrawRandom;
+  states: gateway.GatewayState[];
+  engines: engineModel.EngineModel[];
+  live: Map<string, Live>;
+  due: Call[];
+  result: ReplayResult;
+  sequence: number;
+  nowMs: number;
+};
+
+const SERVICE = 'one';
+export const DEADLINE_MS = 15_000;
+export const WORKSPACES = 8;
+const PATIENCE_MS = 3200;
+/** One engine in three is slow, as on the users' machines. */
+const SLOWNESS = [1, 1, 4];
+
+/** Builds the configuration: a route for each kind. */
+function buildConfiguration(): gateway.Configuration {
+  const routes = loadPattern.KINDS.map((kind) => ({
+    name: kind.name,
+    hostname: 'h',
+    prefix: `/${kind.name}/`,
+    kind: gateway.RouteKind.STREAM,
+    timeoutMs: DEADLINE_MS,
+    targetMs: kind.targetMs,
+    patienceMs: PATIENCE_MS,
+    urgency: kind.urgency,
+    targets: [{ service: SERVICE, weight: 1 }],
+    maxAttempts: 1,
+    isPublic: false,
+    resumable: false,
+  }));
+  const engine = { slots: engineModel.SLOTS, tokensPerEvent: engineModel.TOKENS_PER_EVENT };
+  const workspaces = Array.from({ length: WORKSPACES }, (_, index) => ({
+    name: `w${index}`,
+    credentials: [`key-${index}`],
+    urgency: undefined,
+    quota: undefined,
+  }));
+  const callerBounds = {
+    maxHeaderBytes: 1,
+    maxBodyBytes: 1,
+    headerTimeoutMs: 1,
+    idleTimeoutMs: 1,
+  };
+  const services = [{ name: SERVICE, maxConnections: 100, engine }];
+  return { version: 1, routes, services, workspaces, callerBounds };
+}
+
+/** Reads all clocks of a gateway. */
+export function readClocks(world: World): gateway.ClockReading {
+  return { steadyMs: world.nowMs, wallMs: world.nowMs, uptimeMs: world.nowMs };
+}
+
+/** Starts a gateway that knows its backend servers. */
+export function startGateway(world: World, index: number): gateway.GatewayState {
+  const bounds = {
+    leaseMs: Infinity,
+    entryReturnMs: 2000,
+    quotaTolerance: { overage: 0, slack: 0 },
+    retryPercent: 16,
+    retryExtra: 40,
+  };
+  const state = gateway.createGatewayState(`10.0.0.${index}:1`, 'd', bounds, world.draw);
+  state.index = gateway.buildConfigurationIndex(buildConfiguration());
+  gateway.noteConfirmed(state.belief, readClocks(world));
+  world.engines.forEach(({ id }) =>
+    gateway.applyEntry(state.servers, {
+      id,
+      service: SERVICE,
+      address: id,
+      failureDomain: 'd',
+      slots: engineModel.SLOTS,
+      leaving: false,
+      bornMs: 1,
+    }),
+  );
+  return state;
+}
+
+/** Creates the fleet of a replay. */
+export function createWorld(options: ReplayOptions): World {
+  const world: World = {
+    options,
+    draw: proofs.createRandomSource(options.seed),
+    states: [],
+    engines: Array.from({ length: options.engines }, (_, index) =>
+      engineModel.createEngine(`engine-${index}`, SLOWNESS[index % SLOWNESS.length]),
+    ),
+    live: new Map(),
+    due: [],
+    result: { byKind: new Map(), quietInTime: 0, quietAsked: 0, mostAtEngine: 0 },
+    sequence: 0,
+    nowMs: 0,
+  };
+  world.states = Array.from({ length: options.gateways }, (_, index) => startGateway(world, index));
+  return world;
+}
--- /dev/null
+++ b/packages/measure/src/gateway-load/replay.ts
@@ -0,0 +1,260 @@
+/**
+ * Replays a load through the gateways' decisions, in virtual time.
+ *
+ * The decisions are the product's own; engines, callers and the network are models.
+ * What gateways learn can be kept from them, one source at a time, to see what each
+ * is worth.
+ */
+import * as gateway from '@toucanproxy/core/gateway';
+import * as engineModel from './engine-model.js';
+import * as loadPattern from './load-pattern.js';
+import * as replayWorld from './replay-world.js';
+
+const TICK_MS = 5;
+const HOT_WORKSPACES = 2;
+const MAX_TRIES = 2;
+const MS_PER_SECOND = 1000;
+
+/** Gets the counts of a kind. */
+function getCounts(
+  { result }: replayWorld.World,
+  { kind }: replayWorld.Call,
+): replayWorld.KindResult {
+  const counts = result.byKind.get(kind.name) ?? { asked: 0, inTime: 0, late: 0, failed: 0 };
+  result.byKind.set(kind.name, counts);
+  return counts;
+}
+
+/** Tells whether a call is of a workspace that sends no more than usual. */
+function isQuiet({ workspace }: replayWorld.Call): boolean {
+  return workspace >= HOT_WORKSPACES;
+}
+
+/** Counts a call whose first event has come. */
+function noteFirst(world: replayWorld.World, call: replayWorld.Call, atMs: number): void {
+  const isInTime = atMs - call.firstSentMs <= call.kind.targetMs;
+  const counts = getCounts(world, call);
+  counts.inTime += Number(isInTime);
+  counts.late += Number(!isInTime);
+  world.result.quietInTime += Number(isInTime && isQuiet(call));
+}
+
+/** Lets a call that was refused come back, or counts it as failed. */
+function endRefused(
+  world: replayWorld.World,
+  call: replayWorld.Call,
+  retryAfterMs: number | undefined,
+): void {
+  if (retryAfterMs === undefined || call.tries >= MAX_TRIES) {
+    getCounts(world, call).failed += 1;
+    return;
+  }
+  world.due.push({ ...call, dueMs: world.nowMs + retryAfterMs });
+}
+
+/** Sends a call to a gateway that the balancer draws. */
+function sendCall(world: replayWorld.World, call: replayWorld.Call): void {
+  const index = Math.floor(world.draw() * world.states.length);
+  const state = world.states[index];
+  const { kind } = call;
+  const tried = { ...call, tries: call.tries + 1 };
+  const id = `${call.id}.${tried.tries}`;
+  const intake = gateway.admitRequest(
+    state,
+    {
+      attemptId: id,
+      host: 'h',
+      path: `/${kind.name}/x`,
+      credential: `key-${call.workspace}`,
+      deadlineMs: replayWorld.DEADLINE_MS - (world.nowMs - call.firstSentMs),
+      tokens: { prompt: kind.promptTokens, answer: kind.answerTokens },
+      answerGuess: undefined,
+      hashContent: () => call.id,
+    },
+    replayWorld.readClocks(world),
+  );
+  if (intake.kind === 'refused') {
+    endRefused(world, tried, intake.refusal.retryAfterMs);
+    return;
+  }
+  world.live.set(id, { call: tried, gateway: index, request: intake.request });
+}
+
+/** Ends an attempt that failed. */
+function endFailed(world: replayWorld.World, id: string, fault: gateway.AttemptFault): void {
+  const live = world.live.get(id);
+  if (live === undefined) {
+    return;
+  }
+  const state = world.states[live.gateway];
+  const progress = { hasBegun: false, canGoOn: true };
+  const clocks = replayWorld.readClocks(world);
+  const verdict = gateway.handleAttemptFault(state, live.request, fault, progress, clocks);
+  if (verdict.kind === 'again') {
+    return;
+  }
+  world.live.delete(id);
+  const advice = verdict.kind === 'refuse' ? verdict.refusal.retryAfterMs : undefined;
+  endRefused(world, live.call, advice);
+}
+
+/** Hands a request to an engine, if it can be reached. */
+function startRun(world: replayWorld.World, live: replayWorld.Live, engineId: string): void {
+  const engine = world.engines.find(({ id }) => id === engineId) as engineModel.EngineModel;
+  const { attemptId } = live.request.arrived;
+  if (world.nowMs < engine.goneUntilMs) {
+    endFailed(world, attemptId, gateway.AttemptFault.UNREACHABLE);
+    return;
+  }
+  if (world.nowMs < engine.failsUntilMs) {
+    if (!world.options.knowledge.failures) {
+      const load = gateway.getLoad(world.states[live.gateway], engineId);
+      Object.assign(load, { answers: 0, failures: 0 });
+    }
+    endFailed(world, attemptId, gateway.AttemptFault.FAILED);
+    return;
+  }
+  const { promptTokens, answerTokens } = live.call.kind;
+  engineModel.addRun(engine, { id: attemptId, promptTokens, answerTokens }, world.nowMs);
+  const atEngine = engine.running.length + engine.waiting.length;
+  world.result.mostAtEngine = Math.max(world.result.mostAtEngine, atEngine);
+}
+
+/** Assigns what can be assigned at all gateways. */
+function assignAll(world: replayWorld.World): void {
+  world.states.forEach((state) => {
+    gateway.noteConfirmed(state.belief, replayWorld.readClocks(world));
+    gateway.assignWaiting(state, replayWorld.readClocks(world)).forEach((assignment) => {
+      const { attemptId } = assignment.request.arrived;
+      const live = world.live.get(attemptId);
+      if (live === undefined) {
+        return;
+      }
+      if (assignment.kind === 'send') {
+        startRun(world, live, assignment.server.id);
+      } else {
+        world.live.delete(attemptId);
+        endRefused(world, live.call, assignment.refusal.retryAfterMs);
+      }
+    });
+  });
+}
+
+/** Ends the runs that are over, and tells the gateways what was seen of them. */
+function endRuns(world: replayWorld.World, engine: engineModel.EngineModel): void {
+  const { knowledge } = world.options;
+  const eventMs = engineModel.computeEventMs(engine);
+  engineModel.takeEnded(engine, world.nowMs).forEach((run) => {
+    const live = world.live.get(run.id);
+    if (live === undefined) {
+      return;
+    }
+    world.live.delete(run.id);
+    const state = world.states[live.gateway];
+    noteFirst(world, live.call, run.firstMs);
+    if (knowledge.firstEvents) {
+      gateway.noteFirstEvent(state, live.request, run.firstMs - run.startedMs, world.nowMs);
+    }
+    const load = gateway.getLoad(state, engine.id);
+    if (knowledge.paces) {
+      gateway.recordUnit(load.pace, eventMs, world.nowMs);
+    }
+    gateway.recordAnswer(load, true, world.nowMs);
+    gateway.endRequest(state, live.request);
+  });
+}
+
+/** Passes the reports of all gateways to each other. */
+function passReports(world: replayWorld.World): void {
+  world.sequence += 1;
+  const { sequence } = world;
+  const reports = world.states.map((state) => ({
+    address: state.address,
+    life: 'a',
+    sequence,
+    leaving: false,
+    used: new Map<string, number>(),
+    inFlight: new Map([...state.loads].map(([id, load]) => [id, load.inFlight])),
+    demand: gateway.updateToldDemand(state),
+    peers: [],
+  }));
+  world.states.forEach((state) =>
+    reports
+      .filter(({ address }) => address !== state.address)
+      .forEach((report) => gateway.applyReport(state.peers, report, world.nowMs)),
+  );
+}
+
+/** Carries out what happens to the fleet now. */
+function applyEvent(world: replayWorld.World, event: loadPattern.FleetEvent): void {
+  if (event.kind === 'gatewaysRestart') {
+    world.live.forEach(({ call }) => endRefused(world, call, 1));
+    world.live.clear();
+    world.engines.forEach((engine) => engineModel.takeAll(engine));
+    world.states = world.states.map((_, index) => replayWorld.startGateway(world, index));
+    return;
+  }
+  const count = Math.round(event.share * world.engines.length);
+  world.engines.slice(0, count).forEach((engine) => {
+    if (event.kind === 'enginesFail') {
+      engine.failsUntilMs = world.nowMs + event.forMs;
+      return;
+    }
+    engine.goneUntilMs = world.nowMs + event.forMs;
+    engineModel
+      .takeAll(engine)
+      .forEach(({ id }) => endFailed(world, id, gateway.AttemptFault.BROKEN));
+  });
+}
+
+/** Draws the calls of one tick. */
+function drawCalls(world: replayWorld.World): void {
+  const { pattern, engines } = world.options;
+  const mean = (pattern.computeRate(world.nowMs) * engines * TICK_MS) / MS_PER_SECOND;
+  let left = mean;
+  while (world.draw() < left) {
+    left -= 1;
+    const luck = world.draw();
+    let below = 0;
+    const kind =
+      loadPattern.KINDS.find(({ share }) => {
+        below += share;
+        return luck < below;
+      }) ?? loadPattern.KINDS[0];
+    const isHot = world.draw() < pattern.hotShare;
+    const workspace = Math.floor(world.draw() * (isHot ? HOT_WORKSPACES : replayWorld.WORKSPACES));
+    const id = `c${world.result.quietAsked}-${world.sequence}-${world.draw()}`;
+    const call = { id, kind, workspace, firstSentMs: world.nowMs, tries: 0, dueMs: world.nowMs };
+    getCounts(world, call).asked += 1;
+    world.result.quietAsked += Number(isQuiet(call));
+    world.due.push(call);
+  }
+}
+
+/** Sends the calls that are due. */
+function sendDue(world: replayWorld.World): void {
+  const due = world.due.filter(({ dueMs }) => dueMs <= world.nowMs);
+  world.due = world.due.filter(({ dueMs }) => dueMs > world.nowMs);
+  due.forEach((call) => sendCall(world, call));
+}
+
+/** Replays a load. */
+export function runReplay(options: replayWorld.ReplayOptions): replayWorld.ReplayResult {
+  const world = replayWorld.createWorld(options);
+  const { pattern, knowledge } = options;
+  const events = [...pattern.events];
+  while (world.nowMs < pattern.durationMs) {
+    while (events.length > 0 && events[0].atMs <= world.nowMs) {
+      applyEvent(world, events.shift() as loadPattern.FleetEvent);
+    }
+    drawCalls(world);
+    world.engines.forEach((engine) => endRuns(world, engine));
+    sendDue(world);
+    if (knowledge.reports && world.nowMs % gateway.REPORT_MS === 0) {
+      passReports(world);
+    }
+    assignAll(world);
+    world.nowMs += TICK_MS;
+  }
+  return world.result;
+}
