Turn a request away by the work that is sent before it

Cause: a request was turned away by the wait of its whole rank.

Change: the wait is that of the more urgent ranks and of what has an earlier or equal start tag in its own.

--- a/packages/core/src/gateway/wait-queue.test.ts
+++ b/packages/core/src/gateway/wait-queue.test.ts
@@ -54,11 +54,25 @@
     [1, 2],
   );
   assert.deepEqual(
-    [...waitQueue.countTokensByRank(queue)],
+    [...waitQueue.countTokensBefore(queue, 3, 'a')],
     [
       [1, 100],
       [2, 100],
       [3, 100],
     ],
   );
+  assert.deepEqual(
+    [...waitQueue.countTokensBefore(queue, 2, 'b')],
+    [
+      [1, 100],
+      [2, 100],
+    ],
+  );
+});
+
+test('loud workspace is ahead of itself only', () => {
+  const queue = waitQueue.createWaitQueue();
+  [1, 2, 3].forEach((serial) => waitQueue.addItem(queue, buildItem(serial, 0, 'loud')));
+  assert.deepEqual([...waitQueue.countTokensBefore(queue, 0, 'loud')], [[0, 300]]);
+  assert.deepEqual([...waitQueue.countTokensBefore(queue, 0, 'quiet')], [[0, 100]]);
 });
--- a/packages/core/src/gateway/wait-queue.ts
+++ b/packages/core/src/gateway/wait-queue.ts
@@ -57,15 +57,24 @@
   return low;
 }
 
+/** Builds the key of a workspace's finish tag. */
+function buildTagKey(rank: number, workspace: string): string {
+  return `${rank} ${workspace}`;
+}
+
+/** Computes where the next work of a workspace begins in fair shares, tokens. */
+export function computeStartTag(queue: WaitQueue, rank: number, workspace: string): number {
+  const virtual = queue.virtualStart.get(rank) ?? 0;
+  return Math.max(virtual, queue.finishTags.get(buildTagKey(rank, workspace)) ?? 0);
+}
+
 /** Adds an item. */
 export function addItem(queue: WaitQueue, item: WaitItem): void {
   if (queue.finishTags.size > MAX_FINISH_TAGS) {
     queue.finishTags.clear();
   }
-  const key = `${item.rank} ${item.workspace}`;
-  const virtual = queue.virtualStart.get(item.rank) ?? 0;
-  const startTag = Math.max(virtual, queue.finishTags.get(key) ?? 0);
-  queue.finishTags.set(key, startTag + item.workTokens);
+  const startTag = computeStartTag(queue, item.rank, item.workspace);
+  queue.finishTags.set(buildTagKey(item.rank, item.workspace), startTag + item.workTokens);
   const queued = { ...item, startTag };
   queue.items.splice(findPlace(queue.items, queued), 0, queued);
 }
@@ -91,10 +100,17 @@
   return queue.items.filter((item) => now >= item.dueMs);
 }
 
-/** Counts the tokens that wait at each rank, the most urgent first. */
-export function countTokensByRank(queue: WaitQueue): Map<number, number> {
+/** Counts the tokens that would be sent before new work of a workspace, by rank. */
+export function countTokensBefore(
+  queue: WaitQueue,
+  rank: number,
+  workspace: string,
+): Map<number, number> {
+  const startTag = computeStartTag(queue, rank, workspace);
   const sums = new Map<number, number>();
-  queue.items.forEach(({ rank, workTokens }) => sums.set(rank, (sums.get(rank) ?? 0) + workTokens));
+  queue.items
+    .filter((item) => item.rank < rank || (item.rank === rank && item.startTag <= startTag))
+    .forEach((item) => sums.set(item.rank, (sums.get(item.rank) ?? 0) + item.workTokens));
   return sums;
 }
 
--- a/packages/core/src/gateway/waiting.ts
+++ b/packages/core/src/gateway/waiting.ts
@@ -68,17 +68,26 @@
   return first !== undefined && now - Math.max(first.enteredMs, lastStartMs) > STALL_MS;
 }
 
-/** Estimates how long a new request of a rank waits, milliseconds. */
-function estimateWaitMs(work: gatewayState.ServiceWork, rank: number, now: number): number {
+/**
+ * Estimates how long a new request of a rank waits, milliseconds: for the work that
+ * is sent before it. Load pattern: two workspaces send four fifths of a burst. By
+ * the wait of the whole rank the others are turned away as often as these, though
+ * they would be sent before them: 47 % of theirs were in time, against 54 %
+ * (`npm run measure:gateway`, five seeds).
+ */
+function estimateWaitMs(
+  work: gatewayState.ServiceWork,
+  rank: number,
+  workspace: string,
+  now: number,
+): number {
   if (isStalled(work, rank, now)) {
     return Infinity;
   }
-  return [...waitQueue.countTokensByRank(work.queue)]
-    .filter(([other]) => other <= rank)
-    .reduce(
-      (sum, [other, tokens]) => sum + drainRate.estimateWaitMs(getDrain(work, other), tokens),
-      0,
-    );
+  return [...waitQueue.countTokensBefore(work.queue, rank, workspace)].reduce(
+    (sum, [other, tokens]) => sum + drainRate.estimateWaitMs(getDrain(work, other), tokens),
+    0,
+  );
 }
 
 /** Says how a request is to wait; undefined where it would wait in vain. */
@@ -90,12 +99,15 @@
   const { urgency } = request;
   const firstMs = estimateBusyFirstMs(work, request, now);
   const lateMs = request.targetMs - firstMs;
-  if (now < lateMs && estimateWaitMs(work, urgency, now) <= HOLD_SHARE * (lateMs - now)) {
+  if (
+    now < lateMs &&
+    estimateWaitMs(work, urgency, request.workspace, now) <= HOLD_SHARE * (lateMs - now)
+  ) {
     return { rank: urgency, dueMs: lateMs };
   }
   const rank = LATE_RANK + urgency;
   const leftMs = request.leaveMs - firstMs - now;
-  return leftMs <= 0 || estimateWaitMs(work, rank, now) > HOLD_SHARE * leftMs
+  return leftMs <= 0 || estimateWaitMs(work, rank, request.workspace, now) > HOLD_SHARE * leftMs
     ? undefined
     : { rank, dueMs: now + Math.min(leftMs, CHECK_MS) };
 }
