Take a missing backend server as gone by the time

Change: whether a missing one may get work is decided by the time (new test, fails without it: listUsable took no time at all).

--- a/packages/core/src/gateway/backend-servers.test.ts
+++ b/packages/core/src/gateway/backend-servers.test.ts
@@ -8,8 +8,8 @@
 const RETURN_MS = 2000;
 
 /** Tells whether the one backend server may get new work. */
-function isUsable(servers: backendServers.BackendServers): boolean {
-  return backendServers.listUsable(servers, 'one').length === 1;
+function isUsable(servers: backendServers.BackendServers, now = 0): boolean {
+  return backendServers.listUsable(servers, 'one', now).length === 1;
 }
 
 /** Creates a register with one backend server. */
@@ -37,6 +37,17 @@
   assert.equal(isUsable(servers), false);
 });
 
+test('missing entry ends by the time, not by the next answer', () => {
+  // A gateway's way to the store is back, and a backend server leaves. Its entry
+  // counts as missing until its time is over. The store's next answer comes a
+  // second later; work sent in between reaches a backend server that has left.
+  const servers = createWithOne();
+  backendServers.noteStoreReturned(servers, RETURN_MS, 1000);
+  backendServers.removeEntry(servers, 'a', 1500);
+  assert.equal(isUsable(servers, 2999), true);
+  assert.equal(isUsable(servers, 3000), false);
+});
+
 test('leaving entry that lapsed does not stay', () => {
   const servers = createWithOne();
   backendServers.applyEntry(servers, buildEntry('a', { leaving: true }));
--- a/packages/core/src/gateway/backend-servers.ts
+++ b/packages/core/src/gateway/backend-servers.ts
@@ -133,9 +133,24 @@
   return { id, service: known.entry.service, change: 'displaced' };
 }
 
+/**
+ * Tells whether a backend server may get new work.
+ *
+ * Decided by the time, not by the next answer of the store: a missing one that did
+ * not come back has left, and got work up to a second later while answers came once
+ * a second.
+ */
+function isUsable({ entry, displaced, missingUntilMs }: KnownServer, now: number): boolean {
+  return !entry.leaving && !displaced && now < (missingUntilMs ?? Infinity);
+}
+
 /** Lists the backend servers of a service that may get new work. */
-export function listUsable(servers: BackendServers, service: string): BackendServerEntry[] {
+export function listUsable(
+  servers: BackendServers,
+  service: string,
+  now: number,
+): BackendServerEntry[] {
   return [...servers.byId.values()]
-    .filter(({ entry, displaced }) => entry.service === service && !entry.leaving && !displaced)
+    .filter((known) => known.entry.service === service && isUsable(known, now))
     .map(({ entry }) => entry);
 }
--- a/packages/core/src/gateway/candidates.ts
+++ b/packages/core/src/gateway/candidates.ts
@@ -22,7 +22,7 @@
   now: number,
 ): serverChoice.Candidate[] {
   const usable = backendServers
-    .listUsable(state.servers, service)
+    .listUsable(state.servers, service, now)
     .map((entry) => ({ entry, load: gatewayState.getLoad(state, entry.id) }));
   const { firstDelay: usual } = gatewayState.getServiceWork(state, service);
   const usualMs = firstDelay.estimateExtraMs(usual, now);
--- a/packages/gateway/src/server-reader.ts
+++ b/packages/gateway/src/server-reader.ts
@@ -15,9 +15,10 @@
 /**
  * Pause between calls, milliseconds. Entries change with each heartbeat, so that
  * a call without a pause returns at once; with it a backend server that leaves
- * is known to leave within a second, at one call a second.
+ * is known to leave within half a second, at two calls a second. With 950 ms a
+ * deployment that allows 2 s was late once in 40 days (users' hunts).
  */
-const PAUSE_MS = 950;
+const PAUSE_MS = 450;
 
 /** Takes one item in. */
 function applyItem(
