Keep the platform's names of the soak in platform/

Cause: the soak wrote headers, store keys and settings fields of the platform in packages/proofs, where the linter did not look. Its names now stand in platform/src/mocks/stand-in-wire.ts, and the linter checks proofs and measure too.

Tests only; the gateway's sources are unchanged.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -122,6 +122,10 @@
     ignores: ['**/*.test.ts', '**/mocks/**'],
     rules: forbidImports('**/mocks/*', ...TEST_ONLY),
   },
+  {
+    files: ['packages/{proofs,measure}/src/**/*.ts'],
+    rules: { 'no-restricted-syntax': [...restrictedSyntax, platformNames] },
+  },
   {
     files: ['packages/core/src/gateway/**/*.ts'],
     ignores: ['**/*.test.ts', '**/mocks/**'],
--- a/packages/proofs/src/soak/soak-call.ts
+++ b/packages/proofs/src/soak/soak-call.ts
@@ -1,6 +1,7 @@
 /** One call of a soak, noted from its sending to its end. */
 import * as http from 'node:http';
 import * as gatewayScene from '@toucanproxy/platform/mocks/gateway-scene';
+import * as standInWire from '@toucanproxy/platform/mocks/stand-in-wire';
 import type * as soakRecords from './soak-records.js';
 
 /** What is to be sent. */
@@ -39,12 +40,7 @@
     },
     leaveAfterMs ?? LOST_TURNS * call.deadlineMs,
   );
-  const headers = {
-    'x-toucanproxy-attempt-id': call.id,
-    'x-toucanproxy-deadline-ms': String(call.deadlineMs),
-    'x-toucanproxy-credential': call.credential,
-    'content-length': String(call.body.length),
-  };
+  const headers = standInWire.buildCallHeaders(call);
   const options = { method: 'POST', body: call.body, agent, signal: leaving.signal, headers };
   try {
     const {
@@ -53,7 +49,7 @@
       headers: given,
       isWhole,
     } = await gatewayScene.fetchAnswer(port, call.path, options, 0);
-    const isSigned = given['x-toucanproxy-response-signature'] === 's1';
+    const isSigned = standInWire.isSigned(given);
     call.answer = { status, body, isSigned, isWhole };
   } catch {
     // The connection ended without an answer; the checks decide whether it may.
--- a/packages/proofs/src/soak/soak-faults.ts
+++ b/packages/proofs/src/soak/soak-faults.ts
@@ -5,6 +5,7 @@
  * something goes wrong on a VM.
  */
 import * as timers from 'node:timers/promises';
+import * as standInWire from '@toucanproxy/platform/mocks/stand-in-wire';
 import * as storeStandIn from '@toucanproxy/platform/mocks/store-stand-in';
 import type * as forwarder from '../mocks/forwarder.js';
 import * as randomSource from '../mocks/random-source.js';
@@ -182,7 +183,7 @@
   const before = server.id;
   link.block();
   link.reset();
-  fleet.store.remove(`servers/${before}`);
+  standInWire.removeServer(fleet.store, before);
   setTimeout(() => {
     link.unblock();
     backend.born += 1;
@@ -214,7 +215,7 @@
     [FaultKind.BACKEND_ANSWERS_CUT]: () => link.cutAnswers(),
     [FaultKind.BACKEND_SLOW]: () => holdLink(link, forMs),
     [FaultKind.ENTRY_UNREADABLE]: () => {
-      fleet.store.putBytes(`servers/${server.id}`, Buffer.from('{"service": 7'));
+      standInWire.writeUnreadable(fleet.store, server.id);
       setTimeout(() => soakFleet.publishBackend(fleet, backend), forMs);
     },
   };
--- a/packages/proofs/src/soak/soak-fleet.ts
+++ b/packages/proofs/src/soak/soak-fleet.ts
@@ -6,7 +6,7 @@
 import * as timers from 'node:timers/promises';
 import * as url from 'node:url';
 import * as freePort from '@toucanproxy/platform/mocks/free-port';
-import * as gatewayScene from '@toucanproxy/platform/mocks/gateway-scene';
+import * as standInWire from '@toucanproxy/platform/mocks/stand-in-wire';
 import * as storeStandIn from '@toucanproxy/platform/mocks/store-stand-in';
 import * as forwarder from '../mocks/forwarder.js';
 import type * as randomSource from '../mocks/random-source.js';
@@ -66,28 +66,21 @@
 /** Writes the next configuration. */
 export function publishConfiguration(fleet: SoakFleet): void {
   fleet.version += 1;
-  const names = [...new Set(fleet.credentials.map(({ workspace }) => workspace))];
-  const tenants = names.map((name) => ({
-    name,
-    apiKeys: fleet.credentials
-      .filter(({ workspace }) => workspace === name)
-      .map(({ credential }) => credential),
-    ratePerS: 0,
-    burst: 0,
-  }));
-  fleet.store.put('op/config', gatewayScene.buildConfiguration(fleet.version, { tenants }));
+  standInWire.writeCredentials(fleet.store, fleet.version, fleet.credentials);
 }
 
 /** Writes the entry of a backend server. */
-export function publishBackend(fleet: SoakFleet, backend: SoakBackend, state = 'ready'): void {
-  fleet.store.put(`servers/${backend.server.id}`, {
-    service: 'one',
+export function publishBackend(
+  fleet: SoakFleet,
+  backend: SoakBackend,
+  state: standInWire.ServerFacts['state'] = 'ready',
+): void {
+  standInWire.writeServer(fleet.store, {
+    id: backend.server.id,
     address: `127.0.0.1:${backend.link.port}`,
-    zone: 'zone-1',
     slots: soakServer.SLOTS,
     state,
-    born: backend.born,
-    sequence: 1,
+    bornMs: backend.born,
   });
 }
 
@@ -122,23 +115,20 @@
   const store = await forwarder.startForwarder(fleet.store.port);
   const callers = await forwarder.startForwarder(frontend);
   const settingsFile = path.join(fleet.folder, `gateway-${index}.json`);
-  const base = JSON.parse(gatewayScene.buildSettingsText(store.port)) as { bounds: object };
-  const settings = {
-    ...base,
-    nodeName: `edge-${index}`,
-    ip: peers.addresses[index],
-    listen: { frontend: `127.0.0.1:${frontend}`, readiness: `127.0.0.1:${readiness}` },
-    internalPorts: [peers.port, peers.port],
-    seeds: peers.addresses.map((address) => `${address}:${peers.port}`),
-    bounds: {
-      ...base.bounds,
-      graceS: GRACE_S,
-      revokeMs: REVOCATION_MS,
-      retryRatio: RETRY_RATIO,
-      retryExtra: RETRY_EXTRA,
-    },
-  };
-  fs.writeFileSync(settingsFile, JSON.stringify(settings));
+  const settings = standInWire.buildSettings({
+    name: `edge-${index}`,
+    storePort: store.port,
+    callers: `127.0.0.1:${frontend}`,
+    readiness: `127.0.0.1:${readiness}`,
+    peerAddress: peers.addresses[index],
+    peerAddresses: peers.addresses,
+    peerPort: peers.port,
+    graceS: GRACE_S,
+    revocationMs: REVOCATION_MS,
+    retryRatio: RETRY_RATIO,
+    retryExtra: RETRY_EXTRA,
+  });
+  fs.writeFileSync(settingsFile, settings);
   const logFile = path.join(fleet.folder, `gateway-${index}.log`);
   const parts = { child: undefined, isEnding: false, callers, store };
   fleet.gateways.push({ index, settingsFile, logFile, ...parts });
--- a/packages/proofs/src/soak/soak-server.ts
+++ b/packages/proofs/src/soak/soak-server.ts
@@ -1,6 +1,7 @@
 /** A backend server of a soak: answers well, badly or not at all, and may crash. */
 import type * as net from 'node:net';
 import * as runnerStandIn from '@toucanproxy/platform/mocks/runner-stand-in';
+import * as standInWire from '@toucanproxy/platform/mocks/stand-in-wire';
 import * as randomSource from '../mocks/random-source.js';
 import * as soakRecords from './soak-records.js';
 
@@ -31,26 +32,19 @@
 const SLOW_MS = 400;
 const EVENT_MS = 10;
 
-/** Builds an answer without a body. */
-function buildEmpty(request: runnerStandIn.RunnerRequest, status: string, extra: string[]): string {
-  const id = request.headers.get('x-toucanproxy-attempt-id');
-  const lines = [`HTTP/1.1 ${status}`, `X-Toucanproxy-Attempt-Id: ${id}`, ...extra];
-  return `${[...lines, 'Content-Length: 0'].join('\r\n')}\r\n\r\n`;
-}
-
 /** Notes a request that begins to run. */
 function noteRun(state: ServerState, request: runnerStandIn.RunnerRequest): soakRecords.RunRecord {
-  const { headers } = request;
+  const { attemptId, workspace, hasCredential, resumeAfter } = standInWire.readRequest(request);
   const [method, path] = request.head.split(' ');
   const run = {
-    id: headers.get('x-toucanproxy-attempt-id') ?? '',
+    id: attemptId,
     server: state.id,
     method,
     path,
     body: request.body,
-    workspace: headers.get('x-toucanproxy-tenant') ?? '',
-    hasCredential: headers.has('x-toucanproxy-credential'),
-    resumeAfter: Number(headers.get('last-event-id') ?? 0),
+    workspace,
+    hasCredential,
+    resumeAfter,
     atMs: state.readNow(),
   };
   state.records.runs.push(run);
@@ -94,7 +88,7 @@
   const luck = state.draw();
   const answer = runnerStandIn.buildAnswer(request, `${run.id} for ${run.workspace}`);
   if (luck < FAILED_SHARE) {
-    socket.write(buildEmpty(request, '500 Failed', [runnerStandIn.SIGNATURE]));
+    socket.write(standInWire.buildFailed(request));
   } else if (luck < FAILED_SHARE + CUT_SHARE) {
     socket.write(answer.slice(0, -3), () => socket.resetAndDestroy());
   } else if (luck < FAILED_SHARE + CUT_SHARE + UNFRAMED_SHARE) {
@@ -106,11 +100,11 @@
 
 /** Works on one request. */
 function serve(state: ServerState, request: runnerStandIn.RunnerRequest, socket: net.Socket): void {
-  const id = request.headers.get('x-toucanproxy-attempt-id') ?? '';
+  const { attemptId: id, serverId } = standInWire.readRequest(request);
   const { arrivals } = state.records;
   arrivals.set(id, [...(arrivals.get(id) ?? []), state.readNow()]);
-  if (request.headers.get('x-toucanproxy-expect-instance') !== state.id) {
-    socket.write(buildEmpty(request, '421 Misdirected', ['X-Toucanproxy-Not-Executed: 1']));
+  if (serverId !== state.id) {
+    socket.write(standInWire.buildMisdirected(request));
     return;
   }
   if (state.active >= SLOTS) {
