--- a/packages/core/src/gateway/assignment.test.ts
+++ b/packages/core/src/gateway/assignment.test.ts
@@ -2,7 +2,9 @@
 import * as nodeTest from 'node:test';
 import * as schema from '@toucanproxy/schema';
 import * as assignment from './assignment.js';
+import * as backendServers from './backend-servers.js';
 import * as belief from './belief.js';
+import * as configuration from './configuration.js';
 import * as configurationIndex from './configuration-index.js';
 import * as gatewayState from './gateway-state.js';
 import * as intake from './intake.js';
@@ -147,3 +149,32 @@
   assert.ok(count.otherSent < 0.3 * count.other, JSON.stringify(count));
   assert.ok(Math.max(...heldMs) <= 1600, String(Math.max(...heldMs)));
 });
+
+test('beyond the declared quota goes last', () => {
+  // One workspace sends more than its declared quota, within the tolerance; another
+  // one sends a request of a less urgent tier within its own. A place becomes free:
+  // the surplus of the first must not have the request of the second late.
+  const routes = [buildRoute(), buildRoute({ name: 'later', prefix: '/b/', urgency: 1 })];
+  const state = createBench([], routes);
+  state.bounds.quotaTolerance = { overage: 1, slack: 10_000, windowMs: 8000 };
+  const unit = configuration.QuotaUnit.TOKENS;
+  const quota = { unit, perSecond: 100, burst: 1000, defaultTokens: 10 };
+  const workspaces = [
+    { name: 'w1', credentials: [gatewayBench.KEY], urgency: undefined, quota },
+    { name: 'w2', credentials: ['key-2'], urgency: undefined, quota: undefined },
+  ];
+  const declared = gatewayBench.buildConfiguration(2, routes, workspaces);
+  state.index = configurationIndex.buildConfigurationIndex(declared);
+  intake.admitRequest(state, buildArrived('unknown past'), buildClocks(0));
+  belief.noteConfirmed(state.belief, buildClocks(8000));
+  intake.admitRequest(state, buildArrived('first'), buildClocks(8000));
+  intake.admitRequest(state, buildArrived('surplus'), buildClocks(8000));
+  const within = buildArrived('within', { path: '/b/x', credential: 'key-2' });
+  intake.admitRequest(state, within, buildClocks(8001));
+  backendServers.applyEntry(state.servers, gatewayBench.buildEntry('a', { slots: 2 }));
+  const sent = assignment
+    .assignWaiting(state, buildClocks(8002))
+    .filter(({ kind }) => kind === 'send')
+    .map(({ request }) => request.arrived.attemptId);
+  assert.deepEqual(sent, ['first', 'within']);
+});
--- a/packages/core/src/gateway/gateway-request.ts
+++ b/packages/core/src/gateway/gateway-request.ts
@@ -39,6 +39,8 @@
   workTokens: number;
   /** What it was charged against the quota of its workspace. */
   quotaCost: number;
+  /** Beyond the declared quota of its workspace; only the tolerance lets it in. */
+  isBeyondQuota: boolean;
   /** Version of the configuration that it was last checked against. */
   version: number;
   arrivedMs: number;
--- a/packages/core/src/gateway/gateway-state.ts
+++ b/packages/core/src/gateway/gateway-state.ts
@@ -1,4 +1,5 @@
 /** The state that one gateway task owns. */
+import * as decayingCount from '../shared/decaying-count.js';
 import * as drainRate from '../shared/drain-rate.js';
 import * as rendezvous from '../shared/rendezvous.js';
 import * as retryBudget from '../shared/retry-budget.js';
@@ -19,7 +20,9 @@
 export type ServiceWork = {
   /** Requests of this gateway at its backend servers. */
   inFlight: number;
-  /** Requests that places are shared by, as the peers were last told. */
+  /** Requests that arrived lately, refused ones included. */
+  offered: decayingCount.DecayingCount;
+  /** What places are shared by, as the peers were last told. */
   toldDemand: number;
   queue: waitQueue.WaitQueue;
   /** How fast all requests go, and those of each rank of the queue. */
@@ -98,6 +101,7 @@
 export function getServiceWork(state: GatewayState, service: string): ServiceWork {
   const work = state.services.get(service) ?? {
     inFlight: 0,
+    offered: decayingCount.createDecayingCount(),
     toldDemand: 0,
     queue: waitQueue.createWaitQueue(),
     drain: drainRate.createDrainRate(),
--- a/packages/core/src/gateway/index.ts
+++ b/packages/core/src/gateway/index.ts
@@ -6,6 +6,7 @@
 export * from './configuration.js';
 export * from './configuration-index.js';
 export * from './crash-watch.js';
+export * from './demand.js';
 export * from './engine-pace.js';
 export * from './gateway-request.js';
 export * from './gateway-state.js';
--- a/packages/core/src/gateway/intake.ts
+++ b/packages/core/src/gateway/intake.ts
@@ -5,6 +5,7 @@
 import * as crashWatch from './crash-watch.js';
 import * as configurationIndex from './configuration-index.js';
 import * as configuration from './configuration.js';
+import * as demand from './demand.js';
 import * as gatewayRequest from './gateway-request.js';
 import * as gatewayState from './gateway-state.js';
 import * as refusal from './refusal.js';
@@ -77,6 +78,7 @@
     repeatable: isRepeatable(route),
     workTokens: estimateWork(arrived),
     quotaCost: 0,
+    isBeyondQuota: false,
     version: state.index?.configuration.version ?? 0,
     arrivedMs: now,
     leaveMs: now + Math.min(timeoutMs, route.patienceMs) - WAY_MS,
@@ -114,6 +116,7 @@
     return { ...told, quota: decision.reading };
   }
   request.quotaCost = cost;
+  request.isBeyondQuota = decision.isBeyondDeclared;
   return undefined;
 }
 
@@ -158,6 +161,7 @@
     return { kind: 'refused', refusal: limit };
   }
   state.requests.set(request.serial, request);
+  demand.noteOffered(state, service, now);
   retryBudget.noteFirstAttempt(gatewayState.getServiceWork(state, service).retries, now);
   if (!waiting.enqueueRequest(state, request, now)) {
     requestEnd.endWithoutRun(state, request);
--- a/packages/core/src/gateway/peer-view.ts
+++ b/packages/core/src/gateway/peer-view.ts
@@ -17,7 +17,7 @@
   used: Map<string, number>;
   /** Requests in flight by backend server. */
   inFlight: Map<string, number>;
-  /** Requests sent, or waiting and still on time, by service. */
+  /** Requests that the sender was asked for lately, by service. */
   demand: Map<string, number>;
   /** Other gateways that the sender hears. */
   peers: string[];
--- a/packages/core/src/gateway/token-quota.ts
+++ b/packages/core/src/gateway/token-quota.ts
@@ -11,6 +11,8 @@
 
 type Bucket = {
   level: number;
+  /** The same of the declared quota, without its tolerance. */
+  declaredLevel: number;
   updatedMs: number;
   /** Admitted here since the start. */
   used: number;
@@ -39,13 +41,17 @@
   const level = quota.initialBurst * share;
   const bucket = book.buckets.get(workspace) ?? {
     level,
+    declaredLevel: level,
     updatedMs: now,
     used: 0,
     askedMs: new Map(),
   };
   book.buckets.set(workspace, bucket);
-  const grown = (Math.max(now - bucket.updatedMs, 0) * quota.perSecond * share) / MS_PER_SECOND;
-  bucket.level = Math.min(bucket.level + grown, burst);
+  const seconds = (Math.max(now - bucket.updatedMs, 0) * share) / MS_PER_SECOND;
+  const { declared } = quota;
+  bucket.level = Math.min(bucket.level + quota.perSecond * seconds, burst);
+  const declaredLevel = bucket.declaredLevel + declared.perSecond * seconds;
+  bucket.declaredLevel = Math.min(declaredLevel, declared.burst * share);
   bucket.updatedMs = now;
   return bucket;
 }
@@ -64,6 +70,7 @@
 export type QuotaLimit = configuration.Quota & {
   /** What a workspace may use at once when nothing is known of its past. */
   initialBurst: number;
+  declared: { perSecond: number; burst: number };
 };
 
 /** Part of a tolerance that widens the burst; the rest widens the rate. */
@@ -85,18 +92,18 @@
   quota: configuration.Quota,
   { overage, slack, windowMs }: QuotaTolerance,
 ): QuotaLimit {
-  const initialBurst = quota.burst;
+  const { perSecond, burst } = quota;
+  const raised = { ...quota, initialBurst: burst, declared: { perSecond, burst } };
   if (windowMs <= 0) {
-    return { ...quota, initialBurst };
+    return raised;
   }
   const windowS = windowMs / MS_PER_SECOND;
   const declared = quota.perSecond * windowS + quota.burst;
   const tolerated = declared * overage + slack;
   return {
-    ...quota,
+    ...raised,
     perSecond: quota.perSecond + (tolerated * (1 - TOLERANCE_BURST_SHARE)) / windowS,
     burst: quota.burst + tolerated * TOLERANCE_BURST_SHARE,
-    initialBurst,
   };
 }
 
@@ -119,6 +126,18 @@
   share: number;
 };
 
+/**
+ * Takes an amount from a bucket.
+ *
+ * What the tolerance let in is not held against a workspace for long: its declared
+ * level is bounded below. Without the bound a workspace that was beyond its quota for
+ * ten seconds would stand behind the others for ten more.
+ */
+function lowerLevels(bucket: Bucket, amount: number): void {
+  bucket.level -= amount;
+  bucket.declaredLevel = Math.max(bucket.declaredLevel - amount, Math.min(-amount, 0));
+}
+
 /** What a quota is asked for. */
 export type QuotaClaim = {
   workspace: string;
@@ -158,7 +177,8 @@
 }
 
 export type QuotaDecision =
-  { kind: 'within' } | { kind: 'beyond'; retryAfterMs: number; reading: QuotaReading };
+  | { kind: 'within'; /** Only the tolerance lets it in. */ isBeyondDeclared: boolean }
+  | { kind: 'beyond'; retryAfterMs: number; reading: QuotaReading };
 
 /**
  * Charges a workspace for a request, where its quota allows it.
@@ -187,17 +207,18 @@
     const reading = { workspace, cost, needed, level, perSecond, burst, share };
     return { kind: 'beyond', retryAfterMs, reading };
   }
-  bucket.level -= cost;
+  const isBeyondDeclared = bucket.declaredLevel < 0;
   bucket.used += cost;
-  return { kind: 'within' };
+  lowerLevels(bucket, cost);
+  return { kind: 'within', isBeyondDeclared };
 }
 
 /** Gives back what was charged for a request that was not run. */
 export function releaseQuota(book: QuotaBook, workspace: string, cost: number): void {
   const bucket = book.buckets.get(workspace);
   if (bucket !== undefined) {
-    bucket.level += cost;
     bucket.used -= cost;
+    lowerLevels(bucket, -cost);
   }
 }
 
@@ -205,7 +226,7 @@
 export function applyPeerUse(book: QuotaBook, workspace: string, cost: number): void {
   const bucket = book.buckets.get(workspace);
   if (bucket !== undefined) {
-    bucket.level -= cost;
+    lowerLevels(bucket, cost);
   }
 }
 
--- a/packages/core/src/gateway/waiting.ts
+++ b/packages/core/src/gateway/waiting.ts
@@ -16,6 +16,13 @@
 
 /** Added to the rank of a late request; more urgencies than any deployment has. */
 const LATE_RANK = 1024;
+/**
+ * Added to the rank of a request beyond the declared quota of its workspace that only
+ * the tolerance lets in. Load pattern: a workspace sends a little more than its quota
+ * while engines are nearly full. In line with the others, its surplus has requests of
+ * workspaces within their quotas late.
+ */
+const BEYOND_QUOTA_RANK = 512;
 /** Prompt tokens that an engine reads in a millisecond, until its pace is known. */
 const PROMPT_TOKENS_PER_MS = 40;
 /** Time to a first token besides the prompt: network, batch, one step; milliseconds. */
@@ -34,6 +41,11 @@
 /** How often a late request is looked at again, milliseconds. */
 const CHECK_MS = 200;
 
+/** Tells whether requests of a rank wait late. */
+export function isLateRank(rank: number): boolean {
+  return rank >= LATE_RANK;
+}
+
 /** Estimates the time from sending to the first token at an idle engine, milliseconds. */
 export function estimateFirstMs(request: gatewayRequest.GatewayRequest): number {
   const prompt = request.arrived.tokens?.prompt ?? 0;
@@ -96,16 +108,16 @@
   request: gatewayRequest.GatewayRequest,
   now: number,
 ): { rank: number; dueMs: number } | undefined {
-  const { urgency } = request;
+  const onTimeRank = request.urgency + (request.isBeyondQuota ? BEYOND_QUOTA_RANK : 0);
   const firstMs = estimateBusyFirstMs(work, request, now);
   const lateMs = request.targetMs - firstMs;
   if (
     now < lateMs &&
-    estimateWaitMs(work, urgency, request.workspace, now) <= HOLD_SHARE * (lateMs - now)
+    estimateWaitMs(work, onTimeRank, request.workspace, now) <= HOLD_SHARE * (lateMs - now)
   ) {
-    return { rank: urgency, dueMs: lateMs };
+    return { rank: onTimeRank, dueMs: lateMs };
   }
-  const rank = LATE_RANK + urgency;
+  const rank = LATE_RANK + onTimeRank;
   const leftMs = request.leaveMs - firstMs - now;
   return leftMs <= 0 || estimateWaitMs(work, rank, request.workspace, now) > HOLD_SHARE * leftMs
     ? undefined
@@ -159,7 +171,7 @@
   request: gatewayRequest.GatewayRequest,
   now: number,
 ): boolean {
-  const isLate = item.rank >= LATE_RANK;
+  const isLate = isLateRank(item.rank);
   const leftMs = request.leaveMs - estimateBusyFirstMs(work, request, now) - now;
   if (!isLate || leftMs <= 0 || isStalled(work, item.rank, now)) {
     return false;
@@ -184,7 +196,7 @@
       return [];
     }
     removeRequest(state, request);
-    const isMoved = item.rank < LATE_RANK && enqueueRequest(state, request, now);
+    const isMoved = !isLateRank(item.rank) && enqueueRequest(state, request, now);
     return isMoved ? [] : [request];
   });
 }
@@ -201,22 +213,3 @@
   overloads.noteRefusal(overload, now);
   return overloads.drawRetryAfter(overload, drainMs, state.drawRandom, now);
 }
-
-/**
- * Notes the requests that places are shared by, and lists them for a report: those
- * sent, and those that wait and can still be on time. Load pattern: all gateways
- * have a queue. Where late requests count, a gateway with many of them takes the
- * places that would have others' on time.
- *
- * Shares are worked out from what was told, also here. With the present number
- * each gateway would take a larger share at once, while the others give theirs
- * up only with the next report.
- */
-export function updateToldDemand(state: gatewayState.GatewayState): Map<string, number> {
-  state.services.forEach((work) => {
-    const onTime = work.queue.items.filter(({ rank }) => rank < LATE_RANK).length;
-    work.toldDemand = work.inFlight + onTime;
-  });
-  const all = [...state.services].map(([service, work]) => [service, work.toldDemand] as const);
-  return new Map(all.filter(([, demand]) => demand > 0));
-}
--- a/packages/gateway/src/peer-task.ts
+++ b/packages/gateway/src/peer-task.ts
@@ -55,7 +55,7 @@
   const inFlight = [...state.loads]
     .filter(([, load]) => load.inFlight > 0)
     .map(([serverId, load]) => ({ serverId, requests: load.inFlight }));
-  const demand = [...gateway.updateToldDemand(state)].map(([service, requests]) => ({
+  const demand = [...gateway.updateToldDemand(state, readNow())].map(([service, requests]) => ({
     service,
     requests,
   }));
--- a/packages/measure/src/gateway-load/load-pattern.ts
+++ b/packages/measure/src/gateway-load/load-pattern.ts
@@ -24,6 +24,10 @@
   computeRate: (atMs: number) => number;
   /** Share of the requests that the first two of the workspaces send. */
   hotShare: number;
+  /** How unevenly calls are spread over gateways; 1 is evenly. */
+  skew: number;
+  /** From when on the worst is over, milliseconds. */
+  calmFromMs: number;
   events: FleetEvent[];
 };
 
@@ -61,6 +65,7 @@
 const DURATION_MS = 12_000;
 const BURST_FROM_MS = 2000;
 const BURST_UNTIL_MS = 8000;
+const SHORT_BURST_UNTIL_MS = 4000;
 
 /** Gives the rate of a calm load with a burst in it. */
 function computeBurst(atMs: number): number {
@@ -69,7 +74,14 @@
 
 /** Builds a pattern from what differs from a calm load. */
 function buildPattern(name: string, changes: Partial<LoadPattern>): LoadPattern {
-  const calm = { durationMs: DURATION_MS, computeRate: () => CALM, hotShare: 0, events: [] };
+  const calm = {
+    durationMs: DURATION_MS,
+    computeRate: () => CALM,
+    hotShare: 0,
+    skew: 1,
+    calmFromMs: DURATION_MS,
+    events: [],
+  };
   return { name, ...calm, ...changes };
 }
 
@@ -87,4 +99,9 @@
     computeRate: () => 1.5 * CALM,
     events: [{ kind: 'enginesFail', atMs: 2000, share: 0.25, forMs: 8000 }],
   }),
+  buildPattern('calm after a short burst, calls spread unevenly', {
+    computeRate: (atMs) => (atMs >= BURST_FROM_MS && atMs < SHORT_BURST_UNTIL_MS ? BURST : CALM),
+    skew: 1.5,
+    calmFromMs: 6000,
+  }),
 ];
--- a/packages/measure/src/gateway-load/replay-world.ts
+++ b/packages/measure/src/gateway-load/replay-world.ts
@@ -19,6 +19,8 @@
   knowledge: Knowledge;
   gateways: number;
   engines: number;
+  /** Requests that one engine works on at once. */
+  slots: number;
   seed: number;
 };
 
@@ -29,6 +31,9 @@
   /** Requests of the workspaces that are not hot, in time and asked. */
   quietInTime: number;
   quietAsked: number;
+  /** Tries after the worst was over, and those among them that were served, by gateway. */
+  calmTries: number[];
+  calmServed: number[];
   /** Most requests that one engine had at a time. */
   mostAtEngine: number;
 };
@@ -65,7 +70,7 @@
 const SLOWNESS = [1, 1, 4];
 
 /** Builds the configuration: a route for each kind. */
-function buildConfiguration(): gateway.Configuration {
+function buildConfiguration(slots: number): gateway.Configuration {
   const routes = loadPattern.KINDS.map((kind) => ({
     name: kind.name,
     hostname: 'h',
@@ -80,7 +85,7 @@
     isPublic: false,
     resumable: false,
   }));
-  const engine = { slots: engineModel.SLOTS, tokensPerEvent: engineModel.TOKENS_PER_EVENT };
+  const engine = { slots, tokensPerEvent: engineModel.TOKENS_PER_EVENT };
   const workspaces = Array.from({ length: WORKSPACES }, (_, index) => ({
     name: `w${index}`,
     credentials: [`key-${index}`],
@@ -112,7 +117,7 @@
     retryExtra: 40,
   };
   const state = gateway.createGatewayState(`10.0.0.${index}:1`, 'd', bounds, world.draw);
-  state.index = gateway.buildConfigurationIndex(buildConfiguration());
+  state.index = gateway.buildConfigurationIndex(buildConfiguration(world.options.slots));
   gateway.noteConfirmed(state.belief, readClocks(world));
   world.engines.forEach(({ id }) =>
     gateway.applyEntry(state.servers, {
@@ -120,7 +125,7 @@
       service: SERVICE,
       address: id,
       failureDomain: 'd',
-      slots: engineModel.SLOTS,
+      slots: world.options.slots,
       leaving: false,
       bornMs: 1,
     }),
@@ -128,6 +133,18 @@
   return state;
 }
 
+/** Creates an empty result. */
+function createResult(gateways: number): ReplayResult {
+  return {
+    byKind: new Map(),
+    quietInTime: 0,
+    quietAsked: 0,
+    calmTries: Array.from({ length: gateways }, () => 0),
+    calmServed: Array.from({ length: gateways }, () => 0),
+    mostAtEngine: 0,
+  };
+}
+
 /** Creates the fleet of a replay. */
 export function createWorld(options: ReplayOptions): World {
   const world: World = {
@@ -135,11 +152,11 @@
     draw: proofs.createRandomSource(options.seed),
     states: [],
     engines: Array.from({ length: options.engines }, (_, index) =>
-      engineModel.createEngine(`engine-${index}`, SLOWNESS[index % SLOWNESS.length]),
+      engineModel.createEngine(`engine-${index}`, SLOWNESS[index % SLOWNESS.length], options.slots),
     ),
     live: new Map(),
     due: [],
-    result: { byKind: new Map(), quietInTime: 0, quietAsked: 0, mostAtEngine: 0 },
+    result: createResult(options.gateways),
     sequence: 0,
     nowMs: 0,
   };
--- a/packages/measure/src/gateway-load/replay.ts
+++ b/packages/measure/src/gateway-load/replay.ts
@@ -30,6 +30,11 @@
   return workspace >= HOT_WORKSPACES;
 }
 
+/** Tells whether the worst of the load has been over for some time. */
+function isCalm({ options, nowMs }: replayWorld.World): boolean {
+  return nowMs >= options.pattern.calmFromMs;
+}
+
 /** Counts a call whose first event has come. */
 function noteFirst(world: replayWorld.World, call: replayWorld.Call, atMs: number): void {
   const isInTime = atMs - call.firstSentMs <= call.kind.targetMs;
@@ -52,9 +57,15 @@
   world.due.push({ ...call, dueMs: world.nowMs + retryAfterMs });
 }
 
+/** Draws a gateway as a balancer does that knows no load: some get more than others. */
+function pickGateway({ draw, states, options }: replayWorld.World): number {
+  return Math.floor(draw() ** options.pattern.skew * states.length);
+}
+
 /** Sends a call to a gateway that the balancer draws. */
 function sendCall(world: replayWorld.World, call: replayWorld.Call): void {
-  const index = Math.floor(world.draw() * world.states.length);
+  const index = pickGateway(world);
+  world.result.calmTries[index] += Number(isCalm(world));
   const state = world.states[index];
   const { kind } = call;
   const tried = { ...call, tries: call.tries + 1 };
@@ -152,6 +163,7 @@
     world.live.delete(run.id);
     const state = world.states[live.gateway];
     noteFirst(world, live.call, run.firstMs);
+    world.result.calmServed[live.gateway] += Number(isCalm(world));
     if (knowledge.firstEvents) {
       gateway.noteFirstEvent(state, live.request, run.firstMs - run.startedMs, world.nowMs);
     }
@@ -175,7 +187,7 @@
     leaving: false,
     used: new Map<string, number>(),
     inFlight: new Map([...state.loads].map(([id, load]) => [id, load.inFlight])),
-    demand: gateway.updateToldDemand(state),
+    demand: gateway.updateToldDemand(state, world.nowMs),
     peers: [],
   }));
   world.states.forEach((state) =>
