--- a/packages/core/src/gateway/intake.ts
+++ b/packages/core/src/gateway/intake.ts
@@ -8,6 +8,7 @@
 import * as demand from './demand.js';
 import * as gatewayRequest from './gateway-request.js';
 import * as gatewayState from './gateway-state.js';
+import * as peerView from './peer-view.js';
 import * as refusal from './refusal.js';
 import * as requestEnd from './request-end.js';
 import * as rights from './rights.js';
@@ -106,11 +107,12 @@
   }
   const { tokens } = request.arrived;
   const cost = tokenQuota.computeCost(quota, tokens && tokens.prompt + tokens.answer);
-  const share = gatewayState.computeShare(state, now);
+  const gateways = peerView.countGateways(state.peers);
+  const fleet = { share: gatewayState.computeShare(state, now), gateways };
   const { workspace } = request;
   const widened = tokenQuota.raiseQuota(quota, state.bounds.quotaTolerance);
   const claim = { workspace, cost, urgency: request.route.urgency };
-  const decision = tokenQuota.takeQuota(state.quotas, widened, claim, share, now);
+  const decision = tokenQuota.takeQuota(state.quotas, widened, claim, fleet, now);
   if (decision.kind === 'beyond') {
     const told = refusal.buildRefusal(schema.ResultCode.QUOTA_SPENT, decision.retryAfterMs);
     return { ...told, quota: decision.reading };
--- a/packages/core/src/gateway/peer-view.ts
+++ b/packages/core/src/gateway/peer-view.ts
@@ -68,6 +68,12 @@
 /** What a peer has only heard of is kept for this long, milliseconds. */
 const HEARSAY_MS = 5000;
 
+/**
+ * A peer is young for this long after its start, milliseconds: the window over which
+ * the users' quotas hold. It sends a report each `REPORT_MS`, numbered from its start.
+ */
+const YOUNG_MS = 8000;
+
 /** Creates a view of nobody. */
 export function createPeerView(): PeerView {
   return { byAddress: new Map(), hearsay: new Map(), sums: undefined };
@@ -79,14 +85,17 @@
 /**
  * Lists what a report adds to what was known of its sender.
  *
- * The first report of a peer adds nothing: its totals may be hours old, and a
- * gateway that has just started would refuse everybody until they are paid off.
+ * The first report of a peer that has run for long adds nothing: its totals may be
+ * hours old, and a gateway that has just started would refuse everybody until they are
+ * paid off. All that a young one has used is recent and counts. Otherwise, after all
+ * gateways were killed, each admitted unheard until it had heard the others: with 26
+ * of them a workspace got a third of a window's limit on top of it.
  */
 function listIncreases(known: Peer | undefined, report: PeerReport): UseIncrease[] {
-  if (known === undefined) {
+  if (known === undefined && report.sequence * REPORT_MS > YOUNG_MS) {
     return [];
   }
-  const before = known.life === report.life ? known.used : undefined;
+  const before = known?.life === report.life ? known.used : undefined;
   return [...report.used].map(([workspace, total]) => ({
     workspace,
     amount: total - (before?.get(workspace) ?? 0),
--- a/packages/core/src/gateway/token-quota.test.ts
+++ b/packages/core/src/gateway/token-quota.test.ts
@@ -22,7 +22,13 @@
   now: number,
   urgency = 0,
 ): tokenQuota.QuotaDecision {
-  return tokenQuota.takeQuota(book, quota, { workspace: 'w', cost, urgency }, share, now);
+  return tokenQuota.takeQuota(
+    book,
+    quota,
+    { workspace: 'w', cost, urgency },
+    { share, gateways: 1 },
+    now,
+  );
 }
 
 /** Takes requests of 100 tokens and counts those that are within the quota. */
@@ -177,6 +183,32 @@
   ]);
 });
 
+test('young peers are charged at once', () => {
+  // All gateways were killed and start at the same moment. Until they hear each other
+  // each admits by itself; what a peer has admitted in its first seconds counts as
+  // soon as it is heard, or a workspace gets that on top of its limit.
+  const view = peerView.createPeerView();
+  assert.deepEqual(peerView.applyReport(view, buildReport(2, 300), 0), [
+    { workspace: 'w', amount: 300 },
+  ]);
+});
+
+test('gateways that restart in turn', () => {
+  // Twenty-six gateways restart one after the other while a workspace is beyond its
+  // quota. Each begins with its part of the burst; all together give out one.
+  const gateways = 26;
+  const claim = { workspace: 'w', cost: 10, urgency: 0 };
+  let used = 0;
+  for (let index = 0; index < gateways; index += 1) {
+    const book = tokenQuota.createQuotaBook();
+    const fleet = { share: 1, gateways };
+    while (tokenQuota.takeQuota(book, QUOTA, claim, fleet, 0).kind === 'within') {
+      used += claim.cost;
+    }
+  }
+  assert.ok(used <= QUOTA.burst, String(used));
+});
+
 test('many peers are heard less often', () => {
   // Reports go to sixteen peers in turn, so that among 410 gateways each is heard
   // every five seconds. Taken as silent in between, nearly the whole of each quota
--- a/packages/core/src/gateway/token-quota.ts
+++ b/packages/core/src/gateway/token-quota.ts
@@ -34,11 +34,11 @@
   book: QuotaBook,
   workspace: string,
   quota: QuotaLimit,
-  share: number,
+  { share, gateways }: QuotaFleet,
   now: number,
 ): Bucket {
   const burst = quota.burst * share;
-  const level = quota.initialBurst * share;
+  const level = (quota.initialBurst * share) / gateways;
   const bucket = book.buckets.get(workspace) ?? {
     level,
     declaredLevel: level,
@@ -85,8 +85,9 @@
  * requests of three calm days (3,900 requests) were lost, 18 with the limit of a window.
  *
  * A gateway that has just started knows nothing of the window before it. It begins
- * with the declared burst: with the raised one, what was used before and after a
- * restart of all gateways would add up beyond the limit of one window.
+ * with its part of the declared burst: with the raised one, what was used before and
+ * after a restart of all gateways would add up beyond the limit of one window, and with
+ * the whole one, gateways that restart in turn would each give a burst out again.
  */
 export function raiseQuota(
   quota: configuration.Quota,
@@ -138,6 +139,14 @@
   bucket.declaredLevel = Math.max(bucket.declaredLevel - amount, Math.min(-amount, 0));
 }
 
+/** What is known of the gateways that a quota holds for together. */
+export type QuotaFleet = {
+  /** Part of the quota that this gateway may use by itself, next to silent ones. */
+  share: number;
+  /** Gateways that may be serving, this one included. */
+  gateways: number;
+};
+
 /** What a quota is asked for. */
 export type QuotaClaim = {
   workspace: string;
@@ -169,7 +178,7 @@
   bucket: Bucket,
   { burst }: QuotaLimit,
   { cost, urgency }: QuotaClaim,
-  share: number,
+  { share }: QuotaFleet,
   now: number,
 ): number {
   const reserve = RESERVE ** countMoreUrgent(bucket, urgency, now);
@@ -186,20 +195,20 @@
  * A bucket that is full admits a request larger than itself; it would never run
  * otherwise. The debt is paid back before the next one.
  *
- * @param share the part of the quota that this gateway may use
  */
 export function takeQuota(
   book: QuotaBook,
   quota: QuotaLimit,
   claim: QuotaClaim,
-  share: number,
+  fleet: QuotaFleet,
   now: number,
 ): QuotaDecision {
   const { workspace, cost, urgency } = claim;
-  const bucket = getBucket(book, workspace, quota, share, now);
+  const bucket = getBucket(book, workspace, quota, fleet, now);
   bucket.askedMs.set(urgency, now);
-  const needed = computeNeeded(bucket, quota, claim, share, now);
+  const needed = computeNeeded(bucket, quota, claim, fleet, now);
   if (bucket.level < needed) {
+    const { share } = fleet;
     const perMs = (quota.perSecond * share) / MS_PER_SECOND;
     const retryAfterMs = perMs > 0 ? (needed - bucket.level) / perMs : Infinity;
     const { level } = bucket;
