--- a/packages/core/src/gateway/gateway-state.ts
+++ b/packages/core/src/gateway/gateway-state.ts
@@ -53,6 +53,8 @@
   failureDomain: string;
   bounds: GatewayBounds;
   drawRandom: () => number;
+  /** When the process started, milliseconds. */
+  startedMs: number;
   index: configurationIndex.ConfigurationIndex | undefined;
   belief: belief.Belief;
   servers: backendServers.BackendServers;
@@ -76,12 +78,14 @@
   failureDomain: string,
   bounds: GatewayBounds,
   drawRandom: () => number,
+  now: number,
 ): GatewayState {
   return {
     address,
     failureDomain,
     bounds,
     drawRandom,
+    startedMs: now,
     index: undefined,
     belief: belief.createBelief(),
     servers: backendServers.createBackendServers(),
--- a/packages/core/src/gateway/intake.ts
+++ b/packages/core/src/gateway/intake.ts
@@ -108,7 +108,8 @@
   const { tokens } = request.arrived;
   const cost = tokenQuota.computeCost(quota, tokens && tokens.prompt + tokens.answer);
   const gateways = peerView.countGateways(state.peers);
-  const fleet = { share: gatewayState.computeShare(state, now), gateways };
+  const { startedMs } = state;
+  const fleet = { share: gatewayState.computeShare(state, now), gateways, startedMs };
   const { workspace } = request;
   const widened = tokenQuota.raiseQuota(quota, state.bounds.quotaTolerance);
   const claim = { workspace, cost, urgency: request.route.urgency };
--- a/packages/core/src/gateway/mocks/gateway-bench.ts
+++ b/packages/core/src/gateway/mocks/gateway-bench.ts
@@ -85,7 +85,7 @@
     retryPercent: 20,
     retryExtra: 10,
   };
-  const state = gatewayState.createGatewayState(ADDRESS, 'd1', bounds, () => 0.5);
+  const state = gatewayState.createGatewayState(ADDRESS, 'd1', bounds, () => 0.5, 0);
   state.index = configurationIndex.buildConfigurationIndex(buildConfiguration(1, routes));
   belief.noteConfirmed(state.belief, buildClocks(0));
   ids.forEach((id) => backendServers.applyEntry(state.servers, buildEntry(id)));
--- a/packages/core/src/gateway/token-quota.test.ts
+++ b/packages/core/src/gateway/token-quota.test.ts
@@ -26,7 +26,7 @@
     book,
     quota,
     { workspace: 'w', cost, urgency },
-    { share, gateways: 1 },
+    { share, gateways: 1, startedMs: now },
     now,
   );
 }
@@ -201,7 +201,7 @@
   let used = 0;
   for (let index = 0; index < gateways; index += 1) {
     const book = tokenQuota.createQuotaBook();
-    const fleet = { share: 1, gateways };
+    const fleet = { share: 1, gateways, startedMs: 0 };
     while (tokenQuota.takeQuota(book, QUOTA, claim, fleet, 0).kind === 'within') {
       used += claim.cost;
     }
@@ -209,6 +209,18 @@
   assert.ok(used <= QUOTA.burst, String(used));
 });
 
+test('filled since the start, where nobody used it', () => {
+  // A gateway has run for ten seconds when a workspace asks for the first time. Its
+  // whole burst is there, unless peers have admitted requests of the workspace.
+  const fleet = { share: 1, gateways: 4, startedMs: 0 };
+  const claim = { workspace: 'w', cost: QUOTA.burst, urgency: 0 };
+  const unused = tokenQuota.createQuotaBook();
+  assert.equal(tokenQuota.takeQuota(unused, QUOTA, claim, fleet, 10_000).kind, 'within');
+  const used = tokenQuota.createQuotaBook();
+  tokenQuota.applyPeerUse(used, 'w', 10);
+  assert.equal(tokenQuota.takeQuota(used, QUOTA, claim, fleet, 10_000).kind, 'beyond');
+});
+
 test('many peers are heard less often', () => {
   // Reports go to sixteen peers in turn, so that among 410 gateways each is heard
   // every five seconds. Taken as silent in between, nearly the whole of each quota
--- a/packages/core/src/gateway/token-quota.ts
+++ b/packages/core/src/gateway/token-quota.ts
@@ -21,12 +21,55 @@
 };
 
 const MS_PER_SECOND = 1000;
+/** A workspace beyond its declared quota is within it again after this time, seconds. */
+const LONGEST_DEBT_S = 1;
 
-export type QuotaBook = { buckets: Map<string, Bucket> };
+export type QuotaBook = {
+  buckets: Map<string, Bucket>;
+  /** Workspaces that peers admitted before anything was asked for here. */
+  usedByPeers: Set<string>;
+};
 
 /** Creates a book in which nothing was used. */
 export function createQuotaBook(): QuotaBook {
-  return { buckets: new Map() };
+  return { buckets: new Map(), usedByPeers: new Set() };
+}
+
+/**
+ * Computes what is left of the declared quota after a time.
+ *
+ * What the tolerance let in is not held against a workspace for long: the level is
+ * bounded below. Without the bound a workspace that was at twice its quota for ten
+ * seconds would stand behind the others for ten more.
+ */
+function computeDeclaredLevel(
+  { declaredLevel }: Bucket,
+  { declared }: QuotaLimit,
+  seconds: number,
+  share: number,
+): number {
+  const lowest = -declared.perSecond * share * LONGEST_DEBT_S;
+  const grown = Math.max(declaredLevel, lowest) + declared.perSecond * seconds;
+  return Math.min(grown, declared.burst * share);
+}
+
+/**
+ * Creates the bucket of a workspace for which nothing was asked here.
+ *
+ * Where no peer admitted anything for it either, it has been filling up since this
+ * gateway started: begun at the first request, the first seconds of a day refused
+ * requests within their quotas (0.821 of a calm day's worth, 0.802 without).
+ */
+function createBucket(
+  book: QuotaBook,
+  workspace: string,
+  { initialBurst }: QuotaLimit,
+  { share, gateways, startedMs }: QuotaFleet,
+  now: number,
+): Bucket {
+  const level = (initialBurst * share) / gateways;
+  const updatedMs = book.usedByPeers.has(workspace) ? now : startedMs;
+  return { level, declaredLevel: level, updatedMs, used: 0, askedMs: new Map() };
 }
 
 /** Gets the bucket of a workspace, filled up to the present time. */
@@ -34,24 +77,16 @@
   book: QuotaBook,
   workspace: string,
   quota: QuotaLimit,
-  { share, gateways }: QuotaFleet,
+  fleet: QuotaFleet,
   now: number,
 ): Bucket {
+  const { share } = fleet;
   const burst = quota.burst * share;
-  const level = (quota.initialBurst * share) / gateways;
-  const bucket = book.buckets.get(workspace) ?? {
-    level,
-    declaredLevel: level,
-    updatedMs: now,
-    used: 0,
-    askedMs: new Map(),
-  };
+  const bucket = book.buckets.get(workspace) ?? createBucket(book, workspace, quota, fleet, now);
   book.buckets.set(workspace, bucket);
   const seconds = (Math.max(now - bucket.updatedMs, 0) * share) / MS_PER_SECOND;
-  const { declared } = quota;
   bucket.level = Math.min(bucket.level + quota.perSecond * seconds, burst);
-  const declaredLevel = bucket.declaredLevel + declared.perSecond * seconds;
-  bucket.declaredLevel = Math.min(declaredLevel, declared.burst * share);
+  bucket.declaredLevel = computeDeclaredLevel(bucket, quota, seconds, share);
   bucket.updatedMs = now;
   return bucket;
 }
@@ -127,16 +162,10 @@
   share: number;
 };
 
-/**
- * Takes an amount from a bucket.
- *
- * What the tolerance let in is not held against a workspace for long: its declared
- * level is bounded below. Without the bound a workspace that was beyond its quota for
- * ten seconds would stand behind the others for ten more.
- */
+/** Takes an amount from a bucket. */
 function lowerLevels(bucket: Bucket, amount: number): void {
   bucket.level -= amount;
-  bucket.declaredLevel = Math.max(bucket.declaredLevel - amount, Math.min(-amount, 0));
+  bucket.declaredLevel -= amount;
 }
 
 /** What is known of the gateways that a quota holds for together. */
@@ -145,6 +174,8 @@
   share: number;
   /** Gateways that may be serving, this one included. */
   gateways: number;
+  /** When this gateway started, milliseconds. */
+  startedMs: number;
 };
 
 /** What a quota is asked for. */
@@ -194,7 +225,6 @@
  *
  * A bucket that is full admits a request larger than itself; it would never run
  * otherwise. The debt is paid back before the next one.
- *
  */
 export function takeQuota(
   book: QuotaBook,
@@ -236,6 +266,8 @@
   const bucket = book.buckets.get(workspace);
   if (bucket !== undefined) {
     lowerLevels(bucket, cost);
+  } else if (cost > 0) {
+    book.usedByPeers.add(workspace);
   }
 }
 
--- a/packages/gateway/src/app.ts
+++ b/packages/gateway/src/app.ts
@@ -142,6 +142,7 @@
     settings.failureDomain,
     buildBounds(settings),
     Math.random,
+    clocks.readSteadyMs(),
   );
   return {
     state,
--- a/packages/measure/src/gateway-load/replay-world.ts
+++ b/packages/measure/src/gateway-load/replay-world.ts
@@ -116,7 +116,13 @@
     retryPercent: 16,
     retryExtra: 40,
   };
-  const state = gateway.createGatewayState(`10.0.0.${index}:1`, 'd', bounds, world.draw);
+  const state = gateway.createGatewayState(
+    `10.0.0.${index}:1`,
+    'd',
+    bounds,
+    world.draw,
+    world.nowMs,
+  );
   state.index = gateway.buildConfigurationIndex(buildConfiguration(world.options.slots));
   gateway.noteConfirmed(state.belief, readClocks(world));
   world.engines.forEach(({ id }) =>
