Fill a bucket until peers used it, and charge what they used

Cause: a workspace that nobody had asked for here began with its part of a burst at the first request, where peers had admitted anything before. Now the bucket has been filling up since the start and what peers used is taken off, as if it had been there all the time.

--- a/packages/core/src/gateway/scheduler-ranking.ts
+++ b/packages/core/src/gateway/scheduler-ranking.ts
@@ -5,6 +5,8 @@
 export type SchedulerRanking = {
   computedMs: number;
   revision: number;
+  /** Part of the gateways that are remembered, this one included, that are heard. */
+  heardShare: number;
   /** Gateways that may schedule, and their order for each cell so far. */
   addresses: string[];
   byCell: Map<string, string[]>;
@@ -41,6 +43,7 @@
   return {
     computedMs: -Infinity,
     revision: -1,
+    heardShare: 1,
     addresses: [],
     byCell: new Map(),
     silentUntilMs: new Map(),
@@ -72,6 +75,8 @@
   }
   ranking.computedMs = now;
   ranking.revision = view.revision;
+  const all = peerView.countGateways(view);
+  ranking.heardShare = (all - peerView.countSilent(view, now)) / all;
   const addresses = listSchedulers(view, own, now).sort();
   if (addresses.join() !== ranking.addresses.join()) {
     ranking.addresses = addresses;
@@ -112,8 +117,7 @@
   ranking.byCell.set(cellName, order);
   const passed = order.findIndex((one) => one === own.address || !isSilent(ranking, one, now));
   const address = passed === -1 ? own.address : order[passed];
-  const all = peerView.countGateways(view);
-  const heard = all - peerView.countSilent(view, now);
-  const isCutOff = passed === -1 || passed > CUT_OFF_PASSED || heard < CUT_OFF_HEARD * all;
-  return { address, placeShare: isCutOff ? heard / all : 1 };
+  const { heardShare } = ranking;
+  const isCutOff = passed === -1 || passed > CUT_OFF_PASSED || heardShare < CUT_OFF_HEARD;
+  return { address, placeShare: isCutOff ? heardShare : 1 };
 }
--- a/packages/core/src/gateway/token-quota.test.ts
+++ b/packages/core/src/gateway/token-quota.test.ts
@@ -104,7 +104,7 @@
     within += taken[0] + taken[1];
     books.forEach((book, index) => {
       const used = tokenQuota.listUse(book, 1)[0]?.used ?? 0;
-      tokenQuota.applyPeerUse(books[1 - index], 'w', used - told[index]);
+      tokenQuota.applyPeerUse(books[1 - index], 'w', used - told[index], now);
       told[index] = used;
     });
   }
@@ -217,10 +217,25 @@
   const unused = tokenQuota.createQuotaBook();
   assert.equal(tokenQuota.takeQuota(unused, QUOTA, claim, fleet, 10_000).kind, 'within');
   const used = tokenQuota.createQuotaBook();
-  tokenQuota.applyPeerUse(used, 'w', 10);
+  tokenQuota.applyPeerUse(used, 'w', 10, 10_000);
   assert.equal(tokenQuota.takeQuota(used, QUOTA, claim, fleet, 10_000).kind, 'beyond');
 });
 
+test('filled until peers used it, and less what they used', () => {
+  // Twenty-six gateways have run for ten seconds when callers come. The first request of
+  // a workspace at this one comes after peers have admitted a fifth of its burst: four
+  // fifths are left. Begun with a twenty-sixth, the bucket would refuse all day what is
+  // within the quota.
+  const fleet = { share: 1, gateways: 26, startedMs: 0 };
+  const book = tokenQuota.createQuotaBook();
+  tokenQuota.applyPeerUse(book, 'w', QUOTA.burst / 10, 10_000);
+  tokenQuota.applyPeerUse(book, 'w', QUOTA.burst / 10, 10_010);
+  const most = { workspace: 'w', cost: 0.8 * QUOTA.burst, urgency: 0 };
+  assert.equal(tokenQuota.takeQuota(book, QUOTA, most, fleet, 10_010).kind, 'within');
+  const more = { ...most, cost: 0.05 * QUOTA.burst };
+  assert.equal(tokenQuota.takeQuota(book, QUOTA, more, fleet, 10_010).kind, 'beyond');
+});
+
 test('many peers are heard less often', () => {
   // Reports go to sixteen peers in turn, so that among 410 gateways each is heard
   // every five seconds. Taken as silent in between, nearly the whole of each quota
--- a/packages/core/src/gateway/token-quota.ts
+++ b/packages/core/src/gateway/token-quota.ts
@@ -24,10 +24,13 @@
 /** A workspace beyond its declared quota is within it again after this time, seconds. */
 const LONGEST_DEBT_S = 1;
 
+/** What peers admitted for a workspace before anything was asked for here. */
+type EarlyUse = { sinceMs: number; amount: number };
+
 export type QuotaBook = {
   buckets: Map<string, Bucket>;
-  /** Workspaces that peers admitted before anything was asked for here. */
-  usedByPeers: Set<string>;
+  /** By workspace. */
+  earlyUse: Map<string, EarlyUse>;
 };
 
 /** What is known of the gateways that a quota holds for together. */
@@ -42,7 +45,7 @@
 
 /** Creates a book in which nothing was used. */
 export function createQuotaBook(): QuotaBook {
-  return { buckets: new Map(), usedByPeers: new Set() };
+  return { buckets: new Map(), earlyUse: new Map() };
 }
 
 /**
@@ -63,23 +66,43 @@
   return Math.min(grown, declared.burst * share);
 }
 
+/** Fills a bucket up to a time. */
+function updateBucket(
+  bucket: Bucket,
+  quota: quotaLimit.QuotaLimit,
+  share: number,
+  now: number,
+): void {
+  const seconds = (Math.max(now - bucket.updatedMs, 0) * share) / MS_PER_SECOND;
+  bucket.level = Math.min(bucket.level + quota.perSecond * seconds, quota.burst * share);
+  bucket.declaredLevel = computeDeclaredLevel(bucket, quota, seconds, share);
+  bucket.updatedMs = now;
+}
+
 /**
  * Creates the bucket of a workspace for which nothing was asked here.
  *
- * Where no peer admitted anything for it either, it has been filling up since this
- * gateway started: begun at the first request, the first seconds of a day refused
- * requests within their quotas (0.821 of a calm day's worth, 0.802 without).
+ * It has been filling up since this gateway started, and what peers admitted meanwhile
+ * is charged. Begun at the first request, the first seconds of a day refused requests
+ * within their quotas (0.821 of a calm day's worth, 0.802 without); begun there only
+ * where peers had admitted something, 26 gateways refused 0.035 of a calm day's worth.
  */
 function createBucket(
   book: QuotaBook,
   workspace: string,
-  { initialBurst }: quotaLimit.QuotaLimit,
+  quota: quotaLimit.QuotaLimit,
   { share, gateways, startedMs }: QuotaFleet,
-  now: number,
 ): Bucket {
-  const level = (initialBurst * share) / gateways;
-  const updatedMs = book.usedByPeers.has(workspace) ? now : startedMs;
-  return { level, declaredLevel: level, updatedMs, used: 0, askedMs: new Map() };
+  const level = (quota.initialBurst * share) / gateways;
+  const begun = { level, declaredLevel: level, updatedMs: startedMs, used: 0 };
+  const bucket = { ...begun, askedMs: new Map<number, number>() };
+  const early = book.earlyUse.get(workspace);
+  if (early !== undefined) {
+    updateBucket(bucket, quota, share, early.sinceMs);
+    lowerLevels(bucket, early.amount);
+    book.earlyUse.delete(workspace);
+  }
+  return bucket;
 }
 
 /** Gets the bucket of a workspace, filled up to the present time. */
@@ -90,14 +113,9 @@
   fleet: QuotaFleet,
   now: number,
 ): Bucket {
-  const { share } = fleet;
-  const burst = quota.burst * share;
-  const bucket = book.buckets.get(workspace) ?? createBucket(book, workspace, quota, fleet, now);
+  const bucket = book.buckets.get(workspace) ?? createBucket(book, workspace, quota, fleet);
   book.buckets.set(workspace, bucket);
-  const seconds = (Math.max(now - bucket.updatedMs, 0) * share) / MS_PER_SECOND;
-  bucket.level = Math.min(bucket.level + quota.perSecond * seconds, burst);
-  bucket.declaredLevel = computeDeclaredLevel(bucket, quota, seconds, share);
-  bucket.updatedMs = now;
+  updateBucket(bucket, quota, fleet.share, now);
   return bucket;
 }
 
@@ -205,12 +223,13 @@
 }
 
 /** Charges a workspace with what a peer has admitted. */
-export function applyPeerUse(book: QuotaBook, workspace: string, cost: number): void {
+export function applyPeerUse(book: QuotaBook, workspace: string, cost: number, now: number): void {
   const bucket = book.buckets.get(workspace);
   if (bucket !== undefined) {
     lowerLevels(bucket, cost);
   } else if (cost > 0) {
-    book.usedByPeers.add(workspace);
+    const early = book.earlyUse.get(workspace) ?? { sinceMs: now, amount: 0 };
+    book.earlyUse.set(workspace, { ...early, amount: early.amount + cost });
   }
 }
 
--- a/packages/gateway/src/peer-task.ts
+++ b/packages/gateway/src/peer-task.ts
@@ -175,7 +175,7 @@
   const isNewcomer = !leaving && !gateway.isKnownLife(state.peers, address, life);
   gateway
     .applyReport(state.peers, report, now)
-    .forEach(({ workspace, amount }) => gateway.applyPeerUse(state.quotas, workspace, amount));
+    .forEach(({ workspace, amount }) => gateway.applyPeerUse(state.quotas, workspace, amount, now));
   gateway.mergeSuspects(state.suspects, suspects, Date.now());
   peers
     .filter((one) => one !== peer.own)
