--- a/packages/core/src/gateway/ask-messages.ts
+++ b/packages/core/src/gateway/ask-messages.ts
@@ -95,6 +95,7 @@
   const asks: schema.ScheduleAsk[] = [];
   do {
     schedulerLink.noteSent(link, now);
+    state.schedulingTotals.asks += 1;
     asks.push(
       schema.create(schema.ScheduleAskSchema, {
         address: state.address,
@@ -127,6 +128,7 @@
   const { address } = asking.chooseScheduler(state, link.cell, now);
   if (address !== link.address) {
     schedulerLink.setScheduler(link, address);
+    state.schedulingTotals.schedulersLeft += 1;
   }
 }
 
--- a/packages/core/src/gateway/assignment.ts
+++ b/packages/core/src/gateway/assignment.ts
@@ -81,12 +81,14 @@
   const now = clocks.steadyMs;
   const obstacle = findObstacle(state, request, clocks);
   if (obstacle !== undefined) {
+    state.schedulingTotals.grantsUnused += 1;
     asking.noteLeft(state, serverId, request.service);
     const told = requestEnd.refuseWaiting(state, request, obstacle);
     return [{ kind: 'refuse', request, refusal: told }];
   }
   const server = backendServers.findUsable(state.servers, serverId, now);
   if (server === undefined) {
+    state.schedulingTotals.grantsUnused += 1;
     // The scheduler has not heard yet that it leaves: another place is asked for.
     asking.noteLeft(state, serverId, request.service);
     asking.askPlace(state, request, now);
@@ -98,6 +100,7 @@
   request.sends += 1;
   request.idleFirstMs = idleFirstMs;
   gatewayState.addInFlight(state, serverId, 1);
+  state.schedulingTotals.grantsUsed += 1;
   return [{ kind: 'send', request, server, scheduler: granted.scheduler }];
 }
 
--- a/packages/core/src/gateway/gateway-state.ts
+++ b/packages/core/src/gateway/gateway-state.ts
@@ -22,6 +22,16 @@
   overload: overload.Overload;
 };
 
+/** Totals of what passed between this gateway and schedulers since its start. */
+export type SchedulingTotals = {
+  asks: number;
+  /** Grants that a request was sent with, and those that none could use. */
+  grantsUsed: number;
+  grantsUnused: number;
+  /** Schedulers that were left since they did not answer, or as another one took over. */
+  schedulersLeft: number;
+};
+
 /** Bounds of the deployment. */
 export type GatewayBounds = {
   /** How long one answer of the store holds, milliseconds; Infinity for always. */
@@ -58,6 +68,7 @@
   ranking: schedulerRanking.SchedulerRanking;
   /** The scheduler that this gateway is for some cells. */
   scheduler: scheduler.Scheduler;
+  schedulingTotals: SchedulingTotals;
   services: Map<string, ServiceWork>;
   requests: Map<number, gatewayRequest.GatewayRequest>;
   quotas: tokenQuota.QuotaBook;
@@ -100,6 +111,7 @@
     links: new Map(),
     ranking: schedulerRanking.createSchedulerRanking(),
     scheduler: scheduler.createScheduler(address, life, drawRandom),
+    schedulingTotals: { asks: 0, grantsUsed: 0, grantsUnused: 0, schedulersLeft: 0 },
     services: new Map(),
     requests: new Map(),
     quotas: tokenQuota.createQuotaBook(),
--- a/packages/core/src/gateway/place-answers.ts
+++ b/packages/core/src/gateway/place-answers.ts
@@ -40,6 +40,7 @@
   const ask = link.asks.get(serial);
   const request = state.requests.get(serial);
   if (ask === undefined || request === undefined || !isFresh) {
+    state.schedulingTotals.grantsUnused += 1;
     link.isDirty = true;
     if (ask !== undefined) {
       ask.isAccepted = false;
--- a/packages/gateway/src/attempt-sending.ts
+++ b/packages/gateway/src/attempt-sending.ts
@@ -82,6 +82,9 @@
 ): void {
   const { request } = held;
   requestReports.reportSent(task, held, server, scheduler);
+  if (request.sends === 1) {
+    task.metrics.recordWait(request.urgency, request.sentMs - request.arrivedMs);
+  }
   if (held.events !== undefined) {
     held.events.rest = Buffer.alloc(0);
   }
--- a/packages/gateway/src/gateway-metrics.ts
+++ b/packages/gateway/src/gateway-metrics.ts
@@ -7,11 +7,30 @@
   /** A request has got its final answer. */
   recordEnd: (route: string, service: string, code: schema.ResultCode, inTime: boolean) => void;
   recordFault: (service: string, fault: gateway.AttemptFault) => void;
+  /** Time from arrival to the first sending, milliseconds. */
+  recordWait: (urgency: number, ms: number) => void;
   /** Time from sending to the first event, milliseconds. */
   recordFirstEvent: (route: string, ms: number) => void;
   render: () => string;
 };
 
+/** Lists what passed between a gateway and schedulers, and the cells that it schedules. */
+function listSchedulingValues(state: gateway.GatewayState): runtime.Gauge[] {
+  const { asks, grantsUsed, grantsUnused, schedulersLeft } = state.schedulingTotals;
+  const queues = [...state.scheduler.cells.values()].map(({ name, queue }) => ({
+    name: 'cell_requests_queued',
+    labels: { cell: name },
+    value: queue.items.length,
+  }));
+  return [
+    { name: 'schedule_asks_total', labels: {}, value: asks },
+    { name: 'schedule_grants_total', labels: { used: 'true' }, value: grantsUsed },
+    { name: 'schedule_grants_total', labels: { used: 'false' }, value: grantsUnused },
+    { name: 'schedulers_left_total', labels: {}, value: schedulersLeft },
+    ...queues,
+  ];
+}
+
 /** Lists the present values of a gateway. */
 function listGauges(state: gateway.GatewayState): runtime.Gauge[] {
   const version = state.index?.configuration.version ?? 0;
@@ -20,6 +39,7 @@
     { name: 'requests_held', labels: {}, value: state.requests.size },
     { name: 'backend_servers', labels: {}, value: state.servers.byId.size },
     { name: 'peers', labels: {}, value: state.peers.byAddress.size },
+    ...listSchedulingValues(state),
   ];
 }
 
@@ -31,6 +51,8 @@
       runtime.recordObservation(metrics, { kind: 'outcome', service, tier: route, code, inTime }),
     recordFault: (service, fault) =>
       runtime.addCount(metrics, 'attempt_faults_total', { service, fault }),
+    recordWait: (urgency, ms) =>
+      runtime.recordObservation(metrics, { kind: 'queueWait', tier: String(urgency), ms }),
     recordFirstEvent: (route, ms) =>
       runtime.recordObservation(metrics, { kind: 'firstByte', service: '', tier: route, ms }),
     render: () => runtime.renderMetrics(metrics, Date.now(), listGauges(state)),
--- a/packages/gateway/src/status.ts
+++ b/packages/gateway/src/status.ts
@@ -2,6 +2,18 @@
 import * as gateway from '@toucanproxy/core/gateway';
 import type * as storeFollower from './store-follower.js';
 
+/** Describes who schedules which cell, and what this gateway schedules itself. */
+function describeCells(state: gateway.GatewayState): Record<string, unknown>[] {
+  return [...state.links.values()].map(({ cell, address, asks, places, load }) => ({
+    cell,
+    scheduler: address,
+    waitingHere: asks.size,
+    places,
+    requestsInCell: load,
+    queued: state.scheduler.cells.get(cell)?.queue.items.length,
+  }));
+}
+
 /** Describes a gateway. */
 export function describeStatus(
   state: gateway.GatewayState,
@@ -14,6 +26,7 @@
     storeLost: storeLink.isLost,
     requestsHeld: state.requests.size,
     backendServers: [...state.servers.byId.values()],
+    cells: describeCells(state),
     peers: gateway.listContacts(state.peers),
   };
 }
--- a/packages/runtime/src/metric-definitions.ts
+++ b/packages/runtime/src/metric-definitions.ts
@@ -28,7 +28,7 @@
   },
   queue_wait_ms: {
     type: MetricType.SUMMARY,
-    help: 'Milliseconds that attempts waited in the agent before they started.',
+    help: 'Milliseconds that attempts waited in the agent, or requests for a scheduler, before they started.',
   },
   wasted_prefill_tokens_total: {
     type: MetricType.COUNTER,
@@ -38,6 +38,22 @@
     type: MetricType.COUNTER,
     help: 'Attempts at backend servers that failed, by fault.',
   },
+  schedule_asks_total: {
+    type: MetricType.COUNTER,
+    help: 'Messages to schedulers of cells.',
+  },
+  schedule_grants_total: {
+    type: MetricType.COUNTER,
+    help: 'Places that schedulers granted, by whether a request was sent there.',
+  },
+  schedulers_left_total: {
+    type: MetricType.COUNTER,
+    help: 'Times that another scheduler was asked, since one did not answer or another took over.',
+  },
+  cell_requests_queued: {
+    type: MetricType.GAUGE,
+    help: 'Requests that wait in the cells that this gateway schedules.',
+  },
   peers: {
     type: MetricType.GAUGE,
     help: 'Other gateways that are not forgotten.',
