Ask again a moment after a grant that could not be used

Cause: found by reading. Where a gateway knows that a backend server leaves and its scheduler does not yet, the place that is given back is granted again at once. Before: six waiting calls made 659 asks and 1,228 grants in a second of virtual time; after: 51 and 84 (test fails without the mend).

Ruled out: a pause of the backend server for all, as for one that refuses: with a new server that a gateway does not know yet it would keep a good server out for seconds.

--- a/packages/core/src/gateway/ask-messages.ts
+++ b/packages/core/src/gateway/ask-messages.ts
@@ -34,6 +34,7 @@
 const MAX_REQUESTS = 8;
 const MAX_SERIALS = 48;
 const MAX_OBSERVATIONS = 12;
+
 /** Lists what this gateway has in flight at the backend servers of a cell. */
 function listInFlight(
   state: gatewayState.GatewayState,
--- a/packages/core/src/gateway/asking.ts
+++ b/packages/core/src/gateway/asking.ts
@@ -91,6 +91,26 @@
   return true;
 }
 
+/**
+ * Asks for a place once more for a request whose grant could not be used, a moment later.
+ *
+ * The scheduler has not heard yet that a backend server leaves, and takes the place that
+ * is given back as free. Asked at once, it would grant the same place again: six requests
+ * made 659 asks and 1,228 grants in a second, until the scheduler had heard.
+ */
+export function askPlaceLater(
+  state: gatewayState.GatewayState,
+  request: gatewayRequest.GatewayRequest,
+  now: number,
+): void {
+  if (askPlace(state, request, now)) {
+    const ask = state.links.get(request.cell ?? '')?.asks.get(request.serial);
+    if (ask !== undefined) {
+      ask.askedMs = now;
+    }
+  }
+}
+
 /** Takes back the ask of a request that needs no place any more. */
 export function withdrawAsk(
   state: gatewayState.GatewayState,
--- a/packages/core/src/gateway/assignment.ts
+++ b/packages/core/src/gateway/assignment.ts
@@ -89,9 +89,9 @@
   const server = backendServers.findUsable(state.servers, serverId, now);
   if (server === undefined) {
     state.schedulingTotals.grantsUnused += 1;
-    // The scheduler has not heard yet that it leaves: another place is asked for.
+    request.triedIds.add(serverId);
     asking.noteLeft(state, serverId, request.service);
-    asking.askPlace(state, request, now);
+    asking.askPlaceLater(state, request, now);
     return [];
   }
   request.phase = gatewayRequest.RequestPhase.SENT;
--- a/packages/core/src/gateway/scheduler-link.ts
+++ b/packages/core/src/gateway/scheduler-link.ts
@@ -1,7 +1,7 @@
 /** What a gateway has told the scheduler of a cell, and what it has to tell it. */
 import * as schema from '@toucanproxy/schema';
 
-/** A request that waits for a place of the cell. */
+/** A request that waits for a place of the cell, and when it was asked for last. */
 export type PlaceAsk = { askedMs: number; isAccepted: boolean };
 
 export type SchedulerLink = {
--- a/packages/proofs/src/scheduling-failures.test.ts
+++ b/packages/proofs/src/scheduling-failures.test.ts
@@ -207,6 +207,21 @@
   assert.ok(findSentMs(fleet, call) - askedMs < 300, String(findSentMs(fleet, call) - askedMs));
 });
 
+test('grants that cannot be used make no storm', () => {
+  // The only backend server leaves; the gateway that has the calls knows it, the scheduler
+  // does not for a second. Each place that is given back is granted again at once; asked
+  // for at once as well, the two would send each other hundreds of datagrams a second.
+  const fleet = createFleet({ servers: 1, slots: 4 });
+  const scheduler = gatewayFleet.findScheduler(fleet, 0);
+  const other = pickOther(fleet, scheduler);
+  gatewayFaults.tellLeaving(fleet, other, 'server-0');
+  [0, 1, 2, 3, 4, 5].forEach(() => addCall(fleet, other));
+  const { schedulingTotals } = fleet.states[other];
+  const before = schedulingTotals.asks;
+  runFleet(fleet, 1000);
+  assert.ok(schedulingTotals.asks - before < 60, String(schedulingTotals.asks - before));
+});
+
 test('leaving server that the scheduler does not know of', () => {
   // One gateway has heard that a backend server leaves, the scheduler has not. A place
   // there is not used: the gateway is bound by what it knows, and asks for another one.
