--- a/packages/core/src/gateway/token-quota.ts
+++ b/packages/core/src/gateway/token-quota.ts
@@ -85,7 +85,7 @@
  * It has been filling up since this gateway started, and what peers admitted meanwhile
  * is charged. Begun at the first request, the first seconds of a day refused requests
  * within their quotas (0.821 of a calm day's worth, 0.802 without); begun there only
- * where peers had admitted something, 26 gateways refused 0.035 of a calm day's worth.
+ * where peers had admitted something, 26 gateways served 0.035 less (one run each).
  */
 function createBucket(
   book: QuotaBook,
