--- a/packages/core/src/gateway/peer-view.ts
+++ b/packages/core/src/gateway/peer-view.ts
@@ -78,9 +78,8 @@
  * The first report of a peer that has run for long adds nothing: its totals may be
  * hours old, and a gateway that has just started would refuse everybody until they are
  * paid off. All that a young one has used is recent and counts. Otherwise, after all
- * gateways were killed, what each admitted until it had heard the others was never
- * charged: with 26 of them 2,053,740 tokens of a workspace ran in a window, where
- * 2,021,331 were allowed.
+ * gateways were killed, what each admitted until it had heard the others would never be
+ * charged, and a workspace would run more than its quota allows.
  */
 function listIncreases(known: Peer | undefined, report: PeerReport): UseIncrease[] {
   if (known === undefined && report.sequence * REPORT_MS > YOUNG_MS) {
--- a/packages/core/src/gateway/token-quota.ts
+++ b/packages/core/src/gateway/token-quota.ts
@@ -83,9 +83,8 @@
  * Creates the bucket of a workspace for which nothing was asked here.
  *
  * It has been filling up since this gateway started, and what peers admitted meanwhile
- * is charged. Begun at the first request, the first seconds of a day refused requests
- * within their quotas (0.821 of a calm day's worth, 0.802 without); begun there only
- * where peers had admitted something, 26 gateways served 0.035 less (one run each).
+ * is charged. Begun at the first request, it would refuse requests within their quotas
+ * for the first seconds, and the more so the more gateways share the quota.
  */
 function createBucket(
   book: QuotaBook,
@@ -152,9 +151,7 @@
  * How many times its cost must be left for a request, for each more urgent tier that
  * its workspace asks for. Load pattern: a workspace sends several times its quota,
  * mostly less urgent requests. First come, first served, these spend what its urgent
- * ones need. With the reserve 0.018 and 0.005 more of a day's worth is served where
- * two workspaces do so for 8 and for 11 s (means of three days each); 10 in place of
- * 4 gains nothing more.
+ * ones need.
  */
 const RESERVE = 4;
 /** A tier counts for this long after its last request, milliseconds. */
--- a/packages/core/src/scheduler/cell-split.ts
+++ b/packages/core/src/scheduler/cell-split.ts
@@ -8,10 +8,8 @@
 
 /**
  * Backend servers of a cell. The fewer cells a service has, the less is lost between
- * their queues: of a calm load after a burst on 82 engines, 68 gateways serve 0.756 of
- * the worth with one cell and 0.728 with three of 27 (`npm run measure:gateway`, means
- * of three seeds). With more, one gateway decides on more than its processor bears:
- * at 40 on some 250 requests a second.
+ * their queues. With more backend servers in one, its gateway would decide on more
+ * requests than its processor bears.
  */
 const CELL_SERVERS = 40;
 /** Stands between the service and the number in the name of a cell. */
--- a/packages/core/src/scheduler/first-delay.ts
+++ b/packages/core/src/scheduler/first-delay.ts
@@ -3,10 +3,9 @@
  *
  * An engine that works on as many requests as it can reads the prompt of a new one
  * in turns with the tokens of the others. Load pattern: all engines are full, and
- * a first event comes some 170 ms later than at an idle one, much the same for
- * prompts of 500 and of 3,500 tokens (medians of 4,430 requests). Left out of the
- * estimate, a request is held until only an idle engine would have it on time, and
- * then comes late: of 4,134 sent before their target, 27 % did.
+ * a first event comes later than at an idle one, by much the same time for short and
+ * for long prompts. Left out of the estimate, a request is held until only an idle
+ * engine would have it on time, and then comes late.
  *
  * Each engine is seen too seldom where there are many gateways, so that what was
  * seen at all of them together stands in for it.
--- a/packages/core/src/scheduler/waiting.ts
+++ b/packages/core/src/scheduler/waiting.ts
@@ -19,9 +19,8 @@
 /**
  * Added to the rank of a request beyond the declared quota of its workspace that only
  * the tolerance lets in. Load pattern: a workspace sends a little more than its quota
- * while engines are nearly full. In line with the others, its surplus has requests of
- * workspaces within their quotas late: 0.802 of a calm day's worth is served, with the
- * surplus behind 0.828 (means of three days).
+ * while engines are nearly full. In line with the others, its surplus would have requests
+ * of workspaces within their quotas late.
  */
 const BEYOND_QUOTA_RANK = 512;
 /** Prompt tokens that an engine reads in a millisecond, until its pace is known. */
@@ -84,8 +83,7 @@
  * Estimates how long a new request of a rank waits, milliseconds: for the work that
  * is sent before it. Load pattern: two workspaces send four fifths of a burst. By
  * the wait of the whole rank the others are turned away as often as these, though
- * they would be sent before them: 47 % of theirs were in time, against 54 %
- * (`npm run measure:gateway`, five seeds).
+ * they would be sent before them.
  */
 function estimateWaitMs(cell: cells.Cell, rank: number, workspace: string, now: number): number {
   if (isStalled(cell, rank, now)) {
--- a/packages/core/src/shared/overload.ts
+++ b/packages/core/src/shared/overload.ts
@@ -17,9 +17,7 @@
 const OVER_MS = 2000;
 /**
  * Shortest advice, milliseconds. A caller that returns within the first second of a
- * burst is turned away again, and most callers return once: with 1,200 in place of 500,
- * 0.937 of the requests of a day with two bursts were served, 0.912 before (means of
- * three days); 2,000 gains no more.
+ * burst is turned away again, and most callers return once.
  */
 const MIN_RETRY_AFTER_MS = 1200;
 /** Callers of long requests have some 15 s; a third of that may pass before they return. */
