--- a/packages/core/src/gateway/ask-messages.ts
+++ b/packages/core/src/gateway/ask-messages.ts
@@ -5,6 +5,7 @@
  * is asked again: asks that are lost, doubled or late cost time only.
  */
 import * as schema from '@toucanproxy/schema';
+import * as allowedDomains from './allowed-domains.js';
 import * as asking from './asking.js';
 import type * as gatewayRequest from './gateway-request.js';
 import type * as gatewayState from './gateway-state.js';
@@ -48,7 +49,11 @@
 }
 
 /** Describes a request that asks for a place. */
-function buildWaiting(request: gatewayRequest.GatewayRequest, now: number): schema.WaitingRequest {
+function buildWaiting(
+  state: gatewayState.GatewayState,
+  request: gatewayRequest.GatewayRequest,
+  now: number,
+): schema.WaitingRequest {
   const { arrived, serial, workspace, urgency, isBeyondQuota, workTokens } = request;
   const { tokens, answerGuess } = arrived;
   return schema.create(schema.WaitingRequestSchema, {
@@ -65,6 +70,7 @@
     giveUpLeftMs: Math.round(request.giveUpMs - now),
     waitedMs: Math.round(now - request.arrivedMs),
     triedIds: [...request.triedIds],
+    excludedDomains: allowedDomains.listExcluded(state, request.regions),
   });
 }
 
@@ -104,7 +110,7 @@
         sequence: link.sequence,
         cell: link.cell,
         failureDomain: state.failureDomain,
-        requests: requests.splice(0, MAX_REQUESTS).map((one) => buildWaiting(one, now)),
+        requests: requests.splice(0, MAX_REQUESTS).map((one) => buildWaiting(state, one, now)),
         waiting: accepted.splice(0, MAX_SERIALS).map(([serial]) => serial),
         withdrawn: link.withdrawn.splice(0, MAX_SERIALS),
         inFlight,
--- a/packages/core/src/gateway/asking.ts
+++ b/packages/core/src/gateway/asking.ts
@@ -1,6 +1,5 @@
 /** What a gateway wants to ask the schedulers of cells for, and to tell them. */
 import * as schema from '@toucanproxy/schema';
-import * as scheduler from '../scheduler/index.js';
 import * as fleetSplit from './fleet-split.js';
 import * as gatewayRequest from './gateway-request.js';
 import * as gatewayState from './gateway-state.js';
@@ -95,8 +94,8 @@
  * Asks for a place once more for a request whose grant could not be used, a moment later.
  *
  * The scheduler has not heard yet that a backend server leaves, and takes the place that
- * is given back as free. Asked at once, it would grant the same place again: six requests
- * made 659 asks and 1,228 grants in a second, until the scheduler had heard.
+ * is given back as free. Asked at once, it would grant the same place again, hundreds of
+ * times a second until it has heard.
  */
 export function askPlaceLater(
   state: gatewayState.GatewayState,
@@ -152,17 +151,3 @@
   observations.push(schema.create(schema.ServerObservationSchema, { serverId, kind, ms }));
   observations.splice(0, Math.max(observations.length - MAX_KEPT_OBSERVATIONS, 0));
 }
-
-/** Describes what this gateway's own scheduler may give out of a cell. */
-export function findCellServers(
-  state: gatewayState.GatewayState,
-  cellName: string,
-  now: number,
-): scheduler.CellServers {
-  const service = scheduler.parseCellService(cellName);
-  const entries = getSplit(state, service, now).usableByCell.get(cellName) ?? [];
-  const tokensPerEvent = state.index?.serviceByName.get(service)?.engine?.tokensPerEvent ?? 1;
-  const { placeShare } = chooseScheduler(state, cellName, now);
-  const hasPeers = state.peers.byAddress.size > 0;
-  return { entries, tokensPerEvent, placeShare, hasPeers };
-}
--- a/packages/core/src/gateway/assignment.test.ts
+++ b/packages/core/src/gateway/assignment.test.ts
@@ -36,7 +36,7 @@
   intake.admitRequest(state, buildArrived('1'), buildClocks(0));
   const next = gatewayBench.buildConfiguration(2, [buildRoute()], []);
   state.index = configurationIndex.buildConfigurationIndex(next);
-  backendServers.applyEntry(state.servers, gatewayBench.buildEntry('a'));
+  backendServers.applyEntry(state.servers, gatewayBench.buildEntry('a'), 0);
   assert.deepEqual(listRefusals(gatewayBench.assignWaiting(state, buildClocks(10))), [
     'UNAUTHENTICATED',
   ]);
@@ -155,8 +155,8 @@
   const unit = configuration.QuotaUnit.TOKENS;
   const quota = { unit, perSecond: 100, burst: 1000, defaultTokens: 10 };
   const workspaces = [
-    { name: 'w1', credentials: [gatewayBench.KEY], urgency: undefined, quota },
-    { name: 'w2', credentials: ['key-2'], urgency: undefined, quota: undefined },
+    { name: 'w1', credentials: [gatewayBench.KEY], urgency: undefined, quota, regions: [] },
+    { name: 'w2', credentials: ['key-2'], urgency: undefined, quota: undefined, regions: [] },
   ];
   const declared = gatewayBench.buildConfiguration(2, routes, workspaces);
   state.index = configurationIndex.buildConfigurationIndex(declared);
@@ -166,7 +166,7 @@
   intake.admitRequest(state, buildArrived('surplus'), buildClocks(8000));
   const within = buildArrived('within', { path: '/b/x', credential: 'key-2' });
   intake.admitRequest(state, within, buildClocks(8001));
-  backendServers.applyEntry(state.servers, gatewayBench.buildEntry('a', { slots: 2 }));
+  backendServers.applyEntry(state.servers, gatewayBench.buildEntry('a', { slots: 2 }), 8001);
   const sent = gatewayBench
     .assignWaiting(state, buildClocks(8002))
     .filter(({ kind }) => kind === 'send')
--- a/packages/core/src/gateway/assignment.ts
+++ b/packages/core/src/gateway/assignment.ts
@@ -3,10 +3,13 @@
 import type * as backendServerEntry from '../shared/backend-server-entry.js';
 import * as retryBudget from '../shared/retry-budget.js';
 import * as scheduler from '../scheduler/index.js';
+import * as allowedDomains from './allowed-domains.js';
 import * as askMessages from './ask-messages.js';
 import * as asking from './asking.js';
 import * as backendServers from './backend-servers.js';
 import type * as belief from './belief.js';
+import * as cellServers from './cell-servers.js';
+import * as evacuations from './evacuations.js';
 import * as gatewayRequest from './gateway-request.js';
 import * as gatewayState from './gateway-state.js';
 import * as peerView from './peer-view.js';
@@ -14,6 +17,7 @@
 import * as refusal from './refusal.js';
 import * as requestEnd from './request-end.js';
 import * as rights from './rights.js';
+import * as strandedRequests from './stranded-requests.js';
 
 export type Assignment =
   | {
@@ -23,7 +27,23 @@
       /** Address of the gateway that granted the place. */
       scheduler: string;
     }
-  | { kind: 'refuse'; request: gatewayRequest.GatewayRequest; refusal: refusal.Refusal };
+  | { kind: 'refuse'; request: gatewayRequest.GatewayRequest; refusal: refusal.Refusal }
+  /** Its place could not be used; it waits on. */
+  | {
+      kind: 'waitOn';
+      request: gatewayRequest.GatewayRequest;
+      serverId: string;
+      reason: UnusableReason;
+    };
+
+/** Why a backend server that was granted may not be used. */
+export enum UnusableReason {
+  /** It leaves, is gone, or another one is at its address. */
+  NOT_IN_SERVICE = 'not-in-service',
+  EVACUATED = 'evacuated',
+  /** It lies outside the regions of the request. */
+  REGION = 'region',
+}
 
 /** A message to another gateway. */
 export type Outgoing =
@@ -61,7 +81,8 @@
     return decision.refusal;
   }
   const version = state.index?.configuration.version ?? 0;
-  const { route } = decision.rights;
+  const { route, workspace } = decision.rights;
+  request.regions = allowedDomains.computeRegions(route, workspace);
   const allowed = route.targets.some(
     (target) => target.service === request.service && target.weight > 0,
   );
@@ -71,6 +92,39 @@
     : refusal.buildRefusal(schema.ResultCode.NO_BACKEND_SERVER, refusal.ELSEWHERE_RETRY_AFTER_MS);
 }
 
+/** The backend server that a request was granted, or why it may not be used. */
+type GrantedServer =
+  | { kind: 'usable'; server: backendServerEntry.BackendServerEntry }
+  | { kind: 'unusable'; reason: UnusableReason };
+
+/**
+ * Finds the backend server that a request was granted.
+ *
+ * A scheduler may not have heard yet that it leaves, or that its failure domain is
+ * evacuated; what this gateway knows decides.
+ */
+function findGranted(
+  state: gatewayState.GatewayState,
+  { regions }: gatewayRequest.GatewayRequest,
+  serverId: string,
+  now: number,
+): GrantedServer {
+  const entry = state.servers.byId.get(serverId)?.entry;
+  if (entry === undefined) {
+    return { kind: 'unusable', reason: UnusableReason.NOT_IN_SERVICE };
+  }
+  if (evacuations.isEvacuated(state.servers.evacuations, entry.failureDomain)) {
+    return { kind: 'unusable', reason: UnusableReason.EVACUATED };
+  }
+  if (!allowedDomains.isInRegions(state, regions, entry.failureDomain)) {
+    return { kind: 'unusable', reason: UnusableReason.REGION };
+  }
+  const server = backendServers.findUsable(state.servers, serverId, now);
+  return server === undefined
+    ? { kind: 'unusable', reason: UnusableReason.NOT_IN_SERVICE }
+    : { kind: 'usable', server };
+}
+
 /** Sends a request to the place that it was granted. */
 function applyGranted(
   state: gatewayState.GatewayState,
@@ -86,13 +140,13 @@
     const told = requestEnd.refuseWaiting(state, request, obstacle);
     return [{ kind: 'refuse', request, refusal: told }];
   }
-  const server = backendServers.findUsable(state.servers, serverId, now);
-  if (server === undefined) {
+  const found = findGranted(state, request, serverId, now);
+  if (found.kind === 'unusable') {
     state.schedulingTotals.grantsUnused += 1;
     request.triedIds.add(serverId);
     asking.noteLeft(state, serverId, request.service);
     asking.askPlaceLater(state, request, now);
-    return [];
+    return [{ kind: 'waitOn', request, serverId, reason: found.reason }];
   }
   request.phase = gatewayRequest.RequestPhase.SENT;
   request.serverId = serverId;
@@ -101,7 +155,7 @@
   request.idleFirstMs = idleFirstMs;
   gatewayState.addInFlight(state, serverId, 1);
   state.schedulingTotals.grantsUsed += 1;
-  return [{ kind: 'send', request, server, scheduler: granted.scheduler }];
+  return [{ kind: 'send', request, server: found.server, scheduler: granted.scheduler }];
 }
 
 /** Asks another cell for a request that one has declined, or refuses it. */
@@ -146,7 +200,7 @@
   progress: Progress,
 ): boolean {
   const now = clocks.steadyMs;
-  const findServers = (cellName: string) => asking.findCellServers(state, cellName, now);
+  const findServers = (cellName: string) => cellServers.findCellServers(state, cellName, now);
   askMessages.collectAsks(state, now).forEach(({ to, ask }) => {
     if (to === state.address) {
       scheduler.receiveAsk(state.scheduler, ask, now);
@@ -167,6 +221,11 @@
 /** Does what can be done now: asks for places, schedules, and takes in own answers. */
 export function advance(state: gatewayState.GatewayState, clocks: belief.ClockReading): Progress {
   const progress: Progress = { assignments: [], outgoing: [], notes: [] };
+  progress.assignments.push(
+    ...strandedRequests
+      .refuseStranded(state, clocks.steadyMs)
+      .map((one) => ({ kind: 'refuse', ...one }) as const),
+  );
   let passes = 0;
   let isMoving = true;
   while (isMoving && passes < MAX_PASSES) {
--- a/packages/core/src/gateway/attempt-end.ts
+++ b/packages/core/src/gateway/attempt-end.ts
@@ -52,6 +52,8 @@
   const { ServerObservation_Kind: Kind } = schema;
   switch (fault) {
     case AttemptFault.UNREACHABLE:
+      asking.noteObservation(state, server, Kind.UNREACHABLE, 0, now);
+      return;
     case AttemptFault.REFUSED:
       asking.noteObservation(state, server, Kind.NOT_TAKEN, 0, now);
       return;
--- a/packages/core/src/gateway/backend-servers.test.ts
+++ b/packages/core/src/gateway/backend-servers.test.ts
@@ -15,7 +15,7 @@
 /** Creates a register with one backend server. */
 function createWithOne(): backendServers.BackendServers {
   const servers = backendServers.createBackendServers();
-  backendServers.applyEntry(servers, buildEntry('a'));
+  backendServers.applyEntry(servers, buildEntry('a'), 0);
   return servers;
 }
 
@@ -50,7 +50,7 @@
 
 test('leaving entry that lapsed does not stay', () => {
   const servers = createWithOne();
-  backendServers.applyEntry(servers, buildEntry('a', { leaving: true }));
+  backendServers.applyEntry(servers, buildEntry('a', { leaving: true }), 0);
   backendServers.noteStoreReturned(servers, RETURN_MS, 1000);
   assert.equal(backendServers.removeEntry(servers, 'a', 1001)?.change, 'gone');
 });
@@ -61,9 +61,9 @@
   const servers = createWithOne();
   backendServers.noteDisplaced(servers, 'a');
   assert.equal(isUsable(servers), false);
-  backendServers.applyEntry(servers, buildEntry('a'));
+  backendServers.applyEntry(servers, buildEntry('a'), 0);
   assert.equal(isUsable(servers), false);
-  const change = backendServers.applyEntry(servers, buildEntry('a', { bornMs: 2 }));
+  const change = backendServers.applyEntry(servers, buildEntry('a', { bornMs: 2 }), 0);
   assert.equal(change?.change, 'restarted');
   assert.equal(isUsable(servers), true);
 });
--- a/packages/core/src/gateway/backend-servers.ts
+++ b/packages/core/src/gateway/backend-servers.ts
@@ -5,8 +5,12 @@
  * was away may only have lapsed while its backend server could not renew it; it
  * stays usable until the time in which living ones are back has passed. Any
  * other entry that disappears is gone at once.
+ *
+ * Those in a failure domain that operators have had evacuated get nothing new either,
+ * whatever their entries say.
  */
 import type * as backendServerEntry from '../shared/backend-server-entry.js';
+import * as evacuations from './evacuations.js';
 
 export type KnownServer = {
   entry: backendServerEntry.BackendServerEntry;
@@ -14,12 +18,16 @@
   missingUntilMs: number | undefined;
   /** Another backend server answered at its address. */
   displaced: boolean;
+  /** When its entry was read last, and when this life was first seen, milliseconds. */
+  readMs: number;
+  firstSeenMs: number;
 };
 
 export type BackendServers = {
   byId: Map<string, KnownServer>;
   /** Until this time an entry that disappears may still come back. */
   returnUntilMs: number;
+  evacuations: evacuations.Evacuations;
   /** Goes up with each change. */
   revision: number;
 };
@@ -28,12 +36,26 @@
 export type MembershipChange = {
   id: string;
   service: string;
-  change: 'added' | 'restarted' | 'leaving' | 'returned' | 'missing' | 'gone' | 'displaced';
+  change:
+    | 'added'
+    | 'restarted'
+    | 'leaving'
+    | 'returned'
+    | 'missing'
+    | 'gone'
+    | 'displaced'
+    | 'warming'
+    | 'warm';
 };
 
 /** Creates an empty register. */
 export function createBackendServers(): BackendServers {
-  return { byId: new Map(), returnUntilMs: 0, revision: 0 };
+  return {
+    byId: new Map(),
+    returnUntilMs: 0,
+    evacuations: evacuations.createEvacuations(),
+    revision: 0,
+  };
 }
 
 /** Notes that the store has returned: living entries are back within the given time. */
@@ -55,18 +77,41 @@
   if (entry.leaving && !known.entry.leaving) {
     return 'leaving';
   }
-  return known.missingUntilMs === undefined ? undefined : 'returned';
+  if (known.missingUntilMs !== undefined) {
+    return 'returned';
+  }
+  return findWarmUpChange(known.entry, entry);
+}
+
+/** Names the change of warming up that a new reading tells of. */
+function findWarmUpChange(
+  before: backendServerEntry.BackendServerEntry,
+  entry: backendServerEntry.BackendServerEntry,
+): 'warming' | 'warm' | undefined {
+  const wasWarming = (before.warmUpLeftMs ?? 0) > 0;
+  const isWarming = (entry.warmUpLeftMs ?? 0) > 0;
+  if (wasWarming === isWarming) {
+    return undefined;
+  }
+  return isWarming ? 'warming' : 'warm';
 }
 
 /** Takes in an entry. */
 export function applyEntry(
   servers: BackendServers,
   entry: backendServerEntry.BackendServerEntry,
+  now: number,
 ): MembershipChange | undefined {
   const known = servers.byId.get(entry.id);
   const change = findChange(known, entry);
-  const displaced = change === 'restarted' ? false : (known?.displaced ?? false);
-  servers.byId.set(entry.id, { entry, missingUntilMs: undefined, displaced });
+  const sameLife = change === 'restarted' ? undefined : known;
+  servers.byId.set(entry.id, {
+    entry,
+    missingUntilMs: undefined,
+    displaced: sameLife?.displaced ?? false,
+    readMs: now,
+    firstSeenMs: sameLife?.firstSeenMs ?? now,
+  });
   servers.revision += change === undefined ? 0 : 1;
   return change && { id: entry.id, service: entry.service, change };
 }
@@ -100,7 +145,7 @@
   const named = new Set(entries.map((entry) => entry.id));
   const missing = [...servers.byId.keys()].filter((id) => !named.has(id));
   return [
-    ...entries.map((entry) => applyEntry(servers, entry)),
+    ...entries.map((entry) => applyEntry(servers, entry, now)),
     ...missing.map((id) => removeEntry(servers, id, now)),
   ].filter((change) => change !== undefined);
 }
@@ -133,8 +178,17 @@
  * not come back has left, and got work up to a second later while answers came once
  * a second.
  */
-function isUsable({ entry, displaced, missingUntilMs }: KnownServer, now: number): boolean {
-  return !entry.leaving && !displaced && now < (missingUntilMs ?? Infinity);
+function isUsable(
+  servers: BackendServers,
+  { entry, displaced, missingUntilMs }: KnownServer,
+  now: number,
+): boolean {
+  return (
+    !entry.leaving &&
+    !displaced &&
+    now < (missingUntilMs ?? Infinity) &&
+    !evacuations.isEvacuated(servers.evacuations, entry.failureDomain)
+  );
 }
 
 /** Finds the entry of a backend server that may get new work. */
@@ -144,7 +198,7 @@
   now: number,
 ): backendServerEntry.BackendServerEntry | undefined {
   const known = servers.byId.get(id);
-  return known !== undefined && isUsable(known, now) ? known.entry : undefined;
+  return known !== undefined && isUsable(servers, known, now) ? known.entry : undefined;
 }
 
 /** Lists the ids of all backend servers of a service, those that leave included. */
@@ -161,6 +215,65 @@
   now: number,
 ): backendServerEntry.BackendServerEntry[] {
   return [...servers.byId.values()]
-    .filter((known) => known.entry.service === service && isUsable(known, now))
+    .filter((known) => known.entry.service === service && isUsable(servers, known, now))
     .map(({ entry }) => entry);
 }
+
+/** Takes in changes of what is evacuated; gives those that are news. */
+export function applyEvacuations(
+  servers: BackendServers,
+  changes: readonly evacuations.EvacuationChange[],
+  now: number,
+): evacuations.EvacuationChange[] {
+  const news = changes
+    .map((change) => evacuations.applyEvacuation(servers.evacuations, change, now))
+    .filter((change) => change !== undefined);
+  servers.revision += news.length;
+  return news;
+}
+
+/** Takes in all evacuations, as they were at a revision of the store or later. */
+export function applyEvacuationList(
+  servers: BackendServers,
+  listed: readonly evacuations.EvacuationChange[],
+  revision: number,
+  now: number,
+): evacuations.EvacuationChange[] {
+  const ended = evacuations.listEnded(servers.evacuations, listed, revision);
+  return applyEvacuations(servers, [...listed, ...ended], now);
+}
+
+/** Tells whether a service has backend servers, all of them in evacuated domains. */
+export function isServiceEvacuated(servers: BackendServers, service: string): boolean {
+  const inUse = [...servers.byId.values()].filter(
+    ({ entry }) => entry.service === service && !entry.leaving,
+  );
+  return (
+    inUse.length > 0 &&
+    inUse.every(({ entry }) => evacuations.isEvacuated(servers.evacuations, entry.failureDomain))
+  );
+}
+
+/**
+ * Computes until when a backend server warms up, milliseconds; -Infinity where it does not.
+ *
+ * Its entry tells, but late. It is taken as warming as well from the return of its failure
+ * domain on, until an entry that was written after that says otherwise, and from the first
+ * sight of a life whose entry says nothing: else the calls that wait for a place would all
+ * go to the emptiest backend server, and crash it.
+ *
+ * @param warmUpMs how long backend servers of its service warm up, milliseconds
+ */
+export function computeWarmUntil(
+  servers: BackendServers,
+  { entry, readMs, firstSeenMs }: KnownServer,
+  warmUpMs: number,
+): number {
+  const { warmUpLeftMs, failureDomain, revision } = entry;
+  const told = warmUpLeftMs === undefined ? firstSeenMs + warmUpMs : readMs + warmUpLeftMs;
+  const domainReturn = evacuations.findReturn(servers.evacuations, failureDomain);
+  const isToldSince = domainReturn !== undefined && revision > domainReturn.revision;
+  const returned =
+    domainReturn === undefined || isToldSince ? -Infinity : domainReturn.atMs + warmUpMs;
+  return Math.max(warmUpLeftMs === 0 ? -Infinity : told, returned);
+}
--- a/packages/core/src/gateway/configuration.ts
+++ b/packages/core/src/gateway/configuration.ts
@@ -34,6 +34,8 @@
   isPublic: boolean;
   /** A broken stream may go on at another backend server. */
   resumable: boolean;
+  /** Regions in which its requests may be served; empty for any. */
+  regions: string[];
 };
 
 /** What a service says of its engines; undefined for a plain service. */
@@ -44,11 +46,21 @@
   tokensPerEvent: number;
 };
 
+/** What backend servers of a service bear while they warm up. */
+export type WarmUpTraits = {
+  /** Time from the start on, milliseconds. */
+  durationMs: number;
+  /** Requests a second, from all gateways together. */
+  perSecond: number;
+};
+
 export type ServiceDeclaration = {
   name: string;
   /** Connections that one backend server accepts from all callers together. */
   maxConnections: number;
   engine: EngineTraits | undefined;
+  /** Undefined where its backend servers bear their full load from the start on. */
+  warmUp: WarmUpTraits | undefined;
 };
 
 /** What a quota counts. */
@@ -73,6 +85,8 @@
   urgency: number | undefined;
   /** Undefined where the workspace has no limit. */
   quota: Quota | undefined;
+  /** Regions in which its requests may be served; empty for any. */
+  regions: string[];
 };
 
 /** What a caller may send, and how long it may take. */
--- a/packages/core/src/gateway/crash-watch.test.ts
+++ b/packages/core/src/gateway/crash-watch.test.ts
@@ -86,7 +86,7 @@
   const state = gatewayBench.createBench(['a']);
   crashWatch.noteBrokenRun(state, 'a', POISON, 0);
   assert.deepEqual(crashWatch.applyCrash(state, 'a', buildClocks(20_000)), []);
-  backendServers.applyEntry(state.servers, gatewayBench.buildEntry('a', { leaving: true }));
+  backendServers.applyEntry(state.servers, gatewayBench.buildEntry('a', { leaving: true }), 0);
   crashWatch.noteBrokenRun(state, 'a', POISON, 30_000);
   assert.deepEqual(crashWatch.applyCrash(state, 'a', buildClocks(30_100)), []);
 });
--- a/packages/core/src/gateway/gateway-request.ts
+++ b/packages/core/src/gateway/gateway-request.ts
@@ -1,4 +1,5 @@
 /** A request while a gateway has it in hand. */
+import type * as allowedDomains from './allowed-domains.js';
 import type * as configuration from './configuration.js';
 
 /** What a caller sent, as far as decisions need it. */
@@ -31,6 +32,8 @@
   route: configuration.Route;
   service: string;
   workspace: string;
+  /** Where it may be served. */
+  regions: allowedDomains.RegionBinding;
   /** Names the tier of its place in the queue; 0 is the most urgent. */
   urgency: number;
   /** May run more than once. */
--- a/packages/core/src/gateway/gateway-state.ts
+++ b/packages/core/src/gateway/gateway-state.ts
@@ -32,6 +32,12 @@
   schedulersLeft: number;
 };
 
+/**
+ * Bound of what a backend server that warms up may get in any one second: the declared
+ * number of requests times `factor`, and `extra` requests besides.
+ */
+export type WarmUpTolerance = { factor: number; extra: number };
+
 /** Bounds of the deployment. */
 export type GatewayBounds = {
   /** How long one answer of the store holds, milliseconds; Infinity for always. */
@@ -43,6 +49,8 @@
   retryPercent: number;
   /** Repeats that all gateways together may make besides. */
   retryExtra: number;
+  /** What backend servers that warm up bear beyond what they are declared to. */
+  warmUpTolerance: WarmUpTolerance;
 };
 
 export type GatewayState = {
@@ -53,6 +61,10 @@
   failureDomain: string;
   /** Processor time that the process may use, in hundredths of a core. */
   processorPercent: number;
+  /** Gateways that its settings name; itself left out. */
+  seeds: readonly string[];
+  /** Region of each failure domain, as far as the settings tell. */
+  regionByDomain: ReadonlyMap<string, string>;
   bounds: GatewayBounds;
   drawRandom: () => number;
   /** When the process started, milliseconds. */
@@ -78,6 +90,8 @@
   /** Requests that broke off lately, by backend server. */
   brokenRuns: Map<string, crashWatch.BrokenRun[]>;
   nextSerial: number;
+  /** Revision of `servers` for which waiting requests were last checked. */
+  checkedRevision: number;
   /** Set once the process has been told to stop, milliseconds; 0 before. */
   shutdownMs: number;
 };
@@ -88,6 +102,8 @@
   life: string;
   failureDomain: string;
   processorPercent: number;
+  seeds: readonly string[];
+  regionByDomain: ReadonlyMap<string, string>;
 };
 
 /** Creates the state of a gateway that has just started. */
@@ -119,6 +135,7 @@
     suspects: suspects.createSuspects(),
     brokenRuns: new Map(),
     nextSerial: 1,
+    checkedRevision: -1,
     shutdownMs: 0,
   };
 }
--- a/packages/core/src/gateway/index.ts
+++ b/packages/core/src/gateway/index.ts
@@ -4,6 +4,7 @@
 export * from './backend-servers.js';
 export * from './belief.js';
 export * from './configuration.js';
+export * from './evacuations.js';
 export * from './configuration-index.js';
 export * from './crash-watch.js';
 export * from './gateway-request.js';
--- a/packages/core/src/gateway/intake.ts
+++ b/packages/core/src/gateway/intake.ts
@@ -1,6 +1,7 @@
 /** Decides whether an arrived request is taken in. */
 import * as schema from '@toucanproxy/schema';
 import * as retryBudget from '../shared/retry-budget.js';
+import * as allowedDomains from './allowed-domains.js';
 import * as asking from './asking.js';
 import type * as belief from './belief.js';
 import * as crashWatch from './crash-watch.js';
@@ -12,6 +13,7 @@
 import * as quotaLimit from './quota-limit.js';
 import * as refusal from './refusal.js';
 import * as rights from './rights.js';
+import * as strandedRequests from './stranded-requests.js';
 import * as tokenQuota from './token-quota.js';
 
 /** Work of a request of a plain service, in tokens; only ratios matter. */
@@ -74,6 +76,7 @@
     route,
     service,
     workspace: workspace?.name ?? '',
+    regions: allowedDomains.computeRegions(route, workspace),
     urgency: rankUrgency(granted),
     repeatable: isRepeatable(route),
     workTokens: estimateWork(arrived),
@@ -137,7 +140,7 @@
   if (crashWatch.isContentRefused(state, request.arrived.hashContent)) {
     return refusal.buildRefusal(ResultCode.CONTENT_SUSPENDED);
   }
-  return undefined;
+  return strandedRequests.findStranding(state, request, now);
 }
 
 /** Takes an arrived request in, or refuses it. */
--- a/packages/core/src/gateway/mocks/gateway-bench.ts
+++ b/packages/core/src/gateway/mocks/gateway-bench.ts
@@ -34,6 +34,7 @@
     maxAttempts: 1,
     isPublic: false,
     resumable: false,
+    regions: [],
     ...changes,
   };
 }
@@ -43,14 +44,21 @@
   version: number,
   routes: configuration.Route[],
   workspaces: configuration.WorkspaceDeclaration[] = [
-    { name: 'w1', credentials: [KEY], urgency: undefined, quota: undefined },
-    { name: 'w2', credentials: ['key-2'], urgency: undefined, quota: undefined },
+    { name: 'w1', credentials: [KEY], urgency: undefined, quota: undefined, regions: [] },
+    { name: 'w2', credentials: ['key-2'], urgency: undefined, quota: undefined, regions: [] },
   ],
 ): configuration.Configuration {
   return {
     version,
     routes,
-    services: [{ name: 'one', maxConnections: 100, engine: { slots: 2, tokensPerEvent: 5 } }],
+    services: [
+      {
+        name: 'one',
+        maxConnections: 100,
+        engine: { slots: 2, tokensPerEvent: 5 },
+        warmUp: undefined,
+      },
+    ],
     workspaces,
     callerBounds: {
       maxHeaderBytes: 1000,
@@ -74,6 +82,8 @@
     slots: 2,
     leaving: false,
     bornMs: 1,
+    revision: 1,
+    warmUpLeftMs: 0,
     ...changes,
   };
 }
@@ -89,12 +99,20 @@
     quotaTolerance: { overage: 0, slack: 0, windowMs: 0 },
     retryPercent: 20,
     retryExtra: 10,
+    warmUpTolerance: { factor: 1.5, extra: 5 },
+  };
+  const identity = {
+    address: ADDRESS,
+    life: 'life',
+    failureDomain: 'd1',
+    processorPercent: 50,
+    seeds: [],
+    regionByDomain: new Map([['d1', 'r1']]),
   };
-  const identity = { address: ADDRESS, life: 'life', failureDomain: 'd1', processorPercent: 50 };
   const state = gatewayState.createGatewayState(identity, bounds, () => 0.5, 0);
   state.index = configurationIndex.buildConfigurationIndex(buildConfiguration(1, routes));
   belief.noteConfirmed(state.belief, buildClocks(0));
-  ids.forEach((id) => backendServers.applyEntry(state.servers, buildEntry(id)));
+  ids.forEach((id) => backendServers.applyEntry(state.servers, buildEntry(id), 0));
   return state;
 }
 
--- a/packages/core/src/scheduler/asks.ts
+++ b/packages/core/src/scheduler/asks.ts
@@ -70,6 +70,9 @@
     case Kind.NOT_TAKEN:
       serverLoad.pauseServer(load, now);
       break;
+    case Kind.UNREACHABLE:
+      serverLoad.noteUnreachable(load, now);
+      break;
     default:
   }
 }
@@ -109,6 +112,7 @@
     leaveMs: now + asked.leaveLeftMs,
     giveUpMs: now + asked.giveUpLeftMs,
     triedIds: new Set(asked.triedIds),
+    excludedDomains: new Set(asked.excludedDomains),
   };
 }
 
--- a/packages/core/src/scheduler/candidates.ts
+++ b/packages/core/src/scheduler/candidates.ts
@@ -5,6 +5,24 @@
 import * as firstDelay from './first-delay.js';
 import type * as serverChoice from './server-choice.js';
 import * as serverLoad from './server-load.js';
+import * as warmUp from './warm-up.js';
+
+/** The backend servers of a cell, as the scheduler's gateway knows them. */
+export type CellServers = {
+  /** Those that may get new work. */
+  entries: readonly backendServerEntry.BackendServerEntry[];
+  tokensPerEvent: number;
+  /** Part of the places that may be given out. */
+  placeShare: number;
+  /** Part of the gateways that are heard, this one included; 0 where that is unknown. */
+  heardShare: number;
+  /** There are other gateways, which may have something in flight. */
+  hasPeers: boolean;
+  /** Undefined where backend servers bear their full load from the start on. */
+  warmUp: warmUp.WarmUpLimit | undefined;
+  /** Until when each backend server warms up, by id, milliseconds. */
+  warmUntilMs: ReadonlyMap<string, number>;
+};
 
 /**
  * Where fewer than this share of the backend servers would be left, none is ejected
@@ -19,14 +37,58 @@
   return slots || DEFAULT_SLOTS;
 }
 
+/**
+ * Tells whether a backend server warms up, or may do so since it could not be reached: it
+ * may come back as late as the next try, which is the longest pause away.
+ */
+function isWarming(
+  cell: cells.Cell,
+  { warmUp: limit, warmUntilMs }: CellServers,
+  serverId: string,
+  now: number,
+): boolean {
+  const { unreachableMs } = cells.getLoad(cell, serverId);
+  const suspectedMs = serverLoad.LONGEST_PAUSE_MS + (limit?.durationMs ?? 0);
+  const suspectedUntilMs = unreachableMs + suspectedMs;
+  return now < Math.max(warmUntilMs.get(serverId) ?? -Infinity, suspectedUntilMs);
+}
+
+/** Counts the requests that a backend server may be started with now. */
+export function countStartsLeft(
+  cell: cells.Cell,
+  servers: CellServers,
+  serverId: string,
+  now: number,
+): number {
+  const { heardShare } = servers;
+  const view = { isWarming: isWarming(cell, servers, serverId, now), heardShare };
+  return warmUp.countStartsLeft(cell.starts.get(serverId) ?? [], servers.warmUp, view, now);
+}
+
+/**
+ * Counts the places of a cell. One that is held back while it warms up has only those that
+ * it uses, and those that it may be given now: callers who are told of more would wait.
+ */
+export function countPlaces(
+  cell: cells.Cell,
+  servers: CellServers,
+  taken: ReadonlyMap<string, number>,
+  now: number,
+): number {
+  return servers.entries.reduce((sum, entry) => {
+    const reachable = (taken.get(entry.id) ?? 0) + countStartsLeft(cell, servers, entry.id, now);
+    return sum + Math.min(getSlots(entry), reachable);
+  }, 0);
+}
+
 /** Lists the backend servers of a cell that may get work now. */
 export function listCandidates(
   cell: cells.Cell,
-  entries: readonly backendServerEntry.BackendServerEntry[],
+  servers: CellServers,
   taken: ReadonlyMap<string, number>,
   now: number,
 ): serverChoice.Candidate[] {
-  const usable = entries.map((entry) => ({
+  const usable = servers.entries.map((entry) => ({
     entry,
     load: cells.getLoad(cell, entry.id),
     inFlight: taken.get(entry.id) ?? 0,
@@ -45,6 +107,7 @@
       failureDomain: entry.failureDomain,
       slots: getSlots(entry),
       inFlight,
+      startsLeft: countStartsLeft(cell, servers, entry.id, now),
       slowness,
       unitMs: fastest * slowness,
       firstExtraMs: firstDelay.estimateExtraMs(load.firstDelay, now, usualMs),
--- /dev/null
+++ b/packages/core/src/scheduler/mocks/scheduler-bench.ts
@@ -0,0 +1,20 @@
+/** What tests of a scheduler hand to it. */
+import type * as backendServerEntry from '../../shared/backend-server-entry.js';
+import type * as candidates from '../candidates.js';
+
+/** Builds what is known of some backend servers, all of them warm. */
+export function buildServers(
+  entries: readonly backendServerEntry.BackendServerEntry[],
+  changes: Partial<candidates.CellServers> = {},
+): candidates.CellServers {
+  return {
+    entries,
+    tokensPerEvent: 1,
+    placeShare: 1,
+    heardShare: 1,
+    hasPeers: false,
+    warmUp: undefined,
+    warmUntilMs: new Map(),
+    ...changes,
+  };
+}
--- a/packages/core/src/scheduler/request-match.ts
+++ b/packages/core/src/scheduler/request-match.ts
@@ -48,13 +48,24 @@
   return firstMs <= request.targetMs && endMs <= request.giveUpMs;
 }
 
+/** Lists the backend servers that a request may go to. */
+function listAllowed(
+  all: readonly serverChoice.Candidate[],
+  { excludedDomains }: scheduledRequest.ScheduledRequest,
+): readonly serverChoice.Candidate[] {
+  return excludedDomains.size === 0
+    ? all
+    : all.filter(({ failureDomain }) => !excludedDomains.has(failureDomain));
+}
+
 /** Lists the open places of a request; those that failed it only where there are no others. */
 function listPlaces(
   { open }: OpenSearch,
-  { triedIds }: scheduledRequest.ScheduledRequest,
+  request: scheduledRequest.ScheduledRequest,
 ): readonly serverChoice.Candidate[] {
-  const untried = open.filter((one) => !triedIds.has(one.id));
-  return untried.length > 0 ? untried : open;
+  const allowed = listAllowed(open, request);
+  const untried = allowed.filter((one) => !request.triedIds.has(one.id));
+  return untried.length > 0 ? untried : allowed;
 }
 
 /** Chooses a place at which a request is on time. */
@@ -77,7 +88,7 @@
   search: OpenSearch,
   request: scheduledRequest.ScheduledRequest,
 ): serverChoice.Candidate | undefined {
-  return search.candidates.some((one) => isInTime(search, request, one))
+  return listAllowed(search.candidates, request).some((one) => isInTime(search, request, one))
     ? undefined
     : serverChoice.chooseServer(
         listPlaces(search, request),
--- a/packages/core/src/scheduler/scheduled-request.ts
+++ b/packages/core/src/scheduler/scheduled-request.ts
@@ -29,4 +29,6 @@
   giveUpMs: number;
   /** Backend servers that did not take it, or failed it. */
   triedIds: ReadonlySet<string>;
+  /** Failure domains that its gateway does not send it to. */
+  excludedDomains: ReadonlySet<string>;
 };
--- a/packages/core/src/scheduler/scheduler.ts
+++ b/packages/core/src/scheduler/scheduler.ts
@@ -1,6 +1,5 @@
 /** The scheduler: which waiting requests of its cells get which places. */
 import * as schema from '@toucanproxy/schema';
-import type * as backendServerEntry from '../shared/backend-server-entry.js';
 import * as asks from './asks.js';
 import * as candidates from './candidates.js';
 import * as cells from './cell.js';
@@ -10,17 +9,6 @@
 import type * as serverChoice from './server-choice.js';
 import * as waiting from './waiting.js';
 
-/** What the scheduler's gateway knows of the backend servers of a cell. */
-export type CellServers = {
-  /** Those that may get new work. */
-  entries: readonly backendServerEntry.BackendServerEntry[];
-  tokensPerEvent: number;
-  /** Part of the places that may be given out. */
-  placeShare: number;
-  /** There are other gateways, which may have something in flight. */
-  hasPeers: boolean;
-};
-
 /** A decision, for the log. */
 export type SchedulingNote = {
   kind: 'granted' | 'declined';
@@ -30,9 +18,10 @@
   queued: number;
   /** The chosen backend server and the two next best; empty where there was none. */
   weighed: readonly serverChoice.Candidate[];
-  /** Backend servers that were left out, and those without a place. */
+  /** Backend servers that were left out, those without a place, and those held back. */
   leftOut: number;
   full: number;
+  heldBack: number;
 };
 
 /** A reply and the gateway that it is for. */
@@ -60,6 +49,7 @@
 const MAX_ENTRIES = 16;
 /** Backend servers named in a note. */
 const MAX_WEIGHED = 3;
+const NOTHING_WEIGHED = { weighed: [], leftOut: 0, full: 0, heldBack: 0 };
 
 /** Creates a scheduler without cells. */
 export function createScheduler(
@@ -84,21 +74,25 @@
 
 /** Forgets what was seen of a backend server that has restarted or gone. */
 export function forgetServer(scheduler: Scheduler, serverId: string): void {
-  scheduler.cells.forEach((cell) => cell.loads.delete(serverId));
+  scheduler.cells.forEach((cell) => {
+    cell.loads.delete(serverId);
+    cell.starts.delete(serverId);
+  });
 }
 
 /** Counts the places of a cell and those that are taken. */
 function countPlaces(
   { address }: Scheduler,
   cell: cells.Cell,
-  { entries, placeShare, hasPeers }: CellServers,
+  servers: candidates.CellServers,
   now: number,
 ): places.PlaceCount {
-  const all = entries.reduce((sum, entry) => sum + candidates.getSlots(entry), 0);
+  const { placeShare, hasPeers } = servers;
+  const takenByServer = places.countTaken(cell);
+  const all = candidates.countPlaces(cell, servers, takenByServer, now);
   const isCareful = hasPeers || [...cell.askers.keys()].some((one) => one !== address);
   const share =
     isCareful && places.isNew(cell, now) ? Math.min(placeShare, places.TAKEOVER_SHARE) : placeShare;
-  const takenByServer = places.countTaken(cell);
   const taken = [...takenByServer.values()].reduce((sum, one) => sum + one, 0);
   return { all, usable: Math.ceil(all * share), taken, takenByServer };
 }
@@ -145,7 +139,7 @@
       asks.refuseRequest(cell, asker, request, false, scheduler.drawRandom, now);
     }
     const queued = cell.queue.items.length;
-    return { kind: 'declined', cell: cell.name, request, queued, weighed: [], leftOut: 0, full: 0 };
+    return { kind: 'declined', cell: cell.name, request, queued, ...NOTHING_WEIGHED };
   });
 }
 
@@ -153,15 +147,16 @@
 function grantOpen(
   scheduler: Scheduler,
   cell: cells.Cell,
-  servers: CellServers,
+  servers: candidates.CellServers,
   now: number,
 ): SchedulingNote[] {
   if (cell.queue.items.length === 0) {
     return [];
   }
   const count = countPlaces(scheduler, cell, servers, now);
-  const all = candidates.listCandidates(cell, servers.entries, count.takenByServer, now);
+  const all = candidates.listCandidates(cell, servers, count.takenByServer, now);
   const { tokensPerEvent } = servers;
+  const isBounded = servers.warmUp !== undefined;
   const { drawRandom } = scheduler;
   const search = { cell, candidates: all, tokensPerEvent, drawRandom, now };
   const notes: SchedulingNote[] = [];
@@ -177,9 +172,14 @@
       weighed: listWeighed(all, chosen),
       leftOut: servers.entries.length - all.length,
       full: all.filter(({ slots, inFlight }) => inFlight >= slots).length,
+      heldBack: all.filter(({ startsLeft }) => startsLeft === 0).length,
     });
     grantPlace(scheduler, cell, match, now);
+    if (isBounded) {
+      cells.noteStart(cell, chosen.id, now);
+    }
     chosen.inFlight += 1;
+    chosen.startsLeft -= 1;
     taken += 1;
     match = taken < count.usable ? requestMatch.findNextMatch(search) : undefined;
   }
@@ -203,7 +203,7 @@
  */
 export function scheduleRequests(
   scheduler: Scheduler,
-  findServers: (cellName: string) => CellServers,
+  findServers: (cellName: string) => candidates.CellServers,
   now: number,
 ): SchedulingNote[] {
   return [...scheduler.cells.values()].flatMap((cell) => {
@@ -213,6 +213,7 @@
     }
     expireAskers(cell, now);
     places.expireGrants(cell, now);
+    cells.expireStarts(cell, now);
     const declined = refuseSpent(scheduler, cell, now);
     return [...declined, ...grantOpen(scheduler, cell, findServers(cell.name), now)];
   });
@@ -261,7 +262,7 @@
 /** Collects what the gateways are to be told. */
 export function collectReplies(
   scheduler: Scheduler,
-  findServers: (cellName: string) => CellServers,
+  findServers: (cellName: string) => candidates.CellServers,
   now: number,
 ): AddressedReply[] {
   return [...scheduler.cells.values()].flatMap((cell) => {
--- a/packages/core/src/scheduler/server-choice.test.ts
+++ b/packages/core/src/scheduler/server-choice.test.ts
@@ -12,6 +12,7 @@
     failureDomain: 'd1',
     slots: SLOTS,
     inFlight: 0,
+    startsLeft: Infinity,
     slowness: 1,
     unitMs: 0,
     firstExtraMs: 0,
--- a/packages/core/src/scheduler/server-choice.ts
+++ b/packages/core/src/scheduler/server-choice.ts
@@ -14,6 +14,8 @@
   slots: number;
   /** Requests there, as the gateways last told, and places granted since. */
   inFlight: number;
+  /** Requests that it may be started with now; bounded while it warms up. */
+  startsLeft: number;
   /** Times slower than the fastest of its cell. */
   slowness: number;
   /** Time of one unit of work, an event or an answer, milliseconds; 0 if unknown. */
@@ -32,8 +34,8 @@
 const DISTANCE_COST = 0.1;
 
 /** Tells whether a backend server has a place. */
-export function hasPlace({ slots, inFlight }: Candidate): boolean {
-  return inFlight < slots;
+export function hasPlace({ slots, inFlight, startsLeft }: Candidate): boolean {
+  return inFlight < slots && startsLeft > 0;
 }
 
 /** Estimates the cost of placing a request of a failure domain; the least wins. */
--- a/packages/core/src/scheduler/server-load.test.ts
+++ b/packages/core/src/scheduler/server-load.test.ts
@@ -3,6 +3,7 @@
 import * as candidates from './candidates.js';
 import * as cells from './cell.js';
 import * as gatewayBench from '../gateway/mocks/gateway-bench.js';
+import * as schedulerBench from './mocks/scheduler-bench.js';
 import * as serverLoad from './server-load.js';
 
 const { test } = nodeTest;
@@ -17,7 +18,9 @@
 function listIds(cell: cells.Cell, ids: string[], now: number, atFirst = 0): string[] {
   const entries = ids.map((id) => gatewayBench.buildEntry(id));
   const taken = new Map([[ids[0], atFirst]]);
-  return candidates.listCandidates(cell, entries, taken, now).map(({ id }) => id);
+  return candidates
+    .listCandidates(cell, schedulerBench.buildServers(entries), taken, now)
+    .map(({ id }) => id);
 }
 
 test('server that fails at once gets no stream of work', () => {
--- a/packages/core/src/scheduler/server-load.ts
+++ b/packages/core/src/scheduler/server-load.ts
@@ -8,6 +8,8 @@
   failuresInRow: number;
   /** Gets no new work until this time, milliseconds; 0 if never. */
   pausedUntilMs: number;
+  /** When it could not be reached last, milliseconds. */
+  unreachableMs: number;
   /** Recent answers, and those among them that failed; older ones fade. */
   answers: number;
   failures: number;
@@ -24,7 +26,7 @@
  * Longest pause, milliseconds. A backend server that crashed is back after some
  * seconds; the next try after that costs one connection.
  */
-const LONGEST_PAUSE_MS = 2000;
+export const LONGEST_PAUSE_MS = 2000;
 
 /** A backend server is ejected where this share of its recent answers failed. */
 const EJECT_SHARE = 0.5;
@@ -44,6 +46,7 @@
     firstDelay: firstDelay.createFirstDelay(),
     failuresInRow: 0,
     pausedUntilMs: 0,
+    unreachableMs: -Infinity,
     answers: 0,
     failures: 0,
     ejectedUntilMs: 0,
@@ -97,6 +100,15 @@
   load.pausedUntilMs = Math.max(load.pausedUntilMs, now + pauseMs);
 }
 
+/**
+ * Notes that a backend server could not be reached. It may have crashed, and warm up
+ * once it is back, which its entry tells seconds later.
+ */
+export function noteUnreachable(load: ServerLoad, now: number): void {
+  load.unreachableMs = now;
+  pauseServer(load, now);
+}
+
 /** Tells whether a backend server is left out for now. */
 export function isPaused(load: ServerLoad, now: number): boolean {
   return now < load.pausedUntilMs;
--- /dev/null
+++ b/packages/core/src/scheduler/warm-up.test.ts
@@ -0,0 +1,94 @@
+import * as assert from 'node:assert/strict';
+import * as nodeTest from 'node:test';
+import * as warmUp from './warm-up.js';
+
+const { test } = nodeTest;
+const LIMIT = { perSecond: 9, mostInSecond: 18, durationMs: 3000 };
+const WARM = { isWarming: false, heardShare: 1 };
+const WARMING = { isWarming: true, heardShare: 1 };
+const SECOND_MS = 1000;
+
+/** Starts whatever may be started for some time, and lists when. */
+function startAll(
+  limit: warmUp.WarmUpLimit,
+  view: warmUp.WarmUpView,
+  forMs: number,
+  before: readonly number[] = [],
+): number[] {
+  const starts = [...before];
+  for (let now = before.at(-1) ?? 0; now < forMs; now += 5) {
+    const left = Math.min(warmUp.countStartsLeft(starts, limit, view, now), 50);
+    starts.push(...Array.from({ length: left }, () => now));
+  }
+  return starts;
+}
+
+/** Counts the most starts in any one second. */
+function countMost(starts: readonly number[]): number {
+  const counts = starts.map(
+    (from) => starts.filter((one) => one >= from && one < from + SECOND_MS).length,
+  );
+  return Math.max(...counts, 0);
+}
+
+test('evenly spaced while it warms up', () => {
+  const starts = startAll(LIMIT, WARMING, 3000);
+  const gaps = starts.slice(1).map((one, index) => one - starts[index]);
+  assert.ok(Math.min(...gaps) >= 100, String(Math.min(...gaps)));
+  assert.ok(countMost(starts) <= LIMIT.mostInSecond / 2, String(countMost(starts)));
+  assert.ok(starts.length >= 15, String(starts.length));
+});
+
+test('two schedulers keep the bound', () => {
+  const one = startAll(LIMIT, WARMING, 3000);
+  assert.ok(countMost([...one, ...one]) <= LIMIT.mostInSecond);
+});
+
+test('schedulers that hear only a part', () => {
+  // The gateways fall apart into five groups that hear nothing of each other. Each has a
+  // scheduler of its own, and all of them reach the backend server.
+  const one = startAll(LIMIT, { isWarming: true, heardShare: 0.2 }, 3000);
+  assert.ok(one.length > 0);
+  assert.ok(countMost([...one, ...one, ...one, ...one, ...one]) <= LIMIT.mostInSecond);
+});
+
+test('scheduler that hears nobody', () => {
+  assert.deepEqual(startAll(LIMIT, { isWarming: true, heardShare: 0 }, 3000), []);
+});
+
+test('a scheduler that takes over goes on at the rate', () => {
+  const before = startAll(LIMIT, WARMING, 1000);
+  const after = startAll(LIMIT, WARMING, 1800).map((one) => one + 1000);
+  assert.ok(countMost([...before, ...after]) <= LIMIT.mostInSecond);
+});
+
+test('first second of one that is taken as warm', () => {
+  // A backend server has crashed and is back, and nobody has heard of it. It takes what
+  // comes: within the first second it gets no more than it bears.
+  const first = startAll(LIMIT, WARM, 1400);
+  assert.ok(first.length <= LIMIT.mostInSecond, String(first.length));
+  const next = startAll(LIMIT, WARMING, 2800, first).filter((one) => one > 500);
+  assert.ok(countMost(next) <= LIMIT.mostInSecond, String(countMost(next)));
+});
+
+test('one that is taken as warm no more than doubles', () => {
+  const starts = startAll(LIMIT, WARM, 5600);
+  const counts = [0, 1400, 2800, 4200].map(
+    (from) => starts.filter((one) => one >= from && one < from + 1400).length,
+  );
+  counts.slice(1).forEach((count, index) => {
+    assert.ok(count > counts[index], counts.join());
+    assert.ok(count <= 2 * counts[index], counts.join());
+  });
+});
+
+test('grants of a moment that are used in one second', () => {
+  // A gateway stands still and uses its grants up to 0.4 s late, so that grants of 1.4 s
+  // reach the backend server within one second.
+  const late = startAll(LIMIT, WARM, 1400).map((one) => Math.max(one, 400));
+  assert.ok(countMost(late) <= LIMIT.mostInSecond, String(countMost(late)));
+});
+
+test('service that needs no warm-up', () => {
+  assert.equal(warmUp.countStartsLeft([0, 0, 0], undefined, WARMING, 0), Infinity);
+});
--- a/packages/core/src/shared/backend-server-entry.ts
+++ b/packages/core/src/shared/backend-server-entry.ts
@@ -12,4 +12,11 @@
   leaving: boolean;
   /** Start of this life, milliseconds since the Unix epoch; 0 where it is not told. */
   bornMs: number;
+  /** Revision of the store at which this was written; tells it from what came before. */
+  revision: number;
+  /**
+   * Time for which it warms up from the reading on, milliseconds; 0 once it is warm,
+   * undefined where it is not told.
+   */
+  warmUpLeftMs: number | undefined;
 };
--- a/packages/gateway/src/app.ts
+++ b/packages/gateway/src/app.ts
@@ -62,7 +62,7 @@
 
 /** Builds the bounds that the core decides by. */
 function buildBounds(settings: gatewaySettings.GatewaySettings): gateway.GatewayBounds {
-  const { revocationMs, quotaTolerance, retryRatio, retryExtra } = settings;
+  const { revocationMs, quotaTolerance, retryRatio, retryExtra, warmUpTolerance } = settings;
   return {
     leaseMs: revocationMs === undefined ? Infinity : revocationMs * LEASE_SHARE,
     entryReturnMs: ENTRY_RETURN_MS,
@@ -73,6 +73,7 @@
     },
     retryPercent: retryRatio * RETRY_USED_SHARE * PERCENT,
     retryExtra: retryExtra * RETRY_USED_SHARE,
+    warmUpTolerance,
   };
 }
 
@@ -137,10 +138,12 @@
 /** Creates what the tasks of a gateway share. */
 function createParts({ settings, protocol }: GatewayOptions, life: string) {
   const logger = runtime.createLogger('toucanproxy-gateway', { gateway: settings.name, life });
-  const { peerListen, failureDomain, processorPercent } = settings;
+  const { peerListen, failureDomain, processorPercent, peerSeeds, domainRegions } = settings;
   const address = `${peerListen.host}:${peerListen.port}`;
+  const seeds = peerSeeds.filter((seed) => seed !== address);
+  const regionByDomain = new Map(Object.entries(domainRegions));
   const state = gateway.createGatewayState(
-    { address, life, failureDomain, processorPercent },
+    { address, life, failureDomain, processorPercent, seeds, regionByDomain },
     buildBounds(settings),
     Math.random,
     clocks.readSteadyMs(),
--- a/packages/gateway/src/gateway-metrics.ts
+++ b/packages/gateway/src/gateway-metrics.ts
@@ -1,5 +1,5 @@
 /** What a gateway counts and times. */
-import type * as gateway from '@toucanproxy/core/gateway';
+import * as gateway from '@toucanproxy/core/gateway';
 import * as runtime from '@toucanproxy/runtime';
 import * as schema from '@toucanproxy/schema';
 
@@ -38,6 +38,11 @@
     { name: 'document_version', labels: {}, value: version },
     { name: 'requests_held', labels: {}, value: state.requests.size },
     { name: 'backend_servers', labels: {}, value: state.servers.byId.size },
+    {
+      name: 'evacuated_domains',
+      labels: {},
+      value: gateway.listEvacuated(state.servers.evacuations).length,
+    },
     { name: 'peers', labels: {}, value: state.peers.byAddress.size },
     ...listSchedulingValues(state),
   ];
--- a/packages/gateway/src/gateway-settings.ts
+++ b/packages/gateway/src/gateway-settings.ts
@@ -26,10 +26,18 @@
   /** Key of the configuration, and beginning of the keys of backend servers. */
   configurationKey: string;
   serversPrefix: string;
+  /** Beginning of the keys that each have one failure domain evacuated. */
+  evacuationsPrefix: string;
+  /** Region of each failure domain, by its name. */
+  domainRegions: Record<string, string>;
   /** A backend server that leaves gets no new work after this time, milliseconds. */
   leavingMs: number;
   /** A configuration is in force after this time, milliseconds. */
   configurationMs: number;
+  /** A failure domain that is evacuated gets no new work after this time, milliseconds. */
+  evacuationMs: number;
+  /** What a backend server that warms up may get in a second beyond what it bears. */
+  warmUpTolerance: gateway.WarmUpTolerance;
   /** Revoked credentials must stop working within this time; undefined for no bound, ms. */
   revocationMs: number | undefined;
   /** A stopping process is killed after this time, milliseconds. */
--- a/packages/gateway/src/gateway-task.ts
+++ b/packages/gateway/src/gateway-task.ts
@@ -39,10 +39,15 @@
     if (held === undefined) {
       return;
     }
-    if (assignment.kind === 'refuse') {
-      requestEnding.refuse(task, held, assignment.refusal);
-    } else {
-      attemptSending.send(task, held, assignment);
+    switch (assignment.kind) {
+      case 'refuse':
+        requestEnding.refuse(task, held, assignment.refusal);
+        break;
+      case 'waitOn':
+        requestReports.reportUnused(task, assignment);
+        break;
+      default:
+        attemptSending.send(task, held, assignment);
     }
   });
 }
--- a/packages/gateway/src/peer-task.test.ts
+++ b/packages/gateway/src/peer-task.test.ts
@@ -13,8 +13,11 @@
 /** Creates the state of a gateway that has just started. */
 function createState(): gateway.GatewayState {
   const quotaTolerance = { overage: 0, slack: 0, windowMs: 0 };
-  const bounds = { leaseMs: 1, entryReturnMs: 1, quotaTolerance, retryPercent: 1, retryExtra: 1 };
-  const identity = { address: `${HOST}:1`, life: 'a', failureDomain: 'd', processorPercent: 50 };
+  const warmUpTolerance = { factor: 1, extra: 0 };
+  const retries = { retryPercent: 1, retryExtra: 1 };
+  const bounds = { leaseMs: 1, entryReturnMs: 1, quotaTolerance, warmUpTolerance, ...retries };
+  const place = { failureDomain: 'd', regionByDomain: new Map<string, string>() };
+  const identity = { address: `${HOST}:1`, life: 'a', processorPercent: 50, seeds: [], ...place };
   return gateway.createGatewayState(identity, bounds, Math.random, 0);
 }
 
--- a/packages/gateway/src/request-reports.ts
+++ b/packages/gateway/src/request-reports.ts
@@ -59,6 +59,16 @@
   log.write('sent', line, sentMs);
 }
 
+/** Tells that a request could not be sent where it was granted a place. */
+export function reportUnused(
+  { readClocks, log }: ReportParts,
+  { request, serverId, reason }: Extract<gateway.Assignment, { kind: 'waitOn' }>,
+): void {
+  const { arrived, cell } = request;
+  const line = { request: arrived.attemptId, server: serverId, cell, reason };
+  log.write('grant-unused', line, readClocks().steadyMs);
+}
+
 /** Tells what this gateway decided as the scheduler of a cell. */
 export function reportScheduled(
   { readClocks, log }: ReportParts,
@@ -68,7 +78,7 @@
     return;
   }
   const now = readClocks().steadyMs;
-  notes.forEach(({ kind, cell, request, queued, weighed, leftOut, full }) => {
+  notes.forEach(({ kind, cell, request, queued, weighed, leftOut, full, heldBack }) => {
     const { attemptId, asker, workspace, urgency, arrivedMs, targetMs } = request;
     const line = {
       request: attemptId,
@@ -83,6 +93,8 @@
       weighed: weighed.map((one) => [one.id, one.inFlight, Math.round(one.slowness * 100)]),
       leftOut,
       full,
+      // Backend servers that warm up and may not be given a request yet.
+      heldBack,
     };
     log.write(kind, line, now);
   });
--- a/packages/gateway/src/server-items.ts
+++ b/packages/gateway/src/server-items.ts
@@ -31,7 +31,7 @@
   const entry = item.value && codec.decodeBackendServer(item);
   return entry === undefined
     ? gateway.removeEntry(state.servers, codec.parseServerId(item.key), readClocks().steadyMs)
-    : gateway.applyEntry(state.servers, entry);
+    : gateway.applyEntry(state.servers, entry, readClocks().steadyMs);
 }
 
 /** Logs changes and brings connections in line. */
--- a/packages/gateway/src/status.ts
+++ b/packages/gateway/src/status.ts
@@ -14,6 +14,22 @@
   }));
 }
 
+/** Describes the backend servers that warm up, and how much longer. */
+function describeWarming(
+  state: gateway.GatewayState,
+  now: number,
+): { id: string; warmUpLeftMs: number }[] {
+  return [...state.servers.byId].flatMap(([id, known]) => {
+    const declared = state.index?.serviceByName.get(known.entry.service);
+    const durationMs = declared?.warmUp?.durationMs;
+    const untilMs =
+      durationMs === undefined
+        ? -Infinity
+        : gateway.computeWarmUntil(state.servers, known, durationMs);
+    return untilMs > now ? [{ id, warmUpLeftMs: Math.round(untilMs - now) }] : [];
+  });
+}
+
 /** Describes a gateway. */
 export function describeStatus(
   state: gateway.GatewayState,
@@ -26,6 +42,8 @@
     storeLost: storeLink.isLost,
     requestsHeld: state.requests.size,
     backendServers: [...state.servers.byId.values()],
+    evacuatedDomains: gateway.listEvacuated(state.servers.evacuations),
+    warming: describeWarming(state, now.steadyMs),
     cells: describeCells(state),
     peers: gateway.listContacts(state.peers),
   };
--- a/packages/gateway/src/store-codec.ts
+++ b/packages/gateway/src/store-codec.ts
@@ -2,7 +2,12 @@
 import type * as gateway from '@toucanproxy/core/gateway';
 
 /** An item of the store; `value` is undefined where it was deleted. */
-export type StoreItem = { key: string; value: Buffer | undefined };
+export type StoreItem = {
+  key: string;
+  value: Buffer | undefined;
+  /** Revision of the store at which it was written or deleted. */
+  revision: number;
+};
 
 /** Some items, and the store's revision at that time. */
 export type StorePage = { items: StoreItem[]; isLast: boolean; revision: number };
@@ -24,4 +29,6 @@
   decodeBackendServer: (item: StoreItem) => gateway.BackendServerEntry | undefined;
   /** Id of the backend server that a key belongs to. */
   parseServerId: (key: string) => string;
+  /** Failure domain that is evacuated while there is an item under a key. */
+  parseEvacuatedDomain: (key: string) => string;
 };
--- a/packages/gateway/src/store-follower.ts
+++ b/packages/gateway/src/store-follower.ts
@@ -1,14 +1,14 @@
 /**
- * Follows everything that a gateway takes from the store: the configuration and the
- * entries of backend servers, with one call over the beginning that their keys share.
+ * Follows everything that a gateway takes from the store: the configuration, the entries
+ * of backend servers and evacuations of failure domains, with one call over the beginning that their keys share.
  *
- * Each call of a gateway costs the store, and with one call for each of the two a
- * gateway made 2.1 calls a second. One answer tells of both, and renews the lease of
- * the configuration as well: 0.7 a second where the bounds allow the longest interval.
+ * Each call of a gateway costs the store. One answer tells of all of them, and renews the
+ * lease of the configuration as well.
  */
 import * as gateway from '@toucanproxy/core/gateway';
 import type * as gatewaySettings from './gateway-settings.js';
 import * as configurationItems from './configuration-items.js';
+import * as evacuationItems from './evacuation-items.js';
 import * as serverItems from './server-items.js';
 import * as storeClient from './store-client.js';
 import type * as storeCodec from './store-codec.js';
@@ -21,7 +21,8 @@
 };
 
 export type FollowerParts = configurationItems.ConfigurationParts &
-  serverItems.ServerParts & {
+  serverItems.ServerParts &
+  evacuationItems.EvacuationParts & {
     storeLink: StoreLink;
     /** Called after what is known has changed. */
     assign: () => void;
@@ -43,20 +44,26 @@
 /**
  * Computes the time between calls, milliseconds. A change is known one interval after
  * it was made, or with one lost call in between; both fit in the bounds that changes
- * have. With 950 ms and a bound of 2 s, a backend server got work 2.5 s after it left.
+ * have.
  */
 export function computeIntervalMs({
   leavingMs,
   configurationMs,
-}: Pick<gatewaySettings.GatewaySettings, 'leavingMs' | 'configurationMs'>): number {
-  const withinBounds = Math.min(leavingMs, configurationMs) - LOST_CALL_MS;
+  evacuationMs,
+}: Pick<
+  gatewaySettings.GatewaySettings,
+  'leavingMs' | 'configurationMs' | 'evacuationMs'
+>): number {
+  const withinBounds = Math.min(leavingMs, configurationMs, evacuationMs) - LOST_CALL_MS;
   return Math.max(Math.min(withinBounds, LONGEST_INTERVAL_MS), SHORTEST_INTERVAL_MS);
 }
 
-/** Gets the beginning that two keys share; empty where they share none. */
-export function findSharedPrefix(one: string, other: string): string {
-  const end = [...one].findIndex((letter, index) => letter !== other[index]);
-  return end === -1 ? one : one.slice(0, end);
+/** Gets the beginning that keys share; empty where they share none. */
+export function findSharedPrefix(first: string, ...others: readonly string[]): string {
+  const end = [...first].findIndex((letter, index) =>
+    others.some((other) => letter !== other[index]),
+  );
+  return end === -1 ? first : first.slice(0, end);
 }
 
 /** Notes that the store does not answer any more. */
@@ -79,21 +86,31 @@
 /** Starts to follow the store. */
 export function startStoreFollower(parts: FollowerParts): storeReader.StoreReader {
   const { state, settings, codec, readClocks, assign } = parts;
-  const applyItems =
-    (applyServers: typeof serverItems.applyAllServers) => (items: storeCodec.StoreItem[]) => {
-      configurationItems.applyConfigurations(parts, items);
-      applyServers(parts, items);
-      assign();
-    };
+  const applySnapshot = (items: storeCodec.StoreItem[], revision: number) => {
+    configurationItems.applyConfigurations(parts, items);
+    evacuationItems.applyAllEvacuations(parts, items, revision);
+    serverItems.applyAllServers(parts, items);
+    assign();
+  };
+  const applyChanges = (items: storeCodec.StoreItem[]) => {
+    configurationItems.applyConfigurations(parts, items);
+    evacuationItems.applyEvacuationChanges(parts, items);
+    serverItems.applyServerChanges(parts, items);
+    assign();
+  };
   return storeReader.startStoreReader({
     client: storeClient.createStoreClient(settings.store),
     codec,
-    prefix: findSharedPrefix(settings.configurationKey, settings.serversPrefix),
+    prefix: findSharedPrefix(
+      settings.configurationKey,
+      settings.serversPrefix,
+      settings.evacuationsPrefix,
+    ),
     intervalMs: computeIntervalMs(settings),
     readClocks,
     drawRandom: state.drawRandom,
-    applySnapshot: applyItems(serverItems.applyAllServers),
-    applyChanges: applyItems(serverItems.applyServerChanges),
+    applySnapshot,
+    applyChanges,
     confirm: (sent) => gateway.noteConfirmed(state.belief, sent),
     reportLost: (reason) => reportLost(parts, reason),
     reportRegained: (awayMs) => reportRegained(parts, awayMs),
--- a/packages/gateway/src/store-reader.ts
+++ b/packages/gateway/src/store-reader.ts
@@ -8,8 +8,7 @@
  *
  * Calls do not wait for changes, they are sent at even intervals. An answer that has
  * waited is as old as its wait when it comes, and the lease that it renews runs out
- * the earlier: days on which the store fell silent served 0.796 of their worth with
- * waits of a second, and 0.843 with even intervals (means of three days).
+ * the earlier once the store falls silent.
  */
 import type * as gateway from '@toucanproxy/core/gateway';
 import type * as clocks from './clocks.js';
@@ -24,7 +23,8 @@
   intervalMs: number;
   readClocks: clocks.ReadClocks;
   drawRandom: () => number;
-  applySnapshot: (items: storeCodec.StoreItem[]) => void;
+  /** Takes in all items, as they were at a revision or later. */
+  applySnapshot: (items: storeCodec.StoreItem[], revision: number) => void;
   applyChanges: (items: storeCodec.StoreItem[]) => void;
   /** The store has answered a call that was sent at the given reading. */
   confirm: (sent: gateway.ClockReading) => void;
@@ -107,7 +107,7 @@
     const { items, revision } = await readAll(options);
     noteAnswer(state, sent);
     state.revision = revision;
-    options.applySnapshot(items);
+    options.applySnapshot(items, revision);
     state.noteFirst();
     return;
   }
--- a/packages/measure/src/gateway-load/replay-world.ts
+++ b/packages/measure/src/gateway-load/replay-world.ts
@@ -93,6 +93,7 @@
     maxAttempts: 1,
     isPublic: false,
     resumable: false,
+    regions: [],
   }));
   const engine = { slots, tokensPerEvent: engineModel.TOKENS_PER_EVENT };
   const workspaces = Array.from({ length: WORKSPACES }, (_, index) => ({
@@ -100,6 +101,7 @@
     credentials: [`key-${index}`],
     urgency: undefined,
     quota: undefined,
+    regions: [],
   }));
   const callerBounds = {
     maxHeaderBytes: 1,
@@ -107,7 +109,7 @@
     headerTimeoutMs: 1,
     idleTimeoutMs: 1,
   };
-  const services = [{ name: SERVICE, maxConnections: 100, engine }];
+  const services = [{ name: SERVICE, maxConnections: 100, engine, warmUp: undefined }];
   return { version: 1, routes, services, workspaces, callerBounds };
 }
 
@@ -124,6 +126,7 @@
     quotaTolerance: { overage: 0, slack: 0, windowMs: 0 },
     retryPercent: 16,
     retryExtra: 40,
+    warmUpTolerance: { factor: 1, extra: 0 },
   };
   world.starts += 1;
   const identity = {
@@ -131,12 +134,14 @@
     life: String(world.starts),
     failureDomain: 'd',
     processorPercent: 50,
+    seeds: [],
+    regionByDomain: new Map<string, string>(),
   };
   const state = gateway.createGatewayState(identity, bounds, world.draw, world.nowMs);
   state.index = gateway.buildConfigurationIndex(buildConfiguration(world.options.slots));
   gateway.noteConfirmed(state.belief, readClocks(world));
-  world.engines.forEach(({ id }) =>
-    gateway.applyEntry(state.servers, {
+  world.engines.forEach(({ id }) => {
+    const entry = {
       id,
       service: SERVICE,
       address: id,
@@ -144,8 +149,11 @@
       slots: world.options.slots,
       leaving: false,
       bornMs: 1,
-    }),
-  );
+      revision: 1,
+      warmUpLeftMs: 0,
+    };
+    gateway.applyEntry(state.servers, entry, world.nowMs);
+  });
   return state;
 }
 
--- a/packages/measure/src/gateway-load/replay.ts
+++ b/packages/measure/src/gateway-load/replay.ts
@@ -155,7 +155,7 @@
     }
     if (assignment.kind === 'send') {
       startRun(world, live, assignment.server.id);
-    } else {
+    } else if (assignment.kind === 'refuse') {
       world.live.delete(attemptId);
       endRefused(world, live.call, assignment.refusal.retryAfterMs);
     }
--- a/packages/proofs/src/mocks/gateway-fleet-configuration.ts
+++ b/packages/proofs/src/mocks/gateway-fleet-configuration.ts
@@ -9,7 +9,10 @@
 const URGENCIES = [0, 1, 2];
 
 /** Builds the configuration: a route for each urgency. */
-export function buildConfiguration(slots: number): gateway.Configuration {
+export function buildConfiguration(
+  slots: number,
+  warmUp?: gateway.WarmUpTraits,
+): gateway.Configuration {
   const routes = URGENCIES.map((urgency) => ({
     name: `route-${urgency}`,
     hostname: 'h',
@@ -23,9 +26,12 @@
     maxAttempts: 1,
     isPublic: false,
     resumable: false,
+    regions: [],
   }));
-  const workspace = { name: 'w', credentials: [KEY], urgency: undefined, quota: undefined };
-  const services = [{ name: SERVICE, maxConnections: 100, engine: { slots, tokensPerEvent: 5 } }];
+  const quota = undefined;
+  const workspace = { name: 'w', credentials: [KEY], urgency: undefined, quota, regions: [] };
+  const engine = { slots, tokensPerEvent: 5 };
+  const services = [{ name: SERVICE, maxConnections: 100, engine, warmUp }];
   const callerBounds = {
     maxHeaderBytes: 1,
     maxBodyBytes: 1,
--- a/packages/proofs/src/mocks/gateway-fleet.ts
+++ b/packages/proofs/src/mocks/gateway-fleet.ts
@@ -2,114 +2,15 @@
 import * as gateway from '@toucanproxy/core/gateway';
 import * as datagramNetwork from '@toucanproxy/core/mocks/datagram-network';
 import * as fleetConfiguration from './gateway-fleet-configuration.js';
+import * as fleetState from './gateway-fleet-state.js';
 import * as randomSource from './random-source.js';
 
-/** A request that was sent to a backend server. */
-export type SentRequest = {
-  attemptId: string;
-  gateway: number;
-  serverId: string;
-  scheduler: string;
-  atMs: number;
-  request: gateway.GatewayRequest;
-};
-
-/** Where a call came in: the gateway, and its life then. */
-export type CallOrigin = { index: number; life: string };
-
-export type FleetOptions = {
-  gateways: number;
-  servers: number;
-  slots: number;
-  /** Time that a backend server works on a request, milliseconds. */
-  runMs: number;
-  delayMs: number;
-  lossShare: number;
-  seed: number;
-};
-
-export type GatewayFleet = {
-  options: FleetOptions;
-  draw: randomSource.DrawRandom;
-  states: gateway.GatewayState[];
-  network: datagramNetwork.DatagramNetwork;
-  nowMs: number;
-  starts: number;
-  calls: number;
-  sequence: number;
-  /** Gateways that are suspended until a time, milliseconds, and that are dead. */
-  pausedUntilMs: Map<number, number>;
-  dead: Set<number>;
-  /** Nothing gets from the first to the second of these. */
-  cuts: Set<string>;
-  sent: SentRequest[];
-  refused: { attemptId: string; atMs: number }[];
-  running: SentRequest[];
-  /** Most requests that one backend server had at a time. */
-  mostAtServer: number;
-  /** Entries of backend servers that a gateway does not see as leaving yet. */
-  leaving: Set<string>;
-};
-
 const STEP_MS = 5;
-/** Names a gateway by its number. */
-export function formatAddress(index: number): string {
-  return `10.0.0.${index}:1`;
-}
-
-/** Lists the ids of the backend servers. */
-export function listServerIds({ options }: GatewayFleet): string[] {
-  return Array.from({ length: options.servers }, (_, index) => `server-${index}`);
-}
-
-/** Reads all clocks. */
-function readClocks({ nowMs }: GatewayFleet): gateway.ClockReading {
-  return { steadyMs: nowMs, wallMs: nowMs, uptimeMs: nowMs };
-}
-
-/** Builds the entry of a backend server. */
-export function buildEntry(
-  fleet: GatewayFleet,
-  id: string,
-  leaving: boolean,
-): gateway.BackendServerEntry {
-  const { slots } = fleet.options;
-  const place = { address: id, failureDomain: 'd' };
-  return { id, service: fleetConfiguration.SERVICE, ...place, slots, leaving, bornMs: 1 };
-}
-
-/** Creates the state of a gateway that has just started. */
-export function createState(fleet: GatewayFleet, index: number): gateway.GatewayState {
-  fleet.starts += 1;
-  const state = gateway.createGatewayState(
-    {
-      address: formatAddress(index),
-      life: String(fleet.starts),
-      failureDomain: 'd',
-      processorPercent: 50,
-    },
-    {
-      leaseMs: Infinity,
-      entryReturnMs: 2000,
-      quotaTolerance: { overage: 0, slack: 0, windowMs: 0 },
-      retryPercent: 20,
-      retryExtra: 10,
-    },
-    fleet.draw,
-    fleet.nowMs,
-  );
-  state.index = gateway.buildConfigurationIndex(
-    fleetConfiguration.buildConfiguration(fleet.options.slots),
-  );
-  gateway.noteConfirmed(state.belief, readClocks(fleet));
-  listServerIds(fleet).forEach((id) =>
-    gateway.applyEntry(state.servers, buildEntry(fleet, id, fleet.leaving.has(id))),
-  );
-  return state;
-}
 
 /** Creates a fleet in which all gateways start at once. */
-export function createFleet(options: Partial<FleetOptions> = {}): GatewayFleet {
+export function createFleet(
+  options: Partial<fleetState.FleetOptions> = {},
+): fleetState.GatewayFleet {
   const given = {
     gateways: 4,
     servers: 2,
@@ -118,11 +19,13 @@
     delayMs: 1.4,
     lossShare: 0,
     seed: 1,
+    domains: 1,
+    warmUp: undefined,
     ...options,
   };
   const draw = randomSource.createRandomSource(given.seed);
   const cuts = new Set<string>();
-  const fleet: GatewayFleet = {
+  const fleet: fleetState.GatewayFleet = {
     options: given,
     draw,
     states: [],
@@ -144,19 +47,25 @@
     running: [],
     mostAtServer: 0,
     leaving: new Set(),
+    down: new Set(),
   };
-  fleet.states = Array.from({ length: given.gateways }, (_, index) => createState(fleet, index));
+  fleet.states = Array.from({ length: given.gateways }, (_, index) =>
+    fleetState.createState(fleet, index),
+  );
   passReports(fleet);
   return fleet;
 }
 
 /** Tells whether a gateway does something now. */
-function isRunning({ dead, pausedUntilMs, nowMs }: GatewayFleet, index: number): boolean {
+function isRunning(
+  { dead, pausedUntilMs, nowMs }: fleetState.GatewayFleet,
+  index: number,
+): boolean {
   return !dead.has(index) && nowMs >= (pausedUntilMs.get(index) ?? 0);
 }
 
 /** Passes a report of each gateway to the others. */
-function passReports(fleet: GatewayFleet): void {
+function passReports(fleet: fleetState.GatewayFleet): void {
   fleet.sequence += 1;
   fleet.states.forEach((sender, from) =>
     fleet.states.forEach((receiver, to) => {
@@ -179,7 +88,7 @@
 }
 
 /** Takes a call in at a gateway; gives its attempt's id. */
-export function addCall(fleet: GatewayFleet, index: number, urgency = 0): string {
+export function addCall(fleet: fleetState.GatewayFleet, index: number, urgency = 0): string {
   fleet.calls += 1;
   const attemptId = `call-${fleet.calls}`;
   const intake = gateway.admitRequest(
@@ -194,7 +103,7 @@
       answerGuess: undefined,
       hashContent: () => attemptId,
     },
-    readClocks(fleet),
+    fleetState.readClocks(fleet),
   );
   if (intake.kind === 'refused') {
     fleet.refused.push({ attemptId, atMs: fleet.nowMs });
@@ -202,9 +111,24 @@
   return attemptId;
 }
 
+/** Ends an attempt at a backend server with a fault. */
+export function endAttempt(
+  fleet: fleetState.GatewayFleet,
+  index: number,
+  request: gateway.GatewayRequest,
+  fault: gateway.AttemptFault,
+): void {
+  const progress = { hasBegun: false, canGoOn: true };
+  const clocks = fleetState.readClocks(fleet);
+  const verdict = gateway.handleAttemptFault(fleet.states[index], request, fault, progress, clocks);
+  if (verdict.kind !== 'again') {
+    fleet.refused.push({ attemptId: request.arrived.attemptId, atMs: fleet.nowMs });
+  }
+}
+
 /** Carries out what a gateway has decided. */
 function applyAssignments(
-  fleet: GatewayFleet,
+  fleet: fleetState.GatewayFleet,
   index: number,
   assignments: readonly gateway.Assignment[],
 ): void {
@@ -214,8 +138,15 @@
       fleet.refused.push({ attemptId, atMs: fleet.nowMs });
       return;
     }
+    if (one.kind === 'waitOn') {
+      return;
+    }
     const { request, scheduler } = one;
     const serverId = one.server.id;
+    if (fleet.down.has(serverId)) {
+      endAttempt(fleet, index, request, gateway.AttemptFault.UNREACHABLE);
+      return;
+    }
     const sent = { attemptId, gateway: index, serverId, scheduler, atMs: fleet.nowMs, request };
     fleet.sent.push(sent);
     fleet.running.push(sent);
@@ -225,17 +156,17 @@
 }
 
 /** Lets a gateway do what it can do now. */
-function advance(fleet: GatewayFleet, index: number): void {
+function advance(fleet: fleetState.GatewayFleet, index: number): void {
   const state = fleet.states[index];
-  gateway.noteConfirmed(state.belief, readClocks(fleet));
-  const { assignments, outgoing } = gateway.advance(state, readClocks(fleet));
+  gateway.noteConfirmed(state.belief, fleetState.readClocks(fleet));
+  const { assignments, outgoing } = gateway.advance(state, fleetState.readClocks(fleet));
   datagramNetwork.sendDatagrams(fleet.network, state.address, outgoing, fleet.nowMs);
   applyAssignments(fleet, index, assignments);
 }
 
 /** Hands one datagram to a gateway. */
 function deliver(
-  fleet: GatewayFleet,
+  fleet: fleetState.GatewayFleet,
   index: number,
   content: Parameters<typeof datagramNetwork.sendDatagrams>[2][number],
 ): void {
@@ -243,14 +174,14 @@
   if (content.kind === 'ask') {
     gateway.receiveAsk(state.scheduler, content.ask, fleet.nowMs);
   } else {
-    const assignments = gateway.applyReply(state, content.reply, readClocks(fleet));
+    const assignments = gateway.applyReply(state, content.reply, fleetState.readClocks(fleet));
     applyAssignments(fleet, index, assignments);
   }
   advance(fleet, index);
 }
 
 /** Ends the runs that are over; those of a suspended gateway end once it wakes. */
-function endRuns(fleet: GatewayFleet): void {
+function endRuns(fleet: fleetState.GatewayFleet): void {
   const over = fleet.running.filter(
     (run) => fleet.nowMs >= run.atMs + fleet.options.runMs && isRunning(fleet, run.gateway),
   );
@@ -262,7 +193,7 @@
 }
 
 /** Delivers what arrives in one step; what is for a suspended gateway waits for it. */
-function deliverDue(fleet: GatewayFleet): void {
+function deliverDue(fleet: fleetState.GatewayFleet): void {
   const stepMs = fleet.nowMs;
   const held: ReturnType<typeof datagramNetwork.takeNext>[] = [];
   let next = datagramNetwork.takeNext(fleet.network, stepMs + STEP_MS);
@@ -282,7 +213,7 @@
 }
 
 /** Lets time pass. */
-export function runFleet(fleet: GatewayFleet, ms: number): void {
+export function runFleet(fleet: fleetState.GatewayFleet, ms: number): void {
   const endMs = fleet.nowMs + ms;
   while (fleet.nowMs < endMs) {
     endRuns(fleet);
@@ -300,7 +231,7 @@
 }
 
 /** Finds the gateway that schedules, as one of them sees it now. */
-export function findScheduler(fleet: GatewayFleet, index: number): number {
+export function findScheduler(fleet: fleetState.GatewayFleet, index: number): number {
   addCall(fleet, index);
   runFleet(fleet, 50);
   const { scheduler } = fleet.sent[fleet.sent.length - 1];
--- a/packages/proofs/src/scheduling-failures.test.ts
+++ b/packages/proofs/src/scheduling-failures.test.ts
@@ -2,6 +2,7 @@
 import * as nodeTest from 'node:test';
 import * as gatewayFaults from './mocks/gateway-faults.js';
 import * as gatewayFleet from './mocks/gateway-fleet.js';
+import * as gatewayFleetState from './mocks/gateway-fleet-state.js';
 
 const { test } = nodeTest;
 const { addCall, createFleet, runFleet } = gatewayFleet;
@@ -9,17 +10,17 @@
 const REPLACED_MS = 700;
 
 /** Finds when a call was sent, milliseconds; Infinity where it was not. */
-function findSentMs({ sent }: gatewayFleet.GatewayFleet, attemptId: string): number {
+function findSentMs({ sent }: gatewayFleetState.GatewayFleet, attemptId: string): number {
   return sent.find((one) => one.attemptId === attemptId)?.atMs ?? Infinity;
 }
 
 /** Picks a gateway other than the given one. */
-function pickOther({ options }: gatewayFleet.GatewayFleet, index: number): number {
+function pickOther({ options }: gatewayFleetState.GatewayFleet, index: number): number {
   return (index + 1) % options.gateways;
 }
 
 /** Takes all places, so that what comes next waits. */
-function takeAllPlaces(fleet: gatewayFleet.GatewayFleet, index: number): void {
+function takeAllPlaces(fleet: gatewayFleetState.GatewayFleet, index: number): void {
   const { servers, slots } = fleet.options;
   for (let place = 0; place < servers * slots; place += 1) {
     addCall(fleet, index);
--- a/packages/proofs/src/scheduling-random.test.ts
+++ b/packages/proofs/src/scheduling-random.test.ts
@@ -2,6 +2,7 @@
 import * as nodeTest from 'node:test';
 import * as gatewayFaults from './mocks/gateway-faults.js';
 import * as gatewayFleet from './mocks/gateway-fleet.js';
+import * as gatewayFleetState from './mocks/gateway-fleet-state.js';
 import * as randomSource from './mocks/random-source.js';
 
 const { test } = nodeTest;
@@ -15,7 +16,7 @@
 /** Time in which everything is settled after the last call, milliseconds. */
 const SETTLE_MS = 12_000;
 
-type Fleet = gatewayFleet.GatewayFleet;
+type Fleet = gatewayFleetState.GatewayFleet;
 type Fault = (fleet: Fleet, one: number, other: number) => void;
 
 const FAULTS: Fault[] = [
@@ -28,7 +29,10 @@
 ];
 
 /** Runs calls and faults by a seed, until all is settled; lists the calls by gateway life. */
-function runRandom(seed: number): { fleet: Fleet; calls: Map<string, gatewayFleet.CallOrigin> } {
+function runRandom(seed: number): {
+  fleet: Fleet;
+  calls: Map<string, gatewayFleetState.CallOrigin>;
+} {
   const fleet = gatewayFleet.createFleet({
     gateways: GATEWAYS,
     servers: 4,
@@ -36,7 +40,7 @@
     lossShare: 0.02,
     seed,
   });
-  const calls = new Map<string, gatewayFleet.CallOrigin>();
+  const calls = new Map<string, gatewayFleetState.CallOrigin>();
   for (let round = 0; round < ROUNDS; round += 1) {
     const count = Math.floor(fleet.draw() * MOST_CALLS);
     for (let call = 0; call < count; call += 1) {
--- a/packages/runtime/src/metric-definitions.ts
+++ b/packages/runtime/src/metric-definitions.ts
@@ -82,6 +82,10 @@
     type: MetricType.GAUGE,
     help: 'Backend servers as this process sees them, by state.',
   },
+  evacuated_domains: {
+    type: MetricType.GAUGE,
+    help: 'Failure domains that operators have had evacuated, as this process knows.',
+  },
   attempts_queued: {
     type: MetricType.GAUGE,
     help: 'Attempts and reservations that wait in an agent, by tier.',
--- a/packages/schema/src/result-status.ts
+++ b/packages/schema/src/result-status.ts
@@ -31,6 +31,7 @@
   [ResultCode.QUOTA_SPENT]: 429,
   [ResultCode.CONFIGURATION_UNCONFIRMED]: 503,
   [ResultCode.CONTENT_SUSPENDED]: 503,
+  [ResultCode.DOMAINS_EVACUATED]: 503,
   [ResultCode.LINK_LOST]: 504,
   [ResultCode.AGENT_RESTARTED]: 502,
   [ResultCode.KEY_UNDECIDED]: 409,
