--- a/packages/core/src/gateway/assignment.ts
+++ b/packages/core/src/gateway/assignment.ts
@@ -131,7 +131,7 @@
   granted: Extract<placeAnswers.PlaceAnswer, { kind: 'granted' }>,
   clocks: belief.ClockReading,
 ): Assignment[] {
-  const { request, serverId, idleFirstMs } = granted;
+  const { request, serverId, idleFirstMs, entry } = granted;
   const now = clocks.steadyMs;
   const obstacle = findObstacle(state, request, clocks);
   if (obstacle !== undefined) {
@@ -140,6 +140,9 @@
     const told = requestEnd.refuseWaiting(state, request, obstacle);
     return [{ kind: 'refuse', request, refusal: told }];
   }
+  if (entry !== undefined) {
+    backendServers.applyTold(state.servers, entry, now);
+  }
   const found = findGranted(state, request, serverId, now);
   if (found.kind === 'unusable') {
     state.schedulingTotals.grantsUnused += 1;
--- a/packages/core/src/gateway/backend-servers.test.ts
+++ b/packages/core/src/gateway/backend-servers.test.ts
@@ -30,7 +30,7 @@
   // gone at its return, all living backend servers would be left out at once.
   const servers = createWithOne();
   backendServers.noteStoreReturned(servers, RETURN_MS, 1000);
-  assert.equal(backendServers.applySnapshot(servers, [], 1000)[0].change, 'missing');
+  assert.equal(backendServers.applySnapshot(servers, [], 5, 1000)[0].change, 'missing');
   assert.equal(isUsable(servers), true);
   assert.deepEqual(backendServers.expireMissing(servers, 2999), []);
   assert.equal(backendServers.expireMissing(servers, 3000)[0].change, 'gone');
@@ -67,3 +67,37 @@
   assert.equal(change?.change, 'restarted');
   assert.equal(isUsable(servers), true);
 });
+
+test('told of a backend server before it was read', () => {
+  const servers = backendServers.createBackendServers();
+  backendServers.noteRead(servers, 10);
+  backendServers.applyTold(servers, buildEntry('a', { revision: 11 }), 0);
+  assert.equal(isUsable(servers), true);
+});
+
+test('told of a backend server that was removed', () => {
+  // This gateway has read that a backend server is gone; the scheduler, which has not,
+  // grants a place there. Taken in again, it would get work that nobody answers.
+  const servers = createWithOne();
+  backendServers.noteRead(servers, 10);
+  backendServers.removeEntry(servers, 'a', 0);
+  backendServers.applyTold(servers, buildEntry('a', { revision: 7 }), 0);
+  assert.equal(isUsable(servers), false);
+});
+
+test('what was told does not change what was read', () => {
+  const servers = createWithOne();
+  backendServers.applyEntry(servers, buildEntry('a', { leaving: true, revision: 20 }), 0);
+  backendServers.applyTold(servers, buildEntry('a', { revision: 30 }), 0);
+  assert.equal(isUsable(servers), false);
+});
+
+test('list that is older than what was told', () => {
+  // The store's list was read just before a backend server came, of which a scheduler tells
+  // meanwhile. Taken as gone, its connections would be closed with what runs on them.
+  const servers = backendServers.createBackendServers();
+  backendServers.applyTold(servers, buildEntry('a', { revision: 11 }), 0);
+  assert.deepEqual(backendServers.applySnapshot(servers, [], 10, 0), []);
+  assert.equal(isUsable(servers), true);
+  assert.equal(backendServers.applySnapshot(servers, [], 11, 0)[0].change, 'gone');
+});
--- a/packages/core/src/gateway/backend-servers.ts
+++ b/packages/core/src/gateway/backend-servers.ts
@@ -28,6 +28,8 @@
   /** Until this time an entry that disappears may still come back. */
   returnUntilMs: number;
   evacuations: evacuations.Evacuations;
+  /** Revision of the store up to which this gateway has read. */
+  readRevision: number;
   /** Goes up with each change. */
   revision: number;
 };
@@ -54,6 +56,7 @@
     byId: new Map(),
     returnUntilMs: 0,
     evacuations: evacuations.createEvacuations(),
+    readRevision: -1,
     revision: 0,
   };
 }
@@ -136,14 +139,44 @@
   return { id, service, change: 'gone' };
 }
 
-/** Takes in all entries of the store at once; those not named have disappeared. */
+/** Notes that this gateway has read everything up to a revision of the store. */
+export function noteRead(servers: BackendServers, revision: number): void {
+  servers.readRevision = Math.max(servers.readRevision, revision);
+}
+
+/**
+ * Takes in an entry that a scheduler tells with a grant; it reads the store more often
+ * while work waits. Load pattern: a quarter of the engines is back after a crash in the
+ * middle of a burst, and stands empty until each gateway has read of them.
+ *
+ * What this gateway has read goes first: an entry that is not newer and that it does not
+ * know has been removed.
+ */
+export function applyTold(
+  servers: BackendServers,
+  entry: backendServerEntry.BackendServerEntry,
+  now: number,
+): void {
+  if (!servers.byId.has(entry.id) && entry.revision > servers.readRevision) {
+    applyEntry(servers, entry, now);
+  }
+}
+
+/**
+ * Takes in all entries of the store at once, as they were at a revision or later. Those
+ * not named have disappeared, but for what was written since.
+ */
 export function applySnapshot(
   servers: BackendServers,
   entries: readonly backendServerEntry.BackendServerEntry[],
+  revision: number,
   now: number,
 ): MembershipChange[] {
   const named = new Set(entries.map((entry) => entry.id));
-  const missing = [...servers.byId.keys()].filter((id) => !named.has(id));
+  const missing = [...servers.byId]
+    .filter(([id, { entry }]) => !named.has(id) && entry.revision <= revision)
+    .map(([id]) => id);
+  noteRead(servers, revision);
   return [
     ...entries.map((entry) => applyEntry(servers, entry, now)),
     ...missing.map((id) => removeEntry(servers, id, now)),
--- a/packages/core/src/gateway/cell-servers.ts
+++ b/packages/core/src/gateway/cell-servers.ts
@@ -1,4 +1,5 @@
 /** What this gateway knows of the backend servers of a cell, for its own scheduler. */
+import type * as backendServerEntry from '../shared/backend-server-entry.js';
 import * as scheduler from '../scheduler/index.js';
 import * as asking from './asking.js';
 import * as backendServers from './backend-servers.js';
@@ -25,6 +26,25 @@
     : 1 - peerView.countSilent(peers, now) / peerView.countGateways(peers);
 }
 
+/**
+ * A backend server is news for this long after it was first seen, milliseconds: the others
+ * read the store less often, and lose a call at times.
+ */
+const NEWS_MS = 4000;
+
+/** Lists the entries that other gateways may not have read yet. */
+function listNews(
+  { servers }: gatewayState.GatewayState,
+  entries: readonly backendServerEntry.BackendServerEntry[],
+  now: number,
+): Map<string, backendServerEntry.BackendServerEntry> {
+  const recent = entries.filter(({ id }) => {
+    const firstSeenMs = servers.byId.get(id)?.firstSeenMs ?? -Infinity;
+    return now - firstSeenMs < NEWS_MS;
+  });
+  return new Map(recent.map((entry) => [entry.id, entry]));
+}
+
 /** Lists until when each of some backend servers warms up, those that do. */
 function listWarming(
   { servers }: gatewayState.GatewayState,
@@ -58,6 +78,7 @@
     heardShare: computeHeardShare(state, now),
     hasPeers: state.peers.byAddress.size > 0,
     warmUp,
+    news: listNews(state, entries, now),
     warmUntilMs: warmUp ? listWarming(state, ids, warmUp.durationMs, now) : new Map(),
   };
 }
--- a/packages/core/src/gateway/index.ts
+++ b/packages/core/src/gateway/index.ts
@@ -20,6 +20,7 @@
 export type { BackendServerEntry } from '../shared/backend-server-entry.js';
 export {
   forgetServer,
+  isWorkWaiting,
   receiveAsk,
   type Candidate,
   type Scheduler,
--- a/packages/core/src/gateway/place-answers.ts
+++ b/packages/core/src/gateway/place-answers.ts
@@ -6,6 +6,7 @@
  * from a scheduler that is not asked any more cost time only.
  */
 import type * as schema from '@toucanproxy/schema';
+import type * as backendServerEntry from '../shared/backend-server-entry.js';
 import * as scheduler from '../scheduler/index.js';
 import type * as gatewayRequest from './gateway-request.js';
 import type * as gatewayState from './gateway-state.js';
@@ -19,6 +20,8 @@
       request: gatewayRequest.GatewayRequest;
       serverId: string;
       idleFirstMs: number;
+      /** What the scheduler knows of the backend server, where that may be news. */
+      entry: backendServerEntry.BackendServerEntry | undefined;
       scheduler: string;
     }
   | {
@@ -36,6 +39,7 @@
   isFresh: boolean,
 ): PlaceAnswer[] {
   const { number, serial, serverId, idleFirstMs } = grant;
+  const entry = grant.entry && { ...grant.entry, id: serverId, leaving: false };
   link.lastGrant = Math.max(link.lastGrant, number);
   const ask = link.asks.get(serial);
   const request = state.requests.get(serial);
@@ -48,7 +52,7 @@
     return [];
   }
   link.asks.delete(serial);
-  return [{ kind: 'granted', request, serverId, idleFirstMs, scheduler: link.address }];
+  return [{ kind: 'granted', request, serverId, idleFirstMs, entry, scheduler: link.address }];
 }
 
 /** Takes in one refusal. */
--- a/packages/core/src/scheduler/candidates.ts
+++ b/packages/core/src/scheduler/candidates.ts
@@ -22,6 +22,8 @@
   warmUp: warmUp.WarmUpLimit | undefined;
   /** Until when each backend server warms up, by id, milliseconds. */
   warmUntilMs: ReadonlyMap<string, number>;
+  /** Entries that other gateways may not have read yet, by id. */
+  news: ReadonlyMap<string, backendServerEntry.BackendServerEntry>;
 };
 
 /**
--- a/packages/core/src/scheduler/cell.ts
+++ b/packages/core/src/scheduler/cell.ts
@@ -1,4 +1,5 @@
 /** The state of one cell: what waits for its backend servers, and what they have. */
+import type * as backendServerEntry from '../shared/backend-server-entry.js';
 import * as drainRate from '../shared/drain-rate.js';
 import * as firstDelay from './first-delay.js';
 import * as overload from '../shared/overload.js';
@@ -10,13 +11,23 @@
 /** A place that was granted and that its gateway has not told of yet. */
 export type OpenGrant = { number: number; serverId: string; grantedMs: number };
 
+/** A place that a gateway is to be told of. */
+export type PlaceGrant = {
+  number: number;
+  serial: number;
+  serverId: string;
+  idleFirstMs: number;
+  /** What the store tells of the backend server, where that is news. */
+  entry: backendServerEntry.BackendServerEntry | undefined;
+};
+
 /** What a gateway is to be told next. */
 export type PendingReply = {
   /** Something has come from the gateway that it waits for an answer to. */
   isDue: boolean;
   accepted: number[];
   unknown: number[];
-  grants: { number: number; serial: number; serverId: string; idleFirstMs: number }[];
+  grants: PlaceGrant[];
   refusals: { serial: number; isOnArrival: boolean; retryAfterMs: number }[];
 };
 
--- a/packages/core/src/scheduler/mocks/scheduler-bench.ts
+++ b/packages/core/src/scheduler/mocks/scheduler-bench.ts
@@ -15,6 +15,7 @@
     hasPeers: false,
     warmUp: undefined,
     warmUntilMs: new Map(),
+    news: new Map(),
     ...changes,
   };
 }
--- a/packages/core/src/scheduler/scheduler.ts
+++ b/packages/core/src/scheduler/scheduler.ts
@@ -47,6 +47,8 @@
 const SILENT_MS = 1200;
 /** Entries of each kind in one reply, so that it fits one datagram of 1,400 bytes. */
 const MAX_ENTRIES = 16;
+/** Grants in one reply; each may carry the entry of its backend server. */
+const MAX_GRANTS = 8;
 /** Backend servers named in a note. */
 const MAX_WEIGHED = 3;
 const NOTHING_WEIGHED = { weighed: [], leftOut: 0, full: 0, heldBack: 0 };
@@ -72,6 +74,11 @@
   asks.receiveAsk(getCell(scheduler, ask.cell, now), ask, scheduler.drawRandom, now);
 }
 
+/** Tells whether requests wait for a place in a cell of this scheduler. */
+export function isWorkWaiting({ cells: all }: Scheduler): boolean {
+  return [...all.values()].some(({ queue }) => queue.items.length > 0);
+}
+
 /** Forgets what was seen of a backend server that has restarted or gone. */
 export function forgetServer(scheduler: Scheduler, serverId: string): void {
   scheduler.cells.forEach((cell) => {
@@ -102,6 +109,7 @@
   scheduler: Scheduler,
   cell: cells.Cell,
   { request, chosen }: requestMatch.Match,
+  { news }: candidates.CellServers,
   now: number,
 ): void {
   waiting.takeRequest(cell, request, now);
@@ -116,7 +124,8 @@
   asker.openGrants.push({ number, serverId: chosen.id, grantedMs: now });
   const idleFirstMs = waiting.estimateFirstMs(request) * chosen.slowness;
   const { serial } = request;
-  asker.reply.grants.push({ number, serial, serverId: chosen.id, idleFirstMs });
+  const entry = news.get(chosen.id);
+  asker.reply.grants.push({ number, serial, serverId: chosen.id, idleFirstMs, entry });
 }
 
 /** Lists the best candidates after the chosen one, for the log. */
@@ -174,7 +183,7 @@
       full: all.filter(({ slots, inFlight }) => inFlight >= slots).length,
       heldBack: all.filter(({ startsLeft }) => startsLeft === 0).length,
     });
-    grantPlace(scheduler, cell, match, now);
+    grantPlace(scheduler, cell, match, servers, now);
     if (isBounded) {
       cells.noteStart(cell, chosen.id, now);
     }
@@ -224,6 +233,11 @@
   return list.splice(0, MAX_ENTRIES);
 }
 
+/** Takes the first grants off a list. */
+function takeGrants(grants: cells.PlaceGrant[]): schema.PlaceGrant[] {
+  return grants.splice(0, MAX_GRANTS).map((grant) => schema.create(schema.PlaceGrantSchema, grant));
+}
+
 /** Tells whether there is something to tell. */
 function hasContent({ accepted, unknown, grants, refusals }: cells.PendingReply): boolean {
   return accepted.length + unknown.length + grants.length + refusals.length > 0;
@@ -248,7 +262,7 @@
         echo: asker.sequence,
         accepted: takeFirst(reply.accepted),
         unknown: takeFirst(reply.unknown),
-        grants: takeFirst(reply.grants),
+        grants: takeGrants(reply.grants),
         refusals: takeFirst(reply.refusals),
         places: count.all,
         taken: count.taken,
--- a/packages/gateway/src/server-items.ts
+++ b/packages/gateway/src/server-items.ts
@@ -61,21 +61,25 @@
 }
 
 /** Takes in all entries of the store; those that are not among them are gone. */
-export function applyAllServers(parts: ServerParts, items: readonly storeCodec.StoreItem[]): void {
+export function applyAllServers(
+  parts: ServerParts,
+  items: readonly storeCodec.StoreItem[],
+  revision: number,
+): void {
   const entries = listEntries(parts, items)
     .map((item) => parts.codec.decodeBackendServer(item))
     .filter((entry) => entry !== undefined);
   const now = parts.readClocks().steadyMs;
-  applyMembership(parts, gateway.applySnapshot(parts.state.servers, entries, now));
+  applyMembership(parts, gateway.applySnapshot(parts.state.servers, entries, revision, now));
 }
 
 /** Takes in the entries that have changed. */
 export function applyServerChanges(
   parts: ServerParts,
   items: readonly storeCodec.StoreItem[],
+  revision: number,
 ): void {
-  applyMembership(
-    parts,
-    listEntries(parts, items).map((item) => applyItem(parts, item)),
-  );
+  const changes = listEntries(parts, items).map((item) => applyItem(parts, item));
+  gateway.noteRead(parts.state.servers, revision);
+  applyMembership(parts, changes);
 }
--- a/packages/gateway/src/store-follower.ts
+++ b/packages/gateway/src/store-follower.ts
@@ -35,6 +35,12 @@
  */
 const LONGEST_INTERVAL_MS = 1500;
 const SHORTEST_INTERVAL_MS = 100;
+/**
+ * Time between calls of a gateway that schedules while work waits, milliseconds. It tells
+ * the others of new backend servers with its grants, so that these do not stand empty until
+ * all have read of them; one or two gateways call this often.
+ */
+const SCHEDULING_INTERVAL_MS = 300;
 /**
  * Time that one lost call takes, milliseconds: the second until it is given up, a
  * pause of at most 100 ms, and the way of the next answer.
@@ -58,6 +64,11 @@
   return Math.max(Math.min(withinBounds, LONGEST_INTERVAL_MS), SHORTEST_INTERVAL_MS);
 }
 
+/** Chooses the time between calls by what this gateway does now, milliseconds. */
+function chooseIntervalMs({ scheduler }: gateway.GatewayState, usualMs: number): number {
+  return gateway.isWorkWaiting(scheduler) ? Math.min(SCHEDULING_INTERVAL_MS, usualMs) : usualMs;
+}
+
 /** Gets the beginning that keys share; empty where they share none. */
 export function findSharedPrefix(first: string, ...others: readonly string[]): string {
   const end = [...first].findIndex((letter, index) =>
@@ -86,16 +97,17 @@
 /** Starts to follow the store. */
 export function startStoreFollower(parts: FollowerParts): storeReader.StoreReader {
   const { state, settings, codec, readClocks, assign } = parts;
+  const usualMs = computeIntervalMs(settings);
   const applySnapshot = (items: storeCodec.StoreItem[], revision: number) => {
     configurationItems.applyConfigurations(parts, items);
     evacuationItems.applyAllEvacuations(parts, items, revision);
-    serverItems.applyAllServers(parts, items);
+    serverItems.applyAllServers(parts, items, revision);
     assign();
   };
-  const applyChanges = (items: storeCodec.StoreItem[]) => {
+  const applyChanges = (items: storeCodec.StoreItem[], revision: number) => {
     configurationItems.applyConfigurations(parts, items);
     evacuationItems.applyEvacuationChanges(parts, items);
-    serverItems.applyServerChanges(parts, items);
+    serverItems.applyServerChanges(parts, items, revision);
     assign();
   };
   return storeReader.startStoreReader({
@@ -106,7 +118,7 @@
       settings.serversPrefix,
       settings.evacuationsPrefix,
     ),
-    intervalMs: computeIntervalMs(settings),
+    chooseIntervalMs: () => chooseIntervalMs(state, usualMs),
     readClocks,
     drawRandom: state.drawRandom,
     applySnapshot,
--- a/packages/gateway/src/store-reader.ts
+++ b/packages/gateway/src/store-reader.ts
@@ -19,13 +19,14 @@
   client: storeClient.StoreClient;
   codec: storeCodec.StoreCodec;
   prefix: string;
-  /** Time between the sending of calls, milliseconds. */
-  intervalMs: number;
+  /** Chooses the time between the sending of calls, milliseconds; asked while it passes. */
+  chooseIntervalMs: () => number;
   readClocks: clocks.ReadClocks;
   drawRandom: () => number;
   /** Takes in all items, as they were at a revision or later. */
   applySnapshot: (items: storeCodec.StoreItem[], revision: number) => void;
-  applyChanges: (items: storeCodec.StoreItem[]) => void;
+  /** Takes in the items that have changed up to a revision. */
+  applyChanges: (items: storeCodec.StoreItem[], revision: number) => void;
   /** The store has answered a call that was sent at the given reading. */
   confirm: (sent: gateway.ClockReading) => void;
   reportLost: (reason: string) => void;
@@ -45,6 +46,8 @@
 const LONGEST_PAUSE_MS = 500;
 /** Least part of a pause; the rest is drawn, so that gateways do not call at once. */
 const LEAST_PAUSE_SHARE = 0.5;
+/** An interval that becomes shorter is noticed after this time, milliseconds. */
+const INTERVAL_STEP_MS = 150;
 const STATUS_OK = 200;
 const STATUS_HISTORY_GONE = 410;
 
@@ -98,10 +101,20 @@
   options.confirm(sent);
 }
 
+/** Waits until the next call is due; the interval may change while it passes. */
+async function waitInterval({ options }: ReaderState, sentMs: number): Promise<void> {
+  const computeLeft = () => options.chooseIntervalMs() - (options.readClocks().steadyMs - sentMs);
+  let leftMs = computeLeft();
+  while (leftMs > 0) {
+    await pause(Math.min(leftMs, INTERVAL_STEP_MS));
+    leftMs = computeLeft();
+  }
+}
+
 /** Makes one call and takes in what it brings. */
 async function readOnce(state: ReaderState): Promise<void> {
   const { options } = state;
-  const { client, codec, prefix, intervalMs } = options;
+  const { client, codec, prefix } = options;
   const sent = options.readClocks();
   if (state.revision === undefined) {
     const { items, revision } = await readAll(options);
@@ -123,9 +136,8 @@
   const changes = codec.decodeChanges(body);
   noteAnswer(state, sent);
   state.revision = Math.max(changes.revision, state.revision);
-  options.applyChanges(changes.items);
-  const spentMs = options.readClocks().steadyMs - sent.steadyMs;
-  await pause(Math.max(intervalMs - spentMs, 0));
+  options.applyChanges(changes.items, changes.revision);
+  await waitInterval(state, sent.steadyMs);
 }
 
 /** Notes a failed call and waits before the next one. */
--- a/packages/proofs/src/mocks/gateway-faults.ts
+++ b/packages/proofs/src/mocks/gateway-faults.ts
@@ -50,6 +50,16 @@
   gateway.applyEntry(fleet.states[index].servers, entry, fleet.nowMs);
 }
 
+/** Tells one gateway of a backend server that is new. */
+export function tellServer(
+  fleet: gatewayFleetState.GatewayFleet,
+  index: number,
+  serverId: string,
+): void {
+  const entry = gatewayFleetState.buildEntry(fleet, serverId, { revision: 100 });
+  gateway.applyEntry(fleet.states[index].servers, entry, fleet.nowMs);
+}
+
 /** Tells all gateways at once of a backend server that is new. */
 export function addServer(fleet: gatewayFleetState.GatewayFleet, serverId: string): void {
   const entry = gatewayFleetState.buildEntry(fleet, serverId);
--- a/packages/proofs/src/scheduling-failures.test.ts
+++ b/packages/proofs/src/scheduling-failures.test.ts
@@ -237,3 +237,20 @@
   assert.deepEqual(new Set(there), new Set(['server-1']));
   assert.equal(there.length, calls.length);
 });
+
+test('new server that only the scheduler has read of', () => {
+  // All backend servers are full and calls wait at every gateway. A new one comes, of which
+  // the scheduler has read; the others read the store later. It is used at once by all.
+  const fleet = createFleet({ gateways: 6, servers: 1, slots: 2, runMs: 400 });
+  const scheduler = gatewayFleet.findScheduler(fleet, 0);
+  for (let call = 0; call < 30; call += 1) {
+    addCall(fleet, call % 6);
+  }
+  runFleet(fleet, 100);
+  gatewayFaults.tellServer(fleet, scheduler, 'server-8');
+  runFleet(fleet, 1500);
+  const there = fleet.sent.filter(({ serverId }) => serverId === 'server-8');
+  assert.ok(there.some(({ gateway }) => gateway !== scheduler));
+  assert.ok(there.length >= 4, String(there.length));
+  assert.equal(fleet.mostAtServer, 2);
+});
