Let who comes back late wait behind its equals

First attempts have 12.7 to 15.2 s, so that the time left tells the two apart; where callers of a route each allow another time nothing is concluded.

Also: modules without circles for regions and starts; the time of warming up in a file of its own.

--- a/packages/core/src/gateway/ask-messages.ts
+++ b/packages/core/src/gateway/ask-messages.ts
@@ -54,7 +54,7 @@
   request: gatewayRequest.GatewayRequest,
   now: number,
 ): schema.WaitingRequest {
-  const { arrived, serial, workspace, urgency, isBeyondQuota, workTokens } = request;
+  const { arrived, serial, workspace, urgency, isBeyondQuota, isBelated, workTokens } = request;
   const { tokens, answerGuess } = arrived;
   return schema.create(schema.WaitingRequestSchema, {
     serial,
@@ -62,6 +62,7 @@
     workspace,
     urgency,
     isBeyondQuota,
+    isBelated,
     workTokens,
     promptTokens: tokens?.prompt ?? 0,
     answerTokens: Math.min(answerGuess ?? tokens?.answer ?? 0, tokens?.answer ?? 0),
--- a/packages/core/src/gateway/assignment.ts
+++ b/packages/core/src/gateway/assignment.ts
@@ -15,6 +15,7 @@
 import * as peerView from './peer-view.js';
 import * as placeAnswers from './place-answers.js';
 import * as refusal from './refusal.js';
+import * as regionBinding from './region-binding.js';
 import * as requestEnd from './request-end.js';
 import * as rights from './rights.js';
 import * as strandedRequests from './stranded-requests.js';
@@ -82,7 +83,7 @@
   }
   const version = state.index?.configuration.version ?? 0;
   const { route, workspace } = decision.rights;
-  request.regions = allowedDomains.computeRegions(route, workspace);
+  request.regions = regionBinding.computeRegions(route, workspace);
   const allowed = route.targets.some(
     (target) => target.service === request.service && target.weight > 0,
   );
--- a/packages/core/src/gateway/backend-servers.ts
+++ b/packages/core/src/gateway/backend-servers.ts
@@ -286,27 +286,3 @@
     inUse.every(({ entry }) => evacuations.isEvacuated(servers.evacuations, entry.failureDomain))
   );
 }
-
-/**
- * Computes until when a backend server warms up, milliseconds; -Infinity where it does not.
- *
- * Its entry tells, but late. It is taken as warming as well from the return of its failure
- * domain on, until an entry that was written after that says otherwise, and from the first
- * sight of a life whose entry says nothing: else the calls that wait for a place would all
- * go to the emptiest backend server, and crash it.
- *
- * @param warmUpMs how long backend servers of its service warm up, milliseconds
- */
-export function computeWarmUntil(
-  servers: BackendServers,
-  { entry, readMs, firstSeenMs }: KnownServer,
-  warmUpMs: number,
-): number {
-  const { warmUpLeftMs, failureDomain, revision } = entry;
-  const told = warmUpLeftMs === undefined ? firstSeenMs + warmUpMs : readMs + warmUpLeftMs;
-  const domainReturn = evacuations.findReturn(servers.evacuations, failureDomain);
-  const isToldSince = domainReturn !== undefined && revision > domainReturn.revision;
-  const returned =
-    domainReturn === undefined || isToldSince ? -Infinity : domainReturn.atMs + warmUpMs;
-  return Math.max(warmUpLeftMs === 0 ? -Infinity : told, returned);
-}
--- a/packages/core/src/gateway/cell-servers.ts
+++ b/packages/core/src/gateway/cell-servers.ts
@@ -2,10 +2,10 @@
 import type * as backendServerEntry from '../shared/backend-server-entry.js';
 import * as scheduler from '../scheduler/index.js';
 import * as asking from './asking.js';
-import * as backendServers from './backend-servers.js';
 import type * as configuration from './configuration.js';
 import type * as gatewayState from './gateway-state.js';
 import * as peerView from './peer-view.js';
+import * as warmUpTimes from './warm-up-times.js';
 
 /** Computes what a backend server of a service bears while it warms up. */
 function computeWarmUpLimit(
@@ -54,7 +54,7 @@
 ): Map<string, number> {
   const times = serverIds.flatMap((id) => {
     const known = servers.byId.get(id);
-    const untilMs = known && backendServers.computeWarmUntil(servers, known, durationMs);
+    const untilMs = known && warmUpTimes.computeWarmUntil(servers, known, durationMs);
     return untilMs !== undefined && untilMs > now ? [[id, untilMs] as const] : [];
   });
   return new Map(times);
--- a/packages/core/src/gateway/gateway-request.ts
+++ b/packages/core/src/gateway/gateway-request.ts
@@ -1,6 +1,6 @@
 /** A request while a gateway has it in hand. */
-import type * as allowedDomains from './allowed-domains.js';
 import type * as configuration from './configuration.js';
+import type * as regionBinding from './region-binding.js';
 
 /** What a caller sent, as far as decisions need it. */
 export type ArrivedRequest = {
@@ -33,7 +33,7 @@
   service: string;
   workspace: string;
   /** Where it may be served. */
-  regions: allowedDomains.RegionBinding;
+  regions: regionBinding.RegionBinding;
   /** Names the tier of its place in the queue; 0 is the most urgent. */
   urgency: number;
   /** May run more than once. */
@@ -47,6 +47,8 @@
   /** Version of the configuration that it was last checked against. */
   version: number;
   arrivedMs: number;
+  /** Its caller has been trying for longer than its target, as far as its deadline tells. */
+  isBelated: boolean;
   /** After this time its first byte comes late. */
   targetMs: number;
   /** Its caller leaves where no part of an answer has come by this time. */
--- a/packages/core/src/gateway/gateway-state.ts
+++ b/packages/core/src/gateway/gateway-state.ts
@@ -7,6 +7,7 @@
 import * as belief from './belief.js';
 import type * as configurationIndex from './configuration-index.js';
 import type * as crashWatch from './crash-watch.js';
+import type * as callerPatience from './caller-patience.js';
 import * as fleetSplit from './fleet-split.js';
 import type * as gatewayRequest from './gateway-request.js';
 import * as peerView from './peer-view.js';
@@ -82,6 +83,8 @@
   scheduler: scheduler.Scheduler;
   schedulingTotals: SchedulingTotals;
   services: Map<string, ServiceWork>;
+  /** How long callers usually wait, by the name of the route. */
+  usualDeadlines: Map<string, callerPatience.UsualDeadline>;
   requests: Map<number, gatewayRequest.GatewayRequest>;
   quotas: tokenQuota.QuotaBook;
   peers: peerView.PeerView;
@@ -129,6 +132,7 @@
     scheduler: scheduler.createScheduler(address, life, drawRandom),
     schedulingTotals: { asks: 0, grantsUsed: 0, grantsUnused: 0, schedulersLeft: 0 },
     services: new Map(),
+    usualDeadlines: new Map(),
     requests: new Map(),
     quotas: tokenQuota.createQuotaBook(),
     peers: peerView.createPeerView(),
--- a/packages/core/src/gateway/index.ts
+++ b/packages/core/src/gateway/index.ts
@@ -17,6 +17,7 @@
 export * from './request-end.js';
 export * from './rights.js';
 export * from './token-quota.js';
+export * from './warm-up-times.js';
 export type { BackendServerEntry } from '../shared/backend-server-entry.js';
 export {
   forgetServer,
--- a/packages/core/src/gateway/intake.ts
+++ b/packages/core/src/gateway/intake.ts
@@ -1,9 +1,9 @@
 /** Decides whether an arrived request is taken in. */
 import * as schema from '@toucanproxy/schema';
 import * as retryBudget from '../shared/retry-budget.js';
-import * as allowedDomains from './allowed-domains.js';
 import * as asking from './asking.js';
 import type * as belief from './belief.js';
+import * as callerPatience from './caller-patience.js';
 import * as crashWatch from './crash-watch.js';
 import * as configurationIndex from './configuration-index.js';
 import * as configuration from './configuration.js';
@@ -12,6 +12,7 @@
 import * as peerView from './peer-view.js';
 import * as quotaLimit from './quota-limit.js';
 import * as refusal from './refusal.js';
+import * as regionBinding from './region-binding.js';
 import * as rights from './rights.js';
 import * as strandedRequests from './stranded-requests.js';
 import * as tokenQuota from './token-quota.js';
@@ -28,6 +29,8 @@
 const DEFAULT_TIMEOUT_MS = 60_000;
 /** After this time without a configuration's answer a stopping gateway refuses, ms. */
 const SHUTDOWN_SERVE_MS = 2500;
+/** Routes whose deadlines are remembered; bounds the memory as routes come and go. */
+const MAX_USUAL_DEADLINES = 4096;
 
 export type Intake =
   | { kind: 'admitted'; request: gatewayRequest.GatewayRequest }
@@ -57,6 +60,24 @@
   );
 }
 
+/** Estimates how long the caller of a request has been trying, milliseconds. */
+function estimateTriedMs(
+  { usualDeadlines }: gatewayState.GatewayState,
+  routeName: string,
+  deadlineMs: number | undefined,
+): number {
+  if (deadlineMs === undefined) {
+    return 0;
+  }
+  if (usualDeadlines.size > MAX_USUAL_DEADLINES) {
+    usualDeadlines.clear();
+  }
+  const usual = usualDeadlines.get(routeName) ?? callerPatience.createUsualDeadline();
+  usualDeadlines.set(routeName, usual);
+  callerPatience.noteDeadline(usual, deadlineMs);
+  return callerPatience.estimateTriedMs(usual, deadlineMs);
+}
+
 /** Makes the record of a request that has the given rights. */
 function makeRequest(
   state: gatewayState.GatewayState,
@@ -66,6 +87,7 @@
   now: number,
 ): gatewayRequest.GatewayRequest {
   const { route, workspace } = granted;
+  const triedMs = estimateTriedMs(state, route.name, arrived.deadlineMs);
   const serial = state.nextSerial;
   state.nextSerial += 1;
   const timeoutMs = Math.min(
@@ -78,7 +100,7 @@
     route,
     service,
     workspace: workspace?.name ?? '',
-    regions: allowedDomains.computeRegions(route, workspace),
+    regions: regionBinding.computeRegions(route, workspace),
     urgency: rankUrgency(granted),
     repeatable: isRepeatable(route),
     workTokens: estimateWork(arrived),
@@ -86,6 +108,7 @@
     isBeyondQuota: false,
     version: state.index?.configuration.version ?? 0,
     arrivedMs: now,
+    isBelated: triedMs > route.targetMs,
     leaveMs: now + Math.min(timeoutMs, route.patienceMs) - WAY_MS,
     targetMs: now + route.targetMs - WAY_MS,
     giveUpMs: now + Math.max(timeoutMs - WAY_MS, 0),
--- a/packages/core/src/scheduler/asks.ts
+++ b/packages/core/src/scheduler/asks.ts
@@ -92,7 +92,7 @@
 ): scheduledRequest.ScheduledRequest {
   const id = cell.nextId;
   cell.nextId += 1;
-  const { serial, attemptId, workspace, urgency, isBeyondQuota } = asked;
+  const { serial, attemptId, workspace, urgency, isBeyondQuota, isBelated } = asked;
   const { workTokens, promptTokens, answerTokens } = asked;
   return {
     id,
@@ -103,6 +103,7 @@
     failureDomain,
     urgency,
     isBeyondQuota,
+    isBelated,
     workTokens,
     promptTokens,
     answerTokens,
--- a/packages/core/src/scheduler/cell.ts
+++ b/packages/core/src/scheduler/cell.ts
@@ -6,7 +6,6 @@
 import type * as scheduledRequest from './scheduled-request.js';
 import * as serverLoad from './server-load.js';
 import * as waitQueue from './wait-queue.js';
-import * as warmUp from './warm-up.js';
 
 /** A place that was granted and that its gateway has not told of yet. */
 export type OpenGrant = { number: number; serverId: string; grantedMs: number };
@@ -93,23 +92,6 @@
   return load;
 }
 
-/** Notes that a request is given to a backend server. */
-export function noteStart({ starts }: Cell, serverId: string, now: number): void {
-  starts.set(serverId, [...warmUp.trimStarts(starts.get(serverId) ?? [], now), now]);
-}
-
-/** Forgets the starts of a cell that count no more. */
-export function expireStarts({ starts }: Cell, now: number): void {
-  starts.forEach((times, serverId) => {
-    const kept = warmUp.trimStarts(times, now);
-    if (kept.length === 0) {
-      starts.delete(serverId);
-    } else if (kept.length < times.length) {
-      starts.set(serverId, kept);
-    }
-  });
-}
-
 /** Makes an empty reply. */
 export function makeReply(): PendingReply {
   return { isDue: false, accepted: [], unknown: [], grants: [], refusals: [] };
--- a/packages/core/src/scheduler/scheduled-request.ts
+++ b/packages/core/src/scheduler/scheduled-request.ts
@@ -21,6 +21,8 @@
   /** Tokens of the answer, as far as its caller guessed them. */
   answerTokens: number;
   arrivedMs: number;
+  /** Its caller has been trying for longer than its target. */
+  isBelated: boolean;
   /** After this time its first byte comes late. */
   targetMs: number;
   /** Its caller leaves where no part of an answer has come by this time. */
--- a/packages/core/src/scheduler/scheduler.ts
+++ b/packages/core/src/scheduler/scheduler.ts
@@ -8,6 +8,7 @@
 import type * as scheduledRequest from './scheduled-request.js';
 import type * as serverChoice from './server-choice.js';
 import * as waiting from './waiting.js';
+import * as warmUp from './warm-up.js';
 
 /** A decision, for the log. */
 export type SchedulingNote = {
@@ -185,7 +186,7 @@
     });
     grantPlace(scheduler, cell, match, servers, now);
     if (isBounded) {
-      cells.noteStart(cell, chosen.id, now);
+      warmUp.noteStart(cell.starts, chosen.id, now);
     }
     chosen.inFlight += 1;
     chosen.startsLeft -= 1;
@@ -222,7 +223,7 @@
     }
     expireAskers(cell, now);
     places.expireGrants(cell, now);
-    cells.expireStarts(cell, now);
+    warmUp.expireStarts(cell.starts, now);
     const declined = refuseSpent(scheduler, cell, now);
     return [...declined, ...grantOpen(scheduler, cell, findServers(cell.name), now)];
   });
--- a/packages/core/src/scheduler/waiting.ts
+++ b/packages/core/src/scheduler/waiting.ts
@@ -23,6 +23,11 @@
  * of workspaces within their quotas late.
  */
 const BEYOND_QUOTA_RANK = 512;
+/**
+ * Added to the rank of a request whose caller has missed its target before: it goes after
+ * the others of its urgency, who may still be on time, and before all less urgent ones.
+ */
+const BELATED_RANK = 0.5;
 /** Prompt tokens that an engine reads in a millisecond, until its pace is known. */
 const PROMPT_TOKENS_PER_MS = 40;
 /** Time to a first token besides the prompt: network, batch, one step; milliseconds. */
@@ -95,13 +100,22 @@
   );
 }
 
+/** Computes the rank of a request that does not wait late. */
+function computeRank({
+  urgency,
+  isBelated,
+  isBeyondQuota,
+}: scheduledRequest.ScheduledRequest): number {
+  return urgency + (isBelated ? BELATED_RANK : 0) + (isBeyondQuota ? BEYOND_QUOTA_RANK : 0);
+}
+
 /** Says how a request is to wait; undefined where it would wait in vain. */
 function findPlaceInLine(
   cell: cells.Cell,
   request: scheduledRequest.ScheduledRequest,
   now: number,
 ): { rank: number; dueMs: number } | undefined {
-  const onTimeRank = request.urgency + (request.isBeyondQuota ? BEYOND_QUOTA_RANK : 0);
+  const onTimeRank = computeRank(request);
   const firstMs = estimateBusyFirstMs(cell, request, now);
   const lateMs = request.targetMs - firstMs;
   if (
--- a/packages/core/src/scheduler/warm-up.ts
+++ b/packages/core/src/scheduler/warm-up.ts
@@ -29,6 +29,9 @@
   durationMs: number;
 };
 
+/** When requests were given to backend servers lately, by id, milliseconds, in order. */
+export type RecentStarts = Map<string, number[]>;
+
 /** What is known of a backend server when the next request is to be started there. */
 export type WarmUpView = {
   isWarming: boolean;
@@ -58,11 +61,28 @@
   return Math.max(Math.floor(mostInSecond), GROWTH * startsBefore);
 }
 
-/** Forgets starts that count no more. */
-export function trimStarts(starts: readonly number[], now: number): number[] {
+/** Leaves out starts that count no more. */
+function trimStarts(starts: readonly number[], now: number): number[] {
   return starts.filter((startMs) => now - startMs < 2 * WINDOW_MS);
 }
 
+/** Notes that a request is given to a backend server. */
+export function noteStart(starts: RecentStarts, serverId: string, now: number): void {
+  starts.set(serverId, [...trimStarts(starts.get(serverId) ?? [], now), now]);
+}
+
+/** Forgets the starts of all backend servers that count no more. */
+export function expireStarts(starts: RecentStarts, now: number): void {
+  starts.forEach((times, serverId) => {
+    const kept = trimStarts(times, now);
+    if (kept.length === 0) {
+      starts.delete(serverId);
+    } else if (kept.length < times.length) {
+      starts.set(serverId, kept);
+    }
+  });
+}
+
 /**
  * Counts the requests that a backend server may be started with now.
  *
--- a/packages/gateway/src/request-reports.ts
+++ b/packages/gateway/src/request-reports.ts
@@ -52,6 +52,7 @@
     scheduler,
     urgency,
     waitMs: Math.round(sentMs - request.arrivedMs),
+    isBelated: request.isBelated,
     promptTokens: arrived.tokens?.prompt,
     sends,
     version,
