Count backend servers that warm up in the metrics

Status and metrics read the same list as the scheduler. The least of a limit has a name and its reason.

--- a/packages/core/src/gateway/cell-servers.ts
+++ b/packages/core/src/gateway/cell-servers.ts
@@ -2,17 +2,25 @@
 import type * as backendServerEntry from '../shared/backend-server-entry.js';
 import * as scheduler from '../scheduler/index.js';
 import * as asking from './asking.js';
+import type * as backendServers from './backend-servers.js';
 import type * as configuration from './configuration.js';
 import type * as gatewayState from './gateway-state.js';
 import * as peerView from './peer-view.js';
 import * as warmUpTimes from './warm-up-times.js';
 
+/** Requests a second that one is given at least: with none it would never be used. */
+const LEAST_IN_SECOND = 1;
+
 /** Computes what a backend server of a service bears while it warms up. */
 function computeWarmUpLimit(
   traits: configuration.WarmUpTraits | undefined,
   { factor, extra }: gatewayState.WarmUpTolerance,
 ): scheduler.WarmUpLimit | undefined {
-  return traits && { ...traits, mostInSecond: Math.max(traits.perSecond * factor + extra, 1) };
+  if (traits === undefined) {
+    return undefined;
+  }
+  const mostInSecond = Math.max(traits.perSecond * factor + extra, LEAST_IN_SECOND);
+  return { ...traits, mostInSecond };
 }
 
 /**
@@ -34,30 +42,11 @@
 
 /** Lists the entries that other gateways may not have read yet. */
 function listNews(
-  { servers }: gatewayState.GatewayState,
-  entries: readonly backendServerEntry.BackendServerEntry[],
+  known: readonly backendServers.KnownServer[],
   now: number,
 ): Map<string, backendServerEntry.BackendServerEntry> {
-  const recent = entries.filter(({ id }) => {
-    const firstSeenMs = servers.byId.get(id)?.firstSeenMs ?? -Infinity;
-    return now - firstSeenMs < NEWS_MS;
-  });
-  return new Map(recent.map((entry) => [entry.id, entry]));
-}
-
-/** Lists until when each of some backend servers warms up, those that do. */
-function listWarming(
-  { servers }: gatewayState.GatewayState,
-  serverIds: readonly string[],
-  durationMs: number,
-  now: number,
-): Map<string, number> {
-  const times = serverIds.flatMap((id) => {
-    const known = servers.byId.get(id);
-    const untilMs = known && warmUpTimes.computeWarmUntil(servers, known, durationMs);
-    return untilMs !== undefined && untilMs > now ? [[id, untilMs] as const] : [];
-  });
-  return new Map(times);
+  const recent = known.filter(({ firstSeenMs }) => now - firstSeenMs < NEWS_MS);
+  return new Map(recent.map(({ entry }) => [entry.id, entry]));
 }
 
 /** Describes what this gateway's own scheduler may give out of a cell. */
@@ -68,9 +57,11 @@
 ): scheduler.CellServers {
   const service = scheduler.parseCellService(cellName);
   const entries = asking.getSplit(state, service, now).usableByCell.get(cellName) ?? [];
+  const known = entries
+    .map(({ id }) => state.servers.byId.get(id))
+    .filter((one) => one !== undefined);
   const declared = state.index?.serviceByName.get(service);
   const warmUp = computeWarmUpLimit(declared?.warmUp, state.bounds.warmUpTolerance);
-  const ids = entries.map(({ id }) => id);
   return {
     entries,
     tokensPerEvent: declared?.engine?.tokensPerEvent ?? 1,
@@ -78,7 +69,7 @@
     heardShare: computeHeardShare(state, now),
     hasPeers: state.peers.byAddress.size > 0,
     warmUp,
-    news: listNews(state, entries, now),
-    warmUntilMs: warmUp ? listWarming(state, ids, warmUp.durationMs, now) : new Map(),
+    news: listNews(known, now),
+    warmUntilMs: warmUpTimes.listWarming(state.servers, known, state.index, now),
   };
 }
--- a/packages/core/src/gateway/warm-up-times.ts
+++ b/packages/core/src/gateway/warm-up-times.ts
@@ -1,5 +1,6 @@
 /** Until when backend servers warm up, as this gateway knows. */
 import type * as backendServers from './backend-servers.js';
+import type * as configurationIndex from './configuration-index.js';
 import * as evacuations from './evacuations.js';
 
 /**
@@ -25,3 +26,19 @@
     domainReturn === undefined || isToldSince ? -Infinity : domainReturn.atMs + warmUpMs;
   return Math.max(warmUpLeftMs === 0 ? -Infinity : told, returned);
 }
+
+/** Lists until when some backend servers warm up, those that do, by id, milliseconds. */
+export function listWarming(
+  servers: backendServers.BackendServers,
+  some: Iterable<backendServers.KnownServer>,
+  index: configurationIndex.ConfigurationIndex | undefined,
+  now: number,
+): Map<string, number> {
+  const times = [...some].flatMap((known) => {
+    const { id, service } = known.entry;
+    const warmUp = index?.serviceByName.get(service)?.warmUp;
+    const untilMs = warmUp && computeWarmUntil(servers, known, warmUp.durationMs);
+    return untilMs !== undefined && untilMs > now ? [[id, untilMs] as const] : [];
+  });
+  return new Map(times);
+}
--- a/packages/gateway/src/app.ts
+++ b/packages/gateway/src/app.ts
@@ -155,7 +155,7 @@
     readClocks: clocks.createClockReader(),
     log: decisionLog.createDecisionLog(logger),
     storeLink: { isLost: false },
-    metrics: gatewayMetrics.createGatewayMetrics(state),
+    metrics: gatewayMetrics.createGatewayMetrics(state, clocks.readSteadyMs),
   };
 }
 
--- a/packages/gateway/src/gateway-metrics.ts
+++ b/packages/gateway/src/gateway-metrics.ts
@@ -32,12 +32,17 @@
 }
 
 /** Lists the present values of a gateway. */
-function listGauges(state: gateway.GatewayState): runtime.Gauge[] {
+function listGauges(state: gateway.GatewayState, now: number): runtime.Gauge[] {
   const version = state.index?.configuration.version ?? 0;
   return [
     { name: 'document_version', labels: {}, value: version },
     { name: 'requests_held', labels: {}, value: state.requests.size },
     { name: 'backend_servers', labels: {}, value: state.servers.byId.size },
+    {
+      name: 'backend_servers_warming',
+      labels: {},
+      value: gateway.listWarming(state.servers, state.servers.byId.values(), state.index, now).size,
+    },
     {
       name: 'evacuated_domains',
       labels: {},
@@ -49,7 +54,10 @@
 }
 
 /** Creates the metrics of one gateway. */
-export function createGatewayMetrics(state: gateway.GatewayState): GatewayMetrics {
+export function createGatewayMetrics(
+  state: gateway.GatewayState,
+  readSteadyMs: () => number,
+): GatewayMetrics {
   const metrics = runtime.createMetrics();
   return {
     recordEnd: (route, service, code, inTime) =>
@@ -60,6 +68,6 @@
       runtime.recordObservation(metrics, { kind: 'queueWait', tier: String(urgency), ms }),
     recordFirstEvent: (route, ms) =>
       runtime.recordObservation(metrics, { kind: 'firstByte', service: '', tier: route, ms }),
-    render: () => runtime.renderMetrics(metrics, Date.now(), listGauges(state)),
+    render: () => runtime.renderMetrics(metrics, Date.now(), listGauges(state, readSteadyMs())),
   };
 }
--- a/packages/gateway/src/status.ts
+++ b/packages/gateway/src/status.ts
@@ -16,18 +16,11 @@
 
 /** Describes the backend servers that warm up, and how much longer. */
 function describeWarming(
-  state: gateway.GatewayState,
+  { servers, index }: gateway.GatewayState,
   now: number,
 ): { id: string; warmUpLeftMs: number }[] {
-  return [...state.servers.byId].flatMap(([id, known]) => {
-    const declared = state.index?.serviceByName.get(known.entry.service);
-    const durationMs = declared?.warmUp?.durationMs;
-    const untilMs =
-      durationMs === undefined
-        ? -Infinity
-        : gateway.computeWarmUntil(state.servers, known, durationMs);
-    return untilMs > now ? [{ id, warmUpLeftMs: Math.round(untilMs - now) }] : [];
-  });
+  const warming = gateway.listWarming(servers, servers.byId.values(), index, now);
+  return [...warming].map(([id, untilMs]) => ({ id, warmUpLeftMs: Math.round(untilMs - now) }));
 }
 
 /** Describes a gateway. */
--- a/packages/runtime/src/metric-definitions.ts
+++ b/packages/runtime/src/metric-definitions.ts
@@ -82,6 +82,10 @@
     type: MetricType.GAUGE,
     help: 'Backend servers as this process sees them, by state.',
   },
+  backend_servers_warming: {
+    type: MetricType.GAUGE,
+    help: 'Backend servers that warm up, as this process knows.',
+  },
   evacuated_domains: {
     type: MetricType.GAUGE,
     help: 'Failure domains that operators have had evacuated, as this process knows.',
