--- a/packages/core/src/gateway/stranded-requests.test.ts
+++ b/packages/core/src/gateway/stranded-requests.test.ts
@@ -89,19 +89,18 @@
   assert.deepEqual(listEnds(state, 2), ['in-d2', 'in-d2']);
 });
 
+/** Binds the workspace of all calls to the second region, and the route to some. */
+function bindWorkspace(state: gatewayState.GatewayState, routeRegions: string[]): void {
+  const names = { name: 'w1', credentials: [gatewayBench.KEY] };
+  const workspace = { ...names, urgency: undefined, quota: undefined, regions: ['r2'] };
+  const routes = [buildRoute({ regions: routeRegions })];
+  const given = gatewayBench.buildConfiguration(2, routes, [workspace]);
+  state.index = configurationIndex.buildConfigurationIndex(given);
+}
+
 test('workspace that is bound to a region', () => {
   const state = createState();
-  const workspaces = [
-    {
-      name: 'w1',
-      credentials: [gatewayBench.KEY],
-      urgency: undefined,
-      quota: undefined,
-      regions: ['r2'],
-    },
-  ];
-  const given = gatewayBench.buildConfiguration(2, [buildRoute()], workspaces);
-  state.index = configurationIndex.buildConfigurationIndex(given);
+  bindWorkspace(state, []);
   assert.deepEqual(listEnds(state, 2), ['in-d2', 'in-d2']);
 });
 
@@ -109,17 +108,7 @@
   // The route is bound to one region and the workspace to another one: no backend server
   // may take the request, and its caller is told so at once.
   const state = createState();
-  const workspaces = [
-    {
-      name: 'w1',
-      credentials: [gatewayBench.KEY],
-      urgency: undefined,
-      quota: undefined,
-      regions: ['r2'],
-    },
-  ];
-  const given = gatewayBench.buildConfiguration(2, [buildRoute({ regions: ['r1'] })], workspaces);
-  state.index = configurationIndex.buildConfigurationIndex(given);
+  bindWorkspace(state, ['r1']);
   assert.deepEqual(listEnds(state, 1), ['NO_BACKEND_SERVER']);
 });
 
--- a/packages/measure/src/gateway-load/replay.ts
+++ b/packages/measure/src/gateway-load/replay.ts
@@ -9,53 +9,13 @@
 import * as datagramNetwork from '@toucanproxy/core/mocks/datagram-network';
 import * as engineModel from './engine-model.js';
 import * as loadPattern from './load-pattern.js';
+import * as replayTally from './replay-tally.js';
 import * as replayWorld from './replay-world.js';
 
 const TICK_MS = 5;
-const HOT_WORKSPACES = 2;
 const MAX_TRIES = 2;
 const MS_PER_SECOND = 1000;
 
-/** Adds to a count of a kind. */
-function addToKind(
-  byKind: Map<string, replayWorld.KindResult>,
-  kind: string,
-  field: keyof replayWorld.KindResult,
-): void {
-  const counts = byKind.get(kind) ?? { asked: 0, inTime: 0, late: 0, failed: 0 };
-  counts[field] += 1;
-  byKind.set(kind, counts);
-}
-
-/** Counts a call. */
-function addToResult(
-  { result }: replayWorld.World,
-  call: replayWorld.Call,
-  field: keyof replayWorld.KindResult,
-): void {
-  addToKind(result.byKind, call.kind.name, field);
-  if (isQuiet(call)) {
-    addToKind(result.quietByKind, call.kind.name, field);
-  }
-}
-
-/** Tells whether a call is of a workspace that sends no more than usual. */
-function isQuiet({ workspace }: replayWorld.Call): boolean {
-  return workspace >= HOT_WORKSPACES;
-}
-
-/** Tells whether the worst of the load has been over for some time. */
-function isCalm({ options, nowMs }: replayWorld.World): boolean {
-  return nowMs >= options.pattern.calmFromMs;
-}
-
-/** Counts a call whose first event has come. */
-function noteFirst(world: replayWorld.World, call: replayWorld.Call, atMs: number): void {
-  const isInTime = atMs - call.firstSentMs <= call.kind.targetMs;
-  addToResult(world, call, isInTime ? 'inTime' : 'late');
-  world.result.quietInTime += Number(isInTime && isQuiet(call));
-}
-
 /** Lets a call that was refused come back, or counts it as failed. */
 function endRefused(
   world: replayWorld.World,
@@ -63,7 +23,7 @@
   retryAfterMs: number | undefined,
 ): void {
   if (retryAfterMs === undefined || call.tries >= MAX_TRIES) {
-    addToResult(world, call, 'failed');
+    replayTally.addToResult(world, call, 'failed');
     return;
   }
   world.due.push({ ...call, dueMs: world.nowMs + retryAfterMs });
@@ -77,7 +37,7 @@
 /** Sends a call to a gateway that the balancer draws. */
 function sendCall(world: replayWorld.World, call: replayWorld.Call): void {
   const index = pickGateway(world);
-  world.result.calmTries[index] += Number(isCalm(world));
+  world.result.calmTries[index] += Number(replayTally.isCalm(world));
   const state = world.states[index];
   const { kind } = call;
   const tried = { ...call, tries: call.tries + 1 };
@@ -211,8 +171,8 @@
     }
     world.live.delete(run.id);
     const state = world.states[live.gateway];
-    noteFirst(world, live.call, run.firstMs);
-    world.result.calmServed[live.gateway] += Number(isCalm(world));
+    replayTally.noteFirst(world, live.call, run.firstMs);
+    world.result.calmServed[live.gateway] += Number(replayTally.isCalm(world));
     if (knowledge.firstEvents) {
       gateway.noteFirstEvent(state, live.request, run.firstMs - run.startedMs, world.nowMs);
     }
@@ -281,11 +241,13 @@
         return luck < below;
       }) ?? loadPattern.KINDS[0];
     const isHot = world.draw() < pattern.hotShare;
-    const workspace = Math.floor(world.draw() * (isHot ? HOT_WORKSPACES : replayWorld.WORKSPACES));
+    const workspace = Math.floor(
+      world.draw() * (isHot ? replayTally.HOT_WORKSPACES : replayWorld.WORKSPACES),
+    );
     const id = `c${world.result.quietAsked}-${world.sequence}-${world.draw()}`;
     const call = { id, kind, workspace, firstSentMs: world.nowMs, tries: 0, dueMs: world.nowMs };
-    addToResult(world, call, 'asked');
-    world.result.quietAsked += Number(isQuiet(call));
+    replayTally.addToResult(world, call, 'asked');
+    world.result.quietAsked += Number(replayTally.isQuiet(call));
     world.due.push(call);
   }
 }
