--- a/packages/core/src/gateway/stranded-requests.test.ts
+++ b/packages/core/src/gateway/stranded-requests.test.ts
@@ -90,7 +90,7 @@
 });
 
 /** Binds the workspace of all calls to the second region, and the route to some. */
-function bindWorkspace(state: gatewayState.GatewayState, routeRegions: string[]): void {
+function applyRegions(state: gatewayState.GatewayState, routeRegions: string[]): void {
   const names = { name: 'w1', credentials: [gatewayBench.KEY] };
   const workspace = { ...names, urgency: undefined, quota: undefined, regions: ['r2'] };
   const routes = [buildRoute({ regions: routeRegions })];
@@ -100,7 +100,7 @@
 
 test('workspace that is bound to a region', () => {
   const state = createState();
-  bindWorkspace(state, []);
+  applyRegions(state, []);
   assert.deepEqual(listEnds(state, 2), ['in-d2', 'in-d2']);
 });
 
@@ -108,7 +108,7 @@
   // The route is bound to one region and the workspace to another one: no backend server
   // may take the request, and its caller is told so at once.
   const state = createState();
-  bindWorkspace(state, ['r1']);
+  applyRegions(state, ['r1']);
   assert.deepEqual(listEnds(state, 1), ['NO_BACKEND_SERVER']);
 });
 
