--- a/packages/proofs/src/warm-up-failures.test.ts
+++ b/packages/proofs/src/warm-up-failures.test.ts
@@ -11,7 +11,7 @@
 /** Requests that a backend server which warms up may get in any one second. */
 const BOUND = WARM_UP.perSecond * factor + extra;
 const SECOND_MS = 1000;
-const COLD = { warmUpLeftMs: WARM_UP.durationMs, bornMs: 2, revision: 5 };
+const WARMING = { warmUpLeftMs: WARM_UP.durationMs, bornMs: 2, revision: 5 };
 /** Short runs: a backend server that is not held back takes some eighty a second. */
 const FLEET = { gateways: 6, servers: 4, slots: 8, runMs: 100, domains: 2, warmUp: WARM_UP };
 
@@ -50,7 +50,7 @@
   // would go there at once. It gets what it bears, and at least half of that.
   const fleet = createFleet({ ...FLEET, servers: 2 });
   runLoad(fleet, 4000);
-  gatewayFaults.applyServer(fleet, 'server-0', COLD);
+  gatewayFaults.applyServer(fleet, 'server-0', WARMING);
   const sinceMs = fleet.nowMs;
   runLoad(fleet, 3000);
   const there = fleet.sent.filter((one) => one.serverId === 'server-0' && one.atMs >= sinceMs);
@@ -64,7 +64,7 @@
   const fleet = createFleet(FLEET);
   runLoad(fleet, 4000);
   const sinceMs = fleet.nowMs;
-  ['server-0', 'server-1'].forEach((id) => gatewayFaults.applyServer(fleet, id, COLD));
+  ['server-0', 'server-1'].forEach((id) => gatewayFaults.applyServer(fleet, id, WARMING));
   runLoad(fleet, 2500);
   ['server-0', 'server-1'].forEach((id) =>
     assert.ok(countMost(fleet, id, sinceMs) <= BOUND, String(countMost(fleet, id, sinceMs))),
@@ -82,15 +82,15 @@
   fleet.down.delete('server-0');
   const sinceMs = fleet.nowMs;
   runLoad(fleet, 2000);
-  gatewayFaults.applyServer(fleet, 'server-0', { ...COLD, warmUpLeftMs: 1000 });
+  gatewayFaults.applyServer(fleet, 'server-0', { ...WARMING, warmUpLeftMs: 1000 });
   runLoad(fleet, 1000);
   assert.ok(countMost(fleet, 'server-0', sinceMs) > 0);
   assert.ok(countMost(fleet, 'server-0', sinceMs) <= BOUND);
 });
 
-test('idle server that is cold again without a word', () => {
+test('idle server that warms up again without a word', () => {
   // A backend server crashes and comes back while nobody calls, and then a burst comes.
-  // Nothing tells that it is cold: it gets no more than it bears in the first second.
+  // Nothing tells that it warms up: it gets no more than it bears in the first second.
   const fleet = createFleet({ ...FLEET, servers: 2 });
   runLoad(fleet, 1000);
   runFleet(fleet, 6000);
@@ -100,8 +100,8 @@
 });
 
 test('warm servers are used to the full', () => {
-  // Short requests: a warm backend server takes eighty a second, many times what it bears
-  // cold. The load grows and is served.
+  // Short requests: a warm backend server takes eighty a second, many times what it bears while it
+  // warms up. The load grows and is served.
   const fleet = createFleet({ ...FLEET, servers: 3 });
   runLoad(fleet, 6000);
   const sinceMs = fleet.nowMs;
@@ -111,7 +111,7 @@
 });
 
 test('domain returns while calls wait', () => {
-  // A failure domain is taken back in a burst. Its backend servers are cold from then on;
+  // A failure domain is taken back in a burst. Its backend servers warm up from then on;
   // their entries, which are as old as the evacuation, say that they are warm.
   const fleet = createFleet(FLEET);
   const word = { failureDomain: 'd0', revision: 10 };
@@ -144,7 +144,7 @@
   const scheduler = gatewayFleet.findScheduler(fleet, 0);
   runLoad(fleet, 500);
   const sinceMs = fleet.nowMs;
-  ['server-0', 'server-1'].forEach((id) => gatewayFaults.applyServer(fleet, id, COLD));
+  ['server-0', 'server-1'].forEach((id) => gatewayFaults.applyServer(fleet, id, WARMING));
   runLoad(fleet, 2500, (passedMs) => {
     if (passedMs === 700) {
       gatewayFaults.stopGateway(fleet, scheduler);
@@ -168,7 +168,7 @@
       gatewayFaults.setCut(fleet, to, from, true);
     }),
   );
-  gatewayFaults.applyServer(fleet, 'server-0', { ...COLD, warmUpLeftMs: 6000 });
+  gatewayFaults.applyServer(fleet, 'server-0', { ...WARMING, warmUpLeftMs: 6000 });
   const sinceMs = fleet.nowMs;
   runLoad(fleet, 5000);
   const schedulers = new Set(
@@ -186,7 +186,7 @@
     fleet.states.forEach((__, to) => gatewayFaults.setCut(fleet, from, to, true)),
   );
   fleet.states.forEach((_, index) => gatewayFaults.restartGateway(fleet, index));
-  gatewayFaults.applyServer(fleet, 'server-0', { ...COLD, warmUpLeftMs: 6000 });
+  gatewayFaults.applyServer(fleet, 'server-0', { ...WARMING, warmUpLeftMs: 6000 });
   const sinceMs = fleet.nowMs;
   runLoad(fleet, 3000);
   assert.ok(countMost(fleet, 'server-0', sinceMs) <= BOUND);
