--- a/packages/gateway/src/store-reader.ts
+++ b/packages/gateway/src/store-reader.ts
@@ -102,10 +102,11 @@
 }
 
 /** Waits until the next call is due; the interval may change while it passes. */
-async function waitInterval({ options }: ReaderState, sentMs: number): Promise<void> {
+async function waitInterval(state: ReaderState, sentMs: number): Promise<void> {
+  const { options } = state;
   const computeLeft = () => options.chooseIntervalMs() - (options.readClocks().steadyMs - sentMs);
   let leftMs = computeLeft();
-  while (leftMs > 0) {
+  while (leftMs > 0 && !state.stopped) {
     await pause(Math.min(leftMs, INTERVAL_STEP_MS));
     leftMs = computeLeft();
   }
--- a/packages/proofs/src/warm-up-failures.test.ts
+++ b/packages/proofs/src/warm-up-failures.test.ts
@@ -100,8 +100,8 @@
 });
 
 test('warm servers are used to the full', () => {
-  // Short requests: a warm backend server takes eighty a second, many times what it bears while it
-  // warms up. The load grows and is served.
+  // Short requests: a warm backend server takes eighty a second, many times what it bears
+  // while it warms up. The load grows and is served.
   const fleet = createFleet({ ...FLEET, servers: 3 });
   runLoad(fleet, 6000);
   const sinceMs = fleet.nowMs;
