--- /dev/null
+++ b/packages/core/src/scheduler/scheduler.test.ts
@@ -0,0 +1,35 @@
+import * as assert from 'node:assert/strict';
+import * as nodeTest from 'node:test';
+import * as schema from '@toucanproxy/schema';
+import * as gatewayBench from '../gateway/mocks/gateway-bench.js';
+import * as schedulerBench from './mocks/scheduler-bench.js';
+import * as scheduler from './scheduler.js';
+
+const { test } = nodeTest;
+const ASKER = '10.0.0.2:1';
+
+test('entry with odd numbers travels with a grant', () => {
+  // An entry tells a part of a millisecond, and the store has counted far. A number that the
+  // message cannot hold would end the process of the scheduler when it grants a place there.
+  const odd = { slots: 10_000, warmUpLeftMs: 12.5, revision: 2 ** 40 };
+  const entry = gatewayBench.buildEntry('a', odd);
+  const servers = schedulerBench.buildServers([entry], { news: new Map([['a', entry]]) });
+  const own = scheduler.createScheduler('10.0.0.1:1', 'life', () => 0.5);
+  const request = { serial: 1, targetLeftMs: 500, leaveLeftMs: 2000, giveUpLeftMs: 9000 };
+  const ask = schema.create(schema.ScheduleAskSchema, {
+    address: ASKER,
+    life: 'b',
+    sequence: 1,
+    cell: 'one/0',
+    requests: [request],
+  });
+  scheduler.receiveAsk(own, ask, 1000);
+  scheduler.scheduleRequests(own, () => servers, 1000);
+  const [{ reply }] = scheduler.collectReplies(own, () => servers, 1000);
+  const bytes = schema.toBinary(schema.ScheduleReplySchema, reply);
+  const told = schema.fromBinary(schema.ScheduleReplySchema, bytes).grants[0].entry;
+  assert.deepEqual(
+    [told?.slots, told?.warmUpLeftMs, told?.revision],
+    [odd.slots, odd.warmUpLeftMs, odd.revision],
+  );
+});
