--- a/packages/core/src/gateway/backend-servers.ts
+++ b/packages/core/src/gateway/backend-servers.ts
@@ -278,6 +278,10 @@
 
 /** Tells whether a service has backend servers, all of them in evacuated domains. */
 export function isServiceEvacuated(servers: BackendServers, service: string): boolean {
+  // Asked for each request; a fleet has thousands of backend servers, and rarely this.
+  if (!evacuations.isAnyEvacuated(servers.evacuations)) {
+    return false;
+  }
   const inUse = [...servers.byId.values()].filter(
     ({ entry }) => entry.service === service && !entry.leaving,
   );
--- a/packages/core/src/gateway/evacuations.ts
+++ b/packages/core/src/gateway/evacuations.ts
@@ -83,6 +83,11 @@
     : { atMs: known.changedMs, revision: known.revision };
 }
 
+/** Tells whether any failure domain is evacuated. */
+export function isAnyEvacuated({ byDomain }: Evacuations): boolean {
+  return [...byDomain.values()].some((one) => one.isEvacuated);
+}
+
 /** Lists the failure domains that are evacuated. */
 export function listEvacuated({ byDomain }: Evacuations): string[] {
   return [...byDomain].filter(([, one]) => one.isEvacuated).map(([failureDomain]) => failureDomain);
--- /dev/null
+++ b/packages/core/src/gateway/fleet-split.test.ts
@@ -0,0 +1,43 @@
+import * as assert from 'node:assert/strict';
+import * as nodeTest from 'node:test';
+import * as scheduler from '../scheduler/index.js';
+import * as backendServers from './backend-servers.js';
+import * as fleetSplit from './fleet-split.js';
+import * as gatewayBench from './mocks/gateway-bench.js';
+
+const { test } = nodeTest;
+const SERVICE = 'one';
+
+/** Takes in the entries of some backend servers. */
+function addServers(servers: backendServers.BackendServers, from: number, until: number): void {
+  Array.from({ length: until - from }, (_, index) =>
+    backendServers.applyEntry(servers, gatewayBench.buildEntry(`server-${from + index}`), 0),
+  );
+}
+
+/** Lists the cells of all backend servers, worked out without anything kept. */
+function listAnew(servers: backendServers.BackendServers): Map<string, string> {
+  const ids = backendServers.listIds(servers, SERVICE);
+  const cellNames = scheduler.listCellNames(SERVICE, ids.length);
+  return new Map(ids.map((id) => [id, scheduler.findCell(cellNames, id)]));
+}
+
+test('cells that are kept are those that would be found', () => {
+  // Backend servers come and go, and with them the number of cells. Two gateways that have
+  // seen different numbers in between must find the same cells, or a cell has two lines.
+  const servers = backendServers.createBackendServers();
+  const split = fleetSplit.createFleetSplit();
+  const expectSame = () =>
+    assert.deepEqual(
+      fleetSplit.getServiceSplit(split, servers, SERVICE, 0).cellByServer,
+      listAnew(servers),
+    );
+  addServers(servers, 0, 200);
+  expectSame();
+  addServers(servers, 200, 210);
+  expectSame();
+  addServers(servers, 210, 400);
+  expectSame();
+  ['server-3', 'server-399'].forEach((id) => backendServers.removeEntry(servers, id, 0));
+  expectSame();
+});
--- a/packages/core/src/gateway/fleet-split.ts
+++ b/packages/core/src/gateway/fleet-split.ts
@@ -12,10 +12,15 @@
   usableByCell: Map<string, backendServerEntry.BackendServerEntry[]>;
 };
 
+/** Cells that backend servers were found in, while their service had so many cells. */
+type KnownCells = { cells: number; byServer: ReadonlyMap<string, string> };
+
 export type FleetSplit = {
   computedMs: number;
   revision: number;
   byService: Map<string, ServiceSplit>;
+  /** By service. */
+  knownCells: Map<string, KnownCells>;
 };
 
 /**
@@ -27,18 +32,36 @@
 
 /** Creates a split that is worked out at its first use. */
 export function createFleetSplit(): FleetSplit {
-  return { computedMs: -Infinity, revision: -1, byService: new Map() };
+  return { computedMs: -Infinity, revision: -1, byService: new Map(), knownCells: new Map() };
+}
+
+/**
+ * Finds the cells of some backend servers.
+ *
+ * Those found before are kept while the number of cells stays. A service of thousands has
+ * dozens of cells, each of which is hashed for each backend server: done anew with every
+ * change of an entry, that takes all of the processor, and callers wait for seconds.
+ */
+function findCells(
+  known: KnownCells | undefined,
+  cellNames: readonly string[],
+  ids: readonly string[],
+): Map<string, string> {
+  const found = known?.cells === cellNames.length ? known.byServer : undefined;
+  return new Map(ids.map((id) => [id, found?.get(id) ?? scheduler.findCell(cellNames, id)]));
 }
 
 /** Splits the backend servers of a service. */
 function buildServiceSplit(
+  split: FleetSplit,
   servers: backendServers.BackendServers,
   service: string,
   now: number,
 ): ServiceSplit {
   const ids = backendServers.listIds(servers, service);
   const cellNames = scheduler.listCellNames(service, ids.length);
-  const cellByServer = new Map(ids.map((id) => [id, scheduler.findCell(cellNames, id)]));
+  const cellByServer = findCells(split.knownCells.get(service), cellNames, ids);
+  split.knownCells.set(service, { cells: cellNames.length, byServer: cellByServer });
   const usableByCell = new Map<string, backendServerEntry.BackendServerEntry[]>(
     cellNames.map((name) => [name, []]),
   );
@@ -69,7 +92,7 @@
     split.computedMs = now;
     split.byService.clear();
   }
-  const known = split.byService.get(service) ?? buildServiceSplit(servers, service, now);
+  const known = split.byService.get(service) ?? buildServiceSplit(split, servers, service, now);
   split.byService.set(service, known);
   return known;
 }
