Log the rate limits that answers name

Each gateway now keeps what answers name, and tells it: lines rate-limit, rate-limit-lifted and rate-limit-faulty (result 404), the gauge backend_servers_rate_limited, rateLimits in status.

No decision uses it yet. An answer without a limit lifts one only where its request was sent after the limit was last named, and only if the backend server signed it; refusals and answers of others lift none.

--- a/packages/core/src/gateway/index.ts
+++ b/packages/core/src/gateway/index.ts
@@ -13,14 +13,15 @@
 export * from './observations.js';
 export * from './peer-view.js';
 export * from './quota-limit.js';
+export * from './rate-limits.js';
 export * from './refusal.js';
 export * from './request-end.js';
 export * from './rights.js';
+export * from './server-end.js';
 export * from './token-quota.js';
 export * from './warm-up-times.js';
 export type { BackendServerEntry } from '../shared/backend-server-entry.js';
 export {
-  forgetServer,
   isWorkWaiting,
   receiveAsk,
   type Candidate,
--- a/packages/gateway/src/answer-relay.ts
+++ b/packages/gateway/src/answer-relay.ts
@@ -33,6 +33,8 @@
   /** Told of the time between events, milliseconds. */
   observePace: (unitMs: number) => void;
   observeFirstEvent: (ms: number) => void;
+  /** Told of each answer of the backend server that is meant. */
+  observeRateLimit: (rateLimit: wireProtocol.AnswerRateLimit) => void;
 };
 
 type Relay = {
@@ -59,13 +61,12 @@
 
 /** Finds the fault that the head of an answer shows. */
 function findHeadFault(
-  relay: Relay,
+  { options }: Relay,
   head: heldRequest.AnswerHead,
+  names: wireProtocol.AnswerNames,
   isFresh: boolean,
 ): { fault: gateway.AttemptFault; reason: string } | undefined {
-  const { held, protocol } = relay.options;
-  const names = protocol.parseAnswer(head.status, head.headers);
-  const { attemptId } = held.request.arrived;
+  const { attemptId } = options.held.request.arrived;
   const isOwn = names.attemptId === attemptId;
   const notRun = names.isNotRun || names.isMisdirected;
   // The refusal of a backend server may lack the id; on a new connection it can
@@ -86,9 +87,20 @@
     : undefined;
 }
 
+/** Tells what the backend server says of its rate limit; a mere refusal lifts none. */
+function noteRateLimit({ options }: Relay, names: wireProtocol.AnswerNames): void {
+  if (names.isSigned || names.rateLimit.kind !== 'none') {
+    options.observeRateLimit(names.rateLimit);
+  }
+}
+
 /** Takes the head of an answer; false ends the attempt. */
 function takeHead(relay: Relay, head: heldRequest.AnswerHead, isFresh: boolean): boolean {
-  const found = findHeadFault(relay, head, isFresh);
+  const names = relay.options.protocol.parseAnswer(head.status, head.headers);
+  const found = findHeadFault(relay, head, names, isFresh);
+  if (found === undefined || found.fault === gateway.AttemptFault.REFUSED) {
+    noteRateLimit(relay, names);
+  }
   if (found !== undefined) {
     endWithFault(relay, found.fault, found.reason);
     return false;
--- a/packages/gateway/src/attempt-sending.ts
+++ b/packages/gateway/src/attempt-sending.ts
@@ -6,6 +6,7 @@
 import * as callerExchange from './caller-exchange.js';
 import type * as heldRequest from './held-request.js';
 import * as outgoingRequest from './outgoing-request.js';
+import * as rateLimitReports from './rate-limit-reports.js';
 import * as requestEnding from './request-ending.js';
 import * as requestReports from './request-reports.js';
 import type * as taskState from './task-state.js';
@@ -100,6 +101,7 @@
       gateway.noteFirstEvent(task.state, request, ms, readNow());
       task.metrics.recordFirstEvent(request.route.name, ms);
     },
+    observeRateLimit: (rateLimit) => rateLimitReports.takeRateLimit(task, request, rateLimit),
   });
   const connection = task.connections.take(server.address);
   held.attempt = backendAttempt.startAttempt(
--- a/packages/gateway/src/gateway-metrics.ts
+++ b/packages/gateway/src/gateway-metrics.ts
@@ -48,6 +48,11 @@
       labels: {},
       value: gateway.listEvacuated(state.servers.evacuations).length,
     },
+    {
+      name: 'backend_servers_rate_limited',
+      labels: {},
+      value: gateway.listRateLimits(state).length,
+    },
     { name: 'peers', labels: {}, value: state.peers.byAddress.size },
     ...listSchedulingValues(state),
   ];
--- a/packages/gateway/src/server-items.ts
+++ b/packages/gateway/src/server-items.ts
@@ -48,7 +48,7 @@
   [...real, ...expired]
     .filter(({ change }) => change === 'restarted' || change === 'gone')
     .forEach(({ id }) => {
-      gateway.forgetServer(state.scheduler, id);
+      gateway.forgetServer(state, id);
       const suspects = gateway.applyCrash(state, id, readClocks());
       if (suspects.length > 0) {
         log.writeAlways('content-suspect', { server: id, suspects });
--- a/packages/gateway/src/status.ts
+++ b/packages/gateway/src/status.ts
@@ -37,6 +37,7 @@
     backendServers: [...state.servers.byId.values()],
     evacuatedDomains: gateway.listEvacuated(state.servers.evacuations),
     warming: describeWarming(state, now.steadyMs),
+    rateLimits: gateway.listRateLimits(state),
     cells: describeCells(state),
     peers: gateway.listContacts(state.peers),
   };
--- a/packages/gateway/src/wire-protocol.ts
+++ b/packages/gateway/src/wire-protocol.ts
@@ -23,6 +23,13 @@
   resumeAfter: string | undefined;
 };
 
+/** What an answer says of the rate at which its backend server takes requests. */
+export type AnswerRateLimit =
+  | { kind: 'none' }
+  /** Requests a second from all gateways together. */
+  | { kind: 'named'; perSecond: number }
+  | { kind: 'unreadable'; text: string };
+
 /** What the head of an answer says. */
 export type AnswerNames = {
   /** The request that it answers; undefined where it does not say. */
@@ -33,6 +40,7 @@
   isMisdirected: boolean;
   /** It bears the mark of a backend server. */
   isSigned: boolean;
+  rateLimit: AnswerRateLimit;
 };
 
 export type WireProtocol = {
--- a/packages/measure/src/gateway-load/replay.ts
+++ b/packages/measure/src/gateway-load/replay.ts
@@ -91,7 +91,7 @@
   }
   if (world.nowMs < engine.failsUntilMs) {
     if (!world.options.knowledge.failures) {
-      world.states.forEach(({ scheduler }) => gateway.forgetServer(scheduler, engineId));
+      world.states.forEach((state) => gateway.forgetServer(state, engineId));
     }
     endFailed(world, attemptId, gateway.AttemptFault.FAILED);
     return;
--- a/packages/proofs/src/mocks/gateway-faults.ts
+++ b/packages/proofs/src/mocks/gateway-faults.ts
@@ -78,7 +78,7 @@
   states.forEach((state) => {
     const change = gateway.applyEntry(state.servers, entry, fleet.nowMs);
     if (change?.change === 'restarted') {
-      gateway.forgetServer(state.scheduler, serverId);
+      gateway.forgetServer(state, serverId);
     }
   });
 }
--- a/packages/runtime/src/metric-definitions.ts
+++ b/packages/runtime/src/metric-definitions.ts
@@ -86,6 +86,10 @@
     type: MetricType.GAUGE,
     help: 'Backend servers that warm up, as this process knows.',
   },
+  backend_servers_rate_limited: {
+    type: MetricType.GAUGE,
+    help: 'Backend servers whose answers to this process name a rate limit.',
+  },
   evacuated_domains: {
     type: MetricType.GAUGE,
     help: 'Failure domains that operators have had evacuated, as this process knows.',
