Show that rate limits of backend servers are not kept

The load and the counts that the tests of warming up had move to a file of their own; those tests are unchanged in what they assert.

--- a/packages/proofs/src/mocks/gateway-fleet-state.ts
+++ b/packages/proofs/src/mocks/gateway-fleet-state.ts
@@ -55,6 +55,10 @@
   leaving: Set<string>;
   /** Backend servers that take no connection. */
   down: Set<string>;
+  /** Requests a second that backend servers name in their answers, by id. */
+  rateLimits: Map<string, number>;
+  /** Answers that named a limit, in order. */
+  told: { gateway: number; serverId: string; atMs: number }[];
 };
 
 /** What a backend server that warms up may get in a second beyond what it bears. */
--- a/packages/proofs/src/mocks/gateway-fleet.ts
+++ b/packages/proofs/src/mocks/gateway-fleet.ts
@@ -48,6 +48,8 @@
     mostAtServer: 0,
     leaving: new Set(),
     down: new Set(),
+    rateLimits: new Map(),
+    told: [],
   };
   fleet.states = Array.from({ length: given.gateways }, (_, index) =>
     fleetState.createState(fleet, index),
@@ -186,7 +188,12 @@
     (run) => fleet.nowMs >= run.atMs + fleet.options.runMs && isRunning(fleet, run.gateway),
   );
   fleet.running = fleet.running.filter((run) => !over.includes(run));
-  over.forEach(({ gateway: index, request }) => {
+  over.forEach(({ gateway: index, serverId, request }) => {
+    const perSecond = fleet.rateLimits.get(serverId);
+    if (perSecond !== undefined) {
+      fleet.told.push({ gateway: index, serverId, atMs: fleet.nowMs });
+    }
+    gateway.noteRateLimit(fleet.states[index], request, perSecond, fleet.nowMs);
     gateway.noteGoodAnswer(fleet.states[index], request, fleet.nowMs);
     gateway.endRequest(fleet.states[index], request);
   });
--- a/packages/proofs/src/warm-up-failures.test.ts
+++ b/packages/proofs/src/warm-up-failures.test.ts
@@ -3,9 +3,11 @@
 import * as gatewayFaults from './mocks/gateway-faults.js';
 import * as gatewayFleet from './mocks/gateway-fleet.js';
 import * as gatewayFleetState from './mocks/gateway-fleet-state.js';
+import * as gatewayLoad from './mocks/gateway-load.js';
 
 const { test } = nodeTest;
-const { addCall, createFleet, runFleet } = gatewayFleet;
+const { createFleet, runFleet } = gatewayFleet;
+const { runLoad } = gatewayLoad;
 const WARM_UP = { durationMs: 3000, perSecond: 9 };
 const { factor, extra } = gatewayFleetState.WARM_UP_TOLERANCE;
 /** Requests that a backend server which warms up may get in any one second. */
@@ -17,32 +19,12 @@
 
 /** Counts the most requests that a backend server got in any one second since a time. */
 function countMost(
-  { sent }: gatewayFleetState.GatewayFleet,
+  fleet: gatewayFleetState.GatewayFleet,
   serverId: string,
   sinceMs: number,
 ): number {
-  const times = sent
-    .filter((one) => one.serverId === serverId && one.atMs >= sinceMs)
-    .map(({ atMs }) => atMs);
-  const counts = times.map(
-    (from) => times.filter((one) => one >= from && one < from + SECOND_MS).length,
-  );
-  return Math.max(...counts, 0);
-}
-
-/** Lets calls come in at all gateways for a time, one each 5 ms. */
-function runLoad(
-  fleet: gatewayFleetState.GatewayFleet,
-  forMs: number,
-  befall: (passedMs: number) => void = () => {},
-): void {
-  const fromMs = fleet.nowMs;
-  for (let passedMs = 0; passedMs < forMs; passedMs += 5) {
-    addCall(fleet, (passedMs / 5) % fleet.states.length);
-    befall(passedMs);
-    runFleet(fleet, 5);
-    assert.equal(fleet.nowMs, fromMs + passedMs + 5);
-  }
+  const times = gatewayLoad.listTimes(fleet, serverId, sinceMs);
+  return gatewayLoad.countMostWithin(times, SECOND_MS);
 }
 
 test('server that warms up is used up to its rate', () => {
