Keep to the rate limits of backend servers

Callers saw nothing, backend servers did: one that named 1.6 requests a second in its answers got 36 in 4 s (15 allowed), another with 1.9 got 33, after every gateway had been told.

Cause: no program read the header. Grants follow free places and speed, and a backend server in need has free places and answers as fast as before. Evidence: all grants of both were one scheduler's, at the rate of the load, with heldBack 0; a fleet in virtual time gives a server 160 requests in 4 s where 14.6 are allowed. Ruled out: repeats (each request was sent once, nothing was turned away); a limit that stays with the gateway that was told (nothing was held back at any of the four). The class of the fault: a word in an answer that nothing reads.

The scheduler of the cell keeps a token bucket for each such server, because it alone sees all starts. Gateways repeat what they were told with each ask, so a scheduler that takes over knows the limit before its first grant; it begins with an empty bucket. Where part of the gateways is not heard, a scheduler uses its part of the limit. A limit is lifted by an answer without one to a request that was sent after the limit was known, here or to the scheduler.

--- a/packages/core/src/gateway/ask-messages.ts
+++ b/packages/core/src/gateway/ask-messages.ts
@@ -9,6 +9,7 @@
 import * as asking from './asking.js';
 import type * as gatewayRequest from './gateway-request.js';
 import type * as gatewayState from './gateway-state.js';
+import * as rateLimits from './rate-limits.js';
 import * as schedulerLink from './scheduler-link.js';
 import * as schedulerRanking from './scheduler-ranking.js';
 
@@ -35,6 +36,7 @@
 const MAX_REQUESTS = 8;
 const MAX_SERIALS = 48;
 const MAX_OBSERVATIONS = 12;
+const MAX_RATE_LIMITS = 8;
 
 /** Lists what this gateway has in flight at the backend servers of a cell. */
 function listInFlight(
@@ -48,6 +50,24 @@
     .map(([serverId, requests]) => ({ serverId, requests }));
 }
 
+/** Takes the rate limits that the scheduler of a cell is told of now: all of them in turn. */
+function takeRateLimits(
+  state: gatewayState.GatewayState,
+  link: schedulerLink.SchedulerLink,
+  now: number,
+): { serverId: string; perSecond: number | undefined; ageMs: number }[] {
+  const { cellByServer } = asking.getSplit(state, link.service, now);
+  const all = rateLimits.listTold(state, now).filter(([id]) => cellByServer.get(id) === link.cell);
+  const from = all.length === 0 ? 0 : link.rateLimitsTold % all.length;
+  const taken = [...all.slice(from), ...all.slice(0, from)].slice(0, MAX_RATE_LIMITS);
+  link.rateLimitsTold += taken.length;
+  return taken.map(([serverId, { perSecond, toldMs }]) => ({
+    serverId,
+    perSecond,
+    ageMs: now - toldMs,
+  }));
+}
+
 /** Describes a request that asks for a place. */
 function buildWaiting(
   state: gatewayState.GatewayState,
@@ -117,6 +137,7 @@
         inFlight,
         lastGrant: link.lastGrant,
         observations: link.observations.splice(0, MAX_OBSERVATIONS),
+        rateLimits: takeRateLimits(state, link, now),
       }),
     );
   } while (requests.length > 0);
--- a/packages/core/src/gateway/asking.ts
+++ b/packages/core/src/gateway/asking.ts
@@ -122,8 +122,8 @@
   }
 }
 
-/** Notes that a place was left or not used, so that its scheduler hears of it at once. */
-export function noteLeft(
+/** Notes that a place was left, or other news, so that its scheduler hears of it at once. */
+export function noteNews(
   state: gatewayState.GatewayState,
   serverId: string,
   service: string,
--- a/packages/core/src/gateway/assignment.ts
+++ b/packages/core/src/gateway/assignment.ts
@@ -132,12 +132,12 @@
   granted: Extract<placeAnswers.PlaceAnswer, { kind: 'granted' }>,
   clocks: belief.ClockReading,
 ): Assignment[] {
-  const { request, serverId, idleFirstMs, entry } = granted;
+  const { request, serverId, idleFirstMs, entry, isRateLimited } = granted;
   const now = clocks.steadyMs;
   const obstacle = findObstacle(state, request, clocks);
   if (obstacle !== undefined) {
     state.schedulingTotals.grantsUnused += 1;
-    asking.noteLeft(state, serverId, request.service);
+    asking.noteNews(state, serverId, request.service);
     const told = requestEnd.refuseWaiting(state, request, obstacle);
     return [{ kind: 'refuse', request, refusal: told }];
   }
@@ -148,7 +148,7 @@
   if (found.kind === 'unusable') {
     state.schedulingTotals.grantsUnused += 1;
     request.triedIds.add(serverId);
-    asking.noteLeft(state, serverId, request.service);
+    asking.noteNews(state, serverId, request.service);
     asking.askPlaceLater(state, request, now);
     return [{ kind: 'waitOn', request, serverId, reason: found.reason }];
   }
@@ -157,6 +157,7 @@
   request.sentMs = now;
   request.sends += 1;
   request.idleFirstMs = idleFirstMs;
+  request.isRateLimited = isRateLimited;
   gatewayState.addInFlight(state, serverId, 1);
   state.schedulingTotals.grantsUsed += 1;
   return [{ kind: 'send', request, server: found.server, scheduler: granted.scheduler }];
--- a/packages/core/src/gateway/gateway-request.ts
+++ b/packages/core/src/gateway/gateway-request.ts
@@ -62,6 +62,8 @@
   /** The backend server that has it. */
   serverId: string | undefined;
   sentMs: number;
+  /** That backend server had a rate limit when the place was granted. */
+  isRateLimited: boolean;
   /** Time to its first event if that backend server were idle, milliseconds. */
   idleFirstMs: number;
   /** Backend servers that did not take it, or failed it. */
--- a/packages/core/src/gateway/intake.ts
+++ b/packages/core/src/gateway/intake.ts
@@ -119,6 +119,7 @@
     declinedCells: new Set(),
     serverId: undefined,
     sentMs: 0,
+    isRateLimited: false,
     idleFirstMs: 0,
     triedIds: new Set(),
     sends: 0,
--- a/packages/core/src/gateway/mocks/gateway-bench.ts
+++ b/packages/core/src/gateway/mocks/gateway-bench.ts
@@ -140,7 +140,7 @@
 /** Sets how many other requests of the gateway are at a backend server. */
 export function setInFlight(state: gatewayState.GatewayState, id: string, requests: number): void {
   gatewayState.addInFlight(state, id, requests - (state.inFlight.get(id) ?? 0));
-  asking.noteLeft(state, id, 'one');
+  asking.noteNews(state, id, 'one');
 }
 
 /** Builds a request as its caller sent it. */
--- a/packages/core/src/gateway/place-answers.ts
+++ b/packages/core/src/gateway/place-answers.ts
@@ -22,6 +22,7 @@
       idleFirstMs: number;
       /** What the scheduler knows of the backend server, where that may be news. */
       entry: backendServerEntry.BackendServerEntry | undefined;
+      isRateLimited: boolean;
       scheduler: string;
     }
   | {
@@ -38,7 +39,7 @@
   grant: schema.PlaceGrant,
   isFresh: boolean,
 ): PlaceAnswer[] {
-  const { number, serial, serverId, idleFirstMs } = grant;
+  const { number, serial, serverId, idleFirstMs, isRateLimited } = grant;
   const entry = grant.entry && { ...grant.entry, id: serverId, leaving: false };
   link.lastGrant = Math.max(link.lastGrant, number);
   const ask = link.asks.get(serial);
@@ -52,7 +53,17 @@
     return [];
   }
   link.asks.delete(serial);
-  return [{ kind: 'granted', request, serverId, idleFirstMs, entry, scheduler: link.address }];
+  return [
+    {
+      kind: 'granted',
+      request,
+      serverId,
+      idleFirstMs,
+      entry,
+      isRateLimited,
+      scheduler: link.address,
+    },
+  ];
 }
 
 /** Takes in one refusal. */
--- a/packages/core/src/gateway/rate-limits.test.ts
+++ b/packages/core/src/gateway/rate-limits.test.ts
@@ -32,8 +32,9 @@
   const changed = rateLimits.noteRateLimit(state, first, 3, 30);
   assert.deepEqual(changed, { server: SERVER, perSecond: 3, before: 1.5 });
   assert.deepEqual(rateLimits.listRateLimits(state), [{ server: SERVER, perSecond: 3 }]);
-  const later = sendRequest(state, 40);
-  const lifted = rateLimits.noteRateLimit(state, later, undefined, 50);
+  gatewayBench.assignWaiting(state, gatewayBench.buildClocks(40));
+  const later = sendRequest(state, 1040);
+  const lifted = rateLimits.noteRateLimit(state, later, undefined, 1050);
   assert.deepEqual(lifted, { server: SERVER, perSecond: undefined, before: 3 });
   assert.deepEqual(rateLimits.listRateLimits(state), []);
 });
--- a/packages/core/src/gateway/request-end.ts
+++ b/packages/core/src/gateway/request-end.ts
@@ -14,7 +14,7 @@
   const { serverId, service } = request;
   if (serverId !== undefined) {
     gatewayState.addInFlight(state, serverId, -1);
-    asking.noteLeft(state, serverId, service);
+    asking.noteNews(state, serverId, service);
     request.serverId = undefined;
   }
 }
--- a/packages/core/src/gateway/scheduler-link.ts
+++ b/packages/core/src/gateway/scheduler-link.ts
@@ -23,6 +23,8 @@
   withdrawn: number[];
   observations: schema.ServerObservation[];
   lastGrant: number;
+  /** Rate limits that were told so far; the next ones are told in turn. */
+  rateLimitsTold: number;
   /** There is something to tell at once. */
   isDirty: boolean;
   /** Places of the cell, and requests at them or before them, as last told. */
@@ -49,6 +51,7 @@
     withdrawn: [],
     observations: [],
     lastGrant: 0,
+    rateLimitsTold: 0,
     isDirty: false,
     places: 0,
     load: 0,
--- a/packages/core/src/scheduler/asks.ts
+++ b/packages/core/src/scheduler/asks.ts
@@ -3,6 +3,7 @@
 import * as cells from './cell.js';
 import * as enginePace from './engine-pace.js';
 import * as firstDelay from './first-delay.js';
+import * as rateLimit from './rate-limit.js';
 import type * as scheduledRequest from './scheduled-request.js';
 import * as serverLoad from './server-load.js';
 import * as waitQueue from './wait-queue.js';
@@ -174,6 +175,9 @@
   cell.askedMs = now;
   applyInFlight(asker, ask);
   ask.observations.forEach((one) => noteObservation(cell, one, now));
+  ask.rateLimits.forEach(({ serverId, perSecond, ageMs }) =>
+    rateLimit.applyTold(cell.rateLimits, { serverId, perSecond, toldMs: now - ageMs }, now),
+  );
   ask.withdrawn.forEach((serial) => {
     const request = asker.requests.get(serial);
     if (request !== undefined) {
--- a/packages/core/src/scheduler/candidates.ts
+++ b/packages/core/src/scheduler/candidates.ts
@@ -3,6 +3,7 @@
 import * as cells from './cell.js';
 import * as enginePace from './engine-pace.js';
 import * as firstDelay from './first-delay.js';
+import * as rateLimit from './rate-limit.js';
 import type * as serverChoice from './server-choice.js';
 import * as serverLoad from './server-load.js';
 import * as warmUp from './warm-up.js';
@@ -64,12 +65,17 @@
 ): number {
   const { heardShare } = servers;
   const view = { isWarming: isWarming(cell, servers, serverId, now), heardShare };
-  return warmUp.countStartsLeft(cell.starts.get(serverId) ?? [], servers.warmUp, view, now);
+  const starts = cell.starts.get(serverId) ?? [];
+  return Math.min(
+    warmUp.countStartsLeft(starts, servers.warmUp, view, now),
+    rateLimit.countStartsLeft(cell.rateLimits.get(serverId), heardShare, now),
+  );
 }
 
 /**
- * Counts the places of a cell. One that is held back while it warms up has only those that
- * it uses, and those that it may be given now: callers who are told of more would wait.
+ * Counts the places of a cell. A backend server that is held back while it warms up, or by
+ * its rate limit, has only those that it uses, and those that it may be given now: callers
+ * who are told of more would wait.
  */
 export function countPlaces(
   cell: cells.Cell,
@@ -110,6 +116,7 @@
       slots: getSlots(entry),
       inFlight,
       startsLeft: countStartsLeft(cell, servers, entry.id, now),
+      isRateLimited: rateLimit.isLimited(cell.rateLimits.get(entry.id)),
       slowness,
       unitMs: fastest * slowness,
       firstExtraMs: firstDelay.estimateExtraMs(load.firstDelay, now, usualMs),
--- a/packages/core/src/scheduler/cell.ts
+++ b/packages/core/src/scheduler/cell.ts
@@ -3,6 +3,7 @@
 import * as drainRate from '../shared/drain-rate.js';
 import * as firstDelay from './first-delay.js';
 import * as overload from '../shared/overload.js';
+import type * as rateLimit from './rate-limit.js';
 import type * as scheduledRequest from './scheduled-request.js';
 import * as serverLoad from './server-load.js';
 import * as waitQueue from './wait-queue.js';
@@ -18,6 +19,7 @@
   idleFirstMs: number;
   /** What the store tells of the backend server, where that is news. */
   entry: backendServerEntry.BackendServerEntry | undefined;
+  isRateLimited: boolean;
 };
 
 /** What a gateway is to be told next. */
@@ -54,6 +56,8 @@
   loads: Map<string, serverLoad.ServerLoad>;
   /** When requests were given to a backend server lately, by its id, milliseconds. */
   starts: Map<string, number[]>;
+  /** Limits that backend servers have named, by id. */
+  rateLimits: rateLimit.RateLimits;
   askers: Map<string, CellAsker>;
   queue: waitQueue.WaitQueue;
   requests: Map<number, scheduledRequest.ScheduledRequest>;
@@ -74,6 +78,7 @@
     askedMs: now,
     loads: new Map(),
     starts: new Map(),
+    rateLimits: new Map(),
     askers: new Map(),
     queue: waitQueue.createWaitQueue(),
     requests: new Map(),
--- a/packages/core/src/scheduler/request-match.ts
+++ b/packages/core/src/scheduler/request-match.ts
@@ -82,13 +82,15 @@
  *
  * It leaves them to others while a backend server that is full now would have it
  * on time. Load pattern: the fast engines are full, and a long prompt takes a
- * second at a slow one, where ten short ones would be on time.
+ * second at a slow one, where ten short ones would be on time. One with a rate limit does
+ * not count: it takes one of many that wait, and the others would be late for nothing.
  */
 function chooseAny(
   search: OpenSearch,
   request: scheduledRequest.ScheduledRequest,
 ): serverChoice.Candidate | undefined {
-  return listAllowed(search.candidates, request).some((one) => isInTime(search, request, one))
+  const unlimited = search.candidates.filter(({ isRateLimited }) => !isRateLimited);
+  return listAllowed(unlimited, request).some((one) => isInTime(search, request, one))
     ? undefined
     : serverChoice.chooseServer(
         listPlaces(search, request),
--- a/packages/core/src/scheduler/scheduler.ts
+++ b/packages/core/src/scheduler/scheduler.ts
@@ -4,6 +4,7 @@
 import * as candidates from './candidates.js';
 import * as cells from './cell.js';
 import * as places from './places.js';
+import * as rateLimit from './rate-limit.js';
 import * as requestMatch from './request-match.js';
 import type * as scheduledRequest from './scheduled-request.js';
 import type * as serverChoice from './server-choice.js';
@@ -85,6 +86,7 @@
   scheduler.cells.forEach((cell) => {
     cell.loads.delete(serverId);
     cell.starts.delete(serverId);
+    cell.rateLimits.delete(serverId);
   });
 }
 
@@ -110,9 +112,11 @@
   scheduler: Scheduler,
   cell: cells.Cell,
   { request, chosen }: requestMatch.Match,
-  { news }: candidates.CellServers,
+  { news, heardShare }: candidates.CellServers,
   now: number,
 ): void {
+  const limit = cell.rateLimits.get(chosen.id);
+  rateLimit.noteStart(limit, heardShare, now);
   waiting.takeRequest(cell, request, now);
   cell.requests.delete(request.id);
   const asker = cell.askers.get(request.asker);
@@ -126,7 +130,15 @@
   const idleFirstMs = waiting.estimateFirstMs(request) * chosen.slowness;
   const { serial } = request;
   const entry = news.get(chosen.id);
-  asker.reply.grants.push({ number, serial, serverId: chosen.id, idleFirstMs, entry });
+  const isRateLimited = rateLimit.isLimited(limit);
+  asker.reply.grants.push({
+    number,
+    serial,
+    serverId: chosen.id,
+    idleFirstMs,
+    entry,
+    isRateLimited,
+  });
 }
 
 /** Lists the best candidates after the chosen one, for the log. */
--- a/packages/core/src/scheduler/server-choice.test.ts
+++ b/packages/core/src/scheduler/server-choice.test.ts
@@ -13,6 +13,7 @@
     slots: SLOTS,
     inFlight: 0,
     startsLeft: Infinity,
+    isRateLimited: false,
     slowness: 1,
     unitMs: 0,
     firstExtraMs: 0,
--- a/packages/core/src/scheduler/server-choice.ts
+++ b/packages/core/src/scheduler/server-choice.ts
@@ -14,8 +14,10 @@
   slots: number;
   /** Requests there, as the gateways last told, and places granted since. */
   inFlight: number;
-  /** Requests that it may be started with now; bounded while it warms up. */
+  /** Requests that it may be started with now; bounded while it warms up or is limited. */
   startsLeft: number;
+  /** It has named a rate limit. */
+  isRateLimited: boolean;
   /** Times slower than the fastest of its cell. */
   slowness: number;
   /** Time of one unit of work, an event or an answer, milliseconds; 0 if unknown. */
