--- a/packages/proofs/src/soak/soak-faults.ts
+++ b/packages/proofs/src/soak/soak-faults.ts
@@ -4,6 +4,8 @@
  * Faults overlap and come in series, also on the same process, as they do when
  * something goes wrong on a VM.
  */
+import * as fs from 'node:fs';
+import * as os from 'node:os';
 import * as timers from 'node:timers/promises';
 import * as standInWire from '@toucanproxy/platform/mocks/stand-in-wire';
 import * as storeStandIn from '@toucanproxy/platform/mocks/store-stand-in';
@@ -119,6 +121,23 @@
   setTimeout(() => child?.kill('SIGCONT'), forMs);
 }
 
+/**
+ * Tells whether the code of a process has begun to handle SIGHUP: in the first moments of
+ * a process there is no code yet that could, and the signal ends any program.
+ */
+function isReloadHandled(pid: number): boolean {
+  const status = fs.readFileSync(`/proc/${pid}/status`, 'utf8');
+  const caught = BigInt(`0x${/^SigCgt:\s*([0-9a-f]+)$/m.exec(status)?.[1] ?? '0'}`);
+  return caught.toString(2).at(-os.constants.signals.SIGHUP) === '1';
+}
+
+/** Tells a gateway that its settings have changed. */
+function applyReload({ child, isEnding }: soakFleet.SoakGateway): void {
+  if (child?.pid !== undefined && !isEnding && isReloadHandled(child.pid)) {
+    child.kill('SIGHUP');
+  }
+}
+
 /** Holds a link up for a time. */
 function holdLink(link: forwarder.Forwarder, forMs: number): void {
   link.setDelay(SLOW_MS);
@@ -147,7 +166,7 @@
   const strikes: Partial<Record<FaultKind, () => void>> = {
     [FaultKind.KILL]: () => endGateway(fleet, gateway, 'SIGKILL', forMs),
     [FaultKind.TERM]: () => endGateway(fleet, gateway, 'SIGTERM', forMs),
-    [FaultKind.RELOAD]: () => gateway.child?.kill('SIGHUP'),
+    [FaultKind.RELOAD]: () => applyReload(gateway),
     [FaultKind.FREEZE]: () => pauseGateway(fleet, gateway, forMs),
     [FaultKind.CALLERS_RESET]: () => {
       noteDisturbance(fleet, gateway, AFTER_MS);
