Name rate limits in the fault soak

Checked: what one gets in 4 s from gateways that it has told half a second before and that nothing is done to. The draw has a source of its own, so that seeds keep their faults.

--- a/packages/proofs/src/soak/main.ts
+++ b/packages/proofs/src/soak/main.ts
@@ -14,6 +14,7 @@
     faults: { type: 'string', default: '14' },
     'faults-ms': { type: 'string', default: '8000' },
     evacuations: { type: 'string', default: '3' },
+    limits: { type: 'string', default: '2' },
   },
 });
 const first = Number(values.first);
@@ -32,6 +33,7 @@
       faults: Number(values.faults),
       faultsMs: Number(values['faults-ms']),
       evacuations: Number(values.evacuations),
+      limits: Number(values.limits),
       areTimesChecked: true,
     });
     process.stdout.write(`${JSON.stringify(report)}\n`);
--- a/packages/proofs/src/soak/run-soak.ts
+++ b/packages/proofs/src/soak/run-soak.ts
@@ -6,6 +6,7 @@
 import * as soakEvacuations from './soak-evacuations.js';
 import * as soakFaults from './soak-faults.js';
 import * as soakFleet from './soak-fleet.js';
+import * as soakLimits from './soak-limits.js';
 
 export type SoakOptions = {
   seed: number;
@@ -17,6 +18,8 @@
   faultsMs: number;
   /** Failure domains that are evacuated and taken back, one after the other. */
   evacuations: number;
+  /** Rate limits that backend servers name, one after the other. */
+  limits: number;
   areTimesChecked: boolean;
 };
 
@@ -37,6 +40,7 @@
 const SEED_STEP = 7919;
 /** Evacuations have a source of their own, so that a seed keeps its faults. */
 const EVACUATIONS_STEP = 104_729;
+const LIMITS_STEP = 1_299_709;
 
 /** Puts the faults in at their times. */
 async function applyFaults(fleet: soakFleet.SoakFleet, faults: soakFaults.Fault[]): Promise<void> {
@@ -82,6 +86,11 @@
   await Promise.all([
     applyFaults(fleet, faults),
     soakEvacuations.runEvacuations(fleet, draw, options.evacuations),
+    soakLimits.runLimits(
+      fleet,
+      randomSource.createRandomSource(seed + LIMITS_STEP),
+      options.limits,
+    ),
   ]);
   await timers.setTimeout(SETTLE_MS);
   const isServing = await soakFleet.waitForService(fleet);
--- a/packages/proofs/src/soak/soak-checks.ts
+++ b/packages/proofs/src/soak/soak-checks.ts
@@ -22,6 +22,14 @@
 
 const NOT_RUN_STATUSES = new Set([408, 421, 429, 503]);
 const RETRY_WINDOW_MS = 10_000;
+/** Time over which a backend server with a rate limit counts, milliseconds. */
+const LIMIT_WINDOW_MS = 4000;
+/** A gateway keeps a limit this long after it was first named, and after it was told, ms. */
+const LIMIT_LEARNING_MS = 3000;
+const LIMIT_TOLD_MS = 500;
+/** What a limited backend server may get: a multiple of its limit, and some requests. */
+const LIMIT_FACTOR = 1.5;
+const LIMIT_EXTRA = 5;
 /** An answer that is due may come this late, milliseconds; the machine may be busy. */
 const LATE_MS = 1000;
 
@@ -135,6 +143,44 @@
   });
 }
 
+/** Lists when requests came that a gateway sent though it had been told and is not excused. */
+function listToldArrivals(
+  { records, callById }: Context,
+  limit: soakRecords.LimitRecord,
+): number[] {
+  const findGateway = (id: string) => callById.get(id)?.gateway;
+  const firstMs = limit.told[0]?.atMs ?? Infinity;
+  return limit.arrivals
+    .filter(({ id, atMs }) => {
+      const gateway = findGateway(id);
+      const toldBeforeMs = atMs - LIMIT_TOLD_MS;
+      const isExcused = records.disturbances.some(
+        (one) =>
+          one.gateway === gateway && one.fromMs <= atMs && one.untilMs >= atMs - LIMIT_WINDOW_MS,
+      );
+      const isTold = limit.told.some(
+        (one) => findGateway(one.id) === gateway && one.atMs <= toldBeforeMs,
+      );
+      return atMs >= firstMs + LIMIT_LEARNING_MS && isTold && !isExcused;
+    })
+    .map(({ atMs }) => atMs);
+}
+
+/** A backend server that names a rate limit gets no more than it may. */
+function checkLimits(context: Context): Violation[] {
+  return context.records.limits.flatMap((limit) => {
+    const times = listToldArrivals(context, limit);
+    const { server, perSecond } = limit;
+    const allowed = LIMIT_FACTOR * perSecond * (LIMIT_WINDOW_MS / 1000) + LIMIT_EXTRA;
+    return times.flatMap((fromMs) => {
+      const untilMs = fromMs + LIMIT_WINDOW_MS;
+      const count = times.filter((at) => at >= fromMs && at < untilMs).length;
+      const detail = JSON.stringify({ server, perSecond, fromMs, count, allowed });
+      return count > allowed ? [{ promise: 'rate limit', detail }] : [];
+    });
+  });
+}
+
 /** Gateways do not end by themselves. */
 function checkProcesses({ records }: Context): Violation[] {
   return records.unexpectedEnds.map((one) => ({
@@ -182,6 +228,7 @@
     checkRevocations,
     checkEvacuations,
     checkRetries,
+    checkLimits,
     checkProcesses,
   ];
   const timed = bounds.areTimesChecked ? [checkAnswered, checkLeft] : [];
--- a/packages/proofs/src/soak/soak-records.ts
+++ b/packages/proofs/src/soak/soak-records.ts
@@ -56,6 +56,15 @@
 /** A failure domain that was evacuated, from and until when the store had said so. */
 export type EvacuationRecord = { failureDomain: string; fromMs: number; untilMs: number };
 
+/** A rate limit that a backend server named, and the requests that it got meanwhile. */
+export type LimitRecord = {
+  server: string;
+  perSecond: number;
+  /** Requests that reached it, and those whose answers named the limit, by their ids. */
+  arrivals: { id: string; atMs: number }[];
+  told: { id: string; atMs: number }[];
+};
+
 /** A process that ended though nothing had been done to it. */
 export type UnexpectedEnd = { gateway: number; atMs: number; code: number | null };
 
@@ -66,6 +75,7 @@
   arrivals: Map<string, number[]>;
   revocations: RevocationRecord[];
   evacuations: EvacuationRecord[];
+  limits: LimitRecord[];
   unexpectedEnds: UnexpectedEnd[];
   /** Times in which something was done to a gateway or its links, milliseconds. */
   disturbances: { gateway: number; fromMs: number; untilMs: number }[];
@@ -79,6 +89,7 @@
     arrivals: new Map(),
     revocations: [],
     evacuations: [],
+    limits: [],
     unexpectedEnds: [],
     disturbances: [],
   };
--- a/packages/proofs/src/soak/soak-server.ts
+++ b/packages/proofs/src/soak/soak-server.ts
@@ -10,6 +10,8 @@
   port: number;
   /** Takes the id of a new life; requests for another one are answered 421. */
   rename: (id: string) => void;
+  /** Names a rate limit in all answers from now on, or none. */
+  setLimit: (limit: soakRecords.LimitRecord | undefined) => void;
   stop: () => void;
 };
 
@@ -20,6 +22,7 @@
   draw: randomSource.DrawRandom;
   records: soakRecords.SoakRecords;
   readNow: () => number;
+  limit: soakRecords.LimitRecord | undefined;
 };
 
 /** Requests that it works on at once. */
@@ -53,6 +56,15 @@
   return run;
 }
 
+/** Adds the rate limit to the head of an answer, and notes that its gateway was told. */
+function addLimit({ limit, readNow }: ServerState, id: string, answer: string): string {
+  if (limit === undefined) {
+    return answer;
+  }
+  limit.told.push({ id, atMs: readNow() });
+  return standInWire.addRateLimit(answer, limit.perSecond);
+}
+
 /** Sends the events of a stream; one that is to be cut ends inside an event. */
 function sendEvents(
   run: soakRecords.RunRecord,
@@ -88,7 +100,8 @@
   run: soakRecords.RunRecord,
 ): void {
   const luck = state.draw();
-  const answer = runnerStandIn.buildAnswer(request, `${run.id} for ${run.workspace}`);
+  const whole = runnerStandIn.buildAnswer(request, `${run.id} for ${run.workspace}`);
+  const answer = addLimit(state, run.id, whole);
   if (luck < FAILED_SHARE) {
     socket.write(standInWire.buildFailed(request));
   } else if (luck < FAILED_SHARE + CUT_SHARE) {
@@ -105,6 +118,7 @@
   const { attemptId: id, serverId } = standInWire.readRequest(request);
   const { arrivals } = state.records;
   arrivals.set(id, [...(arrivals.get(id) ?? []), state.readNow()]);
+  state.limit?.arrivals.push({ id, atMs: state.readNow() });
   if (serverId !== state.id) {
     socket.write(standInWire.buildMisdirected(request));
     return;
@@ -122,7 +136,7 @@
     () => {
       if (run.path.startsWith('/stream/') || run.path.startsWith('/resumable/')) {
         const isCut = state.draw() < CUT_SHARE;
-        socket.write(runnerStandIn.buildStreamHead(request));
+        socket.write(addLimit(state, id, runnerStandIn.buildStreamHead(request)));
         sendEvents(run, socket, isCut ? run.resumeAfter + 2 : Infinity, end);
       } else {
         sendPlain(state, request, socket, run);
@@ -142,12 +156,17 @@
   readNow: () => number,
 ): Promise<SoakServer> {
   const runner = await runnerStandIn.startRunnerStandIn();
-  const state: ServerState = { id, failureDomain, active: 0, draw, records, readNow };
+  const facts = { id, failureDomain, draw, records, readNow };
+  const state: ServerState = { ...facts, active: 0, limit: undefined };
   runner.setScript((request, socket) => serve(state, request, socket));
   const server: SoakServer = {
     id,
     port: runner.port,
+    setLimit: (limit) => {
+      state.limit = limit;
+    },
     rename: (changed) => {
+      state.limit = undefined;
       state.id = changed;
       server.id = changed;
     },
--- a/packages/proofs/src/soak/soak.test.ts
+++ b/packages/proofs/src/soak/soak.test.ts
@@ -4,7 +4,7 @@
 import * as runSoak from './run-soak.js';
 
 /** Plays one seed with few processes and expects that all promises are kept. */
-async function expectKept(seed: number, evacuations: number): Promise<void> {
+async function expectKept(seed: number, evacuations: number, limits = 0): Promise<void> {
   const report = await runSoak.runSoak({
     seed,
     gateways: 2,
@@ -13,6 +13,7 @@
     faults: 8,
     faultsMs: 3000,
     evacuations,
+    limits,
     areTimesChecked: false,
   });
   assert.deepEqual(report.violations, [], `logs in ${report.folder}`);
@@ -23,3 +24,4 @@
 nodeTest.test('promises hold under faults from outside, seed 1', () => expectKept(1, 0));
 nodeTest.test('promises hold under faults from outside, seed 2', () => expectKept(2, 0));
 nodeTest.test('promises hold while domains are evacuated, seed 3', () => expectKept(3, 2));
+nodeTest.test('promises hold while servers name rate limits, seed 4', () => expectKept(4, 0, 1));
