Order what the store tells by era and count

The store may come back from a copy some seconds old and give its counts out once more. Nothing knew of it: an operator's new word under a lower count was left out as an older one, and the evacuated domain got requests; a server that went with the lost span stayed for ever; changes under counts that were given out before were never read; entries told with grants were refused as old.

Cause: a count alone ordered writes. A revision is now (era, count), the era read from the header in platform/, with one comparison for reader, entries, evacuations, warming up and grants. An answer of a later era is listed anew, one of an earlier era is not used and renews no lease. The entries and evacuations of backend-servers.ts have files of their own.

Tests with bare counts pass revisions; their assertions stay.

--- a/packages/core/src/gateway/assignment.test.ts
+++ b/packages/core/src/gateway/assignment.test.ts
@@ -2,7 +2,7 @@
 import * as nodeTest from 'node:test';
 import * as schema from '@toucanproxy/schema';
 import type * as assignment from './assignment.js';
-import * as backendServers from './backend-servers.js';
+import * as serverEntries from './server-entries.js';
 import * as belief from './belief.js';
 import * as configuration from './configuration.js';
 import * as configurationIndex from './configuration-index.js';
@@ -36,7 +36,7 @@
   intake.admitRequest(state, buildArrived('1'), buildClocks(0));
   const next = gatewayBench.buildConfiguration(2, [buildRoute()], []);
   state.index = configurationIndex.buildConfigurationIndex(next);
-  backendServers.applyEntry(state.servers, gatewayBench.buildEntry('a'), 0);
+  serverEntries.applyEntry(state.servers, gatewayBench.buildEntry('a'), 0);
   assert.deepEqual(listRefusals(gatewayBench.assignWaiting(state, buildClocks(10))), [
     'UNAUTHENTICATED',
   ]);
@@ -166,7 +166,7 @@
   intake.admitRequest(state, buildArrived('surplus'), buildClocks(8000));
   const within = buildArrived('within', { path: '/b/x', credential: 'key-2' });
   intake.admitRequest(state, within, buildClocks(8001));
-  backendServers.applyEntry(state.servers, gatewayBench.buildEntry('a', { slots: 2 }), 8001);
+  serverEntries.applyEntry(state.servers, gatewayBench.buildEntry('a', { slots: 2 }), 8001);
   const sent = gatewayBench
     .assignWaiting(state, buildClocks(8002))
     .filter(({ kind }) => kind === 'send')
--- a/packages/core/src/gateway/assignment.ts
+++ b/packages/core/src/gateway/assignment.ts
@@ -7,6 +7,7 @@
 import * as askMessages from './ask-messages.js';
 import * as asking from './asking.js';
 import * as backendServers from './backend-servers.js';
+import * as serverEntries from './server-entries.js';
 import type * as belief from './belief.js';
 import * as cellServers from './cell-servers.js';
 import * as evacuations from './evacuations.js';
@@ -142,7 +143,7 @@
     return [{ kind: 'refuse', request, refusal: told }];
   }
   if (entry !== undefined) {
-    backendServers.applyTold(state.servers, entry, now);
+    serverEntries.applyTold(state.servers, entry, now);
   }
   const found = findGranted(state, request, serverId, now);
   if (found.kind === 'unusable') {
--- a/packages/core/src/gateway/backend-servers.test.ts
+++ b/packages/core/src/gateway/backend-servers.test.ts
@@ -1,10 +1,11 @@
 import * as assert from 'node:assert/strict';
 import * as nodeTest from 'node:test';
 import * as backendServers from './backend-servers.js';
+import * as serverEntries from './server-entries.js';
 import * as gatewayBench from './mocks/gateway-bench.js';
 
 const { test } = nodeTest;
-const { buildEntry } = gatewayBench;
+const { buildEntry, buildRevision } = gatewayBench;
 const RETURN_MS = 2000;
 
 /** Tells whether the one backend server may get new work. */
@@ -15,13 +16,13 @@
 /** Creates a register with one backend server. */
 function createWithOne(): backendServers.BackendServers {
   const servers = backendServers.createBackendServers();
-  backendServers.applyEntry(servers, buildEntry('a'), 0);
+  serverEntries.applyEntry(servers, buildEntry('a'), 0);
   return servers;
 }
 
 test('removed entry is gone at once', () => {
   const servers = createWithOne();
-  assert.equal(backendServers.removeEntry(servers, 'a', 100)?.change, 'gone');
+  assert.equal(serverEntries.removeEntry(servers, 'a', 100)?.change, 'gone');
   assert.equal(isUsable(servers), false);
 });
 
@@ -30,10 +31,13 @@
   // gone at its return, all living backend servers would be left out at once.
   const servers = createWithOne();
   backendServers.noteStoreReturned(servers, RETURN_MS, 1000);
-  assert.equal(backendServers.applySnapshot(servers, [], 5, 1000)[0].change, 'missing');
+  assert.equal(
+    serverEntries.applySnapshot(servers, [], buildRevision(5), 1000)[0].change,
+    'missing',
+  );
   assert.equal(isUsable(servers), true);
-  assert.deepEqual(backendServers.expireMissing(servers, 2999), []);
-  assert.equal(backendServers.expireMissing(servers, 3000)[0].change, 'gone');
+  assert.deepEqual(serverEntries.expireMissing(servers, 2999), []);
+  assert.equal(serverEntries.expireMissing(servers, 3000)[0].change, 'gone');
   assert.equal(isUsable(servers), false);
 });
 
@@ -43,16 +47,16 @@
   // second later; work sent in between reaches a backend server that has left.
   const servers = createWithOne();
   backendServers.noteStoreReturned(servers, RETURN_MS, 1000);
-  backendServers.removeEntry(servers, 'a', 1500);
+  serverEntries.removeEntry(servers, 'a', 1500);
   assert.equal(isUsable(servers, 2999), true);
   assert.equal(isUsable(servers, 3000), false);
 });
 
 test('leaving entry that lapsed does not stay', () => {
   const servers = createWithOne();
-  backendServers.applyEntry(servers, buildEntry('a', { leaving: true }), 0);
+  serverEntries.applyEntry(servers, buildEntry('a', { leaving: true }), 0);
   backendServers.noteStoreReturned(servers, RETURN_MS, 1000);
-  assert.equal(backendServers.removeEntry(servers, 'a', 1001)?.change, 'gone');
+  assert.equal(serverEntries.removeEntry(servers, 'a', 1001)?.change, 'gone');
 });
 
 test('started again under its id', () => {
@@ -61,17 +65,17 @@
   const servers = createWithOne();
   backendServers.noteDisplaced(servers, 'a');
   assert.equal(isUsable(servers), false);
-  backendServers.applyEntry(servers, buildEntry('a'), 0);
+  serverEntries.applyEntry(servers, buildEntry('a'), 0);
   assert.equal(isUsable(servers), false);
-  const change = backendServers.applyEntry(servers, buildEntry('a', { bornMs: 2 }), 0);
+  const change = serverEntries.applyEntry(servers, buildEntry('a', { bornMs: 2 }), 0);
   assert.equal(change?.change, 'restarted');
   assert.equal(isUsable(servers), true);
 });
 
 test('told of a backend server before it was read', () => {
   const servers = backendServers.createBackendServers();
-  backendServers.noteRead(servers, 10);
-  backendServers.applyTold(servers, buildEntry('a', { revision: 11 }), 0);
+  serverEntries.noteRead(servers, buildRevision(10));
+  serverEntries.applyTold(servers, buildEntry('a', { revision: buildRevision(11) }), 0);
   assert.equal(isUsable(servers), true);
 });
 
@@ -79,16 +83,20 @@
   // This gateway has read that a backend server is gone; the scheduler, which has not,
   // grants a place there. Taken in again, it would get work that nobody answers.
   const servers = createWithOne();
-  backendServers.noteRead(servers, 10);
-  backendServers.removeEntry(servers, 'a', 0);
-  backendServers.applyTold(servers, buildEntry('a', { revision: 7 }), 0);
+  serverEntries.noteRead(servers, buildRevision(10));
+  serverEntries.removeEntry(servers, 'a', 0);
+  serverEntries.applyTold(servers, buildEntry('a', { revision: buildRevision(7) }), 0);
   assert.equal(isUsable(servers), false);
 });
 
 test('what was told does not change what was read', () => {
   const servers = createWithOne();
-  backendServers.applyEntry(servers, buildEntry('a', { leaving: true, revision: 20 }), 0);
-  backendServers.applyTold(servers, buildEntry('a', { revision: 30 }), 0);
+  serverEntries.applyEntry(
+    servers,
+    buildEntry('a', { leaving: true, revision: buildRevision(20) }),
+    0,
+  );
+  serverEntries.applyTold(servers, buildEntry('a', { revision: buildRevision(30) }), 0);
   assert.equal(isUsable(servers), false);
 });
 
@@ -96,8 +104,8 @@
   // The store's list was read just before a backend server came, of which a scheduler tells
   // meanwhile. Taken as gone, its connections would be closed with what runs on them.
   const servers = backendServers.createBackendServers();
-  backendServers.applyTold(servers, buildEntry('a', { revision: 11 }), 0);
-  assert.deepEqual(backendServers.applySnapshot(servers, [], 10, 0), []);
+  serverEntries.applyTold(servers, buildEntry('a', { revision: buildRevision(11) }), 0);
+  assert.deepEqual(serverEntries.applySnapshot(servers, [], buildRevision(10), 0), []);
   assert.equal(isUsable(servers), true);
-  assert.equal(backendServers.applySnapshot(servers, [], 11, 0)[0].change, 'gone');
+  assert.equal(serverEntries.applySnapshot(servers, [], buildRevision(11), 0)[0].change, 'gone');
 });
--- a/packages/core/src/gateway/backend-servers.ts
+++ b/packages/core/src/gateway/backend-servers.ts
@@ -10,7 +10,9 @@
  * whatever their entries say.
  */
 import type * as backendServerEntry from '../shared/backend-server-entry.js';
+import * as storeRevision from '../shared/store-revision.js';
 import * as evacuations from './evacuations.js';
+import type * as serverEntries from './server-entries.js';
 
 export type KnownServer = {
   entry: backendServerEntry.BackendServerEntry;
@@ -21,42 +23,39 @@
   /** When its entry was read last, and when this life was first seen, milliseconds. */
   readMs: number;
   firstSeenMs: number;
+  /** Gets no new work until this time, milliseconds: see `server-entries.ts`. */
+  heldUntilMs: number;
+};
+
+/** A backend server that is gone: its life, and when it went. */
+export type Departure = {
+  bornMs: number;
+  /** Era of the store in which it went. */
+  era: number;
+  atMs: number;
 };
 
 export type BackendServers = {
   byId: Map<string, KnownServer>;
+  /** Those that went lately, by id. */
+  departed: Map<string, Departure>;
   /** Until this time an entry that disappears may still come back. */
   returnUntilMs: number;
   evacuations: evacuations.Evacuations;
   /** Revision of the store up to which this gateway has read. */
-  readRevision: number;
+  readRevision: storeRevision.StoreRevision;
   /** Goes up with each change. */
   revision: number;
 };
 
-/** A change of what is known, for the log. */
-export type MembershipChange = {
-  id: string;
-  service: string;
-  change:
-    | 'added'
-    | 'restarted'
-    | 'leaving'
-    | 'returned'
-    | 'missing'
-    | 'gone'
-    | 'displaced'
-    | 'warming'
-    | 'warm';
-};
-
 /** Creates an empty register. */
 export function createBackendServers(): BackendServers {
   return {
     byId: new Map(),
+    departed: new Map(),
     returnUntilMs: 0,
     evacuations: evacuations.createEvacuations(),
-    readRevision: -1,
+    readRevision: storeRevision.BEFORE_ALL,
     revision: 0,
   };
 }
@@ -66,135 +65,11 @@
   servers.returnUntilMs = now + returnMs;
 }
 
-/** Names the change that a new reading of an entry makes. */
-function findChange(
-  known: KnownServer | undefined,
-  entry: backendServerEntry.BackendServerEntry,
-): MembershipChange['change'] | undefined {
-  if (known === undefined) {
-    return 'added';
-  }
-  if (known.entry.bornMs !== entry.bornMs || known.entry.address !== entry.address) {
-    return 'restarted';
-  }
-  if (entry.leaving && !known.entry.leaving) {
-    return 'leaving';
-  }
-  if (known.missingUntilMs !== undefined) {
-    return 'returned';
-  }
-  return findWarmUpChange(known.entry, entry);
-}
-
-/** Names the change of warming up that a new reading tells of. */
-function findWarmUpChange(
-  before: backendServerEntry.BackendServerEntry,
-  entry: backendServerEntry.BackendServerEntry,
-): 'warming' | 'warm' | undefined {
-  const wasWarming = (before.warmUpLeftMs ?? 0) > 0;
-  const isWarming = (entry.warmUpLeftMs ?? 0) > 0;
-  if (wasWarming === isWarming) {
-    return undefined;
-  }
-  return isWarming ? 'warming' : 'warm';
-}
-
-/** Takes in an entry. */
-export function applyEntry(
-  servers: BackendServers,
-  entry: backendServerEntry.BackendServerEntry,
-  now: number,
-): MembershipChange | undefined {
-  const known = servers.byId.get(entry.id);
-  const change = findChange(known, entry);
-  const sameLife = change === 'restarted' ? undefined : known;
-  servers.byId.set(entry.id, {
-    entry,
-    missingUntilMs: undefined,
-    displaced: sameLife?.displaced ?? false,
-    readMs: now,
-    firstSeenMs: sameLife?.firstSeenMs ?? now,
-  });
-  servers.revision += change === undefined ? 0 : 1;
-  return change && { id: entry.id, service: entry.service, change };
-}
-
-/** Takes in that an entry has disappeared, or names no backend server any more. */
-export function removeEntry(
+/** Notes that another backend server answered at the address of this one. */
+export function noteDisplaced(
   servers: BackendServers,
   id: string,
-  now: number,
-): MembershipChange | undefined {
-  const known = servers.byId.get(id);
-  if (known === undefined) {
-    return undefined;
-  }
-  const { service, leaving } = known.entry;
-  servers.revision += 1;
-  if (now < servers.returnUntilMs && !leaving) {
-    known.missingUntilMs ??= servers.returnUntilMs;
-    return { id, service, change: 'missing' };
-  }
-  servers.byId.delete(id);
-  return { id, service, change: 'gone' };
-}
-
-/** Notes that this gateway has read everything up to a revision of the store. */
-export function noteRead(servers: BackendServers, revision: number): void {
-  servers.readRevision = Math.max(servers.readRevision, revision);
-}
-
-/**
- * Takes in an entry that a scheduler tells with a grant; it reads the store more often
- * while work waits. Load pattern: a quarter of the engines is back after a crash in the
- * middle of a burst, and stands empty until each gateway has read of them.
- *
- * What this gateway has read goes first: an entry that is not newer and that it does not
- * know has been removed.
- */
-export function applyTold(
-  servers: BackendServers,
-  entry: backendServerEntry.BackendServerEntry,
-  now: number,
-): void {
-  if (!servers.byId.has(entry.id) && entry.revision > servers.readRevision) {
-    applyEntry(servers, entry, now);
-  }
-}
-
-/**
- * Takes in all entries of the store at once, as they were at a revision or later. Those
- * not named have disappeared, but for what was written since.
- */
-export function applySnapshot(
-  servers: BackendServers,
-  entries: readonly backendServerEntry.BackendServerEntry[],
-  revision: number,
-  now: number,
-): MembershipChange[] {
-  const named = new Set(entries.map((entry) => entry.id));
-  const missing = [...servers.byId]
-    .filter(([id, { entry }]) => !named.has(id) && entry.revision <= revision)
-    .map(([id]) => id);
-  noteRead(servers, revision);
-  return [
-    ...entries.map((entry) => applyEntry(servers, entry, now)),
-    ...missing.map((id) => removeEntry(servers, id, now)),
-  ].filter((change) => change !== undefined);
-}
-
-/** Drops entries that did not come back in time. */
-export function expireMissing(servers: BackendServers, now: number): MembershipChange[] {
-  const late = [...servers.byId].filter(([, known]) => now >= (known.missingUntilMs ?? Infinity));
-  return late.map(([id, known]) => {
-    servers.byId.delete(id);
-    servers.revision += 1;
-    return { id, service: known.entry.service, change: 'gone' };
-  });
-}
-
-/** Notes that another backend server answered at the address of this one. */
-export function noteDisplaced(servers: BackendServers, id: string): MembershipChange | undefined {
+): serverEntries.MembershipChange | undefined {
   const known = servers.byId.get(id);
   if (known === undefined || known.displaced) {
     return undefined;
@@ -213,13 +88,14 @@
  */
 function isUsable(
   servers: BackendServers,
-  { entry, displaced, missingUntilMs }: KnownServer,
+  { entry, displaced, missingUntilMs, heldUntilMs }: KnownServer,
   now: number,
 ): boolean {
   return (
     !entry.leaving &&
     !displaced &&
     now < (missingUntilMs ?? Infinity) &&
+    now >= heldUntilMs &&
     !evacuations.isEvacuated(servers.evacuations, entry.failureDomain)
   );
 }
@@ -251,42 +127,3 @@
     .filter((known) => known.entry.service === service && isUsable(servers, known, now))
     .map(({ entry }) => entry);
 }
-
-/** Takes in changes of what is evacuated; gives those that are news. */
-export function applyEvacuations(
-  servers: BackendServers,
-  changes: readonly evacuations.EvacuationChange[],
-  now: number,
-): evacuations.EvacuationChange[] {
-  const news = changes
-    .map((change) => evacuations.applyEvacuation(servers.evacuations, change, now))
-    .filter((change) => change !== undefined);
-  servers.revision += news.length;
-  return news;
-}
-
-/** Takes in all evacuations, as they were at a revision of the store or later. */
-export function applyEvacuationList(
-  servers: BackendServers,
-  listed: readonly evacuations.EvacuationChange[],
-  revision: number,
-  now: number,
-): evacuations.EvacuationChange[] {
-  const ended = evacuations.listEnded(servers.evacuations, listed, revision);
-  return applyEvacuations(servers, [...listed, ...ended], now);
-}
-
-/** Tells whether a service has backend servers, all of them in evacuated domains. */
-export function isServiceEvacuated(servers: BackendServers, service: string): boolean {
-  // Asked for each request; a fleet has thousands of backend servers, and rarely this.
-  if (!evacuations.isAnyEvacuated(servers.evacuations)) {
-    return false;
-  }
-  const inUse = [...servers.byId.values()].filter(
-    ({ entry }) => entry.service === service && !entry.leaving,
-  );
-  return (
-    inUse.length > 0 &&
-    inUse.every(({ entry }) => evacuations.isEvacuated(servers.evacuations, entry.failureDomain))
-  );
-}
--- a/packages/core/src/gateway/crash-watch.test.ts
+++ b/packages/core/src/gateway/crash-watch.test.ts
@@ -3,7 +3,7 @@
 import * as schema from '@toucanproxy/schema';
 import * as suspects from '../shared/suspects.js';
 import * as attemptEnd from './attempt-end.js';
-import * as backendServers from './backend-servers.js';
+import * as serverEntries from './server-entries.js';
 import * as belief from './belief.js';
 import * as crashWatch from './crash-watch.js';
 import type * as gatewayState from './gateway-state.js';
@@ -86,7 +86,7 @@
   const state = gatewayBench.createBench(['a']);
   crashWatch.noteBrokenRun(state, 'a', POISON, 0);
   assert.deepEqual(crashWatch.applyCrash(state, 'a', buildClocks(20_000)), []);
-  backendServers.applyEntry(state.servers, gatewayBench.buildEntry('a', { leaving: true }), 0);
+  serverEntries.applyEntry(state.servers, gatewayBench.buildEntry('a', { leaving: true }), 0);
   crashWatch.noteBrokenRun(state, 'a', POISON, 30_000);
   assert.deepEqual(crashWatch.applyCrash(state, 'a', buildClocks(30_100)), []);
 });
--- a/packages/core/src/gateway/evacuations.test.ts
+++ b/packages/core/src/gateway/evacuations.test.ts
@@ -1,12 +1,14 @@
 import * as assert from 'node:assert/strict';
 import * as nodeTest from 'node:test';
 import * as evacuations from './evacuations.js';
+import * as gatewayBench from './mocks/gateway-bench.js';
 
 const { test } = nodeTest;
+const { buildRevision } = gatewayBench;
 
 /** Builds the word that a failure domain is evacuated, or taken back. */
-function buildChange(revision: number, isEvacuated: boolean): evacuations.EvacuationChange {
-  return { failureDomain: 'd1', isEvacuated, revision };
+function buildChange(count: number, isEvacuated: boolean): evacuations.EvacuationChange {
+  return { failureDomain: 'd1', isEvacuated, revision: buildRevision(count) };
 }
 
 test('evacuated and taken back', () => {
@@ -17,7 +19,7 @@
   assert.equal(evacuations.applyEvacuation(known, buildChange(6, true), 20), undefined);
   assert.ok(evacuations.applyEvacuation(known, buildChange(7, false), 30));
   assert.equal(evacuations.isEvacuated(known, 'd1'), false);
-  assert.deepEqual(evacuations.findReturn(known, 'd1'), { atMs: 30, revision: 7 });
+  assert.deepEqual(evacuations.findReturn(known, 'd1'), { atMs: 30, revision: buildRevision(7) });
 });
 
 test('older word that comes late', () => {
@@ -39,8 +41,8 @@
 test('list without a domain takes it back', () => {
   const known = evacuations.createEvacuations();
   evacuations.applyEvacuation(known, buildChange(9, true), 0);
-  assert.deepEqual(evacuations.listEnded(known, [buildChange(9, true)], 10), []);
-  const [ended] = evacuations.listEnded(known, [], 10);
+  assert.deepEqual(evacuations.listEnded(known, [buildChange(9, true)], buildRevision(10)), []);
+  const [ended] = evacuations.listEnded(known, [], buildRevision(10));
   assert.ok(evacuations.applyEvacuation(known, ended, 1));
   assert.equal(evacuations.isEvacuated(known, 'd1'), false);
 });
@@ -48,7 +50,7 @@
 test('list that is older than what is known', () => {
   const known = evacuations.createEvacuations();
   evacuations.applyEvacuation(known, buildChange(9, true), 0);
-  const [ended] = evacuations.listEnded(known, [], 8);
+  const [ended] = evacuations.listEnded(known, [], buildRevision(8));
   assert.equal(evacuations.applyEvacuation(known, ended, 1), undefined);
   assert.equal(evacuations.isEvacuated(known, 'd1'), true);
 });
--- a/packages/core/src/gateway/fleet-split.test.ts
+++ b/packages/core/src/gateway/fleet-split.test.ts
@@ -2,6 +2,7 @@
 import * as nodeTest from 'node:test';
 import * as scheduler from '../scheduler/index.js';
 import * as backendServers from './backend-servers.js';
+import * as serverEntries from './server-entries.js';
 import * as fleetSplit from './fleet-split.js';
 import * as gatewayBench from './mocks/gateway-bench.js';
 
@@ -11,7 +12,7 @@
 /** Takes in the entries of some backend servers. */
 function addServers(servers: backendServers.BackendServers, from: number, until: number): void {
   Array.from({ length: until - from }, (_, index) =>
-    backendServers.applyEntry(servers, gatewayBench.buildEntry(`server-${from + index}`), 0),
+    serverEntries.applyEntry(servers, gatewayBench.buildEntry(`server-${from + index}`), 0),
   );
 }
 
@@ -38,6 +39,6 @@
   expectSame();
   addServers(servers, 210, 400);
   expectSame();
-  ['server-3', 'server-399'].forEach((id) => backendServers.removeEntry(servers, id, 0));
+  ['server-3', 'server-399'].forEach((id) => serverEntries.removeEntry(servers, id, 0));
   expectSame();
 });
--- a/packages/core/src/gateway/index.ts
+++ b/packages/core/src/gateway/index.ts
@@ -4,6 +4,7 @@
 export * from './backend-servers.js';
 export * from './belief.js';
 export * from './configuration.js';
+export * from './evacuation-changes.js';
 export * from './evacuations.js';
 export * from './configuration-index.js';
 export * from './crash-watch.js';
@@ -18,9 +19,11 @@
 export * from './request-end.js';
 export * from './rights.js';
 export * from './server-end.js';
+export * from './server-entries.js';
 export * from './token-quota.js';
 export * from './warm-up-times.js';
 export type { BackendServerEntry } from '../shared/backend-server-entry.js';
+export * from '../shared/store-revision.js';
 export {
   isWorkWaiting,
   receiveAsk,
--- a/packages/core/src/gateway/mocks/gateway-bench.ts
+++ b/packages/core/src/gateway/mocks/gateway-bench.ts
@@ -5,11 +5,12 @@
 import type * as gatewayRequest from '../gateway-request.js';
 import * as gatewayState from '../gateway-state.js';
 import type * as backendServerEntry from '../../shared/backend-server-entry.js';
+import type * as storeRevision from '../../shared/store-revision.js';
 import * as scheduler from '../../scheduler/index.js';
 import type * as serverLoad from '../../scheduler/server-load.js';
 import * as asking from '../asking.js';
 import * as assignment from '../assignment.js';
-import * as backendServers from '../backend-servers.js';
+import * as serverEntries from '../server-entries.js';
 
 export const KEY = 'key-1';
 export const ADDRESS = '10.0.0.1:1';
@@ -69,6 +70,11 @@
   };
 }
 
+/** Builds a revision of the store. */
+export function buildRevision(count: number, era = 0): storeRevision.StoreRevision {
+  return { era, count };
+}
+
 /** Builds the entry of a backend server. */
 export function buildEntry(
   id: string,
@@ -82,7 +88,7 @@
     slots: 2,
     leaving: false,
     bornMs: 1,
-    revision: 1,
+    revision: buildRevision(1),
     warmUpLeftMs: 0,
     ...changes,
   };
@@ -112,7 +118,7 @@
   const state = gatewayState.createGatewayState(identity, bounds, () => 0.5, 0);
   state.index = configurationIndex.buildConfigurationIndex(buildConfiguration(1, routes));
   belief.noteConfirmed(state.belief, buildClocks(0));
-  ids.forEach((id) => backendServers.applyEntry(state.servers, buildEntry(id), 0));
+  ids.forEach((id) => serverEntries.applyEntry(state.servers, buildEntry(id), 0));
   return state;
 }
 
--- a/packages/core/src/gateway/place-answers.ts
+++ b/packages/core/src/gateway/place-answers.ts
@@ -7,6 +7,7 @@
  */
 import type * as schema from '@toucanproxy/schema';
 import type * as backendServerEntry from '../shared/backend-server-entry.js';
+import * as storeRevision from '../shared/store-revision.js';
 import * as scheduler from '../scheduler/index.js';
 import type * as gatewayRequest from './gateway-request.js';
 import type * as gatewayState from './gateway-state.js';
@@ -40,7 +41,12 @@
   isFresh: boolean,
 ): PlaceAnswer[] {
   const { number, serial, serverId, idleFirstMs, isRateLimited } = grant;
-  const entry = grant.entry && { ...grant.entry, id: serverId, leaving: false };
+  const entry = grant.entry && {
+    ...grant.entry,
+    id: serverId,
+    leaving: false,
+    revision: grant.entry.revision ?? storeRevision.BEFORE_ALL,
+  };
   link.lastGrant = Math.max(link.lastGrant, number);
   const ask = link.asks.get(serial);
   const request = state.requests.get(serial);
--- a/packages/core/src/gateway/stranded-requests.test.ts
+++ b/packages/core/src/gateway/stranded-requests.test.ts
@@ -1,7 +1,8 @@
 import * as assert from 'node:assert/strict';
 import * as nodeTest from 'node:test';
 import * as schema from '@toucanproxy/schema';
-import * as backendServers from './backend-servers.js';
+import * as serverEntries from './server-entries.js';
+import * as evacuationChanges from './evacuation-changes.js';
 import type * as configuration from './configuration.js';
 import * as configurationIndex from './configuration-index.js';
 import type * as gatewayState from './gateway-state.js';
@@ -21,7 +22,7 @@
   ]);
   DOMAINS.forEach((failureDomain) => {
     const entry = gatewayBench.buildEntry(`in-${failureDomain}`, { failureDomain });
-    backendServers.applyEntry(state.servers, entry, 0);
+    serverEntries.applyEntry(state.servers, entry, 0);
   });
   return state;
 }
@@ -30,11 +31,12 @@
 function setEvacuated(
   state: gatewayState.GatewayState,
   domains: readonly string[],
-  revision: number,
+  count: number,
   isEvacuated = true,
 ): void {
+  const revision = gatewayBench.buildRevision(count);
   const changes = domains.map((failureDomain) => ({ failureDomain, isEvacuated, revision }));
-  backendServers.applyEvacuations(state.servers, changes, 0);
+  evacuationChanges.applyEvacuations(state.servers, changes, 0);
 }
 
 /** Takes requests in, and lists where they were sent or why they were refused. */
--- a/packages/core/src/gateway/stranded-requests.ts
+++ b/packages/core/src/gateway/stranded-requests.ts
@@ -9,6 +9,7 @@
 import * as allowedDomains from './allowed-domains.js';
 import * as asking from './asking.js';
 import * as backendServers from './backend-servers.js';
+import * as evacuationChanges from './evacuation-changes.js';
 import * as gatewayRequest from './gateway-request.js';
 import type * as gatewayState from './gateway-state.js';
 import * as refusal from './refusal.js';
@@ -26,7 +27,7 @@
   { service, regions }: gatewayRequest.GatewayRequest,
   now: number,
 ): refusal.Refusal | undefined {
-  if (backendServers.isServiceEvacuated(state.servers, service)) {
+  if (evacuationChanges.isServiceEvacuated(state.servers, service)) {
     const { DOMAINS_EVACUATED } = schema.ResultCode;
     return refusal.buildRefusal(DOMAINS_EVACUATED, EVACUATED_RETRY_AFTER_MS);
   }
--- a/packages/core/src/gateway/warm-up-times.ts
+++ b/packages/core/src/gateway/warm-up-times.ts
@@ -1,4 +1,5 @@
 /** Until when backend servers warm up, as this gateway knows. */
+import * as storeRevision from '../shared/store-revision.js';
 import type * as backendServers from './backend-servers.js';
 import type * as configurationIndex from './configuration-index.js';
 import * as evacuations from './evacuations.js';
@@ -21,7 +22,8 @@
   const { warmUpLeftMs, failureDomain, revision } = entry;
   const told = warmUpLeftMs === undefined ? firstSeenMs + warmUpMs : readMs + warmUpLeftMs;
   const domainReturn = evacuations.findReturn(servers.evacuations, failureDomain);
-  const isToldSince = domainReturn !== undefined && revision > domainReturn.revision;
+  const isToldSince =
+    domainReturn !== undefined && storeRevision.isLater(revision, domainReturn.revision);
   const returned =
     domainReturn === undefined || isToldSince ? -Infinity : domainReturn.atMs + warmUpMs;
   return Math.max(warmUpLeftMs === 0 ? -Infinity : told, returned);
--- a/packages/core/src/shared/backend-server-entry.ts
+++ b/packages/core/src/shared/backend-server-entry.ts
@@ -1,4 +1,5 @@
 /** What the store tells of one backend server. */
+import type * as storeRevision from './store-revision.js';
 
 export type BackendServerEntry = {
   id: string;
@@ -12,8 +13,8 @@
   leaving: boolean;
   /** Start of this life, milliseconds since the Unix epoch; 0 where it is not told. */
   bornMs: number;
-  /** Revision of the store at which this was written; tells it from what came before. */
-  revision: number;
+  /** When this was written; tells it from what came before. */
+  revision: storeRevision.StoreRevision;
   /**
    * Time for which it warms up from the reading on, milliseconds; 0 once it is warm,
    * undefined where it is not told.
--- a/packages/gateway/src/evacuation-items.ts
+++ b/packages/gateway/src/evacuation-items.ts
@@ -41,7 +41,7 @@
 export function applyAllEvacuations(
   parts: EvacuationParts,
   items: readonly storeCodec.StoreItem[],
-  revision: number,
+  revision: gateway.StoreRevision,
 ): void {
   const named = listChanges(parts, items);
   const now = parts.readClocks().steadyMs;
@@ -56,5 +56,7 @@
 ): void {
   const changes = listChanges(parts, items);
   const now = parts.readClocks().steadyMs;
-  reportChanges(parts, gateway.applyEvacuations(parts.state.servers, changes, now));
+  const { servers } = parts.state;
+  reportChanges(parts, gateway.applyEvacuations(servers, changes, now));
+  reportChanges(parts, gateway.expireEvacuations(servers, now));
 }
--- a/packages/gateway/src/server-items.ts
+++ b/packages/gateway/src/server-items.ts
@@ -64,7 +64,7 @@
 export function applyAllServers(
   parts: ServerParts,
   items: readonly storeCodec.StoreItem[],
-  revision: number,
+  revision: gateway.StoreRevision,
 ): void {
   const entries = listEntries(parts, items)
     .map((item) => parts.codec.decodeBackendServer(item))
@@ -77,7 +77,7 @@
 export function applyServerChanges(
   parts: ServerParts,
   items: readonly storeCodec.StoreItem[],
-  revision: number,
+  revision: gateway.StoreRevision,
 ): void {
   const changes = listEntries(parts, items).map((item) => applyItem(parts, item));
   gateway.noteRead(parts.state.servers, revision);
--- a/packages/gateway/src/status.ts
+++ b/packages/gateway/src/status.ts
@@ -33,6 +33,7 @@
     version: state.index?.configuration.version,
     beliefAgeMs: gateway.computeAge(state.belief, now),
     storeLost: storeLink.isLost,
+    storeRevision: state.servers.readRevision,
     requestsHeld: state.requests.size,
     backendServers: [...state.servers.byId.values()],
     evacuatedDomains: gateway.listEvacuated(state.servers.evacuations),
--- a/packages/gateway/src/store-client.ts
+++ b/packages/gateway/src/store-client.ts
@@ -2,7 +2,12 @@
 import * as undici from 'undici';
 import type * as gatewaySettings from './gateway-settings.js';
 
-export type StoreAnswer = { status: number; body: string };
+export type StoreAnswer = {
+  status: number;
+  /** By name in lower case; the first value of each. */
+  headers: ReadonlyMap<string, string>;
+  body: string;
+};
 
 export type StoreClient = {
   /** Calls the store; fails where it does not answer within the time. */
@@ -13,6 +18,11 @@
 /** Longest time to connect, milliseconds. */
 const CONNECT_TIMEOUT_MS = 500;
 
+/** Gets the first value of a header. */
+function toFirst(value: string | string[] | undefined): string {
+  return (Array.isArray(value) ? value[0] : value) ?? '';
+}
+
 /**
  * Creates a client with one connection.
  *
@@ -33,7 +43,10 @@
       const timer = setTimeout(() => used.destroy(new Error('store-timeout')), timeoutMs);
       try {
         const response = await used.request({ path, method: 'GET' });
-        return { status: response.statusCode, body: await response.body.text() };
+        const headers = new Map(
+          Object.entries(response.headers).map(([name, value]) => [name, toFirst(value)]),
+        );
+        return { status: response.statusCode, headers, body: await response.body.text() };
       } catch (error) {
         used.destroy();
         client = client === used ? open() : client;
--- a/packages/gateway/src/store-follower.ts
+++ b/packages/gateway/src/store-follower.ts
@@ -6,10 +6,12 @@
  * lease of the configuration as well.
  */
 import * as gateway from '@toucanproxy/core/gateway';
+import * as schema from '@toucanproxy/schema';
 import type * as gatewaySettings from './gateway-settings.js';
 import * as configurationItems from './configuration-items.js';
 import * as evacuationItems from './evacuation-items.js';
 import * as serverItems from './server-items.js';
+import type * as storeEra from './store-era.js';
 import * as storeClient from './store-client.js';
 import type * as storeCodec from './store-codec.js';
 import * as storeReader from './store-reader.js';
@@ -94,17 +96,34 @@
   log.writeAlways('store-regained', { awayMs: Math.round(awayMs) });
 }
 
+/**
+ * Notes that the store has come back from an older copy: entries that were written since
+ * that copy are missing until their backend servers have written them again.
+ */
+function applyEra({ state, log, readClocks }: FollowerParts, change: storeEra.EraChange): void {
+  const { entryReturnMs } = state.bounds;
+  gateway.noteStoreReturned(state.servers, entryReturnMs, readClocks().steadyMs);
+  log.writeAlways('store-era', change);
+}
+
+/** Tells of an era that does not follow the one that is known. */
+function reportEraFault({ log, readClocks }: FollowerParts, fault: storeEra.EraFault): void {
+  const code = schema.ResultCode.STORE_ERA_FAULT;
+  const line = { ...fault, code, result: schema.ResultCode[code] };
+  log.write('store-era-faulty', line, readClocks().steadyMs);
+}
+
 /** Starts to follow the store. */
 export function startStoreFollower(parts: FollowerParts): storeReader.StoreReader {
   const { state, settings, codec, readClocks, assign } = parts;
   const usualMs = computeIntervalMs(settings);
-  const applySnapshot = (items: storeCodec.StoreItem[], revision: number) => {
+  const applySnapshot = (items: storeCodec.StoreItem[], revision: gateway.StoreRevision) => {
     configurationItems.applyConfigurations(parts, items);
     evacuationItems.applyAllEvacuations(parts, items, revision);
     serverItems.applyAllServers(parts, items, revision);
     assign();
   };
-  const applyChanges = (items: storeCodec.StoreItem[], revision: number) => {
+  const applyChanges = (items: storeCodec.StoreItem[], revision: gateway.StoreRevision) => {
     configurationItems.applyConfigurations(parts, items);
     evacuationItems.applyEvacuationChanges(parts, items);
     serverItems.applyServerChanges(parts, items, revision);
@@ -126,5 +145,7 @@
     confirm: (sent) => gateway.noteConfirmed(state.belief, sent),
     reportLost: (reason) => reportLost(parts, reason),
     reportRegained: (awayMs) => reportRegained(parts, awayMs),
+    applyEra: (change) => applyEra(parts, change),
+    reportEraFault: (fault) => reportEraFault(parts, fault),
   });
 }
--- a/packages/gateway/src/store-reader.test.ts
+++ b/packages/gateway/src/store-reader.test.ts
@@ -10,9 +10,16 @@
 /** Answers of a store without items: a list at first, then changes. */
 const CODEC: storeCodec.StoreCodec = {
   buildRangePath: () => 'range',
-  buildWatchPath: (_, revision) => `watch-${revision}`,
-  decodePage: () => ({ items: [], isLast: true, revision: 7 }),
-  decodeChanges: () => ({ items: [], revision: 8 }),
+  buildWatchPath: (_, revision) => `watch-${revision.count}`,
+  parseEra: (headers) => {
+    const era = headers.get('era');
+    return era === undefined ? { kind: 'none' } : { kind: 'told', era: Number(era) };
+  },
+  decodePage: (body, era) => {
+    const item = { key: body, value: undefined, revision: { era, count: 7 } };
+    return { items: [item], isLast: body !== 'first', revision: { era, count: 7 } };
+  },
+  decodeChanges: (_, era) => ({ items: [], revision: { era, count: 8 } }),
   decodeConfiguration: () => {
     throw new Error('there is no configuration');
   },
@@ -22,7 +29,16 @@
 };
 
 /** What a reader has done, and how often it is to call. */
-type Reading = { paths: string[]; revisions: number[]; intervalMs: number };
+type Reading = {
+  paths: string[];
+  revisions: number[];
+  intervalMs: number;
+  /** Eras and bodies of the first answers; the last one goes on. */
+  answers?: { era: string; body: string }[];
+  /** Eras that were taken in, and calls that confirmed what is known. */
+  eras?: number[];
+  confirmed?: number;
+};
 
 /** Starts a reader, and gives what waits until it has made some calls. */
 function startReading(context: nodeTest.TestContext, reading: Reading) {
@@ -33,7 +49,10 @@
       call: (path) => {
         reading.paths.push(path);
         noteCall();
-        return Promise.resolve({ status: 200, body: '' });
+        const { answers = [] } = reading;
+        const answer = answers.length > 1 ? answers.shift() : answers[0];
+        const headers = new Map(answer === undefined ? [] : [['era', answer.era] as const]);
+        return Promise.resolve({ status: 200, headers, body: answer?.body ?? '' });
       },
       stop: () => {},
     },
@@ -42,11 +61,15 @@
     chooseIntervalMs: () => reading.intervalMs,
     readClocks: () => ({ steadyMs: readNow(), wallMs: readNow(), uptimeMs: readNow() }),
     drawRandom: () => 0.5,
-    applySnapshot: (_, revision) => reading.revisions.push(revision),
-    applyChanges: (_, revision) => reading.revisions.push(revision),
-    confirm: () => {},
+    applySnapshot: (_, { count }) => reading.revisions.push(count),
+    applyChanges: (_, { count }) => reading.revisions.push(count),
+    confirm: () => {
+      reading.confirmed = (reading.confirmed ?? 0) + 1;
+    },
     reportLost: () => {},
     reportRegained: () => {},
+    applyEra: ({ after }) => reading.eras?.push(after.era),
+    reportEraFault: () => {},
   });
   context.after(() => reader.stop());
   return (calls: number) =>
@@ -77,3 +100,45 @@
   await waitForCalls(3);
   assert.deepEqual(reading.revisions.slice(0, 2), [7, 8]);
 });
+
+test('list whose pages are of two eras', async (context) => {
+  // Guards against half a list from before the store went back: it would drop what is there.
+  const answers = [
+    { era: '1', body: 'first' },
+    { era: '2', body: 'second' },
+    { era: '2', body: 'first' },
+    { era: '2', body: 'second' },
+  ];
+  const reading: Reading = { paths: [], revisions: [], intervalMs: LONG_MS, answers };
+  const waitForCalls = startReading(context, reading);
+  await waitForCalls(5);
+  assert.deepEqual(reading.paths, ['range', 'range', 'range', 'range', 'watch-7']);
+  assert.equal(reading.revisions.length, 1);
+});
+
+test('changes of a later era are listed anew', async (context) => {
+  // Guards against changes that are told from a count which the store has given out twice.
+  const answers = [
+    { era: '1', body: '' },
+    { era: '2', body: '' },
+  ];
+  const eras: number[] = [];
+  const reading: Reading = { paths: [], revisions: [], intervalMs: LONG_MS, answers, eras };
+  const waitForCalls = startReading(context, reading);
+  await waitForCalls(4);
+  assert.deepEqual(reading.paths, ['range', 'watch-7', 'range', 'watch-7']);
+  assert.deepEqual(eras, [2]);
+  assert.deepEqual(reading.revisions, [7, 7]);
+});
+
+test('answer of an earlier era confirms nothing', async (context) => {
+  // Guards against a lease that an answer renews which is not used.
+  const answers = [
+    { era: '2', body: '' },
+    { era: '1', body: '' },
+  ];
+  const reading: Reading = { paths: [], revisions: [], intervalMs: LONG_MS, answers };
+  const waitForCalls = startReading(context, reading);
+  await waitForCalls(4);
+  assert.deepEqual([reading.confirmed, reading.revisions.length], [1, 1]);
+});
--- a/packages/gateway/src/store-reader.ts
+++ b/packages/gateway/src/store-reader.ts
@@ -10,10 +10,11 @@
  * waited is as old as its wait when it comes, and the lease that it renews runs out
  * the earlier once the store falls silent.
  */
-import type * as gateway from '@toucanproxy/core/gateway';
+import * as gateway from '@toucanproxy/core/gateway';
 import type * as clocks from './clocks.js';
 import type * as storeClient from './store-client.js';
 import type * as storeCodec from './store-codec.js';
+import * as storeEra from './store-era.js';
 
 export type StoreReaderOptions = {
   client: storeClient.StoreClient;
@@ -24,13 +25,17 @@
   readClocks: clocks.ReadClocks;
   drawRandom: () => number;
   /** Takes in all items, as they were at a revision or later. */
-  applySnapshot: (items: storeCodec.StoreItem[], revision: number) => void;
+  applySnapshot: (items: storeCodec.StoreItem[], revision: gateway.StoreRevision) => void;
   /** Takes in the items that have changed up to a revision. */
-  applyChanges: (items: storeCodec.StoreItem[], revision: number) => void;
+  applyChanges: (items: storeCodec.StoreItem[], revision: gateway.StoreRevision) => void;
   /** The store has answered a call that was sent at the given reading. */
   confirm: (sent: gateway.ClockReading) => void;
   reportLost: (reason: string) => void;
   reportRegained: (awayMs: number) => void;
+  /** The store has come back from an older copy; what it has now is taken in next. */
+  applyEra: (change: storeEra.EraChange) => void;
+  /** The era of an answer does not follow the one that is known. */
+  reportEraFault: (fault: storeEra.EraFault) => void;
 };
 
 export type StoreReader = {
@@ -54,34 +59,58 @@
 /** What the reader remembers between calls. */
 type ReaderState = {
   options: StoreReaderOptions;
-  /** Changes after this revision are not known; undefined before the first list. */
-  revision: number | undefined;
+  /** Changes after this revision are not known; undefined while all is to be listed. */
+  revision: gateway.StoreRevision | undefined;
+  /** The latest revision that was read; tells the era. */
+  latest: gateway.StoreRevision;
   failures: number;
   lostMs: number;
   stopped: boolean;
   noteFirst: () => void;
 };
 
+/**
+ * Reads the era of an answer. What cannot be put in order is not used: an answer of an
+ * earlier era would bring back what the later one has ended.
+ */
+function readEra({ options, latest }: ReaderState, answer: storeClient.StoreAnswer): number {
+  const told = options.codec.parseEra(answer.headers);
+  const { era, fault } = storeEra.resolveEra(latest.era, told);
+  if (fault !== undefined) {
+    options.reportEraFault(fault);
+  }
+  if (era === undefined) {
+    throw new Error(`era-${fault?.kind}`);
+  }
+  return era;
+}
+
 /** Lists all items; the first page's revision is where changes are followed from. */
-async function readAll({ client, codec, prefix }: StoreReaderOptions): Promise<{
+async function readAll(state: ReaderState): Promise<{
   items: storeCodec.StoreItem[];
-  revision: number;
+  revision: gateway.StoreRevision;
 }> {
+  const { client, codec, prefix } = state.options;
   const items: storeCodec.StoreItem[] = [];
-  let revision: number | undefined;
+  let revision: gateway.StoreRevision | undefined;
   let isLast = false;
   while (!isLast) {
     const path = codec.buildRangePath(prefix, items.at(-1)?.key);
-    const { status, body } = await client.call(path, ANSWER_MS);
-    if (status !== STATUS_OK) {
-      throw new Error(`status-${status}`);
+    const answer = await client.call(path, ANSWER_MS);
+    if (answer.status !== STATUS_OK) {
+      throw new Error(`status-${answer.status}`);
+    }
+    const era = readEra(state, answer);
+    if (revision !== undefined && era !== revision.era) {
+      // Half of the list is from before the store went back.
+      throw new Error('era-changed');
     }
-    const page = codec.decodePage(body);
+    const page = codec.decodePage(answer.body, era);
     items.push(...page.items);
     revision ??= page.revision;
     isLast = page.isLast || page.items.length === 0;
   }
-  return { items, revision: revision ?? 0 };
+  return { items, revision: revision ?? gateway.BEFORE_ALL };
 }
 
 /** Waits. */
@@ -112,35 +141,57 @@
   }
 }
 
-/** Makes one call and takes in what it brings. */
-async function readOnce(state: ReaderState): Promise<void> {
+/** Lists all items and takes them in. */
+async function readList(state: ReaderState): Promise<void> {
+  const { options, latest } = state;
+  const sent = options.readClocks();
+  const { items, revision } = await readAll(state);
+  noteAnswer(state, sent);
+  if (latest.era !== revision.era && latest !== gateway.BEFORE_ALL) {
+    options.applyEra({ before: latest, after: revision });
+  }
+  state.revision = revision;
+  state.latest = revision;
+  options.applySnapshot(items, revision);
+  state.noteFirst();
+}
+
+/** Asks for changes and takes them in; a store that has gone back is listed next. */
+async function readChanges(state: ReaderState, since: gateway.StoreRevision): Promise<void> {
   const { options } = state;
   const { client, codec, prefix } = options;
   const sent = options.readClocks();
-  if (state.revision === undefined) {
-    const { items, revision } = await readAll(options);
-    noteAnswer(state, sent);
-    state.revision = revision;
-    options.applySnapshot(items, revision);
-    state.noteFirst();
+  const path = codec.buildWatchPath(prefix, since, 0);
+  // Listed again after any answer that is not taken in.
+  state.revision = undefined;
+  const answer = await client.call(path, ANSWER_MS).catch((error: unknown) => {
+    state.revision = since;
+    throw error;
+  });
+  if (answer.status === STATUS_HISTORY_GONE) {
     return;
   }
-  const path = codec.buildWatchPath(prefix, state.revision, 0);
-  const { status, body } = await client.call(path, ANSWER_MS);
-  if (status === STATUS_HISTORY_GONE) {
-    state.revision = undefined;
-    return;
+  if (answer.status !== STATUS_OK) {
+    state.revision = since;
+    throw new Error(`status-${answer.status}`);
   }
-  if (status !== STATUS_OK) {
-    throw new Error(`status-${status}`);
+  const era = readEra(state, answer);
+  if (era !== since.era) {
+    return;
   }
-  const changes = codec.decodeChanges(body);
+  const changes = codec.decodeChanges(answer.body, era);
   noteAnswer(state, sent);
-  state.revision = Math.max(changes.revision, state.revision);
+  state.revision = gateway.isLater(changes.revision, since) ? changes.revision : since;
+  state.latest = state.revision;
   options.applyChanges(changes.items, changes.revision);
   await waitInterval(state, sent.steadyMs);
 }
 
+/** Makes one call and takes in what it brings. */
+function readOnce(state: ReaderState): Promise<void> {
+  return state.revision === undefined ? readList(state) : readChanges(state, state.revision);
+}
+
 /** Notes a failed call and waits before the next one. */
 async function handleFailure(state: ReaderState, error: unknown): Promise<void> {
   const { options } = state;
@@ -176,6 +227,7 @@
   const state: ReaderState = {
     options,
     revision: undefined,
+    latest: gateway.BEFORE_ALL,
     failures: 0,
     lostMs: 0,
     stopped: false,
--- a/packages/runtime/src/metric-definitions.ts
+++ b/packages/runtime/src/metric-definitions.ts
@@ -90,6 +90,10 @@
     type: MetricType.GAUGE,
     help: 'Backend servers whose answers to this process name a rate limit.',
   },
+  store_era: {
+    type: MetricType.GAUGE,
+    help: 'Era of the store as this process last read it: goes up when the store comes back from an older copy.',
+  },
   evacuated_domains: {
     type: MetricType.GAUGE,
     help: 'Failure domains that operators have had evacuated, as this process knows.',
