Let the store of the fault soak go back to older copies

The store stand-in copies what it holds, goes back to it, with watches answered 410 or left waiting, and writes again what was lost. The soak plays it in turn with everything else, by a draw of its own.

--- a/packages/proofs/src/soak/main.ts
+++ b/packages/proofs/src/soak/main.ts
@@ -15,6 +15,7 @@
     'faults-ms': { type: 'string', default: '8000' },
     evacuations: { type: 'string', default: '3' },
     limits: { type: 'string', default: '2' },
+    eras: { type: 'string', default: '2' },
   },
 });
 const first = Number(values.first);
@@ -34,6 +35,7 @@
       faultsMs: Number(values['faults-ms']),
       evacuations: Number(values.evacuations),
       limits: Number(values.limits),
+      eras: Number(values.eras),
       areTimesChecked: true,
     });
     process.stdout.write(`${JSON.stringify(report)}\n`);
--- a/packages/proofs/src/soak/soak-faults.ts
+++ b/packages/proofs/src/soak/soak-faults.ts
@@ -83,6 +83,16 @@
   records.disturbances.push({ gateway: gateway.index, fromMs, untilMs: fromMs + forMs });
 }
 
+/** Notes that a gateway, or all of them, may not reach the store. */
+function noteStoreFault(
+  { records, readNow }: soakFleet.SoakFleet,
+  gateway: number | undefined,
+  forMs: number,
+): void {
+  const fromMs = readNow();
+  records.storeFaults.push({ gateway, fromMs, untilMs: fromMs + forMs + AFTER_MS });
+}
+
 /** Ends a gateway with a signal; it is started again after a time. */
 function endGateway(
   fleet: soakFleet.SoakFleet,
@@ -152,12 +162,13 @@
 
 /** Puts the store into a mode for a time. */
 function setStoreMode(
-  { store }: soakFleet.SoakFleet,
+  fleet: soakFleet.SoakFleet,
   mode: storeStandIn.StoreMode,
   forMs: number,
 ): void {
-  store.setMode(mode);
-  setTimeout(() => store.setMode(storeStandIn.StoreMode.SERVING), forMs);
+  noteStoreFault(fleet, undefined, forMs);
+  fleet.store.setMode(mode);
+  setTimeout(() => fleet.store.setMode(storeStandIn.StoreMode.SERVING), forMs);
 }
 
 /** Strikes a gateway or its links. */
@@ -183,10 +194,22 @@
       noteDisturbance(fleet, gateway, forMs + AFTER_MS);
       holdLink(gateway.callers, forMs);
     },
-    [FaultKind.STORE_LINK_BLOCKED]: () => closeLink(gateway.store, forMs),
-    [FaultKind.STORE_LINK_RESET]: () => gateway.store.reset(),
-    [FaultKind.STORE_LINK_SILENT]: () => gateway.store.silence(),
-    [FaultKind.STORE_LINK_SLOW]: () => holdLink(gateway.store, forMs),
+    [FaultKind.STORE_LINK_BLOCKED]: () => {
+      noteStoreFault(fleet, gateway.index, forMs);
+      closeLink(gateway.store, forMs);
+    },
+    [FaultKind.STORE_LINK_RESET]: () => {
+      noteStoreFault(fleet, gateway.index, 0);
+      gateway.store.reset();
+    },
+    [FaultKind.STORE_LINK_SILENT]: () => {
+      noteStoreFault(fleet, gateway.index, 0);
+      gateway.store.silence();
+    },
+    [FaultKind.STORE_LINK_SLOW]: () => {
+      noteStoreFault(fleet, gateway.index, forMs);
+      holdLink(gateway.store, forMs);
+    },
   };
   strikes[kind]?.();
 }
--- a/packages/proofs/src/soak/soak-records.ts
+++ b/packages/proofs/src/soak/soak-records.ts
@@ -76,9 +76,13 @@
   revocations: RevocationRecord[];
   evacuations: EvacuationRecord[];
   limits: LimitRecord[];
+  /** Times from the return of the store to the last write that it had lost, milliseconds. */
+  storeGaps: { fromMs: number; untilMs: number }[];
   unexpectedEnds: UnexpectedEnd[];
   /** Times in which something was done to a gateway or its links, milliseconds. */
   disturbances: { gateway: number; fromMs: number; untilMs: number }[];
+  /** Times in which a gateway, or all where it is undefined, may not reach the store. */
+  storeFaults: { gateway: number | undefined; fromMs: number; untilMs: number }[];
 };
 
 /** Creates empty records. */
@@ -90,8 +94,10 @@
     revocations: [],
     evacuations: [],
     limits: [],
+    storeGaps: [],
     unexpectedEnds: [],
     disturbances: [],
+    storeFaults: [],
   };
 }
 
