--- a/packages/core/src/gateway/backend-servers.ts
+++ b/packages/core/src/gateway/backend-servers.ts
@@ -31,7 +31,7 @@
 export type Departure = {
   bornMs: number;
   /** Era of the store in which it went. */
-  era: number;
+  epoch: number;
   atMs: number;
 };
 
--- a/packages/core/src/gateway/evacuation-changes.ts
+++ b/packages/core/src/gateway/evacuation-changes.ts
@@ -23,7 +23,7 @@
   revision: storeRevision.StoreRevision,
   now: number,
 ): evacuations.EvacuationChange[] {
-  if (revision.era > servers.readRevision.era) {
+  if (revision.epoch > servers.readRevision.epoch) {
     evacuations.holdUntold(servers.evacuations, listed, now);
     return applyEvacuations(servers, listed, now);
   }
--- a/packages/core/src/gateway/evacuations.ts
+++ b/packages/core/src/gateway/evacuations.ts
@@ -29,7 +29,7 @@
 export type DomainReturn = { atMs: number; revision: storeRevision.StoreRevision };
 
 /**
- * A store that has come back from an older copy may not tell of an evacuation any more. It
+ * A store that has been restored from an older backup may not tell of an evacuation any more. It
  * is held for this time, milliseconds, in which operators write again what was lost.
  */
 const HELD_MS = 6000;
@@ -82,7 +82,7 @@
     .map((failureDomain) => ({ failureDomain, isEvacuated: false, revision }));
 }
 
-/** Holds evacuations that a store which has come back from an older copy does not tell of. */
+/** Holds evacuations that a store which has been restored from an older backup does not tell of. */
 export function holdUntold(
   { byDomain }: Evacuations,
   listed: readonly EvacuationChange[],
--- a/packages/core/src/gateway/mocks/gateway-bench.ts
+++ b/packages/core/src/gateway/mocks/gateway-bench.ts
@@ -71,8 +71,8 @@
 }
 
 /** Builds a revision of the store. */
-export function buildRevision(count: number, era = 0): storeRevision.StoreRevision {
-  return { era, count };
+export function buildRevision(count: number, epoch = 0): storeRevision.StoreRevision {
+  return { epoch, count };
 }
 
 /** Builds the entry of a backend server. */
--- a/packages/core/src/gateway/rate-limits.test.ts
+++ b/packages/core/src/gateway/rate-limits.test.ts
@@ -39,7 +39,7 @@
   assert.deepEqual(rateLimits.listRateLimits(state), []);
 });
 
-test('answer from before the need lifts no limit', () => {
+test('answer from before the overload lifts no limit', () => {
   // Guards against a limit that ends with a late answer to a request sent before it.
   const state = gatewayBench.createBench([SERVER]);
   const early = sendRequest(state, 10);
--- a/packages/core/src/gateway/rate-limits.ts
+++ b/packages/core/src/gateway/rate-limits.ts
@@ -1,7 +1,7 @@
 /**
  * Rate limits that backend servers name in their answers.
  *
- * A backend server in need names the requests a second that it takes from all gateways
+ * A backend server under overload names the requests a second that it takes from all gateways
  * together. The limit holds until an answer of the same life names none.
  */
 import * as asking from './asking.js';
@@ -35,7 +35,7 @@
  * Tells whether an answer that names no limit lifts one.
  *
  * Only if the limit was known when the request was sent, here or to the scheduler. Answers
- * overtake each other: one from before the need may come in after the first that names it.
+ * overtake each other: one from before the overload may come in after the first that names it.
  */
 function isLifting(
   known: NamedLimit | undefined,
--- a/packages/core/src/gateway/server-entries.ts
+++ b/packages/core/src/gateway/server-entries.ts
@@ -22,12 +22,12 @@
 };
 
 /**
- * A store that has come back from an older copy may tell of backend servers that have left
+ * A store that has been restored from an older backup may tell of backend servers that have left
  * since. They are held for this time, milliseconds: entries that nobody renews lapse after
  * three heartbeats, and living backend servers have written theirs again by then.
  */
 const HELD_MS = 6000;
-/** Those that went are remembered for this time, milliseconds; longer than copies are old. */
+/** Those that went are remembered for this time, milliseconds; longer than backups are old. */
 const DEPARTED_MS = 60_000;
 
 /** Names the change that a new reading of an entry makes. */
@@ -64,7 +64,7 @@
   return isWarming ? 'warming' : 'warm';
 }
 
-/** Tells whether two entries are one and the same write, read in different eras. */
+/** Tells whether two entries are one and the same write, read in different epochs. */
 function isSameWrite(
   one: backendServerEntry.BackendServerEntry,
   other: backendServerEntry.BackendServerEntry,
@@ -109,7 +109,7 @@
 ): MembershipChange {
   const { id, service, bornMs } = entry;
   servers.byId.delete(id);
-  servers.departed.set(id, { bornMs, era: servers.readRevision.era, atMs: now });
+  servers.departed.set(id, { bornMs, epoch: servers.readRevision.epoch, atMs: now });
   servers.revision += 1;
   return { id, service, change: 'gone' };
 }
@@ -134,7 +134,7 @@
 }
 
 /**
- * Holds a backend server back that this gateway knows to have left, where an older copy of
+ * Holds a backend server back that this gateway knows to have left, where an older backup of
  * the store tells that it is in service. Without that it would get requests while it shuts
  * down, or after. An entry that it has written itself since ends this.
  */
@@ -145,17 +145,17 @@
 ): void {
   const known = byId.get(id);
   const departure = departed.get(id);
-  const isEnded = departure?.bornMs === bornMs && revision.era > departure.era;
+  const isEnded = departure?.bornMs === bornMs && revision.epoch > departure.epoch;
   if (known !== undefined && isEnded) {
     known.heldUntilMs = now + HELD_MS;
   }
 }
 
 /**
- * Takes in an entry of a store that has come back from an older copy. One with a lower count
+ * Takes in an entry of a store that has been restored from an older backup. One with a lower count
  * than the known one of the same life is older than that.
  */
-function applyCopied(
+function applyRestored(
   servers: backendServers.BackendServers,
   entry: backendServerEntry.BackendServerEntry,
   now: number,
@@ -174,7 +174,7 @@
   const change = applyEntry(servers, entry, now);
   servers.departed.set(entry.id, {
     bornMs: entry.bornMs,
-    era: known.entry.revision.era,
+    epoch: known.entry.revision.epoch,
     atMs: now,
   });
   holdEnded(servers, entry, now);
@@ -224,8 +224,8 @@
   const missing = [...servers.byId]
     .filter(([id, { entry }]) => !named.has(id) && !storeRevision.isLater(entry.revision, revision))
     .map(([id]) => id);
-  const isNewEra = revision.era > servers.readRevision.era;
-  const applyOne = isNewEra ? applyCopied : applyEntry;
+  const isNewEpoch = revision.epoch > servers.readRevision.epoch;
+  const applyOne = isNewEpoch ? applyRestored : applyEntry;
   noteRead(servers, revision);
   return [
     ...entries.map((entry) => applyOne(servers, entry, now)),
--- a/packages/core/src/scheduler/scheduler.test.ts
+++ b/packages/core/src/scheduler/scheduler.test.ts
@@ -12,7 +12,7 @@
 test('entry with odd numbers travels with a grant', () => {
   // An entry tells a part of a millisecond, and the store has counted far. A number that the
   // message cannot hold would end the process of the scheduler when it grants a place there.
-  const odd = { slots: 10_000, warmUpLeftMs: 12.5, revision: { era: 2 ** 41, count: 2 ** 40 } };
+  const odd = { slots: 10_000, warmUpLeftMs: 12.5, revision: { epoch: 2 ** 41, count: 2 ** 40 } };
   const entry = gatewayBench.buildEntry('a', odd);
   const servers = schedulerBench.buildServers([entry], { news: new Map([['a', entry]]) });
   const own = scheduler.createScheduler('10.0.0.1:1', 'life', () => 0.5);
@@ -30,7 +30,7 @@
   const bytes = schema.toBinary(schema.ScheduleReplySchema, reply);
   const told = schema.fromBinary(schema.ScheduleReplySchema, bytes).grants[0].entry;
   assert.deepEqual(
-    [told?.slots, told?.warmUpLeftMs, told?.revision?.era, told?.revision?.count],
-    [odd.slots, odd.warmUpLeftMs, odd.revision.era, odd.revision.count],
+    [told?.slots, told?.warmUpLeftMs, told?.revision?.epoch, told?.revision?.count],
+    [odd.slots, odd.warmUpLeftMs, odd.revision.epoch, odd.revision.count],
   );
 });
--- a/packages/core/src/shared/store-revision.ts
+++ b/packages/core/src/shared/store-revision.ts
@@ -1,23 +1,23 @@
 /**
  * When something was written to the store, in the order of its writes.
  *
- * A store that comes back from an older copy gives out the counts since that copy once
+ * A store that is restored from an older backup gives out the counts since that backup once
  * more, so that a count alone does not order what was written before and after.
  */
 
 export type StoreRevision = {
-  /** Rises each time the store comes back from an older copy; 0 where it does not tell. */
-  era: number;
-  /** Rises with each write of an era. */
+  /** Rises each time the store is restored from an older backup; 0 where it does not tell. */
+  epoch: number;
+  /** Rises with each write of an epoch. */
   count: number;
 };
 
 /** Earlier than all that a store tells. */
-export const BEFORE_ALL: StoreRevision = { era: -1, count: -1 };
+export const BEFORE_ALL: StoreRevision = { epoch: -1, count: -1 };
 
 /** Compares two revisions, for sorting: the later one is greater. */
 export function compareRevisions(a: StoreRevision, b: StoreRevision): number {
-  return a.era - b.era || a.count - b.count;
+  return a.epoch - b.epoch || a.count - b.count;
 }
 
 /** Tells whether a revision is later than another. */
--- a/packages/gateway/src/gateway-metrics.ts
+++ b/packages/gateway/src/gateway-metrics.ts
@@ -53,7 +53,7 @@
       labels: {},
       value: gateway.listRateLimits(state).length,
     },
-    { name: 'store_era', labels: {}, value: Math.max(state.servers.readRevision.era, 0) },
+    { name: 'store_epoch', labels: {}, value: Math.max(state.servers.readRevision.epoch, 0) },
     { name: 'peers', labels: {}, value: state.peers.byAddress.size },
     ...listSchedulingValues(state),
   ];
--- a/packages/gateway/src/store-follower.ts
+++ b/packages/gateway/src/store-follower.ts
@@ -11,7 +11,7 @@
 import * as configurationItems from './configuration-items.js';
 import * as evacuationItems from './evacuation-items.js';
 import * as serverItems from './server-items.js';
-import type * as storeEra from './store-era.js';
+import type * as storeEpoch from './store-epoch.js';
 import * as storeClient from './store-client.js';
 import type * as storeCodec from './store-codec.js';
 import * as storeReader from './store-reader.js';
@@ -97,20 +97,23 @@
 }
 
 /**
- * Notes that the store has come back from an older copy: entries that were written since
- * that copy are missing until their backend servers have written them again.
+ * Notes that the store has been restored from an older backup: entries that were written since
+ * that backup are missing until their backend servers have written them again.
  */
-function applyEra({ state, log, readClocks }: FollowerParts, change: storeEra.EraChange): void {
+function applyEpoch(
+  { state, log, readClocks }: FollowerParts,
+  change: storeEpoch.EpochChange,
+): void {
   const { entryReturnMs } = state.bounds;
   gateway.noteStoreReturned(state.servers, entryReturnMs, readClocks().steadyMs);
-  log.writeAlways('store-era', change);
+  log.writeAlways('store-epoch', change);
 }
 
-/** Tells of an era that does not follow the one that is known. */
-function reportEraFault({ log, readClocks }: FollowerParts, fault: storeEra.EraFault): void {
-  const code = schema.ResultCode.STORE_ERA_FAULT;
+/** Tells of an epoch that does not follow the one that is known. */
+function reportEpochFault({ log, readClocks }: FollowerParts, fault: storeEpoch.EpochFault): void {
+  const code = schema.ResultCode.STORE_EPOCH_FAULT;
   const line = { ...fault, code, result: schema.ResultCode[code] };
-  log.write('store-era-faulty', line, readClocks().steadyMs);
+  log.write('store-epoch-faulty', line, readClocks().steadyMs);
 }
 
 /** Starts to follow the store. */
@@ -145,7 +148,7 @@
     confirm: (sent) => gateway.noteConfirmed(state.belief, sent),
     reportLost: (reason) => reportLost(parts, reason),
     reportRegained: (awayMs) => reportRegained(parts, awayMs),
-    applyEra: (change) => applyEra(parts, change),
-    reportEraFault: (fault) => reportEraFault(parts, fault),
+    applyEpoch: (change) => applyEpoch(parts, change),
+    reportEpochFault: (fault) => reportEpochFault(parts, fault),
   });
 }
--- a/packages/gateway/src/store-reader.test.ts
+++ b/packages/gateway/src/store-reader.test.ts
@@ -11,15 +11,15 @@
 const CODEC: storeCodec.StoreCodec = {
   buildRangePath: () => 'range',
   buildWatchPath: (_, revision) => `watch-${revision.count}`,
-  parseEra: (headers) => {
-    const era = headers.get('era');
-    return era === undefined ? { kind: 'none' } : { kind: 'told', era: Number(era) };
+  parseEpoch: (headers) => {
+    const epoch = headers.get('epoch');
+    return epoch === undefined ? { kind: 'none' } : { kind: 'told', epoch: Number(epoch) };
   },
-  decodePage: (body, era) => {
-    const item = { key: body, value: undefined, revision: { era, count: 7 } };
-    return { items: [item], isLast: body !== 'first', revision: { era, count: 7 } };
+  decodePage: (body, epoch) => {
+    const item = { key: body, value: undefined, revision: { epoch, count: 7 } };
+    return { items: [item], isLast: body !== 'first', revision: { epoch, count: 7 } };
   },
-  decodeChanges: (_, era) => ({ items: [], revision: { era, count: 8 } }),
+  decodeChanges: (_, epoch) => ({ items: [], revision: { epoch, count: 8 } }),
   decodeConfiguration: () => {
     throw new Error('there is no configuration');
   },
@@ -33,10 +33,10 @@
   paths: string[];
   revisions: number[];
   intervalMs: number;
-  /** Eras and bodies of the first answers; the last one goes on. */
-  answers?: { era: string; body: string }[];
-  /** Eras that were taken in, and calls that confirmed what is known. */
-  eras?: number[];
+  /** Epochs and bodies of the first answers; the last one goes on. */
+  answers?: { epoch: string; body: string }[];
+  /** Epochs that were taken in, and calls that confirmed what is known. */
+  epochs?: number[];
   confirmed?: number;
 };
 
@@ -51,7 +51,7 @@
         noteCall();
         const { answers = [] } = reading;
         const answer = answers.length > 1 ? answers.shift() : answers[0];
-        const headers = new Map(answer === undefined ? [] : [['era', answer.era] as const]);
+        const headers = new Map(answer === undefined ? [] : [['epoch', answer.epoch] as const]);
         return Promise.resolve({ status: 200, headers, body: answer?.body ?? '' });
       },
       stop: () => {},
@@ -68,8 +68,8 @@
     },
     reportLost: () => {},
     reportRegained: () => {},
-    applyEra: ({ after }) => reading.eras?.push(after.era),
-    reportEraFault: () => {},
+    applyEpoch: ({ after }) => reading.epochs?.push(after.epoch),
+    reportEpochFault: () => {},
   });
   context.after(() => reader.stop());
   return (calls: number) =>
@@ -101,13 +101,13 @@
   assert.deepEqual(reading.revisions.slice(0, 2), [7, 8]);
 });
 
-test('list whose pages are of two eras', async (context) => {
+test('list whose pages are of two epochs', async (context) => {
   // Guards against half a list from before the store went back: it would drop what is there.
   const answers = [
-    { era: '1', body: 'first' },
-    { era: '2', body: 'second' },
-    { era: '2', body: 'first' },
-    { era: '2', body: 'second' },
+    { epoch: '1', body: 'first' },
+    { epoch: '2', body: 'second' },
+    { epoch: '2', body: 'first' },
+    { epoch: '2', body: 'second' },
   ];
   const reading: Reading = { paths: [], revisions: [], intervalMs: LONG_MS, answers };
   const waitForCalls = startReading(context, reading);
@@ -116,26 +116,26 @@
   assert.equal(reading.revisions.length, 1);
 });
 
-test('changes of a later era are listed anew', async (context) => {
+test('changes of a later epoch are listed anew', async (context) => {
   // Guards against changes that are told from a count which the store has given out twice.
   const answers = [
-    { era: '1', body: '' },
-    { era: '2', body: '' },
+    { epoch: '1', body: '' },
+    { epoch: '2', body: '' },
   ];
-  const eras: number[] = [];
-  const reading: Reading = { paths: [], revisions: [], intervalMs: LONG_MS, answers, eras };
+  const epochs: number[] = [];
+  const reading: Reading = { paths: [], revisions: [], intervalMs: LONG_MS, answers, epochs };
   const waitForCalls = startReading(context, reading);
   await waitForCalls(4);
   assert.deepEqual(reading.paths, ['range', 'watch-7', 'range', 'watch-7']);
-  assert.deepEqual(eras, [2]);
+  assert.deepEqual(epochs, [2]);
   assert.deepEqual(reading.revisions, [7, 7]);
 });
 
-test('answer of an earlier era confirms nothing', async (context) => {
+test('answer of an earlier epoch confirms nothing', async (context) => {
   // Guards against a lease that an answer renews which is not used.
   const answers = [
-    { era: '2', body: '' },
-    { era: '1', body: '' },
+    { epoch: '2', body: '' },
+    { epoch: '1', body: '' },
   ];
   const reading: Reading = { paths: [], revisions: [], intervalMs: LONG_MS, answers };
   const waitForCalls = startReading(context, reading);
--- a/packages/gateway/src/store-reader.ts
+++ b/packages/gateway/src/store-reader.ts
@@ -14,7 +14,7 @@
 import type * as clocks from './clocks.js';
 import type * as storeClient from './store-client.js';
 import type * as storeCodec from './store-codec.js';
-import * as storeEra from './store-era.js';
+import * as storeEpoch from './store-epoch.js';
 
 export type StoreReaderOptions = {
   client: storeClient.StoreClient;
@@ -32,10 +32,10 @@
   confirm: (sent: gateway.ClockReading) => void;
   reportLost: (reason: string) => void;
   reportRegained: (awayMs: number) => void;
-  /** The store has come back from an older copy; what it has now is taken in next. */
-  applyEra: (change: storeEra.EraChange) => void;
-  /** The era of an answer does not follow the one that is known. */
-  reportEraFault: (fault: storeEra.EraFault) => void;
+  /** The store has been restored from an older backup; what it has now is taken in next. */
+  applyEpoch: (change: storeEpoch.EpochChange) => void;
+  /** The epoch of an answer does not follow the one that is known. */
+  reportEpochFault: (fault: storeEpoch.EpochFault) => void;
 };
 
 export type StoreReader = {
@@ -61,7 +61,7 @@
   options: StoreReaderOptions;
   /** Changes after this revision are not known; undefined while all is to be listed. */
   revision: gateway.StoreRevision | undefined;
-  /** The latest revision that was read; tells the era. */
+  /** The latest revision that was read; tells the epoch. */
   latest: gateway.StoreRevision;
   failures: number;
   lostMs: number;
@@ -70,19 +70,19 @@
 };
 
 /**
- * Reads the era of an answer. What cannot be put in order is not used: an answer of an
- * earlier era would bring back what the later one has ended.
+ * Reads the epoch of an answer. What cannot be put in order is not used: an answer of an
+ * earlier epoch would bring back what the later one has ended.
  */
-function readEra({ options, latest }: ReaderState, answer: storeClient.StoreAnswer): number {
-  const told = options.codec.parseEra(answer.headers);
-  const { era, fault } = storeEra.resolveEra(latest.era, told);
+function readEpoch({ options, latest }: ReaderState, answer: storeClient.StoreAnswer): number {
+  const told = options.codec.parseEpoch(answer.headers);
+  const { epoch, fault } = storeEpoch.resolveEpoch(latest.epoch, told);
   if (fault !== undefined) {
-    options.reportEraFault(fault);
+    options.reportEpochFault(fault);
   }
-  if (era === undefined) {
-    throw new Error(`era-${fault?.kind}`);
+  if (epoch === undefined) {
+    throw new Error(`epoch-${fault?.kind}`);
   }
-  return era;
+  return epoch;
 }
 
 /** Lists all items; the first page's revision is where changes are followed from. */
@@ -100,12 +100,12 @@
     if (answer.status !== STATUS_OK) {
       throw new Error(`status-${answer.status}`);
     }
-    const era = readEra(state, answer);
-    if (revision !== undefined && era !== revision.era) {
+    const epoch = readEpoch(state, answer);
+    if (revision !== undefined && epoch !== revision.epoch) {
       // Half of the list is from before the store went back.
-      throw new Error('era-changed');
+      throw new Error('epoch-changed');
     }
-    const page = codec.decodePage(answer.body, era);
+    const page = codec.decodePage(answer.body, epoch);
     items.push(...page.items);
     revision ??= page.revision;
     isLast = page.isLast || page.items.length === 0;
@@ -147,8 +147,8 @@
   const sent = options.readClocks();
   const { items, revision } = await readAll(state);
   noteAnswer(state, sent);
-  if (latest.era !== revision.era && latest !== gateway.BEFORE_ALL) {
-    options.applyEra({ before: latest, after: revision });
+  if (latest.epoch !== revision.epoch && latest !== gateway.BEFORE_ALL) {
+    options.applyEpoch({ before: latest, after: revision });
   }
   state.revision = revision;
   state.latest = revision;
@@ -175,11 +175,11 @@
     state.revision = since;
     throw new Error(`status-${answer.status}`);
   }
-  const era = readEra(state, answer);
-  if (era !== since.era) {
+  const epoch = readEpoch(state, answer);
+  if (epoch !== since.epoch) {
     return;
   }
-  const changes = codec.decodeChanges(answer.body, era);
+  const changes = codec.decodeChanges(answer.body, epoch);
   noteAnswer(state, sent);
   state.revision = gateway.isLater(changes.revision, since) ? changes.revision : since;
   state.latest = state.revision;
--- a/packages/measure/src/gateway-load/replay-world.ts
+++ b/packages/measure/src/gateway-load/replay-world.ts
@@ -149,7 +149,7 @@
       slots: world.options.slots,
       leaving: false,
       bornMs: 1,
-      revision: { era: 0, count: 1 },
+      revision: { epoch: 0, count: 1 },
       warmUpLeftMs: 0,
     };
     gateway.applyEntry(state.servers, entry, world.nowMs);
--- a/packages/proofs/src/evacuation-failures.test.ts
+++ b/packages/proofs/src/evacuation-failures.test.ts
@@ -7,8 +7,8 @@
 const { test } = nodeTest;
 const { addCall, createFleet, runFleet } = gatewayFleet;
 const FIRST = 'd0';
-const EVACUATED = { failureDomain: FIRST, isEvacuated: true, revision: { era: 0, count: 10 } };
-const TAKEN_BACK = { failureDomain: FIRST, isEvacuated: false, revision: { era: 0, count: 20 } };
+const EVACUATED = { failureDomain: FIRST, isEvacuated: true, revision: { epoch: 0, count: 10 } };
+const TAKEN_BACK = { failureDomain: FIRST, isEvacuated: false, revision: { epoch: 0, count: 20 } };
 
 /** Lists the calls that were sent to a failure domain since a time. */
 function listSentTo(
--- a/packages/proofs/src/mocks/gateway-faults.ts
+++ b/packages/proofs/src/mocks/gateway-faults.ts
@@ -56,7 +56,9 @@
   index: number,
   serverId: string,
 ): void {
-  const entry = gatewayFleetState.buildEntry(fleet, serverId, { revision: { era: 0, count: 100 } });
+  const entry = gatewayFleetState.buildEntry(fleet, serverId, {
+    revision: { epoch: 0, count: 100 },
+  });
   gateway.applyEntry(fleet.states[index].servers, entry, fleet.nowMs);
 }
 
--- a/packages/proofs/src/mocks/gateway-fleet-state.ts
+++ b/packages/proofs/src/mocks/gateway-fleet-state.ts
@@ -98,7 +98,7 @@
     slots,
     leaving: fleet.leaving.has(id),
     bornMs: 1,
-    revision: { era: 0, count: 1 },
+    revision: { epoch: 0, count: 1 },
     warmUpLeftMs: 0,
     ...changes,
   };
--- a/packages/proofs/src/rate-limit-failures.test.ts
+++ b/packages/proofs/src/rate-limit-failures.test.ts
@@ -143,7 +143,7 @@
 });
 
 test('lifted limit ends', () => {
-  // Guards against a server that stays held back for good after its need is over.
+  // Guards against a server that stays held back for good after its overload is over.
   const fleet = createFleet(FLEET);
   setLimit(fleet);
   runLoad(fleet, 3000);
@@ -191,7 +191,7 @@
   const fleet = createFleet(FLEET);
   setLimit(fleet);
   fleet.rateLimits.clear();
-  gatewayFaults.applyServer(fleet, LIMITED, { bornMs: 2, revision: { era: 0, count: 5 } });
+  gatewayFaults.applyServer(fleet, LIMITED, { bornMs: 2, revision: { epoch: 0, count: 5 } });
   const sinceMs = fleet.nowMs;
   runLoad(fleet, 1000);
   assert.ok(listTimes(fleet, LIMITED, sinceMs).length > 10 * PER_SECOND);
--- a/packages/proofs/src/soak/main.ts
+++ b/packages/proofs/src/soak/main.ts
@@ -15,7 +15,7 @@
     'faults-ms': { type: 'string', default: '8000' },
     evacuations: { type: 'string', default: '3' },
     limits: { type: 'string', default: '2' },
-    eras: { type: 'string', default: '2' },
+    epochs: { type: 'string', default: '2' },
   },
 });
 const first = Number(values.first);
@@ -35,7 +35,7 @@
       faultsMs: Number(values['faults-ms']),
       evacuations: Number(values.evacuations),
       limits: Number(values.limits),
-      eras: Number(values.eras),
+      epochs: Number(values.epochs),
       areTimesChecked: true,
     });
     process.stdout.write(`${JSON.stringify(report)}\n`);
--- a/packages/proofs/src/soak/run-soak.ts
+++ b/packages/proofs/src/soak/run-soak.ts
@@ -3,7 +3,7 @@
 import * as randomSource from '../mocks/random-source.js';
 import * as soakCaller from './soak-caller.js';
 import * as soakChecks from './soak-checks.js';
-import * as soakEras from './soak-eras.js';
+import * as soakEpochs from './soak-epochs.js';
 import * as soakEvacuations from './soak-evacuations.js';
 import * as soakFaults from './soak-faults.js';
 import * as soakFleet from './soak-fleet.js';
@@ -21,8 +21,8 @@
   evacuations: number;
   /** Rate limits that backend servers name, one after the other. */
   limits: number;
-  /** Returns of the store from older copies, one after the other. */
-  eras: number;
+  /** Restorations of the store from backups, one after the other. */
+  epochs: number;
   areTimesChecked: boolean;
 };
 
@@ -44,7 +44,7 @@
 /** Evacuations have a source of their own, so that a seed keeps its faults. */
 const EVACUATIONS_STEP = 104_729;
 const LIMITS_STEP = 1_299_709;
-const ERAS_STEP = 15_485_863;
+const EPOCHS_STEP = 15_485_863;
 
 /** Puts the faults in at their times. */
 async function applyFaults(fleet: soakFleet.SoakFleet, faults: soakFaults.Fault[]): Promise<void> {
@@ -95,7 +95,11 @@
       randomSource.createRandomSource(seed + LIMITS_STEP),
       options.limits,
     ),
-    soakEras.runEras(fleet, randomSource.createRandomSource(seed + ERAS_STEP), options.eras),
+    soakEpochs.runEpochs(
+      fleet,
+      randomSource.createRandomSource(seed + EPOCHS_STEP),
+      options.epochs,
+    ),
   ]);
   await timers.setTimeout(SETTLE_MS);
   const isServing = await soakFleet.waitForService(fleet);
--- a/packages/proofs/src/soak/soak.test.ts
+++ b/packages/proofs/src/soak/soak.test.ts
@@ -4,7 +4,10 @@
 import * as runSoak from './run-soak.js';
 
 /** Plays one seed with few processes and expects that all promises are kept. */
-async function expectKept(seed: number, { evacuations = 0, limits = 0, eras = 0 }): Promise<void> {
+async function expectKept(
+  seed: number,
+  { evacuations = 0, limits = 0, epochs = 0 },
+): Promise<void> {
   const report = await runSoak.runSoak({
     seed,
     gateways: 2,
@@ -14,7 +17,7 @@
     faultsMs: 3000,
     evacuations,
     limits,
-    eras,
+    epochs,
     areTimesChecked: false,
   });
   assert.deepEqual(report.violations, [], `logs in ${report.folder}`);
@@ -31,5 +34,5 @@
   expectKept(4, { limits: 1 }),
 );
 nodeTest.test('promises hold while the store goes back, seed 5', () =>
-  expectKept(5, { evacuations: 1, eras: 1 }),
+  expectKept(5, { evacuations: 1, epochs: 1 }),
 );
--- a/packages/proofs/src/warm-up-failures.test.ts
+++ b/packages/proofs/src/warm-up-failures.test.ts
@@ -13,7 +13,7 @@
 /** Requests that a backend server which warms up may get in any one second. */
 const BOUND = WARM_UP.perSecond * factor + extra;
 const SECOND_MS = 1000;
-const WARMING = { warmUpLeftMs: WARM_UP.durationMs, bornMs: 2, revision: { era: 0, count: 5 } };
+const WARMING = { warmUpLeftMs: WARM_UP.durationMs, bornMs: 2, revision: { epoch: 0, count: 5 } };
 /** Short runs: a backend server that is not held back takes some eighty a second. */
 const FLEET = { gateways: 6, servers: 4, slots: 8, runMs: 100, domains: 2, warmUp: WARM_UP };
 
@@ -96,13 +96,13 @@
   // A failure domain is taken back in a burst. Its backend servers warm up from then on;
   // their entries, which are as old as the evacuation, say that they are warm.
   const fleet = createFleet(FLEET);
-  const word = { failureDomain: 'd0', revision: { era: 0, count: 10 } };
+  const word = { failureDomain: 'd0', revision: { epoch: 0, count: 10 } };
   gatewayFaults.setEvacuated(fleet, { ...word, isEvacuated: true });
   runLoad(fleet, 500);
   gatewayFaults.setEvacuated(fleet, {
     ...word,
     isEvacuated: false,
-    revision: { era: 0, count: 20 },
+    revision: { epoch: 0, count: 20 },
   });
   const sinceMs = fleet.nowMs;
   runLoad(fleet, 2900);
@@ -114,14 +114,14 @@
 
 test('an entry that was written since ends it', () => {
   const fleet = createFleet({ ...FLEET, servers: 2 });
-  const word = { failureDomain: 'd0', revision: { era: 0, count: 10 } };
+  const word = { failureDomain: 'd0', revision: { epoch: 0, count: 10 } };
   gatewayFaults.setEvacuated(fleet, { ...word, isEvacuated: true });
   gatewayFaults.setEvacuated(fleet, {
     ...word,
     isEvacuated: false,
-    revision: { era: 0, count: 20 },
+    revision: { epoch: 0, count: 20 },
   });
-  gatewayFaults.applyServer(fleet, 'server-0', { revision: { era: 0, count: 25 } });
+  gatewayFaults.applyServer(fleet, 'server-0', { revision: { epoch: 0, count: 25 } });
   const sinceMs = fleet.nowMs;
   runLoad(fleet, 1500);
   assert.ok(countMost(fleet, 'server-0', sinceMs) > BOUND / 2);
--- a/packages/runtime/src/metric-definitions.ts
+++ b/packages/runtime/src/metric-definitions.ts
@@ -90,9 +90,9 @@
     type: MetricType.GAUGE,
     help: 'Backend servers whose answers to this process name a rate limit.',
   },
-  store_era: {
+  store_epoch: {
     type: MetricType.GAUGE,
-    help: 'Era of the store as this process last read it: goes up when the store comes back from an older copy.',
+    help: 'Epoch of the store as this process last read it; rises when the store is restored from a backup.',
   },
   evacuated_domains: {
     type: MetricType.GAUGE,
