Log what answers of backend servers state

No decision uses them yet. They are kept apart from the entries of the store, so that they outlive an entry that lapses; an answer of an earlier life says nothing of the next.

--- a/packages/core/src/gateway/assignment.ts
+++ b/packages/core/src/gateway/assignment.ts
@@ -155,6 +155,7 @@
   }
   request.phase = gatewayRequest.RequestPhase.SENT;
   request.serverId = serverId;
+  request.serverBornMs = found.server.bornMs;
   request.sentMs = now;
   request.sends += 1;
   request.idleFirstMs = idleFirstMs;
--- a/packages/core/src/gateway/backend-servers.ts
+++ b/packages/core/src/gateway/backend-servers.ts
@@ -13,6 +13,7 @@
 import * as storeRevision from '../shared/store-revision.js';
 import * as evacuations from './evacuations.js';
 import type * as serverEntries from './server-entries.js';
+import * as serverStatements from './server-statements.js';
 
 export type KnownServer = {
   entry: backendServerEntry.BackendServerEntry;
@@ -41,6 +42,8 @@
   departed: Map<string, Departure>;
   /** Until this time an entry that disappears may still come back. */
   returnUntilMs: number;
+  /** What backend servers have stated in their answers. */
+  statements: serverStatements.ServerStatements;
   evacuations: evacuations.Evacuations;
   /** Revision of the store up to which this gateway has read. */
   readRevision: storeRevision.StoreRevision;
@@ -54,6 +57,7 @@
     byId: new Map(),
     departed: new Map(),
     returnUntilMs: 0,
+    statements: new Map(),
     evacuations: evacuations.createEvacuations(),
     readRevision: storeRevision.BEFORE_ALL,
     revision: 0,
@@ -79,6 +83,24 @@
   return { id, service: known.entry.service, change: 'displaced' };
 }
 
+/**
+ * Takes in what an answer of a backend server states, and gives what is news.
+ *
+ * An answer of an earlier life that arrives after the restart says nothing of the new life.
+ */
+export function applyStatement(
+  servers: BackendServers,
+  life: serverStatements.ServerLife,
+  statement: serverStatements.AnswerStatement,
+  now: number,
+): serverStatements.StatementChange[] {
+  const known = servers.byId.get(life.id);
+  if (known !== undefined && known.entry.bornMs !== life.bornMs) {
+    return [];
+  }
+  return serverStatements.noteStatement(servers.statements, life, statement, now);
+}
+
 /**
  * Tells whether a backend server may get new work.
  *
--- a/packages/core/src/gateway/gateway-request.ts
+++ b/packages/core/src/gateway/gateway-request.ts
@@ -61,6 +61,8 @@
   declinedCells: Set<string>;
   /** The backend server that has it. */
   serverId: string | undefined;
+  /** Start of that backend server's life, milliseconds since the Unix epoch. */
+  serverBornMs: number;
   sentMs: number;
   /** That backend server had a rate limit when the place was granted. */
   isRateLimited: boolean;
--- a/packages/core/src/gateway/index.ts
+++ b/packages/core/src/gateway/index.ts
@@ -20,6 +20,7 @@
 export * from './rights.js';
 export * from './server-end.js';
 export * from './server-entries.js';
+export * from './server-statements.js';
 export * from './token-quota.js';
 export * from './warm-up-times.js';
 export type { BackendServerEntry } from '../shared/backend-server-entry.js';
--- a/packages/core/src/gateway/intake.ts
+++ b/packages/core/src/gateway/intake.ts
@@ -118,6 +118,7 @@
     cell: undefined,
     declinedCells: new Set(),
     serverId: undefined,
+    serverBornMs: 0,
     sentMs: 0,
     isRateLimited: false,
     idleFirstMs: 0,
--- a/packages/core/src/gateway/server-entries.ts
+++ b/packages/core/src/gateway/server-entries.ts
@@ -4,6 +4,7 @@
 import type * as backendServerEntry from '../shared/backend-server-entry.js';
 import * as storeRevision from '../shared/store-revision.js';
 import type * as backendServers from './backend-servers.js';
+import * as serverStatements from './server-statements.js';
 
 /** A change of what is known, for the log. */
 export type MembershipChange = {
@@ -242,5 +243,6 @@
   [...servers.departed]
     .filter(([, { atMs }]) => now - atMs > DEPARTED_MS)
     .forEach(([id]) => servers.departed.delete(id));
+  serverStatements.expireStatements(servers.statements, (id) => servers.byId.has(id), now);
   return late.map(([, known]) => dropServer(servers, known, now));
 }
--- /dev/null
+++ b/packages/core/src/gateway/server-statements.test.ts
@@ -0,0 +1,65 @@
+import * as assert from 'node:assert/strict';
+import * as nodeTest from 'node:test';
+import * as backendServers from './backend-servers.js';
+import * as gatewayBench from './mocks/gateway-bench.js';
+import * as serverEntries from './server-entries.js';
+import * as serverStatements from './server-statements.js';
+
+const { test } = nodeTest;
+const LIFE = { id: 'a', bornMs: 1 };
+const LEAVING = { isLeaving: true, backoffMs: undefined };
+const BACKOFF = { isLeaving: false, backoffMs: 3000 };
+
+/** Creates a register with one backend server. */
+function createServers(): backendServers.BackendServers {
+  const servers = backendServers.createBackendServers();
+  serverEntries.applyEntry(servers, gatewayBench.buildEntry(LIFE.id), 0);
+  return servers;
+}
+
+test('statement is news once', () => {
+  const { statements } = createServers();
+  assert.deepEqual(serverStatements.noteStatement(statements, LIFE, LEAVING, 10), [
+    { server: 'a', change: 'leaving' },
+  ]);
+  assert.deepEqual(serverStatements.noteStatement(statements, LIFE, LEAVING, 20), []);
+  assert.deepEqual(serverStatements.noteStatement(statements, LIFE, BACKOFF, 30), [
+    { server: 'a', change: 'backoff', backoffMs: 3000 },
+  ]);
+  assert.ok(serverStatements.isLeaving(statements, LIFE));
+  assert.equal(serverStatements.computeBackoffLeft(statements, LIFE, 1030), 2000);
+});
+
+test('shorter backoff ends no longer one', () => {
+  // Guards against requests within the time that an earlier answer asked for.
+  const { statements } = createServers();
+  serverStatements.noteStatement(statements, LIFE, BACKOFF, 0);
+  serverStatements.noteStatement(statements, LIFE, { ...BACKOFF, backoffMs: 100 }, 50);
+  assert.equal(serverStatements.computeBackoffLeft(statements, LIFE, 1000), 2000);
+});
+
+test('statement of an earlier life says nothing of the next', () => {
+  // Guards against a late answer that takes a restarted server out of service for good.
+  const servers = createServers();
+  serverEntries.applyEntry(servers, gatewayBench.buildEntry('a', { bornMs: 2 }), 10);
+  assert.deepEqual(backendServers.applyStatement(servers, LIFE, LEAVING, 20), []);
+  assert.equal(serverStatements.isLeaving(servers.statements, { id: 'a', bornMs: 2 }), false);
+});
+
+test('statement outlives the entry of its server', () => {
+  // Guards against an entry that comes back after an outage and tells "ready" once more.
+  const servers = createServers();
+  backendServers.applyStatement(servers, LIFE, LEAVING, 10);
+  serverEntries.removeEntry(servers, 'a', 20);
+  serverEntries.expireMissing(servers, 5000);
+  serverEntries.applyEntry(servers, gatewayBench.buildEntry('a'), 6000);
+  assert.ok(serverStatements.isLeaving(servers.statements, LIFE));
+});
+
+test('statements about servers long gone are dropped', () => {
+  const servers = createServers();
+  backendServers.applyStatement(servers, LIFE, LEAVING, 10);
+  serverEntries.removeEntry(servers, 'a', 20);
+  serverEntries.expireMissing(servers, 120_000);
+  assert.equal(servers.statements.size, 0);
+});
--- a/packages/gateway/src/answer-relay.ts
+++ b/packages/gateway/src/answer-relay.ts
@@ -34,7 +34,7 @@
   observePace: (unitMs: number) => void;
   observeFirstEvent: (ms: number) => void;
   /** Told of each answer of the backend server that is meant. */
-  observeRateLimit: (rateLimit: wireProtocol.AnswerRateLimit) => void;
+  observeStatements: (names: wireProtocol.AnswerNames) => void;
 };
 
 type Relay = {
@@ -87,19 +87,12 @@
     : undefined;
 }
 
-/** Tells what the backend server says of its rate limit; a mere refusal lifts none. */
-function noteRateLimit({ options }: Relay, names: wireProtocol.AnswerNames): void {
-  if (names.isSigned || names.rateLimit.kind !== 'none') {
-    options.observeRateLimit(names.rateLimit);
-  }
-}
-
 /** Takes the head of an answer; false ends the attempt. */
 function takeHead(relay: Relay, head: heldRequest.AnswerHead, isFresh: boolean): boolean {
   const names = relay.options.protocol.parseAnswer(head.status, head.headers);
   const found = findHeadFault(relay, head, names, isFresh);
   if (found === undefined || found.fault === gateway.AttemptFault.REFUSED) {
-    noteRateLimit(relay, names);
+    relay.options.observeStatements(names);
   }
   if (found !== undefined) {
     endWithFault(relay, found.fault, found.reason);
--- a/packages/gateway/src/attempt-sending.ts
+++ b/packages/gateway/src/attempt-sending.ts
@@ -9,6 +9,7 @@
 import * as rateLimitReports from './rate-limit-reports.js';
 import * as requestEnding from './request-ending.js';
 import * as requestReports from './request-reports.js';
+import * as statementReports from './statement-reports.js';
 import type * as taskState from './task-state.js';
 
 /** Takes in how an attempt ended. */
@@ -101,7 +102,10 @@
       gateway.noteFirstEvent(task.state, request, ms, readNow());
       task.metrics.recordFirstEvent(request.route.name, ms);
     },
-    observeRateLimit: (rateLimit) => rateLimitReports.takeRateLimit(task, request, rateLimit),
+    observeStatements: (names) => {
+      rateLimitReports.takeRateLimit(task, request, names);
+      statementReports.takeStatements(task, request, names);
+    },
   });
   const connection = task.connections.take(server.address);
   held.attempt = backendAttempt.startAttempt(
--- a/packages/gateway/src/gateway-metrics.ts
+++ b/packages/gateway/src/gateway-metrics.ts
@@ -31,6 +31,17 @@
   ];
 }
 
+/** Counts the backend servers that have stated something which holds now. */
+function listStatementValues({ servers }: gateway.GatewayState, now: number): runtime.Gauge[] {
+  const all = [...servers.statements.values()];
+  const leaving = all.filter(({ leavingSinceMs }) => leavingSinceMs !== undefined);
+  const backingOff = all.filter(({ backoffUntilMs }) => backoffUntilMs > now);
+  return [
+    { name: 'backend_servers_stating', labels: { state: 'leaving' }, value: leaving.length },
+    { name: 'backend_servers_stating', labels: { state: 'backoff' }, value: backingOff.length },
+  ];
+}
+
 /** Lists the present values of a gateway. */
 function listGauges(state: gateway.GatewayState, now: number): runtime.Gauge[] {
   const version = state.index?.configuration.version ?? 0;
@@ -55,6 +66,7 @@
     },
     { name: 'store_epoch', labels: {}, value: Math.max(state.servers.readRevision.epoch, 0) },
     { name: 'peers', labels: {}, value: state.peers.byAddress.size },
+    ...listStatementValues(state, now),
     ...listSchedulingValues(state),
   ];
 }
--- a/packages/gateway/src/rate-limit-reports.ts
+++ b/packages/gateway/src/rate-limit-reports.ts
@@ -11,12 +11,18 @@
   log: decisionLog.DecisionLog;
 };
 
-/** Takes in what one answer says; a limit that cannot be read changes nothing. */
+/**
+ * Takes in what one answer says. A limit that cannot be read changes nothing; an answer that is
+ * not signed, such as a refusal, lifts none.
+ */
 export function takeRateLimit(
   { state, readClocks, log }: RateLimitParts,
   request: gateway.GatewayRequest,
-  rateLimit: wireProtocol.AnswerRateLimit,
+  { rateLimit, isSigned }: wireProtocol.AnswerNames,
 ): void {
+  if (rateLimit.kind === 'none' && !isSigned) {
+    return;
+  }
   const now = readClocks().steadyMs;
   if (rateLimit.kind === 'unreadable') {
     const code = schema.ResultCode.RATE_LIMIT_FAULT;
--- a/packages/gateway/src/status.ts
+++ b/packages/gateway/src/status.ts
@@ -23,6 +23,18 @@
   return [...warming].map(([id, untilMs]) => ({ id, warmUpLeftMs: Math.round(untilMs - now) }));
 }
 
+/** Describes what backend servers have stated in their answers. */
+function describeStatements(
+  { servers }: gateway.GatewayState,
+  now: number,
+): { id: string; leavingSinceMs: number | undefined; backoffLeftMs: number }[] {
+  return [...servers.statements].map(([id, { leavingSinceMs, backoffUntilMs }]) => ({
+    id,
+    leavingSinceMs,
+    backoffLeftMs: Math.round(Math.max(backoffUntilMs - now, 0)),
+  }));
+}
+
 /** Describes a gateway. */
 export function describeStatus(
   state: gateway.GatewayState,
@@ -38,6 +50,7 @@
     backendServers: [...state.servers.byId.values()],
     evacuatedDomains: gateway.listEvacuated(state.servers.evacuations),
     warming: describeWarming(state, now.steadyMs),
+    statements: describeStatements(state, now.steadyMs),
     rateLimits: gateway.listRateLimits(state),
     cells: describeCells(state),
     peers: gateway.listContacts(state.peers),
--- a/packages/gateway/src/wire-protocol.ts
+++ b/packages/gateway/src/wire-protocol.ts
@@ -30,6 +30,10 @@
   | { kind: 'named'; perSecond: number }
   | { kind: 'unreadable'; text: string };
 
+/** A value that an answer may state about its backend server. */
+export type StatedValue<T> =
+  { kind: 'none' } | { kind: 'stated'; value: T } | { kind: 'unreadable'; text: string };
+
 /** What the head of an answer says. */
 export type AnswerNames = {
   /** The request that it answers; undefined where it does not say. */
@@ -41,6 +45,10 @@
   /** It bears the mark of a backend server. */
   isSigned: boolean;
   rateLimit: AnswerRateLimit;
+  /** The backend server leaves. */
+  leaving: StatedValue<true>;
+  /** Time for which the backend server takes nothing from this gateway, milliseconds. */
+  backoffMs: StatedValue<number>;
 };
 
 export type WireProtocol = {
--- a/packages/runtime/src/metric-definitions.ts
+++ b/packages/runtime/src/metric-definitions.ts
@@ -90,6 +90,10 @@
     type: MetricType.GAUGE,
     help: 'Backend servers whose answers to this process name a rate limit.',
   },
+  backend_servers_stating: {
+    type: MetricType.GAUGE,
+    help: 'Backend servers whose answers to this process state that they leave, or want a backoff.',
+  },
   store_epoch: {
     type: MetricType.GAUGE,
     help: 'Epoch of the store as this process last read it; rises when the store is restored from a backup.',
