Show that departures stated in answers are not heeded

Four gateways, one scheduler: after a backend server has said in answers that it leaves, the gateways that got these answers go on sending it requests for as long as its entry says that it is ready.

The virtual fleet also gets backend servers that refuse with a backoff, for the next test.

--- a/packages/proofs/src/mocks/gateway-fleet-state.ts
+++ b/packages/proofs/src/mocks/gateway-fleet-state.ts
@@ -57,7 +57,13 @@
   down: Set<string>;
   /** Requests a second that backend servers name in their answers, by id. */
   rateLimits: Map<string, number>;
-  /** Answers that named a limit, in order. */
+  /** Backend servers whose answers say that they leave. */
+  sayingLeaving: Set<string>;
+  /** Backend servers that refuse all requests for a time, and ask for it, by id, milliseconds. */
+  backoffs: Map<string, number>;
+  /** Requests that were refused with a backoff, in order. */
+  backedOff: { gateway: number; serverId: string; atMs: number }[];
+  /** Answers that named a limit or said that their server leaves, in order. */
   told: { gateway: number; serverId: string; atMs: number }[];
 };
 
--- a/packages/proofs/src/mocks/gateway-fleet.ts
+++ b/packages/proofs/src/mocks/gateway-fleet.ts
@@ -49,6 +49,9 @@
     leaving: new Set(),
     down: new Set(),
     rateLimits: new Map(),
+    sayingLeaving: new Set(),
+    backoffs: new Map(),
+    backedOff: [],
     told: [],
   };
   fleet.states = Array.from({ length: given.gateways }, (_, index) =>
@@ -128,6 +131,21 @@
   }
 }
 
+/** Refuses a request at a backend server that wants nothing for a while. */
+function refuseWithBackoff(
+  fleet: fleetState.GatewayFleet,
+  index: number,
+  request: gateway.GatewayRequest,
+  serverId: string,
+  backoffMs: number,
+): void {
+  const { servers } = fleet.states[index];
+  const life = { id: serverId, bornMs: request.serverBornMs };
+  fleet.backedOff.push({ gateway: index, serverId, atMs: fleet.nowMs });
+  gateway.applyStatement(servers, life, { isLeaving: false, backoffMs }, fleet.nowMs);
+  endAttempt(fleet, index, request, gateway.AttemptFault.REFUSED);
+}
+
 /** Carries out what a gateway has decided. */
 function applyAssignments(
   fleet: fleetState.GatewayFleet,
@@ -151,6 +169,11 @@
     }
     const sent = { attemptId, gateway: index, serverId, scheduler, atMs: fleet.nowMs, request };
     fleet.sent.push(sent);
+    const backoffMs = fleet.backoffs.get(serverId);
+    if (backoffMs !== undefined) {
+      refuseWithBackoff(fleet, index, request, serverId, backoffMs);
+      return;
+    }
     fleet.running.push(sent);
     const there = fleet.running.filter((run) => run.serverId === serverId).length;
     fleet.mostAtServer = Math.max(fleet.mostAtServer, there);
@@ -193,6 +216,12 @@
     if (perSecond !== undefined) {
       fleet.told.push({ gateway: index, serverId, atMs: fleet.nowMs });
     }
+    if (fleet.sayingLeaving.has(serverId)) {
+      const life = { id: serverId, bornMs: request.serverBornMs };
+      const statement = { isLeaving: true, backoffMs: undefined };
+      fleet.told.push({ gateway: index, serverId, atMs: fleet.nowMs });
+      gateway.applyStatement(fleet.states[index].servers, life, statement, fleet.nowMs);
+    }
     gateway.noteRateLimit(fleet.states[index], request, perSecond, fleet.nowMs);
     gateway.noteGoodAnswer(fleet.states[index], request, fleet.nowMs);
     gateway.endRequest(fleet.states[index], request);
