Heed departures that backend servers state in answers

Callers saw requests that a leaving backend server took over and then cut: one got 504. A gateway had passed on answers with Server-Leaving and sent that server new requests 2.3 s and 2.9 s later (2 s allowed).

Departures were known from the store's entry alone, and the store was away when the server left. Ruled out: requests on their way, grants that the gateway should not have used.

What an answer states is kept by the life of the server, apart from its entry, and the one check of usability asks for it: at the scheduler, which leaves the server out of its cell, and at the gateway right before a grant is used. Gateways repeat departures to the scheduler with each ask, so that no scheduler is needed to remember them. They end with the life of the server; an entry that says ready revokes none.

--- /dev/null
+++ b/packages/core/src/gateway/answer-statements.ts
@@ -0,0 +1,24 @@
+/** Takes in what an answer states about its backend server, and has its scheduler told. */
+import * as asking from './asking.js';
+import * as backendServers from './backend-servers.js';
+import type * as gatewayRequest from './gateway-request.js';
+import type * as gatewayState from './gateway-state.js';
+import type * as serverStatements from './server-statements.js';
+
+/** Takes in what the answer to a request states, and gives what is news. */
+export function noteAnswerStatement(
+  state: gatewayState.GatewayState,
+  { serverId, serverBornMs, service }: gatewayRequest.GatewayRequest,
+  statement: serverStatements.AnswerStatement,
+  now: number,
+): serverStatements.StatementChange[] {
+  if (serverId === undefined) {
+    return [];
+  }
+  const life = { id: serverId, bornMs: serverBornMs };
+  const changes = backendServers.applyStatement(state.servers, life, statement, now);
+  if (changes.length > 0) {
+    asking.noteNews(state, serverId, service);
+  }
+  return changes;
+}
--- a/packages/core/src/gateway/ask-messages.ts
+++ b/packages/core/src/gateway/ask-messages.ts
@@ -37,6 +37,7 @@
 const MAX_SERIALS = 48;
 const MAX_OBSERVATIONS = 12;
 const MAX_RATE_LIMITS = 8;
+const MAX_STATEMENTS = 8;
 
 /** Lists what this gateway has in flight at the backend servers of a cell. */
 function listInFlight(
@@ -50,6 +51,12 @@
     .map(([serverId, requests]) => ({ serverId, requests }));
 }
 
+/** Takes the next few of a list that is told in turn. */
+function takeInTurn<T>(all: readonly T[], toldBefore: number, most: number): T[] {
+  const from = all.length === 0 ? 0 : toldBefore % all.length;
+  return [...all.slice(from), ...all.slice(0, from)].slice(0, most);
+}
+
 /** Takes the rate limits that the scheduler of a cell is told of now: all of them in turn. */
 function takeRateLimits(
   state: gatewayState.GatewayState,
@@ -58,8 +65,7 @@
 ): { serverId: string; perSecond: number | undefined; ageMs: number }[] {
   const { cellByServer } = asking.getSplit(state, link.service, now);
   const all = rateLimits.listTold(state, now).filter(([id]) => cellByServer.get(id) === link.cell);
-  const from = all.length === 0 ? 0 : link.rateLimitsTold % all.length;
-  const taken = [...all.slice(from), ...all.slice(0, from)].slice(0, MAX_RATE_LIMITS);
+  const taken = takeInTurn(all, link.rateLimitsTold, MAX_RATE_LIMITS);
   link.rateLimitsTold += taken.length;
   return taken.map(([serverId, { perSecond, toldMs }]) => ({
     serverId,
@@ -68,6 +74,28 @@
   }));
 }
 
+/** Takes the statements of backend servers that the scheduler of a cell is told of now. */
+function takeStatements(
+  state: gatewayState.GatewayState,
+  link: schedulerLink.SchedulerLink,
+  now: number,
+): schema.ServerStatement[] {
+  const { cellByServer } = asking.getSplit(state, link.service, now);
+  const all = [...state.servers.statements].filter(
+    ([id, { leavingSinceMs }]) =>
+      cellByServer.get(id) === link.cell && leavingSinceMs !== undefined,
+  );
+  const taken = takeInTurn(all, link.statementsTold, MAX_STATEMENTS);
+  link.statementsTold += taken.length;
+  return taken.map(([serverId, { bornMs, leavingSinceMs }]) =>
+    schema.create(schema.ServerStatementSchema, {
+      serverId,
+      bornMs,
+      isLeaving: leavingSinceMs !== undefined,
+    }),
+  );
+}
+
 /** Describes a request that asks for a place. */
 function buildWaiting(
   state: gatewayState.GatewayState,
@@ -138,6 +166,7 @@
         lastGrant: link.lastGrant,
         observations: link.observations.splice(0, MAX_OBSERVATIONS),
         rateLimits: takeRateLimits(state, link, now),
+        statements: takeStatements(state, link, now),
       }),
     );
   } while (requests.length > 0);
--- /dev/null
+++ b/packages/core/src/gateway/ask-receipt.ts
@@ -0,0 +1,29 @@
+/** Takes in what another gateway tells this one as the scheduler of a cell. */
+import type * as schema from '@toucanproxy/schema';
+import * as scheduler from '../scheduler/index.js';
+import * as backendServers from './backend-servers.js';
+import type * as gatewayState from './gateway-state.js';
+import type * as serverStatements from './server-statements.js';
+
+/**
+ * Takes in an ask; gives what is news of backend servers.
+ *
+ * A departure that another gateway was told of holds here too: it ends with the life of the
+ * backend server, and a scheduler that did not know of it would grant places there.
+ */
+export function receiveAsk(
+  state: gatewayState.GatewayState,
+  ask: schema.ScheduleAsk,
+  now: number,
+): serverStatements.StatementChange[] {
+  const changes = ask.statements.flatMap(({ serverId, bornMs, isLeaving }) =>
+    backendServers.applyStatement(
+      state.servers,
+      { id: serverId, bornMs },
+      { isLeaving, backoffMs: undefined },
+      now,
+    ),
+  );
+  scheduler.receiveAsk(state.scheduler, ask, now);
+  return changes;
+}
--- a/packages/core/src/gateway/backend-servers.ts
+++ b/packages/core/src/gateway/backend-servers.ts
@@ -6,6 +6,9 @@
  * stays usable until the time in which living ones are back has passed. Any
  * other entry that disappears is gone at once.
  *
+ * One that has said in an answer that it leaves gets nothing new for the rest of its life: its
+ * entry may tell so late, or never while the store is away.
+ *
  * Those in a failure domain that operators have had evacuated get nothing new either,
  * whatever their entries say.
  */
@@ -98,7 +101,9 @@
   if (known !== undefined && known.entry.bornMs !== life.bornMs) {
     return [];
   }
-  return serverStatements.noteStatement(servers.statements, life, statement, now);
+  const changes = serverStatements.noteStatement(servers.statements, life, statement, now);
+  servers.revision += changes.length;
+  return changes;
 }
 
 /**
@@ -115,6 +120,7 @@
 ): boolean {
   return (
     !entry.leaving &&
+    !serverStatements.isLeaving(servers.statements, entry) &&
     !displaced &&
     now < (missingUntilMs ?? Infinity) &&
     now >= heldUntilMs &&
--- a/packages/core/src/gateway/index.ts
+++ b/packages/core/src/gateway/index.ts
@@ -1,6 +1,8 @@
 /** The decisions of a gateway: requests go to backend servers without an agent. */
 export * from './assignment.js';
 export * from './attempt-end.js';
+export * from './answer-statements.js';
+export * from './ask-receipt.js';
 export * from './backend-servers.js';
 export * from './belief.js';
 export * from './configuration.js';
@@ -27,7 +29,6 @@
 export * from '../shared/store-revision.js';
 export {
   isWorkWaiting,
-  receiveAsk,
   type Candidate,
   type Scheduler,
   type SchedulingNote,
--- a/packages/core/src/gateway/scheduler-link.ts
+++ b/packages/core/src/gateway/scheduler-link.ts
@@ -23,8 +23,9 @@
   withdrawn: number[];
   observations: schema.ServerObservation[];
   lastGrant: number;
-  /** Rate limits that were told so far; the next ones are told in turn. */
+  /** Rate limits and statements that were told so far; the next ones are told in turn. */
   rateLimitsTold: number;
+  statementsTold: number;
   /** There is something to tell at once. */
   isDirty: boolean;
   /** Places of the cell, and requests at them or before them, as last told. */
@@ -52,6 +53,7 @@
     observations: [],
     lastGrant: 0,
     rateLimitsTold: 0,
+    statementsTold: 0,
     isDirty: false,
     places: 0,
     load: 0,
--- a/packages/gateway/src/gateway-task.ts
+++ b/packages/gateway/src/gateway-task.ts
@@ -9,6 +9,7 @@
 import type * as heldRequest from './held-request.js';
 import * as requestEnding from './request-ending.js';
 import * as requestReports from './request-reports.js';
+import * as statementReports from './statement-reports.js';
 import type * as taskState from './task-state.js';
 
 export type GatewayTask = {
@@ -85,7 +86,9 @@
 
 /** Takes in what a gateway asks this one's scheduler. */
 function receiveAsk(task: taskState.TaskState, ask: schema.ScheduleAsk): void {
-  gateway.receiveAsk(task.state.scheduler, ask, task.readClocks().steadyMs);
+  const now = task.readClocks().steadyMs;
+  const changes = gateway.receiveAsk(task.state, ask, now);
+  statementReports.reportStatements(task.log, changes, ask.address, now);
   task.assign();
 }
 
--- a/packages/gateway/src/statement-reports.ts
+++ b/packages/gateway/src/statement-reports.ts
@@ -11,29 +11,38 @@
   log: decisionLog.DecisionLog;
 };
 
+/**
+ * Tells what has become known of backend servers.
+ *
+ * @param from address of the gateway that told; undefined for an answer to this one
+ */
+export function reportStatements(
+  log: decisionLog.DecisionLog,
+  changes: readonly gateway.StatementChange[],
+  from: string | undefined,
+  now: number,
+): void {
+  changes.forEach((change) => log.write('server-statement', { ...change, from }, now));
+}
+
 /** Takes in what one answer states; what cannot be read changes nothing. */
 export function takeStatements(
   { state, readClocks, log }: StatementParts,
-  { serverId, serverBornMs }: gateway.GatewayRequest,
+  request: gateway.GatewayRequest,
   { leaving, backoffMs }: wireProtocol.AnswerNames,
 ): void {
-  if (serverId === undefined) {
-    return;
-  }
   const now = readClocks().steadyMs;
   const code = schema.ResultCode.SERVER_STATEMENT_FAULT;
   [leaving, backoffMs]
     .filter((one) => one.kind === 'unreadable')
     .forEach(({ text }) => {
-      const line = { server: serverId, found: text, code, result: schema.ResultCode[code] };
+      const line = { server: request.serverId, found: text, code, result: schema.ResultCode[code] };
       log.write('server-statement-faulty', line, now);
     });
   const statement = {
     isLeaving: leaving.kind === 'stated',
     backoffMs: backoffMs.kind === 'stated' ? backoffMs.value : undefined,
   };
-  const life = { id: serverId, bornMs: serverBornMs };
-  gateway
-    .applyStatement(state.servers, life, statement, now)
-    .forEach((change) => log.write('server-statement', change, now));
+  const changes = gateway.noteAnswerStatement(state, request, statement, now);
+  reportStatements(log, changes, undefined, now);
 }
--- a/packages/measure/src/gateway-load/replay.ts
+++ b/packages/measure/src/gateway-load/replay.ts
@@ -140,7 +140,7 @@
     const state = byAddress.get(content.to);
     world.nowMs = Math.max(dueMs, tickMs);
     if (state !== undefined && content.kind === 'ask') {
-      gateway.receiveAsk(state.scheduler, content.ask, world.nowMs);
+      gateway.receiveAsk(state, content.ask, world.nowMs);
       advance(world, state);
     } else if (state !== undefined && content.kind === 'reply') {
       const clocks = replayWorld.readClocks(world);
--- a/packages/proofs/src/mocks/gateway-fleet.ts
+++ b/packages/proofs/src/mocks/gateway-fleet.ts
@@ -139,10 +139,9 @@
   serverId: string,
   backoffMs: number,
 ): void {
-  const { servers } = fleet.states[index];
-  const life = { id: serverId, bornMs: request.serverBornMs };
   fleet.backedOff.push({ gateway: index, serverId, atMs: fleet.nowMs });
-  gateway.applyStatement(servers, life, { isLeaving: false, backoffMs }, fleet.nowMs);
+  const statement = { isLeaving: false, backoffMs };
+  gateway.noteAnswerStatement(fleet.states[index], request, statement, fleet.nowMs);
   endAttempt(fleet, index, request, gateway.AttemptFault.REFUSED);
 }
 
@@ -197,7 +196,7 @@
 ): void {
   const state = fleet.states[index];
   if (content.kind === 'ask') {
-    gateway.receiveAsk(state.scheduler, content.ask, fleet.nowMs);
+    gateway.receiveAsk(state, content.ask, fleet.nowMs);
   } else {
     const assignments = gateway.applyReply(state, content.reply, fleetState.readClocks(fleet));
     applyAssignments(fleet, index, assignments);
@@ -217,10 +216,9 @@
       fleet.told.push({ gateway: index, serverId, atMs: fleet.nowMs });
     }
     if (fleet.sayingLeaving.has(serverId)) {
-      const life = { id: serverId, bornMs: request.serverBornMs };
       const statement = { isLeaving: true, backoffMs: undefined };
       fleet.told.push({ gateway: index, serverId, atMs: fleet.nowMs });
-      gateway.applyStatement(fleet.states[index].servers, life, statement, fleet.nowMs);
+      gateway.noteAnswerStatement(fleet.states[index], request, statement, fleet.nowMs);
     }
     gateway.noteRateLimit(fleet.states[index], request, perSecond, fleet.nowMs);
     gateway.noteGoodAnswer(fleet.states[index], request, fleet.nowMs);
