Keep to the backoffs that backend servers ask for

Backend servers under overload refused requests with 503 and Retry-After: 3, and got 3 and 6 more requests within that time from a gateway that had been told (two are allowed from half a second on); all were refused again, and their callers waited for nothing.

The scheduler paused one after a refusal by its own rule (250 ms, doubled up to 2 s) and then granted all of its places at once, as it looked empty. Ruled out: grants from before the refusal, a change of schedulers.

The gateway that was refused keeps the backoff for the life of the server, does not use grants there, and tells its scheduler with each ask, which grants its requests other places.

--- a/packages/core/src/gateway/ask-messages.ts
+++ b/packages/core/src/gateway/ask-messages.ts
@@ -82,16 +82,17 @@
 ): schema.ServerStatement[] {
   const { cellByServer } = asking.getSplit(state, link.service, now);
   const all = [...state.servers.statements].filter(
-    ([id, { leavingSinceMs }]) =>
-      cellByServer.get(id) === link.cell && leavingSinceMs !== undefined,
+    ([id, { leavingSinceMs, backoffUntilMs }]) =>
+      cellByServer.get(id) === link.cell && (leavingSinceMs !== undefined || backoffUntilMs > now),
   );
   const taken = takeInTurn(all, link.statementsTold, MAX_STATEMENTS);
   link.statementsTold += taken.length;
-  return taken.map(([serverId, { bornMs, leavingSinceMs }]) =>
+  return taken.map(([serverId, { bornMs, leavingSinceMs, backoffUntilMs }]) =>
     schema.create(schema.ServerStatementSchema, {
       serverId,
       bornMs,
       isLeaving: leavingSinceMs !== undefined,
+      backoffLeftMs: Math.max(backoffUntilMs - now, 0),
     }),
   );
 }
--- a/packages/core/src/gateway/ask-receipt.ts
+++ b/packages/core/src/gateway/ask-receipt.ts
@@ -5,6 +5,8 @@
 import type * as gatewayState from './gateway-state.js';
 import type * as serverStatements from './server-statements.js';
 
+const LEAVING = { isLeaving: true, backoffMs: undefined };
+
 /**
  * Takes in an ask; gives what is news of backend servers.
  *
@@ -16,14 +18,11 @@
   ask: schema.ScheduleAsk,
   now: number,
 ): serverStatements.StatementChange[] {
-  const changes = ask.statements.flatMap(({ serverId, bornMs, isLeaving }) =>
-    backendServers.applyStatement(
-      state.servers,
-      { id: serverId, bornMs },
-      { isLeaving, backoffMs: undefined },
-      now,
-    ),
-  );
+  const changes = ask.statements
+    .filter(({ isLeaving }) => isLeaving)
+    .flatMap(({ serverId, bornMs }) =>
+      backendServers.applyStatement(state.servers, { id: serverId, bornMs }, LEAVING, now),
+    );
   scheduler.receiveAsk(state.scheduler, ask, now);
   return changes;
 }
--- a/packages/core/src/gateway/assignment.ts
+++ b/packages/core/src/gateway/assignment.ts
@@ -19,6 +19,7 @@
 import * as regionBinding from './region-binding.js';
 import * as requestEnd from './request-end.js';
 import * as rights from './rights.js';
+import * as serverStatements from './server-statements.js';
 import * as strandedRequests from './stranded-requests.js';
 
 export type Assignment =
@@ -45,6 +46,8 @@
   EVACUATED = 'evacuated',
   /** It lies outside the regions of the request. */
   REGION = 'region',
+  /** It takes nothing from this gateway for now. */
+  BACKOFF = 'backoff',
 }
 
 /** A message to another gateway. */
@@ -103,7 +106,7 @@
  * Finds the backend server that a request was granted.
  *
  * A scheduler may not have heard yet that it leaves, or that its failure domain is
- * evacuated; what this gateway knows decides.
+ * evacuated, or that it takes nothing from this gateway; what this gateway knows decides.
  */
 function findGranted(
   state: gatewayState.GatewayState,
@@ -121,6 +124,9 @@
   if (!allowedDomains.isInRegions(state, regions, entry.failureDomain)) {
     return { kind: 'unusable', reason: UnusableReason.REGION };
   }
+  if (serverStatements.computeBackoffLeft(state.servers.statements, entry, now) > 0) {
+    return { kind: 'unusable', reason: UnusableReason.BACKOFF };
+  }
   const server = backendServers.findUsable(state.servers, serverId, now);
   return server === undefined
     ? { kind: 'unusable', reason: UnusableReason.NOT_IN_SERVICE }
--- a/packages/core/src/gateway/server-statements.ts
+++ b/packages/core/src/gateway/server-statements.ts
@@ -65,6 +65,11 @@
   return Math.max((getStatement(statements, life)?.backoffUntilMs ?? 0) - now, 0);
 }
 
+/** Tells whether any backend server takes nothing from this gateway for now. */
+export function hasBackoffs(statements: ServerStatements, now: number): boolean {
+  return [...statements.values()].some(({ backoffUntilMs }) => backoffUntilMs > now);
+}
+
 /** Takes in what an answer states, and gives what is news. */
 export function noteStatement(
   statements: ServerStatements,
--- a/packages/core/src/scheduler/asks.ts
+++ b/packages/core/src/scheduler/asks.ts
@@ -24,6 +24,7 @@
     sequence: 0,
     heardMs: now,
     inFlight: new Map(),
+    backoffs: new Map(),
     openGrants: [],
     requests: new Map(),
     reply: cells.makeReply(),
@@ -83,6 +84,22 @@
   asker.openGrants = asker.openGrants.filter(({ number }) => number > ask.lastGrant);
 }
 
+/** Takes in which backend servers take nothing from a gateway for now. */
+function applyBackoffs(
+  { backoffs }: cells.CellAsker,
+  { statements }: schema.ScheduleAsk,
+  now: number,
+): void {
+  backoffs.forEach((untilMs, serverId) => {
+    if (untilMs <= now) {
+      backoffs.delete(serverId);
+    }
+  });
+  statements
+    .filter(({ backoffLeftMs }) => backoffLeftMs > 0)
+    .forEach(({ serverId, backoffLeftMs }) => backoffs.set(serverId, now + backoffLeftMs));
+}
+
 /** Makes the record of a request that a gateway asks a place for. */
 function makeRequest(
   cell: cells.Cell,
@@ -174,6 +191,7 @@
   asker.reply.isDue = true;
   cell.askedMs = now;
   applyInFlight(asker, ask);
+  applyBackoffs(asker, ask, now);
   ask.observations.forEach((one) => noteObservation(cell, one, now));
   ask.rateLimits.forEach(({ serverId, perSecond, ageMs }) =>
     rateLimit.applyTold(cell.rateLimits, { serverId, perSecond, toldMs: now - ageMs }, now),
--- a/packages/core/src/scheduler/cell.ts
+++ b/packages/core/src/scheduler/cell.ts
@@ -40,6 +40,8 @@
   heardMs: number;
   /** Its requests by backend server, as it last told. */
   inFlight: Map<string, number>;
+  /** Until when backend servers take nothing from it, by their ids, milliseconds. */
+  backoffs: Map<string, number>;
   /** Grants that it has not told of yet. */
   openGrants: OpenGrant[];
   /** Its requests that wait, by its number for them. */
--- a/packages/core/src/scheduler/request-match.ts
+++ b/packages/core/src/scheduler/request-match.ts
@@ -10,6 +10,7 @@
 import type * as cells from './cell.js';
 import type * as scheduledRequest from './scheduled-request.js';
 import * as serverChoice from './server-choice.js';
+import type * as waitQueue from './wait-queue.js';
 import * as waiting from './waiting.js';
 
 export type Match = {
@@ -48,22 +49,36 @@
   return firstMs <= request.targetMs && endMs <= request.giveUpMs;
 }
 
+/** Lists the backend servers that take something from a gateway now. */
+function listTaking(
+  { cell, now }: MatchSearch,
+  all: readonly serverChoice.Candidate[],
+  asker: string,
+): readonly serverChoice.Candidate[] {
+  const backoffs = cell.askers.get(asker)?.backoffs;
+  return backoffs === undefined || backoffs.size === 0
+    ? all
+    : all.filter(({ id }) => (backoffs.get(id) ?? 0) <= now);
+}
+
 /** Lists the backend servers that a request may go to. */
 function listAllowed(
+  search: MatchSearch,
   all: readonly serverChoice.Candidate[],
-  { excludedDomains }: scheduledRequest.ScheduledRequest,
+  { asker, excludedDomains }: scheduledRequest.ScheduledRequest,
 ): readonly serverChoice.Candidate[] {
+  const taking = listTaking(search, all, asker);
   return excludedDomains.size === 0
-    ? all
-    : all.filter(({ failureDomain }) => !excludedDomains.has(failureDomain));
+    ? taking
+    : taking.filter(({ failureDomain }) => !excludedDomains.has(failureDomain));
 }
 
 /** Lists the open places of a request; those that failed it only where there are no others. */
 function listPlaces(
-  { open }: OpenSearch,
+  search: OpenSearch,
   request: scheduledRequest.ScheduledRequest,
 ): readonly serverChoice.Candidate[] {
-  const allowed = listAllowed(open, request);
+  const allowed = listAllowed(search, search.open, request);
   const untried = allowed.filter((one) => !request.triedIds.has(one.id));
   return untried.length > 0 ? untried : allowed;
 }
@@ -90,7 +105,7 @@
   request: scheduledRequest.ScheduledRequest,
 ): serverChoice.Candidate | undefined {
   const unlimited = search.candidates.filter(({ isRateLimited }) => !isRateLimited);
-  return listAllowed(unlimited, request).some((one) => isInTime(search, request, one))
+  return listAllowed(search, unlimited, request).some((one) => isInTime(search, request, one))
     ? undefined
     : serverChoice.chooseServer(
         listPlaces(search, request),
@@ -99,6 +114,25 @@
       );
 }
 
+/**
+ * Lists the waiting requests that are looked at. Those of gateways that no open backend server
+ * takes anything from are left out: a few dozen of them in front would keep all others waiting.
+ */
+function listLookedAt(search: OpenSearch): scheduledRequest.ScheduledRequest[] {
+  const { cell, open } = search;
+  const stuck = new Set(
+    [...cell.askers.keys()].filter((asker) => listTaking(search, open, asker).length === 0),
+  );
+  const { items } = cell.queue;
+  const isMovable = ({ serial }: waitQueue.WaitItem) =>
+    !stuck.has(cell.requests.get(serial)?.asker ?? '');
+  const movable = stuck.size === 0 ? items : items.filter(isMovable);
+  return movable
+    .slice(0, MAX_LOOK_AHEAD)
+    .map(({ serial }) => cell.requests.get(serial))
+    .filter((request) => request !== undefined);
+}
+
 /** Finds the first waiting request of a cell that gets a place. */
 export function findNextMatch(search: MatchSearch): Match | undefined {
   const { cell } = search;
@@ -106,14 +140,12 @@
   if (cell.queue.items.length === 0 || open.length === 0) {
     return undefined;
   }
-  const requests = cell.queue.items
-    .slice(0, MAX_LOOK_AHEAD)
-    .map(({ serial }) => cell.requests.get(serial))
-    .filter((request) => request !== undefined);
+  const openSearch = { ...search, open };
+  const requests = listLookedAt(openSearch);
   let match: Match | undefined;
   [chooseInTime, chooseAny].some((choose) =>
     requests.some((request) => {
-      const chosen = choose({ ...search, open }, request);
+      const chosen = choose(openSearch, request);
       match = chosen && { request, chosen };
       return match !== undefined;
     }),
--- a/packages/core/src/scheduler/scheduler.ts
+++ b/packages/core/src/scheduler/scheduler.ts
@@ -81,6 +81,7 @@
     cell.loads.delete(serverId);
     cell.starts.delete(serverId);
     cell.rateLimits.delete(serverId);
+    cell.askers.forEach(({ backoffs }) => backoffs.delete(serverId));
   });
 }
 
