Keep all statements of a backend server in one place

Rate limits, departures and backoffs each had a way of their own from the answer to the scheduler, and rate limits were kept by id alone: a gateway that had not read of a restart told the limit of the earlier life on. All three are now one record by id and life (server-statements.ts), one message to the scheduler, one log line, one gauge and one row of status.

server-admission.ts decides whether a server may be sent a request, when a grant is used and now once more right before the first byte leaves: a connection may take 400 ms to open, and a server that refused the first of nine requests would get the other eight. Such a request is withdrawn, blames nobody and waits again.

New: a refusal that is not signed lifts no limit (no test noticed that before).

--- a/packages/core/src/gateway/answer-statements.ts
+++ b/packages/core/src/gateway/answer-statements.ts
@@ -5,16 +5,24 @@
 import type * as gatewayState from './gateway-state.js';
 import type * as serverStatements from './server-statements.js';
 
+/** What an answer says in its head. */
+export type StatedValues = Omit<serverStatements.AnswerStatement, 'answered'> & {
+  /** The backend server has signed the answer. */
+  isSigned: boolean;
+};
+
 /** Takes in what the answer to a request states, and gives what is news. */
 export function noteAnswerStatement(
   state: gatewayState.GatewayState,
-  { serverId, serverBornMs, service }: gatewayRequest.GatewayRequest,
-  statement: serverStatements.AnswerStatement,
+  request: gatewayRequest.GatewayRequest,
+  { isSigned, ...values }: StatedValues,
   now: number,
 ): serverStatements.StatementChange[] {
+  const { serverId, serverBornMs, service } = request;
   if (serverId === undefined) {
     return [];
   }
+  const statement = { ...values, answered: isSigned ? request : undefined };
   const life = { id: serverId, bornMs: serverBornMs };
   const changes = backendServers.applyStatement(state.servers, life, statement, now);
   if (changes.length > 0) {
--- a/packages/core/src/gateway/ask-messages.ts
+++ b/packages/core/src/gateway/ask-messages.ts
@@ -7,11 +7,12 @@
 import * as schema from '@toucanproxy/schema';
 import * as allowedDomains from './allowed-domains.js';
 import * as asking from './asking.js';
+import * as fleetSplit from './fleet-split.js';
 import type * as gatewayRequest from './gateway-request.js';
 import type * as gatewayState from './gateway-state.js';
-import * as rateLimits from './rate-limits.js';
 import * as schedulerLink from './scheduler-link.js';
 import * as schedulerRanking from './scheduler-ranking.js';
+import * as serverStatements from './server-statements.js';
 
 /** An ask and the scheduler that it is for. */
 export type AddressedAsk = { to: string; ask: schema.ScheduleAsk };
@@ -36,7 +37,6 @@
 const MAX_REQUESTS = 8;
 const MAX_SERIALS = 48;
 const MAX_OBSERVATIONS = 12;
-const MAX_RATE_LIMITS = 8;
 const MAX_STATEMENTS = 8;
 
 /** Lists what this gateway has in flight at the backend servers of a cell. */
@@ -51,50 +51,41 @@
     .map(([serverId, requests]) => ({ serverId, requests }));
 }
 
-/** Takes the next few of a list that is told in turn. */
-function takeInTurn<T>(all: readonly T[], toldBefore: number, most: number): T[] {
-  const from = all.length === 0 ? 0 : toldBefore % all.length;
-  return [...all.slice(from), ...all.slice(0, from)].slice(0, most);
-}
-
-/** Takes the rate limits that the scheduler of a cell is told of now: all of them in turn. */
-function takeRateLimits(
-  state: gatewayState.GatewayState,
-  link: schedulerLink.SchedulerLink,
+/** Lists what the scheduler of a cell is to be told of its backend servers. */
+function listStatements(
+  { servers, split }: gatewayState.GatewayState,
+  { cell, service }: schedulerLink.SchedulerLink,
   now: number,
-): { serverId: string; perSecond: number | undefined; ageMs: number }[] {
-  const { cellByServer } = asking.getSplit(state, link.service, now);
-  const all = rateLimits.listTold(state, now).filter(([id]) => cellByServer.get(id) === link.cell);
-  const taken = takeInTurn(all, link.rateLimitsTold, MAX_RATE_LIMITS);
-  link.rateLimitsTold += taken.length;
-  return taken.map(([serverId, { perSecond, toldMs }]) => ({
-    serverId,
-    perSecond,
-    ageMs: now - toldMs,
-  }));
+): schema.ServerStatement[] {
+  return [...servers.statements]
+    .filter(([id, statement]) => {
+      const isOfLife = servers.byId.get(id)?.entry.bornMs === statement.bornMs;
+      const isInCell = fleetSplit.findCellOf(split, service, id) === cell;
+      return isOfLife && isInCell && serverStatements.isToldOn(statement, now);
+    })
+    .map(([serverId, { bornMs, leavingSinceMs, backoffUntilMs, rateLimit }]) =>
+      schema.create(schema.ServerStatementSchema, {
+        serverId,
+        bornMs,
+        isLeaving: leavingSinceMs !== undefined,
+        backoffLeftMs: Math.max(backoffUntilMs - now, 0),
+        rateLimit: rateLimit && {
+          perSecond: rateLimit.perSecond,
+          ageMs: now - rateLimit.statedMs,
+        },
+      }),
+    );
 }
 
-/** Takes the statements of backend servers that the scheduler of a cell is told of now. */
+/** Takes the next few statements that the scheduler of a cell is told of: all of them in turn. */
 function takeStatements(
-  state: gatewayState.GatewayState,
   link: schedulerLink.SchedulerLink,
-  now: number,
+  all: readonly schema.ServerStatement[],
 ): schema.ServerStatement[] {
-  const { cellByServer } = asking.getSplit(state, link.service, now);
-  const all = [...state.servers.statements].filter(
-    ([id, { leavingSinceMs, backoffUntilMs }]) =>
-      cellByServer.get(id) === link.cell && (leavingSinceMs !== undefined || backoffUntilMs > now),
-  );
-  const taken = takeInTurn(all, link.statementsTold, MAX_STATEMENTS);
+  const from = all.length === 0 ? 0 : link.statementsTold % all.length;
+  const taken = [...all.slice(from), ...all.slice(0, from)].slice(0, MAX_STATEMENTS);
   link.statementsTold += taken.length;
-  return taken.map(([serverId, { bornMs, leavingSinceMs, backoffUntilMs }]) =>
-    schema.create(schema.ServerStatementSchema, {
-      serverId,
-      bornMs,
-      isLeaving: leavingSinceMs !== undefined,
-      backoffLeftMs: Math.max(backoffUntilMs - now, 0),
-    }),
-  );
+  return taken;
 }
 
 /** Describes a request that asks for a place. */
@@ -148,6 +139,7 @@
 ): schema.ScheduleAsk[] {
   const requests = takeAskable(state, link, now);
   const inFlight = listInFlight(state, link, now);
+  const statements = listStatements(state, link, now);
   const accepted = [...link.asks].filter(([, { isAccepted }]) => isAccepted);
   const asks: schema.ScheduleAsk[] = [];
   do {
@@ -166,8 +158,7 @@
         inFlight,
         lastGrant: link.lastGrant,
         observations: link.observations.splice(0, MAX_OBSERVATIONS),
-        rateLimits: takeRateLimits(state, link, now),
-        statements: takeStatements(state, link, now),
+        statements: takeStatements(link, statements),
       }),
     );
   } while (requests.length > 0);
--- a/packages/core/src/gateway/assignment.ts
+++ b/packages/core/src/gateway/assignment.ts
@@ -3,14 +3,11 @@
 import type * as backendServerEntry from '../shared/backend-server-entry.js';
 import * as retryBudget from '../shared/retry-budget.js';
 import * as scheduler from '../scheduler/index.js';
-import * as allowedDomains from './allowed-domains.js';
 import * as askMessages from './ask-messages.js';
 import * as asking from './asking.js';
-import * as backendServers from './backend-servers.js';
 import * as serverEntries from './server-entries.js';
 import type * as belief from './belief.js';
 import * as cellServers from './cell-servers.js';
-import * as evacuations from './evacuations.js';
 import * as gatewayRequest from './gateway-request.js';
 import * as gatewayState from './gateway-state.js';
 import * as peerView from './peer-view.js';
@@ -19,7 +16,7 @@
 import * as regionBinding from './region-binding.js';
 import * as requestEnd from './request-end.js';
 import * as rights from './rights.js';
-import * as serverStatements from './server-statements.js';
+import * as serverAdmission from './server-admission.js';
 import * as strandedRequests from './stranded-requests.js';
 
 export type Assignment =
@@ -36,20 +33,9 @@
       kind: 'waitOn';
       request: gatewayRequest.GatewayRequest;
       serverId: string;
-      reason: UnusableReason;
+      reason: serverAdmission.UnusableReason;
     };
 
-/** Why a backend server that was granted may not be used. */
-export enum UnusableReason {
-  /** It leaves, is gone, or another one is at its address. */
-  NOT_IN_SERVICE = 'not-in-service',
-  EVACUATED = 'evacuated',
-  /** It lies outside the regions of the request. */
-  REGION = 'region',
-  /** It takes nothing from this gateway for now. */
-  BACKOFF = 'backoff',
-}
-
 /** A message to another gateway. */
 export type Outgoing =
   | { kind: 'ask'; to: string; ask: schema.ScheduleAsk }
@@ -97,42 +83,6 @@
     : refusal.buildRefusal(schema.ResultCode.NO_BACKEND_SERVER, refusal.ELSEWHERE_RETRY_AFTER_MS);
 }
 
-/** The backend server that a request was granted, or why it may not be used. */
-type GrantedServer =
-  | { kind: 'usable'; server: backendServerEntry.BackendServerEntry }
-  | { kind: 'unusable'; reason: UnusableReason };
-
-/**
- * Finds the backend server that a request was granted.
- *
- * A scheduler may not have heard yet that it leaves, or that its failure domain is
- * evacuated, or that it takes nothing from this gateway; what this gateway knows decides.
- */
-function findGranted(
-  state: gatewayState.GatewayState,
-  { regions }: gatewayRequest.GatewayRequest,
-  serverId: string,
-  now: number,
-): GrantedServer {
-  const entry = state.servers.byId.get(serverId)?.entry;
-  if (entry === undefined) {
-    return { kind: 'unusable', reason: UnusableReason.NOT_IN_SERVICE };
-  }
-  if (evacuations.isEvacuated(state.servers.evacuations, entry.failureDomain)) {
-    return { kind: 'unusable', reason: UnusableReason.EVACUATED };
-  }
-  if (!allowedDomains.isInRegions(state, regions, entry.failureDomain)) {
-    return { kind: 'unusable', reason: UnusableReason.REGION };
-  }
-  if (serverStatements.computeBackoffLeft(state.servers.statements, entry, now) > 0) {
-    return { kind: 'unusable', reason: UnusableReason.BACKOFF };
-  }
-  const server = backendServers.findUsable(state.servers, serverId, now);
-  return server === undefined
-    ? { kind: 'unusable', reason: UnusableReason.NOT_IN_SERVICE }
-    : { kind: 'usable', server };
-}
-
 /** Sends a request to the place that it was granted. */
 function applyGranted(
   state: gatewayState.GatewayState,
@@ -151,7 +101,7 @@
   if (entry !== undefined) {
     serverEntries.applyTold(state.servers, entry, now);
   }
-  const found = findGranted(state, request, serverId, now);
+  const found = serverAdmission.admitToServer(state, request, serverId, now);
   if (found.kind === 'unusable') {
     state.schedulingTotals.grantsUnused += 1;
     request.triedIds.add(serverId);
--- a/packages/core/src/gateway/attempt-end.ts
+++ b/packages/core/src/gateway/attempt-end.ts
@@ -14,6 +14,8 @@
 export enum AttemptFault {
   /** No connection: no byte of the request left. */
   UNREACHABLE = 'unreachable',
+  /** Not sent: the backend server was not to be used any more when its connection was open. */
+  WITHDRAWN = 'withdrawn',
   /** The backend server says that it did not run the request, as it is full. */
   REFUSED = 'refused',
   /** Another backend server is at the address, and did not run the request. */
@@ -38,7 +40,12 @@
 /** Time that a further attempt needs at least, milliseconds. */
 const MIN_TIME_LEFT_MS = 20;
 
-const NOT_RUN = new Set([AttemptFault.UNREACHABLE, AttemptFault.REFUSED, AttemptFault.MISDIRECTED]);
+const NOT_RUN = new Set([
+  AttemptFault.UNREACHABLE,
+  AttemptFault.WITHDRAWN,
+  AttemptFault.REFUSED,
+  AttemptFault.MISDIRECTED,
+]);
 
 /** Notes what a fault says of the backend server. */
 function noteServerFault(
@@ -56,6 +63,8 @@
     case AttemptFault.REFUSED:
       asking.noteObservation(state, server, schema.ServerObservation_Kind.NOT_TAKEN, 0, now);
       return;
+    case AttemptFault.WITHDRAWN:
+      return;
     case AttemptFault.MISDIRECTED:
       backendServers.noteDisplaced(state.servers, serverId);
       return;
--- a/packages/core/src/gateway/gateway-state.ts
+++ b/packages/core/src/gateway/gateway-state.ts
@@ -12,7 +12,6 @@
 import type * as gatewayRequest from './gateway-request.js';
 import * as peerView from './peer-view.js';
 import type * as quotaLimit from './quota-limit.js';
-import type * as rateLimits from './rate-limits.js';
 import type * as schedulerLink from './scheduler-link.js';
 import * as schedulerRanking from './scheduler-ranking.js';
 import * as tokenQuota from './token-quota.js';
@@ -93,8 +92,6 @@
   suspects: suspects.Suspects;
   /** Requests that broke off lately, by backend server. */
   brokenRuns: Map<string, crashWatch.BrokenRun[]>;
-  /** What backend servers have told this gateway in their answers. */
-  rateLimits: rateLimits.RateLimits;
   nextSerial: number;
   /** Revision of `servers` for which waiting requests were last checked. */
   checkedRevision: number;
@@ -141,7 +138,6 @@
     peers: peerView.createPeerView(),
     suspects: suspects.createSuspects(),
     brokenRuns: new Map(),
-    rateLimits: new Map(),
     nextSerial: 1,
     checkedRevision: -1,
     shutdownMs: 0,
--- a/packages/core/src/gateway/scheduler-link.ts
+++ b/packages/core/src/gateway/scheduler-link.ts
@@ -23,8 +23,7 @@
   withdrawn: number[];
   observations: schema.ServerObservation[];
   lastGrant: number;
-  /** Rate limits and statements that were told so far; the next ones are told in turn. */
-  rateLimitsTold: number;
+  /** Statements of backend servers that were told so far; the next ones are told in turn. */
   statementsTold: number;
   /** There is something to tell at once. */
   isDirty: boolean;
@@ -52,7 +51,6 @@
     withdrawn: [],
     observations: [],
     lastGrant: 0,
-    rateLimitsTold: 0,
     statementsTold: 0,
     isDirty: false,
     places: 0,
--- a/packages/core/src/gateway/server-end.ts
+++ b/packages/core/src/gateway/server-end.ts
@@ -4,6 +4,5 @@
 
 /** Forgets what was seen of a backend server that has restarted or gone. */
 export function forgetServer(state: gatewayState.GatewayState, serverId: string): void {
-  state.rateLimits.delete(serverId);
   scheduler.forgetServer(state.scheduler, serverId);
 }
--- a/packages/core/src/gateway/server-entries.ts
+++ b/packages/core/src/gateway/server-entries.ts
@@ -243,6 +243,7 @@
   [...servers.departed]
     .filter(([, { atMs }]) => now - atMs > DEPARTED_MS)
     .forEach(([id]) => servers.departed.delete(id));
-  serverStatements.expireStatements(servers.statements, (id) => servers.byId.has(id), now);
+  const findBornMs = (id: string) => servers.byId.get(id)?.entry.bornMs;
+  serverStatements.expireStatements(servers.statements, findBornMs, now);
   return late.map(([, known]) => dropServer(servers, known, now));
 }
--- a/packages/core/src/gateway/server-statements.test.ts
+++ b/packages/core/src/gateway/server-statements.test.ts
@@ -7,8 +7,8 @@
 
 const { test } = nodeTest;
 const LIFE = { id: 'a', bornMs: 1 };
-const LEAVING = { isLeaving: true, backoffMs: undefined };
-const BACKOFF = { isLeaving: false, backoffMs: 3000 };
+const LEAVING = { ...serverStatements.NOTHING_STATED, isLeaving: true };
+const BACKOFF = { ...serverStatements.NOTHING_STATED, backoffMs: 3000 };
 
 /** Creates a register with one backend server. */
 function createServers(): backendServers.BackendServers {
@@ -56,6 +56,14 @@
   assert.ok(serverStatements.isLeaving(servers.statements, LIFE));
 });
 
+test('statements of earlier lives are dropped', () => {
+  const servers = createServers();
+  backendServers.applyStatement(servers, LIFE, LEAVING, 10);
+  serverEntries.applyEntry(servers, gatewayBench.buildEntry('a', { bornMs: 2 }), 20);
+  serverEntries.expireMissing(servers, 30);
+  assert.equal(servers.statements.size, 0);
+});
+
 test('statements about servers long gone are dropped', () => {
   const servers = createServers();
   backendServers.applyStatement(servers, LIFE, LEAVING, 10);
--- a/packages/core/src/gateway/server-statements.ts
+++ b/packages/core/src/gateway/server-statements.ts
@@ -5,6 +5,14 @@
  * rest of that life, whether the store answers or not and whatever it tells.
  */
 
+/** A rate limit, as an answer last named it. */
+export type NamedLimit = {
+  /** Requests a second from all gateways together; undefined once it is lifted. */
+  perSecond: number | undefined;
+  /** When an answer last said so, milliseconds. */
+  statedMs: number;
+};
+
 export type ServerStatement = {
   /** Start of the life that it is about, milliseconds since the Unix epoch. */
   bornMs: number;
@@ -12,6 +20,8 @@
   leavingSinceMs: number | undefined;
   /** The backend server takes nothing from this gateway until this time, milliseconds. */
   backoffUntilMs: number;
+  /** Undefined where no answer has named or lifted one. */
+  rateLimit: NamedLimit | undefined;
   /** When an answer last stated something, milliseconds. */
   statedMs: number;
 };
@@ -22,18 +32,39 @@
 /** One life of a backend server. */
 export type ServerLife = { id: string; bornMs: number };
 
+/** The request of an answer, as far as it tells whether the answer lifts a rate limit. */
+export type AnsweredRequest = {
+  sentMs: number;
+  /** The scheduler knew of a rate limit when it granted the place. */
+  isRateLimited: boolean;
+};
+
 /** What one answer states. */
 export type AnswerStatement = {
   isLeaving: boolean;
   /** Time for which the backend server takes nothing from this gateway, milliseconds. */
   backoffMs: number | undefined;
+  /** Requests a second from all gateways together; undefined where the answer names no limit. */
+  perSecond: number | undefined;
+  /** Undefined where the answer lifts no limit, such as a refusal that nobody signed. */
+  answered: AnsweredRequest | undefined;
 };
 
 /** A change of what is known, for the log. */
 export type StatementChange = {
   server: string;
-  change: 'leaving' | 'backoff';
+  change: 'leaving' | 'backoff' | 'rate-limit' | 'rate-limit-lifted';
   backoffMs?: number;
+  perSecond?: number;
+  before?: number;
+};
+
+/** An answer that states nothing. */
+export const NOTHING_STATED: AnswerStatement = {
+  isLeaving: false,
+  backoffMs: undefined,
+  perSecond: undefined,
+  answered: undefined,
 };
 
 /**
@@ -41,6 +72,11 @@
  * entry may come back, after an outage of the store or from an older backup.
  */
 const KEPT_MS = 60_000;
+/**
+ * A lifted limit is told to schedulers for this time, milliseconds: longer than a gateway
+ * that has been told of the limit only goes without an answer of a busy backend server.
+ */
+const LIFTED_TOLD_MS = 10_000;
 
 /** Gets what a life of a backend server has stated. */
 export function getStatement(
@@ -70,45 +106,105 @@
   return [...statements.values()].some(({ backoffUntilMs }) => backoffUntilMs > now);
 }
 
+/** Tells whether schedulers are to be told of a statement: it holds, or held until lately. */
+export function isToldOn(
+  { leavingSinceMs, backoffUntilMs, rateLimit }: ServerStatement,
+  now: number,
+): boolean {
+  const isLimitTold =
+    rateLimit !== undefined &&
+    (rateLimit.perSecond !== undefined || now - rateLimit.statedMs < LIFTED_TOLD_MS);
+  return leavingSinceMs !== undefined || backoffUntilMs > now || isLimitTold;
+}
+
+/**
+ * Tells whether an answer that names no limit lifts one.
+ *
+ * Only if the limit was known when the request was sent, here or to the scheduler. Answers
+ * overtake each other: one from before the overload may come in after the first that names it.
+ */
+function isLifting(known: NamedLimit | undefined, answered: AnsweredRequest | undefined): boolean {
+  if (answered === undefined) {
+    return false;
+  }
+  const isKnownHere = known?.perSecond !== undefined && answered.sentMs > known.statedMs;
+  return isKnownHere || (answered.isRateLimited && known?.perSecond === undefined);
+}
+
+/** Finds the rate limit after an answer. */
+function findRateLimit(
+  known: NamedLimit | undefined,
+  { perSecond, answered }: AnswerStatement,
+  now: number,
+): NamedLimit | undefined {
+  const isNews = perSecond !== undefined || isLifting(known, answered);
+  return isNews ? { perSecond, statedMs: now } : known;
+}
+
+/** Lists what has changed from one statement to the next. */
+function listChanges(
+  server: string,
+  before: ServerStatement | undefined,
+  after: ServerStatement,
+  { backoffMs }: AnswerStatement,
+  now: number,
+): StatementChange[] {
+  const changes: StatementChange[] = [];
+  if (after.leavingSinceMs !== undefined && before?.leavingSinceMs === undefined) {
+    changes.push({ server, change: 'leaving' });
+  }
+  if (after.backoffUntilMs > now && (before?.backoffUntilMs ?? 0) <= now) {
+    changes.push({ server, change: 'backoff', backoffMs });
+  }
+  const perSecond = after.rateLimit?.perSecond;
+  const limitBefore = before?.rateLimit;
+  const isFirstWord = limitBefore === undefined && after.rateLimit !== undefined;
+  if (isFirstWord || perSecond !== limitBefore?.perSecond) {
+    const change = perSecond === undefined ? 'rate-limit-lifted' : 'rate-limit';
+    changes.push({ server, change, perSecond, before: limitBefore?.perSecond });
+  }
+  return changes;
+}
+
 /** Takes in what an answer states, and gives what is news. */
 export function noteStatement(
   statements: ServerStatements,
   life: ServerLife,
-  { isLeaving: saysLeaving, backoffMs }: AnswerStatement,
+  stated: AnswerStatement,
   now: number,
 ): StatementChange[] {
-  if (!saysLeaving && backoffMs === undefined) {
+  const known = getStatement(statements, life);
+  const rateLimit = findRateLimit(known?.rateLimit, stated, now);
+  const { isLeaving: saysLeaving, backoffMs } = stated;
+  if (!saysLeaving && backoffMs === undefined && rateLimit === known?.rateLimit) {
     return [];
   }
-  const { id, bornMs } = life;
-  const known = getStatement(statements, life);
-  const wasBackingOff = computeBackoffLeft(statements, life, now) > 0;
-  statements.set(id, {
-    bornMs,
+  const after = {
+    bornMs: life.bornMs,
     leavingSinceMs: known?.leavingSinceMs ?? (saysLeaving ? now : undefined),
     backoffUntilMs: Math.max(known?.backoffUntilMs ?? 0, now + (backoffMs ?? 0)),
+    rateLimit,
     statedMs: now,
-  });
-  const changes: StatementChange[] = [];
-  if (saysLeaving && known?.leavingSinceMs === undefined) {
-    changes.push({ server: id, change: 'leaving' });
-  }
-  if (backoffMs !== undefined && !wasBackingOff) {
-    changes.push({ server: id, change: 'backoff', backoffMs });
-  }
-  return changes;
+  };
+  statements.set(life.id, after);
+  return listChanges(life.id, known, after, stated, now);
 }
 
-/** Forgets statements about backend servers that have been gone for long. */
+/**
+ * Forgets statements of earlier lives, and those about backend servers that have been gone for long.
+ *
+ * @param findBornMs finds the start of the present life; undefined where there is no entry
+ */
 export function expireStatements(
   statements: ServerStatements,
-  isKnown: (id: string) => boolean,
+  findBornMs: (id: string) => number | undefined,
   now: number,
 ): void {
   [...statements]
-    .filter(([id, { statedMs, backoffUntilMs }]) => {
+    .filter(([id, { bornMs, statedMs, backoffUntilMs }]) => {
+      const knownBornMs = findBornMs(id);
       const isOld = now - Math.max(statedMs, backoffUntilMs) > KEPT_MS;
-      return isOld && !isKnown(id);
+      return knownBornMs === undefined ? isOld : knownBornMs !== bornMs;
     })
     .forEach(([id]) => statements.delete(id));
 }
--- a/packages/core/src/scheduler/asks.ts
+++ b/packages/core/src/scheduler/asks.ts
@@ -84,8 +84,9 @@
   asker.openGrants = asker.openGrants.filter(({ number }) => number > ask.lastGrant);
 }
 
-/** Takes in which backend servers take nothing from a gateway for now. */
-function applyBackoffs(
+/** Takes in what backend servers have stated to a gateway. */
+function applyStatements(
+  cell: cells.Cell,
   { backoffs }: cells.CellAsker,
   { statements }: schema.ScheduleAsk,
   now: number,
@@ -95,9 +96,15 @@
       backoffs.delete(serverId);
     }
   });
-  statements
-    .filter(({ backoffLeftMs }) => backoffLeftMs > 0)
-    .forEach(({ serverId, backoffLeftMs }) => backoffs.set(serverId, now + backoffLeftMs));
+  statements.forEach(({ serverId, backoffLeftMs, rateLimit: limit }) => {
+    if (backoffLeftMs > 0) {
+      backoffs.set(serverId, now + backoffLeftMs);
+    }
+    if (limit !== undefined) {
+      const told = { serverId, perSecond: limit.perSecond, toldMs: now - limit.ageMs };
+      rateLimit.applyTold(cell.rateLimits, told, now);
+    }
+  });
 }
 
 /** Makes the record of a request that a gateway asks a place for. */
@@ -191,11 +198,8 @@
   asker.reply.isDue = true;
   cell.askedMs = now;
   applyInFlight(asker, ask);
-  applyBackoffs(asker, ask, now);
+  applyStatements(cell, asker, ask, now);
   ask.observations.forEach((one) => noteObservation(cell, one, now));
-  ask.rateLimits.forEach(({ serverId, perSecond, ageMs }) =>
-    rateLimit.applyTold(cell.rateLimits, { serverId, perSecond, toldMs: now - ageMs }, now),
-  );
   ask.withdrawn.forEach((serial) => {
     const request = asker.requests.get(serial);
     if (request !== undefined) {
--- a/packages/gateway/src/answer-relay.ts
+++ b/packages/gateway/src/answer-relay.ts
@@ -33,6 +33,8 @@
   /** Told of the time between events, milliseconds. */
   observePace: (unitMs: number) => void;
   observeFirstEvent: (ms: number) => void;
+  /** Tells whether the request may be sent now that its connection is open. */
+  mayLeave: () => boolean;
   /** Told of each answer of the backend server that is meant. */
   observeStatements: (names: wireProtocol.AnswerNames) => void;
 };
@@ -224,6 +226,8 @@
       return takeHead(relay, { status, headers, isFramed }, isFresh);
     },
     onData: (chunk) => takePart(relay, chunk),
+    mayLeave: options.mayLeave,
+    onWithdrawn: () => endWithFault(relay, gateway.AttemptFault.WITHDRAWN, 'not-to-be-used'),
     onEnd: () => (relay.isStream ? endStream(relay) : endPlain(relay)),
     onBroken: (reason, mayHaveLeft) => {
       const { BROKEN, UNREACHABLE } = gateway.AttemptFault;
--- a/packages/gateway/src/attempt-sending.ts
+++ b/packages/gateway/src/attempt-sending.ts
@@ -6,7 +6,6 @@
 import * as callerExchange from './caller-exchange.js';
 import type * as heldRequest from './held-request.js';
 import * as outgoingRequest from './outgoing-request.js';
-import * as rateLimitReports from './rate-limit-reports.js';
 import * as requestEnding from './request-ending.js';
 import * as requestReports from './request-reports.js';
 import * as statementReports from './statement-reports.js';
@@ -102,10 +101,8 @@
       gateway.noteFirstEvent(task.state, request, ms, readNow());
       task.metrics.recordFirstEvent(request.route.name, ms);
     },
-    observeStatements: (names) => {
-      rateLimitReports.takeRateLimit(task, request, names);
-      statementReports.takeStatements(task, request, names);
-    },
+    mayLeave: () => gateway.isStillUsable(task.state, request, readNow()),
+    observeStatements: (names) => statementReports.takeStatements(task, request, names),
   });
   const connection = task.connections.take(server.address);
   held.attempt = backendAttempt.startAttempt(
--- /dev/null
+++ b/packages/gateway/src/backend-attempt.test.ts
@@ -0,0 +1,45 @@
+import * as assert from 'node:assert/strict';
+import * as http from 'node:http';
+import type * as net from 'node:net';
+import * as nodeTest from 'node:test';
+import * as backendAttempt from './backend-attempt.js';
+import * as backendConnections from './backend-connections.js';
+
+const { test } = nodeTest;
+const REQUEST = { method: 'GET', path: '/a', headers: ['host', 'a.example'], body: null };
+
+/** Sends a request to a server that counts what arrives; gives how it ended. */
+async function sendOnce(mayLeave: boolean): Promise<{ ending: string; arrived: number }> {
+  let arrived = 0;
+  const server = http.createServer((_, response) => {
+    arrived += 1;
+    response.end('ok');
+  });
+  await new Promise<void>((resolve) => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  const connections = backendConnections.createBackendConnections();
+  const { port } = server.address() as net.AddressInfo;
+  const ending = await new Promise<string>((resolve) => {
+    backendAttempt.startAttempt(connections.take(`127.0.0.1:${port}`), REQUEST, {
+      mayLeave: () => mayLeave,
+      onHead: () => true,
+      onData: () => true,
+      onEnd: () => resolve('end'),
+      onWithdrawn: () => resolve('withdrawn'),
+      onBroken: (reason) => resolve(reason),
+    });
+  });
+  connections.stop();
+  server.close();
+  return { ending, arrived };
+}
+
+test('request leaves over an open connection', async () => {
+  assert.deepEqual(await sendOnce(true), { ending: 'end', arrived: 1 });
+});
+
+test('withdrawn request never leaves', async () => {
+  // Guards against requests to a server that left, or asked for a backoff, as they connected.
+  assert.deepEqual(await sendOnce(false), { ending: 'withdrawn', arrived: 0 });
+});
--- a/packages/gateway/src/backend-attempt.ts
+++ b/packages/gateway/src/backend-attempt.ts
@@ -9,13 +9,17 @@
 import * as endToEndHeaders from './end-to-end-headers.js';
 import type * as wireProtocol from './wire-protocol.js';
 
-/** What an attempt tells as it goes on; exactly one of the last two ends it. */
+/** What an attempt tells as it goes on; one of `onEnd`, `onWithdrawn` and `onBroken` ends it. */
 export type AttemptListener = {
   /** Gives false to stop the attempt. */
   onHead: (status: number, headers: wireProtocol.RawHeaders, isFresh: boolean) => boolean;
   /** Gives false to pause until `resume` is called. */
   onData: (chunk: Buffer) => boolean;
   onEnd: () => void;
+  /** Asked before the first byte leaves; false withdraws the request. */
+  mayLeave: () => boolean;
+  /** No byte of the request has left, as `mayLeave` did not let it. */
+  onWithdrawn: () => void;
   /** `mayHaveLeft` is false where no byte of the request left. */
   onBroken: (reason: string, mayHaveLeft: boolean) => void;
 };
@@ -67,8 +71,13 @@
     }
   };
   const handler = {
-    onConnect: () => {
-      left = true;
+    onConnect: (abort: () => void) => {
+      if (ended || listener.mayLeave()) {
+        left = true;
+        return;
+      }
+      end(listener.onWithdrawn, false);
+      abort();
     },
     onHeaders: (status: number, given: Buffer[], resumeReading: () => void) => {
       if (status <= SWITCHING_MAX_STATUS) {
--- a/packages/gateway/src/gateway-metrics.ts
+++ b/packages/gateway/src/gateway-metrics.ts
@@ -35,10 +35,12 @@
 function listStatementValues({ servers }: gateway.GatewayState, now: number): runtime.Gauge[] {
   const all = [...servers.statements.values()];
   const leaving = all.filter(({ leavingSinceMs }) => leavingSinceMs !== undefined);
+  const limited = all.filter(({ rateLimit }) => rateLimit?.perSecond !== undefined);
   const backingOff = all.filter(({ backoffUntilMs }) => backoffUntilMs > now);
   return [
     { name: 'backend_servers_stating', labels: { state: 'leaving' }, value: leaving.length },
     { name: 'backend_servers_stating', labels: { state: 'backoff' }, value: backingOff.length },
+    { name: 'backend_servers_stating', labels: { state: 'rate-limit' }, value: limited.length },
   ];
 }
 
@@ -59,11 +61,6 @@
       labels: {},
       value: gateway.listEvacuated(state.servers.evacuations).length,
     },
-    {
-      name: 'backend_servers_rate_limited',
-      labels: {},
-      value: gateway.listRateLimits(state).length,
-    },
     { name: 'store_epoch', labels: {}, value: Math.max(state.servers.readRevision.epoch, 0) },
     { name: 'peers', labels: {}, value: state.peers.byAddress.size },
     ...listStatementValues(state, now),
--- a/packages/gateway/src/statement-reports.ts
+++ b/packages/gateway/src/statement-reports.ts
@@ -25,15 +25,20 @@
   changes.forEach((change) => log.write('server-statement', { ...change, from }, now));
 }
 
+/** Gets a value where an answer states one. */
+function getStated<T>(value: wireProtocol.StatedValue<T>): T | undefined {
+  return value.kind === 'stated' ? value.value : undefined;
+}
+
 /** Takes in what one answer states; what cannot be read changes nothing. */
 export function takeStatements(
   { state, readClocks, log }: StatementParts,
   request: gateway.GatewayRequest,
-  { leaving, backoffMs }: wireProtocol.AnswerNames,
+  { leaving, backoffMs, perSecond, isSigned }: wireProtocol.AnswerNames,
 ): void {
   const now = readClocks().steadyMs;
   const code = schema.ResultCode.SERVER_STATEMENT_FAULT;
-  [leaving, backoffMs]
+  [leaving, backoffMs, perSecond]
     .filter((one) => one.kind === 'unreadable')
     .forEach(({ text }) => {
       const line = { server: request.serverId, found: text, code, result: schema.ResultCode[code] };
@@ -41,7 +46,10 @@
     });
   const statement = {
     isLeaving: leaving.kind === 'stated',
-    backoffMs: backoffMs.kind === 'stated' ? backoffMs.value : undefined,
+    backoffMs: getStated(backoffMs),
+    perSecond: getStated(perSecond),
+    // A limit that cannot be read is not lifted by that.
+    isSigned: isSigned && perSecond.kind !== 'unreadable',
   };
   const changes = gateway.noteAnswerStatement(state, request, statement, now);
   reportStatements(log, changes, undefined, now);
--- a/packages/gateway/src/status.ts
+++ b/packages/gateway/src/status.ts
@@ -27,11 +27,12 @@
 function describeStatements(
   { servers }: gateway.GatewayState,
   now: number,
-): { id: string; leavingSinceMs: number | undefined; backoffLeftMs: number }[] {
-  return [...servers.statements].map(([id, { leavingSinceMs, backoffUntilMs }]) => ({
+): Record<string, unknown>[] {
+  return [...servers.statements].map(([id, { leavingSinceMs, backoffUntilMs, rateLimit }]) => ({
     id,
     leavingSinceMs,
     backoffLeftMs: Math.round(Math.max(backoffUntilMs - now, 0)),
+    perSecond: rateLimit?.perSecond,
   }));
 }
 
@@ -51,7 +52,6 @@
     evacuatedDomains: gateway.listEvacuated(state.servers.evacuations),
     warming: describeWarming(state, now.steadyMs),
     statements: describeStatements(state, now.steadyMs),
-    rateLimits: gateway.listRateLimits(state),
     cells: describeCells(state),
     peers: gateway.listContacts(state.peers),
   };
--- a/packages/gateway/src/wire-protocol.ts
+++ b/packages/gateway/src/wire-protocol.ts
@@ -23,13 +23,6 @@
   resumeAfter: string | undefined;
 };
 
-/** What an answer says of the rate at which its backend server takes requests. */
-export type AnswerRateLimit =
-  | { kind: 'none' }
-  /** Requests a second from all gateways together. */
-  | { kind: 'named'; perSecond: number }
-  | { kind: 'unreadable'; text: string };
-
 /** A value that an answer may state about its backend server. */
 export type StatedValue<T> =
   { kind: 'none' } | { kind: 'stated'; value: T } | { kind: 'unreadable'; text: string };
@@ -44,7 +37,8 @@
   isMisdirected: boolean;
   /** It bears the mark of a backend server. */
   isSigned: boolean;
-  rateLimit: AnswerRateLimit;
+  /** Requests a second that the backend server takes from all gateways together. */
+  perSecond: StatedValue<number>;
   /** The backend server leaves. */
   leaving: StatedValue<true>;
   /** Time for which the backend server takes nothing from this gateway, milliseconds. */
--- a/packages/proofs/src/mocks/gateway-fleet.ts
+++ b/packages/proofs/src/mocks/gateway-fleet.ts
@@ -140,7 +140,7 @@
   backoffMs: number,
 ): void {
   fleet.backedOff.push({ gateway: index, serverId, atMs: fleet.nowMs });
-  const statement = { isLeaving: false, backoffMs };
+  const statement = { ...gateway.NOTHING_STATED, backoffMs, isSigned: false };
   gateway.noteAnswerStatement(fleet.states[index], request, statement, fleet.nowMs);
   endAttempt(fleet, index, request, gateway.AttemptFault.REFUSED);
 }
@@ -212,15 +212,12 @@
   fleet.running = fleet.running.filter((run) => !over.includes(run));
   over.forEach(({ gateway: index, serverId, request }) => {
     const perSecond = fleet.rateLimits.get(serverId);
-    if (perSecond !== undefined) {
+    const isLeaving = fleet.sayingLeaving.has(serverId);
+    if (perSecond !== undefined || isLeaving) {
       fleet.told.push({ gateway: index, serverId, atMs: fleet.nowMs });
     }
-    if (fleet.sayingLeaving.has(serverId)) {
-      const statement = { isLeaving: true, backoffMs: undefined };
-      fleet.told.push({ gateway: index, serverId, atMs: fleet.nowMs });
-      gateway.noteAnswerStatement(fleet.states[index], request, statement, fleet.nowMs);
-    }
-    gateway.noteRateLimit(fleet.states[index], request, perSecond, fleet.nowMs);
+    const stated = { isLeaving, backoffMs: undefined, perSecond, isSigned: true };
+    gateway.noteAnswerStatement(fleet.states[index], request, stated, fleet.nowMs);
     gateway.noteGoodAnswer(fleet.states[index], request, fleet.nowMs);
     gateway.endRequest(fleet.states[index], request);
   });
--- a/packages/proofs/src/rate-limit-failures.test.ts
+++ b/packages/proofs/src/rate-limit-failures.test.ts
@@ -164,7 +164,9 @@
   const { sent, states, nowMs } = fleet;
   const request = sent.find((one) => one.serverId === LIMITED)?.request;
   assert.ok(request !== undefined);
-  gateway.noteRateLimit(states[told], { ...request, serverId: LIMITED }, PER_SECOND, nowMs);
+  const stated = { ...gateway.NOTHING_STATED, perSecond: PER_SECOND, isSigned: true };
+  const answered = { ...request, serverId: LIMITED };
+  gateway.noteAnswerStatement(states[told], answered, stated, nowMs);
   runLoad(fleet, 100);
   gatewayFaults.stopGateway(fleet, told);
   runLoad(fleet, 3000);
--- a/packages/runtime/src/metric-definitions.ts
+++ b/packages/runtime/src/metric-definitions.ts
@@ -86,13 +86,9 @@
     type: MetricType.GAUGE,
     help: 'Backend servers that warm up, as this process knows.',
   },
-  backend_servers_rate_limited: {
-    type: MetricType.GAUGE,
-    help: 'Backend servers whose answers to this process name a rate limit.',
-  },
   backend_servers_stating: {
     type: MetricType.GAUGE,
-    help: 'Backend servers whose answers to this process state that they leave, or want a backoff.',
+    help: 'Backend servers whose answers to this process state a departure, a backoff or a rate limit.',
   },
   store_epoch: {
     type: MetricType.GAUGE,
