--- a/packages/core/src/gateway/backend-servers.ts
+++ b/packages/core/src/gateway/backend-servers.ts
@@ -34,7 +34,7 @@
 /** A backend server that is gone: its life, and when it went. */
 export type Departure = {
   bornMs: number;
-  /** Era of the store in which it went. */
+  /** Epoch of the store in which it went. */
   epoch: number;
   atMs: number;
 };
--- a/packages/gateway/src/store-epoch.ts
+++ b/packages/gateway/src/store-epoch.ts
@@ -16,7 +16,7 @@
   found: string;
 };
 
-/** Era of a store that tells none. */
+/** Epoch of a store that tells none. */
 const NO_EPOCH = 0;
 
 /** What is made of the epoch of an answer; without an epoch the answer is not used. */
