State departures and backoffs in the fault soak

Backend servers of the soak say by turns that they leave, which ends with a new life under the same id or another, and ask for backoffs; what came after is checked from what they and the callers saw.

--- a/packages/proofs/src/soak/main.ts
+++ b/packages/proofs/src/soak/main.ts
@@ -16,6 +16,7 @@
     evacuations: { type: 'string', default: '3' },
     limits: { type: 'string', default: '2' },
     epochs: { type: 'string', default: '2' },
+    statements: { type: 'string', default: '4' },
   },
 });
 const first = Number(values.first);
@@ -36,6 +37,7 @@
       evacuations: Number(values.evacuations),
       limits: Number(values.limits),
       epochs: Number(values.epochs),
+      statements: Number(values.statements),
       areTimesChecked: true,
     });
     process.stdout.write(`${JSON.stringify(report)}\n`);
--- a/packages/proofs/src/soak/run-soak.ts
+++ b/packages/proofs/src/soak/run-soak.ts
@@ -8,6 +8,7 @@
 import * as soakFaults from './soak-faults.js';
 import * as soakFleet from './soak-fleet.js';
 import * as soakLimits from './soak-limits.js';
+import * as soakStatements from './soak-statements.js';
 
 export type SoakOptions = {
   seed: number;
@@ -21,6 +22,8 @@
   evacuations: number;
   /** Rate limits that backend servers name, one after the other. */
   limits: number;
+  /** Statements of backend servers that they leave, or want nothing for a while. */
+  statements: number;
   /** Restorations of the store from backups, one after the other. */
   epochs: number;
   areTimesChecked: boolean;
@@ -45,6 +48,7 @@
 const EVACUATIONS_STEP = 104_729;
 const LIMITS_STEP = 1_299_709;
 const EPOCHS_STEP = 15_485_863;
+const STATEMENTS_STEP = 179_424_673;
 
 /** Puts the faults in at their times. */
 async function applyFaults(fleet: soakFleet.SoakFleet, faults: soakFaults.Fault[]): Promise<void> {
@@ -95,6 +99,11 @@
       randomSource.createRandomSource(seed + LIMITS_STEP),
       options.limits,
     ),
+    soakStatements.runStatements(
+      fleet,
+      randomSource.createRandomSource(seed + STATEMENTS_STEP),
+      options.statements,
+    ),
     soakEpochs.runEpochs(
       fleet,
       randomSource.createRandomSource(seed + EPOCHS_STEP),
--- a/packages/proofs/src/soak/soak-checks.ts
+++ b/packages/proofs/src/soak/soak-checks.ts
@@ -1,5 +1,6 @@
 /** The promises of the pages, checked from what callers and backend servers saw. */
 import * as soakRecords from './soak-records.js';
+import * as soakStatementChecks from './soak-statement-checks.js';
 
 /** What a deployment promises, and how much of it may be taken up. */
 export type SoakBounds = {
@@ -270,5 +271,8 @@
     checkProcesses,
   ];
   const timed = bounds.areTimesChecked ? [checkAnswered, checkLeft] : [];
-  return [...always, ...timed].flatMap((check) => check(context));
+  return [
+    ...[...always, ...timed].flatMap((check) => check(context)),
+    ...soakStatementChecks.checkStatements(records, callById),
+  ];
 }
--- a/packages/proofs/src/soak/soak-faults.ts
+++ b/packages/proofs/src/soak/soak-faults.ts
@@ -215,7 +215,7 @@
 }
 
 /** Crashes a backend server; it comes back under its id or under a new one. */
-function restartBackend(
+export function restartBackend(
   fleet: soakFleet.SoakFleet,
   backend: soakFleet.SoakBackend,
   forMs: number,
--- a/packages/proofs/src/soak/soak-records.ts
+++ b/packages/proofs/src/soak/soak-records.ts
@@ -65,6 +65,22 @@
   told: { id: string; atMs: number }[];
 };
 
+export enum StatementKind {
+  LEAVING = 'leaving',
+  BACKOFF = 'backoff',
+}
+
+/** What a backend server stated about itself for a time, and the requests that it got meanwhile. */
+export type StatementRecord = {
+  kind: StatementKind;
+  server: string;
+  /** Time for which it asked to get nothing, milliseconds; unused where it leaves. */
+  backoffMs: number;
+  /** Requests that reached it, and those whose answers stated it, by their ids. */
+  arrivals: { id: string; atMs: number }[];
+  told: { id: string; atMs: number }[];
+};
+
 /** A process that ended though nothing had been done to it. */
 export type UnexpectedEnd = { gateway: number; atMs: number; code: number | null };
 
@@ -76,6 +92,7 @@
   revocations: RevocationRecord[];
   evacuations: EvacuationRecord[];
   limits: LimitRecord[];
+  statements: StatementRecord[];
   /** Times from the return of the store to the last write that it had lost, milliseconds. */
   storeGaps: { fromMs: number; untilMs: number }[];
   unexpectedEnds: UnexpectedEnd[];
@@ -94,6 +111,7 @@
     revocations: [],
     evacuations: [],
     limits: [],
+    statements: [],
     storeGaps: [],
     unexpectedEnds: [],
     disturbances: [],
--- a/packages/proofs/src/soak/soak-server.ts
+++ b/packages/proofs/src/soak/soak-server.ts
@@ -12,6 +12,8 @@
   rename: (id: string) => void;
   /** Names a rate limit in all answers from now on, or none. */
   setLimit: (limit: soakRecords.LimitRecord | undefined) => void;
+  /** States something about itself from now on, or nothing. */
+  setStatement: (statement: soakRecords.StatementRecord | undefined) => void;
   stop: () => void;
 };
 
@@ -23,6 +25,7 @@
   records: soakRecords.SoakRecords;
   readNow: () => number;
   limit: soakRecords.LimitRecord | undefined;
+  statement: soakRecords.StatementRecord | undefined;
 };
 
 /** Requests that it works on at once. */
@@ -31,6 +34,8 @@
 const FAILED_SHARE = 0.03;
 const CUT_SHARE = 0.03;
 const SLOW_SHARE = 0.05;
+/** Share of requests that one refuses which asks for a backoff. */
+const REFUSED_SHARE = 0.8;
 const UNFRAMED_SHARE = 0.03;
 const WORK_MS = 15;
 const SLOW_MS = 400;
@@ -56,13 +61,32 @@
   return run;
 }
 
-/** Adds the rate limit to the head of an answer, and notes that its gateway was told. */
-function addLimit({ limit, readNow }: ServerState, id: string, answer: string): string {
-  if (limit === undefined) {
-    return answer;
+/** Adds what it states to the head of an answer, and notes that its gateway was told. */
+function addStatements(state: ServerState, id: string, answer: string): string {
+  const { limit, statement, readNow } = state;
+  const isLeaving = statement?.kind === soakRecords.StatementKind.LEAVING;
+  limit?.told.push({ id, atMs: readNow() });
+  if (isLeaving) {
+    statement.told.push({ id, atMs: readNow() });
   }
-  limit.told.push({ id, atMs: readNow() });
-  return standInWire.addRateLimit(answer, limit.perSecond);
+  const limited = limit ? standInWire.addRateLimit(answer, limit.perSecond) : answer;
+  return isLeaving ? standInWire.addLeaving(limited) : limited;
+}
+
+/** Refuses a request as it wants nothing for a while; false where it takes it. */
+function refuseWithBackoff(
+  { statement, draw, readNow }: ServerState,
+  request: runnerStandIn.RunnerRequest,
+  socket: net.Socket,
+): boolean {
+  const isAsking = statement?.kind === soakRecords.StatementKind.BACKOFF;
+  if (!isAsking || draw() >= REFUSED_SHARE) {
+    return false;
+  }
+  const { attemptId: id } = standInWire.readRequest(request);
+  statement.told.push({ id, atMs: readNow() });
+  socket.write(standInWire.buildBackoff(request, statement.backoffMs));
+  return true;
 }
 
 /** Sends the events of a stream; one that is to be cut ends inside an event. */
@@ -101,7 +125,7 @@
 ): void {
   const luck = state.draw();
   const whole = runnerStandIn.buildAnswer(request, `${run.id} for ${run.workspace}`);
-  const answer = addLimit(state, run.id, whole);
+  const answer = addStatements(state, run.id, whole);
   if (luck < FAILED_SHARE) {
     socket.write(standInWire.buildFailed(request));
   } else if (luck < FAILED_SHARE + CUT_SHARE) {
@@ -119,10 +143,14 @@
   const { arrivals } = state.records;
   arrivals.set(id, [...(arrivals.get(id) ?? []), state.readNow()]);
   state.limit?.arrivals.push({ id, atMs: state.readNow() });
+  state.statement?.arrivals.push({ id, atMs: state.readNow() });
   if (serverId !== state.id) {
     socket.write(standInWire.buildMisdirected(request));
     return;
   }
+  if (refuseWithBackoff(state, request, socket)) {
+    return;
+  }
   if (state.active >= SLOTS) {
     socket.write(runnerStandIn.buildNotRun(request));
     return;
@@ -136,7 +164,7 @@
     () => {
       if (run.path.startsWith('/stream/') || run.path.startsWith('/resumable/')) {
         const isCut = state.draw() < CUT_SHARE;
-        socket.write(addLimit(state, id, runnerStandIn.buildStreamHead(request)));
+        socket.write(addStatements(state, id, runnerStandIn.buildStreamHead(request)));
         sendEvents(run, socket, isCut ? run.resumeAfter + 2 : Infinity, end);
       } else {
         sendPlain(state, request, socket, run);
@@ -157,7 +185,7 @@
 ): Promise<SoakServer> {
   const runner = await runnerStandIn.startRunnerStandIn();
   const facts = { id, failureDomain, draw, records, readNow };
-  const state: ServerState = { ...facts, active: 0, limit: undefined };
+  const state: ServerState = { ...facts, active: 0, limit: undefined, statement: undefined };
   runner.setScript((request, socket) => serve(state, request, socket));
   const server: SoakServer = {
     id,
@@ -165,8 +193,12 @@
     setLimit: (limit) => {
       state.limit = limit;
     },
+    setStatement: (statement) => {
+      state.statement = statement;
+    },
     rename: (changed) => {
       state.limit = undefined;
+      state.statement = undefined;
       state.id = changed;
       server.id = changed;
     },
--- a/packages/proofs/src/soak/soak.test.ts
+++ b/packages/proofs/src/soak/soak.test.ts
@@ -6,7 +6,7 @@
 /** Plays one seed with few processes and expects that all promises are kept. */
 async function expectKept(
   seed: number,
-  { evacuations = 0, limits = 0, epochs = 0 },
+  { evacuations = 0, limits = 0, epochs = 0, statements = 0 },
 ): Promise<void> {
   const report = await runSoak.runSoak({
     seed,
@@ -18,6 +18,7 @@
     evacuations,
     limits,
     epochs,
+    statements,
     areTimesChecked: false,
   });
   assert.deepEqual(report.violations, [], `logs in ${report.folder}`);
@@ -36,3 +37,6 @@
 nodeTest.test('promises hold while the store goes back, seed 5', () =>
   expectKept(5, { evacuations: 1, epochs: 1 }),
 );
+nodeTest.test('promises hold while servers leave and want a backoff, seed 6', () =>
+  expectKept(6, { statements: 2 }),
+);
