Heed statements of refusals that lack an id

A backend server's refusal may lack the id of its request. On a kept connection it is taken for the answer to another request, and the backoff or departure that it states was lost: the next requests went to the same server. The refusal still decides nothing about the request; what it states about the server at the other end of the connection now holds.

--- a/packages/gateway/src/answer-relay.ts
+++ b/packages/gateway/src/answer-relay.ts
@@ -89,11 +89,24 @@
     : undefined;
 }
 
+/**
+ * Tells whether an answer comes from the backend server that is meant. A refusal without an id
+ * may belong to an earlier request on the connection: it is no answer to this one, but what it
+ * states about its backend server holds.
+ */
+function isFromServer(
+  { attemptId, isNotRun, isMisdirected }: wireProtocol.AnswerNames,
+  fault: gateway.AttemptFault | undefined,
+): boolean {
+  const isPlainRefusal = attemptId === undefined && isNotRun && !isMisdirected;
+  return fault === undefined || fault === gateway.AttemptFault.REFUSED || isPlainRefusal;
+}
+
 /** Takes the head of an answer; false ends the attempt. */
 function takeHead(relay: Relay, head: heldRequest.AnswerHead, isFresh: boolean): boolean {
   const names = relay.options.protocol.parseAnswer(head.status, head.headers);
   const found = findHeadFault(relay, head, names, isFresh);
-  if (found === undefined || found.fault === gateway.AttemptFault.REFUSED) {
+  if (isFromServer(names, found?.fault)) {
     relay.options.observeStatements(names);
   }
   if (found !== undefined) {
