List every name of the platform, and count those that are new

Three findings of the users in a row were of one class: a word that somebody says and nothing reads. platform/src/vocabulary.ts now lists each header, field and key of the pages with the type that it is read into, or the reason why it is dropped or left out.

What looks like the platform's and is not listed, in answers of backend servers and of the store, in entries, configurations and keys of operators, is counted (32 names), logged once in an hour as unknown-name, and shown in status.

--- a/packages/gateway/src/app.ts
+++ b/packages/gateway/src/app.ts
@@ -16,6 +16,7 @@
 import type * as storeCodec from './store-codec.js';
 import * as storeFollower from './store-follower.js';
 import type * as storeReader from './store-reader.js';
+import type * as unknownNames from './unknown-names.js';
 import type * as wireProtocol from './wire-protocol.js';
 
 export type GatewayDaemon = {
@@ -87,7 +88,7 @@
 /** Starts the servers for operators: one for the balancer, one for metrics. */
 function startOperators(
   { settings }: GatewayOptions,
-  { state, readClocks, metrics, storeLink }: ReturnType<typeof createParts>,
+  { state, readClocks, metrics, storeLink, unknown }: ReturnType<typeof createParts>,
 ): Promise<runtime.OperatorServer[]> {
   const addresses = [settings.operators, settings.metrics].filter((one) => one !== undefined);
   return Promise.all(
@@ -95,7 +96,7 @@
       runtime.startOperatorServer({
         ...address,
         renderMetrics: metrics.render,
-        describeStatus: () => status.describeStatus(state, storeLink, readClocks()),
+        describeStatus: () => status.describeStatus(state, storeLink, unknown, readClocks()),
         isReady: () => isReady(state, readClocks),
         readinessPath: settings.readinessPath,
       }),
@@ -155,6 +156,7 @@
     readClocks: clocks.createClockReader(),
     log: decisionLog.createDecisionLog(logger),
     storeLink: { isLost: false },
+    unknown: new Map() as unknownNames.UnknownNames,
     metrics: gatewayMetrics.createGatewayMetrics(state, clocks.readSteadyMs),
   };
 }
--- a/packages/gateway/src/attempt-sending.ts
+++ b/packages/gateway/src/attempt-sending.ts
@@ -10,6 +10,7 @@
 import * as requestReports from './request-reports.js';
 import * as statementReports from './statement-reports.js';
 import type * as taskState from './task-state.js';
+import * as unknownNames from './unknown-names.js';
 
 /** Takes in how an attempt ended. */
 function handleOutcome(
@@ -102,7 +103,10 @@
       task.metrics.recordFirstEvent(request.route.name, ms);
     },
     mayLeave: () => gateway.isStillUsable(task.state, request, readNow()),
-    observeStatements: (names) => statementReports.takeStatements(task, request, names),
+    observeStatements: (names) => {
+      statementReports.takeStatements(task, request, names);
+      unknownNames.noteUnknownNames(task.unknown, task.log, names.unknown, readNow());
+    },
   });
   const connection = task.connections.take(server.address);
   held.attempt = backendAttempt.startAttempt(
--- a/packages/gateway/src/status.ts
+++ b/packages/gateway/src/status.ts
@@ -1,6 +1,7 @@
 /** What a gateway tells operators of its present state. */
 import * as gateway from '@toucanproxy/core/gateway';
 import type * as storeFollower from './store-follower.js';
+import * as unknownNames from './unknown-names.js';
 
 /** Describes who schedules which cell, and what this gateway schedules itself. */
 function describeCells(state: gateway.GatewayState): Record<string, unknown>[] {
@@ -40,6 +41,7 @@
 export function describeStatus(
   state: gateway.GatewayState,
   storeLink: storeFollower.StoreLink,
+  unknown: unknownNames.UnknownNames,
   now: gateway.ClockReading,
 ): Record<string, unknown> {
   return {
@@ -53,6 +55,7 @@
     warming: describeWarming(state, now.steadyMs),
     statements: describeStatements(state, now.steadyMs),
     cells: describeCells(state),
+    unknownNames: unknownNames.listUnknownNames(unknown),
     peers: gateway.listContacts(state.peers),
   };
 }
--- a/packages/gateway/src/store-codec.ts
+++ b/packages/gateway/src/store-codec.ts
@@ -1,5 +1,6 @@
 /** What the adapter of a platform translates between its store and this product. */
 import type * as gateway from '@toucanproxy/core/gateway';
+import type * as unknownNames from './unknown-names.js';
 
 /** An item of the store; `value` is undefined where it was deleted. */
 export type StoreItem = {
@@ -33,6 +34,9 @@
   decodeConfiguration: (value: Buffer) => gateway.Configuration;
   /** Reads the entry of a backend server; undefined where it names none. */
   decodeBackendServer: (item: StoreItem) => gateway.BackendServerEntry | undefined;
+  /** Lists what this product does not know: of an item, and of the headers of an answer. */
+  findUnknownFields: (item: StoreItem) => unknownNames.UnknownName[];
+  findUnknownHeaders: (headers: ReadonlyMap<string, string>) => unknownNames.UnknownName[];
   /** Id of the backend server that a key belongs to. */
   parseServerId: (key: string) => string;
   /** Failure domain that is evacuated while there is an item under a key. */
--- a/packages/gateway/src/store-follower.ts
+++ b/packages/gateway/src/store-follower.ts
@@ -15,6 +15,7 @@
 import * as storeClient from './store-client.js';
 import type * as storeCodec from './store-codec.js';
 import * as storeReader from './store-reader.js';
+import * as unknownNames from './unknown-names.js';
 
 /** What is known of the way to the store. */
 export type StoreLink = {
@@ -26,6 +27,7 @@
   serverItems.ServerParts &
   evacuationItems.EvacuationParts & {
     storeLink: StoreLink;
+    unknown: unknownNames.UnknownNames;
     /** Called after what is known has changed. */
     assign: () => void;
   };
@@ -120,17 +122,21 @@
 export function startStoreFollower(parts: FollowerParts): storeReader.StoreReader {
   const { state, settings, codec, readClocks, assign } = parts;
   const usualMs = computeIntervalMs(settings);
+  const noteUnknown = (found: unknownNames.UnknownName[]) =>
+    unknownNames.noteUnknownNames(parts.unknown, parts.log, found, readClocks().steadyMs);
   const applySnapshot = (items: storeCodec.StoreItem[], revision: gateway.StoreRevision) => {
     configurationItems.applyConfigurations(parts, items);
     evacuationItems.applyAllEvacuations(parts, items, revision);
     serverItems.applyAllServers(parts, items, revision);
     assign();
+    noteUnknown(items.flatMap(codec.findUnknownFields));
   };
   const applyChanges = (items: storeCodec.StoreItem[], revision: gateway.StoreRevision) => {
     configurationItems.applyConfigurations(parts, items);
     evacuationItems.applyEvacuationChanges(parts, items);
     serverItems.applyServerChanges(parts, items, revision);
     assign();
+    noteUnknown(items.flatMap(codec.findUnknownFields));
   };
   return storeReader.startStoreReader({
     client: storeClient.createStoreClient(settings.store),
@@ -150,5 +156,6 @@
     reportRegained: (awayMs) => reportRegained(parts, awayMs),
     applyEpoch: (change) => applyEpoch(parts, change),
     reportEpochFault: (fault) => reportEpochFault(parts, fault),
+    reportUnknown: noteUnknown,
   });
 }
--- a/packages/gateway/src/store-reader.test.ts
+++ b/packages/gateway/src/store-reader.test.ts
@@ -24,6 +24,8 @@
     throw new Error('there is no configuration');
   },
   decodeBackendServer: () => undefined,
+  findUnknownFields: () => [],
+  findUnknownHeaders: () => [],
   parseServerId: (key) => key,
   parseEvacuatedDomain: (key) => key,
 };
@@ -70,6 +72,7 @@
     reportRegained: () => {},
     applyEpoch: ({ after }) => reading.epochs?.push(after.epoch),
     reportEpochFault: () => {},
+    reportUnknown: () => {},
   });
   context.after(() => reader.stop());
   return (calls: number) =>
--- a/packages/gateway/src/store-reader.ts
+++ b/packages/gateway/src/store-reader.ts
@@ -15,6 +15,7 @@
 import type * as storeClient from './store-client.js';
 import type * as storeCodec from './store-codec.js';
 import * as storeEpoch from './store-epoch.js';
+import type * as unknownNames from './unknown-names.js';
 
 export type StoreReaderOptions = {
   client: storeClient.StoreClient;
@@ -36,6 +37,8 @@
   applyEpoch: (change: storeEpoch.EpochChange) => void;
   /** The epoch of an answer does not follow the one that is known. */
   reportEpochFault: (fault: storeEpoch.EpochFault) => void;
+  /** Told of names in answers that this product does not know. */
+  reportUnknown: (found: unknownNames.UnknownName[]) => void;
 };
 
 export type StoreReader = {
@@ -74,6 +77,7 @@
  * earlier epoch would bring back what the later one has ended.
  */
 function readEpoch({ options, latest }: ReaderState, answer: storeClient.StoreAnswer): number {
+  options.reportUnknown(options.codec.findUnknownHeaders(answer.headers));
   const told = options.codec.parseEpoch(answer.headers);
   const { epoch, fault } = storeEpoch.resolveEpoch(latest.epoch, told);
   if (fault !== undefined) {
--- a/packages/gateway/src/task-state.ts
+++ b/packages/gateway/src/task-state.ts
@@ -5,6 +5,7 @@
 import type * as decisionLog from './decision-log.js';
 import type * as gatewayMetrics from './gateway-metrics.js';
 import type * as heldRequest from './held-request.js';
+import type * as unknownNames from './unknown-names.js';
 import type * as wireProtocol from './wire-protocol.js';
 
 export type GatewayTaskParts = {
@@ -14,6 +15,7 @@
   readClocks: clocks.ReadClocks;
   log: decisionLog.DecisionLog;
   metrics: gatewayMetrics.GatewayMetrics;
+  unknown: unknownNames.UnknownNames;
   sendToPeers: (outgoing: readonly gateway.Outgoing[]) => void;
 };
 
--- a/packages/gateway/src/wire-protocol.ts
+++ b/packages/gateway/src/wire-protocol.ts
@@ -3,6 +3,7 @@
  * backend servers. Nothing here decides.
  */
 import type * as gateway from '@toucanproxy/core/gateway';
+import type * as unknownNames from './unknown-names.js';
 
 /** Header lines as they came: names and values by turns. */
 export type RawHeaders = string[];
@@ -43,6 +44,8 @@
   leaving: StatedValue<true>;
   /** Time for which the backend server takes nothing from this gateway, milliseconds. */
   backoffMs: StatedValue<number>;
+  /** Headers of the platform that this product does not know. */
+  unknown: unknownNames.UnknownName[];
 };
 
 export type WireProtocol = {
