Confirm nothing from a store that is behind other gateways

A gateway that started while the store was on an older backup let keys in that had been taken away (open in docs/design/store-epochs.md).

Reports of peers carry the version of the configuration in force. A list of the store is linearizable: one that is asked for after a peer has told of a version and is older proves that the store went back. Such a gateway confirms nothing, so callers with keys are refused as not run until it has caught up, or for a minute at most. Changes prove nothing, as they may leave something out for a moment; they have all listed. A change that is on its way costs nothing. What an answer confirms is now noted after it is in force.

Left: where the first answer of the store comes before the first report of a peer, older keys are let in until the next call (1.5 s at most).

--- a/packages/core/src/gateway/belief.ts
+++ b/packages/core/src/gateway/belief.ts
@@ -20,6 +20,8 @@
 export type Belief = {
   /** When the last call that the store answered was sent; undefined before the first. */
   confirmed: ClockReading | undefined;
+  /** Since when the store has told an older configuration than a peer has, milliseconds. */
+  behindSinceMs: number | undefined;
 };
 
 export enum Standing {
@@ -33,12 +35,19 @@
 
 /** Creates the belief of a process that has heard nothing. */
 export function createBelief(): Belief {
-  return { confirmed: undefined };
+  return { confirmed: undefined, behindSinceMs: undefined };
 }
 
 /** Notes that the store answered a call that was sent at the given reading. */
 export function noteConfirmed(belief: Belief, sent: ClockReading): void {
   belief.confirmed = sent;
+  belief.behindSinceMs = undefined;
+}
+
+/** Notes that the store tells an older configuration than a peer has: nothing is confirmed. */
+export function noteBehind(belief: Belief, now: number): void {
+  belief.confirmed = undefined;
+  belief.behindSinceMs ??= now;
 }
 
 /** Computes the age of the last confirmation, milliseconds. */
--- a/packages/core/src/gateway/index.ts
+++ b/packages/core/src/gateway/index.ts
@@ -23,6 +23,7 @@
 export * from './server-end.js';
 export * from './server-entries.js';
 export * from './server-statements.js';
+export * from './store-answers.js';
 export * from './token-quota.js';
 export * from './warm-up-times.js';
 export type { BackendServerEntry } from '../shared/backend-server-entry.js';
--- a/packages/core/src/gateway/peer-view.ts
+++ b/packages/core/src/gateway/peer-view.ts
@@ -17,6 +17,8 @@
   used: Map<string, number>;
   /** Processor time that the sender may use, in hundredths of a core. */
   processorPercent: number;
+  /** Version of the configuration in force there; 0 where there is none. */
+  configurationVersion: number;
   /** Other gateways that the sender hears. */
   peers: string[];
 };
@@ -27,6 +29,9 @@
   heardMs: number;
   used: Map<string, number>;
   processorPercent: number;
+  /** The version of its last report, and when this life first told of it, milliseconds. */
+  configurationVersion: number;
+  versionHeardMs: number;
 };
 
 export type PeerView = {
@@ -119,10 +124,18 @@
     view.byAddress.delete(report.address);
     return increases;
   }
-  const { life, sequence, processorPercent } = report;
+  const { life, sequence, processorPercent, configurationVersion } = report;
   const used = known?.life === life ? new Map([...known.used, ...report.used]) : report.used;
-  const peer = { life, sequence, heardMs: now, used, processorPercent };
-  view.byAddress.set(report.address, peer);
+  const isSameVersion = known?.life === life && known.configurationVersion === configurationVersion;
+  view.byAddress.set(report.address, {
+    life,
+    sequence,
+    heardMs: now,
+    used,
+    processorPercent,
+    configurationVersion,
+    versionHeardMs: isSameVersion ? known.versionHeardMs : now,
+  });
   return increases;
 }
 
@@ -144,6 +157,15 @@
     .forEach(([address]) => view.hearsay.delete(address));
 }
 
+/** Finds the newest version of the configuration that a peer told of before a time; 0 for none. */
+export function findNewestVersion(view: PeerView, heardBeforeMs: number): number {
+  return [...view.byAddress.values()].reduce(
+    (newest, { configurationVersion, versionHeardMs }) =>
+      versionHeardMs < heardBeforeMs ? Math.max(newest, configurationVersion) : newest,
+    0,
+  );
+}
+
 /** Counts the gateways, this one included, that may be serving. */
 export function countGateways(view: PeerView): number {
   return view.byAddress.size + 1;
--- a/packages/core/src/gateway/token-quota.test.ts
+++ b/packages/core/src/gateway/token-quota.test.ts
@@ -164,6 +164,7 @@
     leaving: false,
     used: new Map([['w', used]]),
     processorPercent: 50,
+    configurationVersion: 1,
     peers: [],
   };
 }
--- a/packages/gateway/src/peer-task.ts
+++ b/packages/gateway/src/peer-task.ts
@@ -88,6 +88,7 @@
     suspects: reportTurns.pickInTurn(gateway.listSuspects(state.suspects), turn, MAX_SUSPECTS),
     peers,
     processorPercent: state.processorPercent,
+    configurationVersion: state.index?.configuration.version ?? 0,
   });
 }
 
@@ -164,7 +165,7 @@
 /** Takes in a report; charges quotas with what the sender has admitted. */
 function receiveReport(peer: PeerState, received: schema.GatewayReport): void {
   const { state, readNow } = peer.options;
-  const { address, life, sequence, leaving, used, peers, suspects, processorPercent } = received;
+  const { address, life, sequence, leaving, used, peers, suspects } = received;
   const now = readNow();
   const report: gateway.PeerReport = {
     address,
@@ -172,7 +173,8 @@
     sequence,
     leaving,
     used: new Map(used.map((one) => [one.workspace, one.amount])),
-    processorPercent,
+    processorPercent: received.processorPercent,
+    configurationVersion: received.configurationVersion,
     peers,
   };
   const isNewcomer = !leaving && !gateway.isKnownLife(state.peers, address, life);
--- a/packages/gateway/src/status.ts
+++ b/packages/gateway/src/status.ts
@@ -48,6 +48,7 @@
     version: state.index?.configuration.version,
     beliefAgeMs: gateway.computeAge(state.belief, now),
     storeLost: storeLink.isLost,
+    storeBehind: state.belief.behindSinceMs !== undefined,
     storeRevision: state.servers.readRevision,
     requestsHeld: state.requests.size,
     backendServers: [...state.servers.byId.values()],
--- a/packages/gateway/src/store-follower.ts
+++ b/packages/gateway/src/store-follower.ts
@@ -118,6 +118,21 @@
   log.write('store-epoch-faulty', line, readClocks().steadyMs);
 }
 
+/** Takes in that the store has answered, and tells where it is behind other gateways. */
+function noteAnswer(
+  { state, log, readClocks }: FollowerParts,
+  sent: gateway.ClockReading,
+  isList: boolean,
+): gateway.StoreAnswerOutcome {
+  const outcome = gateway.noteStoreAnswer(state, sent, isList, readClocks().steadyMs);
+  if (outcome.news !== undefined) {
+    const version = state.index?.configuration.version;
+    const newest = gateway.findNewestVersion(state.peers, Infinity);
+    log.writeAlways(outcome.news, { version, newest });
+  }
+  return outcome;
+}
+
 /** Starts to follow the store. */
 export function startStoreFollower(parts: FollowerParts): storeReader.StoreReader {
   const { state, settings, codec, readClocks, assign } = parts;
@@ -151,7 +166,7 @@
     drawRandom: state.drawRandom,
     applySnapshot,
     applyChanges,
-    confirm: (sent) => gateway.noteConfirmed(state.belief, sent),
+    confirm: (sent, isList) => noteAnswer(parts, sent, isList),
     reportLost: (reason) => reportLost(parts, reason),
     reportRegained: (awayMs) => reportRegained(parts, awayMs),
     applyEpoch: (change) => applyEpoch(parts, change),
--- a/packages/gateway/src/store-reader.test.ts
+++ b/packages/gateway/src/store-reader.test.ts
@@ -40,6 +40,8 @@
   /** Epochs that were taken in, and calls that confirmed what is known. */
   epochs?: number[];
   confirmed?: number;
+  /** The confirmation after which all is to be listed. */
+  listDueAt?: number;
 };
 
 /** Starts a reader, and gives what waits until it has made some calls. */
@@ -67,6 +69,7 @@
     applyChanges: (_, { count }) => reading.revisions.push(count),
     confirm: () => {
       reading.confirmed = (reading.confirmed ?? 0) + 1;
+      return { isListDue: reading.confirmed === reading.listDueAt };
     },
     reportLost: () => {},
     reportRegained: () => {},
@@ -145,3 +148,10 @@
   await waitForCalls(4);
   assert.deepEqual([reading.confirmed, reading.revisions.length], [1, 1]);
 });
+
+test('all is listed where changes fall behind', async (context) => {
+  const reading: Reading = { paths: [], revisions: [], intervalMs: LONG_MS, listDueAt: 2 };
+  const waitForCalls = startReading(context, reading);
+  await waitForCalls(3);
+  assert.deepEqual(reading.paths.slice(0, 3), ['range', 'watch-7', 'range']);
+});
--- a/packages/gateway/src/store-reader.ts
+++ b/packages/gateway/src/store-reader.ts
@@ -29,8 +29,8 @@
   applySnapshot: (items: storeCodec.StoreItem[], revision: gateway.StoreRevision) => void;
   /** Takes in the items that have changed up to a revision. */
   applyChanges: (items: storeCodec.StoreItem[], revision: gateway.StoreRevision) => void;
-  /** The store has answered a call that was sent at the given reading. */
-  confirm: (sent: gateway.ClockReading) => void;
+  /** What the store answered to a call that was sent at the given reading has been taken in. */
+  confirm: (sent: gateway.ClockReading, isList: boolean) => { isListDue: boolean };
   reportLost: (reason: string) => void;
   reportRegained: (awayMs: number) => void;
   /** The store has been restored from an older backup; what it has now is taken in next. */
@@ -125,13 +125,12 @@
 }
 
 /** Notes that the store has answered. */
-function noteAnswer(state: ReaderState, sent: gateway.ClockReading): void {
+function noteAnswer(state: ReaderState): void {
   const { options } = state;
   if (state.failures > 0) {
     state.failures = 0;
     options.reportRegained(options.readClocks().steadyMs - state.lostMs);
   }
-  options.confirm(sent);
 }
 
 /** Waits until the next call is due; the interval may change while it passes. */
@@ -150,13 +149,14 @@
   const { options, latest } = state;
   const sent = options.readClocks();
   const { items, revision } = await readAll(state);
-  noteAnswer(state, sent);
+  noteAnswer(state);
   if (latest.epoch !== revision.epoch && latest !== gateway.BEFORE_ALL) {
     options.applyEpoch({ before: latest, after: revision });
   }
   state.revision = revision;
   state.latest = revision;
   options.applySnapshot(items, revision);
+  options.confirm(sent, true);
   state.noteFirst();
 }
 
@@ -184,10 +184,14 @@
     return;
   }
   const changes = codec.decodeChanges(answer.body, epoch);
-  noteAnswer(state, sent);
+  noteAnswer(state);
   state.revision = gateway.isLater(changes.revision, since) ? changes.revision : since;
   state.latest = state.revision;
   options.applyChanges(changes.items, changes.revision);
+  if (options.confirm(sent, false).isListDue) {
+    state.revision = undefined;
+    return;
+  }
   await waitInterval(state, sent.steadyMs);
 }
 
--- a/packages/measure/src/gateway-load/replay.ts
+++ b/packages/measure/src/gateway-load/replay.ts
@@ -195,6 +195,7 @@
     leaving: false,
     used: new Map<string, number>(),
     processorPercent: state.processorPercent,
+    configurationVersion: 1,
     peers: [],
   }));
   world.states.forEach((state) =>
--- a/packages/proofs/src/mocks/gateway-fleet.ts
+++ b/packages/proofs/src/mocks/gateway-fleet.ts
@@ -85,6 +85,7 @@
         leaving: false,
         used: new Map<string, number>(),
         processorPercent: sender.processorPercent,
+        configurationVersion: 1,
         peers: [],
       };
       gateway.applyReport(receiver.peers, report, fleet.nowMs);
