Put statements down to the life that answered

Trace: the server had restarted under its id 2 s before; the gateway had not read of it yet (the store was slow to reach), sent to the id and got the answer of the new life. It put the departure down to the life that it knew, and forgot it with that life when it read the restart 100 ms later. The next answer told it anew. Ruled out: a departure that was lost between gateways, a check that excuses too little.

Answers do not tell their life. A statement is now about the life that was known when the request was sent, or a later one that had begun by then, by the time of day. Rests and limits had the same fault. 'next life says that it leaves before its entry is read' fails before and passes.

--- a/packages/core/src/gateway/answer-statements.ts
+++ b/packages/core/src/gateway/answer-statements.ts
@@ -6,7 +6,7 @@
 import type * as serverStatements from './server-statements.js';
 
 /** What an answer says in its head. */
-export type StatedValues = Omit<serverStatements.AnswerStatement, 'answered'> & {
+export type StatedValues = Omit<serverStatements.AnswerStatement, 'answered' | 'sentWallMs'> & {
   /** The backend server has signed the answer. */
   isSigned: boolean;
 };
@@ -22,7 +22,8 @@
   if (serverId === undefined) {
     return [];
   }
-  const statement = { ...values, answered: isSigned ? request : undefined };
+  const { sentWallMs } = request;
+  const statement = { ...values, sentWallMs, answered: isSigned ? request : undefined };
   const life = { id: serverId, bornMs: serverBornMs };
   const changes = backendServers.applyStatement(state.servers, life, statement, now);
   if (changes.length > 0) {
--- a/packages/core/src/gateway/ask-messages.ts
+++ b/packages/core/src/gateway/ask-messages.ts
@@ -59,14 +59,16 @@
 ): schema.ServerStatement[] {
   return [...servers.statements]
     .filter(([id, statement]) => {
-      const isOfLife = servers.byId.get(id)?.entry.bornMs === statement.bornMs;
+      const bornMs = servers.byId.get(id)?.entry.bornMs;
+      const isOfLife = bornMs !== undefined && serverStatements.isAbout(statement, bornMs);
       const isInCell = fleetSplit.findCellOf(split, service, id) === cell;
       return isOfLife && isInCell && serverStatements.isToldOn(statement, now);
     })
-    .map(([serverId, { bornMs, leavingSinceMs, backoffUntilMs, rateLimit }]) =>
+    .map(([serverId, { bornMs, sentWallMs, leavingSinceMs, backoffUntilMs, rateLimit }]) =>
       schema.create(schema.ServerStatementSchema, {
         serverId,
-        bornMs,
+        bornMs: servers.byId.get(serverId)?.entry.bornMs ?? bornMs,
+        sentWallMs,
         isLeaving: leavingSinceMs !== undefined,
         backoffLeftMs: Math.max(backoffUntilMs - now, 0),
         rateLimit: rateLimit && {
--- a/packages/core/src/gateway/ask-receipt.ts
+++ b/packages/core/src/gateway/ask-receipt.ts
@@ -5,8 +5,6 @@
 import type * as gatewayState from './gateway-state.js';
 import * as serverStatements from './server-statements.js';
 
-const LEAVING = { ...serverStatements.NOTHING_STATED, isLeaving: true };
-
 /**
  * Takes in an ask; gives what is news of backend servers.
  *
@@ -21,12 +19,14 @@
 ): serverStatements.StatementChange[] {
   const changes = ask.statements
     .filter(({ isLeaving }) => isLeaving)
-    .flatMap(({ serverId, bornMs }) =>
-      backendServers.applyStatement(state.servers, { id: serverId, bornMs }, LEAVING, now),
-    );
-  const statements = ask.statements.filter(({ serverId, bornMs }) => {
-    const known = state.servers.byId.get(serverId);
-    return known === undefined || known.entry.bornMs === bornMs;
+    .flatMap(({ serverId, bornMs, sentWallMs }) => {
+      const departure = { ...serverStatements.NOTHING_STATED, sentWallMs, isLeaving: true };
+      const life = { id: serverId, bornMs };
+      return backendServers.applyStatement(state.servers, life, departure, now);
+    });
+  const statements = ask.statements.filter((statement) => {
+    const known = state.servers.byId.get(statement.serverId);
+    return known === undefined || serverStatements.isAbout(statement, known.entry.bornMs);
   });
   scheduler.receiveAsk(state.scheduler, { ...ask, statements }, now);
   return changes;
--- a/packages/core/src/gateway/assignment.ts
+++ b/packages/core/src/gateway/assignment.ts
@@ -113,6 +113,7 @@
   request.serverId = serverId;
   request.serverBornMs = found.server.bornMs;
   request.sentMs = now;
+  request.sentWallMs = clocks.wallMs;
   request.sends += 1;
   request.idleFirstMs = idleFirstMs;
   request.isRateLimited = isRateLimited;
--- a/packages/core/src/gateway/backend-servers.ts
+++ b/packages/core/src/gateway/backend-servers.ts
@@ -89,7 +89,8 @@
 /**
  * Takes in what an answer of a backend server states, and gives what is news.
  *
- * An answer of an earlier life that arrives after the restart says nothing of the new life.
+ * An answer to a request from before a restart, which arrives after it, says nothing of the new
+ * life.
  */
 export function applyStatement(
   servers: BackendServers,
@@ -97,11 +98,14 @@
   statement: serverStatements.AnswerStatement,
   now: number,
 ): serverStatements.StatementChange[] {
-  const known = servers.byId.get(life.id);
-  if (known !== undefined && known.entry.bornMs !== life.bornMs) {
+  const { id, bornMs } = life;
+  const { sentWallMs } = statement;
+  const knownBornMs = servers.byId.get(id)?.entry.bornMs ?? bornMs;
+  if (!serverStatements.isAbout({ bornMs, sentWallMs }, knownBornMs)) {
     return [];
   }
-  const changes = serverStatements.noteStatement(servers.statements, life, statement, now);
+  const present = { id, bornMs: knownBornMs };
+  const changes = serverStatements.noteStatement(servers.statements, present, statement, now);
   servers.revision += changes.length;
   return changes;
 }
--- a/packages/core/src/gateway/gateway-request.ts
+++ b/packages/core/src/gateway/gateway-request.ts
@@ -64,6 +64,8 @@
   /** Start of that backend server's life, milliseconds since the Unix epoch. */
   serverBornMs: number;
   sentMs: number;
+  /** The same by the time of day, milliseconds since the Unix epoch. */
+  sentWallMs: number;
   /** That backend server had a rate limit when the place was granted. */
   isRateLimited: boolean;
   /** Time to its first event if that backend server were idle, milliseconds. */
--- a/packages/core/src/gateway/intake.ts
+++ b/packages/core/src/gateway/intake.ts
@@ -120,6 +120,7 @@
     serverId: undefined,
     serverBornMs: 0,
     sentMs: 0,
+    sentWallMs: 0,
     isRateLimited: false,
     idleFirstMs: 0,
     triedIds: new Set(),
--- a/packages/core/src/gateway/server-statements.ts
+++ b/packages/core/src/gateway/server-statements.ts
@@ -14,8 +14,10 @@
 };
 
 export type ServerStatement = {
-  /** Start of the life that it is about, milliseconds since the Unix epoch. */
+  /** Start of the life that it was put down to, milliseconds since the Unix epoch. */
   bornMs: number;
+  /** When the last request whose answer stated something was sent, in the same unit. */
+  sentWallMs: number;
   /** When an answer first said that the backend server leaves, milliseconds. */
   leavingSinceMs: number | undefined;
   /** The backend server takes nothing from this gateway until this time, milliseconds. */
@@ -41,6 +43,8 @@
 
 /** What one answer states. */
 export type AnswerStatement = {
+  /** When the request was sent, milliseconds since the Unix epoch. */
+  sentWallMs: number;
   isLeaving: boolean;
   /** Time for which the backend server takes nothing from this gateway, milliseconds. */
   backoffMs: number | undefined;
@@ -61,6 +65,7 @@
 
 /** An answer that states nothing. */
 export const NOTHING_STATED: AnswerStatement = {
+  sentWallMs: 0,
   isLeaving: false,
   backoffMs: undefined,
   perSecond: undefined,
@@ -78,13 +83,25 @@
  */
 const LIFTED_TOLD_MS = 10_000;
 
+/**
+ * Tells whether a statement is about a life: the one that it was put down to, or a later one
+ * under the same id that had begun when the request was sent. Answers do not tell their life, and
+ * a restart is read from the store only later.
+ */
+export function isAbout(
+  { bornMs, sentWallMs }: Pick<ServerStatement, 'bornMs' | 'sentWallMs'>,
+  lifeBornMs: number,
+): boolean {
+  return lifeBornMs === bornMs || (lifeBornMs > bornMs && lifeBornMs <= sentWallMs);
+}
+
 /** Gets what a life of a backend server has stated. */
 export function getStatement(
   statements: ServerStatements,
   { id, bornMs }: ServerLife,
 ): ServerStatement | undefined {
   const known = statements.get(id);
-  return known?.bornMs === bornMs ? known : undefined;
+  return known !== undefined && isAbout(known, bornMs) ? known : undefined;
 }
 
 /** Tells whether a backend server has said that it leaves. */
@@ -181,6 +198,7 @@
   }
   const after = {
     bornMs: life.bornMs,
+    sentWallMs: Math.max(known?.sentWallMs ?? 0, stated.sentWallMs),
     leavingSinceMs: known?.leavingSinceMs ?? (saysLeaving ? now : undefined),
     backoffUntilMs: Math.max(known?.backoffUntilMs ?? 0, now + (backoffMs ?? 0)),
     rateLimit,
@@ -201,10 +219,10 @@
   now: number,
 ): void {
   [...statements]
-    .filter(([id, { bornMs, statedMs, backoffUntilMs }]) => {
+    .filter(([id, statement]) => {
       const knownBornMs = findBornMs(id);
-      const isOld = now - Math.max(statedMs, backoffUntilMs) > KEPT_MS;
-      return knownBornMs === undefined ? isOld : knownBornMs !== bornMs;
+      const isOld = now - Math.max(statement.statedMs, statement.backoffUntilMs) > KEPT_MS;
+      return knownBornMs === undefined ? isOld : !isAbout(statement, knownBornMs);
     })
     .forEach(([id]) => statements.delete(id));
 }
--- a/packages/proofs/src/backoff-failures.test.ts
+++ b/packages/proofs/src/backoff-failures.test.ts
@@ -87,7 +87,10 @@
   const fleet = createFleet(FLEET);
   const refusedMs = runUntilRefused(fleet);
   fleet.backoffs.clear();
-  gatewayFaults.applyServer(fleet, REFUSING, { bornMs: 2, revision: { epoch: 0, count: 9 } });
+  gatewayFaults.applyServer(fleet, REFUSING, {
+    bornMs: fleet.nowMs,
+    revision: { epoch: 0, count: 9 },
+  });
   runLoad(fleet, 1000);
   const times = gatewayLoad.listTimes(fleet, REFUSING, refusedMs + 100);
   assert.ok(times.length > 10, String(times.length));
--- a/packages/proofs/src/leaving-statement-failures.test.ts
+++ b/packages/proofs/src/leaving-statement-failures.test.ts
@@ -125,7 +125,7 @@
   runUntilTold(fleet);
   runLoad(fleet, 500);
   fleet.sayingLeaving.clear();
-  const reborn = { bornMs: 2, revision: { epoch: 0, count: 9 } };
+  const reborn = { bornMs: fleet.nowMs, revision: { epoch: 0, count: 9 } };
   [0, 1, 2].forEach((index) => gatewayFaults.applyServer(fleet, LEAVER, reborn, index));
   runLoad(fleet, 500);
   gatewayFaults.applyServer(fleet, LEAVER, reborn, 3);
@@ -134,6 +134,18 @@
   assert.ok(listSentSince(fleet, sinceMs).length > 10);
 });
 
+test('next life says that it leaves before its entry is read', () => {
+  // Guards against a departure that is put down to the life before, and forgotten with it.
+  const fleet = createFleet(FLEET);
+  runLoad(fleet, 1000);
+  const reborn = { bornMs: fleet.nowMs, revision: { epoch: 0, count: 9 } };
+  runUntilTold(fleet);
+  runLoad(fleet, 500);
+  gatewayFaults.applyServer(fleet, LEAVER, reborn);
+  runLoad(fleet, 1000);
+  assert.deepEqual(listSentAfterTold(fleet), []);
+});
+
 test('all servers of a service leave', () => {
   // Guards against callers who wait out their time for servers that all leave.
   const fleet = createFleet(FLEET);
--- a/packages/proofs/src/rate-limit-failures.test.ts
+++ b/packages/proofs/src/rate-limit-failures.test.ts
@@ -193,7 +193,10 @@
   const fleet = createFleet(FLEET);
   setLimit(fleet);
   fleet.rateLimits.clear();
-  gatewayFaults.applyServer(fleet, LIMITED, { bornMs: 2, revision: { epoch: 0, count: 5 } });
+  gatewayFaults.applyServer(fleet, LIMITED, {
+    bornMs: fleet.nowMs,
+    revision: { epoch: 0, count: 5 },
+  });
   const sinceMs = fleet.nowMs;
   runLoad(fleet, 1000);
   assert.ok(listTimes(fleet, LIMITED, sinceMs).length > 10 * PER_SECOND);
--- a/packages/proofs/src/soak/soak-faults.ts
+++ b/packages/proofs/src/soak/soak-faults.ts
@@ -228,8 +228,9 @@
   standInWire.removeServer(fleet.store, before);
   setTimeout(() => {
     link.unblock();
-    backend.born += 1;
-    server.rename(isSameId ? before : `${before}.${backend.born}`);
+    backend.lives += 1;
+    backend.bornMs = Date.now();
+    server.rename(isSameId ? before : `${before}.${backend.lives}`);
     soakFleet.publishBackend(fleet, backend);
   }, forMs);
 }
--- a/packages/proofs/src/soak/soak-fleet.ts
+++ b/packages/proofs/src/soak/soak-fleet.ts
@@ -29,7 +29,9 @@
 export type SoakBackend = {
   server: soakServer.SoakServer;
   link: forwarder.Forwarder;
-  born: number;
+  /** Lives so far, and the start of the present one, milliseconds since the Unix epoch. */
+  lives: number;
+  bornMs: number;
   failureDomain: string;
 };
 
@@ -91,7 +93,7 @@
     address: `127.0.0.1:${backend.link.port}`,
     slots: soakServer.SLOTS,
     state,
-    bornMs: backend.born,
+    bornMs: backend.bornMs,
     failureDomain: backend.failureDomain,
   });
 }
@@ -154,7 +156,7 @@
   const id = `server-${index}`;
   const server = await soakServer.startSoakServer(id, failureDomain, draw, records, readNow);
   const link = await forwarder.startForwarder(server.port);
-  fleet.backends.push({ server, link, born: 1, failureDomain });
+  fleet.backends.push({ server, link, lives: 1, bornMs: Date.now(), failureDomain });
 }
 
 /** Asks a gateway for one answer; true where it serves. */
