--- a/packages/proofs/src/soak/soak-checks.ts
+++ b/packages/proofs/src/soak/soak-checks.ts
@@ -168,14 +168,34 @@
   );
 }
 
+/** Sorts times. */
+function sortTimes(times: number[]): number[] {
+  return times.sort((a, b) => a - b);
+}
+
+/** Finds where in sorted times the first is that is not before another. */
+function findFrom(times: readonly number[], atMs: number): number {
+  let [low, high] = [0, times.length];
+  while (low < high) {
+    const middle = Math.floor((low + high) / 2);
+    [low, high] = times[middle] < atMs ? [middle + 1, high] : [low, middle];
+  }
+  return low;
+}
+
+/** Counts the sorted times within a window. */
+function countWithin(times: readonly number[], fromMs: number, windowMs: number): number {
+  return findFrom(times, fromMs + windowMs) - findFrom(times, fromMs);
+}
+
 /** Repeats stay within the budget that all gateways share. */
 function checkRetries({ records, bounds }: Context): Violation[] {
-  const repeats = [...records.arrivals.values()].flatMap((times) => times.slice(1));
+  const repeats = sortTimes([...records.arrivals.values()].flatMap((times) => times.slice(1)));
+  const calls = sortTimes(records.calls.map(({ sentMs }) => sentMs));
   return repeats.flatMap((fromMs) => {
-    const untilMs = fromMs + RETRY_WINDOW_MS;
-    const count = repeats.filter((at) => at >= fromMs && at < untilMs).length;
-    const calls = records.calls.filter(({ sentMs }) => sentMs >= fromMs && sentMs < untilMs);
-    const allowed = bounds.retryRatio * calls.length + bounds.retryExtra;
+    const count = countWithin(repeats, fromMs, RETRY_WINDOW_MS);
+    const allowed =
+      bounds.retryRatio * countWithin(calls, fromMs, RETRY_WINDOW_MS) + bounds.retryExtra;
     return count > allowed
       ? [{ promise: 'retry budget', detail: JSON.stringify({ fromMs, count, allowed }) }]
       : [];
--- a/packages/proofs/src/soak/soak-evacuations.ts
+++ b/packages/proofs/src/soak/soak-evacuations.ts
@@ -3,6 +3,7 @@
 import * as standInWire from '@toucanproxy/platform/mocks/stand-in-wire';
 import * as randomSource from '../mocks/random-source.js';
 import * as soakFleet from './soak-fleet.js';
+import * as soakSeries from './soak-series.js';
 
 /** Times of an evacuation and of the pause before it, milliseconds. */
 const SHORTEST_MS = 200;
@@ -29,9 +30,8 @@
   draw: randomSource.DrawRandom,
   count: number,
 ): Promise<void> {
-  for (let index = 0; index < count; index += 1) {
-    await timers.setTimeout(randomSource.drawBetween(draw, 0, LONGEST_PAUSE_MS));
+  await soakSeries.runSeries(draw, count, LONGEST_PAUSE_MS, async () => {
     const domain = soakFleet.formatDomain(Math.floor(draw() * soakFleet.DOMAINS));
     await applyEvacuation(fleet, domain, randomSource.drawBetween(draw, SHORTEST_MS, LONGEST_MS));
-  }
+  });
 }
--- a/packages/proofs/src/soak/soak-limits.ts
+++ b/packages/proofs/src/soak/soak-limits.ts
@@ -3,6 +3,7 @@
 import * as randomSource from '../mocks/random-source.js';
 import type * as soakFleet from './soak-fleet.js';
 import type * as soakRecords from './soak-records.js';
+import * as soakSeries from './soak-series.js';
 
 /** Times of a limit and of the pause before it, milliseconds. */
 const SHORTEST_MS = 5000;
@@ -17,8 +18,7 @@
   draw: randomSource.DrawRandom,
   count: number,
 ): Promise<void> {
-  for (let index = 0; index < count; index += 1) {
-    await timers.setTimeout(randomSource.drawBetween(draw, 0, LONGEST_PAUSE_MS));
+  await soakSeries.runSeries(draw, count, LONGEST_PAUSE_MS, async () => {
     const { server } = randomSource.drawFrom(draw, fleet.backends);
     const limit: soakRecords.LimitRecord = {
       server: server.id,
@@ -30,5 +30,5 @@
     server.setLimit(limit);
     await timers.setTimeout(randomSource.drawBetween(draw, SHORTEST_MS, LONGEST_MS));
     server.setLimit(undefined);
-  }
+  });
 }
--- a/packages/proofs/src/soak/soak-statements.ts
+++ b/packages/proofs/src/soak/soak-statements.ts
@@ -4,6 +4,7 @@
 import * as soakFaults from './soak-faults.js';
 import type * as soakFleet from './soak-fleet.js';
 import * as soakRecords from './soak-records.js';
+import * as soakSeries from './soak-series.js';
 
 /** Times of a statement and of the pause before it, milliseconds. */
 const SHORTEST_MS = 2000;
@@ -41,14 +42,13 @@
 }
 
 /** Lets backend servers say by turns that they leave, and ask for a backoff. */
-export async function runStatements(
+export function runStatements(
   fleet: soakFleet.SoakFleet,
   draw: randomSource.DrawRandom,
   count: number,
 ): Promise<void> {
   const { LEAVING, BACKOFF } = soakRecords.StatementKind;
-  for (let index = 0; index < count; index += 1) {
-    await timers.setTimeout(randomSource.drawBetween(draw, 0, LONGEST_PAUSE_MS));
-    await applyStatement(fleet, draw, index % 2 === 0 ? BACKOFF : LEAVING);
-  }
+  return soakSeries.runSeries(draw, count, LONGEST_PAUSE_MS, (index) =>
+    applyStatement(fleet, draw, index % 2 === 0 ? BACKOFF : LEAVING),
+  );
 }
