Update the order of schedulers by what has changed

Each gateway ranked all gateways anew for every cell whenever one more became known.

Not shown: that the ranking is the cause.

--- a/packages/core/src/gateway/scheduler-ranking.ts
+++ b/packages/core/src/gateway/scheduler-ranking.ts
@@ -9,7 +9,7 @@
   heardShare: number;
   /** Gateways that may schedule, and their order for each cell so far. */
   addresses: string[];
-  byCell: Map<string, string[]>;
+  byCell: Map<string, scheduler.SchedulerOrder>;
   /** Schedulers that did not answer, and until when they are passed over, ms. */
   silentUntilMs: Map<string, number>;
 };
@@ -77,11 +77,26 @@
   ranking.revision = view.revision;
   const all = peerView.countGateways(view);
   ranking.heardShare = (all - peerView.countSilent(view, now)) / all;
-  const addresses = listSchedulers(view, own, now).sort();
-  if (addresses.join() !== ranking.addresses.join()) {
-    ranking.addresses = addresses;
-    ranking.byCell.clear();
+  applyAddresses(ranking, listSchedulers(view, own, now));
+}
+
+/**
+ * Brings the orders of all cells in line with the gateways that may schedule. Load pattern: a
+ * fleet of hundreds starts, and each gateway becomes known by itself; ranked anew each time, dozens of cells
+ * take all of a small VM's processor for seconds.
+ */
+function applyAddresses(ranking: SchedulerRanking, addresses: string[]): void {
+  const before = new Set(ranking.addresses);
+  const after = new Set(addresses);
+  const added = addresses.filter((one) => !before.has(one));
+  const gone = new Set(ranking.addresses.filter((one) => !after.has(one)));
+  if (added.length + gone.size === 0) {
+    return;
   }
+  ranking.addresses = addresses;
+  ranking.byCell.forEach((order, cell) =>
+    ranking.byCell.set(cell, scheduler.updateSchedulers(cell, order, added, gone)),
+  );
 }
 
 /** Notes that a scheduler did not answer. */
@@ -115,8 +130,8 @@
   const order =
     ranking.byCell.get(cellName) ?? scheduler.rankSchedulers(cellName, ranking.addresses);
   ranking.byCell.set(cellName, order);
-  const passed = order.findIndex((one) => one === own.address || !isSilent(ranking, one, now));
-  const address = passed === -1 ? own.address : order[passed];
+  const passed = order.findIndex(({ id }) => id === own.address || !isSilent(ranking, id, now));
+  const address = passed === -1 ? own.address : order[passed].id;
   const { heardShare } = ranking;
   const isCutOff = passed === -1 || passed > CUT_OFF_PASSED || heardShare < CUT_OFF_HEARD;
   return { address, placeShare: isCutOff ? heardShare : 1 };
--- a/packages/core/src/scheduler/cell-split.test.ts
+++ b/packages/core/src/scheduler/cell-split.test.ts
@@ -32,10 +32,10 @@
   const gateways = Array.from({ length: 10 }, (_, index) => `10.0.0.${index}:1`);
   const cells = cellSplit.listCellNames('one', 600);
   cells.forEach((cell) => {
-    const [first, second] = cellSplit.rankSchedulers(cell, gateways);
+    const [{ id: first }, { id: second }] = cellSplit.rankSchedulers(cell, gateways);
     const left = gateways.filter((one) => one !== first);
-    assert.equal(cellSplit.rankSchedulers(cell, left)[0], second);
+    assert.equal(cellSplit.rankSchedulers(cell, left)[0].id, second);
     const others = gateways.filter((one) => one !== second);
-    assert.equal(cellSplit.rankSchedulers(cell, others)[0], first);
+    assert.equal(cellSplit.rankSchedulers(cell, others)[0].id, first);
   });
 });
--- a/packages/core/src/scheduler/cell-split.ts
+++ b/packages/core/src/scheduler/cell-split.ts
@@ -42,7 +42,20 @@
     : rendezvous.rankByRendezvous(serverId, cellNames)[0];
 }
 
+/** Gateways in the order in which they should schedule a cell. */
+export type SchedulerOrder = readonly rendezvous.ScoredId[];
+
 /** Ranks gateways by who should schedule a cell, the first before the others. */
-export function rankSchedulers(cellName: string, addresses: readonly string[]): string[] {
-  return rendezvous.rankByRendezvous(cellName, addresses);
+export function rankSchedulers(cellName: string, addresses: readonly string[]): SchedulerOrder {
+  return rendezvous.rankScored(cellName, addresses);
+}
+
+/** Brings an order in line with gateways that have come, and others that have gone. */
+export function updateSchedulers(
+  cellName: string,
+  order: SchedulerOrder,
+  added: readonly string[],
+  gone: ReadonlySet<string>,
+): SchedulerOrder {
+  return rendezvous.updateRanked(cellName, order, added, gone);
 }
