--- a/packages/core/src/gateway/ask-messages.ts
+++ b/packages/core/src/gateway/ask-messages.ts
@@ -51,7 +51,7 @@
     .map(([serverId, requests]) => ({ serverId, requests }));
 }
 
-/** Lists what the scheduler of a cell is to be told of its backend servers. */
+/** Lists the statements of a cell's backend servers that its scheduler gets. */
 function listStatements(
   { servers, split }: gatewayState.GatewayState,
   { cell, service }: schedulerLink.SchedulerLink,
@@ -62,7 +62,7 @@
       const bornMs = servers.byId.get(id)?.entry.bornMs;
       const isOfLife = bornMs !== undefined && serverStatements.isAbout(statement, bornMs);
       const isInCell = fleetSplit.findCellOf(split, service, id) === cell;
-      return isOfLife && isInCell && serverStatements.isToldOn(statement, now);
+      return isOfLife && isInCell && serverStatements.isReported(statement, now);
     })
     .map(([serverId, { bornMs, sentWallMs, leavingSinceMs, backoffUntilMs, rateLimit }]) =>
       schema.create(schema.ServerStatementSchema, {
@@ -79,14 +79,14 @@
     );
 }
 
-/** Takes the next few statements that the scheduler of a cell is told of: all of them in turn. */
+/** Takes the next few statements for the scheduler of a cell: all of them in turn. */
 function takeStatements(
   link: schedulerLink.SchedulerLink,
   all: readonly schema.ServerStatement[],
 ): schema.ServerStatement[] {
-  const from = all.length === 0 ? 0 : link.statementsTold % all.length;
+  const from = all.length === 0 ? 0 : link.statementsSent % all.length;
   const taken = [...all.slice(from), ...all.slice(0, from)].slice(0, MAX_STATEMENTS);
-  link.statementsTold += taken.length;
+  link.statementsSent += taken.length;
   return taken;
 }
 
--- a/packages/core/src/gateway/scheduler-link.ts
+++ b/packages/core/src/gateway/scheduler-link.ts
@@ -23,8 +23,8 @@
   withdrawn: number[];
   observations: schema.ServerObservation[];
   lastGrant: number;
-  /** Statements of backend servers that were told so far; the next ones are told in turn. */
-  statementsTold: number;
+  /** Statements of backend servers that were sent so far; all of them are sent in turn. */
+  statementsSent: number;
   /** There is something to tell at once. */
   isDirty: boolean;
   /** Places of the cell, and requests at them or before them, as last told. */
@@ -51,7 +51,7 @@
     withdrawn: [],
     observations: [],
     lastGrant: 0,
-    statementsTold: 0,
+    statementsSent: 0,
     isDirty: false,
     places: 0,
     load: 0,
--- a/packages/core/src/gateway/server-statements.ts
+++ b/packages/core/src/gateway/server-statements.ts
@@ -78,10 +78,10 @@
  */
 const KEPT_MS = 60_000;
 /**
- * A lifted limit is told to schedulers for this time, milliseconds: longer than a gateway
- * that has been told of the limit only goes without an answer of a busy backend server.
+ * Schedulers get a lifted limit for this time, milliseconds: longer than a gateway that knows
+ * of the limit only goes without an answer of a busy backend server.
  */
-const LIFTED_TOLD_MS = 10_000;
+const LIFTED_REPORTED_MS = 10_000;
 
 /**
  * Tells whether a statement is about a life: the one that it was put down to, or a later one
@@ -123,14 +123,14 @@
   return [...statements.values()].some(({ backoffUntilMs }) => backoffUntilMs > now);
 }
 
-/** Tells whether schedulers are to be told of a statement: it holds, or held until lately. */
-export function isToldOn(
+/** Tells whether schedulers get a statement with each ask: it holds, or held until lately. */
+export function isReported(
   { leavingSinceMs, backoffUntilMs, rateLimit }: ServerStatement,
   now: number,
 ): boolean {
   const isLimitTold =
     rateLimit !== undefined &&
-    (rateLimit.perSecond !== undefined || now - rateLimit.statedMs < LIFTED_TOLD_MS);
+    (rateLimit.perSecond !== undefined || now - rateLimit.statedMs < LIFTED_REPORTED_MS);
   return leavingSinceMs !== undefined || backoffUntilMs > now || isLimitTold;
 }
 
