--- a/packages/gateway/src/answer-relay.ts
+++ b/packages/gateway/src/answer-relay.ts
@@ -35,7 +35,7 @@
   observeFirstEvent: (ms: number) => void;
   /** Tells whether the request may be sent now that its connection is open. */
   mayLeave: () => boolean;
-  /** Told of each answer of the backend server that is meant. */
+  /** Told of each answer that comes from the backend server. */
   observeStatements: (names: wireProtocol.AnswerNames) => void;
 };
 
