Keep the slots of plain servers busy between two requests

Cause: in bursts all slots of plain servers were in use by the gateways' count, yet requests took 85 ms where the servers take about 64: for the rest of the time a slot waits for the exchange between a gateway with a fraction of a core and the scheduler. Change: gateways report how long replies take (ScheduleAsk.reply_ms); the scheduler grants as many requests beyond the slots of a plain server as start in that time, half of the slots at most.

--- a/packages/core/src/gateway/ask-messages.ts
+++ b/packages/core/src/gateway/ask-messages.ts
@@ -163,6 +163,7 @@
         lastGrant: link.lastGrant,
         observations: link.observations.splice(0, MAX_OBSERVATIONS),
         statements: takeStatements(link, statements),
+        replyMs: link.replyMs,
       }),
     );
   } while (requests.length > 0);
--- a/packages/core/src/gateway/cell-servers.ts
+++ b/packages/core/src/gateway/cell-servers.ts
@@ -67,6 +67,7 @@
   return {
     entries,
     tokensPerEvent: declared?.engine?.tokensPerEvent ?? 1,
+    areEngines: declared?.engine !== undefined,
     placeShare: pendingAsks.chooseScheduler(state, cellName, now).placeShare,
     reachableShare: computeReachableShare(state, now),
     hasPeers: state.peers.byAddress.size > 0,
--- a/packages/core/src/gateway/schedule-replies.ts
+++ b/packages/core/src/gateway/schedule-replies.ts
@@ -103,6 +103,9 @@
   }
   schedulerRanking.clearUnreachable(state.ranking, reply.address);
   const askedMs = link.sentMs.get(reply.echo) ?? -Infinity;
+  if (reply.echo > link.lastAnsweredSequence && Number.isFinite(askedMs)) {
+    schedulerLink.noteReplyTime(link, now - askedMs);
+  }
   schedulerLink.noteReply(link, reply.life, reply.echo);
   link.places = reply.places;
   link.load = reply.taken + reply.queued;
--- a/packages/core/src/gateway/scheduler-link.ts
+++ b/packages/core/src/gateway/scheduler-link.ts
@@ -32,6 +32,8 @@
   statementsSent: number;
   /** An ask must be sent without delay. */
   isDirty: boolean;
+  /** Moving average of the time from an ask to its reply, milliseconds; 0 before the first one. */
+  replyMs: number;
   /** Slots of the cell, and requests running or queued there, according to the last reply. */
   places: number;
   load: number;
@@ -39,6 +41,8 @@
 
 /** Number of recent asks whose sending time is kept. */
 const MAX_SENT_TIMES = 64;
+/** Weight of a new sample in the average reply time. */
+const REPLY_SAMPLE_WEIGHT = 0.1;
 
 /** Creates a link over which nothing has been sent. */
 export function createLink(cell: string, service: string, address: string): SchedulerLink {
@@ -58,6 +62,7 @@
     lastGrant: 0,
     statementsSent: 0,
     isDirty: false,
+    replyMs: 0,
     places: 0,
     load: 0,
   };
@@ -77,6 +82,7 @@
 export function setScheduler(link: SchedulerLink, address: string): void {
   link.address = address;
   link.life = '';
+  link.replyMs = 0;
   link.sentMs.clear();
   link.unansweredMs = undefined;
   clearAcceptance(link);
@@ -98,6 +104,12 @@
   }
 }
 
+/** Records the time from an ask to its reply, milliseconds. */
+export function noteReplyTime(link: SchedulerLink, ms: number): void {
+  const weight = link.replyMs === 0 ? 1 : REPLY_SAMPLE_WEIGHT;
+  link.replyMs += weight * (ms - link.replyMs);
+}
+
 /** Records that an ask has been sent. */
 export function noteSent(link: SchedulerLink, now: number): void {
   link.sequence += 1;
--- a/packages/core/src/scheduler/asks.ts
+++ b/packages/core/src/scheduler/asks.ts
@@ -23,6 +23,7 @@
     failureDomain: ask.failureDomain,
     sequence: 0,
     heardMs: now,
+    replyMs: 0,
     inFlight: new Map(),
     backoffs: new Map(),
     unreportedGrants: [],
@@ -78,8 +79,12 @@
   }
 }
 
-/** Replaces the requests in flight of a gateway by those it reports, and drops reported grants. */
+/**
+ * Replaces the requests in flight and the reply time of a gateway by those it reports, and drops
+ * reported grants.
+ */
 function applyInFlight(asker: cells.CellAsker, ask: schema.ScheduleAsk): void {
+  asker.replyMs = ask.replyMs;
   asker.inFlight = new Map(ask.inFlight.map(({ serverId, requests }) => [serverId, requests]));
   asker.unreportedGrants = asker.unreportedGrants.filter(({ number }) => number > ask.lastGrant);
 }
--- a/packages/core/src/scheduler/candidates.ts
+++ b/packages/core/src/scheduler/candidates.ts
@@ -6,6 +6,7 @@
 import * as rateLimit from './rate-limit.js';
 import type * as serverChoice from './server-choice.js';
 import * as serverHealth from './server-health.js';
+import * as slotTurnaround from './slot-turnaround.js';
 import * as warmUp from './warm-up.js';
 
 /** What the gateway that runs the scheduler knows of the backend servers of a cell. */
@@ -13,6 +14,8 @@
   /** Store entries of the backend servers that may get new requests. */
   entries: readonly backendServerEntry.BackendServerEntry[];
   tokensPerEvent: number;
+  /** The backend servers are engines, which process prompts and responses token by token. */
+  areEngines: boolean;
   /** Share of the slots that may be granted, 0 to 1. */
   placeShare: number;
   /** Share of the gateways that are reachable, including this one; 0 if unknown. */
@@ -36,10 +39,29 @@
 const DEFAULT_SLOTS = 4;
 
 /** Returns the number of requests that a backend server processes concurrently. */
-export function getSlots({ slots }: backendServerEntry.BackendServerEntry): number {
+function getSlots({ slots }: backendServerEntry.BackendServerEntry): number {
   return slots || DEFAULT_SLOTS;
 }
 
+/**
+ * Creates the function that computes how many requests a backend server of a cell may have in
+ * flight.
+ */
+function createConcurrencyLimit(
+  cell: cells.Cell,
+  { areEngines }: CellServers,
+): (entry: backendServerEntry.BackendServerEntry) => number {
+  if (areEngines) {
+    return getSlots;
+  }
+  const turnaroundMs = slotTurnaround.estimateTurnaroundMs(cell);
+  return (entry) => {
+    const slots = getSlots(entry);
+    const { unitMs } = cells.getServerHealth(cell, entry.id).pace;
+    return slots + slotTurnaround.countGrantsAhead(slots, turnaroundMs, unitMs);
+  };
+}
+
 /**
  * Reports whether a backend server warms up, or may do so because it was recently unreachable. It
  * may have restarted at any time up to the next attempt to reach it, which is made after the
@@ -84,9 +106,10 @@
   taken: ReadonlyMap<string, number>,
   now: number,
 ): number {
+  const computeLimit = createConcurrencyLimit(cell, servers);
   return servers.entries.reduce((sum, entry) => {
     const startable = (taken.get(entry.id) ?? 0) + countStartsLeft(cell, servers, entry.id, now);
-    return sum + Math.min(getSlots(entry), startable);
+    return sum + Math.min(computeLimit(entry), startable);
   }, 0);
 }
 
@@ -102,6 +125,7 @@
     health: cells.getServerHealth(cell, entry.id),
     inFlight: taken.get(entry.id) ?? 0,
   }));
+  const computeLimit = createConcurrencyLimit(cell, servers);
   const cellAddedMs = addedLatency.estimateAddedLatencyMs(cell.addedLatency, now);
   const fastest = enginePace.findShortestUnitMs(usable.map(({ health }) => health.pace));
   const unpaused = usable.filter(({ health }) => !serverHealth.isPaused(health, now));
@@ -114,7 +138,7 @@
     return {
       id: entry.id,
       failureDomain: entry.failureDomain,
-      slots: getSlots(entry),
+      slots: computeLimit(entry),
       inFlight,
       startsLeft: countStartsLeft(cell, servers, entry.id, now),
       isRateLimited: rateLimit.isLimited(cell.rateLimits.get(entry.id)),
--- a/packages/core/src/scheduler/cell.ts
+++ b/packages/core/src/scheduler/cell.ts
@@ -43,6 +43,8 @@
   sequence: number;
   /** When its latest `ScheduleAsk` arrived, milliseconds. */
   heardMs: number;
+  /** Time in which replies reach it, measured from its asks, milliseconds; 0 if unknown. */
+  replyMs: number;
   /** Its requests in flight by backend server, as it last reported. */
   inFlight: Map<string, number>;
   /** Until when backend servers accept nothing from it, by their ids, milliseconds. */
--- a/packages/core/src/scheduler/mocks/scheduler-fixture.ts
+++ b/packages/core/src/scheduler/mocks/scheduler-fixture.ts
@@ -10,6 +10,7 @@
   return {
     entries,
     tokensPerEvent: 1,
+    areEngines: true,
     placeShare: 1,
     reachableShare: 1,
     hasPeers: false,
