Keep long prompts from pausing the streams of slow engines

Cause: engines read prompts in chunks between the steps of running requests. At an engine of three times the usual step time, a prompt of 8,000 tokens makes all streams there pause for longer than the 300 to 400 ms that their routes allow, and all of them count as late. Change: routes carry the longest pause that they allow; a prompt that would make running streams pause for longer waits for an engine that reads it faster, as long as there is one; shorter ones behind it use the slow engine meanwhile. No effect where no route declares a pause.

--- a/packages/core/src/gateway/cell-servers.ts
+++ b/packages/core/src/gateway/cell-servers.ts
@@ -68,6 +68,7 @@
     entries,
     tokensPerEvent: declared?.engine?.tokensPerEvent ?? 1,
     areEngines: declared?.engine !== undefined,
+    maxPauseMs: state.index?.maxPauseByService.get(service) ?? Infinity,
     placeShare: pendingAsks.chooseScheduler(state, cellName, now).placeShare,
     reachableShare: computeReachableShare(state, now),
     hasPeers: state.peers.byAddress.size > 0,
--- a/packages/core/src/gateway/configuration-index.ts
+++ b/packages/core/src/gateway/configuration-index.ts
@@ -8,6 +8,8 @@
   serviceByName: Map<string, configuration.ServiceDeclaration>;
   /** Undefined if callers need no credentials. */
   workspaceByCredential: Map<string, configuration.WorkspaceDeclaration> | undefined;
+  /** The shortest `maxPauseMs` of the routes to each service; only services that have one. */
+  maxPauseByService: Map<string, number>;
   /** Contains only workspaces with a quota. */
   quotaByWorkspace: Map<string, configuration.Quota>;
 };
@@ -23,6 +25,19 @@
   return byHost;
 }
 
+/** Finds the shortest pause between events that any route to each service allows. */
+function findMaxPauses(routes: readonly configuration.Route[]): Map<string, number> {
+  const byService = new Map<string, number>();
+  routes.forEach(({ maxPauseMs, targets }) =>
+    targets.forEach(({ service }) => {
+      if (maxPauseMs !== undefined) {
+        byService.set(service, Math.min(byService.get(service) ?? Infinity, maxPauseMs));
+      }
+    }),
+  );
+  return byService;
+}
+
 /** Builds the lookup tables of a configuration. */
 export function buildConfigurationIndex(given: configuration.Configuration): ConfigurationIndex {
   const { workspaces } = given;
@@ -37,6 +52,7 @@
     routesByHost: buildRoutes(given.routes),
     serviceByName: new Map(given.services.map((service) => [service.name, service])),
     workspaceByCredential: credentials && new Map(credentials),
+    maxPauseByService: findMaxPauses(given.routes),
     quotaByWorkspace: new Map(quotas),
   };
 }
--- a/packages/core/src/gateway/configuration.ts
+++ b/packages/core/src/gateway/configuration.ts
@@ -25,6 +25,8 @@
   targetMs: number;
   /** How long callers wait for the first part of a response, in milliseconds. */
   patienceMs: number;
+  /** Longest pause between events of a stream that is on time, ms; undefined if not declared. */
+  maxPauseMs: number | undefined;
   /** Priority; 0 is the most urgent. */
   urgency: number;
   targets: RouteTarget[];
--- a/packages/core/src/gateway/mocks/gateway-fixture.ts
+++ b/packages/core/src/gateway/mocks/gateway-fixture.ts
@@ -30,6 +30,7 @@
     timeoutMs: 15_000,
     targetMs: 800,
     patienceMs: 3200,
+    maxPauseMs: undefined,
     urgency: 0,
     targets: [{ service: 'one', weight: 1 }],
     maxAttempts: 1,
--- a/packages/core/src/scheduler/candidates.ts
+++ b/packages/core/src/scheduler/candidates.ts
@@ -16,6 +16,8 @@
   tokensPerEvent: number;
   /** The backend servers are engines, which process prompts and responses token by token. */
   areEngines: boolean;
+  /** Longest pause between events that all running streams accept, ms; Infinity if undeclared. */
+  maxPauseMs: number;
   /** Share of the slots that may be granted, 0 to 1. */
   placeShare: number;
   /** Share of the gateways that are reachable, including this one; 0 if unknown. */
--- a/packages/core/src/scheduler/mocks/scheduler-fixture.ts
+++ b/packages/core/src/scheduler/mocks/scheduler-fixture.ts
@@ -11,6 +11,7 @@
     entries,
     tokensPerEvent: 1,
     areEngines: true,
+    maxPauseMs: Infinity,
     placeShare: 1,
     reachableShare: 1,
     hasPeers: false,
--- a/packages/core/src/scheduler/request-match.ts
+++ b/packages/core/src/scheduler/request-match.ts
@@ -9,6 +9,7 @@
 import type * as cells from './cell.js';
 import type * as scheduledRequest from './scheduled-request.js';
 import * as serverChoice from './server-choice.js';
+import * as streamPauses from './stream-pauses.js';
 import type * as waitQueue from './wait-queue.js';
 import * as waiting from './waiting.js';
 
@@ -22,6 +23,8 @@
   cell: cells.Cell;
   candidates: readonly serverChoice.Candidate[];
   tokensPerEvent: number;
+  /** Longest pause between events that all running streams accept, milliseconds. */
+  maxPauseMs: number;
   drawRandom: () => number;
   now: number;
 };
@@ -30,6 +33,12 @@
 
 /** Number of waiting requests considered for one slot; bounds the work during a burst. */
 const MAX_LOOK_AHEAD = 32;
+/**
+ * Number of waiting requests among which others are sought if all of those wait for a backend
+ * server that reads their prompt without long pauses. A slow engine would otherwise stay idle while
+ * a few dozen long prompts wait for fast ones.
+ */
+const MAX_QUEUE_LOOK_AHEAD = 256;
 
 /**
  * Reports whether a request would be on time at a backend server: its first event by its target,
@@ -48,6 +57,26 @@
   return firstMs <= request.targetMs && endMs <= request.giveUpMs;
 }
 
+/** Reports whether a request would make the streams at a backend server pause for too long. */
+function isPausing(
+  { tokensPerEvent, maxPauseMs }: MatchSearch,
+  { promptTokens }: scheduledRequest.ScheduledRequest,
+  { inFlight, slowness, unitMs }: serverChoice.Candidate,
+): boolean {
+  const { PROMPT_TOKENS_PER_MS: promptTokensPerMs } = waiting;
+  const input = { promptTokens, promptTokensPerMs, slowness, unitMs, tokensPerEvent };
+  return inFlight > 0 && streamPauses.estimatePauseMs(input) > maxPauseMs;
+}
+
+/** Reports whether a request would be on time at a backend server and would delay no stream. */
+function isSuitable(
+  search: MatchSearch,
+  request: scheduledRequest.ScheduledRequest,
+  candidate: serverChoice.Candidate,
+): boolean {
+  return isInTime(search, request, candidate) && !isPausing(search, request, candidate);
+}
+
 /** Lists the backend servers that have not asked a gateway to back off. */
 function listAccepting(
   { cell, now }: MatchSearch,
@@ -87,7 +116,7 @@
   search: OpenSearch,
   request: scheduledRequest.ScheduledRequest,
 ): serverChoice.Candidate | undefined {
-  const inTime = listOpenServers(search, request).filter((one) => isInTime(search, request, one));
+  const inTime = listOpenServers(search, request).filter((one) => isSuitable(search, request, one));
   return serverChoice.chooseServer(inTime, request.failureDomain, search.drawRandom);
 }
 
@@ -98,28 +127,36 @@
  * now. For example, the fast engines are full, and a long prompt would occupy a slow one for a
  * second in which ten short ones could be on time. Backend servers with a rate limit are not worth
  * waiting for: each takes only one of the many waiting requests, and the others would become late
- * for no benefit.
+ * for no benefit. The request also waits while all free slots are at backend servers whose streams
+ * it would make pause for too long, and other servers would not be affected.
  */
 function chooseAny(
   search: OpenSearch,
   request: scheduledRequest.ScheduledRequest,
 ): serverChoice.Candidate | undefined {
   const unlimited = search.candidates.filter(({ isRateLimited }) => !isRateLimited);
-  return listAllowed(search, unlimited, request).some((one) => isInTime(search, request, one))
+  const allowed = listAllowed(search, unlimited, request);
+  if (allowed.some((one) => isSuitable(search, request, one))) {
+    return undefined;
+  }
+  const open = listOpenServers(search, request);
+  const mild = open.filter((one) => !isPausing(search, request, one));
+  const isMildFull = mild.length === 0 && allowed.some((one) => !isPausing(search, request, one));
+  return isMildFull
     ? undefined
     : serverChoice.chooseServer(
-        listOpenServers(search, request),
+        mild.length > 0 ? mild : open,
         request.failureDomain,
         search.drawRandom,
       );
 }
 
 /**
- * Lists the waiting requests to consider. Requests of gateways from which no free backend server
+ * Lists the waiting requests that may be considered, in order. Requests of gateways from which no free backend server
  * accepts anything are skipped: a few dozen of them at the head of the queue would block all
  * others.
  */
-function listConsidered(search: OpenSearch): scheduledRequest.ScheduledRequest[] {
+function listPlaceable(search: OpenSearch): scheduledRequest.ScheduledRequest[] {
   const { cell, open } = search;
   const blockedAskers = new Set(
     [...cell.askers.keys()].filter((asker) => listAccepting(search, open, asker).length === 0),
@@ -129,11 +166,39 @@
     !blockedAskers.has(cell.requests.get(serial)?.asker ?? '');
   const placeable = blockedAskers.size === 0 ? items : items.filter(isPlaceable);
   return placeable
-    .slice(0, MAX_LOOK_AHEAD)
+    .slice(0, MAX_QUEUE_LOOK_AHEAD)
     .map(({ serial }) => cell.requests.get(serial))
     .filter((request) => request !== undefined);
 }
 
+/** Lists the first requests that some backend server with a free slot reads without long pauses. */
+function listMild(
+  search: OpenSearch,
+  requests: readonly scheduledRequest.ScheduledRequest[],
+): scheduledRequest.ScheduledRequest[] {
+  return search.maxPauseMs === Infinity
+    ? []
+    : requests
+        .filter((request) => search.open.some((one) => !isPausing(search, request, one)))
+        .slice(0, MAX_LOOK_AHEAD);
+}
+
+/** Finds the first of some requests that can be sent, and its backend server. */
+function findMatch(
+  search: OpenSearch,
+  requests: readonly scheduledRequest.ScheduledRequest[],
+): Match | undefined {
+  let match: Match | undefined;
+  [chooseInTime, chooseAny].some((choose) =>
+    requests.some((request) => {
+      const chosen = choose(search, request);
+      match = chosen && { request, chosen };
+      return match !== undefined;
+    }),
+  );
+  return match;
+}
+
 /** Finds the next waiting request of a cell to send, and its backend server. */
 export function findNextMatch(search: MatchSearch): Match | undefined {
   const { cell } = search;
@@ -142,14 +207,9 @@
     return undefined;
   }
   const openSearch = { ...search, open };
-  const requests = listConsidered(openSearch);
-  let match: Match | undefined;
-  [chooseInTime, chooseAny].some((choose) =>
-    requests.some((request) => {
-      const chosen = choose(openSearch, request);
-      match = chosen && { request, chosen };
-      return match !== undefined;
-    }),
+  const placeable = listPlaceable(openSearch);
+  return (
+    findMatch(openSearch, placeable.slice(0, MAX_LOOK_AHEAD)) ??
+    findMatch(openSearch, listMild(openSearch, placeable.slice(MAX_LOOK_AHEAD)))
   );
-  return match;
 }
--- a/packages/core/src/scheduler/scheduler.ts
+++ b/packages/core/src/scheduler/scheduler.ts
@@ -163,10 +163,10 @@
   }
   const count = placeCount.countPlaces(scheduler.address, cell, servers, now);
   const all = candidates.listCandidates(cell, servers, count.takenByServer, now);
-  const { tokensPerEvent } = servers;
+  const { tokensPerEvent, maxPauseMs } = servers;
   const isBounded = servers.warmUp !== undefined;
   const { drawRandom } = scheduler;
-  const search = { cell, candidates: all, tokensPerEvent, drawRandom, now };
+  const search = { cell, candidates: all, tokensPerEvent, maxPauseMs, drawRandom, now };
   const decisions: SchedulingDecision[] = [];
   let { taken } = count;
   let match = taken < count.usable ? requestMatch.findNextMatch(search) : undefined;
--- a/packages/core/src/scheduler/waiting.ts
+++ b/packages/core/src/scheduler/waiting.ts
@@ -27,7 +27,7 @@
  */
 const MISSED_TARGET_RANK = 0.5;
 /** Prompt tokens that an engine is assumed to process per millisecond until its speed is known. */
-const PROMPT_TOKENS_PER_MS = 40;
+export const PROMPT_TOKENS_PER_MS = 40;
 /** Time to the first token besides the prompt (network, batching, one step), milliseconds. */
 const FIRST_TOKEN_MS = 25;
 /**
--- a/packages/measure/src/gateway-load/replay-world.ts
+++ b/packages/measure/src/gateway-load/replay-world.ts
@@ -88,6 +88,7 @@
     timeoutMs: DEADLINE_MS,
     targetMs: kind.targetMs,
     patienceMs: PATIENCE_MS,
+    maxPauseMs: undefined,
     urgency: kind.urgency,
     targets: [{ service: SERVICE, weight: 1 }],
     maxAttempts: 1,
--- a/packages/proofs/src/mocks/gateway-fleet-configuration.ts
+++ b/packages/proofs/src/mocks/gateway-fleet-configuration.ts
@@ -21,6 +21,7 @@
     timeoutMs: DEADLINE_MS,
     targetMs: 2000,
     patienceMs: PATIENCE_MS,
+    maxPauseMs: undefined,
     urgency,
     targets: [{ service: SERVICE, weight: 1 }],
     maxAttempts: 1,
