Show deferred prompts and slot turnaround to operators

Cause: operators could not see the two new decisions at work. Measured: tests of the scheduler, gateway and runtime pass.

--- a/packages/core/src/gateway/index.ts
+++ b/packages/core/src/gateway/index.ts
@@ -29,6 +29,7 @@
 export type { BackendServerEntry } from '../shared/backend-server-entry.js';
 export * from '../shared/store-revision.js';
 export {
+  estimateTurnaroundMs,
   hasQueuedRequests,
   type Candidate,
   type Scheduler,
--- a/packages/core/src/scheduler/cell.ts
+++ b/packages/core/src/scheduler/cell.ts
@@ -74,6 +74,8 @@
   /** The requests in the queue, by id. */
   requests: Map<number, scheduledRequest.ScheduledRequest>;
   nextId: number;
+  /** Requests that waited in the last scheduling pass so as not to pause running streams. */
+  requestsDeferred: number;
   /** Throughput of the whole queue. */
   throughput: queueThroughput.QueueThroughput;
   /** Throughput of each rank of the queue. */
@@ -96,6 +98,7 @@
     queue: waitQueue.createWaitQueue(),
     requests: new Map(),
     nextId: 1,
+    requestsDeferred: 0,
     throughput: queueThroughput.createQueueThroughput(),
     throughputByRank: new Map(),
     overload: overload.createOverload(),
--- a/packages/core/src/scheduler/request-match.ts
+++ b/packages/core/src/scheduler/request-match.ts
@@ -25,6 +25,8 @@
   tokensPerEvent: number;
   /** Longest pause between events that all running streams accept, milliseconds. */
   maxPauseMs: number;
+  /** Ids of the requests that wait because every free slot is at a server whose streams they delay. */
+  deferred: Set<number>;
   drawRandom: () => number;
   now: number;
 };
@@ -141,14 +143,15 @@
   }
   const open = listOpenServers(search, request);
   const mild = open.filter((one) => !isPausing(search, request, one));
-  const isMildFull = mild.length === 0 && allowed.some((one) => !isPausing(search, request, one));
-  return isMildFull
-    ? undefined
-    : serverChoice.chooseServer(
-        mild.length > 0 ? mild : open,
-        request.failureDomain,
-        search.drawRandom,
-      );
+  if (mild.length === 0 && allowed.some((one) => !isPausing(search, request, one))) {
+    search.deferred.add(request.id);
+    return undefined;
+  }
+  return serverChoice.chooseServer(
+    mild.length > 0 ? mild : open,
+    request.failureDomain,
+    search.drawRandom,
+  );
 }
 
 /**
--- a/packages/core/src/scheduler/scheduler.ts
+++ b/packages/core/src/scheduler/scheduler.ts
@@ -158,6 +158,7 @@
   servers: candidates.CellServers,
   now: number,
 ): SchedulingDecision[] {
+  cell.requestsDeferred = 0;
   if (cell.queue.items.length === 0) {
     return [];
   }
@@ -166,7 +167,8 @@
   const { tokensPerEvent, maxPauseMs } = servers;
   const isBounded = servers.warmUp !== undefined;
   const { drawRandom } = scheduler;
-  const search = { cell, candidates: all, tokensPerEvent, maxPauseMs, drawRandom, now };
+  const deferred = new Set<number>();
+  const search = { cell, candidates: all, tokensPerEvent, maxPauseMs, deferred, drawRandom, now };
   const decisions: SchedulingDecision[] = [];
   let { taken } = count;
   let match = taken < count.usable ? requestMatch.findNextMatch(search) : undefined;
@@ -191,6 +193,7 @@
     taken += 1;
     match = taken < count.usable ? requestMatch.findNextMatch(search) : undefined;
   }
+  cell.requestsDeferred = deferred.size;
   return decisions;
 }
 
--- a/packages/gateway/src/gateway-metrics.ts
+++ b/packages/gateway/src/gateway-metrics.ts
@@ -18,11 +18,15 @@
 /** Lists totals of the messages to schedulers and their grants, and queue lengths by cell. */
 function listSchedulingValues(state: gateway.GatewayState): runtime.MetricSample[] {
   const { asks, grantsUsed, grantsUnused, schedulersLeft } = state.schedulingTotals;
-  const queues = [...state.scheduler.cells.values()].map(({ name, queue }) => ({
-    name: 'cell_requests_queued',
-    labels: { cell: name },
-    value: queue.items.length,
-  }));
+  const queues = [...state.scheduler.cells.values()].flatMap((cell) => {
+    const labels = { cell: cell.name };
+    const turnaroundMs = gateway.estimateTurnaroundMs(cell);
+    return [
+      { name: 'cell_requests_queued', labels, value: cell.queue.items.length },
+      { name: 'cell_requests_deferred', labels, value: cell.requestsDeferred },
+      { name: 'cell_slot_turnaround_ms', labels, value: turnaroundMs },
+    ];
+  });
   return [
     { name: 'schedule_asks_total', labels: {}, value: asks },
     { name: 'schedule_grants_total', labels: { used: 'true' }, value: grantsUsed },
--- a/packages/runtime/src/metric-definitions.ts
+++ b/packages/runtime/src/metric-definitions.ts
@@ -54,6 +54,14 @@
     type: MetricType.GAUGE,
     help: 'Requests that wait in the cells that this gateway schedules.',
   },
+  cell_requests_deferred: {
+    type: MetricType.GAUGE,
+    help: 'Requests that waited in the last scheduling pass so as not to pause running streams.',
+  },
+  cell_slot_turnaround_ms: {
+    type: MetricType.GAUGE,
+    help: 'Mean time from the ask of a gateway to the reply, weighted by requests in flight.',
+  },
   peers: {
     type: MetricType.GAUGE,
     help: 'Other gateways that are not forgotten.',
