Send no request whose caller left during a stall

A stalled event loop reads the request of a caller in one turn and the end of its connection in the next, and sends the request in between. Requests read after one are admitted after another poll; assignment passes, replies of schedulers and new connections to backend servers also wait until the loop has polled. Before the first byte, the connection of the caller and the deadline are checked, and the request is withdrawn if either has ended. The time in the kernel counts as waiting time.

--- a/packages/core/src/gateway/gateway-request.ts
+++ b/packages/core/src/gateway/gateway-request.ts
@@ -18,6 +18,8 @@
   answerGuess: number | undefined;
   /** Computes a digest of the content, which is the same for every attempt of the caller. */
   hashContent: () => string;
+  /** How long it may have waited to be read, milliseconds; undefined if it was read at once. */
+  unreadMs?: number;
 };
 
 export enum RequestPhase {
@@ -46,6 +48,7 @@
   isBeyondQuota: boolean;
   /** Configuration version that it was last checked against. */
   version: number;
+  /** When it was read, or earlier if it may have waited to be read. */
   arrivedMs: number;
   /** It has missed its target: its deadline suggests that it has been retried for longer. */
   isBelated: boolean;
--- a/packages/core/src/gateway/request-admission.ts
+++ b/packages/core/src/gateway/request-admission.ts
@@ -7,6 +7,7 @@
 import * as crashDetection from './crash-detection.js';
 import * as configurationIndex from './configuration-index.js';
 import * as configuration from './configuration.js';
+import * as gatewayLoad from './gateway-load.js';
 import * as gatewayRequest from './gateway-request.js';
 import * as gatewayState from './gateway-state.js';
 import * as peerView from './peer-view.js';
@@ -96,6 +97,9 @@
     arrived.deadlineMs ?? DEFAULT_TIMEOUT_MS,
     route.timeoutMs || DEFAULT_TIMEOUT_MS,
   );
+  const repeatable = isRepeatable(route);
+  const waitedMs = gatewayLoad.computeWaitedMs(arrived.unreadMs ?? 0, timeoutMs, repeatable);
+  const arrivedMs = now - waitedMs;
   return {
     serial,
     arrived,
@@ -104,16 +108,16 @@
     workspace: workspaceName,
     regions: regionBinding.computeRegions(route, workspace),
     urgency: rankUrgency(granted),
-    repeatable: isRepeatable(route),
+    repeatable,
     workTokens: estimateWork(arrived),
     quotaCost: 0,
     isBeyondQuota: false,
     version: state.index?.configuration.version ?? 0,
-    arrivedMs: now,
+    arrivedMs,
     isBelated: elapsedMs > route.targetMs,
-    leaveMs: now + Math.min(timeoutMs, route.patienceMs) - RESPONSE_TRANSIT_MS,
-    targetMs: now + route.targetMs - RESPONSE_TRANSIT_MS,
-    giveUpMs: now + Math.max(timeoutMs - RESPONSE_TRANSIT_MS, 0),
+    leaveMs: arrivedMs + Math.min(timeoutMs, route.patienceMs) - RESPONSE_TRANSIT_MS,
+    targetMs: arrivedMs + route.targetMs - RESPONSE_TRANSIT_MS,
+    giveUpMs: arrivedMs + Math.max(timeoutMs - RESPONSE_TRANSIT_MS, 0),
     phase: gatewayRequest.RequestPhase.WAITING,
     cell: undefined,
     declinedCells: new Set(),
--- a/packages/gateway/src/app.ts
+++ b/packages/gateway/src/app.ts
@@ -7,6 +7,7 @@
 import * as callerServer from './caller-server.js';
 import * as clocks from './clocks.js';
 import * as decisionLog from './decision-log.js';
+import * as eventLoop from './event-loop.js';
 import * as gatewayMetrics from './gateway-metrics.js';
 import type * as gatewaySettings from './gateway-settings.js';
 import * as gatewayTask from './gateway-task.js';
@@ -117,12 +118,13 @@
 /** Creates the server for callers; it does not listen yet. */
 function createCallers(
   { settings }: GatewayOptions,
-  { log, metrics }: ReturnType<typeof createComponents>,
+  { log, metrics, eventLoop: { computeUnreadMs } }: ReturnType<typeof createComponents>,
   task: gatewayTask.GatewayTask,
 ): callerServer.CallerServer {
   return callerServer.createCallerServer({
     listen: settings.callers,
     receive: task.receive,
+    computeUnreadMs,
     reportRefusal: (code) => {
       log.write('refused', { result: schema.ResultCode[code] }, clocks.readSteadyMs());
       metrics.recordEnd('', '', code, false);
@@ -152,6 +154,7 @@
   const { peerListen, failureDomain, processorPercent, peerSeeds, domainRegions } = settings;
   const address = `${peerListen.host}:${peerListen.port}`;
   const seeds = peerSeeds.filter((seed) => seed !== address);
+  const loop = eventLoop.startEventLoop(clocks.readSteadyMs);
   const regionByDomain = new Map(Object.entries(domainRegions));
   const state = gateway.createGatewayState(
     { address, life, failureDomain, processorPercent, seeds, regionByDomain },
@@ -162,7 +165,8 @@
   return {
     state,
     protocol,
-    connections: backendConnections.createBackendConnections(),
+    eventLoop: loop,
+    connections: backendConnections.createBackendConnections(loop.runWhenPolled),
     readClocks: clocks.createClockReader(),
     log: decisionLog.createDecisionLog(logger),
     storeStatus: { isLost: false },
@@ -211,8 +215,8 @@
     },
     shutDown: () => shutdown.beginShutdown({ state, callers, task, peers, log, ...options }),
     stop: () =>
-      [follower, task, peers, callers, ...operators, connections].forEach((component) =>
-        component.stop(),
+      [follower, task, peers, callers, ...operators, connections, components.eventLoop].forEach(
+        (component) => component.stop(),
       ),
   };
 }
--- a/packages/gateway/src/attempt-sending.ts
+++ b/packages/gateway/src/attempt-sending.ts
@@ -3,6 +3,7 @@
 import * as schema from '@toucanproxy/schema';
 import * as backendAttempt from './backend-attempt.js';
 import * as callerExchange from './caller-exchange.js';
+import * as gatewayMetrics from './gateway-metrics.js';
 import type * as heldRequest from './held-request.js';
 import * as outgoingRequest from './outgoing-request.js';
 import * as requestEnding from './request-ending.js';
@@ -12,6 +13,44 @@
 import type * as taskState from './task-state.js';
 import * as unknownNames from './unknown-names.js';
 
+/** Finds why nobody waits for the response to a request any more, if that is so. */
+function findUnwantedReason(
+  task: taskState.TaskState,
+  { request, exchange }: heldRequest.HeldRequest,
+): gatewayMetrics.WithdrawalReason | undefined {
+  if (callerExchange.hasCallerLeft(exchange)) {
+    return gatewayMetrics.WithdrawalReason.CALLER_LEFT;
+  }
+  return task.readClocks().steadyMs >= request.giveUpMs
+    ? gatewayMetrics.WithdrawalReason.DEADLINE
+    : undefined;
+}
+
+/** Ends a request that was not sent if nobody waits for its response; returns whether it did. */
+function endIfUnwanted(task: taskState.TaskState, held: heldRequest.HeldRequest): boolean {
+  const reason = findUnwantedReason(task, held);
+  if (reason === undefined) {
+    return false;
+  }
+  held.attempt = undefined;
+  task.metrics.recordWithdrawal(reason);
+  if (reason === gatewayMetrics.WithdrawalReason.CALLER_LEFT) {
+    requestEnding.handleCallerLeft(task, held);
+  } else {
+    requestEnding.handleTimeout(task, held);
+  }
+  return true;
+}
+
+/** Handles the withdrawal of a request before its first byte; returns whether the request ended. */
+function handleWithdrawal(task: taskState.TaskState, held: heldRequest.HeldRequest): boolean {
+  const hasEnded = endIfUnwanted(task, held);
+  if (!hasEnded) {
+    task.metrics.recordWithdrawal(gatewayMetrics.WithdrawalReason.SERVER);
+  }
+  return hasEnded;
+}
+
 /** Handles the outcome of an attempt. */
 function handleOutcome(
   task: taskState.TaskState,
@@ -21,6 +60,10 @@
   if (held.done) {
     return;
   }
+  const isWithdrawn = outcome.kind === 'fault' && outcome.fault === gateway.AttemptFault.WITHDRAWN;
+  if (isWithdrawn && handleWithdrawal(task, held)) {
+    return;
+  }
   const { request } = held;
   const { serverId } = request;
   const clocks = task.readClocks();
@@ -83,6 +126,9 @@
   { server, scheduler }: Extract<gateway.Assignment, { kind: 'send' }>,
 ): void {
   const { request } = held;
+  if (endIfUnwanted(task, held)) {
+    return;
+  }
   requestReports.reportSent(task, held, server, scheduler);
   if (request.sends === 1) {
     task.metrics.recordWait(request.urgency, request.sentMs - request.arrivedMs);
@@ -102,7 +148,9 @@
       gateway.noteFirstEvent(task.state, request, ms, readNow());
       task.metrics.recordFirstEvent(request.route.name, ms);
     },
-    canSend: () => gateway.isStillUsable(task.state, request, readNow()),
+    canSend: () =>
+      findUnwantedReason(task, held) === undefined &&
+      gateway.isStillUsable(task.state, request, readNow()),
     observeStatements: (parsed) => {
       statementReports.applyStatements(task, request, parsed);
       unknownNames.recordUnknownNames(task.unknown, task.log, parsed.unknown, readNow());
--- a/packages/gateway/src/backend-connections.ts
+++ b/packages/gateway/src/backend-connections.ts
@@ -44,6 +44,7 @@
   address: string,
   removeIdle: (connection: BackendConnection) => void,
   addIdle: (connection: BackendConnection) => void,
+  runWhenPolled: (step: () => void) => void,
 ): BackendConnection {
   let isReset = false;
   const connector = undici.buildConnector({ timeout: 0 });
@@ -65,7 +66,7 @@
         socket?.prependListener('error', () => {
           isReset = true;
         });
-        callback(...results);
+        runWhenPolled(() => callback(...results));
       });
     },
   });
@@ -90,8 +91,14 @@
   return connection;
 }
 
-/** Creates an empty connection pool. */
-export function createBackendConnections(): BackendConnections {
+/**
+ * Creates an empty connection pool.
+ *
+ * @param runWhenPolled runs a step once the event loop has read which callers have left
+ */
+export function createBackendConnections(
+  runWhenPolled: (step: () => void) => void,
+): BackendConnections {
   const idle = new Map<string, BackendConnection[]>();
   const getIdle = (address: string) => {
     const connections = idle.get(address) ?? [];
@@ -122,6 +129,7 @@
             getIdle(address).push(connection);
           }
         },
+        runWhenPolled,
       ),
     closeOthers: (addresses) =>
       [...idle.keys()].filter((address) => !addresses.has(address)).forEach(closeAll),
--- a/packages/gateway/src/caller-exchange.ts
+++ b/packages/gateway/src/caller-exchange.ts
@@ -12,8 +12,19 @@
   headers: wireProtocol.RawHeaders;
   body: Buffer;
   response: http.ServerResponse;
+  /** How long the request may have waited to be read, milliseconds; 0 if it was read at once. */
+  unreadMs: number;
 };
 
+/**
+ * Returns whether the caller has left. The end of its side of the connection counts too: the
+ * HTTP server closes the other side in response.
+ */
+export function hasCallerLeft({ response }: CallerExchange): boolean {
+  const { socket } = response.req;
+  return response.destroyed || socket.destroyed || socket.readableEnded;
+}
+
 /**
  * Starts a response: sends its status and headers.
  *
--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -5,6 +5,7 @@
 import * as runtime from '@toucanproxy/runtime';
 import * as schema from '@toucanproxy/schema';
 import type * as callerExchange from './caller-exchange.js';
+import * as clocks from './clocks.js';
 import type * as gatewaySettings from './gateway-settings.js';
 import * as localResponse from './local-response.js';
 
@@ -25,12 +26,19 @@
   /** Called with each request that has been read completely. */
   receive: (exchange: callerExchange.CallerExchange) => void;
   reportRefusal: (code: schema.ResultCode) => void;
+  /** Computes how long data that is read now may have waited, milliseconds. */
+  computeUnreadMs: () => number;
 };
 
 type ServerState = {
   options: CallerServerOptions;
   bounds: gateway.CallerBounds;
   isShuttingDown: boolean;
+  /**
+   * When connections that were accepted after a stall of the event loop may have been opened,
+   * milliseconds, until their first request has been read.
+   */
+  openedMs: WeakMap<net.Socket, number>;
 };
 
 /**
@@ -84,6 +92,26 @@
   return isPath ? undefined : schema.ResultCode.MALFORMED_REQUEST;
 }
 
+/** Records when a new connection may have been opened, if it was accepted after a stall. */
+function noteConnection({ options, openedMs }: ServerState, socket: net.Socket): void {
+  const unreadMs = options.computeUnreadMs();
+  if (unreadMs > 0) {
+    openedMs.set(socket, clocks.readSteadyMs() - unreadMs);
+  }
+}
+
+/**
+ * Computes how long a request may have waited to be read, milliseconds. The first one on a new
+ * connection is read in a later turn of the event loop than the connection is accepted in, and may
+ * have been sent as soon as the connection was opened.
+ */
+function computeUnreadMs({ options, openedMs }: ServerState, socket: net.Socket): number {
+  const now = clocks.readSteadyMs();
+  const sinceOpenedMs = now - (openedMs.get(socket) ?? now);
+  openedMs.delete(socket);
+  return Math.max(options.computeUnreadMs(), sinceOpenedMs);
+}
+
 /** Reads the body, then passes the request to `receive`. */
 function readBody(
   state: ServerState,
@@ -104,7 +132,8 @@
     if (!response.headersSent && request.complete) {
       const body = chunks.length === 1 ? chunks[0] : Buffer.concat(chunks);
       const { method = '', url = '', rawHeaders } = request;
-      state.options.receive({ method, target: url, headers: rawHeaders, body, response });
+      const unreadMs = computeUnreadMs(state, request.socket);
+      state.options.receive({ method, target: url, headers: rawHeaders, body, response, unreadMs });
     }
   });
 }
@@ -153,6 +182,7 @@
     connectionsCheckingInterval: TIMEOUT_CHECK_MS,
     noDelay: true,
   });
+  server.on('connection', (socket) => noteConnection(state, socket));
   server.on('request', (request, response) => handleRequest(state, request, response));
   server.on('clientError', (error, socket) =>
     handleClientError(state, error, socket as net.Socket),
@@ -164,7 +194,12 @@
 
 /** Creates the server; it does not listen yet. */
 export function createCallerServer(options: CallerServerOptions): CallerServer {
-  const state: ServerState = { options, bounds: DEFAULT_BOUNDS, isShuttingDown: false };
+  const state: ServerState = {
+    options,
+    bounds: DEFAULT_BOUNDS,
+    isShuttingDown: false,
+    openedMs: new WeakMap(),
+  };
   const server = createServer(state);
   return {
     listen: async () => {
--- a/packages/gateway/src/gateway-metrics.ts
+++ b/packages/gateway/src/gateway-metrics.ts
@@ -3,6 +3,14 @@
 import * as runtime from '@toucanproxy/runtime';
 import * as schema from '@toucanproxy/schema';
 
+/** Why a request was withdrawn before its first byte was sent. */
+export enum WithdrawalReason {
+  CALLER_LEFT = 'caller-left',
+  DEADLINE = 'deadline',
+  /** The backend server may no longer be used. */
+  SERVER = 'server',
+}
+
 export type GatewayMetrics = {
   /** Records that a request has ended. */
   recordEnd: (route: string, service: string, code: schema.ResultCode, inTime: boolean) => void;
@@ -12,6 +20,8 @@
   recordWait: (urgency: number, ms: number) => void;
   /** Records the time from sending to the first event, milliseconds. */
   recordFirstEvent: (route: string, ms: number) => void;
+  /** Records that a request was withdrawn before its first byte was sent. */
+  recordWithdrawal: (reason: WithdrawalReason) => void;
   render: () => string;
 };
 
@@ -87,6 +97,7 @@
       runtime.recordObservation(metrics, { kind: 'queueWait', tier: String(urgency), ms }),
     recordFirstEvent: (route, ms) =>
       runtime.recordObservation(metrics, { kind: 'firstByte', service: '', tier: route, ms }),
+    recordWithdrawal: (reason) => runtime.addCount(metrics, 'requests_withdrawn_total', { reason }),
     render: () => runtime.renderMetrics(metrics, Date.now(), listSamples(state, readSteadyMs())),
   };
 }
--- a/packages/gateway/src/gateway-task.ts
+++ b/packages/gateway/src/gateway-task.ts
@@ -64,13 +64,15 @@
 /**
  * Creates the function that schedules an assignment pass. Calls within one turn of the event loop
  * share one pass; otherwise a burst would cost a datagram for each request that arrives or ends.
+ * The event loop polls before the pass, so that the pass sends no request whose caller has left
+ * while the loop was stalled.
  */
 function createAssign(task: taskState.TaskState): () => void {
   let isDue = false;
   return () => {
     if (!isDue) {
       isDue = true;
-      setImmediate(() => {
+      task.eventLoop.runAfterPoll(() => {
         isDue = false;
         assignNow(task);
       });
@@ -79,11 +81,16 @@
 }
 
 /** Handles a reply from the scheduler of another gateway. */
-function receiveReply(task: taskState.TaskState, reply: schema.ScheduleReply): void {
+function applyReply(task: taskState.TaskState, reply: schema.ScheduleReply): void {
   applyAssignments(task, gateway.applyReply(task.state, reply, task.readClocks()));
   task.assign();
 }
 
+/** Handles a reply after the event loop has read which callers have left during a stall. */
+function receiveReply(task: taskState.TaskState, reply: schema.ScheduleReply): void {
+  task.eventLoop.runWhenPolled(() => applyReply(task, reply));
+}
+
 /** Handles a message in which another gateway asks the scheduler of this one. */
 function receiveAsk(task: taskState.TaskState, ask: schema.ScheduleAsk): void {
   const now = task.readClocks().steadyMs;
@@ -121,15 +128,19 @@
   };
   held.timeoutTimer = setTimeout(
     () => requestEnding.handleTimeout(task, held),
-    request.giveUpMs - request.arrivedMs,
+    request.giveUpMs - task.readClocks().steadyMs,
   );
   task.held.set(request.serial, held);
   exchange.response.on('close', () => requestEnding.handleCallerLeft(task, held));
   exchange.response.on('drain', () => held.attempt?.resume());
 }
 
-/** Handles a request that has been read completely: admits or refuses it. */
-function receive(task: taskState.TaskState, exchange: callerExchange.CallerExchange): void {
+/** Admits or refuses a request. */
+function admit(
+  task: taskState.TaskState,
+  exchange: callerExchange.CallerExchange,
+  unreadMs: number,
+): void {
   const parsed = task.protocol.parseRequestHeaders(exchange.headers);
   const host = endToEndHeaders.findHeader(exchange.headers, 'host');
   if (parsed === undefined || host === undefined) {
@@ -139,7 +150,7 @@
   }
   const [path] = exchange.target.split(QUERY_START);
   const hashContent = () => contentDigest.hashContent(exchange);
-  const arrived = { ...parsed, host, path, hashContent };
+  const arrived = { ...parsed, host, path, hashContent, unreadMs };
   const admission = gateway.admitRequest(task.state, arrived, task.readClocks());
   if (admission.kind === 'refused') {
     refuseArrived(task, exchange, parsed.attemptId, admission.refusal);
@@ -149,6 +160,28 @@
   task.assign();
 }
 
+/**
+ * Handles a request that has been read completely. If the event loop was stalled, the request is
+ * admitted after another poll: its caller may have left, and the end of a connection is read in
+ * the turn after the one in which the request is read.
+ */
+function receive(task: taskState.TaskState, exchange: callerExchange.CallerExchange): void {
+  if (exchange.unreadMs === 0) {
+    admit(task, exchange, 0);
+    return;
+  }
+  const arrivedMs = task.readClocks().steadyMs - exchange.unreadMs;
+  task.eventLoop.runAfterPoll(() =>
+    task.eventLoop.runAfterPoll(() => {
+      if (callerExchange.hasCallerLeft(exchange)) {
+        requestReports.reportLeftUnread(task, exchange);
+      } else {
+        admit(task, exchange, task.readClocks().steadyMs - arrivedMs);
+      }
+    }),
+  );
+}
+
 /** Creates the task; periodic assignment passes begin once it is started. */
 export function createGatewayTask(dependencies: taskState.GatewayTaskDependencies): GatewayTask {
   const task: taskState.TaskState = {
@@ -172,7 +205,7 @@
       }
     },
     start: () => {
-      timer = setInterval(() => assignNow(task), TICK_MS);
+      timer = setInterval(task.assign, TICK_MS);
     },
     stop: () => {
       clearInterval(timer);
--- a/packages/gateway/src/request-reports.ts
+++ b/packages/gateway/src/request-reports.ts
@@ -4,7 +4,7 @@
 import type * as callerExchange from './caller-exchange.js';
 import type * as clocks from './clocks.js';
 import type * as decisionLog from './decision-log.js';
-import type * as gatewayMetrics from './gateway-metrics.js';
+import * as gatewayMetrics from './gateway-metrics.js';
 import type * as heldRequest from './held-request.js';
 
 export type ReportDependencies = {
@@ -36,6 +36,18 @@
   metrics.recordEnd('', '', code, false);
 }
 
+/** Reports that the caller of a request had left before the request was admitted. */
+export function reportLeftUnread(
+  { readClocks, log, metrics }: ReportDependencies,
+  { target, unreadMs }: callerExchange.CallerExchange,
+): void {
+  const code = schema.ResultCode.CLIENT_LEFT;
+  const line = { path: target, unreadMs: Math.round(unreadMs), result: schema.ResultCode[code] };
+  log.write('refused', line, readClocks().steadyMs);
+  metrics.recordEnd('', '', code, false);
+  metrics.recordWithdrawal(gatewayMetrics.WithdrawalReason.CALLER_LEFT);
+}
+
 /** Reports that a request was sent, and which gateway scheduled it. */
 export function reportSent(
   { log }: ReportDependencies,
--- a/packages/runtime/src/metric-definitions.ts
+++ b/packages/runtime/src/metric-definitions.ts
@@ -34,6 +34,10 @@
     type: MetricType.COUNTER,
     help: 'Prompt tokens that were worked through and thrown away, by cause.',
   },
+  requests_withdrawn_total: {
+    type: MetricType.COUNTER,
+    help: 'Requests withdrawn before their first byte was sent, by reason.',
+  },
   attempt_faults_total: {
     type: MetricType.COUNTER,
     help: 'Attempts at backend servers that failed, by fault.',
