Refuse requests at an overloaded gateway, least urgent first

A gateway whose turns take as long as half of the shortest target of its recent requests can no longer send them on in time, and makes all of them late. After three such turns in succession it now admits a share of its requests, the most urgent first, and refuses the others with GATEWAY_OVERLOADED (215, 503, not run) before they are queued or charged. The share falls with the ratio of limit and delay, to a tenth at the least, and grows by a tenth every 200 ms while turns are below a quarter of the target. A single stall, and the first 1.5 s of requests, change nothing. Requests that are held are not affected.

New: log events gateway-overloaded and gateway-recovered, metrics event_loop_delay_ms, requests_shed_total and admitted_share, load in status.

--- a/packages/core/src/gateway/gateway-state.ts
+++ b/packages/core/src/gateway/gateway-state.ts
@@ -9,6 +9,7 @@
 import type * as crashDetection from './crash-detection.js';
 import type * as deadlineStats from './deadline-stats.js';
 import * as cellMap from './cell-map.js';
+import * as gatewayLoad from './gateway-load.js';
 import type * as gatewayRequest from './gateway-request.js';
 import * as peerView from './peer-view.js';
 import type * as quotaLimit from './quota-limit.js';
@@ -96,6 +97,8 @@
   nextSerial: number;
   /** Revision of `servers` at the last check of waiting requests. */
   checkedRevision: number;
+  /** What is known of the load of this process. */
+  load: gatewayLoad.GatewayLoad;
   /** When shutdown of the process was requested, milliseconds; 0 before. */
   shutdownMs: number;
 };
@@ -141,6 +144,7 @@
     brokenRuns: new Map(),
     nextSerial: 1,
     checkedRevision: -1,
+    load: gatewayLoad.createGatewayLoad(),
     shutdownMs: 0,
   };
 }
--- a/packages/core/src/gateway/request-admission.ts
+++ b/packages/core/src/gateway/request-admission.ts
@@ -188,6 +188,11 @@
     return decision;
   }
   const { route, workspace } = decision.authorization;
+  const claim = { urgency: rankUrgency(decision.authorization), targetMs: route.targetMs };
+  const overloadRefusal = gatewayLoad.findOverloadRefusal(state.load, claim, state.drawRandom, now);
+  if (overloadRefusal !== undefined) {
+    return { kind: 'refused', refusal: overloadRefusal };
+  }
   const service = configurationIndex.chooseService(route, state.drawRandom());
   if (service === undefined) {
     return {
--- a/packages/gateway/src/app.ts
+++ b/packages/gateway/src/app.ts
@@ -11,6 +11,7 @@
 import * as gatewayMetrics from './gateway-metrics.js';
 import type * as gatewaySettings from './gateway-settings.js';
 import * as gatewayTask from './gateway-task.js';
+import * as loadReports from './load-reports.js';
 import * as peerTask from './peer-task.js';
 import * as shutdown from './shutdown.js';
 import * as status from './status.js';
@@ -154,7 +155,6 @@
   const { peerListen, failureDomain, processorPercent, peerSeeds, domainRegions } = settings;
   const address = `${peerListen.host}:${peerListen.port}`;
   const seeds = peerSeeds.filter((seed) => seed !== address);
-  const loop = eventLoop.startEventLoop(clocks.readSteadyMs);
   const regionByDomain = new Map(Object.entries(domainRegions));
   const state = gateway.createGatewayState(
     { address, life, failureDomain, processorPercent, seeds, regionByDomain },
@@ -162,16 +162,20 @@
     Math.random,
     clocks.readSteadyMs(),
   );
+  const log = decisionLog.createDecisionLog(logger);
+  const metrics = gatewayMetrics.createGatewayMetrics(state, clocks.readSteadyMs);
+  const noteDelay = loadReports.createDelayObserver({ state, log, metrics });
+  const loop = eventLoop.startEventLoop(clocks.readSteadyMs, noteDelay);
   return {
     state,
     protocol,
     eventLoop: loop,
     connections: backendConnections.createBackendConnections(loop.runWhenPolled),
     readClocks: clocks.createClockReader(),
-    log: decisionLog.createDecisionLog(logger),
+    log,
     storeStatus: { isLost: false },
     unknown: new Map() as unknownNames.UnknownNames,
-    metrics: gatewayMetrics.createGatewayMetrics(state, clocks.readSteadyMs),
+    metrics,
   };
 }
 
--- a/packages/gateway/src/event-loop.ts
+++ b/packages/gateway/src/event-loop.ts
@@ -23,11 +23,21 @@
 /** Interval of the timer that notices stalls, milliseconds. */
 const TICK_MS = 20;
 
-/** Starts to measure. */
-export function startEventLoop(readNow: () => number): EventLoop {
+/**
+ * Starts to measure.
+ *
+ * @param noteDelay called in turns of the event loop with the time by which the turn is late, ms
+ */
+export function startEventLoop(
+  readNow: () => number,
+  noteDelay: (delayMs: number, now: number) => void,
+): EventLoop {
   let polledMs = readNow();
+  let lastMs = polledMs;
   const timer = setInterval(() => {
     const tickMs = readNow();
+    noteDelay(Math.max(tickMs - lastMs - TICK_MS, 0), tickMs);
+    lastMs = tickMs;
     // Runs after the poll of this turn.
     setImmediate(() => {
       polledMs = tickMs;
--- a/packages/gateway/src/gateway-metrics.ts
+++ b/packages/gateway/src/gateway-metrics.ts
@@ -20,6 +20,10 @@
   recordWait: (urgency: number, ms: number) => void;
   /** Records the time from sending to the first event, milliseconds. */
   recordFirstEvent: (route: string, ms: number) => void;
+  /** Records the duration of a turn of the event loop, milliseconds. */
+  recordLoopDelay: (ms: number) => void;
+  /** Records that a request was refused because this gateway is overloaded. */
+  recordShed: () => void;
   /** Records that a request was withdrawn before its first byte was sent. */
   recordWithdrawal: (reason: WithdrawalReason) => void;
   render: () => string;
@@ -77,6 +81,7 @@
     },
     { name: 'store_epoch', labels: {}, value: Math.max(state.servers.readRevision.epoch, 0) },
     { name: 'peers', labels: {}, value: state.peers.byAddress.size },
+    { name: 'admitted_share', labels: {}, value: state.load.admittedShare },
     ...listStatementValues(state, now),
     ...listSchedulingValues(state),
   ];
@@ -97,6 +102,9 @@
       runtime.recordObservation(metrics, { kind: 'queueWait', tier: String(urgency), ms }),
     recordFirstEvent: (route, ms) =>
       runtime.recordObservation(metrics, { kind: 'firstByte', service: '', tier: route, ms }),
+    recordLoopDelay: (ms) => runtime.recordDuration(metrics, 'event_loop_delay_ms', {}, ms),
+    recordShed: () =>
+      runtime.addCount(metrics, 'requests_shed_total', { reason: 'gateway-overloaded' }),
     recordWithdrawal: (reason) => runtime.addCount(metrics, 'requests_withdrawn_total', { reason }),
     render: () => runtime.renderMetrics(metrics, Date.now(), listSamples(state, readSteadyMs())),
   };
--- a/packages/gateway/src/request-reports.ts
+++ b/packages/gateway/src/request-reports.ts
@@ -34,6 +34,9 @@
   };
   log.write('refused', { ...line, result: schema.ResultCode[code] }, now.steadyMs);
   metrics.recordEnd('', '', code, false);
+  if (code === schema.ResultCode.GATEWAY_OVERLOADED) {
+    metrics.recordShed();
+  }
 }
 
 /** Reports that the caller of a request had left before the request was admitted. */
--- a/packages/gateway/src/status.ts
+++ b/packages/gateway/src/status.ts
@@ -37,6 +37,11 @@
   }));
 }
 
+/** Describes the load of this process. */
+function describeLoad({ load }: gateway.GatewayState): Record<string, unknown> {
+  return { eventLoopDelayMs: Math.round(load.delayMs), admittedShare: load.admittedShare };
+}
+
 /** Describes the state of a gateway. */
 export function describeStatus(
   state: gateway.GatewayState,
@@ -51,6 +56,7 @@
     storeBehind: state.lease.behindSinceMs !== undefined,
     storeRevision: state.servers.readRevision,
     requestsHeld: state.requests.size,
+    load: describeLoad(state),
     backendServers: [...state.servers.byId.values()],
     evacuatedDomains: gateway.listEvacuated(state.servers.evacuations),
     warming: describeWarming(state, now.steadyMs),
--- a/packages/runtime/src/metric-definitions.ts
+++ b/packages/runtime/src/metric-definitions.ts
@@ -34,6 +34,14 @@
     type: MetricType.COUNTER,
     help: 'Prompt tokens that were worked through and thrown away, by cause.',
   },
+  event_loop_delay_ms: {
+    type: MetricType.SUMMARY,
+    help: 'Milliseconds by which turns of the event loop were late.',
+  },
+  requests_shed_total: {
+    type: MetricType.COUNTER,
+    help: 'Requests refused on arrival to keep this process within its targets, by reason.',
+  },
   requests_withdrawn_total: {
     type: MetricType.COUNTER,
     help: 'Requests withdrawn before their first byte was sent, by reason.',
@@ -42,6 +50,10 @@
     type: MetricType.COUNTER,
     help: 'Attempts at backend servers that failed, by fault.',
   },
+  admitted_share: {
+    type: MetricType.GAUGE,
+    help: 'Share of the arriving requests that an overloaded gateway admits; 1 if it is not overloaded.',
+  },
   schedule_asks_total: {
     type: MetricType.COUNTER,
     help: 'Messages to schedulers of cells.',
