Pass over saturated gateways as schedulers

A gateway whose event loop is busy for seconds grants slots late, and delays the requests of all gateways that ask it. The sender applies the hysteresis, so gateways that miss reports still agree. Gateways that report 100 are passed over as schedulers unless all of them do; an absent field counts as 0.

--- a/packages/core/src/gateway/gateway-load.test.ts
+++ b/packages/core/src/gateway/gateway-load.test.ts
@@ -109,3 +109,16 @@
   assert.equal(gatewayLoad.computeWaitedMs(2000, 900, false), 2000);
   assert.equal(gatewayLoad.computeUnreadMs(20), 0);
 });
+
+test('a gateway is saturated after seconds, not at a peak', () => {
+  // Guards against cells that change their scheduler at every peak.
+  const load = gatewayLoad.createGatewayLoad();
+  assert.equal(gatewayLoad.noteUtilization(load, 1, 1000), false);
+  assert.ok(gatewayLoad.computeLoadPercent(load) < 100);
+  gatewayLoad.noteUtilization(load, 1, 5000);
+  assert.equal(gatewayLoad.computeLoadPercent(load), 100);
+  gatewayLoad.noteUtilization(load, 0.8, 5000);
+  assert.equal(gatewayLoad.computeLoadPercent(load), 100);
+  gatewayLoad.noteUtilization(load, 0.1, 5000);
+  assert.equal(gatewayLoad.isSaturatedPercent(gatewayLoad.computeLoadPercent(load)), false);
+});
--- a/packages/core/src/gateway/gateway-load.ts
+++ b/packages/core/src/gateway/gateway-load.ts
@@ -33,6 +33,10 @@
   firstArrivalMs: number | undefined;
   /** By urgency. */
   tiers: Map<number, ArrivedTier>;
+  /** Share of the time in which the event loop was busy, 0 to 1, averaged over seconds. */
+  utilization: number;
+  /** The event loop has been busy nearly all the time for seconds. */
+  isSaturated: boolean;
 };
 
 /** A change between normal operation and an overload. */
@@ -78,6 +82,14 @@
 /** Urgencies with fewer recent arrivals than this are forgotten. */
 const MIN_ARRIVALS = 0.05;
 
+/** Time over which the utilization of the event loop is averaged, milliseconds. */
+const UTILIZATION_TAU_MS = 2000;
+/** Utilization from which a gateway is saturated, and below which it is so no longer. */
+const SATURATED_UTILIZATION = 0.9;
+const UNSATURATED_UTILIZATION = 0.7;
+/** The load that a saturated gateway reports. */
+const SATURATED_PERCENT = 100;
+
 /** Creates the load of a gateway that has just started. */
 export function createGatewayLoad(): GatewayLoad {
   return {
@@ -88,9 +100,40 @@
     beganMs: -Infinity,
     firstArrivalMs: undefined,
     tiers: new Map(),
+    utilization: 0,
+    isSaturated: false,
   };
 }
 
+/**
+ * Records the share of the last `elapsedMs` milliseconds in which the event loop was busy.
+ * Returns whether the gateway has become saturated, or is so no longer.
+ */
+export function noteUtilization(load: GatewayLoad, share: number, elapsedMs: number): boolean {
+  const weight = 1 - Math.exp(-elapsedMs / UTILIZATION_TAU_MS);
+  load.utilization += weight * (share - load.utilization);
+  const wasSaturated = load.isSaturated;
+  load.isSaturated =
+    load.utilization >= (wasSaturated ? UNSATURATED_UTILIZATION : SATURATED_UTILIZATION);
+  return load.isSaturated !== wasSaturated;
+}
+
+/**
+ * Computes the load that a gateway reports to the others: 100 as long as it counts as saturated,
+ * and less otherwise. The sender alone applies the hysteresis, because gateways that miss some
+ * reports would otherwise choose different schedulers.
+ */
+export function computeLoadPercent({ utilization, isSaturated }: GatewayLoad): number {
+  return isSaturated
+    ? SATURATED_PERCENT
+    : Math.min(Math.round(utilization * SATURATED_PERCENT), SATURATED_PERCENT - 1);
+}
+
+/** Returns whether the reported load means that a gateway is saturated. */
+export function isSaturatedPercent(loadPercent: number): boolean {
+  return loadPercent >= SATURATED_PERCENT;
+}
+
 /** Computes how long data may have waited to be read, from the delay of the event loop. */
 export function computeUnreadMs(delayMs: number): number {
   return delayMs < MIN_STALL_MS ? 0 : delayMs;
--- a/packages/core/src/gateway/peer-view.ts
+++ b/packages/core/src/gateway/peer-view.ts
@@ -17,6 +17,8 @@
   used: Map<string, number>;
   /** Processor time available to the sender, in hundredths of a core. */
   processorPercent: number;
+  /** Load of the sender in percent, 100 if it is saturated; undefined if it does not report it. */
+  loadPercent?: number;
   /** Version of the active configuration of the sender; 0 if it has none. */
   configurationVersion: number;
   /** Addresses of other gateways from which the sender receives reports. */
@@ -29,6 +31,7 @@
   heardMs: number;
   used: Map<string, number>;
   processorPercent: number;
+  loadPercent: number;
   /** The version in its last report, and when this incarnation first reported it, in ms. */
   configurationVersion: number;
   versionReportedMs: number;
@@ -136,6 +139,7 @@
     heardMs: now,
     used,
     processorPercent,
+    loadPercent: report.loadPercent ?? 0,
     configurationVersion,
     versionReportedMs: isSameVersion ? known.versionReportedMs : now,
   });
@@ -202,13 +206,18 @@
 }
 
 /** A gateway that may be the scheduler of cells. */
-export type SchedulerCandidate = { address: string; processorPercent: number };
+export type SchedulerCandidate = {
+  address: string;
+  processorPercent: number;
+  loadPercent: number;
+};
 
-/** Lists the reachable peers with the processor time available to them. */
+/** Lists the reachable peers with the processor time available to them and their load. */
 export function listSchedulerCandidates(view: PeerView, now: number): SchedulerCandidate[] {
-  return listReachable(view, now).map(([address, { processorPercent }]) => ({
+  return listReachable(view, now).map(([address, { processorPercent, loadPercent }]) => ({
     address,
     processorPercent,
+    loadPercent,
   }));
 }
 
--- a/packages/core/src/gateway/pending-asks.ts
+++ b/packages/core/src/gateway/pending-asks.ts
@@ -8,6 +8,7 @@
  */
 import * as schema from '@toucanproxy/schema';
 import * as cellMap from './cell-map.js';
+import * as gatewayLoad from './gateway-load.js';
 import * as gatewayRequest from './gateway-request.js';
 import * as gatewayState from './gateway-state.js';
 import * as schedulerLink from './scheduler-link.js';
@@ -32,7 +33,8 @@
   now: number,
 ): schedulerRanking.ChosenScheduler {
   const { address, processorPercent } = state;
-  const own = { address, processorPercent };
+  const loadPercent = gatewayLoad.computeLoadPercent(state.load);
+  const own = { address, processorPercent, loadPercent };
   return schedulerRanking.chooseScheduler(state.ranking, state.peers, own, cellName, now);
 }
 
--- a/packages/core/src/gateway/scheduler-ranking.ts
+++ b/packages/core/src/gateway/scheduler-ranking.ts
@@ -1,5 +1,6 @@
 /** Chooses which gateway schedules a cell, from this gateway's view of its peers. */
 import * as scheduler from '../scheduler/index.js';
+import * as gatewayLoad from './gateway-load.js';
 import * as peerView from './peer-view.js';
 
 export type SchedulerRanking = {
@@ -50,7 +51,10 @@
   };
 }
 
-/** Lists the gateways that are strong enough to schedule. */
+/**
+ * Lists the gateways that are strong enough to schedule. Those that are saturated are passed over
+ * unless all are: their grants would be late.
+ */
 function listCapableGateways(
   view: peerView.PeerView,
   own: peerView.SchedulerCandidate,
@@ -58,9 +62,13 @@
 ): string[] {
   const all = [own, ...peerView.listSchedulerCandidates(view, now)];
   const strongest = Math.max(...all.map(({ processorPercent }) => processorPercent));
-  return all
-    .filter(({ processorPercent }) => processorPercent >= MIN_PROCESSOR_SHARE * strongest)
-    .map(({ address }) => address);
+  const capable = all.filter(
+    ({ processorPercent }) => processorPercent >= MIN_PROCESSOR_SHARE * strongest,
+  );
+  const unsaturated = capable.filter(
+    ({ loadPercent }) => !gatewayLoad.isSaturatedPercent(loadPercent),
+  );
+  return (unsaturated.length > 0 ? unsaturated : capable).map(({ address }) => address);
 }
 
 /** Recomputes an outdated ranking for the gateways that are reachable now. */
--- a/packages/gateway/src/gateway-metrics.ts
+++ b/packages/gateway/src/gateway-metrics.ts
@@ -81,6 +81,7 @@
     },
     { name: 'store_epoch', labels: {}, value: Math.max(state.servers.readRevision.epoch, 0) },
     { name: 'peers', labels: {}, value: state.peers.byAddress.size },
+    { name: 'load_percent', labels: {}, value: gateway.computeLoadPercent(state.load) },
     { name: 'admitted_share', labels: {}, value: state.load.admittedShare },
     ...listStatementValues(state, now),
     ...listSchedulingValues(state),
--- a/packages/gateway/src/peer-task.ts
+++ b/packages/gateway/src/peer-task.ts
@@ -90,6 +90,7 @@
     suspects: reportRounds.pickForRound(gateway.listSuspects(state.suspects), round, MAX_SUSPECTS),
     peers,
     processorPercent: state.processorPercent,
+    loadPercent: gateway.computeLoadPercent(state.load),
     configurationVersion: state.index?.configuration.version ?? 0,
   });
 }
@@ -177,6 +178,7 @@
     leaving,
     used: new Map(used.map((use) => [use.workspace, use.amount])),
     processorPercent: received.processorPercent,
+    loadPercent: received.loadPercent,
     configurationVersion: received.configurationVersion,
     peers,
   };
--- a/packages/gateway/src/status.ts
+++ b/packages/gateway/src/status.ts
@@ -39,7 +39,11 @@
 
 /** Describes the load of this process. */
 function describeLoad({ load }: gateway.GatewayState): Record<string, unknown> {
-  return { eventLoopDelayMs: Math.round(load.delayMs), admittedShare: load.admittedShare };
+  return {
+    eventLoopDelayMs: Math.round(load.delayMs),
+    admittedShare: load.admittedShare,
+    loadPercent: gateway.computeLoadPercent(load),
+  };
 }
 
 /** Describes the state of a gateway. */
--- a/packages/runtime/src/metric-definitions.ts
+++ b/packages/runtime/src/metric-definitions.ts
@@ -50,6 +50,10 @@
     type: MetricType.COUNTER,
     help: 'Attempts at backend servers that failed, by fault.',
   },
+  load_percent: {
+    type: MetricType.GAUGE,
+    help: 'Share of the time in which the event loop was busy; 100 if other gateways should schedule.',
+  },
   admitted_share: {
     type: MetricType.GAUGE,
     help: 'Share of the arriving requests that an overloaded gateway admits; 1 if it is not overloaded.',
