Replay bursts through the event loop of one gateway

The replay compares the admission by a share with admitting everything, and with refusing each request whose own target would be missed.

--- a/packages/core/src/gateway/gateway-load.ts
+++ b/packages/core/src/gateway/gateway-load.ts
@@ -8,9 +8,8 @@
  * requests, all of them would be late, the most urgent ones too.
  *
  * In an overload, the gateway admits a share of its requests, the most urgent ones first. The share
- * follows the delay of the event loop, the duration of its most recent turns: a request waits for
- * one turn until it is read, and for another one until it is sent. A single long turn, such as one
- * that applies a configuration, changes nothing.
+ * follows the delay of the event loop, the duration of its most recent turns. A single long turn,
+ * such as one that applies a configuration, changes nothing.
  */
 import * as schema from '@toucanproxy/schema';
 import * as decayingCount from '../shared/decaying-count.js';
@@ -53,15 +52,20 @@
  */
 const ABANDON_MS = 1000;
 const ABANDON_SHARE = 1 / 3;
-/** Number of turns that must all be long, or all be short, before the share changes. */
+/**
+ * Number of turns that must all be long before an overload begins. One turn is long at each stall,
+ * and the next one where many requests have arrived meanwhile.
+ */
 const TURNS = 3;
+/** Number of turns that must all be long, or all be short, before the share changes again. */
+const LATER_TURNS = 2;
 /**
  * Turns are too long from this share of the shortest target: a request waits for one turn until it
- * is read, and for another one until it is sent.
+ * is read, for another one until it is sent, and its response waits for a third one.
  */
-const HIGH_DELAY_SHARE = 1 / 2;
+const HIGH_DELAY_SHARE = 1 / 3;
 /** Turns are short below this share of the shortest target. */
-const LOW_DELAY_SHARE = 1 / 4;
+const LOW_DELAY_SHARE = 1 / 6;
 /** The share is reduced at most to this part of its value at a time, and never below the minimum. */
 const MAX_REDUCTION = 1 / 2;
 /** Some requests are always admitted, because without any, nothing shows that the load has gone. */
@@ -190,8 +194,9 @@
  */
 export function noteDelay(load: GatewayLoad, delayMs: number, now: number): LoadChange | undefined {
   load.delayMs = delayMs;
-  load.recentDelays = [...load.recentDelays, delayMs].slice(-TURNS);
-  if (load.recentDelays.length < TURNS || load.firstArrivalMs === undefined) {
+  const turns = load.admittedShare < 1 ? LATER_TURNS : TURNS;
+  load.recentDelays = [...load.recentDelays, delayMs].slice(-turns);
+  if (load.recentDelays.length < turns || load.firstArrivalMs === undefined) {
     return undefined;
   }
   const longestMs = Math.max(...load.recentDelays);
--- a/packages/measure/src/gateway-load/main.ts
+++ b/packages/measure/src/gateway-load/main.ts
@@ -5,6 +5,7 @@
  */
 import * as util from 'node:util';
 import * as loadPattern from './load-pattern.js';
+import * as loopTable from './loop-table.js';
 import type * as replayWorld from './replay-world.js';
 import * as replay from './replay.js';
 import * as sizeTable from './size-table.js';
@@ -36,6 +37,7 @@
 const MANY_ENGINES_SLOTS = 6;
 const HELP = `npm run measure:gateway -- [--seeds N] [--sizes N,N,...]
   --seeds N     replay each load with N seeds; 5 where it is left out
+  --loop        print what one gateway with a fraction of a core sends on in bursts
   --sizes N,... print what is served by as many gateways before ${MANY_ENGINES} engines
 `;
 
@@ -43,6 +45,7 @@
   options: {
     seeds: { type: 'string', default: '5' },
     sizes: { type: 'string' },
+    loop: { type: 'boolean', default: false },
     help: { type: 'boolean', default: false },
   },
 });
@@ -97,6 +100,8 @@
 
 if (values.help) {
   process.stdout.write(HELP);
+} else if (values.loop) {
+  process.stdout.write(loopTable.formatLoopTable(seeds));
 } else if (values.sizes === undefined) {
   printSources();
 } else {
