Poll between sends of a long assignment pass

A pass that sends many requests on a fraction of a core can take longer than the 500 ms within which a caller that left must be noticed. Sends are now divided into slices of 50 ms, with a poll in between; a request that ends meanwhile is not sent. The forwarded deadline and the time of sending are those of the actual send, so that servers are not blamed for the delay.

The wait in the kernel is bounded by the time since the server began to listen, and counts for a new connection only in the turn after it was accepted: before, the first request on a connection that had been idle after a stall counted as waiting all that time.

--- a/packages/core/src/gateway/assignment.ts
+++ b/packages/core/src/gateway/assignment.ts
@@ -208,6 +208,15 @@
   return result;
 }
 
+/** Records that an assigned request is being sent, which may be later than its assignment. */
+export function noteSending(
+  request: gatewayRequest.GatewayRequest,
+  { steadyMs, wallMs }: configurationLease.ClockReading,
+): void {
+  request.sentMs = steadyMs;
+  request.sentWallMs = wallMs;
+}
+
 /** Takes one retry from this gateway's part of a service's retry budget; false if it is spent. */
 export function takeRetry(state: gatewayState.GatewayState, service: string, now: number): boolean {
   const { retryPercent, retryExtra } = state.bounds;
--- a/packages/gateway/src/attempt-sending.ts
+++ b/packages/gateway/src/attempt-sending.ts
@@ -159,7 +159,7 @@
   const connection = task.connections.take(server.address);
   held.attempt = backendAttempt.startAttempt(
     connection,
-    outgoingRequest.buildOutgoingRequest(task.protocol, held, server),
+    outgoingRequest.buildOutgoingRequest(task.protocol, held, server, readNow()),
     listener,
   );
 }
--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -35,10 +35,12 @@
   bounds: gateway.CallerBounds;
   isShuttingDown: boolean;
   /**
-   * When connections that were accepted after a stall of the event loop may have been opened,
-   * milliseconds, until their first request has been read.
+   * When connections that were just accepted after a stall of the event loop may have been opened,
+   * milliseconds.
    */
   openedMs: WeakMap<net.Socket, number>;
+  /** When the server began to listen, milliseconds. */
+  listeningMs: number;
 };
 
 /**
@@ -92,24 +94,27 @@
   return isPath ? undefined : schema.ResultCode.MALFORMED_REQUEST;
 }
 
-/** Records when a new connection may have been opened, if it was accepted after a stall. */
-function noteConnection({ options, openedMs }: ServerState, socket: net.Socket): void {
-  const unreadMs = options.computeUnreadMs();
-  if (unreadMs > 0) {
-    openedMs.set(socket, clocks.readSteadyMs() - unreadMs);
-  }
+/** Computes how long data that is read now may have waited, milliseconds. */
+function computeUnreadMs({ options, listeningMs }: ServerState): number {
+  return Math.min(options.computeUnreadMs(), clocks.readSteadyMs() - listeningMs);
 }
 
 /**
- * Computes how long a request may have waited to be read, milliseconds. The first one on a new
- * connection is read in a later turn of the event loop than the connection is accepted in, and may
- * have been sent as soon as the connection was opened.
+ * Records when a new connection may have been opened, if it was accepted after a stall. What its
+ * caller sent meanwhile is read in the next turn of the event loop.
  */
-function computeUnreadMs({ options, openedMs }: ServerState, socket: net.Socket): number {
+function noteConnection(state: ServerState, socket: net.Socket): void {
+  const unreadMs = computeUnreadMs(state);
+  if (unreadMs > 0) {
+    state.openedMs.set(socket, clocks.readSteadyMs() - unreadMs);
+    setImmediate(() => setImmediate(() => state.openedMs.delete(socket)));
+  }
+}
+
+/** Computes how long a request whose headers are read now may have waited, milliseconds. */
+function computeRequestUnreadMs(state: ServerState, socket: net.Socket): number {
   const now = clocks.readSteadyMs();
-  const sinceOpenedMs = now - (openedMs.get(socket) ?? now);
-  openedMs.delete(socket);
-  return Math.max(options.computeUnreadMs(), sinceOpenedMs);
+  return Math.max(computeUnreadMs(state), now - (state.openedMs.get(socket) ?? now));
 }
 
 /** Reads the body, then passes the request to `receive`. */
@@ -118,6 +123,7 @@
   request: http.IncomingMessage,
   response: http.ServerResponse,
 ): void {
+  const headUnreadMs = computeRequestUnreadMs(state, request.socket);
   const chunks: Buffer[] = [];
   let bytes = 0;
   request.on('data', (chunk: Buffer) => {
@@ -132,7 +138,7 @@
     if (!response.headersSent && request.complete) {
       const body = chunks.length === 1 ? chunks[0] : Buffer.concat(chunks);
       const { method = '', url = '', rawHeaders } = request;
-      const unreadMs = computeUnreadMs(state, request.socket);
+      const unreadMs = Math.max(headUnreadMs, computeUnreadMs(state));
       state.options.receive({ method, target: url, headers: rawHeaders, body, response, unreadMs });
     }
   });
@@ -199,10 +205,12 @@
     bounds: DEFAULT_BOUNDS,
     isShuttingDown: false,
     openedMs: new WeakMap(),
+    listeningMs: Infinity,
   };
   const server = createServer(state);
   return {
     listen: async () => {
+      state.listeningMs = clocks.readSteadyMs();
       await new Promise<void>((resolve, reject) => {
         server.once('error', reject);
         server.listen(options.listen.port, options.listen.host, resolve);
--- a/packages/gateway/src/gateway-task.ts
+++ b/packages/gateway/src/gateway-task.ts
@@ -11,6 +11,7 @@
 import * as requestReports from './request-reports.js';
 import * as statementReports from './statement-reports.js';
 import type * as taskState from './task-state.js';
+import * as timeSlices from './time-slices.js';
 
 export type GatewayTask = {
   receive: (exchange: callerExchange.CallerExchange) => void;
@@ -30,27 +31,40 @@
 const TICK_MS = 50;
 const QUERY_START = '?';
 
-/** Applies assignments: sends requests, refuses them, or reports grants that were not used. */
+/** Sends a request on, unless it has ended since it was assigned. */
+function sendAssigned(
+  task: taskState.TaskState,
+  assignment: Extract<gateway.Assignment, { kind: 'send' }>,
+): void {
+  const held = task.held.get(assignment.request.serial);
+  if (held !== undefined) {
+    gateway.noteSending(held.request, task.readClocks());
+    attemptSending.send(task, held, assignment);
+  }
+}
+
+/**
+ * Applies assignments: refuses requests, reports grants that were not used, and sends requests. If
+ * that takes long, the event loop polls in between, as more callers may have left.
+ */
 function applyAssignments(
   task: taskState.TaskState,
   assignments: readonly gateway.Assignment[],
 ): void {
   assignments.forEach((assignment) => {
     const held = task.held.get(assignment.request.serial);
-    if (held === undefined) {
-      return;
-    }
-    switch (assignment.kind) {
-      case 'refuse':
-        requestEnding.refuse(task, held, assignment.refusal);
-        break;
-      case 'waitOn':
-        requestReports.reportUnused(task, assignment);
-        break;
-      default:
-        attemptSending.send(task, held, assignment);
+    if (held !== undefined && assignment.kind === 'refuse') {
+      requestEnding.refuse(task, held, assignment.refusal);
+    } else if (held !== undefined && assignment.kind === 'waitOn') {
+      requestReports.reportUnused(task, assignment);
     }
   });
+  timeSlices.runInSlices(
+    assignments.filter((assignment) => assignment.kind === 'send'),
+    (assignment) => sendAssigned(task, assignment),
+    () => task.readClocks().steadyMs,
+    setImmediate,
+  );
 }
 
 /** Runs one assignment pass: applies all decisions that can be made now. */
--- a/packages/gateway/src/outgoing-request.ts
+++ b/packages/gateway/src/outgoing-request.ts
@@ -12,10 +12,11 @@
   protocol: wireProtocol.WireProtocol,
   { request, exchange, events }: heldRequest.HeldRequest,
   server: gateway.BackendServerEntry,
+  now: number,
 ): backendAttempt.OutgoingRequest {
   const { method, target, headers, body, response } = exchange;
   const context = {
-    deadlineLeftMs: Math.max(Math.floor(request.giveUpMs - request.sentMs), 1),
+    deadlineLeftMs: Math.max(Math.floor(request.giveUpMs - now), 1),
     serverId: server.id,
     workspace: request.workspace === '' ? undefined : request.workspace,
     resumeAfter: response.headersSent ? events?.lastEventId : undefined,
