--- a/packages/gateway/src/app.ts
+++ b/packages/gateway/src/app.ts
@@ -7,9 +7,11 @@
 import * as callerServer from './caller-server.js';
 import * as clocks from './clocks.js';
 import * as decisionLog from './decision-log.js';
+import * as eventLoop from './event-loop.js';
 import * as gatewayMetrics from './gateway-metrics.js';
 import type * as gatewaySettings from './gateway-settings.js';
 import * as gatewayTask from './gateway-task.js';
+import * as loadReports from './load-reports.js';
 import * as peerTask from './peer-task.js';
 import * as shutdown from './shutdown.js';
 import * as status from './status.js';
@@ -117,12 +119,13 @@
 /** Creates the server for callers; it does not listen yet. */
 function createCallers(
   { settings }: GatewayOptions,
-  { log, metrics }: ReturnType<typeof createComponents>,
+  { log, metrics, eventLoop: { computeUnreadMs } }: ReturnType<typeof createComponents>,
   task: gatewayTask.GatewayTask,
 ): callerServer.CallerServer {
   return callerServer.createCallerServer({
     listen: settings.callers,
     receive: task.receive,
+    computeUnreadMs,
     reportRefusal: (code) => {
       log.write('refused', { result: schema.ResultCode[code] }, clocks.readSteadyMs());
       metrics.recordEnd('', '', code, false);
@@ -159,15 +162,20 @@
     Math.random,
     clocks.readSteadyMs(),
   );
+  const log = decisionLog.createDecisionLog(logger);
+  const metrics = gatewayMetrics.createGatewayMetrics(state, clocks.readSteadyMs);
+  const noteDelay = loadReports.createDelayObserver({ state, log, metrics });
+  const loop = eventLoop.startEventLoop(clocks.readSteadyMs, noteDelay);
   return {
     state,
     protocol,
-    connections: backendConnections.createBackendConnections(),
+    eventLoop: loop,
+    connections: backendConnections.createBackendConnections(loop.runWhenPolled),
     readClocks: clocks.createClockReader(),
-    log: decisionLog.createDecisionLog(logger),
+    log,
     storeStatus: { isLost: false },
     unknown: new Map() as unknownNames.UnknownNames,
-    metrics: gatewayMetrics.createGatewayMetrics(state, clocks.readSteadyMs),
+    metrics,
   };
 }
 
@@ -211,8 +219,8 @@
     },
     shutDown: () => shutdown.beginShutdown({ state, callers, task, peers, log, ...options }),
     stop: () =>
-      [follower, task, peers, callers, ...operators, connections].forEach((component) =>
-        component.stop(),
+      [follower, task, peers, callers, ...operators, connections, components.eventLoop].forEach(
+        (component) => component.stop(),
       ),
   };
 }
--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -5,6 +5,7 @@
 import * as runtime from '@toucanproxy/runtime';
 import * as schema from '@toucanproxy/schema';
 import type * as callerExchange from './caller-exchange.js';
+import * as clocks from './clocks.js';
 import type * as gatewaySettings from './gateway-settings.js';
 import * as localResponse from './local-response.js';
 
@@ -25,12 +26,21 @@
   /** Called with each request that has been read completely. */
   receive: (exchange: callerExchange.CallerExchange) => void;
   reportRefusal: (code: schema.ResultCode) => void;
+  /** Computes how long data that is read now may have waited, milliseconds. */
+  computeUnreadMs: () => number;
 };
 
 type ServerState = {
   options: CallerServerOptions;
   bounds: gateway.CallerBounds;
   isShuttingDown: boolean;
+  /**
+   * When connections that were just accepted after a stall of the event loop may have been opened,
+   * milliseconds.
+   */
+  openedMs: WeakMap<net.Socket, number>;
+  /** When the server began to listen, milliseconds. */
+  listeningMs: number;
 };
 
 /**
@@ -84,12 +94,36 @@
   return isPath ? undefined : schema.ResultCode.MALFORMED_REQUEST;
 }
 
+/** Computes how long data that is read now may have waited, milliseconds. */
+function computeUnreadMs({ options, listeningMs }: ServerState): number {
+  return Math.min(options.computeUnreadMs(), clocks.readSteadyMs() - listeningMs);
+}
+
+/**
+ * Records when a new connection may have been opened, if it was accepted after a stall. What its
+ * caller sent meanwhile is read in the next turn of the event loop.
+ */
+function noteConnection(state: ServerState, socket: net.Socket): void {
+  const unreadMs = computeUnreadMs(state);
+  if (unreadMs > 0) {
+    state.openedMs.set(socket, clocks.readSteadyMs() - unreadMs);
+    setImmediate(() => setImmediate(() => state.openedMs.delete(socket)));
+  }
+}
+
+/** Computes how long a request whose headers are read now may have waited, milliseconds. */
+function computeRequestUnreadMs(state: ServerState, socket: net.Socket): number {
+  const now = clocks.readSteadyMs();
+  return Math.max(computeUnreadMs(state), now - (state.openedMs.get(socket) ?? now));
+}
+
 /** Reads the body, then passes the request to `receive`. */
 function readBody(
   state: ServerState,
   request: http.IncomingMessage,
   response: http.ServerResponse,
 ): void {
+  const headUnreadMs = computeRequestUnreadMs(state, request.socket);
   const chunks: Buffer[] = [];
   let bytes = 0;
   request.on('data', (chunk: Buffer) => {
@@ -104,7 +138,8 @@
     if (!response.headersSent && request.complete) {
       const body = chunks.length === 1 ? chunks[0] : Buffer.concat(chunks);
       const { method = '', url = '', rawHeaders } = request;
-      state.options.receive({ method, target: url, headers: rawHeaders, body, response });
+      const unreadMs = Math.max(headUnreadMs, computeUnreadMs(state));
+      state.options.receive({ method, target: url, headers: rawHeaders, body, response, unreadMs });
     }
   });
 }
@@ -153,6 +188,7 @@
     connectionsCheckingInterval: TIMEOUT_CHECK_MS,
     noDelay: true,
   });
+  server.on('connection', (socket) => noteConnection(state, socket));
   server.on('request', (request, response) => handleRequest(state, request, response));
   server.on('clientError', (error, socket) =>
     handleClientError(state, error, socket as net.Socket),
@@ -164,10 +200,17 @@
 
 /** Creates the server; it does not listen yet. */
 export function createCallerServer(options: CallerServerOptions): CallerServer {
-  const state: ServerState = { options, bounds: DEFAULT_BOUNDS, isShuttingDown: false };
+  const state: ServerState = {
+    options,
+    bounds: DEFAULT_BOUNDS,
+    isShuttingDown: false,
+    openedMs: new WeakMap(),
+    listeningMs: Infinity,
+  };
   const server = createServer(state);
   return {
     listen: async () => {
+      state.listeningMs = clocks.readSteadyMs();
       await new Promise<void>((resolve, reject) => {
         server.once('error', reject);
         server.listen(options.listen.port, options.listen.host, resolve);
