Keep the finish tags of workspaces that wait

The number of finish tags is bounded by discarding them. All of them were discarded, also those of workspaces with waiting requests, whose next request was then sent before their earlier ones and before those of other waiting workspaces.

Only tags of workspaces that do not wait at the rank are discarded now. The limit grows with the number of those that wait, so that the queue is not scanned for each item.

The new test fails before the change (order 1, 4, 2, 3) and passes after it.

--- a/packages/core/src/scheduler/wait-queue.test.ts
+++ b/packages/core/src/scheduler/wait-queue.test.ts
@@ -76,3 +76,17 @@
   assert.deepEqual([...waitQueue.countTokensBefore(queue, 0, 'loud')], [[0, 300]]);
   assert.deepEqual([...waitQueue.countTokensBefore(queue, 0, 'quiet')], [[0, 100]]);
 });
+
+test('many workspaces do not reset the tags of one that waits', () => {
+  // The finish tags are bounded in number. If the tag of a waiting workspace were discarded, its
+  // next request would go before its earlier ones and before those of workspaces that wait.
+  const queue = waitQueue.createWaitQueue();
+  [1, 2, 3].forEach((serial) => waitQueue.addItem(queue, buildItem(serial, 0, 'loud')));
+  Array.from({ length: 5000 }, (_, index) => {
+    waitQueue.addItem(queue, buildItem(10 + index, 0, `passing ${index}`));
+    return waitQueue.takeItem(queue, 10 + index);
+  });
+  waitQueue.addItem(queue, buildItem(4, 0, 'loud'));
+  assert.deepEqual(sendAll(queue), [1, 2, 3, 4]);
+  assert.ok(queue.finishTags.size < 5000);
+});
--- a/packages/core/src/scheduler/wait-queue.ts
+++ b/packages/core/src/scheduler/wait-queue.ts
@@ -30,14 +30,16 @@
   virtualTimes: Map<number, number>;
   /** Virtual time at which the last item of a workspace ends, by rank and workspace. */
   finishTags: Map<string, number>;
+  /** Number of finish tags above which those of workspaces that do not wait are discarded. */
+  tagLimit: number;
 };
 
-/** Number of finish tags above which all are discarded, to bound the memory. */
-const MAX_FINISH_TAGS = 4096;
+/** Lowest value of `tagLimit`; bounds the memory. */
+const MIN_TAG_LIMIT = 4096;
 
 /** Creates an empty queue. */
 export function createWaitQueue(): WaitQueue {
-  return { items: [], virtualTimes: new Map(), finishTags: new Map() };
+  return { items: [], virtualTimes: new Map(), finishTags: new Map(), tagLimit: MIN_TAG_LIMIT };
 }
 
 /** Reports whether an item is sent before another. */
@@ -71,10 +73,27 @@
   return Math.max(virtual, queue.finishTags.get(buildTagKey(rank, workspace)) ?? 0);
 }
 
+/**
+ * Discards the finish tags of workspaces that do not wait at the rank. Without its tag, the next
+ * request of a waiting workspace would go before its earlier ones.
+ *
+ * The limit is at least twice the number of remaining tags, so that the effort for each item is
+ * bounded.
+ */
+function dropIdleTags(queue: WaitQueue): void {
+  const waiting = new Set(queue.items.map(({ rank, workspace }) => buildTagKey(rank, workspace)));
+  queue.finishTags.forEach((_, key) => {
+    if (!waiting.has(key)) {
+      queue.finishTags.delete(key);
+    }
+  });
+  queue.tagLimit = Math.max(MIN_TAG_LIMIT, 2 * queue.finishTags.size);
+}
+
 /** Adds an item and assigns its start tag. */
 export function addItem(queue: WaitQueue, item: WaitItem): void {
-  if (queue.finishTags.size > MAX_FINISH_TAGS) {
-    queue.finishTags.clear();
+  if (queue.finishTags.size > queue.tagLimit) {
+    dropIdleTags(queue);
   }
   const startTag = computeStartTag(queue, item.rank, item.workspace);
   queue.finishTags.set(buildTagKey(item.rank, item.workspace), startTag + item.workTokens);
