Serve workspaces by the share that their quota gives

All workspaces of a rank had equal shares, whatever their configuration declares. The share of a workspace is now its declared rate relative to the mean of those with the same unit, between a quarter and four; 1 without a quota. The gateway that holds a request sends the share with it (WaitingRequest.share, field 16; absent means 1), and the queue divides the work of a request by it when it computes the finish tag. The order of ranks is unchanged.

Status (workspaceShares), the metric workspace_share and the log line of a declined request show the shares.

--- a/packages/core/src/gateway/ask-messages.ts
+++ b/packages/core/src/gateway/ask-messages.ts
@@ -10,7 +10,8 @@
 import * as pendingAsks from './pending-asks.js';
 import * as cellMap from './cell-map.js';
 import type * as gatewayRequest from './gateway-request.js';
-import type * as gatewayState from './gateway-state.js';
+import * as gatewayState from './gateway-state.js';
+import * as recentUse from './recent-use.js';
 import * as schedulerLink from './scheduler-link.js';
 import * as schedulerRanking from './scheduler-ranking.js';
 import * as serverStatements from './server-statements.js';
@@ -116,6 +117,7 @@
     waitedMs: Math.round(now - request.arrivedMs),
     triedIds: [...request.triedIds],
     excludedDomains: allowedDomains.listExcluded(state, request.regions),
+    share: state.index?.shareByWorkspace.get(workspace),
   });
 }
 
@@ -142,6 +144,8 @@
   now: number,
 ): schema.ScheduleAsk[] {
   const requests = takeUnaccepted(state, link, now);
+  const { use } = gatewayState.getServiceState(state, link.service);
+  requests.forEach(({ workspace }) => recentUse.noteAsk(use, workspace, now));
   const inFlight = listInFlight(state, link, now);
   const statements = listStatements(state, link, now);
   const accepted = [...link.asks].filter(([, { isAccepted }]) => isAccepted);
--- a/packages/core/src/gateway/assignment.test.ts
+++ b/packages/core/src/gateway/assignment.test.ts
@@ -1,11 +1,13 @@
 import * as assert from 'node:assert/strict';
 import * as nodeTest from 'node:test';
 import * as schema from '@toucanproxy/schema';
+import * as askMessages from './ask-messages.js';
 import type * as assignment from './assignment.js';
 import * as serverEntries from './server-entries.js';
 import * as configurationLease from './configuration-lease.js';
 import * as configuration from './configuration.js';
 import * as configurationIndex from './configuration-index.js';
+import * as recentUse from './recent-use.js';
 import * as requestAdmission from './request-admission.js';
 import * as gatewayFixture from './mocks/gateway-fixture.js';
 import * as requestEnd from './request-end.js';
@@ -178,3 +180,25 @@
     .map(({ request }) => request.arrived.attemptId);
   assert.deepEqual(sent, ['first', 'within']);
 });
+
+test('ask carries the share that the declared quota gives', () => {
+  const state = createTestGateway([]);
+  const workspaces = [1, 3].map((perSecond, index) => ({
+    name: `w${index}`,
+    credentials: [index === 0 ? gatewayFixture.KEY : 'other'],
+    urgency: undefined,
+    quota: { unit: configuration.QuotaUnit.REQUESTS, perSecond, burst: 10, defaultTokens: 1 },
+    regions: [],
+  }));
+  const declared = gatewayFixture.buildConfiguration(2, [buildRoute()], workspaces);
+  state.index = configurationIndex.buildConfigurationIndex(declared);
+  serverEntries.applyEntry(state.servers, gatewayFixture.buildEntry('a', { slots: 0.5 }), 0);
+  requestAdmission.admitRequest(state, buildArrived('1'), buildClocks(0));
+  const [{ ask }] = askMessages.collectAsks(state, 1);
+  assert.deepEqual(
+    ask.requests.map(({ share }) => share),
+    [0.5],
+  );
+  assert.deepEqual(recentUse.listActiveShares(state, 60_000), [{ workspace: 'w0', share: 0.5 }]);
+  assert.deepEqual(recentUse.listActiveShares(state, 60_002), []);
+});
--- a/packages/core/src/gateway/configuration-index.ts
+++ b/packages/core/src/gateway/configuration-index.ts
@@ -1,4 +1,5 @@
 /** A configuration with its lookup tables, built once per version. */
+import * as scheduler from '../scheduler/index.js';
 import type * as configuration from './configuration.js';
 
 export type ConfigurationIndex = {
@@ -10,6 +11,8 @@
   workspaceByCredential: Map<string, configuration.WorkspaceDeclaration> | undefined;
   /** Contains only workspaces with a quota. */
   quotaByWorkspace: Map<string, configuration.Quota>;
+  /** Contains only workspaces whose share differs from 1. */
+  shareByWorkspace: Map<string, number>;
 };
 
 /** Groups routes by host, in matching order. */
@@ -38,6 +41,9 @@
     serviceByName: new Map(given.services.map((service) => [service.name, service])),
     workspaceByCredential: credentials && new Map(credentials),
     quotaByWorkspace: new Map(quotas),
+    shareByWorkspace: scheduler.computeShares(
+      quotas.map(([workspace, { unit, perSecond }]) => ({ workspace, unit, perSecond })),
+    ),
   };
 }
 
--- a/packages/core/src/gateway/gateway-state.ts
+++ b/packages/core/src/gateway/gateway-state.ts
@@ -12,6 +12,7 @@
 import type * as gatewayRequest from './gateway-request.js';
 import * as peerView from './peer-view.js';
 import type * as quotaLimit from './quota-limit.js';
+import type * as recentUse from './recent-use.js';
 import type * as schedulerLink from './scheduler-link.js';
 import * as schedulerRanking from './scheduler-ranking.js';
 import * as tokenQuota from './token-quota.js';
@@ -21,6 +22,7 @@
   retries: retryBudget.RetryBudget;
   /** Since when requests have been refused because backend servers did not take them. */
   overload: overload.Overload;
+  use: recentUse.ServiceUse;
 };
 
 /** Totals of the exchange between this gateway and schedulers since its start. */
@@ -150,6 +152,7 @@
   const serviceState = state.services.get(service) ?? {
     retries: retryBudget.createRetryBudget(),
     overload: overload.createOverload(),
+    use: new Map(),
   };
   state.services.set(service, serviceState);
   return serviceState;
--- a/packages/core/src/gateway/index.ts
+++ b/packages/core/src/gateway/index.ts
@@ -16,6 +16,7 @@
 export * from './observations.js';
 export * from './peer-view.js';
 export * from './quota-limit.js';
+export { listActiveShares, type WorkspaceShare } from './recent-use.js';
 export * from './refusal.js';
 export * from './request-end.js';
 export * from './authorization.js';
--- /dev/null
+++ b/packages/core/src/gateway/recent-use.ts
@@ -0,0 +1,60 @@
+/**
+ * Records which workspaces use a service through this gateway, and how much.
+ *
+ * Load addressed: requests of one workspace are spread over the cells of a service, and a cell may
+ * get another scheduler. With what a workspace used recently in all cells, each scheduler keeps the
+ * order in which a single queue would serve the workspaces.
+ */
+import * as decayingCount from '../shared/decaying-count.js';
+import type * as gatewayState from './gateway-state.js';
+
+export type WorkspaceUse = {
+  /** Work of the requests that were sent, tokens. */
+  workTokens: decayingCount.DecayingCount;
+  /** When a slot was last requested, milliseconds. */
+  askedMs: number;
+};
+
+/** Use of a service by workspace, in the order of the latest requests for a slot. */
+export type ServiceUse = Map<string, WorkspaceUse>;
+
+export type WorkspaceShare = { workspace: string; share: number };
+
+/** Number of workspaces above which the record of the least recent one is discarded. */
+const MAX_WORKSPACES = 4096;
+/** A workspace counts as active for this time after its last request, milliseconds. */
+const ACTIVE_MS = 60_000;
+/** Maximum number of workspaces in metrics and status; bounds what collects them. */
+const MAX_LISTED = 20;
+
+/** Records that a request of a workspace needs a slot. */
+export function noteAsk(use: ServiceUse, workspace: string, now: number): void {
+  const known = use.get(workspace) ?? {
+    workTokens: decayingCount.createDecayingCount(),
+    askedMs: now,
+  };
+  known.askedMs = now;
+  use.delete(workspace);
+  use.set(workspace, known);
+  if (use.size > MAX_WORKSPACES) {
+    use.delete(use.keys().next().value ?? '');
+  }
+}
+
+/**
+ * Lists the shares of the workspaces that had requests within `ACTIVE_MS`, the most recent ones
+ * first and at most `MAX_LISTED`.
+ */
+export function listActiveShares(
+  { services, index }: gatewayState.GatewayState,
+  now: number,
+): WorkspaceShare[] {
+  const recent = [...services.values()]
+    .flatMap(({ use }) => [...use])
+    .filter(([workspace, { askedMs }]) => workspace !== '' && now - askedMs <= ACTIVE_MS)
+    .sort(([, a], [, b]) => b.askedMs - a.askedMs)
+    .map(([workspace]) => workspace);
+  return [...new Set(recent)]
+    .slice(0, MAX_LISTED)
+    .map((workspace) => ({ workspace, share: index?.shareByWorkspace.get(workspace) ?? 1 }));
+}
--- a/packages/core/src/scheduler/asks.ts
+++ b/packages/core/src/scheduler/asks.ts
@@ -8,6 +8,7 @@
 import * as serverHealth from './server-health.js';
 import * as waitQueue from './wait-queue.js';
 import * as waiting from './waiting.js';
+import * as workspaceShares from './workspace-shares.js';
 
 /** Returns the state of a gateway; creates it if the gateway is new or has restarted. */
 function getAsker(cell: cells.Cell, ask: schema.ScheduleAsk, now: number): cells.CellAsker {
@@ -125,6 +126,7 @@
     serial,
     attemptId,
     workspace,
+    share: workspaceShares.readShare(asked.share),
     failureDomain,
     urgency,
     isBeyondQuota,
--- a/packages/core/src/scheduler/scheduled-request.ts
+++ b/packages/core/src/scheduler/scheduled-request.ts
@@ -10,6 +10,8 @@
   /** The caller's id for this attempt; used in logs only. */
   attemptId: string;
   workspace: string;
+  /** Share of its workspace among those of its urgency; 1 is the usual one. */
+  share: number;
   /** Failure domain of that gateway. */
   failureDomain: string;
   /** Priority; 0 is the most urgent. */
--- a/packages/core/src/scheduler/wait-queue.ts
+++ b/packages/core/src/scheduler/wait-queue.ts
@@ -2,8 +2,9 @@
  * A queue of waiting requests in the order in which they should be sent.
  *
  * Items are ordered by rank, then by start-time fair queueing (Goyal, Vin and Cheng, 1996): start
- * tags are assigned as if the service gave every workspace an equal share. A workspace that sends
- * ten times as much therefore delays mainly its own requests.
+ * tags are assigned as if the service gave every workspace its share. A workspace that sends ten
+ * times as much therefore delays mainly its own requests. What a workspace leaves of its share is
+ * used by the others, and returns to it with its next request.
  */
 
 export type WaitItem = {
@@ -11,6 +12,8 @@
   /** Items of the lowest rank are sent first; 0 is the lowest. */
   rank: number;
   workspace: string;
+  /** Share of the workspace within the rank, relative to that of others; undefined counts as 1. */
+  share?: number;
   workTokens: number;
   /** When it was queued at this rank, milliseconds. */
   enteredMs: number;
@@ -96,7 +99,8 @@
     dropIdleTags(queue);
   }
   const startTag = computeStartTag(queue, item.rank, item.workspace);
-  queue.finishTags.set(buildTagKey(item.rank, item.workspace), startTag + item.workTokens);
+  const finishTag = startTag + item.workTokens / (item.share ?? 1);
+  queue.finishTags.set(buildTagKey(item.rank, item.workspace), finishTag);
   const queued = { ...item, startTag };
   queue.items.splice(findInsertionIndex(queue.items, queued), 0, queued);
 }
--- a/packages/core/src/scheduler/waiting.ts
+++ b/packages/core/src/scheduler/waiting.ts
@@ -143,8 +143,9 @@
   if (place === undefined) {
     return false;
   }
-  const { id, workspace, workTokens } = request;
-  waitQueue.addItem(cell.queue, { serial: id, workspace, workTokens, enteredMs: now, ...place });
+  const { id, workspace, share, workTokens } = request;
+  const item = { serial: id, workspace, share, workTokens, enteredMs: now };
+  waitQueue.addItem(cell.queue, { ...item, ...place });
   return true;
 }
 
--- a/packages/gateway/src/gateway-metrics.ts
+++ b/packages/gateway/src/gateway-metrics.ts
@@ -32,6 +32,17 @@
   ];
 }
 
+/** Lists the shares of the workspaces that had requests recently. */
+function listShareValues(state: gateway.GatewayState, now: number): runtime.MetricSample[] {
+  return gateway
+    .listActiveShares(state, now)
+    .map(({ workspace, share }) => ({
+      name: 'workspace_share',
+      labels: { workspace },
+      value: share,
+    }));
+}
+
 /** Counts the backend servers whose statements are in effect, by kind of statement. */
 function listStatementValues(
   { servers }: gateway.GatewayState,
@@ -69,6 +80,7 @@
     { name: 'peers', labels: {}, value: state.peers.byAddress.size },
     ...listStatementValues(state, now),
     ...listSchedulingValues(state),
+    ...listShareValues(state, now),
   ];
 }
 
--- a/packages/gateway/src/request-reports.ts
+++ b/packages/gateway/src/request-reports.ts
@@ -82,7 +82,7 @@
   }
   const now = readClocks().steadyMs;
   notes.forEach(({ kind, cell, request, queued, weighed, leftOut, full, heldBack }) => {
-    const { attemptId, asker, workspace, urgency, arrivedMs, targetMs } = request;
+    const { attemptId, asker, workspace, share, urgency, arrivedMs, targetMs } = request;
     const line = {
       request: attemptId,
       asker,
@@ -103,6 +103,7 @@
       full,
       // Backend servers that are warming up and cannot be given a request yet.
       heldBack,
+      ...(kind === 'declined' ? { share } : {}),
     };
     log.write(kind, line, now);
   });
--- a/packages/gateway/src/status.ts
+++ b/packages/gateway/src/status.ts
@@ -56,6 +56,7 @@
     warming: describeWarming(state, now.steadyMs),
     statements: describeStatements(state, now.steadyMs),
     cells: describeCells(state),
+    workspaceShares: gateway.listActiveShares(state, now.steadyMs),
     unknownNames: unknownNames.listUnknownNames(unknown),
     peers: gateway.listKnownAddresses(state.peers),
   };
