--- a/packages/measure/src/gateway-load/load-pattern.ts
+++ b/packages/measure/src/gateway-load/load-pattern.ts
@@ -15,7 +15,20 @@
 export type FleetEvent =
   | { kind: 'enginesGone'; atMs: number; share: number; forMs: number }
   | { kind: 'enginesFail'; atMs: number; share: number; forMs: number }
-  | { kind: 'gatewaysRestart'; atMs: number };
+  | { kind: 'gatewaysRestart'; atMs: number }
+  /** The gateway that schedules the longest queue is killed and returns later. */
+  | { kind: 'schedulerLost'; atMs: number; forMs: number };
+
+/** How the load is divided among workspaces. */
+export type WorkspaceLoad = {
+  /** Number of hot workspaces, the first ones, and their load in multiples of the usual one. */
+  hot: number;
+  hotFactor: number;
+  /** Declared rate of each workspace; the first ones repeat. Empty if none is declared. */
+  quotas: readonly number[];
+  /** One prompt in ten is nine times as long as the others; the mean stays. */
+  isSkewed: boolean;
+};
 
 export type LoadPattern = {
   name: string;
@@ -29,6 +42,9 @@
   /** From when on the worst is over, milliseconds. */
   calmFromMs: number;
   events: FleetEvent[];
+  workspaces?: WorkspaceLoad;
+  /** Factor on the usual rate of a kind, at a time. */
+  computeKindFactor?: (kind: RequestKind, atMs: number) => number;
 };
 
 /** The mix of the users' sheets: long, middle and short prompts. */
@@ -63,8 +79,8 @@
 const CALM = 5;
 const BURST = 16;
 const DURATION_MS = 12_000;
-const BURST_FROM_MS = 2000;
-const BURST_UNTIL_MS = 8000;
+export const BURST_FROM_MS = 2000;
+export const BURST_UNTIL_MS = 8000;
 const SHORT_BURST_UNTIL_MS = 4000;
 
 /** Gives the rate of a calm load with a burst in it. */
@@ -73,7 +89,7 @@
 }
 
 /** Builds a pattern from what differs from a calm load. */
-function buildPattern(name: string, changes: Partial<LoadPattern>): LoadPattern {
+export function buildPattern(name: string, changes: Partial<LoadPattern>): LoadPattern {
   const calm = {
     durationMs: DURATION_MS,
     computeRate: () => CALM,
--- a/packages/measure/src/gateway-load/main.ts
+++ b/packages/measure/src/gateway-load/main.ts
@@ -7,6 +7,7 @@
 import * as loadPattern from './load-pattern.js';
 import type * as replayWorld from './replay-world.js';
 import * as replay from './replay.js';
+import * as shareTable from './share-table.js';
 import * as sizeTable from './size-table.js';
 
 const GATEWAYS = 4;
@@ -34,8 +35,11 @@
 /** The engines of the largest fleet that the users have described, and their places. */
 const MANY_ENGINES = 82;
 const MANY_ENGINES_SLOTS = 6;
-const HELP = `npm run measure:gateway -- [--seeds N] [--sizes N,N,...]
+/** Engines by which a service has another cell. */
+const ENGINES_PER_CELL = 40;
+const HELP = `npm run measure:gateway -- [--seeds N] [--sizes N,N,...] [--shares CELLS]
   --seeds N     replay each load with N seeds; 5 where it is left out
+  --shares CELLS print what workspace shares do, before enough engines for so many cells
   --sizes N,... print what is served by as many gateways before ${MANY_ENGINES} engines
 `;
 
@@ -43,6 +47,7 @@
   options: {
     seeds: { type: 'string', default: '5' },
     sizes: { type: 'string' },
+    shares: { type: 'string' },
     help: { type: 'boolean', default: false },
   },
 });
@@ -95,8 +100,29 @@
   );
 }
 
+/** Prints what workspace shares do. */
+function printShares(cells: number): void {
+  const fleet =
+    cells === 1
+      ? { gateways: GATEWAYS, engines: ENGINES, slots: SLOTS }
+      : { gateways: 8 * cells, engines: ENGINES_PER_CELL * cells, slots: MANY_ENGINES_SLOTS };
+  const link = { delayMs: DELAY_MS, lossShare: LOSS_SHARE };
+  shareTable.printShareTable(
+    [
+      ['off', { shares: false, recentUse: false }],
+      ['without use', { recentUse: false }],
+      ['on', {}],
+    ],
+    { ...fleet, ...link },
+    seeds,
+    (text) => process.stdout.write(text),
+  );
+}
+
 if (values.help) {
   process.stdout.write(HELP);
+} else if (values.shares !== undefined) {
+  printShares(Number(values.shares));
 } else if (values.sizes === undefined) {
   printSources();
 } else {
--- a/packages/measure/src/gateway-load/replay-tally.ts
+++ b/packages/measure/src/gateway-load/replay-tally.ts
@@ -1,8 +1,10 @@
 /** Counts what became of the calls of a replay. */
-import type * as replayWorld from './replay-world.js';
+import * as replayWorld from './replay-world.js';
 
 /** Workspaces that send more than usual; their numbers are the first ones. */
 export const HOT_WORKSPACES = 2;
+/** Prompt tokens that cost an engine as much as one response token, as gateways estimate it. */
+const PROMPT_TOKENS_PER_ANSWER_TOKEN = 19;
 
 /** Adds to a count of a kind. */
 function addToKind(
@@ -17,19 +19,33 @@
 
 /** Counts a call. */
 export function addToResult(
-  { result }: replayWorld.World,
+  world: replayWorld.World,
   call: replayWorld.Call,
   field: keyof replayWorld.KindResult,
 ): void {
+  const { result } = world;
   addToKind(result.byKind, call.kind.name, field);
-  if (isQuiet(call)) {
+  if (isQuiet(world, call)) {
     addToKind(result.quietByKind, call.kind.name, field);
   }
 }
 
+/** Counts the work of a call for its workspace. */
+export function addWork(
+  { result }: replayWorld.World,
+  { kind, workspace }: replayWorld.Call,
+  field: keyof replayWorld.WorkspaceWork,
+): void {
+  const work =
+    result.workByKind.get(kind.name) ??
+    Array.from({ length: replayWorld.WORKSPACES }, () => ({ asked: 0, served: 0 }));
+  work[workspace][field] += kind.promptTokens / PROMPT_TOKENS_PER_ANSWER_TOKEN + kind.answerTokens;
+  result.workByKind.set(kind.name, work);
+}
+
 /** Tells whether a call is of a workspace that sends no more than usual. */
-export function isQuiet({ workspace }: replayWorld.Call): boolean {
-  return workspace >= HOT_WORKSPACES;
+export function isQuiet({ options }: replayWorld.World, { workspace }: replayWorld.Call): boolean {
+  return workspace >= (options.pattern.workspaces?.hot ?? HOT_WORKSPACES);
 }
 
 /** Tells whether the worst of the load has been over for some time. */
@@ -40,6 +56,7 @@
 /** Counts a call whose first event has come. */
 export function noteFirst(world: replayWorld.World, call: replayWorld.Call, atMs: number): void {
   const isInTime = atMs - call.firstSentMs <= call.kind.targetMs;
+  addWork(world, call, 'served');
   addToResult(world, call, isInTime ? 'inTime' : 'late');
-  world.result.quietInTime += Number(isInTime && isQuiet(call));
+  world.result.quietInTime += Number(isInTime && isQuiet(world, call));
 }
--- a/packages/measure/src/gateway-load/replay-world.ts
+++ b/packages/measure/src/gateway-load/replay-world.ts
@@ -13,6 +13,9 @@
   firstEvents: boolean;
   paces: boolean;
   failures: boolean;
+  /** Shares of the workspaces, and what they used recently; known if left out. */
+  shares?: boolean;
+  recentUse?: boolean;
 };
 
 export type ReplayOptions = {
@@ -30,10 +33,15 @@
 
 export type KindResult = { asked: number; inTime: number; late: number; failed: number };
 
+/** Work that one workspace asked for, and that it was served, tokens. */
+export type WorkspaceWork = { asked: number; served: number };
+
 export type ReplayResult = {
   byKind: Map<string, KindResult>;
   /** The same of the workspaces that are not hot. */
   quietByKind: Map<string, KindResult>;
+  /** Work by kind and workspace, tokens. */
+  workByKind: Map<string, WorkspaceWork[]>;
   /** Requests of the workspaces that are not hot, in time and asked. */
   quietInTime: number;
   quietAsked: number;
@@ -67,6 +75,8 @@
   result: ReplayResult;
   sequence: number;
   nowMs: number;
+  /** Until when each gateway is down, milliseconds. */
+  downUntilMs: number[];
   /** Starts of gateways so far; names their lives. */
   starts: number;
 };
@@ -75,11 +85,26 @@
 export const DEADLINE_MS = 15_000;
 export const WORKSPACES = 8;
 const PATIENCE_MS = 3200;
+/** Requests per second that no workspace reaches. */
+const AMPLE_RATE = 100_000;
 /** One engine in three is slow, as on the users' machines. */
 const SLOWNESS = [1, 1, 4];
 
+/** Builds the quota of a workspace: never used up, so that only the shares depend on it. */
+function buildQuota({ workspaces }: loadPattern.LoadPattern, index: number) {
+  const quotas = workspaces?.quotas ?? [];
+  return quotas.length === 0
+    ? undefined
+    : {
+        unit: gateway.QuotaUnit.REQUESTS,
+        perSecond: quotas[index % quotas.length] * AMPLE_RATE,
+        burst: AMPLE_RATE,
+        defaultTokens: 1,
+      };
+}
+
 /** Builds the configuration: a route for each kind. */
-function buildConfiguration(slots: number): gateway.Configuration {
+function buildConfiguration({ slots, pattern }: ReplayOptions): gateway.Configuration {
   const routes = loadPattern.KINDS.map((kind) => ({
     name: kind.name,
     hostname: 'h',
@@ -100,7 +125,7 @@
     name: `w${index}`,
     credentials: [`key-${index}`],
     urgency: undefined,
-    quota: undefined,
+    quota: buildQuota(pattern, index),
     regions: [],
   }));
   const callerBounds = {
@@ -118,6 +143,16 @@
   return { steadyMs: world.nowMs, wallMs: world.nowMs, uptimeMs: world.nowMs };
 }
 
+/** Reports whether a gateway runs. */
+export function isUp({ downUntilMs, nowMs }: World, index: number): boolean {
+  return nowMs >= downUntilMs[index];
+}
+
+/** Lists the gateways that run. */
+export function listUp(world: World): gateway.GatewayState[] {
+  return world.states.filter((_, index) => isUp(world, index));
+}
+
 /** Starts a gateway that knows its backend servers. */
 export function startGateway(world: World, index: number): gateway.GatewayState {
   const bounds = {
@@ -138,7 +173,10 @@
     regionByDomain: new Map<string, string>(),
   };
   const state = gateway.createGatewayState(identity, bounds, world.draw, world.nowMs);
-  state.index = gateway.buildConfigurationIndex(buildConfiguration(world.options.slots));
+  state.index = gateway.buildConfigurationIndex(buildConfiguration(world.options));
+  if (world.options.knowledge.shares === false) {
+    state.index.shareByWorkspace.clear();
+  }
   gateway.noteConfirmed(state.lease, readClocks(world));
   world.engines.forEach(({ id }) => {
     const entry = {
@@ -162,6 +200,7 @@
   return {
     byKind: new Map(),
     quietByKind: new Map(),
+    workByKind: new Map(),
     quietInTime: 0,
     quietAsked: 0,
     calmTries: Array.from({ length: gateways }, () => 0),
@@ -188,6 +227,7 @@
     result: createResult(options.gateways),
     sequence: 0,
     nowMs: 0,
+    downUntilMs: Array.from({ length: options.gateways }, () => -1),
     starts: 0,
   };
   world.states = Array.from({ length: options.gateways }, (_, index) => startGateway(world, index));
--- a/packages/measure/src/gateway-load/replay.ts
+++ b/packages/measure/src/gateway-load/replay.ts
@@ -7,6 +7,7 @@
  */
 import * as gateway from '@toucanproxy/core/gateway';
 import * as datagramNetwork from '@toucanproxy/core/mocks/datagram-network';
+import * as callDraw from './call-draw.js';
 import * as engineModel from './engine-model.js';
 import * as loadPattern from './load-pattern.js';
 import * as replayTally from './replay-tally.js';
@@ -30,8 +31,10 @@
 }
 
 /** Draws a gateway as a balancer does that knows no load: some get more than others. */
-function pickGateway({ draw, states, options }: replayWorld.World): number {
-  return Math.floor(draw() ** options.pattern.skew * states.length);
+function pickGateway(world: replayWorld.World): number {
+  const { draw, states, options } = world;
+  const drawn = Math.floor(draw() ** options.pattern.skew * states.length);
+  return replayWorld.isUp(world, drawn) ? drawn : (drawn + 1) % states.length;
 }
 
 /** Sends a call to a gateway that the balancer draws. */
@@ -125,6 +128,9 @@
 /** Lets a gateway do what it can do now. */
 function advance(world: replayWorld.World, state: gateway.GatewayState): void {
   const clocks = replayWorld.readClocks(world);
+  if (world.options.knowledge.recentUse === false) {
+    state.services.forEach(({ use }) => use.clear());
+  }
   const { assignments, outgoing } = gateway.advance(state, clocks);
   datagramNetwork.sendDatagrams(world.network, state.address, outgoing, world.nowMs);
   applyAssignments(world, assignments);
@@ -133,7 +139,7 @@
 /** Delivers the datagrams that arrive in this tick, each at its time. */
 function deliverDatagrams(world: replayWorld.World): void {
   const tickMs = world.nowMs;
-  const byAddress = new Map(world.states.map((state) => [state.address, state]));
+  const byAddress = new Map(replayWorld.listUp(world).map((state) => [state.address, state]));
   let next = datagramNetwork.takeNextDue(world.network, tickMs + TICK_MS);
   while (next !== undefined) {
     const { content, dueMs } = next;
@@ -154,7 +160,7 @@
 
 /** Lets all gateways do what they can do now. */
 function advanceAll(world: replayWorld.World): void {
-  world.states.forEach((state) => {
+  replayWorld.listUp(world).forEach((state) => {
     gateway.noteConfirmed(state.lease, replayWorld.readClocks(world));
     advance(world, state);
   });
@@ -188,7 +194,8 @@
 function passReports(world: replayWorld.World): void {
   world.sequence += 1;
   const { sequence } = world;
-  const reports = world.states.map((state) => ({
+  const up = replayWorld.listUp(world);
+  const reports = up.map((state) => ({
     address: state.address,
     life: state.life,
     sequence,
@@ -198,13 +205,29 @@
     configurationVersion: 1,
     peers: [],
   }));
-  world.states.forEach((state) =>
+  up.forEach((state) =>
     reports
       .filter(({ address }) => address !== state.address)
       .forEach((report) => gateway.applyReport(state.peers, report, world.nowMs)),
   );
 }
 
+/** Kills the gateway that schedules the longest queue. */
+function stopScheduler(world: replayWorld.World, forMs: number): void {
+  const lengths = world.states.map(({ scheduler }) =>
+    [...scheduler.cells.values()].reduce((sum, { queue }) => sum + queue.items.length, 0),
+  );
+  const killed = lengths.indexOf(Math.max(...lengths));
+  world.downUntilMs[killed] = world.nowMs + forMs;
+  world.live.forEach(({ call, gateway: index }, id) => {
+    if (index === killed) {
+      world.live.delete(id);
+      endRefused(world, call, 1);
+    }
+  });
+  world.states[killed] = replayWorld.startGateway(world, killed);
+}
+
 /** Carries out what happens to the fleet now. */
 function applyEvent(world: replayWorld.World, event: loadPattern.FleetEvent): void {
   if (event.kind === 'gatewaysRestart') {
@@ -214,6 +237,10 @@
     world.states = world.states.map((_, index) => replayWorld.startGateway(world, index));
     return;
   }
+  if (event.kind === 'schedulerLost') {
+    stopScheduler(world, event.forMs);
+    return;
+  }
   const count = Math.round(event.share * world.engines.length);
   world.engines.slice(0, count).forEach((engine) => {
     if (event.kind === 'enginesFail') {
@@ -230,25 +257,18 @@
 /** Draws the calls of one tick. */
 function drawCalls(world: replayWorld.World): void {
   const { pattern, engines } = world.options;
-  const mean = (pattern.computeRate(world.nowMs) * engines * TICK_MS) / MS_PER_SECOND;
+  const factor = callDraw.computeFactor(pattern, world.nowMs);
+  const mean = (pattern.computeRate(world.nowMs) * factor * engines * TICK_MS) / MS_PER_SECOND;
   let left = mean;
   while (world.draw() < left) {
     left -= 1;
-    const luck = world.draw();
-    let below = 0;
-    const kind =
-      loadPattern.KINDS.find(({ share }) => {
-        below += share;
-        return luck < below;
-      }) ?? loadPattern.KINDS[0];
-    const isHot = world.draw() < pattern.hotShare;
-    const workspace = Math.floor(
-      world.draw() * (isHot ? replayTally.HOT_WORKSPACES : replayWorld.WORKSPACES),
-    );
+    const kind = callDraw.drawKind(world);
+    const workspace = callDraw.drawWorkspace(world);
     const id = `c${world.result.quietAsked}-${world.sequence}-${world.draw()}`;
     const call = { id, kind, workspace, firstSentMs: world.nowMs, tries: 0, dueMs: world.nowMs };
     replayTally.addToResult(world, call, 'asked');
-    world.result.quietAsked += Number(replayTally.isQuiet(call));
+    replayTally.addWork(world, call, 'asked');
+    world.result.quietAsked += Number(replayTally.isQuiet(world, call));
     world.due.push(call);
   }
 }
