Keep the order of workspaces over cells and takeovers

The queue of a cell knew only what it had sent itself. A workspace whose requests were served by other cells, or by an earlier scheduler of the cell, got its full share again.

The scheduler sums the reports and subtracts what it granted itself. A missing report leaves the sum as it decays. In a service with one cell the difference is zero, so that the order is that of the queue alone. Metric: fair_use_reports_total.

Several cells are not measured yet.

--- a/packages/core/src/gateway/ask-messages.ts
+++ b/packages/core/src/gateway/ask-messages.ts
@@ -137,6 +137,22 @@
   });
 }
 
+/** Lists the recent use of the service by workspaces if the next ask must report it. */
+function takeRecentUse(
+  state: gatewayState.GatewayState,
+  link: schedulerLink.SchedulerLink,
+  now: number,
+): { workspace: string; workTokens: number }[] {
+  if (now - link.useReportedMs < WAITING_INTERVAL_MS) {
+    return [];
+  }
+  const { use } = gatewayState.getServiceState(state, link.service);
+  const listed = recentUse.listRecentUse(use, state.index?.shareByWorkspace, now);
+  link.useReportedMs = now;
+  state.schedulingTotals.useReports += Number(listed.length > 0);
+  return listed;
+}
+
 /** Builds the asks for the scheduler of a cell: several if not all requests fit in one. */
 function buildAsks(
   state: gatewayState.GatewayState,
@@ -167,6 +183,7 @@
         lastGrant: link.lastGrant,
         observations: link.observations.splice(0, MAX_OBSERVATIONS),
         statements: takeStatements(link, statements),
+        recentUse: takeRecentUse(state, link, now),
       }),
     );
   } while (requests.length > 0);
--- a/packages/core/src/gateway/assignment.ts
+++ b/packages/core/src/gateway/assignment.ts
@@ -11,6 +11,7 @@
 import * as gatewayRequest from './gateway-request.js';
 import * as gatewayState from './gateway-state.js';
 import * as peerView from './peer-view.js';
+import * as recentUse from './recent-use.js';
 import * as scheduleReplies from './schedule-replies.js';
 import * as refusal from './refusal.js';
 import * as regionBinding from './region-binding.js';
@@ -121,6 +122,8 @@
   request.idleFirstMs = idleFirstMs;
   request.isRateLimited = isRateLimited;
   gatewayState.addInFlight(state, serverId, 1);
+  const { use } = gatewayState.getServiceState(state, request.service);
+  recentUse.noteSent(use, request.workspace, request.workTokens, now);
   state.schedulingTotals.grantsUsed += 1;
   return [{ kind: 'send', request, server: found.server, scheduler: granted.scheduler }];
 }
--- a/packages/core/src/gateway/gateway-state.ts
+++ b/packages/core/src/gateway/gateway-state.ts
@@ -34,6 +34,8 @@
   grantsUnused: number;
   /** Changes to another scheduler, because one did not reply or another one took over. */
   schedulersLeft: number;
+  /** Asks that reported the recent use by workspaces. */
+  useReports: number;
 };
 
 /**
@@ -133,7 +135,7 @@
     links: new Map(),
     ranking: schedulerRanking.createSchedulerRanking(),
     scheduler: scheduler.createScheduler(address, life, drawRandom),
-    schedulingTotals: { asks: 0, grantsUsed: 0, grantsUnused: 0, schedulersLeft: 0 },
+    schedulingTotals: { asks: 0, grantsUsed: 0, grantsUnused: 0, schedulersLeft: 0, useReports: 0 },
     services: new Map(),
     deadlineStatsByRoute: new Map(),
     requests: new Map(),
--- a/packages/core/src/gateway/recent-use.ts
+++ b/packages/core/src/gateway/recent-use.ts
@@ -6,6 +6,7 @@
  * order in which a single queue would serve the workspaces.
  */
 import * as decayingCount from '../shared/decaying-count.js';
+import * as scheduler from '../scheduler/index.js';
 import type * as gatewayState from './gateway-state.js';
 
 export type WorkspaceUse = {
@@ -24,6 +25,8 @@
 const MAX_WORKSPACES = 4096;
 /** A workspace counts as active for this time after its last request, milliseconds. */
 const ACTIVE_MS = 60_000;
+/** Maximum number of workspaces in one report of recent use, so that it fits the message. */
+const MAX_REPORTED = 8;
 /** Maximum number of workspaces in metrics and status; bounds what collects them. */
 const MAX_LISTED = 20;
 
@@ -41,6 +44,36 @@
   }
 }
 
+/** Records the work of a request that is sent to a backend server. */
+export function noteSent(
+  use: ServiceUse,
+  workspace: string,
+  workTokens: number,
+  now: number,
+): void {
+  const known = use.get(workspace);
+  if (known !== undefined) {
+    decayingCount.addCount(known.workTokens, workTokens, now, scheduler.USE_DECAY_MS);
+  }
+}
+
+/** Lists the recent use of a service by the workspaces with the highest use per share. */
+export function listRecentUse(
+  use: ServiceUse,
+  shares: ReadonlyMap<string, number> | undefined,
+  now: number,
+): { workspace: string; workTokens: number }[] {
+  return [...use]
+    .map(([workspace, { workTokens: count }]) => {
+      const workTokens = Math.round(decayingCount.getCount(count, now, scheduler.USE_DECAY_MS));
+      return { workspace, workTokens, perShare: workTokens / (shares?.get(workspace) ?? 1) };
+    })
+    .filter(({ workTokens }) => workTokens > 0)
+    .sort((a, b) => b.perShare - a.perShare)
+    .slice(0, MAX_REPORTED)
+    .map(({ workspace, workTokens }) => ({ workspace, workTokens }));
+}
+
 /**
  * Lists the shares of the workspaces that had requests within `ACTIVE_MS`, the most recent ones
  * first and at most `MAX_LISTED`.
--- a/packages/core/src/gateway/scheduler-link.ts
+++ b/packages/core/src/gateway/scheduler-link.ts
@@ -30,6 +30,8 @@
   lastGrant: number;
   /** Number of backend server statements sent so far; all of them are sent in rotation. */
   statementsSent: number;
+  /** When the recent use by workspaces was last reported, in milliseconds. */
+  useReportedMs: number;
   /** An ask must be sent without delay. */
   isDirty: boolean;
   /** Slots of the cell, and requests running or queued there, according to the last reply. */
@@ -57,6 +59,7 @@
     observations: [],
     lastGrant: 0,
     statementsSent: 0,
+    useReportedMs: -Infinity,
     isDirty: false,
     places: 0,
     load: 0,
@@ -66,6 +69,7 @@
 /** Marks all asks as not accepted, because a new scheduler does not know them. */
 function clearAcceptance(link: SchedulerLink): void {
   link.lastGrant = 0;
+  link.useReportedMs = -Infinity;
   link.asks.forEach((ask) => {
     ask.isAccepted = false;
     ask.askedMs = -Infinity;
--- a/packages/core/src/scheduler/asks.ts
+++ b/packages/core/src/scheduler/asks.ts
@@ -4,6 +4,7 @@
 import * as enginePace from './engine-pace.js';
 import * as addedLatency from './added-latency.js';
 import * as rateLimit from './rate-limit.js';
+import * as recentUse from './recent-use.js';
 import type * as scheduledRequest from './scheduled-request.js';
 import * as serverHealth from './server-health.js';
 import * as waitQueue from './wait-queue.js';
@@ -18,6 +19,7 @@
   }
   if (known !== undefined) {
     dropRequests(cell, known);
+    dropUse(cell, known, now);
   }
   const asker: cells.CellAsker = {
     life: ask.life,
@@ -27,6 +29,8 @@
     inFlight: new Map(),
     backoffs: new Map(),
     unreportedGrants: [],
+    recentUse: [],
+    recentUseMs: now,
     requests: new Map(),
     reply: cells.createPendingReply(),
   };
@@ -50,6 +54,25 @@
   [...asker.requests.values()].forEach((request) => dropRequest(cell, asker, request));
 }
 
+/** Removes what a gateway reported of the recent use by its workspaces. */
+export function dropUse(cell: cells.Cell, asker: cells.CellAsker, now: number): void {
+  recentUse.applyReport(cell.recentUse, asker.recentUse, asker.recentUseMs, [], now);
+}
+
+/** Replaces what a gateway reported of the recent use by its workspaces, if it reports it again. */
+function applyUse(
+  cell: cells.Cell,
+  asker: cells.CellAsker,
+  { recentUse: next }: schema.ScheduleAsk,
+  now: number,
+): void {
+  if (next.length > 0) {
+    recentUse.applyReport(cell.recentUse, asker.recentUse, asker.recentUseMs, next, now);
+    asker.recentUse = next;
+    asker.recentUseMs = now;
+  }
+}
+
 /** Records what a gateway observed at a backend server. */
 function recordObservation(
   cell: cells.Cell,
@@ -170,6 +193,7 @@
     return;
   }
   const request = makeRequest(cell, address, asker, asked, now);
+  recentUse.updateElsewhere(cell.recentUse, cell.queue, request, now);
   if (!waiting.enqueueRequest(cell, request, now)) {
     refuseRequest(cell, asker, request, true, drawRandom, now);
     return;
@@ -201,6 +225,7 @@
   asker.reply.isDue = true;
   cell.lastAskMs = now;
   applyInFlight(asker, ask);
+  applyUse(cell, asker, ask, now);
   applyStatements(cell, asker, ask, now);
   ask.observations.forEach((one) => recordObservation(cell, one, now));
   ask.withdrawn.forEach((serial) => {
--- a/packages/core/src/scheduler/cell.ts
+++ b/packages/core/src/scheduler/cell.ts
@@ -4,6 +4,7 @@
 import * as addedLatency from './added-latency.js';
 import * as overload from '../shared/overload.js';
 import type * as rateLimit from './rate-limit.js';
+import * as recentUse from './recent-use.js';
 import type * as scheduledRequest from './scheduled-request.js';
 import * as serverHealth from './server-health.js';
 import * as waitQueue from './wait-queue.js';
@@ -49,6 +50,9 @@
   backoffs: Map<string, number>;
   /** Grants that it has not yet reported as used. */
   unreportedGrants: UnreportedGrant[];
+  /** Recent use of the service by its workspaces as it last reported it, and when. */
+  recentUse: readonly recentUse.ReportedUse[];
+  recentUseMs: number;
   /** Its waiting requests, by serial. */
   requests: Map<number, scheduledRequest.ScheduledRequest>;
   reply: PendingReply;
@@ -69,6 +73,7 @@
   /** The gateways that ask for slots, by address. */
   askers: Map<string, CellAsker>;
   queue: waitQueue.WaitQueue;
+  recentUse: recentUse.RecentUse;
   /** The requests in the queue, by id. */
   requests: Map<number, scheduledRequest.ScheduledRequest>;
   nextId: number;
@@ -92,6 +97,7 @@
     rateLimits: new Map(),
     askers: new Map(),
     queue: waitQueue.createWaitQueue(),
+    recentUse: recentUse.createRecentUse(),
     requests: new Map(),
     nextId: 1,
     throughput: queueThroughput.createQueueThroughput(),
--- a/packages/core/src/scheduler/index.ts
+++ b/packages/core/src/scheduler/index.ts
@@ -8,4 +8,5 @@
 export type { CellServers } from './candidates.js';
 export type { WarmUpLimit } from './warm-up.js';
 export * from './server-choice.js';
+export { USE_DECAY_MS } from './recent-use.js';
 export { computeShares } from './workspace-shares.js';
--- a/packages/core/src/scheduler/scheduler.ts
+++ b/packages/core/src/scheduler/scheduler.ts
@@ -6,6 +6,7 @@
 import * as placeCount from './place-count.js';
 import * as places from './places.js';
 import * as rateLimit from './rate-limit.js';
+import * as recentUse from './recent-use.js';
 import * as requestMatch from './request-match.js';
 import type * as scheduledRequest from './scheduled-request.js';
 import type * as serverChoice from './server-choice.js';
@@ -100,6 +101,7 @@
   const limit = cell.rateLimits.get(chosen.id);
   rateLimit.noteStart(limit, reachableShare, now);
   waiting.takeRequest(cell, request, now);
+  recentUse.noteGrant(cell.recentUse, request.workspace, request.workTokens, now);
   cell.requests.delete(request.id);
   const asker = cell.askers.get(request.asker);
   if (asker === undefined) {
@@ -200,6 +202,7 @@
     .filter(([, { heardMs }]) => now - heardMs > ASKER_TIMEOUT_MS)
     .forEach(([address, asker]) => {
       asks.dropRequests(cell, asker);
+      asks.dropUse(cell, asker, now);
       cell.askers.delete(address);
     });
 }
--- a/packages/core/src/scheduler/wait-queue.ts
+++ b/packages/core/src/scheduler/wait-queue.ts
@@ -26,13 +26,30 @@
   startTag: number;
 };
 
+/** What a workspace received outside the queue, in virtual time (tokens per share). */
+export type ElsewhereUse = {
+  /** In total. */
+  received: number;
+  /** Recently: the most by which it may delay the workspace. */
+  recent: number;
+};
+
+/** Virtual time at which the last item of a workspace ends. */
+type FinishTag = {
+  tag: number;
+  /** `ElsewhereUse.received` when the item was added. */
+  received: number;
+};
+
 export type WaitQueue = {
   /** In the order in which they are sent. */
   items: QueuedItem[];
   /** Virtual time by rank: the highest start tag of an item that was sent. */
   virtualTimes: Map<number, number>;
-  /** Virtual time at which the last item of a workspace ends, by rank and workspace. */
-  finishTags: Map<string, number>;
+  /** By rank and workspace. */
+  finishTags: Map<string, FinishTag>;
+  /** By workspace; contains only those that received something outside the queue. */
+  elsewhere: Map<string, ElsewhereUse>;
   /** Number of finish tags above which those of workspaces that do not wait are discarded. */
   tagLimit: number;
 };
@@ -42,7 +59,13 @@
 
 /** Creates an empty queue. */
 export function createWaitQueue(): WaitQueue {
-  return { items: [], virtualTimes: new Map(), finishTags: new Map(), tagLimit: MIN_TAG_LIMIT };
+  return {
+    items: [],
+    virtualTimes: new Map(),
+    finishTags: new Map(),
+    elsewhere: new Map(),
+    tagLimit: MIN_TAG_LIMIT,
+  };
 }
 
 /** Reports whether an item is sent before another. */
@@ -70,10 +93,22 @@
   return `${rank} ${workspace}`;
 }
 
-/** Computes the start tag of the next item of a workspace, tokens. */
+/**
+ * Computes the start tag of the next item of a workspace, tokens.
+ *
+ * What the workspace received elsewhere since its last item delays the next one as if this queue
+ * had sent it (Wang and Merchant, 2007), but not beyond its recent use, so that a workspace does
+ * not wait for work that it received long ago.
+ */
 export function computeStartTag(queue: WaitQueue, rank: number, workspace: string): number {
   const virtual = queue.virtualTimes.get(rank) ?? 0;
-  return Math.max(virtual, queue.finishTags.get(buildTagKey(rank, workspace)) ?? 0);
+  const last = queue.finishTags.get(buildTagKey(rank, workspace)) ?? { tag: 0, received: 0 };
+  const elsewhere = queue.elsewhere.get(workspace);
+  if (elsewhere === undefined) {
+    return Math.max(virtual, last.tag);
+  }
+  const delayed = last.tag + elsewhere.received - last.received;
+  return Math.max(virtual, last.tag, Math.min(delayed, virtual + elsewhere.recent));
 }
 
 /**
@@ -90,6 +125,12 @@
       queue.finishTags.delete(key);
     }
   });
+  const names = new Set(queue.items.map(({ workspace }) => workspace));
+  queue.elsewhere.forEach((_, workspace) => {
+    if (!names.has(workspace)) {
+      queue.elsewhere.delete(workspace);
+    }
+  });
   queue.tagLimit = Math.max(MIN_TAG_LIMIT, 2 * queue.finishTags.size);
 }
 
@@ -99,8 +140,9 @@
     dropIdleTags(queue);
   }
   const startTag = computeStartTag(queue, item.rank, item.workspace);
-  const finishTag = startTag + item.workTokens / (item.share ?? 1);
-  queue.finishTags.set(buildTagKey(item.rank, item.workspace), finishTag);
+  const tag = startTag + item.workTokens / (item.share ?? 1);
+  const received = queue.elsewhere.get(item.workspace)?.received ?? 0;
+  queue.finishTags.set(buildTagKey(item.rank, item.workspace), { tag, received });
   const queued = { ...item, startTag };
   queue.items.splice(findInsertionIndex(queue.items, queued), 0, queued);
 }
--- a/packages/gateway/src/gateway-metrics.ts
+++ b/packages/gateway/src/gateway-metrics.ts
@@ -17,7 +17,7 @@
 
 /** Lists totals of the messages to schedulers and their grants, and queue lengths by cell. */
 function listSchedulingValues(state: gateway.GatewayState): runtime.MetricSample[] {
-  const { asks, grantsUsed, grantsUnused, schedulersLeft } = state.schedulingTotals;
+  const { asks, grantsUsed, grantsUnused, schedulersLeft, useReports } = state.schedulingTotals;
   const queues = [...state.scheduler.cells.values()].map(({ name, queue }) => ({
     name: 'cell_requests_queued',
     labels: { cell: name },
@@ -28,19 +28,18 @@
     { name: 'schedule_grants_total', labels: { used: 'true' }, value: grantsUsed },
     { name: 'schedule_grants_total', labels: { used: 'false' }, value: grantsUnused },
     { name: 'schedulers_left_total', labels: {}, value: schedulersLeft },
+    { name: 'fair_use_reports_total', labels: {}, value: useReports },
     ...queues,
   ];
 }
 
 /** Lists the shares of the workspaces that had requests recently. */
 function listShareValues(state: gateway.GatewayState, now: number): runtime.MetricSample[] {
-  return gateway
-    .listActiveShares(state, now)
-    .map(({ workspace, share }) => ({
-      name: 'workspace_share',
-      labels: { workspace },
-      value: share,
-    }));
+  return gateway.listActiveShares(state, now).map(({ workspace, share }) => ({
+    name: 'workspace_share',
+    labels: { workspace },
+    value: share,
+  }));
 }
 
 /** Counts the backend servers whose statements are in effect, by kind of statement. */
--- a/packages/runtime/src/metric-definitions.ts
+++ b/packages/runtime/src/metric-definitions.ts
@@ -58,6 +58,10 @@
     type: MetricType.GAUGE,
     help: 'Other gateways that are not forgotten.',
   },
+  fair_use_reports_total: {
+    type: MetricType.COUNTER,
+    help: 'Messages to schedulers that reported what workspaces recently used.',
+  },
   workspace_share: {
     type: MetricType.GAUGE,
     help: 'Share of a workspace with recent requests, among those of its urgency; 1 is the usual one.',
