--- a/packages/measure/src/gateway-load/main.ts
+++ b/packages/measure/src/gateway-load/main.ts
@@ -37,9 +37,10 @@
 const MANY_ENGINES_SLOTS = 6;
 /** Engines by which a service has another cell. */
 const ENGINES_PER_CELL = 40;
-const HELP = `npm run measure:gateway -- [--seeds N] [--sizes N,N,...] [--shares CELLS]
+const HELP = `npm run measure:gateway -- [--seeds N] [--sizes N,N,...] [--shares CELLS [--loads TEXT]]
   --seeds N     replay each load with N seeds; 5 where it is left out
   --shares CELLS print what workspace shares do, before enough engines for so many cells
+  --loads TEXT  of these, only the loads whose name contains the text
   --sizes N,... print what is served by as many gateways before ${MANY_ENGINES} engines
 `;
 
@@ -48,6 +49,7 @@
     seeds: { type: 'string', default: '5' },
     sizes: { type: 'string' },
     shares: { type: 'string' },
+    loads: { type: 'string', default: '' },
     help: { type: 'boolean', default: false },
   },
 });
@@ -113,6 +115,7 @@
       ['without use', { recentUse: false }],
       ['on', {}],
     ],
+    shareTable.SHARE_PATTERNS.filter(({ name }) => name.includes(values.loads)),
     { ...fleet, ...link },
     seeds,
     (text) => process.stdout.write(text),
--- a/packages/measure/src/gateway-load/share-table.ts
+++ b/packages/measure/src/gateway-load/share-table.ts
@@ -141,6 +141,7 @@
 /** Prints a table with a row for each load and variation. */
 export function printShareTable(
   variations: readonly [string, Partial<replayWorld.Knowledge>][],
+  patterns: readonly loadPattern.LoadPattern[],
   fleet: ShareFleet,
   seeds: readonly number[],
   write: (text: string) => void,
@@ -148,7 +149,7 @@
   const kinds = loadPattern.KINDS.map(({ name }) => `${name}: in time / served / worst`);
   const heads = ['load', 'shares', ...kinds, 'quiet in time', 'worth'];
   write(`| ${heads.join(' | ')} |\n| ${heads.map(() => '---').join(' | ')} |\n`);
-  SHARE_PATTERNS.forEach((pattern) =>
+  patterns.forEach((pattern) =>
     variations.forEach((variation) => write(formatRow(pattern, variation, fleet, seeds))),
   );
 }
