Report recent use of workspaces by urgency

Reports of recent use had one number for each workspace. Urgent work that a workspace received in other cells therefore delayed its less urgent requests, at ranks whose virtual time advances by the less urgent work only: with two cells, hot and quiet workspaces were served less of the least urgent kind than without the reports.

RecentUse now contains the work by urgency, and the queue delays a request by what its workspace received elsewhere at the same urgency.

A new test guards the separation.

--- a/packages/core/src/gateway/ask-messages.ts
+++ b/packages/core/src/gateway/ask-messages.ts
@@ -142,7 +142,7 @@
   state: gatewayState.GatewayState,
   link: schedulerLink.SchedulerLink,
   now: number,
-): { workspace: string; workTokens: number }[] {
+): schema.RecentUse[] {
   if (now - link.useReportedMs < WAITING_INTERVAL_MS) {
     return [];
   }
--- a/packages/core/src/gateway/assignment.ts
+++ b/packages/core/src/gateway/assignment.ts
@@ -123,7 +123,7 @@
   request.isRateLimited = isRateLimited;
   gatewayState.addInFlight(state, serverId, 1);
   const { use } = gatewayState.getServiceState(state, request.service);
-  recentUse.noteSent(use, request.workspace, request.workTokens, now);
+  recentUse.noteSent(use, request, now);
   state.schedulingTotals.grantsUsed += 1;
   return [{ kind: 'send', request, server: found.server, scheduler: granted.scheduler }];
 }
--- a/packages/core/src/gateway/recent-use.ts
+++ b/packages/core/src/gateway/recent-use.ts
@@ -5,13 +5,15 @@
  * get another scheduler. With what a workspace used recently in all cells, each scheduler keeps the
  * order in which a single queue would serve the workspaces.
  */
+import * as schema from '@toucanproxy/schema';
 import * as decayingCount from '../shared/decaying-count.js';
 import * as scheduler from '../scheduler/index.js';
+import type * as gatewayRequest from './gateway-request.js';
 import type * as gatewayState from './gateway-state.js';
 
 export type WorkspaceUse = {
-  /** Work of the requests that were sent, tokens. */
-  workTokens: decayingCount.DecayingCount;
+  /** Work of the requests that were sent, tokens, by urgency. */
+  workTokens: Map<number, decayingCount.DecayingCount>;
   /** When a slot was last requested, milliseconds. */
   askedMs: number;
 };
@@ -32,10 +34,7 @@
 
 /** Records that a request of a workspace needs a slot. */
 export function noteAsk(use: ServiceUse, workspace: string, now: number): void {
-  const known = use.get(workspace) ?? {
-    workTokens: decayingCount.createDecayingCount(),
-    askedMs: now,
-  };
+  const known = use.get(workspace) ?? { workTokens: new Map(), askedMs: now };
   known.askedMs = now;
   use.delete(workspace);
   use.set(workspace, known);
@@ -47,14 +46,13 @@
 /** Records the work of a request that is sent to a backend server. */
 export function noteSent(
   use: ServiceUse,
-  workspace: string,
-  workTokens: number,
+  { workspace, urgency, workTokens }: gatewayRequest.GatewayRequest,
   now: number,
 ): void {
-  const known = use.get(workspace);
-  if (known !== undefined) {
-    decayingCount.addCount(known.workTokens, workTokens, now, scheduler.USE_DECAY_MS);
-  }
+  const counts = use.get(workspace)?.workTokens;
+  const count = counts?.get(urgency) ?? decayingCount.createDecayingCount();
+  counts?.set(urgency, count);
+  decayingCount.addCount(count, workTokens, now, scheduler.USE_DECAY_MS);
 }
 
 /** Lists the recent use of a service by the workspaces with the highest use per share. */
@@ -62,16 +60,22 @@
   use: ServiceUse,
   shares: ReadonlyMap<string, number> | undefined,
   now: number,
-): { workspace: string; workTokens: number }[] {
+): schema.RecentUse[] {
   return [...use]
-    .map(([workspace, { workTokens: count }]) => {
-      const workTokens = Math.round(decayingCount.getCount(count, now, scheduler.USE_DECAY_MS));
-      return { workspace, workTokens, perShare: workTokens / (shares?.get(workspace) ?? 1) };
+    .map(([workspace, { workTokens }]) => {
+      const tiers = [...workTokens]
+        .map(([urgency, count]) => ({
+          urgency,
+          workTokens: Math.round(decayingCount.getCount(count, now, scheduler.USE_DECAY_MS)),
+        }))
+        .filter((tier) => tier.workTokens > 0);
+      const all = tiers.reduce((sum, tier) => sum + tier.workTokens, 0);
+      return { workspace, tiers, perShare: all / (shares?.get(workspace) ?? 1) };
     })
-    .filter(({ workTokens }) => workTokens > 0)
+    .filter(({ perShare }) => perShare > 0)
     .sort((a, b) => b.perShare - a.perShare)
     .slice(0, MAX_REPORTED)
-    .map(({ workspace, workTokens }) => ({ workspace, workTokens }));
+    .map(({ workspace, tiers }) => schema.create(schema.RecentUseSchema, { workspace, tiers }));
 }
 
 /**
--- a/packages/core/src/scheduler/asks.ts
+++ b/packages/core/src/scheduler/asks.ts
@@ -63,9 +63,10 @@
 function applyUse(
   cell: cells.Cell,
   asker: cells.CellAsker,
-  { recentUse: next }: schema.ScheduleAsk,
+  ask: schema.ScheduleAsk,
   now: number,
 ): void {
+  const next = recentUse.listReported(ask.recentUse);
   if (next.length > 0) {
     recentUse.applyReport(cell.recentUse, asker.recentUse, asker.recentUseMs, next, now);
     asker.recentUse = next;
--- a/packages/core/src/scheduler/cell.ts
+++ b/packages/core/src/scheduler/cell.ts
@@ -8,6 +8,7 @@
 import type * as scheduledRequest from './scheduled-request.js';
 import * as serverHealth from './server-health.js';
 import * as waitQueue from './wait-queue.js';
+import * as waiting from './waiting.js';
 
 /** A granted slot that its gateway has not yet reported as used. */
 export type UnreportedGrant = { number: number; serverId: string; grantedMs: number };
@@ -96,7 +97,7 @@
     starts: new Map(),
     rateLimits: new Map(),
     askers: new Map(),
-    queue: waitQueue.createWaitQueue(),
+    queue: waitQueue.createWaitQueue(waiting.findUrgency),
     recentUse: recentUse.createRecentUse(),
     requests: new Map(),
     nextId: 1,
--- a/packages/core/src/scheduler/recent-use.test.ts
+++ b/packages/core/src/scheduler/recent-use.test.ts
@@ -8,6 +8,11 @@
 
 const { test } = nodeTest;
 const DECAY_MS = recentUse.USE_DECAY_MS;
+const REQUEST = { workspace: 'w', urgency: 0, share: 1, workTokens: 100 };
+const HOT_USE = schema.create(schema.RecentUseSchema, {
+  workspace: 'hot',
+  tiers: [{ urgency: 0, workTokens: 250 }],
+});
 
 test('workspace of one queue only received nothing elsewhere', () => {
   // Without allowance for the time until a grant is reported, each report would look like work
@@ -15,25 +20,25 @@
   const use = recentUse.createRecentUse();
   let last: recentUse.ReportedUse[] = [];
   for (let now = 0; now < 20_000; now += 200) {
-    recentUse.noteGrant(use, 'w', 100, now);
+    recentUse.noteGrant(use, REQUEST, now);
     const workTokens = 100 + (last[0]?.workTokens ?? 0) * Math.exp(-200 / DECAY_MS);
-    const next = [{ workspace: 'w', workTokens }];
+    const next = [{ key: '0 w', workTokens }];
     recentUse.applyReport(use, last, now - 180, next, now + 20);
     last = next;
-    assert.equal(recentUse.estimateElsewhere(use, 'w', now + 20), 0);
+    assert.equal(recentUse.estimateElsewhere(use, REQUEST, now + 20), 0);
   }
 });
 
 test('reports of all gateways add up, and the last of each counts', () => {
   const use = recentUse.createRecentUse();
-  const first = [{ workspace: 'w', workTokens: 1000 }];
+  const first = [{ key: '0 w', workTokens: 1000 }];
   recentUse.applyReport(use, [], 0, first, 0);
-  recentUse.applyReport(use, [], 0, [{ workspace: 'w', workTokens: 500 }], 0);
-  assert.equal(recentUse.estimateElsewhere(use, 'w', 0), 1500);
-  const left = recentUse.estimateElsewhere(use, 'w', DECAY_MS);
+  recentUse.applyReport(use, [], 0, [{ key: '0 w', workTokens: 500 }], 0);
+  assert.equal(recentUse.estimateElsewhere(use, REQUEST, 0), 1500);
+  const left = recentUse.estimateElsewhere(use, REQUEST, DECAY_MS);
   assert.ok(Math.abs(left - 1500 / Math.E) < 1, String(left));
   recentUse.applyReport(use, first, 0, [], DECAY_MS);
-  const other = recentUse.estimateElsewhere(use, 'w', DECAY_MS);
+  const other = recentUse.estimateElsewhere(use, REQUEST, DECAY_MS);
   assert.ok(Math.abs(other - 500 / Math.E) < 1, String(other));
 });
 
@@ -77,9 +82,8 @@
   // The scheduler is lost while one workspace has received far more than the other. Its successor
   // would serve both in the order in which their requests arrive again.
   const own = scheduler.createScheduler('10.0.0.1:1', 'life', () => 0.5);
-  const use = schema.create(schema.RecentUseSchema, { workspace: 'hot', workTokens: 250 });
   const names = ['hot', 'hot', 'quiet', 'quiet', 'quiet', 'quiet'];
-  scheduler.receiveAsk(own, buildAsk(1, names, { recentUse: [use] }), 1000);
+  scheduler.receiveAsk(own, buildAsk(1, names, { recentUse: [HOT_USE] }), 1000);
   const served = listServed(own, 2, 6, 1000);
   assert.deepEqual(served, ['quiet', 'quiet', 'quiet', 'hot', 'quiet', 'hot']);
 });
@@ -87,18 +91,29 @@
 test('recent use delays nobody after it has decayed', () => {
   // A workspace would wait for work that it received long ago.
   const own = scheduler.createScheduler('10.0.0.1:1', 'life', () => 0.5);
-  const use = schema.create(schema.RecentUseSchema, { workspace: 'hot', workTokens: 250 });
   const late = 1000 + 10 * DECAY_MS;
-  scheduler.receiveAsk(own, buildAsk(1, [], { recentUse: [use] }), 1000);
+  scheduler.receiveAsk(own, buildAsk(1, [], { recentUse: [HOT_USE] }), 1000);
   scheduler.receiveAsk(own, buildAsk(2, ['hot', 'hot', 'quiet', 'quiet']), late);
   assert.deepEqual(listServed(own, 3, 2, late).sort(), ['hot', 'quiet']);
 });
 
 test('recent use of a gateway that is gone is forgotten', () => {
   const own = scheduler.createScheduler('10.0.0.1:1', 'life', () => 0.5);
-  const use = schema.create(schema.RecentUseSchema, { workspace: 'hot', workTokens: 250 });
-  scheduler.receiveAsk(own, buildAsk(1, [], { recentUse: [use] }), 1000);
+  scheduler.receiveAsk(own, buildAsk(1, [], { recentUse: [HOT_USE] }), 1000);
   scheduler.scheduleRequests(own, () => schedulerFixture.buildServers([]), 3000);
   const cell = own.cells.get('one/0');
-  assert.equal(cell && recentUse.estimateElsewhere(cell.recentUse, 'hot', 3000), 0);
+  assert.equal(
+    cell && recentUse.estimateElsewhere(cell.recentUse, { workspace: 'hot', urgency: 0 }, 3000),
+    0,
+  );
+});
+
+test('use of one urgency does not delay another', () => {
+  // A workspace that receives much urgent work elsewhere would starve at the less urgent ranks,
+  // whose virtual time advances more slowly.
+  const own = scheduler.createScheduler('10.0.0.1:1', 'life', () => 0.5);
+  const tiers = [{ urgency: 1, workTokens: 250 }];
+  const other = schema.create(schema.RecentUseSchema, { workspace: 'hot', tiers });
+  scheduler.receiveAsk(own, buildAsk(1, ['hot', 'quiet'], { recentUse: [other] }), 1000);
+  assert.deepEqual(listServed(own, 2, 2, 1000), ['hot', 'quiet']);
 });
--- a/packages/core/src/scheduler/recent-use.ts
+++ b/packages/core/src/scheduler/recent-use.ts
@@ -6,18 +6,21 @@
  * is lost. Gateways report what they sent recently in all cells of the service. The sum, less what
  * this queue granted, is what the workspace received elsewhere.
  */
+import type * as schema from '@toucanproxy/schema';
 import * as decayingCount from '../shared/decaying-count.js';
-import type * as waitQueue from './wait-queue.js';
+import type * as scheduledRequest from './scheduled-request.js';
+import * as waitQueue from './wait-queue.js';
 
-/** Work of a workspace, tokens. */
-export type ReportedUse = { workspace: string; workTokens: number };
+/** Work that a gateway reported; `key` names the urgency and the workspace. */
+export type ReportedUse = { key: string; workTokens: number };
 
+/** All maps are by urgency and workspace. */
 export type RecentUse = {
-  /** Sums of what gateways last reported, by workspace. */
+  /** Sums of what gateways last reported, tokens. */
   reported: Map<string, decayingCount.DecayingCount>;
-  /** What this queue granted, by workspace, least recent first. */
+  /** What this queue granted, least recent first. */
   granted: Map<string, decayingCount.DecayingCount>;
-  /** What workspaces received elsewhere at their last request, by workspace, least recent first. */
+  /** What workspaces received elsewhere at their last request, least recent first. */
   elsewhere: Map<string, decayingCount.DecayingCount>;
 };
 
@@ -28,8 +31,8 @@
  * that a workspace that is served by one queue only received nothing elsewhere.
  */
 const REPORT_DELAY_MS = 250;
-/** Number of workspaces above which the least recent one is forgotten; bounds the memory. */
-const MAX_WORKSPACES = 4096;
+/** Number of records above which the least recent one is discarded; bounds the memory. */
+const MAX_RECORDS = 4096;
 
 /** Creates an empty record. */
 export function createRecentUse(): RecentUse {
@@ -39,17 +42,27 @@
 /** Returns a count, which becomes the most recent one; creates it if there is none. */
 function getRecent(
   counts: Map<string, decayingCount.DecayingCount>,
-  workspace: string,
+  key: string,
 ): decayingCount.DecayingCount {
-  const count = counts.get(workspace) ?? decayingCount.createDecayingCount();
-  counts.delete(workspace);
-  counts.set(workspace, count);
-  if (counts.size > MAX_WORKSPACES) {
+  const count = counts.get(key) ?? decayingCount.createDecayingCount();
+  counts.delete(key);
+  counts.set(key, count);
+  if (counts.size > MAX_RECORDS) {
     counts.delete(counts.keys().next().value ?? '');
   }
   return count;
 }
 
+/** Lists the work that an ask reports. */
+export function listReported(uses: readonly schema.RecentUse[]): ReportedUse[] {
+  return uses.flatMap(({ workspace, tiers }) =>
+    tiers.map(({ urgency, workTokens }) => ({
+      key: waitQueue.buildKey(urgency, workspace),
+      workTokens,
+    })),
+  );
+}
+
 /**
  * Replaces a gateway's last report by a new one. Work decays at the same rate in both, so that a
  * report that is lost leaves the sum as it would have decayed.
@@ -62,58 +75,69 @@
   now: number,
 ): void {
   const decay = Math.exp((lastMs - now) / USE_DECAY_MS);
-  last.forEach(({ workspace, workTokens }) => {
-    const count = reported.get(workspace);
+  last.forEach(({ key, workTokens }) => {
+    const count = reported.get(key);
     if (count !== undefined) {
       decayingCount.addCount(count, -workTokens * decay, now, USE_DECAY_MS);
       if (count.value < 1) {
-        reported.delete(workspace);
+        reported.delete(key);
       }
     }
   });
-  next.forEach(({ workspace, workTokens }) =>
-    decayingCount.addCount(getRecent(reported, workspace), workTokens, now, USE_DECAY_MS),
+  next.forEach(({ key, workTokens }) =>
+    decayingCount.addCount(getRecent(reported, key), workTokens, now, USE_DECAY_MS),
   );
 }
 
-/** Records that a request of a workspace was granted a slot. */
-export function noteGrant(
-  { granted }: RecentUse,
-  workspace: string,
-  workTokens: number,
+/** A request as far as its use is concerned. */
+type UseRequest = Pick<
+  scheduledRequest.ScheduledRequest,
+  'workspace' | 'urgency' | 'share' | 'workTokens'
+>;
+
+/** Records that a request was granted a slot. */
+export function noteGrant({ granted }: RecentUse, request: UseRequest, now: number): void {
+  const key = waitQueue.buildKey(request.urgency, request.workspace);
+  decayingCount.addCount(getRecent(granted, key), request.workTokens, now, USE_DECAY_MS);
+}
+
+/** Returns a decayed count, 0 if there is none. */
+function getTokens(
+  counts: ReadonlyMap<string, decayingCount.DecayingCount>,
+  key: string,
   now: number,
-): void {
-  decayingCount.addCount(getRecent(granted, workspace), workTokens, now, USE_DECAY_MS);
+): number {
+  const count = counts.get(key);
+  return count === undefined ? 0 : decayingCount.getCount(count, now, USE_DECAY_MS);
 }
 
 /** Estimates the recent work of a workspace that this queue did not grant, tokens. */
 export function estimateElsewhere(
   { reported, granted }: RecentUse,
-  workspace: string,
+  { workspace, urgency }: Pick<UseRequest, 'workspace' | 'urgency'>,
   now: number,
 ): number {
-  const all = reported.get(workspace);
-  const own = granted.get(workspace);
-  const allTokens = all === undefined ? 0 : decayingCount.getCount(all, now, USE_DECAY_MS);
-  const ownTokens = own === undefined ? 0 : decayingCount.getCount(own, now, USE_DECAY_MS);
-  return Math.max(allTokens - ownTokens * Math.exp(REPORT_DELAY_MS / USE_DECAY_MS), 0);
+  const key = waitQueue.buildKey(urgency, workspace);
+  const own = getTokens(granted, key, now) * Math.exp(REPORT_DELAY_MS / USE_DECAY_MS);
+  return Math.max(getTokens(reported, key, now) - own, 0);
 }
 
-/** Updates, for a new request of a workspace, what the queue knows of its use elsewhere. */
+/** Updates, for a new request, what the queue knows of its workspace's use elsewhere. */
 export function updateElsewhere(
   use: RecentUse,
   queue: waitQueue.WaitQueue,
-  { workspace, share }: { workspace: string; share: number },
+  request: UseRequest,
   now: number,
 ): void {
-  const recent = estimateElsewhere(use, workspace, now);
-  if (recent === 0 && !use.elsewhere.has(workspace)) {
+  const key = waitQueue.buildKey(request.urgency, request.workspace);
+  const recent = estimateElsewhere(use, request, now);
+  if (recent === 0 && !use.elsewhere.has(key)) {
     return;
   }
-  const last = getRecent(use.elsewhere, workspace);
+  const last = getRecent(use.elsewhere, key);
   const added = Math.max(recent - decayingCount.getCount(last, now, USE_DECAY_MS), 0);
   last.value = recent;
   last.updatedMs = now;
-  const received = (queue.elsewhere.get(workspace)?.received ?? 0) + added / share;
-  queue.elsewhere.set(workspace, { received, recent: recent / share });
+  const received = (queue.elsewhere.get(key)?.received ?? 0) + added / request.share;
+  queue.elsewhere.set(key, { received, recent: recent / request.share });
 }
--- a/packages/core/src/scheduler/scheduler.ts
+++ b/packages/core/src/scheduler/scheduler.ts
@@ -101,7 +101,7 @@
   const limit = cell.rateLimits.get(chosen.id);
   rateLimit.noteStart(limit, reachableShare, now);
   waiting.takeRequest(cell, request, now);
-  recentUse.noteGrant(cell.recentUse, request.workspace, request.workTokens, now);
+  recentUse.noteGrant(cell.recentUse, request, now);
   cell.requests.delete(request.id);
   const asker = cell.askers.get(request.asker);
   if (asker === undefined) {
--- a/packages/core/src/scheduler/wait-queue.ts
+++ b/packages/core/src/scheduler/wait-queue.ts
@@ -48,8 +48,10 @@
   virtualTimes: Map<number, number>;
   /** By rank and workspace. */
   finishTags: Map<string, FinishTag>;
-  /** By workspace; contains only those that received something outside the queue. */
+  /** By urgency and workspace; contains only those that received something outside the queue. */
   elsewhere: Map<string, ElsewhereUse>;
+  /** Finds the urgency of the requests of a rank. */
+  findUrgency: (rank: number) => number;
   /** Number of finish tags above which those of workspaces that do not wait are discarded. */
   tagLimit: number;
 };
@@ -57,13 +59,14 @@
 /** Lowest value of `tagLimit`; bounds the memory. */
 const MIN_TAG_LIMIT = 4096;
 
-/** Creates an empty queue. */
-export function createWaitQueue(): WaitQueue {
+/** Creates an empty queue; by default, each rank contains the requests of one urgency. */
+export function createWaitQueue(findUrgency: (rank: number) => number = (rank) => rank): WaitQueue {
   return {
     items: [],
     virtualTimes: new Map(),
     finishTags: new Map(),
     elsewhere: new Map(),
+    findUrgency,
     tagLimit: MIN_TAG_LIMIT,
   };
 }
@@ -88,11 +91,20 @@
   return low;
 }
 
-/** Builds the map key of a workspace's finish tag. */
-function buildTagKey(rank: number, workspace: string): string {
+/** Builds the map key of a workspace at a rank or urgency. */
+export function buildKey(rank: number, workspace: string): string {
   return `${rank} ${workspace}`;
 }
 
+/** Finds what the workspace of a rank received outside the queue. */
+function findElsewhere(
+  queue: WaitQueue,
+  rank: number,
+  workspace: string,
+): ElsewhereUse | undefined {
+  return queue.elsewhere.get(buildKey(queue.findUrgency(rank), workspace));
+}
+
 /**
  * Computes the start tag of the next item of a workspace, tokens.
  *
@@ -102,8 +114,8 @@
  */
 export function computeStartTag(queue: WaitQueue, rank: number, workspace: string): number {
   const virtual = queue.virtualTimes.get(rank) ?? 0;
-  const last = queue.finishTags.get(buildTagKey(rank, workspace)) ?? { tag: 0, received: 0 };
-  const elsewhere = queue.elsewhere.get(workspace);
+  const last = queue.finishTags.get(buildKey(rank, workspace)) ?? { tag: 0, received: 0 };
+  const elsewhere = findElsewhere(queue, rank, workspace);
   if (elsewhere === undefined) {
     return Math.max(virtual, last.tag);
   }
@@ -119,16 +131,18 @@
  * bounded.
  */
 function dropIdleTags(queue: WaitQueue): void {
-  const waiting = new Set(queue.items.map(({ rank, workspace }) => buildTagKey(rank, workspace)));
+  const waiting = new Set(queue.items.map(({ rank, workspace }) => buildKey(rank, workspace)));
   queue.finishTags.forEach((_, key) => {
     if (!waiting.has(key)) {
       queue.finishTags.delete(key);
     }
   });
-  const names = new Set(queue.items.map(({ workspace }) => workspace));
-  queue.elsewhere.forEach((_, workspace) => {
-    if (!names.has(workspace)) {
-      queue.elsewhere.delete(workspace);
+  const used = new Set(
+    queue.items.map(({ rank, workspace }) => buildKey(queue.findUrgency(rank), workspace)),
+  );
+  queue.elsewhere.forEach((_, key) => {
+    if (!used.has(key)) {
+      queue.elsewhere.delete(key);
     }
   });
   queue.tagLimit = Math.max(MIN_TAG_LIMIT, 2 * queue.finishTags.size);
@@ -141,8 +155,8 @@
   }
   const startTag = computeStartTag(queue, item.rank, item.workspace);
   const tag = startTag + item.workTokens / (item.share ?? 1);
-  const received = queue.elsewhere.get(item.workspace)?.received ?? 0;
-  queue.finishTags.set(buildTagKey(item.rank, item.workspace), { tag, received });
+  const received = findElsewhere(queue, item.rank, item.workspace)?.received ?? 0;
+  queue.finishTags.set(buildKey(item.rank, item.workspace), { tag, received });
   const queued = { ...item, startTag };
   queue.items.splice(findInsertionIndex(queue.items, queued), 0, queued);
 }
--- a/packages/core/src/scheduler/waiting.ts
+++ b/packages/core/src/scheduler/waiting.ts
@@ -49,6 +49,11 @@
   return rank >= LATE_RANK;
 }
 
+/** Finds the urgency of the requests of a rank. */
+export function findUrgency(rank: number): number {
+  return Math.floor(rank) % BEYOND_QUOTA_RANK;
+}
+
 /** Estimates the time from sending to the first token at an idle engine, milliseconds. */
 export function estimateIdleFirstMs({ promptTokens }: scheduledRequest.ScheduledRequest): number {
   return FIRST_TOKEN_MS + promptTokens / PROMPT_TOKENS_PER_MS;
--- a/packages/measure/src/gateway-load/share-table.ts
+++ b/packages/measure/src/gateway-load/share-table.ts
@@ -149,7 +149,11 @@
   const kinds = loadPattern.KINDS.map(({ name }) => `${name}: in time / served / worst`);
   const heads = ['load', 'shares', ...kinds, 'quiet in time', 'worth'];
   write(`| ${heads.join(' | ')} |\n| ${heads.map(() => '---').join(' | ')} |\n`);
+  const hasQuotas = ({ workspaces }: loadPattern.LoadPattern) => workspaces?.quotas.length !== 0;
+  // Without quotas, shares alone change nothing.
   patterns.forEach((pattern) =>
-    variations.forEach((variation) => write(formatRow(pattern, variation, fleet, seeds))),
+    variations
+      .filter(([, { shares, recentUse }]) => hasQuotas(pattern) || shares === recentUse)
+      .forEach((variation) => write(formatRow(pattern, variation, fleet, seeds))),
   );
 }
