--- a/packages/core/src/scheduler/recent-use.ts
+++ b/packages/core/src/scheduler/recent-use.ts
@@ -111,15 +111,24 @@
   return count === undefined ? 0 : decayingCount.getCount(count, now, USE_DECAY_MS);
 }
 
+/** Returns the recent work of a workspace at one urgency, as gateways reported it, tokens. */
+export function getReported(
+  { reported }: RecentUse,
+  { workspace, urgency }: Pick<UseRequest, 'workspace' | 'urgency'>,
+  now: number,
+): number {
+  return getTokens(reported, waitQueue.buildKey(urgency, workspace), now);
+}
+
 /** Estimates the recent work of a workspace that this queue did not grant, tokens. */
 export function estimateElsewhere(
-  { reported, granted }: RecentUse,
-  { workspace, urgency }: Pick<UseRequest, 'workspace' | 'urgency'>,
+  use: RecentUse,
+  request: Pick<UseRequest, 'workspace' | 'urgency'>,
   now: number,
 ): number {
-  const key = waitQueue.buildKey(urgency, workspace);
-  const own = getTokens(granted, key, now) * Math.exp(REPORT_DELAY_MS / USE_DECAY_MS);
-  return Math.max(getTokens(reported, key, now) - own, 0);
+  const key = waitQueue.buildKey(request.urgency, request.workspace);
+  const own = getTokens(use.granted, key, now) * Math.exp(REPORT_DELAY_MS / USE_DECAY_MS);
+  return Math.max(getReported(use, request, now) - own, 0);
 }
 
 /** Updates, for a new request, what the queue knows of its workspace's use elsewhere. */
--- a/packages/core/src/scheduler/scheduler.ts
+++ b/packages/core/src/scheduler/scheduler.ts
@@ -28,6 +28,8 @@
   full: number;
   /** Number of backend servers held back by their warm-up or rate limit. */
   heldBack: number;
+  /** Recent work of the workspace at this urgency, over all cells, tokens; if declined. */
+  recentUseTokens?: number;
 };
 
 export type Scheduler = {
@@ -149,7 +151,9 @@
       asks.refuseRequest(cell, asker, request, false, scheduler.drawRandom, now);
     }
     const queued = cell.queue.items.length;
-    return { kind: 'declined', cell: cell.name, request, queued, ...NOTHING_WEIGHED };
+    const recentUseTokens = recentUse.getReported(cell.recentUse, request, now);
+    const declined = { kind: 'declined', cell: cell.name, request, queued } as const;
+    return { ...declined, ...NOTHING_WEIGHED, recentUseTokens };
   });
 }
 
--- a/packages/gateway/src/request-reports.ts
+++ b/packages/gateway/src/request-reports.ts
@@ -81,7 +81,7 @@
     return;
   }
   const now = readClocks().steadyMs;
-  notes.forEach(({ kind, cell, request, queued, weighed, leftOut, full, heldBack }) => {
+  notes.forEach(({ kind, cell, request, queued, weighed, leftOut, full, heldBack, ...note }) => {
     const { attemptId, asker, workspace, share, urgency, arrivedMs, targetMs } = request;
     const line = {
       request: attemptId,
@@ -103,7 +103,9 @@
       full,
       // Backend servers that are warming up and cannot be given a request yet.
       heldBack,
-      ...(kind === 'declined' ? { share } : {}),
+      ...(kind === 'declined'
+        ? { share, recentUseTokens: Math.round(note.recentUseTokens ?? 0) }
+        : {}),
     };
     log.write(kind, line, now);
   });
