Bound the records of use elsewhere

Cause: the record of what a workspace received elsewhere stayed with a queue after its recent use had decayed, also for requests that were refused on arrival.

--- a/packages/core/src/scheduler/recent-use.ts
+++ b/packages/core/src/scheduler/recent-use.ts
@@ -20,8 +20,6 @@
   reported: Map<string, decayingCount.DecayingCount>;
   /** What this queue granted, least recent first. */
   granted: Map<string, decayingCount.DecayingCount>;
-  /** What workspaces received elsewhere at their last request, least recent first. */
-  elsewhere: Map<string, decayingCount.DecayingCount>;
 };
 
 /** Time in which recent work decays to 1/e, milliseconds; it outlasts the deadlines of callers. */
@@ -36,7 +34,19 @@
 
 /** Creates an empty record. */
 export function createRecentUse(): RecentUse {
-  return { reported: new Map(), granted: new Map(), elsewhere: new Map() };
+  return { reported: new Map(), granted: new Map() };
+}
+
+/** Discards the least recent record if there are too many. */
+function dropOldest(records: Map<string, unknown>): void {
+  if (records.size > MAX_RECORDS) {
+    records.delete(records.keys().next().value ?? '');
+  }
+}
+
+/** Computes the part of recent work that is left after some time. */
+function computeDecay(fromMs: number, now: number): number {
+  return Math.exp((fromMs - now) / USE_DECAY_MS);
 }
 
 /** Returns a count, which becomes the most recent one; creates it if there is none. */
@@ -47,9 +57,7 @@
   const count = counts.get(key) ?? decayingCount.createDecayingCount();
   counts.delete(key);
   counts.set(key, count);
-  if (counts.size > MAX_RECORDS) {
-    counts.delete(counts.keys().next().value ?? '');
-  }
+  dropOldest(counts);
   return count;
 }
 
@@ -74,7 +82,7 @@
   next: readonly ReportedUse[],
   now: number,
 ): void {
-  const decay = Math.exp((lastMs - now) / USE_DECAY_MS);
+  const decay = computeDecay(lastMs, now);
   last.forEach(({ key, workTokens }) => {
     const count = reported.get(key);
     if (count !== undefined) {
@@ -131,7 +139,10 @@
   return Math.max(getReported(use, request, now) - own, 0);
 }
 
-/** Updates, for a new request, what the queue knows of its workspace's use elsewhere. */
+/**
+ * Updates, for a new request, what the queue knows of its workspace's use elsewhere: what was added
+ * to it since the last request, and what of it is recent.
+ */
 export function updateElsewhere(
   use: RecentUse,
   queue: waitQueue.WaitQueue,
@@ -139,14 +150,14 @@
   now: number,
 ): void {
   const key = waitQueue.buildKey(request.urgency, request.workspace);
-  const recent = estimateElsewhere(use, request, now);
-  if (recent === 0 && !use.elsewhere.has(key)) {
+  const last = queue.elsewhere.get(key);
+  queue.elsewhere.delete(key);
+  const recent = estimateElsewhere(use, request, now) / request.share;
+  if (recent === 0) {
     return;
   }
-  const last = getRecent(use.elsewhere, key);
-  const added = Math.max(recent - decayingCount.getCount(last, now, USE_DECAY_MS), 0);
-  last.value = recent;
-  last.updatedMs = now;
-  const received = (queue.elsewhere.get(key)?.received ?? 0) + added / request.share;
-  queue.elsewhere.set(key, { received, recent: recent / request.share });
+  const known = last === undefined ? 0 : last.recent * computeDecay(last.updatedMs, now);
+  const received = (last?.received ?? 0) + Math.max(recent - known, 0);
+  queue.elsewhere.set(key, { received, recent, updatedMs: now });
+  dropOldest(queue.elsewhere);
 }
--- a/packages/core/src/scheduler/wait-queue.test.ts
+++ b/packages/core/src/scheduler/wait-queue.test.ts
@@ -94,9 +94,9 @@
 test('work received elsewhere delays a workspace by its recent use at most', () => {
   // A workspace that received much elsewhere over a long time would not be served at all here.
   const queue = waitQueue.createWaitQueue();
-  queue.elsewhere.set('0 busy', { received: 1e6, recent: 250 });
+  queue.elsewhere.set('0 busy', { received: 1e6, recent: 250, updatedMs: 0 });
   [1, 2].forEach((serial) => waitQueue.addItem(queue, buildItem(serial, 0, 'busy')));
-  queue.elsewhere.set('0 busy', { received: 1e6, recent: 0 });
+  queue.elsewhere.set('0 busy', { received: 1e6, recent: 0, updatedMs: 0 });
   waitQueue.addItem(queue, buildItem(3, 0, 'busy'));
   [11, 12, 13, 14, 15].forEach((serial) => waitQueue.addItem(queue, buildItem(serial, 0, 'other')));
   waitQueue.addItem(queue, buildItem(4, 1, 'busy'));
--- a/packages/core/src/scheduler/wait-queue.ts
+++ b/packages/core/src/scheduler/wait-queue.ts
@@ -32,6 +32,8 @@
   received: number;
   /** Recently: the most by which it may delay the workspace. */
   recent: number;
+  /** When `recent` was estimated, milliseconds. */
+  updatedMs: number;
 };
 
 /** Virtual time at which the last item of a workspace ends. */
@@ -48,7 +50,7 @@
   virtualTimes: Map<number, number>;
   /** By rank and workspace. */
   finishTags: Map<string, FinishTag>;
-  /** By urgency and workspace; contains only those that received something outside the queue. */
+  /** By urgency and workspace, least recent first; contains only those with recent use. */
   elsewhere: Map<string, ElsewhereUse>;
   /** Finds the urgency of the requests of a rank. */
   findUrgency: (rank: number) => number;
@@ -119,7 +121,7 @@
   if (elsewhere === undefined) {
     return Math.max(virtual, last.tag);
   }
-  const delayed = last.tag + elsewhere.received - last.received;
+  const delayed = last.tag + Math.max(elsewhere.received - last.received, 0);
   return Math.max(virtual, last.tag, Math.min(delayed, virtual + elsewhere.recent));
 }
 
@@ -137,14 +139,6 @@
       queue.finishTags.delete(key);
     }
   });
-  const used = new Set(
-    queue.items.map(({ rank, workspace }) => buildKey(queue.findUrgency(rank), workspace)),
-  );
-  queue.elsewhere.forEach((_, key) => {
-    if (!used.has(key)) {
-      queue.elsewhere.delete(key);
-    }
-  });
   queue.tagLimit = Math.max(MIN_TAG_LIMIT, 2 * queue.finishTags.size);
 }
 
