--- a/packages/core/src/gateway/recent-use.ts
+++ b/packages/core/src/gateway/recent-use.ts
@@ -38,8 +38,9 @@
   known.askedMs = now;
   use.delete(workspace);
   use.set(workspace, known);
-  if (use.size > MAX_WORKSPACES) {
-    use.delete(use.keys().next().value ?? '');
+  const [oldest, { askedMs }] = use.entries().next().value ?? [workspace, known];
+  if (use.size > MAX_WORKSPACES || now - askedMs > ACTIVE_MS) {
+    use.delete(oldest);
   }
 }
 
@@ -62,6 +63,7 @@
   now: number,
 ): schema.RecentUse[] {
   return [...use]
+    .filter(([, { askedMs }]) => now - askedMs <= ACTIVE_MS)
     .map(([workspace, { workTokens }]) => {
       const tiers = [...workTokens]
         .map(([urgency, count]) => ({
