--- a/packages/core/src/gateway/ask-messages.ts
+++ b/packages/core/src/gateway/ask-messages.ts
@@ -10,7 +10,8 @@
 import * as pendingAsks from './pending-asks.js';
 import * as cellMap from './cell-map.js';
 import type * as gatewayRequest from './gateway-request.js';
-import type * as gatewayState from './gateway-state.js';
+import * as gatewayState from './gateway-state.js';
+import * as recentUse from './recent-use.js';
 import * as schedulerLink from './scheduler-link.js';
 import * as schedulerRanking from './scheduler-ranking.js';
 import * as serverStatements from './server-statements.js';
@@ -34,6 +35,11 @@
 /** Maximum time between asks while requests wait, and while some are in flight, in milliseconds. */
 const WAITING_INTERVAL_MS = 100;
 const IN_FLIGHT_INTERVAL_MS = 250;
+/**
+ * Minimum time between reports of recent use to one cell, in milliseconds: a tenth of the time in
+ * which recent use decays, so that the reports are a small part of the control traffic.
+ */
+const USE_INTERVAL_MS = 500;
 /** Maximum number of items of each kind in one ask, so that it fits in 1,400 bytes. */
 const MAX_REQUESTS = 8;
 const MAX_SERIALS = 48;
@@ -116,6 +122,7 @@
     waitedMs: Math.round(now - request.arrivedMs),
     triedIds: [...request.triedIds],
     excludedDomains: allowedDomains.listExcluded(state, request.regions),
+    share: state.index?.shareByWorkspace.get(workspace),
   });
 }
 
@@ -135,6 +142,26 @@
   });
 }
 
+/**
+ * Lists the recent use of the service by workspaces if the next ask must report it. Where nothing
+ * waits in the cell, the order of workspaces does not matter.
+ */
+function takeRecentUse(
+  state: gatewayState.GatewayState,
+  link: schedulerLink.SchedulerLink,
+  now: number,
+): schema.RecentUse[] {
+  const isContended = link.asks.size > 0 || link.load >= link.places;
+  if (!isContended || now - link.useReportedMs < USE_INTERVAL_MS) {
+    return [];
+  }
+  const { use } = gatewayState.getServiceState(state, link.service);
+  const listed = recentUse.listRecentUse(use, state.index?.shareByWorkspace, now);
+  link.useReportedMs = now;
+  state.schedulingTotals.useReports += Number(listed.length > 0);
+  return listed;
+}
+
 /** Builds the asks for the scheduler of a cell: several if not all requests fit in one. */
 function buildAsks(
   state: gatewayState.GatewayState,
@@ -142,6 +169,8 @@
   now: number,
 ): schema.ScheduleAsk[] {
   const requests = takeUnaccepted(state, link, now);
+  const { use } = gatewayState.getServiceState(state, link.service);
+  requests.forEach(({ workspace }) => recentUse.noteAsk(use, workspace, now));
   const inFlight = listInFlight(state, link, now);
   const statements = listStatements(state, link, now);
   const accepted = [...link.asks].filter(([, { isAccepted }]) => isAccepted);
@@ -164,6 +193,7 @@
         observations: link.observations.splice(0, MAX_OBSERVATIONS),
         statements: takeStatements(link, statements),
         replyMs: link.replyMs,
+        recentUse: takeRecentUse(state, link, now),
       }),
     );
   } while (requests.length > 0);
--- a/packages/core/src/gateway/configuration-index.ts
+++ b/packages/core/src/gateway/configuration-index.ts
@@ -1,4 +1,5 @@
 /** A configuration with its lookup tables, built once per version. */
+import * as scheduler from '../scheduler/index.js';
 import type * as configuration from './configuration.js';
 
 export type ConfigurationIndex = {
@@ -12,6 +13,8 @@
   maxPauseByService: Map<string, number>;
   /** Contains only workspaces with a quota. */
   quotaByWorkspace: Map<string, configuration.Quota>;
+  /** Contains only workspaces whose share differs from 1. */
+  shareByWorkspace: Map<string, number>;
 };
 
 /** Groups routes by host, in matching order. */
@@ -54,6 +57,9 @@
     workspaceByCredential: credentials && new Map(credentials),
     maxPauseByService: findMaxPauses(given.routes),
     quotaByWorkspace: new Map(quotas),
+    shareByWorkspace: scheduler.computeShares(
+      quotas.map(([workspace, { unit, perSecond }]) => ({ workspace, unit, perSecond })),
+    ),
   };
 }
 
--- a/packages/core/src/gateway/gateway-state.ts
+++ b/packages/core/src/gateway/gateway-state.ts
@@ -13,6 +13,7 @@
 import type * as gatewayRequest from './gateway-request.js';
 import * as peerView from './peer-view.js';
 import type * as quotaLimit from './quota-limit.js';
+import type * as recentUse from './recent-use.js';
 import type * as schedulerLink from './scheduler-link.js';
 import * as schedulerRanking from './scheduler-ranking.js';
 import * as tokenQuota from './token-quota.js';
@@ -22,6 +23,7 @@
   retries: retryBudget.RetryBudget;
   /** Since when requests have been refused because backend servers did not take them. */
   overload: overload.Overload;
+  use: recentUse.ServiceUse;
 };
 
 /** Totals of the exchange between this gateway and schedulers since its start. */
@@ -33,6 +35,8 @@
   grantsUnused: number;
   /** Changes to another scheduler, because one did not reply or another one took over. */
   schedulersLeft: number;
+  /** Asks that reported the recent use by workspaces. */
+  useReports: number;
 };
 
 /**
@@ -134,7 +138,7 @@
     links: new Map(),
     ranking: schedulerRanking.createSchedulerRanking(),
     scheduler: scheduler.createScheduler(address, life, drawRandom),
-    schedulingTotals: { asks: 0, grantsUsed: 0, grantsUnused: 0, schedulersLeft: 0 },
+    schedulingTotals: { asks: 0, grantsUsed: 0, grantsUnused: 0, schedulersLeft: 0, useReports: 0 },
     services: new Map(),
     deadlineStatsByRoute: new Map(),
     requests: new Map(),
@@ -154,6 +158,7 @@
   const serviceState = state.services.get(service) ?? {
     retries: retryBudget.createRetryBudget(),
     overload: overload.createOverload(),
+    use: new Map(),
   };
   state.services.set(service, serviceState);
   return serviceState;
--- a/packages/core/src/scheduler/cell.ts
+++ b/packages/core/src/scheduler/cell.ts
@@ -4,9 +4,11 @@
 import * as addedLatency from './added-latency.js';
 import * as overload from '../shared/overload.js';
 import type * as rateLimit from './rate-limit.js';
+import * as recentUse from './recent-use.js';
 import type * as scheduledRequest from './scheduled-request.js';
 import * as serverHealth from './server-health.js';
 import * as waitQueue from './wait-queue.js';
+import * as waiting from './waiting.js';
 
 /** A granted slot that its gateway has not yet reported as used. */
 export type UnreportedGrant = { number: number; serverId: string; grantedMs: number };
@@ -51,6 +53,9 @@
   backoffs: Map<string, number>;
   /** Grants that it has not yet reported as used. */
   unreportedGrants: UnreportedGrant[];
+  /** Recent use of the service by its workspaces as it last reported it, and when. */
+  recentUse: readonly recentUse.ReportedUse[];
+  recentUseMs: number;
   /** Its waiting requests, by serial. */
   requests: Map<number, scheduledRequest.ScheduledRequest>;
   reply: PendingReply;
@@ -71,6 +76,7 @@
   /** The gateways that ask for slots, by address. */
   askers: Map<string, CellAsker>;
   queue: waitQueue.WaitQueue;
+  recentUse: recentUse.RecentUse;
   /** The requests in the queue, by id. */
   requests: Map<number, scheduledRequest.ScheduledRequest>;
   nextId: number;
@@ -95,7 +101,8 @@
     starts: new Map(),
     rateLimits: new Map(),
     askers: new Map(),
-    queue: waitQueue.createWaitQueue(),
+    queue: waitQueue.createWaitQueue(waiting.findUrgency),
+    recentUse: recentUse.createRecentUse(),
     requests: new Map(),
     nextId: 1,
     requestsDeferred: 0,
--- a/packages/core/src/scheduler/index.ts
+++ b/packages/core/src/scheduler/index.ts
@@ -9,3 +9,5 @@
 export type { WarmUpLimit } from './warm-up.js';
 export * from './server-choice.js';
 export { estimateTurnaroundMs } from './slot-turnaround.js';
+export { USE_DECAY_MS } from './recent-use.js';
+export { computeShares } from './workspace-shares.js';
--- a/packages/core/src/scheduler/scheduler.ts
+++ b/packages/core/src/scheduler/scheduler.ts
@@ -6,6 +6,7 @@
 import * as placeCount from './place-count.js';
 import * as places from './places.js';
 import * as rateLimit from './rate-limit.js';
+import * as recentUse from './recent-use.js';
 import * as requestMatch from './request-match.js';
 import type * as scheduledRequest from './scheduled-request.js';
 import type * as serverChoice from './server-choice.js';
@@ -27,6 +28,8 @@
   full: number;
   /** Number of backend servers held back by their warm-up or rate limit. */
   heldBack: number;
+  /** Recent work of the workspace at this urgency, over all cells, tokens; if declined. */
+  recentUseTokens?: number;
 };
 
 export type Scheduler = {
@@ -100,6 +103,7 @@
   const limit = cell.rateLimits.get(chosen.id);
   rateLimit.noteStart(limit, reachableShare, now);
   waiting.takeRequest(cell, request, now);
+  recentUse.noteGrant(cell.recentUse, request, now);
   cell.requests.delete(request.id);
   const asker = cell.askers.get(request.asker);
   if (asker === undefined) {
@@ -147,7 +151,9 @@
       asks.refuseRequest(cell, asker, request, false, scheduler.drawRandom, now);
     }
     const queued = cell.queue.items.length;
-    return { kind: 'declined', cell: cell.name, request, queued, ...NOTHING_WEIGHED };
+    const recentUseTokens = recentUse.getReported(cell.recentUse, request, now);
+    const declined = { kind: 'declined', cell: cell.name, request, queued } as const;
+    return { ...declined, ...NOTHING_WEIGHED, recentUseTokens };
   });
 }
 
@@ -203,6 +209,7 @@
     .filter(([, { heardMs }]) => now - heardMs > ASKER_TIMEOUT_MS)
     .forEach(([address, asker]) => {
       asks.dropRequests(cell, asker);
+      asks.dropUse(cell, asker, now);
       cell.askers.delete(address);
     });
 }
--- a/packages/core/src/scheduler/waiting.ts
+++ b/packages/core/src/scheduler/waiting.ts
@@ -49,6 +49,11 @@
   return rank >= LATE_RANK;
 }
 
+/** Finds the urgency of the requests of a rank. */
+export function findUrgency(rank: number): number {
+  return Math.floor(rank) % BEYOND_QUOTA_RANK;
+}
+
 /** Estimates the time from sending to the first token at an idle engine, milliseconds. */
 export function estimateIdleFirstMs({ promptTokens }: scheduledRequest.ScheduledRequest): number {
   return FIRST_TOKEN_MS + promptTokens / PROMPT_TOKENS_PER_MS;
@@ -143,8 +148,9 @@
   if (place === undefined) {
     return false;
   }
-  const { id, workspace, workTokens } = request;
-  waitQueue.addItem(cell.queue, { serial: id, workspace, workTokens, enteredMs: now, ...place });
+  const { id, workspace, share, workTokens } = request;
+  const item = { serial: id, workspace, share, workTokens, enteredMs: now };
+  waitQueue.addItem(cell.queue, { ...item, ...place });
   return true;
 }
 
--- a/packages/gateway/src/request-reports.ts
+++ b/packages/gateway/src/request-reports.ts
@@ -96,8 +96,8 @@
     return;
   }
   const now = readClocks().steadyMs;
-  notes.forEach(({ kind, cell, request, queued, weighed, leftOut, full, heldBack }) => {
-    const { attemptId, asker, workspace, urgency, arrivedMs, targetMs } = request;
+  notes.forEach(({ kind, cell, request, queued, weighed, leftOut, full, heldBack, ...note }) => {
+    const { attemptId, asker, workspace, share, urgency, arrivedMs, targetMs } = request;
     const line = {
       request: attemptId,
       asker,
@@ -118,6 +118,9 @@
       full,
       // Backend servers that are warming up and cannot be given a request yet.
       heldBack,
+      ...(kind === 'declined'
+        ? { share, recentUseTokens: Math.round(note.recentUseTokens ?? 0) }
+        : {}),
     };
     log.write(kind, line, now);
   });
