Count traffic by cause and failure domain

Operators are billed for traffic between failure domains, but no metric tells which part of it are reports, asks and replies of gateways, and which part the bodies of requests. Gateways count what they send to each other, the bodies and the placements, by domain; `status` and the `sent` line show it.

--- a/packages/core/src/gateway/gateway-state.ts
+++ b/packages/core/src/gateway/gateway-state.ts
@@ -53,6 +53,8 @@
   retryExtra: number;
   /** Load that warming-up backend servers may get beyond their declared rate. */
   warmUpTolerance: WarmUpTolerance;
+  /** Failure domains whose loss must be tolerated; 0 if absent. */
+  toleratedDomainLosses?: number;
 };
 
 export type GatewayState = {
--- a/packages/core/src/gateway/peer-view.ts
+++ b/packages/core/src/gateway/peer-view.ts
@@ -19,6 +19,8 @@
   processorPercent: number;
   /** Version of the active configuration of the sender; 0 if it has none. */
   configurationVersion: number;
+  /** Empty or absent if the sender does not report it. */
+  failureDomain?: string;
   /** Addresses of other gateways from which the sender receives reports. */
   peers: string[];
 };
@@ -32,6 +34,8 @@
   /** The version in its last report, and when this incarnation first reported it, in ms. */
   configurationVersion: number;
   versionReportedMs: number;
+  /** Empty if it has not reported one. */
+  failureDomain: string;
 };
 
 export type PeerView = {
@@ -127,7 +131,7 @@
     view.byAddress.delete(report.address);
     return increases;
   }
-  const { life, sequence, processorPercent, configurationVersion } = report;
+  const { life, sequence, processorPercent, configurationVersion, failureDomain = '' } = report;
   const used = known?.life === life ? new Map([...known.used, ...report.used]) : report.used;
   const isSameVersion = known?.life === life && known.configurationVersion === configurationVersion;
   view.byAddress.set(report.address, {
@@ -138,6 +142,7 @@
     processorPercent,
     configurationVersion,
     versionReportedMs: isSameVersion ? known.versionReportedMs : now,
+    failureDomain,
   });
   return increases;
 }
@@ -196,6 +201,11 @@
   return listReachable(view, now).map(([address]) => address);
 }
 
+/** Returns the failure domain of a peer; undefined if the peer is unknown or reports none. */
+export function findPeerDomain(view: PeerView, address: string): string | undefined {
+  return view.byAddress.get(address)?.failureDomain || undefined;
+}
+
 /** Lists the addresses of all gateways known directly or through a peer's report. */
 export function listKnownAddresses(view: PeerView): string[] {
   return [...new Set([...view.byAddress.keys(), ...view.indirectPeers.keys()])];
--- a/packages/gateway/src/app.ts
+++ b/packages/gateway/src/app.ts
@@ -7,6 +7,7 @@
 import * as callerServer from './caller-server.js';
 import * as clocks from './clocks.js';
 import * as decisionLog from './decision-log.js';
+import * as domainTraffic from './domain-traffic.js';
 import * as gatewayMetrics from './gateway-metrics.js';
 import type * as gatewaySettings from './gateway-settings.js';
 import * as gatewayTask from './gateway-task.js';
@@ -67,6 +68,7 @@
 /** Builds the limits that the core bases its decisions on. */
 function buildBounds(settings: gatewaySettings.GatewaySettings): gateway.GatewayBounds {
   const { revocationMs, quotaTolerance, retryRatio, retryExtra, warmUpTolerance } = settings;
+  const { toleratedDomainLosses } = settings;
   return {
     leaseMs: revocationMs === undefined ? Infinity : revocationMs * LEASE_SHARE,
     entryReturnMs: ENTRY_RETURN_MS,
@@ -78,6 +80,7 @@
     retryPercent: retryRatio * RETRY_BUDGET_SHARE * PERCENT,
     retryExtra: retryExtra * RETRY_BUDGET_SHARE,
     warmUpTolerance,
+    toleratedDomainLosses,
   };
 }
 
@@ -96,7 +99,14 @@
 /** Starts the operator servers: one for the load balancer, and one for metrics if configured. */
 function startOperatorServers(
   { settings }: GatewayOptions,
-  { state, readClocks, metrics, storeStatus, unknown }: ReturnType<typeof createComponents>,
+  {
+    state,
+    readClocks,
+    metrics,
+    storeStatus,
+    unknown,
+    traffic,
+  }: ReturnType<typeof createComponents>,
 ): Promise<runtime.OperatorServer[]> {
   const addresses = [settings.operators, settings.metrics].filter(
     (address) => address !== undefined,
@@ -106,7 +116,10 @@
       runtime.startOperatorServer({
         ...address,
         renderMetrics: metrics.render,
-        describeStatus: () => status.describeStatus(state, storeStatus, unknown, readClocks()),
+        describeStatus: () => ({
+          ...status.describeStatus(state, storeStatus, unknown, readClocks()),
+          traffic,
+        }),
         isReady: () => isReady(state, readClocks),
         readinessPath: settings.readinessPath,
       }),
@@ -159,15 +172,17 @@
     Math.random,
     clocks.readSteadyMs(),
   );
+  const traffic = domainTraffic.createDomainTraffic();
   return {
     state,
+    traffic,
     protocol,
     connections: backendConnections.createBackendConnections(),
     readClocks: clocks.createClockReader(),
     log: decisionLog.createDecisionLog(logger),
     storeStatus: { isLost: false },
     unknown: new Map() as unknownNames.UnknownNames,
-    metrics: gatewayMetrics.createGatewayMetrics(state, clocks.readSteadyMs),
+    metrics: gatewayMetrics.createGatewayMetrics(state, clocks.readSteadyMs, traffic),
   };
 }
 
@@ -183,6 +198,7 @@
     listen: settings.peerListen,
     seeds: settings.peerSeeds,
     state,
+    traffic: components.traffic,
     readNow: clocks.readSteadyMs,
     reportProblem,
   });
--- a/packages/gateway/src/attempt-sending.ts
+++ b/packages/gateway/src/attempt-sending.ts
@@ -3,6 +3,7 @@
 import * as schema from '@toucanproxy/schema';
 import * as backendAttempt from './backend-attempt.js';
 import * as callerExchange from './caller-exchange.js';
+import * as domainTraffic from './domain-traffic.js';
 import type * as heldRequest from './held-request.js';
 import * as outgoingRequest from './outgoing-request.js';
 import * as requestEnding from './request-ending.js';
@@ -84,6 +85,8 @@
 ): void {
   const { request } = held;
   requestReports.reportSent(task, held, server, scheduler);
+  const isOwnDomain = server.failureDomain === task.state.failureDomain;
+  domainTraffic.addAmount(task.traffic.placements, isOwnDomain, 1);
   if (request.sends === 1) {
     task.metrics.recordWait(request.urgency, request.sentMs - request.arrivedMs);
   }
@@ -109,9 +112,10 @@
     },
   });
   const connection = task.connections.take(server.address);
+  const outgoing = outgoingRequest.buildOutgoingRequest(task.protocol, held, server);
   held.attempt = backendAttempt.startAttempt(
     connection,
-    outgoingRequest.buildOutgoingRequest(task.protocol, held, server),
-    listener,
+    outgoing,
+    domainTraffic.countBodies(task.traffic, isOwnDomain, outgoing.body, listener),
   );
 }
--- a/packages/gateway/src/gateway-metrics.ts
+++ b/packages/gateway/src/gateway-metrics.ts
@@ -2,6 +2,7 @@
 import * as gateway from '@toucanproxy/core/gateway';
 import * as runtime from '@toucanproxy/runtime';
 import * as schema from '@toucanproxy/schema';
+import * as domainTraffic from './domain-traffic.js';
 
 export type GatewayMetrics = {
   /** Records that a request has ended. */
@@ -76,6 +77,7 @@
 export function createGatewayMetrics(
   state: gateway.GatewayState,
   readSteadyMs: () => number,
+  traffic: domainTraffic.DomainTraffic,
 ): GatewayMetrics {
   const metrics = runtime.createMetrics();
   return {
@@ -87,6 +89,10 @@
       runtime.recordObservation(metrics, { kind: 'queueWait', tier: String(urgency), ms }),
     recordFirstEvent: (route, ms) =>
       runtime.recordObservation(metrics, { kind: 'firstByte', service: '', tier: route, ms }),
-    render: () => runtime.renderMetrics(metrics, Date.now(), listSamples(state, readSteadyMs())),
+    render: () =>
+      runtime.renderMetrics(metrics, Date.now(), [
+        ...listSamples(state, readSteadyMs()),
+        ...domainTraffic.listTrafficSamples(traffic),
+      ]),
   };
 }
--- a/packages/gateway/src/gateway-settings.ts
+++ b/packages/gateway/src/gateway-settings.ts
@@ -28,6 +28,8 @@
   serversPrefix: string;
   /** Prefix of the keys that each mark one failure domain as evacuated. */
   evacuationsPrefix: string;
+  /** Number of failure domains whose loss the deployment must tolerate; 0 for no requirement. */
+  toleratedDomainLosses: number;
   /** Region of each failure domain, by the name of the domain. */
   domainRegions: Record<string, string>;
   /** Time after which a backend server that is leaving must get no new work, milliseconds. */
--- a/packages/gateway/src/peer-task.test.ts
+++ b/packages/gateway/src/peer-task.test.ts
@@ -3,6 +3,7 @@
 import * as nodeTest from 'node:test';
 import * as gateway from '@toucanproxy/core/gateway';
 import * as schema from '@toucanproxy/schema';
+import * as domainTraffic from './domain-traffic.js';
 import * as peerTask from './peer-task.js';
 
 const { test } = nodeTest;
@@ -33,6 +34,7 @@
     listen: { host: HOST, port: 0 },
     seeds: [`${HOST}:${peer.address().port}`],
     state: createState(),
+    traffic: domainTraffic.createDomainTraffic(),
     readNow: () => performance.now(),
     reportProblem: (reason) => assert.fail(reason),
   });
--- a/packages/gateway/src/peer-task.ts
+++ b/packages/gateway/src/peer-task.ts
@@ -8,6 +8,7 @@
 import * as dgram from 'node:dgram';
 import * as gateway from '@toucanproxy/core/gateway';
 import * as schema from '@toucanproxy/schema';
+import * as domainTraffic from './domain-traffic.js';
 import type * as gatewaySettings from './gateway-settings.js';
 import * as reportRounds from './report-rounds.js';
 
@@ -28,6 +29,7 @@
   listen: gatewaySettings.ListenAddress;
   seeds: string[];
   state: gateway.GatewayState;
+  traffic: domainTraffic.DomainTraffic;
   readNow: () => number;
   reportProblem: (reason: string) => void;
 };
@@ -91,9 +93,26 @@
     peers,
     processorPercent: state.processorPercent,
     configurationVersion: state.index?.configuration.version ?? 0,
+    failureDomain: state.failureDomain,
   });
 }
 
+/**
+ * Counts the bytes of a datagram. A peer that has not reported its failure domain counts as being
+ * in another one.
+ */
+function countSent(
+  { state, traffic }: PeerTaskOptions,
+  address: string,
+  cause: schema.PeerMessage['content']['case'],
+  bytes: number,
+): void {
+  if (cause !== undefined) {
+    const isOwnDomain = gateway.findPeerDomain(state.peers, address) === state.failureDomain;
+    domainTraffic.addAmount(traffic.peerBytes[cause], isOwnDomain, bytes);
+  }
+}
+
 /** Sends one datagram. */
 function sendMessage(
   { options, socket }: PeerState,
@@ -102,7 +121,9 @@
 ): void {
   const message = schema.create(schema.PeerMessageSchema, { content });
   const [host, port] = address.split(':');
-  socket.send(schema.toBinary(schema.PeerMessageSchema, message), Number(port), host, (error) => {
+  const bytes = schema.toBinary(schema.PeerMessageSchema, message);
+  countSent(options, address, content.case, bytes.length);
+  socket.send(bytes, Number(port), host, (error) => {
     if (error !== null) {
       options.reportProblem(error.message);
     }
@@ -178,6 +199,7 @@
     used: new Map(used.map((use) => [use.workspace, use.amount])),
     processorPercent: received.processorPercent,
     configurationVersion: received.configurationVersion,
+    failureDomain: received.failureDomain,
     peers,
   };
   const isNewLife = !leaving && !gateway.isKnownLife(state.peers, address, life);
--- a/packages/gateway/src/request-reports.ts
+++ b/packages/gateway/src/request-reports.ts
@@ -38,7 +38,7 @@
 
 /** Reports that a request was sent, and which gateway scheduled it. */
 export function reportSent(
-  { log }: ReportDependencies,
+  { state, log }: ReportDependencies,
   { request }: heldRequest.HeldRequest,
   server: gateway.BackendServerEntry,
   scheduler: string,
@@ -56,6 +56,7 @@
     promptTokens: arrived.tokens?.prompt,
     sends,
     version,
+    isOtherDomain: server.failureDomain !== state.failureDomain,
   };
   log.write('sent', line, sentMs);
 }
--- a/packages/gateway/src/task-state.ts
+++ b/packages/gateway/src/task-state.ts
@@ -3,6 +3,7 @@
 import type * as backendConnections from './backend-connections.js';
 import type * as clocks from './clocks.js';
 import type * as decisionLog from './decision-log.js';
+import type * as domainTraffic from './domain-traffic.js';
 import type * as gatewayMetrics from './gateway-metrics.js';
 import type * as heldRequest from './held-request.js';
 import type * as unknownNames from './unknown-names.js';
@@ -16,6 +17,7 @@
   log: decisionLog.DecisionLog;
   metrics: gatewayMetrics.GatewayMetrics;
   unknown: unknownNames.UnknownNames;
+  traffic: domainTraffic.DomainTraffic;
   sendToPeers: (outgoing: readonly gateway.OutgoingMessage[]) => void;
 };
 
--- a/packages/runtime/src/metric-definitions.ts
+++ b/packages/runtime/src/metric-definitions.ts
@@ -50,6 +50,18 @@
     type: MetricType.COUNTER,
     help: 'Times that another scheduler was asked, since one did not answer or another took over.',
   },
+  peer_bytes_total: {
+    type: MetricType.COUNTER,
+    help: 'Bytes of datagrams sent to other gateways, by cause and by whether they left the failure domain.',
+  },
+  request_bytes_total: {
+    type: MetricType.COUNTER,
+    help: 'Bytes of request and response bodies to and from backend servers, by whether the server is in the own failure domain.',
+  },
+  placements_total: {
+    type: MetricType.COUNTER,
+    help: 'Requests sent to backend servers, by whether the server is in the own failure domain.',
+  },
   cell_requests_queued: {
     type: MetricType.GAUGE,
     help: 'Requests that wait in the cells that this gateway schedules.',
