Keep requests in the failure domain of their caller where losses must be tolerated

Work was placed by the cost of servers with a preference of 0.1 for the own domain, so that a third of it left its domain also in calm seconds. With `faultTolerance.zones` of 1 or more (`toleratedDomainLosses`), the scheduler of a cell places a request in another domain only if it would be late in its own or nearly so, no slot is free there, or the share of slots in use there is higher by more than a quarter. Without the setting the cost is unchanged.

--- a/packages/core/src/gateway/cell-servers.ts
+++ b/packages/core/src/gateway/cell-servers.ts
@@ -69,6 +69,7 @@
     tokensPerEvent: declared?.engine?.tokensPerEvent ?? 1,
     placeShare: pendingAsks.chooseScheduler(state, cellName, now).placeShare,
     reachableShare: computeReachableShare(state, now),
+    toleratedDomainLosses: state.bounds.toleratedDomainLosses,
     hasPeers: state.peers.byAddress.size > 0,
     warmUp,
     recentEntries: listRecentEntries(known, now),
--- a/packages/core/src/scheduler/candidates.ts
+++ b/packages/core/src/scheduler/candidates.ts
@@ -19,6 +19,8 @@
   reachableShare: number;
   /** There are other gateways, which may have requests in flight. */
   hasPeers: boolean;
+  /** Failure domains whose loss must be tolerated. */
+  toleratedDomainLosses?: number;
   /** Undefined if the backend servers can handle their full load right after their start. */
   warmUp: warmUp.WarmUpLimit | undefined;
   /** End of the warm-up of each backend server that warms up, by id, milliseconds. */
--- a/packages/core/src/scheduler/request-match.ts
+++ b/packages/core/src/scheduler/request-match.ts
@@ -7,6 +7,7 @@
  * sent there, it would be late, and so would the next one, which still had enough time.
  */
 import type * as cells from './cell.js';
+import * as domainPreference from './domain-preference.js';
 import type * as scheduledRequest from './scheduled-request.js';
 import * as serverChoice from './server-choice.js';
 import type * as waitQueue from './wait-queue.js';
@@ -22,6 +23,8 @@
   cell: cells.Cell;
   candidates: readonly serverChoice.Candidate[];
   tokensPerEvent: number;
+  /** Requests stay in the failure domain of their caller where they will be on time. */
+  keepsDomains: boolean;
   drawRandom: () => number;
   now: number;
 };
@@ -36,16 +39,19 @@
  * and its last one by its deadline. For example, a response of 45 events with a deadline of 3 s
  * takes a fast engine one second and a slow one four. If it is aborted at the deadline, all its
  * work is lost.
+ *
+ * @param marginMs how much earlier than that the events must come, milliseconds
  */
 function isInTime(
   { tokensPerEvent, now }: MatchSearch,
   request: scheduledRequest.ScheduledRequest,
   candidate: serverChoice.Candidate,
+  marginMs = 0,
 ): boolean {
   const idleMs = waiting.estimateIdleFirstMs(request) * candidate.slowness;
   const firstMs = now + idleMs + candidate.addedLatencyMs;
   const endMs = firstMs + (request.answerTokens / tokensPerEvent) * candidate.unitMs;
-  return firstMs <= request.targetMs && endMs <= request.giveUpMs;
+  return firstMs + marginMs <= request.targetMs && endMs + marginMs <= request.giveUpMs;
 }
 
 /** Lists the backend servers that have not asked a gateway to back off. */
@@ -82,13 +88,29 @@
   return untried.length > 0 ? untried : allowed;
 }
 
+/** Chooses one of the free backend servers that suit a request. */
+function chooseNear(
+  search: OpenSearch,
+  request: scheduledRequest.ScheduledRequest,
+  usable: readonly serverChoice.Candidate[],
+): serverChoice.Candidate | undefined {
+  const { candidates, keepsDomains, drawRandom, now } = search;
+  const { failureDomain } = request;
+  const marginMs = domainPreference.MARGIN_SHARE * (request.targetMs - now);
+  const isSafe = (one: serverChoice.Candidate) => isInTime(search, request, one, marginMs);
+  const preferred = keepsDomains
+    ? domainPreference.listPreferred({ usable, all: candidates, failureDomain, isSafe })
+    : usable;
+  return serverChoice.chooseServer(preferred, failureDomain, drawRandom);
+}
+
 /** Chooses a backend server at which a request would be on time. */
 function chooseInTime(
   search: OpenSearch,
   request: scheduledRequest.ScheduledRequest,
 ): serverChoice.Candidate | undefined {
   const inTime = listOpenServers(search, request).filter((one) => isInTime(search, request, one));
-  return serverChoice.chooseServer(inTime, request.failureDomain, search.drawRandom);
+  return chooseNear(search, request, inTime);
 }
 
 /**
@@ -107,11 +129,7 @@
   const unlimited = search.candidates.filter(({ isRateLimited }) => !isRateLimited);
   return listAllowed(search, unlimited, request).some((one) => isInTime(search, request, one))
     ? undefined
-    : serverChoice.chooseServer(
-        listOpenServers(search, request),
-        request.failureDomain,
-        search.drawRandom,
-      );
+    : chooseNear(search, request, listOpenServers(search, request));
 }
 
 /**
--- a/packages/core/src/scheduler/scheduler.ts
+++ b/packages/core/src/scheduler/scheduler.ts
@@ -166,7 +166,8 @@
   const { tokensPerEvent } = servers;
   const isBounded = servers.warmUp !== undefined;
   const { drawRandom } = scheduler;
-  const search = { cell, candidates: all, tokensPerEvent, drawRandom, now };
+  const keepsDomains = (servers.toleratedDomainLosses ?? 0) > 0;
+  const search = { cell, candidates: all, tokensPerEvent, keepsDomains, drawRandom, now };
   const decisions: SchedulingDecision[] = [];
   let { taken } = count;
   let match = taken < count.usable ? requestMatch.findNextMatch(search) : undefined;
--- a/packages/gateway/src/request-reports.ts
+++ b/packages/gateway/src/request-reports.ts
@@ -102,6 +102,9 @@
       ]),
       leftOut,
       full,
+      isOtherDomain: weighed.some(
+        ({ failureDomain }, rank) => rank === 0 && failureDomain !== request.failureDomain,
+      ),
       // Backend servers that are warming up and cannot be given a request yet.
       heldBack,
     };
--- a/packages/measure/src/gateway-load/replay-world.ts
+++ b/packages/measure/src/gateway-load/replay-world.ts
@@ -15,6 +15,13 @@
   failures: boolean;
 };
 
+/** Failure domains of a replay: the one of each gateway and each engine, in turn. */
+export type ReplayDomains = {
+  gateways: readonly string[];
+  engines: readonly string[];
+  toleratedDomainLosses: number;
+};
+
 export type ReplayOptions = {
   pattern: loadPattern.LoadPattern;
   knowledge: Knowledge;
@@ -26,6 +33,8 @@
   /** One way between two gateways, milliseconds, and part of the datagrams lost. */
   delayMs: number;
   lossShare: number;
+  /** Absent if all are in one failure domain. */
+  domains?: ReplayDomains;
 };
 
 export type KindResult = { asked: number; inTime: number; late: number; failed: number };
@@ -42,6 +51,9 @@
   calmServed: number[];
   /** Most requests that one engine had at a time. */
   mostAtEngine: number;
+  /** Requests that engines in the failure domain of the gateway got, and those in others. */
+  ownPlacements: number;
+  otherPlacements: number;
 };
 
 /** One caller's request, over its tries. */
@@ -78,6 +90,11 @@
 /** One engine in three is slow, as on the users' machines. */
 const SLOWNESS = [1, 1, 4];
 
+/** Returns the failure domain of a gateway or an engine by its number. */
+function getDomain(domains: readonly string[] | undefined, index: number): string {
+  return domains === undefined ? 'd' : domains[index % domains.length];
+}
+
 /** Builds the configuration: a route for each kind. */
 function buildConfiguration(slots: number): gateway.Configuration {
   const routes = loadPattern.KINDS.map((kind) => ({
@@ -127,12 +144,13 @@
     retryPercent: 16,
     retryExtra: 40,
     warmUpTolerance: { factor: 1, extra: 0 },
+    toleratedDomainLosses: world.options.domains?.toleratedDomainLosses,
   };
   world.starts += 1;
   const identity = {
     address: `10.0.0.${index}:1`,
     life: String(world.starts),
-    failureDomain: 'd',
+    failureDomain: getDomain(world.options.domains?.gateways, index),
     processorPercent: 50,
     seeds: [],
     regionByDomain: new Map<string, string>(),
@@ -140,12 +158,12 @@
   const state = gateway.createGatewayState(identity, bounds, world.draw, world.nowMs);
   state.index = gateway.buildConfigurationIndex(buildConfiguration(world.options.slots));
   gateway.noteConfirmed(state.lease, readClocks(world));
-  world.engines.forEach(({ id }) => {
+  world.engines.forEach(({ id }, engineIndex) => {
     const entry = {
       id,
       service: SERVICE,
       address: id,
-      failureDomain: 'd',
+      failureDomain: getDomain(world.options.domains?.engines, engineIndex),
       slots: world.options.slots,
       leaving: false,
       bornMs: 1,
@@ -167,6 +185,8 @@
     calmTries: Array.from({ length: gateways }, () => 0),
     calmServed: Array.from({ length: gateways }, () => 0),
     mostAtEngine: 0,
+    ownPlacements: 0,
+    otherPlacements: 0,
   };
 }
 
--- a/packages/measure/src/gateway-load/replay.ts
+++ b/packages/measure/src/gateway-load/replay.ts
@@ -82,7 +82,12 @@
 }
 
 /** Hands a request to an engine, if it can be reached. */
-function startRun(world: replayWorld.World, live: replayWorld.Live, engineId: string): void {
+function startRun(
+  world: replayWorld.World,
+  live: replayWorld.Live,
+  server: gateway.BackendServerEntry,
+): void {
+  const engineId = server.id;
   const engine = world.engines.find(({ id }) => id === engineId) as engineModel.EngineModel;
   const { attemptId } = live.request.arrived;
   if (world.nowMs < engine.goneUntilMs) {
@@ -96,6 +101,9 @@
     endFailed(world, attemptId, gateway.AttemptFault.FAILED);
     return;
   }
+  const isOwn = world.states[live.gateway].failureDomain === server.failureDomain;
+  world.result.ownPlacements += Number(isOwn);
+  world.result.otherPlacements += Number(!isOwn);
   const { promptTokens, answerTokens } = live.call.kind;
   engineModel.addRun(engine, { id: attemptId, promptTokens, answerTokens }, world.nowMs);
   const atEngine = engine.running.length + engine.waiting.length;
@@ -114,7 +122,7 @@
       return;
     }
     if (assignment.kind === 'send') {
-      startRun(world, live, assignment.server.id);
+      startRun(world, live, assignment.server);
     } else if (assignment.kind === 'refuse') {
       world.live.delete(attemptId);
       endRefused(world, live.call, assignment.refusal.retryAfterMs);
