Send reports between failure domains over a few gateways of each

Each gateway sent its whole report to 16 others five times a second, two thirds of it to other failure domains. With more than one domain and more gateways than one round reaches, gateways now form groups within their domains. A report goes to the own group in each round and to one or two gateways of every other group each second or third round; these pass the totals on with the age of the report. Totals that did not change are left out, with a full report each three seconds; for three seconds after an incarnation of a gateway appears, reports go to all in turn, as before. A gateway that leaves tells all groups in one round. Passed on reports add no peer and no incarnation, never replace newer totals, and keep a sender alive only until the time when the other gateway heard it.

A report may now be the first to name a workspace that its sender has used for long. Reports carry the number of workspaces: until a receiver knows as many totals, a further one of a long-running peer adds nothing to the charges.

--- a/packages/core/src/gateway/peer-view.ts
+++ b/packages/core/src/gateway/peer-view.ts
@@ -4,6 +4,7 @@
  * Reports carry totals since the start of the sender's process, so a lost or duplicated
  * datagram does no harm: the next report corrects it.
  */
+import * as rendezvous from '../shared/rendezvous.js';
 
 export type PeerReport = {
   /** IP address and port of the sender. */
@@ -21,6 +22,8 @@
   configurationVersion: number;
   /** Empty or absent if the sender does not report it. */
   failureDomain?: string;
+  /** Number of workspaces with usage at the sender; absent if it does not report it. */
+  workspaceCount?: number;
   /** Addresses of other gateways from which the sender receives reports. */
   peers: string[];
 };
@@ -36,10 +39,26 @@
   versionReportedMs: number;
   /** Empty if it has not reported one. */
   failureDomain: string;
+  /** All totals of the sender were known at one time; a further one is recent usage. */
+  isComplete: boolean;
+};
+
+/** Usage that another gateway passes on for its sender. */
+export type RelayedReport = {
+  /** Hash of the address and the incarnation of the sender. */
+  sender: number;
+  sequence: number;
+  leaving: boolean;
+  /** Time since the passing gateway received it, milliseconds. */
+  ageMs: number;
+  workspaceCount: number | undefined;
+  used: Map<string, number>;
 };
 
 export type PeerView = {
   byAddress: Map<string, Peer>;
+  /** Addresses of peers by the hash of address and incarnation. */
+  addressByKey: Map<number, string>;
   /** When each gateway was last named in a peer's report; it is sent reports too. */
   indirectPeers: Map<string, number>;
   /** When each incarnation announced that it is leaving. */
@@ -76,7 +95,13 @@
 
 /** Creates an empty view. */
 export function createPeerView(): PeerView {
-  return { byAddress: new Map(), indirectPeers: new Map(), departed: new Map(), revision: 0 };
+  return {
+    byAddress: new Map(),
+    addressByKey: new Map(),
+    indirectPeers: new Map(),
+    departed: new Map(),
+    revision: 0,
+  };
 }
 
 /** Usage of a workspace that a report adds. */
@@ -90,23 +115,36 @@
  * usage of a new peer is recent and counts. Otherwise, after all gateways were killed, what
  * each of them admitted before it received the others' reports would never be charged, and a
  * workspace would run more than its quota allows.
+ *
+ * Reports carry a part of the totals. Until all totals of a peer that has run for long are known,
+ * one that is reported for the first time may be just as old, and adds nothing.
  */
 function listIncreases(known: Peer | undefined, report: PeerReport): UsageIncrease[] {
-  if (known === undefined && report.sequence * REPORT_MS > NEW_PEER_MS) {
+  const isNew = report.sequence * REPORT_MS <= NEW_PEER_MS;
+  if (known === undefined && !isNew) {
     return [];
   }
   const before = known?.life === report.life ? known.used : undefined;
-  return [...report.used].map(([workspace, total]) => ({
-    workspace,
-    amount: total - (before?.get(workspace) ?? 0),
-  }));
+  const mayBeOld =
+    !isNew &&
+    before !== undefined &&
+    known?.isComplete === false &&
+    report.workspaceCount !== undefined;
+  return [...report.used]
+    .filter(([workspace]) => !mayBeOld || before.has(workspace))
+    .map(([workspace, total]) => ({ workspace, amount: total - (before?.get(workspace) ?? 0) }));
 }
 
 /** Formats the key of one incarnation of a gateway. */
-function formatLifeKey({ address, life }: PeerReport): string {
+function formatLifeKey({ address, life }: { address: string; life: string }): string {
   return `${address} ${life}`;
 }
 
+/** Hashes the key of one incarnation of a gateway, as relayed reports name their sender. */
+export function hashLifeKey(sender: { address: string; life: string }): number {
+  return rendezvous.hashText(formatLifeKey(sender));
+}
+
 /**
  * Applies a report; returns the usage that it adds.
  *
@@ -133,6 +171,8 @@
   }
   const { life, sequence, processorPercent, configurationVersion, failureDomain = '' } = report;
   const used = known?.life === life ? new Map([...known.used, ...report.used]) : report.used;
+  const wasComplete = known?.life === life && known.isComplete;
+  view.addressByKey.set(hashLifeKey(report), report.address);
   const isSameVersion = known?.life === life && known.configurationVersion === configurationVersion;
   view.byAddress.set(report.address, {
     life,
@@ -143,10 +183,33 @@
     configurationVersion,
     versionReportedMs: isSameVersion ? known.versionReportedMs : now,
     failureDomain,
+    isComplete: wasComplete || used.size >= (report.workspaceCount ?? Infinity),
   });
   return increases;
 }
 
+/** Maximum age of relayed reports, ms; peers stay reachable for at least this time. */
+const MAX_RELAYED_AGE_MS = 1000;
+
+/**
+ * Applies a report that another gateway has passed on; returns the usage that it adds.
+ *
+ * Only a newer report of a known incarnation counts: an older total never replaces a newer one, and
+ * no peer is added that this gateway has not heard itself. The sender counts as heard when the
+ * other gateway heard it, so that it does not look alive for longer than to that one.
+ */
+export function applyRelayed(view: PeerView, relayed: RelayedReport, now: number): UsageIncrease[] {
+  const { sender, ageMs } = relayed;
+  const address = view.addressByKey.get(sender) ?? '';
+  const known = view.byAddress.get(address);
+  const isKnown = known !== undefined && hashLifeKey({ address, life: known.life }) === sender;
+  if (!isKnown || ageMs > MAX_RELAYED_AGE_MS || relayed.sequence <= known.sequence) {
+    return [];
+  }
+  const report = { ...known, ...relayed, address, peers: [] };
+  return applyReport(view, report, Math.max(now - ageMs, known.heardMs));
+}
+
 /** Returns whether the last report of a peer came from the given incarnation. */
 export function isKnownLife(view: PeerView, address: string, life: string): boolean {
   return view.byAddress.get(address)?.life === life;
@@ -157,6 +220,9 @@
   [...view.byAddress]
     .filter(([, peer]) => now - peer.heardMs > UNREACHABLE_PEER_RETENTION_MS)
     .forEach(([address]) => view.byAddress.delete(address));
+  [...view.addressByKey]
+    .filter(([, address]) => !view.byAddress.has(address))
+    .forEach(([key]) => view.addressByKey.delete(key));
   [...view.departed]
     .filter(([, leftMs]) => now - leftMs > UNREACHABLE_PEER_RETENTION_MS)
     .forEach(([life]) => view.departed.delete(life));
--- a/packages/gateway/src/domain-traffic.ts
+++ b/packages/gateway/src/domain-traffic.ts
@@ -10,7 +10,10 @@
 /** Amounts within the failure domain of the gateway and to or from others. */
 export type DomainCount = { own: number; other: number };
 
-export type PeerCause = NonNullable<schema.PeerMessage['content']['case']>;
+type MessageCase = NonNullable<schema.PeerMessage['content']['case']>;
+
+/** Reports that are passed on count as reports. */
+export type PeerCause = Exclude<MessageCase, 'relayed'>;
 
 export type DomainTraffic = {
   peerBytes: Record<PeerCause, DomainCount>;
@@ -33,6 +36,16 @@
   count[isOwnDomain ? 'own' : 'other'] += amount;
 }
 
+/** Adds the bytes of a datagram to another gateway to the counts. */
+export function countDatagram(
+  { peerBytes }: DomainTraffic,
+  isOwnDomain: boolean,
+  message: MessageCase,
+  bytes: number,
+): void {
+  addAmount(peerBytes[message === 'relayed' ? 'report' : message], isOwnDomain, bytes);
+}
+
 /** Adds the bodies of a request and of its response to the counts as they are transferred. */
 export function countBodies(
   { requestBytes }: DomainTraffic,
--- a/packages/gateway/src/peer-task.ts
+++ b/packages/gateway/src/peer-task.ts
@@ -10,6 +10,8 @@
 import * as schema from '@toucanproxy/schema';
 import * as domainTraffic from './domain-traffic.js';
 import type * as gatewaySettings from './gateway-settings.js';
+import * as reportGroups from './report-groups.js';
+import * as reportRelay from './report-relay.js';
 import * as reportRounds from './report-rounds.js';
 
 export type PeerTask = {
@@ -49,9 +51,9 @@
 /** Time after its start for which a gateway sends its peer list to newly learned peers, ms. */
 const NEW_GATEWAY_MS = 3000;
 
-type PeerState = {
+export type PeerState = {
   options: PeerTaskOptions;
-  socket: dgram.Socket;
+  socket: Pick<dgram.Socket, 'send'>;
   receiver: ScheduleReceiver | undefined;
   /** Address of this gateway. */
   ownAddress: string;
@@ -61,6 +63,7 @@
   isLeaving: boolean;
   /** Gateways that were sent the whole peer list. */
   peerListSentTo: Set<string>;
+  groups: reportGroups.GroupReports;
 };
 
 /** Lists all addresses that a report may be sent to. */
@@ -72,12 +75,12 @@
 
 /** Builds the current report, with a selection of the reachable peers. */
 function buildReport(
-  { options, ownAddress, sequence, isLeaving }: PeerState,
+  { options, ownAddress, sequence, isLeaving }: Omit<PeerState, 'groups'>,
   round: number,
   peers: string[],
+  used = gateway.listUse(options.state.quotas, Infinity),
 ): schema.GatewayReport {
   const { state } = options;
-  const used = gateway.listUse(state.quotas, Infinity);
   return schema.create(schema.GatewayReportSchema, {
     address: ownAddress,
     life: state.life,
@@ -94,6 +97,7 @@
     processorPercent: state.processorPercent,
     configurationVersion: state.index?.configuration.version ?? 0,
     failureDomain: state.failureDomain,
+    workspaceCount: state.quotas.buckets.size,
   });
 }
 
@@ -109,13 +113,13 @@
 ): void {
   if (cause !== undefined) {
     const isOwnDomain = gateway.findPeerDomain(state.peers, address) === state.failureDomain;
-    domainTraffic.addAmount(traffic.peerBytes[cause], isOwnDomain, bytes);
+    domainTraffic.countDatagram(traffic, isOwnDomain, cause, bytes);
   }
 }
 
 /** Sends one datagram. */
 function sendMessage(
-  { options, socket }: PeerState,
+  { options, socket }: Pick<PeerState, 'options' | 'socket'>,
   address: string,
   content: schema.PeerMessage['content'],
 ): void {
@@ -142,14 +146,19 @@
 }
 
 /** Sends a report to the peers of the current round. */
-function sendReport(peer: PeerState): void {
+export function sendReport(peer: PeerState): void {
   peer.sequence += 1;
   const { sequence, options } = peer;
   const addresses = listAddresses(peer);
   const round = reportRounds.computeContentRound(sequence, addresses.length, gateway.MAX_FAN_OUT);
   const reachable = gateway.listReachablePeers(options.state.peers, options.readNow());
   const peers = reportRounds.pickForRound(reachable, round, MAX_PEERS);
-  const content = { case: 'report', value: buildReport(peer, round, peers) } as const;
+  const full = buildReport(peer, round, peers);
+  const { isLeaving } = peer;
+  if (reportGroups.sendRound(peer.groups, { sequence, isLeaving, addresses, full })) {
+    return;
+  }
+  const content = { case: 'report', value: full } as const;
   reportRounds
     .pickForRound(addresses, sequence, gateway.MAX_FAN_OUT)
     .forEach((address) => sendMessage(peer, address, content));
@@ -177,7 +186,7 @@
 }
 
 /** Sends the peer list to gateways that this one has only learned of, while it has just started. */
-function sendPeerListToNew(peer: PeerState, addresses: readonly string[]): void {
+export function sendPeerListToNew(peer: PeerState, addresses: readonly string[]): void {
   const isNew = peer.options.readNow() - peer.startedMs < NEW_GATEWAY_MS;
   if (isNew) {
     addresses
@@ -200,6 +209,7 @@
     processorPercent: received.processorPercent,
     configurationVersion: received.configurationVersion,
     failureDomain: received.failureDomain,
+    workspaceCount: received.workspaceCount,
     peers,
   };
   const isNewLife = !leaving && !gateway.isKnownLife(state.peers, address, life);
@@ -210,6 +220,7 @@
   peers
     .filter((indirect) => indirect !== peer.ownAddress)
     .forEach((indirect) => gateway.addIndirectPeer(state.peers, indirect, now));
+  reportGroups.handleReport(peer.groups, received, isNewLife, () => listAddresses(peer));
   if (isNewLife) {
     sendPeerList(peer, address);
   }
@@ -217,12 +228,15 @@
 }
 
 /** Handles one datagram. */
-function receiveMessage(peer: PeerState, bytes: Uint8Array): void {
+export function receiveMessage(peer: PeerState, bytes: Uint8Array): void {
   const { content } = schema.fromBinary(schema.PeerMessageSchema, bytes);
   switch (content.case) {
     case 'report':
       receiveReport(peer, content.value);
       return;
+    case 'relayed':
+      reportRelay.applyRelayed(peer.options.state, content.value, peer.options.readNow());
+      return;
     case 'ask':
       peer.receiver?.receiveAsk(content.value);
       return;
@@ -234,11 +248,12 @@
   }
 }
 
-/** Opens the socket and starts sending periodic reports. */
-export function startPeerTask(options: PeerTaskOptions): PeerTask {
-  const { host, port } = options.listen;
-  const socket = dgram.createSocket('udp4');
-  const peer: PeerState = {
+/** Creates the state of a task that has sent nothing yet. */
+export function createPeer(
+  options: PeerTaskOptions,
+  socket: Pick<dgram.Socket, 'send'>,
+): PeerState {
+  const peer = {
     options,
     socket,
     receiver: undefined,
@@ -246,8 +261,22 @@
     startedMs: options.readNow(),
     sequence: 0,
     isLeaving: false,
-    peerListSentTo: new Set(),
+    peerListSentTo: new Set<string>(),
   };
+  const groups = reportGroups.createGroupReports({
+    state: options.state,
+    readNow: options.readNow,
+    send: (address, content) => sendMessage(peer, address, content),
+    build: (round, peers, used) => buildReport(peer, round, peers, used),
+  });
+  return Object.assign(peer, { groups });
+}
+
+/** Opens the socket and starts sending periodic reports. */
+export function startPeerTask(options: PeerTaskOptions): PeerTask {
+  const { host, port } = options.listen;
+  const socket = dgram.createSocket('udp4');
+  const peer = createPeer(options, socket);
   socket.on('error', (error) => options.reportProblem(error.message));
   socket.on('message', (bytes) => {
     try {
