Encode passed on reports in less bytes and apply them in place

With 300 gateways a gateway applies some 500 passed on totals a second. Each copied the record of its sender and hashed its name, totals took eight bytes each, and a report was encoded anew for each receiver. Totals are now numbers of variable length, records are changed in place, and a datagram is encoded once.

--- a/packages/core/src/gateway/peer-view.ts
+++ b/packages/core/src/gateway/peer-view.ts
@@ -57,8 +57,8 @@
 
 export type PeerView = {
   byAddress: Map<string, Peer>;
-  /** Addresses of peers by the hash of address and incarnation. */
-  addressByKey: Map<number, string>;
+  /** Peers by the hash of address and incarnation. */
+  incarnationByKey: Map<number, { address: string; life: string }>;
   /** When each gateway was last named in a peer's report; it is sent reports too. */
   indirectPeers: Map<string, number>;
   /** When each incarnation announced that it is leaving. */
@@ -97,7 +97,7 @@
 export function createPeerView(): PeerView {
   return {
     byAddress: new Map(),
-    addressByKey: new Map(),
+    incarnationByKey: new Map(),
     indirectPeers: new Map(),
     departed: new Map(),
     revision: 0,
@@ -119,7 +119,10 @@
  * Reports carry a part of the totals. Until all totals of a peer that has run for long are known,
  * one that is reported for the first time may be just as old, and adds nothing.
  */
-function listIncreases(known: Peer | undefined, report: PeerReport): UsageIncrease[] {
+function listIncreases(
+  known: Peer | undefined,
+  report: Pick<PeerReport, 'life' | 'sequence' | 'used' | 'workspaceCount'>,
+): UsageIncrease[] {
   const isNew = report.sequence * REPORT_MS <= NEW_PEER_MS;
   if (known === undefined && !isNew) {
     return [];
@@ -172,7 +175,9 @@
   const { life, sequence, processorPercent, configurationVersion, failureDomain = '' } = report;
   const used = known?.life === life ? new Map([...known.used, ...report.used]) : report.used;
   const wasComplete = known?.life === life && known.isComplete;
-  view.addressByKey.set(hashLifeKey(report), report.address);
+  if (known?.life !== life) {
+    view.incarnationByKey.set(hashLifeKey(report), { address: report.address, life });
+  }
   const isSameVersion = known?.life === life && known.configurationVersion === configurationVersion;
   view.byAddress.set(report.address, {
     life,
@@ -199,15 +204,22 @@
  * other gateway heard it, so that it does not look alive for longer than to that one.
  */
 export function applyRelayed(view: PeerView, relayed: RelayedReport, now: number): UsageIncrease[] {
-  const { sender, ageMs } = relayed;
-  const address = view.addressByKey.get(sender) ?? '';
+  const { sender, sequence, ageMs, workspaceCount, used } = relayed;
+  const { address, life } = view.incarnationByKey.get(sender) ?? { address: '', life: '' };
   const known = view.byAddress.get(address);
-  const isKnown = known !== undefined && hashLifeKey({ address, life: known.life }) === sender;
-  if (!isKnown || ageMs > MAX_RELAYED_AGE_MS || relayed.sequence <= known.sequence) {
+  if (known?.life !== life || ageMs > MAX_RELAYED_AGE_MS || sequence <= known.sequence) {
     return [];
   }
-  const report = { ...known, ...relayed, address, peers: [] };
-  return applyReport(view, report, Math.max(now - ageMs, known.heardMs));
+  const heardMs = Math.max(now - ageMs, known.heardMs);
+  if (relayed.leaving) {
+    return applyReport(view, { ...known, ...relayed, address, peers: [] }, heardMs);
+  }
+  const increases = listIncreases(known, { life, sequence, workspaceCount, used });
+  used.forEach((total, workspace) => known.used.set(workspace, total));
+  known.sequence = sequence;
+  known.heardMs = heardMs;
+  known.isComplete ||= known.used.size >= (workspaceCount ?? Infinity);
+  return increases;
 }
 
 /** Returns whether the last report of a peer came from the given incarnation. */
@@ -220,9 +232,9 @@
   [...view.byAddress]
     .filter(([, peer]) => now - peer.heardMs > UNREACHABLE_PEER_RETENTION_MS)
     .forEach(([address]) => view.byAddress.delete(address));
-  [...view.addressByKey]
-    .filter(([, address]) => !view.byAddress.has(address))
-    .forEach(([key]) => view.addressByKey.delete(key));
+  [...view.incarnationByKey]
+    .filter(([, { address, life }]) => view.byAddress.get(address)?.life !== life)
+    .forEach(([key]) => view.incarnationByKey.delete(key));
   [...view.departed]
     .filter(([, leftMs]) => now - leftMs > UNREACHABLE_PEER_RETENTION_MS)
     .forEach(([life]) => view.departed.delete(life));
--- a/packages/gateway/src/peer-task.ts
+++ b/packages/gateway/src/peer-task.ts
@@ -117,20 +117,22 @@
   }
 }
 
-/** Sends one datagram. */
+/** Sends the same datagram to some gateways. */
 function sendMessage(
   { options, socket }: Pick<PeerState, 'options' | 'socket'>,
-  address: string,
+  addresses: readonly string[],
   content: schema.PeerMessage['content'],
 ): void {
   const message = schema.create(schema.PeerMessageSchema, { content });
-  const [host, port] = address.split(':');
   const bytes = schema.toBinary(schema.PeerMessageSchema, message);
-  countSent(options, address, content.case, bytes.length);
-  socket.send(bytes, Number(port), host, (error) => {
-    if (error !== null) {
-      options.reportProblem(error.message);
-    }
+  addresses.forEach((address) => {
+    const [host, port] = address.split(':');
+    countSent(options, address, content.case, bytes.length);
+    socket.send(bytes, Number(port), host, (error) => {
+      if (error !== null) {
+        options.reportProblem(error.message);
+      }
+    });
   });
 }
 
@@ -141,7 +143,7 @@
       message.kind === 'ask'
         ? { case: message.kind, value: message.ask }
         : { case: message.kind, value: message.reply };
-    sendMessage(peer, message.to, content);
+    sendMessage(peer, [message.to], content);
   });
 }
 
@@ -159,9 +161,8 @@
     return;
   }
   const content = { case: 'report', value: full } as const;
-  reportRounds
-    .pickForRound(addresses, sequence, gateway.MAX_FAN_OUT)
-    .forEach((address) => sendMessage(peer, address, content));
+  const receivers = reportRounds.pickForRound(addresses, sequence, gateway.MAX_FAN_OUT);
+  sendMessage(peer, receivers, content);
 }
 
 /**
@@ -181,7 +182,7 @@
   do {
     const peers = reachable.splice(0, MAX_PEERS_IN_FULL_LIST);
     const content = { case: 'report', value: buildReport(peer, 0, peers) } as const;
-    sendMessage(peer, address, content);
+    sendMessage(peer, [address], content);
   } while (reachable.length > 0);
 }
 
@@ -266,7 +267,7 @@
   const groups = reportGroups.createGroupReports({
     state: options.state,
     readNow: options.readNow,
-    send: (address, content) => sendMessage(peer, address, content),
+    send: (addresses, content) => sendMessage(peer, addresses, content),
     build: (round, peers, used) => buildReport(peer, round, peers, used),
   });
   return Object.assign(peer, { groups });
--- a/packages/gateway/src/report-groups.ts
+++ b/packages/gateway/src/report-groups.ts
@@ -13,7 +13,7 @@
 export type GroupReports = {
   state: gateway.GatewayState;
   readNow: () => number;
-  send: (address: string, content: schema.PeerMessage['content']) => void;
+  send: (addresses: readonly string[], content: schema.PeerMessage['content']) => void;
   /** Builds a report with the given peers and totals; `round` selects some if there are many. */
   build: (round: number, peers: string[], used: UseTotal[]) => schema.GatewayReport;
   useChanges: gateway.UseChanges;
@@ -80,9 +80,9 @@
 
 /** Passes the reports of gateways of other groups on to the own group. */
 function sendRelayed({ queue, readNow, send }: GroupReports, near: readonly string[]): void {
-  reportRelay.takeRelayed(queue, readNow()).forEach((value) => {
-    near.forEach((address) => send(address, { case: 'relayed', value }));
-  });
+  reportRelay
+    .takeRelayed(queue, readNow())
+    .forEach((value) => send(near, { case: 'relayed', value }));
 }
 
 /** Sends the reports of a round that follows a plan with groups. */
@@ -104,14 +104,13 @@
   };
   const nearUse = gateway.listChangedUse(useChanges, all, now - NEAR_CHANGED_MS);
   const nearReport = build(sequence, peers, addUnchanged(nearUse));
-  near.forEach((address) => send(address, { case: 'report', value: nearReport }));
+  send(near, { case: 'report', value: nearReport });
   const relaySinceMs = now - 2 * relayMs - RELAY_MARGIN_MS;
   const relayUse = gateway.listChangedUse(useChanges, all, relaySinceMs);
   const relayReport = { ...build(turn, peers, addUnchanged(relayUse)), relay: true };
-  relays.forEach((address) => send(address, { case: 'report', value: relayReport }));
-  reportRounds
-    .pickForRound(unknown, sequence, gateway.MAX_FAN_OUT)
-    .forEach((address) => send(address, { case: 'report', value: full }));
+  send(relays, { case: 'report', value: relayReport });
+  const rotated = reportRounds.pickForRound(unknown, sequence, gateway.MAX_FAN_OUT);
+  send(rotated, { case: 'report', value: full });
 }
 
 /**
--- a/packages/gateway/src/report-relay.ts
+++ b/packages/gateway/src/report-relay.ts
@@ -19,6 +19,8 @@
 const REPORT_BYTES = 32;
 const AMOUNT_BYTES = 11;
 const NAME_BYTES = 3;
+/** Unit of the upper part of a total. */
+const HIGH_UNIT = 2 ** 32;
 
 /** Adds a report to the queue if its sender asks for that. */
 export function enqueueReport(
@@ -64,6 +66,23 @@
   return parts;
 }
 
+/** Encodes totals; as numbers of variable length they take half the bytes of other numbers. */
+function encodeAmounts(
+  totals: readonly number[],
+): Pick<schema.RelayedReport, 'amounts' | 'amountsHigh'> {
+  const rounded = totals.map((total) => Math.max(Math.round(total), 0));
+  const high = rounded.map((total) => Math.floor(total / HIGH_UNIT));
+  return {
+    amounts: rounded.map((total) => total % HIGH_UNIT),
+    amountsHigh: high.some((one) => one > 0) ? high : [],
+  };
+}
+
+/** Decodes one of the totals of a report. */
+function decodeAmount({ amounts, amountsHigh }: schema.RelayedReport, at: number): number {
+  return amounts[at] + (amountsHigh[at] ?? 0) * HIGH_UNIT;
+}
+
 /** Encodes the reports of one datagram. */
 function buildPart(part: readonly PendingReport[], now: number): schema.RelayedReports {
   const workspaces = [
@@ -78,7 +97,7 @@
       ageMs: Math.round(now - receivedMs),
       workspaceCount: report.workspaceCount,
       workspaces: report.used.map(({ workspace }) => indexes.get(workspace) ?? 0),
-      amounts: report.used.map(({ amount }) => amount),
+      ...encodeAmounts(report.used.map(({ amount }) => amount)),
     }),
   );
   return schema.create(schema.RelayedReportsSchema, { workspaces, reports });
@@ -99,7 +118,7 @@
 ): void {
   reports.forEach((report) => {
     const used = new Map(
-      report.workspaces.map((index, at) => [workspaces[index], report.amounts[at]]),
+      report.workspaces.map((index, at) => [workspaces[index], decodeAmount(report, at)]),
     );
     gateway
       .applyRelayed(peers, { ...report, workspaceCount: report.workspaceCount, used }, now)
