--- a/packages/core/src/gateway/cell-servers.ts
+++ b/packages/core/src/gateway/cell-servers.ts
@@ -71,6 +71,7 @@
     maxPauseMs: state.index?.maxPauseByService.get(service) ?? Infinity,
     placeShare: pendingAsks.chooseScheduler(state, cellName, now).placeShare,
     reachableShare: computeReachableShare(state, now),
+    toleratedDomainLosses: state.bounds.toleratedDomainLosses,
     hasPeers: state.peers.byAddress.size > 0,
     warmUp,
     recentEntries: listRecentEntries(known, now),
--- a/packages/core/src/scheduler/scheduler.ts
+++ b/packages/core/src/scheduler/scheduler.ts
@@ -174,7 +174,9 @@
   const isBounded = servers.warmUp !== undefined;
   const { drawRandom } = scheduler;
   const deferred = new Set<number>();
-  const search = { cell, candidates: all, tokensPerEvent, maxPauseMs, deferred, drawRandom, now };
+  const keepsDomains = (servers.toleratedDomainLosses ?? 0) > 0;
+  const limits = { tokensPerEvent, maxPauseMs, keepsDomains };
+  const search = { cell, candidates: all, ...limits, deferred, drawRandom, now };
   const decisions: SchedulingDecision[] = [];
   let { taken } = count;
   let match = taken < count.usable ? requestMatch.findNextMatch(search) : undefined;
--- a/packages/gateway/src/app.ts
+++ b/packages/gateway/src/app.ts
@@ -8,6 +8,7 @@
 import * as clocks from './clocks.js';
 import * as decisionLog from './decision-log.js';
 import * as eventLoop from './event-loop.js';
+import * as domainTraffic from './domain-traffic.js';
 import * as gatewayMetrics from './gateway-metrics.js';
 import type * as gatewaySettings from './gateway-settings.js';
 import * as gatewayTask from './gateway-task.js';
@@ -69,6 +70,7 @@
 /** Builds the limits that the core bases its decisions on. */
 function buildBounds(settings: gatewaySettings.GatewaySettings): gateway.GatewayBounds {
   const { revocationMs, quotaTolerance, retryRatio, retryExtra, warmUpTolerance } = settings;
+  const { toleratedDomainLosses } = settings;
   return {
     leaseMs: revocationMs === undefined ? Infinity : revocationMs * LEASE_SHARE,
     entryReturnMs: ENTRY_RETURN_MS,
@@ -80,6 +82,7 @@
     retryPercent: retryRatio * RETRY_BUDGET_SHARE * PERCENT,
     retryExtra: retryExtra * RETRY_BUDGET_SHARE,
     warmUpTolerance,
+    toleratedDomainLosses,
   };
 }
 
@@ -98,7 +101,14 @@
 /** Starts the operator servers: one for the load balancer, and one for metrics if configured. */
 function startOperatorServers(
   { settings }: GatewayOptions,
-  { state, readClocks, metrics, storeStatus, unknown }: ReturnType<typeof createComponents>,
+  {
+    state,
+    readClocks,
+    metrics,
+    storeStatus,
+    unknown,
+    traffic,
+  }: ReturnType<typeof createComponents>,
 ): Promise<runtime.OperatorServer[]> {
   const addresses = [settings.operators, settings.metrics].filter(
     (address) => address !== undefined,
@@ -108,7 +118,10 @@
       runtime.startOperatorServer({
         ...address,
         renderMetrics: metrics.render,
-        describeStatus: () => status.describeStatus(state, storeStatus, unknown, readClocks()),
+        describeStatus: () => ({
+          ...status.describeStatus(state, storeStatus, unknown, readClocks()),
+          traffic,
+        }),
         isReady: () => isReady(state, readClocks),
         readinessPath: settings.readinessPath,
       }),
@@ -163,11 +176,13 @@
     clocks.readSteadyMs(),
   );
   const log = decisionLog.createDecisionLog(logger);
-  const metrics = gatewayMetrics.createGatewayMetrics(state, clocks.readSteadyMs);
+  const traffic = domainTraffic.createDomainTraffic();
+  const metrics = gatewayMetrics.createGatewayMetrics(state, clocks.readSteadyMs, traffic);
   const noteDelay = loadReports.createDelayObserver({ state, log, metrics });
   const loop = eventLoop.startEventLoop(clocks.readSteadyMs, noteDelay);
   return {
     state,
+    traffic,
     protocol,
     eventLoop: loop,
     connections: backendConnections.createBackendConnections(loop.runWhenPolled),
@@ -191,6 +206,7 @@
     listen: settings.peerListen,
     seeds: settings.peerSeeds,
     state,
+    traffic: components.traffic,
     readNow: clocks.readSteadyMs,
     reportProblem,
   });
--- a/packages/gateway/src/attempt-sending.ts
+++ b/packages/gateway/src/attempt-sending.ts
@@ -4,6 +4,7 @@
 import * as backendAttempt from './backend-attempt.js';
 import * as callerExchange from './caller-exchange.js';
 import * as gatewayMetrics from './gateway-metrics.js';
+import * as domainTraffic from './domain-traffic.js';
 import type * as heldRequest from './held-request.js';
 import * as outgoingRequest from './outgoing-request.js';
 import * as requestEnding from './request-ending.js';
@@ -130,6 +131,8 @@
     return;
   }
   requestReports.reportSent(task, held, server, scheduler);
+  const isOwnDomain = server.failureDomain === task.state.failureDomain;
+  domainTraffic.addAmount(task.traffic.placements, isOwnDomain, 1);
   if (request.sends === 1) {
     task.metrics.recordWait(request.urgency, request.sentMs - request.arrivedMs);
   }
@@ -157,9 +160,10 @@
     },
   });
   const connection = task.connections.take(server.address);
+  const outgoing = outgoingRequest.buildOutgoingRequest(task.protocol, held, server, readNow());
   held.attempt = backendAttempt.startAttempt(
     connection,
-    outgoingRequest.buildOutgoingRequest(task.protocol, held, server, readNow()),
-    listener,
+    outgoing,
+    domainTraffic.countBodies(task.traffic, isOwnDomain, outgoing.body, listener),
   );
 }
--- a/packages/gateway/src/gateway-metrics.ts
+++ b/packages/gateway/src/gateway-metrics.ts
@@ -2,6 +2,7 @@
 import * as gateway from '@toucanproxy/core/gateway';
 import * as runtime from '@toucanproxy/runtime';
 import * as schema from '@toucanproxy/schema';
+import * as domainTraffic from './domain-traffic.js';
 
 /** Why a request was withdrawn before its first byte was sent. */
 export enum WithdrawalReason {
@@ -107,6 +108,7 @@
 export function createGatewayMetrics(
   state: gateway.GatewayState,
   readSteadyMs: () => number,
+  traffic: domainTraffic.DomainTraffic,
 ): GatewayMetrics {
   const metrics = runtime.createMetrics();
   return {
@@ -122,6 +124,10 @@
     recordShed: () =>
       runtime.addCount(metrics, 'requests_shed_total', { reason: 'gateway-overloaded' }),
     recordWithdrawal: (reason) => runtime.addCount(metrics, 'requests_withdrawn_total', { reason }),
-    render: () => runtime.renderMetrics(metrics, Date.now(), listSamples(state, readSteadyMs())),
+    render: () =>
+      runtime.renderMetrics(metrics, Date.now(), [
+        ...listSamples(state, readSteadyMs()),
+        ...domainTraffic.listTrafficSamples(traffic),
+      ]),
   };
 }
--- a/packages/gateway/src/peer-task.ts
+++ b/packages/gateway/src/peer-task.ts
@@ -8,7 +8,10 @@
 import * as dgram from 'node:dgram';
 import * as gateway from '@toucanproxy/core/gateway';
 import * as schema from '@toucanproxy/schema';
+import * as domainTraffic from './domain-traffic.js';
 import type * as gatewaySettings from './gateway-settings.js';
+import * as reportGroups from './report-groups.js';
+import * as reportRelay from './report-relay.js';
 import * as reportRounds from './report-rounds.js';
 
 export type PeerTask = {
@@ -28,6 +31,7 @@
   listen: gatewaySettings.ListenAddress;
   seeds: string[];
   state: gateway.GatewayState;
+  traffic: domainTraffic.DomainTraffic;
   readNow: () => number;
   reportProblem: (reason: string) => void;
 };
@@ -47,9 +51,9 @@
 /** Time after its start for which a gateway sends its peer list to newly learned peers, ms. */
 const NEW_GATEWAY_MS = 3000;
 
-type PeerState = {
+export type PeerState = {
   options: PeerTaskOptions;
-  socket: dgram.Socket;
+  socket: Pick<dgram.Socket, 'send'>;
   receiver: ScheduleReceiver | undefined;
   /** Address of this gateway. */
   ownAddress: string;
@@ -59,6 +63,7 @@
   isLeaving: boolean;
   /** Gateways that were sent the whole peer list. */
   peerListSentTo: Set<string>;
+  groups: reportGroups.GroupReports;
 };
 
 /** Lists all addresses that a report may be sent to. */
@@ -70,12 +75,12 @@
 
 /** Builds the current report, with a selection of the reachable peers. */
 function buildReport(
-  { options, ownAddress, sequence, isLeaving }: PeerState,
+  { options, ownAddress, sequence, isLeaving }: Omit<PeerState, 'groups'>,
   round: number,
   peers: string[],
+  used = gateway.listUse(options.state.quotas, Infinity),
 ): schema.GatewayReport {
   const { state } = options;
-  const used = gateway.listUse(state.quotas, Infinity);
   return schema.create(schema.GatewayReportSchema, {
     address: ownAddress,
     life: state.life,
@@ -92,21 +97,43 @@
     processorPercent: state.processorPercent,
     loadPercent: gateway.computeLoadPercent(state.load),
     configurationVersion: state.index?.configuration.version ?? 0,
+    failureDomain: state.failureDomain,
+    workspaceCount: state.quotas.buckets.size,
   });
 }
 
-/** Sends one datagram. */
-function sendMessage(
-  { options, socket }: PeerState,
+/**
+ * Counts the bytes of a datagram. A peer that has not reported its failure domain counts as being
+ * in another one.
+ */
+function countSent(
+  { state, traffic }: PeerTaskOptions,
   address: string,
+  cause: schema.PeerMessage['content']['case'],
+  bytes: number,
+): void {
+  if (cause !== undefined) {
+    const isOwnDomain = gateway.findPeerDomain(state.peers, address) === state.failureDomain;
+    domainTraffic.countDatagram(traffic, isOwnDomain, cause, bytes);
+  }
+}
+
+/** Sends the same datagram to some gateways. */
+function sendMessage(
+  { options, socket }: Pick<PeerState, 'options' | 'socket'>,
+  addresses: readonly string[],
   content: schema.PeerMessage['content'],
 ): void {
   const message = schema.create(schema.PeerMessageSchema, { content });
-  const [host, port] = address.split(':');
-  socket.send(schema.toBinary(schema.PeerMessageSchema, message), Number(port), host, (error) => {
-    if (error !== null) {
-      options.reportProblem(error.message);
-    }
+  const bytes = schema.toBinary(schema.PeerMessageSchema, message);
+  addresses.forEach((address) => {
+    const [host, port] = address.split(':');
+    countSent(options, address, content.case, bytes.length);
+    socket.send(bytes, Number(port), host, (error) => {
+      if (error !== null) {
+        options.reportProblem(error.message);
+      }
+    });
   });
 }
 
@@ -117,22 +144,26 @@
       message.kind === 'ask'
         ? { case: message.kind, value: message.ask }
         : { case: message.kind, value: message.reply };
-    sendMessage(peer, message.to, content);
+    sendMessage(peer, [message.to], content);
   });
 }
 
 /** Sends a report to the peers of the current round. */
-function sendReport(peer: PeerState): void {
+export function sendReport(peer: PeerState): void {
   peer.sequence += 1;
   const { sequence, options } = peer;
   const addresses = listAddresses(peer);
   const round = reportRounds.computeContentRound(sequence, addresses.length, gateway.MAX_FAN_OUT);
   const reachable = gateway.listReachablePeers(options.state.peers, options.readNow());
   const peers = reportRounds.pickForRound(reachable, round, MAX_PEERS);
-  const content = { case: 'report', value: buildReport(peer, round, peers) } as const;
-  reportRounds
-    .pickForRound(addresses, sequence, gateway.MAX_FAN_OUT)
-    .forEach((address) => sendMessage(peer, address, content));
+  const full = buildReport(peer, round, peers);
+  const { isLeaving } = peer;
+  if (reportGroups.sendRound(peer.groups, { sequence, isLeaving, addresses, full })) {
+    return;
+  }
+  const content = { case: 'report', value: full } as const;
+  const receivers = reportRounds.pickForRound(addresses, sequence, gateway.MAX_FAN_OUT);
+  sendMessage(peer, receivers, content);
 }
 
 /**
@@ -152,12 +183,12 @@
   do {
     const peers = reachable.splice(0, MAX_PEERS_IN_FULL_LIST);
     const content = { case: 'report', value: buildReport(peer, 0, peers) } as const;
-    sendMessage(peer, address, content);
+    sendMessage(peer, [address], content);
   } while (reachable.length > 0);
 }
 
 /** Sends the peer list to gateways that this one has only learned of, while it has just started. */
-function sendPeerListToNew(peer: PeerState, addresses: readonly string[]): void {
+export function sendPeerListToNew(peer: PeerState, addresses: readonly string[]): void {
   const isNew = peer.options.readNow() - peer.startedMs < NEW_GATEWAY_MS;
   if (isNew) {
     addresses
@@ -180,6 +211,8 @@
     processorPercent: received.processorPercent,
     loadPercent: received.loadPercent,
     configurationVersion: received.configurationVersion,
+    failureDomain: received.failureDomain,
+    workspaceCount: received.workspaceCount,
     peers,
   };
   const isNewLife = !leaving && !gateway.isKnownLife(state.peers, address, life);
@@ -190,6 +223,7 @@
   peers
     .filter((indirect) => indirect !== peer.ownAddress)
     .forEach((indirect) => gateway.addIndirectPeer(state.peers, indirect, now));
+  reportGroups.handleReport(peer.groups, received, isNewLife, () => listAddresses(peer));
   if (isNewLife) {
     sendPeerList(peer, address);
   }
@@ -197,12 +231,15 @@
 }
 
 /** Handles one datagram. */
-function receiveMessage(peer: PeerState, bytes: Uint8Array): void {
+export function receiveMessage(peer: PeerState, bytes: Uint8Array): void {
   const { content } = schema.fromBinary(schema.PeerMessageSchema, bytes);
   switch (content.case) {
     case 'report':
       receiveReport(peer, content.value);
       return;
+    case 'relayed':
+      reportRelay.applyRelayed(peer.options.state, content.value, peer.options.readNow());
+      return;
     case 'ask':
       peer.receiver?.receiveAsk(content.value);
       return;
@@ -214,11 +251,12 @@
   }
 }
 
-/** Opens the socket and starts sending periodic reports. */
-export function startPeerTask(options: PeerTaskOptions): PeerTask {
-  const { host, port } = options.listen;
-  const socket = dgram.createSocket('udp4');
-  const peer: PeerState = {
+/** Creates the state of a task that has sent nothing yet. */
+export function createPeer(
+  options: PeerTaskOptions,
+  socket: Pick<dgram.Socket, 'send'>,
+): PeerState {
+  const peer = {
     options,
     socket,
     receiver: undefined,
@@ -226,8 +264,22 @@
     startedMs: options.readNow(),
     sequence: 0,
     isLeaving: false,
-    peerListSentTo: new Set(),
+    peerListSentTo: new Set<string>(),
   };
+  const groups = reportGroups.createGroupReports({
+    state: options.state,
+    readNow: options.readNow,
+    send: (addresses, content) => sendMessage(peer, addresses, content),
+    build: (round, peers, used) => buildReport(peer, round, peers, used),
+  });
+  return Object.assign(peer, { groups });
+}
+
+/** Opens the socket and starts sending periodic reports. */
+export function startPeerTask(options: PeerTaskOptions): PeerTask {
+  const { host, port } = options.listen;
+  const socket = dgram.createSocket('udp4');
+  const peer = createPeer(options, socket);
   socket.on('error', (error) => options.reportProblem(error.message));
   socket.on('message', (bytes) => {
     try {
--- a/packages/gateway/src/request-reports.ts
+++ b/packages/gateway/src/request-reports.ts
@@ -53,7 +53,7 @@
 
 /** Reports that a request was sent, and which gateway scheduled it. */
 export function reportSent(
-  { log }: ReportDependencies,
+  { state, log }: ReportDependencies,
   { request }: heldRequest.HeldRequest,
   server: gateway.BackendServerEntry,
   scheduler: string,
@@ -71,6 +71,7 @@
     promptTokens: arrived.tokens?.prompt,
     sends,
     version,
+    isOtherDomain: server.failureDomain !== state.failureDomain,
   };
   log.write('sent', line, sentMs);
 }
@@ -116,6 +117,9 @@
       ]),
       leftOut,
       full,
+      isOtherDomain: weighed.some(
+        ({ failureDomain }, rank) => rank === 0 && failureDomain !== request.failureDomain,
+      ),
       // Backend servers that are warming up and cannot be given a request yet.
       heldBack,
       ...(kind === 'declined'
--- a/packages/gateway/src/task-state.ts
+++ b/packages/gateway/src/task-state.ts
@@ -4,6 +4,7 @@
 import type * as clocks from './clocks.js';
 import type * as decisionLog from './decision-log.js';
 import type * as eventLoop from './event-loop.js';
+import type * as domainTraffic from './domain-traffic.js';
 import type * as gatewayMetrics from './gateway-metrics.js';
 import type * as heldRequest from './held-request.js';
 import type * as unknownNames from './unknown-names.js';
@@ -18,6 +19,7 @@
   metrics: gatewayMetrics.GatewayMetrics;
   unknown: unknownNames.UnknownNames;
   eventLoop: eventLoop.EventLoop;
+  traffic: domainTraffic.DomainTraffic;
   sendToPeers: (outgoing: readonly gateway.OutgoingMessage[]) => void;
 };
 
--- a/packages/measure/src/gateway-load/replay-world.ts
+++ b/packages/measure/src/gateway-load/replay-world.ts
@@ -18,6 +18,13 @@
   recentUse?: boolean;
 };
 
+/** Failure domains of a replay: the one of each gateway and each engine, in turn. */
+export type ReplayDomains = {
+  gateways: readonly string[];
+  engines: readonly string[];
+  toleratedDomainLosses: number;
+};
+
 export type ReplayOptions = {
   pattern: loadPattern.LoadPattern;
   knowledge: Knowledge;
@@ -29,6 +36,8 @@
   /** One way between two gateways, milliseconds, and part of the datagrams lost. */
   delayMs: number;
   lossShare: number;
+  /** Absent if all are in one failure domain. */
+  domains?: ReplayDomains;
 };
 
 export type KindResult = { asked: number; inTime: number; late: number; failed: number };
@@ -50,6 +59,9 @@
   calmServed: number[];
   /** Most requests that one engine had at a time. */
   mostAtEngine: number;
+  /** Requests that engines in the failure domain of the gateway got, and those in others. */
+  ownPlacements: number;
+  otherPlacements: number;
 };
 
 /** One caller's request, over its tries. */
@@ -103,6 +115,11 @@
       };
 }
 
+/** Returns the failure domain of a gateway or an engine by its number. */
+function getDomain(domains: readonly string[] | undefined, index: number): string {
+  return domains === undefined ? 'd' : domains[index % domains.length];
+}
+
 /** Builds the configuration: a route for each kind. */
 function buildConfiguration({ slots, pattern }: ReplayOptions): gateway.Configuration {
   const routes = loadPattern.KINDS.map((kind) => ({
@@ -163,12 +180,13 @@
     retryPercent: 16,
     retryExtra: 40,
     warmUpTolerance: { factor: 1, extra: 0 },
+    toleratedDomainLosses: world.options.domains?.toleratedDomainLosses,
   };
   world.starts += 1;
   const identity = {
     address: `10.0.0.${index}:1`,
     life: String(world.starts),
-    failureDomain: 'd',
+    failureDomain: getDomain(world.options.domains?.gateways, index),
     processorPercent: 50,
     seeds: [],
     regionByDomain: new Map<string, string>(),
@@ -179,12 +197,12 @@
     state.index.shareByWorkspace.clear();
   }
   gateway.noteConfirmed(state.lease, readClocks(world));
-  world.engines.forEach(({ id }) => {
+  world.engines.forEach(({ id }, engineIndex) => {
     const entry = {
       id,
       service: SERVICE,
       address: id,
-      failureDomain: 'd',
+      failureDomain: getDomain(world.options.domains?.engines, engineIndex),
       slots: world.options.slots,
       leaving: false,
       bornMs: 1,
@@ -207,6 +225,8 @@
     calmTries: Array.from({ length: gateways }, () => 0),
     calmServed: Array.from({ length: gateways }, () => 0),
     mostAtEngine: 0,
+    ownPlacements: 0,
+    otherPlacements: 0,
   };
 }
 
