Count the wait in the accept queue, and the use of processor time

The event loop accepts one connection in each turn (libuv 1.46 of Node 20), so connections queue behind a stall for many short turns. In a trial with a quarter of a core (25 of each 100 ms) and 2.5 times 140 requests a second for 5 s, new connections waited up to 7 s while the turns stayed below 0.3 s. The first request on such a connection was admitted at once although its caller had left. After a stall, or when connections were accepted in each turn for 50 ms, the wait is now measured by a connection of the process to itself, and counts as waiting time.

Using this wait for the admission was tried and dropped: it refused two thirds of the requests, most of them on open connections that were not delayed.

load_percent is the higher one of the utilization of the event loop and of the processor time that the process may use: in the same trial, the event loop showed 30 % at 85 % of the processor time, as it was paused while it polled.

--- a/packages/core/src/gateway/gateway-load.ts
+++ b/packages/core/src/gateway/gateway-load.ts
@@ -32,9 +32,9 @@
   firstArrivalMs: number | undefined;
   /** By urgency. */
   tiers: Map<number, ArrivedTier>;
-  /** Share of the time in which the event loop was busy, 0 to 1, averaged over seconds. */
+  /** Share of the time or of the processor time that was used, 0 to 1, averaged over seconds. */
   utilization: number;
-  /** The event loop has been busy nearly all the time for seconds. */
+  /** The process has been busy nearly all the time for seconds. */
   isSaturated: boolean;
 };
 
@@ -86,7 +86,7 @@
 /** Urgencies with fewer recent arrivals than this are forgotten. */
 const MIN_ARRIVALS = 0.05;
 
-/** Time over which the utilization of the event loop is averaged, milliseconds. */
+/** Time over which the utilization is averaged, milliseconds. */
 const UTILIZATION_TAU_MS = 2000;
 /** Utilization from which a gateway is saturated, and below which it is so no longer. */
 const SATURATED_UTILIZATION = 0.9;
@@ -110,8 +110,8 @@
 }
 
 /**
- * Records the share of the last `elapsedMs` milliseconds in which the event loop was busy.
- * Returns whether the gateway has become saturated, or is so no longer.
+ * Records the share of the last `elapsedMs` milliseconds in which the process was busy. Returns
+ * whether the gateway has become saturated, or is so no longer.
  */
 export function noteUtilization(load: GatewayLoad, share: number, elapsedMs: number): boolean {
   const weight = 1 - Math.exp(-elapsedMs / UTILIZATION_TAU_MS);
--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -1,9 +1,10 @@
 /** HTTP server for callers; owns their connections. */
 import * as http from 'node:http';
-import type * as net from 'node:net';
-import type * as gateway from '@toucanproxy/core/gateway';
+import * as net from 'node:net';
+import * as gateway from '@toucanproxy/core/gateway';
 import * as runtime from '@toucanproxy/runtime';
 import * as schema from '@toucanproxy/schema';
+import * as acceptDelay from './accept-delay.js';
 import type * as callerExchange from './caller-exchange.js';
 import * as clocks from './clocks.js';
 import type * as gatewaySettings from './gateway-settings.js';
@@ -39,8 +40,10 @@
    * milliseconds.
    */
   openedMs: WeakMap<net.Socket, number>;
+  acceptDelay: acceptDelay.AcceptDelay;
   /** When the server began to listen, milliseconds. */
   listeningMs: number;
+  server: http.Server | undefined;
 };
 
 /**
@@ -100,11 +103,15 @@
 }
 
 /**
- * Records when a new connection may have been opened, if it was accepted after a stall. What its
+ * Records when a new connection may have been opened, if it was accepted late. What its
  * caller sent meanwhile is read in the next turn of the event loop.
  */
 function noteConnection(state: ServerState, socket: net.Socket): void {
-  const unreadMs = computeUnreadMs(state);
+  const stallMs = computeUnreadMs(state);
+  if (state.acceptDelay.noteAccepted(socket, stallMs)) {
+    return;
+  }
+  const unreadMs = Math.max(stallMs, gateway.computeUnreadMs(state.acceptDelay.getDelayMs()));
   if (unreadMs > 0) {
     state.openedMs.set(socket, clocks.readSteadyMs() - unreadMs);
     setImmediate(() => setImmediate(() => state.openedMs.delete(socket)));
@@ -198,6 +205,16 @@
   return server;
 }
 
+/** Opens a connection to the listening socket of this process. */
+function openProbe({ server }: ServerState): net.Socket {
+  const { address, port } = server?.address() as net.AddressInfo;
+  const host = new Map([
+    ['0.0.0.0', '127.0.0.1'],
+    ['::', '::1'],
+  ]).get(address);
+  return net.connect({ host: host ?? address, port });
+}
+
 /** Creates the server; it does not listen yet. */
 export function createCallerServer(options: CallerServerOptions): CallerServer {
   const state: ServerState = {
@@ -205,9 +222,12 @@
     bounds: DEFAULT_BOUNDS,
     isShuttingDown: false,
     openedMs: new WeakMap(),
+    acceptDelay: acceptDelay.startAcceptDelay(() => openProbe(state), clocks.readSteadyMs),
     listeningMs: Infinity,
+    server: undefined,
   };
   const server = createServer(state);
+  state.server = server;
   return {
     listen: async () => {
       state.listeningMs = clocks.readSteadyMs();
@@ -230,6 +250,7 @@
       server.closeIdleConnections();
     },
     stop: () => {
+      state.acceptDelay.stop();
       server.close();
       server.closeAllConnections();
     },
--- a/packages/gateway/src/load-reports.ts
+++ b/packages/gateway/src/load-reports.ts
@@ -11,25 +11,42 @@
 };
 
 const PERCENT = 100;
+const MICROSECONDS_PER_MS = 1000;
 /** Interval at which the utilization of the event loop is read, milliseconds. */
 const UTILIZATION_MS = 500;
 
-/** Creates the function that reads the utilization of the event loop when it is due. */
+/** Reads the processor time that this process has used so far, milliseconds. */
+function readProcessorMs(): number {
+  const { user, system } = process.cpuUsage();
+  return (user + system) / MICROSECONDS_PER_MS;
+}
+
+/**
+ * Creates the function that reads the utilization when it is due: of the event loop, or of the
+ * processor time that the process may use if that is higher. A process whose processor time is
+ * limited may be paused while it polls, which counts as idle time of the event loop.
+ */
 function createUtilizationReader(
-  load: gateway.GatewayLoad,
+  { load, processorPercent }: gateway.GatewayState,
   log: decisionLog.DecisionLog,
 ): (now: number) => void {
   let last = perfHooks.performance.eventLoopUtilization();
-  let lastMs = -Infinity;
+  let lastProcessorMs = readProcessorMs();
+  let lastMs = perfHooks.performance.now();
   return (now) => {
     if (now - lastMs < UTILIZATION_MS) {
       return;
     }
     const current = perfHooks.performance.eventLoopUtilization();
-    const { utilization, active, idle } = perfHooks.performance.eventLoopUtilization(current, last);
+    const { utilization } = perfHooks.performance.eventLoopUtilization(current, last);
+    const processorMs = readProcessorMs();
+    const elapsedMs = now - lastMs;
+    const usableMs = (elapsedMs * processorPercent) / PERCENT;
+    const share = Math.min((processorMs - lastProcessorMs) / usableMs, 1);
     last = current;
+    lastProcessorMs = processorMs;
     lastMs = now;
-    if (gateway.noteUtilization(load, utilization, active + idle)) {
+    if (gateway.noteUtilization(load, Math.max(utilization, share), elapsedMs)) {
       const loadPercent = Math.round(load.utilization * PERCENT);
       log.writeAlways('gateway-saturation', { isSaturated: load.isSaturated, loadPercent });
     }
@@ -38,11 +55,12 @@
 
 /** Creates the function that is called with the delay of a turn of the event loop, milliseconds. */
 export function createDelayObserver({
-  state: { load },
+  state,
   log,
   metrics,
 }: LoadDependencies): (delayMs: number, now: number) => void {
-  const readUtilization = createUtilizationReader(load, log);
+  const { load } = state;
+  const readUtilization = createUtilizationReader(state, log);
   return (delayMs, now) => {
     readUtilization(now);
     metrics.recordLoopDelay(delayMs);
--- a/packages/runtime/src/metric-definitions.ts
+++ b/packages/runtime/src/metric-definitions.ts
@@ -52,7 +52,7 @@
   },
   load_percent: {
     type: MetricType.GAUGE,
-    help: 'Share of the time in which the event loop was busy; 100 if other gateways should schedule.',
+    help: 'Share of the time or processor time that was used; 100 if other gateways should schedule.',
   },
   admitted_share: {
     type: MetricType.GAUGE,
