--- /dev/null
+++ b/packages/gateway/src/accept-delay.test.ts
@@ -0,0 +1,64 @@
+import * as assert from 'node:assert/strict';
+import type * as net from 'node:net';
+import * as nodeTest from 'node:test';
+import * as timers from 'node:timers/promises';
+import * as acceptDelay from './accept-delay.js';
+
+const { test } = nodeTest;
+const PROBE_PORT = 77;
+
+/** Builds a connection between the given ports. */
+function buildSocket(localPort: number, remotePort: number): net.Socket {
+  const socket = {
+    remotePort,
+    address: () => ({ port: localPort }),
+    on: () => {},
+    destroy: () => {},
+  };
+  return socket as unknown as net.Socket;
+}
+
+/** Starts to measure with a clock that the test sets. */
+function startMeasuring() {
+  const clock = { now: 0, probes: 0 };
+  const openProbe = () => {
+    clock.probes += 1;
+    return buildSocket(PROBE_PORT, 1);
+  };
+  const delay = acceptDelay.startAcceptDelay(openProbe, () => clock.now);
+  const accept = (port: number, unreadMs = 0) => delay.noteAccepted(buildSocket(1, port), unreadMs);
+  return { clock, delay, accept };
+}
+
+test('wait of new connections is measured until the queue is empty', async () => {
+  // Guards against requests on queued connections that count as sent when they are accepted.
+  const { clock, delay, accept } = startMeasuring();
+  accept(2);
+  clock.now = 60;
+  assert.equal(accept(3), false);
+  clock.now = 260;
+  assert.equal(delay.getDelayMs(), 200);
+  assert.equal(accept(PROBE_PORT), true);
+  assert.equal(delay.getDelayMs(), 200);
+  await timers.setTimeout(20);
+  assert.equal(delay.getDelayMs(), 0);
+});
+
+test('connections after a stall may have waited since it began', () => {
+  const { clock, delay, accept } = startMeasuring();
+  accept(2, 700);
+  clock.now = 10;
+  accept(3);
+  assert.equal(delay.getDelayMs(), 710);
+});
+
+test('single connections are not measured', async () => {
+  // Guards against connections of the process to itself under normal load.
+  const { clock, delay, accept } = startMeasuring();
+  accept(2);
+  await timers.setTimeout(20);
+  clock.now = 1000;
+  accept(3);
+  assert.equal(clock.probes, 0);
+  assert.equal(delay.getDelayMs(), 0);
+});
