--- a/packages/measure/src/gateway-load/load-pattern.ts
+++ b/packages/measure/src/gateway-load/load-pattern.ts
@@ -1,16 +1,24 @@
 /** Loads under which a service is at its worst, for replays of the gateways' decisions. */
 
+import type * as engineModel from './engine-model.js';
+
 /** One kind of request. */
 export type RequestKind = {
   name: string;
+  /** Mean; all are equal unless `promptSizes` is set. */
   promptTokens: number;
   answerTokens: number;
   targetMs: number;
   urgency: number;
   /** Share of all requests. */
   share: number;
+  /** Log-normal spread of the prompts; absent if all are equal. */
+  promptSizes?: PromptSizes;
 };
 
+/** A log-normal spread: standard deviation of the logarithm, and largest prompt. */
+export type PromptSizes = { sigma: number; maxTokens: number };
+
 /** Something that happens to the fleet at a time. */
 export type FleetEvent =
   | { kind: 'enginesGone'; atMs: number; share: number; forMs: number }
@@ -29,6 +37,12 @@
   /** From when on the worst is over, milliseconds. */
   calmFromMs: number;
   events: FleetEvent[];
+  /** `KINDS` if absent. */
+  kinds?: readonly RequestKind[];
+  /** Slowness of each engine in turn; absent for the usual ones. */
+  slowness?: readonly number[];
+  /** Absent for engines that read prompts without delay for the other requests. */
+  prompts?: engineModel.PromptTraits;
 };
 
 /** The mix of the users' sheets: long, middle and short prompts. */
@@ -59,6 +73,25 @@
   },
 ];
 
+/** Lists the kinds of requests of a pattern. */
+export function listKinds({ kinds }: LoadPattern): readonly RequestKind[] {
+  return kinds ?? KINDS;
+}
+
+/** Draws the prompt of a request, tokens. */
+export function drawPromptTokens(
+  { promptTokens, promptSizes }: RequestKind,
+  draw: () => number,
+): number {
+  if (promptSizes === undefined) {
+    return promptTokens;
+  }
+  const { sigma, maxTokens } = promptSizes;
+  const normal = Math.sqrt(-2 * Math.log(1 - draw())) * Math.cos(2 * Math.PI * draw());
+  const tokens = promptTokens * Math.exp(sigma * normal - sigma ** 2 / 2);
+  return Math.min(Math.max(Math.round(tokens), 1), maxTokens);
+}
+
 /** Requests a second for each engine: what it serves without a wait, and a burst. */
 const CALM = 5;
 const BURST = 16;
@@ -73,7 +106,7 @@
 }
 
 /** Builds a pattern from what differs from a calm load. */
-function buildPattern(name: string, changes: Partial<LoadPattern>): LoadPattern {
+export function buildPattern(name: string, changes: Partial<LoadPattern>): LoadPattern {
   const calm = {
     durationMs: DURATION_MS,
     computeRate: () => CALM,
--- a/packages/measure/src/gateway-load/main.ts
+++ b/packages/measure/src/gateway-load/main.ts
@@ -4,6 +4,7 @@
  * With `--sizes 1,26,68` the worth of the loads before 82 engines by number of gateways.
  */
 import * as util from 'node:util';
+import * as hardLoad from './hard-load.js';
 import * as loadPattern from './load-pattern.js';
 import type * as replayWorld from './replay-world.js';
 import * as replay from './replay.js';
@@ -37,12 +38,14 @@
 const HELP = `npm run measure:gateway -- [--seeds N] [--sizes N,N,...]
   --seeds N     replay each load with N seeds; 5 where it is left out
   --sizes N,... print what is served by as many gateways before ${MANY_ENGINES} engines
+  --hard        print what is on time of prompts of very unequal length
 `;
 
 const { values } = util.parseArgs({
   options: {
     seeds: { type: 'string', default: '5' },
     sizes: { type: 'string' },
+    hard: { type: 'boolean', default: false },
     help: { type: 'boolean', default: false },
   },
 });
@@ -97,6 +100,8 @@
 
 if (values.help) {
   process.stdout.write(HELP);
+} else if (values.hard) {
+  process.stdout.write(hardLoad.formatHardLoads(seeds));
 } else if (values.sizes === undefined) {
   printSources();
 } else {
--- a/packages/measure/src/gateway-load/replay-tally.ts
+++ b/packages/measure/src/gateway-load/replay-tally.ts
@@ -1,8 +1,11 @@
 /** Counts what became of the calls of a replay. */
+import type * as engineModel from './engine-model.js';
 import type * as replayWorld from './replay-world.js';
 
 /** Workspaces that send more than usual; their numbers are the first ones. */
 export const HOT_WORKSPACES = 2;
+/** Callers notice a longer pause between two events, milliseconds. */
+const MAX_PAUSE_MS = 400;
 
 /** Adds to a count of a kind. */
 function addToKind(
@@ -10,7 +13,7 @@
   kind: string,
   field: keyof replayWorld.KindResult,
 ): void {
-  const counts = byKind.get(kind) ?? { asked: 0, inTime: 0, late: 0, failed: 0 };
+  const counts = byKind.get(kind) ?? { asked: 0, inTime: 0, late: 0, failed: 0, paused: 0 };
   counts[field] += 1;
   byKind.set(kind, counts);
 }
@@ -37,9 +40,20 @@
   return nowMs >= options.pattern.calmFromMs;
 }
 
-/** Counts a call whose first event has come. */
-export function noteFirst(world: replayWorld.World, call: replayWorld.Call, atMs: number): void {
-  const isInTime = atMs - call.firstSentMs <= call.kind.targetMs;
+/** Counts a call that was served. */
+export function noteServed(
+  world: replayWorld.World,
+  call: replayWorld.Call,
+  { firstMs, longestPauseMs }: engineModel.EngineRun,
+): void {
+  const sinceSentMs = firstMs - call.firstSentMs;
+  const isInTime = sinceSentMs <= call.kind.targetMs;
   addToResult(world, call, isInTime ? 'inTime' : 'late');
+  if (isInTime && longestPauseMs > MAX_PAUSE_MS) {
+    addToResult(world, call, 'paused');
+  }
+  const times = world.result.firstMs.get(call.kind.name) ?? [];
+  times.push(sinceSentMs);
+  world.result.firstMs.set(call.kind.name, times);
   world.result.quietInTime += Number(isInTime && isQuiet(call));
 }
--- a/packages/measure/src/gateway-load/replay-world.ts
+++ b/packages/measure/src/gateway-load/replay-world.ts
@@ -28,7 +28,14 @@
   lossShare: number;
 };
 
-export type KindResult = { asked: number; inTime: number; late: number; failed: number };
+export type KindResult = {
+  asked: number;
+  inTime: number;
+  late: number;
+  failed: number;
+  /** In time at first, with a pause later that its caller notices. */
+  paused: number;
+};
 
 export type ReplayResult = {
   byKind: Map<string, KindResult>;
@@ -42,6 +49,11 @@
   calmServed: number[];
   /** Most requests that one engine had at a time. */
   mostAtEngine: number;
+  /** Times from the first sending to the first event by kind, milliseconds. */
+  firstMs: Map<string, number[]>;
+  /** Share of the slots in use, summed over the ticks in which calls arrive, and these ticks. */
+  slotsInUse: number;
+  ticks: number;
 };
 
 /** One caller's request, over its tries. */
@@ -49,6 +61,7 @@
   id: string;
   kind: loadPattern.RequestKind;
   workspace: number;
+  promptTokens: number;
   firstSentMs: number;
   tries: number;
   dueMs: number;
@@ -79,8 +92,8 @@
 const SLOWNESS = [1, 1, 4];
 
 /** Builds the configuration: a route for each kind. */
-function buildConfiguration(slots: number): gateway.Configuration {
-  const routes = loadPattern.KINDS.map((kind) => ({
+function buildConfiguration({ slots, pattern }: ReplayOptions): gateway.Configuration {
+  const routes = loadPattern.listKinds(pattern).map((kind) => ({
     name: kind.name,
     hostname: 'h',
     prefix: `/${kind.name}/`,
@@ -138,7 +151,7 @@
     regionByDomain: new Map<string, string>(),
   };
   const state = gateway.createGatewayState(identity, bounds, world.draw, world.nowMs);
-  state.index = gateway.buildConfigurationIndex(buildConfiguration(world.options.slots));
+  state.index = gateway.buildConfigurationIndex(buildConfiguration(world.options));
   gateway.noteConfirmed(state.lease, readClocks(world));
   world.engines.forEach(({ id }) => {
     const entry = {
@@ -167,13 +180,17 @@
     calmTries: Array.from({ length: gateways }, () => 0),
     calmServed: Array.from({ length: gateways }, () => 0),
     mostAtEngine: 0,
+    firstMs: new Map(),
+    slotsInUse: 0,
+    ticks: 0,
   };
 }
 
 /** Creates the fleet of a replay. */
 export function createWorld(options: ReplayOptions): World {
   const draw = proofs.createRandomSource(options.seed);
-  const { delayMs, lossShare } = options;
+  const { delayMs, lossShare, pattern } = options;
+  const slowness = pattern.slowness ?? SLOWNESS;
   const isCut = () => false;
   const world: World = {
     options,
@@ -181,7 +198,12 @@
     network: datagramNetwork.createNetwork({ delayMs, lossShare, drawRandom: draw, isCut }),
     states: [],
     engines: Array.from({ length: options.engines }, (_, index) =>
-      engineModel.createEngine(`engine-${index}`, SLOWNESS[index % SLOWNESS.length], options.slots),
+      engineModel.createEngine(
+        `engine-${index}`,
+        slowness[index % slowness.length],
+        options.slots,
+        pattern.prompts,
+      ),
     ),
     live: new Map(),
     due: [],
--- a/packages/measure/src/gateway-load/replay.ts
+++ b/packages/measure/src/gateway-load/replay.ts
@@ -50,7 +50,7 @@
       path: `/${kind.name}/x`,
       credential: `key-${call.workspace}`,
       deadlineMs: replayWorld.DEADLINE_MS - (world.nowMs - call.firstSentMs),
-      tokens: { prompt: kind.promptTokens, answer: kind.answerTokens },
+      tokens: { prompt: call.promptTokens, answer: kind.answerTokens },
       answerGuess: undefined,
       hashContent: () => call.id,
     },
@@ -96,7 +96,8 @@
     endFailed(world, attemptId, gateway.AttemptFault.FAILED);
     return;
   }
-  const { promptTokens, answerTokens } = live.call.kind;
+  const { promptTokens, kind } = live.call;
+  const { answerTokens } = kind;
   engineModel.addRun(engine, { id: attemptId, promptTokens, answerTokens }, world.nowMs);
   const atEngine = engine.running.length + engine.waiting.length;
   world.result.mostAtEngine = Math.max(world.result.mostAtEngine, atEngine);
@@ -160,9 +161,21 @@
   });
 }
 
+/** Tells the gateways of the first events that have come. */
+function noteFirstEvents(world: replayWorld.World, engine: engineModel.EngineModel): void {
+  engineModel.takeBegun(engine, world.nowMs).forEach((run) => {
+    const live = world.live.get(run.id);
+    if (live !== undefined && world.options.knowledge.firstEvents) {
+      const state = world.states[live.gateway];
+      gateway.noteFirstEvent(state, live.request, run.firstMs - run.startedMs, world.nowMs);
+    }
+  });
+}
+
 /** Ends the runs that are over, and tells the gateways what was seen of them. */
 function endRuns(world: replayWorld.World, engine: engineModel.EngineModel): void {
   const { knowledge } = world.options;
+  noteFirstEvents(world, engine);
   const eventMs = engineModel.computeEventMs(engine);
   engineModel.takeEnded(engine, world.nowMs).forEach((run) => {
     const live = world.live.get(run.id);
@@ -171,13 +184,11 @@
     }
     world.live.delete(run.id);
     const state = world.states[live.gateway];
-    replayTally.noteFirst(world, live.call, run.firstMs);
+    replayTally.noteServed(world, live.call, run);
     world.result.calmServed[live.gateway] += Number(replayTally.isCalm(world));
-    if (knowledge.firstEvents) {
-      gateway.noteFirstEvent(state, live.request, run.firstMs - run.startedMs, world.nowMs);
-    }
     if (knowledge.paces) {
-      gateway.noteUnit(state, live.request, eventMs, world.nowMs);
+      const unitMs = engine.prompts.isChunked ? engineModel.computeMeanEventMs(run) : eventMs;
+      gateway.noteUnit(state, live.request, unitMs, world.nowMs);
     }
     gateway.noteGoodAnswer(state, live.request, world.nowMs);
     gateway.endRequest(state, live.request);
@@ -236,17 +247,20 @@
     left -= 1;
     const luck = world.draw();
     let below = 0;
+    const kinds = loadPattern.listKinds(pattern);
     const kind =
-      loadPattern.KINDS.find(({ share }) => {
+      kinds.find(({ share }) => {
         below += share;
         return luck < below;
-      }) ?? loadPattern.KINDS[0];
+      }) ?? kinds[0];
     const isHot = world.draw() < pattern.hotShare;
     const workspace = Math.floor(
       world.draw() * (isHot ? replayTally.HOT_WORKSPACES : replayWorld.WORKSPACES),
     );
     const id = `c${world.result.quietAsked}-${world.sequence}-${world.draw()}`;
-    const call = { id, kind, workspace, firstSentMs: world.nowMs, tries: 0, dueMs: world.nowMs };
+    const promptTokens = loadPattern.drawPromptTokens(kind, world.draw);
+    const { nowMs } = world;
+    const call = { id, kind, workspace, promptTokens, firstSentMs: nowMs, tries: 0, dueMs: nowMs };
     replayTally.addToResult(world, call, 'asked');
     world.result.quietAsked += Number(replayTally.isQuiet(call));
     world.due.push(call);
@@ -260,6 +274,15 @@
   due.forEach((call) => sendCall(world, call));
 }
 
+/** Adds the slots in use in this tick to their mean over the time in which calls arrive. */
+function noteSlotsInUse({ engines, options, result, nowMs }: replayWorld.World): void {
+  const used = engines.reduce((sum, { running }) => sum + running.length, 0);
+  if (options.pattern.computeRate(nowMs) > 0) {
+    result.ticks += 1;
+    result.slotsInUse += used / (engines.length * options.slots);
+  }
+}
+
 /** Replays a load. */
 export function runReplay(options: replayWorld.ReplayOptions): replayWorld.ReplayResult {
   const world = replayWorld.createWorld(options);
@@ -277,6 +300,7 @@
     }
     advanceAll(world);
     deliverDatagrams(world);
+    noteSlotsInUse(world);
     world.nowMs += TICK_MS;
   }
   return world.result;
