Place requests by the prompts that a backend server has to read

Requests were placed by count, so short ones queued behind long prompts, and the time to the first event was estimated from a fixed prompt speed and one moving average.

Gateways report unread prompt tokens and response tokens with their requests in flight; grants not yet reported count with theirs. The scheduler predicts the first event from the unread tokens ahead, the tokens of the request and the prompt speed of the service, a regression over first events without unread tokens ahead. The moving average now corrects the error of this prediction. A server is not on time for a prompt whose reading would pause its streams. Grants carry the prediction; metrics, status and log lines show it.

--- a/packages/core/src/gateway/ask-messages.ts
+++ b/packages/core/src/gateway/ask-messages.ts
@@ -14,6 +14,7 @@
 import * as schedulerLink from './scheduler-link.js';
 import * as schedulerRanking from './scheduler-ranking.js';
 import * as serverStatements from './server-statements.js';
+import * as workInFlight from './work-in-flight.js';
 
 /** An ask and the address of the scheduler that it is for. */
 export type AddressedAsk = { to: string; ask: schema.ScheduleAsk };
@@ -40,16 +41,30 @@
 const MAX_OBSERVATIONS = 12;
 const MAX_STATEMENTS = 8;
 
-/** Counts this gateway's requests in flight at each backend server of a cell. */
-function listInFlight(
+/** Lists the backend servers of a cell at which this gateway has requests in flight. */
+function listUsedServers(
   state: gatewayState.GatewayState,
   { cell, service }: schedulerLink.SchedulerLink,
   now: number,
-): { serverId: string; requests: number }[] {
+): string[] {
   const { cellByServer } = pendingAsks.getServiceCells(state, service, now);
-  return [...state.inFlight]
-    .filter(([serverId]) => cellByServer.get(serverId) === cell)
-    .map(([serverId, requests]) => ({ serverId, requests }));
+  return [...state.inFlight.keys()].filter((serverId) => cellByServer.get(serverId) === cell);
+}
+
+/** Sums up this gateway's requests in flight at each backend server of a cell. */
+function listInFlight(
+  state: gatewayState.GatewayState,
+  link: schedulerLink.SchedulerLink,
+  now: number,
+): schema.ServerUse[] {
+  const work = workInFlight.countWork(state.requests.values(), now);
+  return listUsedServers(state, link, now).map((serverId) =>
+    schema.create(schema.ServerUseSchema, {
+      serverId,
+      requests: state.inFlight.get(serverId),
+      ...(work.get(serverId) ?? workInFlight.NO_WORK),
+    }),
+  );
 }
 
 /** Lists the statements of a cell's backend servers that are sent to its scheduler. */
@@ -200,7 +215,7 @@
   return (
     ((isUnaccepted || link.unansweredMs !== undefined) && sinceMs >= RESEND_MS) ||
     (link.asks.size > 0 && sinceMs >= WAITING_INTERVAL_MS) ||
-    (sinceMs >= IN_FLIGHT_INTERVAL_MS && listInFlight(state, link, now).length > 0)
+    (sinceMs >= IN_FLIGHT_INTERVAL_MS && listUsedServers(state, link, now).length > 0)
   );
 }
 
--- a/packages/core/src/gateway/assignment.ts
+++ b/packages/core/src/gateway/assignment.ts
@@ -119,6 +119,9 @@
   request.sentWallMs = clocks.wallMs;
   request.sends += 1;
   request.idleFirstMs = idleFirstMs;
+  request.aheadMs = granted.aheadMs;
+  request.predictedFirstMs = granted.predictedFirstMs;
+  request.hasFirstEvent = false;
   request.isRateLimited = isRateLimited;
   gatewayState.addInFlight(state, serverId, 1);
   state.schedulingTotals.grantsUsed += 1;
--- a/packages/core/src/gateway/gateway-request.ts
+++ b/packages/core/src/gateway/gateway-request.ts
@@ -71,6 +71,12 @@
   isRateLimited: boolean;
   /** Predicted time to the first event on an idle backend server, milliseconds. */
   idleFirstMs: number;
+  /** Predicted time in which its backend server reads the prompts ahead of it, milliseconds. */
+  aheadMs: number;
+  /** Predicted time to the first event, milliseconds; 0 if its scheduler does not predict it. */
+  predictedFirstMs: number;
+  /** The first event of the present attempt has arrived: its prompt has been read. */
+  hasFirstEvent: boolean;
   /** Backend servers that could not be used, refused the request or failed it. */
   triedIds: Set<string>;
   /** Number of times that it was sent. */
--- a/packages/core/src/gateway/index.ts
+++ b/packages/core/src/gateway/index.ts
@@ -29,7 +29,10 @@
 export type { BackendServerEntry } from '../shared/backend-server-entry.js';
 export * from '../shared/store-revision.js';
 export {
+  estimateTokensPerMs,
   hasQueuedRequests,
+  parseCellService,
+  countWork,
   type Candidate,
   type Scheduler,
   type SchedulingDecision,
--- a/packages/core/src/gateway/observations.ts
+++ b/packages/core/src/gateway/observations.ts
@@ -28,7 +28,14 @@
   now: number,
 ): void {
   const { FIRST_EVENT } = schema.ServerObservation_Kind;
-  noteRequestObservation(state, request, FIRST_EVENT, ms - request.idleFirstMs, now);
+  const { serverId, service, idleFirstMs, aheadMs, arrived } = request;
+  request.hasFirstEvent = true;
+  if (serverId !== undefined) {
+    const promptTokens = arrived.tokens?.prompt ?? 0;
+    const prompt = { promptTokens, aheadMs, totalMs: ms };
+    const server = { serverId, service };
+    pendingAsks.noteObservation(state, server, FIRST_EVENT, ms - idleFirstMs, now, prompt);
+  }
 }
 
 /** Records the time of one unit of work, an event or a plain response, in milliseconds. */
--- a/packages/core/src/gateway/pending-asks.ts
+++ b/packages/core/src/gateway/pending-asks.ts
@@ -149,6 +149,9 @@
   }
 }
 
+/** What the time to a first event depended on. */
+export type PromptObservation = { promptTokens: number; aheadMs: number; totalMs: number };
+
 /** Records an observation of a backend server; the next ask carries it to the scheduler. */
 export function noteObservation(
   state: gatewayState.GatewayState,
@@ -156,12 +159,15 @@
   kind: schema.ServerObservation_Kind,
   ms: number,
   now: number,
+  prompt?: PromptObservation,
 ): void {
   const cellName = getServiceCells(state, service, now).cellByServer.get(serverId);
   if (cellName === undefined) {
     return;
   }
   const { observations } = getLink(state, cellName, service, now);
-  observations.push(schema.create(schema.ServerObservationSchema, { serverId, kind, ms }));
+  observations.push(
+    schema.create(schema.ServerObservationSchema, { serverId, kind, ms, ...prompt }),
+  );
   observations.splice(0, Math.max(observations.length - MAX_KEPT_OBSERVATIONS, 0));
 }
--- a/packages/core/src/gateway/schedule-replies.ts
+++ b/packages/core/src/gateway/schedule-replies.ts
@@ -21,6 +21,8 @@
       request: gatewayRequest.GatewayRequest;
       serverId: string;
       idleFirstMs: number;
+      aheadMs: number;
+      predictedFirstMs: number;
       /** The server's store entry, if this gateway may not have read it from the store yet. */
       entry: backendServerEntry.BackendServerEntry | undefined;
       isRateLimited: boolean;
@@ -40,7 +42,8 @@
   grant: schema.PlaceGrant,
   isFresh: boolean,
 ): ReplyOutcome[] {
-  const { number, serial, serverId, idleFirstMs, isRateLimited } = grant;
+  const { number, serial, serverId, isRateLimited } = grant;
+  const { idleFirstMs, aheadMs, predictedFirstMs } = grant;
   const entry = grant.entry && {
     ...grant.entry,
     id: serverId,
@@ -65,6 +68,8 @@
       request,
       serverId,
       idleFirstMs,
+      aheadMs,
+      predictedFirstMs,
       entry,
       isRateLimited,
       scheduler: link.address,
--- a/packages/core/src/scheduler/asks.ts
+++ b/packages/core/src/scheduler/asks.ts
@@ -6,6 +6,7 @@
 import * as rateLimit from './rate-limit.js';
 import type * as scheduledRequest from './scheduled-request.js';
 import * as serverHealth from './server-health.js';
+import * as serverWork from './server-work.js';
 import * as waitQueue from './wait-queue.js';
 import * as waiting from './waiting.js';
 
@@ -24,6 +25,8 @@
     sequence: 0,
     heardMs: now,
     inFlight: new Map(),
+    work: new Map(),
+    reportsWork: true,
     backoffs: new Map(),
     unreportedGrants: [],
     requests: new Map(),
@@ -49,17 +52,34 @@
   [...asker.requests.values()].forEach((request) => dropRequest(cell, asker, request));
 }
 
+/** Records the time to a first event: its prediction error and, if nothing was ahead, the speed. */
+function recordFirstEvent(
+  cell: cells.Cell,
+  { serverId, ms, promptTokens, aheadMs, totalMs }: schema.ServerObservation,
+  now: number,
+): void {
+  const health = cells.getServerHealth(cell, serverId);
+  addedLatency.recordAddedLatency(cell.addedLatency, ms - aheadMs, now);
+  addedLatency.recordAddedLatency(health.addedLatency, ms - aheadMs, now);
+  if (totalMs > 0 && aheadMs === 0) {
+    const paces = [...cell.healthByServer.values()].map(({ pace }) => pace);
+    const fastestMs = enginePace.findShortestUnitMs(paces);
+    const slowness = enginePace.estimateSlowness(health.pace, fastestMs, now);
+    serverWork.recordFirstEvent(cell.promptSpeed, promptTokens, totalMs, slowness);
+  }
+}
+
 /** Records what a gateway observed at a backend server. */
 function recordObservation(
   cell: cells.Cell,
-  { serverId, kind, ms }: schema.ServerObservation,
+  observation: schema.ServerObservation,
   now: number,
 ): void {
+  const { serverId, kind, ms } = observation;
   const health = cells.getServerHealth(cell, serverId);
   switch (kind) {
     case schema.ServerObservation_Kind.FIRST_EVENT:
-      addedLatency.recordAddedLatency(cell.addedLatency, ms, now);
-      addedLatency.recordAddedLatency(health.addedLatency, ms, now);
+      recordFirstEvent(cell, observation, now);
       break;
     case schema.ServerObservation_Kind.UNIT:
       enginePace.recordUnitTime(health.pace, ms, now);
@@ -81,6 +101,13 @@
 /** Replaces the requests in flight of a gateway by those it reports, and drops reported grants. */
 function applyInFlight(asker: cells.CellAsker, ask: schema.ScheduleAsk): void {
   asker.inFlight = new Map(ask.inFlight.map(({ serverId, requests }) => [serverId, requests]));
+  asker.work = new Map(
+    ask.inFlight.map(({ serverId, unreadTokens = 0, answerTokens = 0 }) => [
+      serverId,
+      { unreadTokens, answerTokens },
+    ]),
+  );
+  asker.reportsWork = ask.inFlight.every(({ unreadTokens }) => unreadTokens !== undefined);
   asker.unreportedGrants = asker.unreportedGrants.filter(({ number }) => number > ask.lastGrant);
 }
 
--- a/packages/core/src/scheduler/candidates.ts
+++ b/packages/core/src/scheduler/candidates.ts
@@ -4,8 +4,10 @@
 import * as enginePace from './engine-pace.js';
 import * as addedLatency from './added-latency.js';
 import * as rateLimit from './rate-limit.js';
+import type * as scheduledRequest from './scheduled-request.js';
 import type * as serverChoice from './server-choice.js';
 import * as serverHealth from './server-health.js';
+import * as serverWork from './server-work.js';
 import * as warmUp from './warm-up.js';
 
 /** What the gateway that runs the scheduler knows of the backend servers of a cell. */
@@ -90,6 +92,21 @@
   }, 0);
 }
 
+/** Adds a request that was granted a slot to the load of its backend server. */
+export function addRequest(
+  { promptSpeed, askers }: cells.Cell,
+  candidate: serverChoice.Candidate,
+  { asker, promptTokens, answerTokens }: scheduledRequest.ScheduledRequest,
+): void {
+  candidate.inFlight += 1;
+  if (askers.get(asker)?.reportsWork !== true) {
+    return;
+  }
+  candidate.unreadTokens += promptTokens;
+  candidate.answerTokens += answerTokens;
+  candidate.aheadMs = serverWork.estimateAheadMs(promptSpeed, candidate);
+}
+
 /** Lists the backend servers of a cell that are neither paused nor ejected. */
 export function listCandidates(
   cell: cells.Cell,
@@ -102,6 +119,7 @@
     health: cells.getServerHealth(cell, entry.id),
     inFlight: taken.get(entry.id) ?? 0,
   }));
+  const workByServer = serverWork.countWork(cell);
   const cellAddedMs = addedLatency.estimateAddedLatencyMs(cell.addedLatency, now);
   const fastest = enginePace.findShortestUnitMs(usable.map(({ health }) => health.pace));
   const unpaused = usable.filter(({ health }) => !serverHealth.isPaused(health, now));
@@ -111,6 +129,7 @@
   const isEjectionSuspended = healthy.length < MIN_HEALTHY_SHARE * usable.length;
   return (isEjectionSuspended ? unpaused : healthy).map(({ entry, health, inFlight }) => {
     const slowness = enginePace.estimateSlowness(health.pace, fastest, now);
+    const { unreadTokens = 0, answerTokens = 0 } = workByServer.get(entry.id) ?? {};
     return {
       id: entry.id,
       failureDomain: entry.failureDomain,
@@ -120,6 +139,9 @@
       isRateLimited: rateLimit.isLimited(cell.rateLimits.get(entry.id)),
       slowness,
       unitMs: fastest * slowness,
+      unreadTokens,
+      answerTokens,
+      aheadMs: serverWork.estimateAheadMs(cell.promptSpeed, { unreadTokens, slowness }),
       addedLatencyMs: addedLatency.estimateAddedLatencyMs(health.addedLatency, now, cellAddedMs),
       failureShare: serverHealth.computeFailureShare(health),
     };
--- a/packages/core/src/scheduler/cell.ts
+++ b/packages/core/src/scheduler/cell.ts
@@ -6,10 +6,16 @@
 import type * as rateLimit from './rate-limit.js';
 import type * as scheduledRequest from './scheduled-request.js';
 import * as serverHealth from './server-health.js';
+import * as serverWork from './server-work.js';
 import * as waitQueue from './wait-queue.js';
 
 /** A granted slot that its gateway has not yet reported as used. */
-export type UnreportedGrant = { number: number; serverId: string; grantedMs: number };
+export type UnreportedGrant = {
+  number: number;
+  serverId: string;
+  grantedMs: number;
+  work: serverWork.ServerWork;
+};
 
 /** A granted slot of which a gateway is to be informed. */
 export type PlaceGrant = {
@@ -17,6 +23,8 @@
   serial: number;
   serverId: string;
   idleFirstMs: number;
+  aheadMs: number;
+  predictedFirstMs: number;
   /** Store entry of the backend server, if the gateway may not have read it yet. */
   entry: backendServerEntry.BackendServerEntry | undefined;
   isRateLimited: boolean;
@@ -45,6 +53,10 @@
   heardMs: number;
   /** Its requests in flight by backend server, as it last reported. */
   inFlight: Map<string, number>;
+  /** The work of these requests. */
+  work: Map<string, serverWork.ServerWork>;
+  /** Its messages state the work of its requests. */
+  reportsWork: boolean;
   /** Until when backend servers accept nothing from it, by their ids, milliseconds. */
   backoffs: Map<string, number>;
   /** Grants that it has not yet reported as used. */
@@ -79,6 +91,7 @@
   overload: overload.Overload;
   /** Measured across all backend servers of the cell. */
   addedLatency: addedLatency.AddedLatency;
+  promptSpeed: serverWork.PromptSpeed;
 };
 
 /** Creates a cell without requests. */
@@ -98,6 +111,7 @@
     throughputByRank: new Map(),
     overload: overload.createOverload(),
     addedLatency: addedLatency.createAddedLatency(),
+    promptSpeed: serverWork.createPromptSpeed(),
   };
 }
 
--- a/packages/core/src/scheduler/request-match.ts
+++ b/packages/core/src/scheduler/request-match.ts
@@ -9,6 +9,7 @@
 import type * as cells from './cell.js';
 import type * as scheduledRequest from './scheduled-request.js';
 import * as serverChoice from './server-choice.js';
+import * as serverWork from './server-work.js';
 import type * as waitQueue from './wait-queue.js';
 import * as waiting from './waiting.js';
 
@@ -31,21 +32,27 @@
 /** Number of waiting requests considered for one slot; bounds the work during a burst. */
 const MAX_LOOK_AHEAD = 32;
 
+/** Callers notice a longer pause of a stream, milliseconds. */
+const MAX_PAUSE_MS = 350;
+
 /**
- * Reports whether a request would be on time at a backend server: its first event by its target,
+ * Reports whether a request would be on time at a backend server, without making others late: its first event by its target,
  * and its last one by its deadline. For example, a response of 45 events with a deadline of 3 s
  * takes a fast engine one second and a slow one four. If it is aborted at the deadline, all its
  * work is lost.
  */
 function isInTime(
-  { tokensPerEvent, now }: MatchSearch,
+  { cell, tokensPerEvent, now }: MatchSearch,
   request: scheduledRequest.ScheduledRequest,
   candidate: serverChoice.Candidate,
 ): boolean {
-  const idleMs = waiting.estimateIdleFirstMs(request) * candidate.slowness;
-  const firstMs = now + idleMs + candidate.addedLatencyMs;
+  const pausesStreams =
+    candidate.inFlight > 0 &&
+    serverWork.estimatePauseMs(cell.promptSpeed, candidate, request.promptTokens, tokensPerEvent) >
+      MAX_PAUSE_MS;
+  const firstMs = now + waiting.estimateFirstMs(cell, request, candidate);
   const endMs = firstMs + (request.answerTokens / tokensPerEvent) * candidate.unitMs;
-  return firstMs <= request.targetMs && endMs <= request.giveUpMs;
+  return !pausesStreams && firstMs <= request.targetMs && endMs <= request.giveUpMs;
 }
 
 /** Lists the backend servers that have not asked a gateway to back off. */
--- a/packages/core/src/scheduler/scheduler.ts
+++ b/packages/core/src/scheduler/scheduler.ts
@@ -21,6 +21,8 @@
   queued: number;
   /** The chosen backend server and up to two alternatives; empty if the request was declined. */
   weighed: readonly serverChoice.Candidate[];
+  /** Predicted time to the first event, milliseconds; undefined if the request was declined. */
+  predictedFirstMs: number | undefined;
   /** Number of backend servers that were paused or ejected. */
   leftOut: number;
   /** Number of backend servers whose slots were all in use. */
@@ -51,7 +53,13 @@
 const ASKER_TIMEOUT_MS = 1200;
 /** Maximum number of backend servers listed in a decision. */
 const MAX_WEIGHED = 3;
-const NOTHING_WEIGHED = { weighed: [], leftOut: 0, full: 0, heldBack: 0 };
+const NOTHING_WEIGHED = {
+  weighed: [],
+  predictedFirstMs: undefined,
+  leftOut: 0,
+  full: 0,
+  heldBack: 0,
+};
 
 /** Creates a scheduler without cells. */
 export function createScheduler(
@@ -108,8 +116,10 @@
   asker.requests.delete(request.serial);
   const number = scheduler.nextGrant;
   scheduler.nextGrant += 1;
-  asker.unreportedGrants.push({ number, serverId: chosen.id, grantedMs: now });
-  const idleFirstMs = waiting.estimateIdleFirstMs(request) * chosen.slowness;
+  const { promptTokens: unreadTokens, answerTokens } = request;
+  const work = { unreadTokens, answerTokens };
+  asker.unreportedGrants.push({ number, serverId: chosen.id, grantedMs: now, work });
+  const idleFirstMs = waiting.estimateIdleFirstMs(cell, request) * chosen.slowness;
   const { serial } = request;
   const entry = recentEntries.get(chosen.id);
   const isRateLimited = rateLimit.isLimited(limit);
@@ -118,6 +128,8 @@
     serial,
     serverId: chosen.id,
     idleFirstMs,
+    aheadMs: chosen.aheadMs,
+    predictedFirstMs: waiting.estimateFirstMs(cell, request, chosen),
     entry,
     isRateLimited,
   });
@@ -178,6 +190,7 @@
       request,
       queued: cell.queue.items.length - 1,
       weighed: listWeighed(all, chosen),
+      predictedFirstMs: waiting.estimateFirstMs(cell, request, chosen),
       leftOut: servers.entries.length - all.length,
       full: all.filter(({ slots, inFlight }) => inFlight >= slots).length,
       heldBack: all.filter(({ startsLeft }) => startsLeft === 0).length,
@@ -186,7 +199,7 @@
     if (isBounded) {
       warmUp.noteStart(cell.starts, chosen.id, now);
     }
-    chosen.inFlight += 1;
+    candidates.addRequest(cell, chosen, request);
     chosen.startsLeft -= 1;
     taken += 1;
     match = taken < count.usable ? requestMatch.findNextMatch(search) : undefined;
--- a/packages/core/src/scheduler/server-choice.ts
+++ b/packages/core/src/scheduler/server-choice.ts
@@ -22,7 +22,12 @@
   slowness: number;
   /** Time per unit of work (an event or a complete response), milliseconds; 0 if unknown. */
   unitMs: number;
-  /** Additional time to the first event compared with an idle engine, milliseconds. */
+  /** Tokens of prompts that it has not read yet, and of responses in flight. */
+  unreadTokens: number;
+  answerTokens: number;
+  /** Predicted time in which it reads these prompts, milliseconds. */
+  aheadMs: number;
+  /** Additional time to the first event compared with the prediction, milliseconds. */
   addedLatencyMs: number;
   /** Share of recent responses that failed, 0 to 1. */
   failureShare: number;
@@ -35,6 +40,12 @@
 /** Cost of a server in another failure domain; traffic between domains is billed. */
 const DISTANCE_COST = 0.1;
 
+/**
+ * Time to read the prompts ahead that costs as much as one unit of slowness, milliseconds: about
+ * the share of their target that urgent requests can spare.
+ */
+const AHEAD_COST_MS = 200;
+
 /** Reports whether a backend server has a free slot that may be used now. */
 export function hasPlace({ slots, inFlight, startsLeft }: Candidate): boolean {
   return inFlight < slots && startsLeft > 0;
@@ -45,6 +56,7 @@
   const load = candidate.inFlight / Math.max(candidate.slots, 1);
   return (
     candidate.slowness * (1 + LOAD_SLOWDOWN * load) +
+    candidate.aheadMs / AHEAD_COST_MS +
     FAILURE_COST * candidate.failureShare +
     (candidate.failureDomain === failureDomain ? 0 : DISTANCE_COST)
   );
--- a/packages/core/src/scheduler/waiting.ts
+++ b/packages/core/src/scheduler/waiting.ts
@@ -11,6 +11,8 @@
 import type * as cells from './cell.js';
 import * as addedLatency from './added-latency.js';
 import type * as scheduledRequest from './scheduled-request.js';
+import type * as serverChoice from './server-choice.js';
+import * as serverWork from './server-work.js';
 import * as waitQueue from './wait-queue.js';
 
 /** Added to the rank of a late request; larger than the number of urgencies of any deployment. */
@@ -26,10 +28,6 @@
  * others of its urgency, which may still be on time, and before all less urgent ones.
  */
 const MISSED_TARGET_RANK = 0.5;
-/** Prompt tokens that an engine is assumed to process per millisecond until its speed is known. */
-const PROMPT_TOKENS_PER_MS = 40;
-/** Time to the first token besides the prompt (network, batching, one step), milliseconds. */
-const FIRST_TOKEN_MS = 25;
 /**
  * Maximum share of the remaining time that the expected wait may take. With a longer wait, too
  * little time would be left to run the request.
@@ -50,8 +48,20 @@
 }
 
 /** Estimates the time from sending to the first token at an idle engine, milliseconds. */
-export function estimateIdleFirstMs({ promptTokens }: scheduledRequest.ScheduledRequest): number {
-  return FIRST_TOKEN_MS + promptTokens / PROMPT_TOKENS_PER_MS;
+export function estimateIdleFirstMs(
+  { promptSpeed }: cells.Cell,
+  { promptTokens }: scheduledRequest.ScheduledRequest,
+): number {
+  return serverWork.estimateIdleFirstMs(promptSpeed, promptTokens);
+}
+
+/** Estimates the time from sending to the first token at a backend server, milliseconds. */
+export function estimateFirstMs(
+  cell: cells.Cell,
+  request: scheduledRequest.ScheduledRequest,
+  { slowness, aheadMs, addedLatencyMs }: serverChoice.Candidate,
+): number {
+  return estimateIdleFirstMs(cell, request) * slowness + aheadMs + addedLatencyMs;
 }
 
 /** Estimates the time from sending to the first token at the present load, milliseconds. */
@@ -60,7 +70,8 @@
   request: scheduledRequest.ScheduledRequest,
   now: number,
 ): number {
-  return estimateIdleFirstMs(request) + addedLatency.estimateAddedLatencyMs(cell.addedLatency, now);
+  const addedMs = addedLatency.estimateAddedLatencyMs(cell.addedLatency, now);
+  return estimateIdleFirstMs(cell, request) + addedMs;
 }
 
 /** Returns the throughput of a rank; creates the record if there is none. */
--- a/packages/gateway/src/attempt-sending.ts
+++ b/packages/gateway/src/attempt-sending.ts
@@ -101,6 +101,9 @@
       held.firstEventMs ??= Math.round(readNow() - request.arrivedMs);
       gateway.noteFirstEvent(task.state, request, ms, readNow());
       task.metrics.recordFirstEvent(request.route.name, ms);
+      if (request.predictedFirstMs > 0) {
+        task.metrics.recordFirstEventError(request.service, ms - request.predictedFirstMs);
+      }
     },
     canSend: () => gateway.isStillUsable(task.state, request, readNow()),
     observeStatements: (parsed) => {
--- a/packages/gateway/src/gateway-metrics.ts
+++ b/packages/gateway/src/gateway-metrics.ts
@@ -12,6 +12,8 @@
   recordWait: (urgency: number, ms: number) => void;
   /** Records the time from sending to the first event, milliseconds. */
   recordFirstEvent: (route: string, ms: number) => void;
+  /** Records by how much a first event came later than predicted, milliseconds. */
+  recordFirstEventError: (service: string, ms: number) => void;
   render: () => string;
 };
 
@@ -32,6 +34,24 @@
   ];
 }
 
+/** Lists what the schedulers of this gateway's cells know of prompts. */
+function listWorkValues({ scheduler }: gateway.GatewayState): runtime.MetricSample[] {
+  return [...scheduler.cells.values()].flatMap((cell) => {
+    const work = gateway.countWork(cell);
+    const ids = new Set([...cell.healthByServer.keys(), ...work.keys()]);
+    const service = gateway.parseCellService(cell.name);
+    const speed = gateway.estimateTokensPerMs(cell.promptSpeed);
+    return [
+      { name: 'prompt_tokens_per_ms', labels: { service }, value: speed },
+      ...[...ids].map((server) => ({
+        name: 'server_unread_tokens',
+        labels: { server },
+        value: work.get(server)?.unreadTokens ?? 0,
+      })),
+    ];
+  });
+}
+
 /** Counts the backend servers whose statements are in effect, by kind of statement. */
 function listStatementValues(
   { servers }: gateway.GatewayState,
@@ -69,6 +89,7 @@
     { name: 'peers', labels: {}, value: state.peers.byAddress.size },
     ...listStatementValues(state, now),
     ...listSchedulingValues(state),
+    ...listWorkValues(state),
   ];
 }
 
@@ -87,6 +108,10 @@
       runtime.recordObservation(metrics, { kind: 'queueWait', tier: String(urgency), ms }),
     recordFirstEvent: (route, ms) =>
       runtime.recordObservation(metrics, { kind: 'firstByte', service: '', tier: route, ms }),
+    recordFirstEventError: (service, ms) => {
+      const labels = { service, sign: ms < 0 ? 'early' : 'late' };
+      runtime.recordDuration(metrics, 'first_event_error_ms', labels, Math.abs(ms));
+    },
     render: () => runtime.renderMetrics(metrics, Date.now(), listSamples(state, readSteadyMs())),
   };
 }
--- a/packages/gateway/src/request-reports.ts
+++ b/packages/gateway/src/request-reports.ts
@@ -54,6 +54,7 @@
     waitMs: Math.round(sentMs - request.arrivedMs),
     isBelated: request.isBelated,
     promptTokens: arrived.tokens?.prompt,
+    predictedFirstMs: Math.round(request.predictedFirstMs),
     sends,
     version,
   };
@@ -81,7 +82,9 @@
     return;
   }
   const now = readClocks().steadyMs;
-  notes.forEach(({ kind, cell, request, queued, weighed, leftOut, full, heldBack }) => {
+  notes.forEach((note) => {
+    const { kind, cell, request, queued, weighed, leftOut, full, heldBack } = note;
+    const predictedFirstMs = note.predictedFirstMs && Math.round(note.predictedFirstMs);
     const { attemptId, asker, workspace, urgency, arrivedMs, targetMs } = request;
     const line = {
       request: attemptId,
@@ -92,6 +95,7 @@
       waitMs: Math.round(now - arrivedMs),
       targetLeftMs: Math.round(targetMs - now),
       queued,
+      predictedFirstMs,
       // Id, requests in flight and slowness in percent: of the chosen backend server, then of the
       // next two candidates.
       weighed: weighed.map((server) => [
--- a/packages/gateway/src/status.ts
+++ b/packages/gateway/src/status.ts
@@ -3,6 +3,19 @@
 import type * as storeFollower from './store-follower.js';
 import * as unknownNames from './unknown-names.js';
 
+/** Describes the prompts in a cell, if this gateway schedules it. */
+function describeWork(
+  { scheduler }: gateway.GatewayState,
+  cellName: string,
+): Record<string, unknown> {
+  const cell = scheduler.cells.get(cellName);
+  if (cell === undefined) {
+    return {};
+  }
+  const work = [...gateway.countWork(cell)].map(([id, tokens]) => ({ id, ...tokens }));
+  return { promptTokensPerMs: gateway.estimateTokensPerMs(cell.promptSpeed), work };
+}
+
 /** Describes the cells: which gateway schedules each, and the queue of those scheduled here. */
 function describeCells(state: gateway.GatewayState): Record<string, unknown>[] {
   return [...state.links.values()].map(({ cell, address, asks, places, load }) => ({
@@ -12,6 +25,7 @@
     places,
     requestsInCell: load,
     queued: state.scheduler.cells.get(cell)?.queue.items.length,
+    ...describeWork(state, cell),
   }));
 }
 
--- a/packages/runtime/src/metric-definitions.ts
+++ b/packages/runtime/src/metric-definitions.ts
@@ -54,6 +54,18 @@
     type: MetricType.GAUGE,
     help: 'Requests that wait in the cells that this gateway schedules.',
   },
+  server_unread_tokens: {
+    type: MetricType.GAUGE,
+    help: 'Prompt tokens that a backend server has not read yet, as known to the scheduler of its cell.',
+  },
+  prompt_tokens_per_ms: {
+    type: MetricType.GAUGE,
+    help: 'Prompt tokens that the fastest engines of a service read in a millisecond, as learned.',
+  },
+  first_event_error_ms: {
+    type: MetricType.SUMMARY,
+    help: 'Difference between the measured and the predicted time to the first event, milliseconds.',
+  },
   peers: {
     type: MetricType.GAUGE,
     help: 'Other gateways that are not forgotten.',
--- a/packages/runtime/src/metrics.ts
+++ b/packages/runtime/src/metrics.ts
@@ -87,7 +87,7 @@
 }
 
 /** Records a duration, milliseconds. */
-function recordDuration(metrics: Metrics, name: string, labels: Labels, ms: number): void {
+export function recordDuration(metrics: Metrics, name: string, labels: Labels, ms: number): void {
   const series = getSeries(metrics.summaries, name);
   const summary = getSummary(series, formatLabels(labels));
   const value = Math.min(Math.max(Math.round(ms), 0), MAX_DURATION_MS);
