Estimate waiting requests for an engine of mean slowness

The estimate for waiting requests now takes the mean slowness of the cell. First events of prompts from 2,000 tokens are reported at once; time to read the prompts ahead weighs twice as much in the choice of a server; streams may be paused for 300 ms in place of 350.

--- a/packages/core/src/gateway/observations.ts
+++ b/packages/core/src/gateway/observations.ts
@@ -4,6 +4,12 @@
 import type * as gatewayRequest from './gateway-request.js';
 import type * as gatewayState from './gateway-state.js';
 
+/**
+ * When a prompt of this many tokens has been read, the scheduler is told at once: the engine can
+ * take the next prompt some tens of milliseconds sooner than the next regular ask would say.
+ */
+const MIN_REPORTED_TOKENS = 2000;
+
 /** Records an observation of the backend server that a request is assigned to. */
 function noteRequestObservation(
   state: gatewayState.GatewayState,
@@ -35,6 +41,9 @@
     const prompt = { promptTokens, aheadMs, totalMs: ms };
     const server = { serverId, service };
     pendingAsks.noteObservation(state, server, FIRST_EVENT, ms - idleFirstMs, now, prompt);
+    if (promptTokens >= MIN_REPORTED_TOKENS) {
+      pendingAsks.markLinkDirty(state, serverId, service);
+    }
   }
 }
 
--- a/packages/core/src/scheduler/request-match.ts
+++ b/packages/core/src/scheduler/request-match.ts
@@ -33,7 +33,7 @@
 const MAX_LOOK_AHEAD = 32;
 
 /** Callers notice a longer pause of a stream, milliseconds. */
-const MAX_PAUSE_MS = 350;
+const MAX_PAUSE_MS = 300;
 
 /**
  * Reports whether a request would be on time at a backend server, without making others late: its first event by its target,
--- a/packages/core/src/scheduler/server-choice.ts
+++ b/packages/core/src/scheduler/server-choice.ts
@@ -41,10 +41,10 @@
 const DISTANCE_COST = 0.1;
 
 /**
- * Time to read the prompts ahead that costs as much as one unit of slowness, milliseconds: about
- * the share of their target that urgent requests can spare.
+ * Time to read the prompts ahead that costs as much as one unit of slowness, milliseconds. A
+ * quarter of the shortest target that callers of engines have.
  */
-const AHEAD_COST_MS = 200;
+const AHEAD_COST_MS = 100;
 
 /** Reports whether a backend server has a free slot that may be used now. */
 export function hasPlace({ slots, inFlight, startsLeft }: Candidate): boolean {
--- a/packages/core/src/scheduler/server-work.ts
+++ b/packages/core/src/scheduler/server-work.ts
@@ -6,6 +6,7 @@
  * slots, while the next engine would respond at once.
  */
 import type * as cells from './cell.js';
+import * as enginePace from './engine-pace.js';
 
 /** Work in flight at a backend server, in tokens: prompts not read yet, and responses. */
 export type ServerWork = { unreadTokens: number; answerTokens: number };
@@ -78,6 +79,27 @@
   return FIRST_TOKEN_MS + promptTokens / estimateTokensPerMs(speed);
 }
 
+/**
+ * Estimates the time to the first event at an engine of the mean slowness of a cell, milliseconds.
+ *
+ * The slot that a waiting request gets may be at any engine. If the fastest one were assumed, the
+ * longest prompts would count as on time and hold back requests that can be on time anywhere.
+ */
+export function estimateTypicalFirstMs(
+  { healthByServer, promptSpeed }: cells.Cell,
+  promptTokens: number,
+  now: number,
+): number {
+  const paces = [...healthByServer.values()].map(({ pace }) => pace);
+  const fastestMs = enginePace.findShortestUnitMs(paces);
+  const sum = paces.reduce(
+    (total, pace) => total + enginePace.estimateSlowness(pace, fastestMs, now),
+    0,
+  );
+  const slowness = paces.length === 0 ? 1 : sum / paces.length;
+  return FIRST_TOKEN_MS + (slowness * promptTokens) / estimateTokensPerMs(promptSpeed);
+}
+
 /** Estimates the time in which an engine reads its unread prompts, milliseconds. */
 export function estimateAheadMs(
   speed: PromptSpeed,
--- a/packages/core/src/scheduler/waiting.ts
+++ b/packages/core/src/scheduler/waiting.ts
@@ -71,7 +71,7 @@
   now: number,
 ): number {
   const addedMs = addedLatency.estimateAddedLatencyMs(cell.addedLatency, now);
-  return estimateIdleFirstMs(cell, request) + addedMs;
+  return serverWork.estimateTypicalFirstMs(cell, request.promptTokens, now) + addedMs;
 }
 
 /** Returns the throughput of a rank; creates the record if there is none. */
--- a/packages/measure/src/gateway-load/replay-world.ts
+++ b/packages/measure/src/gateway-load/replay-world.ts
@@ -72,6 +72,8 @@
 export type World = {
   options: ReplayOptions;
   draw: proofs.DrawRandom;
+  /** Draws the calls: those of a seed are the same whatever the gateways decide. */
+  drawCall: proofs.DrawRandom;
   states: gateway.GatewayState[];
   engines: engineModel.EngineModel[];
   network: datagramNetwork.DatagramNetwork;
@@ -195,6 +197,7 @@
   const world: World = {
     options,
     draw,
+    drawCall: pattern.prompts === undefined ? draw : proofs.createRandomSource(-options.seed),
     network: datagramNetwork.createNetwork({ delayMs, lossShare, drawRandom: draw, isCut }),
     states: [],
     engines: Array.from({ length: options.engines }, (_, index) =>
