--- a/packages/measure/src/gateway-load/hard-load.ts
+++ b/packages/measure/src/gateway-load/hard-load.ts
@@ -118,7 +118,7 @@
 }
 
 /** Finds the 99th percentile of the time to the first event of a kind, milliseconds. */
-function findTail(results: readonly replayWorld.ReplayResult[], kind: string): number {
+export function findTail(results: readonly replayWorld.ReplayResult[], kind: string): number {
   const times = results.flatMap(({ firstMs }) => firstMs.get(kind) ?? []).sort((a, b) => a - b);
   return Math.round(times[Math.floor(0.99 * times.length)] ?? 0);
 }
@@ -126,11 +126,12 @@
 /** Formats the table of the loads, a row for each. */
 export function formatHardLoads(seeds: readonly number[]): string {
   const heads = ['all', ...HARD_KINDS.map(({ name }) => name)];
-  const columns = ['load', 'slots in use, %', 'worth, %', ...heads, 'p99 by kind, ms'];
+  const columns = ['load', 'slots in use, %', 'worth, %', ...heads, 'p99 by kind, ms', 'asks each'];
   const rows = HARD_PATTERNS.map((pattern) => {
     const results = seeds.map((seed) => runHardLoad(pattern, seed));
     const used = results.reduce((sum, one) => sum + one.slotsInUse / one.ticks / results.length, 0);
     const kinds = HARD_KINDS.map(({ name }) => name);
+    const asks = results.reduce((sum, one) => sum + one.asks, 0) / countCalls(results, 'asked');
     const tails = kinds.map((kind) => findTail(results, kind)).join(' / ');
     const shares = [undefined, ...kinds.map((kind) => [kind])].map((one) =>
       formatShares(results, one),
@@ -142,6 +143,7 @@
       (PERCENT * worth).toFixed(1),
       ...shares,
       tails,
+      asks.toFixed(2),
     ];
   });
   return [columns, columns.map(() => '---'), ...rows]
--- a/packages/measure/src/gateway-load/replay-world.ts
+++ b/packages/measure/src/gateway-load/replay-world.ts
@@ -54,6 +54,8 @@
   /** Share of the slots in use, summed over the ticks in which calls arrive, and these ticks. */
   slotsInUse: number;
   ticks: number;
+  /** Messages to schedulers. */
+  asks: number;
 };
 
 /** One caller's request, over its tries. */
@@ -185,6 +187,7 @@
     firstMs: new Map(),
     slotsInUse: 0,
     ticks: 0,
+    asks: 0,
   };
 }
 
--- a/packages/measure/src/gateway-load/replay.ts
+++ b/packages/measure/src/gateway-load/replay.ts
@@ -303,5 +303,6 @@
     noteSlotsInUse(world);
     world.nowMs += TICK_MS;
   }
+  world.result.asks = world.states.reduce((sum, one) => sum + one.schedulingTotals.asks, 0);
   return world.result;
 }
