--- a/packages/measure/src/gateway-load/hard-load.ts
+++ b/packages/measure/src/gateway-load/hard-load.ts
@@ -79,8 +79,10 @@
 export function runHardLoad(
   pattern: loadPattern.LoadPattern,
   seed: number,
+  changes: Partial<replayWorld.Knowledge> = {},
 ): replayWorld.ReplayResult {
-  return replay.runReplay({ pattern, knowledge: KNOWLEDGE, seed, ...FLEET });
+  const knowledge = { ...KNOWLEDGE, ...changes };
+  return replay.runReplay({ pattern, knowledge, seed, ...FLEET });
 }
 
 /** Counts calls over results and kinds. */
--- a/packages/measure/src/gateway-load/replay-world.ts
+++ b/packages/measure/src/gateway-load/replay-world.ts
@@ -13,6 +13,8 @@
   firstEvents: boolean;
   paces: boolean;
   failures: boolean;
+  /** Gateways report no work in flight to each other, as in the version before; absent: no. */
+  hidesWork?: boolean;
 };
 
 export type ReplayOptions = {
--- a/packages/measure/src/gateway-load/replay.ts
+++ b/packages/measure/src/gateway-load/replay.ts
@@ -141,7 +141,14 @@
     const state = byAddress.get(content.to);
     world.nowMs = Math.max(dueMs, tickMs);
     if (state !== undefined && content.kind === 'ask') {
-      gateway.receiveAsk(state, content.ask, world.nowMs);
+      const { ask } = content;
+      if (world.options.knowledge.hidesWork === true) {
+        ask.inFlight.forEach((use) => {
+          use.unreadTokens = undefined;
+          use.answerTokens = undefined;
+        });
+      }
+      gateway.receiveAsk(state, ask, world.nowMs);
       advance(world, state);
     } else if (state !== undefined && content.kind === 'reply') {
       const clocks = replayWorld.readClocks(world);
