--- a/packages/core/src/scheduler/added-latency.ts
+++ b/packages/core/src/scheduler/added-latency.ts
@@ -1,5 +1,6 @@
 /**
- * Estimates how much longer the first event takes at a busy engine than at an idle one.
+ * Estimates how much longer the first event takes at a busy engine than at an idle one, or than
+ * predicted from its unread prompts if these are known.
  *
  * A fully loaded engine processes the prompt of a new request in turns with the tokens of its
  * other requests. The first event then comes later than at an idle engine, by about the same time
