Replay engines that become slow, and bound amounts on the wire

Amounts of work and predicted times are whole numbers of the message format, so that an ask with all kinds of items still fits a datagram (1,337 bytes with 20 servers in use, of 1,400), and are bounded: a sum of token counts that callers made up could otherwise not be encoded and would end the process.

--- a/packages/core/src/gateway/observations.ts
+++ b/packages/core/src/gateway/observations.ts
@@ -1,5 +1,6 @@
 /** Records observations of backend servers that this gateway reports to their schedulers. */
 import * as schema from '@toucanproxy/schema';
+import * as scheduler from '../scheduler/index.js';
 import * as pendingAsks from './pending-asks.js';
 import type * as gatewayRequest from './gateway-request.js';
 import type * as gatewayState from './gateway-state.js';
@@ -38,7 +39,7 @@
   request.hasFirstEvent = true;
   if (serverId !== undefined) {
     const promptTokens = arrived.tokens?.prompt ?? 0;
-    const prompt = { promptTokens, aheadMs, totalMs: ms };
+    const prompt = { promptTokens, aheadMs, totalMs: scheduler.toWireNumber(ms) };
     const server = { serverId, service };
     pendingAsks.noteObservation(state, server, FIRST_EVENT, ms - idleFirstMs, now, prompt);
     if (promptTokens >= MIN_REPORTED_TOKENS) {
--- a/packages/core/src/gateway/work-in-flight.ts
+++ b/packages/core/src/gateway/work-in-flight.ts
@@ -5,6 +5,7 @@
  * its engine before it. With a count of requests alone, a scheduler places short requests behind
  * prompts of tens of thousands of tokens.
  */
+import * as scheduler from '../scheduler/index.js';
 import * as configuration from './configuration.js';
 import type * as gatewayRequest from './gateway-request.js';
 
@@ -35,8 +36,10 @@
       const { unreadTokens, answerTokens } = sums.get(serverId) ?? NO_WORK;
       const { prompt = 0, answer = 0 } = arrived.tokens ?? {};
       sums.set(serverId, {
-        unreadTokens: unreadTokens + (isUnread(request, now) ? prompt : 0),
-        answerTokens: answerTokens + Math.min(arrived.answerGuess ?? answer, answer),
+        unreadTokens: scheduler.toWireNumber(unreadTokens + (isUnread(request, now) ? prompt : 0)),
+        answerTokens: scheduler.toWireNumber(
+          answerTokens + Math.min(arrived.answerGuess ?? answer, answer),
+        ),
       });
     }
   });
--- a/packages/core/src/scheduler/index.ts
+++ b/packages/core/src/scheduler/index.ts
@@ -8,4 +8,4 @@
 export type { CellServers } from './candidates.js';
 export type { WarmUpLimit } from './warm-up.js';
 export * from './server-choice.js';
-export { estimateTokensPerMs, countWork } from './server-work.js';
+export { countWork, estimateTokensPerMs, toWireNumber } from './server-work.js';
--- a/packages/core/src/scheduler/scheduler.ts
+++ b/packages/core/src/scheduler/scheduler.ts
@@ -9,6 +9,7 @@
 import * as requestMatch from './request-match.js';
 import type * as scheduledRequest from './scheduled-request.js';
 import type * as serverChoice from './server-choice.js';
+import * as serverWork from './server-work.js';
 import * as waiting from './waiting.js';
 import * as warmUp from './warm-up.js';
 
@@ -128,8 +129,8 @@
     serial,
     serverId: chosen.id,
     idleFirstMs,
-    aheadMs: chosen.aheadMs,
-    predictedFirstMs: waiting.estimateFirstMs(cell, request, chosen),
+    aheadMs: serverWork.toWireNumber(chosen.aheadMs),
+    predictedFirstMs: serverWork.toWireNumber(waiting.estimateFirstMs(cell, request, chosen)),
     entry,
     isRateLimited,
   });
--- a/packages/core/src/scheduler/server-work.test.ts
+++ b/packages/core/src/scheduler/server-work.test.ts
@@ -67,6 +67,16 @@
   assert.equal(serverWork.countWork(cell).size, 0);
 });
 
+test('amounts that a message cannot hold are encoded', () => {
+  // Guards against a gateway that crashes when it encodes the sum of prompts whose token counts
+  // callers have made up.
+  [2 ** 40, Infinity, NaN, -1, 0.5].forEach((amount) => {
+    const unreadTokens = serverWork.toWireNumber(amount);
+    const use = schema.create(schema.ServerUseSchema, { unreadTokens });
+    assert.ok(schema.toBinary(schema.ServerUseSchema, use).length > 0);
+  });
+});
+
 test('prompt speed is learned from prompts of different length', () => {
   const speed = serverWork.createPromptSpeed();
   assert.equal(serverWork.estimateTokensPerMs(speed), 40);
--- a/packages/core/src/scheduler/server-work.ts
+++ b/packages/core/src/scheduler/server-work.ts
@@ -39,6 +39,13 @@
 const MIN_TOKENS_PER_MS = 2;
 const MAX_TOKENS_PER_MS = 1000;
 
+const MAX_WIRE_NUMBER = 2 ** 32 - 1;
+
+/** Converts an amount to a `uint32` of a message, which could not be encoded with other values. */
+export function toWireNumber(amount: number): number {
+  return amount > 0 ? Math.round(Math.min(amount, MAX_WIRE_NUMBER)) : 0;
+}
+
 /** Creates the speed of a service without samples. */
 export function createPromptSpeed(): PromptSpeed {
   return { count: 0, tokens: 0, ms: 0, tokensSquared: 0, tokensByMs: 0 };
--- a/packages/measure/src/gateway-load/hard-load.ts
+++ b/packages/measure/src/gateway-load/hard-load.ts
@@ -11,6 +11,10 @@
 export const PROMPT_SPEEDS = [61, 140];
 /** Requests a second for each engine that fill its slots, at each of these speeds. */
 const CALM_RATES = [8.5, 10.6];
+/** The same for the load in which engines become slow, and how many of them and how slow. */
+const SLOW_RATE = 6;
+const SLOW_SHARE = 0.25;
+const SLOW_FACTOR = 4;
 const BURST_FACTOR = 1.7;
 const BURST_FROM_MS = 3000;
 const BURST_UNTIL_MS = 8000;
@@ -71,9 +75,20 @@
   return [buildLoad('calm', 1), buildLoad('burst', BURST_FACTOR)];
 }
 
-export const HARD_PATTERNS = PROMPT_SPEEDS.flatMap((speed, index) =>
-  buildPatterns(speed, CALM_RATES[index]),
-);
+/** A quarter of the engines, fast and slow ones, is four times slower for some seconds. */
+const SLOW_PATTERN: loadPattern.LoadPattern = {
+  ...buildPatterns(PROMPT_SPEEDS[0], SLOW_RATE)[0],
+  name: `a quarter slow, ${PROMPT_SPEEDS[0]}`,
+  events: [
+    { kind: 'enginesSlow', atMs: BURST_FROM_MS, share: SLOW_SHARE, factor: SLOW_FACTOR },
+    { kind: 'enginesSlow', atMs: BURST_UNTIL_MS, share: SLOW_SHARE, factor: 1 / SLOW_FACTOR },
+  ],
+};
+
+export const HARD_PATTERNS = [
+  ...PROMPT_SPEEDS.flatMap((speed, index) => buildPatterns(speed, CALM_RATES[index])),
+  SLOW_PATTERN,
+];
 
 /** Replays one of the loads. */
 export function runHardLoad(
--- a/packages/measure/src/gateway-load/load-pattern.ts
+++ b/packages/measure/src/gateway-load/load-pattern.ts
@@ -23,6 +23,7 @@
 export type FleetEvent =
   | { kind: 'enginesGone'; atMs: number; share: number; forMs: number }
   | { kind: 'enginesFail'; atMs: number; share: number; forMs: number }
+  | { kind: 'enginesSlow'; atMs: number; share: number; factor: number }
   | { kind: 'gatewaysRestart'; atMs: number };
 
 export type LoadPattern = {
--- a/packages/measure/src/gateway-load/replay.ts
+++ b/packages/measure/src/gateway-load/replay.ts
@@ -234,6 +234,10 @@
   }
   const count = Math.round(event.share * world.engines.length);
   world.engines.slice(0, count).forEach((engine) => {
+    if (event.kind === 'enginesSlow') {
+      engine.slowness *= event.factor;
+      return;
+    }
     if (event.kind === 'enginesFail') {
       engine.failsUntilMs = world.nowMs + event.forMs;
       return;
