--- a/packages/core/src/gateway/assignment.ts
+++ b/packages/core/src/gateway/assignment.ts
@@ -120,6 +120,9 @@
   request.sentWallMs = clocks.wallMs;
   request.sends += 1;
   request.idleFirstMs = idleFirstMs;
+  request.aheadMs = granted.aheadMs;
+  request.predictedFirstMs = granted.predictedFirstMs;
+  request.hasFirstEvent = false;
   request.isRateLimited = isRateLimited;
   gatewayState.addInFlight(state, serverId, 1);
   const { use } = gatewayState.getServiceState(state, request.service);
--- a/packages/core/src/gateway/index.ts
+++ b/packages/core/src/gateway/index.ts
@@ -34,7 +34,10 @@
 export * from '../shared/store-revision.js';
 export {
   estimateTurnaroundMs,
+  estimateTokensPerMs,
   hasQueuedRequests,
+  parseCellService,
+  countWork,
   type Candidate,
   type Scheduler,
   type SchedulingDecision,
--- a/packages/core/src/scheduler/domain-preference.test.ts
+++ b/packages/core/src/scheduler/domain-preference.test.ts
@@ -14,7 +14,8 @@
 ): serverChoice.Candidate {
   const limits = { slots: SLOTS, startsLeft: Infinity, isRateLimited: false };
   const pace = { slowness: 1, unitMs: 0, addedLatencyMs: 0, failureShare: 0 };
-  return { id, failureDomain, inFlight, ...limits, ...pace };
+  const work = { unreadTokens: 0, answerTokens: 0, aheadMs: 0 };
+  return { id, failureDomain, inFlight, ...limits, ...pace, ...work };
 }
 
 /** Lists the ids among which a request of domain `own` may be placed. */
--- a/packages/core/src/scheduler/index.ts
+++ b/packages/core/src/scheduler/index.ts
@@ -11,3 +11,4 @@
 export { estimateTurnaroundMs } from './slot-turnaround.js';
 export { USE_DECAY_MS } from './recent-use.js';
 export { computeShares } from './workspace-shares.js';
+export { countWork, estimateTokensPerMs, toWireNumber } from './server-work.js';
--- a/packages/core/src/scheduler/request-match.ts
+++ b/packages/core/src/scheduler/request-match.ts
@@ -10,6 +10,7 @@
 import * as domainPreference from './domain-preference.js';
 import type * as scheduledRequest from './scheduled-request.js';
 import * as serverChoice from './server-choice.js';
+import * as serverWork from './server-work.js';
 import * as streamPauses from './stream-pauses.js';
 import type * as waitQueue from './wait-queue.js';
 import * as waiting from './waiting.js';
@@ -54,26 +55,25 @@
  * @param marginMs how much earlier than that the events must come, milliseconds
  */
 function isInTime(
-  { tokensPerEvent, now }: MatchSearch,
+  { cell, tokensPerEvent, now }: MatchSearch,
   request: scheduledRequest.ScheduledRequest,
   candidate: serverChoice.Candidate,
   marginMs = 0,
 ): boolean {
-  const idleMs = waiting.estimateIdleFirstMs(request) * candidate.slowness;
-  const firstMs = now + idleMs + candidate.addedLatencyMs;
+  const firstMs = now + waiting.estimateFirstMs(cell, request, candidate);
   const endMs = firstMs + (request.answerTokens / tokensPerEvent) * candidate.unitMs;
   return firstMs + marginMs <= request.targetMs && endMs + marginMs <= request.giveUpMs;
 }
 
 /** Reports whether a request would make the streams at a backend server pause for too long. */
 function isPausing(
-  { tokensPerEvent, maxPauseMs }: MatchSearch,
+  { cell, tokensPerEvent, maxPauseMs }: MatchSearch,
   { promptTokens }: scheduledRequest.ScheduledRequest,
   { inFlight, slowness, unitMs }: serverChoice.Candidate,
 ): boolean {
-  const { PROMPT_TOKENS_PER_MS: promptTokensPerMs } = waiting;
+  const promptTokensPerMs = serverWork.estimateTokensPerMs(cell.promptSpeed);
   const input = { promptTokens, promptTokensPerMs, slowness, unitMs, tokensPerEvent };
-  return inFlight > 0 && streamPauses.estimatePauseMs(input) > maxPauseMs;
+  return inFlight > 0 && streamPauses.isTooLong(input, maxPauseMs);
 }
 
 /** Reports whether a request would be on time at a backend server and would delay no stream. */
--- a/packages/core/src/scheduler/scheduler.ts
+++ b/packages/core/src/scheduler/scheduler.ts
@@ -10,6 +10,7 @@
 import * as requestMatch from './request-match.js';
 import type * as scheduledRequest from './scheduled-request.js';
 import type * as serverChoice from './server-choice.js';
+import * as serverWork from './server-work.js';
 import * as waiting from './waiting.js';
 import * as warmUp from './warm-up.js';
 
@@ -22,6 +23,8 @@
   queued: number;
   /** The chosen backend server and up to two alternatives; empty if the request was declined. */
   weighed: readonly serverChoice.Candidate[];
+  /** Predicted time to the first event, milliseconds; undefined if the request was declined. */
+  predictedFirstMs: number | undefined;
   /** Number of backend servers that were paused or ejected. */
   leftOut: number;
   /** Number of backend servers whose slots were all in use. */
@@ -54,7 +57,13 @@
 const ASKER_TIMEOUT_MS = 1200;
 /** Maximum number of backend servers listed in a decision. */
 const MAX_WEIGHED = 3;
-const NOTHING_WEIGHED = { weighed: [], leftOut: 0, full: 0, heldBack: 0 };
+const NOTHING_WEIGHED = {
+  weighed: [],
+  predictedFirstMs: undefined,
+  leftOut: 0,
+  full: 0,
+  heldBack: 0,
+};
 
 /** Creates a scheduler without cells. */
 export function createScheduler(
@@ -112,8 +121,10 @@
   asker.requests.delete(request.serial);
   const number = scheduler.nextGrant;
   scheduler.nextGrant += 1;
-  asker.unreportedGrants.push({ number, serverId: chosen.id, grantedMs: now });
-  const idleFirstMs = waiting.estimateIdleFirstMs(request) * chosen.slowness;
+  const { promptTokens: unreadTokens, answerTokens } = request;
+  const work = { unreadTokens, answerTokens };
+  asker.unreportedGrants.push({ number, serverId: chosen.id, grantedMs: now, work });
+  const idleFirstMs = waiting.estimateIdleFirstMs(cell, request) * chosen.slowness;
   const { serial } = request;
   const entry = recentEntries.get(chosen.id);
   const isRateLimited = rateLimit.isLimited(limit);
@@ -122,6 +133,8 @@
     serial,
     serverId: chosen.id,
     idleFirstMs,
+    aheadMs: serverWork.toWireNumber(chosen.aheadMs),
+    predictedFirstMs: serverWork.toWireNumber(waiting.estimateFirstMs(cell, request, chosen)),
     entry,
     isRateLimited,
   });
@@ -188,6 +201,7 @@
       request,
       queued: cell.queue.items.length - 1,
       weighed: listWeighed(all, chosen),
+      predictedFirstMs: waiting.estimateFirstMs(cell, request, chosen),
       leftOut: servers.entries.length - all.length,
       full: all.filter(({ slots, inFlight }) => inFlight >= slots).length,
       heldBack: all.filter(({ startsLeft }) => startsLeft === 0).length,
@@ -196,7 +210,7 @@
     if (isBounded) {
       warmUp.noteStart(cell.starts, chosen.id, now);
     }
-    chosen.inFlight += 1;
+    candidates.addRequest(cell, chosen, request);
     chosen.startsLeft -= 1;
     taken += 1;
     match = taken < count.usable ? requestMatch.findNextMatch(search) : undefined;
--- a/packages/core/src/scheduler/stream-pauses.ts
+++ b/packages/core/src/scheduler/stream-pauses.ts
@@ -9,6 +9,11 @@
 
 /** Maximum number of prompt tokens that an engine reads between two steps. */
 const CHUNK_TOKENS = 2048;
+/**
+ * Share of the longest pause that one prompt may cause. The estimate is rough, and another prompt
+ * may arrive while it is read.
+ */
+const MAX_PAUSE_SHARE = 0.75;
 
 export type PauseInput = {
   /** Prompt tokens that the engine reads: the new prompt and those ahead of it. */
@@ -28,3 +33,8 @@
   const readTokens = Math.min(promptTokens, CHUNK_TOKENS * tokensPerEvent);
   return unitMs + (slowness * readTokens) / promptTokensPerMs;
 }
+
+/** Reports whether a prompt makes running streams pause for too long. */
+export function isTooLong(input: PauseInput, maxPauseMs: number): boolean {
+  return estimatePauseMs(input) > MAX_PAUSE_SHARE * maxPauseMs;
+}
--- a/packages/gateway/src/gateway-metrics.ts
+++ b/packages/gateway/src/gateway-metrics.ts
@@ -27,6 +27,8 @@
   recordShed: () => void;
   /** Records that a request was withdrawn before its first byte was sent. */
   recordWithdrawal: (reason: WithdrawalReason) => void;
+  /** Records by how much a first event came later than predicted, milliseconds. */
+  recordFirstEventError: (service: string, ms: number) => void;
   render: () => string;
 };
 
@@ -61,6 +63,24 @@
   }));
 }
 
+/** Lists what the schedulers of this gateway's cells know of prompts. */
+function listWorkValues({ scheduler }: gateway.GatewayState): runtime.MetricSample[] {
+  return [...scheduler.cells.values()].flatMap((cell) => {
+    const work = gateway.countWork(cell);
+    const ids = new Set([...cell.healthByServer.keys(), ...work.keys()]);
+    const service = gateway.parseCellService(cell.name);
+    const speed = gateway.estimateTokensPerMs(cell.promptSpeed);
+    return [
+      { name: 'prompt_tokens_per_ms', labels: { service }, value: speed },
+      ...[...ids].map((server) => ({
+        name: 'server_unread_tokens',
+        labels: { server },
+        value: work.get(server)?.unreadTokens ?? 0,
+      })),
+    ];
+  });
+}
+
 /** Counts the backend servers whose statements are in effect, by kind of statement. */
 function listStatementValues(
   { servers }: gateway.GatewayState,
@@ -101,6 +121,7 @@
     ...listStatementValues(state, now),
     ...listSchedulingValues(state),
     ...listShareValues(state, now),
+    ...listWorkValues(state),
   ];
 }
 
@@ -124,6 +145,10 @@
     recordShed: () =>
       runtime.addCount(metrics, 'requests_shed_total', { reason: 'gateway-overloaded' }),
     recordWithdrawal: (reason) => runtime.addCount(metrics, 'requests_withdrawn_total', { reason }),
+    recordFirstEventError: (service, ms) => {
+      const labels = { service, sign: ms < 0 ? 'early' : 'late' };
+      runtime.recordDuration(metrics, 'first_event_error_ms', labels, Math.abs(ms));
+    },
     render: () =>
       runtime.renderMetrics(metrics, Date.now(), [
         ...listSamples(state, readSteadyMs()),
--- a/packages/measure/src/gateway-load/call-draw.ts
+++ b/packages/measure/src/gateway-load/call-draw.ts
@@ -32,47 +32,51 @@
   const kinds =
     pattern.computeKindFactor === undefined
       ? 1
-      : loadPattern.KINDS.reduce((sum, kind) => sum + computeKindShare(pattern, kind, atMs), 0);
+      : loadPattern
+          .listKinds(pattern)
+          .reduce((sum, kind) => sum + computeKindShare(pattern, kind, atMs), 0);
   return kinds * workspaces;
 }
 
 /** Draws the size of the prompt of a call. */
 function drawSize(
-  { draw, options }: replayWorld.World,
+  { drawCall, options }: replayWorld.World,
   kind: loadPattern.RequestKind,
 ): loadPattern.RequestKind {
   if (options.pattern.workspaces?.isSkewed !== true) {
     return kind;
   }
   const usual = kind.promptTokens / (1 - LONG_SHARE + LONG_SHARE * LONG_FACTOR);
-  const promptTokens = Math.round(draw() < LONG_SHARE ? usual * LONG_FACTOR : usual);
+  const promptTokens = Math.round(drawCall() < LONG_SHARE ? usual * LONG_FACTOR : usual);
   return { ...kind, promptTokens };
 }
 
 /** Draws the kind of a call. */
 export function drawKind(world: replayWorld.World): loadPattern.RequestKind {
   const { pattern } = world.options;
-  const shares = loadPattern.KINDS.map((kind) => computeKindShare(pattern, kind, world.nowMs));
+  const shares = loadPattern
+    .listKinds(pattern)
+    .map((kind) => computeKindShare(pattern, kind, world.nowMs));
   const all = pattern.computeKindFactor === undefined ? 1 : shares.reduce((a, b) => a + b, 0);
-  const luck = world.draw() * all;
+  const luck = world.drawCall() * all;
   let below = 0;
   const kind =
-    loadPattern.KINDS.find((_, index) => {
+    loadPattern.listKinds(world.options.pattern).find((_, index) => {
       below += shares[index];
       return luck < below;
-    }) ?? loadPattern.KINDS[0];
+    }) ?? loadPattern.listKinds(world.options.pattern)[0];
   return drawSize(world, kind);
 }
 
 /** Draws the workspace of a call. */
-export function drawWorkspace({ draw, options, nowMs }: replayWorld.World): number {
+export function drawWorkspace({ drawCall, options, nowMs }: replayWorld.World): number {
   const { pattern } = options;
   if (pattern.workspaces === undefined) {
-    const isHot = draw() < pattern.hotShare;
-    return Math.floor(draw() * (isHot ? replayTally.HOT_WORKSPACES : replayWorld.WORKSPACES));
+    const isHot = drawCall() < pattern.hotShare;
+    return Math.floor(drawCall() * (isHot ? replayTally.HOT_WORKSPACES : replayWorld.WORKSPACES));
   }
   const loads = listLoads(pattern, nowMs);
-  let left = draw() * loads.reduce((sum, one) => sum + one, 0);
+  let left = drawCall() * loads.reduce((sum, one) => sum + one, 0);
   const drawn = loads.findIndex((load) => {
     left -= load;
     return left < 0;
--- a/packages/measure/src/gateway-load/main.ts
+++ b/packages/measure/src/gateway-load/main.ts
@@ -4,6 +4,7 @@
  * With `--sizes 1,26,68` the worth of the loads before 82 engines by number of gateways.
  */
 import * as util from 'node:util';
+import * as hardLoad from './hard-load.js';
 import * as loadPattern from './load-pattern.js';
 import * as loopTable from './loop-table.js';
 import type * as replayWorld from './replay-world.js';
@@ -44,6 +45,7 @@
   --shares CELLS print what workspace shares do, before enough engines for so many cells
   --loads TEXT  of these, only the loads whose name contains the text
   --sizes N,... print what is served by as many gateways before ${MANY_ENGINES} engines
+  --hard        print what is on time of prompts of very unequal length
 `;
 
 const { values } = util.parseArgs({
@@ -53,6 +55,7 @@
     loop: { type: 'boolean', default: false },
     shares: { type: 'string' },
     loads: { type: 'string', default: '' },
+    hard: { type: 'boolean', default: false },
     help: { type: 'boolean', default: false },
   },
 });
@@ -131,6 +134,8 @@
   process.stdout.write(loopTable.formatLoopTable(seeds));
 } else if (values.shares !== undefined) {
   printShares(Number(values.shares));
+} else if (values.hard) {
+  process.stdout.write(hardLoad.formatHardLoads(seeds));
 } else if (values.sizes === undefined) {
   printSources();
 } else {
--- a/packages/measure/src/gateway-load/replay-tally.ts
+++ b/packages/measure/src/gateway-load/replay-tally.ts
@@ -1,4 +1,5 @@
 /** Counts what became of the calls of a replay. */
+import type * as engineModel from './engine-model.js';
 import * as replayWorld from './replay-world.js';
 
 /** Workspaces that send more than usual; their numbers are the first ones. */
@@ -12,7 +13,7 @@
   kind: string,
   field: keyof replayWorld.KindResult,
 ): void {
-  const counts = byKind.get(kind) ?? { asked: 0, inTime: 0, late: 0, failed: 0 };
+  const counts = byKind.get(kind) ?? { asked: 0, inTime: 0, late: 0, failed: 0, paused: 0 };
   counts[field] += 1;
   byKind.set(kind, counts);
 }
@@ -53,10 +54,21 @@
   return nowMs >= options.pattern.calmFromMs;
 }
 
-/** Counts a call whose first event has come. */
-export function noteFirst(world: replayWorld.World, call: replayWorld.Call, atMs: number): void {
-  const isInTime = atMs - call.firstSentMs <= call.kind.targetMs;
+/** Counts a call that was served. */
+export function noteServed(
+  world: replayWorld.World,
+  call: replayWorld.Call,
+  { firstMs, longestPauseMs }: engineModel.EngineRun,
+): void {
+  const sinceSentMs = firstMs - call.firstSentMs;
+  const isInTime = sinceSentMs <= call.kind.targetMs;
   addWork(world, call, 'served');
   addToResult(world, call, isInTime ? 'inTime' : 'late');
+  if (isInTime && longestPauseMs > replayWorld.MAX_PAUSE_MS) {
+    addToResult(world, call, 'paused');
+  }
+  const times = world.result.firstMs.get(call.kind.name) ?? [];
+  times.push(sinceSentMs);
+  world.result.firstMs.set(call.kind.name, times);
   world.result.quietInTime += Number(isInTime && isQuiet(world, call));
 }
--- a/packages/measure/src/gateway-load/replay-world.ts
+++ b/packages/measure/src/gateway-load/replay-world.ts
@@ -16,6 +16,8 @@
   /** Shares of the workspaces, and what they used recently; known if left out. */
   shares?: boolean;
   recentUse?: boolean;
+  /** Gateways report no work in flight to each other, as in the version before; absent: no. */
+  hidesWork?: boolean;
 };
 
 /** Failure domains of a replay: the one of each gateway and each engine, in turn. */
@@ -40,7 +42,14 @@
   domains?: ReplayDomains;
 };
 
-export type KindResult = { asked: number; inTime: number; late: number; failed: number };
+export type KindResult = {
+  asked: number;
+  inTime: number;
+  late: number;
+  failed: number;
+  /** In time at first, with a pause later that its caller notices. */
+  paused: number;
+};
 
 /** Work that one workspace asked for, and that it was served, tokens. */
 export type WorkspaceWork = { asked: number; served: number };
@@ -62,6 +71,13 @@
   /** Requests that engines in the failure domain of the gateway got, and those in others. */
   ownPlacements: number;
   otherPlacements: number;
+  /** Times from the first sending to the first event by kind, milliseconds. */
+  firstMs: Map<string, number[]>;
+  /** Share of the slots in use, summed over the ticks in which calls arrive, and these ticks. */
+  slotsInUse: number;
+  ticks: number;
+  /** Messages to schedulers. */
+  asks: number;
 };
 
 /** One caller's request, over its tries. */
@@ -69,6 +85,7 @@
   id: string;
   kind: loadPattern.RequestKind;
   workspace: number;
+  promptTokens: number;
   firstSentMs: number;
   tries: number;
   dueMs: number;
@@ -79,6 +96,8 @@
 export type World = {
   options: ReplayOptions;
   draw: proofs.DrawRandom;
+  /** Draws the calls: those of a seed are the same whatever the gateways decide. */
+  drawCall: proofs.DrawRandom;
   states: gateway.GatewayState[];
   engines: engineModel.EngineModel[];
   network: datagramNetwork.DatagramNetwork;
@@ -97,6 +116,8 @@
 export const DEADLINE_MS = 15_000;
 export const WORKSPACES = 8;
 const PATIENCE_MS = 3200;
+/** Callers notice a longer pause between two events, milliseconds. */
+export const MAX_PAUSE_MS = 400;
 /** Requests per second that no workspace reaches. */
 const AMPLE_RATE = 100_000;
 /** One engine in three is slow, as on the users' machines. */
@@ -122,7 +143,7 @@
 
 /** Builds the configuration: a route for each kind. */
 function buildConfiguration({ slots, pattern }: ReplayOptions): gateway.Configuration {
-  const routes = loadPattern.KINDS.map((kind) => ({
+  const routes = loadPattern.listKinds(pattern).map((kind) => ({
     name: kind.name,
     hostname: 'h',
     prefix: `/${kind.name}/`,
@@ -130,7 +151,7 @@
     timeoutMs: DEADLINE_MS,
     targetMs: kind.targetMs,
     patienceMs: PATIENCE_MS,
-    maxPauseMs: undefined,
+    maxPauseMs: pattern.prompts && MAX_PAUSE_MS,
     urgency: kind.urgency,
     targets: [{ service: SERVICE, weight: 1 }],
     maxAttempts: 1,
@@ -227,21 +248,32 @@
     mostAtEngine: 0,
     ownPlacements: 0,
     otherPlacements: 0,
+    firstMs: new Map(),
+    slotsInUse: 0,
+    ticks: 0,
+    asks: 0,
   };
 }
 
 /** Creates the fleet of a replay. */
 export function createWorld(options: ReplayOptions): World {
   const draw = proofs.createRandomSource(options.seed);
-  const { delayMs, lossShare } = options;
+  const { delayMs, lossShare, pattern } = options;
+  const slowness = pattern.slowness ?? SLOWNESS;
   const isCut = () => false;
   const world: World = {
     options,
     draw,
+    drawCall: pattern.prompts === undefined ? draw : proofs.createRandomSource(-options.seed),
     network: datagramNetwork.createNetwork({ delayMs, lossShare, drawRandom: draw, isCut }),
     states: [],
     engines: Array.from({ length: options.engines }, (_, index) =>
-      engineModel.createEngine(`engine-${index}`, SLOWNESS[index % SLOWNESS.length], options.slots),
+      engineModel.createEngine(
+        `engine-${index}`,
+        slowness[index % slowness.length],
+        options.slots,
+        pattern.prompts,
+      ),
     ),
     live: new Map(),
     due: [],
--- a/packages/measure/src/gateway-load/replay.ts
+++ b/packages/measure/src/gateway-load/replay.ts
@@ -53,7 +53,7 @@
       path: `/${kind.name}/x`,
       credential: `key-${call.workspace}`,
       deadlineMs: replayWorld.DEADLINE_MS - (world.nowMs - call.firstSentMs),
-      tokens: { prompt: kind.promptTokens, answer: kind.answerTokens },
+      tokens: { prompt: call.promptTokens, answer: kind.answerTokens },
       answerGuess: undefined,
       hashContent: () => call.id,
     },
@@ -107,7 +107,8 @@
   const isOwn = world.states[live.gateway].failureDomain === server.failureDomain;
   world.result.ownPlacements += Number(isOwn);
   world.result.otherPlacements += Number(!isOwn);
-  const { promptTokens, answerTokens } = live.call.kind;
+  const { promptTokens, kind } = live.call;
+  const { answerTokens } = kind;
   engineModel.addRun(engine, { id: attemptId, promptTokens, answerTokens }, world.nowMs);
   const atEngine = engine.running.length + engine.waiting.length;
   world.result.mostAtEngine = Math.max(world.result.mostAtEngine, atEngine);
@@ -154,7 +155,14 @@
     const state = byAddress.get(content.to);
     world.nowMs = Math.max(dueMs, tickMs);
     if (state !== undefined && content.kind === 'ask') {
-      gateway.receiveAsk(state, content.ask, world.nowMs);
+      const { ask } = content;
+      if (world.options.knowledge.hidesWork === true) {
+        ask.inFlight.forEach((use) => {
+          use.unreadTokens = undefined;
+          use.answerTokens = undefined;
+        });
+      }
+      gateway.receiveAsk(state, ask, world.nowMs);
       advance(world, state);
     } else if (state !== undefined && content.kind === 'reply') {
       const clocks = replayWorld.readClocks(world);
@@ -174,9 +182,21 @@
   });
 }
 
+/** Tells the gateways of the first events that have come. */
+function noteFirstEvents(world: replayWorld.World, engine: engineModel.EngineModel): void {
+  engineModel.takeBegun(engine, world.nowMs).forEach((run) => {
+    const live = world.live.get(run.id);
+    if (live !== undefined && world.options.knowledge.firstEvents) {
+      const state = world.states[live.gateway];
+      gateway.noteFirstEvent(state, live.request, run.firstMs - run.startedMs, world.nowMs);
+    }
+  });
+}
+
 /** Ends the runs that are over, and tells the gateways what was seen of them. */
 function endRuns(world: replayWorld.World, engine: engineModel.EngineModel): void {
   const { knowledge } = world.options;
+  noteFirstEvents(world, engine);
   const eventMs = engineModel.computeEventMs(engine);
   engineModel.takeEnded(engine, world.nowMs).forEach((run) => {
     const live = world.live.get(run.id);
@@ -185,13 +205,11 @@
     }
     world.live.delete(run.id);
     const state = world.states[live.gateway];
-    replayTally.noteFirst(world, live.call, run.firstMs);
+    replayTally.noteServed(world, live.call, run);
     world.result.calmServed[live.gateway] += Number(replayTally.isCalm(world));
-    if (knowledge.firstEvents) {
-      gateway.noteFirstEvent(state, live.request, run.firstMs - run.startedMs, world.nowMs);
-    }
     if (knowledge.paces) {
-      gateway.noteUnit(state, live.request, eventMs, world.nowMs);
+      const unitMs = engine.prompts.isChunked ? engineModel.computeMeanEventMs(run) : eventMs;
+      gateway.noteUnit(state, live.request, unitMs, world.nowMs);
     }
     gateway.noteGoodAnswer(state, live.request, world.nowMs);
     gateway.endRequest(state, live.request);
@@ -251,6 +269,10 @@
   }
   const count = Math.round(event.share * world.engines.length);
   world.engines.slice(0, count).forEach((engine) => {
+    if (event.kind === 'enginesSlow') {
+      engine.slowness *= event.factor;
+      return;
+    }
     if (event.kind === 'enginesFail') {
       engine.failsUntilMs = world.nowMs + event.forMs;
       return;
@@ -268,12 +290,14 @@
   const factor = callDraw.computeFactor(pattern, world.nowMs);
   const mean = (pattern.computeRate(world.nowMs) * factor * engines * TICK_MS) / MS_PER_SECOND;
   let left = mean;
-  while (world.draw() < left) {
+  while (world.drawCall() < left) {
     left -= 1;
     const kind = callDraw.drawKind(world);
     const workspace = callDraw.drawWorkspace(world);
-    const id = `c${world.result.quietAsked}-${world.sequence}-${world.draw()}`;
-    const call = { id, kind, workspace, firstSentMs: world.nowMs, tries: 0, dueMs: world.nowMs };
+    const id = `c${world.result.quietAsked}-${world.sequence}-${world.drawCall()}`;
+    const promptTokens = loadPattern.drawPromptTokens(kind, world.drawCall);
+    const { nowMs } = world;
+    const call = { id, kind, workspace, promptTokens, firstSentMs: nowMs, tries: 0, dueMs: nowMs };
     replayTally.addToResult(world, call, 'asked');
     replayTally.addWork(world, call, 'asked');
     world.result.quietAsked += Number(replayTally.isQuiet(world, call));
@@ -288,6 +312,15 @@
   due.forEach((call) => sendCall(world, call));
 }
 
+/** Adds the slots in use in this tick to their mean over the time in which calls arrive. */
+function noteSlotsInUse({ engines, options, result, nowMs }: replayWorld.World): void {
+  const used = engines.reduce((sum, { running }) => sum + running.length, 0);
+  if (options.pattern.computeRate(nowMs) > 0) {
+    result.ticks += 1;
+    result.slotsInUse += used / (engines.length * options.slots);
+  }
+}
+
 /** Replays a load. */
 export function runReplay(options: replayWorld.ReplayOptions): replayWorld.ReplayResult {
   const world = replayWorld.createWorld(options);
@@ -305,7 +338,9 @@
     }
     advanceAll(world);
     deliverDatagrams(world);
+    noteSlotsInUse(world);
     world.nowMs += TICK_MS;
   }
+  world.result.asks = world.states.reduce((sum, one) => sum + one.schedulingTotals.asks, 0);
   return world.result;
 }
