Show in the replay what becomes of callers that return

The replay let callers return only at Retry-After and with 15 s for all kinds, and counted neither refused returns nor how often callers ask.

Existing patterns are unchanged.

--- a/packages/measure/src/gateway-load/load-pattern.ts
+++ b/packages/measure/src/gateway-load/load-pattern.ts
@@ -17,6 +17,14 @@
   | { kind: 'enginesFail'; atMs: number; share: number; forMs: number }
   | { kind: 'gatewaysRestart'; atMs: number };
 
+/** How callers return that were refused. */
+export type ReturnRule = {
+  /** Time that a caller gives its request, by kind, milliseconds. */
+  deadlineByKind: Record<string, number>;
+  /** Share of the refused callers that return at once, whatever they are told. */
+  atOnceShare: number;
+};
+
 export type LoadPattern = {
   name: string;
   durationMs: number;
@@ -29,6 +37,12 @@
   /** From when on the worst is over, milliseconds. */
   calmFromMs: number;
   events: FleetEvent[];
+  /** Factor of the usual rate of a kind at a time; 1 where it is left out. */
+  computeKindFactor?: (kind: RequestKind, atMs: number) => number;
+  /** Calls that are first sent after this time are load only and are not counted, milliseconds. */
+  countedUntilMs?: number;
+  /** Where it is left out, callers have one deadline and return at `Retry-After`. */
+  returns?: ReturnRule;
 };
 
 /** The mix of the users' sheets: long, middle and short prompts. */
@@ -59,6 +73,11 @@
   },
 ];
 
+/** Lists the shares of the kinds at a time; they add up to more than 1 in a burst of one kind. */
+export function listShares(pattern: LoadPattern, atMs: number): number[] {
+  return KINDS.map((kind) => kind.share * (pattern.computeKindFactor?.(kind, atMs) ?? 1));
+}
+
 /** Requests a second for each engine: what it serves without a wait, and a burst. */
 const CALM = 5;
 const BURST = 16;
--- a/packages/measure/src/gateway-load/main.ts
+++ b/packages/measure/src/gateway-load/main.ts
@@ -2,11 +2,13 @@
  * `npm run measure:gateway [-- --seeds N]`: the worst loads replayed through the
  * gateways' decisions, with all that they learn and with each source taken away.
  * With `--sizes 1,26,68` the worth of the loads before 82 engines by number of gateways.
+ * With `--returns` what becomes of callers that are refused and return.
  */
 import * as util from 'node:util';
 import * as loadPattern from './load-pattern.js';
 import type * as replayWorld from './replay-world.js';
 import * as replay from './replay.js';
+import * as returnTable from './return-table.js';
 import * as sizeTable from './size-table.js';
 
 const GATEWAYS = 4;
@@ -34,15 +36,20 @@
 /** The engines of the largest fleet that the users have described, and their places. */
 const MANY_ENGINES = 82;
 const MANY_ENGINES_SLOTS = 6;
-const HELP = `npm run measure:gateway -- [--seeds N] [--sizes N,N,...]
+/** A fleet whose engines are one cell, as there are fewer than 40. */
+const RETURN_GATEWAYS = 8;
+const RETURN_ENGINES = 27;
+const HELP = `npm run measure:gateway -- [--seeds N] [--sizes N,N,... | --returns]
   --seeds N     replay each load with N seeds; 5 where it is left out
   --sizes N,... print what is served by as many gateways before ${MANY_ENGINES} engines
+  --returns     print what becomes of callers that are refused and return
 `;
 
 const { values } = util.parseArgs({
   options: {
     seeds: { type: 'string', default: '5' },
     sizes: { type: 'string' },
+    returns: { type: 'boolean', default: false },
     help: { type: 'boolean', default: false },
   },
 });
@@ -97,6 +104,15 @@
 
 if (values.help) {
   process.stdout.write(HELP);
+} else if (values.returns) {
+  const fleet = {
+    gateways: RETURN_GATEWAYS,
+    engines: RETURN_ENGINES,
+    slots: SLOTS,
+    delayMs: DELAY_MS,
+    lossShare: LOSS_SHARE,
+  };
+  process.stdout.write(returnTable.formatReturnTable(fleet, seeds));
 } else if (values.sizes === undefined) {
   printSources();
 } else {
--- a/packages/measure/src/gateway-load/replay-world.ts
+++ b/packages/measure/src/gateway-load/replay-world.ts
@@ -28,7 +28,19 @@
   lossShare: number;
 };
 
-export type KindResult = { asked: number; inTime: number; late: number; failed: number };
+export type KindResult = {
+  asked: number;
+  inTime: number;
+  late: number;
+  failed: number;
+  /** Requests sent by callers, first ones and returns. */
+  tries: number;
+  /** Calls that were refused, and those among them whose return was refused too. */
+  refused: number;
+  refusedTwice: number;
+  /** Those of `late` that were served after a return. */
+  lateAfterReturn: number;
+};
 
 export type ReplayResult = {
   byKind: Map<string, KindResult>;
@@ -52,6 +64,7 @@
   firstSentMs: number;
   tries: number;
   dueMs: number;
+  isCounted: boolean;
 };
 
 export type Live = { call: Call; gateway: number; request: gateway.GatewayRequest };
@@ -72,12 +85,17 @@
 };
 
 const SERVICE = 'one';
-export const DEADLINE_MS = 15_000;
+const DEADLINE_MS = 15_000;
 export const WORKSPACES = 8;
 const PATIENCE_MS = 3200;
 /** One engine in three is slow, as on the users' machines. */
 const SLOWNESS = [1, 1, 4];
 
+/** Returns the time that a caller gives its request, milliseconds. */
+export function getDeadlineMs(pattern: loadPattern.LoadPattern, kind: string): number {
+  return pattern.returns?.deadlineByKind[kind] ?? DEADLINE_MS;
+}
+
 /** Builds the configuration: a route for each kind. */
 function buildConfiguration(slots: number): gateway.Configuration {
   const routes = loadPattern.KINDS.map((kind) => ({
--- a/packages/measure/src/gateway-load/replay.ts
+++ b/packages/measure/src/gateway-load/replay.ts
@@ -14,19 +14,38 @@
 
 const TICK_MS = 5;
 const MAX_TRIES = 2;
+/** A caller waits for at most this share of the time that it has left. */
+const RETURN_SHARE = 1 / 3;
 const MS_PER_SECOND = 1000;
 
+/** Computes after which time a caller returns that was told a time, milliseconds. */
+function computeReturnMs(
+  world: replayWorld.World,
+  { kind, firstSentMs }: replayWorld.Call,
+  retryAfterMs: number,
+): number {
+  const { pattern } = world.options;
+  if (pattern.returns === undefined) {
+    return retryAfterMs;
+  }
+  const leftMs = replayWorld.getDeadlineMs(pattern, kind.name) - (world.nowMs - firstSentMs);
+  return world.draw() < pattern.returns.atOnceShare
+    ? 0
+    : Math.min(retryAfterMs, leftMs * RETURN_SHARE);
+}
+
 /** Lets a call that was refused come back, or counts it as failed. */
 function endRefused(
   world: replayWorld.World,
   call: replayWorld.Call,
   retryAfterMs: number | undefined,
 ): void {
+  replayTally.addToResult(world, call, call.tries >= MAX_TRIES ? 'refusedTwice' : 'refused');
   if (retryAfterMs === undefined || call.tries >= MAX_TRIES) {
     replayTally.addToResult(world, call, 'failed');
     return;
   }
-  world.due.push({ ...call, dueMs: world.nowMs + retryAfterMs });
+  world.due.push({ ...call, dueMs: world.nowMs + computeReturnMs(world, call, retryAfterMs) });
 }
 
 /** Draws a gateway as a balancer does that knows no load: some get more than others. */
@@ -41,6 +60,8 @@
   const state = world.states[index];
   const { kind } = call;
   const tried = { ...call, tries: call.tries + 1 };
+  const deadlineMs = replayWorld.getDeadlineMs(world.options.pattern, kind.name);
+  replayTally.addToResult(world, call, 'tries');
   const id = `${call.id}.${tried.tries}`;
   const intake = gateway.admitRequest(
     state,
@@ -49,7 +70,7 @@
       host: 'h',
       path: `/${kind.name}/x`,
       credential: `key-${call.workspace}`,
-      deadlineMs: replayWorld.DEADLINE_MS - (world.nowMs - call.firstSentMs),
+      deadlineMs: deadlineMs - (world.nowMs - call.firstSentMs),
       tokens: { prompt: kind.promptTokens, answer: kind.answerTokens },
       answerGuess: undefined,
       hashContent: () => call.id,
@@ -171,7 +192,7 @@
     }
     world.live.delete(run.id);
     const state = world.states[live.gateway];
-    replayTally.noteFirst(world, live.call, run.firstMs);
+    replayTally.noteServed(world, live.call, run.firstMs, run.endMs);
     world.result.calmServed[live.gateway] += Number(replayTally.isCalm(world));
     if (knowledge.firstEvents) {
       gateway.noteFirstEvent(state, live.request, run.firstMs - run.startedMs, world.nowMs);
@@ -230,15 +251,18 @@
 /** Draws the calls of one tick. */
 function drawCalls(world: replayWorld.World): void {
   const { pattern, engines } = world.options;
-  const mean = (pattern.computeRate(world.nowMs) * engines * TICK_MS) / MS_PER_SECOND;
+  const shares = loadPattern.listShares(pattern, world.nowMs);
+  const total = shares.reduce((sum, share) => sum + share, 0);
+  const rate = pattern.computeRate(world.nowMs) * (pattern.computeKindFactor ? total : 1);
+  const mean = (rate * engines * TICK_MS) / MS_PER_SECOND;
   let left = mean;
   while (world.draw() < left) {
     left -= 1;
-    const luck = world.draw();
+    const luck = world.draw() * (pattern.computeKindFactor ? total : 1);
     let below = 0;
     const kind =
-      loadPattern.KINDS.find(({ share }) => {
-        below += share;
+      loadPattern.KINDS.find((_, index) => {
+        below += shares[index];
         return luck < below;
       }) ?? loadPattern.KINDS[0];
     const isHot = world.draw() < pattern.hotShare;
@@ -246,7 +270,15 @@
       world.draw() * (isHot ? replayTally.HOT_WORKSPACES : replayWorld.WORKSPACES),
     );
     const id = `c${world.result.quietAsked}-${world.sequence}-${world.draw()}`;
-    const call = { id, kind, workspace, firstSentMs: world.nowMs, tries: 0, dueMs: world.nowMs };
+    const call = {
+      id,
+      kind,
+      workspace,
+      firstSentMs: world.nowMs,
+      tries: 0,
+      dueMs: world.nowMs,
+      isCounted: world.nowMs < (pattern.countedUntilMs ?? Infinity),
+    };
     replayTally.addToResult(world, call, 'asked');
     world.result.quietAsked += Number(replayTally.isQuiet(call));
     world.due.push(call);
