Draw arrivals apart from decisions in the replay of returns

Arrivals came from the random source that decisions draw from too, so two rules for returns met different requests and their results could not be compared. Loads with returns now draw arrivals from a source of their own.

--- a/packages/measure/src/gateway-load/replay-world.ts
+++ b/packages/measure/src/gateway-load/replay-world.ts
@@ -72,6 +72,8 @@
 export type World = {
   options: ReplayOptions;
   draw: proofs.DrawRandom;
+  /** Draws what callers send; apart from `draw` in loads that compare rules for returns. */
+  drawArrival: proofs.DrawRandom;
   states: gateway.GatewayState[];
   engines: engineModel.EngineModel[];
   network: datagramNetwork.DatagramNetwork;
@@ -84,6 +86,8 @@
   starts: number;
 };
 
+/** Added to the seed of a replay for the arrivals, which must not depend on decisions. */
+const ARRIVAL_SEED_OFFSET = 1_000_000;
 const SERVICE = 'one';
 const DEADLINE_MS = 15_000;
 export const WORKSPACES = 8;
@@ -191,11 +195,14 @@
 /** Creates the fleet of a replay. */
 export function createWorld(options: ReplayOptions): World {
   const draw = proofs.createRandomSource(options.seed);
-  const { delayMs, lossShare } = options;
+  const { delayMs, lossShare, pattern, seed } = options;
+  const drawArrival =
+    pattern.returns === undefined ? draw : proofs.createRandomSource(seed + ARRIVAL_SEED_OFFSET);
   const isCut = () => false;
   const world: World = {
     options,
     draw,
+    drawArrival,
     network: datagramNetwork.createNetwork({ delayMs, lossShare, drawRandom: draw, isCut }),
     states: [],
     engines: Array.from({ length: options.engines }, (_, index) =>
--- a/packages/measure/src/gateway-load/replay.ts
+++ b/packages/measure/src/gateway-load/replay.ts
@@ -256,20 +256,20 @@
   const rate = pattern.computeRate(world.nowMs) * (pattern.computeKindFactor ? total : 1);
   const mean = (rate * engines * TICK_MS) / MS_PER_SECOND;
   let left = mean;
-  while (world.draw() < left) {
+  while (world.drawArrival() < left) {
     left -= 1;
-    const luck = world.draw() * (pattern.computeKindFactor ? total : 1);
+    const luck = world.drawArrival() * (pattern.computeKindFactor ? total : 1);
     let below = 0;
     const kind =
       loadPattern.KINDS.find((_, index) => {
         below += shares[index];
         return luck < below;
       }) ?? loadPattern.KINDS[0];
-    const isHot = world.draw() < pattern.hotShare;
+    const isHot = world.drawArrival() < pattern.hotShare;
     const workspace = Math.floor(
-      world.draw() * (isHot ? replayTally.HOT_WORKSPACES : replayWorld.WORKSPACES),
+      world.drawArrival() * (isHot ? replayTally.HOT_WORKSPACES : replayWorld.WORKSPACES),
     );
-    const id = `c${world.result.quietAsked}-${world.sequence}-${world.draw()}`;
+    const id = `c${world.result.quietAsked}-${world.sequence}-${world.drawArrival()}`;
     const call = {
       id,
       kind,
