Keep late returns waiting for as long as their callers

In an overload a refused caller returns once. Its return was refused on arrival, or after 0.6 s without a slot in its rank, by the same rule as a first attempt, although it has no further try.

A request whose caller returns (isBelated) and that cannot be on time is now queued and waits until its caller leaves. It shares the late rank of its urgency with late first attempts, so that the returns of a workspace with many requests do not delay others. Returns that can meet their target are queued as before, and so are callers that return at once, as they are not recognised. Log lines of grants and declines carry isBelated; late_returns_total and status count late returns queued, sent and refused.

--- a/packages/core/src/scheduler/cell.ts
+++ b/packages/core/src/scheduler/cell.ts
@@ -54,6 +54,9 @@
   reply: PendingReply;
 };
 
+/** Totals of returns (callers that retry) that were queued although they would be late. */
+export type LateReturns = { queued: number; sent: number; refused: number };
+
 export type Cell = {
   name: string;
   /** When this gateway began to schedule the cell, milliseconds. */
@@ -77,6 +80,7 @@
   /** Throughput of each rank of the queue. */
   throughputByRank: Map<number, queueThroughput.QueueThroughput>;
   overload: overload.Overload;
+  lateReturns: LateReturns;
   /** Measured across all backend servers of the cell. */
   addedLatency: addedLatency.AddedLatency;
 };
@@ -97,6 +101,7 @@
     throughput: queueThroughput.createQueueThroughput(),
     throughputByRank: new Map(),
     overload: overload.createOverload(),
+    lateReturns: { queued: 0, sent: 0, refused: 0 },
     addedLatency: addedLatency.createAddedLatency(),
   };
 }
--- a/packages/core/src/scheduler/waiting.ts
+++ b/packages/core/src/scheduler/waiting.ts
@@ -2,6 +2,8 @@
  * Queues the waiting requests of a cell.
  *
  * Requests that can still meet their target come first, by urgency; late ones follow, by urgency.
+ * A late return waits for as long as its caller does: callers retry once, so that a second refusal
+ * is final, whereas a request that is refused for the first time returns.
  * A late response is still useful to its caller but must not make another one late. For example, in
  * a burst of twice the engines' capacity, all requests would be slightly late if they were served
  * in order of arrival. Separated by their expected wait, those that can be on time are on time.
@@ -110,6 +112,14 @@
   return urgency + (isBelated ? MISSED_TARGET_RANK : 0) + (isBeyondQuota ? BEYOND_QUOTA_RANK : 0);
 }
 
+/**
+ * Computes the rank of a late request. Returns and first attempts share it, so that the returns of
+ * a workspace with many requests do not delay the late requests of others.
+ */
+function computeLateRank(request: scheduledRequest.ScheduledRequest): number {
+  return LATE_RANK + computeRank({ ...request, isBelated: false });
+}
+
 /** Finds the rank and due time of a request; undefined if it could not be served in time. */
 function findQueuePosition(
   cell: cells.Cell,
@@ -126,8 +136,11 @@
   ) {
     return { rank: onTimeRank, dueMs: latestStartMs };
   }
-  const rank = LATE_RANK + onTimeRank;
+  const rank = computeLateRank(request);
   const leftMs = request.leaveMs - firstMs - now;
+  if (request.isBelated && leftMs > 0) {
+    return { rank, dueMs: now + leftMs };
+  }
   return leftMs <= 0 || estimateWaitMs(cell, rank, request.workspace, now) > MAX_WAIT_SHARE * leftMs
     ? undefined
     : { rank, dueMs: now + Math.min(leftMs, CHECK_INTERVAL_MS) };
@@ -145,6 +158,7 @@
   }
   const { id, workspace, workTokens } = request;
   waitQueue.addItem(cell.queue, { serial: id, workspace, workTokens, enteredMs: now, ...place });
+  cell.lateReturns.queued += Number(request.isBelated && isLateRank(place.rank));
   return true;
 }
 
@@ -157,6 +171,7 @@
   const item = waitQueue.takeItem(cell.queue, request.id);
   if (item !== undefined) {
     const { rank, workTokens, enteredMs } = item;
+    cell.lateReturns.sent += Number(request.isBelated && isLateRank(rank));
     queueThroughput.noteStart(getThroughput(cell, rank), workTokens, enteredMs, now);
     queueThroughput.noteStart(cell.throughput, workTokens, request.arrivedMs, now);
   }
@@ -171,7 +186,8 @@
 ): boolean {
   const isLate = isLateRank(item.rank);
   const leftMs = request.leaveMs - estimateBusyFirstMs(cell, request, now) - now;
-  if (!isLate || leftMs <= 0 || isStalled(cell, item.rank, now)) {
+  const isHopeless = !request.isBelated && isStalled(cell, item.rank, now);
+  if (!isLate || leftMs <= 0 || isHopeless) {
     return false;
   }
   item.dueMs = now + Math.min(leftMs, CHECK_INTERVAL_MS);
@@ -192,7 +208,9 @@
       return [];
     }
     waitQueue.removeItem(cell.queue, item.serial);
-    const isMoved = !isLateRank(item.rank) && enqueueRequest(cell, request, now);
+    const isLate = isLateRank(item.rank);
+    const isMoved = !isLate && enqueueRequest(cell, request, now);
+    cell.lateReturns.refused += Number(request.isBelated && isLate);
     return isMoved ? [] : [request];
   });
 }
--- a/packages/gateway/src/gateway-metrics.ts
+++ b/packages/gateway/src/gateway-metrics.ts
@@ -23,12 +23,20 @@
     labels: { cell: name },
     value: queue.items.length,
   }));
+  const lateReturns = [...state.scheduler.cells.values()].flatMap(({ name, lateReturns: totals }) =>
+    Object.entries(totals).map(([outcome, value]) => ({
+      name: 'late_returns_total',
+      labels: { cell: name, outcome },
+      value,
+    })),
+  );
   return [
     { name: 'schedule_asks_total', labels: {}, value: asks },
     { name: 'schedule_grants_total', labels: { used: 'true' }, value: grantsUsed },
     { name: 'schedule_grants_total', labels: { used: 'false' }, value: grantsUnused },
     { name: 'schedulers_left_total', labels: {}, value: schedulersLeft },
     ...queues,
+    ...lateReturns,
   ];
 }
 
--- a/packages/gateway/src/request-reports.ts
+++ b/packages/gateway/src/request-reports.ts
@@ -82,13 +82,14 @@
   }
   const now = readClocks().steadyMs;
   notes.forEach(({ kind, cell, request, queued, weighed, leftOut, full, heldBack }) => {
-    const { attemptId, asker, workspace, urgency, arrivedMs, targetMs } = request;
+    const { attemptId, asker, workspace, urgency, isBelated, arrivedMs, targetMs } = request;
     const line = {
       request: attemptId,
       asker,
       cell,
       workspace,
       urgency,
+      isBelated,
       waitMs: Math.round(now - arrivedMs),
       targetLeftMs: Math.round(targetMs - now),
       queued,
--- a/packages/gateway/src/status.ts
+++ b/packages/gateway/src/status.ts
@@ -12,6 +12,7 @@
     places,
     requestsInCell: load,
     queued: state.scheduler.cells.get(cell)?.queue.items.length,
+    lateReturns: state.scheduler.cells.get(cell)?.lateReturns,
   }));
 }
 
