Define late_returns_total for the metrics page

The metric was written without its definition, so that it had no HELP and TYPE lines and the test that every metric is listed in OPERATIONS.md failed. With the definition callers-docs.test.js passes.

--- a/packages/runtime/src/metric-definitions.ts
+++ b/packages/runtime/src/metric-definitions.ts
@@ -54,6 +54,10 @@
     type: MetricType.GAUGE,
     help: 'Requests that wait in the cells that this gateway schedules.',
   },
+  late_returns_total: {
+    type: MetricType.COUNTER,
+    help: 'Returns that would be late, by what became of them in the queue.',
+  },
   peers: {
     type: MetricType.GAUGE,
     help: 'Other gateways that are not forgotten.',
