--- a/packages/gateway/src/gateway-metrics.ts
+++ b/packages/gateway/src/gateway-metrics.ts
@@ -44,6 +44,13 @@
       { name: 'cell_slot_turnaround_ms', labels, value: turnaroundMs },
     ];
   });
+  const lateReturns = [...state.scheduler.cells.values()].flatMap(({ name, lateReturns: totals }) =>
+    Object.entries(totals).map(([outcome, value]) => ({
+      name: 'late_returns_total',
+      labels: { cell: name, outcome },
+      value,
+    })),
+  );
   return [
     { name: 'schedule_asks_total', labels: {}, value: asks },
     { name: 'schedule_grants_total', labels: { used: 'true' }, value: grantsUsed },
@@ -51,6 +58,7 @@
     { name: 'schedulers_left_total', labels: {}, value: schedulersLeft },
     { name: 'fair_use_reports_total', labels: {}, value: useReports },
     ...queues,
+    ...lateReturns,
   ];
 }
 
--- a/packages/gateway/src/request-reports.ts
+++ b/packages/gateway/src/request-reports.ts
@@ -101,13 +101,14 @@
   notes.forEach((note) => {
     const { kind, cell, request, queued, weighed, leftOut, full, heldBack } = note;
     const predictedFirstMs = note.predictedFirstMs && Math.round(note.predictedFirstMs);
-    const { attemptId, asker, workspace, share, urgency, arrivedMs, targetMs } = request;
+    const { attemptId, asker, workspace, share, urgency, isBelated, arrivedMs, targetMs } = request;
     const line = {
       request: attemptId,
       asker,
       cell,
       workspace,
       urgency,
+      isBelated,
       waitMs: Math.round(now - arrivedMs),
       targetLeftMs: Math.round(targetMs - now),
       queued,
--- a/packages/measure/src/gateway-load/load-pattern.ts
+++ b/packages/measure/src/gateway-load/load-pattern.ts
@@ -39,6 +39,14 @@
   isSkewed: boolean;
 };
 
+/** How callers return that were refused. */
+export type ReturnRule = {
+  /** Time that a caller gives its request, by kind, milliseconds. */
+  deadlineByKind: Record<string, number>;
+  /** Share of the refused callers that return at once, whatever they are told. */
+  atOnceShare: number;
+};
+
 export type LoadPattern = {
   name: string;
   durationMs: number;
@@ -60,6 +68,10 @@
   slowness?: readonly number[];
   /** Absent for engines that read prompts without delay for the other requests. */
   prompts?: engineModel.PromptTraits;
+  /** Calls that are first sent after this time are load only and are not counted, milliseconds. */
+  countedUntilMs?: number;
+  /** Where it is left out, callers have one deadline and return at `Retry-After`. */
+  returns?: ReturnRule;
 };
 
 /** The mix of the users' sheets: long, middle and short prompts. */
--- a/packages/measure/src/gateway-load/main.ts
+++ b/packages/measure/src/gateway-load/main.ts
@@ -2,6 +2,7 @@
  * `npm run measure:gateway [-- --seeds N]`: the worst loads replayed through the
  * gateways' decisions, with all that they learn and with each source taken away.
  * With `--sizes 1,26,68` the worth of the loads before 82 engines by number of gateways.
+ * With `--returns` what becomes of callers that are refused and return.
  */
 import * as util from 'node:util';
 import * as hardLoad from './hard-load.js';
@@ -9,6 +10,7 @@
 import * as loopTable from './loop-table.js';
 import type * as replayWorld from './replay-world.js';
 import * as replay from './replay.js';
+import * as returnTable from './return-table.js';
 import * as shareTable from './share-table.js';
 import * as sizeTable from './size-table.js';
 
@@ -39,6 +41,9 @@
 const MANY_ENGINES_SLOTS = 6;
 /** Engines by which a service has another cell. */
 const ENGINES_PER_CELL = 40;
+/** A fleet whose engines are one cell, as there are fewer than 40. */
+const RETURN_GATEWAYS = 8;
+const RETURN_ENGINES = 27;
 const HELP = `npm run measure:gateway -- [--seeds N] [--sizes N,N,...] [--shares CELLS [--loads TEXT]]
   --seeds N     replay each load with N seeds; 5 where it is left out
   --loop        print what one gateway with a fraction of a core sends on in bursts
@@ -46,6 +51,7 @@
   --loads TEXT  of these, only the loads whose name contains the text
   --sizes N,... print what is served by as many gateways before ${MANY_ENGINES} engines
   --hard        print what is on time of prompts of very unequal length
+  --returns     print what becomes of callers that are refused and return
 `;
 
 const { values } = util.parseArgs({
@@ -56,6 +62,7 @@
     shares: { type: 'string' },
     loads: { type: 'string', default: '' },
     hard: { type: 'boolean', default: false },
+    returns: { type: 'boolean', default: false },
     help: { type: 'boolean', default: false },
   },
 });
@@ -136,6 +143,15 @@
   printShares(Number(values.shares));
 } else if (values.hard) {
   process.stdout.write(hardLoad.formatHardLoads(seeds));
+} else if (values.returns) {
+  const fleet = {
+    gateways: RETURN_GATEWAYS,
+    engines: RETURN_ENGINES,
+    slots: SLOTS,
+    delayMs: DELAY_MS,
+    lossShare: LOSS_SHARE,
+  };
+  process.stdout.write(returnTable.formatReturnTable(fleet, seeds));
 } else if (values.sizes === undefined) {
   printSources();
 } else {
--- a/packages/measure/src/gateway-load/replay-tally.ts
+++ b/packages/measure/src/gateway-load/replay-tally.ts
@@ -13,7 +13,17 @@
   kind: string,
   field: keyof replayWorld.KindResult,
 ): void {
-  const counts = byKind.get(kind) ?? { asked: 0, inTime: 0, late: 0, failed: 0, paused: 0 };
+  const counts = byKind.get(kind) ?? {
+    asked: 0,
+    inTime: 0,
+    late: 0,
+    failed: 0,
+    paused: 0,
+    tries: 0,
+    refused: 0,
+    refusedTwice: 0,
+    lateAfterReturn: 0,
+  };
   counts[field] += 1;
   byKind.set(kind, counts);
 }
@@ -25,6 +35,9 @@
   field: keyof replayWorld.KindResult,
 ): void {
   const { result } = world;
+  if (!call.isCounted) {
+    return;
+  }
   addToKind(result.byKind, call.kind.name, field);
   if (isQuiet(world, call)) {
     addToKind(result.quietByKind, call.kind.name, field);
@@ -54,12 +67,18 @@
   return nowMs >= options.pattern.calmFromMs;
 }
 
-/** Counts a call that was served. */
+/** Counts a call that was served: when its first event came, its pauses, and the last event. */
 export function noteServed(
   world: replayWorld.World,
   call: replayWorld.Call,
-  { firstMs, longestPauseMs }: engineModel.EngineRun,
+  { firstMs, endMs, longestPauseMs }: engineModel.EngineRun,
 ): void {
+  const { returns } = world.options.pattern;
+  const deadlineMs = replayWorld.getDeadlineMs(world.options.pattern, call.kind.name);
+  if (returns !== undefined && endMs - call.firstSentMs > deadlineMs) {
+    addToResult(world, call, 'failed');
+    return;
+  }
   const sinceSentMs = firstMs - call.firstSentMs;
   const isInTime = sinceSentMs <= call.kind.targetMs;
   addWork(world, call, 'served');
@@ -67,6 +86,9 @@
   if (isInTime && longestPauseMs > replayWorld.MAX_PAUSE_MS) {
     addToResult(world, call, 'paused');
   }
+  if (!isInTime && call.tries > 1) {
+    addToResult(world, call, 'lateAfterReturn');
+  }
   const times = world.result.firstMs.get(call.kind.name) ?? [];
   times.push(sinceSentMs);
   world.result.firstMs.set(call.kind.name, times);
--- a/packages/measure/src/gateway-load/replay-world.ts
+++ b/packages/measure/src/gateway-load/replay-world.ts
@@ -49,6 +49,13 @@
   failed: number;
   /** In time at first, with a pause later that its caller notices. */
   paused: number;
+  /** Requests sent by callers, first ones and returns. */
+  tries: number;
+  /** Calls that were refused, and those among them whose return was refused too. */
+  refused: number;
+  refusedTwice: number;
+  /** Those of `late` that were served after a return. */
+  lateAfterReturn: number;
 };
 
 /** Work that one workspace asked for, and that it was served, tokens. */
@@ -89,6 +96,7 @@
   firstSentMs: number;
   tries: number;
   dueMs: number;
+  isCounted: boolean;
 };
 
 export type Live = { call: Call; gateway: number; request: gateway.GatewayRequest };
@@ -112,8 +120,10 @@
   starts: number;
 };
 
+/** Added to the seed of a replay for the arrivals, which must not depend on decisions. */
+const ARRIVAL_SEED_OFFSET = 1_000_000;
 const SERVICE = 'one';
-export const DEADLINE_MS = 15_000;
+const DEADLINE_MS = 15_000;
 export const WORKSPACES = 8;
 const PATIENCE_MS = 3200;
 /** Callers notice a longer pause between two events, milliseconds. */
@@ -141,6 +151,11 @@
   return domains === undefined ? 'd' : domains[index % domains.length];
 }
 
+/** Returns the time that a caller gives its request, milliseconds. */
+export function getDeadlineMs(pattern: loadPattern.LoadPattern, kind: string): number {
+  return pattern.returns?.deadlineByKind[kind] ?? DEADLINE_MS;
+}
+
 /** Builds the configuration: a route for each kind. */
 function buildConfiguration({ slots, pattern }: ReplayOptions): gateway.Configuration {
   const routes = loadPattern.listKinds(pattern).map((kind) => ({
@@ -258,13 +273,14 @@
 /** Creates the fleet of a replay. */
 export function createWorld(options: ReplayOptions): World {
   const draw = proofs.createRandomSource(options.seed);
-  const { delayMs, lossShare, pattern } = options;
+  const { delayMs, lossShare, pattern, seed } = options;
   const slowness = pattern.slowness ?? SLOWNESS;
+  const isPaired = pattern.prompts !== undefined || pattern.returns !== undefined;
   const isCut = () => false;
   const world: World = {
     options,
     draw,
-    drawCall: pattern.prompts === undefined ? draw : proofs.createRandomSource(-options.seed),
+    drawCall: isPaired ? proofs.createRandomSource(seed + ARRIVAL_SEED_OFFSET) : draw,
     network: datagramNetwork.createNetwork({ delayMs, lossShare, drawRandom: draw, isCut }),
     states: [],
     engines: Array.from({ length: options.engines }, (_, index) =>
--- a/packages/measure/src/gateway-load/replay.ts
+++ b/packages/measure/src/gateway-load/replay.ts
@@ -10,80 +10,13 @@
 import * as callDraw from './call-draw.js';
 import * as engineModel from './engine-model.js';
 import * as loadPattern from './load-pattern.js';
+import * as replayCalls from './replay-calls.js';
 import * as replayTally from './replay-tally.js';
 import * as replayWorld from './replay-world.js';
 
 const TICK_MS = 5;
-const MAX_TRIES = 2;
 const MS_PER_SECOND = 1000;
 
-/** Lets a call that was refused come back, or counts it as failed. */
-function endRefused(
-  world: replayWorld.World,
-  call: replayWorld.Call,
-  retryAfterMs: number | undefined,
-): void {
-  if (retryAfterMs === undefined || call.tries >= MAX_TRIES) {
-    replayTally.addToResult(world, call, 'failed');
-    return;
-  }
-  world.due.push({ ...call, dueMs: world.nowMs + retryAfterMs });
-}
-
-/** Draws a gateway as a balancer does that knows no load: some get more than others. */
-function pickGateway(world: replayWorld.World): number {
-  const { draw, states, options } = world;
-  const drawn = Math.floor(draw() ** options.pattern.skew * states.length);
-  return replayWorld.isUp(world, drawn) ? drawn : (drawn + 1) % states.length;
-}
-
-/** Sends a call to a gateway that the balancer draws. */
-function sendCall(world: replayWorld.World, call: replayWorld.Call): void {
-  const index = pickGateway(world);
-  world.result.calmTries[index] += Number(replayTally.isCalm(world));
-  const state = world.states[index];
-  const { kind } = call;
-  const tried = { ...call, tries: call.tries + 1 };
-  const id = `${call.id}.${tried.tries}`;
-  const intake = gateway.admitRequest(
-    state,
-    {
-      attemptId: id,
-      host: 'h',
-      path: `/${kind.name}/x`,
-      credential: `key-${call.workspace}`,
-      deadlineMs: replayWorld.DEADLINE_MS - (world.nowMs - call.firstSentMs),
-      tokens: { prompt: call.promptTokens, answer: kind.answerTokens },
-      answerGuess: undefined,
-      hashContent: () => call.id,
-    },
-    replayWorld.readClocks(world),
-  );
-  if (intake.kind === 'refused') {
-    endRefused(world, tried, intake.refusal.retryAfterMs);
-    return;
-  }
-  world.live.set(id, { call: tried, gateway: index, request: intake.request });
-}
-
-/** Ends an attempt that failed. */
-function endFailed(world: replayWorld.World, id: string, fault: gateway.AttemptFault): void {
-  const live = world.live.get(id);
-  if (live === undefined) {
-    return;
-  }
-  const state = world.states[live.gateway];
-  const progress = { hasBegun: false, canResume: true };
-  const clocks = replayWorld.readClocks(world);
-  const verdict = gateway.handleAttemptFault(state, live.request, fault, progress, clocks);
-  if (verdict.kind === 'again') {
-    return;
-  }
-  world.live.delete(id);
-  const advice = verdict.kind === 'refuse' ? verdict.refusal.retryAfterMs : undefined;
-  endRefused(world, live.call, advice);
-}
-
 /** Hands a request to an engine, if it can be reached. */
 function startRun(
   world: replayWorld.World,
@@ -94,14 +27,14 @@
   const engine = world.engines.find(({ id }) => id === engineId) as engineModel.EngineModel;
   const { attemptId } = live.request.arrived;
   if (world.nowMs < engine.goneUntilMs) {
-    endFailed(world, attemptId, gateway.AttemptFault.UNREACHABLE);
+    replayCalls.endFailed(world, attemptId, gateway.AttemptFault.UNREACHABLE);
     return;
   }
   if (world.nowMs < engine.failsUntilMs) {
     if (!world.options.knowledge.failures) {
       world.states.forEach((state) => gateway.forgetServer(state, engineId));
     }
-    endFailed(world, attemptId, gateway.AttemptFault.FAILED);
+    replayCalls.endFailed(world, attemptId, gateway.AttemptFault.FAILED);
     return;
   }
   const isOwn = world.states[live.gateway].failureDomain === server.failureDomain;
@@ -129,7 +62,7 @@
       startRun(world, live, assignment.server);
     } else if (assignment.kind === 'refuse') {
       world.live.delete(attemptId);
-      endRefused(world, live.call, assignment.refusal.retryAfterMs);
+      replayCalls.endRefused(world, live.call, assignment.refusal.retryAfterMs);
     }
   });
 }
@@ -248,7 +181,7 @@
   world.live.forEach(({ call, gateway: index }, id) => {
     if (index === killed) {
       world.live.delete(id);
-      endRefused(world, call, 1);
+      replayCalls.endRefused(world, call, 1);
     }
   });
   world.states[killed] = replayWorld.startGateway(world, killed);
@@ -257,7 +190,7 @@
 /** Carries out what happens to the fleet now. */
 function applyEvent(world: replayWorld.World, event: loadPattern.FleetEvent): void {
   if (event.kind === 'gatewaysRestart') {
-    world.live.forEach(({ call }) => endRefused(world, call, 1));
+    world.live.forEach(({ call }) => replayCalls.endRefused(world, call, 1));
     world.live.clear();
     world.engines.forEach((engine) => engineModel.takeAll(engine));
     world.states = world.states.map((_, index) => replayWorld.startGateway(world, index));
@@ -280,7 +213,7 @@
     engine.goneUntilMs = world.nowMs + event.forMs;
     engineModel
       .takeAll(engine)
-      .forEach(({ id }) => endFailed(world, id, gateway.AttemptFault.BROKEN));
+      .forEach(({ id }) => replayCalls.endFailed(world, id, gateway.AttemptFault.BROKEN));
   });
 }
 
@@ -297,7 +230,16 @@
     const id = `c${world.result.quietAsked}-${world.sequence}-${world.drawCall()}`;
     const promptTokens = loadPattern.drawPromptTokens(kind, world.drawCall);
     const { nowMs } = world;
-    const call = { id, kind, workspace, promptTokens, firstSentMs: nowMs, tries: 0, dueMs: nowMs };
+    const call = {
+      id,
+      kind,
+      workspace,
+      promptTokens,
+      firstSentMs: nowMs,
+      tries: 0,
+      dueMs: nowMs,
+      isCounted: nowMs < (pattern.countedUntilMs ?? Infinity),
+    };
     replayTally.addToResult(world, call, 'asked');
     replayTally.addWork(world, call, 'asked');
     world.result.quietAsked += Number(replayTally.isQuiet(world, call));
@@ -309,7 +251,7 @@
 function sendDue(world: replayWorld.World): void {
   const due = world.due.filter(({ dueMs }) => dueMs <= world.nowMs);
   world.due = world.due.filter(({ dueMs }) => dueMs > world.nowMs);
-  due.forEach((call) => sendCall(world, call));
+  due.forEach((call) => replayCalls.sendCall(world, call));
 }
 
 /** Adds the slots in use in this tick to their mean over the time in which calls arrive. */
--- a/packages/runtime/src/metric-definitions.ts
+++ b/packages/runtime/src/metric-definitions.ts
@@ -106,6 +106,10 @@
     type: MetricType.SUMMARY,
     help: 'Difference between the measured and the predicted time to the first event, milliseconds.',
   },
+  late_returns_total: {
+    type: MetricType.COUNTER,
+    help: 'Returns that would be late, by what became of them in the queue.',
+  },
   peers: {
     type: MetricType.GAUGE,
     help: 'Other gateways that are not forgotten.',
