--- a/packages/core/src/gateway/ask-messages.ts
+++ b/packages/core/src/gateway/ask-messages.ts
@@ -10,10 +10,12 @@
 import * as pendingAsks from './pending-asks.js';
 import * as cellMap from './cell-map.js';
 import type * as gatewayRequest from './gateway-request.js';
-import type * as gatewayState from './gateway-state.js';
+import * as gatewayState from './gateway-state.js';
+import * as recentUse from './recent-use.js';
 import * as schedulerLink from './scheduler-link.js';
 import * as schedulerRanking from './scheduler-ranking.js';
 import * as serverStatements from './server-statements.js';
+import * as workInFlight from './work-in-flight.js';
 
 /** An ask and the address of the scheduler that it is for. */
 export type AddressedAsk = { to: string; ask: schema.ScheduleAsk };
@@ -34,22 +36,43 @@
 /** Maximum time between asks while requests wait, and while some are in flight, in milliseconds. */
 const WAITING_INTERVAL_MS = 100;
 const IN_FLIGHT_INTERVAL_MS = 250;
+/**
+ * Minimum time between reports of recent use to one cell, in milliseconds: a tenth of the time in
+ * which recent use decays, so that the reports are a small part of the control traffic.
+ */
+const USE_INTERVAL_MS = 500;
 /** Maximum number of items of each kind in one ask, so that it fits in 1,400 bytes. */
 const MAX_REQUESTS = 8;
 const MAX_SERIALS = 48;
 const MAX_OBSERVATIONS = 12;
 const MAX_STATEMENTS = 8;
+/** The same for requests in an ask that reports recent use; such an ask carries no statements. */
+const MAX_REQUESTS_WITH_USE = 5;
 
-/** Counts this gateway's requests in flight at each backend server of a cell. */
-function listInFlight(
+/** Lists the backend servers of a cell at which this gateway has requests in flight. */
+function listUsedServers(
   state: gatewayState.GatewayState,
   { cell, service }: schedulerLink.SchedulerLink,
   now: number,
-): { serverId: string; requests: number }[] {
+): string[] {
   const { cellByServer } = pendingAsks.getServiceCells(state, service, now);
-  return [...state.inFlight]
-    .filter(([serverId]) => cellByServer.get(serverId) === cell)
-    .map(([serverId, requests]) => ({ serverId, requests }));
+  return [...state.inFlight.keys()].filter((serverId) => cellByServer.get(serverId) === cell);
+}
+
+/** Sums up this gateway's requests in flight at each backend server of a cell. */
+function listInFlight(
+  state: gatewayState.GatewayState,
+  link: schedulerLink.SchedulerLink,
+  now: number,
+): schema.ServerUse[] {
+  const work = workInFlight.countWork(state.requests.values(), now);
+  return listUsedServers(state, link, now).map((serverId) =>
+    schema.create(schema.ServerUseSchema, {
+      serverId,
+      requests: state.inFlight.get(serverId),
+      ...(work.get(serverId) ?? workInFlight.NO_WORK),
+    }),
+  );
 }
 
 /** Lists the statements of a cell's backend servers that are sent to its scheduler. */
@@ -116,6 +139,7 @@
     waitedMs: Math.round(now - request.arrivedMs),
     triedIds: [...request.triedIds],
     excludedDomains: allowedDomains.listExcluded(state, request.regions),
+    share: state.index?.shareByWorkspace.get(workspace),
   });
 }
 
@@ -135,6 +159,26 @@
   });
 }
 
+/**
+ * Lists the recent use of the service by workspaces if the next ask must report it. Where nothing
+ * waits in the cell, the order of workspaces does not matter.
+ */
+function takeRecentUse(
+  state: gatewayState.GatewayState,
+  link: schedulerLink.SchedulerLink,
+  now: number,
+): schema.RecentUse[] {
+  const isContended = link.asks.size > 0 || link.load >= link.places;
+  if (!isContended || now - link.useReportedMs < USE_INTERVAL_MS) {
+    return [];
+  }
+  const { use } = gatewayState.getServiceState(state, link.service);
+  const listed = recentUse.listRecentUse(use, state.index?.shareByWorkspace, now);
+  link.useReportedMs = now;
+  state.schedulingTotals.useReports += Number(listed.length > 0);
+  return listed;
+}
+
 /** Builds the asks for the scheduler of a cell: several if not all requests fit in one. */
 function buildAsks(
   state: gatewayState.GatewayState,
@@ -142,6 +186,8 @@
   now: number,
 ): schema.ScheduleAsk[] {
   const requests = takeUnaccepted(state, link, now);
+  const { use } = gatewayState.getServiceState(state, link.service);
+  requests.forEach(({ workspace }) => recentUse.noteAsk(use, workspace, now));
   const inFlight = listInFlight(state, link, now);
   const statements = listStatements(state, link, now);
   const accepted = [...link.asks].filter(([, { isAccepted }]) => isAccepted);
@@ -149,6 +195,9 @@
   do {
     schedulerLink.noteSent(link, now);
     state.schedulingTotals.asks += 1;
+    const reportedUse = takeRecentUse(state, link, now);
+    const reportsUse = reportedUse.length > 0;
+    const maxRequests = reportsUse ? MAX_REQUESTS_WITH_USE : MAX_REQUESTS;
     asks.push(
       schema.create(schema.ScheduleAskSchema, {
         address: state.address,
@@ -156,13 +205,15 @@
         sequence: link.sequence,
         cell: link.cell,
         failureDomain: state.failureDomain,
-        requests: requests.splice(0, MAX_REQUESTS).map((one) => buildWaiting(state, one, now)),
+        requests: requests.splice(0, maxRequests).map((one) => buildWaiting(state, one, now)),
         waiting: accepted.splice(0, MAX_SERIALS).map(([serial]) => serial),
         withdrawn: link.withdrawn.splice(0, MAX_SERIALS),
         inFlight,
         lastGrant: link.lastGrant,
         observations: link.observations.splice(0, MAX_OBSERVATIONS),
-        statements: takeStatements(link, statements),
+        statements: reportsUse ? [] : takeStatements(link, statements),
+        replyMs: link.replyMs,
+        recentUse: reportedUse,
       }),
     );
   } while (requests.length > 0);
@@ -200,7 +251,7 @@
   return (
     ((isUnaccepted || link.unansweredMs !== undefined) && sinceMs >= RESEND_MS) ||
     (link.asks.size > 0 && sinceMs >= WAITING_INTERVAL_MS) ||
-    (sinceMs >= IN_FLIGHT_INTERVAL_MS && listInFlight(state, link, now).length > 0)
+    (sinceMs >= IN_FLIGHT_INTERVAL_MS && listUsedServers(state, link, now).length > 0)
   );
 }
 
--- a/packages/core/src/gateway/assignment.ts
+++ b/packages/core/src/gateway/assignment.ts
@@ -11,6 +11,7 @@
 import * as gatewayRequest from './gateway-request.js';
 import * as gatewayState from './gateway-state.js';
 import * as peerView from './peer-view.js';
+import * as recentUse from './recent-use.js';
 import * as scheduleReplies from './schedule-replies.js';
 import * as refusal from './refusal.js';
 import * as regionBinding from './region-binding.js';
@@ -119,8 +120,13 @@
   request.sentWallMs = clocks.wallMs;
   request.sends += 1;
   request.idleFirstMs = idleFirstMs;
+  request.aheadMs = granted.aheadMs;
+  request.predictedFirstMs = granted.predictedFirstMs;
+  request.hasFirstEvent = false;
   request.isRateLimited = isRateLimited;
   gatewayState.addInFlight(state, serverId, 1);
+  const { use } = gatewayState.getServiceState(state, request.service);
+  recentUse.noteSent(use, request, now);
   state.schedulingTotals.grantsUsed += 1;
   return [{ kind: 'send', request, server: found.server, scheduler: granted.scheduler }];
 }
@@ -208,6 +214,15 @@
   return result;
 }
 
+/** Records that an assigned request is being sent, which may be later than its assignment. */
+export function noteSending(
+  request: gatewayRequest.GatewayRequest,
+  { steadyMs, wallMs }: configurationLease.ClockReading,
+): void {
+  request.sentMs = steadyMs;
+  request.sentWallMs = wallMs;
+}
+
 /** Takes one retry from this gateway's part of a service's retry budget; false if it is spent. */
 export function takeRetry(state: gatewayState.GatewayState, service: string, now: number): boolean {
   const { retryPercent, retryExtra } = state.bounds;
--- a/packages/core/src/gateway/cell-servers.ts
+++ b/packages/core/src/gateway/cell-servers.ts
@@ -67,8 +67,11 @@
   return {
     entries,
     tokensPerEvent: declared?.engine?.tokensPerEvent ?? 1,
+    areEngines: declared?.engine !== undefined,
+    maxPauseMs: state.index?.maxPauseByService.get(service) ?? Infinity,
     placeShare: pendingAsks.chooseScheduler(state, cellName, now).placeShare,
     reachableShare: computeReachableShare(state, now),
+    toleratedDomainLosses: state.bounds.toleratedDomainLosses,
     hasPeers: state.peers.byAddress.size > 0,
     warmUp,
     recentEntries: listRecentEntries(known, now),
--- a/packages/core/src/gateway/gateway-state.ts
+++ b/packages/core/src/gateway/gateway-state.ts
@@ -9,9 +9,11 @@
 import type * as crashDetection from './crash-detection.js';
 import type * as deadlineStats from './deadline-stats.js';
 import * as cellMap from './cell-map.js';
+import * as gatewayLoad from './gateway-load.js';
 import type * as gatewayRequest from './gateway-request.js';
 import * as peerView from './peer-view.js';
 import type * as quotaLimit from './quota-limit.js';
+import type * as recentUse from './recent-use.js';
 import type * as schedulerLink from './scheduler-link.js';
 import * as schedulerRanking from './scheduler-ranking.js';
 import * as tokenQuota from './token-quota.js';
@@ -21,6 +23,7 @@
   retries: retryBudget.RetryBudget;
   /** Since when requests have been refused because backend servers did not take them. */
   overload: overload.Overload;
+  use: recentUse.ServiceUse;
 };
 
 /** Totals of the exchange between this gateway and schedulers since its start. */
@@ -32,6 +35,8 @@
   grantsUnused: number;
   /** Changes to another scheduler, because one did not reply or another one took over. */
   schedulersLeft: number;
+  /** Asks that reported the recent use by workspaces. */
+  useReports: number;
 };
 
 /**
@@ -53,6 +58,8 @@
   retryExtra: number;
   /** Load that warming-up backend servers may get beyond their declared rate. */
   warmUpTolerance: WarmUpTolerance;
+  /** Failure domains whose loss must be tolerated; 0 if absent. */
+  toleratedDomainLosses?: number;
 };
 
 export type GatewayState = {
@@ -96,6 +103,8 @@
   nextSerial: number;
   /** Revision of `servers` at the last check of waiting requests. */
   checkedRevision: number;
+  /** What is known of the load of this process. */
+  load: gatewayLoad.GatewayLoad;
   /** When shutdown of the process was requested, milliseconds; 0 before. */
   shutdownMs: number;
 };
@@ -131,7 +140,7 @@
     links: new Map(),
     ranking: schedulerRanking.createSchedulerRanking(),
     scheduler: scheduler.createScheduler(address, life, drawRandom),
-    schedulingTotals: { asks: 0, grantsUsed: 0, grantsUnused: 0, schedulersLeft: 0 },
+    schedulingTotals: { asks: 0, grantsUsed: 0, grantsUnused: 0, schedulersLeft: 0, useReports: 0 },
     services: new Map(),
     deadlineStatsByRoute: new Map(),
     requests: new Map(),
@@ -141,6 +150,7 @@
     brokenRuns: new Map(),
     nextSerial: 1,
     checkedRevision: -1,
+    load: gatewayLoad.createGatewayLoad(),
     shutdownMs: 0,
   };
 }
@@ -150,6 +160,7 @@
   const serviceState = state.services.get(service) ?? {
     retries: retryBudget.createRetryBudget(),
     overload: overload.createOverload(),
+    use: new Map(),
   };
   state.services.set(service, serviceState);
   return serviceState;
--- a/packages/core/src/gateway/index.ts
+++ b/packages/core/src/gateway/index.ts
@@ -10,13 +10,16 @@
 export * from './evacuations.js';
 export * from './configuration-index.js';
 export * from './crash-detection.js';
+export * from './gateway-load.js';
 export * from './gateway-request.js';
 export * from './gateway-state.js';
 export * from './request-admission.js';
 export * from './observations.js';
 export * from './peer-view.js';
 export * from './quota-limit.js';
+export { listActiveShares, type WorkspaceShare } from './recent-use.js';
 export * from './refusal.js';
+export * from './report-plan.js';
 export * from './request-end.js';
 export * from './authorization.js';
 export * from './server-admission.js';
@@ -25,11 +28,16 @@
 export * from './server-statements.js';
 export * from './store-responses.js';
 export * from './token-quota.js';
+export * from './use-changes.js';
 export * from './warm-up-times.js';
 export type { BackendServerEntry } from '../shared/backend-server-entry.js';
 export * from '../shared/store-revision.js';
 export {
+  estimateTurnaroundMs,
+  estimateTokensPerMs,
   hasQueuedRequests,
+  parseCellService,
+  countWork,
   type Candidate,
   type Scheduler,
   type SchedulingDecision,
--- a/packages/core/src/gateway/pending-asks.ts
+++ b/packages/core/src/gateway/pending-asks.ts
@@ -8,6 +8,7 @@
  */
 import * as schema from '@toucanproxy/schema';
 import * as cellMap from './cell-map.js';
+import * as gatewayLoad from './gateway-load.js';
 import * as gatewayRequest from './gateway-request.js';
 import * as gatewayState from './gateway-state.js';
 import * as schedulerLink from './scheduler-link.js';
@@ -32,7 +33,8 @@
   now: number,
 ): schedulerRanking.ChosenScheduler {
   const { address, processorPercent } = state;
-  const own = { address, processorPercent };
+  const loadPercent = gatewayLoad.computeLoadPercent(state.load);
+  const own = { address, processorPercent, loadPercent };
   return schedulerRanking.chooseScheduler(state.ranking, state.peers, own, cellName, now);
 }
 
@@ -149,6 +151,9 @@
   }
 }
 
+/** What the time to a first event depended on. */
+export type PromptObservation = { promptTokens: number; aheadMs: number; totalMs: number };
+
 /** Records an observation of a backend server; the next ask carries it to the scheduler. */
 export function noteObservation(
   state: gatewayState.GatewayState,
@@ -156,12 +161,15 @@
   kind: schema.ServerObservation_Kind,
   ms: number,
   now: number,
+  prompt?: PromptObservation,
 ): void {
   const cellName = getServiceCells(state, service, now).cellByServer.get(serverId);
   if (cellName === undefined) {
     return;
   }
   const { observations } = getLink(state, cellName, service, now);
-  observations.push(schema.create(schema.ServerObservationSchema, { serverId, kind, ms }));
+  observations.push(
+    schema.create(schema.ServerObservationSchema, { serverId, kind, ms, ...prompt }),
+  );
   observations.splice(0, Math.max(observations.length - MAX_KEPT_OBSERVATIONS, 0));
 }
--- a/packages/core/src/gateway/scheduler-link.ts
+++ b/packages/core/src/gateway/scheduler-link.ts
@@ -30,8 +30,12 @@
   lastGrant: number;
   /** Number of backend server statements sent so far; all of them are sent in rotation. */
   statementsSent: number;
+  /** When the recent use by workspaces was last reported, in milliseconds. */
+  useReportedMs: number;
   /** An ask must be sent without delay. */
   isDirty: boolean;
+  /** Moving average of the time from an ask to its reply, milliseconds; 0 before the first one. */
+  replyMs: number;
   /** Slots of the cell, and requests running or queued there, according to the last reply. */
   places: number;
   load: number;
@@ -39,6 +43,8 @@
 
 /** Number of recent asks whose sending time is kept. */
 const MAX_SENT_TIMES = 64;
+/** Weight of a new sample in the average reply time. */
+const REPLY_SAMPLE_WEIGHT = 0.1;
 
 /** Creates a link over which nothing has been sent. */
 export function createLink(cell: string, service: string, address: string): SchedulerLink {
@@ -57,7 +63,9 @@
     observations: [],
     lastGrant: 0,
     statementsSent: 0,
+    useReportedMs: -Infinity,
     isDirty: false,
+    replyMs: 0,
     places: 0,
     load: 0,
   };
@@ -66,6 +74,7 @@
 /** Marks all asks as not accepted, because a new scheduler does not know them. */
 function clearAcceptance(link: SchedulerLink): void {
   link.lastGrant = 0;
+  link.useReportedMs = -Infinity;
   link.asks.forEach((ask) => {
     ask.isAccepted = false;
     ask.askedMs = -Infinity;
@@ -77,6 +86,7 @@
 export function setScheduler(link: SchedulerLink, address: string): void {
   link.address = address;
   link.life = '';
+  link.replyMs = 0;
   link.sentMs.clear();
   link.unansweredMs = undefined;
   clearAcceptance(link);
@@ -98,6 +108,12 @@
   }
 }
 
+/** Records the time from an ask to its reply, milliseconds. */
+export function noteReplyTime(link: SchedulerLink, ms: number): void {
+  const weight = link.replyMs === 0 ? 1 : REPLY_SAMPLE_WEIGHT;
+  link.replyMs += weight * (ms - link.replyMs);
+}
+
 /** Records that an ask has been sent. */
 export function noteSent(link: SchedulerLink, now: number): void {
   link.sequence += 1;
--- a/packages/core/src/scheduler/asks.ts
+++ b/packages/core/src/scheduler/asks.ts
@@ -4,10 +4,13 @@
 import * as enginePace from './engine-pace.js';
 import * as addedLatency from './added-latency.js';
 import * as rateLimit from './rate-limit.js';
+import * as recentUse from './recent-use.js';
 import type * as scheduledRequest from './scheduled-request.js';
 import * as serverHealth from './server-health.js';
+import * as serverWork from './server-work.js';
 import * as waitQueue from './wait-queue.js';
 import * as waiting from './waiting.js';
+import * as workspaceShares from './workspace-shares.js';
 
 /** Returns the state of a gateway; creates it if the gateway is new or has restarted. */
 function getAsker(cell: cells.Cell, ask: schema.ScheduleAsk, now: number): cells.CellAsker {
@@ -17,15 +20,21 @@
   }
   if (known !== undefined) {
     dropRequests(cell, known);
+    dropUse(cell, known, now);
   }
   const asker: cells.CellAsker = {
     life: ask.life,
     failureDomain: ask.failureDomain,
     sequence: 0,
     heardMs: now,
+    replyMs: 0,
     inFlight: new Map(),
+    work: new Map(),
+    reportsWork: true,
     backoffs: new Map(),
     unreportedGrants: [],
+    recentUse: [],
+    recentUseMs: now,
     requests: new Map(),
     reply: cells.createPendingReply(),
   };
@@ -49,17 +58,54 @@
   [...asker.requests.values()].forEach((request) => dropRequest(cell, asker, request));
 }
 
+/** Removes what a gateway reported of the recent use by its workspaces. */
+export function dropUse(cell: cells.Cell, asker: cells.CellAsker, now: number): void {
+  recentUse.applyReport(cell.recentUse, asker.recentUse, asker.recentUseMs, [], now);
+}
+
+/** Replaces what a gateway reported of the recent use by its workspaces, if it reports it again. */
+function applyUse(
+  cell: cells.Cell,
+  asker: cells.CellAsker,
+  ask: schema.ScheduleAsk,
+  now: number,
+): void {
+  const next = recentUse.listReported(ask.recentUse);
+  if (next.length > 0) {
+    recentUse.applyReport(cell.recentUse, asker.recentUse, asker.recentUseMs, next, now);
+    asker.recentUse = next;
+    asker.recentUseMs = now;
+  }
+}
+
+/** Records the time to a first event: its prediction error and, if nothing was ahead, the speed. */
+function recordFirstEvent(
+  cell: cells.Cell,
+  { serverId, ms, promptTokens, aheadMs, totalMs }: schema.ServerObservation,
+  now: number,
+): void {
+  const health = cells.getServerHealth(cell, serverId);
+  addedLatency.recordAddedLatency(cell.addedLatency, ms - aheadMs, now);
+  addedLatency.recordAddedLatency(health.addedLatency, ms - aheadMs, now);
+  if (totalMs > 0 && aheadMs === 0) {
+    const paces = [...cell.healthByServer.values()].map(({ pace }) => pace);
+    const fastestMs = enginePace.findShortestUnitMs(paces);
+    const slowness = enginePace.estimateSlowness(health.pace, fastestMs, now);
+    serverWork.recordFirstEvent(cell.promptSpeed, promptTokens, totalMs, slowness);
+  }
+}
+
 /** Records what a gateway observed at a backend server. */
 function recordObservation(
   cell: cells.Cell,
-  { serverId, kind, ms }: schema.ServerObservation,
+  observation: schema.ServerObservation,
   now: number,
 ): void {
+  const { serverId, kind, ms } = observation;
   const health = cells.getServerHealth(cell, serverId);
   switch (kind) {
     case schema.ServerObservation_Kind.FIRST_EVENT:
-      addedLatency.recordAddedLatency(cell.addedLatency, ms, now);
-      addedLatency.recordAddedLatency(health.addedLatency, ms, now);
+      recordFirstEvent(cell, observation, now);
       break;
     case schema.ServerObservation_Kind.UNIT:
       enginePace.recordUnitTime(health.pace, ms, now);
@@ -78,9 +124,20 @@
   }
 }
 
-/** Replaces the requests in flight of a gateway by those it reports, and drops reported grants. */
+/**
+ * Replaces the requests in flight and the reply time of a gateway by those it reports, and drops
+ * reported grants.
+ */
 function applyInFlight(asker: cells.CellAsker, ask: schema.ScheduleAsk): void {
+  asker.replyMs = ask.replyMs;
   asker.inFlight = new Map(ask.inFlight.map(({ serverId, requests }) => [serverId, requests]));
+  asker.work = new Map(
+    ask.inFlight.map(({ serverId, unreadTokens = 0, answerTokens = 0 }) => [
+      serverId,
+      { unreadTokens, answerTokens },
+    ]),
+  );
+  asker.reportsWork = ask.inFlight.every(({ unreadTokens }) => unreadTokens !== undefined);
   asker.unreportedGrants = asker.unreportedGrants.filter(({ number }) => number > ask.lastGrant);
 }
 
@@ -125,6 +182,7 @@
     serial,
     attemptId,
     workspace,
+    share: workspaceShares.readShare(asked.share),
     failureDomain,
     urgency,
     isBeyondQuota,
@@ -168,6 +226,7 @@
     return;
   }
   const request = makeRequest(cell, address, asker, asked, now);
+  recentUse.updateElsewhere(cell.recentUse, cell.queue, request, now);
   if (!waiting.enqueueRequest(cell, request, now)) {
     refuseRequest(cell, asker, request, true, drawRandom, now);
     return;
@@ -199,6 +258,7 @@
   asker.reply.isDue = true;
   cell.lastAskMs = now;
   applyInFlight(asker, ask);
+  applyUse(cell, asker, ask, now);
   applyStatements(cell, asker, ask, now);
   ask.observations.forEach((one) => recordObservation(cell, one, now));
   ask.withdrawn.forEach((serial) => {
--- a/packages/core/src/scheduler/cell.ts
+++ b/packages/core/src/scheduler/cell.ts
@@ -4,12 +4,20 @@
 import * as addedLatency from './added-latency.js';
 import * as overload from '../shared/overload.js';
 import type * as rateLimit from './rate-limit.js';
+import * as recentUse from './recent-use.js';
 import type * as scheduledRequest from './scheduled-request.js';
 import * as serverHealth from './server-health.js';
+import * as serverWork from './server-work.js';
 import * as waitQueue from './wait-queue.js';
+import * as waiting from './waiting.js';
 
 /** A granted slot that its gateway has not yet reported as used. */
-export type UnreportedGrant = { number: number; serverId: string; grantedMs: number };
+export type UnreportedGrant = {
+  number: number;
+  serverId: string;
+  grantedMs: number;
+  work: serverWork.ServerWork;
+};
 
 /** A granted slot of which a gateway is to be informed. */
 export type PlaceGrant = {
@@ -17,6 +25,8 @@
   serial: number;
   serverId: string;
   idleFirstMs: number;
+  aheadMs: number;
+  predictedFirstMs: number;
   /** Store entry of the backend server, if the gateway may not have read it yet. */
   entry: backendServerEntry.BackendServerEntry | undefined;
   isRateLimited: boolean;
@@ -43,17 +53,29 @@
   sequence: number;
   /** When its latest `ScheduleAsk` arrived, milliseconds. */
   heardMs: number;
+  /** Time in which replies reach it, measured from its asks, milliseconds; 0 if unknown. */
+  replyMs: number;
   /** Its requests in flight by backend server, as it last reported. */
   inFlight: Map<string, number>;
+  /** The work of these requests. */
+  work: Map<string, serverWork.ServerWork>;
+  /** Its messages state the work of its requests. */
+  reportsWork: boolean;
   /** Until when backend servers accept nothing from it, by their ids, milliseconds. */
   backoffs: Map<string, number>;
   /** Grants that it has not yet reported as used. */
   unreportedGrants: UnreportedGrant[];
+  /** Recent use of the service by its workspaces as it last reported it, and when. */
+  recentUse: readonly recentUse.ReportedUse[];
+  recentUseMs: number;
   /** Its waiting requests, by serial. */
   requests: Map<number, scheduledRequest.ScheduledRequest>;
   reply: PendingReply;
 };
 
+/** Totals of returns (callers that retry) that were queued although they would be late. */
+export type LateReturns = { queued: number; sent: number; refused: number };
+
 export type Cell = {
   name: string;
   /** When this gateway began to schedule the cell, milliseconds. */
@@ -69,16 +91,21 @@
   /** The gateways that ask for slots, by address. */
   askers: Map<string, CellAsker>;
   queue: waitQueue.WaitQueue;
+  recentUse: recentUse.RecentUse;
   /** The requests in the queue, by id. */
   requests: Map<number, scheduledRequest.ScheduledRequest>;
   nextId: number;
+  /** Requests that waited in the last scheduling pass so as not to pause running streams. */
+  requestsDeferred: number;
   /** Throughput of the whole queue. */
   throughput: queueThroughput.QueueThroughput;
   /** Throughput of each rank of the queue. */
   throughputByRank: Map<number, queueThroughput.QueueThroughput>;
   overload: overload.Overload;
+  lateReturns: LateReturns;
   /** Measured across all backend servers of the cell. */
   addedLatency: addedLatency.AddedLatency;
+  promptSpeed: serverWork.PromptSpeed;
 };
 
 /** Creates a cell without requests. */
@@ -91,13 +118,17 @@
     starts: new Map(),
     rateLimits: new Map(),
     askers: new Map(),
-    queue: waitQueue.createWaitQueue(),
+    queue: waitQueue.createWaitQueue(waiting.findUrgency),
+    recentUse: recentUse.createRecentUse(),
     requests: new Map(),
     nextId: 1,
+    requestsDeferred: 0,
     throughput: queueThroughput.createQueueThroughput(),
     throughputByRank: new Map(),
     overload: overload.createOverload(),
+    lateReturns: { queued: 0, sent: 0, refused: 0 },
     addedLatency: addedLatency.createAddedLatency(),
+    promptSpeed: serverWork.createPromptSpeed(),
   };
 }
 
--- a/packages/core/src/scheduler/index.ts
+++ b/packages/core/src/scheduler/index.ts
@@ -8,3 +8,7 @@
 export type { CellServers } from './candidates.js';
 export type { WarmUpLimit } from './warm-up.js';
 export * from './server-choice.js';
+export { estimateTurnaroundMs } from './slot-turnaround.js';
+export { USE_DECAY_MS } from './recent-use.js';
+export { computeShares } from './workspace-shares.js';
+export { countWork, estimateTokensPerMs, toWireNumber } from './server-work.js';
--- a/packages/core/src/scheduler/mocks/scheduler-fixture.ts
+++ b/packages/core/src/scheduler/mocks/scheduler-fixture.ts
@@ -10,6 +10,8 @@
   return {
     entries,
     tokensPerEvent: 1,
+    areEngines: true,
+    maxPauseMs: Infinity,
     placeShare: 1,
     reachableShare: 1,
     hasPeers: false,
--- a/packages/core/src/scheduler/scheduler.ts
+++ b/packages/core/src/scheduler/scheduler.ts
@@ -6,9 +6,11 @@
 import * as placeCount from './place-count.js';
 import * as places from './places.js';
 import * as rateLimit from './rate-limit.js';
+import * as recentUse from './recent-use.js';
 import * as requestMatch from './request-match.js';
 import type * as scheduledRequest from './scheduled-request.js';
 import type * as serverChoice from './server-choice.js';
+import * as serverWork from './server-work.js';
 import * as waiting from './waiting.js';
 import * as warmUp from './warm-up.js';
 
@@ -21,12 +23,16 @@
   queued: number;
   /** The chosen backend server and up to two alternatives; empty if the request was declined. */
   weighed: readonly serverChoice.Candidate[];
+  /** Predicted time to the first event, milliseconds; undefined if the request was declined. */
+  predictedFirstMs: number | undefined;
   /** Number of backend servers that were paused or ejected. */
   leftOut: number;
   /** Number of backend servers whose slots were all in use. */
   full: number;
   /** Number of backend servers held back by their warm-up or rate limit. */
   heldBack: number;
+  /** Recent work of the workspace at this urgency, over all cells, tokens; if declined. */
+  recentUseTokens?: number;
 };
 
 export type Scheduler = {
@@ -51,7 +57,13 @@
 const ASKER_TIMEOUT_MS = 1200;
 /** Maximum number of backend servers listed in a decision. */
 const MAX_WEIGHED = 3;
-const NOTHING_WEIGHED = { weighed: [], leftOut: 0, full: 0, heldBack: 0 };
+const NOTHING_WEIGHED = {
+  weighed: [],
+  predictedFirstMs: undefined,
+  leftOut: 0,
+  full: 0,
+  heldBack: 0,
+};
 
 /** Creates a scheduler without cells. */
 export function createScheduler(
@@ -100,6 +112,7 @@
   const limit = cell.rateLimits.get(chosen.id);
   rateLimit.noteStart(limit, reachableShare, now);
   waiting.takeRequest(cell, request, now);
+  recentUse.noteGrant(cell.recentUse, request, now);
   cell.requests.delete(request.id);
   const asker = cell.askers.get(request.asker);
   if (asker === undefined) {
@@ -108,8 +121,10 @@
   asker.requests.delete(request.serial);
   const number = scheduler.nextGrant;
   scheduler.nextGrant += 1;
-  asker.unreportedGrants.push({ number, serverId: chosen.id, grantedMs: now });
-  const idleFirstMs = waiting.estimateIdleFirstMs(request) * chosen.slowness;
+  const { promptTokens: unreadTokens, answerTokens } = request;
+  const work = { unreadTokens, answerTokens };
+  asker.unreportedGrants.push({ number, serverId: chosen.id, grantedMs: now, work });
+  const idleFirstMs = waiting.estimateIdleFirstMs(cell, request) * chosen.slowness;
   const { serial } = request;
   const entry = recentEntries.get(chosen.id);
   const isRateLimited = rateLimit.isLimited(limit);
@@ -118,6 +133,8 @@
     serial,
     serverId: chosen.id,
     idleFirstMs,
+    aheadMs: serverWork.toWireNumber(chosen.aheadMs),
+    predictedFirstMs: serverWork.toWireNumber(waiting.estimateFirstMs(cell, request, chosen)),
     entry,
     isRateLimited,
   });
@@ -147,7 +164,9 @@
       asks.refuseRequest(cell, asker, request, false, scheduler.drawRandom, now);
     }
     const queued = cell.queue.items.length;
-    return { kind: 'declined', cell: cell.name, request, queued, ...NOTHING_WEIGHED };
+    const recentUseTokens = recentUse.getReported(cell.recentUse, request, now);
+    const declined = { kind: 'declined', cell: cell.name, request, queued } as const;
+    return { ...declined, ...NOTHING_WEIGHED, recentUseTokens };
   });
 }
 
@@ -158,15 +177,19 @@
   servers: candidates.CellServers,
   now: number,
 ): SchedulingDecision[] {
+  cell.requestsDeferred = 0;
   if (cell.queue.items.length === 0) {
     return [];
   }
   const count = placeCount.countPlaces(scheduler.address, cell, servers, now);
   const all = candidates.listCandidates(cell, servers, count.takenByServer, now);
-  const { tokensPerEvent } = servers;
+  const { tokensPerEvent, maxPauseMs } = servers;
   const isBounded = servers.warmUp !== undefined;
   const { drawRandom } = scheduler;
-  const search = { cell, candidates: all, tokensPerEvent, drawRandom, now };
+  const deferred = new Set<number>();
+  const keepsDomains = (servers.toleratedDomainLosses ?? 0) > 0;
+  const limits = { tokensPerEvent, maxPauseMs, keepsDomains };
+  const search = { cell, candidates: all, ...limits, deferred, drawRandom, now };
   const decisions: SchedulingDecision[] = [];
   let { taken } = count;
   let match = taken < count.usable ? requestMatch.findNextMatch(search) : undefined;
@@ -178,6 +201,7 @@
       request,
       queued: cell.queue.items.length - 1,
       weighed: listWeighed(all, chosen),
+      predictedFirstMs: waiting.estimateFirstMs(cell, request, chosen),
       leftOut: servers.entries.length - all.length,
       full: all.filter(({ slots, inFlight }) => inFlight >= slots).length,
       heldBack: all.filter(({ startsLeft }) => startsLeft === 0).length,
@@ -186,11 +210,12 @@
     if (isBounded) {
       warmUp.noteStart(cell.starts, chosen.id, now);
     }
-    chosen.inFlight += 1;
+    candidates.addRequest(cell, chosen, request);
     chosen.startsLeft -= 1;
     taken += 1;
     match = taken < count.usable ? requestMatch.findNextMatch(search) : undefined;
   }
+  cell.requestsDeferred = deferred.size;
   return decisions;
 }
 
@@ -200,6 +225,7 @@
     .filter(([, { heardMs }]) => now - heardMs > ASKER_TIMEOUT_MS)
     .forEach(([address, asker]) => {
       asks.dropRequests(cell, asker);
+      asks.dropUse(cell, asker, now);
       cell.askers.delete(address);
     });
 }
--- a/packages/core/src/scheduler/wait-queue.test.ts
+++ b/packages/core/src/scheduler/wait-queue.test.ts
@@ -76,3 +76,29 @@
   assert.deepEqual([...waitQueue.countTokensBefore(queue, 0, 'loud')], [[0, 300]]);
   assert.deepEqual([...waitQueue.countTokensBefore(queue, 0, 'quiet')], [[0, 100]]);
 });
+
+test('many workspaces do not reset the tags of one that waits', () => {
+  // The finish tags are bounded in number. If the tag of a waiting workspace were discarded, its
+  // next request would go before its earlier ones and before those of workspaces that wait.
+  const queue = waitQueue.createWaitQueue();
+  [1, 2, 3].forEach((serial) => waitQueue.addItem(queue, buildItem(serial, 0, 'loud')));
+  Array.from({ length: 5000 }, (_, index) => {
+    waitQueue.addItem(queue, buildItem(10 + index, 0, `passing ${index}`));
+    return waitQueue.takeItem(queue, 10 + index);
+  });
+  waitQueue.addItem(queue, buildItem(4, 0, 'loud'));
+  assert.deepEqual(sendAll(queue), [1, 2, 3, 4]);
+  assert.ok(queue.finishTags.size < 5000);
+});
+
+test('work received elsewhere delays a workspace by its recent use at most', () => {
+  // A workspace that received much elsewhere over a long time would not be served at all here.
+  const queue = waitQueue.createWaitQueue();
+  queue.elsewhere.set('0 busy', { received: 1e6, recent: 250, updatedMs: 0 });
+  [1, 2].forEach((serial) => waitQueue.addItem(queue, buildItem(serial, 0, 'busy')));
+  queue.elsewhere.set('0 busy', { received: 1e6, recent: 0, updatedMs: 0 });
+  waitQueue.addItem(queue, buildItem(3, 0, 'busy'));
+  [11, 12, 13, 14, 15].forEach((serial) => waitQueue.addItem(queue, buildItem(serial, 0, 'other')));
+  waitQueue.addItem(queue, buildItem(4, 1, 'busy'));
+  assert.deepEqual(sendAll(queue), [11, 12, 13, 1, 14, 2, 15, 3, 4]);
+});
--- a/packages/core/src/scheduler/wait-queue.ts
+++ b/packages/core/src/scheduler/wait-queue.ts
@@ -2,8 +2,9 @@
  * A queue of waiting requests in the order in which they should be sent.
  *
  * Items are ordered by rank, then by start-time fair queueing (Goyal, Vin and Cheng, 1996): start
- * tags are assigned as if the service gave every workspace an equal share. A workspace that sends
- * ten times as much therefore delays mainly its own requests.
+ * tags are assigned as if the service gave every workspace its share. A workspace that sends ten
+ * times as much therefore delays mainly its own requests. What a workspace leaves of its share is
+ * used by the others, and returns to it with its next request.
  */
 
 export type WaitItem = {
@@ -11,6 +12,8 @@
   /** Items of the lowest rank are sent first; 0 is the lowest. */
   rank: number;
   workspace: string;
+  /** Share of the workspace within the rank, relative to that of others; undefined counts as 1. */
+  share?: number;
   workTokens: number;
   /** When it was queued at this rank, milliseconds. */
   enteredMs: number;
@@ -23,21 +26,51 @@
   startTag: number;
 };
 
+/** What a workspace received outside the queue, in virtual time (tokens per share). */
+export type ElsewhereUse = {
+  /** In total. */
+  received: number;
+  /** Recently: the most by which it may delay the workspace. */
+  recent: number;
+  /** When `recent` was estimated, milliseconds. */
+  updatedMs: number;
+};
+
+/** Virtual time at which the last item of a workspace ends. */
+type FinishTag = {
+  tag: number;
+  /** `ElsewhereUse.received` when the item was added. */
+  received: number;
+};
+
 export type WaitQueue = {
   /** In the order in which they are sent. */
   items: QueuedItem[];
   /** Virtual time by rank: the highest start tag of an item that was sent. */
   virtualTimes: Map<number, number>;
-  /** Virtual time at which the last item of a workspace ends, by rank and workspace. */
-  finishTags: Map<string, number>;
+  /** By rank and workspace. */
+  finishTags: Map<string, FinishTag>;
+  /** By urgency and workspace, least recent first; contains only those with recent use. */
+  elsewhere: Map<string, ElsewhereUse>;
+  /** Finds the urgency of the requests of a rank. */
+  findUrgency: (rank: number) => number;
+  /** Number of finish tags above which those of workspaces that do not wait are discarded. */
+  tagLimit: number;
 };
 
-/** Number of finish tags above which all are discarded, to bound the memory. */
-const MAX_FINISH_TAGS = 4096;
+/** Lowest value of `tagLimit`; bounds the memory. */
+const MIN_TAG_LIMIT = 4096;
 
-/** Creates an empty queue. */
-export function createWaitQueue(): WaitQueue {
-  return { items: [], virtualTimes: new Map(), finishTags: new Map() };
+/** Creates an empty queue; by default, each rank contains the requests of one urgency. */
+export function createWaitQueue(findUrgency: (rank: number) => number = (rank) => rank): WaitQueue {
+  return {
+    items: [],
+    virtualTimes: new Map(),
+    finishTags: new Map(),
+    elsewhere: new Map(),
+    findUrgency,
+    tagLimit: MIN_TAG_LIMIT,
+  };
 }
 
 /** Reports whether an item is sent before another. */
@@ -60,24 +93,64 @@
   return low;
 }
 
-/** Builds the map key of a workspace's finish tag. */
-function buildTagKey(rank: number, workspace: string): string {
+/** Builds the map key of a workspace at a rank or urgency. */
+export function buildKey(rank: number, workspace: string): string {
   return `${rank} ${workspace}`;
 }
 
-/** Computes the start tag of the next item of a workspace, tokens. */
+/** Finds what the workspace of a rank received outside the queue. */
+function findElsewhere(
+  queue: WaitQueue,
+  rank: number,
+  workspace: string,
+): ElsewhereUse | undefined {
+  return queue.elsewhere.get(buildKey(queue.findUrgency(rank), workspace));
+}
+
+/**
+ * Computes the start tag of the next item of a workspace, tokens.
+ *
+ * What the workspace received elsewhere since its last item delays the next one as if this queue
+ * had sent it (Wang and Merchant, 2007), but not beyond its recent use, so that a workspace does
+ * not wait for work that it received long ago.
+ */
 export function computeStartTag(queue: WaitQueue, rank: number, workspace: string): number {
   const virtual = queue.virtualTimes.get(rank) ?? 0;
-  return Math.max(virtual, queue.finishTags.get(buildTagKey(rank, workspace)) ?? 0);
+  const last = queue.finishTags.get(buildKey(rank, workspace)) ?? { tag: 0, received: 0 };
+  const elsewhere = findElsewhere(queue, rank, workspace);
+  if (elsewhere === undefined) {
+    return Math.max(virtual, last.tag);
+  }
+  const delayed = last.tag + Math.max(elsewhere.received - last.received, 0);
+  return Math.max(virtual, last.tag, Math.min(delayed, virtual + elsewhere.recent));
+}
+
+/**
+ * Discards the finish tags of workspaces that do not wait at the rank. Without its tag, the next
+ * request of a waiting workspace would go before its earlier ones.
+ *
+ * The limit is at least twice the number of remaining tags, so that the effort for each item is
+ * bounded.
+ */
+function dropIdleTags(queue: WaitQueue): void {
+  const waiting = new Set(queue.items.map(({ rank, workspace }) => buildKey(rank, workspace)));
+  queue.finishTags.forEach((_, key) => {
+    if (!waiting.has(key)) {
+      queue.finishTags.delete(key);
+    }
+  });
+  queue.tagLimit = Math.max(MIN_TAG_LIMIT, 2 * queue.finishTags.size);
 }
 
 /** Adds an item and assigns its start tag. */
 export function addItem(queue: WaitQueue, item: WaitItem): void {
-  if (queue.finishTags.size > MAX_FINISH_TAGS) {
-    queue.finishTags.clear();
+  if (queue.finishTags.size > queue.tagLimit) {
+    dropIdleTags(queue);
   }
   const startTag = computeStartTag(queue, item.rank, item.workspace);
-  queue.finishTags.set(buildTagKey(item.rank, item.workspace), startTag + item.workTokens);
+  const tag = startTag + item.workTokens / (item.share ?? 1);
+  const received = findElsewhere(queue, item.rank, item.workspace)?.received ?? 0;
+  queue.finishTags.set(buildKey(item.rank, item.workspace), { tag, received });
   const queued = { ...item, startTag };
   queue.items.splice(findInsertionIndex(queue.items, queued), 0, queued);
 }
--- a/packages/core/src/scheduler/waiting.ts
+++ b/packages/core/src/scheduler/waiting.ts
@@ -2,6 +2,8 @@
  * Queues the waiting requests of a cell.
  *
  * Requests that can still meet their target come first, by urgency; late ones follow, by urgency.
+ * A late return waits for as long as its caller does: callers retry once, so that a second refusal
+ * is final, whereas a request that is refused for the first time returns.
  * A late response is still useful to its caller but must not make another one late. For example, in
  * a burst of twice the engines' capacity, all requests would be slightly late if they were served
  * in order of arrival. Separated by their expected wait, those that can be on time are on time.
@@ -11,6 +13,8 @@
 import type * as cells from './cell.js';
 import * as addedLatency from './added-latency.js';
 import type * as scheduledRequest from './scheduled-request.js';
+import type * as serverChoice from './server-choice.js';
+import * as serverWork from './server-work.js';
 import * as waitQueue from './wait-queue.js';
 
 /** Added to the rank of a late request; larger than the number of urgencies of any deployment. */
@@ -26,10 +30,6 @@
  * others of its urgency, which may still be on time, and before all less urgent ones.
  */
 const MISSED_TARGET_RANK = 0.5;
-/** Prompt tokens that an engine is assumed to process per millisecond until its speed is known. */
-const PROMPT_TOKENS_PER_MS = 40;
-/** Time to the first token besides the prompt (network, batching, one step), milliseconds. */
-const FIRST_TOKEN_MS = 25;
 /**
  * Maximum share of the remaining time that the expected wait may take. With a longer wait, too
  * little time would be left to run the request.
@@ -49,9 +49,26 @@
   return rank >= LATE_RANK;
 }
 
+/** Finds the urgency of the requests of a rank. */
+export function findUrgency(rank: number): number {
+  return Math.floor(rank) % BEYOND_QUOTA_RANK;
+}
+
 /** Estimates the time from sending to the first token at an idle engine, milliseconds. */
-export function estimateIdleFirstMs({ promptTokens }: scheduledRequest.ScheduledRequest): number {
-  return FIRST_TOKEN_MS + promptTokens / PROMPT_TOKENS_PER_MS;
+export function estimateIdleFirstMs(
+  { promptSpeed }: cells.Cell,
+  { promptTokens }: scheduledRequest.ScheduledRequest,
+): number {
+  return serverWork.estimateIdleFirstMs(promptSpeed, promptTokens);
+}
+
+/** Estimates the time from sending to the first token at a backend server, milliseconds. */
+export function estimateFirstMs(
+  cell: cells.Cell,
+  request: scheduledRequest.ScheduledRequest,
+  { slowness, aheadMs, addedLatencyMs }: serverChoice.Candidate,
+): number {
+  return estimateIdleFirstMs(cell, request) * slowness + aheadMs + addedLatencyMs;
 }
 
 /** Estimates the time from sending to the first token at the present load, milliseconds. */
@@ -60,7 +77,8 @@
   request: scheduledRequest.ScheduledRequest,
   now: number,
 ): number {
-  return estimateIdleFirstMs(request) + addedLatency.estimateAddedLatencyMs(cell.addedLatency, now);
+  const addedMs = addedLatency.estimateAddedLatencyMs(cell.addedLatency, now);
+  return serverWork.estimateTypicalFirstMs(cell, request.promptTokens, now) + addedMs;
 }
 
 /** Returns the throughput of a rank; creates the record if there is none. */
@@ -110,6 +128,14 @@
   return urgency + (isBelated ? MISSED_TARGET_RANK : 0) + (isBeyondQuota ? BEYOND_QUOTA_RANK : 0);
 }
 
+/**
+ * Computes the rank of a late request. Returns and first attempts share it, so that the returns of
+ * a workspace with many requests do not delay the late requests of others.
+ */
+function computeLateRank(request: scheduledRequest.ScheduledRequest): number {
+  return LATE_RANK + computeRank({ ...request, isBelated: false });
+}
+
 /** Finds the rank and due time of a request; undefined if it could not be served in time. */
 function findQueuePosition(
   cell: cells.Cell,
@@ -126,8 +152,11 @@
   ) {
     return { rank: onTimeRank, dueMs: latestStartMs };
   }
-  const rank = LATE_RANK + onTimeRank;
+  const rank = computeLateRank(request);
   const leftMs = request.leaveMs - firstMs - now;
+  if (request.isBelated && leftMs > 0) {
+    return { rank, dueMs: now + leftMs };
+  }
   return leftMs <= 0 || estimateWaitMs(cell, rank, request.workspace, now) > MAX_WAIT_SHARE * leftMs
     ? undefined
     : { rank, dueMs: now + Math.min(leftMs, CHECK_INTERVAL_MS) };
@@ -143,8 +172,10 @@
   if (place === undefined) {
     return false;
   }
-  const { id, workspace, workTokens } = request;
-  waitQueue.addItem(cell.queue, { serial: id, workspace, workTokens, enteredMs: now, ...place });
+  const { id, workspace, share, workTokens } = request;
+  const item = { serial: id, workspace, share, workTokens, enteredMs: now };
+  waitQueue.addItem(cell.queue, { ...item, ...place });
+  cell.lateReturns.queued += Number(request.isBelated && isLateRank(place.rank));
   return true;
 }
 
@@ -157,6 +188,7 @@
   const item = waitQueue.takeItem(cell.queue, request.id);
   if (item !== undefined) {
     const { rank, workTokens, enteredMs } = item;
+    cell.lateReturns.sent += Number(request.isBelated && isLateRank(rank));
     queueThroughput.noteStart(getThroughput(cell, rank), workTokens, enteredMs, now);
     queueThroughput.noteStart(cell.throughput, workTokens, request.arrivedMs, now);
   }
@@ -171,7 +203,8 @@
 ): boolean {
   const isLate = isLateRank(item.rank);
   const leftMs = request.leaveMs - estimateBusyFirstMs(cell, request, now) - now;
-  if (!isLate || leftMs <= 0 || isStalled(cell, item.rank, now)) {
+  const isHopeless = !request.isBelated && isStalled(cell, item.rank, now);
+  if (!isLate || leftMs <= 0 || isHopeless) {
     return false;
   }
   item.dueMs = now + Math.min(leftMs, CHECK_INTERVAL_MS);
@@ -192,7 +225,9 @@
       return [];
     }
     waitQueue.removeItem(cell.queue, item.serial);
-    const isMoved = !isLateRank(item.rank) && enqueueRequest(cell, request, now);
+    const isLate = isLateRank(item.rank);
+    const isMoved = !isLate && enqueueRequest(cell, request, now);
+    cell.lateReturns.refused += Number(request.isBelated && isLate);
     return isMoved ? [] : [request];
   });
 }
--- a/packages/gateway/src/app.ts
+++ b/packages/gateway/src/app.ts
@@ -7,9 +7,12 @@
 import * as callerServer from './caller-server.js';
 import * as clocks from './clocks.js';
 import * as decisionLog from './decision-log.js';
+import * as eventLoop from './event-loop.js';
+import * as domainTraffic from './domain-traffic.js';
 import * as gatewayMetrics from './gateway-metrics.js';
 import type * as gatewaySettings from './gateway-settings.js';
 import * as gatewayTask from './gateway-task.js';
+import * as loadReports from './load-reports.js';
 import * as peerTask from './peer-task.js';
 import * as shutdown from './shutdown.js';
 import * as status from './status.js';
@@ -67,6 +70,7 @@
 /** Builds the limits that the core bases its decisions on. */
 function buildBounds(settings: gatewaySettings.GatewaySettings): gateway.GatewayBounds {
   const { revocationMs, quotaTolerance, retryRatio, retryExtra, warmUpTolerance } = settings;
+  const { toleratedDomainLosses } = settings;
   return {
     leaseMs: revocationMs === undefined ? Infinity : revocationMs * LEASE_SHARE,
     entryReturnMs: ENTRY_RETURN_MS,
@@ -78,6 +82,7 @@
     retryPercent: retryRatio * RETRY_BUDGET_SHARE * PERCENT,
     retryExtra: retryExtra * RETRY_BUDGET_SHARE,
     warmUpTolerance,
+    toleratedDomainLosses,
   };
 }
 
@@ -96,7 +101,14 @@
 /** Starts the operator servers: one for the load balancer, and one for metrics if configured. */
 function startOperatorServers(
   { settings }: GatewayOptions,
-  { state, readClocks, metrics, storeStatus, unknown }: ReturnType<typeof createComponents>,
+  {
+    state,
+    readClocks,
+    metrics,
+    storeStatus,
+    unknown,
+    traffic,
+  }: ReturnType<typeof createComponents>,
 ): Promise<runtime.OperatorServer[]> {
   const addresses = [settings.operators, settings.metrics].filter(
     (address) => address !== undefined,
@@ -106,7 +118,10 @@
       runtime.startOperatorServer({
         ...address,
         renderMetrics: metrics.render,
-        describeStatus: () => status.describeStatus(state, storeStatus, unknown, readClocks()),
+        describeStatus: () => ({
+          ...status.describeStatus(state, storeStatus, unknown, readClocks()),
+          traffic,
+        }),
         isReady: () => isReady(state, readClocks),
         readinessPath: settings.readinessPath,
       }),
@@ -117,12 +132,13 @@
 /** Creates the server for callers; it does not listen yet. */
 function createCallers(
   { settings }: GatewayOptions,
-  { log, metrics }: ReturnType<typeof createComponents>,
+  { log, metrics, eventLoop: { computeUnreadMs } }: ReturnType<typeof createComponents>,
   task: gatewayTask.GatewayTask,
 ): callerServer.CallerServer {
   return callerServer.createCallerServer({
     listen: settings.callers,
     receive: task.receive,
+    computeUnreadMs,
     reportRefusal: (code) => {
       log.write('refused', { result: schema.ResultCode[code] }, clocks.readSteadyMs());
       metrics.recordEnd('', '', code, false);
@@ -159,15 +175,22 @@
     Math.random,
     clocks.readSteadyMs(),
   );
+  const log = decisionLog.createDecisionLog(logger);
+  const traffic = domainTraffic.createDomainTraffic();
+  const metrics = gatewayMetrics.createGatewayMetrics(state, clocks.readSteadyMs, traffic);
+  const noteDelay = loadReports.createDelayObserver({ state, log, metrics });
+  const loop = eventLoop.startEventLoop(clocks.readSteadyMs, noteDelay);
   return {
     state,
+    traffic,
     protocol,
-    connections: backendConnections.createBackendConnections(),
+    eventLoop: loop,
+    connections: backendConnections.createBackendConnections(loop.runWhenPolled),
     readClocks: clocks.createClockReader(),
-    log: decisionLog.createDecisionLog(logger),
+    log,
     storeStatus: { isLost: false },
     unknown: new Map() as unknownNames.UnknownNames,
-    metrics: gatewayMetrics.createGatewayMetrics(state, clocks.readSteadyMs),
+    metrics,
   };
 }
 
@@ -183,6 +206,7 @@
     listen: settings.peerListen,
     seeds: settings.peerSeeds,
     state,
+    traffic: components.traffic,
     readNow: clocks.readSteadyMs,
     reportProblem,
   });
@@ -211,8 +235,8 @@
     },
     shutDown: () => shutdown.beginShutdown({ state, callers, task, peers, log, ...options }),
     stop: () =>
-      [follower, task, peers, callers, ...operators, connections].forEach((component) =>
-        component.stop(),
+      [follower, task, peers, callers, ...operators, connections, components.eventLoop].forEach(
+        (component) => component.stop(),
       ),
   };
 }
--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -1,10 +1,12 @@
 /** HTTP server for callers; owns their connections. */
 import * as http from 'node:http';
-import type * as net from 'node:net';
-import type * as gateway from '@toucanproxy/core/gateway';
+import * as net from 'node:net';
+import * as gateway from '@toucanproxy/core/gateway';
 import * as runtime from '@toucanproxy/runtime';
 import * as schema from '@toucanproxy/schema';
+import * as acceptDelay from './accept-delay.js';
 import type * as callerExchange from './caller-exchange.js';
+import * as clocks from './clocks.js';
 import type * as gatewaySettings from './gateway-settings.js';
 import * as localResponse from './local-response.js';
 
@@ -25,12 +27,23 @@
   /** Called with each request that has been read completely. */
   receive: (exchange: callerExchange.CallerExchange) => void;
   reportRefusal: (code: schema.ResultCode) => void;
+  /** Computes how long data that is read now may have waited, milliseconds. */
+  computeUnreadMs: () => number;
 };
 
 type ServerState = {
   options: CallerServerOptions;
   bounds: gateway.CallerBounds;
   isShuttingDown: boolean;
+  /**
+   * When connections that were just accepted after a stall of the event loop may have been opened,
+   * milliseconds.
+   */
+  openedMs: WeakMap<net.Socket, number>;
+  acceptDelay: acceptDelay.AcceptDelay;
+  /** When the server began to listen, milliseconds. */
+  listeningMs: number;
+  server: http.Server | undefined;
 };
 
 /**
@@ -84,12 +97,40 @@
   return isPath ? undefined : schema.ResultCode.MALFORMED_REQUEST;
 }
 
+/** Computes how long data that is read now may have waited, milliseconds. */
+function computeUnreadMs({ options, listeningMs }: ServerState): number {
+  return Math.min(options.computeUnreadMs(), clocks.readSteadyMs() - listeningMs);
+}
+
+/**
+ * Records when a new connection may have been opened, if it was accepted late. What its
+ * caller sent meanwhile is read in the next turn of the event loop.
+ */
+function noteConnection(state: ServerState, socket: net.Socket): void {
+  const stallMs = computeUnreadMs(state);
+  if (state.acceptDelay.noteAccepted(socket, stallMs)) {
+    return;
+  }
+  const unreadMs = Math.max(stallMs, gateway.computeUnreadMs(state.acceptDelay.getDelayMs()));
+  if (unreadMs > 0) {
+    state.openedMs.set(socket, clocks.readSteadyMs() - unreadMs);
+    setImmediate(() => setImmediate(() => state.openedMs.delete(socket)));
+  }
+}
+
+/** Computes how long a request whose headers are read now may have waited, milliseconds. */
+function computeRequestUnreadMs(state: ServerState, socket: net.Socket): number {
+  const now = clocks.readSteadyMs();
+  return Math.max(computeUnreadMs(state), now - (state.openedMs.get(socket) ?? now));
+}
+
 /** Reads the body, then passes the request to `receive`. */
 function readBody(
   state: ServerState,
   request: http.IncomingMessage,
   response: http.ServerResponse,
 ): void {
+  const headUnreadMs = computeRequestUnreadMs(state, request.socket);
   const chunks: Buffer[] = [];
   let bytes = 0;
   request.on('data', (chunk: Buffer) => {
@@ -104,7 +145,8 @@
     if (!response.headersSent && request.complete) {
       const body = chunks.length === 1 ? chunks[0] : Buffer.concat(chunks);
       const { method = '', url = '', rawHeaders } = request;
-      state.options.receive({ method, target: url, headers: rawHeaders, body, response });
+      const unreadMs = Math.max(headUnreadMs, computeUnreadMs(state));
+      state.options.receive({ method, target: url, headers: rawHeaders, body, response, unreadMs });
     }
   });
 }
@@ -153,6 +195,7 @@
     connectionsCheckingInterval: TIMEOUT_CHECK_MS,
     noDelay: true,
   });
+  server.on('connection', (socket) => noteConnection(state, socket));
   server.on('request', (request, response) => handleRequest(state, request, response));
   server.on('clientError', (error, socket) =>
     handleClientError(state, error, socket as net.Socket),
@@ -162,12 +205,32 @@
   return server;
 }
 
+/** Opens a connection to the listening socket of this process. */
+function openProbe({ server }: ServerState): net.Socket {
+  const { address, port } = server?.address() as net.AddressInfo;
+  const host = new Map([
+    ['0.0.0.0', '127.0.0.1'],
+    ['::', '::1'],
+  ]).get(address);
+  return net.connect({ host: host ?? address, port });
+}
+
 /** Creates the server; it does not listen yet. */
 export function createCallerServer(options: CallerServerOptions): CallerServer {
-  const state: ServerState = { options, bounds: DEFAULT_BOUNDS, isShuttingDown: false };
+  const state: ServerState = {
+    options,
+    bounds: DEFAULT_BOUNDS,
+    isShuttingDown: false,
+    openedMs: new WeakMap(),
+    acceptDelay: acceptDelay.startAcceptDelay(() => openProbe(state), clocks.readSteadyMs),
+    listeningMs: Infinity,
+    server: undefined,
+  };
   const server = createServer(state);
+  state.server = server;
   return {
     listen: async () => {
+      state.listeningMs = clocks.readSteadyMs();
       await new Promise<void>((resolve, reject) => {
         server.once('error', reject);
         server.listen(options.listen.port, options.listen.host, resolve);
@@ -187,6 +250,7 @@
       server.closeIdleConnections();
     },
     stop: () => {
+      state.acceptDelay.stop();
       server.close();
       server.closeAllConnections();
     },
--- a/packages/gateway/src/gateway-metrics.ts
+++ b/packages/gateway/src/gateway-metrics.ts
@@ -2,6 +2,15 @@
 import * as gateway from '@toucanproxy/core/gateway';
 import * as runtime from '@toucanproxy/runtime';
 import * as schema from '@toucanproxy/schema';
+import * as domainTraffic from './domain-traffic.js';
+
+/** Why a request was withdrawn before its first byte was sent. */
+export enum WithdrawalReason {
+  CALLER_LEFT = 'caller-left',
+  DEADLINE = 'deadline',
+  /** The backend server may no longer be used. */
+  SERVER = 'server',
+}
 
 export type GatewayMetrics = {
   /** Records that a request has ended. */
@@ -12,26 +21,74 @@
   recordWait: (urgency: number, ms: number) => void;
   /** Records the time from sending to the first event, milliseconds. */
   recordFirstEvent: (route: string, ms: number) => void;
+  /** Records the duration of a turn of the event loop, milliseconds. */
+  recordLoopDelay: (ms: number) => void;
+  /** Records that a request was refused because this gateway is overloaded. */
+  recordShed: () => void;
+  /** Records that a request was withdrawn before its first byte was sent. */
+  recordWithdrawal: (reason: WithdrawalReason) => void;
+  /** Records by how much a first event came later than predicted, milliseconds. */
+  recordFirstEventError: (service: string, ms: number) => void;
   render: () => string;
 };
 
 /** Lists totals of the messages to schedulers and their grants, and queue lengths by cell. */
 function listSchedulingValues(state: gateway.GatewayState): runtime.MetricSample[] {
-  const { asks, grantsUsed, grantsUnused, schedulersLeft } = state.schedulingTotals;
-  const queues = [...state.scheduler.cells.values()].map(({ name, queue }) => ({
-    name: 'cell_requests_queued',
-    labels: { cell: name },
-    value: queue.items.length,
-  }));
+  const { asks, grantsUsed, grantsUnused, schedulersLeft, useReports } = state.schedulingTotals;
+  const queues = [...state.scheduler.cells.values()].flatMap((cell) => {
+    const labels = { cell: cell.name };
+    const turnaroundMs = gateway.estimateTurnaroundMs(cell);
+    return [
+      { name: 'cell_requests_queued', labels, value: cell.queue.items.length },
+      { name: 'cell_requests_deferred', labels, value: cell.requestsDeferred },
+      { name: 'cell_slot_turnaround_ms', labels, value: turnaroundMs },
+    ];
+  });
+  const lateReturns = [...state.scheduler.cells.values()].flatMap(({ name, lateReturns: totals }) =>
+    Object.entries(totals).map(([outcome, value]) => ({
+      name: 'late_returns_total',
+      labels: { cell: name, outcome },
+      value,
+    })),
+  );
   return [
     { name: 'schedule_asks_total', labels: {}, value: asks },
     { name: 'schedule_grants_total', labels: { used: 'true' }, value: grantsUsed },
     { name: 'schedule_grants_total', labels: { used: 'false' }, value: grantsUnused },
     { name: 'schedulers_left_total', labels: {}, value: schedulersLeft },
+    { name: 'fair_use_reports_total', labels: {}, value: useReports },
     ...queues,
+    ...lateReturns,
   ];
 }
 
+/** Lists the shares of the workspaces that had requests recently. */
+function listShareValues(state: gateway.GatewayState, now: number): runtime.MetricSample[] {
+  return gateway.listActiveShares(state, now).map(({ workspace, share }) => ({
+    name: 'workspace_share',
+    labels: { workspace },
+    value: share,
+  }));
+}
+
+/** Lists what the schedulers of this gateway's cells know of prompts. */
+function listWorkValues({ scheduler }: gateway.GatewayState): runtime.MetricSample[] {
+  return [...scheduler.cells.values()].flatMap((cell) => {
+    const work = gateway.countWork(cell);
+    const ids = new Set([...cell.healthByServer.keys(), ...work.keys()]);
+    const service = gateway.parseCellService(cell.name);
+    const speed = gateway.estimateTokensPerMs(cell.promptSpeed);
+    return [
+      { name: 'prompt_tokens_per_ms', labels: { service }, value: speed },
+      ...[...ids].map((server) => ({
+        name: 'server_unread_tokens',
+        labels: { server },
+        value: work.get(server)?.unreadTokens ?? 0,
+      })),
+    ];
+  });
+}
+
 /** Counts the backend servers whose statements are in effect, by kind of statement. */
 function listStatementValues(
   { servers }: gateway.GatewayState,
@@ -67,8 +124,12 @@
     },
     { name: 'store_epoch', labels: {}, value: Math.max(state.servers.readRevision.epoch, 0) },
     { name: 'peers', labels: {}, value: state.peers.byAddress.size },
+    { name: 'load_percent', labels: {}, value: gateway.computeLoadPercent(state.load) },
+    { name: 'admitted_share', labels: {}, value: state.load.admittedShare },
     ...listStatementValues(state, now),
     ...listSchedulingValues(state),
+    ...listShareValues(state, now),
+    ...listWorkValues(state),
   ];
 }
 
@@ -76,6 +137,7 @@
 export function createGatewayMetrics(
   state: gateway.GatewayState,
   readSteadyMs: () => number,
+  traffic: domainTraffic.DomainTraffic,
 ): GatewayMetrics {
   const metrics = runtime.createMetrics();
   return {
@@ -87,6 +149,18 @@
       runtime.recordObservation(metrics, { kind: 'queueWait', tier: String(urgency), ms }),
     recordFirstEvent: (route, ms) =>
       runtime.recordObservation(metrics, { kind: 'firstByte', service: '', tier: route, ms }),
-    render: () => runtime.renderMetrics(metrics, Date.now(), listSamples(state, readSteadyMs())),
+    recordLoopDelay: (ms) => runtime.recordDuration(metrics, 'event_loop_delay_ms', {}, ms),
+    recordShed: () =>
+      runtime.addCount(metrics, 'requests_shed_total', { reason: 'gateway-overloaded' }),
+    recordWithdrawal: (reason) => runtime.addCount(metrics, 'requests_withdrawn_total', { reason }),
+    recordFirstEventError: (service, ms) => {
+      const labels = { service, sign: ms < 0 ? 'early' : 'late' };
+      runtime.recordDuration(metrics, 'first_event_error_ms', labels, Math.abs(ms));
+    },
+    render: () =>
+      runtime.renderMetrics(metrics, Date.now(), [
+        ...listSamples(state, readSteadyMs()),
+        ...domainTraffic.listTrafficSamples(traffic),
+      ]),
   };
 }
--- a/packages/gateway/src/gateway-task.ts
+++ b/packages/gateway/src/gateway-task.ts
@@ -11,6 +11,7 @@
 import * as requestReports from './request-reports.js';
 import * as statementReports from './statement-reports.js';
 import type * as taskState from './task-state.js';
+import * as timeSlices from './time-slices.js';
 
 export type GatewayTask = {
   receive: (exchange: callerExchange.CallerExchange) => void;
@@ -30,27 +31,40 @@
 const TICK_MS = 50;
 const QUERY_START = '?';
 
-/** Applies assignments: sends requests, refuses them, or reports grants that were not used. */
+/** Sends a request on, unless it has ended since it was assigned. */
+function sendAssigned(
+  task: taskState.TaskState,
+  assignment: Extract<gateway.Assignment, { kind: 'send' }>,
+): void {
+  const held = task.held.get(assignment.request.serial);
+  if (held !== undefined) {
+    gateway.noteSending(held.request, task.readClocks());
+    attemptSending.send(task, held, assignment);
+  }
+}
+
+/**
+ * Applies assignments: refuses requests, reports grants that were not used, and sends requests. If
+ * that takes long, the event loop polls in between, as more callers may have left.
+ */
 function applyAssignments(
   task: taskState.TaskState,
   assignments: readonly gateway.Assignment[],
 ): void {
   assignments.forEach((assignment) => {
     const held = task.held.get(assignment.request.serial);
-    if (held === undefined) {
-      return;
-    }
-    switch (assignment.kind) {
-      case 'refuse':
-        requestEnding.refuse(task, held, assignment.refusal);
-        break;
-      case 'waitOn':
-        requestReports.reportUnused(task, assignment);
-        break;
-      default:
-        attemptSending.send(task, held, assignment);
+    if (held !== undefined && assignment.kind === 'refuse') {
+      requestEnding.refuse(task, held, assignment.refusal);
+    } else if (held !== undefined && assignment.kind === 'waitOn') {
+      requestReports.reportUnused(task, assignment);
     }
   });
+  timeSlices.runInSlices(
+    assignments.filter((assignment) => assignment.kind === 'send'),
+    (assignment) => sendAssigned(task, assignment),
+    () => task.readClocks().steadyMs,
+    setImmediate,
+  );
 }
 
 /** Runs one assignment pass: applies all decisions that can be made now. */
@@ -64,13 +78,15 @@
 /**
  * Creates the function that schedules an assignment pass. Calls within one turn of the event loop
  * share one pass; otherwise a burst would cost a datagram for each request that arrives or ends.
+ * The event loop polls before the pass, so that the pass sends no request whose caller has left
+ * while the loop was stalled.
  */
 function createAssign(task: taskState.TaskState): () => void {
   let isDue = false;
   return () => {
     if (!isDue) {
       isDue = true;
-      setImmediate(() => {
+      task.eventLoop.runAfterPoll(() => {
         isDue = false;
         assignNow(task);
       });
@@ -79,11 +95,16 @@
 }
 
 /** Handles a reply from the scheduler of another gateway. */
-function receiveReply(task: taskState.TaskState, reply: schema.ScheduleReply): void {
+function applyReply(task: taskState.TaskState, reply: schema.ScheduleReply): void {
   applyAssignments(task, gateway.applyReply(task.state, reply, task.readClocks()));
   task.assign();
 }
 
+/** Handles a reply after the event loop has read which callers have left during a stall. */
+function receiveReply(task: taskState.TaskState, reply: schema.ScheduleReply): void {
+  task.eventLoop.runWhenPolled(() => applyReply(task, reply));
+}
+
 /** Handles a message in which another gateway asks the scheduler of this one. */
 function receiveAsk(task: taskState.TaskState, ask: schema.ScheduleAsk): void {
   const now = task.readClocks().steadyMs;
@@ -121,15 +142,19 @@
   };
   held.timeoutTimer = setTimeout(
     () => requestEnding.handleTimeout(task, held),
-    request.giveUpMs - request.arrivedMs,
+    request.giveUpMs - task.readClocks().steadyMs,
   );
   task.held.set(request.serial, held);
   exchange.response.on('close', () => requestEnding.handleCallerLeft(task, held));
   exchange.response.on('drain', () => held.attempt?.resume());
 }
 
-/** Handles a request that has been read completely: admits or refuses it. */
-function receive(task: taskState.TaskState, exchange: callerExchange.CallerExchange): void {
+/** Admits or refuses a request. */
+function admit(
+  task: taskState.TaskState,
+  exchange: callerExchange.CallerExchange,
+  unreadMs: number,
+): void {
   const parsed = task.protocol.parseRequestHeaders(exchange.headers);
   const host = endToEndHeaders.findHeader(exchange.headers, 'host');
   if (parsed === undefined || host === undefined) {
@@ -139,7 +164,7 @@
   }
   const [path] = exchange.target.split(QUERY_START);
   const hashContent = () => contentDigest.hashContent(exchange);
-  const arrived = { ...parsed, host, path, hashContent };
+  const arrived = { ...parsed, host, path, hashContent, unreadMs };
   const admission = gateway.admitRequest(task.state, arrived, task.readClocks());
   if (admission.kind === 'refused') {
     refuseArrived(task, exchange, parsed.attemptId, admission.refusal);
@@ -149,6 +174,28 @@
   task.assign();
 }
 
+/**
+ * Handles a request that has been read completely. If the event loop was stalled, the request is
+ * admitted after another poll: its caller may have left, and the end of a connection is read in
+ * the turn after the one in which the request is read.
+ */
+function receive(task: taskState.TaskState, exchange: callerExchange.CallerExchange): void {
+  if (exchange.unreadMs === 0) {
+    admit(task, exchange, 0);
+    return;
+  }
+  const arrivedMs = task.readClocks().steadyMs - exchange.unreadMs;
+  task.eventLoop.runAfterPoll(() =>
+    task.eventLoop.runAfterPoll(() => {
+      if (callerExchange.hasCallerLeft(exchange)) {
+        requestReports.reportLeftUnread(task, exchange);
+      } else {
+        admit(task, exchange, task.readClocks().steadyMs - arrivedMs);
+      }
+    }),
+  );
+}
+
 /** Creates the task; periodic assignment passes begin once it is started. */
 export function createGatewayTask(dependencies: taskState.GatewayTaskDependencies): GatewayTask {
   const task: taskState.TaskState = {
@@ -172,7 +219,7 @@
       }
     },
     start: () => {
-      timer = setInterval(() => assignNow(task), TICK_MS);
+      timer = setInterval(task.assign, TICK_MS);
     },
     stop: () => {
       clearInterval(timer);
--- a/packages/gateway/src/request-reports.ts
+++ b/packages/gateway/src/request-reports.ts
@@ -4,7 +4,7 @@
 import type * as callerExchange from './caller-exchange.js';
 import type * as clocks from './clocks.js';
 import type * as decisionLog from './decision-log.js';
-import type * as gatewayMetrics from './gateway-metrics.js';
+import * as gatewayMetrics from './gateway-metrics.js';
 import type * as heldRequest from './held-request.js';
 
 export type ReportDependencies = {
@@ -34,11 +34,26 @@
   };
   log.write('refused', { ...line, result: schema.ResultCode[code] }, now.steadyMs);
   metrics.recordEnd('', '', code, false);
+  if (code === schema.ResultCode.GATEWAY_OVERLOADED) {
+    metrics.recordShed();
+  }
+}
+
+/** Reports that the caller of a request had left before the request was admitted. */
+export function reportLeftUnread(
+  { readClocks, log, metrics }: ReportDependencies,
+  { target, unreadMs }: callerExchange.CallerExchange,
+): void {
+  const code = schema.ResultCode.CLIENT_LEFT;
+  const line = { path: target, unreadMs: Math.round(unreadMs), result: schema.ResultCode[code] };
+  log.write('refused', line, readClocks().steadyMs);
+  metrics.recordEnd('', '', code, false);
+  metrics.recordWithdrawal(gatewayMetrics.WithdrawalReason.CALLER_LEFT);
 }
 
 /** Reports that a request was sent, and which gateway scheduled it. */
 export function reportSent(
-  { log }: ReportDependencies,
+  { state, log }: ReportDependencies,
   { request }: heldRequest.HeldRequest,
   server: gateway.BackendServerEntry,
   scheduler: string,
@@ -54,8 +69,10 @@
     waitMs: Math.round(sentMs - request.arrivedMs),
     isBelated: request.isBelated,
     promptTokens: arrived.tokens?.prompt,
+    predictedFirstMs: Math.round(request.predictedFirstMs),
     sends,
     version,
+    isOtherDomain: server.failureDomain !== state.failureDomain,
   };
   log.write('sent', line, sentMs);
 }
@@ -81,17 +98,21 @@
     return;
   }
   const now = readClocks().steadyMs;
-  notes.forEach(({ kind, cell, request, queued, weighed, leftOut, full, heldBack }) => {
-    const { attemptId, asker, workspace, urgency, arrivedMs, targetMs } = request;
+  notes.forEach((note) => {
+    const { kind, cell, request, queued, weighed, leftOut, full, heldBack } = note;
+    const predictedFirstMs = note.predictedFirstMs && Math.round(note.predictedFirstMs);
+    const { attemptId, asker, workspace, share, urgency, isBelated, arrivedMs, targetMs } = request;
     const line = {
       request: attemptId,
       asker,
       cell,
       workspace,
       urgency,
+      isBelated,
       waitMs: Math.round(now - arrivedMs),
       targetLeftMs: Math.round(targetMs - now),
       queued,
+      predictedFirstMs,
       // Id, requests in flight and slowness in percent: of the chosen backend server, then of the
       // next two candidates.
       weighed: weighed.map((server) => [
@@ -101,8 +122,14 @@
       ]),
       leftOut,
       full,
+      isOtherDomain: weighed.some(
+        ({ failureDomain }, rank) => rank === 0 && failureDomain !== request.failureDomain,
+      ),
       // Backend servers that are warming up and cannot be given a request yet.
       heldBack,
+      ...(kind === 'declined'
+        ? { share, recentUseTokens: Math.round(note.recentUseTokens ?? 0) }
+        : {}),
     };
     log.write(kind, line, now);
   });
--- a/packages/gateway/src/status.ts
+++ b/packages/gateway/src/status.ts
@@ -3,6 +3,19 @@
 import type * as storeFollower from './store-follower.js';
 import * as unknownNames from './unknown-names.js';
 
+/** Describes the prompts in a cell, if this gateway schedules it. */
+function describeWork(
+  { scheduler }: gateway.GatewayState,
+  cellName: string,
+): Record<string, unknown> {
+  const cell = scheduler.cells.get(cellName);
+  if (cell === undefined) {
+    return {};
+  }
+  const work = [...gateway.countWork(cell)].map(([id, tokens]) => ({ id, ...tokens }));
+  return { promptTokensPerMs: gateway.estimateTokensPerMs(cell.promptSpeed), work };
+}
+
 /** Describes the cells: which gateway schedules each, and the queue of those scheduled here. */
 function describeCells(state: gateway.GatewayState): Record<string, unknown>[] {
   return [...state.links.values()].map(({ cell, address, asks, places, load }) => ({
@@ -12,6 +25,8 @@
     places,
     requestsInCell: load,
     queued: state.scheduler.cells.get(cell)?.queue.items.length,
+    lateReturns: state.scheduler.cells.get(cell)?.lateReturns,
+    ...describeWork(state, cell),
   }));
 }
 
@@ -37,6 +52,15 @@
   }));
 }
 
+/** Describes the load of this process. */
+function describeLoad({ load }: gateway.GatewayState): Record<string, unknown> {
+  return {
+    eventLoopDelayMs: Math.round(load.delayMs),
+    admittedShare: load.admittedShare,
+    loadPercent: gateway.computeLoadPercent(load),
+  };
+}
+
 /** Describes the state of a gateway. */
 export function describeStatus(
   state: gateway.GatewayState,
@@ -51,11 +75,13 @@
     storeBehind: state.lease.behindSinceMs !== undefined,
     storeRevision: state.servers.readRevision,
     requestsHeld: state.requests.size,
+    load: describeLoad(state),
     backendServers: [...state.servers.byId.values()],
     evacuatedDomains: gateway.listEvacuated(state.servers.evacuations),
     warming: describeWarming(state, now.steadyMs),
     statements: describeStatements(state, now.steadyMs),
     cells: describeCells(state),
+    workspaceShares: gateway.listActiveShares(state, now.steadyMs),
     unknownNames: unknownNames.listUnknownNames(unknown),
     peers: gateway.listKnownAddresses(state.peers),
   };
--- a/packages/measure/src/gateway-load/replay.ts
+++ b/packages/measure/src/gateway-load/replay.ts
@@ -7,96 +7,41 @@
  */
 import * as gateway from '@toucanproxy/core/gateway';
 import * as datagramNetwork from '@toucanproxy/core/mocks/datagram-network';
+import * as callDraw from './call-draw.js';
 import * as engineModel from './engine-model.js';
 import * as loadPattern from './load-pattern.js';
+import * as replayCalls from './replay-calls.js';
 import * as replayTally from './replay-tally.js';
 import * as replayWorld from './replay-world.js';
 
 const TICK_MS = 5;
-const MAX_TRIES = 2;
 const MS_PER_SECOND = 1000;
 
-/** Lets a call that was refused come back, or counts it as failed. */
-function endRefused(
+/** Hands a request to an engine, if it can be reached. */
+function startRun(
   world: replayWorld.World,
-  call: replayWorld.Call,
-  retryAfterMs: number | undefined,
+  live: replayWorld.Live,
+  server: gateway.BackendServerEntry,
 ): void {
-  if (retryAfterMs === undefined || call.tries >= MAX_TRIES) {
-    replayTally.addToResult(world, call, 'failed');
-    return;
-  }
-  world.due.push({ ...call, dueMs: world.nowMs + retryAfterMs });
-}
-
-/** Draws a gateway as a balancer does that knows no load: some get more than others. */
-function pickGateway({ draw, states, options }: replayWorld.World): number {
-  return Math.floor(draw() ** options.pattern.skew * states.length);
-}
-
-/** Sends a call to a gateway that the balancer draws. */
-function sendCall(world: replayWorld.World, call: replayWorld.Call): void {
-  const index = pickGateway(world);
-  world.result.calmTries[index] += Number(replayTally.isCalm(world));
-  const state = world.states[index];
-  const { kind } = call;
-  const tried = { ...call, tries: call.tries + 1 };
-  const id = `${call.id}.${tried.tries}`;
-  const intake = gateway.admitRequest(
-    state,
-    {
-      attemptId: id,
-      host: 'h',
-      path: `/${kind.name}/x`,
-      credential: `key-${call.workspace}`,
-      deadlineMs: replayWorld.DEADLINE_MS - (world.nowMs - call.firstSentMs),
-      tokens: { prompt: kind.promptTokens, answer: kind.answerTokens },
-      answerGuess: undefined,
-      hashContent: () => call.id,
-    },
-    replayWorld.readClocks(world),
-  );
-  if (intake.kind === 'refused') {
-    endRefused(world, tried, intake.refusal.retryAfterMs);
-    return;
-  }
-  world.live.set(id, { call: tried, gateway: index, request: intake.request });
-}
-
-/** Ends an attempt that failed. */
-function endFailed(world: replayWorld.World, id: string, fault: gateway.AttemptFault): void {
-  const live = world.live.get(id);
-  if (live === undefined) {
-    return;
-  }
-  const state = world.states[live.gateway];
-  const progress = { hasBegun: false, canResume: true };
-  const clocks = replayWorld.readClocks(world);
-  const verdict = gateway.handleAttemptFault(state, live.request, fault, progress, clocks);
-  if (verdict.kind === 'again') {
-    return;
-  }
-  world.live.delete(id);
-  const advice = verdict.kind === 'refuse' ? verdict.refusal.retryAfterMs : undefined;
-  endRefused(world, live.call, advice);
-}
-
-/** Hands a request to an engine, if it can be reached. */
-function startRun(world: replayWorld.World, live: replayWorld.Live, engineId: string): void {
+  const engineId = server.id;
   const engine = world.engines.find(({ id }) => id === engineId) as engineModel.EngineModel;
   const { attemptId } = live.request.arrived;
   if (world.nowMs < engine.goneUntilMs) {
-    endFailed(world, attemptId, gateway.AttemptFault.UNREACHABLE);
+    replayCalls.endFailed(world, attemptId, gateway.AttemptFault.UNREACHABLE);
     return;
   }
   if (world.nowMs < engine.failsUntilMs) {
     if (!world.options.knowledge.failures) {
       world.states.forEach((state) => gateway.forgetServer(state, engineId));
     }
-    endFailed(world, attemptId, gateway.AttemptFault.FAILED);
+    replayCalls.endFailed(world, attemptId, gateway.AttemptFault.FAILED);
     return;
   }
-  const { promptTokens, answerTokens } = live.call.kind;
+  const isOwn = world.states[live.gateway].failureDomain === server.failureDomain;
+  world.result.ownPlacements += Number(isOwn);
+  world.result.otherPlacements += Number(!isOwn);
+  const { promptTokens, kind } = live.call;
+  const { answerTokens } = kind;
   engineModel.addRun(engine, { id: attemptId, promptTokens, answerTokens }, world.nowMs);
   const atEngine = engine.running.length + engine.waiting.length;
   world.result.mostAtEngine = Math.max(world.result.mostAtEngine, atEngine);
@@ -114,10 +59,10 @@
       return;
     }
     if (assignment.kind === 'send') {
-      startRun(world, live, assignment.server.id);
+      startRun(world, live, assignment.server);
     } else if (assignment.kind === 'refuse') {
       world.live.delete(attemptId);
-      endRefused(world, live.call, assignment.refusal.retryAfterMs);
+      replayCalls.endRefused(world, live.call, assignment.refusal.retryAfterMs);
     }
   });
 }
@@ -125,6 +70,9 @@
 /** Lets a gateway do what it can do now. */
 function advance(world: replayWorld.World, state: gateway.GatewayState): void {
   const clocks = replayWorld.readClocks(world);
+  if (world.options.knowledge.recentUse === false) {
+    state.services.forEach(({ use }) => use.clear());
+  }
   const { assignments, outgoing } = gateway.advance(state, clocks);
   datagramNetwork.sendDatagrams(world.network, state.address, outgoing, world.nowMs);
   applyAssignments(world, assignments);
@@ -133,14 +81,21 @@
 /** Delivers the datagrams that arrive in this tick, each at its time. */
 function deliverDatagrams(world: replayWorld.World): void {
   const tickMs = world.nowMs;
-  const byAddress = new Map(world.states.map((state) => [state.address, state]));
+  const byAddress = new Map(replayWorld.listUp(world).map((state) => [state.address, state]));
   let next = datagramNetwork.takeNextDue(world.network, tickMs + TICK_MS);
   while (next !== undefined) {
     const { content, dueMs } = next;
     const state = byAddress.get(content.to);
     world.nowMs = Math.max(dueMs, tickMs);
     if (state !== undefined && content.kind === 'ask') {
-      gateway.receiveAsk(state, content.ask, world.nowMs);
+      const { ask } = content;
+      if (world.options.knowledge.hidesWork === true) {
+        ask.inFlight.forEach((use) => {
+          use.unreadTokens = undefined;
+          use.answerTokens = undefined;
+        });
+      }
+      gateway.receiveAsk(state, ask, world.nowMs);
       advance(world, state);
     } else if (state !== undefined && content.kind === 'reply') {
       const clocks = replayWorld.readClocks(world);
@@ -154,15 +109,27 @@
 
 /** Lets all gateways do what they can do now. */
 function advanceAll(world: replayWorld.World): void {
-  world.states.forEach((state) => {
+  replayWorld.listUp(world).forEach((state) => {
     gateway.noteConfirmed(state.lease, replayWorld.readClocks(world));
     advance(world, state);
   });
 }
 
+/** Tells the gateways of the first events that have come. */
+function noteFirstEvents(world: replayWorld.World, engine: engineModel.EngineModel): void {
+  engineModel.takeBegun(engine, world.nowMs).forEach((run) => {
+    const live = world.live.get(run.id);
+    if (live !== undefined && world.options.knowledge.firstEvents) {
+      const state = world.states[live.gateway];
+      gateway.noteFirstEvent(state, live.request, run.firstMs - run.startedMs, world.nowMs);
+    }
+  });
+}
+
 /** Ends the runs that are over, and tells the gateways what was seen of them. */
 function endRuns(world: replayWorld.World, engine: engineModel.EngineModel): void {
   const { knowledge } = world.options;
+  noteFirstEvents(world, engine);
   const eventMs = engineModel.computeEventMs(engine);
   engineModel.takeEnded(engine, world.nowMs).forEach((run) => {
     const live = world.live.get(run.id);
@@ -171,13 +138,11 @@
     }
     world.live.delete(run.id);
     const state = world.states[live.gateway];
-    replayTally.noteFirst(world, live.call, run.firstMs);
+    replayTally.noteServed(world, live.call, run);
     world.result.calmServed[live.gateway] += Number(replayTally.isCalm(world));
-    if (knowledge.firstEvents) {
-      gateway.noteFirstEvent(state, live.request, run.firstMs - run.startedMs, world.nowMs);
-    }
     if (knowledge.paces) {
-      gateway.noteUnit(state, live.request, eventMs, world.nowMs);
+      const unitMs = engine.prompts.isChunked ? engineModel.computeMeanEventMs(run) : eventMs;
+      gateway.noteUnit(state, live.request, unitMs, world.nowMs);
     }
     gateway.noteGoodAnswer(state, live.request, world.nowMs);
     gateway.endRequest(state, live.request);
@@ -188,7 +153,8 @@
 function passReports(world: replayWorld.World): void {
   world.sequence += 1;
   const { sequence } = world;
-  const reports = world.states.map((state) => ({
+  const up = replayWorld.listUp(world);
+  const reports = up.map((state) => ({
     address: state.address,
     life: state.life,
     sequence,
@@ -198,24 +164,48 @@
     configurationVersion: 1,
     peers: [],
   }));
-  world.states.forEach((state) =>
+  up.forEach((state) =>
     reports
       .filter(({ address }) => address !== state.address)
       .forEach((report) => gateway.applyReport(state.peers, report, world.nowMs)),
   );
 }
 
+/** Kills the gateway that schedules the longest queue. */
+function stopScheduler(world: replayWorld.World, forMs: number): void {
+  const lengths = world.states.map(({ scheduler }) =>
+    [...scheduler.cells.values()].reduce((sum, { queue }) => sum + queue.items.length, 0),
+  );
+  const killed = lengths.indexOf(Math.max(...lengths));
+  world.downUntilMs[killed] = world.nowMs + forMs;
+  world.live.forEach(({ call, gateway: index }, id) => {
+    if (index === killed) {
+      world.live.delete(id);
+      replayCalls.endRefused(world, call, 1);
+    }
+  });
+  world.states[killed] = replayWorld.startGateway(world, killed);
+}
+
 /** Carries out what happens to the fleet now. */
 function applyEvent(world: replayWorld.World, event: loadPattern.FleetEvent): void {
   if (event.kind === 'gatewaysRestart') {
-    world.live.forEach(({ call }) => endRefused(world, call, 1));
+    world.live.forEach(({ call }) => replayCalls.endRefused(world, call, 1));
     world.live.clear();
     world.engines.forEach((engine) => engineModel.takeAll(engine));
     world.states = world.states.map((_, index) => replayWorld.startGateway(world, index));
     return;
   }
+  if (event.kind === 'schedulerLost') {
+    stopScheduler(world, event.forMs);
+    return;
+  }
   const count = Math.round(event.share * world.engines.length);
   world.engines.slice(0, count).forEach((engine) => {
+    if (event.kind === 'enginesSlow') {
+      engine.slowness *= event.factor;
+      return;
+    }
     if (event.kind === 'enginesFail') {
       engine.failsUntilMs = world.nowMs + event.forMs;
       return;
@@ -223,32 +213,36 @@
     engine.goneUntilMs = world.nowMs + event.forMs;
     engineModel
       .takeAll(engine)
-      .forEach(({ id }) => endFailed(world, id, gateway.AttemptFault.BROKEN));
+      .forEach(({ id }) => replayCalls.endFailed(world, id, gateway.AttemptFault.BROKEN));
   });
 }
 
 /** Draws the calls of one tick. */
 function drawCalls(world: replayWorld.World): void {
   const { pattern, engines } = world.options;
-  const mean = (pattern.computeRate(world.nowMs) * engines * TICK_MS) / MS_PER_SECOND;
+  const factor = callDraw.computeFactor(pattern, world.nowMs);
+  const mean = (pattern.computeRate(world.nowMs) * factor * engines * TICK_MS) / MS_PER_SECOND;
   let left = mean;
-  while (world.draw() < left) {
+  while (world.drawCall() < left) {
     left -= 1;
-    const luck = world.draw();
-    let below = 0;
-    const kind =
-      loadPattern.KINDS.find(({ share }) => {
-        below += share;
-        return luck < below;
-      }) ?? loadPattern.KINDS[0];
-    const isHot = world.draw() < pattern.hotShare;
-    const workspace = Math.floor(
-      world.draw() * (isHot ? replayTally.HOT_WORKSPACES : replayWorld.WORKSPACES),
-    );
-    const id = `c${world.result.quietAsked}-${world.sequence}-${world.draw()}`;
-    const call = { id, kind, workspace, firstSentMs: world.nowMs, tries: 0, dueMs: world.nowMs };
+    const kind = callDraw.drawKind(world);
+    const workspace = callDraw.drawWorkspace(world);
+    const id = `c${world.result.quietAsked}-${world.sequence}-${world.drawCall()}`;
+    const promptTokens = loadPattern.drawPromptTokens(kind, world.drawCall);
+    const { nowMs } = world;
+    const call = {
+      id,
+      kind,
+      workspace,
+      promptTokens,
+      firstSentMs: nowMs,
+      tries: 0,
+      dueMs: nowMs,
+      isCounted: nowMs < (pattern.countedUntilMs ?? Infinity),
+    };
     replayTally.addToResult(world, call, 'asked');
-    world.result.quietAsked += Number(replayTally.isQuiet(call));
+    replayTally.addWork(world, call, 'asked');
+    world.result.quietAsked += Number(replayTally.isQuiet(world, call));
     world.due.push(call);
   }
 }
@@ -257,7 +251,16 @@
 function sendDue(world: replayWorld.World): void {
   const due = world.due.filter(({ dueMs }) => dueMs <= world.nowMs);
   world.due = world.due.filter(({ dueMs }) => dueMs > world.nowMs);
-  due.forEach((call) => sendCall(world, call));
+  due.forEach((call) => replayCalls.sendCall(world, call));
+}
+
+/** Adds the slots in use in this tick to their mean over the time in which calls arrive. */
+function noteSlotsInUse({ engines, options, result, nowMs }: replayWorld.World): void {
+  const used = engines.reduce((sum, { running }) => sum + running.length, 0);
+  if (options.pattern.computeRate(nowMs) > 0) {
+    result.ticks += 1;
+    result.slotsInUse += used / (engines.length * options.slots);
+  }
 }
 
 /** Replays a load. */
@@ -277,7 +280,9 @@
     }
     advanceAll(world);
     deliverDatagrams(world);
+    noteSlotsInUse(world);
     world.nowMs += TICK_MS;
   }
+  world.result.asks = world.states.reduce((sum, one) => sum + one.schedulingTotals.asks, 0);
   return world.result;
 }
--- a/packages/runtime/src/metric-definitions.ts
+++ b/packages/runtime/src/metric-definitions.ts
@@ -34,10 +34,30 @@
     type: MetricType.COUNTER,
     help: 'Prompt tokens that were worked through and thrown away, by cause.',
   },
+  event_loop_delay_ms: {
+    type: MetricType.SUMMARY,
+    help: 'Milliseconds by which turns of the event loop were late.',
+  },
+  requests_shed_total: {
+    type: MetricType.COUNTER,
+    help: 'Requests refused on arrival to keep this process within its targets, by reason.',
+  },
+  requests_withdrawn_total: {
+    type: MetricType.COUNTER,
+    help: 'Requests withdrawn before their first byte was sent, by reason.',
+  },
   attempt_faults_total: {
     type: MetricType.COUNTER,
     help: 'Attempts at backend servers that failed, by fault.',
   },
+  load_percent: {
+    type: MetricType.GAUGE,
+    help: 'Share of the time or processor time that was used; 100 if other gateways should schedule.',
+  },
+  admitted_share: {
+    type: MetricType.GAUGE,
+    help: 'Share of the arriving requests that an overloaded gateway admits; 1 if it is not overloaded.',
+  },
   schedule_asks_total: {
     type: MetricType.COUNTER,
     help: 'Messages to schedulers of cells.',
@@ -50,14 +70,58 @@
     type: MetricType.COUNTER,
     help: 'Times that another scheduler was asked, since one did not answer or another took over.',
   },
+  peer_bytes_total: {
+    type: MetricType.COUNTER,
+    help: 'Bytes of datagrams sent to other gateways, by cause and by whether they left the failure domain.',
+  },
+  request_bytes_total: {
+    type: MetricType.COUNTER,
+    help: 'Bytes of request and response bodies to and from backend servers, by whether the server is in the own failure domain.',
+  },
+  placements_total: {
+    type: MetricType.COUNTER,
+    help: 'Requests sent to backend servers, by whether the server is in the own failure domain.',
+  },
   cell_requests_queued: {
     type: MetricType.GAUGE,
     help: 'Requests that wait in the cells that this gateway schedules.',
   },
+  cell_requests_deferred: {
+    type: MetricType.GAUGE,
+    help: 'Requests that waited in the last scheduling pass so as not to pause running streams.',
+  },
+  cell_slot_turnaround_ms: {
+    type: MetricType.GAUGE,
+    help: 'Mean time from the ask of a gateway to the reply, weighted by requests in flight.',
+  },
+  server_unread_tokens: {
+    type: MetricType.GAUGE,
+    help: 'Prompt tokens that a backend server has not read yet, as known to the scheduler of its cell.',
+  },
+  prompt_tokens_per_ms: {
+    type: MetricType.GAUGE,
+    help: 'Prompt tokens that the fastest engines of a service read in a millisecond, as learned.',
+  },
+  first_event_error_ms: {
+    type: MetricType.SUMMARY,
+    help: 'Difference between the measured and the predicted time to the first event, milliseconds.',
+  },
+  late_returns_total: {
+    type: MetricType.COUNTER,
+    help: 'Returns that would be late, by what became of them in the queue.',
+  },
   peers: {
     type: MetricType.GAUGE,
     help: 'Other gateways that are not forgotten.',
   },
+  fair_use_reports_total: {
+    type: MetricType.COUNTER,
+    help: 'Messages to schedulers that reported what workspaces recently used.',
+  },
+  workspace_share: {
+    type: MetricType.GAUGE,
+    help: 'Share of a workspace with recent requests, among those of its urgency; 1 is the usual one.',
+  },
   dropped_messages_total: {
     type: MetricType.COUNTER,
     help: 'Messages between processes that were dropped, by reason.',
