Mend what the reviews of the parts found

Cause: reviewers who had not written the parts found that one false first event changes the learned prompt speed by a factor of ten, that a very short unit time makes all other servers look slow, that a late long prompt is overtaken for good, that late returns block first attempts and outlive more urgent ones that are refused, that grants of one cell count as use elsewhere in services of several cells, that totals of over 20 busy workspaces are left out of short reports, that a failing server keeps its domain's requests, that a route without a target sets the limit of an overload, and that a lost probe counts as waiting time. Change: samples and slowness are bounded; deferral ends at the target; returns wait only while no more urgent first attempt is refused; use elsewhere counts once; reports go to all in turn where totals do not fit one; locality, overload limits and the probe are corrected; shares are built in linear time.

--- a/packages/core/src/gateway/gateway-load.test.ts
+++ b/packages/core/src/gateway/gateway-load.test.ts
@@ -84,6 +84,22 @@
   assert.equal(load.admittedShare, share);
 });
 
+test('turns that are neither long nor short end an overload in time', () => {
+  // Failure: a gateway that uses all of its processor time keeps refusing requests after a burst.
+  const load = createLoad([0]);
+  const { now } = runTurns(load, 3, 300, LATER_MS);
+  runTurns(load, 400, 100, now);
+  assert.equal(load.admittedShare, 1);
+});
+
+test('a route without a target sets no limit', () => {
+  // Failure: its target of 0 makes normal turns count as too long, for all routes.
+  const load = createLoad([0]);
+  gatewayLoad.findOverloadRefusal(load, { urgency: 0, targetMs: 0 }, () => 0.5, LATER_MS);
+  runTurns(load, 20, 90, LATER_MS);
+  assert.equal(load.admittedShare, 1);
+});
+
 test('after short turns all requests are admitted again', () => {
   const load = createLoad([0]);
   const { now } = runTurns(load, 3, 300, LATER_MS);
--- a/packages/core/src/gateway/gateway-load.ts
+++ b/packages/core/src/gateway/gateway-load.ts
@@ -74,6 +74,11 @@
 const SHARE_STEP = 0.1;
 /** Time between increases of the share, milliseconds. */
 const STEP_MS = 200;
+/**
+ * The same while turns are neither long nor short, milliseconds. A gateway that uses all of its
+ * processor time has such turns without an overload, and would otherwise refuse requests for good.
+ */
+const PROBE_STEP_MS = 3000;
 /**
  * No request is refused for this time after the first one, milliseconds. The turns of a process
  * that has just started are long until its code has been compiled.
@@ -203,7 +208,8 @@
   if (longestMs < MIN_STALL_MS / 2 && load.admittedShare === 1) {
     return undefined;
   }
-  const targetMs = Math.min(...listTiers(load, now).map((tier) => tier.targetMs));
+  const targets = listTiers(load, now).map((tier) => tier.targetMs);
+  const targetMs = Math.min(...targets.filter((target) => target > 0));
   const highMs = Math.max(targetMs * HIGH_DELAY_SHARE, MIN_STALL_MS);
   const shortestMs = Math.min(...load.recentDelays);
   if (shortestMs > highMs && now - load.firstArrivalMs >= START_MS) {
@@ -211,7 +217,8 @@
     return setShare(load, load.admittedShare * reduction, now);
   }
   const isShort = longestMs < Math.max(targetMs * LOW_DELAY_SHARE, MIN_STALL_MS / 2);
-  return load.admittedShare < 1 && isShort && now - load.changedMs >= STEP_MS
+  const stepMs = isShort ? STEP_MS : PROBE_STEP_MS;
+  return load.admittedShare < 1 && shortestMs <= highMs && now - load.changedMs >= stepMs
     ? setShare(load, load.admittedShare + SHARE_STEP, now)
     : undefined;
 }
--- a/packages/core/src/scheduler/asks.ts
+++ b/packages/core/src/scheduler/asks.ts
@@ -129,7 +129,7 @@
  * reported grants.
  */
 function applyInFlight(asker: cells.CellAsker, ask: schema.ScheduleAsk): void {
-  asker.replyMs = ask.replyMs;
+  asker.replyMs = Number.isFinite(ask.replyMs) ? Math.max(ask.replyMs, 0) : 0;
   asker.inFlight = new Map(ask.inFlight.map(({ serverId, requests }) => [serverId, requests]));
   asker.work = new Map(
     ask.inFlight.map(({ serverId, unreadTokens = 0, answerTokens = 0 }) => [
--- a/packages/core/src/scheduler/domain-preference.test.ts
+++ b/packages/core/src/scheduler/domain-preference.test.ts
@@ -53,3 +53,10 @@
   ];
   assert.deepEqual(listIds(all), ['near', 'emptier']);
 });
+
+test('request leaves a domain whose only free server fails', () => {
+  // Failure: a server that fails at once looks idle and gets all requests of its domain.
+  const failing = { ...buildCandidate('own', 'a', 0), failureShare: 0.8 };
+  const [own, far] = [failing, buildCandidate('far', 'b', 2)];
+  assert.deepEqual(listIds([own, far]), ['own', 'far']);
+});
--- a/packages/core/src/scheduler/domain-preference.ts
+++ b/packages/core/src/scheduler/domain-preference.ts
@@ -8,6 +8,11 @@
  */
 import type * as serverChoice from './server-choice.js';
 
+/**
+ * A backend server that fails a greater share of its responses is no reason to stay in a domain: it
+ * looks idle because its requests end early.
+ */
+const MAX_FAILURE_SHARE = 0.25;
 /** How far the share of slots in use may exceed that of another failure domain, 0 to 1. */
 const MAX_FILL_GAP = 0.25;
 /**
@@ -54,7 +59,10 @@
   failureDomain,
   isSafe,
 }: PreferenceSearch): readonly serverChoice.Candidate[] {
-  const own = usable.filter((one) => one.failureDomain === failureDomain && isSafe(one));
+  const own = usable.filter(
+    (one) =>
+      one.failureDomain === failureDomain && one.failureShare <= MAX_FAILURE_SHARE && isSafe(one),
+  );
   if (own.length === 0) {
     return usable;
   }
--- a/packages/core/src/scheduler/engine-pace.ts
+++ b/packages/core/src/scheduler/engine-pace.ts
@@ -19,6 +19,8 @@
 const DECAY_TIME_MS = 20_000;
 /** Slowness assumed for a backend server without samples. */
 const DEFAULT_SLOWNESS = 1.2;
+/** A very short sample, as after a stall of a gateway, must not make all other servers look slow. */
+const MAX_SLOWNESS = 16;
 
 /** Creates the record of a backend server without samples. */
 export function createPace(): EnginePace {
@@ -27,6 +29,9 @@
 
 /** Records the time of one unit of work, milliseconds. */
 export function recordUnitTime(pace: EnginePace, unitMs: number, now: number): void {
+  if (!(unitMs > 0) || !Number.isFinite(unitMs)) {
+    return;
+  }
   pace.samples += 1;
   pace.updatedMs = now;
   const weight = Math.max(SAMPLE_WEIGHT, 1 / pace.samples);
@@ -45,5 +50,5 @@
     return DEFAULT_SLOWNESS;
   }
   const decay = Math.exp(-Math.max(now - pace.updatedMs, 0) / DECAY_TIME_MS);
-  return 1 + Math.max(pace.unitMs / fastestMs - 1, 0) * decay;
+  return Math.min(1 + Math.max(pace.unitMs / fastestMs - 1, 0) * decay, MAX_SLOWNESS);
 }
--- a/packages/core/src/scheduler/recent-use.test.ts
+++ b/packages/core/src/scheduler/recent-use.test.ts
@@ -5,6 +5,7 @@
 import * as schedulerFixture from './mocks/scheduler-fixture.js';
 import * as recentUse from './recent-use.js';
 import * as scheduler from './scheduler.js';
+import * as waitQueue from './wait-queue.js';
 
 const { test } = nodeTest;
 const DECAY_MS = recentUse.USE_DECAY_MS;
@@ -29,6 +30,29 @@
   }
 });
 
+test('steady use in two cells counts once', () => {
+  // Failure: grants of this cell lower the estimate until they are reported, and each report then
+  // counts as new use elsewhere; a workspace with many requests waits behind all others.
+  const use = recentUse.createRecentUse();
+  const queue = waitQueue.createWaitQueue();
+  const [step, durationMs, perGrant] = [50, 30_000, 100];
+  let reported = 0;
+  let last: recentUse.ReportedUse[] = [];
+  for (let now = 0; now < durationMs; now += step) {
+    recentUse.noteGrant(use, { ...REQUEST, workTokens: perGrant }, now);
+    reported = reported * Math.exp(-step / DECAY_MS) + 2 * perGrant;
+    if (now % 500 === 0) {
+      const next = [{ key: '0 w', workTokens: reported }];
+      recentUse.applyReport(use, last, now - 500, next, now);
+      last = next;
+    }
+    recentUse.updateElsewhere(use, queue, REQUEST, now);
+  }
+  const elsewhere = (durationMs / step) * perGrant;
+  const received = queue.elsewhere.get('0 w')?.received ?? 0;
+  assert.ok(received < 1.2 * elsewhere, String(received));
+});
+
 test('reports of all gateways add up, and the last of each counts', () => {
   const use = recentUse.createRecentUse();
   const first = [{ key: '0 w', workTokens: 1000 }];
--- a/packages/core/src/scheduler/recent-use.ts
+++ b/packages/core/src/scheduler/recent-use.ts
@@ -31,6 +31,8 @@
 const REPORT_DELAY_MS = 600;
 /** Number of records above which the least recent one is discarded; bounds the memory. */
 const MAX_RECORDS = 4096;
+/** Recent use elsewhere below this amount is forgotten, tokens. */
+const MIN_KNOWN_TOKENS = 1;
 
 /** Creates an empty record. */
 export function createRecentUse(): RecentUse {
@@ -152,11 +154,13 @@
   const key = waitQueue.buildKey(request.urgency, request.workspace);
   const last = queue.elsewhere.get(key);
   queue.elsewhere.delete(key);
-  const recent = estimateElsewhere(use, request, now) / request.share;
-  if (recent === 0) {
+  const known = last === undefined ? 0 : last.recent * computeDecay(last.updatedMs, now);
+  // Grants of this queue lower the estimate at once and raise it with the next report. Only a rise
+  // above the highest recent value is new use elsewhere.
+  const recent = Math.max(estimateElsewhere(use, request, now) / request.share, known);
+  if (recent < MIN_KNOWN_TOKENS) {
     return;
   }
-  const known = last === undefined ? 0 : last.recent * computeDecay(last.updatedMs, now);
   const received = (last?.received ?? 0) + Math.max(recent - known, 0);
   queue.elsewhere.set(key, { received, recent, updatedMs: now });
   dropOldest(queue.elsewhere);
--- a/packages/core/src/scheduler/request-match.ts
+++ b/packages/core/src/scheduler/request-match.ts
@@ -68,10 +68,11 @@
 /** Reports whether a request would make the streams at a backend server pause for too long. */
 function isPausing(
   { cell, tokensPerEvent, maxPauseMs }: MatchSearch,
-  { promptTokens }: scheduledRequest.ScheduledRequest,
-  { inFlight, slowness, unitMs }: serverChoice.Candidate,
+  request: scheduledRequest.ScheduledRequest,
+  { inFlight, slowness, unitMs, unreadTokens }: serverChoice.Candidate,
 ): boolean {
   const promptTokensPerMs = serverWork.estimateTokensPerMs(cell.promptSpeed);
+  const promptTokens = request.promptTokens + unreadTokens;
   const input = { promptTokens, promptTokensPerMs, slowness, unitMs, tokensPerEvent };
   return inFlight > 0 && streamPauses.isTooLong(input, maxPauseMs);
 }
@@ -151,8 +152,9 @@
  * now. For example, the fast engines are full, and a long prompt would occupy a slow one for a
  * second in which ten short ones could be on time. Backend servers with a rate limit are not worth
  * waiting for: each takes only one of the many waiting requests, and the others would become late
- * for no benefit. The request also waits while all free slots are at backend servers whose streams
- * it would make pause for too long, and other servers would not be affected.
+ * for no benefit. Until its target, the request also waits while all free slots are at backend
+ * servers whose streams it would make pause for too long, and other servers would not be affected.
+ * Once it is late it waits no longer: less urgent requests would overtake it for good.
  */
 function chooseAny(
   search: OpenSearch,
@@ -164,18 +166,20 @@
     return undefined;
   }
   const open = listOpenServers(search, request);
-  const mild = open.filter((one) => !isPausing(search, request, one));
-  if (mild.length === 0 && allowed.some((one) => !isPausing(search, request, one))) {
+  const unpaused = open.filter((one) => !isPausing(search, request, one));
+  const mayBeOnTime = search.now < request.targetMs;
+  const canWait = mayBeOnTime && allowed.some((one) => !isPausing(search, request, one));
+  if (unpaused.length === 0 && canWait) {
     search.deferred.add(request.id);
     return undefined;
   }
-  return chooseNear(search, request, mild.length > 0 ? mild : open);
+  return chooseNear(search, request, unpaused.length > 0 ? unpaused : open);
 }
 
 /**
- * Lists the waiting requests that may be considered, in order. Requests of gateways from which no free backend server
- * accepts anything are skipped: a few dozen of them at the head of the queue would block all
- * others.
+ * Lists the waiting requests that may be considered, in order. Requests of gateways from which no
+ * free backend server accepts anything are skipped: a few dozen of them at the head of the queue
+ * would block all others.
  */
 function listPlaceable(search: OpenSearch): scheduledRequest.ScheduledRequest[] {
   const { cell, open } = search;
@@ -192,8 +196,8 @@
     .filter((request) => request !== undefined);
 }
 
-/** Lists the first requests that some backend server with a free slot reads without long pauses. */
-function listMild(
+/** Lists the first requests that some server with a free slot reads without long pauses. */
+function listUnpausing(
   search: OpenSearch,
   requests: readonly scheduledRequest.ScheduledRequest[],
 ): scheduledRequest.ScheduledRequest[] {
@@ -231,6 +235,6 @@
   const placeable = listPlaceable(openSearch);
   return (
     findMatch(openSearch, placeable.slice(0, MAX_LOOK_AHEAD)) ??
-    findMatch(openSearch, listMild(openSearch, placeable.slice(MAX_LOOK_AHEAD)))
+    findMatch(openSearch, listUnpausing(openSearch, placeable.slice(MAX_LOOK_AHEAD)))
   );
 }
--- a/packages/core/src/scheduler/server-work.test.ts
+++ b/packages/core/src/scheduler/server-work.test.ts
@@ -93,3 +93,19 @@
   Array.from({ length: 50 }, () => serverWork.recordFirstEvent(speed, 1000, 400, 1));
   assert.ok(Math.abs(serverWork.estimateTokensPerMs(speed) - 40) < 1);
 });
+
+test('a single false sample does not change the prompt speed by much', () => {
+  // Failure: one stall, or a caller that states a false length, makes a whole service refuse long
+  // prompts, or place them as if they took no time.
+  const speed = serverWork.createPromptSpeed();
+  Array.from({ length: 200 }, (_, index) => 500 + 40 * index).forEach((tokens) =>
+    serverWork.recordFirstEvent(speed, tokens, 25 + tokens / 100, 1),
+  );
+  const before = serverWork.estimateTokensPerMs(speed);
+  serverWork.recordFirstEvent(speed, 54_600, 60_000, 1);
+  const slow = serverWork.estimateTokensPerMs(speed);
+  serverWork.recordFirstEvent(speed, 4e9, 50, 1);
+  const fast = serverWork.estimateTokensPerMs(speed);
+  assert.ok(slow > before / 4 && slow < 4 * before, String(slow));
+  assert.ok(fast > before / 4 && fast < 4 * before, String(fast));
+});
--- a/packages/core/src/scheduler/server-work.ts
+++ b/packages/core/src/scheduler/server-work.ts
@@ -33,6 +33,10 @@
 const FIRST_TOKEN_MS = 25;
 /** Decay of the sums with each sample; about the last fifty matter. */
 const DECAY_FACTOR = 0.98;
+/** Longest prompt of a sample, tokens: callers state the length, and a false one must not count. */
+const MAX_SAMPLE_TOKENS = 65_536;
+/** A sample counts as at most this many times faster or slower than predicted, as after a stall. */
+const MAX_SAMPLE_FACTOR = 2;
 /** Bounds of the speed, tokens per millisecond, against responses from a cache or stalls. */
 const MIN_TOKENS_PER_MS = 2;
 const MAX_TOKENS_PER_MS = 1000;
@@ -60,6 +64,18 @@
   return 1 / Math.min(Math.max(msPerToken, 1 / MAX_TOKENS_PER_MS), 1 / MIN_TOKENS_PER_MS);
 }
 
+/** Computes what counts of a sample, so that a single one cannot change the speed by much. */
+function computeSample(
+  speed: PromptSpeed,
+  promptTokens: number,
+  ms: number,
+): { tokens: number; ms: number } {
+  const tokens = Math.min(Math.max(promptTokens, 0), MAX_SAMPLE_TOKENS);
+  const readMs = tokens / estimateTokensPerMs(speed);
+  const longestMs = MAX_SAMPLE_FACTOR * (FIRST_TOKEN_MS + readMs);
+  return { tokens, ms: Math.min(Math.max(ms, readMs / MAX_SAMPLE_FACTOR), longestMs) };
+}
+
 /**
  * Records the time to a first event with no unread prompt ahead of it.
  *
@@ -71,12 +87,12 @@
   totalMs: number,
   slowness: number,
 ): void {
-  const ms = totalMs / slowness;
+  const sample = computeSample(speed, promptTokens, totalMs / slowness);
   speed.count = DECAY_FACTOR * speed.count + 1;
-  speed.tokens = DECAY_FACTOR * speed.tokens + promptTokens;
-  speed.ms = DECAY_FACTOR * speed.ms + ms;
-  speed.tokensSquared = DECAY_FACTOR * speed.tokensSquared + promptTokens ** 2;
-  speed.tokensByMs = DECAY_FACTOR * speed.tokensByMs + promptTokens * ms;
+  speed.tokens = DECAY_FACTOR * speed.tokens + sample.tokens;
+  speed.ms = DECAY_FACTOR * speed.ms + sample.ms;
+  speed.tokensSquared = DECAY_FACTOR * speed.tokensSquared + sample.tokens ** 2;
+  speed.tokensByMs = DECAY_FACTOR * speed.tokensByMs + sample.tokens * sample.ms;
 }
 
 /** Estimates the time to the first event at an idle engine of slowness 1, milliseconds. */
--- a/packages/core/src/scheduler/stream-pauses.test.ts
+++ b/packages/core/src/scheduler/stream-pauses.test.ts
@@ -23,6 +23,7 @@
   prompts: readonly number[],
   inFlight: { fast: number; slow: number },
   maxPauseMs = MAX_PAUSE_MS,
+  targetLeftMs = 900,
 ): Record<string, number[]> {
   const own = scheduler.createScheduler('10.0.0.1:1', 'life', () => 0.5);
   const ask = schema.create(schema.ScheduleAskSchema, {
@@ -38,7 +39,7 @@
     requests: prompts.map((promptTokens, index) => ({
       serial: index + 1,
       promptTokens,
-      targetLeftMs: 900,
+      targetLeftMs,
       leaveLeftMs: 3000,
       giveUpLeftMs: 9000,
     })),
@@ -65,6 +66,20 @@
   assert.deepEqual(listGranted(prompts, { fast: 4, slow: 3 }).slow, [500]);
 });
 
+test('late long prompt takes a slot at a slow engine', () => {
+  // Failure: less urgent requests overtake a late long prompt until it is refused.
+  assert.deepEqual(listGranted([4000], { fast: 4, slow: 3 }, MAX_PAUSE_MS, 0).slow, [4000]);
+});
+
+test('engine that is slow without any prompt is not kept idle', () => {
+  const engine = { promptTokens: 0, promptTokensPerMs: 50, slowness: 4, tokensPerEvent: 8 };
+  assert.equal(streamPauses.isTooLong({ ...engine, unitMs: 500 }, MAX_PAUSE_MS), false);
+  assert.equal(
+    streamPauses.isTooLong({ ...engine, unitMs: 250, promptTokens: 4000 }, MAX_PAUSE_MS),
+    true,
+  );
+});
+
 test('engine without streams may read a long prompt', () => {
   assert.deepEqual(listGranted([4000], { fast: 4, slow: 0 }).slow, [4000]);
 });
--- a/packages/core/src/scheduler/stream-pauses.ts
+++ b/packages/core/src/scheduler/stream-pauses.ts
@@ -34,7 +34,11 @@
   return unitMs + (slowness * readTokens) / promptTokensPerMs;
 }
 
-/** Reports whether a prompt makes running streams pause for too long. */
+/**
+ * Reports whether a prompt makes running streams pause for too long. An engine that is too slow even
+ * without a prompt is not kept idle for that.
+ */
 export function isTooLong(input: PauseInput, maxPauseMs: number): boolean {
-  return estimatePauseMs(input) > MAX_PAUSE_SHARE * maxPauseMs;
+  const allowedMs = MAX_PAUSE_SHARE * maxPauseMs;
+  return input.unitMs <= allowedMs && estimatePauseMs(input) > allowedMs;
 }
--- a/packages/core/src/scheduler/waiting.ts
+++ b/packages/core/src/scheduler/waiting.ts
@@ -88,6 +88,13 @@
   return throughput;
 }
 
+/** Finds the first waiting request of a rank, other than late returns, which wait for long. */
+function findFirstAttempt(cell: cells.Cell, rank: number): waitQueue.WaitItem | undefined {
+  const isReturn = ({ serial }: waitQueue.WaitItem) =>
+    isLateRank(rank) && cell.requests.get(serial)?.isBelated === true;
+  return cell.queue.items.find((item) => item.rank === rank && !isReturn(item));
+}
+
 /**
  * Reports whether requests of a rank have waited for a while and none was sent.
  *
@@ -95,7 +102,7 @@
  * its future.
  */
 function isStalled(cell: cells.Cell, rank: number, now: number): boolean {
-  const first = waitQueue.findFirst(cell.queue, rank);
+  const first = findFirstAttempt(cell, rank);
   const lastStartMs = cell.throughputByRank.get(rank)?.lastStartMs ?? 0;
   return first !== undefined && now - Math.max(first.enteredMs, lastStartMs) > STALL_MS;
 }
@@ -136,6 +143,32 @@
   return LATE_RANK + computeRank({ ...request, isBelated: false });
 }
 
+/**
+ * Reports whether a late return may wait until its caller leaves. While first attempts of more
+ * urgent tiers are refused, it is refused like them, or they would be shed before it.
+ */
+function isReturnKept(
+  { refusedLate }: cells.Cell,
+  { isBelated }: scheduledRequest.ScheduledRequest,
+  rank: number,
+  now: number,
+): boolean {
+  return isBelated && (refusedLate.rank >= rank || now - refusedLate.atMs > STALL_MS);
+}
+
+/** Records that a late first attempt is refused. */
+function noteRefusedLate(
+  cell: cells.Cell,
+  request: scheduledRequest.ScheduledRequest,
+  now: number,
+): void {
+  const rank = computeLateRank(request);
+  const { refusedLate } = cell;
+  if (!request.isBelated && (rank <= refusedLate.rank || now - refusedLate.atMs > STALL_MS)) {
+    cell.refusedLate = { rank, atMs: now };
+  }
+}
+
 /** Finds the rank and due time of a request; undefined if it could not be served in time. */
 function findQueuePosition(
   cell: cells.Cell,
@@ -154,7 +187,7 @@
   }
   const rank = computeLateRank(request);
   const leftMs = request.leaveMs - firstMs - now;
-  if (request.isBelated && leftMs > 0) {
+  if (isReturnKept(cell, request, rank, now) && leftMs > 0) {
     return { rank, dueMs: now + leftMs };
   }
   return leftMs <= 0 || estimateWaitMs(cell, rank, request.workspace, now) > MAX_WAIT_SHARE * leftMs
@@ -170,6 +203,7 @@
 ): boolean {
   const place = findQueuePosition(cell, request, now);
   if (place === undefined) {
+    noteRefusedLate(cell, request, now);
     return false;
   }
   const { id, workspace, share, workTokens } = request;
@@ -203,7 +237,8 @@
 ): boolean {
   const isLate = isLateRank(item.rank);
   const leftMs = request.leaveMs - estimateBusyFirstMs(cell, request, now) - now;
-  const isHopeless = !request.isBelated && isStalled(cell, item.rank, now);
+  const mayWait = isReturnKept(cell, request, item.rank, now);
+  const isHopeless = !mayWait && isStalled(cell, item.rank, now);
   if (!isLate || leftMs <= 0 || isHopeless) {
     return false;
   }
@@ -228,6 +263,9 @@
     const isLate = isLateRank(item.rank);
     const isMoved = !isLate && enqueueRequest(cell, request, now);
     cell.lateReturns.refused += Number(request.isBelated && isLate);
+    if (isLate) {
+      noteRefusedLate(cell, request, now);
+    }
     return isMoved ? [] : [request];
   });
 }
--- a/packages/core/src/scheduler/workspace-shares.ts
+++ b/packages/core/src/scheduler/workspace-shares.ts
@@ -45,7 +45,11 @@
   const byUnit = new Map<string, DeclaredQuota[]>();
   quotas
     .filter(({ perSecond }) => perSecond > 0 && Number.isFinite(perSecond))
-    .forEach((quota) => byUnit.set(quota.unit, [...(byUnit.get(quota.unit) ?? []), quota]));
+    .forEach((quota) => {
+      const sameUnit = byUnit.get(quota.unit) ?? [];
+      sameUnit.push(quota);
+      byUnit.set(quota.unit, sameUnit);
+    });
   const shares = [...byUnit.values()].flatMap((sameUnit) => computeUnitShares(sameUnit));
   return new Map(shares.filter(([, share]) => share !== DEFAULT_SHARE));
 }
--- a/packages/gateway/src/accept-delay.ts
+++ b/packages/gateway/src/accept-delay.ts
@@ -70,6 +70,8 @@
       waitForEmpty(state);
       return;
     }
+    // A probe that was lost would count as waiting until it is sent again, seconds later.
+    closeProbe(state);
     state.queuedSinceMs = undefined;
     state.delayMs = undefined;
   });
--- a/packages/gateway/src/report-groups.ts
+++ b/packages/gateway/src/report-groups.ts
@@ -90,6 +90,16 @@
     .forEach((value) => send(near, { case: 'relayed', value }));
 }
 
+/** Lists the known gateways of the own failure domain. */
+function listOwnDomain(
+  { state }: GroupReports,
+  { addresses }: Pick<ReportRound, 'addresses'>,
+): string[] {
+  return addresses.filter(
+    (address) => gateway.findPeerDomain(state.peers, address) === state.failureDomain,
+  );
+}
+
 /** Sends the reports of a round that follows a plan with groups. */
 function sendReports(
   groups: GroupReports,
@@ -147,18 +157,19 @@
   const now = groups.readNow();
   groups.lastRoundMs = now;
   const plan = computePlan(groups, round);
-  if (plan.kind === 'rotation') {
+  sendRelayed(groups, plan.kind === 'groups' ? plan.near : listOwnDomain(groups, round));
+  const all = gateway.listUse(groups.state.quotas, Infinity);
+  // Totals that do not fit one report are only complete at all gateways if each gets all parts.
+  if (plan.kind === 'rotation' || all.length > MAX_UNCHANGED) {
     return false;
   }
-  const all = gateway.listUse(groups.state.quotas, Infinity);
-  gateway.noteUse(groups.useChanges, all, now);
-  sendRelayed(groups, plan.near);
   if (now - groups.newPeerMs < NEW_PEER_ROUNDS_MS && !round.isLeaving) {
     if (now - groups.startedMs < GREETING_MS) {
       sendGreetings(groups, round);
     }
     return false;
   }
+  gateway.noteUse(groups.useChanges, all, now);
   sendReports(groups, plan, round, all);
   return true;
 }
@@ -178,6 +189,6 @@
   if (received.relay && received.leaving) {
     const addresses = listAddresses();
     const plan = computePlan(groups, { sequence: 0, isLeaving: false, addresses });
-    sendRelayed(groups, plan.kind === 'groups' ? plan.near : []);
+    sendRelayed(groups, plan.kind === 'groups' ? plan.near : listOwnDomain(groups, { addresses }));
   }
 }
