--- a/packages/core/src/scheduler/cell.ts
+++ b/packages/core/src/scheduler/cell.ts
@@ -103,8 +103,6 @@
   throughputByRank: Map<number, queueThroughput.QueueThroughput>;
   overload: overload.Overload;
   lateReturns: LateReturns;
-  /** The most urgent rank of which a late first attempt was refused recently, and when, ms. */
-  refusedLate: { rank: number; atMs: number };
   /** Measured across all backend servers of the cell. */
   addedLatency: addedLatency.AddedLatency;
   promptSpeed: serverWork.PromptSpeed;
@@ -129,7 +127,6 @@
     throughputByRank: new Map(),
     overload: overload.createOverload(),
     lateReturns: { queued: 0, sent: 0, refused: 0 },
-    refusedLate: { rank: Infinity, atMs: -Infinity },
     addedLatency: addedLatency.createAddedLatency(),
     promptSpeed: serverWork.createPromptSpeed(),
   };
--- a/packages/core/src/scheduler/waiting.ts
+++ b/packages/core/src/scheduler/waiting.ts
@@ -2,8 +2,6 @@
  * Queues the waiting requests of a cell.
  *
  * Requests that can still meet their target come first, by urgency; late ones follow, by urgency.
- * A late return waits for as long as its caller does: callers retry once, so that a second refusal
- * is final, whereas a request that is refused for the first time returns.
  * A late response is still useful to its caller but must not make another one late. For example, in
  * a burst of twice the engines' capacity, all requests would be slightly late if they were served
  * in order of arrival. Separated by their expected wait, those that can be on time are on time.
@@ -88,13 +86,6 @@
   return throughput;
 }
 
-/** Finds the first waiting request of a rank, other than late returns, which wait for long. */
-function findFirstAttempt(cell: cells.Cell, rank: number): waitQueue.WaitItem | undefined {
-  const isReturn = ({ serial }: waitQueue.WaitItem) =>
-    isLateRank(rank) && cell.requests.get(serial)?.isBelated === true;
-  return cell.queue.items.find((item) => item.rank === rank && !isReturn(item));
-}
-
 /**
  * Reports whether requests of a rank have waited for a while and none was sent.
  *
@@ -102,7 +93,7 @@
  * its future.
  */
 function isStalled(cell: cells.Cell, rank: number, now: number): boolean {
-  const first = findFirstAttempt(cell, rank);
+  const first = waitQueue.findFirst(cell.queue, rank);
   const lastStartMs = cell.throughputByRank.get(rank)?.lastStartMs ?? 0;
   return first !== undefined && now - Math.max(first.enteredMs, lastStartMs) > STALL_MS;
 }
@@ -135,40 +126,6 @@
   return urgency + (isBelated ? MISSED_TARGET_RANK : 0) + (isBeyondQuota ? BEYOND_QUOTA_RANK : 0);
 }
 
-/**
- * Computes the rank of a late request. Returns and first attempts share it, so that the returns of
- * a workspace with many requests do not delay the late requests of others.
- */
-function computeLateRank(request: scheduledRequest.ScheduledRequest): number {
-  return LATE_RANK + computeRank({ ...request, isBelated: false });
-}
-
-/**
- * Reports whether a late return may wait until its caller leaves. While first attempts of more
- * urgent tiers are refused, it is refused like them, or they would be shed before it.
- */
-function isReturnKept(
-  { refusedLate }: cells.Cell,
-  { isBelated }: scheduledRequest.ScheduledRequest,
-  rank: number,
-  now: number,
-): boolean {
-  return isBelated && (refusedLate.rank >= rank || now - refusedLate.atMs > STALL_MS);
-}
-
-/** Records that a late first attempt is refused. */
-function noteRefusedLate(
-  cell: cells.Cell,
-  request: scheduledRequest.ScheduledRequest,
-  now: number,
-): void {
-  const rank = computeLateRank(request);
-  const { refusedLate } = cell;
-  if (!request.isBelated && (rank <= refusedLate.rank || now - refusedLate.atMs > STALL_MS)) {
-    cell.refusedLate = { rank, atMs: now };
-  }
-}
-
 /** Finds the rank and due time of a request; undefined if it could not be served in time. */
 function findQueuePosition(
   cell: cells.Cell,
@@ -185,11 +142,8 @@
   ) {
     return { rank: onTimeRank, dueMs: latestStartMs };
   }
-  const rank = computeLateRank(request);
+  const rank = LATE_RANK + onTimeRank;
   const leftMs = request.leaveMs - firstMs - now;
-  if (isReturnKept(cell, request, rank, now) && leftMs > 0) {
-    return { rank, dueMs: now + leftMs };
-  }
   return leftMs <= 0 || estimateWaitMs(cell, rank, request.workspace, now) > MAX_WAIT_SHARE * leftMs
     ? undefined
     : { rank, dueMs: now + Math.min(leftMs, CHECK_INTERVAL_MS) };
@@ -203,7 +157,6 @@
 ): boolean {
   const place = findQueuePosition(cell, request, now);
   if (place === undefined) {
-    noteRefusedLate(cell, request, now);
     return false;
   }
   const { id, workspace, share, workTokens } = request;
@@ -237,9 +190,7 @@
 ): boolean {
   const isLate = isLateRank(item.rank);
   const leftMs = request.leaveMs - estimateBusyFirstMs(cell, request, now) - now;
-  const mayWait = isReturnKept(cell, request, item.rank, now);
-  const isHopeless = !mayWait && isStalled(cell, item.rank, now);
-  if (!isLate || leftMs <= 0 || isHopeless) {
+  if (!isLate || leftMs <= 0 || isStalled(cell, item.rank, now)) {
     return false;
   }
   item.dueMs = now + Math.min(leftMs, CHECK_INTERVAL_MS);
@@ -263,9 +214,6 @@
     const isLate = isLateRank(item.rank);
     const isMoved = !isLate && enqueueRequest(cell, request, now);
     cell.lateReturns.refused += Number(request.isBelated && isLate);
-    if (isLate) {
-      noteRefusedLate(cell, request, now);
-    }
     return isMoved ? [] : [request];
   });
 }
