--- a/packages/core/src/scheduler/server-choice.ts
+++ b/packages/core/src/scheduler/server-choice.ts
@@ -10,7 +10,7 @@
 export type Candidate = {
   id: string;
   failureDomain: string;
-  /** Requests that it processes concurrently. */
+  /** Requests that it may have in flight: those it processes at once, and grants ahead. */
   slots: number;
   /** Requests in flight there as last reported by the gateways, and grants not yet reported. */
   inFlight: number;
