Show why retries are denied and how far a failed call to the store had got

Change: field isBudgetSpent of fault lines, metric retries_total and status; receivedBytes and waitedMs of store-lost. No decision uses them.

--- a/packages/core/src/gateway/assignment.ts
+++ b/packages/core/src/gateway/assignment.ts
@@ -227,6 +227,8 @@
 export function takeRetry(state: gatewayState.GatewayState, service: string, now: number): boolean {
   const { retryPercent, retryExtra } = state.bounds;
   const floor = retryExtra / peerView.countGateways(state.peers);
-  const { retries } = gatewayState.getServiceState(state, service);
-  return retryBudget.takeRetry(retries, retryPercent, now, floor);
+  const { retries, retryTotals } = gatewayState.getServiceState(state, service);
+  const isAllowed = retryBudget.takeRetry(retries, retryPercent, now, floor);
+  retryTotals[isAllowed ? 'allowed' : 'denied'] += 1;
+  return isAllowed;
 }
--- a/packages/core/src/gateway/attempt-end.ts
+++ b/packages/core/src/gateway/attempt-end.ts
@@ -108,12 +108,12 @@
   const { route } = request;
   const runsLeft = notRun || (request.repeatable && request.runs < route.maxAttempts);
   const timeLeft = request.giveUpMs - now > MIN_TIME_LEFT_MS;
-  return (
-    runsLeft &&
-    timeLeft &&
-    request.sends < MAX_SENDS &&
-    assignment.takeRetry(state, request.service, now)
-  );
+  if (!runsLeft || !timeLeft || request.sends >= MAX_SENDS) {
+    return false;
+  }
+  const isAllowed = assignment.takeRetry(state, request.service, now);
+  request.isBudgetSpent = !isAllowed;
+  return isAllowed;
 }
 
 /** Builds the refusal of a request that is not retried. */
--- a/packages/core/src/gateway/gateway-request.ts
+++ b/packages/core/src/gateway/gateway-request.ts
@@ -86,4 +86,6 @@
   sends: number;
   /** Number of times that it ran or may have run. */
   runs: number;
+  /** The retry budget was exhausted when it would have been retried. */
+  isBudgetSpent: boolean;
 };
--- a/packages/core/src/gateway/gateway-state.ts
+++ b/packages/core/src/gateway/gateway-state.ts
@@ -18,9 +18,18 @@
 import * as schedulerRanking from './scheduler-ranking.js';
 import * as tokenQuota from './token-quota.js';
 
+/** Retries since the start of this gateway. */
+export type RetryTotals = {
+  /** Retries that the retry budget allowed. */
+  allowed: number;
+  /** Retries that were not made because the retry budget was exhausted. */
+  denied: number;
+};
+
 /** Per-service state that spans requests. */
 export type ServiceState = {
   retries: retryBudget.RetryBudget;
+  retryTotals: RetryTotals;
   /** Since when requests have been refused because backend servers did not take them. */
   overload: overload.Overload;
   use: recentUse.ServiceUse;
@@ -159,6 +168,7 @@
 export function getServiceState(state: GatewayState, service: string): ServiceState {
   const serviceState = state.services.get(service) ?? {
     retries: retryBudget.createRetryBudget(),
+    retryTotals: { allowed: 0, denied: 0 },
     overload: overload.createOverload(),
     use: new Map(),
   };
--- a/packages/core/src/gateway/request-admission.ts
+++ b/packages/core/src/gateway/request-admission.ts
@@ -133,6 +133,7 @@
     triedIds: new Set(),
     sends: 0,
     runs: 0,
+    isBudgetSpent: false,
   };
 }
 
--- a/packages/gateway/src/gateway-metrics.ts
+++ b/packages/gateway/src/gateway-metrics.ts
@@ -62,6 +62,17 @@
   ];
 }
 
+/** Lists how many retries the retry budget allowed and denied, by service. */
+function listRetryValues({ services }: gateway.GatewayState): runtime.MetricSample[] {
+  return [...services].flatMap(([service, { retryTotals }]) =>
+    Object.entries(retryTotals).map(([decision, value]) => ({
+      name: 'retries_total',
+      labels: { service, decision },
+      value,
+    })),
+  );
+}
+
 /** Lists the shares of the workspaces that had requests recently. */
 function listShareValues(state: gateway.GatewayState, now: number): runtime.MetricSample[] {
   return gateway.listActiveShares(state, now).map(({ workspace, share }) => ({
@@ -128,6 +139,7 @@
     { name: 'admitted_share', labels: {}, value: state.load.admittedShare },
     ...listStatementValues(state, now),
     ...listSchedulingValues(state),
+    ...listRetryValues(state),
     ...listShareValues(state, now),
     ...listWorkValues(state),
   ];
--- a/packages/gateway/src/request-reports.ts
+++ b/packages/gateway/src/request-reports.ts
@@ -149,9 +149,10 @@
   { serverId, ...fields }: FaultFields,
   now: number,
 ): void {
-  const { arrived, service, sends, runs } = request;
+  const { arrived, service, sends, runs, isBudgetSpent } = request;
   const hasBegun = exchange.response.headersSent;
-  const line = { request: arrived.attemptId, server: serverId, ...fields, sends, runs, hasBegun };
+  const attempt = { request: arrived.attemptId, server: serverId };
+  const line = { ...attempt, ...fields, sends, runs, hasBegun, isBudgetSpent };
   log.write('fault', line, now);
   metrics.recordFault(service, fields.fault);
 }
--- a/packages/gateway/src/status.ts
+++ b/packages/gateway/src/status.ts
@@ -52,6 +52,11 @@
   }));
 }
 
+/** Describes the retry budgets of the services that had requests. */
+function describeRetries({ services }: gateway.GatewayState): Record<string, unknown>[] {
+  return [...services].map(([service, { retryTotals }]) => ({ service, ...retryTotals }));
+}
+
 /** Describes the load of this process. */
 function describeLoad({ load }: gateway.GatewayState): Record<string, unknown> {
   return {
@@ -81,6 +86,7 @@
     warming: describeWarming(state, now.steadyMs),
     statements: describeStatements(state, now.steadyMs),
     cells: describeCells(state),
+    retries: describeRetries(state),
     workspaceShares: gateway.listActiveShares(state, now.steadyMs),
     unknownNames: unknownNames.listUnknownNames(unknown),
     peers: gateway.listKnownAddresses(state.peers),
--- a/packages/gateway/src/store-client.ts
+++ b/packages/gateway/src/store-client.ts
@@ -12,6 +12,8 @@
 export type StoreClient = {
   /** Calls the store; fails if the response does not arrive within the timeout. */
   call: (path: string, timeoutMs: number) => Promise<StoreResponse>;
+  /** Returns the number of body bytes that the latest call has received. */
+  getReceivedBytes: () => number;
   stop: () => void;
 };
 
@@ -23,6 +25,19 @@
   return (Array.isArray(value) ? value[0] : value) ?? '';
 }
 
+/** Reads a response body as text; reports the number of bytes of each chunk. */
+async function readBody(
+  body: undici.Dispatcher.ResponseData['body'],
+  noteBytes: (count: number) => void,
+): Promise<string> {
+  const chunks: Buffer[] = [];
+  for await (const chunk of body as AsyncIterable<Buffer>) {
+    chunks.push(chunk);
+    noteBytes(chunk.length);
+  }
+  return Buffer.concat(chunks).toString();
+}
+
 /**
  * Creates a client with one connection.
  *
@@ -37,16 +52,21 @@
       bodyTimeout: 0,
     });
   let client = open();
+  let receivedBytes = 0;
   return {
     call: async (path, timeoutMs) => {
       const used = client;
+      receivedBytes = 0;
       const timer = setTimeout(() => used.destroy(new Error('store-timeout')), timeoutMs);
       try {
         const response = await used.request({ path, method: 'GET' });
         const headers = new Map(
           Object.entries(response.headers).map(([name, value]) => [name, toFirstValue(value)]),
         );
-        return { status: response.statusCode, headers, body: await response.body.text() };
+        const body = await readBody(response.body, (count) => {
+          receivedBytes += count;
+        });
+        return { status: response.statusCode, headers, body };
       } catch (error) {
         used.destroy();
         client = client === used ? open() : client;
@@ -55,6 +75,7 @@
         clearTimeout(timer);
       }
     },
+    getReceivedBytes: () => receivedBytes,
     stop: () => {
       client.destroy();
     },
--- a/packages/gateway/src/store-follower.ts
+++ b/packages/gateway/src/store-follower.ts
@@ -81,9 +81,12 @@
 }
 
 /** Records that the store has become unreachable. */
-function reportLost({ storeStatus, log }: FollowerDependencies, reason: string): void {
+function reportLost(
+  { storeStatus, log }: FollowerDependencies,
+  failure: storeReader.StoreCallFailure,
+): void {
   storeStatus.isLost = true;
-  log.writeAlways('store-lost', { reason });
+  log.writeAlways('store-lost', failure);
 }
 
 /** Records that the store is reachable again; entries that expired in the meantime may return. */
@@ -174,7 +177,7 @@
     applySnapshot,
     applyChanges,
     confirm: (sent, isList) => recordResponse(dependencies, sent, isList),
-    reportLost: (reason) => reportLost(dependencies, reason),
+    reportLost: (failure) => reportLost(dependencies, failure),
     reportRegained: (awayMs) => reportRegained(dependencies, awayMs),
     applyEpoch: (change) => applyEpoch(dependencies, change),
     reportEpochFault: (fault) => reportEpochFault(dependencies, fault),
--- a/packages/gateway/src/store-reader.test.ts
+++ b/packages/gateway/src/store-reader.test.ts
@@ -60,6 +60,7 @@
         const headers = new Map(response === undefined ? [] : [['epoch', response.epoch] as const]);
         return Promise.resolve({ status: 200, headers, body: response?.body ?? '' });
       },
+      getReceivedBytes: () => 0,
       stop: () => {},
     },
     codec: CODEC,
--- a/packages/gateway/src/store-reader.ts
+++ b/packages/gateway/src/store-reader.ts
@@ -16,6 +16,15 @@
 import * as storeEpoch from './store-epoch.js';
 import type * as unknownNames from './unknown-names.js';
 
+/** Why a call failed, and how far it had got. */
+export type StoreCallFailure = {
+  reason: string;
+  /** Body bytes that had arrived. */
+  receivedBytes: number;
+  /** Time since the call was sent, milliseconds. */
+  waitedMs: number;
+};
+
 export type StoreReaderOptions = {
   client: storeClient.StoreClient;
   codec: storeCodec.StoreCodec;
@@ -30,7 +39,8 @@
   applyChanges: (items: storeCodec.StoreItem[], revision: gateway.StoreRevision) => void;
   /** Called after a response was applied, with the time its call was sent. */
   confirm: (sent: gateway.ClockReading, isList: boolean) => { isListDue: boolean };
-  reportLost: (reason: string) => void;
+  /** Called after the first of several failed calls. */
+  reportLost: (failure: StoreCallFailure) => void;
   reportRegained: (awayMs: number) => void;
   /** Called when the store has been restored from a backup, before its items are applied. */
   applyEpoch: (change: storeEpoch.EpochChange) => void;
@@ -65,6 +75,8 @@
   revision: gateway.StoreRevision | undefined;
   /** The latest revision that was read; gives the epoch of the store. */
   latestRevision: gateway.StoreRevision;
+  /** When the latest call was sent. */
+  sentMs: number;
   failures: number;
   /** When the first of the current failures occurred. */
   lostSinceMs: number;
@@ -103,6 +115,7 @@
   let isLast = false;
   while (!isLast) {
     const path = codec.buildRangePath(prefix, items.at(-1)?.key);
+    state.sentMs = state.options.readClocks().steadyMs;
     const response = await client.call(path, CALL_TIMEOUT_MS);
     if (response.status !== STATUS_OK) {
       throw new Error(`status-${response.status}`);
@@ -168,6 +181,7 @@
   const { options } = state;
   const { client, codec, prefix } = options;
   const sent = options.readClocks();
+  state.sentMs = sent.steadyMs;
   const path = codec.buildWatchPath(prefix, since, 0);
   // Any response that is not applied makes the next call list all items.
   state.revision = undefined;
@@ -207,8 +221,13 @@
 async function handleFailure(state: ReaderState, error: unknown): Promise<void> {
   const { options } = state;
   if (state.failures === 0) {
-    state.lostSinceMs = options.readClocks().steadyMs;
-    options.reportLost((error as Error).message);
+    const now = options.readClocks().steadyMs;
+    state.lostSinceMs = now;
+    options.reportLost({
+      reason: (error as Error).message,
+      receivedBytes: options.client.getReceivedBytes(),
+      waitedMs: Math.round(now - state.sentMs),
+    });
   }
   const maxPauseMs = Math.min(MAX_FIRST_PAUSE_MS * 2 ** state.failures, MAX_PAUSE_MS);
   state.failures += 1;
@@ -239,6 +258,7 @@
     options,
     revision: undefined,
     latestRevision: gateway.EARLIEST_REVISION,
+    sentMs: 0,
     failures: 0,
     lostSinceMs: 0,
     stopped: false,
--- a/packages/runtime/src/metric-definitions.ts
+++ b/packages/runtime/src/metric-definitions.ts
@@ -50,6 +50,10 @@
     type: MetricType.COUNTER,
     help: 'Attempts at backend servers that failed, by fault.',
   },
+  retries_total: {
+    type: MetricType.COUNTER,
+    help: 'Retries to backend servers, by service and by whether the retry budget allowed or denied them.',
+  },
   load_percent: {
     type: MetricType.GAUGE,
     help: 'Share of the time or processor time that was used; 100 if other gateways should schedule.',
