--- a/packages/proofs/src/mocks/gateway-fleet-configuration.ts
+++ b/packages/proofs/src/mocks/gateway-fleet-configuration.ts
@@ -5,6 +5,7 @@
 export const SERVICE = 'one';
 export const DEADLINE_MS = 10_000;
 const PATIENCE_MS = 3000;
+const MAX_ATTEMPTS = 2;
 /** Urgencies of the routes; the path prefix of a route is its urgency, `/0/` the most urgent. */
 const URGENCIES = [0, 1, 2];
 
@@ -12,19 +13,20 @@
 export function buildConfiguration(
   slots: number,
   warmUp?: gateway.WarmUpTraits,
+  isRepeatable = false,
 ): gateway.Configuration {
   const routes = URGENCIES.map((urgency) => ({
     name: `route-${urgency}`,
     hostname: 'h',
     prefix: `/${urgency}/`,
-    kind: gateway.RouteKind.UNSAFE,
+    kind: isRepeatable ? gateway.RouteKind.SAFE : gateway.RouteKind.UNSAFE,
     timeoutMs: DEADLINE_MS,
     targetMs: 2000,
     patienceMs: PATIENCE_MS,
     maxPauseMs: undefined,
     urgency,
     targets: [{ service: SERVICE, weight: 1 }],
-    maxAttempts: 1,
+    maxAttempts: isRepeatable ? MAX_ATTEMPTS : 1,
     isPublic: false,
     resumable: false,
     regions: [],
--- a/packages/proofs/src/mocks/gateway-fleet-state.ts
+++ b/packages/proofs/src/mocks/gateway-fleet-state.ts
@@ -30,6 +30,8 @@
   domains: number;
   /** Load limits of a backend server that warms up; undefined for no limit. */
   warmUp: gateway.WarmUpTraits | undefined;
+  /** Requests may run more than once. */
+  isRepeatable: boolean;
 };
 
 export type GatewayFleet = {
@@ -54,6 +56,8 @@
   peakConcurrency: number;
   /** Backend servers whose store entry marks them as leaving. */
   leaving: Set<string>;
+  /** Backend servers that respond to every request with an error of their own. */
+  failing: Set<string>;
   /** Backend servers that accept no connections. */
   down: Set<string>;
   /** Rate limits that backend servers report in their responses, requests per second, by id. */
@@ -70,6 +74,9 @@
 
 /** How far requests per second may exceed the limit of a backend server that warms up. */
 export const WARM_UP_TOLERANCE = { factor: 1.5, extra: 5 };
+/** Retry budget that all gateways share: percent of the requests, and additional retries. */
+export const RETRY_PERCENT = 20;
+export const RETRY_EXTRA = 10;
 /** Formats the address of a gateway from its index. */
 export function formatAddress(index: number): string {
   return `10.0.0.${index}:1`;
@@ -128,15 +135,19 @@
       leaseMs: Infinity,
       entryReturnMs: 2000,
       quotaTolerance: { overage: 0, slack: 0, windowMs: 0 },
-      retryPercent: 20,
-      retryExtra: 10,
+      retryPercent: RETRY_PERCENT,
+      retryExtra: RETRY_EXTRA,
       warmUpTolerance: WARM_UP_TOLERANCE,
     },
     fleet.drawRandom,
     fleet.nowMs,
   );
   state.index = gateway.buildConfigurationIndex(
-    fleetConfiguration.buildConfiguration(fleet.options.slots, fleet.options.warmUp),
+    fleetConfiguration.buildConfiguration(
+      fleet.options.slots,
+      fleet.options.warmUp,
+      fleet.options.isRepeatable,
+    ),
   );
   gateway.noteConfirmed(state.lease, readClocks(fleet));
   listServerIds(fleet).forEach((id) =>
--- a/packages/proofs/src/mocks/gateway-fleet.ts
+++ b/packages/proofs/src/mocks/gateway-fleet.ts
@@ -21,6 +21,7 @@
     seed: 1,
     domains: 1,
     warmUp: undefined,
+    isRepeatable: false,
     ...options,
   };
   const drawRandom = randomSource.createRandomSource(resolvedOptions.seed);
@@ -47,6 +48,7 @@
     running: [],
     peakConcurrency: 0,
     leaving: new Set(),
+    failing: new Set(),
     down: new Set(),
     rateLimits: new Map(),
     reportingLeaving: new Set(),
@@ -219,6 +221,10 @@
     }
     const statement = { isLeaving, backoffMs: undefined, perSecond, isSigned: true };
     gateway.noteResponseStatement(fleet.states[index], request, statement, fleet.nowMs);
+    if (fleet.failing.has(serverId)) {
+      endAttempt(fleet, index, request, gateway.AttemptFault.FAILED);
+      return;
+    }
     gateway.noteGoodAnswer(fleet.states[index], request, fleet.nowMs);
     gateway.endRequest(fleet.states[index], request);
   });
--- a/packages/proofs/src/mocks/gateway-load.ts
+++ b/packages/proofs/src/mocks/gateway-load.ts
@@ -3,7 +3,8 @@
 import * as gatewayFleet from './gateway-fleet.js';
 import type * as gatewayFleetState from './gateway-fleet-state.js';
 
-const CALL_INTERVAL_MS = 5;
+/** Time between calls, milliseconds. */
+export const CALL_INTERVAL_MS = 5;
 
 /** Adds calls at all gateways in turn for a time; `injectFaults` is called in each step. */
 export function runLoad(
