Bound retries over any window, whatever processes began anew in it

Callers saw: a failing service got up to 415 repeated requests within 10 s where 388 were allowed, which keeps overloaded engines from recovering. Cause: the budget compared two decaying counts, so what had been saved in a calm time could be spent at once and again as the counts decayed, up to twice the budget in one window; and a restarted gateway began with an unspent budget, with the additional retries of the whole fleet until it heard its peers. Change: a token bucket that is filled by admitted requests, starts empty and holds at most the gateway's part of the additional retries. A retry is reserved and returned if it is not sent; sends that cannot have arrived are free. The entry's budget is the same bucket.

--- a/packages/core/src/entry/assignment.ts
+++ b/packages/core/src/entry/assignment.ts
@@ -10,9 +10,12 @@
 import * as prefixLocations from './prefix-locations.js';
 import * as reservations from './reservations.js';
 import * as retryBudget from '../shared/retry-budget.js';
+import * as serviceState from './service-state.js';
 
 type Effects = entryEvent.EntryEffect[];
 
+const PERCENT = 100;
+
 /** Assigns a waiting request to one agent. */
 export function assignTo(
   state: entryState.EntryState,
@@ -28,7 +31,11 @@
   }
   const service = requestAccounting.getRequestService(state, request);
   if (request.attempts === 0) {
-    retryBudget.noteFirstAttempt(service.retryBudget, now);
+    const { retryBudgetPercent } = entryState.getLimits(state, service.service);
+    retryBudget.noteFirstAttempt(service.retryBudget, {
+      perAttempt: retryBudgetPercent / PERCENT,
+      burst: serviceState.MIN_RETRIES,
+    });
   }
   service.placements += 1;
   const { backendServerId } = agent;
--- a/packages/core/src/entry/retries.ts
+++ b/packages/core/src/entry/retries.ts
@@ -58,11 +58,10 @@
     return outcomes.fail(state, request, failure, now);
   }
   const service = requestAccounting.getRequestService(state, request);
-  const { retryBudgetPercent } = entryState.getLimits(state, service.service);
   // An exhausted budget sheds load, and no urgent request may be shed before less
   // urgent ones. Those that this entry holds can be shed for the retry.
   const canShedOthers = requestAccounting.hasLessUrgent(service, request.tierRank);
-  if (retryBudget.takeRetry(service.retryBudget, retryBudgetPercent, now) || canShedOthers) {
+  if (retryBudget.takeRetry(service.retryBudget) || canShedOthers) {
     return startBackoff(state, request, failure, now);
   }
   const retryAfterMs = shedding.drawRetryAfter(state, service, request.tierRank);
--- a/packages/core/src/entry/service-state.ts
+++ b/packages/core/src/entry/service-state.ts
@@ -34,6 +34,9 @@
   placements: number;
 };
 
+/** Retries that are always allowed at first, and the most that the retry budget holds. */
+export const MIN_RETRIES = 3;
+
 /** Creates the state of a service without any history. */
 export function createServiceState(service: string): ServiceState {
   return {
@@ -47,7 +50,7 @@
     unstarted: startQueue.createStartQueue(),
     withdrawnIds: new Set(),
     throughput: queueThroughput.createQueueThroughput(),
-    retryBudget: retryBudget.createRetryBudget(),
+    retryBudget: retryBudget.createRetryBudget(MIN_RETRIES),
     costs: new Map(),
     durations: new Map(),
     prefixes: new Map(),
--- a/packages/core/src/gateway/assignment.ts
+++ b/packages/core/src/gateway/assignment.ts
@@ -1,7 +1,6 @@
 /** Assigns requests to the slots that they were granted, and refuses those that get none. */
 import * as schema from '@toucanproxy/schema';
 import type * as backendServerEntry from '../shared/backend-server-entry.js';
-import * as retryBudget from '../shared/retry-budget.js';
 import * as scheduler from '../scheduler/index.js';
 import * as askMessages from './ask-messages.js';
 import * as pendingAsks from './pending-asks.js';
@@ -10,12 +9,12 @@
 import * as cellServers from './cell-servers.js';
 import * as gatewayRequest from './gateway-request.js';
 import * as gatewayState from './gateway-state.js';
-import * as peerView from './peer-view.js';
 import * as recentUse from './recent-use.js';
 import * as scheduleReplies from './schedule-replies.js';
 import * as refusal from './refusal.js';
 import * as regionBinding from './region-binding.js';
 import * as requestEnd from './request-end.js';
+import * as retries from './retries.js';
 import * as authorization from './authorization.js';
 import * as serverAdmission from './server-admission.js';
 import * as unservableRequests from './unservable-requests.js';
@@ -124,6 +123,7 @@
   request.predictedFirstMs = granted.predictedFirstMs;
   request.hasFirstEvent = false;
   request.isRateLimited = isRateLimited;
+  retries.noteSent(state, request);
   gatewayState.addInFlight(state, serverId, 1);
   const { use } = gatewayState.getServiceState(state, request.service);
   recentUse.noteSent(use, request, now);
@@ -222,13 +222,3 @@
   request.sentMs = steadyMs;
   request.sentWallMs = wallMs;
 }
-
-/** Takes one retry from this gateway's part of a service's retry budget; false if it is spent. */
-export function takeRetry(state: gatewayState.GatewayState, service: string, now: number): boolean {
-  const { retryPercent, retryExtra } = state.bounds;
-  const floor = retryExtra / peerView.countGateways(state.peers);
-  const { retries, retryTotals } = gatewayState.getServiceState(state, service);
-  const isAllowed = retryBudget.takeRetry(retries, retryPercent, now, floor);
-  retryTotals[isAllowed ? 'allowed' : 'denied'] += 1;
-  return isAllowed;
-}
--- a/packages/core/src/gateway/attempt-end.ts
+++ b/packages/core/src/gateway/attempt-end.ts
@@ -2,7 +2,6 @@
 import * as schema from '@toucanproxy/schema';
 import * as overloads from '../shared/overload.js';
 import * as pendingAsks from './pending-asks.js';
-import * as assignment from './assignment.js';
 import * as backendServers from './backend-servers.js';
 import type * as configurationLease from './configuration-lease.js';
 import * as crashDetection from './crash-detection.js';
@@ -10,6 +9,7 @@
 import * as gatewayState from './gateway-state.js';
 import * as refusal from './refusal.js';
 import * as requestEnd from './request-end.js';
+import * as retries from './retries.js';
 
 export enum AttemptFault {
   /** No connection could be opened; no byte of the request was sent. */
@@ -48,6 +48,9 @@
   AttemptFault.MISDIRECTED,
 ]);
 
+/** Faults after which the request has certainly not arrived at a backend server. */
+const NOT_ARRIVED = new Set([AttemptFault.UNREACHABLE, AttemptFault.WITHDRAWN]);
+
 /** Records what a fault reveals about the backend server. */
 function noteServerFault(
   state: gatewayState.GatewayState,
@@ -98,7 +101,7 @@
   }
 }
 
-/** Returns whether another attempt is allowed, and takes it from the retry budget. */
+/** Returns whether another attempt is allowed, and reserves it in the retry budget. */
 function isRetryAllowed(
   state: gatewayState.GatewayState,
   request: gatewayRequest.GatewayRequest,
@@ -111,9 +114,7 @@
   if (!runsLeft || !timeLeft || request.sends >= MAX_SENDS) {
     return false;
   }
-  const isAllowed = assignment.takeRetry(state, request.service, now);
-  request.isBudgetSpent = !isAllowed;
-  return isAllowed;
+  return retries.reserveRetry(state, request);
 }
 
 /** Builds the refusal of a request that is not retried. */
@@ -175,6 +176,7 @@
   const now = clocks.steadyMs;
   const notRun = NOT_RUN.has(fault);
   request.runs += notRun ? 0 : 1;
+  request.mayHaveArrived ||= !NOT_ARRIVED.has(fault);
   if (serverId !== undefined) {
     noteServerFault(state, request, serverId, fault, now);
     detectCrash(state, request, serverId, fault, clocks);
--- a/packages/core/src/gateway/cell-servers.ts
+++ b/packages/core/src/gateway/cell-servers.ts
@@ -5,7 +5,7 @@
 import type * as backendServers from './backend-servers.js';
 import type * as configuration from './configuration.js';
 import type * as gatewayState from './gateway-state.js';
-import * as peerView from './peer-view.js';
+import * as peerCounts from './peer-counts.js';
 import * as warmUpTimes from './warm-up-times.js';
 
 /** Minimum request rate during warm-up: with a limit of 0 a backend server would never be used. */
@@ -32,7 +32,7 @@
   const { peers, seeds } = state;
   return peers.byAddress.size === 0 && seeds.length > 0
     ? 0
-    : 1 - peerView.countUnreachablePeers(peers, now) / peerView.countGateways(peers);
+    : 1 - peerCounts.countUnreachablePeers(peers, now) / peerCounts.countGateways(peers);
 }
 
 /**
--- a/packages/core/src/gateway/gateway-request.ts
+++ b/packages/core/src/gateway/gateway-request.ts
@@ -86,6 +86,10 @@
   sends: number;
   /** Number of times that it ran or may have run. */
   runs: number;
+  /** A send may have arrived at a backend server, so that any further one is a retry. */
+  mayHaveArrived: boolean;
+  /** A retry is reserved for it in the retry budget and has not been sent yet. */
+  hasRetryReserved: boolean;
   /** The retry budget was exhausted when it would have been retried. */
   isBudgetSpent: boolean;
 };
--- a/packages/core/src/gateway/gateway-state.ts
+++ b/packages/core/src/gateway/gateway-state.ts
@@ -11,10 +11,12 @@
 import * as cellMap from './cell-map.js';
 import * as gatewayLoad from './gateway-load.js';
 import type * as gatewayRequest from './gateway-request.js';
+import * as peerCounts from './peer-counts.js';
 import * as peerView from './peer-view.js';
 import type * as quotaLimit from './quota-limit.js';
 import type * as recentUse from './recent-use.js';
 import type * as schedulerLink from './scheduler-link.js';
+import * as retryLimit from './retry-limit.js';
 import * as schedulerRanking from './scheduler-ranking.js';
 import * as tokenQuota from './token-quota.js';
 
@@ -61,8 +63,8 @@
   /** Time after a store outage in which servers write expired entries again, milliseconds. */
   entryReturnMs: number;
   quotaTolerance: quotaLimit.QuotaTolerance;
-  /** Retries allowed for each hundred requests. */
-  retryPercent: number;
+  /** Retries that each request adds to the retry budget. */
+  retryRatio: number;
   /** Additional retries that all gateways together may make. */
   retryExtra: number;
   /** Load that warming-up backend servers may get beyond their declared rate. */
@@ -83,6 +85,8 @@
   seeds: readonly string[];
   /** Region of each failure domain that the settings assign to one. */
   regionByDomain: ReadonlyMap<string, string>;
+  /** The whole system starts for the first time: no other process has used shared limits. */
+  isFirstStart: boolean;
   bounds: GatewayBounds;
   drawRandom: () => number;
   /** When the process started, milliseconds. */
@@ -126,6 +130,8 @@
   processorPercent: number;
   seeds: readonly string[];
   regionByDomain: ReadonlyMap<string, string>;
+  /** The whole system starts for the first time; false if absent. */
+  isFirstStart?: boolean;
 };
 
 /** Creates the state of a gateway that has just started. */
@@ -138,6 +144,7 @@
   const { address, life } = identity;
   return {
     ...identity,
+    isFirstStart: identity.isFirstStart ?? false,
     bounds,
     drawRandom,
     startedMs: now,
@@ -167,7 +174,7 @@
 /** Returns the state of a service and creates it if there is none. */
 export function getServiceState(state: GatewayState, service: string): ServiceState {
   const serviceState = state.services.get(service) ?? {
-    retries: retryBudget.createRetryBudget(),
+    retries: retryBudget.createRetryBudget(retryLimit.computeFirstRetries(state)),
     retryTotals: { allowed: 0, denied: 0 },
     overload: overload.createOverload(),
     use: new Map(),
@@ -191,6 +198,6 @@
  * reserved, because these may still be serving.
  */
 export function computeQuotaShare(state: GatewayState, now: number): number {
-  const all = peerView.countGateways(state.peers);
-  return (all - peerView.countUnreachablePeers(state.peers, now)) / all;
+  const all = peerCounts.countGateways(state.peers);
+  return (all - peerCounts.countUnreachablePeers(state.peers, now)) / all;
 }
--- a/packages/core/src/gateway/index.ts
+++ b/packages/core/src/gateway/index.ts
@@ -15,6 +15,7 @@
 export * from './gateway-state.js';
 export * from './request-admission.js';
 export * from './observations.js';
+export * from './peer-counts.js';
 export * from './peer-view.js';
 export * from './quota-limit.js';
 export { listActiveShares, type WorkspaceShare } from './recent-use.js';
--- /dev/null
+++ b/packages/core/src/gateway/peer-counts.ts
@@ -0,0 +1,59 @@
+/** Which of the other gateways may be serving, and how many share the limits of the system. */
+import * as peerView from './peer-view.js';
+
+/** A peer is reachable for at least this time after a report, in milliseconds: five rounds. */
+const MIN_REACHABLE_MS = 1000;
+/** The same as a number of passes over all peers, if one round does not reach all of them. */
+const REACHABLE_PASSES = 3;
+
+/** Counts the gateways that may be serving, including this one. */
+export function countGateways(view: peerView.PeerView): number {
+  return view.byAddress.size + 1;
+}
+
+/** Counts the gateways that may be serving or have left recently, including this one. */
+export function countRecentGateways(view: peerView.PeerView): number {
+  const left = [...view.departed.keys()].map((key) => key.split(' ')[0]);
+  return new Set([...view.byAddress.keys(), ...left]).size + 1;
+}
+
+/** Computes how long a peer is reachable after a report, in milliseconds. */
+function computeReachableMs(view: peerView.PeerView): number {
+  const passMs = peerView.REPORT_MS * Math.ceil(view.byAddress.size / peerView.MAX_FAN_OUT);
+  return Math.max(MIN_REACHABLE_MS, REACHABLE_PASSES * passMs);
+}
+
+/** Lists the reachable peers by address. */
+function listReachable(view: peerView.PeerView, now: number): [string, peerView.Peer][] {
+  const reachableMs = computeReachableMs(view);
+  return [...view.byAddress].filter(([, peer]) => now - peer.heardMs <= reachableMs);
+}
+
+/** Counts the unreachable peers: known ones whose reports have stopped. */
+export function countUnreachablePeers(view: peerView.PeerView, now: number): number {
+  return view.byAddress.size - listReachable(view, now).length;
+}
+
+/** Lists the addresses of the reachable peers. */
+export function listReachablePeers(view: peerView.PeerView, now: number): string[] {
+  return listReachable(view, now).map(([address]) => address);
+}
+
+/** A gateway that may be the scheduler of cells. */
+export type SchedulerCandidate = {
+  address: string;
+  processorPercent: number;
+  loadPercent: number;
+};
+
+/** Lists the reachable peers with the processor time available to them and their load. */
+export function listSchedulerCandidates(
+  view: peerView.PeerView,
+  now: number,
+): SchedulerCandidate[] {
+  return listReachable(view, now).map(([address, { processorPercent, loadPercent }]) => ({
+    address,
+    processorPercent,
+    loadPercent,
+  }));
+}
--- a/packages/core/src/gateway/peer-view.ts
+++ b/packages/core/src/gateway/peer-view.ts
@@ -30,7 +30,8 @@
   peers: string[];
 };
 
-type Peer = {
+/** What the reports of one incarnation of a gateway have told. */
+export type Peer = {
   life: string;
   sequence: number;
   heardMs: number;
@@ -78,10 +79,6 @@
 export const REPORT_MS = 200;
 /** Maximum peers per round of reports: 16 datagrams of 1 KB five times a second are 80 KB/s. */
 export const MAX_FAN_OUT = 16;
-/** A peer is reachable for at least this time after a report, in milliseconds: five rounds. */
-const MIN_REACHABLE_MS = 1000;
-/** The same as a number of passes over all peers, if one round does not reach all of them. */
-const REACHABLE_PASSES = 3;
 /**
  * How long an unreachable peer keeps its share of quotas, in milliseconds. It may still be
  * serving behind a network partition; on the users' platform partitions last for minutes.
@@ -256,33 +253,6 @@
   );
 }
 
-/** Counts the gateways that may be serving, including this one. */
-export function countGateways(view: PeerView): number {
-  return view.byAddress.size + 1;
-}
-
-/** Computes how long a peer is reachable after a report, in milliseconds. */
-function computeReachableMs(view: PeerView): number {
-  const passMs = REPORT_MS * Math.ceil(view.byAddress.size / MAX_FAN_OUT);
-  return Math.max(MIN_REACHABLE_MS, REACHABLE_PASSES * passMs);
-}
-
-/** Lists the reachable peers by address. */
-function listReachable(view: PeerView, now: number): [string, Peer][] {
-  const reachableMs = computeReachableMs(view);
-  return [...view.byAddress].filter(([, peer]) => now - peer.heardMs <= reachableMs);
-}
-
-/** Counts the unreachable peers: known ones whose reports have stopped. */
-export function countUnreachablePeers(view: PeerView, now: number): number {
-  return view.byAddress.size - listReachable(view, now).length;
-}
-
-/** Lists the addresses of the reachable peers. */
-export function listReachablePeers(view: PeerView, now: number): string[] {
-  return listReachable(view, now).map(([address]) => address);
-}
-
 /** Returns the failure domain of a peer; undefined if the peer is unknown or reports none. */
 export function findPeerDomain(view: PeerView, address: string): string | undefined {
   return view.byAddress.get(address)?.failureDomain || undefined;
@@ -293,22 +263,6 @@
   return [...new Set([...view.byAddress.keys(), ...view.indirectPeers.keys()])];
 }
 
-/** A gateway that may be the scheduler of cells. */
-export type SchedulerCandidate = {
-  address: string;
-  processorPercent: number;
-  loadPercent: number;
-};
-
-/** Lists the reachable peers with the processor time available to them and their load. */
-export function listSchedulerCandidates(view: PeerView, now: number): SchedulerCandidate[] {
-  return listReachable(view, now).map(([address, { processorPercent, loadPercent }]) => ({
-    address,
-    processorPercent,
-    loadPercent,
-  }));
-}
-
 /**
  * Records a gateway that a peer named in its report. It is sent reports from now on, but counts
  * as a peer only once one of its own reports arrives: the named gateway may have left.
--- a/packages/core/src/gateway/request-admission.ts
+++ b/packages/core/src/gateway/request-admission.ts
@@ -1,6 +1,5 @@
 /** Decides whether an arriving request is admitted. */
 import * as schema from '@toucanproxy/schema';
-import * as retryBudget from '../shared/retry-budget.js';
 import * as pendingAsks from './pending-asks.js';
 import type * as configurationLease from './configuration-lease.js';
 import * as deadlineStats from './deadline-stats.js';
@@ -10,10 +9,11 @@
 import * as gatewayLoad from './gateway-load.js';
 import * as gatewayRequest from './gateway-request.js';
 import * as gatewayState from './gateway-state.js';
-import * as peerView from './peer-view.js';
+import * as peerCounts from './peer-counts.js';
 import * as quotaLimit from './quota-limit.js';
 import * as refusal from './refusal.js';
 import * as regionBinding from './region-binding.js';
+import * as retries from './retries.js';
 import * as authorization from './authorization.js';
 import * as unservableRequests from './unservable-requests.js';
 import * as tokenQuota from './token-quota.js';
@@ -133,6 +133,8 @@
     triedIds: new Set(),
     sends: 0,
     runs: 0,
+    mayHaveArrived: false,
+    hasRetryReserved: false,
     isBudgetSpent: false,
   };
 }
@@ -149,7 +151,7 @@
   }
   const { tokens } = request.arrived;
   const cost = quotaLimit.computeCost(quota, tokens && tokens.prompt + tokens.answer);
-  const gateways = peerView.countGateways(state.peers);
+  const gateways = peerCounts.countGateways(state.peers);
   const { startedMs } = state;
   const fleet = { share: gatewayState.computeQuotaShare(state, now), gateways, startedMs };
   const { workspace } = request;
@@ -211,7 +213,7 @@
     return { kind: 'refused', refusal: admissionRefusal };
   }
   state.requests.set(request.serial, request);
-  retryBudget.noteFirstAttempt(gatewayState.getServiceState(state, service).retries, now);
+  retries.noteAdmitted(state, service);
   pendingAsks.askPlace(state, request, now);
   return { kind: 'admitted', request };
 }
--- a/packages/core/src/gateway/request-end.ts
+++ b/packages/core/src/gateway/request-end.ts
@@ -4,6 +4,7 @@
 import type * as gatewayRequest from './gateway-request.js';
 import * as gatewayState from './gateway-state.js';
 import * as refusal from './refusal.js';
+import * as retries from './retries.js';
 import * as tokenQuota from './token-quota.js';
 
 /** Releases the slot of a request at its backend server, if it has one. */
@@ -25,6 +26,7 @@
   request: gatewayRequest.GatewayRequest,
 ): void {
   releaseServer(state, request);
+  retries.releaseRetry(state, request);
   state.requests.delete(request.serial);
 }
 
--- a/packages/core/src/gateway/scheduler-ranking.ts
+++ b/packages/core/src/gateway/scheduler-ranking.ts
@@ -1,6 +1,7 @@
 /** Chooses which gateway schedules a cell, from this gateway's view of its peers. */
 import * as scheduler from '../scheduler/index.js';
 import * as gatewayLoad from './gateway-load.js';
+import * as peerCounts from './peer-counts.js';
 import * as peerView from './peer-view.js';
 
 export type SchedulerRanking = {
@@ -57,10 +58,10 @@
  */
 function listCapableGateways(
   view: peerView.PeerView,
-  own: peerView.SchedulerCandidate,
+  own: peerCounts.SchedulerCandidate,
   now: number,
 ): string[] {
-  const all = [own, ...peerView.listSchedulerCandidates(view, now)];
+  const all = [own, ...peerCounts.listSchedulerCandidates(view, now)];
   const strongest = Math.max(...all.map(({ processorPercent }) => processorPercent));
   const capable = all.filter(
     ({ processorPercent }) => processorPercent >= MIN_PROCESSOR_SHARE * strongest,
@@ -75,7 +76,7 @@
 function updateRanking(
   ranking: SchedulerRanking,
   view: peerView.PeerView,
-  own: peerView.SchedulerCandidate,
+  own: peerCounts.SchedulerCandidate,
   now: number,
 ): void {
   if (ranking.revision === view.revision && now - ranking.computedMs <= MAX_RANKING_AGE_MS) {
@@ -83,8 +84,8 @@
   }
   ranking.computedMs = now;
   ranking.revision = view.revision;
-  const all = peerView.countGateways(view);
-  ranking.reachableShare = (all - peerView.countUnreachablePeers(view, now)) / all;
+  const all = peerCounts.countGateways(view);
+  ranking.reachableShare = (all - peerCounts.countUnreachablePeers(view, now)) / all;
   updateOrders(ranking, listCapableGateways(view, own, now));
 }
 
@@ -133,7 +134,7 @@
 export function chooseScheduler(
   ranking: SchedulerRanking,
   view: peerView.PeerView,
-  own: peerView.SchedulerCandidate,
+  own: peerCounts.SchedulerCandidate,
   cellName: string,
   now: number,
 ): ChosenScheduler {
--- a/packages/gateway/src/app.ts
+++ b/packages/gateway/src/app.ts
@@ -60,12 +60,10 @@
 /** Time after the store is reachable again by which live backend servers have re-registered, ms. */
 const ENTRY_RETURN_MS = 2300;
 /**
- * Share of the declared retry ratio that is used. The retry budget is computed over an
- * exponentially decaying window, while the declared ratio applies to a sliding window; the results
- * differ by less than a fifth.
+ * Share of the declared retry budget that is used. Backend servers count retries when they arrive,
+ * so that those on their way at the start of a window add to those that are sent within it.
  */
-const RETRY_BUDGET_SHARE = 0.8;
-const PERCENT = 100;
+const RETRY_BUDGET_SHARE = 0.9;
 
 /** Builds the limits that the core bases its decisions on. */
 function buildBounds(settings: gatewaySettings.GatewaySettings): gateway.GatewayBounds {
@@ -79,7 +77,7 @@
       slack: quotaTolerance.slack * TOLERANCE_SHARE,
       windowMs: quotaTolerance.windowMs,
     },
-    retryPercent: retryRatio * RETRY_BUDGET_SHARE * PERCENT,
+    retryRatio: retryRatio * RETRY_BUDGET_SHARE,
     retryExtra: retryExtra * RETRY_BUDGET_SHARE,
     warmUpTolerance,
     toleratedDomainLosses,
@@ -166,11 +164,12 @@
 function createComponents({ settings, protocol }: GatewayOptions, life: string) {
   const logger = runtime.createLogger('toucanproxy-gateway', { gateway: settings.name, life });
   const { peerListen, failureDomain, processorPercent, peerSeeds, domainRegions } = settings;
+  const { isFirstStart } = settings;
   const address = `${peerListen.host}:${peerListen.port}`;
   const seeds = peerSeeds.filter((seed) => seed !== address);
   const regionByDomain = new Map(Object.entries(domainRegions));
   const state = gateway.createGatewayState(
-    { address, life, failureDomain, processorPercent, seeds, regionByDomain },
+    { address, life, failureDomain, processorPercent, seeds, regionByDomain, isFirstStart },
     buildBounds(settings),
     Math.random,
     clocks.readSteadyMs(),
--- a/packages/gateway/src/gateway-settings.ts
+++ b/packages/gateway/src/gateway-settings.ts
@@ -46,6 +46,8 @@
   stopMs: number;
   /** What all gateways together may admit beyond a quota: a share of it plus a fixed amount. */
   quotaTolerance: gateway.QuotaTolerance;
+  /** The whole system starts for the first time; false for a process that is restarted. */
+  isFirstStart: boolean;
   /** Share of the sends of all gateways together that may be retries. */
   retryRatio: number;
   /** Number of retries that all gateways together may make in addition to that share. */
--- a/packages/gateway/src/mocks/report-fleet.ts
+++ b/packages/gateway/src/mocks/report-fleet.ts
@@ -83,7 +83,7 @@
       leaseMs: 1,
       entryReturnMs: 1,
       quotaTolerance: { overage: 0, slack: 0, windowMs: 0 },
-      retryPercent: 1,
+      retryRatio: 0.01,
       retryExtra: 1,
       warmUpTolerance: { factor: 1, extra: 0 },
     },
