Read large configurations over slow links without falling behind

Callers saw: during a series of large configurations, gateways with slow links handled requests by a configuration that was many versions old, and refused all requests with a key once their lease had run out. Cause: a response with changes holds every version since the last one read, and the call has a fixed timeout of one second. Once a response is longer than the link carries in that time, each later one is longer still, so that no call succeeds until the series ends. Change: changes are read up to the length of a list; beyond that the gateway lists, which holds one version only, until little changes between two lists. The timeout of a list measures lack of progress, and neither timeout fires while a response lies unread after a stall of the event loop. Only the newest valid version of a response is decoded, and routes are indexed in linear time. Evidence: store-lost with reason=store-timeout at two to eleven gateways with 7 Mbit/s, none at 200 Mbit/s.

--- a/packages/core/src/gateway/configuration-index.ts
+++ b/packages/core/src/gateway/configuration-index.ts
@@ -22,7 +22,12 @@
   const byHost = new Map<string, configuration.Route[]>();
   routes.forEach((route) => {
     const host = route.hostname.toLowerCase();
-    byHost.set(host, [...(byHost.get(host) ?? []), route]);
+    const known = byHost.get(host);
+    if (known === undefined) {
+      byHost.set(host, [route]);
+    } else {
+      known.push(route);
+    }
   });
   byHost.forEach((hostRoutes) => hostRoutes.sort((a, b) => b.prefix.length - a.prefix.length));
   return byHost;
--- a/packages/gateway/src/configuration-items.ts
+++ b/packages/gateway/src/configuration-items.ts
@@ -13,36 +13,48 @@
   callers: callerServer.CallerServer;
 };
 
-/** Activates a configuration unless its version is not newer than the active one. */
-function applyItem(dependencies: ConfigurationDependencies, { value }: storeCodec.StoreItem): void {
+/** Activates a configuration if its version is newer than the active one; returns whether it is. */
+function applyItem(
+  dependencies: ConfigurationDependencies,
+  { value }: storeCodec.StoreItem,
+): boolean {
   const { state, codec, log, callers } = dependencies;
   if (value === undefined) {
     log.writeAlways('configuration-deleted', {});
-    return;
+    return false;
   }
   const configuration = codec.decodeConfiguration(value);
   const version = state.index?.configuration.version ?? -1;
   if (configuration.version <= version) {
-    return;
+    return false;
   }
   state.index = gateway.buildConfigurationIndex(configuration);
   callers.applyBounds(configuration.callerBounds);
   log.writeAlways('configuration', { version: configuration.version, before: version });
+  return true;
+}
+
+/** Applies an item; an invalid one is reported, and the active version is kept. */
+function acceptItem(dependencies: ConfigurationDependencies, item: storeCodec.StoreItem): boolean {
+  try {
+    return applyItem(dependencies, item);
+  } catch (error) {
+    dependencies.log.writeAlways('configuration-faulty', { reason: (error as Error).message });
+    return false;
+  }
 }
 
-/** Applies the items that are the configuration. */
+/**
+ * Applies the newest valid configuration among items that are in the order of their revisions.
+ * Earlier ones are not decoded: in a series of large configurations, that would take longer than
+ * the series.
+ */
 export function applyConfigurations(
   dependencies: ConfigurationDependencies,
   items: readonly storeCodec.StoreItem[],
 ): void {
   items
     .filter((item) => item.key === dependencies.settings.configurationKey)
-    .forEach((item) => {
-      try {
-        applyItem(dependencies, item);
-      } catch (error) {
-        // The active version is kept, since an invalid one would remove every route.
-        dependencies.log.writeAlways('configuration-faulty', { reason: (error as Error).message });
-      }
-    });
+    .reverse()
+    .some((item) => acceptItem(dependencies, item));
 }
--- a/packages/gateway/src/store-client.ts
+++ b/packages/gateway/src/store-client.ts
@@ -1,5 +1,6 @@
 /** HTTP client for the platform's store; every call has a timeout. */
 import * as undici from 'undici';
+import * as callTimer from './call-timer.js';
 import type * as gatewaySettings from './gateway-settings.js';
 
 export type StoreResponse = {
@@ -7,11 +8,19 @@
   /** First value of each header, by its name in lower case. */
   headers: ReadonlyMap<string, string>;
   body: string;
+  /** The body is longer than allowed; it was not read to its end. */
+  isTooLong: boolean;
+};
+
+/** Limits of one call. */
+export type StoreCallLimits = callTimer.CallLimits & {
+  /** Maximum length of the body, bytes; undefined for no limit. */
+  maxBytes?: number;
 };
 
 export type StoreClient = {
-  /** Calls the store; fails if the response does not arrive within the timeout. */
-  call: (path: string, timeoutMs: number) => Promise<StoreResponse>;
+  /** Calls the store; fails if the response exceeds a limit. */
+  call: (path: string, limits: StoreCallLimits) => Promise<StoreResponse>;
   /** Returns the number of body bytes that the latest call has received. */
   getReceivedBytes: () => number;
   stop: () => void;
@@ -25,17 +34,22 @@
   return (Array.isArray(value) ? value[0] : value) ?? '';
 }
 
-/** Reads a response body as text; reports the number of bytes of each chunk. */
+/**
+ * Reads a response body as text until `noteBytes`, which is called with the length of each part,
+ * returns false. The connection is closed if the body has not been read to its end.
+ */
 async function readBody(
   body: undici.Dispatcher.ResponseData['body'],
-  noteBytes: (count: number) => void,
-): Promise<string> {
-  const chunks: Buffer[] = [];
-  for await (const chunk of body as AsyncIterable<Buffer>) {
-    chunks.push(chunk);
-    noteBytes(chunk.length);
+  noteBytes: (count: number) => boolean,
+): Promise<Pick<StoreResponse, 'body' | 'isTooLong'>> {
+  const parts: Buffer[] = [];
+  for await (const part of body as AsyncIterable<Buffer>) {
+    parts.push(part);
+    if (!noteBytes(part.length)) {
+      return { body: '', isTooLong: true };
+    }
   }
-  return Buffer.concat(chunks).toString();
+  return { body: Buffer.concat(parts).toString(), isTooLong: false };
 }
 
 /**
@@ -54,25 +68,34 @@
   let client = open();
   let receivedBytes = 0;
   return {
-    call: async (path, timeoutMs) => {
+    call: async (path, limits) => {
       const used = client;
       receivedBytes = 0;
-      const timer = setTimeout(() => used.destroy(new Error('store-timeout')), timeoutMs);
+      let isOpen = true;
+      const timer = callTimer.startCallTimer(limits, () => {
+        if (isOpen) {
+          used.destroy(new Error('store-timeout'));
+        }
+      });
       try {
         const response = await used.request({ path, method: 'GET' });
+        timer.noteProgress();
         const headers = new Map(
           Object.entries(response.headers).map(([name, value]) => [name, toFirstValue(value)]),
         );
-        const body = await readBody(response.body, (count) => {
+        const read = await readBody(response.body, (count) => {
           receivedBytes += count;
+          timer.noteProgress();
+          return receivedBytes <= (limits.maxBytes ?? Infinity);
         });
-        return { status: response.statusCode, headers, body };
+        return { status: response.statusCode, headers, ...read };
       } catch (error) {
         used.destroy();
         client = client === used ? open() : client;
         throw error;
       } finally {
-        clearTimeout(timer);
+        isOpen = false;
+        timer.stop();
       }
     },
     getReceivedBytes: () => receivedBytes,
--- a/packages/gateway/src/store-follower.ts
+++ b/packages/gateway/src/store-follower.ts
@@ -138,30 +138,37 @@
   return outcome;
 }
 
+/** Returns the last item of each key. */
+function listLatest(items: readonly storeCodec.StoreItem[]): storeCodec.StoreItem[] {
+  return [...new Map(items.map((item) => [item.key, item])).values()];
+}
+
 /** Starts following the store. */
 export function startStoreFollower(dependencies: FollowerDependencies): storeReader.StoreReader {
   const { state, settings, codec, readClocks, assign } = dependencies;
   const usualMs = computeIntervalMs(settings);
-  const recordUnknown = (found: unknownNames.UnknownName[]) =>
+  const recordNames = (found: unknownNames.UnknownName[]) =>
     unknownNames.recordUnknownNames(
       dependencies.unknown,
       dependencies.log,
       found,
       readClocks().steadyMs,
     );
+  const recordUnknown = (items: readonly storeCodec.StoreItem[]) =>
+    recordNames(listLatest(items).flatMap(codec.findUnknownFields));
   const applySnapshot = (items: storeCodec.StoreItem[], revision: gateway.StoreRevision) => {
     configurationItems.applyConfigurations(dependencies, items);
     evacuationItems.applyAllEvacuations(dependencies, items, revision);
     serverItems.applyAllServers(dependencies, items, revision);
     assign();
-    recordUnknown(items.flatMap(codec.findUnknownFields));
+    recordUnknown(items);
   };
   const applyChanges = (items: storeCodec.StoreItem[], revision: gateway.StoreRevision) => {
     configurationItems.applyConfigurations(dependencies, items);
     evacuationItems.applyEvacuationChanges(dependencies, items);
     serverItems.applyServerChanges(dependencies, items, revision);
     assign();
-    recordUnknown(items.flatMap(codec.findUnknownFields));
+    recordUnknown(items);
   };
   return storeReader.startStoreReader({
     client: storeClient.createStoreClient(settings.store),
@@ -181,6 +188,6 @@
     reportRegained: (awayMs) => reportRegained(dependencies, awayMs),
     applyEpoch: (change) => applyEpoch(dependencies, change),
     reportEpochFault: (fault) => reportEpochFault(dependencies, fault),
-    reportUnknown: recordUnknown,
+    reportUnknown: recordNames,
   });
 }
--- a/packages/gateway/src/store-reader.test.ts
+++ b/packages/gateway/src/store-reader.test.ts
@@ -58,7 +58,8 @@
         const { responses = [] } = reading;
         const response = responses.length > 1 ? responses.shift() : responses[0];
         const headers = new Map(response === undefined ? [] : [['epoch', response.epoch] as const]);
-        return Promise.resolve({ status: 200, headers, body: response?.body ?? '' });
+        const body = response?.body ?? '';
+        return Promise.resolve({ status: 200, headers, body, isTooLong: false });
       },
       getReceivedBytes: () => 0,
       stop: () => {},
--- a/packages/gateway/src/store-reader.ts
+++ b/packages/gateway/src/store-reader.ts
@@ -11,6 +11,7 @@
  */
 import * as gateway from '@toucanproxy/core/gateway';
 import type * as clocks from './clocks.js';
+import * as listChanges from './list-changes.js';
 import type * as storeClient from './store-client.js';
 import type * as storeCodec from './store-codec.js';
 import * as storeEpoch from './store-epoch.js';
@@ -56,8 +57,12 @@
   stop: () => void;
 };
 
-/** Timeout of a call, milliseconds; long enough for a slow store. */
-const CALL_TIMEOUT_MS = 1000;
+/** Limits of a call for changes; long enough for a slow store. */
+const CHANGES_LIMITS = { idleMs: 1000, totalMs: 1000 };
+/** Limits of a call that lists items. There is no shorter way to read them over a slow link. */
+const LIST_LIMITS = { idleMs: 1000, totalMs: 5000 };
+/** Changes are read to their end up to this length, even if a list is shorter, bytes. */
+const MIN_CHANGES_BYTES = 65_536;
 /** Upper limit of the pause after a first failed call, and after any failed call, milliseconds. */
 const MAX_FIRST_PAUSE_MS = 100;
 const MAX_PAUSE_MS = 500;
@@ -75,6 +80,10 @@
   revision: gateway.StoreRevision | undefined;
   /** The latest revision that was read; gives the epoch of the store. */
   latestRevision: gateway.StoreRevision;
+  /** Body bytes of the last complete list. */
+  listBytes: number;
+  /** Much of the list changes between calls, so that it is shorter than the changes. */
+  isListing: boolean;
   /** When the latest call was sent. */
   sentMs: number;
   failures: number;
@@ -113,13 +122,15 @@
   const items: storeCodec.StoreItem[] = [];
   let revision: gateway.StoreRevision | undefined;
   let isLast = false;
+  let bytes = 0;
   while (!isLast) {
     const path = codec.buildRangePath(prefix, items.at(-1)?.key);
     state.sentMs = state.options.readClocks().steadyMs;
-    const response = await client.call(path, CALL_TIMEOUT_MS);
+    const response = await client.call(path, LIST_LIMITS);
     if (response.status !== STATUS_OK) {
       throw new Error(`status-${response.status}`);
     }
+    bytes += client.getReceivedBytes();
     const epoch = readEpoch(state, response);
     if (revision !== undefined && epoch !== revision.epoch) {
       // The store was restored between two pages; the earlier ones are out of date.
@@ -130,6 +141,7 @@
     revision ??= page.revision;
     isLast = page.isLast || page.items.length === 0;
   }
+  state.listBytes = bytes;
   return { items, revision: revision ?? gateway.EARLIEST_REVISION };
 }
 
@@ -169,14 +181,25 @@
   if (latestRevision.epoch !== revision.epoch && latestRevision !== gateway.EARLIEST_REVISION) {
     options.applyEpoch({ before: latestRevision, after: revision });
   }
-  state.revision = revision;
+  const wasListing = state.isListing;
+  state.isListing = wasListing && listChanges.hasChangedMuch(items, latestRevision);
+  state.revision = state.isListing ? undefined : revision;
   state.latestRevision = revision;
   options.applySnapshot(items, revision);
   options.confirm(sent, true);
   state.resolveFirstRead();
+  if (wasListing) {
+    await waitInterval(state, sent.steadyMs);
+  }
 }
 
-/** Reads changes and applies them; if the store was restored, the next call lists all items. */
+/**
+ * Reads changes and applies them.
+ *
+ * If the store was restored, the next call lists all items. So does it if the changes are longer
+ * than a list: they contain each version of an item, and with a slow link and large items in quick
+ * succession a call might never end in time, as the next one would have more to read.
+ */
 async function readChanges(state: ReaderState, since: gateway.StoreRevision): Promise<void> {
   const { options } = state;
   const { client, codec, prefix } = options;
@@ -185,10 +208,17 @@
   const path = codec.buildWatchPath(prefix, since, 0);
   // Any response that is not applied makes the next call list all items.
   state.revision = undefined;
-  const response = await client.call(path, CALL_TIMEOUT_MS).catch((error: unknown) => {
-    state.revision = since;
+  const maxBytes = Math.max(state.listBytes, MIN_CHANGES_BYTES);
+  const limits = { ...CHANGES_LIMITS, maxBytes };
+  const response = await client.call(path, limits).catch((error: unknown) => {
+    state.isListing = client.getReceivedBytes() > 0;
+    state.revision = state.isListing ? undefined : since;
     throw error;
   });
+  if (response.isTooLong) {
+    state.isListing = true;
+    return;
+  }
   if (response.status === STATUS_HISTORY_GONE) {
     return;
   }
@@ -258,6 +288,8 @@
     options,
     revision: undefined,
     latestRevision: gateway.EARLIEST_REVISION,
+    listBytes: 0,
+    isListing: false,
     sentMs: 0,
     failures: 0,
     lostSinceMs: 0,
