Serve nothing by a configuration that should have been replaced

Callers saw: a request was handled by version 28 or older 3 s after version 30 had been acknowledged. Cause: a gateway that cannot read the store in time, for whatever reason, served by its old configuration until its lease expired, though its peers' reports named a newer version all the while. The lease bounds what may have been revoked unnoticed; nothing bounded the age of a configuration that is known to be replaced. Change: when a peer first reports each version is kept; a gateway that lacks one for longer than the time allowed for a configuration, less the half second in which a peer reads and reports it, refuses all requests as not run and is not ready. Not taken: reading at once when a peer reports a newer version. It multiplies the reads of a series of configurations over the slowest links, which are the ones that fall behind.

--- a/packages/core/src/gateway/authorization.ts
+++ b/packages/core/src/gateway/authorization.ts
@@ -1,6 +1,7 @@
 /** Authorizes requests under the active configuration. */
 import * as schema from '@toucanproxy/schema';
 import * as configurationLease from './configuration-lease.js';
+import * as configurationStatus from './configuration-status.js';
 import * as configurationIndex from './configuration-index.js';
 import type * as configuration from './configuration.js';
 import type * as gatewayRequest from './gateway-request.js';
@@ -33,15 +34,16 @@
   arrived: gatewayRequest.ArrivedRequest,
   clocks: configurationLease.ClockReading,
 ): AuthorizationDecision {
-  const { index, bounds } = state;
-  if (index === undefined) {
+  const { index } = state;
+  const status = configurationStatus.getConfigurationStatus(state, clocks);
+  const { LeaseStatus } = configurationLease;
+  if (index === undefined || status === LeaseStatus.OUTDATED) {
     const wait = refusal.OTHER_GATEWAY_RETRY_AFTER_MS;
     return refuse(schema.ResultCode.CONFIGURATION_UNCONFIRMED, wait);
   }
-  const leaseStatus = configurationLease.getLeaseStatus(state.lease, true, bounds.leaseMs, clocks);
   const route = configurationIndex.findRoute(index, arrived.host, arrived.path);
   const needsNoCredential = route?.isPublic === true || index.workspaceByCredential === undefined;
-  if (leaseStatus !== configurationLease.LeaseStatus.CONFIRMED && !needsNoCredential) {
+  if (status !== LeaseStatus.CONFIRMED && !needsNoCredential) {
     const wait = refusal.OTHER_GATEWAY_RETRY_AFTER_MS;
     return refuse(schema.ResultCode.CONFIGURATION_UNCONFIRMED, wait);
   }
--- a/packages/core/src/gateway/configuration-lease.ts
+++ b/packages/core/src/gateway/configuration-lease.ts
@@ -29,6 +29,8 @@
   CONFIRMED = 'confirmed',
   /** The lease has expired: only requests that need no credential are served. */
   UNCONFIRMED = 'unconfirmed',
+  /** A newer configuration should be active: no requests are served. */
+  OUTDATED = 'outdated',
   /** There is no configuration. */
   UNKNOWN = 'unknown',
 }
--- a/packages/core/src/gateway/gateway-state.ts
+++ b/packages/core/src/gateway/gateway-state.ts
@@ -60,6 +60,8 @@
 export type GatewayBounds = {
   /** Duration of the configuration lease, milliseconds; Infinity for no limit. */
   leaseMs: number;
+  /** Time after which a configuration that a peer has must be active here, ms; absent for none. */
+  configurationMs?: number;
   /** Time after a store outage in which servers write expired entries again, milliseconds. */
   entryReturnMs: number;
   quotaTolerance: quotaLimit.QuotaTolerance;
--- a/packages/core/src/gateway/index.ts
+++ b/packages/core/src/gateway/index.ts
@@ -5,6 +5,7 @@
 export * from './ask-receipt.js';
 export * from './backend-servers.js';
 export * from './configuration-lease.js';
+export * from './configuration-status.js';
 export * from './configuration.js';
 export * from './evacuation-changes.js';
 export * from './evacuations.js';
--- a/packages/core/src/gateway/peer-view.ts
+++ b/packages/core/src/gateway/peer-view.ts
@@ -67,6 +67,8 @@
   indirectPeers: Map<string, number>;
   /** When each incarnation announced that it is leaving. */
   departed: Map<string, number>;
+  /** When each version of the configuration was first reported as active, milliseconds. */
+  versionsHeardMs: Map<number, number>;
   /** Incremented whenever a gateway is added or leaves. */
   revision: number;
 };
@@ -93,6 +95,9 @@
  */
 const NEW_PEER_MS = 8000;
 
+/** Number of configuration versions for which it is kept when they were first reported. */
+const MAX_VERSIONS = 64;
+
 /** Creates an empty view. */
 export function createPeerView(): PeerView {
   return {
@@ -100,6 +105,7 @@
     incarnationByKey: new Map(),
     indirectPeers: new Map(),
     departed: new Map(),
+    versionsHeardMs: new Map(),
     revision: 0,
   };
 }
@@ -138,6 +144,16 @@
     .map(([workspace, total]) => ({ workspace, amount: total - (before?.get(workspace) ?? 0) }));
 }
 
+/** Records that a peer has a version of the configuration active. */
+function noteVersion({ versionsHeardMs }: PeerView, version: number, now: number): void {
+  if (!versionsHeardMs.has(version)) {
+    versionsHeardMs.set(version, now);
+  }
+  if (versionsHeardMs.size > MAX_VERSIONS) {
+    versionsHeardMs.delete(Math.min(...versionsHeardMs.keys()));
+  }
+}
+
 /** Formats the key of one incarnation of a gateway. */
 function formatLifeKey({ address, life }: { address: string; life: string }): string {
   return `${address} ${life}`;
@@ -164,6 +180,7 @@
     return [];
   }
   const increases = listIncreases(known, report);
+  noteVersion(view, report.configurationVersion, now);
   if (known === undefined || report.leaving) {
     view.revision += 1;
   }
@@ -244,6 +261,12 @@
     .forEach(([address]) => view.indirectPeers.delete(address));
 }
 
+/** Finds since when a peer has had a newer version than the given one; undefined if none has. */
+export function findNewerSince({ versionsHeardMs }: PeerView, version: number): number | undefined {
+  const newer = [...versionsHeardMs].filter(([one]) => one > version).map(([, heardMs]) => heardMs);
+  return newer.length === 0 ? undefined : Math.min(...newer);
+}
+
 /** Finds the newest configuration version that a peer reported before a given time; 0 if none. */
 export function findNewestVersion(view: PeerView, reportedBeforeMs: number): number {
   return [...view.byAddress.values()].reduce(
--- a/packages/gateway/src/app.ts
+++ b/packages/gateway/src/app.ts
@@ -57,6 +57,8 @@
  * learn of each other's usage, which they report five times a second.
  */
 const TOLERANCE_SHARE = 0.7;
+/** Time until a peer has read a new configuration and has reported it, milliseconds. */
+const REPORT_DELAY_MS = 500;
 /** Time after the store is reachable again by which live backend servers have re-registered, ms. */
 const ENTRY_RETURN_MS = 2300;
 /**
@@ -71,6 +73,7 @@
   const { toleratedDomainLosses } = settings;
   return {
     leaseMs: revocationMs === undefined ? Infinity : revocationMs * LEASE_SHARE,
+    configurationMs: Math.max(settings.configurationMs - REPORT_DELAY_MS, 0),
     entryReturnMs: ENTRY_RETURN_MS,
     quotaTolerance: {
       overage: quotaTolerance.overage * TOLERANCE_SHARE,
@@ -86,14 +89,8 @@
 
 /** Returns whether the load balancer may send callers here. */
 function isReady(state: gateway.GatewayState, readClocks: clocks.ReadClocks): boolean {
-  const { index, bounds, lease } = state;
-  const leaseStatus = gateway.getLeaseStatus(
-    lease,
-    index !== undefined,
-    bounds.leaseMs,
-    readClocks(),
-  );
-  return state.shutdownMs === 0 && leaseStatus === gateway.LeaseStatus.CONFIRMED;
+  const configurationStatus = gateway.getConfigurationStatus(state, readClocks());
+  return state.shutdownMs === 0 && configurationStatus === gateway.LeaseStatus.CONFIRMED;
 }
 
 /** Starts the operator servers: one for the load balancer, and one for metrics if configured. */
--- a/packages/gateway/src/status.ts
+++ b/packages/gateway/src/status.ts
@@ -75,6 +75,7 @@
 ): Record<string, unknown> {
   return {
     version: state.index?.configuration.version,
+    configuration: gateway.getConfigurationStatus(state, now),
     beliefAgeMs: gateway.computeConfirmationAge(state.lease, now),
     storeLost: storeStatus.isLost,
     storeBehind: state.lease.behindSinceMs !== undefined,
