Wait for turns of the event loop where a test depends on them

Cause: 'wait of new connections is measured until the queue is empty' waited 20 ms for two turns of the event loop. On a machine with a load of 25 the process was delayed for longer than that between the two, the timer came first and the test failed three times of three. Change: the two tests wait for five turns; what they assert is the same.

--- a/packages/gateway/src/accept-delay.test.ts
+++ b/packages/gateway/src/accept-delay.test.ts
@@ -6,6 +6,15 @@
 
 const { test } = nodeTest;
 const PROBE_PORT = 77;
+/** More turns of the event loop than it takes to find the queue empty. */
+const TURNS = 5;
+
+/** Waits for turns of the event loop. A timer can fire before them if the process is delayed. */
+async function waitForTurns(): Promise<void> {
+  for (let turn = 0; turn < TURNS; turn += 1) {
+    await timers.setImmediate();
+  }
+}
 
 /** Builds a connection between the given ports. */
 function buildSocket(localPort: number, remotePort: number): net.Socket {
@@ -40,7 +49,7 @@
   assert.equal(delay.getDelayMs(), 200);
   assert.equal(accept(PROBE_PORT), true);
   assert.equal(delay.getDelayMs(), 200);
-  await timers.setTimeout(20);
+  await waitForTurns();
   assert.equal(delay.getDelayMs(), 0);
 });
 
@@ -56,7 +65,7 @@
   // Guards against connections of the process to itself under normal load.
   const { clock, delay, accept } = startMeasuring();
   accept(2);
-  await timers.setTimeout(20);
+  await waitForTurns();
   clock.now = 1000;
   accept(3);
   assert.equal(clock.probes, 0);
