Limit what restarted gateways admit of a quota

Cause: each restarted gateway began with its part of the declared burst, and with all of it until it had heard its peers, whatever the window had seen before. Change: restarted gateways begin with their part of a tenth of the tolerance, which the buckets leave unused. Parts are computed with the seeds as the least number of gateways. A first start of the system begins as before. Tests: 'restarted gateways begin with the declared burst' asserted the fault; it gives way to one that asserts the smaller amount and one for the first start; 'gateways that restart in turn' now has a tolerance and a lower bound.

--- a/packages/core/src/gateway/peer-counts.ts
+++ b/packages/core/src/gateway/peer-counts.ts
@@ -12,11 +12,19 @@
 }
 
 /** Counts the gateways that may be serving or have left recently, including this one. */
-export function countRecentGateways(view: peerView.PeerView): number {
+function countRecentGateways(view: peerView.PeerView): number {
   const left = [...view.departed.keys()].map((key) => key.split(' ')[0]);
   return new Set([...view.byAddress.keys(), ...left]).size + 1;
 }
 
+/**
+ * Counts the gateways among which a shared limit is divided. Shortly after a start few of them have
+ * been heard, so that there are at least as many as the seeds that the settings name, and this one.
+ */
+export function countSharers(view: peerView.PeerView, seeds: readonly string[]): number {
+  return Math.max(countRecentGateways(view), seeds.length + 1);
+}
+
 /** Computes how long a peer is reachable after a report, in milliseconds. */
 function computeReachableMs(view: peerView.PeerView): number {
   const passMs = peerView.REPORT_MS * Math.ceil(view.byAddress.size / peerView.MAX_FAN_OUT);
--- a/packages/core/src/gateway/quota-limit.ts
+++ b/packages/core/src/gateway/quota-limit.ts
@@ -15,13 +15,15 @@
 
 /** A quota as enforced, including its tolerance. */
 export type QuotaLimit = configuration.Quota & {
-  /** Burst that is available to a workspace when nothing is known of its past use. */
-  initialBurst: number;
+  /** Amount that all gateways may admit together after restarts, without knowing of past use. */
+  restartBurst: number;
   declared: { perSecond: number; burst: number };
 };
 
 /** Fraction of the tolerance that is added to the burst; the rest is added to the rate. */
 const TOLERANCE_BURST_SHARE = 0.5;
+/** Fraction of the tolerance that restarted gateways may admit; it is not part of the others. */
+const RESTART_SHARE = 0.1;
 
 /**
  * Raises a quota by its tolerance, which applies anew to each window.
@@ -31,17 +33,16 @@
  * refused all day although no window was near its limit: of the 3,900 requests of three calm
  * days, 110 were lost, compared with 18 when the tolerance applied to each window.
  *
- * A gateway that has just started does not know what was used in the current window. It
- * therefore starts with its part of the declared burst. With the raised burst, the use before and
- * after a restart of all gateways could exceed the limit of one window; with the whole burst,
- * each of several gateways that restart in turn would grant a full burst again.
+ * A gateway that has been restarted does not know what was used in the current window. It
+ * therefore starts with its part of a small amount. With a part of the burst, gateways that are
+ * killed several times within a window would exceed the limit of that window.
  */
 export function applyTolerance(
   quota: configuration.Quota,
   { overage, slack, windowMs }: QuotaTolerance,
 ): QuotaLimit {
   const { perSecond, burst } = quota;
-  const raised = { ...quota, initialBurst: burst, declared: { perSecond, burst } };
+  const raised = { ...quota, restartBurst: 0, declared: { perSecond, burst } };
   if (windowMs <= 0) {
     return raised;
   }
@@ -50,6 +51,7 @@
   const tolerated = declared * overage + slack;
   return {
     ...raised,
+    restartBurst: Math.min(tolerated * RESTART_SHARE, burst),
     perSecond: quota.perSecond + (tolerated * (1 - TOLERANCE_BURST_SHARE)) / windowS,
     burst: quota.burst + tolerated * TOLERANCE_BURST_SHARE,
   };
--- a/packages/core/src/gateway/request-admission.ts
+++ b/packages/core/src/gateway/request-admission.ts
@@ -151,9 +151,10 @@
   }
   const { tokens } = request.arrived;
   const cost = quotaLimit.computeCost(quota, tokens && tokens.prompt + tokens.answer);
-  const gateways = peerCounts.countGateways(state.peers);
-  const { startedMs } = state;
-  const fleet = { share: gatewayState.computeQuotaShare(state, now), gateways, startedMs };
+  const { startedMs, isFirstStart } = state;
+  const gateways = peerCounts.countSharers(state.peers, state.seeds);
+  const share = gatewayState.computeQuotaShare(state, now);
+  const fleet = { share, gateways, startedMs, isFirstStart };
   const { workspace } = request;
   const toleratedQuota = quotaLimit.applyTolerance(quota, state.bounds.quotaTolerance);
   const claim = { workspace, cost, urgency: request.route.urgency };
--- a/packages/core/src/gateway/retry-limit.ts
+++ b/packages/core/src/gateway/retry-limit.ts
@@ -16,7 +16,7 @@
   seeds,
 }: gatewayState.GatewayState): retryBudget.RetryLimit {
   const isIsolated = peers.byAddress.size === 0 && seeds.length > 0;
-  const gateways = Math.max(peerCounts.countRecentGateways(peers), seeds.length + 1);
+  const gateways = peerCounts.countSharers(peers, seeds);
   const burst = isIsolated ? MIN_BURST : Math.max(bounds.retryExtra / gateways, MIN_BURST);
   return { perAttempt: bounds.retryRatio, burst };
 }
--- a/packages/core/src/gateway/token-quota.test.ts
+++ b/packages/core/src/gateway/token-quota.test.ts
@@ -28,7 +28,7 @@
     quotas,
     quota,
     { workspace: 'w', cost, urgency },
-    { share, gateways: 1, startedMs: now },
+    { share, gateways: 1, startedMs: now, isFirstStart: true },
     now,
   );
 }
@@ -83,9 +83,19 @@
   assert.ok(fullest * 100 >= 0.9 * most, String(fullest));
 });
 
-test('restarted gateways begin with the declared burst', () => {
-  // All gateways are killed after a workspace has used up a window, and restart at once without
-  // knowing of that use. With the raised burst, the use in that window would exceed its limit.
+test('restarted gateways begin with a part of the tolerance', () => {
+  // Guards against gateways that each admit a part of a burst again, several times in one window.
+  const raised = quotaLimit.applyTolerance(DECLARED, TOLERANCE);
+  const fleet = { share: 1, gateways: 1, startedMs: 0, isFirstStart: false };
+  const take = (cost: number) => {
+    const claim = { workspace: 'w', cost, urgency: 0 };
+    return tokenQuota.takeQuota(tokenQuota.createQuotaState(), raised, claim, fleet, 0).kind;
+  };
+  const tolerated = (DECLARED.perSecond * 8 + DECLARED.burst) * TOLERANCE.overage + TOLERANCE.slack;
+  assert.deepEqual([take(0.1 * tolerated), take(0.1 * tolerated + 1)], ['within', 'beyond']);
+});
+
+test('system that starts for the first time begins with the declared burst', () => {
   const raised = quotaLimit.applyTolerance(DECLARED, TOLERANCE);
   const { burst } = DECLARED;
   assert.equal(takeTokens(tokenQuota.createQuotaState(), raised, burst, 1, 0).kind, 'within');
@@ -207,25 +217,25 @@
 });
 
 test('gateways that restart in turn', () => {
-  // Twenty-six gateways restart in turn while a workspace exceeds its quota. Each begins with its
-  // part of the burst; all together admit one burst.
+  // Guards against a burst that each of many gateways admits after a restart.
   const gateways = 26;
+  const raised = quotaLimit.applyTolerance(DECLARED, TOLERANCE);
   const claim = { workspace: 'w', cost: 10, urgency: 0 };
   let used = 0;
   for (let index = 0; index < gateways; index += 1) {
     const quotas = tokenQuota.createQuotaState();
-    const fleet = { share: 1, gateways, startedMs: 0 };
-    while (tokenQuota.takeQuota(quotas, QUOTA, claim, fleet, 0).kind === 'within') {
+    const fleet = { share: 1, gateways, startedMs: 0, isFirstStart: false };
+    while (tokenQuota.takeQuota(quotas, raised, claim, fleet, 0).kind === 'within') {
       used += claim.cost;
     }
   }
-  assert.ok(used <= QUOTA.burst, String(used));
+  assert.ok(used > 0 && used <= raised.restartBurst, String(used));
 });
 
 test('bucket is refilled from the start if the quota was not used', () => {
   // A gateway has run for ten seconds when the first request of a workspace arrives. The whole
   // burst is available unless peers have admitted requests of the workspace.
-  const fleet = { share: 1, gateways: 4, startedMs: 0 };
+  const fleet = { share: 1, gateways: 4, startedMs: 0, isFirstStart: false };
   const claim = { workspace: 'w', cost: QUOTA.burst, urgency: 0 };
   const unused = tokenQuota.createQuotaState();
   assert.equal(tokenQuota.takeQuota(unused, QUOTA, claim, fleet, 10_000).kind, 'within');
@@ -239,7 +249,7 @@
   // workspace at this gateway arrives after peers have admitted a fifth of its burst, so four
   // fifths are left. If the bucket began with a twenty-sixth, requests within the quota would be
   // refused all day.
-  const fleet = { share: 1, gateways: 26, startedMs: 0 };
+  const fleet = { share: 1, gateways: 26, startedMs: 0, isFirstStart: false };
   const quotas = tokenQuota.createQuotaState();
   tokenQuota.applyPeerUse(quotas, 'w', QUOTA.burst / 10, 10_000);
   tokenQuota.applyPeerUse(quotas, 'w', QUOTA.burst / 10, 10_010);
--- a/packages/core/src/gateway/token-quota.ts
+++ b/packages/core/src/gateway/token-quota.ts
@@ -41,6 +41,8 @@
   gateways: number;
   /** When this gateway started, milliseconds. */
   startedMs: number;
+  /** The whole system starts for the first time, so that nothing has been used. */
+  isFirstStart: boolean;
 };
 
 /** Creates the quota state of a gateway at its start. */
@@ -90,9 +92,10 @@
   quotas: QuotaState,
   workspace: string,
   quota: quotaLimit.QuotaLimit,
-  { share, gateways, startedMs }: QuotaFleet,
+  { share, gateways, startedMs, isFirstStart }: QuotaFleet,
 ): Bucket {
-  const level = (quota.initialBurst * share) / gateways;
+  const burst = isFirstStart ? quota.declared.burst : quota.restartBurst;
+  const level = (burst * share) / gateways;
   const levels = { level, declaredLevel: level, updatedMs: startedMs, used: 0 };
   const bucket = { ...levels, askedMs: new Map<number, number>() };
   const early = quotas.earlyUse.get(workspace);
--- a/packages/gateway/src/mocks/report-fleet.ts
+++ b/packages/gateway/src/mocks/report-fleet.ts
@@ -36,7 +36,7 @@
   unit: gateway.QuotaUnit.TOKENS,
   perSecond: 1e6,
   burst: 1e6,
-  initialBurst: 1e9,
+  restartBurst: 1e9,
   defaultTokens: 1,
 };
 const LIMIT = { ...QUOTA, declared: QUOTA };
@@ -131,7 +131,7 @@
 /** Lets a gateway admit a request. */
 export function admitUse(fleet: ReportFleet, index: number, workspace: string, cost: number): void {
   const { state } = fleet.peers[index].options;
-  const share = { share: 1, gateways: 1, startedMs: 0 };
+  const share = { share: 1, gateways: 1, startedMs: 0, isFirstStart: true };
   gateway.takeQuota(state.quotas, LIMIT, { workspace, cost, urgency: 0 }, share, fleet.nowMs);
 }
 
--- a/packages/proofs/src/mocks/gateway-fleet-configuration.ts
+++ b/packages/proofs/src/mocks/gateway-fleet-configuration.ts
@@ -9,12 +9,24 @@
 /** Urgencies of the routes; the path prefix of a route is its urgency, `/0/` the most urgent. */
 const URGENCIES = [0, 1, 2];
 
+/** Properties of the service, of its routes and of the workspace. */
+export type ConfigurationOptions = {
+  slots: number;
+  /** Load limits of a backend server that warms up; undefined for no limit. */
+  warmUp: gateway.WarmUpTraits | undefined;
+  /** Requests may run more than once. */
+  isRepeatable: boolean;
+  /** Undefined if the workspace has none. */
+  quota: gateway.Quota | undefined;
+};
+
 /** Builds a configuration with one service, one workspace and a route for each urgency. */
-export function buildConfiguration(
-  slots: number,
-  warmUp?: gateway.WarmUpTraits,
-  isRepeatable = false,
-): gateway.Configuration {
+export function buildConfiguration({
+  slots,
+  warmUp,
+  isRepeatable,
+  quota,
+}: ConfigurationOptions): gateway.Configuration {
   const routes = URGENCIES.map((urgency) => ({
     name: `route-${urgency}`,
     hostname: 'h',
@@ -31,7 +43,6 @@
     resumable: false,
     regions: [],
   }));
-  const quota = undefined;
   const workspace = { name: 'w', credentials: [KEY], urgency: undefined, quota, regions: [] };
   const engine = { slots, tokensPerEvent: 5 };
   const services = [{ name: SERVICE, maxConnections: 100, engine, warmUp }];
--- a/packages/proofs/src/mocks/gateway-fleet-state.ts
+++ b/packages/proofs/src/mocks/gateway-fleet-state.ts
@@ -17,10 +17,9 @@
 /** Where a call arrived: the index of the gateway, and its incarnation at that time. */
 export type CallOrigin = { index: number; life: string };
 
-export type FleetOptions = {
+export type FleetOptions = fleetConfiguration.ConfigurationOptions & {
   gateways: number;
   servers: number;
-  slots: number;
   /** Time that a backend server takes for a request, milliseconds. */
   runMs: number;
   delayMs: number;
@@ -28,10 +27,6 @@
   seed: number;
   /** Number of failure domains; servers and gateways are assigned to them in turn. */
   domains: number;
-  /** Load limits of a backend server that warms up; undefined for no limit. */
-  warmUp: gateway.WarmUpTraits | undefined;
-  /** Requests may run more than once. */
-  isRepeatable: boolean;
 };
 
 export type GatewayFleet = {
@@ -74,6 +69,8 @@
 
 /** How far requests per second may exceed the limit of a backend server that warms up. */
 export const WARM_UP_TOLERANCE = { factor: 1.5, extra: 5 };
+/** What the gateways together may admit beyond a quota, in tokens. */
+export const QUOTA_TOLERANCE = { overage: 0.175, slack: 14_000, windowMs: 8000 };
 /** Retry budget that all gateways share: retries for each request, and additional ones. */
 export const RETRY_RATIO = 0.2;
 export const RETRY_EXTRA = 10;
@@ -134,7 +131,7 @@
     {
       leaseMs: Infinity,
       entryReturnMs: 2000,
-      quotaTolerance: { overage: 0, slack: 0, windowMs: 0 },
+      quotaTolerance: QUOTA_TOLERANCE,
       retryRatio: RETRY_RATIO,
       retryExtra: RETRY_EXTRA,
       warmUpTolerance: WARM_UP_TOLERANCE,
@@ -143,11 +140,7 @@
     fleet.nowMs,
   );
   state.index = gateway.buildConfigurationIndex(
-    fleetConfiguration.buildConfiguration(
-      fleet.options.slots,
-      fleet.options.warmUp,
-      fleet.options.isRepeatable,
-    ),
+    fleetConfiguration.buildConfiguration(fleet.options),
   );
   gateway.noteConfirmed(state.lease, readClocks(fleet));
   listServerIds(fleet).forEach((id) =>
--- a/packages/proofs/src/mocks/gateway-fleet.ts
+++ b/packages/proofs/src/mocks/gateway-fleet.ts
@@ -22,6 +22,7 @@
     domains: 1,
     warmUp: undefined,
     isRepeatable: false,
+    quota: undefined,
     ...options,
   };
   const drawRandom = randomSource.createRandomSource(resolvedOptions.seed);
@@ -85,12 +86,18 @@
         life: sender.life,
         sequence: fleet.sequence,
         leaving: false,
-        used: new Map<string, number>(),
+        used: new Map(
+          gateway.listUse(sender.quotas, 1).map(({ workspace, used }) => [workspace, used]),
+        ),
         processorPercent: sender.processorPercent,
         configurationVersion: 1,
         peers: [],
       };
-      gateway.applyReport(receiver.peers, report, fleet.nowMs);
+      gateway
+        .applyReport(receiver.peers, report, fleet.nowMs)
+        .forEach(({ workspace, amount }) =>
+          gateway.applyPeerUse(receiver.quotas, workspace, amount, fleet.nowMs),
+        );
     }),
   );
 }
