Log the software version that a request is sent to, and what it resumes

The logs did not show which version of a backend server began a stream or went on with it, so that a resumption in one response could not be told from one over a caller's tries. `version` of an entry and `Last-Event-Id` were read by nothing, `Resumes` was not listed.

No decision uses them yet.

--- a/packages/core/src/gateway/gateway-request.ts
+++ b/packages/core/src/gateway/gateway-request.ts
@@ -2,6 +2,14 @@
 import type * as configuration from './configuration.js';
 import type * as regionBinding from './region-binding.js';
 
+/** States that a caller has a part of a stream and asks for the events that follow. */
+export type StreamResumption = {
+  /** The caller's attempt that brought the first event; undefined if it names none. */
+  firstAttemptId: string | undefined;
+  /** Id of the last event that the caller has received; undefined if it names none. */
+  lastEventId: string | undefined;
+};
+
 /** The parts of a caller's request that admission and scheduling depend on. */
 export type ArrivedRequest = {
   /** Unique identifier that the caller gave to this attempt. */
@@ -16,6 +24,8 @@
   tokens: { prompt: number; answer: number } | undefined;
   /** The caller's estimate of the number of response tokens. */
   answerGuess: number | undefined;
+  /** Undefined if the caller asks for the response from its start. */
+  resumption?: StreamResumption;
   /** Computes a digest of the content, which is the same for every attempt of the caller. */
   hashContent: () => string;
   /** How long it may have waited to be read, milliseconds; undefined if it was read at once. */
--- a/packages/core/src/shared/backend-server-entry.ts
+++ b/packages/core/src/shared/backend-server-entry.ts
@@ -20,4 +20,6 @@
    * unknown.
    */
   warmUpLeftMs: number | undefined;
+  /** Version of its software: empty if its entry states none, undefined if unknown. */
+  softwareVersion?: string;
 };
--- a/packages/gateway/src/request-reports.ts
+++ b/packages/gateway/src/request-reports.ts
@@ -73,6 +73,8 @@
     sends,
     version,
     isOtherDomain: server.failureDomain !== state.failureDomain,
+    serverVersion: server.softwareVersion,
+    resumes: arrived.resumption?.firstAttemptId,
   };
   log.write('sent', line, sentMs);
 }
--- a/packages/gateway/src/wire-protocol.ts
+++ b/packages/gateway/src/wire-protocol.ts
@@ -11,7 +11,7 @@
 /** Values parsed from the headers of a request. */
 export type ParsedRequestHeaders = Pick<
   gateway.ArrivedRequest,
-  'attemptId' | 'credential' | 'deadlineMs' | 'tokens' | 'answerGuess'
+  'attemptId' | 'credential' | 'deadlineMs' | 'tokens' | 'answerGuess' | 'resumption'
 >;
 
 /** What the gateway itself adds to a request for a backend server. */
