Resume a stream in one response only at the version that began it

Callers got responses with events of two software versions. A gateway that resumed a stream after a fault asked for any slot, and neither the scheduler nor the check before the first byte regarded the version.

A request now keeps the version that began its stream, as the server's entry said when it was sent; unknown if the entry has changed by the first event, and then the stream ends. The ask names the version, the scheduler matches only servers of it, cells without one are not asked, and the gateway that has the request checks once more before it sends.

--- a/packages/core/src/gateway/ask-messages.ts
+++ b/packages/core/src/gateway/ask-messages.ts
@@ -140,6 +140,7 @@
     triedIds: [...request.triedIds],
     excludedDomains: allowedDomains.listExcluded(state, request.regions),
     share: state.index?.shareByWorkspace.get(workspace),
+    softwareVersion: request.streamVersion,
   });
 }
 
--- a/packages/core/src/gateway/assignment.ts
+++ b/packages/core/src/gateway/assignment.ts
@@ -115,6 +115,7 @@
   request.phase = gatewayRequest.RequestPhase.SENT;
   request.serverId = serverId;
   request.serverBornMs = found.server.bornMs;
+  request.serverVersion = found.server.softwareVersion;
   request.sentMs = now;
   request.sentWallMs = clocks.wallMs;
   request.sends += 1;
--- a/packages/core/src/gateway/attempt-end.ts
+++ b/packages/core/src/gateway/attempt-end.ts
@@ -183,7 +183,8 @@
     request.triedIds.add(serverId);
   }
   requestEnd.releaseServer(state, request);
-  const isRetry = canResume && isRetryAllowed(state, request, notRun, now);
+  const isVersionKnown = !hasBegun || request.streamVersion !== undefined;
+  const isRetry = canResume && isVersionKnown && isRetryAllowed(state, request, notRun, now);
   if (isRetry && waitAgain(state, request, hasBegun, now)) {
     return { kind: 'again' };
   }
--- a/packages/core/src/gateway/gateway-request.ts
+++ b/packages/core/src/gateway/gateway-request.ts
@@ -77,6 +77,13 @@
   serverId: string | undefined;
   /** When that backend server process started, milliseconds since the Unix epoch. */
   serverBornMs: number;
+  /** Version of the software of that backend server; undefined if unknown. */
+  serverVersion: string | undefined;
+  /**
+   * Software version that produced the part of the stream that the caller has; only backend servers
+   * of this version may continue it. Undefined if any may run the request.
+   */
+  streamVersion: string | undefined;
   sentMs: number;
   /** `sentMs` by the wall clock, milliseconds since the Unix epoch. */
   sentWallMs: number;
--- a/packages/core/src/gateway/index.ts
+++ b/packages/core/src/gateway/index.ts
@@ -29,6 +29,7 @@
 export * from './server-entries.js';
 export * from './server-statements.js';
 export * from './store-responses.js';
+export * from './stream-versions.js';
 export * from './token-quota.js';
 export * from './use-changes.js';
 export * from './warm-up-times.js';
--- a/packages/core/src/gateway/pending-asks.ts
+++ b/packages/core/src/gateway/pending-asks.ts
@@ -13,6 +13,7 @@
 import * as gatewayState from './gateway-state.js';
 import * as schedulerLink from './scheduler-link.js';
 import * as schedulerRanking from './scheduler-ranking.js';
+import * as streamVersions from './stream-versions.js';
 
 /** Maximum number of unsent observations per link; older ones are of little use and dropped. */
 const MAX_KEPT_OBSERVATIONS = 48;
@@ -74,8 +75,12 @@
   request: gatewayRequest.GatewayRequest,
   now: number,
 ): string | undefined {
-  const { cellNames } = getServiceCells(state, request.service, now);
-  const left = cellNames.filter((name) => !request.declinedCells.has(name));
+  const { cellNames, usableByCell } = getServiceCells(state, request.service, now);
+  const { streamVersion, declinedCells } = request;
+  const canContinue = (name: string) =>
+    streamVersion === undefined ||
+    usableByCell.get(name)?.some((one) => streamVersions.isContinuableAt(streamVersion, one));
+  const left = cellNames.filter((name) => !declinedCells.has(name) && canContinue(name));
   const drawOne = () => left.splice(Math.floor(state.drawRandom() * left.length), 1)[0];
   const first = left.length > 0 ? drawOne() : undefined;
   const second = left.length > 0 ? drawOne() : undefined;
@@ -86,7 +91,7 @@
     : first;
 }
 
-/** Asks a cell for a slot for a request. Returns false if every cell has declined the request. */
+/** Asks a cell for a slot for a request. Returns false if no cell is left that may serve it. */
 export function askPlace(
   state: gatewayState.GatewayState,
   request: gatewayRequest.GatewayRequest,
--- a/packages/core/src/gateway/request-admission.ts
+++ b/packages/core/src/gateway/request-admission.ts
@@ -123,6 +123,8 @@
     declinedCells: new Set(),
     serverId: undefined,
     serverBornMs: 0,
+    serverVersion: undefined,
+    streamVersion: undefined,
     sentMs: 0,
     sentWallMs: 0,
     isRateLimited: false,
--- a/packages/core/src/gateway/server-admission.ts
+++ b/packages/core/src/gateway/server-admission.ts
@@ -11,6 +11,7 @@
 import type * as gatewayRequest from './gateway-request.js';
 import type * as gatewayState from './gateway-state.js';
 import * as serverStatements from './server-statements.js';
+import * as streamVersions from './stream-versions.js';
 
 /** Why a backend server may not be used. */
 export enum UnusableReason {
@@ -21,6 +22,8 @@
   REGION = 'region',
   /** It has asked this gateway to send nothing for some time. */
   BACKOFF = 'backoff',
+  /** Its software version is not the one that began the stream. */
+  VERSION = 'version',
 }
 
 export type ServerAdmission =
@@ -30,7 +33,7 @@
 /** Decides whether a request may be sent to a backend server now. */
 export function admitToServer(
   state: gatewayState.GatewayState,
-  { regions }: gatewayRequest.GatewayRequest,
+  { regions, streamVersion }: gatewayRequest.GatewayRequest,
   serverId: string,
   now: number,
 ): ServerAdmission {
@@ -45,6 +48,9 @@
   if (!allowedDomains.isInRegions(state, regions, entry.failureDomain)) {
     return { kind: 'unusable', reason: UnusableReason.REGION };
   }
+  if (!streamVersions.isContinuableAt(streamVersion, entry)) {
+    return { kind: 'unusable', reason: UnusableReason.VERSION };
+  }
   if (serverStatements.computeBackoffLeft(servers.statements, entry, now) > 0) {
     return { kind: 'unusable', reason: UnusableReason.BACKOFF };
   }
@@ -56,17 +62,21 @@
 
 /**
  * Returns whether a request may still be sent to the backend server that it was assigned to. A
- * server that has restarted since the assignment is not used.
+ * server that has restarted or changed its software since the assignment is not used.
  */
 export function isStillUsable(
   state: gatewayState.GatewayState,
   request: gatewayRequest.GatewayRequest,
   now: number,
 ): boolean {
-  const { serverId, serverBornMs } = request;
+  const { serverId, serverBornMs, serverVersion } = request;
   if (serverId === undefined) {
     return false;
   }
   const admission = admitToServer(state, request, serverId, now);
-  return admission.kind === 'usable' && admission.server.bornMs === serverBornMs;
+  return (
+    admission.kind === 'usable' &&
+    admission.server.bornMs === serverBornMs &&
+    admission.server.softwareVersion === serverVersion
+  );
 }
--- a/packages/core/src/gateway/unservable-requests.ts
+++ b/packages/core/src/gateway/unservable-requests.ts
@@ -16,6 +16,7 @@
 import * as refusal from './refusal.js';
 import * as requestEnd from './request-end.js';
 import * as serverStatements from './server-statements.js';
+import * as streamVersions from './stream-versions.js';
 
 /**
  * Retry delay for callers of an evacuated service, milliseconds. Operators end an evacuation by
@@ -51,19 +52,21 @@
   request: gatewayRequest.GatewayRequest,
   now: number,
 ): refusal.Refusal | undefined {
-  const { service, regions } = request;
+  const { service, regions, streamVersion } = request;
   if (evacuationChanges.isServiceEvacuated(state.servers, service)) {
     const { DOMAINS_EVACUATED } = schema.ResultCode;
     return refusal.buildRefusal(DOMAINS_EVACUATED, EVACUATED_RETRY_AFTER_MS);
   }
   const { statements } = state.servers;
-  if (regions === undefined && !serverStatements.hasBackoffs(statements, now)) {
+  const isRestricted = regions !== undefined || streamVersion !== undefined;
+  if (!isRestricted && !serverStatements.hasBackoffs(statements, now)) {
     return undefined;
   }
   const allowed = backendServers
     .listUsable(state.servers, service, now)
-    .filter(({ failureDomain }) => allowedDomains.isInRegions(state, regions, failureDomain));
-  if (allowed.length === 0 && regions !== undefined) {
+    .filter(({ failureDomain }) => allowedDomains.isInRegions(state, regions, failureDomain))
+    .filter((entry) => streamVersions.isContinuableAt(streamVersion, entry));
+  if (allowed.length === 0 && isRestricted) {
     return refusal.buildRefusal(schema.ResultCode.NO_BACKEND_SERVER, EVACUATED_RETRY_AFTER_MS);
   }
   const backoffLefts = allowed.map((entry) =>
--- a/packages/core/src/scheduler/asks.ts
+++ b/packages/core/src/scheduler/asks.ts
@@ -196,6 +196,7 @@
     giveUpMs: now + asked.giveUpLeftMs,
     triedIds: new Set(asked.triedIds),
     excludedDomains: new Set(asked.excludedDomains),
+    softwareVersion: asked.softwareVersion,
   };
 }
 
--- a/packages/core/src/scheduler/candidates.ts
+++ b/packages/core/src/scheduler/candidates.ts
@@ -161,6 +161,7 @@
     return {
       id: entry.id,
       failureDomain: entry.failureDomain,
+      softwareVersion: entry.softwareVersion,
       slots: computeLimit(entry),
       inFlight,
       startsLeft: countStartsLeft(cell, servers, entry.id, now),
--- a/packages/core/src/scheduler/domain-preference.test.ts
+++ b/packages/core/src/scheduler/domain-preference.test.ts
@@ -13,9 +13,10 @@
   inFlight: number,
 ): serverChoice.Candidate {
   const limits = { slots: SLOTS, startsLeft: Infinity, isRateLimited: false };
+  const softwareVersion = undefined;
   const pace = { slowness: 1, unitMs: 0, addedLatencyMs: 0, failureShare: 0 };
   const work = { unreadTokens: 0, answerTokens: 0, aheadMs: 0 };
-  return { id, failureDomain, inFlight, ...limits, ...pace, ...work };
+  return { id, failureDomain, softwareVersion, inFlight, ...limits, ...pace, ...work };
 }
 
 /** Lists the ids among which a request of domain `own` may be placed. */
--- a/packages/core/src/scheduler/request-match.ts
+++ b/packages/core/src/scheduler/request-match.ts
@@ -12,7 +12,6 @@
 import * as serverChoice from './server-choice.js';
 import * as serverWork from './server-work.js';
 import * as streamPauses from './stream-pauses.js';
-import type * as waitQueue from './wait-queue.js';
 import * as waiting from './waiting.js';
 
 export type Match = {
@@ -98,16 +97,27 @@
     : all.filter(({ id }) => (backoffs.get(id) ?? 0) <= now);
 }
 
+/** Reports whether a backend server may continue the stream of a request, or run it if it has none. */
+function isOfVersion(
+  { softwareVersion }: scheduledRequest.ScheduledRequest,
+  candidate: serverChoice.Candidate,
+): boolean {
+  return softwareVersion === undefined || softwareVersion === candidate.softwareVersion;
+}
+
 /** Lists the backend servers to which a request may be sent. */
 function listAllowed(
   search: MatchSearch,
   all: readonly serverChoice.Candidate[],
-  { asker, excludedDomains }: scheduledRequest.ScheduledRequest,
+  request: scheduledRequest.ScheduledRequest,
 ): readonly serverChoice.Candidate[] {
+  const { asker, excludedDomains, softwareVersion } = request;
   const accepting = listAccepting(search, all, asker);
-  return excludedDomains.size === 0
+  return excludedDomains.size === 0 && softwareVersion === undefined
     ? accepting
-    : accepting.filter(({ failureDomain }) => !excludedDomains.has(failureDomain));
+    : accepting.filter(
+        (one) => !excludedDomains.has(one.failureDomain) && isOfVersion(request, one),
+      );
 }
 
 /** Lists the allowed servers with a free slot; already tried ones only if there are no others. */
@@ -178,22 +188,28 @@
 
 /**
  * Lists the waiting requests that may be considered, in order. Requests of gateways from which no
- * free backend server accepts anything are skipped: a few dozen of them at the head of the queue
- * would block all others.
+ * free backend server accepts anything are skipped, and streams that no free one may continue: a
+ * few dozen of them at the head of the queue would block all others.
  */
 function listPlaceable(search: OpenSearch): scheduledRequest.ScheduledRequest[] {
   const { cell, open } = search;
   const blockedAskers = new Set(
     [...cell.askers.keys()].filter((asker) => listAccepting(search, open, asker).length === 0),
   );
-  const { items } = cell.queue;
-  const isPlaceable = ({ serial }: waitQueue.WaitItem) =>
-    !blockedAskers.has(cell.requests.get(serial)?.asker ?? '');
-  const placeable = blockedAskers.size === 0 ? items : items.filter(isPlaceable);
-  return placeable
-    .slice(0, MAX_QUEUE_LOOK_AHEAD)
-    .map(({ serial }) => cell.requests.get(serial))
-    .filter((request) => request !== undefined);
+  const openVersions = new Set([undefined, ...open.map((one) => one.softwareVersion)]);
+  const placeable: scheduledRequest.ScheduledRequest[] = [];
+  cell.queue.items.some(({ serial }) => {
+    const request = cell.requests.get(serial);
+    if (
+      request !== undefined &&
+      !blockedAskers.has(request.asker) &&
+      openVersions.has(request.softwareVersion)
+    ) {
+      placeable.push(request);
+    }
+    return placeable.length === MAX_QUEUE_LOOK_AHEAD;
+  });
+  return placeable;
 }
 
 /** Lists the first requests that some server with a free slot reads without long pauses. */
--- a/packages/core/src/scheduler/scheduled-request.ts
+++ b/packages/core/src/scheduler/scheduled-request.ts
@@ -36,4 +36,6 @@
   triedIds: ReadonlySet<string>;
   /** Failure domains to which its gateway does not send the request. */
   excludedDomains: ReadonlySet<string>;
+  /** The only software version that may continue its stream; undefined if any may run it. */
+  softwareVersion: string | undefined;
 };
--- a/packages/core/src/scheduler/server-choice.test.ts
+++ b/packages/core/src/scheduler/server-choice.test.ts
@@ -10,6 +10,7 @@
   return {
     id: 's',
     failureDomain: 'd1',
+    softwareVersion: undefined,
     slots: SLOTS,
     inFlight: 0,
     startsLeft: Infinity,
--- a/packages/core/src/scheduler/server-choice.ts
+++ b/packages/core/src/scheduler/server-choice.ts
@@ -10,6 +10,8 @@
 export type Candidate = {
   id: string;
   failureDomain: string;
+  /** Version of its software; undefined if unknown. */
+  softwareVersion: string | undefined;
   /** Requests that it may have in flight: those it processes at once, and grants ahead. */
   slots: number;
   /** Requests in flight there as last reported by the gateways, and grants not yet reported. */
--- a/packages/core/src/scheduler/waiting.test.ts
+++ b/packages/core/src/scheduler/waiting.test.ts
@@ -35,6 +35,7 @@
     giveUpMs: START_MS + 6000,
     triedIds: new Set<string>(),
     excludedDomains: new Set<string>(),
+    softwareVersion: undefined,
     ...changes,
   };
   const isQueued = waiting.enqueueRequest(cell, request, now);
--- a/packages/gateway/src/attempt-sending.ts
+++ b/packages/gateway/src/attempt-sending.ts
@@ -154,6 +154,7 @@
         task.metrics.recordFirstEventError(request.service, ms - request.predictedFirstMs);
       }
     },
+    observeStreamBegun: () => gateway.noteStreamBegun(task.state, request),
     canSend: () =>
       findUnwantedReason(task, held) === undefined &&
       gateway.isStillUsable(task.state, request, readNow()),
--- a/packages/gateway/src/response-relay.ts
+++ b/packages/gateway/src/response-relay.ts
@@ -37,6 +37,8 @@
   observeUnitTime: (unitMs: number) => void;
   /** Called with the time from sending to the first event, milliseconds. */
   observeFirstEvent: (ms: number) => void;
+  /** Called before the first part of a stream is forwarded to the caller. */
+  observeStreamBegun: () => void;
   /** Whether the request may still be sent now that its connection is open. */
   canSend: () => boolean;
   /** Called for each response that comes from the intended backend server. */
@@ -139,6 +141,9 @@
 function startResponseOnce(relay: Relay): void {
   const { exchange } = relay.options.held;
   if (relay.head !== undefined && !exchange.response.headersSent) {
+    if (relay.isStream) {
+      relay.options.observeStreamBegun();
+    }
     callerExchange.startResponse(exchange, relay.head);
   }
 }
