Keep streams that callers take up at the version that began them

Callers who took a stream up again got events of another software version: a take-up was scheduled like a new stream. The gateway that began it knew the version for as long as the request lasted, no other gateway ever knew it.

New gateways are sent the records that they should keep, leaving ones pass theirs on.

--- a/packages/core/src/gateway/assignment.ts
+++ b/packages/core/src/gateway/assignment.ts
@@ -9,6 +9,8 @@
 import * as cellServers from './cell-servers.js';
 import * as gatewayRequest from './gateway-request.js';
 import * as gatewayState from './gateway-state.js';
+import * as originLookups from './origin-lookups.js';
+import type * as outgoingMessage from './outgoing-message.js';
 import * as recentUse from './recent-use.js';
 import * as scheduleReplies from './schedule-replies.js';
 import * as refusal from './refusal.js';
@@ -36,15 +38,10 @@
       reason: serverAdmission.UnusableReason;
     };
 
-/** A message to another gateway; `to` is its address. */
-export type OutgoingMessage =
-  | { kind: 'ask'; to: string; ask: schema.ScheduleAsk }
-  | { kind: 'reply'; to: string; reply: schema.ScheduleReply };
-
 /** Results of one call of `advance`. */
 export type AdvanceResult = {
   assignments: Assignment[];
-  outgoing: OutgoingMessage[];
+  outgoing: outgoingMessage.OutgoingMessage[];
   /** Decisions of this gateway's own scheduler, for the log. */
   notes: scheduler.SchedulingDecision[];
 };
@@ -200,12 +197,14 @@
   state: gatewayState.GatewayState,
   clocks: configurationLease.ClockReading,
 ): AdvanceResult {
-  const result: AdvanceResult = { assignments: [], outgoing: [], notes: [] };
-  result.assignments.push(
-    ...unservableRequests
-      .refuseUnservable(state, clocks.steadyMs)
-      .map((one) => ({ kind: 'refuse', ...one }) as const),
-  );
+  const lookedUp = originLookups.advanceLookups(state, clocks.steadyMs);
+  const unservable = unservableRequests.refuseUnservable(state, clocks.steadyMs);
+  const refused = [...lookedUp.refused, ...unservable];
+  const result: AdvanceResult = {
+    assignments: refused.map((one) => ({ kind: 'refuse', ...one })),
+    outgoing: lookedUp.outgoing,
+    notes: [],
+  };
   let rounds = 0;
   let hasDecisions = true;
   while (hasDecisions && rounds < MAX_ROUNDS) {
--- a/packages/core/src/gateway/gateway-state.ts
+++ b/packages/core/src/gateway/gateway-state.ts
@@ -18,6 +18,7 @@
 import type * as schedulerLink from './scheduler-link.js';
 import * as retryLimit from './retry-limit.js';
 import * as schedulerRanking from './scheduler-ranking.js';
+import * as streamOrigins from './stream-origins.js';
 import * as tokenQuota from './token-quota.js';
 
 /** Retries since the start of this gateway. */
@@ -110,6 +111,8 @@
   deadlineStatsByRoute: Map<string, deadlineStats.DeadlineStats>;
   requests: Map<number, gatewayRequest.GatewayRequest>;
   quotas: tokenQuota.QuotaState;
+  /** Which software versions began the streams that callers may take up. */
+  origins: streamOrigins.StreamOrigins;
   peers: peerView.PeerView;
   /** Request content that was running when backend servers crashed. */
   suspects: suspects.Suspects;
@@ -163,6 +166,7 @@
     deadlineStatsByRoute: new Map(),
     requests: new Map(),
     quotas: tokenQuota.createQuotaState(),
+    origins: streamOrigins.createStreamOrigins(),
     peers: peerView.createPeerView(),
     suspects: suspects.createSuspects(),
     brokenRuns: new Map(),
--- a/packages/core/src/gateway/mocks/datagram-network.ts
+++ b/packages/core/src/gateway/mocks/datagram-network.ts
@@ -1,5 +1,5 @@
 /** Simulates datagrams between gateways in virtual time, with delay, loss and partitions. */
-import type * as assignment from '../assignment.js';
+import type * as outgoingMessage from '../outgoing-message.js';
 
 export type NetworkOptions = {
   delayMs: number;
@@ -10,7 +10,7 @@
   isCut: (from: string, to: string, now: number) => boolean;
 };
 
-type Datagram = { from: string; content: assignment.OutgoingMessage; dueMs: number };
+type Datagram = { from: string; content: outgoingMessage.OutgoingMessage; dueMs: number };
 
 export type DatagramNetwork = { options: NetworkOptions; inTransit: Datagram[] };
 
@@ -23,7 +23,7 @@
 export function sendDatagrams(
   { options, inTransit }: DatagramNetwork,
   from: string,
-  outgoing: readonly assignment.OutgoingMessage[],
+  outgoing: readonly outgoingMessage.OutgoingMessage[],
   now: number,
 ): void {
   outgoing
--- /dev/null
+++ b/packages/core/src/gateway/origin-lookups.ts
@@ -0,0 +1,144 @@
+/**
+ * Finds out which software version began the streams that callers take up at this gateway.
+ *
+ * A gateway that did not forward the first event, or has restarted since, asks the others. Its
+ * request waits meanwhile and is refused as not run if nobody knows.
+ */
+import * as schema from '@toucanproxy/schema';
+import * as rendezvous from '../shared/rendezvous.js';
+import * as gatewayRequest from './gateway-request.js';
+import type * as gatewayState from './gateway-state.js';
+import * as originMessages from './origin-messages.js';
+import type * as outgoingMessage from './outgoing-message.js';
+import * as pendingAsks from './pending-asks.js';
+import * as refusal from './refusal.js';
+import * as requestEnd from './request-end.js';
+import * as streamOrigins from './stream-origins.js';
+import * as unservableRequests from './unservable-requests.js';
+
+/**
+ * Maximum time of a lookup, milliseconds. A gateway with a quarter of a core may be paused for
+ * 75 ms, and one datagram of a round trip may be lost.
+ */
+const LOOKUP_MS = 400;
+/** Time after which the gateways that have not replied are asked again, milliseconds. */
+const ASK_AGAIN_MS = 80;
+/** Gateways that each round asks in addition; some of the keepers may be gone. */
+const FAN_OUT = 8;
+/** Time after its start in which a gateway may not know all others yet, milliseconds. */
+const NEW_GATEWAY_MS = 3000;
+
+/** A request whose stream cannot be continued, and the refusal for its caller. */
+export type UnknownOrigin = unservableRequests.UnservableRequest;
+
+/** Results of one pass over the lookups. */
+export type LookupResult = {
+  outgoing: outgoingMessage.OutgoingMessage[];
+  refused: UnknownOrigin[];
+};
+
+/** Starts to look up the version that began the stream of an admitted request. */
+export function startLookup(
+  { origins: { lookups } }: gatewayState.GatewayState,
+  { serial }: gatewayRequest.GatewayRequest,
+  attemptId: string,
+  now: number,
+): void {
+  const lookup = lookups.get(attemptId) ?? {
+    serials: new Set(),
+    startedMs: now,
+    askedMs: -Infinity,
+    rounds: 0,
+    ignorant: new Set(),
+  };
+  lookup.serials.add(serial);
+  lookups.set(attemptId, lookup);
+}
+
+/** Builds the refusal of a request to continue a stream of an unknown version. */
+export function buildUnknownRefusal(): refusal.Refusal {
+  return refusal.buildRefusal(
+    schema.ResultCode.STREAM_VERSION_UNKNOWN,
+    refusal.OTHER_GATEWAY_RETRY_AFTER_MS,
+  );
+}
+
+/** Lists the gateways that a lookup asks by now, those that most likely keep the record first. */
+function listAsked(
+  state: gatewayState.GatewayState,
+  attemptId: string,
+  { rounds }: streamOrigins.OriginLookup,
+): string[] {
+  const ranked = rendezvous.rankByRendezvous(attemptId, originMessages.listAskable(state));
+  return ranked.slice(0, FAN_OUT * Math.max(rounds, 1));
+}
+
+/** Returns whether nobody is left who may know the version. */
+function isExhausted(
+  state: gatewayState.GatewayState,
+  attemptId: string,
+  lookup: streamOrigins.OriginLookup,
+  now: number,
+): boolean {
+  const isNew = now - state.startedMs < NEW_GATEWAY_MS;
+  const asked = listAsked(state, attemptId, lookup);
+  const isAllIgnorant = lookup.rounds > 0 && asked.every((one) => lookup.ignorant.has(one));
+  return now - lookup.startedMs >= LOOKUP_MS || (isAllIgnorant && !isNew);
+}
+
+/** Ends the wait of a request whose lookup has ended: it asks for a slot or is refused. */
+function endLookup(
+  state: gatewayState.GatewayState,
+  request: gatewayRequest.GatewayRequest,
+  version: string | undefined,
+  now: number,
+): UnknownOrigin[] {
+  const source =
+    version === undefined ? streamOrigins.OriginSource.UNKNOWN : streamOrigins.OriginSource.PEER;
+  state.origins.totals[source] += 1;
+  request.streamVersion = version;
+  const notRun =
+    version === undefined
+      ? buildUnknownRefusal()
+      : unservableRequests.findUnservableRefusal(state, request, now);
+  if (notRun === undefined) {
+    pendingAsks.askPlace(state, request, now);
+    return [];
+  }
+  return [{ request, refusal: requestEnd.refuseWaiting(state, request, notRun) }];
+}
+
+/** Collects the queries that are due, by the gateway that they are for. */
+function collectQueries(
+  state: gatewayState.GatewayState,
+  now: number,
+): outgoingMessage.OutgoingMessage[] {
+  const idsByAddress = new Map<string, string[]>();
+  [...state.origins.lookups]
+    .filter(([, { askedMs }]) => now - askedMs >= ASK_AGAIN_MS)
+    .forEach(([attemptId, lookup]) => {
+      lookup.askedMs = now;
+      lookup.rounds += 1;
+      listAsked(state, attemptId, lookup)
+        .filter((to) => !lookup.ignorant.has(to))
+        .forEach((to) => idsByAddress.set(to, [...(idsByAddress.get(to) ?? []), attemptId]));
+    });
+  return [...idsByAddress].flatMap(([to, ids]) => originMessages.buildQueries(state, to, ids));
+}
+
+/** Ends the lookups that have a result or no hope of one, and asks other gateways for the rest. */
+export function advanceLookups(state: gatewayState.GatewayState, now: number): LookupResult {
+  const { origins } = state;
+  const refused = [...origins.lookups].flatMap(([attemptId, lookup]) => {
+    const version = streamOrigins.findOrigin(origins, attemptId, now);
+    if (version === undefined && !isExhausted(state, attemptId, lookup, now)) {
+      return [];
+    }
+    origins.lookups.delete(attemptId);
+    return [...lookup.serials]
+      .map((serial) => state.requests.get(serial))
+      .filter((request) => request !== undefined)
+      .flatMap((request) => endLookup(state, request, version, now));
+  });
+  return { outgoing: collectQueries(state, now), refused };
+}
--- /dev/null
+++ b/packages/core/src/gateway/origin-messages.ts
@@ -0,0 +1,157 @@
+/**
+ * Exchanges with other gateways which software version began each stream.
+ *
+ * Each record is sent to a few other gateways before the first event is forwarded to the caller, and
+ * passed on when a gateway starts or leaves. A lost datagram costs one of several copies.
+ */
+import * as schema from '@toucanproxy/schema';
+import * as rendezvous from '../shared/rendezvous.js';
+import type * as gatewayState from './gateway-state.js';
+import type * as outgoingMessage from './outgoing-message.js';
+import * as peerCounts from './peer-counts.js';
+import * as peerView from './peer-view.js';
+import * as streamOrigins from './stream-origins.js';
+
+/** Other gateways that keep a copy of each record. */
+const COPIES = 3;
+/** Maximum length of the records in one message, characters, so that it fits in a datagram. */
+const MAX_MESSAGE_LENGTH = 1100;
+/** Length of the fixed part of a record, characters. */
+const RECORD_OVERHEAD = 16;
+
+/** Splits items into messages that fit in a datagram. */
+function listParts<T>(items: readonly T[], countLength: (item: T) => number): T[][] {
+  const parts: T[][] = [];
+  let length = Infinity;
+  items.forEach((item) => {
+    length += countLength(item);
+    if (length > MAX_MESSAGE_LENGTH) {
+      parts.push([]);
+      length = countLength(item);
+    }
+    parts.at(-1)?.push(item);
+  });
+  return parts;
+}
+
+/** Builds the messages that carry records to another gateway. */
+function buildMessages(
+  { address }: gatewayState.GatewayState,
+  to: string,
+  origins: readonly streamOrigins.StreamOrigin[],
+): outgoingMessage.OutgoingMessage[] {
+  const countLength = ({ attemptId, version }: streamOrigins.StreamOrigin) =>
+    attemptId.length + version.length + RECORD_OVERHEAD;
+  return listParts(origins, countLength).map((part) => ({
+    kind: 'origins',
+    to,
+    origins: schema.create(schema.StreamOriginsSchema, {
+      address,
+      origins: part.map(({ attemptId, version, keepMs }) => ({
+        attemptId,
+        softwareVersion: version,
+        keepMs,
+      })),
+    }),
+  }));
+}
+
+/** Lists all other gateways that may be asked, also those that have not been heard yet. */
+export function listAskable({ address, seeds, peers }: gatewayState.GatewayState): string[] {
+  const all = new Set([...seeds, ...peerView.listKnownAddresses(peers)]);
+  all.delete(address);
+  return [...all];
+}
+
+/** Lists the gateways that records are sent to: the reachable ones, or all if none has been heard. */
+function listKeepers(state: gatewayState.GatewayState, now: number): string[] {
+  const reachable = peerCounts.listReachablePeers(state.peers, now);
+  return reachable.length > 0 ? reachable : listAskable(state);
+}
+
+/** Chooses the gateways that keep copies of a record. */
+function chooseKeepers(attemptId: string, keepers: readonly string[]): readonly string[] {
+  return keepers.length <= COPIES
+    ? keepers
+    : rendezvous.rankByRendezvous(attemptId, keepers).slice(0, COPIES);
+}
+
+/** Records which version began a stream, and builds the messages with copies of the record. */
+export function publishOrigin(
+  state: gatewayState.GatewayState,
+  origin: streamOrigins.StreamOrigin,
+  now: number,
+): outgoingMessage.OutgoingMessage[] {
+  return streamOrigins.recordOrigin(state.origins, origin, now)
+    ? chooseKeepers(origin.attemptId, listKeepers(state, now)).flatMap((to) =>
+        buildMessages(state, to, [origin]),
+      )
+    : [];
+}
+
+/** Builds the messages with the records of which another gateway should keep copies. */
+export function buildOriginsFor(
+  state: gatewayState.GatewayState,
+  to: string,
+  now: number,
+): outgoingMessage.OutgoingMessage[] {
+  const keepers = [...new Set([...peerCounts.listReachablePeers(state.peers, now), to])];
+  const kept = streamOrigins
+    .listOrigins(state.origins, now)
+    .filter(({ attemptId }) => chooseKeepers(attemptId, keepers).includes(to));
+  return buildMessages(state, to, kept);
+}
+
+/** Builds the messages that pass all records on to other gateways before this one stops. */
+export function buildHandover(
+  state: gatewayState.GatewayState,
+  now: number,
+): outgoingMessage.OutgoingMessage[] {
+  return peerCounts
+    .listReachablePeers(state.peers, now)
+    .flatMap((to) => buildOriginsFor(state, to, now));
+}
+
+/** Builds the messages that ask another gateway which versions began some streams. */
+export function buildQueries(
+  { address }: gatewayState.GatewayState,
+  to: string,
+  attemptIds: readonly string[],
+): outgoingMessage.OutgoingMessage[] {
+  const countLength = ({ length }: string) => length + RECORD_OVERHEAD;
+  return listParts(attemptIds, countLength).map((part) => ({
+    kind: 'originQuery',
+    to,
+    originQuery: schema.create(schema.StreamOriginQuerySchema, { address, attemptIds: part }),
+  }));
+}
+
+/** Answers another gateway's query. */
+export function buildQueryReply(
+  state: gatewayState.GatewayState,
+  { address: to, attemptIds }: schema.StreamOriginQuery,
+  now: number,
+): outgoingMessage.OutgoingMessage {
+  const isKnown = (attemptId: string) =>
+    streamOrigins.findOrigin(state.origins, attemptId, now) !== undefined;
+  const origins = attemptIds.filter(isKnown).map((attemptId) => ({
+    attemptId,
+    softwareVersion: streamOrigins.findOrigin(state.origins, attemptId, now),
+    keepMs: Math.ceil((state.origins.byAttempt.get(attemptId)?.expiresMs ?? now) - now),
+  }));
+  const unknown = attemptIds.filter((attemptId) => !isKnown(attemptId));
+  const content = { address: state.address, origins, unknown };
+  return { kind: 'origins', to, origins: schema.create(schema.StreamOriginsSchema, content) };
+}
+
+/** Applies the records that another gateway sent, and which ones it does not know. */
+export function receiveOrigins(
+  { origins: known }: gatewayState.GatewayState,
+  { address, origins, unknown }: schema.StreamOrigins,
+  now: number,
+): void {
+  origins.forEach(({ attemptId, softwareVersion: version, keepMs }) =>
+    streamOrigins.recordOrigin(known, { attemptId, version, keepMs }, now),
+  );
+  unknown.forEach((attemptId) => known.lookups.get(attemptId)?.ignorant.add(address));
+}
--- a/packages/core/src/gateway/request-admission.ts
+++ b/packages/core/src/gateway/request-admission.ts
@@ -9,6 +9,7 @@
 import * as gatewayLoad from './gateway-load.js';
 import * as gatewayRequest from './gateway-request.js';
 import * as gatewayState from './gateway-state.js';
+import * as originLookups from './origin-lookups.js';
 import * as peerCounts from './peer-counts.js';
 import * as quotaLimit from './quota-limit.js';
 import * as refusal from './refusal.js';
@@ -16,6 +17,7 @@
 import * as retries from './retries.js';
 import * as authorization from './authorization.js';
 import * as unservableRequests from './unservable-requests.js';
+import * as streamOrigins from './stream-origins.js';
 import * as tokenQuota from './token-quota.js';
 
 /** Estimated work of a request to a plain service, in tokens; only the ratios matter. */
@@ -185,6 +187,32 @@
   return unservableRequests.findUnservableRefusal(state, request, now);
 }
 
+/** Returns what a caller says of the stream that it has a part of, on routes where it may resume. */
+function findResumption({
+  route,
+  arrived,
+}: gatewayRequest.GatewayRequest): gatewayRequest.StreamResumption | undefined {
+  const isStream = route.kind === configuration.RouteKind.STREAM;
+  return isStream && route.resumable ? arrived.resumption : undefined;
+}
+
+/** Asks for a slot, or first for the version that began the stream if it is not known here. */
+function startRequest(
+  state: gatewayState.GatewayState,
+  request: gatewayRequest.GatewayRequest,
+  now: number,
+): void {
+  const { firstAttemptId } = findResumption(request) ?? {};
+  if (firstAttemptId === undefined) {
+    pendingAsks.askPlace(state, request, now);
+  } else if (request.streamVersion === undefined) {
+    originLookups.startLookup(state, request, firstAttemptId, now);
+  } else {
+    state.origins.totals[streamOrigins.OriginSource.OWN] += 1;
+    pendingAsks.askPlace(state, request, now);
+  }
+}
+
 /** Admits or refuses an arriving request. */
 export function admitRequest(
   state: gatewayState.GatewayState,
@@ -210,6 +238,14 @@
     };
   }
   const request = createRequest(state, arrived, decision.authorization, service, now);
+  const resumption = findResumption(request);
+  if (resumption !== undefined) {
+    const { firstAttemptId } = resumption;
+    if (firstAttemptId === undefined) {
+      return { kind: 'refused', refusal: originLookups.buildUnknownRefusal() };
+    }
+    request.streamVersion = streamOrigins.findOrigin(state.origins, firstAttemptId, now);
+  }
   const admissionRefusal =
     findAdmissionRefusal(state, request, now) ?? applyQuota(state, request, workspace?.quota, now);
   if (admissionRefusal !== undefined) {
@@ -217,6 +253,6 @@
   }
   state.requests.set(request.serial, request);
   retries.noteAdmitted(state, service);
-  pendingAsks.askPlace(state, request, now);
+  startRequest(state, request, now);
   return { kind: 'admitted', request };
 }
--- a/packages/core/src/gateway/stream-versions.test.ts
+++ b/packages/core/src/gateway/stream-versions.test.ts
@@ -49,7 +49,7 @@
   const state = createGateway({ a: 'v1', b: 'v1', c: 'v2', d: 'v2' });
   const request = admit(state, '1');
   gatewayFixture.assignWaiting(state, gatewayFixture.buildClocks(10));
-  streamVersions.noteStreamBegun(state, request);
+  streamVersions.noteStreamBegun(state, request, 15);
   const { serverId, serverVersion } = request;
   assert.equal(failStream(state, request), 'again');
   gatewayFixture.assignWaiting(state, gatewayFixture.buildClocks(20));
@@ -62,7 +62,7 @@
   const state = createGateway({ a: 'v1' });
   const request = admit(state, '1');
   gatewayFixture.assignWaiting(state, gatewayFixture.buildClocks(10));
-  streamVersions.noteStreamBegun(state, request);
+  streamVersions.noteStreamBegun(state, request, 15);
   serverEntries.removeEntry(state.servers, 'a', 15);
   const entry = gatewayFixture.buildEntry('b', { softwareVersion: 'v2' });
   serverEntries.applyEntry(state.servers, entry, 15);
@@ -77,7 +77,7 @@
   const changes = { softwareVersion: 'v2', revision: gatewayFixture.buildRevision(9) };
   const changed = gatewayFixture.buildEntry(String(request.serverId), changes);
   serverEntries.applyEntry(state.servers, changed, 15);
-  streamVersions.noteStreamBegun(state, request);
+  streamVersions.noteStreamBegun(state, request, 15);
   assert.equal(failStream(state, request), 'refuse');
 });
 
--- a/packages/core/src/gateway/stream-versions.ts
+++ b/packages/core/src/gateway/stream-versions.ts
@@ -7,6 +7,13 @@
 import type * as backendServerEntry from '../shared/backend-server-entry.js';
 import type * as gatewayRequest from './gateway-request.js';
 import type * as gatewayState from './gateway-state.js';
+import * as originMessages from './origin-messages.js';
+import type * as outgoingMessage from './outgoing-message.js';
+
+/** Time for which callers without a deadline may take a stream up, milliseconds. */
+const DEFAULT_KEEP_MS = 60_000;
+/** Time by which a caller's last try may arrive after its deadline, milliseconds. */
+const KEEP_MARGIN_MS = 2000;
 
 /**
  * Returns whether a backend server may continue a stream.
@@ -20,20 +27,34 @@
   return streamVersion === undefined || streamVersion === softwareVersion;
 }
 
+/** Computes how long the caller of a request may still take its stream up, milliseconds. */
+function computeKeepMs({ arrived, arrivedMs }: gatewayRequest.GatewayRequest, now: number): number {
+  return Math.ceil((arrived.deadlineMs ?? DEFAULT_KEEP_MS) - (now - arrivedMs) + KEEP_MARGIN_MS);
+}
+
 /**
- * Records the version that began a stream; called before the first event is forwarded to the caller.
+ * Records the version that began a stream, and builds the messages with copies of the record; called
+ * before the first event is forwarded to the caller. For a stream that the caller has taken up, the
+ * copies are renewed: some of the gateways that kept them may be gone.
  *
  * The version stays unknown if the entry of the backend server has changed since the request was
  * sent: the event may come from the software before the change or after it.
  */
 export function noteStreamBegun(
-  { servers }: gatewayState.GatewayState,
+  state: gatewayState.GatewayState,
   request: gatewayRequest.GatewayRequest,
-): void {
-  const { serverId, serverBornMs, serverVersion } = request;
-  const entry = servers.byId.get(serverId ?? '')?.entry;
+  now: number,
+): outgoingMessage.OutgoingMessage[] {
+  const { arrived, route, serverId, serverBornMs, serverVersion } = request;
+  const entry = state.servers.byId.get(serverId ?? '')?.entry;
   const isUnchanged =
     entry === undefined ||
     (entry.bornMs === serverBornMs && entry.softwareVersion === serverVersion);
   request.streamVersion ??= isUnchanged ? serverVersion : undefined;
+  if (request.streamVersion === undefined || !route.resumable) {
+    return [];
+  }
+  const attemptId = arrived.resumption?.firstAttemptId ?? arrived.attemptId;
+  const origin = { attemptId, version: request.streamVersion, keepMs: computeKeepMs(request, now) };
+  return originMessages.publishOrigin(state, origin, now);
 }
--- a/packages/gateway/src/app.ts
+++ b/packages/gateway/src/app.ts
@@ -207,7 +207,7 @@
     reportProblem,
   });
   const task = gatewayTask.createGatewayTask({ ...components, sendToPeers: peers.send });
-  peers.setScheduleReceiver(task);
+  peers.setReceiver(task);
   const operators = await startOperatorServers(options, components);
   const callers = createCallers(options, components, task);
   const follower = storeFollower.startStoreFollower({
--- a/packages/gateway/src/attempt-sending.ts
+++ b/packages/gateway/src/attempt-sending.ts
@@ -154,7 +154,8 @@
         task.metrics.recordFirstEventError(request.service, ms - request.predictedFirstMs);
       }
     },
-    observeStreamBegun: () => gateway.noteStreamBegun(task.state, request),
+    observeStreamBegun: () =>
+      task.sendToPeers(gateway.noteStreamBegun(task.state, request, readNow())),
     canSend: () =>
       findUnwantedReason(task, held) === undefined &&
       gateway.isStillUsable(task.state, request, readNow()),
--- a/packages/gateway/src/domain-traffic.ts
+++ b/packages/gateway/src/domain-traffic.ts
@@ -12,8 +12,17 @@
 
 type MessageCase = NonNullable<schema.PeerMessage['content']['case']>;
 
-/** Reports that are passed on count as reports. */
-export type PeerCause = Exclude<MessageCase, 'relayed'>;
+/** Reports that are passed on count as reports, queries for records of streams as records. */
+export type PeerCause = Exclude<MessageCase, 'relayed' | 'originQuery'>;
+
+const CAUSE_BY_CASE: Record<MessageCase, PeerCause> = {
+  report: 'report',
+  relayed: 'report',
+  ask: 'ask',
+  reply: 'reply',
+  origins: 'origins',
+  originQuery: 'origins',
+};
 
 export type DomainTraffic = {
   peerBytes: Record<PeerCause, DomainCount>;
@@ -25,7 +34,12 @@
 export function createDomainTraffic(): DomainTraffic {
   const createCount = () => ({ own: 0, other: 0 });
   return {
-    peerBytes: { report: createCount(), ask: createCount(), reply: createCount() },
+    peerBytes: {
+      report: createCount(),
+      ask: createCount(),
+      reply: createCount(),
+      origins: createCount(),
+    },
     requestBytes: createCount(),
     placements: createCount(),
   };
@@ -43,7 +57,7 @@
   message: MessageCase,
   bytes: number,
 ): void {
-  addAmount(peerBytes[message === 'relayed' ? 'report' : message], isOwnDomain, bytes);
+  addAmount(peerBytes[CAUSE_BY_CASE[message]], isOwnDomain, bytes);
 }
 
 /** Adds the bodies of a request and of its response to the counts as they are transferred. */
--- a/packages/gateway/src/gateway-metrics.ts
+++ b/packages/gateway/src/gateway-metrics.ts
@@ -73,6 +73,18 @@
   );
 }
 
+/** Lists what is known of the streams that callers take up again. */
+function listOriginValues({ origins }: gateway.GatewayState): runtime.MetricSample[] {
+  return [
+    { name: 'stream_origins', labels: {}, value: origins.byAttempt.size },
+    ...Object.entries(origins.totals).map(([origin, value]) => ({
+      name: 'stream_resumptions_total',
+      labels: { origin },
+      value,
+    })),
+  ];
+}
+
 /** Lists the shares of the workspaces that had requests recently. */
 function listShareValues(state: gateway.GatewayState, now: number): runtime.MetricSample[] {
   return gateway.listActiveShares(state, now).map(({ workspace, share }) => ({
@@ -137,6 +149,7 @@
     { name: 'peers', labels: {}, value: state.peers.byAddress.size },
     { name: 'load_percent', labels: {}, value: gateway.computeLoadPercent(state.load) },
     { name: 'admitted_share', labels: {}, value: state.load.admittedShare },
+    ...listOriginValues(state),
     ...listStatementValues(state, now),
     ...listSchedulingValues(state),
     ...listRetryValues(state),
--- a/packages/gateway/src/gateway-task.ts
+++ b/packages/gateway/src/gateway-task.ts
@@ -20,6 +20,9 @@
   /** Handle what other gateways ask the scheduler here, and the replies of their schedulers. */
   receiveAsk: (ask: schema.ScheduleAsk) => void;
   receiveReply: (reply: schema.ScheduleReply) => void;
+  /** Handle which versions began streams, and the queries for them. */
+  receiveOrigins: (origins: schema.StreamOrigins) => void;
+  receiveOriginQuery: (query: schema.StreamOriginQuery) => void;
   countHeld: () => number;
   /** Calls `idle` once no request is in progress. */
   notifyIdle: (idle: () => void) => void;
@@ -113,6 +116,14 @@
   task.assign();
 }
 
+/** Handles which versions began some streams, as another gateway knows. */
+function receiveOrigins(task: taskState.TaskState, origins: schema.StreamOrigins): void {
+  gateway.receiveOrigins(task.state, origins, task.readClocks().steadyMs);
+  if (task.state.origins.lookups.size > 0) {
+    task.assign();
+  }
+}
+
 /** Refuses a request that was not admitted. */
 function refuseArrived(
   task: taskState.TaskState,
@@ -211,6 +222,9 @@
     assign: () => task.assign(),
     receiveAsk: (ask) => receiveAsk(task, ask),
     receiveReply: (reply) => receiveReply(task, reply),
+    receiveOrigins: (origins) => receiveOrigins(task, origins),
+    receiveOriginQuery: (query) =>
+      task.sendToPeers([gateway.buildQueryReply(task.state, query, task.readClocks().steadyMs)]),
     countHeld: () => task.held.size,
     notifyIdle: (idle) => {
       task.idle = idle;
--- a/packages/gateway/src/peer-task.ts
+++ b/packages/gateway/src/peer-task.ts
@@ -8,16 +8,18 @@
 import * as dgram from 'node:dgram';
 import * as gateway from '@toucanproxy/core/gateway';
 import * as schema from '@toucanproxy/schema';
-import * as domainTraffic from './domain-traffic.js';
+import type * as domainTraffic from './domain-traffic.js';
 import type * as gatewaySettings from './gateway-settings.js';
+import type * as gatewayTask from './gateway-task.js';
+import * as peerSending from './peer-sending.js';
 import * as reportGroups from './report-groups.js';
 import * as reportRelay from './report-relay.js';
 import * as reportRounds from './report-rounds.js';
 
 export type PeerTask = {
-  /** Sets the receiver of scheduler messages; until then they are dropped. */
-  setScheduleReceiver: (receiver: ScheduleReceiver) => void;
-  /** Sends ScheduleAsk messages and the replies of the scheduler here. */
+  /** Sets the receiver of messages about requests; until then they are dropped. */
+  setReceiver: (receiver: RequestReceiver) => void;
+  /** Sends messages about requests. */
   send: (outgoing: readonly gateway.OutgoingMessage[]) => void;
   /**
    * Reports now, and in all later reports, that this gateway is leaving. The other gateways then
@@ -36,11 +38,11 @@
   reportProblem: (reason: string) => void;
 };
 
-/** Receiver of ScheduleAsk messages and of the replies of schedulers. */
-export type ScheduleReceiver = {
-  receiveAsk: (ask: schema.ScheduleAsk) => void;
-  receiveReply: (reply: schema.ScheduleReply) => void;
-};
+/** Receiver of the messages about requests. */
+export type RequestReceiver = Pick<
+  gatewayTask.GatewayTask,
+  'receiveAsk' | 'receiveReply' | 'receiveOrigins' | 'receiveOriginQuery'
+>;
 
 /** Limits for one report, so that it fits in a datagram of 1,400 bytes. */
 const MAX_WORKSPACES = 20;
@@ -51,10 +53,9 @@
 /** Time after its start for which a gateway sends its peer list to newly learned peers, ms. */
 const NEW_GATEWAY_MS = 3000;
 
-export type PeerState = {
+export type PeerState = peerSending.PeerSender & {
   options: PeerTaskOptions;
-  socket: Pick<dgram.Socket, 'send'>;
-  receiver: ScheduleReceiver | undefined;
+  receiver: RequestReceiver | undefined;
   /** Address of this gateway. */
   ownAddress: string;
   startedMs: number;
@@ -102,52 +103,6 @@
   });
 }
 
-/**
- * Counts the bytes of a datagram. A peer that has not reported its failure domain counts as being
- * in another one.
- */
-function countSent(
-  { state, traffic }: PeerTaskOptions,
-  address: string,
-  cause: schema.PeerMessage['content']['case'],
-  bytes: number,
-): void {
-  if (cause !== undefined) {
-    const isOwnDomain = gateway.findPeerDomain(state.peers, address) === state.failureDomain;
-    domainTraffic.countDatagram(traffic, isOwnDomain, cause, bytes);
-  }
-}
-
-/** Sends the same datagram to some gateways. */
-function sendMessage(
-  { options, socket }: Pick<PeerState, 'options' | 'socket'>,
-  addresses: readonly string[],
-  content: schema.PeerMessage['content'],
-): void {
-  const message = schema.create(schema.PeerMessageSchema, { content });
-  const bytes = schema.toBinary(schema.PeerMessageSchema, message);
-  addresses.forEach((address) => {
-    const [host, port] = address.split(':');
-    countSent(options, address, content.case, bytes.length);
-    socket.send(bytes, Number(port), host, (error) => {
-      if (error !== null) {
-        options.reportProblem(error.message);
-      }
-    });
-  });
-}
-
-/** Sends ScheduleAsk messages and the replies of the scheduler here. */
-function sendOutgoing(peer: PeerState, outgoing: readonly gateway.OutgoingMessage[]): void {
-  outgoing.forEach((message) => {
-    const content =
-      message.kind === 'ask'
-        ? { case: message.kind, value: message.ask }
-        : { case: message.kind, value: message.reply };
-    sendMessage(peer, [message.to], content);
-  });
-}
-
 /** Sends a report to the peers of the current round. */
 export function sendReport(peer: PeerState): void {
   peer.sequence += 1;
@@ -163,7 +118,7 @@
   }
   const content = { case: 'report', value: full } as const;
   const receivers = reportRounds.pickForRound(addresses, sequence, gateway.MAX_FAN_OUT);
-  sendMessage(peer, receivers, content);
+  peerSending.sendMessage(peer, receivers, content);
 }
 
 /**
@@ -183,7 +138,7 @@
   do {
     const peers = reachable.splice(0, MAX_PEERS_IN_FULL_LIST);
     const content = { case: 'report', value: buildReport(peer, 0, peers) } as const;
-    sendMessage(peer, [address], content);
+    peerSending.sendMessage(peer, [address], content);
   } while (reachable.length > 0);
 }
 
@@ -226,6 +181,7 @@
   reportGroups.handleReport(peer.groups, received, isNewLife, () => listAddresses(peer));
   if (isNewLife) {
     sendPeerList(peer, address);
+    peerSending.sendOutgoing(peer, gateway.buildOriginsFor(state, address, now));
   }
   sendPeerListToNew(peer, peers);
 }
@@ -246,6 +202,12 @@
     case 'reply':
       peer.receiver?.receiveReply(content.value);
       return;
+    case 'origins':
+      peer.receiver?.receiveOrigins(content.value);
+      return;
+    case 'originQuery':
+      peer.receiver?.receiveOriginQuery(content.value);
+      return;
     default:
       peer.options.reportProblem('message without content');
   }
@@ -264,12 +226,13 @@
     startedMs: options.readNow(),
     sequence: 0,
     isLeaving: false,
+    isStopped: false,
     peerListSentTo: new Set<string>(),
   };
   const groups = reportGroups.createGroupReports({
     state: options.state,
     readNow: options.readNow,
-    send: (addresses, content) => sendMessage(peer, addresses, content),
+    send: (addresses, content) => peerSending.sendMessage(peer, addresses, content),
     build: (round, peers, used) => buildReport(peer, round, peers, used),
   });
   return Object.assign(peer, { groups });
@@ -292,19 +255,22 @@
   const timer = setInterval(() => {
     gateway.expirePeers(options.state.peers, options.readNow());
     gateway.expireSuspects(options.state.suspects, Date.now());
+    gateway.expireOrigins(options.state.origins, options.readNow());
     sendReport(peer);
   }, gateway.REPORT_MS);
   return {
-    setScheduleReceiver: (receiver) => {
+    setReceiver: (receiver) => {
       peer.receiver = receiver;
     },
-    send: (outgoing) => sendOutgoing(peer, outgoing),
+    send: (outgoing) => peerSending.sendOutgoing(peer, outgoing),
     sendLeaving: () => {
       peer.isLeaving = true;
       sendReport(peer);
+      peerSending.sendOutgoing(peer, gateway.buildHandover(options.state, options.readNow()));
     },
     stop: () => {
       clearInterval(timer);
+      peer.isStopped = true;
       socket.close();
     },
   };
--- a/packages/gateway/src/request-reports.ts
+++ b/packages/gateway/src/request-reports.ts
@@ -61,6 +61,7 @@
   const { arrived, service, urgency, version, sentMs, sends, cell } = request;
   const line = {
     request: arrived.attemptId,
+    resumes: arrived.resumption?.firstAttemptId,
     server: server.id,
     service,
     cell,
@@ -74,7 +75,6 @@
     version,
     isOtherDomain: server.failureDomain !== state.failureDomain,
     serverVersion: server.softwareVersion,
-    resumes: arrived.resumption?.firstAttemptId,
   };
   log.write('sent', line, sentMs);
 }
@@ -182,6 +182,7 @@
   const { route, workspace, urgency, service, sends, runs, version } = request;
   const line = {
     request: request.arrived.attemptId,
+    resumes: request.arrived.resumption?.firstAttemptId,
     route: route.name,
     service,
     workspace,
--- a/packages/proofs/src/mocks/gateway-fleet.ts
+++ b/packages/proofs/src/mocks/gateway-fleet.ts
@@ -207,7 +207,7 @@
   const state = fleet.states[index];
   if (content.kind === 'ask') {
     gateway.receiveAsk(state, content.ask, fleet.nowMs);
-  } else {
+  } else if (content.kind === 'reply') {
     const assignments = gateway.applyReply(state, content.reply, fleetState.readClocks(fleet));
     applyAssignments(fleet, index, assignments);
   }
--- a/packages/runtime/src/metric-definitions.ts
+++ b/packages/runtime/src/metric-definitions.ts
@@ -54,6 +54,14 @@
     type: MetricType.COUNTER,
     help: 'Retries to backend servers, by service and by whether the retry budget allowed or denied them.',
   },
+  stream_resumptions_total: {
+    type: MetricType.COUNTER,
+    help: 'Streams that callers took up again, by where the version that began them was known.',
+  },
+  stream_origins: {
+    type: MetricType.GAUGE,
+    help: 'Streams whose software version this process knows.',
+  },
   load_percent: {
     type: MetricType.GAUGE,
     help: 'Share of the time or processor time that was used; 100 if other gateways should schedule.',
