Log which incarnation of a backend server an entry describes

A `backend-server` line said that a server had restarted but not which start its entry gives, so that a later incarnation could not be told from an earlier one that is read again. `sent` names the start, too. No decision uses them.

--- a/packages/core/src/gateway/server-entries.ts
+++ b/packages/core/src/gateway/server-entries.ts
@@ -21,6 +21,8 @@
     | 'displaced'
     | 'warming'
     | 'warm';
+  /** Start of the incarnation that was added or has restarted, ms since the Unix epoch. */
+  bornMs?: number;
 };
 
 /**
@@ -100,7 +102,9 @@
     heldUntilMs: sameWrite?.heldUntilMs ?? -Infinity,
   });
   servers.revision += change === undefined ? 0 : 1;
-  return change && { id: entry.id, service: entry.service, change };
+  const isNewLife = change === 'added' || change === 'restarted';
+  const bornMs = isNewLife ? { bornMs: entry.bornMs } : {};
+  return change && { id: entry.id, service: entry.service, change, ...bornMs };
 }
 
 /** Removes a backend server from the registry and records its departure. */
--- a/packages/gateway/src/request-reports.ts
+++ b/packages/gateway/src/request-reports.ts
@@ -75,6 +75,7 @@
     version,
     isOtherDomain: server.failureDomain !== state.failureDomain,
     serverVersion: server.softwareVersion,
+    serverBornMs: server.bornMs,
   };
   log.write('sent', line, sentMs);
 }
