Keep the later incarnation of a server when the store is restored

The store had been restored from a backup from before the server's restart. Any other start in an entry counted as a restart, also an earlier one: the registry went back to the earlier incarnation, and the statements of the later one were dropped. A removed server was used again for the same reason.

Earlier incarnations in a restored store now count as older, like lower write counts of the same one; the server writes its entry again, which is read as a change. The two new tests failed before.

--- a/packages/core/src/gateway/server-entries.test.ts
+++ b/packages/core/src/gateway/server-entries.test.ts
@@ -4,6 +4,7 @@
 import * as evacuationChanges from './evacuation-changes.js';
 import * as gatewayFixture from './mocks/gateway-fixture.js';
 import * as serverEntries from './server-entries.js';
+import * as serverStatements from './server-statements.js';
 import * as warmUpTimes from './warm-up-times.js';
 
 const { test } = nodeTest;
@@ -28,9 +29,9 @@
   entries: Parameters<typeof serverEntries.applySnapshot>[1],
   count: number,
   now: number,
-): void {
+): serverEntries.MembershipChange[] {
   backendServers.noteStoreReturned(servers, RETURN_MS, now);
-  serverEntries.applySnapshot(servers, entries, buildRevision(count, 2), now);
+  return serverEntries.applySnapshot(servers, entries, buildRevision(count, 2), now);
 }
 
 /** Builds a change that starts or ends the evacuation of the failure domain. */
@@ -183,3 +184,32 @@
   const known = servers.byId.get('a');
   assert.ok(known !== undefined && warmUpTimes.computeWarmUpEnd(servers, known, 3000) === 3900);
 });
+
+// Guards against requests to a server in backoff, or leaving, as the backup is from before its restart.
+test('backup with an earlier incarnation keeps the later one', () => {
+  const early = { bornMs: 1, revision: buildRevision(40, 1) };
+  const servers = createServers([buildEntry('a', early)]);
+  const late = buildEntry('a', { bornMs: 2, revision: buildRevision(98, 1) });
+  serverEntries.applyEntry(servers, late, 10);
+  const statement = { ...serverStatements.EMPTY_STATEMENT, sentWallMs: 3, backoffMs: 3000 };
+  backendServers.applyStatement(servers, late, statement, 20);
+  const restored = { ...early, revision: buildRevision(40, 2) };
+  const changes = applyRestoredSnapshot(servers, [buildEntry('a', restored)], 90, 1000);
+  const entry = backendServers.findUsable(servers, 'a', 1001);
+  assert.deepEqual(changes, []);
+  assert.ok(entry !== undefined);
+  assert.equal(serverStatements.computeBackoffLeft(servers.statements, entry, 1020), 2000);
+  const later = { bornMs: 5, revision: buildRevision(93, 2) };
+  serverEntries.applyEntry(servers, buildEntry('a', later), 1500);
+  assert.equal(backendServers.findUsable(servers, 'a', 1500)?.bornMs, 5);
+});
+
+// Guards against requests to a removed server whose backup is from before its last restart.
+test('removed server with an earlier incarnation in the backup', () => {
+  const late = buildEntry('a', { bornMs: 2, revision: buildRevision(80, 1) });
+  const servers = createServers([late]);
+  serverEntries.removeEntry(servers, 'a', 500);
+  const restored = { bornMs: 1, revision: buildRevision(40, 2) };
+  applyRestoredSnapshot(servers, [buildEntry('a', restored)], 90, 1000);
+  assert.equal(isUsable(servers, 'a', 1001), false);
+});
--- a/packages/core/src/gateway/server-entries.ts
+++ b/packages/core/src/gateway/server-entries.ts
@@ -151,7 +151,8 @@
 ): void {
   const known = byId.get(id);
   const departure = departed.get(id);
-  const isDeparted = departure?.bornMs === bornMs && revision.epoch > departure.epoch;
+  const isDeparted =
+    departure !== undefined && bornMs <= departure.bornMs && revision.epoch > departure.epoch;
   if (known !== undefined && isDeparted) {
     known.heldUntilMs = now + RESTORED_HOLD_MS;
   }
@@ -159,7 +160,9 @@
 
 /**
  * Applies an entry of a store that has been restored from an older backup. An entry with a lower
- * write count than the known one of the same incarnation is older than that one.
+ * write count than the known one of the same incarnation is older than that one. So is an entry of
+ * an earlier incarnation: what the later one has stated would otherwise be dropped. The later one
+ * writes its entry again, which is then read as a change.
  */
 function applyRestored(
   servers: backendServers.BackendServers,
@@ -167,6 +170,9 @@
   now: number,
 ): MembershipChange | undefined {
   const known = servers.byId.get(entry.id);
+  if (known !== undefined && entry.bornMs < known.entry.bornMs) {
+    return applyEntry(servers, known.entry, now);
+  }
   const isOlder =
     known?.entry.bornMs === entry.bornMs && entry.revision.count < known.entry.revision.count;
   if (!isOlder) {
