Let the gateway soak take streams up over two software versions

Backend servers of the soak have two versions; one that returns under a new id may change its own. Callers leave every third resumable stream and take it up at the next gateway, and a stream that ended early too. New guarantee: one version per stream, over all its calls.

--- a/packages/proofs/src/soak/run-soak.ts
+++ b/packages/proofs/src/soak/run-soak.ts
@@ -8,6 +8,7 @@
 import * as soakFaults from './soak-faults.js';
 import * as soakFleet from './soak-fleet.js';
 import * as soakLimits from './soak-limits.js';
+import type * as soakRecords from './soak-records.js';
 import * as soakStatements from './soak-statements.js';
 
 export type SoakOptions = {
@@ -36,6 +37,8 @@
   runs: number;
   /** Calls by response status; `none` without a response, `left` if the caller disconnected. */
   ends: Record<string, number>;
+  /** The same of the calls that took a stream up. */
+  takeUps: Record<string, number>;
   faults: string[];
   violations: soakChecks.Violation[];
   /** Directory with the gateways' logs. */
@@ -66,9 +69,9 @@
 }
 
 /** Counts the calls by outcome. */
-function countEnds({ records }: soakFleet.SoakFleet): Record<string, number> {
+function countEnds(calls: readonly soakRecords.CallRecord[]): Record<string, number> {
   const ends: Record<string, number> = {};
-  records.calls.forEach(({ response, disconnectedMs }) => {
+  calls.forEach(({ response, disconnectedMs }) => {
     const key = disconnectedMs > 0 ? 'left' : String(response?.status ?? 'none');
     ends[key] = (ends[key] ?? 0) + 1;
   });
@@ -156,11 +159,13 @@
     }
     recordStartup(fleet);
     const violations = await runCalls(fleet, options, faults);
+    const { calls } = fleet.records;
     return {
       seed,
-      calls: fleet.records.calls.length,
+      calls: calls.length,
       runs: fleet.records.runs.length,
-      ends: countEnds(fleet),
+      ends: countEnds(calls.filter(({ resumes }) => resumes === undefined)),
+      takeUps: countEnds(calls.filter(({ resumes }) => resumes !== undefined)),
       faults: faults.map(
         ({ kind, atMs, forMs }) => `${kind}@${Math.round(atMs)}+${Math.round(forMs)}`,
       ),
--- a/packages/proofs/src/soak/soak-call.ts
+++ b/packages/proofs/src/soak/soak-call.ts
@@ -11,6 +11,7 @@
 > & {
   /** The caller disconnects after this time, milliseconds; undefined if it waits. */
   disconnectAfterMs?: number;
+  resumes?: soakRecords.CallRecord['resumes'];
 };
 
 /** A caller gives up on a call after this multiple of its deadline. */
@@ -40,7 +41,7 @@
     },
     disconnectAfterMs ?? LOST_FACTOR * call.deadlineMs,
   );
-  const headers = platformFixtures.buildCallHeaders(call);
+  const headers = platformFixtures.buildCallHeaders(call, call.resumes);
   const options = { method: 'POST', body: call.body, agent, signal: leaving.signal, headers };
   try {
     const {
--- a/packages/proofs/src/soak/soak-caller.ts
+++ b/packages/proofs/src/soak/soak-caller.ts
@@ -29,6 +29,9 @@
 /** Share of calls whose caller disconnects early, and after how many milliseconds. */
 const DISCONNECT_SHARE = 0.05;
 const DISCONNECT_AFTER_MS = 25;
+/** Every so many calls, the caller of a resumable stream leaves it to take it up again. */
+const TAKE_UP_CALLS = 3;
+const TAKE_UP_AFTER_MS = 45;
 /** Share of calls after which the caller picks a gateway anew. */
 const SWITCH_SHARE = 0.05;
 const MAX_PAUSE_MS = 20;
@@ -41,6 +44,8 @@
   const { name, draw, credentials } = options;
   const kind = randomSource.drawFrom(draw, KINDS);
   const id = `${name}-${serial}`;
+  const isTakenUp = kind === soakRecords.CallKind.RESUMABLE && serial % TAKE_UP_CALLS === 0;
+  const leavesAfterMs = isTakenUp ? TAKE_UP_AFTER_MS : undefined;
   return {
     id,
     kind,
@@ -49,10 +54,38 @@
     ...randomSource.drawFrom(draw, credentials),
     gateway,
     deadlineMs: DEADLINE_MS,
-    disconnectAfterMs: draw() < DISCONNECT_SHARE ? DISCONNECT_AFTER_MS : undefined,
+    disconnectAfterMs: draw() < DISCONNECT_SHARE ? DISCONNECT_AFTER_MS : leavesAfterMs,
   };
 }
 
+/**
+ * Builds the call that takes up a stream of which the caller has only a part, at the next gateway;
+ * undefined if there is nothing to take up.
+ */
+function buildTakeUp(
+  { credentials, ports }: CallerOptions,
+  call: soakRecords.CallRecord,
+): soakCall.PlannedCall | undefined {
+  const { id, kind, path, body, credential, workspace, response, deadlineMs } = call;
+  const after = soakRecords.findLastEvent(response?.body ?? '');
+  const isCut = kind === soakRecords.CallKind.RESUMABLE && response?.isComplete === false;
+  const isKeyHeld = credentials.some((one) => one.credential === credential);
+  const gateway = (call.gateway + 1) % ports.length;
+  return isCut && isKeyHeld && after > 0 && after < soakRecords.STREAM_EVENTS
+    ? {
+        id: `${id}-again`,
+        kind,
+        path,
+        body,
+        credential,
+        workspace,
+        gateway,
+        deadlineMs,
+        resumes: { id, after },
+      }
+    : undefined;
+}
+
 /** Sends calls until the run stops. */
 export async function runCaller(options: CallerOptions): Promise<void> {
   const { draw, ports, isStopped } = options;
@@ -62,7 +95,12 @@
   while (!isStopped()) {
     serial += 1;
     const call = drawCall(options, serial, gateway);
-    const { response } = await soakCall.makeCall(options, call, ports[gateway], agents[gateway]);
+    const made = await soakCall.makeCall(options, call, ports[gateway], agents[gateway]);
+    const takeUp = buildTakeUp(options, made);
+    if (takeUp !== undefined) {
+      await soakCall.makeCall(options, takeUp, ports[takeUp.gateway], agents[takeUp.gateway]);
+    }
+    const { response } = made;
     gateway = draw() < SWITCH_SHARE ? Math.floor(draw() * ports.length) : gateway;
     const pauseMs = response?.status === 503 ? REFUSED_PAUSE_MS : draw() * MAX_PAUSE_MS;
     await timers.setTimeout(pauseMs);
--- a/packages/proofs/src/soak/soak-checks.ts
+++ b/packages/proofs/src/soak/soak-checks.ts
@@ -1,6 +1,7 @@
 /** Checks the documented guarantees against what callers and backend servers recorded. */
 import * as soakRecords from './soak-records.js';
 import * as soakStatementChecks from './soak-statement-checks.js';
+import * as soakVersionChecks from './soak-version-checks.js';
 
 /** Limits that the deployment under test guarantees. */
 export type SoakBounds = {
@@ -96,9 +97,10 @@
       return false;
     }
     const expected = soakRecords.buildExpectedBody(call);
-    const isPrefix = expected.startsWith(response.body);
+    const body = soakRecords.dropVersions(response.body);
+    const isPrefix = expected.startsWith(body);
     return response.isComplete
-      ? response.body !== expected || !response.isSigned || runs.length === 0
+      ? body !== expected || !response.isSigned || runs.length === 0
       : !isPrefix;
   });
 }
@@ -308,5 +310,6 @@
   return [
     ...[...always, ...timed].flatMap((check) => check(context)),
     ...soakStatementChecks.checkStatements(records, callById),
+    ...soakVersionChecks.checkVersions(records),
   ];
 }
--- a/packages/proofs/src/soak/soak-faults.ts
+++ b/packages/proofs/src/soak/soak-faults.ts
@@ -231,7 +231,8 @@
     link.unblock();
     backend.incarnations += 1;
     backend.bornMs = Date.now();
-    server.rename(isSameId ? before : `${before}.${backend.incarnations}`);
+    backend.version = isSameId ? backend.version : soakFleet.formatVersion(backend.incarnations);
+    server.rename(isSameId ? before : `${before}.${backend.incarnations}`, backend.version);
     soakFleet.publishBackend(fleet, backend);
   }, forMs);
 }
--- a/packages/proofs/src/soak/soak-fleet.ts
+++ b/packages/proofs/src/soak/soak-fleet.ts
@@ -36,6 +36,8 @@
   incarnations: number;
   bornMs: number;
   failureDomain: string;
+  /** Software version; kept when the server restarts under its id. */
+  version: string;
 };
 
 export type SoakFleet = {
@@ -73,12 +75,19 @@
 
 /** Number of failure domains; backend servers are assigned to them round-robin. */
 export const DOMAINS = 2;
+/** Software versions of the backend servers, assigned in the same way. */
+const VERSIONS = 2;
 
 /** Returns the name of the failure domain with this index. */
 export function formatDomain(index: number): string {
   return `zone-${index + 1}`;
 }
 
+/** Returns the name of a software version; there are two. */
+export function formatVersion(index: number): string {
+  return `v${1 + (index % VERSIONS)}`;
+}
+
 /** Writes the next version of the configuration to the store. */
 export function publishConfiguration(fleet: SoakFleet): void {
   fleet.version += 1;
@@ -98,6 +107,7 @@
     state,
     bornMs: backend.bornMs,
     failureDomain: backend.failureDomain,
+    version: backend.version,
   });
 }
 
@@ -157,9 +167,18 @@
   const { draw, records, readNow } = fleet;
   const failureDomain = formatDomain(index % DOMAINS);
   const id = `server-${index}`;
-  const server = await soakServer.startSoakServer(id, failureDomain, draw, records, readNow);
+  const version = formatVersion(index);
+  const server = await soakServer.startSoakServer(
+    id,
+    version,
+    failureDomain,
+    draw,
+    records,
+    readNow,
+  );
   const link = await forwarder.startForwarder(server.port);
-  fleet.backends.push({ server, link, incarnations: 1, bornMs: Date.now(), failureDomain });
+  const bornMs = Date.now();
+  fleet.backends.push({ server, link, incarnations: 1, bornMs, failureDomain, version });
 }
 
 /** Sends a probe call through a gateway; true if it succeeds. */
--- a/packages/proofs/src/soak/soak-records.ts
+++ b/packages/proofs/src/soak/soak-records.ts
@@ -24,6 +24,8 @@
   endedMs: number;
   /** Undefined if the connection ended without a response. */
   response: CallResponse | undefined;
+  /** The call that brought the first events of its stream; undefined if it asks for all. */
+  resumes?: { id: string; after: number };
 };
 
 export type CallResponse = {
@@ -40,6 +42,8 @@
   server: string;
   /** Failure domain of that backend server. */
   failureDomain: string;
+  /** Software version of that backend server. */
+  version: string;
   method: string;
   path: string;
   body: string;
@@ -122,16 +126,43 @@
 /** Number of events in one stream. */
 export const STREAM_EVENTS = 6;
 
-/** Builds one event of a stream; every run of a request produces the same events. */
-export function buildEvent(id: string, number: number): string {
-  return `id: ${number}\ndata: ${id} ${number}\n\n`;
+const VERSION_LINE = /^: (v\d+)\n/gm;
+/** The first part of a version line at the end of a truncated body. */
+const VERSION_START = /\n:( v?\d*)?$/;
+
+/** Builds one event of a stream; every run of a request produces the same ones but for the version. */
+export function buildEvent(id: string, number: number, version?: string): string {
+  const comment = version === undefined ? '' : `: ${version}\n`;
+  return `id: ${number}\n${comment}data: ${id} ${number}\n\n`;
+}
+
+/** Removes the versions from the events of a body. */
+export function dropVersions(body: string): string {
+  return body.replace(VERSION_LINE, '').replace(VERSION_START, '\n');
+}
+
+/** Lists the versions that the events of a body name. */
+export function listVersions(body: string): string[] {
+  return [...body.matchAll(VERSION_LINE)].map(([, version]) => version);
+}
+
+/** Finds the number of the last complete event of a body; 0 if there is none. */
+export function findLastEvent(body: string): number {
+  const complete = body.slice(0, body.lastIndexOf('\n\n') + 1);
+  return Number([...complete.matchAll(/^id: (\d+)$/gm)].at(-1)?.[1] ?? 0);
 }
 
 /** Builds the complete body that a caller must receive. */
-export function buildExpectedBody(call: Pick<CallRecord, 'id' | 'kind' | 'workspace'>): string {
+export function buildExpectedBody(
+  call: Pick<CallRecord, 'id' | 'kind' | 'workspace' | 'resumes'>,
+): string {
   if (call.kind === CallKind.STREAM || call.kind === CallKind.RESUMABLE) {
+    const after = call.resumes?.after ?? 0;
     const numbers = Array.from({ length: STREAM_EVENTS }, (_, index) => index + 1);
-    return numbers.map((number) => buildEvent(call.id, number)).join('');
+    return numbers
+      .slice(after)
+      .map((number) => buildEvent(call.id, number))
+      .join('');
   }
   return `${call.id} for ${call.workspace}`;
 }
--- a/packages/proofs/src/soak/soak-server.ts
+++ b/packages/proofs/src/soak/soak-server.ts
@@ -12,7 +12,7 @@
   id: string;
   port: number;
   /** Starts a new incarnation under an id; requests for any other id are answered with 421. */
-  rename: (id: string) => void;
+  rename: (id: string, version: string) => void;
   /** Announces a rate limit in all responses from now on; none if undefined. */
   setLimit: (limit: soakRecords.LimitRecord | undefined) => void;
   /** Makes a statement about itself in responses from now on; none if undefined. */
@@ -22,6 +22,7 @@
 
 type ServerState = {
   id: string;
+  version: string;
   failureDomain: string;
   active: number;
   draw: randomSource.DrawRandom;
@@ -41,6 +42,7 @@
 const REFUSED_SHARE = 0.8;
 /** Share of plain responses without a Content-Length header, ended by closing the connection. */
 const UNFRAMED_SHARE = 0.03;
+const RESUMABLE_PATH = '/resumable/';
 const WORK_MS = 15;
 const SLOW_MS = 400;
 const EVENT_MS = 10;
@@ -57,6 +59,7 @@
     id: attemptId,
     server: state.id,
     failureDomain: state.failureDomain,
+    version: state.version,
     method,
     path,
     body: request.body,
@@ -105,12 +108,12 @@
   end: () => void,
 ): void {
   let number = run.resumeAfter;
+  const isVersioned = run.path.startsWith(RESUMABLE_PATH);
   const sendNext = () => {
     number += 1;
+    const event = soakRecords.buildEvent(run.id, number, isVersioned ? run.version : undefined);
     if (socket.destroyed || number > truncateAfter) {
-      socket.write(
-        backendServerStandIn.buildChunk(soakRecords.buildEvent(run.id, number).slice(0, 7)),
-      );
+      socket.write(backendServerStandIn.buildChunk(event.slice(0, 7)));
       socket.resetAndDestroy();
       end();
       return;
@@ -120,7 +123,7 @@
       end();
       return;
     }
-    socket.write(backendServerStandIn.buildChunk(soakRecords.buildEvent(run.id, number)));
+    socket.write(backendServerStandIn.buildChunk(event));
     setTimeout(sendNext, EVENT_MS);
   };
   sendNext();
@@ -176,7 +179,7 @@
   };
   setTimeout(
     () => {
-      if (run.path.startsWith('/stream/') || run.path.startsWith('/resumable/')) {
+      if (run.path.startsWith('/stream/') || run.path.startsWith(RESUMABLE_PATH)) {
         const isTruncated = state.draw() < TRUNCATED_SHARE;
         socket.write(addStatements(state, id, backendServerStandIn.buildStreamHead(request)));
         sendEvents(run, socket, isTruncated ? run.resumeAfter + 2 : Infinity, end);
@@ -192,13 +195,14 @@
 /** Starts a backend server of the soak test. */
 export async function startSoakServer(
   id: string,
+  version: string,
   failureDomain: string,
   draw: randomSource.DrawRandom,
   records: soakRecords.SoakRecords,
   readNow: () => number,
 ): Promise<SoakServer> {
   const runner = await backendServerStandIn.startBackendServerStandIn();
-  const facts = { id, failureDomain, draw, records, readNow };
+  const facts = { id, version, failureDomain, draw, records, readNow };
   const state: ServerState = { ...facts, active: 0, limit: undefined, statement: undefined };
   runner.setRequestHandler((request, socket) => serve(state, request, socket));
   const server: SoakServer = {
@@ -210,10 +214,11 @@
     setStatement: (statement) => {
       state.statement = statement;
     },
-    rename: (changed) => {
+    rename: (changed, changedVersion) => {
       state.limit = undefined;
       state.statement = undefined;
       state.id = changed;
+      state.version = changedVersion;
       server.id = changed;
     },
     stop: runner.stop,
