Encode a record of a stream once for all gateways that keep it

Each copy of a record was encoded anew, three times for each stream, on the path of its first event. Messages with the same content now share one encoding. Behaviour is unchanged; the tests of records and of streams over three gateways pass.

--- a/packages/core/src/gateway/origin-messages.ts
+++ b/packages/core/src/gateway/origin-messages.ts
@@ -34,18 +34,15 @@
   return parts;
 }
 
-/** Builds the messages that carry records to another gateway. */
-function buildMessages(
+/** Builds the contents of the messages that carry records. */
+function buildContents(
   { address }: gatewayState.GatewayState,
-  to: string,
   origins: readonly streamOrigins.StreamOrigin[],
-): outgoingMessage.OutgoingMessage[] {
+): schema.StreamOrigins[] {
   const countLength = ({ attemptId, version }: streamOrigins.StreamOrigin) =>
     attemptId.length + version.length + RECORD_OVERHEAD;
-  return listParts(origins, countLength).map((part) => ({
-    kind: 'origins',
-    to,
-    origins: schema.create(schema.StreamOriginsSchema, {
+  return listParts(origins, countLength).map((part) =>
+    schema.create(schema.StreamOriginsSchema, {
       address,
       origins: part.map(({ attemptId, version, keepMs }) => ({
         attemptId,
@@ -53,7 +50,7 @@
         keepMs,
       })),
     }),
-  }));
+  );
 }
 
 /** Lists all other gateways that may be asked, also those that have not been heard yet. */
@@ -82,11 +79,12 @@
   origin: streamOrigins.StreamOrigin,
   now: number,
 ): outgoingMessage.OutgoingMessage[] {
-  return streamOrigins.recordOrigin(state.origins, origin, now)
-    ? chooseKeepers(origin.attemptId, listKeepers(state, now)).flatMap((to) =>
-        buildMessages(state, to, [origin]),
-      )
-    : [];
+  if (!streamOrigins.recordOrigin(state.origins, origin, now)) {
+    return [];
+  }
+  const [origins] = buildContents(state, [origin]);
+  const keepers = chooseKeepers(origin.attemptId, listKeepers(state, now));
+  return keepers.map((to) => ({ kind: 'origins', to, origins }));
 }
 
 /** Builds the messages with the records of which another gateway should keep copies. */
@@ -99,7 +97,7 @@
   const kept = streamOrigins
     .listOrigins(state.origins, now)
     .filter(({ attemptId }) => chooseKeepers(attemptId, keepers).includes(to));
-  return buildMessages(state, to, kept);
+  return buildContents(state, kept).map((origins) => ({ kind: 'origins', to, origins }));
 }
 
 /** Builds the messages that pass all records on to other gateways before this one stops. */
--- a/packages/gateway/src/peer-sending.ts
+++ b/packages/gateway/src/peer-sending.ts
@@ -10,6 +10,8 @@
   reportProblem: (reason: string) => void;
 };
 
+type Content = schema.PeerMessage['content'];
+
 export type PeerSender = {
   options: SendOptions;
   socket: Pick<dgram.Socket, 'send'>;
@@ -24,7 +26,7 @@
 function countSent(
   { state, traffic }: SendOptions,
   address: string,
-  cause: schema.PeerMessage['content']['case'],
+  cause: Content['case'],
   bytes: number,
 ): void {
   if (cause !== undefined) {
@@ -37,7 +39,7 @@
 export function sendMessage(
   { options, socket }: PeerSender,
   addresses: readonly string[],
-  content: schema.PeerMessage['content'],
+  content: Content,
 ): void {
   const message = schema.create(schema.PeerMessageSchema, { content });
   const bytes = schema.toBinary(schema.PeerMessageSchema, message);
@@ -53,7 +55,7 @@
 }
 
 /** Builds the content of a datagram from a message about requests. */
-function buildContent(message: gateway.OutgoingMessage): schema.PeerMessage['content'] {
+function buildContent(message: gateway.OutgoingMessage): Content {
   switch (message.kind) {
     case 'ask':
       return { case: message.kind, value: message.ask };
@@ -66,9 +68,17 @@
   }
 }
 
-/** Sends messages about requests. */
+/** Sends messages about requests; one that goes to several gateways is encoded once. */
 export function sendOutgoing(peer: PeerSender, outgoing: readonly gateway.OutgoingMessage[]): void {
-  if (!peer.isStopped) {
-    outgoing.forEach((message) => sendMessage(peer, [message.to], buildContent(message)));
+  if (peer.isStopped) {
+    return;
   }
+  const receivers = new Map<unknown, { content: Content; addresses: string[] }>();
+  outgoing.forEach((message) => {
+    const content = buildContent(message);
+    const known = receivers.get(content.value) ?? { content, addresses: [] };
+    known.addresses.push(message.to);
+    receivers.set(content.value, known);
+  });
+  receivers.forEach(({ content, addresses }) => sendMessage(peer, addresses, content));
 }
