Bound what callers can put into records of streams

A deadline of twelve digits did not fit in the message with the record of a stream: encoding threw, and the caller's stream failed at its first event. A take-up that named a long attempt id made its gateway send queries of that length to all others. Both new tests failed before.

Which gateways keep a record is no longer ranked for all of them with each pass over the lookups, nor for each record when a gateway starts.

--- a/packages/core/src/gateway/origin-lookups.test.ts
+++ b/packages/core/src/gateway/origin-lookups.test.ts
@@ -53,6 +53,12 @@
   });
 }
 
+/** Returns the records that a message carries. */
+function listOrigins(message: outgoingMessage.OutgoingMessage): schema.StreamOrigins {
+  assert.equal(message.kind, 'origins');
+  return message.origins;
+}
+
 /** Advances a gateway; returns what became of its requests and what it sends about streams. */
 function advance(state: gatewayState.GatewayState, now: number) {
   const clocks = gatewayFixture.buildClocks(now);
@@ -150,6 +156,21 @@
   assert.equal(streamOrigins.findOrigin(c.origins, 'first', NOW + ORIGIN.keepMs), undefined);
 });
 
+// Guards against a stream that fails because its caller's deadline does not fit in a message.
+test('record of a very long deadline can be sent', () => {
+  const state = createGateway('a', ['b']);
+  const origin = { ...ORIGIN, keepMs: 999_999_999_999 };
+  const [message] = originMessages.publishOrigin(state, origin, NOW);
+  assert.doesNotThrow(() => schema.toBinary(schema.StreamOriginsSchema, listOrigins(message)));
+});
+
+// Guards against callers who make gateways send long queries to all others.
+test('take-up that names a very long attempt is refused without a query', () => {
+  const resumption = { ...RESUMPTION, firstAttemptId: 'x'.repeat(200) };
+  const refused = takeUp(createGateway('a', ['b']), [], resumption);
+  assert.deepEqual(refused, { outcome: 'STREAM_VERSION_UNKNOWN', ms: 0 });
+});
+
 // Guards against memory that grows with callers who send long ids or no end of streams.
 test('records are bounded', () => {
   const { origins } = createGateway('a', []);
@@ -172,10 +193,8 @@
     streamOrigins.recordOrigin(state.origins, { ...ORIGIN, attemptId }, NOW);
   }
   const messages = originMessages.buildOriginsFor(state, 'b', NOW);
-  const lengths = messages.map((message) =>
-    message.kind === 'origins'
-      ? schema.toBinary(schema.StreamOriginsSchema, message.origins).length
-      : Infinity,
+  const lengths = messages.map(
+    (message) => schema.toBinary(schema.StreamOriginsSchema, listOrigins(message)).length,
   );
   assert.ok(Math.max(...lengths) < 1400);
 });
--- a/packages/core/src/gateway/origin-lookups.ts
+++ b/packages/core/src/gateway/origin-lookups.ts
@@ -49,6 +49,7 @@
     startedMs: now,
     askedMs: -Infinity,
     rounds: 0,
+    asked: [],
     ignorant: new Set(),
   };
   lookup.serials.add(serial);
@@ -63,26 +64,14 @@
   );
 }
 
-/** Lists the gateways that a lookup asks by now, those that most likely keep the record first. */
-function listAsked(
-  state: gatewayState.GatewayState,
-  attemptId: string,
-  { rounds }: streamOrigins.OriginLookup,
-): string[] {
-  const ranked = rendezvous.rankByRendezvous(attemptId, originMessages.listAskable(state));
-  return ranked.slice(0, FAN_OUT * Math.max(rounds, 1));
-}
-
 /** Returns whether nobody is left who may know the version. */
 function isExhausted(
-  state: gatewayState.GatewayState,
-  attemptId: string,
+  { startedMs }: gatewayState.GatewayState,
   lookup: streamOrigins.OriginLookup,
   now: number,
 ): boolean {
-  const isNew = now - state.startedMs < NEW_GATEWAY_MS;
-  const asked = listAsked(state, attemptId, lookup);
-  const isAllIgnorant = lookup.rounds > 0 && asked.every((one) => lookup.ignorant.has(one));
+  const isNew = now - startedMs < NEW_GATEWAY_MS;
+  const isAllIgnorant = lookup.rounds > 0 && lookup.asked.every((one) => lookup.ignorant.has(one));
   return now - lookup.startedMs >= LOOKUP_MS || (isAllIgnorant && !isNew);
 }
 
@@ -108,18 +97,24 @@
   return [{ request, refusal: requestEnd.refuseWaiting(state, request, notRun) }];
 }
 
-/** Collects the queries that are due, by the gateway that they are for. */
+/** Collects the queries that are due; the gateways that most likely keep a record go first. */
 function collectQueries(
   state: gatewayState.GatewayState,
   now: number,
 ): outgoingMessage.OutgoingMessage[] {
+  if (state.origins.lookups.size === 0) {
+    return [];
+  }
+  const askable = originMessages.listAskable(state);
   const idsByAddress = new Map<string, string[]>();
   [...state.origins.lookups]
     .filter(([, { askedMs }]) => now - askedMs >= ASK_AGAIN_MS)
     .forEach(([attemptId, lookup]) => {
       lookup.askedMs = now;
       lookup.rounds += 1;
-      listAsked(state, attemptId, lookup)
+      const ranked = rendezvous.rankByRendezvous(attemptId, askable);
+      lookup.asked = ranked.slice(0, FAN_OUT * lookup.rounds);
+      lookup.asked
         .filter((to) => !lookup.ignorant.has(to))
         .forEach((to) => idsByAddress.set(to, [...(idsByAddress.get(to) ?? []), attemptId]));
     });
@@ -131,7 +126,7 @@
   const { origins } = state;
   const refused = [...origins.lookups].flatMap(([attemptId, lookup]) => {
     const version = streamOrigins.findOrigin(origins, attemptId, now);
-    if (version === undefined && !isExhausted(state, attemptId, lookup, now)) {
+    if (version === undefined && !isExhausted(state, lookup, now)) {
       return [];
     }
     origins.lookups.delete(attemptId);
--- a/packages/core/src/gateway/origin-messages.ts
+++ b/packages/core/src/gateway/origin-messages.ts
@@ -47,7 +47,7 @@
       origins: part.map(({ attemptId, version, keepMs }) => ({
         attemptId,
         softwareVersion: version,
-        keepMs,
+        keepMs: Math.min(keepMs, streamOrigins.MAX_KEEP_MS),
       })),
     }),
   );
@@ -96,7 +96,7 @@
   const keepers = [...new Set([...peerCounts.listReachablePeers(state.peers, now), to])];
   const kept = streamOrigins
     .listOrigins(state.origins, now)
-    .filter(({ attemptId }) => chooseKeepers(attemptId, keepers).includes(to));
+    .filter(({ attemptId }) => rendezvous.isAmongFirst(attemptId, to, keepers, COPIES));
   return buildContents(state, kept).map((origins) => ({ kind: 'origins', to, origins }));
 }
 
--- a/packages/core/src/gateway/request-admission.ts
+++ b/packages/core/src/gateway/request-admission.ts
@@ -241,7 +241,7 @@
   const resumption = findResumption(request);
   if (resumption !== undefined) {
     const { firstAttemptId } = resumption;
-    if (firstAttemptId === undefined) {
+    if (firstAttemptId === undefined || !streamOrigins.isRecordable(firstAttemptId)) {
       return { kind: 'refused', refusal: originLookups.buildUnknownRefusal() };
     }
     request.streamVersion = streamOrigins.findOrigin(state.origins, firstAttemptId, now);
--- a/packages/core/src/gateway/stream-origins.ts
+++ b/packages/core/src/gateway/stream-origins.ts
@@ -25,8 +25,9 @@
   serials: Set<number>;
   startedMs: number;
   askedMs: number;
-  /** Times that other gateways were asked. */
+  /** Times that other gateways were asked, and those asked by now. */
   rounds: number;
+  asked: string[];
   /** Gateways that have replied that they do not know it. */
   ignorant: Set<string>;
 };
@@ -50,7 +51,7 @@
 /** Bounds the memory, about 10 MB; the oldest records are dropped. */
 const MAX_ORIGINS = 50_000;
 /** Longest time that a record is kept, milliseconds. */
-const MAX_KEEP_MS = 300_000;
+export const MAX_KEEP_MS = 300_000;
 /** Longer attempt ids are not recorded, so that records fit in datagrams; characters. */
 const MAX_ATTEMPT_ID = 128;
 
@@ -60,13 +61,18 @@
   return { byAttempt: new Map(), lookups: new Map(), totals };
 }
 
+/** Returns whether the beginning of an attempt's stream can be recorded. */
+export function isRecordable(attemptId: string): boolean {
+  return attemptId.length <= MAX_ATTEMPT_ID;
+}
+
 /** Records which version began a stream; returns false if the record cannot be kept. */
 export function recordOrigin(
   { byAttempt }: StreamOrigins,
   { attemptId, version, keepMs }: StreamOrigin,
   now: number,
 ): boolean {
-  if (attemptId.length > MAX_ATTEMPT_ID || !(keepMs > 0)) {
+  if (!isRecordable(attemptId) || !(keepMs > 0)) {
     return false;
   }
   const known = byAttempt.get(attemptId);
--- a/packages/core/src/shared/rendezvous.ts
+++ b/packages/core/src/shared/rendezvous.ts
@@ -30,6 +30,25 @@
   return rankScored(key, ids).map(({ id }) => id);
 }
 
+/**
+ * Returns whether an id is among the first `count` of the ranking of all ids. For most ids this is
+ * decided by a few scores.
+ */
+export function isAmongFirst(
+  key: string,
+  id: string,
+  ids: readonly string[],
+  count: number,
+): boolean {
+  const [own] = rankScored(key, [id]);
+  let before = 0;
+  return !ids.some((other) => {
+    const isBefore = other !== id && compareScored(rankScored(key, [other])[0], own) < 0;
+    before += Number(isBefore);
+    return before === count;
+  });
+}
+
 /** Updates a ranking for ids that were added and others that are gone. */
 export function updateRanked(
   key: string,
