Take a stream up at the service that began it

A route may lead to several services, and a take-up was given one of them at random: with the version alone on record, a stream could go on at another service whose software happens to have the same version name.

The record names the service, too. If the route no longer leads to it, the take-up is refused as not run. Without the assignment of the service, the test 'stream goes on only at the service that began it' fails.

--- a/packages/core/src/gateway/origin-lookups.test.ts
+++ b/packages/core/src/gateway/origin-lookups.test.ts
@@ -2,6 +2,7 @@
 import * as nodeTest from 'node:test';
 import * as schema from '@toucanproxy/schema';
 import * as assignment from './assignment.js';
+import * as configurationIndex from './configuration-index.js';
 import * as configurationLease from './configuration-lease.js';
 import * as configuration from './configuration.js';
 import type * as gatewayState from './gateway-state.js';
@@ -14,7 +15,7 @@
 
 const { test } = nodeTest;
 const STREAM = { kind: configuration.RouteKind.STREAM, resumable: true, maxAttempts: 3 };
-const ORIGIN = { attemptId: 'first', version: 'v1', keepMs: 10_000 };
+const ORIGIN = { attemptId: 'first', service: 'one', version: 'v1', keepMs: 10_000 };
 const RESUMPTION = { firstAttemptId: 'first', lastEventId: '1' };
 /** Long after the start of the gateways. */
 const NOW = 60_000;
@@ -100,6 +101,31 @@
   assert.deepEqual(takeUp(state, []), { outcome: 'v1', ms: 0 });
 });
 
+// Guards against a stream that goes on at another service of its route that has the same version.
+test('stream goes on only at the service that began it', () => {
+  const state = createGateway('a', []);
+  const other = gatewayFixture.buildEntry('other', { service: 'two', softwareVersion: 'v1' });
+  serverEntries.applyEntry(state.servers, other, 0);
+  const targets = [
+    { service: 'one', weight: 1 },
+    { service: 'two', weight: 1000 },
+  ];
+  const route = gatewayFixture.buildRoute({ ...STREAM, targets });
+  const built = gatewayFixture.buildConfiguration(2, [route]);
+  state.index = configurationIndex.buildConfigurationIndex(built);
+  originMessages.publishOrigin(state, ORIGIN, NOW);
+  takeUp(state, []);
+  const [request] = state.requests.values();
+  assert.deepEqual([request.service, request.serverVersion], ['one', 'v1']);
+});
+
+// Guards against a stream that goes on at a service to which its route no longer leads.
+test('stream of a service that its route has left is refused', () => {
+  const state = createGateway('a', []);
+  originMessages.publishOrigin(state, { ...ORIGIN, service: 'gone' }, NOW);
+  assert.equal(takeUp(state, []).outcome, 'NO_BACKEND_SERVER');
+});
+
 // Guards against a caller who is refused although another gateway knows the version.
 test('gateway begun since asks the others', () => {
   const known = createGateway('b', ['a']);
@@ -150,9 +176,9 @@
     ),
   );
   deliver([b], originMessages.publishOrigin(a, ORIGIN, NOW), NOW);
-  assert.equal(streamOrigins.findOrigin(b.origins, 'first', NOW), 'v1');
+  assert.equal(streamOrigins.findOrigin(b.origins, 'first', NOW)?.version, 'v1');
   deliver([c], originMessages.buildOriginsFor(b, 'c', NOW + 100), NOW + 100);
-  assert.equal(streamOrigins.findOrigin(c.origins, 'first', NOW + 200), 'v1');
+  assert.equal(streamOrigins.findOrigin(c.origins, 'first', NOW + 200)?.version, 'v1');
   assert.equal(streamOrigins.findOrigin(c.origins, 'first', NOW + ORIGIN.keepMs), undefined);
 });
 
@@ -180,7 +206,7 @@
     streamOrigins.recordOrigin(origins, { ...ORIGIN, attemptId: String(index) }, NOW);
   }
   assert.equal(streamOrigins.findOrigin(origins, '0', NOW), undefined);
-  assert.equal(streamOrigins.findOrigin(origins, '50009', NOW), 'v1');
+  assert.equal(streamOrigins.findOrigin(origins, '50009', NOW)?.version, 'v1');
   streamOrigins.expireOrigins(origins, NOW + ORIGIN.keepMs);
   assert.equal(streamOrigins.listOrigins(origins, NOW).length, 0);
 });
--- a/packages/core/src/gateway/origin-lookups.ts
+++ b/packages/core/src/gateway/origin-lookups.ts
@@ -14,6 +14,7 @@
 import * as refusal from './refusal.js';
 import * as requestEnd from './request-end.js';
 import * as streamOrigins from './stream-origins.js';
+import * as streamVersions from './stream-versions.js';
 import * as unservableRequests from './unservable-requests.js';
 
 /**
@@ -75,21 +76,31 @@
   return now - lookup.startedMs >= LOOKUP_MS || (isAllIgnorant && !isNew);
 }
 
+/** Returns the refusal of a request whose lookup has ended, if it cannot be served. */
+function findRefusal(
+  state: gatewayState.GatewayState,
+  request: gatewayRequest.GatewayRequest,
+  software: streamOrigins.StreamSoftware | undefined,
+  now: number,
+): refusal.Refusal | undefined {
+  if (software === undefined) {
+    return buildUnknownRefusal();
+  }
+  return streamVersions.applyOrigin(request, software)
+    ? unservableRequests.findUnservableRefusal(state, request, now)
+    : refusal.buildRefusal(schema.ResultCode.NO_BACKEND_SERVER);
+}
+
 /** Ends the wait of a request whose lookup has ended: it asks for a slot or is refused. */
 function endLookup(
   state: gatewayState.GatewayState,
   request: gatewayRequest.GatewayRequest,
-  version: string | undefined,
+  software: streamOrigins.StreamSoftware | undefined,
   now: number,
 ): UnknownOrigin[] {
-  const source =
-    version === undefined ? streamOrigins.OriginSource.UNKNOWN : streamOrigins.OriginSource.PEER;
-  state.origins.totals[source] += 1;
-  request.streamVersion = version;
-  const notRun =
-    version === undefined
-      ? buildUnknownRefusal()
-      : unservableRequests.findUnservableRefusal(state, request, now);
+  const { PEER, UNKNOWN } = streamOrigins.OriginSource;
+  state.origins.totals[software === undefined ? UNKNOWN : PEER] += 1;
+  const notRun = findRefusal(state, request, software, now);
   if (notRun === undefined) {
     pendingAsks.askPlace(state, request, now);
     return [];
@@ -125,15 +136,15 @@
 export function advanceLookups(state: gatewayState.GatewayState, now: number): LookupResult {
   const { origins } = state;
   const refused = [...origins.lookups].flatMap(([attemptId, lookup]) => {
-    const version = streamOrigins.findOrigin(origins, attemptId, now);
-    if (version === undefined && !isExhausted(state, lookup, now)) {
+    const software = streamOrigins.findOrigin(origins, attemptId, now);
+    if (software === undefined && !isExhausted(state, lookup, now)) {
       return [];
     }
     origins.lookups.delete(attemptId);
     return [...lookup.serials]
       .map((serial) => state.requests.get(serial))
       .filter((request) => request !== undefined)
-      .flatMap((request) => endLookup(state, request, version, now));
+      .flatMap((request) => endLookup(state, request, software, now));
   });
   return { outgoing: collectQueries(state, now), refused };
 }
--- a/packages/core/src/gateway/origin-messages.ts
+++ b/packages/core/src/gateway/origin-messages.ts
@@ -39,13 +39,14 @@
   { address }: gatewayState.GatewayState,
   origins: readonly streamOrigins.StreamOrigin[],
 ): schema.StreamOrigins[] {
-  const countLength = ({ attemptId, version }: streamOrigins.StreamOrigin) =>
-    attemptId.length + version.length + RECORD_OVERHEAD;
+  const countLength = ({ attemptId, service, version }: streamOrigins.StreamOrigin) =>
+    attemptId.length + service.length + version.length + RECORD_OVERHEAD;
   return listParts(origins, countLength).map((part) =>
     schema.create(schema.StreamOriginsSchema, {
       address,
-      origins: part.map(({ attemptId, version, keepMs }) => ({
+      origins: part.map(({ attemptId, service, version, keepMs }) => ({
         attemptId,
+        service,
         softwareVersion: version,
         keepMs: Math.min(keepMs, streamOrigins.MAX_KEEP_MS),
       })),
@@ -130,14 +131,16 @@
   { address: to, attemptIds }: schema.StreamOriginQuery,
   now: number,
 ): outgoingMessage.OutgoingMessage {
-  const isKnown = (attemptId: string) =>
-    streamOrigins.findOrigin(state.origins, attemptId, now) !== undefined;
-  const origins = attemptIds.filter(isKnown).map((attemptId) => ({
-    attemptId,
-    softwareVersion: streamOrigins.findOrigin(state.origins, attemptId, now),
-    keepMs: Math.ceil((state.origins.byAttempt.get(attemptId)?.expiresMs ?? now) - now),
-  }));
-  const unknown = attemptIds.filter((attemptId) => !isKnown(attemptId));
+  const origins = attemptIds.flatMap((attemptId) => {
+    const software = streamOrigins.findOrigin(state.origins, attemptId, now);
+    const expiresMs = state.origins.byAttempt.get(attemptId)?.expiresMs ?? now;
+    const keepMs = Math.ceil(expiresMs - now);
+    return software === undefined
+      ? []
+      : [{ attemptId, service: software.service, softwareVersion: software.version, keepMs }];
+  });
+  const known = new Set(origins.map(({ attemptId }) => attemptId));
+  const unknown = attemptIds.filter((attemptId) => !known.has(attemptId));
   const content = { address: state.address, origins, unknown };
   return { kind: 'origins', to, origins: schema.create(schema.StreamOriginsSchema, content) };
 }
@@ -148,8 +151,8 @@
   { address, origins, unknown }: schema.StreamOrigins,
   now: number,
 ): void {
-  origins.forEach(({ attemptId, softwareVersion: version, keepMs }) =>
-    streamOrigins.recordOrigin(known, { attemptId, version, keepMs }, now),
+  origins.forEach(({ attemptId, service, softwareVersion: version, keepMs }) =>
+    streamOrigins.recordOrigin(known, { attemptId, service, version, keepMs }, now),
   );
   unknown.forEach((attemptId) => known.lookups.get(attemptId)?.ignorant.add(address));
 }
--- a/packages/core/src/gateway/request-admission.ts
+++ b/packages/core/src/gateway/request-admission.ts
@@ -18,6 +18,7 @@
 import * as authorization from './authorization.js';
 import * as unservableRequests from './unservable-requests.js';
 import * as streamOrigins from './stream-origins.js';
+import * as streamVersions from './stream-versions.js';
 import * as tokenQuota from './token-quota.js';
 
 /** Estimated work of a request to a plain service, in tokens; only the ratios matter. */
@@ -244,7 +245,13 @@
     if (firstAttemptId === undefined || !streamOrigins.isRecordable(firstAttemptId)) {
       return { kind: 'refused', refusal: originLookups.buildUnknownRefusal() };
     }
-    request.streamVersion = streamOrigins.findOrigin(state.origins, firstAttemptId, now);
+    const software = streamOrigins.findOrigin(state.origins, firstAttemptId, now);
+    if (software !== undefined && !streamVersions.applyOrigin(request, software)) {
+      return {
+        kind: 'refused',
+        refusal: refusal.buildRefusal(schema.ResultCode.NO_BACKEND_SERVER),
+      };
+    }
   }
   const admissionRefusal =
     findAdmissionRefusal(state, request, now) ?? applyQuota(state, request, workspace?.quota, now);
@@ -252,7 +259,7 @@
     return { kind: 'refused', refusal: admissionRefusal };
   }
   state.requests.set(request.serial, request);
-  retries.noteAdmitted(state, service);
+  retries.noteAdmitted(state, request.service);
   startRequest(state, request, now);
   return { kind: 'admitted', request };
 }
--- a/packages/core/src/gateway/stream-origins.ts
+++ b/packages/core/src/gateway/stream-origins.ts
@@ -9,14 +9,18 @@
 export type StreamOrigin = {
   /** The caller's attempt that brought the first event. */
   attemptId: string;
+  service: string;
   version: string;
   /** How long the caller may still take the stream up, milliseconds. */
   keepMs: number;
 };
 
+/** The software that began a stream; versions of different services are not related. */
+export type StreamSoftware = Pick<StreamOrigin, 'service' | 'version'>;
+
 type KnownOrigin = {
   /** Undefined if records of the same attempt contradict each other. */
-  version: string | undefined;
+  software: StreamSoftware | undefined;
   expiresMs: number;
 };
 
@@ -69,7 +73,7 @@
 /** Records which version began a stream; returns false if the record cannot be kept. */
 export function recordOrigin(
   { byAttempt }: StreamOrigins,
-  { attemptId, version, keepMs }: StreamOrigin,
+  { attemptId, service, version, keepMs }: StreamOrigin,
   now: number,
 ): boolean {
   if (!isRecordable(attemptId) || !(keepMs > 0)) {
@@ -77,9 +81,14 @@
   }
   const known = byAttempt.get(attemptId);
   const expiresMs = Math.max(known?.expiresMs ?? 0, now + Math.min(keepMs, MAX_KEEP_MS));
-  const isConsistent = known === undefined || known.version === version;
+  const isConsistent =
+    known === undefined ||
+    (known.software?.version === version && known.software.service === service);
   byAttempt.delete(attemptId);
-  byAttempt.set(attemptId, { version: isConsistent ? version : undefined, expiresMs });
+  byAttempt.set(attemptId, {
+    software: isConsistent ? { service, version } : undefined,
+    expiresMs,
+  });
   if (byAttempt.size > MAX_ORIGINS) {
     const [oldest] = byAttempt.keys();
     byAttempt.delete(oldest);
@@ -87,22 +96,22 @@
   return true;
 }
 
-/** Finds the version that began a stream; undefined if it is unknown. */
+/** Finds the software that began a stream; undefined if it is unknown. */
 export function findOrigin(
   { byAttempt }: StreamOrigins,
   attemptId: string,
   now: number,
-): string | undefined {
+): StreamSoftware | undefined {
   const known = byAttempt.get(attemptId);
-  return known !== undefined && now < known.expiresMs ? known.version : undefined;
+  return known !== undefined && now < known.expiresMs ? known.software : undefined;
 }
 
 /** Lists all records that are still valid. */
 export function listOrigins({ byAttempt }: StreamOrigins, now: number): StreamOrigin[] {
-  return [...byAttempt].flatMap(([attemptId, { version, expiresMs }]) =>
-    version === undefined || now >= expiresMs
+  return [...byAttempt].flatMap(([attemptId, { software, expiresMs }]) =>
+    software === undefined || now >= expiresMs
       ? []
-      : [{ attemptId, version, keepMs: Math.ceil(expiresMs - now) }],
+      : [{ attemptId, ...software, keepMs: Math.ceil(expiresMs - now) }],
   );
 }
 
--- a/packages/core/src/gateway/stream-versions.ts
+++ b/packages/core/src/gateway/stream-versions.ts
@@ -9,6 +9,7 @@
 import type * as gatewayState from './gateway-state.js';
 import * as originMessages from './origin-messages.js';
 import type * as outgoingMessage from './outgoing-message.js';
+import type * as streamOrigins from './stream-origins.js';
 
 /** Time for which callers without a deadline may take a stream up, milliseconds. */
 const DEFAULT_KEEP_MS = 60_000;
@@ -27,6 +28,19 @@
   return streamVersion === undefined || streamVersion === softwareVersion;
 }
 
+/**
+ * Binds a request that takes a stream up to the software that began it; returns false if the route
+ * no longer leads to that service.
+ */
+export function applyOrigin(
+  request: gatewayRequest.GatewayRequest,
+  { service, version }: streamOrigins.StreamSoftware,
+): boolean {
+  request.service = service;
+  request.streamVersion = version;
+  return request.route.targets.some((target) => target.service === service && target.weight > 0);
+}
+
 /** Computes how long the caller of a request may still take its stream up, milliseconds. */
 function computeKeepMs({ arrived, arrivedMs }: gatewayRequest.GatewayRequest, now: number): number {
   return Math.ceil((arrived.deadlineMs ?? DEFAULT_KEEP_MS) - (now - arrivedMs) + KEEP_MARGIN_MS);
@@ -45,7 +59,7 @@
   request: gatewayRequest.GatewayRequest,
   now: number,
 ): outgoingMessage.OutgoingMessage[] {
-  const { arrived, route, serverId, serverBornMs, serverVersion } = request;
+  const { arrived, route, service, serverId, serverBornMs, serverVersion } = request;
   const entry = state.servers.byId.get(serverId ?? '')?.entry;
   const isUnchanged =
     entry === undefined ||
@@ -55,6 +69,7 @@
     return [];
   }
   const attemptId = arrived.resumption?.firstAttemptId ?? arrived.attemptId;
-  const origin = { attemptId, version: request.streamVersion, keepMs: computeKeepMs(request, now) };
+  const keepMs = computeKeepMs(request, now);
+  const origin = { attemptId, service, version: request.streamVersion, keepMs };
   return originMessages.publishOrigin(state, origin, now);
 }
