Keep one check of software versions for scheduler and gateway

The same comparison stood in the scheduler's match and in the gateway's admission. It moves to core/shared; behaviour is unchanged, the tests of both pass.

--- a/packages/core/src/gateway/pending-asks.ts
+++ b/packages/core/src/gateway/pending-asks.ts
@@ -7,13 +7,13 @@
  * place. The scheduler of its cell grants it.
  */
 import * as schema from '@toucanproxy/schema';
+import * as softwareVersions from '../shared/software-version.js';
 import * as cellMap from './cell-map.js';
 import * as gatewayLoad from './gateway-load.js';
 import * as gatewayRequest from './gateway-request.js';
 import * as gatewayState from './gateway-state.js';
 import * as schedulerLink from './scheduler-link.js';
 import * as schedulerRanking from './scheduler-ranking.js';
-import * as streamVersions from './stream-versions.js';
 
 /** Maximum number of unsent observations per link; older ones are of little use and dropped. */
 const MAX_KEPT_OBSERVATIONS = 48;
@@ -79,7 +79,7 @@
   const { streamVersion, declinedCells } = request;
   const canContinue = (name: string) =>
     streamVersion === undefined ||
-    usableByCell.get(name)?.some((one) => streamVersions.isContinuableAt(streamVersion, one));
+    usableByCell.get(name)?.some((one) => softwareVersions.isOfVersion(streamVersion, one));
   const left = cellNames.filter((name) => !declinedCells.has(name) && canContinue(name));
   const drawOne = () => left.splice(Math.floor(state.drawRandom() * left.length), 1)[0];
   const first = left.length > 0 ? drawOne() : undefined;
--- a/packages/core/src/gateway/server-admission.ts
+++ b/packages/core/src/gateway/server-admission.ts
@@ -5,13 +5,13 @@
  * may not know of a recent change, and opening a connection may take tenths of a second.
  */
 import type * as backendServerEntry from '../shared/backend-server-entry.js';
+import * as softwareVersions from '../shared/software-version.js';
 import * as allowedDomains from './allowed-domains.js';
 import * as backendServers from './backend-servers.js';
 import * as evacuations from './evacuations.js';
 import type * as gatewayRequest from './gateway-request.js';
 import type * as gatewayState from './gateway-state.js';
 import * as serverStatements from './server-statements.js';
-import * as streamVersions from './stream-versions.js';
 
 /** Why a backend server may not be used. */
 export enum UnusableReason {
@@ -48,7 +48,7 @@
   if (!allowedDomains.isInRegions(state, regions, entry.failureDomain)) {
     return { kind: 'unusable', reason: UnusableReason.REGION };
   }
-  if (!streamVersions.isContinuableAt(streamVersion, entry)) {
+  if (!softwareVersions.isOfVersion(streamVersion, entry)) {
     return { kind: 'unusable', reason: UnusableReason.VERSION };
   }
   if (serverStatements.computeBackoffLeft(servers.statements, entry, now) > 0) {
--- a/packages/core/src/gateway/stream-versions.ts
+++ b/packages/core/src/gateway/stream-versions.ts
@@ -4,7 +4,6 @@
  * Backend servers of several versions may serve side by side. They do not check what they are asked
  * to resume, and the events of two versions do not fit together.
  */
-import type * as backendServerEntry from '../shared/backend-server-entry.js';
 import type * as gatewayRequest from './gateway-request.js';
 import type * as gatewayState from './gateway-state.js';
 import * as originMessages from './origin-messages.js';
@@ -16,18 +15,6 @@
 /** Time by which a caller's last try may arrive after its deadline, milliseconds. */
 const KEEP_MARGIN_MS = 2000;
 
-/**
- * Returns whether a backend server may continue a stream.
- *
- * @param streamVersion the version that began the stream; undefined if it has not begun
- */
-export function isContinuableAt(
-  streamVersion: string | undefined,
-  { softwareVersion }: backendServerEntry.BackendServerEntry,
-): boolean {
-  return streamVersion === undefined || streamVersion === softwareVersion;
-}
-
 /**
  * Binds a request that takes a stream up to the software that began it; returns false if the route
  * no longer leads to that service.
--- a/packages/core/src/gateway/unservable-requests.ts
+++ b/packages/core/src/gateway/unservable-requests.ts
@@ -7,6 +7,7 @@
  */
 import * as schema from '@toucanproxy/schema';
 import * as overloads from '../shared/overload.js';
+import * as softwareVersions from '../shared/software-version.js';
 import * as allowedDomains from './allowed-domains.js';
 import * as pendingAsks from './pending-asks.js';
 import * as backendServers from './backend-servers.js';
@@ -16,7 +17,6 @@
 import * as refusal from './refusal.js';
 import * as requestEnd from './request-end.js';
 import * as serverStatements from './server-statements.js';
-import * as streamVersions from './stream-versions.js';
 
 /**
  * Retry delay for callers of an evacuated service, milliseconds. Operators end an evacuation by
@@ -65,7 +65,7 @@
   const allowed = backendServers
     .listUsable(state.servers, service, now)
     .filter(({ failureDomain }) => allowedDomains.isInRegions(state, regions, failureDomain))
-    .filter((entry) => streamVersions.isContinuableAt(streamVersion, entry));
+    .filter((entry) => softwareVersions.isOfVersion(streamVersion, entry));
   if (allowed.length === 0 && isRestricted) {
     return refusal.buildRefusal(schema.ResultCode.NO_BACKEND_SERVER, EVACUATED_RETRY_AFTER_MS);
   }
--- a/packages/core/src/scheduler/request-match.ts
+++ b/packages/core/src/scheduler/request-match.ts
@@ -6,6 +6,7 @@
  * first request often has too little time left for the engine whose slot becomes free. If it were
  * sent there, it would be late, and so would the next one, which still had enough time.
  */
+import * as softwareVersions from '../shared/software-version.js';
 import type * as cells from './cell.js';
 import * as domainPreference from './domain-preference.js';
 import type * as scheduledRequest from './scheduled-request.js';
@@ -97,14 +98,6 @@
     : all.filter(({ id }) => (backoffs.get(id) ?? 0) <= now);
 }
 
-/** Reports whether a backend server may continue the stream of a request, or run it if it has none. */
-function isOfVersion(
-  { softwareVersion }: scheduledRequest.ScheduledRequest,
-  candidate: serverChoice.Candidate,
-): boolean {
-  return softwareVersion === undefined || softwareVersion === candidate.softwareVersion;
-}
-
 /** Lists the backend servers to which a request may be sent. */
 function listAllowed(
   search: MatchSearch,
@@ -116,7 +109,9 @@
   return excludedDomains.size === 0 && softwareVersion === undefined
     ? accepting
     : accepting.filter(
-        (one) => !excludedDomains.has(one.failureDomain) && isOfVersion(request, one),
+        (one) =>
+          !excludedDomains.has(one.failureDomain) &&
+          softwareVersions.isOfVersion(softwareVersion, one),
       );
 }
 
