Do not reuse connections in the soak that gateways may close

The trace: the caller had last used its connection to that gateway 16.0 s before, the gateway closes connections that are idle for 15 s, and the request crossed the close; it reached no server. Callers of the platform reuse connections that were idle for up to four fifths of that time, so the soak's callers went beyond what they may do, which takes a run that lasts longer than usual.

They now drop connections that were idle for 12 s. The check stays.

--- a/packages/proofs/src/soak/soak-caller.ts
+++ b/packages/proofs/src/soak/soak-caller.ts
@@ -34,6 +34,8 @@
 const TAKE_UP_AFTER_MS = 45;
 /** Share of calls after which the caller picks a gateway anew. */
 const SWITCH_SHARE = 0.05;
+/** Callers do not reuse connections that were idle for four fifths of the gateways' idle timeout. */
+const MAX_IDLE_MS = 12_000;
 const MAX_PAUSE_MS = 20;
 /** Pause after a 503; without it, a run would consist mostly of refused calls. */
 const REFUSED_PAUSE_MS = 100;
@@ -89,7 +91,9 @@
 /** Sends calls until the run stops. */
 export async function runCaller(options: CallerOptions): Promise<void> {
   const { draw, ports, isStopped } = options;
-  const agents = ports.map(() => new http.Agent({ keepAlive: true, maxSockets: 1 }));
+  const agents = ports.map(
+    () => new http.Agent({ keepAlive: true, maxSockets: 1, timeout: MAX_IDLE_MS }),
+  );
   let gateway = Math.floor(draw() * ports.length);
   let serial = 0;
   while (!isStopped()) {
