End the soak's processes without waiting for sockets that were reset

A profile shows Node.js in the cleanup of its handles at exit, which never ends; two sockets without a connection were left. Links of the soak reset sockets that may be shutting down; since callers leave streams in progress, there are many of these.

The exit handler now ends the process without that cleanup.

--- a/packages/proofs/src/soak/main.ts
+++ b/packages/proofs/src/soak/main.ts
@@ -2,6 +2,9 @@
 import * as fs from 'node:fs';
 import * as util from 'node:util';
 import * as runSoak from './run-soak.js';
+import * as soakFleet from './soak-fleet.js';
+
+soakFleet.dropCleanup();
 
 const { values } = util.parseArgs({
   options: {
--- a/packages/proofs/src/soak/soak-fleet.ts
+++ b/packages/proofs/src/soak/soak-fleet.ts
@@ -251,6 +251,14 @@
   return fleet;
 }
 
+/**
+ * Ends this process without the cleanup of its handles. The cleanup of Node.js spins for ever if a
+ * socket was reset while it was shutting down, as links of the soak do.
+ */
+export function dropCleanup(): void {
+  process.on('exit', (code) => process.exit(code));
+}
+
 /** Stops everything that a fleet started. */
 export function stopFleet(fleet: SoakFleet): void {
   fleet.gateways.forEach((gateway) => {
--- a/packages/proofs/src/soak/soak.test.ts
+++ b/packages/proofs/src/soak/soak.test.ts
@@ -2,6 +2,9 @@
 import * as fs from 'node:fs';
 import * as nodeTest from 'node:test';
 import * as runSoak from './run-soak.js';
+import * as soakFleet from './soak-fleet.js';
+
+soakFleet.dropCleanup();
 
 /** Runs one seed with few processes and expects no violation of a guarantee. */
 async function expectNoViolations(
