Do not name an unproven cause for the soak's spinning at exit

The profile shows Node.js spinning in the cleanup of its handles; that a reset during the shutdown of a socket leaves them was inferred, and a guard against one such reset did not help. Comment only.

--- a/packages/proofs/src/soak/soak-fleet.ts
+++ b/packages/proofs/src/soak/soak-fleet.ts
@@ -252,8 +252,8 @@
 }
 
 /**
- * Ends this process without the cleanup of its handles. The cleanup of Node.js spins for ever if a
- * socket was reset while it was shutting down, as links of the soak do.
+ * Ends this process without the cleanup of its handles, in which Node.js may spin for ever after
+ * the links have reset many sockets.
  */
 export function dropCleanup(): void {
   process.on('exit', (code) => process.exit(code));
