Log which content a broken run had and which response clears it

The log could not tell a crash that is not counted from one that is cleared. A fault line of a broken run has the digest of the content, and a clearance has a line of its own.

--- a/packages/core/src/gateway/crash-detection.ts
+++ b/packages/core/src/gateway/crash-detection.ts
@@ -73,15 +73,16 @@
   return counted;
 }
 
-/** Clears content whose response was complete: it is no longer a suspect. */
+/** Clears content whose response was complete; returns whether it was a suspect before. */
 export function noteCompleteResponse(
   state: gatewayState.GatewayState,
   hashContent: () => string,
   { wallMs }: configurationLease.ClockReading,
-): void {
-  if (state.suspects.byDigest.size > 0) {
-    suspects.clearSuspect(state.suspects, hashContent(), wallMs);
-  }
+): boolean {
+  return (
+    state.suspects.byDigest.size > 0 &&
+    suspects.clearSuspect(state.suspects, hashContent(), wallMs)
+  );
 }
 
 /** Returns whether content is refused because of earlier crashes. */
--- a/packages/gateway/src/attempt-sending.ts
+++ b/packages/gateway/src/attempt-sending.ts
@@ -72,7 +72,9 @@
   held.attempt = undefined;
   if (outcome.kind === 'complete') {
     gateway.noteGoodAnswer(task.state, request, now);
-    gateway.noteCompleteResponse(task.state, request.arrived.hashContent, clocks);
+    if (gateway.noteCompleteResponse(task.state, request.arrived.hashContent, clocks)) {
+      requestReports.reportCleared(task, request, now);
+    }
     gateway.endRequest(task.state, request);
     requestEnding.removeRequest(task, held);
     const fields = { server: serverId, status: outcome.status };
--- a/packages/gateway/src/request-reports.ts
+++ b/packages/gateway/src/request-reports.ts
@@ -154,7 +154,9 @@
 ): void {
   const { arrived, service, sends, runs, isBudgetSpent } = request;
   const hasBegun = exchange.response.headersSent;
-  const attempt = { request: arrived.attemptId, server: serverId };
+  const isBroken = fields.fault === gateway.AttemptFault.BROKEN;
+  const content = isBroken ? arrived.hashContent() : undefined;
+  const attempt = { request: arrived.attemptId, server: serverId, content };
   const line = { ...attempt, ...fields, sends, runs, hasBegun, isBudgetSpent };
   log.write('fault', line, now);
   metrics.recordFault(service, fields.fault);
@@ -171,6 +173,17 @@
   log.writeAlways('content-suspect', { server, suspects });
 }
 
+/** Reports that a complete response has cleared content that was a suspect. */
+export function reportCleared(
+  { log }: ReportDependencies,
+  { arrived, workspace, serverId }: gateway.GatewayRequest,
+  now: number,
+): void {
+  const content = arrived.hashContent();
+  const fields = { request: arrived.attemptId, workspace, server: serverId, content };
+  log.write('content-cleared', fields, now);
+}
+
 /** Reports how a request ended. */
 export function reportEnd(
   { readClocks, log, metrics }: ReportDependencies,
