Refuse requests that end backend servers, whoever else asks for their path

Callers saw backend servers lost one after the other to one request that came again and again. Three causes of one class, evidence that is kept for the wrong thing or comes too late:

- The digest of the content left the workspace out, so that responses to another workspace cleared the count.
Seen in the log: one digest for both, 25 clearances in 12 s.
- A loss counted only once it was confirmed, by a refused connection or the end of the entry within 5 s, and a silent server never.

Now a run counts as lost as soon as it ends without a response, until its server is heard again. Content is refused after two losses in sequence, is cleared by a complete response, and is tried again after 1 s, then 10, 100 s. Losses go to the other gateways at once and to new ones.

--- a/packages/core/src/gateway/assignment.ts
+++ b/packages/core/src/gateway/assignment.ts
@@ -6,9 +6,11 @@
 import * as pendingAsks from './pending-asks.js';
 import * as serverEntries from './server-entries.js';
 import type * as configurationLease from './configuration-lease.js';
+import * as crashDetection from './crash-detection.js';
 import * as cellServers from './cell-servers.js';
 import * as gatewayRequest from './gateway-request.js';
 import * as gatewayState from './gateway-state.js';
+import * as lostRunMessages from './lost-run-messages.js';
 import * as originLookups from './origin-lookups.js';
 import type * as outgoingMessage from './outgoing-message.js';
 import * as recentUse from './recent-use.js';
@@ -91,7 +93,8 @@
 ): Assignment[] {
   const { request, serverId, idleFirstMs, entry, isRateLimited } = granted;
   const now = clocks.steadyMs;
-  const notRunRefusal = findRefusal(state, request, clocks);
+  const notRunRefusal =
+    findRefusal(state, request, clocks) ?? crashDetection.findSuspension(state, request, now);
   if (notRunRefusal !== undefined) {
     state.schedulingTotals.grantsUnused += 1;
     pendingAsks.markLinkDirty(state, serverId, request.service);
@@ -211,6 +214,7 @@
     hasDecisions = runSchedulingRound(state, clocks, result);
     rounds += 1;
   }
+  result.outgoing.push(...lostRunMessages.collectLostRuns(state, clocks.steadyMs));
   return result;
 }
 
--- a/packages/core/src/gateway/attempt-end.ts
+++ b/packages/core/src/gateway/attempt-end.ts
@@ -83,24 +83,6 @@
   }
 }
 
-/**
- * Records a broken connection as a possible sign of a crash, and counts a crash if the backend
- * server is unreachable.
- */
-function detectCrash(
-  state: gatewayState.GatewayState,
-  { arrived }: gatewayRequest.GatewayRequest,
-  serverId: string,
-  fault: AttemptFault,
-  clocks: configurationLease.ClockReading,
-): void {
-  if (fault === AttemptFault.BROKEN) {
-    crashDetection.noteBrokenRun(state, serverId, arrived.hashContent(), clocks.steadyMs);
-  } else if (fault === AttemptFault.UNREACHABLE) {
-    crashDetection.applyCrash(state, serverId, clocks);
-  }
-}
-
 /** Returns whether another attempt is allowed, and reserves it in the retry budget. */
 function isRetryAllowed(
   state: gatewayState.GatewayState,
@@ -114,6 +96,9 @@
   if (!runsLeft || !timeLeft || request.sends >= MAX_SENDS) {
     return false;
   }
+  if (crashDetection.findSuspension(state, request, now) !== undefined) {
+    return false;
+  }
   return retries.reserveRetry(state, request);
 }
 
@@ -179,7 +164,9 @@
   request.mayHaveArrived ||= !NOT_ARRIVED.has(fault);
   if (serverId !== undefined) {
     noteServerFault(state, request, serverId, fault, now);
-    detectCrash(state, request, serverId, fault, clocks);
+    if (fault === AttemptFault.BROKEN) {
+      crashDetection.noteLostRun(state, request, now);
+    }
     request.triedIds.add(serverId);
   }
   requestEnd.releaseServer(state, request);
--- a/packages/core/src/gateway/crash-detection.ts
+++ b/packages/core/src/gateway/crash-detection.ts
@@ -1,94 +1,168 @@
 /**
  * Identifies request content that crashes backend servers and decides when it is refused.
  *
- * A request whose content crashes an engine is retried, by its caller or by a gateway. Each
- * attempt crashes a backend server and fails all other requests there. When a backend server
- * crashes, the content of every request whose connection broke there becomes a suspect. Content
- * that was present at two crashes in a row is refused. A complete response clears its content, so
- * that frequently requested content is not refused after unrelated crashes. Gateways share their
- * suspects, because a caller may retry through another gateway.
+ * A request whose content crashes an engine is retried, by its caller or by a gateway. Each run ends
+ * a backend server and fails all other requests there. A run counts as a loss as soon as it ends
+ * without a response, until its backend server is heard again: entries of lost servers expire
+ * seconds later, and some servers fall silent instead of resetting connections. Content is refused
+ * after two losses in sequence. A complete response clears its losses, so that content that ran
+ * next to the cause is served again. Refused content is admitted once in a while,
+ * as a trial, because it could not complete otherwise.
  */
-import * as suspects from '../shared/suspects.js';
-import type * as configurationLease from './configuration-lease.js';
+import * as schema from '@toucanproxy/schema';
+import type * as gatewayRequest from './gateway-request.js';
 import type * as gatewayState from './gateway-state.js';
+import * as lostRuns from './lost-runs.js';
+import * as refusal from './refusal.js';
 
-/** A request whose connection broke, perhaps because its backend server crashed. */
-export type BrokenRun = { contentDigest: string; atMs: number };
-
-/**
- * A backend server is regarded as crashed if it becomes unreachable, or if its store entry changes,
- * within this time after connections broke there, milliseconds. The store entry of a dead server
- * expires after some seconds; connections to it are refused immediately.
- */
-const CONFIRM_MS = 5000;
+/** Losses in sequence from which on content is refused. */
+const MAX_LOSSES = 2;
+/** Time from the last loss to the first trial of refused content, milliseconds. */
+const FIRST_TRIAL_MS = 1000;
+/** Factor by which the time to the next trial grows with each trial that ends in a loss. */
+const TRIAL_FACTOR = 10;
 /**
- * Crashes less than this time apart count as one, milliseconds. Several backend servers may lose
- * power at the same time, whereas a caller takes longer to retry.
+ * A server that restarts under its id may send responses before its new entry is read. What was
+ * heard only within this time after a loss does not show that it lived on, milliseconds.
  */
-const SAME_CRASH_MS = 1000;
+const RESTART_MS = 5000;
 
-/** Records that a request's connection broke, unless its backend server was leaving. */
-export function noteBrokenRun(
-  state: gatewayState.GatewayState,
-  serverId: string,
-  contentDigest: string,
+/** Computes the digest of a request's content, which includes its workspace. */
+function hashContent({ arrived, workspace }: gatewayRequest.GatewayRequest): string {
+  return arrived.hashContent(workspace);
+}
+
+/** Returns the incarnation of the backend server that a request was assigned to. */
+function findIncarnation({
+  serverId,
+  serverBornMs: bornMs,
+}: gatewayRequest.GatewayRequest): lostRuns.ServerIncarnation | undefined {
+  return serverId === undefined ? undefined : { serverId, bornMs };
+}
+
+/** Records that bytes have arrived from the backend server of a request. */
+export function noteServerHeard(
+  { lostRuns: runs }: gatewayState.GatewayState,
+  request: gatewayRequest.GatewayRequest,
   now: number,
 ): void {
-  if (state.servers.byId.get(serverId)?.entry.leaving === true) {
-    return;
+  const incarnation = findIncarnation(request);
+  if (incarnation !== undefined) {
+    lostRuns.noteHeard(runs, incarnation, now);
   }
-  const recent = state.brokenRuns.get(serverId) ?? [];
-  const kept = recent.filter(({ atMs }) => now - atMs <= CONFIRM_MS);
-  state.brokenRuns.set(serverId, [...kept, { contentDigest, atMs: now }]);
 }
 
-/** Returns whether a crash has just been counted for this content. */
-function isRecentlyCounted(
-  state: gatewayState.GatewayState,
-  contentDigest: string,
-  wallMs: number,
-): boolean {
-  const known = state.suspects.byDigest.get(contentDigest);
-  return known !== undefined && wallMs - known.lastCrashMs < SAME_CRASH_MS;
+/** Records that a request's run ended without a response. */
+export function noteLostRun(
+  { lostRuns: runs }: gatewayState.GatewayState,
+  request: gatewayRequest.GatewayRequest,
+  now: number,
+): void {
+  const incarnation = findIncarnation(request);
+  if (incarnation === undefined) {
+    return;
+  }
+  const digest = hashContent(request);
+  const times = { sentMs: request.sentMs, lostMs: now, changedMs: now };
+  const run = { ...incarnation, ...times, isCleared: false };
+  if (lostRuns.addRun(runs, { ...run, digest })) {
+    runs.unsent.set(digest, true);
+  }
 }
 
 /**
- * Counts the crash of a backend server against the content of requests whose connections broke
- * there, and returns the digests for which the crash was counted.
+ * Records that a request's run was cancelled, because its time was over or its caller had left. That
+ * counts as a loss if nothing arrives from the backend server any more.
  */
-export function applyCrash(
+export function noteCancelledRun(
   state: gatewayState.GatewayState,
-  serverId: string,
-  { steadyMs, wallMs }: configurationLease.ClockReading,
-): string[] {
-  const recent = state.brokenRuns.get(serverId) ?? [];
-  state.brokenRuns.delete(serverId);
-  const digests = recent
-    .filter(({ atMs }) => steadyMs - atMs <= CONFIRM_MS)
-    .map(({ contentDigest }) => contentDigest);
-  const counted = [...new Set(digests)].filter(
-    (digest) => !isRecentlyCounted(state, digest, wallMs),
-  );
-  counted.forEach((digest) => suspects.recordCrash(state.suspects, digest, true, wallMs));
-  return counted;
+  request: gatewayRequest.GatewayRequest,
+  now: number,
+): void {
+  const incarnation = findIncarnation(request);
+  if (incarnation !== undefined && lostRuns.isSilent(state.lostRuns, incarnation, now)) {
+    noteLostRun(state, request, now);
+  }
 }
 
-/** Clears content whose response was complete; returns whether it was a suspect before. */
+/** Clears the losses of content that has completed; returns whether there were any. */
 export function noteCompleteResponse(
-  state: gatewayState.GatewayState,
-  hashContent: () => string,
-  { wallMs }: configurationLease.ClockReading,
+  { lostRuns: runs }: gatewayState.GatewayState,
+  request: gatewayRequest.GatewayRequest,
+  now: number,
 ): boolean {
-  return (
-    state.suspects.byDigest.size > 0 &&
-    suspects.clearSuspect(state.suspects, hashContent(), wallMs)
-  );
+  return runs.byDigest.size > 0 && lostRuns.clearContent(runs, hashContent(request), now);
 }
 
-/** Returns whether content is refused because of earlier crashes. */
-export function isContentRefused(
+/** Decides what the losses at a backend server mean that has restarted or is gone. */
+export function handleServerEnd(
+  { lostRuns: runs }: gatewayState.GatewayState,
+  serverId: string,
+  isRestart: boolean,
+  now: number,
+): void {
+  lostRuns.forgetServer(runs, serverId, now, isRestart ? RESTART_MS : undefined);
+}
+
+/** Computes when content with a number of losses in sequence may be tried again. */
+function computeTrialMs(counted: readonly lostRuns.LostRun[], losses: number): number {
+  const lastMs = Math.max(...counted.map(({ lostMs }) => lostMs));
+  return lastMs + FIRST_TRIAL_MS * TRIAL_FACTOR ** (losses - MAX_LOSSES);
+}
+
+/** Returns when the content of a request may be tried again; undefined if it is not refused. */
+function findTrialMs(
+  { lostRuns: runs }: gatewayState.GatewayState,
+  request: gatewayRequest.GatewayRequest,
+): number | undefined {
+  if (runs.byDigest.size === 0) {
+    return undefined;
+  }
+  const counted = lostRuns.listCounted(runs, hashContent(request));
+  const losses = lostRuns.countSequence(counted);
+  return losses >= MAX_LOSSES ? computeTrialMs(counted, losses) : undefined;
+}
+
+/** Returns whether the content of a request is refused at present, apart from trials. */
+export function isContentSuspended(
   state: gatewayState.GatewayState,
-  hashContent: () => string,
+  request: gatewayRequest.GatewayRequest,
 ): boolean {
-  return state.suspects.byDigest.size > 0 && suspects.isBlocked(state.suspects, hashContent());
+  return findTrialMs(state, request) !== undefined;
+}
+
+/** Builds the refusal of content that may be tried again at a given time. */
+function buildSuspension(trialMs: number, now: number): refusal.Refusal {
+  return refusal.buildRefusal(schema.ResultCode.CONTENT_SUSPENDED, trialMs - now);
+}
+
+/** Returns the refusal of an arriving request if its content is refused; admits it as a trial. */
+export function findArrivalRefusal(
+  state: gatewayState.GatewayState,
+  request: gatewayRequest.GatewayRequest,
+  now: number,
+): refusal.Refusal | undefined {
+  const trialMs = findTrialMs(state, request);
+  const record = state.lostRuns.byDigest.get(trialMs === undefined ? '' : hashContent(request));
+  if (trialMs === undefined || record === undefined) {
+    return undefined;
+  }
+  const dueMs = Math.max(trialMs, record.trialMs + FIRST_TRIAL_MS);
+  if (now < dueMs) {
+    return buildSuspension(dueMs, now);
+  }
+  record.trialMs = now;
+  request.isTrial = true;
+  return undefined;
+}
+
+/** Returns the refusal of an admitted request if its content has been refused since. */
+export function findSuspension(
+  state: gatewayState.GatewayState,
+  request: gatewayRequest.GatewayRequest,
+  now: number,
+): refusal.Refusal | undefined {
+  const trialMs = findTrialMs(state, request);
+  const isAllowed = trialMs === undefined || (request.isTrial && now >= trialMs);
+  return isAllowed ? undefined : buildSuspension(trialMs, now);
 }
--- a/packages/core/src/gateway/deadline-stats.test.ts
+++ b/packages/core/src/gateway/deadline-stats.test.ts
@@ -171,7 +171,7 @@
     requestAdmission.admitRequest(state, buildArrived(`typical ${index}`), buildClocks(0)),
   );
   gatewayFixture.assignWaiting(state, buildClocks(0));
-  state.requests.forEach((request) => requestEnd.abandonRequest(state, request, false));
+  state.requests.forEach((request) => requestEnd.abandonRequest(state, request, false, 0));
   gatewayFixture.setInFlight(state, 'a', 2);
   requestAdmission.admitRequest(state, buildArrived('later', { path: '/b/x' }), buildClocks(10));
   requestAdmission.admitRequest(state, buildArrived('back', { deadlineMs: 9000 }), buildClocks(11));
--- a/packages/core/src/gateway/gateway-request.ts
+++ b/packages/core/src/gateway/gateway-request.ts
@@ -26,8 +26,8 @@
   answerGuess: number | undefined;
   /** Undefined if the caller asks for the response from its start. */
   resumption?: StreamResumption;
-  /** Computes a digest of the content, which is the same for every attempt of the caller. */
-  hashContent: () => string;
+  /** Computes a digest of the content, which is the same for all attempts of a workspace. */
+  hashContent: (workspace: string) => string;
   /** How long it may have waited to be read, milliseconds; undefined if it was read at once. */
   unreadMs?: number;
 };
@@ -105,6 +105,8 @@
   runs: number;
   /** A send may have arrived at a backend server, so that any further one is a retry. */
   mayHaveArrived: boolean;
+  /** Its content is refused, and it was admitted to find out whether it completes. */
+  isTrial: boolean;
   /** A retry is reserved for it in the retry budget and has not been sent yet. */
   hasRetryReserved: boolean;
   /** The retry budget was exhausted when it would have been retried. */
--- a/packages/core/src/gateway/gateway-state.ts
+++ b/packages/core/src/gateway/gateway-state.ts
@@ -1,16 +1,15 @@
 /** The state of one gateway, owned by its gateway task. */
 import * as overload from '../shared/overload.js';
 import * as retryBudget from '../shared/retry-budget.js';
-import * as suspects from '../shared/suspects.js';
 import * as scheduler from '../scheduler/index.js';
 import * as backendServers from './backend-servers.js';
 import * as configurationLease from './configuration-lease.js';
 import type * as configurationIndex from './configuration-index.js';
-import type * as crashDetection from './crash-detection.js';
 import type * as deadlineStats from './deadline-stats.js';
 import * as cellMap from './cell-map.js';
 import * as gatewayLoad from './gateway-load.js';
 import type * as gatewayRequest from './gateway-request.js';
+import * as lostRuns from './lost-runs.js';
 import * as peerCounts from './peer-counts.js';
 import * as peerView from './peer-view.js';
 import type * as quotaLimit from './quota-limit.js';
@@ -114,10 +113,8 @@
   /** Which software versions began the streams that callers may take up. */
   origins: streamOrigins.StreamOrigins;
   peers: peerView.PeerView;
-  /** Request content that was running when backend servers crashed. */
-  suspects: suspects.Suspects;
-  /** Requests whose connection broke recently, by backend server. */
-  brokenRuns: Map<string, crashDetection.BrokenRun[]>;
+  /** Runs that ended without a response, perhaps because their content ended the backend server. */
+  lostRuns: lostRuns.LostRuns;
   nextSerial: number;
   /** Revision of `servers` at the last check of waiting requests. */
   checkedRevision: number;
@@ -168,8 +165,7 @@
     quotas: tokenQuota.createQuotaState(),
     origins: streamOrigins.createStreamOrigins(),
     peers: peerView.createPeerView(),
-    suspects: suspects.createSuspects(),
-    brokenRuns: new Map(),
+    lostRuns: lostRuns.createLostRuns(),
     nextSerial: 1,
     checkedRevision: -1,
     load: gatewayLoad.createGatewayLoad(),
--- a/packages/core/src/gateway/index.ts
+++ b/packages/core/src/gateway/index.ts
@@ -15,6 +15,8 @@
 export * from './gateway-request.js';
 export * from './gateway-state.js';
 export * from './request-admission.js';
+export * from './lost-run-messages.js';
+export { expireRuns } from './lost-runs.js';
 export * from './observations.js';
 export * from './origin-messages.js';
 export * from './outgoing-message.js';
@@ -48,4 +50,3 @@
   type Scheduler,
   type SchedulingDecision,
 } from '../scheduler/index.js';
-export { expireSuspects, listSuspects, mergeSuspects } from '../shared/suspects.js';
--- a/packages/core/src/gateway/origin-messages.ts
+++ b/packages/core/src/gateway/origin-messages.ts
@@ -7,6 +7,7 @@
 import * as schema from '@toucanproxy/schema';
 import * as rendezvous from '../shared/rendezvous.js';
 import type * as gatewayState from './gateway-state.js';
+import * as messageParts from './message-parts.js';
 import type * as outgoingMessage from './outgoing-message.js';
 import * as peerCounts from './peer-counts.js';
 import * as peerView from './peer-view.js';
@@ -14,26 +15,9 @@
 
 /** Other gateways that keep a copy of each record. */
 const COPIES = 3;
-/** Maximum length of the records in one message, characters, so that it fits in a datagram. */
-const MAX_MESSAGE_LENGTH = 1100;
 /** Length of the fixed part of a record, characters. */
 const RECORD_OVERHEAD = 16;
 
-/** Splits items into messages that fit in a datagram. */
-function listParts<T>(items: readonly T[], countLength: (item: T) => number): T[][] {
-  const parts: T[][] = [];
-  let length = Infinity;
-  items.forEach((item) => {
-    length += countLength(item);
-    if (length > MAX_MESSAGE_LENGTH) {
-      parts.push([]);
-      length = countLength(item);
-    }
-    parts.at(-1)?.push(item);
-  });
-  return parts;
-}
-
 /** Builds the contents of the messages that carry records. */
 function buildContents(
   { address }: gatewayState.GatewayState,
@@ -41,7 +25,7 @@
 ): schema.StreamOrigins[] {
   const countLength = ({ attemptId, service, version }: streamOrigins.StreamOrigin) =>
     attemptId.length + service.length + version.length + RECORD_OVERHEAD;
-  return listParts(origins, countLength).map((part) =>
+  return messageParts.listParts(origins, countLength).map((part) =>
     schema.create(schema.StreamOriginsSchema, {
       address,
       origins: part.map(({ attemptId, service, version, keepMs }) => ({
@@ -118,7 +102,7 @@
   attemptIds: readonly string[],
 ): outgoingMessage.OutgoingMessage[] {
   const countLength = ({ length }: string) => length + RECORD_OVERHEAD;
-  return listParts(attemptIds, countLength).map((part) => ({
+  return messageParts.listParts(attemptIds, countLength).map((part) => ({
     kind: 'originQuery',
     to,
     originQuery: schema.create(schema.StreamOriginQuerySchema, { address, attemptIds: part }),
--- a/packages/core/src/gateway/request-admission.ts
+++ b/packages/core/src/gateway/request-admission.ts
@@ -83,6 +83,33 @@
   return deadlineStats.estimateElapsedMs(stats, workspace, deadlineMs);
 }
 
+/** Creates the part of a request's state that its sends change. */
+function createUnsentFields() {
+  return {
+    phase: gatewayRequest.RequestPhase.WAITING,
+    cell: undefined,
+    declinedCells: new Set<string>(),
+    serverId: undefined,
+    serverBornMs: 0,
+    serverVersion: undefined,
+    streamVersion: undefined,
+    sentMs: 0,
+    sentWallMs: 0,
+    isRateLimited: false,
+    idleFirstMs: 0,
+    aheadMs: 0,
+    predictedFirstMs: 0,
+    hasFirstEvent: false,
+    triedIds: new Set<string>(),
+    sends: 0,
+    runs: 0,
+    mayHaveArrived: false,
+    isTrial: false,
+    hasRetryReserved: false,
+    isBudgetSpent: false,
+  };
+}
+
 /** Creates the state of a request that has the given authorization. */
 function createRequest(
   state: gatewayState.GatewayState,
@@ -121,26 +148,7 @@
     leaveMs: arrivedMs + Math.min(timeoutMs, route.patienceMs) - RESPONSE_TRANSIT_MS,
     targetMs: arrivedMs + route.targetMs - RESPONSE_TRANSIT_MS,
     giveUpMs: arrivedMs + Math.max(timeoutMs - RESPONSE_TRANSIT_MS, 0),
-    phase: gatewayRequest.RequestPhase.WAITING,
-    cell: undefined,
-    declinedCells: new Set(),
-    serverId: undefined,
-    serverBornMs: 0,
-    serverVersion: undefined,
-    streamVersion: undefined,
-    sentMs: 0,
-    sentWallMs: 0,
-    isRateLimited: false,
-    idleFirstMs: 0,
-    aheadMs: 0,
-    predictedFirstMs: 0,
-    hasFirstEvent: false,
-    triedIds: new Set(),
-    sends: 0,
-    runs: 0,
-    mayHaveArrived: false,
-    hasRetryReserved: false,
-    isBudgetSpent: false,
+    ...createUnsentFields(),
   };
 }
 
@@ -182,10 +190,10 @@
   if (state.shutdownMs > 0 && now - state.shutdownMs > SHUTDOWN_SERVE_MS) {
     return refusal.buildRefusal(schema.ResultCode.SHUTTING_DOWN, 0);
   }
-  if (crashDetection.isContentRefused(state, request.arrived.hashContent)) {
-    return refusal.buildRefusal(schema.ResultCode.CONTENT_SUSPENDED);
-  }
-  return unservableRequests.findUnservableRefusal(state, request, now);
+  return (
+    unservableRequests.findUnservableRefusal(state, request, now) ??
+    crashDetection.findArrivalRefusal(state, request, now)
+  );
 }
 
 /** Returns what a caller says of the stream that it has a part of, on routes where it may resume. */
--- a/packages/core/src/gateway/request-end.ts
+++ b/packages/core/src/gateway/request-end.ts
@@ -1,5 +1,6 @@
 /** Ends requests, releases what they occupy and settles their quota charges. */
 import * as schema from '@toucanproxy/schema';
+import * as crashDetection from './crash-detection.js';
 import * as pendingAsks from './pending-asks.js';
 import type * as gatewayRequest from './gateway-request.js';
 import * as gatewayState from './gateway-state.js';
@@ -66,9 +67,11 @@
   state: gatewayState.GatewayState,
   request: gatewayRequest.GatewayRequest,
   mayHaveRun: boolean,
+  now: number,
 ): void {
   pendingAsks.withdrawAsk(state, request);
   if (mayHaveRun) {
+    crashDetection.noteCancelledRun(state, request, now);
     endRequest(state, request);
   } else {
     endWithoutRun(state, request);
--- a/packages/gateway/src/attempt-sending.ts
+++ b/packages/gateway/src/attempt-sending.ts
@@ -72,7 +72,7 @@
   held.attempt = undefined;
   if (outcome.kind === 'complete') {
     gateway.noteGoodAnswer(task.state, request, now);
-    if (gateway.noteCompleteResponse(task.state, request.arrived.hashContent, clocks)) {
+    if (gateway.noteCompleteResponse(task.state, request, now)) {
       requestReports.reportCleared(task, request, now);
     }
     gateway.endRequest(task.state, request);
@@ -86,11 +86,11 @@
   const hasBegun = held.exchange.response.headersSent;
   const canResume = !hasBegun || held.events?.lastEventId !== undefined;
   const progress = { hasBegun, canResume };
-  const { revision } = task.state.suspects;
+  const wasSuspended = gateway.isContentSuspended(task.state, request);
   const verdict = gateway.handleAttemptFault(task.state, request, fault, progress, clocks);
   requestReports.reportFault(task, held, { serverId, fault, reason, verdict: verdict.kind }, now);
-  if (task.state.suspects.revision !== revision) {
-    requestReports.reportSuspects(task, serverId);
+  if (!wasSuspended && gateway.isContentSuspended(task.state, request)) {
+    requestReports.reportSuspended(task, request, serverId);
   }
   applyVerdict(task, held, verdict, failure);
   task.assign();
@@ -147,7 +147,10 @@
     protocol: task.protocol,
     readNow,
     settle: (outcome) => handleOutcome(task, held, outcome),
-    observeUnitTime: (unitMs) => gateway.noteUnit(task.state, request, unitMs, readNow()),
+    observeUnitTime: (unitMs) => {
+      gateway.noteServerHeard(task.state, request, readNow());
+      gateway.noteUnit(task.state, request, unitMs, readNow());
+    },
     observeFirstEvent: (ms) => {
       held.firstEventMs ??= Math.round(readNow() - request.arrivedMs);
       gateway.noteFirstEvent(task.state, request, ms, readNow());
@@ -162,6 +165,7 @@
       findUnwantedReason(task, held) === undefined &&
       gateway.isStillUsable(task.state, request, readNow()),
     observeStatements: (parsed) => {
+      gateway.noteServerHeard(task.state, request, readNow());
       statementReports.applyStatements(task, request, parsed);
       unknownNames.recordUnknownNames(task.unknown, task.log, parsed.unknown, readNow());
     },
--- a/packages/gateway/src/domain-traffic.test.ts
+++ b/packages/gateway/src/domain-traffic.test.ts
@@ -36,7 +36,7 @@
   const traffic = domainTraffic.createDomainTraffic();
   domainTraffic.addAmount(traffic.peerBytes.ask, false, 5);
   const samples = domainTraffic.listTrafficSamples(traffic);
-  assert.equal(samples.length, 12);
+  assert.equal(samples.length, 14);
   const labels = { cause: 'ask', domain: 'other' };
   assert.deepEqual(
     samples.find(({ value }) => value > 0),
--- a/packages/gateway/src/domain-traffic.ts
+++ b/packages/gateway/src/domain-traffic.ts
@@ -22,6 +22,7 @@
   reply: 'reply',
   origins: 'origins',
   originQuery: 'origins',
+  lostRuns: 'lostRuns',
 };
 
 export type DomainTraffic = {
@@ -39,6 +40,7 @@
       ask: createCount(),
       reply: createCount(),
       origins: createCount(),
+      lostRuns: createCount(),
     },
     requestBytes: createCount(),
     placements: createCount(),
--- a/packages/gateway/src/gateway-task.ts
+++ b/packages/gateway/src/gateway-task.ts
@@ -23,6 +23,8 @@
   /** Handle which versions began streams, and the queries for them. */
   receiveOrigins: (origins: schema.StreamOrigins) => void;
   receiveOriginQuery: (query: schema.StreamOriginQuery) => void;
+  /** Handles runs that ended without a response at other gateways. */
+  receiveLostRuns: (runs: readonly schema.LostRun[]) => void;
   countHeld: () => number;
   /** Calls `idle` once no request is in progress. */
   notifyIdle: (idle: () => void) => void;
@@ -174,7 +176,7 @@
     return;
   }
   const [path] = exchange.target.split(QUERY_START);
-  const hashContent = () => contentDigest.hashContent(exchange);
+  const hashContent = contentDigest.createContentHash(exchange);
   const arrived = { ...parsed, host, path, hashContent, unreadMs };
   const admission = gateway.admitRequest(task.state, arrived, task.readClocks());
   if (admission.kind === 'refused') {
@@ -225,6 +227,8 @@
     receiveOrigins: (origins) => receiveOrigins(task, origins),
     receiveOriginQuery: (query) =>
       task.sendToPeers([gateway.buildQueryReply(task.state, query, task.readClocks().steadyMs)]),
+    receiveLostRuns: (runs) =>
+      gateway.receiveLostRuns(task.state, runs, task.readClocks().steadyMs),
     countHeld: () => task.held.size,
     notifyIdle: (idle) => {
       task.idle = idle;
--- a/packages/gateway/src/peer-sending.ts
+++ b/packages/gateway/src/peer-sending.ts
@@ -61,6 +61,8 @@
       return { case: message.kind, value: message.ask };
     case 'reply':
       return { case: message.kind, value: message.reply };
+    case 'lostRuns':
+      return { case: message.kind, value: message.lostRuns };
     case 'origins':
       return { case: message.kind, value: message.origins };
     default:
--- a/packages/gateway/src/peer-task.ts
+++ b/packages/gateway/src/peer-task.ts
@@ -41,13 +41,13 @@
 /** Receiver of the messages about requests. */
 export type RequestReceiver = Pick<
   gatewayTask.GatewayTask,
-  'receiveAsk' | 'receiveReply' | 'receiveOrigins' | 'receiveOriginQuery'
+  'receiveAsk' | 'receiveReply' | 'receiveOrigins' | 'receiveOriginQuery' | 'receiveLostRuns'
 >;
 
 /** Limits for one report, so that it fits in a datagram of 1,400 bytes. */
 const MAX_WORKSPACES = 20;
 const MAX_PEERS = 12;
-const MAX_SUSPECTS = 4;
+const MAX_LOST_RUNS = 4;
 /** Limit of peers per report when all are sent at once; it fits in a datagram as well. */
 const MAX_PEERS_IN_FULL_LIST = 40;
 /** Time after its start for which a gateway sends its peer list to newly learned peers, ms. */
@@ -93,7 +93,11 @@
         workspace,
         amount,
       })),
-    suspects: reportRounds.pickForRound(gateway.listSuspects(state.suspects), round, MAX_SUSPECTS),
+    lostRuns: reportRounds.pickForRound(
+      gateway.listReportRuns(state, options.readNow()),
+      round,
+      MAX_LOST_RUNS,
+    ),
     peers,
     processorPercent: state.processorPercent,
     loadPercent: gateway.computeLoadPercent(state.load),
@@ -155,7 +159,7 @@
 /** Applies a report; charges quotas with what the sender has admitted. */
 function receiveReport(peer: PeerState, received: schema.GatewayReport): void {
   const { state, readNow } = peer.options;
-  const { address, life, sequence, leaving, used, peers, suspects } = received;
+  const { address, life, sequence, leaving, used, peers, lostRuns } = received;
   const now = readNow();
   const report: gateway.PeerReport = {
     address,
@@ -174,7 +178,7 @@
   gateway
     .applyReport(state.peers, report, now)
     .forEach(({ workspace, amount }) => gateway.applyPeerUse(state.quotas, workspace, amount, now));
-  gateway.mergeSuspects(state.suspects, suspects, Date.now());
+  gateway.receiveLostRuns(state, lostRuns, now);
   peers
     .filter((indirect) => indirect !== peer.ownAddress)
     .forEach((indirect) => gateway.addIndirectPeer(state.peers, indirect, now));
@@ -182,6 +186,7 @@
   if (isNewLife) {
     sendPeerList(peer, address);
     peerSending.sendOutgoing(peer, gateway.buildOriginsFor(state, address, now));
+    peerSending.sendOutgoing(peer, gateway.buildLostRunsFor(state, address, now));
   }
   sendPeerListToNew(peer, peers);
 }
@@ -208,6 +213,9 @@
     case 'originQuery':
       peer.receiver?.receiveOriginQuery(content.value);
       return;
+    case 'lostRuns':
+      peer.receiver?.receiveLostRuns(content.value.runs);
+      return;
     default:
       peer.options.reportProblem('message without content');
   }
@@ -254,7 +262,7 @@
   socket.bind(port, host, () => sendPeerListToNew(peer, options.seeds));
   const timer = setInterval(() => {
     gateway.expirePeers(options.state.peers, options.readNow());
-    gateway.expireSuspects(options.state.suspects, Date.now());
+    gateway.expireRuns(options.state.lostRuns, options.readNow());
     gateway.expireOrigins(options.state.origins, options.readNow());
     sendReport(peer);
   }, gateway.REPORT_MS);
--- a/packages/gateway/src/request-ending.ts
+++ b/packages/gateway/src/request-ending.ts
@@ -47,7 +47,7 @@
 function abandon(task: taskState.TaskState, held: heldRequest.HeldRequest): boolean {
   const mayHaveRun = held.request.runs > 0 || held.attempt?.mayHaveBeenSent() === true;
   held.attempt?.abort();
-  gateway.abandonRequest(task.state, held.request, mayHaveRun);
+  gateway.abandonRequest(task.state, held.request, mayHaveRun, task.readClocks().steadyMs);
   return mayHaveRun;
 }
 
--- a/packages/gateway/src/request-reports.ts
+++ b/packages/gateway/src/request-reports.ts
@@ -155,31 +155,31 @@
   const { arrived, service, sends, runs, isBudgetSpent } = request;
   const hasBegun = exchange.response.headersSent;
   const isBroken = fields.fault === gateway.AttemptFault.BROKEN;
-  const content = isBroken ? arrived.hashContent() : undefined;
+  const content = isBroken ? arrived.hashContent(request.workspace) : undefined;
   const attempt = { request: arrived.attemptId, server: serverId, content };
   const line = { ...attempt, ...fields, sends, runs, hasBegun, isBudgetSpent };
   log.write('fault', line, now);
   metrics.recordFault(service, fields.fault);
 }
 
-/** Reports which content is suspect after a backend server has crashed. */
-export function reportSuspects(
-  { state, log }: ReportDependencies,
+/** Reports that content is refused from now on, as its runs have ended backend servers. */
+export function reportSuspended(
+  { log }: ReportDependencies,
+  { arrived, workspace, isTrial }: gateway.GatewayRequest,
   server: string | undefined,
 ): void {
-  const suspects = [...state.suspects.byDigest.values()]
-    .filter(({ crashes }) => crashes > 0)
-    .map(({ contentDigest, crashes }) => ({ contentDigest, crashes }));
-  log.writeAlways('content-suspect', { server, suspects });
+  const content = arrived.hashContent(workspace);
+  const fields = { request: arrived.attemptId, workspace, server, isTrial, content };
+  log.writeAlways('content-suspended', fields);
 }
 
-/** Reports that a complete response has cleared content that was a suspect. */
+/** Reports that a complete response has cleared the lost runs of its content. */
 export function reportCleared(
   { log }: ReportDependencies,
   { arrived, workspace, serverId }: gateway.GatewayRequest,
   now: number,
 ): void {
-  const content = arrived.hashContent();
+  const content = arrived.hashContent(workspace);
   const fields = { request: arrived.attemptId, workspace, server: serverId, content };
   log.write('content-cleared', fields, now);
 }
--- a/packages/gateway/src/server-items.ts
+++ b/packages/gateway/src/server-items.ts
@@ -34,7 +34,7 @@
     : gateway.applyEntry(state.servers, entry, readClocks().steadyMs);
 }
 
-/** Logs changes, expires missing entries, handles crashes and closes unused connections. */
+/** Logs changes, expires missing entries, forgets ended servers and closes unused connections. */
 function applyMembership(
   dependencies: ServerDependencies,
   changes: (gateway.MembershipChange | undefined)[],
@@ -47,13 +47,7 @@
   expired.forEach((change) => log.writeAlways('backend-server', change));
   [...actual, ...expired]
     .filter(({ change }) => change === 'restarted' || change === 'gone')
-    .forEach(({ id }) => {
-      gateway.forgetServer(state, id);
-      const suspects = gateway.applyCrash(state, id, readClocks());
-      if (suspects.length > 0) {
-        log.writeAlways('content-suspect', { server: id, suspects });
-      }
-    });
+    .forEach(({ id, change }) => gateway.forgetServer(state, id, change === 'restarted', now));
   if (actual.length + expired.length > 0) {
     const addresses = [...state.servers.byId.values()].map(({ entry }) => entry.address);
     connections.closeOthers(new Set(addresses));
--- a/packages/measure/src/gateway-load/replay.ts
+++ b/packages/measure/src/gateway-load/replay.ts
@@ -32,7 +32,7 @@
   }
   if (world.nowMs < engine.failsUntilMs) {
     if (!world.options.knowledge.failures) {
-      world.states.forEach((state) => gateway.forgetServer(state, engineId));
+      world.states.forEach((state) => gateway.forgetServer(state, engineId, false, world.nowMs));
     }
     replayCalls.endFailed(world, attemptId, gateway.AttemptFault.FAILED);
     return;
--- a/packages/proofs/src/mocks/gateway-faults.ts
+++ b/packages/proofs/src/mocks/gateway-faults.ts
@@ -83,7 +83,7 @@
   states.forEach((state) => {
     const change = gateway.applyEntry(state.servers, entry, fleet.nowMs);
     if (change?.change === 'restarted') {
-      gateway.forgetServer(state, serverId);
+      gateway.forgetServer(state, serverId, true, fleet.nowMs);
     }
   });
 }
