Count a route's timeout from when an unread request may have arrived

Callers of routes with short timeouts were held past them on a gateway whose event loop stalls: the time for which an idempotent request counts as having waited unread was bounded by a third of its route's timeout. Its caller leaves after a third of its own time, or a second; it does not know the route's timeout. A request that had waited for 1 s of its timeout of 1.1 s was sent on with 721 ms left, 0.6 s past the timeout (0.5 s are allowed); now it is bounded by what its caller waits.

The other way, no bound for the timeout, would refuse as late all that arrived at the end of a long stall, and was not taken.

--- a/packages/core/src/gateway/gateway-load.ts
+++ b/packages/core/src/gateway/gateway-load.ts
@@ -151,14 +151,13 @@
 /**
  * Computes the time for which a request counts as having waited to be read, milliseconds, from the
  * longest time that is possible. The connection of its caller is still open, so an idempotent
- * request has not waited for longer than its caller would.
+ * request has not waited for longer than its caller would. A caller does not know the timeout of its
+ * route, which may be over by then.
+ *
+ * @param callerMs how long the caller waits for the response, milliseconds
  */
-export function computeWaitedMs(
-  unreadMs: number,
-  timeoutMs: number,
-  isIdempotent: boolean,
-): number {
-  return isIdempotent ? Math.min(unreadMs, ABANDON_MS, timeoutMs * ABANDON_SHARE) : unreadMs;
+export function computeWaitedMs(unreadMs: number, callerMs: number, isIdempotent: boolean): number {
+  return isIdempotent ? Math.min(unreadMs, ABANDON_MS, callerMs * ABANDON_SHARE) : unreadMs;
 }
 
 /** Lists the urgencies of recent requests, the most urgent first, and forgets those without any. */
--- a/packages/core/src/gateway/request-admission.ts
+++ b/packages/core/src/gateway/request-admission.ts
@@ -123,12 +123,10 @@
   const elapsedMs = estimateElapsedMs(state, route.name, workspaceName, arrived.deadlineMs);
   const serial = state.nextSerial;
   state.nextSerial += 1;
-  const timeoutMs = Math.min(
-    arrived.deadlineMs ?? DEFAULT_TIMEOUT_MS,
-    route.timeoutMs || DEFAULT_TIMEOUT_MS,
-  );
+  const callerMs = arrived.deadlineMs ?? DEFAULT_TIMEOUT_MS;
+  const timeoutMs = Math.min(callerMs, route.timeoutMs || DEFAULT_TIMEOUT_MS);
   const repeatable = isRepeatable(route);
-  const waitedMs = gatewayLoad.computeWaitedMs(arrived.unreadMs ?? 0, timeoutMs, repeatable);
+  const waitedMs = gatewayLoad.computeWaitedMs(arrived.unreadMs ?? 0, callerMs, repeatable);
   const arrivedMs = now - waitedMs;
   return {
     serial,
