Let the gateway soak send a request that ends backend servers

Servers restart under their id or a new one, and another workspace sends the same request, which is harmless. The check allows three arrivals later than 3 s after the third loss, at gateways undisturbed for 3 s. The rate limit checks move to a module of their own, unchanged.

--- a/packages/proofs/src/soak/main.ts
+++ b/packages/proofs/src/soak/main.ts
@@ -20,6 +20,7 @@
     limits: { type: 'string', default: '2' },
     epochs: { type: 'string', default: '2' },
     statements: { type: 'string', default: '4' },
+    crashes: { type: 'string', default: '20' },
   },
 });
 const first = Number(values.first);
@@ -41,6 +42,7 @@
       limits: Number(values.limits),
       epochs: Number(values.epochs),
       statements: Number(values.statements),
+      crashes: Number(values.crashes),
       areTimesChecked: true,
     });
     process.stdout.write(`${JSON.stringify(report)}\n`);
--- a/packages/proofs/src/soak/run-soak.ts
+++ b/packages/proofs/src/soak/run-soak.ts
@@ -3,6 +3,7 @@
 import * as randomSource from '../mocks/random-source.js';
 import * as soakCaller from './soak-caller.js';
 import * as soakChecks from './soak-checks.js';
+import * as soakCrashes from './soak-crashes.js';
 import * as soakEpochs from './soak-epochs.js';
 import * as soakEvacuations from './soak-evacuations.js';
 import * as soakFaults from './soak-faults.js';
@@ -27,6 +28,8 @@
   statements: number;
   /** Number of times the store is restored from a backup, one after the other. */
   epochs: number;
+  /** Number of times a request is sent that ends each backend server that runs it. */
+  crashes: number;
   /** Also checks response times, which hold only on a machine with spare CPU. */
   areTimesChecked: boolean;
 };
@@ -56,6 +59,7 @@
 const LIMITS_STEP = 1_299_709;
 const EPOCHS_STEP = 15_485_863;
 const STATEMENTS_STEP = 179_424_673;
+const CRASHES_STEP = 32_452_843;
 
 /** Applies each fault at its time. */
 async function applyFaults(fleet: soakFleet.SoakFleet, faults: soakFaults.Fault[]): Promise<void> {
@@ -78,6 +82,23 @@
   return ends;
 }
 
+/** Applies the faults and runs all series of events beside them. */
+async function runEvents(
+  fleet: soakFleet.SoakFleet,
+  options: SoakOptions,
+  faults: soakFaults.Fault[],
+): Promise<void> {
+  const createSource = (step: number) => randomSource.createRandomSource(options.seed + step);
+  await Promise.all([
+    applyFaults(fleet, faults),
+    soakEvacuations.runEvacuations(fleet, createSource(EVACUATIONS_STEP), options.evacuations),
+    soakLimits.runLimits(fleet, createSource(LIMITS_STEP), options.limits),
+    soakStatements.runStatements(fleet, createSource(STATEMENTS_STEP), options.statements),
+    soakEpochs.runEpochs(fleet, createSource(EPOCHS_STEP), options.epochs),
+    soakCrashes.runCrashes(fleet, createSource(CRASHES_STEP), options.crashes),
+  ]);
+}
+
 /** Runs the callers and the faults, then checks the records. */
 async function runCalls(
   fleet: soakFleet.SoakFleet,
@@ -97,26 +118,7 @@
       isStopped: () => stopped,
     }),
   );
-  const draw = randomSource.createRandomSource(seed + EVACUATIONS_STEP);
-  await Promise.all([
-    applyFaults(fleet, faults),
-    soakEvacuations.runEvacuations(fleet, draw, options.evacuations),
-    soakLimits.runLimits(
-      fleet,
-      randomSource.createRandomSource(seed + LIMITS_STEP),
-      options.limits,
-    ),
-    soakStatements.runStatements(
-      fleet,
-      randomSource.createRandomSource(seed + STATEMENTS_STEP),
-      options.statements,
-    ),
-    soakEpochs.runEpochs(
-      fleet,
-      randomSource.createRandomSource(seed + EPOCHS_STEP),
-      options.epochs,
-    ),
-  ]);
+  await runEvents(fleet, options, faults);
   await timers.setTimeout(SETTLE_MS);
   const isServing = await soakFleet.waitForService(fleet);
   stopped = true;
--- a/packages/proofs/src/soak/soak-checks.ts
+++ b/packages/proofs/src/soak/soak-checks.ts
@@ -1,4 +1,6 @@
 /** Checks the documented guarantees against what callers and backend servers recorded. */
+import * as soakCrashChecks from './soak-crash-checks.js';
+import * as soakLimitChecks from './soak-limit-checks.js';
 import * as soakRecords from './soak-records.js';
 import * as soakStatementChecks from './soak-statement-checks.js';
 import * as soakVersionChecks from './soak-version-checks.js';
@@ -26,17 +28,6 @@
 const RETRY_WINDOW_MS = 10_000;
 /** A gateway reads a store change within this time, one lost call included, milliseconds. */
 const READING_MS = 2650;
-/** Window over which requests to a rate-limited backend server are counted, milliseconds. */
-const LIMIT_WINDOW_MS = 4000;
-/**
- * A limit is checked only this long after its first announcement, and for each gateway only
- * this long after an announcement that went through it, milliseconds.
- */
-const LIMIT_LEARNING_MS = 3000;
-const LIMIT_ANNOUNCED_MS = 500;
-/** A limited backend server may get this multiple of its limit plus this many requests. */
-const LIMIT_FACTOR = 1.5;
-const LIMIT_EXTRA = 5;
 /** Tolerance for a late response, milliseconds, as the machine may be busy. */
 const LATE_MS = 1000;
 
@@ -215,47 +206,6 @@
   });
 }
 
-/**
- * Lists the arrival times of requests from gateways that knew the rate limit and weren't
- * disturbed meanwhile.
- */
-function listInformedArrivals(
-  { records, callById }: Context,
-  limit: soakRecords.LimitRecord,
-): number[] {
-  const findGateway = (id: string) => callById.get(id)?.gateway;
-  const firstMs = limit.announced[0]?.atMs ?? Infinity;
-  return limit.arrivals
-    .filter(({ id, atMs }) => {
-      const gateway = findGateway(id);
-      const announcedBeforeMs = atMs - LIMIT_ANNOUNCED_MS;
-      const isExcused = records.disturbances.some(
-        (one) =>
-          one.gateway === gateway && one.fromMs <= atMs && one.untilMs >= atMs - LIMIT_WINDOW_MS,
-      );
-      const isInformed = limit.announced.some(
-        (one) => findGateway(one.id) === gateway && one.atMs <= announcedBeforeMs,
-      );
-      return atMs >= firstMs + LIMIT_LEARNING_MS && isInformed && !isExcused;
-    })
-    .map(({ atMs }) => atMs);
-}
-
-/** Checks that a backend server that announces a rate limit isn't sent more than it allows. */
-function checkLimits(context: Context): Violation[] {
-  return context.records.limits.flatMap((limit) => {
-    const times = listInformedArrivals(context, limit);
-    const { server, perSecond } = limit;
-    const allowed = LIMIT_FACTOR * perSecond * (LIMIT_WINDOW_MS / 1000) + LIMIT_EXTRA;
-    return times.flatMap((fromMs) => {
-      const untilMs = fromMs + LIMIT_WINDOW_MS;
-      const count = times.filter((at) => at >= fromMs && at < untilMs).length;
-      const detail = JSON.stringify({ server, perSecond, fromMs, count, allowed });
-      return count > allowed ? [{ guarantee: 'rate limit', detail }] : [];
-    });
-  });
-}
-
 /** Checks that no gateway process exited by itself. */
 function checkProcesses({ records }: Context): Violation[] {
   return records.unexpectedExits.map((one) => ({
@@ -303,12 +253,13 @@
     checkRevocations,
     checkEvacuations,
     checkRetries,
-    checkLimits,
     checkProcesses,
   ];
   const timed = bounds.areTimesChecked ? [checkAnswered, checkDisconnected] : [];
   return [
     ...[...always, ...timed].flatMap((check) => check(context)),
+    ...soakCrashChecks.checkCrashes(records, callById),
+    ...soakLimitChecks.checkLimits(records, callById),
     ...soakStatementChecks.checkStatements(records, callById),
     ...soakVersionChecks.checkVersions(records),
   ];
--- a/packages/proofs/src/soak/soak-records.ts
+++ b/packages/proofs/src/soak/soak-records.ts
@@ -88,6 +88,15 @@
 /** The exit of a gateway process that nothing had stopped. */
 export type UnexpectedExit = { gateway: number; atMs: number; code: number | null };
 
+/** Path and workspace of the request that ends each backend server that runs it. */
+export const CRASHING_PATH = '/safe/crash';
+export const CRASHING_WORKSPACE = 'workspace-a';
+
+/** Whether a run ends its backend server. */
+export function isCrashing({ path, workspace }: RunRecord): boolean {
+  return path === CRASHING_PATH && workspace === CRASHING_WORKSPACE;
+}
+
 export type SoakRecords = {
   calls: CallRecord[];
   runs: RunRecord[];
@@ -100,6 +109,8 @@
   /** Periods from a restore of the store until its lost changes were rewritten, milliseconds. */
   storeGaps: { fromMs: number; untilMs: number }[];
   unexpectedExits: UnexpectedExit[];
+  /** Backend servers that ended because of the request that they ran. */
+  crashes: { server: string; atMs: number }[];
   /** Periods in which a fault affected a gateway or its links, milliseconds. */
   disturbances: { gateway: number; fromMs: number; untilMs: number }[];
   /** Periods in which a gateway, or all if undefined, may not reach the store. */
@@ -118,6 +129,7 @@
     statements: [],
     storeGaps: [],
     unexpectedExits: [],
+    crashes: [],
     disturbances: [],
     storeFaults: [],
   };
--- a/packages/proofs/src/soak/soak-server.ts
+++ b/packages/proofs/src/soak/soak-server.ts
@@ -17,6 +17,8 @@
   setLimit: (limit: soakRecords.LimitRecord | undefined) => void;
   /** Makes a statement about itself in responses from now on; none if undefined. */
   setStatement: (statement: soakRecords.StatementRecord | undefined) => void;
+  /** Called when a request arrives that ends the server. */
+  setCrash: (crash: () => void) => void;
   stop: () => void;
 };
 
@@ -30,6 +32,7 @@
   readNow: () => number;
   limit: soakRecords.LimitRecord | undefined;
   statement: soakRecords.StatementRecord | undefined;
+  crash: () => void;
 };
 
 /** Requests that it processes concurrently. */
@@ -179,7 +182,10 @@
   };
   setTimeout(
     () => {
-      if (run.path.startsWith('/stream/') || run.path.startsWith(RESUMABLE_PATH)) {
+      if (soakRecords.isCrashing(run)) {
+        end();
+        state.crash();
+      } else if (run.path.startsWith('/stream/') || run.path.startsWith(RESUMABLE_PATH)) {
         const isTruncated = state.draw() < TRUNCATED_SHARE;
         socket.write(addStatements(state, id, backendServerStandIn.buildStreamHead(request)));
         sendEvents(run, socket, isTruncated ? run.resumeAfter + 2 : Infinity, end);
@@ -203,7 +209,13 @@
 ): Promise<SoakServer> {
   const runner = await backendServerStandIn.startBackendServerStandIn();
   const facts = { id, version, failureDomain, draw, records, readNow };
-  const state: ServerState = { ...facts, active: 0, limit: undefined, statement: undefined };
+  const state: ServerState = {
+    ...facts,
+    active: 0,
+    limit: undefined,
+    statement: undefined,
+    crash: () => {},
+  };
   runner.setRequestHandler((request, socket) => serve(state, request, socket));
   const server: SoakServer = {
     id,
@@ -214,6 +226,9 @@
     setStatement: (statement) => {
       state.statement = statement;
     },
+    setCrash: (crash) => {
+      state.crash = crash;
+    },
     rename: (changed, changedVersion) => {
       state.limit = undefined;
       state.statement = undefined;
--- a/packages/proofs/src/soak/soak.test.ts
+++ b/packages/proofs/src/soak/soak.test.ts
@@ -9,7 +9,7 @@
 /** Runs one seed with few processes and expects no violation of a guarantee. */
 async function expectNoViolations(
   seed: number,
-  { evacuations = 0, limits = 0, epochs = 0, statements = 0 },
+  { evacuations = 0, limits = 0, epochs = 0, statements = 0, crashes = 0 },
 ): Promise<void> {
   const report = await runSoak.runSoak({
     seed,
@@ -22,6 +22,7 @@
     limits,
     epochs,
     statements,
+    crashes,
     areTimesChecked: false,
   });
   assert.deepEqual(report.violations, [], `logs in ${report.folder}`);
@@ -43,3 +44,6 @@
 nodeTest.test('guarantees hold while servers leave and ask for a backoff, seed 6', () =>
   expectNoViolations(6, { statements: 2 }),
 );
+nodeTest.test('guarantees hold while a request ends servers, seed 7', () =>
+  expectNoViolations(7, { crashes: 16 }),
+);
