Do not count runs whose callers leave early as lost

A gateway that sends a server few requests has often heard nothing from it for 300 ms. Callers that leave after half their target would have added losses to what they ask for. A cancelled run now counts only if it has waited 500 ms and its server was silent for as long. The new test fails without the condition on the wait.

--- a/packages/core/src/gateway/crash-detection.test.ts
+++ b/packages/core/src/gateway/crash-detection.test.ts
@@ -180,6 +180,18 @@
   assert.equal(sendRequest(state, 13_500), undefined);
 });
 
+// Guards against refusing what callers often leave before it can be answered.
+test('runs that are cancelled early are no losses', () => {
+  const state = gatewayFixture.createTestGateway(['a', 'bb', 'ccc']);
+  [0, 1000, 2000].forEach((now) => {
+    const request = sendRequest(state, now, 'left') as gatewayRequest.GatewayRequest;
+    requestEnd.abandonRequest(state, request, true, now + HEARD_MS);
+    serverEntries.applyEntry(state.servers, gatewayFixture.buildEntry(`d${now}`), now);
+  });
+  assert.equal(state.lostRuns.byDigest.size, 0);
+  assert.notEqual(sendRequest(state, 3000, 'left'), undefined);
+});
+
 // Guards against content that stays refused although it only ran next to the cause.
 test('refused content is tried and served again once it completes', () => {
   const state = gatewayFixture.createTestGateway(['a', 'bb', 'ccc', 'dddd', 'eeeee']);
--- a/packages/core/src/gateway/crash-detection.ts
+++ b/packages/core/src/gateway/crash-detection.ts
@@ -6,8 +6,8 @@
  * without a response, until its backend server is heard again: entries of lost servers expire
  * seconds later, and some servers fall silent instead of resetting connections. Content is refused
  * after two losses in sequence. A complete response clears its losses, so that content that ran
- * next to the cause is served again. Refused content is admitted once in a while,
- * as a trial, because it could not complete otherwise.
+ * next to the cause is served again. Refused content is admitted once in a while, as a trial,
+ * because it could not complete otherwise.
  */
 import * as schema from '@toucanproxy/schema';
 import type * as gatewayRequest from './gateway-request.js';
@@ -27,6 +27,12 @@
  */
 const RESTART_MS = 5000;
 
+/**
+ * A cancelled run counts as a loss only if nothing has arrived from its server for this time,
+ * milliseconds. Callers that leave early often do so before any response is due.
+ */
+const SILENCE_MS = 500;
+
 /** Computes the digest of a request's content, which includes its workspace. */
 function hashContent({ arrived, workspace }: gatewayRequest.GatewayRequest): string {
   return arrived.hashContent(workspace);
@@ -80,7 +86,12 @@
   now: number,
 ): void {
   const incarnation = findIncarnation(request);
-  if (incarnation !== undefined && lostRuns.isSilent(state.lostRuns, incarnation, now)) {
+  const hasWaited = now - request.sentMs > SILENCE_MS;
+  if (
+    incarnation !== undefined &&
+    hasWaited &&
+    lostRuns.isSilent(state.lostRuns, incarnation, SILENCE_MS, now)
+  ) {
     noteLostRun(state, request, now);
   }
 }
--- a/packages/core/src/gateway/lost-runs.ts
+++ b/packages/core/src/gateway/lost-runs.ts
@@ -69,14 +69,15 @@
   }
 }
 
-/** Returns whether nothing has arrived from a backend server lately. */
+/** Returns whether nothing has arrived from a backend server for some time. */
 export function isSilent(
   { heard }: LostRuns,
   { serverId, bornMs }: ServerIncarnation,
+  forMs: number,
   now: number,
 ): boolean {
   const known = heard.get(serverId);
-  return known?.bornMs !== bornMs || now - known.atMs > TRANSIT_MS;
+  return known?.bornMs !== bornMs || now - known.atMs > forMs;
 }
 
 /** Returns how long after a loss its backend server was last heard, ms; -Infinity if it was not. */
