Show refused contents to operators, and split admission

Status and metrics say which contents a gateway refuses, with their losses and the time to the next trial. Mended on the way, without a change of behaviour: what a resumed stream needs has a function of its own in admission; both ends of a reserved retry share one.

--- a/packages/core/src/gateway/crash-detection.test.ts
+++ b/packages/core/src/gateway/crash-detection.test.ts
@@ -91,6 +91,8 @@
   assert.equal(sendIntoLoss(first, 0), true);
   assert.equal(sendIntoLoss(first, 100), true);
   assert.equal(sendIntoLoss(first, 200), false);
+  const [suspended] = crashDetection.listSuspendedContents(first, 200);
+  assert.deepEqual(suspended, { digest: CRASHING_CONTENT, losses: 2, trialLeftMs: 950 });
   const second = gatewayFixture.createTestGateway(['ccc']);
   passOn(first, second, 200);
   assert.equal(sendIntoLoss(second, 300), false);
--- a/packages/core/src/gateway/crash-detection.ts
+++ b/packages/core/src/gateway/crash-detection.ts
@@ -121,17 +121,38 @@
   return lastMs + FIRST_TRIAL_MS * TRIAL_FACTOR ** (losses - MAX_LOSSES);
 }
 
+/** The losses of refused content, and when it may be tried again. */
+type Suspension = { losses: number; trialMs: number };
+
+/** Returns the suspension of content with a digest; undefined if it is not refused. */
+function findSuspensionOf(runs: lostRuns.LostRuns, digest: string): Suspension | undefined {
+  const counted = lostRuns.listCounted(runs, digest);
+  const losses = lostRuns.countSequence(counted);
+  return losses >= MAX_LOSSES ? { losses, trialMs: computeTrialMs(counted, losses) } : undefined;
+}
+
 /** Returns when the content of a request may be tried again; undefined if it is not refused. */
 function findTrialMs(
   { lostRuns: runs }: gatewayState.GatewayState,
   request: gatewayRequest.GatewayRequest,
 ): number | undefined {
-  if (runs.byDigest.size === 0) {
-    return undefined;
-  }
-  const counted = lostRuns.listCounted(runs, hashContent(request));
-  const losses = lostRuns.countSequence(counted);
-  return losses >= MAX_LOSSES ? computeTrialMs(counted, losses) : undefined;
+  return runs.byDigest.size > 0 ? findSuspensionOf(runs, hashContent(request))?.trialMs : undefined;
+}
+
+/** Refused content, for operators. */
+export type SuspendedContent = { digest: string; losses: number; trialLeftMs: number };
+
+/** Lists the contents that are refused at present. */
+export function listSuspendedContents(
+  { lostRuns: runs }: gatewayState.GatewayState,
+  now: number,
+): SuspendedContent[] {
+  return [...runs.byDigest.keys()].flatMap((digest) => {
+    const found = findSuspensionOf(runs, digest);
+    return found === undefined
+      ? []
+      : [{ digest, losses: found.losses, trialLeftMs: Math.max(found.trialMs - now, 0) }];
+  });
 }
 
 /** Returns whether the content of a request is refused at present, apart from trials. */
--- a/packages/core/src/gateway/request-admission.ts
+++ b/packages/core/src/gateway/request-admission.ts
@@ -220,6 +220,26 @@
   }
 }
 
+/** Binds a request that takes up a stream to the version that began it; returns a refusal if any. */
+function applyResumption(
+  state: gatewayState.GatewayState,
+  request: gatewayRequest.GatewayRequest,
+  now: number,
+): refusal.Refusal | undefined {
+  const resumption = findResumption(request);
+  if (resumption === undefined) {
+    return undefined;
+  }
+  const { firstAttemptId } = resumption;
+  if (firstAttemptId === undefined || !streamOrigins.isRecordable(firstAttemptId)) {
+    return originLookups.buildUnknownRefusal();
+  }
+  const software = streamOrigins.findOrigin(state.origins, firstAttemptId, now);
+  return software === undefined || streamVersions.applyOrigin(request, software)
+    ? undefined
+    : refusal.buildRefusal(schema.ResultCode.NO_BACKEND_SERVER);
+}
+
 /** Admits or refuses an arriving request. */
 export function admitRequest(
   state: gatewayState.GatewayState,
@@ -245,22 +265,10 @@
     };
   }
   const request = createRequest(state, arrived, decision.authorization, service, now);
-  const resumption = findResumption(request);
-  if (resumption !== undefined) {
-    const { firstAttemptId } = resumption;
-    if (firstAttemptId === undefined || !streamOrigins.isRecordable(firstAttemptId)) {
-      return { kind: 'refused', refusal: originLookups.buildUnknownRefusal() };
-    }
-    const software = streamOrigins.findOrigin(state.origins, firstAttemptId, now);
-    if (software !== undefined && !streamVersions.applyOrigin(request, software)) {
-      return {
-        kind: 'refused',
-        refusal: refusal.buildRefusal(schema.ResultCode.NO_BACKEND_SERVER),
-      };
-    }
-  }
   const admissionRefusal =
-    findAdmissionRefusal(state, request, now) ?? applyQuota(state, request, workspace?.quota, now);
+    applyResumption(state, request, now) ??
+    findAdmissionRefusal(state, request, now) ??
+    applyQuota(state, request, workspace?.quota, now);
   if (admissionRefusal !== undefined) {
     return { kind: 'refused', refusal: admissionRefusal };
   }
--- a/packages/core/src/gateway/retries.ts
+++ b/packages/core/src/gateway/retries.ts
@@ -31,24 +31,30 @@
   return isAllowed;
 }
 
-/** Records that a request is being sent. */
-export function noteSent(
+/** Settles the retry that was reserved for a request, if there is one. */
+function takeReserved(
   state: gatewayState.GatewayState,
   request: gatewayRequest.GatewayRequest,
+  settle: (retries: retryBudget.RetryBudget) => void,
 ): void {
   if (request.hasRetryReserved) {
     request.hasRetryReserved = false;
-    retryBudget.noteRetrySent(gatewayState.getServiceState(state, request.service).retries);
+    settle(gatewayState.getServiceState(state, request.service).retries);
   }
 }
 
+/** Records that a request is being sent. */
+export function noteSent(
+  state: gatewayState.GatewayState,
+  request: gatewayRequest.GatewayRequest,
+): void {
+  takeReserved(state, request, retryBudget.noteRetrySent);
+}
+
 /** Returns the retry that was reserved for a request, if it ended before that retry was sent. */
 export function releaseRetry(
   state: gatewayState.GatewayState,
   request: gatewayRequest.GatewayRequest,
 ): void {
-  if (request.hasRetryReserved) {
-    request.hasRetryReserved = false;
-    retryBudget.releaseRetry(gatewayState.getServiceState(state, request.service).retries);
-  }
+  takeReserved(state, request, retryBudget.releaseRetry);
 }
--- a/packages/gateway/src/gateway-metrics.ts
+++ b/packages/gateway/src/gateway-metrics.ts
@@ -135,6 +135,11 @@
     { name: 'document_version', labels: {}, value: version },
     { name: 'requests_held', labels: {}, value: state.requests.size },
     { name: 'backend_servers', labels: {}, value: state.servers.byId.size },
+    {
+      name: 'suspended_contents',
+      labels: {},
+      value: gateway.listSuspendedContents(state, now).length,
+    },
     {
       name: 'backend_servers_warming',
       labels: {},
--- a/packages/gateway/src/status.ts
+++ b/packages/gateway/src/status.ts
@@ -88,6 +88,7 @@
     statements: describeStatements(state, now.steadyMs),
     cells: describeCells(state),
     retries: describeRetries(state),
+    suspendedContents: gateway.listSuspendedContents(state, now.steadyMs),
     workspaceShares: gateway.listActiveShares(state, now.steadyMs),
     unknownNames: unknownNames.listUnknownNames(unknown),
     peers: gateway.listKnownAddresses(state.peers),
--- a/packages/runtime/src/metric-definitions.ts
+++ b/packages/runtime/src/metric-definitions.ts
@@ -58,6 +58,10 @@
     type: MetricType.COUNTER,
     help: 'Streams that callers took up again, by where the version that began them was known.',
   },
+  suspended_contents: {
+    type: MetricType.GAUGE,
+    help: 'Contents that a gateway refuses because their runs ended backend servers.',
+  },
   stream_origins: {
     type: MetricType.GAUGE,
     help: 'Streams whose software version this process knows.',
