--- a/packages/core/src/gateway/crash-detection.test.ts
+++ b/packages/core/src/gateway/crash-detection.test.ts
@@ -1,6 +1,7 @@
 import * as assert from 'node:assert/strict';
 import * as nodeTest from 'node:test';
 import * as schema from '@toucanproxy/schema';
+import * as rendezvous from '../shared/rendezvous.js';
 import * as attemptEnd from './attempt-end.js';
 import * as configurationLease from './configuration-lease.js';
 import * as crashDetection from './crash-detection.js';
@@ -210,6 +211,24 @@
   assert.equal(completeRun(state, 2400), true);
 });
 
+// Guards against callers that send refused content to several gateways at once.
+test('gateways try refused content one after the other', () => {
+  const other = '10.0.0.2:7600';
+  const contents = Array.from({ length: 20 }, (_, index) => `poison-${index}`);
+  const own = gatewayFixture.createTestGateway([]).address;
+  const isFirst = (content: string) =>
+    rendezvous.rankByRendezvous(content, [own, other])[0] === own;
+  contents.forEach((content) => {
+    const state = gatewayFixture.createTestGateway(['a', 'bb', 'ccc', 'dddd']);
+    [0, 100].forEach((now) => sendIntoLoss(state, now, content));
+    gatewayFixture.receivePeerReport(state, other, 1100);
+    assert.equal(completeRun(state, 1200, content), isFirst(content));
+    gatewayFixture.receivePeerReport(state, other, 3100);
+    assert.equal(completeRun(state, 3200, content), true);
+  });
+  assert.equal(new Set(contents.map(isFirst)).size, 2);
+});
+
 // Guards against trials that end a server each second.
 test('trials that end servers become rare', () => {
   const ids = Array.from({ length: 10 }, (_, index) => 'x'.repeat(index + 1));
--- a/packages/core/src/gateway/crash-detection.ts
+++ b/packages/core/src/gateway/crash-detection.ts
@@ -10,9 +10,11 @@
  * because it could not complete otherwise.
  */
 import * as schema from '@toucanproxy/schema';
+import * as rendezvous from '../shared/rendezvous.js';
 import type * as gatewayRequest from './gateway-request.js';
 import type * as gatewayState from './gateway-state.js';
 import * as lostRuns from './lost-runs.js';
+import * as peerCounts from './peer-counts.js';
 import * as refusal from './refusal.js';
 
 /** Losses in sequence from which on content is refused. */
@@ -21,6 +23,13 @@
 const FIRST_TRIAL_MS = 1000;
 /** Factor by which the time to the next trial grows with each trial that ends in a loss. */
 const TRIAL_FACTOR = 10;
+/**
+ * Time between the gateways' turns to try refused content, milliseconds: the loss of a trial at a
+ * silent server is known only when its time is over.
+ */
+const TURN_MS = 2000;
+/** Gateways with a later turn than this one take it together. */
+const MAX_TURN = 4;
 /**
  * A server that restarts under its id may send responses before its new entry is read. What was
  * heard only within this time after a loss does not show that it lived on, milliseconds.
@@ -163,6 +172,20 @@
   return findTrialMs(state, request) !== undefined;
 }
 
+/**
+ * Computes how long this gateway leaves the trial of a content to others, milliseconds. Callers that
+ * send it to several gateways at once would otherwise have a trial at each.
+ */
+function computeTurnMs(
+  { address, peers }: gatewayState.GatewayState,
+  digest: string,
+  now: number,
+): number {
+  const all = [address, ...peerCounts.listReachablePeers(peers, now)];
+  const turn = rendezvous.rankByRendezvous(digest, all).indexOf(address);
+  return Math.min(turn, MAX_TURN) * TURN_MS;
+}
+
 /** Builds the refusal of content that may be tried again at a given time. */
 function buildSuspension(trialMs: number, now: number): refusal.Refusal {
   return refusal.buildRefusal(schema.ResultCode.CONTENT_SUSPENDED, trialMs - now);
@@ -175,11 +198,13 @@
   now: number,
 ): refusal.Refusal | undefined {
   const trialMs = findTrialMs(state, request);
-  const record = state.lostRuns.byDigest.get(trialMs === undefined ? '' : hashContent(request));
-  if (trialMs === undefined || record === undefined) {
+  if (trialMs === undefined) {
     return undefined;
   }
-  const dueMs = Math.max(trialMs, record.trialMs + FIRST_TRIAL_MS);
+  const digest = hashContent(request);
+  const record = state.lostRuns.byDigest.get(digest) as lostRuns.ContentRecord;
+  const turnMs = trialMs + computeTurnMs(state, digest, now);
+  const dueMs = Math.max(turnMs, record.trialMs + FIRST_TRIAL_MS);
   if (now < dueMs) {
     return buildSuspension(dueMs, now);
   }
--- a/packages/core/src/gateway/lost-run-messages.test.ts
+++ b/packages/core/src/gateway/lost-run-messages.test.ts
@@ -5,7 +5,6 @@
 import type * as gatewayState from './gateway-state.js';
 import * as lostRunMessages from './lost-run-messages.js';
 import * as lostRuns from './lost-runs.js';
-import * as peerView from './peer-view.js';
 import * as gatewayFixture from './mocks/gateway-fixture.js';
 
 const { test } = nodeTest;
@@ -23,16 +22,6 @@
   }
 }
 
-/** Creates a gateway that hears another one. */
-function createWithPeer(): gatewayState.GatewayState {
-  const state = gatewayFixture.createTestGateway(['a']);
-  const report = { life: 'other', sequence: 1, leaving: false, used: new Map<string, number>() };
-  const load = { processorPercent: 50, loadPercent: 0, configurationVersion: 1, workspaceCount: 0 };
-  const place = { address: '10.0.0.2:7600', failureDomain: 'd1', peers: [] };
-  peerView.applyReport(state.peers, { ...report, ...load, ...place }, 0);
-  return state;
-}
-
 /** Ends two servers one after the other, with many runs of other contents each. */
 function endServers(state: gatewayState.GatewayState): void {
   ['a', 'bb'].forEach((serverId, index) => {
@@ -50,7 +39,8 @@
 
 // Guards against a cause that is told too late since many requests broke next to it.
 test('losses with many broken runs reach other gateways at once', () => {
-  const state = createWithPeer();
+  const state = gatewayFixture.createTestGateway(['a']);
+  gatewayFixture.receivePeerReport(state, '10.0.0.2:7600', 0);
   const [told, begun, reported] = [0, 1, 2].map(() => gatewayFixture.createTestGateway(['a']));
   endServers(state);
   const outgoing = lostRunMessages.collectLostRuns(state, 100);
--- a/packages/core/src/gateway/mocks/gateway-fixture.ts
+++ b/packages/core/src/gateway/mocks/gateway-fixture.ts
@@ -8,6 +8,7 @@
 import type * as storeRevision from '../../shared/store-revision.js';
 import * as scheduler from '../../scheduler/index.js';
 import type * as serverHealth from '../../scheduler/server-health.js';
+import * as peerView from '../peer-view.js';
 import * as pendingAsks from '../pending-asks.js';
 import * as assignment from '../assignment.js';
 import * as serverEntries from '../server-entries.js';
@@ -124,6 +125,23 @@
   return state;
 }
 
+/** Has a gateway receive a report of another one, which is too busy to schedule. */
+export function receivePeerReport(
+  state: gatewayState.GatewayState,
+  address: string,
+  now: number,
+): void {
+  const report = { life: 'other', sequence: now, leaving: false, used: new Map<string, number>() };
+  const load = {
+    processorPercent: 50,
+    loadPercent: 100,
+    configurationVersion: 1,
+    workspaceCount: 0,
+  };
+  const place = { address, failureDomain: 'd1', peers: [] };
+  peerView.applyReport(state.peers, { ...report, ...load, ...place }, now);
+}
+
 /** Runs all scheduling that is possible now and returns the assignments and refusals. */
 export function assignWaiting(
   state: gatewayState.GatewayState,
