--- a/packages/core/src/gateway/crash-detection.test.ts
+++ b/packages/core/src/gateway/crash-detection.test.ts
@@ -183,6 +183,28 @@
   assert.equal(sendRequest(state, 13_500), undefined);
 });
 
+// Guards against callers that send the content in parallel to servers which all fall silent.
+test('servers that fall silent together are enough to refuse content', () => {
+  const state = gatewayFixture.createTestGateway(['a', 'bb', 'ccc', 'dddd']);
+  const sent = [0, 1, 2].map(() => sendRequest(state, 0));
+  sent.forEach((request) => request && requestEnd.abandonRequest(state, request, true, 1000));
+  assert.equal(sendRequest(state, 1100), undefined);
+});
+
+// Guards against trials at silent servers that are repeated each second, as they bring nothing new.
+test('a further loss at a server that was lost delays the next trial', () => {
+  const state = gatewayFixture.createTestGateway(['a', 'bb']);
+  const endRun = (serverId: string, now: number) => {
+    const request = sendRequest(state, now) as gatewayRequest.GatewayRequest;
+    requestEnd.abandonRequest(state, { ...request, serverId }, true, now + 800);
+  };
+  endRun('a', 0);
+  endRun('bb', 1000);
+  endRun('a', 2900);
+  assert.equal(sendRequest(state, 4600), undefined);
+  assert.notEqual(sendRequest(state, 4800), undefined);
+});
+
 // Guards against refusing what callers often leave before it can be answered.
 test('runs that are cancelled early are no losses', () => {
   const state = gatewayFixture.createTestGateway(['a', 'bb', 'ccc']);
--- a/packages/core/src/gateway/crash-detection.ts
+++ b/packages/core/src/gateway/crash-detection.ts
@@ -5,7 +5,7 @@
  * a backend server and fails all other requests there. A run counts as a loss as soon as it ends
  * without a response, until its backend server is heard again: entries of lost servers expire
  * seconds later, and some servers fall silent instead of resetting connections. Content is refused
- * after two losses in sequence. A complete response clears its losses, so that content that ran
+ * after two losses in sequence, or if three servers have fallen silent. A complete response clears its losses, so that content that ran
  * next to the cause is served again. Refused content is admitted once in a while, as a trial,
  * because it could not complete otherwise.
  */
@@ -19,6 +19,8 @@
 
 /** Losses in sequence from which on content is refused. */
 const MAX_LOSSES = 2;
+/** Servers that have fallen silent from which on their content is refused, also if all at once. */
+const MAX_SILENT = 3;
 /** Time from the last loss to the first trial of refused content, milliseconds. */
 const FIRST_TRIAL_MS = 1000;
 /** Factor by which the time to the next trial grows with each trial that ends in a loss. */
@@ -72,6 +74,7 @@
   { lostRuns: runs }: gatewayState.GatewayState,
   request: gatewayRequest.GatewayRequest,
   now: number,
+  isSilent = false,
 ): void {
   const incarnation = findIncarnation(request);
   if (incarnation === undefined) {
@@ -79,7 +82,7 @@
   }
   const digest = hashContent(request);
   const times = { sentMs: request.sentMs, lostMs: now, changedMs: now };
-  const run = { ...incarnation, ...times, isCleared: false };
+  const run = { ...incarnation, ...times, isSilent, isCleared: false };
   if (lostRuns.addRun(runs, { ...run, digest })) {
     runs.unsent.set(digest, true);
   }
@@ -99,9 +102,9 @@
   if (
     incarnation !== undefined &&
     hasWaited &&
-    lostRuns.isSilent(state.lostRuns, incarnation, SILENCE_MS, now)
+    lostRuns.isServerSilent(state.lostRuns, incarnation, SILENCE_MS, now)
   ) {
-    noteLostRun(state, request, now);
+    noteLostRun(state, request, now, true);
   }
 }
 
@@ -124,6 +127,13 @@
   lostRuns.forgetServer(runs, serverId, now, isRestart ? RESTART_MS : undefined);
 }
 
+/** Counts losses in sequence; several servers that have fallen silent together count as enough. */
+function countLosses(counted: readonly lostRuns.LostRun[]): number {
+  const losses = lostRuns.countSequence(counted);
+  const silent = counted.filter(({ isSilent }) => isSilent).length;
+  return silent >= MAX_SILENT ? Math.max(losses, MAX_LOSSES) : losses;
+}
+
 /** Computes when content with a number of losses in sequence may be tried again. */
 function computeTrialMs(counted: readonly lostRuns.LostRun[], losses: number): number {
   const lastMs = Math.max(...counted.map(({ lostMs }) => lostMs));
@@ -136,7 +146,7 @@
 /** Returns the suspension of content with a digest; undefined if it is not refused. */
 function findSuspensionOf(runs: lostRuns.LostRuns, digest: string): Suspension | undefined {
   const counted = lostRuns.listCounted(runs, digest);
-  const losses = lostRuns.countSequence(counted);
+  const losses = countLosses(counted);
   return losses >= MAX_LOSSES ? { losses, trialMs: computeTrialMs(counted, losses) } : undefined;
 }
 
--- a/packages/core/src/gateway/lost-run-messages.test.ts
+++ b/packages/core/src/gateway/lost-run-messages.test.ts
@@ -16,7 +16,7 @@
 /** Adds a run of a content that was lost after 60 ms. */
 function addLoss(state: gatewayState.GatewayState, digest: string, serverId: string, now: number) {
   const times = { sentMs: now - 60, lostMs: now, changedMs: now };
-  const run = { digest, serverId, bornMs: 1, ...times, isCleared: false };
+  const run = { digest, serverId, bornMs: 1, ...times, isSilent: false, isCleared: false };
   if (lostRuns.addRun(state.lostRuns, run)) {
     state.lostRuns.unsent.set(digest, true);
   }
@@ -68,7 +68,15 @@
     { serverId: 'a', lostMs: 0, isCleared: true },
     { serverId: 'bb', lostMs: 100, isCleared: false },
     { serverId: 'ccc', lostMs: 200, isCleared: false },
-  ].map((run) => ({ ...run, digest: CAUSE, bornMs: 1, sentMs: run.lostMs - 60, changedMs: 0 }));
+    { serverId: 'ccc', lostMs: 300, isCleared: false },
+  ].map((run) => ({
+    ...run,
+    digest: CAUSE,
+    bornMs: 1,
+    sentMs: run.lostMs - 60,
+    changedMs: 0,
+    isSilent: false,
+  }));
   fastCheck.assert(
     fastCheck.property(
       fastCheck.shuffledSubarray([...runs, ...runs], { minLength: 2 * runs.length }),
--- a/packages/core/src/gateway/lost-run-messages.ts
+++ b/packages/core/src/gateway/lost-run-messages.ts
@@ -39,6 +39,7 @@
     runMs: encodeMs(run.lostMs - run.sentMs),
     ageMs: encodeMs(now - run.lostMs),
     cleared: run.isCleared,
+    silent: run.isSilent,
   });
 }
 
@@ -119,7 +120,7 @@
 ): void {
   runs
     .filter(({ contentDigest, ageMs }) => contentDigest !== '' && ageMs < lostRuns.KEEP_MS)
-    .forEach(({ contentDigest, serverId, serverBornMs, runMs, ageMs, cleared }) =>
+    .forEach(({ contentDigest, serverId, serverBornMs, runMs, ageMs, silent, cleared }) =>
       lostRuns.addRun(known, {
         digest: contentDigest,
         serverId,
@@ -127,6 +128,7 @@
         sentMs: now - ageMs - runMs,
         lostMs: now - ageMs,
         changedMs: now,
+        isSilent: silent,
         isCleared: cleared,
       }),
     );
--- a/packages/core/src/gateway/lost-runs.ts
+++ b/packages/core/src/gateway/lost-runs.ts
@@ -14,6 +14,8 @@
   lostMs: number;
   /** When this gateway learned of it or of its clearance, milliseconds. */
   changedMs: number;
+  /** It was cancelled as its backend server had fallen silent; otherwise its connection broke. */
+  isSilent: boolean;
   /** It does not count: the content has completed since, or its backend server lived on. */
   isCleared: boolean;
 };
@@ -70,7 +72,7 @@
 }
 
 /** Returns whether nothing has arrived from a backend server for some time. */
-export function isSilent(
+export function isServerSilent(
   { heard }: LostRuns,
   { serverId, bornMs }: ServerIncarnation,
   forMs: number,
@@ -130,18 +132,23 @@
     });
 }
 
-/** Adds a run, or clears the known one if it is cleared; returns whether the record changed. */
+/**
+ * Adds a run, or clears the known one if it is cleared; returns whether the record changed. A run
+ * that was sent after the loss of the known one at the same backend server replaces it.
+ */
 export function addRun(lostRuns: LostRuns, { digest, ...run }: DigestedRun): boolean {
   const record = lostRuns.byDigest.get(digest) ?? { runs: [], trialMs: -Infinity };
   const known = record.runs.find(
     ({ serverId, bornMs }) => serverId === run.serverId && bornMs === run.bornMs,
   );
-  if (known !== undefined) {
+  if (known !== undefined && run.sentMs < known.lostMs) {
     const isChanged = run.isCleared && !known.isCleared;
     Object.assign(known, isChanged ? { isCleared: true, changedMs: run.changedMs } : {});
     return isChanged;
   }
-  record.runs = [...record.runs, run].sort((a, b) => b.lostMs - a.lostMs).slice(0, MAX_RUNS);
+  record.runs = [...record.runs.filter((one) => one !== known), run]
+    .sort((a, b) => b.lostMs - a.lostMs)
+    .slice(0, MAX_RUNS);
   lostRuns.byDigest.set(digest, record);
   trimContents(lostRuns);
   return true;
