--- a/packages/core/src/gateway/lost-runs.ts
+++ b/packages/core/src/gateway/lost-runs.ts
@@ -134,14 +134,15 @@
 
 /**
  * Adds a run, or clears the known one if it is cleared; returns whether the record changed. A run
- * that was sent after the loss of the known one at the same backend server replaces it.
+ * that was sent after the loss of the known one at the same backend server replaces it. The times of
+ * a run that another gateway passes on are later by the transit of the messages.
  */
 export function addRun(lostRuns: LostRuns, { digest, ...run }: DigestedRun): boolean {
   const record = lostRuns.byDigest.get(digest) ?? { runs: [], trialMs: -Infinity };
   const known = record.runs.find(
     ({ serverId, bornMs }) => serverId === run.serverId && bornMs === run.bornMs,
   );
-  if (known !== undefined && run.sentMs < known.lostMs) {
+  if (known !== undefined && run.sentMs < known.lostMs + TRANSIT_MS) {
     const isChanged = run.isCleared && !known.isCleared;
     Object.assign(known, isChanged ? { isCleared: true, changedMs: run.changedMs } : {});
     return isChanged;
