Recognise events whose lines end with CRLF or CR

Callers of a resumable stream whose events end with CRLF or CR, or that ends with a comment, got no response or a broken one: the gateway looked for LF LF only, took the whole stream for an incomplete event, ran it a second time from the start and then refused it with ANSWER_BROKEN. Two such runs also suspended the content as one that breaks servers. An id before CRLF was sent on with the CR.

The stream is now read line by line with LF, CR or CRLF as line ends, also over chunks, and with a byte order mark, comments and blank lines as the format defines them. Bytes are forwarded unchanged; whole comments and blank lines between events are forwarded at once.

--- a/packages/gateway/src/attempt-sending.ts
+++ b/packages/gateway/src/attempt-sending.ts
@@ -5,6 +5,7 @@
 import * as callerExchange from './caller-exchange.js';
 import * as gatewayMetrics from './gateway-metrics.js';
 import * as domainTraffic from './domain-traffic.js';
+import * as eventStream from './event-stream.js';
 import type * as heldRequest from './held-request.js';
 import * as outgoingRequest from './outgoing-request.js';
 import * as requestEnding from './request-ending.js';
@@ -139,7 +140,7 @@
     task.metrics.recordWait(request.urgency, request.sentMs - request.arrivedMs);
   }
   if (held.events !== undefined) {
-    held.events.pending = Buffer.alloc(0);
+    eventStream.restart(held.events);
   }
   const readNow = () => task.readClocks().steadyMs;
   const listener = responseRelay.createRelay({
--- a/packages/gateway/src/event-stream.ts
+++ b/packages/gateway/src/event-stream.ts
@@ -3,47 +3,167 @@
  *
  * A backend server may fail in the middle of an event. If part of that event had been forwarded,
  * it could not be undone when another backend server resumes the stream.
+ *
+ * Lines end with LF, CR or CRLF. An event ends with a blank line; comments and blank lines between
+ * events belong to none. A byte order mark may precede the first line.
  */
 
 export type EventStream = {
-  /** Bytes of the last event, which is still incomplete. */
-  pending: Buffer;
+  /** Bytes that are held back: an incomplete event. */
+  pending: Buffer[];
+  pendingBytes: number;
+  /** Beginning of the line that is being read, in Latin-1. */
+  line: string;
+  isFirstLine: boolean;
+  /** The last line ended with CR; an LF that follows belongs to it. */
+  isAfterReturn: boolean;
+  /** The event that is being read has fields already. */
+  hasFields: boolean;
+  /** Id of the event that is being read; undefined while it has none. */
+  id: string | undefined;
   /** Id of the last complete event that had one; undefined before the first. */
   lastEventId: string | undefined;
-  events: number;
 };
 
-const EVENT_END = Buffer.from('\n\n');
+/** Complete events, and comments or blank lines between them. */
+export type CompleteEvents = { bytes: Buffer; events: number };
+
+const LF = 0x0a;
+const CR = 0x0d;
 const EMPTY = Buffer.alloc(0);
-const ID_LINE = /(?:^|\n)id: ?([^\n]*)/g;
+const BYTE_ORDER_MARK = '\u00ef\u00bb\u00bf';
 /** A longer event is forwarded in parts, to limit the memory; bytes. */
 const MAX_EVENT_BYTES = 1_048_576;
+/** Longest part of a line that is kept, to find event ids; characters. */
+const MAX_LINE_LENGTH = 4096;
+
+/** Creates the state before the first line of a response. */
+function createReadingState() {
+  return {
+    pending: [],
+    pendingBytes: 0,
+    line: '',
+    isFirstLine: true,
+    isAfterReturn: false,
+    hasFields: false,
+    id: undefined,
+  };
+}
 
 /** Creates a stream without events. */
 export function createEventStream(): EventStream {
-  return { pending: EMPTY, lastEventId: undefined, events: 0 };
+  return { ...createReadingState(), lastEventId: undefined };
+}
+
+/** Prepares for the response of another attempt; an incomplete event is dropped. */
+export function restart(stream: EventStream): void {
+  Object.assign(stream, createReadingState());
+}
+
+/** Returns the line that is being read, without a byte order mark. */
+function getLine({ line, isFirstLine }: EventStream): string {
+  return isFirstLine && line.startsWith(BYTE_ORDER_MARK)
+    ? line.slice(BYTE_ORDER_MARK.length)
+    : line;
+}
+
+/** Returns whether the last bytes belong to an event, or a line, that has not ended. */
+export function isInsideEvent(stream: EventStream): boolean {
+  return stream.hasFields || getLine(stream) !== '';
 }
 
-/** Counts the event boundaries in a buffer. */
-export function countEventEnds(bytes: Buffer): number {
-  let count = 0;
-  let at = bytes.indexOf(EVENT_END);
-  while (at !== -1) {
-    count += 1;
-    at = bytes.indexOf(EVENT_END, at + EVENT_END.length);
+/** Handles a field; `line` is the whole line. */
+function handleField(stream: EventStream, line: string): void {
+  stream.hasFields = true;
+  const colon = line.indexOf(':');
+  const name = colon === -1 ? line : line.slice(0, colon);
+  if (name !== 'id') {
+    return;
+  }
+  const value = colon === -1 ? '' : line.slice(colon + 1);
+  stream.id = value.startsWith(' ') ? value.slice(1) : value;
+}
+
+/** Handles the end of a line; returns the number of events that end with it. */
+function endLine(stream: EventStream): number {
+  const line = getLine(stream);
+  stream.line = '';
+  stream.isFirstLine = false;
+  if (line !== '') {
+    if (!line.startsWith(':')) {
+      handleField(stream, line);
+    }
+    return 0;
+  }
+  if (!stream.hasFields) {
+    return 0;
   }
-  return count;
+  stream.lastEventId = stream.id ?? stream.lastEventId;
+  stream.hasFields = false;
+  stream.id = undefined;
+  return 1;
+}
+
+/** Adds a part of a line. */
+function addToLine(stream: EventStream, part: Buffer): void {
+  const end = Math.min(part.length, MAX_LINE_LENGTH - stream.line.length);
+  stream.line += part.toString('latin1', 0, end);
+}
+
+/** Finds the end of the line that begins at an offset. */
+function findLineEnd(chunk: Buffer, from: number): number {
+  for (let at = from; at < chunk.length; at += 1) {
+    if (chunk[at] === LF || chunk[at] === CR) {
+      return at;
+    }
+  }
+  return chunk.length;
+}
+
+/**
+ * Reads a chunk. Returns the number of events that end in it, and the offset after the last line
+ * end that is not inside an event.
+ */
+export function readChunk(stream: EventStream, chunk: Buffer): { events: number; end: number } {
+  let events = 0;
+  let end = 0;
+  let at = 0;
+  while (at < chunk.length) {
+    if (stream.isAfterReturn && chunk[at] === LF) {
+      at += 1;
+    } else {
+      const lineEnd = findLineEnd(chunk, at);
+      addToLine(stream, chunk.subarray(at, lineEnd));
+      if (lineEnd === chunk.length) {
+        stream.isAfterReturn = false;
+        break;
+      }
+      events += endLine(stream);
+      at = lineEnd + 1;
+    }
+    stream.isAfterReturn = chunk[at - 1] === CR;
+    end = isInsideEvent(stream) ? end : at;
+  }
+  return { events, end };
+}
+
+/** Takes the bytes that are held back. */
+export function takePending(stream: EventStream): Buffer {
+  const bytes = stream.pending.length === 0 ? EMPTY : Buffer.concat(stream.pending);
+  stream.pending = [];
+  stream.pendingBytes = 0;
+  return bytes;
 }
 
 /** Adds a chunk to the stream and returns the complete events that can be forwarded. */
-export function pushChunk(stream: EventStream, chunk: Buffer): Buffer {
-  const bytes = stream.pending.length === 0 ? chunk : Buffer.concat([stream.pending, chunk]);
-  const last = bytes.lastIndexOf(EVENT_END);
-  const end = last === -1 ? 0 : last + EVENT_END.length;
-  const complete = bytes.length > MAX_EVENT_BYTES ? bytes : bytes.subarray(0, end);
-  stream.pending = bytes.subarray(complete.length);
-  stream.events += countEventEnds(complete);
-  const ids = [...complete.toString('latin1').matchAll(ID_LINE)];
-  stream.lastEventId = ids.at(-1)?.[1] ?? stream.lastEventId;
-  return complete;
+export function pushChunk(stream: EventStream, chunk: Buffer): CompleteEvents {
+  const { events, end } = readChunk(stream, chunk);
+  const bytes = end === 0 ? EMPTY : Buffer.concat([takePending(stream), chunk.subarray(0, end)]);
+  if (end < chunk.length) {
+    stream.pending.push(chunk.subarray(end));
+    stream.pendingBytes += chunk.length - end;
+  }
+  return stream.pendingBytes > MAX_EVENT_BYTES
+    ? { bytes: Buffer.concat([bytes, takePending(stream)]), events }
+    : { bytes, events };
 }
--- a/packages/gateway/src/response-relay.ts
+++ b/packages/gateway/src/response-relay.ts
@@ -170,13 +170,15 @@
   const { held } = relay.options;
   const events = held.events as eventStream.EventStream;
   const resumable = held.request.repeatable;
-  const bytes = resumable ? eventStream.pushChunk(events, chunk) : chunk;
-  if (bytes.length === 0) {
+  const complete = resumable
+    ? eventStream.pushChunk(events, chunk)
+    : { bytes: chunk, events: eventStream.readChunk(events, chunk).events };
+  if (complete.bytes.length === 0) {
     return true;
   }
-  recordEvents(relay, Math.max(eventStream.countEventEnds(bytes), 1));
+  recordEvents(relay, Math.max(complete.events, 1));
   startResponseOnce(relay);
-  return held.exchange.response.write(bytes);
+  return held.exchange.response.write(complete.bytes);
 }
 
 /** Handles a chunk of a response body; returns false if the caller reads too slowly. */
@@ -200,8 +202,8 @@
 /** Handles the end of a stream. */
 function endStream(relay: Relay): void {
   const { held, settle } = relay.options;
-  const isMidEvent = held.request.repeatable && (held.events?.pending.length ?? 0) > 0;
-  if (isMidEvent) {
+  const events = held.events as eventStream.EventStream;
+  if (held.request.repeatable && eventStream.isInsideEvent(events)) {
     endWithFault(relay, gateway.AttemptFault.BROKEN, 'ended-in-event');
     return;
   }
@@ -212,7 +214,7 @@
     endWithFault(relay, gateway.AttemptFault.BROKEN, 'ended-without-length');
     return;
   }
-  held.exchange.response.end();
+  held.exchange.response.end(eventStream.takePending(events));
   settle({ kind: 'complete', status: relay.head?.status ?? 0 });
 }
 
