Break off a stream that ends inside an event on any route

On a route whose streams cannot be resumed, callers got a stream that its server had left inside an event as a complete one, with a connection closed normally, a chunked end or a length alike: the end was checked on resumable routes only.

Each event stream (by its type; on resumable routes also one without a type) is read for event ends now. One that ends inside an event is aborted, or refused if nothing of it has been forwarded.

--- a/packages/gateway/src/response-relay.ts
+++ b/packages/gateway/src/response-relay.ts
@@ -49,6 +49,8 @@
   options: RelayOptions;
   head: heldRequest.ResponseHead | undefined;
   isStream: boolean;
+  /** Whether the stream consists of server-sent events. */
+  hasEvents: boolean;
   /** Body of a response that is buffered until it is complete. */
   chunks: Buffer[];
   bufferedBytes: number;
@@ -64,6 +66,7 @@
 const SAMPLE_EVENTS = 8;
 const MIN_SERVER_ERROR = 500;
 const MAX_SUCCESS = 299;
+const EVENT_STREAM_TYPE = 'text/event-stream';
 
 /** Ends an attempt with a fault. */
 function endWithFault(relay: Relay, fault: gateway.AttemptFault, reason: string): void {
@@ -111,6 +114,17 @@
   return fault === undefined || fault === gateway.AttemptFault.REFUSED || isPlainRefusal;
 }
 
+/**
+ * Returns whether a stream consists of server-sent events. Only such a stream can be resumed, so
+ * one that does not state its type does so on routes whose streams are resumable.
+ */
+function isEventStream(relay: Relay, head: heldRequest.ResponseHead): boolean {
+  const type = endToEndHeaders.findHeader(head.headers, 'content-type');
+  return type === undefined
+    ? relay.options.held.request.repeatable
+    : type.split(';')[0].trim().toLowerCase() === EVENT_STREAM_TYPE;
+}
+
 /** Handles the status and headers of a response; returns false if the attempt has ended. */
 function handleHead(
   relay: Relay,
@@ -134,6 +148,7 @@
   }
   relay.head = { ...head, headers: endToEndHeaders.listEndToEnd(head.headers) };
   relay.isStream = isStream;
+  relay.hasEvents = isStream && isEventStream(relay, head);
   return true;
 }
 
@@ -165,20 +180,25 @@
   }
 }
 
+/** Reads a chunk of a stream; returns what can be forwarded of it. */
+function readEvents({ options, hasEvents }: Relay, chunk: Buffer): eventStream.CompleteEvents {
+  const { held } = options;
+  const events = held.events as eventStream.EventStream;
+  if (!held.request.repeatable) {
+    return { bytes: chunk, events: eventStream.readChunk(events, chunk).events };
+  }
+  return hasEvents ? eventStream.pushChunk(events, chunk) : { bytes: chunk, events: 1 };
+}
+
 /** Forwards a chunk of a stream; returns false if the caller reads too slowly. */
 function forwardStreamChunk(relay: Relay, chunk: Buffer): boolean {
-  const { held } = relay.options;
-  const events = held.events as eventStream.EventStream;
-  const resumable = held.request.repeatable;
-  const complete = resumable
-    ? eventStream.pushChunk(events, chunk)
-    : { bytes: chunk, events: eventStream.readChunk(events, chunk).events };
+  const complete = readEvents(relay, chunk);
   if (complete.bytes.length === 0) {
     return true;
   }
   recordEvents(relay, Math.max(complete.events, 1));
   startResponseOnce(relay);
-  return held.exchange.response.write(complete.bytes);
+  return relay.options.held.exchange.response.write(complete.bytes);
 }
 
 /** Handles a chunk of a response body; returns false if the caller reads too slowly. */
@@ -203,7 +223,7 @@
 function endStream(relay: Relay): void {
   const { held, settle } = relay.options;
   const events = held.events as eventStream.EventStream;
-  if (held.request.repeatable && eventStream.isInsideEvent(events)) {
+  if (relay.hasEvents && eventStream.isInsideEvent(events)) {
     endWithFault(relay, gateway.AttemptFault.BROKEN, 'ended-in-event');
     return;
   }
@@ -247,6 +267,7 @@
     options,
     head: undefined,
     isStream: false,
+    hasEvents: false,
     chunks: [],
     bufferedBytes: 0,
     sampleStartMs: 0,
