Check the end of event streams on routes that do not stream

An event stream on a route that is not declared as streaming was passed on as complete though it ended inside an event. Its events are read now as well; an unfinished one counts as a broken response. A response of another type no longer continues an event stream that a caller has a part of.

On the code before, 'event stream on a route that does not stream is checked too' failed. It passes now.

--- a/packages/gateway/src/response-relay.ts
+++ b/packages/gateway/src/response-relay.ts
@@ -49,8 +49,10 @@
   options: RelayOptions;
   head: heldRequest.ResponseHead | undefined;
   isStream: boolean;
-  /** Whether the stream consists of server-sent events. */
+  /** Whether the response consists of server-sent events. */
   hasEvents: boolean;
+  /** Events forwarded so far; of this attempt only on routes that do not stream. */
+  eventStream: eventStream.EventStream;
   /** Body of a response that is buffered until it is complete. */
   chunks: Buffer[];
   bufferedBytes: number;
@@ -115,13 +117,14 @@
 }
 
 /**
- * Returns whether a stream consists of server-sent events. Only such a stream can be resumed, so
+ * Returns whether a response consists of server-sent events. Only such a stream can be resumed, so
  * one that does not state its type does so on routes whose streams are resumable.
  */
-function isEventStream(relay: Relay, head: heldRequest.ResponseHead): boolean {
+function isEventStream({ options }: Relay, head: heldRequest.ResponseHead): boolean {
+  const { request, events } = options.held;
   const type = endToEndHeaders.findHeader(head.headers, 'content-type');
   return type === undefined
-    ? relay.options.held.request.repeatable
+    ? request.repeatable && events !== undefined
     : type.split(';')[0].trim().toLowerCase() === EVENT_STREAM_TYPE;
 }
 
@@ -142,13 +145,13 @@
   }
   const { held } = relay.options;
   const isStream = held.events !== undefined && head.status <= MAX_SUCCESS;
-  if (held.exchange.response.headersSent && !isStream) {
+  relay.hasEvents = head.status <= MAX_SUCCESS && isEventStream(relay, head);
+  if (held.exchange.response.headersSent && !(isStream && relay.hasEvents)) {
     endWithFault(relay, gateway.AttemptFault.FAILED, `resumed-${head.status}`);
     return false;
   }
   relay.head = { ...head, headers: endToEndHeaders.listEndToEnd(head.headers) };
   relay.isStream = isStream;
-  relay.hasEvents = isStream && isEventStream(relay, head);
   return true;
 }
 
@@ -181,13 +184,13 @@
 }
 
 /** Reads a chunk of a stream; returns what can be forwarded of it. */
-function readEvents({ options, hasEvents }: Relay, chunk: Buffer): eventStream.CompleteEvents {
-  const { held } = options;
-  const events = held.events as eventStream.EventStream;
-  if (!held.request.repeatable) {
-    return { bytes: chunk, events: eventStream.readChunk(events, chunk).events };
+function readEvents(relay: Relay, chunk: Buffer): eventStream.CompleteEvents {
+  if (!relay.options.held.request.repeatable) {
+    return { bytes: chunk, events: eventStream.readChunk(relay.eventStream, chunk).events };
   }
-  return hasEvents ? eventStream.pushChunk(events, chunk) : { bytes: chunk, events: 1 };
+  return relay.hasEvents
+    ? eventStream.pushChunk(relay.eventStream, chunk)
+    : { bytes: chunk, events: 1 };
 }
 
 /** Forwards a chunk of a stream; returns false if the caller reads too slowly. */
@@ -207,6 +210,9 @@
   if (relay.isStream) {
     return forwardStreamChunk(relay, chunk);
   }
+  if (relay.hasEvents) {
+    eventStream.readChunk(relay.eventStream, chunk);
+  }
   if (exchange.response.headersSent) {
     return exchange.response.write(chunk);
   }
@@ -222,11 +228,6 @@
 /** Handles the end of a stream. */
 function endStream(relay: Relay): void {
   const { held, settle } = relay.options;
-  const events = held.events as eventStream.EventStream;
-  if (relay.hasEvents && eventStream.isInsideEvent(events)) {
-    endWithFault(relay, gateway.AttemptFault.BROKEN, 'ended-in-event');
-    return;
-  }
   startResponseOnce(relay);
   if (relay.head?.isSelfDelimited === false && held.exchange.response.useChunkedEncodingByDefault) {
     // An earlier attempt started this response with chunked coding. Ending it would mark it as
@@ -234,7 +235,7 @@
     endWithFault(relay, gateway.AttemptFault.BROKEN, 'ended-without-length');
     return;
   }
-  held.exchange.response.end(eventStream.takePending(events));
+  held.exchange.response.end(eventStream.takePending(relay.eventStream));
   settle({ kind: 'complete', status: relay.head?.status ?? 0 });
 }
 
@@ -261,6 +262,17 @@
   settle({ kind: 'complete', status: head.status });
 }
 
+/** Handles the end of a response. */
+function endResponse(relay: Relay): void {
+  if (relay.hasEvents && eventStream.isInsideEvent(relay.eventStream)) {
+    endWithFault(relay, gateway.AttemptFault.BROKEN, 'ended-in-event');
+  } else if (relay.isStream) {
+    endStream(relay);
+  } else {
+    endBuffered(relay);
+  }
+}
+
 /** Creates the listener that relays the response of one attempt. */
 export function createRelay(options: RelayOptions): backendAttempt.AttemptListener {
   const relay: Relay = {
@@ -268,6 +280,7 @@
     head: undefined,
     isStream: false,
     hasEvents: false,
+    eventStream: options.held.events ?? eventStream.createEventStream(),
     chunks: [],
     bufferedBytes: 0,
     sampleStartMs: 0,
@@ -281,7 +294,7 @@
     onData: (chunk) => handleBodyChunk(relay, chunk),
     canSend: options.canSend,
     onWithdrawn: () => endWithFault(relay, gateway.AttemptFault.WITHDRAWN, 'not-to-be-used'),
-    onEnd: () => (relay.isStream ? endStream(relay) : endBuffered(relay)),
+    onEnd: () => endResponse(relay),
     onBroken: (reason, mayHaveBeenSent) => {
       const { BROKEN, UNREACHABLE } = gateway.AttemptFault;
       endWithFault(relay, mayHaveBeenSent ? BROKEN : UNREACHABLE, reason);
