Complete a chunked stream whose last part has no length

A response that one server began with chunked coding and another one resumed without a length was broken off at its end ('ended-without-length') although it ended after an event with a connection closed normally. The event end decides now, as for every stream; a reset still breaks it off.

On the code before, 'chunked stream is completed by a server that sends no length' failed. It passes now.

--- a/packages/gateway/src/response-relay.ts
+++ b/packages/gateway/src/response-relay.ts
@@ -229,12 +229,6 @@
 function endStream(relay: Relay): void {
   const { held, settle } = relay.options;
   startResponseOnce(relay);
-  if (relay.head?.isSelfDelimited === false && held.exchange.response.useChunkedEncodingByDefault) {
-    // An earlier attempt started this response with chunked coding. Ending it would mark it as
-    // complete, but a body that ends with its connection may be truncated.
-    endWithFault(relay, gateway.AttemptFault.BROKEN, 'ended-without-length');
-    return;
-  }
   held.exchange.response.end(eventStream.takePending(relay.eventStream));
   settle({ kind: 'complete', status: relay.head?.status ?? 0 });
 }
