--- a/packages/gateway/src/response-relay.ts
+++ b/packages/gateway/src/response-relay.ts
@@ -49,6 +49,10 @@
   options: RelayOptions;
   head: heldRequest.ResponseHead | undefined;
   isStream: boolean;
+  /** Whether the response consists of server-sent events. */
+  hasEvents: boolean;
+  /** Events forwarded so far; of this attempt only on routes that do not stream. */
+  eventStream: eventStream.EventStream;
   /** Body of a response that is buffered until it is complete. */
   chunks: Buffer[];
   bufferedBytes: number;
@@ -64,6 +68,7 @@
 const SAMPLE_EVENTS = 8;
 const MIN_SERVER_ERROR = 500;
 const MAX_SUCCESS = 299;
+const EVENT_STREAM_TYPE = 'text/event-stream';
 
 /** Ends an attempt with a fault. */
 function endWithFault(relay: Relay, fault: gateway.AttemptFault, reason: string): void {
@@ -111,6 +116,18 @@
   return fault === undefined || fault === gateway.AttemptFault.REFUSED || isPlainRefusal;
 }
 
+/**
+ * Returns whether a response consists of server-sent events. Only such a stream can be resumed, so
+ * one that does not state its type does so on routes whose streams are resumable.
+ */
+function isEventStream({ options }: Relay, head: heldRequest.ResponseHead): boolean {
+  const { request, events } = options.held;
+  const type = endToEndHeaders.findHeader(head.headers, 'content-type');
+  return type === undefined
+    ? request.repeatable && events !== undefined
+    : type.split(';')[0].trim().toLowerCase() === EVENT_STREAM_TYPE;
+}
+
 /** Handles the status and headers of a response; returns false if the attempt has ended. */
 function handleHead(
   relay: Relay,
@@ -128,7 +145,8 @@
   }
   const { held } = relay.options;
   const isStream = held.events !== undefined && head.status <= MAX_SUCCESS;
-  if (held.exchange.response.headersSent && !isStream) {
+  relay.hasEvents = head.status <= MAX_SUCCESS && isEventStream(relay, head);
+  if (held.exchange.response.headersSent && !(isStream && relay.hasEvents)) {
     endWithFault(relay, gateway.AttemptFault.FAILED, `resumed-${head.status}`);
     return false;
   }
@@ -165,18 +183,25 @@
   }
 }
 
+/** Reads a chunk of a stream; returns what can be forwarded of it. */
+function readEvents(relay: Relay, chunk: Buffer): eventStream.CompleteEvents {
+  if (!relay.options.held.request.repeatable) {
+    return { bytes: chunk, events: eventStream.readChunk(relay.eventStream, chunk).events };
+  }
+  return relay.hasEvents
+    ? eventStream.pushChunk(relay.eventStream, chunk)
+    : { bytes: chunk, events: 1 };
+}
+
 /** Forwards a chunk of a stream; returns false if the caller reads too slowly. */
 function forwardStreamChunk(relay: Relay, chunk: Buffer): boolean {
-  const { held } = relay.options;
-  const events = held.events as eventStream.EventStream;
-  const resumable = held.request.repeatable;
-  const bytes = resumable ? eventStream.pushChunk(events, chunk) : chunk;
-  if (bytes.length === 0) {
+  const complete = readEvents(relay, chunk);
+  if (complete.bytes.length === 0) {
     return true;
   }
-  recordEvents(relay, Math.max(eventStream.countEventEnds(bytes), 1));
+  recordEvents(relay, Math.max(complete.events, 1));
   startResponseOnce(relay);
-  return held.exchange.response.write(bytes);
+  return relay.options.held.exchange.response.write(complete.bytes);
 }
 
 /** Handles a chunk of a response body; returns false if the caller reads too slowly. */
@@ -185,6 +210,9 @@
   if (relay.isStream) {
     return forwardStreamChunk(relay, chunk);
   }
+  if (relay.hasEvents) {
+    eventStream.readChunk(relay.eventStream, chunk);
+  }
   if (exchange.response.headersSent) {
     return exchange.response.write(chunk);
   }
@@ -200,19 +228,8 @@
 /** Handles the end of a stream. */
 function endStream(relay: Relay): void {
   const { held, settle } = relay.options;
-  const isMidEvent = held.request.repeatable && (held.events?.pending.length ?? 0) > 0;
-  if (isMidEvent) {
-    endWithFault(relay, gateway.AttemptFault.BROKEN, 'ended-in-event');
-    return;
-  }
   startResponseOnce(relay);
-  if (relay.head?.isSelfDelimited === false && held.exchange.response.useChunkedEncodingByDefault) {
-    // An earlier attempt started this response with chunked coding. Ending it would mark it as
-    // complete, but a body that ends with its connection may be truncated.
-    endWithFault(relay, gateway.AttemptFault.BROKEN, 'ended-without-length');
-    return;
-  }
-  held.exchange.response.end();
+  held.exchange.response.end(eventStream.takePending(relay.eventStream));
   settle({ kind: 'complete', status: relay.head?.status ?? 0 });
 }
 
@@ -239,12 +256,25 @@
   settle({ kind: 'complete', status: head.status });
 }
 
+/** Handles the end of a response. */
+function endResponse(relay: Relay): void {
+  if (relay.hasEvents && eventStream.isInsideEvent(relay.eventStream)) {
+    endWithFault(relay, gateway.AttemptFault.BROKEN, 'ended-in-event');
+  } else if (relay.isStream) {
+    endStream(relay);
+  } else {
+    endBuffered(relay);
+  }
+}
+
 /** Creates the listener that relays the response of one attempt. */
 export function createRelay(options: RelayOptions): backendAttempt.AttemptListener {
   const relay: Relay = {
     options,
     head: undefined,
     isStream: false,
+    hasEvents: false,
+    eventStream: options.held.events ?? eventStream.createEventStream(),
     chunks: [],
     bufferedBytes: 0,
     sampleStartMs: 0,
@@ -258,7 +288,7 @@
     onData: (chunk) => handleBodyChunk(relay, chunk),
     canSend: options.canSend,
     onWithdrawn: () => endWithFault(relay, gateway.AttemptFault.WITHDRAWN, 'not-to-be-used'),
-    onEnd: () => (relay.isStream ? endStream(relay) : endBuffered(relay)),
+    onEnd: () => endResponse(relay),
     onBroken: (reason, mayHaveBeenSent) => {
       const { BROKEN, UNREACHABLE } = gateway.AttemptFault;
       endWithFault(relay, mayHaveBeenSent ? BROKEN : UNREACHABLE, reason);
