Refuse requests in time that wait while a gateway stops

Callers whose request had been read completely and still waited for a slot when a stopping gateway exited saw their connection close 7.6 s after SIGTERM.

Cause: admission ended 2.5 s after SIGTERM, but nothing ended the wait of what had been admitted, and the process exited 7.6 s after SIGTERM whatever it held.

A waiting request is now sent for as long as a run of its route fits into the rest of the grace period: up to 3/8 of it if a typical run (median of the last 32) fits, later if a long one (nine of ten are shorter) fits. After that it is refused as not run (SHUTTING_DOWN), early enough for a further attempt, with a Retry-After for another gateway or, if there is none, for the restart. Grants that come too late are not used. What was sent and has no response by then gets 504 (GATEWAY_STOPPED) instead of a closed connection, what has not been sent 503, and a begun response is aborted. The process exits 100 ms before the end of the grace period instead of 400 ms, so that these responses leave it. A second SIGTERM no longer reopens admission.

--- a/packages/core/src/gateway/assignment.ts
+++ b/packages/core/src/gateway/assignment.ts
@@ -21,6 +21,7 @@
 import * as retries from './retries.js';
 import * as authorization from './authorization.js';
 import * as serverAdmission from './server-admission.js';
+import * as shutdownLimits from './shutdown-limits.js';
 import * as unservableRequests from './unservable-requests.js';
 
 export type Assignment =
@@ -31,7 +32,13 @@
       /** Address of the gateway that granted the slot. */
       scheduler: string;
     }
-  | { kind: 'refuse'; request: gatewayRequest.GatewayRequest; refusal: refusal.Refusal }
+  | {
+      kind: 'refuse';
+      request: gatewayRequest.GatewayRequest;
+      refusal: refusal.Refusal;
+      /** The request ends because the gateway is shutting down; false if absent. */
+      isShutdown?: boolean;
+    }
   /** The granted slot could not be used; the request keeps waiting. */
   | {
       kind: 'waitOn';
@@ -94,12 +101,15 @@
   const { request, serverId, idleFirstMs, entry, isRateLimited } = granted;
   const now = clocks.steadyMs;
   const notRunRefusal =
-    findRefusal(state, request, clocks) ?? crashDetection.findSuspension(state, request, now);
+    findRefusal(state, request, clocks) ??
+    crashDetection.findSuspension(state, request, now) ??
+    shutdownLimits.findSendRefusal(state, request, now);
   if (notRunRefusal !== undefined) {
     state.schedulingTotals.grantsUnused += 1;
     pendingAsks.markLinkDirty(state, serverId, request.service);
     const finalRefusal = requestEnd.refuseWaiting(state, request, notRunRefusal);
-    return [{ kind: 'refuse', request, refusal: finalRefusal }];
+    const isShutdown = notRunRefusal.code === schema.ResultCode.SHUTTING_DOWN;
+    return [{ kind: 'refuse', request, refusal: finalRefusal, isShutdown }];
   }
   if (entry !== undefined) {
     serverEntries.applyGrantedEntry(state.servers, entry, now);
@@ -202,7 +212,10 @@
 ): AdvanceResult {
   const lookedUp = originLookups.advanceLookups(state, clocks.steadyMs);
   const unservable = unservableRequests.refuseUnservable(state, clocks.steadyMs);
-  const refused = [...lookedUp.refused, ...unservable];
+  const late = shutdownLimits
+    .refuseLate(state, clocks.steadyMs)
+    .map((one) => ({ ...one, isShutdown: true }));
+  const refused = [...lookedUp.refused, ...unservable, ...late];
   const result: AdvanceResult = {
     assignments: refused.map((one) => ({ kind: 'refuse', ...one })),
     outgoing: lookedUp.outgoing,
--- a/packages/core/src/gateway/gateway-state.ts
+++ b/packages/core/src/gateway/gateway-state.ts
@@ -16,6 +16,7 @@
 import type * as recentUse from './recent-use.js';
 import type * as schedulerLink from './scheduler-link.js';
 import * as retryLimit from './retry-limit.js';
+import type * as runTimes from './run-times.js';
 import * as schedulerRanking from './scheduler-ranking.js';
 import * as streamOrigins from './stream-origins.js';
 import * as tokenQuota from './token-quota.js';
@@ -122,6 +123,9 @@
   load: gatewayLoad.GatewayLoad;
   /** When shutdown of the process was requested, milliseconds; 0 before. */
   shutdownMs: number;
+  /** Time from then until the process is killed, milliseconds. */
+  shutdownGraceMs: number;
+  runTimes: runTimes.RunTimes;
 };
 
 /** Identity, location and resources of a gateway. */
@@ -170,6 +174,8 @@
     checkedRevision: -1,
     load: gatewayLoad.createGatewayLoad(),
     shutdownMs: 0,
+    shutdownGraceMs: Infinity,
+    runTimes: new Map(),
   };
 }
 
--- a/packages/core/src/gateway/request-admission.ts
+++ b/packages/core/src/gateway/request-admission.ts
@@ -17,6 +17,7 @@
 import * as retries from './retries.js';
 import * as authorization from './authorization.js';
 import * as unservableRequests from './unservable-requests.js';
+import * as shutdownLimits from './shutdown-limits.js';
 import * as streamOrigins from './stream-origins.js';
 import * as streamVersions from './stream-versions.js';
 import * as tokenQuota from './token-quota.js';
@@ -31,8 +32,6 @@
 const ROUTE_URGENCIES = 8;
 /** Request timeout if neither the caller nor the route specifies one, milliseconds. */
 const DEFAULT_TIMEOUT_MS = 60_000;
-/** How long requests are still admitted after shutdown was requested, milliseconds. */
-const SHUTDOWN_SERVE_MS = 2500;
 /** Maximum number of routes with deadline statistics; limits memory use as routes change. */
 const MAX_DEADLINE_STATS = 4096;
 
@@ -185,10 +184,8 @@
   request: gatewayRequest.GatewayRequest,
   now: number,
 ): refusal.Refusal | undefined {
-  if (state.shutdownMs > 0 && now - state.shutdownMs > SHUTDOWN_SERVE_MS) {
-    return refusal.buildRefusal(schema.ResultCode.SHUTTING_DOWN, 0);
-  }
   return (
+    shutdownLimits.findArrivalRefusal(state, request, now) ??
     unservableRequests.findUnservableRefusal(state, request, now) ??
     crashDetection.findArrivalRefusal(state, request, now)
   );
--- a/packages/gateway/src/attempt-sending.ts
+++ b/packages/gateway/src/attempt-sending.ts
@@ -72,6 +72,7 @@
   held.attempt = undefined;
   if (outcome.kind === 'complete') {
     gateway.noteGoodAnswer(task.state, request, now);
+    gateway.noteRunTime(task.state.runTimes, request, now);
     if (gateway.noteCompleteResponse(task.state, request, now)) {
       requestReports.reportCleared(task, request, now);
     }
--- a/packages/gateway/src/gateway-task.ts
+++ b/packages/gateway/src/gateway-task.ts
@@ -27,8 +27,8 @@
   receiveLostRuns: (runs: readonly schema.LostRun[]) => void;
   /** Counts the requests in progress by phase. */
   countPhases: () => heldRequest.PhaseCounts;
-  /** Reports the requests that a shutdown ends, as they cannot be completed in time. */
-  reportUnfinished: () => void;
+  /** Ends all requests in progress, as the process exits soon. */
+  endUnfinished: () => void;
   /** Calls `idle` once no request is in progress. */
   notifyIdle: (idle: () => void) => void;
   start: () => void;
@@ -62,7 +62,8 @@
   assignments.forEach((assignment) => {
     const held = task.held.get(assignment.request.serial);
     if (held !== undefined && assignment.kind === 'refuse') {
-      requestEnding.refuse(task, held, assignment.refusal);
+      const refuse = assignment.isShutdown ? requestEnding.refuseAtShutdown : requestEnding.refuse;
+      refuse(task, held, assignment.refusal);
     } else if (held !== undefined && assignment.kind === 'waitOn') {
       requestReports.reportUnused(task, assignment);
     }
@@ -233,10 +234,8 @@
     receiveLostRuns: (runs) =>
       gateway.receiveLostRuns(task.state, runs, task.readClocks().steadyMs),
     countPhases: () => heldRequest.countPhases(task.held.values()),
-    reportUnfinished: () =>
-      task.held.forEach((held) =>
-        requestReports.reportShutdownEnd(task, held, schema.ResultCode.GATEWAY_STOPPED),
-      ),
+    endUnfinished: () =>
+      [...task.held.values()].forEach((held) => requestEnding.endUnfinished(task, held)),
     notifyIdle: (idle) => {
       task.idle = idle;
       if (task.held.size === 0) {
--- a/packages/gateway/src/request-ending.ts
+++ b/packages/gateway/src/request-ending.ts
@@ -2,7 +2,7 @@
 import * as gateway from '@toucanproxy/core/gateway';
 import * as schema from '@toucanproxy/schema';
 import * as callerExchange from './caller-exchange.js';
-import type * as heldRequest from './held-request.js';
+import * as heldRequest from './held-request.js';
 import * as requestReports from './request-reports.js';
 import type * as taskState from './task-state.js';
 
@@ -29,6 +29,31 @@
   callerExchange.sendRefusal(held.exchange, refusal);
 }
 
+/** Ends a request with a refusal because the gateway is shutting down. */
+export function refuseAtShutdown(
+  task: taskState.TaskState,
+  held: heldRequest.HeldRequest,
+  refusal: gateway.Refusal,
+  fields: Record<string, unknown> = {},
+): void {
+  const phase = heldRequest.getPhase(held);
+  task.metrics.recordShutdownEnd(phase, refusal.code);
+  refuse(task, held, refusal, { ...fields, reason: 'shutdown', phase });
+}
+
+/** Ends a request that cannot be completed before the process exits. */
+export function endUnfinished(task: taskState.TaskState, held: heldRequest.HeldRequest): void {
+  if (held.done) {
+    return;
+  }
+  const { serverId: server } = held.request;
+  const mayHaveRun = abandon(task, held);
+  const refusal = mayHaveRun
+    ? { code: schema.ResultCode.GATEWAY_STOPPED, retryAfterMs: undefined }
+    : gateway.buildShutdownRefusal(task.state, task.readClocks().steadyMs);
+  refuseAtShutdown(task, held, refusal, { server, mayHaveRun });
+}
+
 /** Ends a request that has timed out. */
 export function handleTimeout(task: taskState.TaskState, held: heldRequest.HeldRequest): void {
   if (held.done) {
--- a/packages/gateway/src/request-reports.ts
+++ b/packages/gateway/src/request-reports.ts
@@ -5,7 +5,7 @@
 import type * as clocks from './clocks.js';
 import type * as decisionLog from './decision-log.js';
 import * as gatewayMetrics from './gateway-metrics.js';
-import * as heldRequest from './held-request.js';
+import type * as heldRequest from './held-request.js';
 
 export type ReportDependencies = {
   state: gateway.GatewayState;
@@ -212,15 +212,3 @@
   metrics.recordEnd(route.name, service, code, (firstEventMs ?? ms) <= route.targetMs);
   log.write('end', line, now);
 }
-
-/** Reports that a shutdown ended a request. */
-export function reportShutdownEnd(
-  dependencies: ReportDependencies,
-  held: heldRequest.HeldRequest,
-  code: schema.ResultCode,
-  fields: Record<string, unknown> = {},
-): void {
-  const phase = heldRequest.getPhase(held);
-  reportEnd(dependencies, held, code, { ...fields, reason: 'shutdown', phase });
-  dependencies.metrics.recordShutdownEnd(phase, code);
-}
--- a/packages/gateway/src/shutdown.ts
+++ b/packages/gateway/src/shutdown.ts
@@ -1,5 +1,5 @@
 /** Graceful shutdown: stops a gateway without aborting requests in progress. */
-import type * as gateway from '@toucanproxy/core/gateway';
+import * as gateway from '@toucanproxy/core/gateway';
 import type * as callerServer from './caller-server.js';
 import * as clocks from './clocks.js';
 import type * as decisionLog from './decision-log.js';
@@ -23,13 +23,17 @@
  * would otherwise find a closed port.
  */
 const ACCEPT_AFTER_SHUTDOWN_MS = 3500;
-/** Part of the grace period that is reserved for sending the last bytes, milliseconds. */
-const FLUSH_MS = 400;
+/** Time for the last responses to leave the process, milliseconds. */
+const FLUSH_MS = 200;
+/** Time before the end of the grace period at which the process exits, milliseconds. */
+const EXIT_MS = 100;
 
 /** Begins a graceful shutdown; `stopped` is called at its end. */
 export function beginShutdown(dependencies: ShutdownDependencies): void {
   const { state, settings, callers, task, peers, log, stopped } = dependencies;
-  state.shutdownMs = clocks.readSteadyMs();
+  if (!gateway.beginShutdown(state, settings.stopMs, clocks.readSteadyMs())) {
+    return;
+  }
   log.writeAlways('shutdown', { held: task.countPhases() });
   callers.beginShutdown();
   peers.sendLeaving();
@@ -38,13 +42,13 @@
     if (!isEnded) {
       isEnded = true;
       log.writeAlways('stopped', { held: task.countPhases() });
-      task.reportUnfinished();
       stopped();
     }
   };
   setTimeout(() => {
     callers.stopListening();
-    task.notifyIdle(() => setTimeout(end, FLUSH_MS / 2));
+    task.notifyIdle(() => setTimeout(end, FLUSH_MS));
   }, ACCEPT_AFTER_SHUTDOWN_MS);
-  setTimeout(end, settings.stopMs - FLUSH_MS);
+  setTimeout(task.endUnfinished, gateway.computeRunLimitMs(state));
+  setTimeout(end, settings.stopMs - EXIT_MS);
 }
