--- a/packages/gateway/src/gateway-task.ts
+++ b/packages/gateway/src/gateway-task.ts
@@ -6,7 +6,7 @@
 import * as contentDigest from './content-digest.js';
 import * as endToEndHeaders from './end-to-end-headers.js';
 import * as eventStream from './event-stream.js';
-import type * as heldRequest from './held-request.js';
+import * as heldRequest from './held-request.js';
 import * as requestEnding from './request-ending.js';
 import * as requestReports from './request-reports.js';
 import * as statementReports from './statement-reports.js';
@@ -25,7 +25,10 @@
   receiveOriginQuery: (query: schema.StreamOriginQuery) => void;
   /** Handles runs that ended without a response at other gateways. */
   receiveLostRuns: (runs: readonly schema.LostRun[]) => void;
-  countHeld: () => number;
+  /** Counts the requests in progress by phase. */
+  countPhases: () => heldRequest.PhaseCounts;
+  /** Ends all requests in progress, as the process exits soon. */
+  endUnfinished: () => void;
   /** Calls `idle` once no request is in progress. */
   notifyIdle: (idle: () => void) => void;
   start: () => void;
@@ -59,7 +62,8 @@
   assignments.forEach((assignment) => {
     const held = task.held.get(assignment.request.serial);
     if (held !== undefined && assignment.kind === 'refuse') {
-      requestEnding.refuse(task, held, assignment.refusal);
+      const refuse = assignment.isShutdown ? requestEnding.refuseAtShutdown : requestEnding.refuse;
+      refuse(task, held, assignment.refusal);
     } else if (held !== undefined && assignment.kind === 'waitOn') {
       requestReports.reportUnused(task, assignment);
     }
@@ -229,7 +233,9 @@
       task.sendToPeers([gateway.buildQueryReply(task.state, query, task.readClocks().steadyMs)]),
     receiveLostRuns: (runs) =>
       gateway.receiveLostRuns(task.state, runs, task.readClocks().steadyMs),
-    countHeld: () => task.held.size,
+    countPhases: () => heldRequest.countPhases(task.held.values()),
+    endUnfinished: () =>
+      [...task.held.values()].forEach((held) => requestEnding.endUnfinished(task, held)),
     notifyIdle: (idle) => {
       task.idle = idle;
       if (task.held.size === 0) {
