Do not resume a stream inside an event that was forwarded in part

An event of more than a megabyte is forwarded in parts. After a failure in the middle of one, the stream was resumed at another server, and the caller got an event of two halves and a complete response. Such a stream is broken off now.

--- a/packages/gateway/src/attempt-sending.ts
+++ b/packages/gateway/src/attempt-sending.ts
@@ -85,7 +85,8 @@
   }
   const { fault, reason, failure } = outcome;
   const hasBegun = held.exchange.response.headersSent;
-  const canResume = !hasBegun || held.events?.lastEventId !== undefined;
+  const canResume =
+    !hasBegun || (held.events !== undefined && eventStream.isResumable(held.events));
   const progress = { hasBegun, canResume };
   const wasSuspended = gateway.isContentSuspended(task.state, request);
   const verdict = gateway.handleAttemptFault(task.state, request, fault, progress, clocks);
--- a/packages/gateway/src/event-stream.test.ts
+++ b/packages/gateway/src/event-stream.test.ts
@@ -71,3 +71,17 @@
   assert.equal(eventStream.isInsideEvent(stream), false);
   assert.equal(pushPieces(stream, 'id: 2\ndata: b\n\n', 4).join(''), 'id: 2\ndata: b\n\n');
 });
+
+test('id of an incomplete event is not the last one', () => {
+  // Guards against resuming after an event of which the caller has only a part.
+  const stream = eventStream.createEventStream();
+  pushPieces(stream, `id: 1\ndata: a\n\nid: 2\ndata: ${'b'.repeat(1_100_000)}`, 65_536);
+  assert.equal(stream.lastEventId, '1');
+  assert.equal(eventStream.isResumable(stream), false);
+  pushPieces(stream, '\n\n', 1);
+  assert.equal(stream.lastEventId, '2');
+  assert.equal(eventStream.isResumable(stream), true);
+  pushPieces(stream, 'data: c', 9);
+  eventStream.restart(stream);
+  assert.equal(eventStream.isResumable(stream), true);
+});
--- a/packages/gateway/src/event-stream.ts
+++ b/packages/gateway/src/event-stream.ts
@@ -12,6 +12,8 @@
   /** Bytes that are held back: an incomplete event. */
   pending: Buffer[];
   pendingBytes: number;
+  /** Part of the incomplete event has been forwarded. */
+  isPartForwarded: boolean;
   /** Beginning of the line that is being read, in Latin-1. */
   line: string;
   isFirstLine: boolean;
@@ -42,6 +44,7 @@
   return {
     pending: [],
     pendingBytes: 0,
+    isPartForwarded: false,
     line: '',
     isFirstLine: true,
     isAfterReturn: false,
@@ -163,7 +166,15 @@
     stream.pending.push(chunk.subarray(end));
     stream.pendingBytes += chunk.length - end;
   }
-  return stream.pendingBytes > MAX_EVENT_BYTES
-    ? { bytes: Buffer.concat([bytes, takePending(stream)]), events }
-    : { bytes, events };
+  stream.isPartForwarded = stream.isPartForwarded && end === 0;
+  if (stream.pendingBytes <= MAX_EVENT_BYTES) {
+    return { bytes, events };
+  }
+  stream.isPartForwarded = true;
+  return { bytes: Buffer.concat([bytes, takePending(stream)]), events };
+}
+
+/** Returns whether another attempt can continue after the events that have been forwarded. */
+export function isResumable({ isPartForwarded, lastEventId }: EventStream): boolean {
+  return !isPartForwarded && lastEventId !== undefined;
 }
