Do not resume a stream after an event without id

After an event with an id and further ones without, a stream that broke was resumed after the id, and the caller got the events without id twice.

--- a/packages/gateway/src/event-stream.test.ts
+++ b/packages/gateway/src/event-stream.test.ts
@@ -85,3 +85,18 @@
   eventStream.restart(stream);
   assert.equal(eventStream.isResumable(stream), true);
 });
+
+test('position after an event without id is unknown', () => {
+  // Guards against resuming after an earlier event, which delivers those that follow it twice.
+  const stream = eventStream.createEventStream();
+  pushPieces(stream, 'id: 1\ndata: a\n\n: c\n\nretry: 5\n\n', 5);
+  assert.equal(stream.lastEventId, '1');
+  pushPieces(stream, 'data: b\n\n', 5);
+  assert.equal(eventStream.isResumable(stream), false);
+  pushPieces(stream, 'id: 3\ndata: c\n\n', 5);
+  assert.equal(stream.lastEventId, '3');
+  pushPieces(stream, 'id\ndata: d\n\n', 5);
+  assert.equal(eventStream.isResumable(stream), false);
+  pushPieces(stream, `id: ${'9'.repeat(5000)}\ndata: e\n\n`, 999);
+  assert.equal(eventStream.isResumable(stream), false);
+});
--- a/packages/gateway/src/event-stream.ts
+++ b/packages/gateway/src/event-stream.ts
@@ -21,9 +21,10 @@
   isAfterReturn: boolean;
   /** The event that is being read has fields already. */
   hasFields: boolean;
+  hasData: boolean;
   /** Id of the event that is being read; undefined while it has none. */
   id: string | undefined;
-  /** Id of the last complete event that had one; undefined before the first. */
+  /** Id of the last complete event; undefined before the first and after one without an id. */
   lastEventId: string | undefined;
 };
 
@@ -36,8 +37,10 @@
 const BYTE_ORDER_MARK = '\u00ef\u00bb\u00bf';
 /** A longer event is forwarded in parts, to limit the memory; bytes. */
 const MAX_EVENT_BYTES = 1_048_576;
+/** Longest event id after which a stream is resumed; characters. */
+const MAX_ID_LENGTH = 4096;
 /** Longest part of a line that is kept, to find event ids; characters. */
-const MAX_LINE_LENGTH = 4096;
+const MAX_LINE_LENGTH = MAX_ID_LENGTH + 16;
 
 /** Creates the state before the first line of a response. */
 function createReadingState() {
@@ -49,6 +52,7 @@
     isFirstLine: true,
     isAfterReturn: false,
     hasFields: false,
+    hasData: false,
     id: undefined,
   };
 }
@@ -80,11 +84,16 @@
   stream.hasFields = true;
   const colon = line.indexOf(':');
   const name = colon === -1 ? line : line.slice(0, colon);
-  if (name !== 'id') {
-    return;
+  stream.hasData = stream.hasData || name === 'data';
+  if (name === 'id') {
+    const value = colon === -1 ? '' : line.slice(colon + 1);
+    stream.id = value.startsWith(' ') ? value.slice(1) : value;
   }
-  const value = colon === -1 ? '' : line.slice(colon + 1);
-  stream.id = value.startsWith(' ') ? value.slice(1) : value;
+}
+
+/** Returns whether a stream can be resumed after an event with this id. */
+function isUsableId(id: string | undefined): boolean {
+  return id !== undefined && id !== '' && id.length < MAX_ID_LENGTH && !id.includes('\0');
 }
 
 /** Handles the end of a line; returns the number of events that end with it. */
@@ -101,8 +110,11 @@
   if (!stream.hasFields) {
     return 0;
   }
-  stream.lastEventId = stream.id ?? stream.lastEventId;
+  if (stream.id !== undefined || stream.hasData) {
+    stream.lastEventId = isUsableId(stream.id) ? stream.id : undefined;
+  }
   stream.hasFields = false;
+  stream.hasData = false;
   stream.id = undefined;
   return 1;
 }
