Leave out the byte order mark of a response that continues a stream

A server that resumed a stream could begin its response with a byte order mark. In the middle of the stream it hid the first field from the caller, usually the id of an event. Only the mark is left out.

The test 'byte order mark of a resumed part is left out' failed on the code before and passes now.

--- a/packages/gateway/src/attempt-sending.ts
+++ b/packages/gateway/src/attempt-sending.ts
@@ -141,7 +141,7 @@
     task.metrics.recordWait(request.urgency, request.sentMs - request.arrivedMs);
   }
   if (held.events !== undefined) {
-    eventStream.restart(held.events);
+    eventStream.restart(held.events, held.exchange.response.headersSent);
   }
   const readNow = () => task.readClocks().steadyMs;
   const listener = responseRelay.createRelay({
--- a/packages/gateway/src/event-stream.test.ts
+++ b/packages/gateway/src/event-stream.test.ts
@@ -67,7 +67,7 @@
 test('restarted stream forgets the incomplete event', () => {
   const stream = eventStream.createEventStream();
   pushPieces(stream, 'id: 1\ndata: a\n\nid: 2\nda', 3);
-  eventStream.restart(stream);
+  eventStream.restart(stream, true);
   assert.equal(eventStream.isInsideEvent(stream), false);
   assert.equal(pushPieces(stream, 'id: 2\ndata: b\n\n', 4).join(''), 'id: 2\ndata: b\n\n');
 });
@@ -82,7 +82,7 @@
   assert.equal(stream.lastEventId, '2');
   assert.equal(eventStream.isResumable(stream), true);
   pushPieces(stream, 'data: c', 9);
-  eventStream.restart(stream);
+  eventStream.restart(stream, true);
   assert.equal(eventStream.isResumable(stream), true);
 });
 
@@ -100,3 +100,12 @@
   pushPieces(stream, `id: ${'9'.repeat(5000)}\ndata: e\n\n`, 999);
   assert.equal(eventStream.isResumable(stream), false);
 });
+
+test('byte order mark of a resumed part is left out', () => {
+  // Guards against a mark in the middle of the stream, which hides the first field after it.
+  const stream = eventStream.createEventStream();
+  pushPieces(stream, 'id: 1\ndata: a\n\n', 99);
+  eventStream.restart(stream, true);
+  const resumed = pushPieces(stream, '\u00ef\u00bb\u00bfid: 2\ndata: b\n\n', 1).join('');
+  assert.equal(resumed, 'id: 2\ndata: b\n\n');
+});
--- a/packages/gateway/src/event-stream.ts
+++ b/packages/gateway/src/event-stream.ts
@@ -12,6 +12,8 @@
   /** Bytes that are held back: an incomplete event. */
   pending: Buffer[];
   pendingBytes: number;
+  /** The response continues a stream; a byte order mark at its beginning is left out. */
+  isContinued: boolean;
   /** Part of the incomplete event has been forwarded. */
   isPartForwarded: boolean;
   /** Beginning of the line that is being read, in Latin-1. */
@@ -59,12 +61,16 @@
 
 /** Creates a stream without events. */
 export function createEventStream(): EventStream {
-  return { ...createReadingState(), lastEventId: undefined };
+  return { ...createReadingState(), isContinued: false, lastEventId: undefined };
 }
 
-/** Prepares for the response of another attempt; an incomplete event is dropped. */
-export function restart(stream: EventStream): void {
-  Object.assign(stream, createReadingState());
+/**
+ * Prepares for the response of another attempt; an incomplete event is dropped.
+ *
+ * @param isContinued whether events of an earlier attempt have been forwarded
+ */
+export function restart(stream: EventStream, isContinued: boolean): void {
+  Object.assign(stream, createReadingState(), { isContinued });
 }
 
 /** Returns the line that is being read, without a byte order mark. */
@@ -162,18 +168,32 @@
   return { events, end };
 }
 
+/** Removes the byte order mark of a response that continues a stream from its first bytes. */
+function trimMark(stream: EventStream, bytes: Buffer): Buffer {
+  if (!stream.isContinued || bytes.length === 0) {
+    return bytes;
+  }
+  stream.isContinued = false;
+  const mark = Buffer.from(BYTE_ORDER_MARK, 'latin1');
+  return bytes.subarray(0, mark.length).equals(mark) ? bytes.subarray(mark.length) : bytes;
+}
+
 /** Takes the bytes that are held back. */
 export function takePending(stream: EventStream): Buffer {
   const bytes = stream.pending.length === 0 ? EMPTY : Buffer.concat(stream.pending);
   stream.pending = [];
   stream.pendingBytes = 0;
-  return bytes;
+  return trimMark(stream, bytes);
 }
 
 /** Adds a chunk to the stream and returns the complete events that can be forwarded. */
 export function pushChunk(stream: EventStream, chunk: Buffer): CompleteEvents {
   const { events, end } = readChunk(stream, chunk);
-  const bytes = end === 0 ? EMPTY : Buffer.concat([takePending(stream), chunk.subarray(0, end)]);
+  let bytes: Buffer = EMPTY;
+  if (end > 0) {
+    stream.pending.push(chunk.subarray(0, end));
+    bytes = takePending(stream);
+  }
   if (end < chunk.length) {
     stream.pending.push(chunk.subarray(end));
     stream.pendingBytes += chunk.length - end;
