--- a/packages/gateway/src/attempt-sending.ts
+++ b/packages/gateway/src/attempt-sending.ts
@@ -86,7 +86,8 @@
   }
   const { fault, reason, failure } = outcome;
   const hasBegun = held.exchange.response.headersSent;
-  const canResume = !hasBegun || held.events?.lastEventId !== undefined;
+  const canResume =
+    !hasBegun || (held.events !== undefined && eventStream.isResumable(held.events));
   const progress = { hasBegun, canResume };
   const wasSuspended = gateway.isContentSuspended(task.state, request);
   const verdict = gateway.handleAttemptFault(task.state, request, fault, progress, clocks);
@@ -141,7 +142,7 @@
     task.metrics.recordWait(request.urgency, request.sentMs - request.arrivedMs);
   }
   if (held.events !== undefined) {
-    eventStream.restart(held.events);
+    eventStream.restart(held.events, held.exchange.response.headersSent);
   }
   const readNow = () => task.readClocks().steadyMs;
   const listener = responseRelay.createRelay({
--- a/packages/gateway/src/event-stream.test.ts
+++ b/packages/gateway/src/event-stream.test.ts
@@ -67,7 +67,45 @@
 test('restarted stream forgets the incomplete event', () => {
   const stream = eventStream.createEventStream();
   pushPieces(stream, 'id: 1\ndata: a\n\nid: 2\nda', 3);
-  eventStream.restart(stream);
+  eventStream.restart(stream, true);
   assert.equal(eventStream.isInsideEvent(stream), false);
   assert.equal(pushPieces(stream, 'id: 2\ndata: b\n\n', 4).join(''), 'id: 2\ndata: b\n\n');
 });
+
+test('id of an incomplete event is not the last one', () => {
+  // Guards against resuming after an event of which the caller has only a part.
+  const stream = eventStream.createEventStream();
+  pushPieces(stream, `id: 1\ndata: a\n\nid: 2\ndata: ${'b'.repeat(1_100_000)}`, 65_536);
+  assert.equal(stream.lastEventId, '1');
+  assert.equal(eventStream.isResumable(stream), false);
+  pushPieces(stream, '\n\n', 1);
+  assert.equal(stream.lastEventId, '2');
+  assert.equal(eventStream.isResumable(stream), true);
+  pushPieces(stream, 'data: c', 9);
+  eventStream.restart(stream, true);
+  assert.equal(eventStream.isResumable(stream), true);
+});
+
+test('position after an event without id is unknown', () => {
+  // Guards against resuming after an earlier event, which delivers those that follow it twice.
+  const stream = eventStream.createEventStream();
+  pushPieces(stream, 'id: 1\ndata: a\n\n: c\n\nretry: 5\n\n', 5);
+  assert.equal(stream.lastEventId, '1');
+  pushPieces(stream, 'data: b\n\n', 5);
+  assert.equal(eventStream.isResumable(stream), false);
+  pushPieces(stream, 'id: 3\ndata: c\n\n', 5);
+  assert.equal(stream.lastEventId, '3');
+  pushPieces(stream, 'id\ndata: d\n\n', 5);
+  assert.equal(eventStream.isResumable(stream), false);
+  pushPieces(stream, `id: ${'9'.repeat(5000)}\ndata: e\n\n`, 999);
+  assert.equal(eventStream.isResumable(stream), false);
+});
+
+test('byte order mark of a resumed part is left out', () => {
+  // Guards against a mark in the middle of the stream, which hides the first field after it.
+  const stream = eventStream.createEventStream();
+  pushPieces(stream, 'id: 1\ndata: a\n\n', 99);
+  eventStream.restart(stream, true);
+  const resumed = pushPieces(stream, '\u00ef\u00bb\u00bfid: 2\ndata: b\n\n', 1).join('');
+  assert.equal(resumed, 'id: 2\ndata: b\n\n');
+});
--- a/packages/gateway/src/event-stream.ts
+++ b/packages/gateway/src/event-stream.ts
@@ -12,6 +12,10 @@
   /** Bytes that are held back: an incomplete event. */
   pending: Buffer[];
   pendingBytes: number;
+  /** The response continues a stream; a byte order mark at its beginning is left out. */
+  isContinued: boolean;
+  /** Part of the incomplete event has been forwarded. */
+  isPartForwarded: boolean;
   /** Beginning of the line that is being read, in Latin-1. */
   line: string;
   isFirstLine: boolean;
@@ -19,9 +23,10 @@
   isAfterReturn: boolean;
   /** The event that is being read has fields already. */
   hasFields: boolean;
+  hasData: boolean;
   /** Id of the event that is being read; undefined while it has none. */
   id: string | undefined;
-  /** Id of the last complete event that had one; undefined before the first. */
+  /** Id of the last complete event; undefined before the first and after one without an id. */
   lastEventId: string | undefined;
 };
 
@@ -34,30 +39,38 @@
 const BYTE_ORDER_MARK = '\u00ef\u00bb\u00bf';
 /** A longer event is forwarded in parts, to limit the memory; bytes. */
 const MAX_EVENT_BYTES = 1_048_576;
+/** Longest event id after which a stream is resumed; characters. */
+const MAX_ID_LENGTH = 4096;
 /** Longest part of a line that is kept, to find event ids; characters. */
-const MAX_LINE_LENGTH = 4096;
+const MAX_LINE_LENGTH = MAX_ID_LENGTH + 16;
 
 /** Creates the state before the first line of a response. */
 function createReadingState() {
   return {
     pending: [],
     pendingBytes: 0,
+    isPartForwarded: false,
     line: '',
     isFirstLine: true,
     isAfterReturn: false,
     hasFields: false,
+    hasData: false,
     id: undefined,
   };
 }
 
 /** Creates a stream without events. */
 export function createEventStream(): EventStream {
-  return { ...createReadingState(), lastEventId: undefined };
+  return { ...createReadingState(), isContinued: false, lastEventId: undefined };
 }
 
-/** Prepares for the response of another attempt; an incomplete event is dropped. */
-export function restart(stream: EventStream): void {
-  Object.assign(stream, createReadingState());
+/**
+ * Prepares for the response of another attempt; an incomplete event is dropped.
+ *
+ * @param isContinued whether events of an earlier attempt have been forwarded
+ */
+export function restart(stream: EventStream, isContinued: boolean): void {
+  Object.assign(stream, createReadingState(), { isContinued });
 }
 
 /** Returns the line that is being read, without a byte order mark. */
@@ -77,11 +90,16 @@
   stream.hasFields = true;
   const colon = line.indexOf(':');
   const name = colon === -1 ? line : line.slice(0, colon);
-  if (name !== 'id') {
-    return;
+  stream.hasData = stream.hasData || name === 'data';
+  if (name === 'id') {
+    const value = colon === -1 ? '' : line.slice(colon + 1);
+    stream.id = value.startsWith(' ') ? value.slice(1) : value;
   }
-  const value = colon === -1 ? '' : line.slice(colon + 1);
-  stream.id = value.startsWith(' ') ? value.slice(1) : value;
+}
+
+/** Returns whether a stream can be resumed after an event with this id. */
+function isUsableId(id: string | undefined): boolean {
+  return id !== undefined && id !== '' && id.length < MAX_ID_LENGTH && !id.includes('\0');
 }
 
 /** Handles the end of a line; returns the number of events that end with it. */
@@ -98,8 +116,11 @@
   if (!stream.hasFields) {
     return 0;
   }
-  stream.lastEventId = stream.id ?? stream.lastEventId;
+  if (stream.id !== undefined || stream.hasData) {
+    stream.lastEventId = isUsableId(stream.id) ? stream.id : undefined;
+  }
   stream.hasFields = false;
+  stream.hasData = false;
   stream.id = undefined;
   return 1;
 }
@@ -147,23 +168,45 @@
   return { events, end };
 }
 
+/** Removes the byte order mark of a response that continues a stream from its first bytes. */
+function trimMark(stream: EventStream, bytes: Buffer): Buffer {
+  if (!stream.isContinued || bytes.length === 0) {
+    return bytes;
+  }
+  stream.isContinued = false;
+  const mark = Buffer.from(BYTE_ORDER_MARK, 'latin1');
+  return bytes.subarray(0, mark.length).equals(mark) ? bytes.subarray(mark.length) : bytes;
+}
+
 /** Takes the bytes that are held back. */
 export function takePending(stream: EventStream): Buffer {
   const bytes = stream.pending.length === 0 ? EMPTY : Buffer.concat(stream.pending);
   stream.pending = [];
   stream.pendingBytes = 0;
-  return bytes;
+  return trimMark(stream, bytes);
 }
 
 /** Adds a chunk to the stream and returns the complete events that can be forwarded. */
 export function pushChunk(stream: EventStream, chunk: Buffer): CompleteEvents {
   const { events, end } = readChunk(stream, chunk);
-  const bytes = end === 0 ? EMPTY : Buffer.concat([takePending(stream), chunk.subarray(0, end)]);
+  let bytes: Buffer = EMPTY;
+  if (end > 0) {
+    stream.pending.push(chunk.subarray(0, end));
+    bytes = takePending(stream);
+  }
   if (end < chunk.length) {
     stream.pending.push(chunk.subarray(end));
     stream.pendingBytes += chunk.length - end;
   }
-  return stream.pendingBytes > MAX_EVENT_BYTES
-    ? { bytes: Buffer.concat([bytes, takePending(stream)]), events }
-    : { bytes, events };
+  stream.isPartForwarded = stream.isPartForwarded && end === 0;
+  if (stream.pendingBytes <= MAX_EVENT_BYTES) {
+    return { bytes, events };
+  }
+  stream.isPartForwarded = true;
+  return { bytes: Buffer.concat([bytes, takePending(stream)]), events };
+}
+
+/** Returns whether another attempt can continue after the events that have been forwarded. */
+export function isResumable({ isPartForwarded, lastEventId }: EventStream): boolean {
+  return !isPartForwarded && lastEventId !== undefined;
 }
