--- a/packages/core/src/gateway/gateway-request.ts
+++ b/packages/core/src/gateway/gateway-request.ts
@@ -24,6 +24,8 @@
   tokens: { prompt: number; answer: number } | undefined;
   /** The caller's estimate of the number of response tokens. */
   answerGuess: number | undefined;
+  /** Ids of the parts of the prompt, in order; absent if the request does not state them. */
+  promptParts?: readonly string[];
   /** Undefined if the caller asks for the response from its start. */
   resumption?: StreamResumption;
   /** Computes a digest of the content, which is the same for all attempts of a workspace. */
--- a/packages/gateway/src/request-reports.ts
+++ b/packages/gateway/src/request-reports.ts
@@ -7,6 +7,9 @@
 import * as gatewayMetrics from './gateway-metrics.js';
 import type * as heldRequest from './held-request.js';
 
+/** Limit of the parts of a prompt that a line of the log names. */
+const MAX_LOGGED_PARTS = 8;
+
 export type ReportDependencies = {
   state: gateway.GatewayState;
   readClocks: clocks.ReadClocks;
@@ -14,6 +17,11 @@
   metrics: gatewayMetrics.GatewayMetrics;
 };
 
+/** Lists the parts of a request's prompt for the log; undefined if there are none. */
+function listLoggedParts({ promptParts = [] }: gateway.ArrivedRequest): string[] | undefined {
+  return promptParts.length > 0 ? promptParts.slice(0, MAX_LOGGED_PARTS) : undefined;
+}
+
 /** Reports that a request was refused on arrival, with the state that the decision was based on. */
 export function reportRefused(
   { state, readClocks, log, metrics }: ReportDependencies,
@@ -70,6 +78,7 @@
     waitMs: Math.round(sentMs - request.arrivedMs),
     isBelated: request.isBelated,
     promptTokens: arrived.tokens?.prompt,
+    promptParts: listLoggedParts(arrived),
     predictedFirstMs: Math.round(request.predictedFirstMs),
     sends,
     version,
@@ -156,7 +165,8 @@
   const hasBegun = exchange.response.headersSent;
   const isBroken = fields.fault === gateway.AttemptFault.BROKEN;
   const content = isBroken ? arrived.hashContent(request.workspace) : undefined;
-  const attempt = { request: arrived.attemptId, server: serverId, content };
+  const promptParts = listLoggedParts(arrived);
+  const attempt = { request: arrived.attemptId, server: serverId, content, promptParts };
   const line = { ...attempt, ...fields, sends, runs, hasBegun, isBudgetSpent };
   log.write('fault', line, now);
   metrics.recordFault(service, fields.fault);
