Refuse requests with a prompt part that crashes backend servers

Callers got 502 and cut streams from one backend server after the other: each request with a certain prompt part crashed its server, no two were alike, and losses counted by content were always the first of their kind.

Gateways now record the parts (all but the last) of lost runs, exchange them in a new field of LostRun messages, and refuse a part after three losses in sequence (or five ... six for parts that have been in sound runs). A complete 2xx response, or a stream that goes on for a second, clears its parts; losses beside a more likely cause do not count. Trials of a refused part are announced to the other gateways when they are sent. A request that was not sent as its part had been refused gets CONTENT_SUSPENDED with the time to the next trial.

--- a/packages/core/src/gateway/gateway-request.ts
+++ b/packages/core/src/gateway/gateway-request.ts
@@ -99,6 +99,10 @@
   predictedFirstMs: number;
   /** The first event of the present attempt has arrived: its prompt has been read. */
   hasFirstEvent: boolean;
+  /** When the first event of the present attempt arrived, milliseconds; Infinity before. */
+  firstEventMs: number;
+  /** A run has proved that the parts of its prompt crash no backend server. */
+  isSound: boolean;
   /** Backend servers that could not be used, refused the request or failed it. */
   triedIds: Set<string>;
   /** Number of times that it was sent. */
--- a/packages/core/src/gateway/part-losses.ts
+++ b/packages/core/src/gateway/part-losses.ts
@@ -41,6 +41,8 @@
   /** Lost runs and parts with other changes that the other gateways have not been sent. */
   unsentRuns: LostPartRun[];
   unsentParts: Set<string>;
+  /** When changes were last sent, milliseconds. */
+  sentMs: number;
 };
 
 /** Limit of the parts with records; bounds the memory. */
@@ -62,6 +64,7 @@
     suspended: undefined,
     unsentRuns: [],
     unsentParts: new Set(),
+    sentMs: -Infinity,
   };
 }
 
@@ -97,14 +100,10 @@
 }
 
 /**
- * Decides what the losses at a backend server mean that has restarted or is gone: if it was heard
- * only within `minHeardMs` after them, they count.
+ * Handles the restart of a backend server: its losses count if it was heard only within `minHeardMs`
+ * after them, as the new process may have sent that.
  */
-export function handleServerEnd(
-  partLosses: PartLosses,
-  serverId: string,
-  minHeardMs: number,
-): void {
+export function handleRestart(partLosses: PartLosses, serverId: string, minHeardMs: number): void {
   const known = partLosses.lostServers.get(serverId);
   if (known !== undefined && known.heardMs - known.lostMs <= minHeardMs) {
     known.heardMs = -Infinity;
@@ -223,3 +222,48 @@
   }
   return changed.length > 0;
 }
+
+/** Records that a trial of refused parts is sent. */
+export function noteTrial(partLosses: PartLosses, parts: readonly string[], now: number): void {
+  parts.forEach((part) => {
+    const record = getRecord(partLosses, part);
+    Object.assign(record, { trials: record.trials + 1, trialMs: now });
+    partLosses.unsentParts.add(part);
+  });
+  partLosses.suspended = undefined;
+}
+
+/**
+ * Applies what another gateway knows of a part. Its times are later by the transit of the message,
+ * so a time that says nothing new is ignored: it would grow each time that gateways repeat it.
+ */
+export function mergeStanding(
+  partLosses: PartLosses,
+  part: string,
+  { soundMs, trials, trialMs }: Pick<PartRecord, 'soundMs' | 'trials' | 'trialMs'>,
+): void {
+  const record = getRecord(partLosses, part);
+  const clears = record.losses.some(({ lostMs }) => lostMs > record.soundMs && lostMs <= soundMs);
+  if (clears || soundMs > record.soundMs + lostRuns.TRANSIT_MS) {
+    record.soundMs = soundMs;
+    record.trials = record.trialMs > soundMs ? record.trials : 0;
+  }
+  if (trials > record.trials && trialMs > record.soundMs) {
+    Object.assign(record, { trials, trialMs });
+  }
+  trimParts(partLosses);
+  partLosses.suspended = undefined;
+}
+
+/** Removes the records of parts without a loss for `KEEP_MS`. */
+export function expireParts(partLosses: PartLosses, now: number): void {
+  const { byPart, unsentParts } = partLosses;
+  byPart.forEach(({ losses, soundMs }, part) => {
+    const lastMs = Math.max(soundMs, ...losses.map(({ lostMs }) => lostMs));
+    if (now - lastMs >= lostRuns.KEEP_MS) {
+      byPart.delete(part);
+      unsentParts.delete(part);
+      partLosses.suspended = undefined;
+    }
+  });
+}
--- a/packages/core/src/gateway/part-suspension.test.ts
+++ b/packages/core/src/gateway/part-suspension.test.ts
@@ -97,7 +97,7 @@
   assert.ok(isSuspended(state, CAUSE));
   partLosses.noteHeardServer(state, { serverId: 'server-1', bornMs: 1 }, 1000);
   assert.ok(!isSuspended(state, CAUSE));
-  partLosses.handleServerEnd(state, 'server-1', 5000);
+  partLosses.handleRestart(state, 'server-1', 5000);
   assert.ok(isSuspended(state, CAUSE));
 });
 
--- a/packages/gateway/src/request-reports.ts
+++ b/packages/gateway/src/request-reports.ts
@@ -27,7 +27,7 @@
   { state, readClocks, log, metrics }: ReportDependencies,
   exchange: callerExchange.CallerExchange,
   attemptId: string,
-  { code, retryAfterMs, quota }: gateway.Refusal,
+  { code, retryAfterMs, quota, part }: gateway.Refusal,
 ): void {
   const now = readClocks();
   const beliefAgeMs = Math.round(gateway.computeConfirmationAge(state.lease, now));
@@ -39,6 +39,7 @@
     version,
     beliefAgeMs,
     quota,
+    part,
   };
   log.write('refused', { ...line, result: schema.ResultCode[code] }, now.steadyMs);
   metrics.recordEnd('', '', code, false);
@@ -194,6 +195,28 @@
   log.write('content-cleared', fields, now);
 }
 
+/** Reports that a part of prompts is refused from now on. */
+export function reportPartSuspended(
+  { log }: ReportDependencies,
+  { arrived, workspace, isTrial }: gateway.GatewayRequest,
+  server: string | undefined,
+  { part, losses }: Pick<gateway.SuspendedPart, 'part' | 'losses'>,
+): void {
+  const fields = { request: arrived.attemptId, workspace, server, isTrial, part, losses };
+  log.writeAlways('part-suspended', fields);
+}
+
+/** Reports that a run has cleared the lost runs of parts of its prompt. */
+export function reportPartsCleared(
+  { log }: ReportDependencies,
+  { arrived, workspace, serverId }: gateway.GatewayRequest,
+  now: number,
+): void {
+  const promptParts = listLoggedParts(arrived);
+  const fields = { request: arrived.attemptId, workspace, server: serverId, promptParts };
+  log.write('parts-cleared', fields, now);
+}
+
 /** Reports how a request ended. */
 export function reportEnd(
   { readClocks, log, metrics }: ReportDependencies,
