Let the exit wait for responses that have not left the process

Callers that read slowly lost responses at a stop: when the port was closed, 3.5 s after SIGTERM, the HTTP library also closed connections whose response had been handed over but not read, and those with further responses to come. The process exited 200 ms after the last request in progress had ended, whatever was unsent, being read or waiting to be admitted. A connection whose response began before SIGTERM stayed open after it.

The gateway now tracks the responses of each connection. It closes a connection once it is idle, from 3.5 s on also as it becomes idle, and exits once there has been no open response for 200 ms.

--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -5,6 +5,7 @@
 import * as runtime from '@toucanproxy/runtime';
 import * as schema from '@toucanproxy/schema';
 import * as acceptDelay from './accept-delay.js';
+import * as callerConnections from './caller-connections.js';
 import type * as callerExchange from './caller-exchange.js';
 import * as clocks from './clocks.js';
 import type * as gatewaySettings from './gateway-settings.js';
@@ -17,8 +18,10 @@
   applyBounds: (bounds: gateway.CallerBounds) => void;
   /** Closes each connection after its next response. */
   beginShutdown: () => void;
-  /** Stops accepting connections and closes idle ones. */
+  /** Stops accepting connections and closes idle ones, now and as they become idle. */
   stopListening: () => void;
+  /** Counts the requests that are being read or whose response has not left the process. */
+  countOpen: () => number;
   stop: () => void;
 };
 
@@ -35,6 +38,7 @@
   options: CallerServerOptions;
   bounds: gateway.CallerBounds;
   isShuttingDown: boolean;
+  connections: callerConnections.CallerConnections;
   /**
    * When connections that were just accepted after a stall of the event loop may have been opened,
    * milliseconds.
@@ -157,6 +161,7 @@
   request: http.IncomingMessage,
   response: http.ServerResponse,
 ): void {
+  state.connections.hold(response);
   // A caller that resets its connection must not raise an unhandled error here.
   request.on('error', () => response.destroy());
   response.on('error', () => response.destroy());
@@ -195,7 +200,10 @@
     connectionsCheckingInterval: TIMEOUT_CHECK_MS,
     noDelay: true,
   });
-  server.on('connection', (socket) => noteConnection(state, socket));
+  server.on('connection', (socket) => {
+    state.connections.add(socket);
+    noteConnection(state, socket);
+  });
   server.on('request', (request, response) => handleRequest(state, request, response));
   server.on('clientError', (error, socket) =>
     handleClientError(state, error, socket as net.Socket),
@@ -221,6 +229,7 @@
     options,
     bounds: DEFAULT_BOUNDS,
     isShuttingDown: false,
+    connections: callerConnections.createCallerConnections(),
     openedMs: new WeakMap(),
     acceptDelay: acceptDelay.startAcceptDelay(() => openProbe(state), clocks.readSteadyMs),
     listeningMs: Infinity,
@@ -246,9 +255,11 @@
       state.isShuttingDown = true;
     },
     stopListening: () => {
-      server.close();
-      server.closeIdleConnections();
+      // The method of the HTTP server would also close connections whose response is being read.
+      net.Server.prototype.close.call(server);
+      state.connections.closeIdle();
     },
+    countOpen: state.connections.countOpen,
     stop: () => {
       state.acceptDelay.stop();
       server.close();
--- a/packages/gateway/src/gateway-task.ts
+++ b/packages/gateway/src/gateway-task.ts
@@ -29,8 +29,6 @@
   countPhases: () => heldRequest.PhaseCounts;
   /** Ends all requests in progress, as the process exits soon. */
   endUnfinished: () => void;
-  /** Calls `idle` once no request is in progress. */
-  notifyIdle: (idle: () => void) => void;
   start: () => void;
   stop: () => void;
 };
@@ -218,7 +216,6 @@
   const task: taskState.TaskState = {
     ...dependencies,
     held: new Map(),
-    idle: undefined,
     assign: () => {},
   };
   task.assign = createAssign(task);
@@ -236,12 +233,6 @@
     countPhases: () => heldRequest.countPhases(task.held.values()),
     endUnfinished: () =>
       [...task.held.values()].forEach((held) => requestEnding.endUnfinished(task, held)),
-    notifyIdle: (idle) => {
-      task.idle = idle;
-      if (task.held.size === 0) {
-        idle();
-      }
-    },
     start: () => {
       timer = setInterval(task.assign, TICK_MS);
     },
--- a/packages/gateway/src/request-ending.ts
+++ b/packages/gateway/src/request-ending.ts
@@ -11,9 +11,6 @@
   held.done = true;
   clearTimeout(held.timeoutTimer);
   task.held.delete(held.request.serial);
-  if (task.held.size === 0) {
-    task.idle?.();
-  }
 }
 
 /** Ends a request with a refusal as its final response. */
--- a/packages/gateway/src/shutdown.ts
+++ b/packages/gateway/src/shutdown.ts
@@ -23,11 +23,27 @@
  * would otherwise find a closed port.
  */
 const ACCEPT_AFTER_SHUTDOWN_MS = 3500;
-/** Time for the last responses to leave the process, milliseconds. */
-const FLUSH_MS = 200;
+/** Time without requests after which the process exits, milliseconds. */
+const IDLE_MS = 200;
+/** Interval at which this is checked, milliseconds. */
+const CHECK_MS = 50;
 /** Time before the end of the grace period at which the process exits, milliseconds. */
 const EXIT_MS = 100;
 
+/** Runs a step once there has been no request for a while. */
+function runWhenIdle({ countOpen }: callerServer.CallerServer, step: () => void): NodeJS.Timeout {
+  let busyMs = clocks.readSteadyMs();
+  const timer = setInterval(() => {
+    const now = clocks.readSteadyMs();
+    if (countOpen() > 0) {
+      busyMs = now;
+    } else if (now - busyMs >= IDLE_MS) {
+      step();
+    }
+  }, CHECK_MS);
+  return timer;
+}
+
 /** Begins a graceful shutdown; `stopped` is called at its end. */
 export function beginShutdown(dependencies: ShutdownDependencies): void {
   const { state, settings, callers, task, peers, log, stopped } = dependencies;
@@ -38,16 +54,20 @@
   callers.beginShutdown();
   peers.sendLeaving();
   let isEnded = false;
+  let idleTimer: NodeJS.Timeout | undefined;
   const end = () => {
     if (!isEnded) {
       isEnded = true;
+      clearInterval(idleTimer);
       log.writeAlways('stopped', { held: task.countPhases() });
       stopped();
     }
   };
   setTimeout(() => {
     callers.stopListening();
-    task.notifyIdle(() => setTimeout(end, FLUSH_MS));
+    if (!isEnded) {
+      idleTimer = runWhenIdle(callers, end);
+    }
   }, ACCEPT_AFTER_SHUTDOWN_MS);
   setTimeout(task.endUnfinished, gateway.computeRunLimitMs(state));
   setTimeout(end, settings.stopMs - EXIT_MS);
--- a/packages/gateway/src/task-state.ts
+++ b/packages/gateway/src/task-state.ts
@@ -26,8 +26,6 @@
 export type TaskState = GatewayTaskDependencies & {
   /** Requests in progress, by serial number. */
   held: Map<number, heldRequest.HeldRequest>;
-  /** Called once no request is in progress; undefined until somebody waits for that. */
-  idle: (() => void) | undefined;
   /** Schedules an assignment pass for the end of the current turn of the event loop. */
   assign: () => void;
 };
