Answer all pipelined requests before a stopping gateway closes their connection

A caller that had sent several requests on one connection while a gateway stopped got one response: the first one announced the end of the connection, and the requests behind it had been read and sent to backend servers. Requests held at SIGTERM, on the other hand, left their connection open, so that the caller's next request met the exit.

Now the newest response of a connection closes it, also of those that are held at SIGTERM. A request that is read after the closing response has begun is not admitted, as it could not be answered.

--- a/packages/gateway/src/caller-connections.ts
+++ b/packages/gateway/src/caller-connections.ts
@@ -12,21 +12,46 @@
   open: Set<http.ServerResponse>;
   /** Bytes received up to the end of the last request; undefined before. */
   requestBytes: number | undefined;
+  /** The response after which the connection is closed, if one is chosen. */
+  last: http.ServerResponse | undefined;
 };
 
 export type CallerConnections = {
   add: (socket: net.Socket) => void;
-  /** Holds the connection of a response until the response has left the process. */
-  hold: (response: http.ServerResponse) => void;
+  /**
+   * Holds the connection of a response until the response has left the process. Returns false if
+   * the response cannot be sent, as an earlier one has announced that the connection closes.
+   */
+  hold: (response: http.ServerResponse) => boolean;
+  /** Closes each connection after its last response, of those that are open or still to come. */
+  closeAfterResponses: () => void;
   /** Counts the responses that are held. */
   countOpen: () => number;
   /** Closes connections without a request, now and as they become idle. */
   closeIdle: () => void;
 };
 
+/** Chooses the newest response of a connection as its last one; returns false if it is too late. */
+function chooseLast(connection: Connection): boolean {
+  const { last, open } = connection;
+  if (last?.headersSent === true) {
+    return false;
+  }
+  const newest = [...open].at(-1);
+  if (newest !== undefined && newest !== last && !newest.headersSent) {
+    if (last !== undefined) {
+      last.shouldKeepAlive = true;
+    }
+    newest.shouldKeepAlive = false;
+    connection.last = newest;
+  }
+  return true;
+}
+
 /** Creates a record without connections. */
 export function createCallerConnections(): CallerConnections {
   const connections = new Map<net.Socket, Connection>();
+  let isLeaving = false;
   let isClosing = false;
   const closeIfIdle = (socket: net.Socket) => {
     const { open, requestBytes } = connections.get(socket) ?? {};
@@ -36,13 +61,17 @@
   };
   return {
     add: (socket) => {
-      connections.set(socket, { open: new Set(), requestBytes: undefined });
+      connections.set(socket, { open: new Set(), requestBytes: undefined, last: undefined });
       socket.on('close', () => connections.delete(socket));
     },
     hold: (response) => {
       const { socket } = response.req;
       const connection = connections.get(socket);
       connection?.open.add(response);
+      if (isLeaving && connection !== undefined && !chooseLast(connection)) {
+        connection.open.delete(response);
+        return false;
+      }
       response.req.on('end', () => {
         if (connection !== undefined) {
           connection.requestBytes = socket.bytesRead;
@@ -54,6 +83,11 @@
           closeIfIdle(socket);
         }
       });
+      return true;
+    },
+    closeAfterResponses: () => {
+      isLeaving = true;
+      connections.forEach(chooseLast);
     },
     countOpen: () => [...connections.values()].reduce((sum, { open }) => sum + open.size, 0),
     closeIdle: () => {
--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -37,7 +37,6 @@
 type ServerState = {
   options: CallerServerOptions;
   bounds: gateway.CallerBounds;
-  isShuttingDown: boolean;
   connections: callerConnections.CallerConnections;
   /**
    * When connections that were just accepted after a stall of the event loop may have been opened,
@@ -161,12 +160,11 @@
   request: http.IncomingMessage,
   response: http.ServerResponse,
 ): void {
-  state.connections.hold(response);
   // A caller that resets its connection must not raise an unhandled error here.
   request.on('error', () => response.destroy());
   response.on('error', () => response.destroy());
-  if (state.isShuttingDown) {
-    response.shouldKeepAlive = false;
+  if (!state.connections.hold(response)) {
+    return;
   }
   const fault = findHeadFault(state, request);
   if (fault !== undefined) {
@@ -228,7 +226,6 @@
   const state: ServerState = {
     options,
     bounds: DEFAULT_BOUNDS,
-    isShuttingDown: false,
     connections: callerConnections.createCallerConnections(),
     openedMs: new WeakMap(),
     acceptDelay: acceptDelay.startAcceptDelay(() => openProbe(state), clocks.readSteadyMs),
@@ -251,9 +248,7 @@
       server.headersTimeout = bounds.headerTimeoutMs;
       server.keepAliveTimeout = bounds.idleTimeoutMs;
     },
-    beginShutdown: () => {
-      state.isShuttingDown = true;
-    },
+    beginShutdown: state.connections.closeAfterResponses,
     stopListening: () => {
       // The method of the HTTP server would also close connections whose response is being read.
       net.Server.prototype.close.call(server);
