Ask again for a request whose cell is gone

A request that one cell of its service had declined on arrival waited in the other one. If backend servers then left and that cell was dropped, the request was not asked for any more: it waited until its deadline, although the remaining cell might have had free slots, and got 503 (DEADLINE_UNREACHABLE) just before.

Cause: a dropped cell's requests ask the cells that have not declined them, and none was left. The result of that was ignored.

When a cell is dropped, declines by cells that the request asked earlier no longer count: the remaining cells have other backend servers than before.

--- a/packages/core/src/gateway/ask-messages.test.ts
+++ b/packages/core/src/gateway/ask-messages.test.ts
@@ -1,12 +1,15 @@
 import * as assert from 'node:assert/strict';
 import * as nodeTest from 'node:test';
 import * as schema from '@toucanproxy/schema';
+import * as scheduler from '../scheduler/index.js';
 import * as askMessages from './ask-messages.js';
+import * as assignment from './assignment.js';
 import * as gatewayState from './gateway-state.js';
 import * as gatewayFixture from './mocks/gateway-fixture.js';
 import * as pendingAsks from './pending-asks.js';
 import * as recentUse from './recent-use.js';
 import * as requestAdmission from './request-admission.js';
+import * as serverEntries from './server-entries.js';
 
 const { test } = nodeTest;
 const SERVICE = 'one';
@@ -59,3 +62,24 @@
     assert.ok(bytes <= MAX_DATAGRAM_BYTES, String(bytes));
   });
 });
+
+test('request asks again when its cell is dropped', () => {
+  // Guards against a request that waits without an ask: one cell has declined it, and the other one
+  // is gone as backend servers left.
+  const ids = Array.from({ length: 60 }, (_, index) => `server-${index}`);
+  const state = gatewayFixture.createTestGateway(ids);
+  state.drawRandom = () => 0;
+  admitRequest(state, 1);
+  const [request] = state.requests.values();
+  assert.equal(request.cell, scheduler.formatCellName(SERVICE, 0));
+  const reply = schema.create(schema.ScheduleReplySchema, {
+    address: gatewayFixture.ADDRESS,
+    cell: request.cell,
+    refusals: [{ serial: request.serial, isOnArrival: true, retryAfterMs: 100 }],
+  });
+  assignment.applyReply(state, reply, gatewayFixture.buildClocks(20));
+  assert.equal(request.cell, scheduler.formatCellName(SERVICE, 1));
+  ids.slice(20).forEach((id) => serverEntries.removeEntry(state.servers, id, 30));
+  askMessages.collectAsks(state, 40);
+  assert.deepEqual([...(state.links.get(request.cell)?.asks.keys() ?? [])], [request.serial]);
+});
--- a/packages/core/src/gateway/ask-messages.ts
+++ b/packages/core/src/gateway/ask-messages.ts
@@ -266,7 +266,11 @@
   [...link.asks.keys()]
     .map((serial) => state.requests.get(serial))
     .filter((request) => request !== undefined)
-    .forEach((request) => pendingAsks.askPlace(state, request, now));
+    .forEach((request) => {
+      // Its slots are now in the remaining cells, also in those that have declined the request.
+      request.declinedCells.clear();
+      pendingAsks.askPlace(state, request, now);
+    });
 }
 
 /** Collects the asks that must be sent now. */
