Let the gateway soak check that a planned stop loses nothing

What callers saw: at a planned stop, requests that had been read completely ended with their connection, without a response.

Each SIGTERM, also the one that was there before as a fault, is checked: a caller whose connection ends without a complete response is a violation unless the request crossed the close unseen, its server broke off or was still at work on it, another fault disturbed gateway, link or server, or its time was over.

A request that is sent from 3 s after SIGTERM on and cut counts as well. Links to servers that fell silent are reset when the fault ends, if stops are played. A stopping gateway is killed after its grace period, as on the platform. Stalls of the soak itself do not count as time in which a request waited: the machine had a load of 17 to 23 on 8 processors.

--- a/packages/proofs/src/soak/main.ts
+++ b/packages/proofs/src/soak/main.ts
@@ -21,6 +21,7 @@
     epochs: { type: 'string', default: '2' },
     statements: { type: 'string', default: '4' },
     crashes: { type: 'string', default: '20' },
+    stops: { type: 'string', default: '2' },
   },
 });
 const first = Number(values.first);
@@ -43,6 +44,7 @@
       epochs: Number(values.epochs),
       statements: Number(values.statements),
       crashes: Number(values.crashes),
+      stops: Number(values.stops),
       areTimesChecked: true,
     });
     process.stdout.write(`${JSON.stringify(report)}\n`);
--- a/packages/proofs/src/soak/run-soak.ts
+++ b/packages/proofs/src/soak/run-soak.ts
@@ -1,4 +1,6 @@
 /** Runs one seed of the soak test: starts a fleet, callers and faults, then runs the checks. */
+import * as fs from 'node:fs';
+import * as path from 'node:path';
 import * as timers from 'node:timers/promises';
 import * as randomSource from '../mocks/random-source.js';
 import * as soakCaller from './soak-caller.js';
@@ -10,7 +12,9 @@
 import * as soakFleet from './soak-fleet.js';
 import * as soakLimits from './soak-limits.js';
 import type * as soakRecords from './soak-records.js';
+import * as soakStalls from './soak-stalls.js';
 import * as soakStatements from './soak-statements.js';
+import * as soakStops from './soak-stops.js';
 
 export type SoakOptions = {
   seed: number;
@@ -30,6 +34,8 @@
   epochs: number;
   /** Number of times a request is sent that ends each backend server that runs it. */
   crashes: number;
+  /** Number of rounds of planned stops; their grace period and route timeout are longer. */
+  stops: number;
   /** Also checks response times, which hold only on a machine with spare CPU. */
   areTimesChecked: boolean;
 };
@@ -60,6 +66,10 @@
 const EPOCHS_STEP = 15_485_863;
 const STATEMENTS_STEP = 179_424_673;
 const CRASHES_STEP = 32_452_843;
+const STOPS_STEP = 49_979_687;
+const USUAL_TIMES = { graceMs: 5000, routeTimes: { timeoutMs: 5000, targetMs: 1000 } };
+/** With planned stops a request may wait in a queue for longer than the grace period. */
+const STOPS_TIMES = { graceMs: 8000, routeTimes: { timeoutMs: 20_000, targetMs: 15_000 } };
 
 /** Applies each fault at its time. */
 async function applyFaults(fleet: soakFleet.SoakFleet, faults: soakFaults.Fault[]): Promise<void> {
@@ -96,6 +106,7 @@
     soakStatements.runStatements(fleet, createSource(STATEMENTS_STEP), options.statements),
     soakEpochs.runEpochs(fleet, createSource(EPOCHS_STEP), options.epochs),
     soakCrashes.runCrashes(fleet, createSource(CRASHES_STEP), options.crashes),
+    soakStops.runStops(fleet, createSource(STOPS_STEP), options.stops),
   ]);
 }
 
@@ -134,6 +145,7 @@
     evacuationMs,
     retryRatio,
     retryExtra,
+    routeTimeoutMs: fleet.routeTimes.timeoutMs,
     areTimesChecked: options.areTimesChecked,
   });
   return isServing
@@ -149,18 +161,32 @@
   );
 }
 
+/** Writes the records beside the gateways' logs, to trace a violation; bodies are left out. */
+function writeRecords({ records, folder }: soakFleet.SoakFleet): void {
+  const text = JSON.stringify(records, (key, value: unknown) => (key === 'body' ? '' : value));
+  fs.writeFileSync(path.join(folder, 'records.json'), text);
+}
+
 /** Runs one seed. */
 export async function runSoak(options: SoakOptions): Promise<SoakReport> {
-  const { seed, gateways, backends } = options;
+  const { seed, gateways, backends, stops } = options;
   const draw = randomSource.createRandomSource(seed);
   const faults = soakFaults.drawFaults(draw, options.faults, 0, options.faultsMs);
-  const fleet = await soakFleet.startFleet(draw, { gateways, backends });
+  const fleet = await soakFleet.startFleet(draw, {
+    gateways,
+    backends,
+    hasStops: stops > 0,
+    ...(stops > 0 ? STOPS_TIMES : USUAL_TIMES),
+  });
   try {
     if (!(await soakFleet.waitForService(fleet))) {
       throw new Error(`the fleet does not start; its logs are in ${fleet.folder}`);
     }
     recordStartup(fleet);
+    const endWatch = soakStalls.watchStalls(fleet.records, fleet.readNow);
     const violations = await runCalls(fleet, options, faults);
+    endWatch();
+    writeRecords(fleet);
     const { calls } = fleet.records;
     return {
       seed,
--- a/packages/proofs/src/soak/soak-call.ts
+++ b/packages/proofs/src/soak/soak-call.ts
@@ -17,6 +17,14 @@
 /** A caller gives up on a call after this multiple of its deadline. */
 const LOST_FACTOR = 2;
 
+/**
+ * Whether a connection was refused or reset. The system resets a connection that is closed before
+ * all of a request has been read from it, and closes it normally otherwise.
+ */
+function isReset(error: unknown): boolean {
+  return (error as NodeJS.ErrnoException).syscall !== undefined;
+}
+
 /** Sends a call, waits for its end and adds it to the records. */
 export async function makeCall(
   { records, readNow }: { records: soakRecords.SoakRecords; readNow: () => number },
@@ -29,6 +37,8 @@
     ...planned,
     sentMs,
     disconnectedMs: 0,
+    isReset: false,
+    isReused: Object.keys(agent?.freeSockets ?? {}).length > 0,
     endedMs: 0,
     response: undefined,
   };
@@ -52,7 +62,8 @@
     } = await gatewayFixture.fetchResponse(port, call.path, options, 0);
     const isSigned = platformFixtures.isSigned(given);
     call.response = { status, body, isSigned, isComplete };
-  } catch {
+  } catch (error) {
+    call.isReset = isReset(error);
     // The connection ended without a response; the checks decide whether that is allowed.
     call.response = undefined;
   } finally {
--- a/packages/proofs/src/soak/soak-checks.ts
+++ b/packages/proofs/src/soak/soak-checks.ts
@@ -2,6 +2,7 @@
 import * as soakCrashChecks from './soak-crash-checks.js';
 import * as soakLimitChecks from './soak-limit-checks.js';
 import * as soakRecords from './soak-records.js';
+import * as soakStopChecks from './soak-stop-checks.js';
 import * as soakStatementChecks from './soak-statement-checks.js';
 import * as soakVersionChecks from './soak-version-checks.js';
 
@@ -11,6 +12,7 @@
   evacuationMs: number;
   retryRatio: number;
   retryExtra: number;
+  routeTimeoutMs: number;
   /** Also checks response times, which hold only on a machine with spare CPU. */
   areTimesChecked: boolean;
 };
@@ -261,6 +263,7 @@
     ...soakCrashChecks.checkCrashes(records, callById),
     ...soakLimitChecks.checkLimits(records, callById),
     ...soakStatementChecks.checkStatements(records, callById),
+    ...soakStopChecks.checkStops({ records, runsById, routeTimeoutMs: bounds.routeTimeoutMs }),
     ...soakVersionChecks.checkVersions(records),
   ];
 }
--- a/packages/proofs/src/soak/soak-faults.ts
+++ b/packages/proofs/src/soak/soak-faults.ts
@@ -5,14 +5,12 @@
  * Faults may overlap and follow each other, also on the same process, as they do when
  * a VM is failing.
  */
-import * as fs from 'node:fs';
-import * as os from 'node:os';
-import * as timers from 'node:timers/promises';
 import * as platformFixtures from '@toucanproxy/platform/mocks/platform-fixtures';
 import * as storeStandIn from '@toucanproxy/platform/mocks/store-stand-in';
 import type * as forwarder from '../mocks/forwarder.js';
 import * as randomSource from '../mocks/random-source.js';
 import * as soakFleet from './soak-fleet.js';
+import * as soakSignals from './soak-signals.js';
 
 export enum FaultKind {
   KILL = 'kill',
@@ -53,8 +51,6 @@
 const MAX_FAULT_MS = 3000;
 const SLOW_MS = 60;
 const SERIES = 5;
-/** A gateway still answers new calls for this long after SIGTERM, milliseconds. */
-const SERVED_AFTER_TERM_MS = 2000;
 /** A gateway or link counts as disturbed for this long after its fault is over, milliseconds. */
 const AFTER_MS = 1500;
 
@@ -94,32 +90,6 @@
   records.storeFaults.push({ gateway, fromMs, untilMs: fromMs + forMs + AFTER_MS });
 }
 
-/** Stops a gateway with a signal and restarts it some time after its exit. */
-function stopGateway(
-  fleet: soakFleet.SoakFleet,
-  gateway: soakFleet.SoakGateway,
-  signal: NodeJS.Signals,
-  forMs: number,
-): void {
-  const { child } = gateway;
-  if (child === undefined || gateway.isStopping) {
-    return;
-  }
-  gateway.isStopping = true;
-  const { disturbances } = fleet.records;
-  const servedMs = signal === 'SIGTERM' ? SERVED_AFTER_TERM_MS : 0;
-  const fromMs = fleet.readNow() + servedMs;
-  const disturbance = { gateway: gateway.index, fromMs, untilMs: Infinity };
-  disturbances.push(disturbance);
-  child.on('exit', async () => {
-    await timers.setTimeout(forMs);
-    soakFleet.startGateway(fleet, gateway);
-    await soakFleet.waitForGateway(fleet, gateway);
-    disturbance.untilMs = fleet.readNow();
-  });
-  child.kill(signal);
-}
-
 /** Suspends a gateway's process for a while. */
 function pauseGateway(
   fleet: soakFleet.SoakFleet,
@@ -132,21 +102,14 @@
   setTimeout(() => child?.kill('SIGCONT'), forMs);
 }
 
-/**
- * Whether a process has installed its SIGHUP handler. Shortly after its start it hasn't, and
- * the signal's default action would terminate it.
- */
-function isReloadHandled(pid: number): boolean {
-  const status = fs.readFileSync(`/proc/${pid}/status`, 'utf8');
-  const caught = BigInt(`0x${/^SigCgt:\s*([0-9a-f]+)$/m.exec(status)?.[1] ?? '0'}`);
-  return caught.toString(2).at(-os.constants.signals.SIGHUP) === '1';
-}
-
-/** Makes a gateway reload its settings. */
-function applyReload({ child, isStopping }: soakFleet.SoakGateway): void {
-  if (child?.pid !== undefined && !isStopping && isReloadHandled(child.pid)) {
-    child.kill('SIGHUP');
-  }
+/** Records that a backend server or its link is disturbed for a while from now on. */
+function recordServerFault(
+  { records, readNow }: soakFleet.SoakFleet,
+  { server }: soakFleet.SoakBackend,
+  forMs: number,
+): void {
+  const fromMs = readNow();
+  records.serverFaults.push({ server: server.id, fromMs, untilMs: fromMs + forMs + AFTER_MS });
 }
 
 /** Delays all traffic on a link for a while. */
@@ -176,9 +139,13 @@
 function applyToGateway(fleet: soakFleet.SoakFleet, { kind, forMs, target }: Fault): void {
   const gateway = fleet.gateways[Math.floor(target * fleet.gateways.length)];
   const actions: Partial<Record<FaultKind, () => void>> = {
-    [FaultKind.KILL]: () => stopGateway(fleet, gateway, 'SIGKILL', forMs),
-    [FaultKind.TERM]: () => stopGateway(fleet, gateway, 'SIGTERM', forMs),
-    [FaultKind.RELOAD]: () => applyReload(gateway),
+    [FaultKind.KILL]: () => soakSignals.stopGateway(fleet, gateway, 'SIGKILL', forMs),
+    [FaultKind.TERM]: () => soakSignals.stopGateway(fleet, gateway, 'SIGTERM', forMs),
+    [FaultKind.RELOAD]: () => {
+      if (!gateway.isStopping) {
+        soakSignals.applyReload(gateway);
+      }
+    },
     [FaultKind.FREEZE]: () => pauseGateway(fleet, gateway, forMs),
     [FaultKind.CALLERS_RESET]: () => {
       recordDisturbance(fleet, gateway, AFTER_MS);
@@ -215,6 +182,22 @@
   actions[kind]?.();
 }
 
+/** Partitions the open connections of a backend server, in one direction or in both. */
+function dropBytes(
+  fleet: soakFleet.SoakFleet,
+  backend: soakFleet.SoakBackend,
+  forMs: number,
+  silence: () => void,
+): void {
+  recordServerFault(fleet, backend, forMs);
+  silence();
+  if (fleet.hasStops) {
+    // Otherwise a request that is sent on such a connection long after the fault would be lost at
+    // a planned stop.
+    setTimeout(() => backend.link.reset(), forMs);
+  }
+}
+
 /** Crashes a backend server and restarts it under the same id or a new one. */
 export function restartBackend(
   fleet: soakFleet.SoakFleet,
@@ -224,6 +207,7 @@
 ): void {
   const { link, server } = backend;
   const before = server.id;
+  recordServerFault(fleet, backend, forMs);
   link.block();
   link.reset();
   platformFixtures.removeServer(fleet.store, before);
@@ -255,10 +239,16 @@
     [FaultKind.BACKEND_CRASH]: () => restartBackend(fleet, backend, forMs, false),
     [FaultKind.BACKEND_RESTART]: () => restartBackend(fleet, backend, forMs, true),
     [FaultKind.BACKEND_DRAIN]: () => withdrawBackend(fleet, backend, forMs),
-    [FaultKind.BACKEND_RESET]: () => link.reset(),
-    [FaultKind.BACKEND_SILENT]: () => link.blackhole(),
-    [FaultKind.BACKEND_ANSWERS_CUT]: () => link.dropResponses(),
-    [FaultKind.BACKEND_SLOW]: () => applyDelay(link, forMs),
+    [FaultKind.BACKEND_RESET]: () => {
+      recordServerFault(fleet, backend, 0);
+      link.reset();
+    },
+    [FaultKind.BACKEND_SILENT]: () => dropBytes(fleet, backend, forMs, link.blackhole),
+    [FaultKind.BACKEND_ANSWERS_CUT]: () => dropBytes(fleet, backend, forMs, link.dropResponses),
+    [FaultKind.BACKEND_SLOW]: () => {
+      recordServerFault(fleet, backend, forMs);
+      applyDelay(link, forMs);
+    },
     [FaultKind.ENTRY_UNREADABLE]: () => {
       platformFixtures.writeMalformedEntry(fleet.store, server.id);
       setTimeout(() => soakFleet.publishBackend(fleet, backend), forMs);
--- a/packages/proofs/src/soak/soak-fleet.ts
+++ b/packages/proofs/src/soak/soak-fleet.ts
@@ -27,6 +27,8 @@
   isStopping: boolean;
   callers: forwarder.Forwarder;
   store: forwarder.Forwarder;
+  /** Port on which the process itself accepts callers. */
+  port: number;
 };
 
 export type SoakBackend = {
@@ -52,6 +54,21 @@
   probes: number;
   /** Valid API keys and the workspaces they belong to. */
   credentials: { credential: string; workspace: string }[];
+  /** Time that a gateway has for a graceful shutdown, milliseconds. */
+  graceMs: number;
+  /** Timeout and target of the routes, milliseconds. */
+  routeTimes: { timeoutMs: number; targetMs: number };
+  /** Planned stops are played beside the faults. */
+  hasStops: boolean;
+};
+
+/** What the processes of a fleet are, and the times that they are configured with. */
+export type FleetSizes = {
+  gateways: number;
+  backends: number;
+  graceMs: number;
+  routeTimes: { timeoutMs: number; targetMs: number };
+  hasStops: boolean;
 };
 
 export const REVOCATION_MS = 2000;
@@ -59,8 +76,6 @@
 export const EVACUATION_MS = 2500;
 export const RETRY_RATIO = 0.2;
 export const RETRY_EXTRA = 30;
-/** Time that a gateway has for a graceful shutdown, seconds. */
-export const GRACE_S = 5;
 /** Deadline of a probe call, and the pause before the next, milliseconds. */
 const PROBE_MS = 2000;
 const PROBE_PAUSE_MS = 100;
@@ -91,7 +106,8 @@
 /** Writes the next version of the configuration to the store. */
 export function publishConfiguration(fleet: SoakFleet): void {
   fleet.version += 1;
-  platformFixtures.writeCredentials(fleet.store, fleet.version, fleet.credentials);
+  const { store, version, credentials, routeTimes } = fleet;
+  platformFixtures.writeCredentials(store, version, credentials, routeTimes);
 }
 
 /** Writes the store entry of a backend server. */
@@ -150,7 +166,7 @@
     peerAddress: peers.addresses[index],
     peerAddresses: peers.addresses,
     peerPort: peers.port,
-    graceS: GRACE_S,
+    graceS: fleet.graceMs / 1000,
     revocationMs: REVOCATION_MS,
     evacuationMs: EVACUATION_MS,
     retryRatio: RETRY_RATIO,
@@ -158,7 +174,7 @@
   });
   fs.writeFileSync(settingsFile, settings);
   const logFile = path.join(fleet.folder, `gateway-${index}.log`);
-  const parts = { child: undefined, isStopping: false, callers, store };
+  const parts = { child: undefined, isStopping: false, callers, store, port: frontend };
   fleet.gateways.push({ index, settingsFile, logFile, ...parts });
 }
 
@@ -223,7 +239,7 @@
 /** Starts the store, the backend servers and the gateways. */
 export async function startFleet(
   draw: randomSource.DrawRandom,
-  sizes: { gateways: number; backends: number },
+  sizes: FleetSizes,
 ): Promise<SoakFleet> {
   const beganMs = performance.now();
   const fleet: SoakFleet = {
@@ -236,6 +252,9 @@
     backends: [],
     version: 0,
     probes: 0,
+    graceMs: sizes.graceMs,
+    routeTimes: sizes.routeTimes,
+    hasStops: sizes.hasStops,
     credentials: ['a', 'b'].flatMap((name) => [
       { credential: `key-${name}-1`, workspace: `workspace-${name}` },
       { credential: `key-${name}-2`, workspace: `workspace-${name}` },
--- a/packages/proofs/src/soak/soak-records.ts
+++ b/packages/proofs/src/soak/soak-records.ts
@@ -20,6 +20,10 @@
   deadlineMs: number;
   /** When the caller disconnected early, milliseconds; 0 if it did not. */
   disconnectedMs: number;
+  /** The call was to use a connection that was open already. */
+  isReused: boolean;
+  /** The connection was refused, or reset before a response began. */
+  isReset: boolean;
   /** When the response or the connection ended, milliseconds; 0 until then. */
   endedMs: number;
   /** Undefined if the connection ended without a response. */
@@ -52,6 +56,10 @@
   /** Id of the event after which a stream resumes; 0 for its beginning. */
   resumeAfter: number;
   atMs: number;
+  /** When the response was sent or its connection ended, milliseconds; 0 until then. */
+  endedMs: number;
+  /** The backend server ended its response early. */
+  isBrokenOff: boolean;
 };
 
 /** A revoked key, and when the store had the revocation. */
@@ -85,6 +93,16 @@
   announced: { id: string; atMs: number }[];
 };
 
+/** A planned stop of a gateway: from its first SIGTERM until its process has ended, milliseconds. */
+export type StopRecord = {
+  gateway: number;
+  fromMs: number;
+  untilMs: number;
+  /** When its port was first seen to refuse connections, milliseconds. */
+  closedMs: number;
+  graceMs: number;
+};
+
 /** The exit of a gateway process that nothing had stopped. */
 export type UnexpectedExit = { gateway: number; atMs: number; code: number | null };
 
@@ -111,8 +129,13 @@
   unexpectedExits: UnexpectedExit[];
   /** Backend servers that ended because of the request that they ran. */
   crashes: { server: string; atMs: number }[];
-  /** Periods in which a fault affected a gateway or its links, milliseconds. */
-  disturbances: { gateway: number; fromMs: number; untilMs: number }[];
+  stops: StopRecord[];
+  /** Periods in which a fault, or a stop that is planned, affected a gateway or its links, ms. */
+  disturbances: { gateway: number; fromMs: number; untilMs: number; isPlanned?: boolean }[];
+  /** Periods in which a fault affected a backend server or its link, milliseconds. */
+  serverFaults: { server: string; fromMs: number; untilMs: number }[];
+  /** Periods in which the event loop of the soak test itself stood still, milliseconds. */
+  stalls: { fromMs: number; untilMs: number }[];
   /** Periods in which a gateway, or all if undefined, may not reach the store. */
   storeFaults: { gateway: number | undefined; fromMs: number; untilMs: number }[];
 };
@@ -130,7 +153,10 @@
     storeGaps: [],
     unexpectedExits: [],
     crashes: [],
+    stops: [],
     disturbances: [],
+    serverFaults: [],
+    stalls: [],
     storeFaults: [],
   };
 }
--- a/packages/proofs/src/soak/soak-server.ts
+++ b/packages/proofs/src/soak/soak-server.ts
@@ -19,6 +19,8 @@
   setStatement: (statement: soakRecords.StatementRecord | undefined) => void;
   /** Called when a request arrives that ends the server. */
   setCrash: (crash: () => void) => void;
+  /** Sets how the time of each run is drawn, milliseconds; the usual times if undefined. */
+  setWork: (drawWorkMs: (() => number) | undefined) => void;
   stop: () => void;
 };
 
@@ -33,6 +35,7 @@
   limit: soakRecords.LimitRecord | undefined;
   statement: soakRecords.StatementRecord | undefined;
   crash: () => void;
+  drawWorkMs: (() => number) | undefined;
 };
 
 /** Requests that it processes concurrently. */
@@ -70,6 +73,8 @@
     hasCredential,
     resumeAfter,
     atMs: state.readNow(),
+    endedMs: 0,
+    isBrokenOff: false,
   };
   state.records.runs.push(run);
   return run;
@@ -116,6 +121,7 @@
     number += 1;
     const event = soakRecords.buildEvent(run.id, number, isVersioned ? run.version : undefined);
     if (socket.destroyed || number > truncateAfter) {
+      run.isBrokenOff = !socket.destroyed;
       socket.write(backendServerStandIn.buildChunk(event.slice(0, 7)));
       socket.resetAndDestroy();
       end();
@@ -145,6 +151,7 @@
   if (chance < FAILED_SHARE) {
     socket.write(platformFixtures.buildFailedResponse(request));
   } else if (chance < FAILED_SHARE + TRUNCATED_SHARE) {
+    run.isBrokenOff = true;
     socket.write(response.slice(0, -3), () => socket.resetAndDestroy());
   } else if (chance < FAILED_SHARE + TRUNCATED_SHARE + UNFRAMED_SHARE) {
     socket.end(response.replace(/Content-Length: \d+\r\n/, ''));
@@ -153,6 +160,25 @@
   }
 }
 
+/** Takes a slot until the run ends; returns the function that ends it. */
+function holdSlot(state: ServerState, run: soakRecords.RunRecord, socket: net.Socket): () => void {
+  state.active += 1;
+  const end = () => {
+    if (run.endedMs === 0) {
+      run.endedMs = state.readNow();
+      state.active -= 1;
+      socket.off('close', end);
+    }
+  };
+  socket.on('close', end);
+  return end;
+}
+
+/** Draws how long a run takes until its response begins, milliseconds. */
+function drawWork({ draw, drawWorkMs }: ServerState): number {
+  return drawWorkMs?.() ?? (draw() < SLOW_SHARE ? SLOW_MS : WORK_MS);
+}
+
 /** Handles one request. */
 function serve(
   state: ServerState,
@@ -175,27 +201,24 @@
     socket.write(backendServerStandIn.buildNotRunResponse(request));
     return;
   }
-  state.active += 1;
   const run = recordRun(state, request);
-  const end = () => {
-    state.active -= 1;
-  };
-  setTimeout(
-    () => {
-      if (soakRecords.isCrashing(run)) {
-        end();
-        state.crash();
-      } else if (run.path.startsWith('/stream/') || run.path.startsWith(RESUMABLE_PATH)) {
-        const isTruncated = state.draw() < TRUNCATED_SHARE;
-        socket.write(addStatements(state, id, backendServerStandIn.buildStreamHead(request)));
-        sendEvents(run, socket, isTruncated ? run.resumeAfter + 2 : Infinity, end);
-      } else {
-        sendPlain(state, request, socket, run);
-        end();
-      }
-    },
-    state.draw() < SLOW_SHARE ? SLOW_MS : WORK_MS,
-  );
+  const end = holdSlot(state, run, socket);
+  setTimeout(() => {
+    if (run.endedMs > 0) {
+      return;
+    }
+    if (soakRecords.isCrashing(run)) {
+      end();
+      state.crash();
+    } else if (run.path.startsWith('/stream/') || run.path.startsWith(RESUMABLE_PATH)) {
+      const isTruncated = state.draw() < TRUNCATED_SHARE;
+      socket.write(addStatements(state, id, backendServerStandIn.buildStreamHead(request)));
+      sendEvents(run, socket, isTruncated ? run.resumeAfter + 2 : Infinity, end);
+    } else {
+      sendPlain(state, request, socket, run);
+      end();
+    }
+  }, drawWork(state));
 }
 
 /** Starts a backend server of the soak test. */
@@ -215,6 +238,7 @@
     limit: undefined,
     statement: undefined,
     crash: () => {},
+    drawWorkMs: undefined,
   };
   runner.setRequestHandler((request, socket) => serve(state, request, socket));
   const server: SoakServer = {
@@ -229,6 +253,9 @@
     setCrash: (crash) => {
       state.crash = crash;
     },
+    setWork: (drawWorkMs) => {
+      state.drawWorkMs = drawWorkMs;
+    },
     rename: (changed, changedVersion) => {
       state.limit = undefined;
       state.statement = undefined;
