Let the gateway soak send a part of a prompt that ends backend servers

What callers saw: requests that share one part of their prompt, no two alike, end each backend server that runs them, and sound requests fail beside them. The soak played only whole requests that do so.

A server ends 0.1 s after such a run has begun and is back after 2.5 s under a new id. Checked: at most three such requests reach servers later than 3 s after the fifth loss, through gateways without a fault in the last 3 s; from 6 s after it, sound requests are served at least half as often as before the first one, if there are 20 or more of each.

--- a/packages/proofs/src/soak/main.ts
+++ b/packages/proofs/src/soak/main.ts
@@ -22,6 +22,7 @@
     statements: { type: 'string', default: '4' },
     crashes: { type: 'string', default: '20' },
     stops: { type: 'string', default: '2' },
+    parts: { type: 'string', default: '1' },
   },
 });
 const first = Number(values.first);
@@ -45,6 +46,7 @@
       statements: Number(values.statements),
       crashes: Number(values.crashes),
       stops: Number(values.stops),
+      parts: Number(values.parts),
       areTimesChecked: true,
     });
     process.stdout.write(`${JSON.stringify(report)}\n`);
--- a/packages/proofs/src/soak/run-soak.ts
+++ b/packages/proofs/src/soak/run-soak.ts
@@ -11,6 +11,7 @@
 import * as soakFaults from './soak-faults.js';
 import * as soakFleet from './soak-fleet.js';
 import * as soakLimits from './soak-limits.js';
+import * as soakParts from './soak-parts.js';
 import type * as soakRecords from './soak-records.js';
 import * as soakStalls from './soak-stalls.js';
 import * as soakStatements from './soak-statements.js';
@@ -36,6 +37,8 @@
   crashes: number;
   /** Number of rounds of planned stops; their grace period and route timeout are longer. */
   stops: number;
+  /** Rounds of requests with a part that ends backend servers, after the other events. */
+  parts: number;
   /** Also checks response times, which hold only on a machine with spare CPU. */
   areTimesChecked: boolean;
 };
@@ -67,21 +70,11 @@
 const STATEMENTS_STEP = 179_424_673;
 const CRASHES_STEP = 32_452_843;
 const STOPS_STEP = 49_979_687;
+const PARTS_STEP = 67_867_967;
 const USUAL_TIMES = { graceMs: 5000, routeTimes: { timeoutMs: 5000, targetMs: 1000 } };
 /** With planned stops a request may wait in a queue for longer than the grace period. */
 const STOPS_TIMES = { graceMs: 8000, routeTimes: { timeoutMs: 20_000, targetMs: 15_000 } };
 
-/** Applies each fault at its time. */
-async function applyFaults(fleet: soakFleet.SoakFleet, faults: soakFaults.Fault[]): Promise<void> {
-  const beganMs = fleet.readNow();
-  await Promise.all(
-    faults.map(async (fault) => {
-      await timers.setTimeout(Math.max(beganMs + fault.atMs - fleet.readNow(), 0));
-      soakFaults.applyFault(fleet, fault);
-    }),
-  );
-}
-
 /** Counts the calls by outcome. */
 function countEnds(calls: readonly soakRecords.CallRecord[]): Record<string, number> {
   const ends: Record<string, number> = {};
@@ -100,7 +93,7 @@
 ): Promise<void> {
   const createSource = (step: number) => randomSource.createRandomSource(options.seed + step);
   await Promise.all([
-    applyFaults(fleet, faults),
+    soakFaults.applyFaults(fleet, faults),
     soakEvacuations.runEvacuations(fleet, createSource(EVACUATIONS_STEP), options.evacuations),
     soakLimits.runLimits(fleet, createSource(LIMITS_STEP), options.limits),
     soakStatements.runStatements(fleet, createSource(STATEMENTS_STEP), options.statements),
@@ -108,6 +101,7 @@
     soakCrashes.runCrashes(fleet, createSource(CRASHES_STEP), options.crashes),
     soakStops.runStops(fleet, createSource(STOPS_STEP), options.stops),
   ]);
+  await soakParts.runParts(fleet, createSource(PARTS_STEP), options.parts);
 }
 
 /** Runs the callers and the faults, then checks the records. */
--- a/packages/proofs/src/soak/soak-call.ts
+++ b/packages/proofs/src/soak/soak-call.ts
@@ -12,6 +12,7 @@
   /** The caller disconnects after this time, milliseconds; undefined if it waits. */
   disconnectAfterMs?: number;
   resumes?: soakRecords.CallRecord['resumes'];
+  parts?: string;
 };
 
 /** A caller gives up on a call after this multiple of its deadline. */
--- a/packages/proofs/src/soak/soak-checks.ts
+++ b/packages/proofs/src/soak/soak-checks.ts
@@ -1,6 +1,7 @@
 /** Checks the documented guarantees against what callers and backend servers recorded. */
 import * as soakCrashChecks from './soak-crash-checks.js';
 import * as soakLimitChecks from './soak-limit-checks.js';
+import * as soakPartChecks from './soak-part-checks.js';
 import * as soakRecords from './soak-records.js';
 import * as soakStopChecks from './soak-stop-checks.js';
 import * as soakStatementChecks from './soak-statement-checks.js';
@@ -263,6 +264,7 @@
     ...soakCrashChecks.checkCrashes(records, callById),
     ...soakLimitChecks.checkLimits(records, callById),
     ...soakStatementChecks.checkStatements(records, callById),
+    ...soakPartChecks.checkParts(records),
     ...soakStopChecks.checkStops({ records, runsById, routeTimeoutMs: bounds.routeTimeoutMs }),
     ...soakVersionChecks.checkVersions(records),
   ];
--- a/packages/proofs/src/soak/soak-crash-checks.ts
+++ b/packages/proofs/src/soak/soak-crash-checks.ts
@@ -10,7 +10,7 @@
 const MAX_LATE = 3;
 
 /** Returns whether a gateway has been undisturbed for long enough. */
-function isInTouch(
+export function isInTouch(
   { disturbances }: soakRecords.SoakRecords,
   gateway: number,
   atMs: number,
--- a/packages/proofs/src/soak/soak-faults.ts
+++ b/packages/proofs/src/soak/soak-faults.ts
@@ -5,6 +5,7 @@
  * Faults may overlap and follow each other, also on the same process, as they do when
  * a VM is failing.
  */
+import * as timers from 'node:timers/promises';
 import * as platformFixtures from '@toucanproxy/platform/mocks/platform-fixtures';
 import * as storeStandIn from '@toucanproxy/platform/mocks/store-stand-in';
 import type * as forwarder from '../mocks/forwarder.js';
@@ -281,8 +282,22 @@
 }
 
 /** Injects a fault; timers undo it. */
-export function applyFault(fleet: soakFleet.SoakFleet, fault: Fault): void {
+function applyFault(fleet: soakFleet.SoakFleet, fault: Fault): void {
   applyToGateway(fleet, fault);
   applyToBackend(fleet, fault);
   applyToStore(fleet, fault);
 }
+
+/** Applies each fault at its time. */
+export async function applyFaults(
+  fleet: soakFleet.SoakFleet,
+  faults: readonly Fault[],
+): Promise<void> {
+  const beganMs = fleet.readNow();
+  await Promise.all(
+    faults.map(async (fault) => {
+      await timers.setTimeout(Math.max(beganMs + fault.atMs - fleet.readNow(), 0));
+      applyFault(fleet, fault);
+    }),
+  );
+}
--- a/packages/proofs/src/soak/soak-records.ts
+++ b/packages/proofs/src/soak/soak-records.ts
@@ -30,6 +30,8 @@
   response: CallResponse | undefined;
   /** The call that brought the first events of its stream; undefined if it asks for all. */
   resumes?: { id: string; after: number };
+  /** Parts of the prompt, as the caller sends them; undefined if it sends none. */
+  parts?: string;
 };
 
 export type CallResponse = {
@@ -55,6 +57,8 @@
   hasCredential: boolean;
   /** Id of the event after which a stream resumes; 0 for its beginning. */
   resumeAfter: number;
+  /** Parts of the prompt, as the caller sent them. */
+  parts: string;
   atMs: number;
   /** When the response was sent or its connection ended, milliseconds; 0 until then. */
   endedMs: number;
@@ -110,6 +114,14 @@
 export const CRASHING_PATH = '/safe/crash';
 export const CRASHING_WORKSPACE = 'workspace-a';
 
+/** Id of the part of the prompt that ends each backend server that runs a request with it. */
+export const CRASHING_PART = 'e4402b7d';
+
+/** Whether a request has the part that ends backend servers. */
+export function hasCrashingPart({ parts = '' }: { parts?: string }): boolean {
+  return parts.split(',').some((part) => part.startsWith(`${CRASHING_PART}:`));
+}
+
 /** Whether a run ends its backend server. */
 export function isCrashing({ path, workspace }: RunRecord): boolean {
   return path === CRASHING_PATH && workspace === CRASHING_WORKSPACE;
@@ -129,6 +141,8 @@
   unexpectedExits: UnexpectedExit[];
   /** Backend servers that ended because of the request that they ran. */
   crashes: { server: string; atMs: number }[];
+  /** The same because of a part of its prompt. */
+  partCrashes: { server: string; atMs: number }[];
   stops: StopRecord[];
   /** Periods in which a fault, or a stop that is planned, affected a gateway or its links, ms. */
   disturbances: { gateway: number; fromMs: number; untilMs: number; isPlanned?: boolean }[];
@@ -153,6 +167,7 @@
     storeGaps: [],
     unexpectedExits: [],
     crashes: [],
+    partCrashes: [],
     stops: [],
     disturbances: [],
     serverFaults: [],
--- a/packages/proofs/src/soak/soak-server.ts
+++ b/packages/proofs/src/soak/soak-server.ts
@@ -52,13 +52,15 @@
 const WORK_MS = 15;
 const SLOW_MS = 400;
 const EVENT_MS = 10;
+/** Time until a run with the crashing part ends the server, milliseconds. */
+const CRASH_MS = 100;
 
 /** Records a request that starts to run. */
 function recordRun(
   state: ServerState,
   request: backendServerStandIn.ReceivedRequest,
 ): soakRecords.RunRecord {
-  const { attemptId, workspace, hasCredential, resumeAfter } =
+  const { attemptId, workspace, hasCredential, resumeAfter, parts } =
     platformFixtures.parseForwardedRequest(request);
   const [method, path] = request.requestLine.split(' ');
   const run = {
@@ -72,6 +74,7 @@
     workspace,
     hasCredential,
     resumeAfter,
+    parts,
     atMs: state.readNow(),
     endedMs: 0,
     isBrokenOff: false,
@@ -203,22 +206,25 @@
   }
   const run = recordRun(state, request);
   const end = holdSlot(state, run, socket);
-  setTimeout(() => {
-    if (run.endedMs > 0) {
-      return;
-    }
-    if (soakRecords.isCrashing(run)) {
-      end();
-      state.crash();
-    } else if (run.path.startsWith('/stream/') || run.path.startsWith(RESUMABLE_PATH)) {
-      const isTruncated = state.draw() < TRUNCATED_SHARE;
-      socket.write(addStatements(state, id, backendServerStandIn.buildStreamHead(request)));
-      sendEvents(run, socket, isTruncated ? run.resumeAfter + 2 : Infinity, end);
-    } else {
-      sendPlain(state, request, socket, run);
-      end();
-    }
-  }, drawWork(state));
+  setTimeout(
+    () => {
+      if (run.endedMs > 0) {
+        return;
+      }
+      if (soakRecords.isCrashing(run) || soakRecords.hasCrashingPart(run)) {
+        end();
+        state.crash();
+      } else if (run.path.startsWith('/stream/') || run.path.startsWith(RESUMABLE_PATH)) {
+        const isTruncated = state.draw() < TRUNCATED_SHARE;
+        socket.write(addStatements(state, id, backendServerStandIn.buildStreamHead(request)));
+        sendEvents(run, socket, isTruncated ? run.resumeAfter + 2 : Infinity, end);
+      } else {
+        sendPlain(state, request, socket, run);
+        end();
+      }
+    },
+    soakRecords.hasCrashingPart(run) ? CRASH_MS : drawWork(state),
+  );
 }
 
 /** Starts a backend server of the soak test. */
--- a/packages/proofs/src/soak/soak-stop-checks.test.ts
+++ b/packages/proofs/src/soak/soak-stop-checks.test.ts
@@ -39,6 +39,7 @@
     workspace: 'workspace',
     hasCredential: false,
     resumeAfter: 0,
+    parts: '',
     atMs: 12_000,
     endedMs: 17_600,
     isBrokenOff: false,
