Let the gateway soak send streams without a length

What callers saw: a stream that has neither a length nor chunks and ends inside an event looked complete, and a whole resumable stream whose events end with CRLF was run again from the start. Streams of the soak were always chunked and had LF.

Bodies are compared byte for byte. A new check: a request is not run again after a server has sent its whole response, without a fault on its way.

--- a/packages/proofs/src/soak/main.ts
+++ b/packages/proofs/src/soak/main.ts
@@ -23,6 +23,7 @@
     crashes: { type: 'string', default: '20' },
     stops: { type: 'string', default: '2' },
     parts: { type: 'string', default: '1' },
+    unframed: { type: 'string', default: '0.3' },
   },
 });
 const first = Number(values.first);
@@ -47,6 +48,7 @@
       crashes: Number(values.crashes),
       stops: Number(values.stops),
       parts: Number(values.parts),
+      unframedShare: Number(values.unframed),
       areTimesChecked: true,
     });
     process.stdout.write(`${JSON.stringify(report)}\n`);
--- a/packages/proofs/src/soak/run-soak.ts
+++ b/packages/proofs/src/soak/run-soak.ts
@@ -39,6 +39,8 @@
   stops: number;
   /** Rounds of requests with a part that ends backend servers, after the other events. */
   parts: number;
+  /** Share of streams without a length; the same share of requests gets events with CRLF. */
+  unframedShare: number;
   /** Also checks response times, which hold only on a machine with spare CPU. */
   areTimesChecked: boolean;
 };
@@ -120,6 +122,7 @@
       readNow: fleet.readNow,
       ports: fleet.gateways.map((gateway) => gateway.callers.port),
       credentials: fleet.credentials,
+      crLfShare: options.unframedShare,
       isStopped: () => stopped,
     }),
   );
@@ -177,6 +180,7 @@
       throw new Error(`the fleet does not start; its logs are in ${fleet.folder}`);
     }
     recordStartup(fleet);
+    fleet.backends.forEach(({ server }) => server.setUnframedShare(options.unframedShare));
     const endWatch = soakStalls.watchStalls(fleet.records, fleet.readNow);
     const violations = await runCalls(fleet, options, faults);
     endWatch();
--- a/packages/proofs/src/soak/soak-caller.ts
+++ b/packages/proofs/src/soak/soak-caller.ts
@@ -14,6 +14,8 @@
   ports: readonly number[];
   /** API keys in use and the workspaces they belong to. */
   credentials: readonly { credential: string; workspace: string }[];
+  /** Share of requests whose events have CRLF as line ends. */
+  crLfShare: number;
   isStopped: () => boolean;
 };
 
@@ -43,9 +45,10 @@
 
 /** Draws the next call. */
 function drawCall(options: CallerOptions, serial: number, gateway: number): soakCall.PlannedCall {
-  const { name, draw, credentials } = options;
+  const { name, draw, credentials, crLfShare } = options;
   const kind = randomSource.drawFrom(draw, KINDS);
-  const id = `${name}-${serial}`;
+  const mark = crLfShare > 0 && draw() < crLfShare ? soakRecords.CRLF_MARK : '';
+  const id = `${name}-${serial}${mark}`;
   const isTakenUp = kind === soakRecords.CallKind.RESUMABLE && serial % TAKE_UP_CALLS === 0;
   const leavesAfterMs = isTakenUp ? TAKE_UP_AFTER_MS : undefined;
   return {
--- a/packages/proofs/src/soak/soak-checks.ts
+++ b/packages/proofs/src/soak/soak-checks.ts
@@ -5,6 +5,7 @@
 import * as soakRecords from './soak-records.js';
 import * as soakStopChecks from './soak-stop-checks.js';
 import * as soakStatementChecks from './soak-statement-checks.js';
+import * as soakStreamChecks from './soak-stream-checks.js';
 import * as soakVersionChecks from './soak-version-checks.js';
 
 /** Limits that the deployment under test guarantees. */
@@ -266,6 +267,7 @@
     ...soakStatementChecks.checkStatements(records, callById),
     ...soakPartChecks.checkParts(records),
     ...soakStopChecks.checkStops({ records, runsById, routeTimeoutMs: bounds.routeTimeoutMs }),
+    ...soakStreamChecks.checkRunAgain(records, runsById),
     ...soakVersionChecks.checkVersions(records),
   ];
 }
--- a/packages/proofs/src/soak/soak-records.ts
+++ b/packages/proofs/src/soak/soak-records.ts
@@ -64,6 +64,8 @@
   endedMs: number;
   /** The backend server ended its response early. */
   isBrokenOff: boolean;
+  /** The backend server sent the whole response of a successful run. */
+  isWhole: boolean;
 };
 
 /** A revoked key, and when the store had the revocation. */
@@ -179,14 +181,18 @@
 /** Number of events in one stream. */
 export const STREAM_EVENTS = 6;
 
-const VERSION_LINE = /^: (v\d+)\n/gm;
+/** Part of the id of a request whose events have CRLF as line ends. */
+export const CRLF_MARK = '-crlf';
+
+const VERSION_LINE = /^: (v\d+)\r?\n/gm;
 /** The first part of a version line at the end of a truncated body. */
-const VERSION_START = /\n:( v?\d*)?$/;
+const VERSION_START = /\n:( v?\d*\r?)?$/;
 
 /** Builds one event of a stream; every run of a request produces the same ones but for the version. */
 export function buildEvent(id: string, number: number, version?: string): string {
   const comment = version === undefined ? '' : `: ${version}\n`;
-  return `id: ${number}\n${comment}data: ${id} ${number}\n\n`;
+  const event = `id: ${number}\n${comment}data: ${id} ${number}\n\n`;
+  return id.includes(CRLF_MARK) ? event.replaceAll('\n', '\r\n') : event;
 }
 
 /** Removes the versions from the events of a body. */
@@ -201,7 +207,8 @@
 
 /** Finds the number of the last complete event of a body; 0 if there is none. */
 export function findLastEvent(body: string): number {
-  const complete = body.slice(0, body.lastIndexOf('\n\n') + 1);
+  const lines = body.replaceAll('\r\n', '\n');
+  const complete = lines.slice(0, lines.lastIndexOf('\n\n') + 1);
   return Number([...complete.matchAll(/^id: (\d+)$/gm)].at(-1)?.[1] ?? 0);
 }
 
--- a/packages/proofs/src/soak/soak-server.ts
+++ b/packages/proofs/src/soak/soak-server.ts
@@ -19,6 +19,8 @@
   setStatement: (statement: soakRecords.StatementRecord | undefined) => void;
   /** Called when a request arrives that ends the server. */
   setCrash: (crash: () => void) => void;
+  /** Sets the share of streams that have no length and end with their connection. */
+  setUnframedShare: (share: number) => void;
   /** Sets how the time of each run is drawn, milliseconds; the usual times if undefined. */
   setWork: (drawWorkMs: (() => number) | undefined) => void;
   stop: () => void;
@@ -35,15 +37,23 @@
   limit: soakRecords.LimitRecord | undefined;
   statement: soakRecords.StatementRecord | undefined;
   crash: () => void;
+  /** Share of streams that have no length and end with their connection. */
+  unframedShare: number;
   drawWorkMs: (() => number) | undefined;
 };
 
+/** How a stream is sent: chunked or without a length, and where it is broken off, if it is. */
+type StreamShape = { isFramed: boolean; truncateAfter: number; cut: number };
+
 /** Requests that it processes concurrently. */
 export const SLOTS = 4;
 /** Shares of requests that fail, have a truncated response, or are slow. */
 const FAILED_SHARE = 0.03;
 const TRUNCATED_SHARE = 0.03;
 const SLOW_SHARE = 0.05;
+const UNFRAMED_TRUNCATED_SHARE = 0.2;
+/** Part of an event that a truncated stream with chunks has sent. */
+const CUT = 0.2;
 /** Share of requests that it refuses while it asks for a backoff. */
 const REFUSED_SHARE = 0.8;
 /** Share of plain responses without a Content-Length header, ended by closing the connection. */
@@ -78,6 +88,7 @@
     atMs: state.readNow(),
     endedMs: 0,
     isBrokenOff: false,
+    isWhole: false,
   };
   state.records.runs.push(run);
   return run;
@@ -111,36 +122,59 @@
   return true;
 }
 
-/** Sends the events of a stream; a truncated one is reset in the middle of an event. */
+/**
+ * Sends the events of a stream. A truncated one is reset in the middle of an event; without a
+ * length it ends there as a complete one does.
+ */
 function sendEvents(
   run: soakRecords.RunRecord,
   socket: net.Socket,
-  truncateAfter: number,
+  { isFramed, truncateAfter, cut }: StreamShape,
   end: () => void,
 ): void {
   let number = run.resumeAfter;
   const isVersioned = run.path.startsWith(RESUMABLE_PATH);
+  const frame = (text: string) => (isFramed ? backendServerStandIn.buildChunk(text) : text);
   const sendNext = () => {
     number += 1;
     const event = soakRecords.buildEvent(run.id, number, isVersioned ? run.version : undefined);
-    if (socket.destroyed || number > truncateAfter) {
-      run.isBrokenOff = !socket.destroyed;
-      socket.write(backendServerStandIn.buildChunk(event.slice(0, 7)));
-      socket.resetAndDestroy();
+    if (socket.destroyed) {
       end();
-      return;
-    }
-    if (number > soakRecords.STREAM_EVENTS) {
-      socket.write('0\r\n\r\n');
+    } else if (number > truncateAfter) {
+      run.isBrokenOff = true;
+      // Two bytes less than the event: a CR alone would also end its last line.
+      socket.write(frame(event.slice(0, 1 + Math.floor(cut * (event.length - 2)))));
+      socket[isFramed ? 'resetAndDestroy' : 'end']();
       end();
-      return;
+    } else if (number > soakRecords.STREAM_EVENTS) {
+      run.isWhole = true;
+      socket[isFramed ? 'write' : 'end'](isFramed ? '0\r\n\r\n' : '');
+      end();
+    } else {
+      socket.write(frame(event));
+      setTimeout(sendNext, EVENT_MS);
     }
-    socket.write(backendServerStandIn.buildChunk(event));
-    setTimeout(sendNext, EVENT_MS);
   };
   sendNext();
 }
 
+/** Draws how a stream is sent, and sends it. */
+function sendStream(
+  state: ServerState,
+  request: backendServerStandIn.ReceivedRequest,
+  socket: net.Socket,
+  run: soakRecords.RunRecord,
+  end: () => void,
+): void {
+  const { draw, unframedShare } = state;
+  const isFramed = unframedShare === 0 || draw() >= unframedShare;
+  const isTruncated = draw() < (isFramed ? TRUNCATED_SHARE : UNFRAMED_TRUNCATED_SHARE);
+  const head = addStatements(state, run.id, backendServerStandIn.buildStreamHead(request));
+  socket.write(isFramed ? head : head.replace('\r\nTransfer-Encoding: chunked', ''));
+  const truncateAfter = isTruncated ? run.resumeAfter + 2 : Infinity;
+  sendEvents(run, socket, { isFramed, truncateAfter, cut: isFramed ? CUT : draw() }, end);
+}
+
 /** Sends a plain response: complete, truncated, failed or without a length. */
 function sendPlain(
   state: ServerState,
@@ -157,8 +191,10 @@
     run.isBrokenOff = true;
     socket.write(response.slice(0, -3), () => socket.resetAndDestroy());
   } else if (chance < FAILED_SHARE + TRUNCATED_SHARE + UNFRAMED_SHARE) {
+    run.isWhole = true;
     socket.end(response.replace(/Content-Length: \d+\r\n/, ''));
   } else {
+    run.isWhole = true;
     socket.write(response);
   }
 }
@@ -215,9 +251,7 @@
         end();
         state.crash();
       } else if (run.path.startsWith('/stream/') || run.path.startsWith(RESUMABLE_PATH)) {
-        const isTruncated = state.draw() < TRUNCATED_SHARE;
-        socket.write(addStatements(state, id, backendServerStandIn.buildStreamHead(request)));
-        sendEvents(run, socket, isTruncated ? run.resumeAfter + 2 : Infinity, end);
+        sendStream(state, request, socket, run, end);
       } else {
         sendPlain(state, request, socket, run);
         end();
@@ -244,6 +278,7 @@
     limit: undefined,
     statement: undefined,
     crash: () => {},
+    unframedShare: 0,
     drawWorkMs: undefined,
   };
   runner.setRequestHandler((request, socket) => serve(state, request, socket));
@@ -259,6 +294,9 @@
     setCrash: (crash) => {
       state.crash = crash;
     },
+    setUnframedShare: (share) => {
+      state.unframedShare = share;
+    },
     setWork: (drawWorkMs) => {
       state.drawWorkMs = drawWorkMs;
     },
--- a/packages/proofs/src/soak/soak-stop-checks.test.ts
+++ b/packages/proofs/src/soak/soak-stop-checks.test.ts
@@ -43,6 +43,7 @@
     atMs: 12_000,
     endedMs: 17_600,
     isBrokenOff: false,
+    isWhole: false,
     ...changes,
   };
 }
--- a/packages/proofs/src/soak/soak.test.ts
+++ b/packages/proofs/src/soak/soak.test.ts
@@ -9,7 +9,16 @@
 /** Runs one seed with few processes and expects no violation of a guarantee. */
 async function expectNoViolations(
   seed: number,
-  { evacuations = 0, limits = 0, epochs = 0, statements = 0, crashes = 0, stops = 0, parts = 0 },
+  {
+    evacuations = 0,
+    limits = 0,
+    epochs = 0,
+    statements = 0,
+    crashes = 0,
+    stops = 0,
+    parts = 0,
+    unframedShare = 0,
+  },
 ): Promise<void> {
   const report = await runSoak.runSoak({
     seed,
@@ -25,6 +34,7 @@
     crashes,
     stops,
     parts,
+    unframedShare,
     areTimesChecked: false,
   });
   assert.deepEqual(report.violations, [], `logs in ${report.folder}`);
