Let the gateway soak play many gateways

Gateways now start three at a time. The report has the most resident memory of all processes of the run, and the program ends if that, times the number of seeds that run at once, exceeds 12,000 MB.

--- a/packages/proofs/src/soak/main.ts
+++ b/packages/proofs/src/soak/main.ts
@@ -29,6 +29,8 @@
 const first = Number(values.first);
 const seeds = Array.from({ length: Number(values.seeds) }, (_, index) => first + index);
 let failures = 0;
+/** Memory that all seeds that run at once may use together, MB. */
+const MAX_MEMORY_MB = 12_000;
 
 /** Runs seeds from the shared list until it is empty. */
 async function runSome(): Promise<void> {
@@ -52,6 +54,9 @@
       areTimesChecked: true,
     });
     process.stdout.write(`${JSON.stringify(report)}\n`);
+    if (report.memoryMb * Number(values.jobs) > MAX_MEMORY_MB) {
+      throw new Error(`the soak may need more than ${MAX_MEMORY_MB} MB`);
+    }
     if (report.violations.length > 0) {
       failures += 1;
     } else {
--- a/packages/proofs/src/soak/run-soak.ts
+++ b/packages/proofs/src/soak/run-soak.ts
@@ -11,6 +11,7 @@
 import * as soakFaults from './soak-faults.js';
 import * as soakFleet from './soak-fleet.js';
 import * as soakLimits from './soak-limits.js';
+import * as soakMemory from './soak-memory.js';
 import * as soakParts from './soak-parts.js';
 import type * as soakRecords from './soak-records.js';
 import * as soakStalls from './soak-stalls.js';
@@ -55,6 +56,8 @@
   takeUps: Record<string, number>;
   faults: string[];
   violations: soakChecks.Violation[];
+  /** Most resident memory of all processes together, MB. */
+  memoryMb: number;
   /** Directory with the gateways' logs. */
   folder: string;
 };
@@ -181,6 +184,7 @@
     }
     recordStartup(fleet);
     fleet.backends.forEach(({ server }) => server.setUnframedShare(options.unframedShare));
+    const endMemory = soakMemory.watchMemory(fleet);
     const endWatch = soakStalls.watchStalls(fleet.records, fleet.readNow);
     const violations = await runCalls(fleet, options, faults);
     endWatch();
@@ -196,6 +200,7 @@
         ({ kind, atMs, forMs }) => `${kind}@${Math.round(atMs)}+${Math.round(forMs)}`,
       ),
       violations,
+      memoryMb: endMemory(),
       folder: fleet.folder,
     };
   } finally {
--- a/packages/proofs/src/soak/soak-fleet.ts
+++ b/packages/proofs/src/soak/soak-fleet.ts
@@ -14,6 +14,7 @@
 import * as forwarder from '../mocks/forwarder.js';
 import type * as randomSource from '../mocks/random-source.js';
 import * as soakCall from './soak-call.js';
+import * as soakPorts from './soak-ports.js';
 import * as soakRecords from './soak-records.js';
 import * as soakServer from './soak-server.js';
 
@@ -81,6 +82,7 @@
 const PROBE_PAUSE_MS = 100;
 /** A gateway must serve within this time once nothing disturbs it, milliseconds. */
 const RECOVER_MS = 30_000;
+const STARTED_AT_ONCE = 3;
 const PROGRAM = url
   .fileURLToPath(import.meta.resolve('@toucanproxy/platform'))
   .replace(/index\.js$/, 'main.js');
@@ -236,6 +238,17 @@
   return serving.every(Boolean);
 }
 
+/** Starts all gateways, a few at a time: more of them would take all processors of the machine. */
+async function startGateways(fleet: SoakFleet): Promise<void> {
+  for (let first = 0; first < fleet.gateways.length; first += STARTED_AT_ONCE) {
+    const some = fleet.gateways.slice(first, first + STARTED_AT_ONCE);
+    some.forEach((gateway) => startGateway(fleet, gateway));
+    if (first + STARTED_AT_ONCE < fleet.gateways.length) {
+      await Promise.all(some.map(({ port }) => soakPorts.waitUntilAccepting(port, RECOVER_MS)));
+    }
+  }
+}
+
 /** Starts the store, the backend servers and the gateways. */
 export async function startFleet(
   draw: randomSource.DrawRandom,
@@ -266,7 +279,7 @@
   const addresses = Array.from({ length: sizes.gateways }, (_, index) => buildPeerAddress(index));
   const peers = { addresses, port: await freePort.findPort() };
   await Promise.all(addresses.map((_, index) => addGateway(fleet, index, peers)));
-  fleet.gateways.forEach((gateway) => startGateway(fleet, gateway));
+  await startGateways(fleet);
   return fleet;
 }
 
--- a/packages/proofs/src/soak/soak-stalls.ts
+++ b/packages/proofs/src/soak/soak-stalls.ts
@@ -15,6 +15,7 @@
     }
     dueMs = now + TICK_MS;
   }, TICK_MS);
+  timer.unref();
   return () => clearInterval(timer);
 }
 
