--- a/packages/proofs/src/soak/main.ts
+++ b/packages/proofs/src/soak/main.ts
@@ -21,11 +21,16 @@
     epochs: { type: 'string', default: '2' },
     statements: { type: 'string', default: '4' },
     crashes: { type: 'string', default: '20' },
+    stops: { type: 'string', default: '2' },
+    parts: { type: 'string', default: '1' },
+    unframed: { type: 'string', default: '0.3' },
   },
 });
 const first = Number(values.first);
 const seeds = Array.from({ length: Number(values.seeds) }, (_, index) => first + index);
 let failures = 0;
+/** Memory that all seeds that run at once may use together, MB. */
+const MAX_MEMORY_MB = 12_000;
 
 /** Runs seeds from the shared list until it is empty. */
 async function runSome(): Promise<void> {
@@ -43,9 +48,15 @@
       epochs: Number(values.epochs),
       statements: Number(values.statements),
       crashes: Number(values.crashes),
+      stops: Number(values.stops),
+      parts: Number(values.parts),
+      unframedShare: Number(values.unframed),
       areTimesChecked: true,
     });
     process.stdout.write(`${JSON.stringify(report)}\n`);
+    if (report.memoryMb * Number(values.jobs) > MAX_MEMORY_MB) {
+      throw new Error(`the soak may need more than ${MAX_MEMORY_MB} MB`);
+    }
     if (report.violations.length > 0) {
       failures += 1;
     } else {
--- a/packages/proofs/src/soak/soak-checks.ts
+++ b/packages/proofs/src/soak/soak-checks.ts
@@ -1,8 +1,11 @@
 /** Checks the documented guarantees against what callers and backend servers recorded. */
 import * as soakCrashChecks from './soak-crash-checks.js';
 import * as soakLimitChecks from './soak-limit-checks.js';
+import * as soakPartChecks from './soak-part-checks.js';
 import * as soakRecords from './soak-records.js';
+import * as soakStopChecks from './soak-stop-checks.js';
 import * as soakStatementChecks from './soak-statement-checks.js';
+import * as soakStreamChecks from './soak-stream-checks.js';
 import * as soakVersionChecks from './soak-version-checks.js';
 
 /** Limits that the deployment under test guarantees. */
@@ -11,6 +14,7 @@
   evacuationMs: number;
   retryRatio: number;
   retryExtra: number;
+  routeTimeoutMs: number;
   /** Also checks response times, which hold only on a machine with spare CPU. */
   areTimesChecked: boolean;
 };
@@ -261,6 +265,9 @@
     ...soakCrashChecks.checkCrashes(records, callById),
     ...soakLimitChecks.checkLimits(records, callById),
     ...soakStatementChecks.checkStatements(records, callById),
+    ...soakPartChecks.checkParts(records),
+    ...soakStopChecks.checkStops({ records, runsById, routeTimeoutMs: bounds.routeTimeoutMs }),
+    ...soakStreamChecks.checkRunAgain(records, runsById),
     ...soakVersionChecks.checkVersions(records),
   ];
 }
--- a/packages/proofs/src/soak/soak-records.ts
+++ b/packages/proofs/src/soak/soak-records.ts
@@ -20,12 +20,18 @@
   deadlineMs: number;
   /** When the caller disconnected early, milliseconds; 0 if it did not. */
   disconnectedMs: number;
+  /** The call was to use a connection that was open already. */
+  isReused: boolean;
+  /** The connection was refused, or reset before a response began. */
+  isReset: boolean;
   /** When the response or the connection ended, milliseconds; 0 until then. */
   endedMs: number;
   /** Undefined if the connection ended without a response. */
   response: CallResponse | undefined;
   /** The call that brought the first events of its stream; undefined if it asks for all. */
   resumes?: { id: string; after: number };
+  /** Parts of the prompt, as the caller sends them; undefined if it sends none. */
+  parts?: string;
 };
 
 export type CallResponse = {
@@ -51,7 +57,15 @@
   hasCredential: boolean;
   /** Id of the event after which a stream resumes; 0 for its beginning. */
   resumeAfter: number;
+  /** Parts of the prompt, as the caller sent them. */
+  parts: string;
   atMs: number;
+  /** When the response was sent or its connection ended, milliseconds; 0 until then. */
+  endedMs: number;
+  /** The backend server ended its response early. */
+  isBrokenOff: boolean;
+  /** The backend server sent the whole response of a successful run. */
+  isWhole: boolean;
 };
 
 /** A revoked key, and when the store had the revocation. */
@@ -85,6 +99,16 @@
   announced: { id: string; atMs: number }[];
 };
 
+/** A planned stop of a gateway: from its first SIGTERM until its process has ended, milliseconds. */
+export type StopRecord = {
+  gateway: number;
+  fromMs: number;
+  untilMs: number;
+  /** When its port was first seen to refuse connections, milliseconds. */
+  closedMs: number;
+  graceMs: number;
+};
+
 /** The exit of a gateway process that nothing had stopped. */
 export type UnexpectedExit = { gateway: number; atMs: number; code: number | null };
 
@@ -92,6 +116,14 @@
 export const CRASHING_PATH = '/safe/crash';
 export const CRASHING_WORKSPACE = 'workspace-a';
 
+/** Id of the part of the prompt that ends each backend server that runs a request with it. */
+export const CRASHING_PART = 'e4402b7d';
+
+/** Whether a request has the part that ends backend servers. */
+export function hasCrashingPart({ parts = '' }: { parts?: string }): boolean {
+  return parts.split(',').some((part) => part.startsWith(`${CRASHING_PART}:`));
+}
+
 /** Whether a run ends its backend server. */
 export function isCrashing({ path, workspace }: RunRecord): boolean {
   return path === CRASHING_PATH && workspace === CRASHING_WORKSPACE;
@@ -111,8 +143,15 @@
   unexpectedExits: UnexpectedExit[];
   /** Backend servers that ended because of the request that they ran. */
   crashes: { server: string; atMs: number }[];
-  /** Periods in which a fault affected a gateway or its links, milliseconds. */
-  disturbances: { gateway: number; fromMs: number; untilMs: number }[];
+  /** The same because of a part of its prompt. */
+  partCrashes: { server: string; atMs: number }[];
+  stops: StopRecord[];
+  /** Periods in which a fault, or a stop that is planned, affected a gateway or its links, ms. */
+  disturbances: { gateway: number; fromMs: number; untilMs: number; isPlanned?: boolean }[];
+  /** Periods in which a fault affected a backend server or its link, milliseconds. */
+  serverFaults: { server: string; fromMs: number; untilMs: number }[];
+  /** Periods in which the event loop of the soak test itself stood still, milliseconds. */
+  stalls: { fromMs: number; untilMs: number }[];
   /** Periods in which a gateway, or all if undefined, may not reach the store. */
   storeFaults: { gateway: number | undefined; fromMs: number; untilMs: number }[];
 };
@@ -130,7 +169,11 @@
     storeGaps: [],
     unexpectedExits: [],
     crashes: [],
+    partCrashes: [],
+    stops: [],
     disturbances: [],
+    serverFaults: [],
+    stalls: [],
     storeFaults: [],
   };
 }
@@ -138,14 +181,18 @@
 /** Number of events in one stream. */
 export const STREAM_EVENTS = 6;
 
-const VERSION_LINE = /^: (v\d+)\n/gm;
+/** Part of the id of a request whose events have CRLF as line ends. */
+export const CRLF_MARK = '-crlf';
+
+const VERSION_LINE = /^: (v\d+)\r?\n/gm;
 /** The first part of a version line at the end of a truncated body. */
-const VERSION_START = /\n:( v?\d*)?$/;
+const VERSION_START = /\n:( v?\d*\r?)?$/;
 
 /** Builds one event of a stream; every run of a request produces the same ones but for the version. */
 export function buildEvent(id: string, number: number, version?: string): string {
   const comment = version === undefined ? '' : `: ${version}\n`;
-  return `id: ${number}\n${comment}data: ${id} ${number}\n\n`;
+  const event = `id: ${number}\n${comment}data: ${id} ${number}\n\n`;
+  return id.includes(CRLF_MARK) ? event.replaceAll('\n', '\r\n') : event;
 }
 
 /** Removes the versions from the events of a body. */
@@ -160,7 +207,8 @@
 
 /** Finds the number of the last complete event of a body; 0 if there is none. */
 export function findLastEvent(body: string): number {
-  const complete = body.slice(0, body.lastIndexOf('\n\n') + 1);
+  const lines = body.replaceAll('\r\n', '\n');
+  const complete = lines.slice(0, lines.lastIndexOf('\n\n') + 1);
   return Number([...complete.matchAll(/^id: (\d+)$/gm)].at(-1)?.[1] ?? 0);
 }
 
