--- a/packages/measure/src/suspect-parts/part-evidence.ts
+++ b/packages/measure/src/suspect-parts/part-evidence.ts
@@ -28,6 +28,8 @@
   isExplained: boolean;
   /** Parts that have never completed are refused before others. */
   isUnprovenFirst: boolean;
+  /** Parts of sound runs are remembered even without losses. */
+  isSoundKept: boolean;
   /** Computes when a refused part may be tried again, milliseconds. */
   computeTrialMs: (losses: readonly Loss[], score: number) => number;
   /** Time between the turns of gateways to try a part, milliseconds. */
@@ -45,11 +47,14 @@
   changes: Change[];
   /** Recent ends of this gateway's runs, for the share of lost ones. */
   ends: { atMs: number; isLost: boolean }[];
+  /** When runs with a part were last sound, for parts that have no losses yet. */
+  sound: Map<string, number>;
 };
 type Suspect = { part: string; losses: Loss[]; score: number; record: PartRecord };
 
 const MAX_PARTS = 256;
 const MAX_LOSSES = 12;
+const MAX_SOUND = 64;
 const MAX_TURN = 4;
 const RATE_MS = 1000;
 const REPEAT_MS = 2000;
@@ -93,7 +98,8 @@
 
 /** Adds the loss of a run with a part; of several at one server, the one sent last is kept. */
 function addLoss(evidence: Evidence, part: string, loss: Loss): void {
-  const created = { losses: [], soundMs: -Infinity, trialMs: -Infinity };
+  const soundMs = evidence.sound.get(part) ?? -Infinity;
+  const created = { losses: [], soundMs, trialMs: -Infinity };
   const record: PartRecord = evidence.byPart.get(part) ?? created;
   const known = record.losses.find(({ serverId }) => serverId === loss.serverId);
   if (known !== undefined) {
@@ -137,7 +143,9 @@
         (a, b) =>
           (options.isUnprovenFirst
             ? Number(a.record.soundMs > 0) - Number(b.record.soundMs > 0)
-            : 0) || b.score - a.score,
+            : 0) ||
+          b.score - a.score ||
+          b.losses.length - a.losses.length,
       );
     if (first === undefined) {
       return suspects;
@@ -191,6 +199,16 @@
 function noteSound(evidence: Evidence, parts: readonly string[], now: number): void {
   noteEnd(evidence, false, now);
   evidence.pending.forEach(({ cleared }) => parts.forEach((part) => cleared.add(part)));
+  if (evidence.options.isSoundKept) {
+    parts.forEach((part) => {
+      evidence.sound.delete(part);
+      evidence.sound.set(part, now);
+    });
+    if (evidence.sound.size > MAX_SOUND) {
+      const [oldest] = evidence.sound.keys();
+      evidence.sound.delete(oldest);
+    }
+  }
   const changed = parts.filter((part) => clearPart(evidence, part, now));
   if (changed.length > 0) {
     evidence.changes.push({ parts: changed, changedMs: now, isSent: false });
@@ -249,7 +267,13 @@
   options: EvidenceOptions,
   gateway: number,
 ): fleetReplay.PartPolicy {
-  const empty = { byPart: new Map<string, PartRecord>(), pending: [], changes: [], ends: [] };
+  const empty = {
+    byPart: new Map<string, PartRecord>(),
+    pending: [],
+    changes: [],
+    ends: [],
+    sound: new Map<string, number>(),
+  };
   const evidence: Evidence = { options, gateway, ...empty };
   return {
     noteLost: (run, now) => {
--- a/packages/measure/src/suspect-parts/ways.ts
+++ b/packages/measure/src/suspect-parts/ways.ts
@@ -75,6 +75,7 @@
     settleMs: 0,
     isExplained: true,
     isUnprovenFirst: true,
+    isSoundKept: false,
     computeTrialMs,
     turnMs: TURN_MS,
   };
@@ -105,6 +106,39 @@
     settleMs: SETTLE_MS,
   }),
   'three, trials by span': createWay({ computeTrialMs: computeSpanTrialMs }),
+  'two, span': createWay({
+    rateLosses: createSequenceRate(2, 2),
+    computeTrialMs: computeSpanTrialMs,
+  }),
+  'two, silent three, span': createWay({
+    rateLosses: createSequenceRate(2, 3),
+    computeTrialMs: computeSpanTrialMs,
+  }),
+  'two, span, sound kept': createWay({
+    rateLosses: createSequenceRate(2, 3),
+    isSoundKept: true,
+    computeTrialMs: computeSpanTrialMs,
+  }),
+  'two or four servers, span, sound kept': createWay({
+    rateLosses: createSequenceRate(2, 3, 4),
+    settleMs: SETTLE_MS,
+    isSoundKept: true,
+    computeTrialMs: computeSpanTrialMs,
+  }),
+  'three or four servers, span, sound kept': createWay({
+    rateLosses: createSequenceRate(3, 3, 4),
+    settleMs: SETTLE_MS,
+    isSoundKept: true,
+    computeTrialMs: computeSpanTrialMs,
+  }),
+  'two, count trials, sound kept': createWay({
+    rateLosses: createSequenceRate(2, 3),
+    isSoundKept: true,
+  }),
+  'three, span, sound kept': createWay({
+    isSoundKept: true,
+    computeTrialMs: computeSpanTrialMs,
+  }),
   likelihood: createWay({
     rateLosses: createLikelihoodRate(),
     settleMs: SETTLE_MS,
