--- a/packages/core/src/gateway/attempt-end.ts
+++ b/packages/core/src/gateway/attempt-end.ts
@@ -116,6 +116,10 @@
         : schema.ResultCode.ENGINE_FAILED;
     return refusal.buildRefusal(code);
   }
+  const suspension = crashDetection.findSuspension(state, request, now);
+  if (suspension !== undefined) {
+    return suspension;
+  }
   const { overload } = gatewayState.getServiceState(state, request.service);
   overloads.noteRefusal(overload, now);
   const advice = overloads.drawRetryAfter(overload, 0, state.drawRandom, now);
--- a/packages/core/src/gateway/crash-detection.ts
+++ b/packages/core/src/gateway/crash-detection.ts
@@ -10,12 +10,13 @@
  * because it could not complete otherwise.
  */
 import * as schema from '@toucanproxy/schema';
-import * as rendezvous from '../shared/rendezvous.js';
 import type * as gatewayRequest from './gateway-request.js';
 import type * as gatewayState from './gateway-state.js';
 import * as lostRuns from './lost-runs.js';
-import * as peerCounts from './peer-counts.js';
+import * as partLosses from './part-losses.js';
+import * as promptParts from './prompt-parts.js';
 import * as refusal from './refusal.js';
+import * as trialTurns from './trial-turns.js';
 
 /** Losses in sequence from which on content is refused. */
 const MAX_LOSSES = 2;
@@ -25,13 +26,6 @@
 const FIRST_TRIAL_MS = 1000;
 /** Factor by which the time to the next trial grows with each trial that ends in a loss. */
 const TRIAL_FACTOR = 10;
-/**
- * Time between the gateways' turns to try refused content, milliseconds: the loss of a trial at a
- * silent server is known only when its time is over.
- */
-const TURN_MS = 2000;
-/** Gateways with a later turn than this one take it together. */
-const MAX_TURN = 4;
 /**
  * A server that restarts under its id may send responses before its new entry is read. What was
  * heard only within this time after a loss does not show that it lived on, milliseconds.
@@ -59,27 +53,30 @@
 
 /** Records that bytes have arrived from the backend server of a request. */
 export function noteServerHeard(
-  { lostRuns: runs }: gatewayState.GatewayState,
+  { lostRuns: runs, partLosses: parts }: gatewayState.GatewayState,
   request: gatewayRequest.GatewayRequest,
   now: number,
 ): void {
   const incarnation = findIncarnation(request);
   if (incarnation !== undefined) {
     lostRuns.noteHeard(runs, incarnation, now);
+    partLosses.noteHeardServer(parts, incarnation, now);
   }
 }
 
 /** Records that a request's run ended without a response. */
 export function noteLostRun(
-  { lostRuns: runs }: gatewayState.GatewayState,
+  state: gatewayState.GatewayState,
   request: gatewayRequest.GatewayRequest,
   now: number,
   isSilent = false,
 ): void {
+  const { lostRuns: runs } = state;
   const incarnation = findIncarnation(request);
   if (incarnation === undefined) {
     return;
   }
+  promptParts.noteLostParts(state, request, now, isSilent);
   const digest = hashContent(request);
   const times = { sentMs: request.sentMs, lostMs: now, changedMs: now };
   const run = { ...incarnation, ...times, isSilent, isCleared: false };
@@ -119,12 +116,15 @@
 
 /** Decides what the losses at a backend server mean that has restarted or is gone. */
 export function handleServerEnd(
-  { lostRuns: runs }: gatewayState.GatewayState,
+  { lostRuns: runs, partLosses: parts }: gatewayState.GatewayState,
   serverId: string,
   isRestart: boolean,
   now: number,
 ): void {
   lostRuns.forgetServer(runs, serverId, now, isRestart ? RESTART_MS : undefined);
+  if (isRestart) {
+    partLosses.handleRestart(parts, serverId, RESTART_MS);
+  }
 }
 
 /** Counts losses in sequence; several servers that have fallen silent together count as enough. */
@@ -182,38 +182,31 @@
   return findTrialMs(state, request) !== undefined;
 }
 
-/**
- * Computes how long this gateway leaves the trial of a content to others, milliseconds. Callers that
- * send it to several gateways at once would otherwise have a trial at each.
- */
-function computeTurnMs(
-  { address, peers }: gatewayState.GatewayState,
-  digest: string,
-  now: number,
-): number {
-  const all = [address, ...peerCounts.listReachablePeers(peers, now)];
-  const turn = rendezvous.rankByRendezvous(digest, all).indexOf(address);
-  return Math.min(turn, MAX_TURN) * TURN_MS;
-}
-
 /** Builds the refusal of content that may be tried again at a given time. */
 function buildSuspension(trialMs: number, now: number): refusal.Refusal {
   return refusal.buildRefusal(schema.ResultCode.CONTENT_SUSPENDED, trialMs - now);
 }
 
-/** Returns the refusal of an arriving request if its content is refused; admits it as a trial. */
+/**
+ * Returns the refusal of an arriving request if its content or a part of its prompt is refused;
+ * admits it as a trial.
+ */
 export function findArrivalRefusal(
   state: gatewayState.GatewayState,
   request: gatewayRequest.GatewayRequest,
   now: number,
 ): refusal.Refusal | undefined {
+  const partRefusal = promptParts.findArrivalRefusal(state, request, now);
+  if (partRefusal !== undefined) {
+    return partRefusal;
+  }
   const trialMs = findTrialMs(state, request);
   if (trialMs === undefined) {
     return undefined;
   }
   const digest = hashContent(request);
   const record = state.lostRuns.byDigest.get(digest) as lostRuns.ContentRecord;
-  const turnMs = trialMs + computeTurnMs(state, digest, now);
+  const turnMs = trialMs + trialTurns.computeTurnMs(state, digest, now);
   const dueMs = Math.max(turnMs, record.trialMs + FIRST_TRIAL_MS);
   if (now < dueMs) {
     return buildSuspension(dueMs, now);
@@ -223,7 +216,7 @@
   return undefined;
 }
 
-/** Returns the refusal of an admitted request if its content has been refused since. */
+/** Returns the refusal of an admitted request if its content or a part has been refused since. */
 export function findSuspension(
   state: gatewayState.GatewayState,
   request: gatewayRequest.GatewayRequest,
@@ -231,5 +224,7 @@
 ): refusal.Refusal | undefined {
   const trialMs = findTrialMs(state, request);
   const isAllowed = trialMs === undefined || (request.isTrial && now >= trialMs);
-  return isAllowed ? undefined : buildSuspension(trialMs, now);
+  return isAllowed
+    ? promptParts.findSuspension(state, request, now)
+    : buildSuspension(trialMs, now);
 }
--- a/packages/core/src/gateway/gateway-request.ts
+++ b/packages/core/src/gateway/gateway-request.ts
@@ -24,6 +24,8 @@
   tokens: { prompt: number; answer: number } | undefined;
   /** The caller's estimate of the number of response tokens. */
   answerGuess: number | undefined;
+  /** Ids of the parts of the prompt, in order; absent if the request does not state them. */
+  promptParts?: readonly string[];
   /** Undefined if the caller asks for the response from its start. */
   resumption?: StreamResumption;
   /** Computes a digest of the content, which is the same for all attempts of a workspace. */
@@ -97,6 +99,10 @@
   predictedFirstMs: number;
   /** The first event of the present attempt has arrived: its prompt has been read. */
   hasFirstEvent: boolean;
+  /** When the first event of the present attempt arrived, milliseconds; Infinity before. */
+  firstEventMs: number;
+  /** A run has proved that the parts of its prompt crash no backend server. */
+  isSound: boolean;
   /** Backend servers that could not be used, refused the request or failed it. */
   triedIds: Set<string>;
   /** Number of times that it was sent. */
--- a/packages/core/src/gateway/gateway-state.ts
+++ b/packages/core/src/gateway/gateway-state.ts
@@ -10,6 +10,7 @@
 import * as gatewayLoad from './gateway-load.js';
 import type * as gatewayRequest from './gateway-request.js';
 import * as lostRuns from './lost-runs.js';
+import * as partLosses from './part-losses.js';
 import * as peerCounts from './peer-counts.js';
 import * as peerView from './peer-view.js';
 import type * as quotaLimit from './quota-limit.js';
@@ -115,6 +116,8 @@
   peers: peerView.PeerView;
   /** Runs that ended without a response, perhaps because their content ended the backend server. */
   lostRuns: lostRuns.LostRuns;
+  /** The parts of prompts in such runs. */
+  partLosses: partLosses.PartLosses;
   nextSerial: number;
   /** Revision of `servers` at the last check of waiting requests. */
   checkedRevision: number;
@@ -166,6 +169,7 @@
     origins: streamOrigins.createStreamOrigins(),
     peers: peerView.createPeerView(),
     lostRuns: lostRuns.createLostRuns(),
+    partLosses: partLosses.createPartLosses(),
     nextSerial: 1,
     checkedRevision: -1,
     load: gatewayLoad.createGatewayLoad(),
--- a/packages/core/src/gateway/index.ts
+++ b/packages/core/src/gateway/index.ts
@@ -17,6 +17,16 @@
 export * from './request-admission.js';
 export * from './lost-run-messages.js';
 export { expireRuns } from './lost-runs.js';
+export { expireParts } from './part-losses.js';
+export { listReportPartRuns, listReportStandings, receivePartStandings } from './part-messages.js';
+export type { SuspendedPart } from './prompt-parts.js';
+export {
+  findRequestPart,
+  findSuspension as findPartSuspension,
+  listSuspended as listSuspendedParts,
+  noteSoundRun,
+  noteStreamed,
+} from './prompt-parts.js';
 export * from './observations.js';
 export * from './origin-messages.js';
 export * from './outgoing-message.js';
--- a/packages/core/src/gateway/lost-run-messages.ts
+++ b/packages/core/src/gateway/lost-run-messages.ts
@@ -10,6 +10,7 @@
 import * as lostRuns from './lost-runs.js';
 import * as messageParts from './message-parts.js';
 import type * as outgoingMessage from './outgoing-message.js';
+import * as partMessages from './part-messages.js';
 import * as peerCounts from './peer-counts.js';
 import * as peerView from './peer-view.js';
 
@@ -63,8 +64,8 @@
   return [...reachable.slice(start), ...reachable.slice(0, start)].slice(0, peerView.MAX_FAN_OUT);
 }
 
-/** Builds the messages with all changes that other gateways have not been sent. */
-export function collectLostRuns(
+/** Builds the messages with all changes of contents that other gateways have not been sent. */
+function collectContents(
   state: gatewayState.GatewayState,
   now: number,
 ): outgoingMessage.OutgoingMessage[] {
@@ -80,6 +81,17 @@
   return buildMessages(runs, listReceivers(state, now), now);
 }
 
+/** Builds the messages with all changes that other gateways have not been sent. */
+export function collectLostRuns(
+  state: gatewayState.GatewayState,
+  now: number,
+): outgoingMessage.OutgoingMessage[] {
+  return [
+    ...partMessages.collectPartChanges(state, () => listReceivers(state, now), now),
+    ...collectContents(state, now),
+  ];
+}
+
 /** Lists the contents with at least as many losses that count, those with the most first. */
 function listContents({ lostRuns: runs }: gatewayState.GatewayState, minLosses: number): string[] {
   return [...runs.byDigest.keys()]
@@ -89,14 +101,17 @@
     .map(({ digest }) => digest);
 }
 
-/** Builds the message with the runs that matter most, for a gateway that has just started. */
+/** Builds the messages with the runs that matter most, for a gateway that has just started. */
 export function buildLostRunsFor(
   state: gatewayState.GatewayState,
   to: string,
   now: number,
 ): outgoingMessage.OutgoingMessage[] {
   const runs = lostRuns.listRuns(state.lostRuns, listContents(state, 1));
-  return buildMessages(runs, [to], now).slice(0, 1);
+  return [
+    ...buildMessages(runs, [to], now).slice(0, 1),
+    ...partMessages.buildPartsFor(state, to, now),
+  ];
 }
 
 /**
@@ -114,14 +129,15 @@
 
 /** Applies the runs that another gateway has sent. */
 export function receiveLostRuns(
-  { lostRuns: known }: gatewayState.GatewayState,
+  state: gatewayState.GatewayState,
   runs: readonly schema.LostRun[],
   now: number,
 ): void {
+  partMessages.receivePartRuns(state, runs, now);
   runs
     .filter(({ contentDigest, ageMs }) => contentDigest !== '' && ageMs < lostRuns.KEEP_MS)
     .forEach(({ contentDigest, serverId, serverBornMs, runMs, ageMs, silent, cleared }) =>
-      lostRuns.addRun(known, {
+      lostRuns.addRun(state.lostRuns, {
         digest: contentDigest,
         serverId,
         bornMs: serverBornMs,
--- a/packages/core/src/gateway/lost-runs.ts
+++ b/packages/core/src/gateway/lost-runs.ts
@@ -50,7 +50,7 @@
  * Bytes that arrive from a backend server within this time after a loss may have been sent before
  * it, milliseconds.
  */
-const TRANSIT_MS = 300;
+export const TRANSIT_MS = 300;
 
 /** Creates an empty record. */
 export function createLostRuns(): LostRuns {
@@ -98,7 +98,7 @@
  * Counts losses in sequence: how many of the runs were sent after the loss before them. Runs at
  * several servers that are lost together, or whose connections are reset together, count as one.
  */
-export function countSequence(runs: readonly LostRun[]): number {
+export function countSequence(runs: readonly Pick<LostRun, 'sentMs' | 'lostMs'>[]): number {
   let lastMs = -Infinity;
   return [...runs]
     .sort((a, b) => a.lostMs - b.lostMs)
--- a/packages/core/src/gateway/observations.ts
+++ b/packages/core/src/gateway/observations.ts
@@ -37,6 +37,7 @@
   const { FIRST_EVENT } = schema.ServerObservation_Kind;
   const { serverId, service, idleFirstMs, aheadMs, arrived } = request;
   request.hasFirstEvent = true;
+  request.firstEventMs = now;
   if (serverId !== undefined) {
     const promptTokens = arrived.tokens?.prompt ?? 0;
     const prompt = { promptTokens, aheadMs, totalMs: scheduler.toWireNumber(ms) };
--- /dev/null
+++ b/packages/core/src/gateway/part-suspension.ts
@@ -0,0 +1,115 @@
+/**
+ * Decides which parts of prompts are refused, as they crash backend servers.
+ *
+ * Requests with such a part may differ in everything else. A crash also breaks the other runs at its
+ * server, so a part counts as the cause only after several losses in sequence without a sound run
+ * between them, and a loss that a more likely cause explains does not count.
+ */
+import * as lostRuns from './lost-runs.js';
+import * as partLosses from './part-losses.js';
+
+/** Losses in sequence from which on a part is refused that no sound run is known of. */
+const MAX_LOSSES = 3;
+/** Losses in sequence from which on a part is refused that has been in sound runs. */
+const MAX_SOUND_LOSSES = 6;
+/** Time from the last loss to the first trial of a refused part, milliseconds. */
+const FIRST_TRIAL_MS = 1000;
+/** Factor by which the time to the next trial grows with each trial. */
+const TRIAL_FACTOR = 10;
+
+/** Counts losses in sequence; several servers that have fallen silent together count as enough. */
+function isOverLimit(losses: readonly partLosses.PartLoss[], maxLosses: number): boolean {
+  const silent = losses.filter(({ isSilent }) => isSilent).length;
+  return silent >= maxLosses || lostRuns.countSequence(losses) >= maxLosses;
+}
+
+/** Computes when a refused part may be tried again. */
+function computeTrialMs(
+  { trials, trialMs }: partLosses.PartRecord,
+  losses: readonly partLosses.PartLoss[],
+): number {
+  const lastMs = Math.max(trialMs, ...losses.map(({ lostMs }) => lostMs));
+  const step = trials + (losses.length > MAX_LOSSES ? 1 : 0);
+  return lastMs + Math.min(FIRST_TRIAL_MS * TRIAL_FACTOR ** step, lostRuns.KEEP_MS);
+}
+
+/** A part that may be refused. */
+type Candidate = {
+  part: string;
+  record: partLosses.PartRecord;
+  losses: partLosses.PartLoss[];
+  isSound: boolean;
+};
+
+/** Compares two candidates: the more likely cause comes first. */
+function compareCandidates(a: Candidate, b: Candidate): number {
+  return Number(a.isSound) - Number(b.isSound) || b.losses.length - a.losses.length;
+}
+
+/** Lists the parts with enough losses to be refused, the most likely causes first. */
+function listCandidates(state: partLosses.PartLosses): Candidate[] {
+  return [...state.byPart]
+    .filter(([, { losses }]) => losses.length >= MAX_LOSSES)
+    .map(([part, record]) => ({
+      part,
+      record,
+      losses: partLosses.listCountedLosses(state, record),
+      isSound: record.soundMs > -Infinity,
+    }))
+    .filter(({ losses }) => losses.length >= MAX_LOSSES)
+    .sort(compareCandidates);
+}
+
+/** Identifies the backend server of a loss. */
+function buildServerKey({ serverId, bornMs }: partLosses.PartLoss): string {
+  return `${bornMs} ${serverId}`;
+}
+
+/**
+ * Determines the refused parts. The losses of a refused part explain those of less likely causes at
+ * the same backend servers; parts that are equally likely are all refused.
+ */
+function findSuspensions(state: partLosses.PartLosses): Map<string, partLosses.PartSuspension> {
+  const explained = new Set<string>();
+  const found = new Map<string, partLosses.PartSuspension>();
+  let likeliest: Candidate[] = [];
+  listCandidates(state).forEach((candidate) => {
+    if (likeliest.length > 0 && compareCandidates(likeliest[0], candidate) !== 0) {
+      likeliest
+        .flatMap(({ losses }) => losses.map(buildServerKey))
+        .forEach((key) => explained.add(key));
+      likeliest = [];
+    }
+    const { part, record, isSound } = candidate;
+    const losses = candidate.losses.filter((loss) => !explained.has(buildServerKey(loss)));
+    if (isOverLimit(losses, isSound ? MAX_SOUND_LOSSES : MAX_LOSSES)) {
+      likeliest.push(candidate);
+      found.set(part, { part, losses: losses.length, trialMs: computeTrialMs(record, losses) });
+    }
+  });
+  return found;
+}
+
+/** Lists the refused parts. */
+export function listSuspendedParts(
+  state: partLosses.PartLosses,
+): Map<string, partLosses.PartSuspension> {
+  state.suspended ??= findSuspensions(state);
+  return state.suspended;
+}
+
+/** Returns the refused part among some that may be tried last; undefined if none is refused. */
+export function findSuspendedPart(
+  state: partLosses.PartLosses,
+  parts: readonly string[],
+  now: number,
+): partLosses.PartSuspension | undefined {
+  if (state.byPart.size === 0) {
+    return undefined;
+  }
+  const suspended = listSuspendedParts(state);
+  return parts
+    .map((part) => suspended.get(part))
+    .filter((one) => one !== undefined)
+    .sort((a, b) => Math.max(b.trialMs, now) - Math.max(a.trialMs, now))[0];
+}
--- a/packages/core/src/gateway/refusal.ts
+++ b/packages/core/src/gateway/refusal.ts
@@ -8,6 +8,8 @@
   retryAfterMs: number | undefined;
   /** The quota state that the decision was based on, if the quota is spent; for the log. */
   quota?: tokenQuota.QuotaSnapshot;
+  /** The part of the prompt that is refused, if it is for one; for the log. */
+  part?: string;
 };
 
 /** Minimum retry delay, milliseconds; a caller that retries opens a new connection. */
--- a/packages/core/src/gateway/request-admission.ts
+++ b/packages/core/src/gateway/request-admission.ts
@@ -100,6 +100,8 @@
     aheadMs: 0,
     predictedFirstMs: 0,
     hasFirstEvent: false,
+    firstEventMs: Infinity,
+    isSound: false,
     triedIds: new Set<string>(),
     sends: 0,
     runs: 0,
--- a/packages/gateway/src/attempt-sending.ts
+++ b/packages/gateway/src/attempt-sending.ts
@@ -14,6 +14,8 @@
 import type * as taskState from './task-state.js';
 import * as unknownNames from './unknown-names.js';
 
+const MAX_SUCCESS = 299;
+
 /** Finds why nobody waits for the response to a request any more, if that is so. */
 function findUnwantedReason(
   task: taskState.TaskState,
@@ -52,6 +54,14 @@
   return hasEnded;
 }
 
+/** Returns whether a response shows that its request has run to its end. */
+function isProof({
+  status,
+  isSelfDelimited,
+}: Extract<responseRelay.AttemptOutcome, { kind: 'complete' }>): boolean {
+  return status <= MAX_SUCCESS && isSelfDelimited;
+}
+
 /** Handles the outcome of an attempt. */
 function handleOutcome(
   task: taskState.TaskState,
@@ -75,6 +85,9 @@
     if (gateway.noteCompleteResponse(task.state, request, now)) {
       requestReports.reportCleared(task, request, now);
     }
+    if (isProof(outcome) && gateway.noteSoundRun(task.state, request, now)) {
+      requestReports.reportPartsCleared(task, request, now);
+    }
     gateway.endRequest(task.state, request);
     requestEnding.removeRequest(task, held);
     const fields = { server: serverId, status: outcome.status };
@@ -87,11 +100,16 @@
   const canResume = !hasBegun || held.events?.lastEventId !== undefined;
   const progress = { hasBegun, canResume };
   const wasSuspended = gateway.isContentSuspended(task.state, request);
+  const partBefore = gateway.findRequestPart(task.state, request, now)?.part;
   const verdict = gateway.handleAttemptFault(task.state, request, fault, progress, clocks);
   requestReports.reportFault(task, held, { serverId, fault, reason, verdict: verdict.kind }, now);
   if (!wasSuspended && gateway.isContentSuspended(task.state, request)) {
     requestReports.reportSuspended(task, request, serverId);
   }
+  const suspended = gateway.findRequestPart(task.state, request, now);
+  if (suspended !== undefined && suspended.part !== partBefore) {
+    requestReports.reportPartSuspended(task, request, serverId, suspended);
+  }
   applyVerdict(task, held, verdict, failure);
   task.assign();
 }
@@ -122,6 +140,17 @@
   callerExchange.sendResponse(held.exchange, failure, failure.body);
 }
 
+/** Handles events of a stream after the first one. */
+function handleLaterEvents(
+  task: taskState.TaskState,
+  request: gateway.GatewayRequest,
+  now: number,
+): void {
+  if (gateway.noteStreamed(task.state, request, now)) {
+    requestReports.reportPartsCleared(task, request, now);
+  }
+}
+
 /** Sends a request to a backend server. */
 export function send(
   task: taskState.TaskState,
@@ -159,10 +188,12 @@
         task.metrics.recordFirstEventError(request.service, ms - request.predictedFirstMs);
       }
     },
+    observeLaterEvents: () => handleLaterEvents(task, request, readNow()),
     observeStreamBegun: () =>
       task.sendToPeers(gateway.noteStreamBegun(task.state, request, readNow())),
     canSend: () =>
       findUnwantedReason(task, held) === undefined &&
+      gateway.findPartSuspension(task.state, request, readNow()) === undefined &&
       gateway.isStillUsable(task.state, request, readNow()),
     observeStatements: (parsed) => {
       gateway.noteServerHeard(task.state, request, readNow());
--- a/packages/gateway/src/gateway-metrics.ts
+++ b/packages/gateway/src/gateway-metrics.ts
@@ -140,6 +140,11 @@
       labels: {},
       value: gateway.listSuspendedContents(state, now).length,
     },
+    {
+      name: 'suspended_prompt_parts',
+      labels: {},
+      value: gateway.listSuspendedParts(state, now).length,
+    },
     {
       name: 'backend_servers_warming',
       labels: {},
--- a/packages/gateway/src/gateway-task.ts
+++ b/packages/gateway/src/gateway-task.ts
@@ -24,7 +24,7 @@
   receiveOrigins: (origins: schema.StreamOrigins) => void;
   receiveOriginQuery: (query: schema.StreamOriginQuery) => void;
   /** Handles runs that ended without a response at other gateways. */
-  receiveLostRuns: (runs: readonly schema.LostRun[]) => void;
+  receiveLostRuns: (lostRuns: schema.LostRuns) => void;
   countHeld: () => number;
   /** Calls `idle` once no request is in progress. */
   notifyIdle: (idle: () => void) => void;
@@ -118,6 +118,16 @@
   task.assign();
 }
 
+/** Applies the lost runs and the parts of prompts that another gateway has sent. */
+function receiveLostRuns(
+  { state, readClocks }: taskState.TaskState,
+  lostRuns: schema.LostRuns,
+): void {
+  const now = readClocks().steadyMs;
+  gateway.receivePartStandings(state, lostRuns.parts, now);
+  gateway.receiveLostRuns(state, lostRuns.runs, now);
+}
+
 /** Handles which versions began some streams, as another gateway knows. */
 function receiveOrigins(task: taskState.TaskState, origins: schema.StreamOrigins): void {
   gateway.receiveOrigins(task.state, origins, task.readClocks().steadyMs);
@@ -227,8 +237,7 @@
     receiveOrigins: (origins) => receiveOrigins(task, origins),
     receiveOriginQuery: (query) =>
       task.sendToPeers([gateway.buildQueryReply(task.state, query, task.readClocks().steadyMs)]),
-    receiveLostRuns: (runs) =>
-      gateway.receiveLostRuns(task.state, runs, task.readClocks().steadyMs),
+    receiveLostRuns: (lostRuns) => receiveLostRuns(task, lostRuns),
     countHeld: () => task.held.size,
     notifyIdle: (idle) => {
       task.idle = idle;
--- a/packages/gateway/src/peer-task.ts
+++ b/packages/gateway/src/peer-task.ts
@@ -48,6 +48,9 @@
 const MAX_WORKSPACES = 20;
 const MAX_PEERS = 12;
 const MAX_LOST_RUNS = 4;
+/** Limits of the lost runs with parts of prompts, and of such parts, in one report. */
+const MAX_PART_RUNS = 2;
+const MAX_PART_STANDINGS = 2;
 /** Limit of peers per report when all are sent at once; it fits in a datagram as well. */
 const MAX_PEERS_IN_FULL_LIST = 40;
 /** Time after its start for which a gateway sends its peer list to newly learned peers, ms. */
@@ -82,6 +85,7 @@
   used = gateway.listUse(options.state.quotas, Infinity),
 ): schema.GatewayReport {
   const { state } = options;
+  const now = options.readNow();
   return schema.create(schema.GatewayReportSchema, {
     address: ownAddress,
     life: state.life,
@@ -93,10 +97,14 @@
         workspace,
         amount,
       })),
-    lostRuns: reportRounds.pickForRound(
-      gateway.listReportRuns(state, options.readNow()),
+    lostRuns: [
+      ...reportRounds.pickForRound(gateway.listReportRuns(state, now), round, MAX_LOST_RUNS),
+      ...reportRounds.pickForRound(gateway.listReportPartRuns(state, now), round, MAX_PART_RUNS),
+    ],
+    parts: reportRounds.pickForRound(
+      gateway.listReportStandings(state, now),
       round,
-      MAX_LOST_RUNS,
+      MAX_PART_STANDINGS,
     ),
     peers,
     processorPercent: state.processorPercent,
@@ -179,6 +187,7 @@
     .applyReport(state.peers, report, now)
     .forEach(({ workspace, amount }) => gateway.applyPeerUse(state.quotas, workspace, amount, now));
   gateway.receiveLostRuns(state, lostRuns, now);
+  gateway.receivePartStandings(state, received.parts, now);
   peers
     .filter((indirect) => indirect !== peer.ownAddress)
     .forEach((indirect) => gateway.addIndirectPeer(state.peers, indirect, now));
@@ -214,7 +223,7 @@
       peer.receiver?.receiveOriginQuery(content.value);
       return;
     case 'lostRuns':
-      peer.receiver?.receiveLostRuns(content.value.runs);
+      peer.receiver?.receiveLostRuns(content.value);
       return;
     default:
       peer.options.reportProblem('message without content');
@@ -263,6 +272,7 @@
   const timer = setInterval(() => {
     gateway.expirePeers(options.state.peers, options.readNow());
     gateway.expireRuns(options.state.lostRuns, options.readNow());
+    gateway.expireParts(options.state.partLosses, options.readNow());
     gateway.expireOrigins(options.state.origins, options.readNow());
     sendReport(peer);
   }, gateway.REPORT_MS);
--- a/packages/gateway/src/request-reports.ts
+++ b/packages/gateway/src/request-reports.ts
@@ -7,6 +7,9 @@
 import * as gatewayMetrics from './gateway-metrics.js';
 import type * as heldRequest from './held-request.js';
 
+/** Limit of the parts of a prompt that a line of the log names. */
+const MAX_LOGGED_PARTS = 8;
+
 export type ReportDependencies = {
   state: gateway.GatewayState;
   readClocks: clocks.ReadClocks;
@@ -14,12 +17,17 @@
   metrics: gatewayMetrics.GatewayMetrics;
 };
 
+/** Lists the parts of a request's prompt for the log; undefined if there are none. */
+function listLoggedParts({ promptParts = [] }: gateway.ArrivedRequest): string[] | undefined {
+  return promptParts.length > 0 ? promptParts.slice(0, MAX_LOGGED_PARTS) : undefined;
+}
+
 /** Reports that a request was refused on arrival, with the state that the decision was based on. */
 export function reportRefused(
   { state, readClocks, log, metrics }: ReportDependencies,
   exchange: callerExchange.CallerExchange,
   attemptId: string,
-  { code, retryAfterMs, quota }: gateway.Refusal,
+  { code, retryAfterMs, quota, part }: gateway.Refusal,
 ): void {
   const now = readClocks();
   const beliefAgeMs = Math.round(gateway.computeConfirmationAge(state.lease, now));
@@ -31,6 +39,7 @@
     version,
     beliefAgeMs,
     quota,
+    part,
   };
   log.write('refused', { ...line, result: schema.ResultCode[code] }, now.steadyMs);
   metrics.recordEnd('', '', code, false);
@@ -70,6 +79,7 @@
     waitMs: Math.round(sentMs - request.arrivedMs),
     isBelated: request.isBelated,
     promptTokens: arrived.tokens?.prompt,
+    promptParts: listLoggedParts(arrived),
     predictedFirstMs: Math.round(request.predictedFirstMs),
     sends,
     version,
@@ -156,7 +166,8 @@
   const hasBegun = exchange.response.headersSent;
   const isBroken = fields.fault === gateway.AttemptFault.BROKEN;
   const content = isBroken ? arrived.hashContent(request.workspace) : undefined;
-  const attempt = { request: arrived.attemptId, server: serverId, content };
+  const promptParts = listLoggedParts(arrived);
+  const attempt = { request: arrived.attemptId, server: serverId, content, promptParts };
   const line = { ...attempt, ...fields, sends, runs, hasBegun, isBudgetSpent };
   log.write('fault', line, now);
   metrics.recordFault(service, fields.fault);
@@ -184,6 +195,28 @@
   log.write('content-cleared', fields, now);
 }
 
+/** Reports that a part of prompts is refused from now on. */
+export function reportPartSuspended(
+  { log }: ReportDependencies,
+  { arrived, workspace, isTrial }: gateway.GatewayRequest,
+  server: string | undefined,
+  { part, losses }: Pick<gateway.SuspendedPart, 'part' | 'losses'>,
+): void {
+  const fields = { request: arrived.attemptId, workspace, server, isTrial, part, losses };
+  log.writeAlways('part-suspended', fields);
+}
+
+/** Reports that a run has cleared the lost runs of parts of its prompt. */
+export function reportPartsCleared(
+  { log }: ReportDependencies,
+  { arrived, workspace, serverId }: gateway.GatewayRequest,
+  now: number,
+): void {
+  const promptParts = listLoggedParts(arrived);
+  const fields = { request: arrived.attemptId, workspace, server: serverId, promptParts };
+  log.write('parts-cleared', fields, now);
+}
+
 /** Reports how a request ended. */
 export function reportEnd(
   { readClocks, log, metrics }: ReportDependencies,
--- a/packages/gateway/src/response-relay.ts
+++ b/packages/gateway/src/response-relay.ts
@@ -15,7 +15,12 @@
 
 /** How an attempt ended. */
 export type AttemptOutcome =
-  | { kind: 'complete'; status: number }
+  | {
+      kind: 'complete';
+      status: number;
+      /** The end of its body was known without the connection being closed. */
+      isSelfDelimited: boolean;
+    }
   | {
       kind: 'fault';
       fault: gateway.AttemptFault;
@@ -37,6 +42,8 @@
   observeUnitTime: (unitMs: number) => void;
   /** Called with the time from sending to the first event, milliseconds. */
   observeFirstEvent: (ms: number) => void;
+  /** Called when events of a stream arrive after the first one. */
+  observeLaterEvents: () => void;
   /** Called before the first part of a stream is forwarded to the caller. */
   observeStreamBegun: () => void;
   /** Whether the request may still be sent now that its connection is open. */
@@ -157,6 +164,7 @@
     relay.options.observeFirstEvent(now - relay.options.held.request.sentMs);
     return;
   }
+  relay.options.observeLaterEvents();
   relay.events += count;
   if (relay.events > SAMPLE_EVENTS) {
     relay.options.observeUnitTime((now - relay.sampleStartMs) / relay.events);
@@ -213,16 +221,18 @@
     return;
   }
   held.exchange.response.end();
-  settle({ kind: 'complete', status: relay.head?.status ?? 0 });
+  const { status = 0, isSelfDelimited = false } = relay.head ?? {};
+  settle({ kind: 'complete', status, isSelfDelimited });
 }
 
 /** Handles the end of a buffered response; a server error is reported as a fault with its body. */
 function endBuffered(relay: Relay): void {
   const { held, settle, readNow, observeUnitTime } = relay.options;
   const head = relay.head as heldRequest.ResponseHead;
+  const end = { status: head.status, isSelfDelimited: head.isSelfDelimited };
   if (held.exchange.response.headersSent) {
     held.exchange.response.end();
-    settle({ kind: 'complete', status: head.status });
+    settle({ kind: 'complete', ...end });
     return;
   }
   const body = Buffer.concat(relay.chunks);
@@ -236,7 +246,7 @@
     observeUnitTime(readNow() - held.request.sentMs);
   }
   callerExchange.sendResponse(held.exchange, head, body);
-  settle({ kind: 'complete', status: head.status });
+  settle({ kind: 'complete', ...end });
 }
 
 /** Creates the listener that relays the response of one attempt. */
--- a/packages/gateway/src/status.ts
+++ b/packages/gateway/src/status.ts
@@ -89,6 +89,7 @@
     cells: describeCells(state),
     retries: describeRetries(state),
     suspendedContents: gateway.listSuspendedContents(state, now.steadyMs),
+    suspendedParts: gateway.listSuspendedParts(state, now.steadyMs),
     workspaceShares: gateway.listActiveShares(state, now.steadyMs),
     unknownNames: unknownNames.listUnknownNames(unknown),
     peers: gateway.listKnownAddresses(state.peers),
--- a/packages/gateway/src/wire-protocol.ts
+++ b/packages/gateway/src/wire-protocol.ts
@@ -11,7 +11,13 @@
 /** Values parsed from the headers of a request. */
 export type ParsedRequestHeaders = Pick<
   gateway.ArrivedRequest,
-  'attemptId' | 'credential' | 'deadlineMs' | 'tokens' | 'answerGuess' | 'resumption'
+  | 'attemptId'
+  | 'credential'
+  | 'deadlineMs'
+  | 'tokens'
+  | 'answerGuess'
+  | 'promptParts'
+  | 'resumption'
 >;
 
 /** What the gateway itself adds to a request for a backend server. */
