Drive the gateways' own decisions by prompt part in the replay

The policy calls the functions that gateways call, and its messages are theirs. The sending of a trial is exported for it.

--- a/packages/core/src/gateway/index.ts
+++ b/packages/core/src/gateway/index.ts
@@ -27,6 +27,7 @@
   noteSoundRun,
   noteStreamed,
 } from './prompt-parts.js';
+export { noteSent as notePartsSent } from './prompt-parts.js';
 export * from './observations.js';
 export * from './origin-messages.js';
 export * from './outgoing-message.js';
--- a/packages/measure/src/suspect-parts/ways.ts
+++ b/packages/measure/src/suspect-parts/ways.ts
@@ -1,5 +1,6 @@
 /** The ways of finding prompt parts that crash servers, with their settings. */
 import type * as fleetReplay from './fleet-replay.js';
+import * as gatewayPolicy from './gateway-policy.js';
 import * as partEvidence from './part-evidence.js';
 
 const MAX_LOSSES = 3;
@@ -96,6 +97,7 @@
 
 export const WAYS: Record<string, (gateways: number) => fleetReplay.CreatePolicy> = {
   'no suspicion': () => OPEN,
+  gateways: gatewayPolicy.createGatewayPolicy,
   'three losses in sequence': createWay({}),
   'two losses in sequence': createWay({ rateLosses: createSequenceRate(2) }),
   'four losses in sequence': createWay({ rateLosses: createSequenceRate(4) }),
