--- a/packages/core/src/gateway/crash-detection.ts
+++ b/packages/core/src/gateway/crash-detection.ts
@@ -26,6 +26,8 @@
 const FIRST_TRIAL_MS = 1000;
 /** Factor by which the time to the next trial grows with each trial that ends in a loss. */
 const TRIAL_FACTOR = 10;
+/** Gateways with a later turn than this one to try refused content take it together. */
+const MAX_TURN = 4;
 /**
  * A server that restarts under its id may send responses before its new entry is read. What was
  * heard only within this time after a loss does not show that it lived on, milliseconds.
@@ -206,7 +208,7 @@
   }
   const digest = hashContent(request);
   const record = state.lostRuns.byDigest.get(digest) as lostRuns.ContentRecord;
-  const turnMs = trialMs + trialTurns.computeTurnMs(state, digest, now);
+  const turnMs = trialMs + trialTurns.computeTurnMs(state, digest, MAX_TURN, now);
   const dueMs = Math.max(turnMs, record.trialMs + FIRST_TRIAL_MS);
   if (now < dueMs) {
     return buildSuspension(dueMs, now);
--- a/packages/core/src/gateway/gateway-request.ts
+++ b/packages/core/src/gateway/gateway-request.ts
@@ -101,8 +101,11 @@
   hasFirstEvent: boolean;
   /** When the first event of the present attempt arrived, milliseconds; Infinity before. */
   firstEventMs: number;
-  /** A run has proved that the parts of its prompt crash no backend server. */
-  isSound: boolean;
+  /**
+   * When a run last proved that the parts of its prompt crash no backend server, milliseconds;
+   * -Infinity if none has.
+   */
+  soundMs: number;
   /** Backend servers that could not be used, refused the request or failed it. */
   triedIds: Set<string>;
   /** Number of times that it was sent. */
--- a/packages/core/src/gateway/part-losses.ts
+++ b/packages/core/src/gateway/part-losses.ts
@@ -34,6 +34,9 @@
 
 export type PartLosses = {
   byPart: Map<string, PartRecord>;
+  /** When parts were last in sound runs that were sampled, milliseconds; the oldest come first. */
+  sampled: Map<string, number>;
+  sampledMs: number;
   /** By id. */
   lostServers: Map<string, LostServer>;
   /** The refused parts; undefined if the records have changed since these were determined. */
@@ -41,6 +44,8 @@
   /** Lost runs and parts with other changes that the other gateways have not been sent. */
   unsentRuns: LostPartRun[];
   unsentParts: Set<string>;
+  /** When a loss was last recorded, milliseconds. */
+  changedMs: number;
   /** When changes were last sent, milliseconds. */
   sentMs: number;
 };
@@ -49,6 +54,9 @@
 const MAX_PARTS = 1024;
 /** Excess from which on records are removed; sorting them for each new one would be slow. */
 const TRIM_EXCESS = 256;
+/** Limit of the parts of sampled runs, and the minimum time between such runs, milliseconds. */
+const MAX_SAMPLED_PARTS = 1024;
+const SAMPLE_INTERVAL_MS = 10;
 /** Limit of the losses of one part; the latest ones are kept. */
 const MAX_PART_LOSSES = 16;
 const MAX_LOST_SERVERS = 512;
@@ -60,10 +68,13 @@
 export function createPartLosses(): PartLosses {
   return {
     byPart: new Map(),
+    sampled: new Map(),
+    sampledMs: -Infinity,
     lostServers: new Map(),
     suspended: undefined,
     unsentRuns: [],
     unsentParts: new Set(),
+    changedMs: -Infinity,
     sentMs: -Infinity,
   };
 }
@@ -144,14 +155,33 @@
     });
 }
 
+/**
+ * Records the parts of a sample of the sound runs. When nearly all backend servers are lost at once,
+ * the record of a part that is in most prompts would begin with its losses otherwise.
+ */
+export function recordSample(partLosses: PartLosses, parts: readonly string[], now: number): void {
+  if (now - partLosses.sampledMs < SAMPLE_INTERVAL_MS) {
+    return;
+  }
+  const { sampled } = partLosses;
+  partLosses.sampledMs = now;
+  parts.forEach((part) => {
+    sampled.delete(part);
+    sampled.set(part, now);
+  });
+  const excess = Math.max(sampled.size - MAX_SAMPLED_PARTS, 0);
+  const oldest = excess > 0 ? [...sampled.keys()].slice(0, excess) : [];
+  oldest.forEach((part) => sampled.delete(part));
+}
+
 /** Returns the record of a part and creates it if there is none. */
-export function getRecord({ byPart }: PartLosses, part: string): PartRecord {
+export function getRecord({ byPart, sampled }: PartLosses, part: string): PartRecord {
   const known = byPart.get(part);
   if (known !== undefined) {
     return known;
   }
-  const noTimes = { soundMs: -Infinity, trialMs: -Infinity, admittedMs: -Infinity };
-  const record = { losses: [], trials: 0, ...noTimes };
+  const soundMs = sampled.get(part) ?? -Infinity;
+  const record = { losses: [], soundMs, trials: 0, trialMs: -Infinity, admittedMs: -Infinity };
   byPart.set(part, record);
   return record;
 }
@@ -185,7 +215,7 @@
   if (changed.length > 0) {
     noteLostServer(partLosses, { parts, ...run });
     trimParts(partLosses);
-    partLosses.suspended = undefined;
+    Object.assign(partLosses, { suspended: undefined, changedMs: now });
   }
   return changed;
 }
--- a/packages/core/src/gateway/part-suspension.ts
+++ b/packages/core/src/gateway/part-suspension.ts
@@ -8,19 +8,26 @@
 import * as lostRuns from './lost-runs.js';
 import * as partLosses from './part-losses.js';
 
-/** Losses in sequence from which on a part is refused that no sound run is known of. */
-const MAX_LOSSES = 3;
-/** Losses in sequence from which on a part is refused that has been in sound runs. */
-const MAX_SOUND_LOSSES = 6;
+/**
+ * Losses from which on a part is refused: those in sequence, and those at servers that have fallen
+ * silent, also if all at once.
+ */
+type LossLimits = { inSequence: number; silent: number };
+
+const LIMITS: LossLimits = { inSequence: 2, silent: 3 };
+/** Limits of a part that has been in sound runs. */
+const SOUND_LIMITS: LossLimits = { inSequence: 6, silent: 6 };
+/** Losses from which on the first trial of a part is later. */
+const MANY_LOSSES = 4;
 /** Time from the last loss to the first trial of a refused part, milliseconds. */
 const FIRST_TRIAL_MS = 1000;
 /** Factor by which the time to the next trial grows with each trial. */
 const TRIAL_FACTOR = 10;
 
-/** Counts losses in sequence; several servers that have fallen silent together count as enough. */
-function isOverLimit(losses: readonly partLosses.PartLoss[], maxLosses: number): boolean {
+/** Returns whether the losses of a part are enough to refuse it. */
+function isOverLimit(losses: readonly partLosses.PartLoss[], limits: LossLimits): boolean {
   const silent = losses.filter(({ isSilent }) => isSilent).length;
-  return silent >= maxLosses || lostRuns.countSequence(losses) >= maxLosses;
+  return silent >= limits.silent || lostRuns.countSequence(losses) >= limits.inSequence;
 }
 
 /** Computes when a refused part may be tried again. */
@@ -29,7 +36,7 @@
   losses: readonly partLosses.PartLoss[],
 ): number {
   const lastMs = Math.max(trialMs, ...losses.map(({ lostMs }) => lostMs));
-  const step = trials + (losses.length > MAX_LOSSES ? 1 : 0);
+  const step = trials + (losses.length >= MANY_LOSSES ? 1 : 0);
   return lastMs + Math.min(FIRST_TRIAL_MS * TRIAL_FACTOR ** step, lostRuns.KEEP_MS);
 }
 
@@ -49,14 +56,14 @@
 /** Lists the parts with enough losses to be refused, the most likely causes first. */
 function listCandidates(state: partLosses.PartLosses): Candidate[] {
   return [...state.byPart]
-    .filter(([, { losses }]) => losses.length >= MAX_LOSSES)
+    .filter(([, { losses }]) => losses.length >= LIMITS.inSequence)
     .map(([part, record]) => ({
       part,
       record,
       losses: partLosses.listCountedLosses(state, record),
       isSound: record.soundMs > -Infinity,
     }))
-    .filter(({ losses }) => losses.length >= MAX_LOSSES)
+    .filter(({ losses }) => losses.length >= LIMITS.inSequence)
     .sort(compareCandidates);
 }
 
@@ -82,7 +89,7 @@
     }
     const { part, record, isSound } = candidate;
     const losses = candidate.losses.filter((loss) => !explained.has(buildServerKey(loss)));
-    if (isOverLimit(losses, isSound ? MAX_SOUND_LOSSES : MAX_LOSSES)) {
+    if (isOverLimit(losses, isSound ? SOUND_LIMITS : LIMITS)) {
       likeliest.push(candidate);
       found.set(part, { part, losses: losses.length, trialMs: computeTrialMs(record, losses) });
     }
--- a/packages/core/src/gateway/prompt-parts.ts
+++ b/packages/core/src/gateway/prompt-parts.ts
@@ -24,9 +24,9 @@
   now: number,
   isSilent: boolean,
 ): void {
-  const { serverId, serverBornMs: bornMs, sentMs, isSound } = request;
+  const { serverId, serverBornMs: bornMs, sentMs, soundMs } = request;
   const parts = listSharedParts(request);
-  if (serverId !== undefined && !isSound && parts.length > 0) {
+  if (serverId !== undefined && soundMs === -Infinity && parts.length > 0) {
     const run = { parts, serverId, bornMs, sentMs, lostMs: now, isSilent };
     partLosses.noteLostPartRun(losses, run, now);
   }
@@ -38,18 +38,27 @@
   request: gatewayRequest.GatewayRequest,
   now: number,
 ): boolean {
-  request.isSound = true;
-  return losses.byPart.size > 0 && partLosses.noteSoundParts(losses, listSharedParts(request), now);
+  request.soundMs = now;
+  const parts = listSharedParts(request);
+  if (parts.length === 0) {
+    return false;
+  }
+  partLosses.recordSample(losses, parts, now);
+  return losses.byPart.size > 0 && partLosses.noteSoundParts(losses, parts, now);
 }
 
-/** Records that events of a stream have arrived; returns whether they cleared losses of its parts. */
+/**
+ * Records that events of a stream have arrived; returns whether they cleared losses of its parts.
+ * A stream proves its parts to be sound again after each loss that has been recorded since.
+ */
 export function noteStreamed(
   state: gatewayState.GatewayState,
   request: gatewayRequest.GatewayRequest,
   now: number,
 ): boolean {
   const isSound = now - request.firstEventMs >= SOUND_STREAM_MS;
-  return isSound && !request.isSound && noteSoundRun(state, request, now);
+  const isNews = request.soundMs === -Infinity || request.soundMs < state.partLosses.changedMs;
+  return isSound && isNews && noteSoundRun(state, request, now);
 }
 
 /** Returns the refused part of a request's prompt that may be tried last; undefined if none is. */
@@ -81,7 +90,7 @@
   }
   const { part, trialMs } = found;
   const record = partLosses.getRecord(state.partLosses, part);
-  const turnMs = trialMs + trialTurns.computeTurnMs(state, part, now);
+  const turnMs = trialMs + trialTurns.computeTurnMs(state, part, Infinity, now);
   const dueMs = Math.max(turnMs, record.admittedMs + TRIAL_WAIT_MS);
   if (now < dueMs) {
     return buildPartRefusal(part, dueMs, now);
--- a/packages/core/src/gateway/request-admission.ts
+++ b/packages/core/src/gateway/request-admission.ts
@@ -101,7 +101,7 @@
     predictedFirstMs: 0,
     hasFirstEvent: false,
     firstEventMs: Infinity,
-    isSound: false,
+    soundMs: -Infinity,
     triedIds: new Set<string>(),
     sends: 0,
     runs: 0,
--- a/packages/measure/src/suspect-parts/gateway-policy.ts
+++ b/packages/measure/src/suspect-parts/gateway-policy.ts
@@ -43,7 +43,7 @@
     sends: 0,
     runs: 0,
     isTrial: false,
-    isSound: false,
+    soundMs: -Infinity,
   };
   return request as unknown as gateway.GatewayRequest;
 }
