--- a/packages/measure/src/suspect-parts/fleet-replay.ts
+++ b/packages/measure/src/suspect-parts/fleet-replay.ts
@@ -4,41 +4,12 @@
  */
 import * as proofs from '@toucanproxy/proofs';
 import * as load from './load.js';
-
-/** A run that ended without a response, and its parts but the last. */
-export type LostRun = {
-  parts: readonly string[];
-  serverId: string;
-  sentMs: number;
-  lostMs: number;
-  isSilent: boolean;
-};
-
-export type Verdict = 'run' | 'trial' | 'refuse';
-
-export type Message = { content: unknown; bytes: number };
-
-/** The decisions of one gateway. */
-export type PartPolicy = {
-  noteLost: (run: LostRun, now: number) => void;
-  noteSound: (parts: readonly string[], now: number) => void;
-  admit: (parts: readonly string[], now: number) => Verdict;
-  /** Returns what other gateways have not been sent; a report repeats recent changes. */
-  collect: (isReport: boolean, now: number) => Message[];
-  /** Returns what a gateway that has just started needs most. */
-  collectAll: (now: number) => Message[];
-  receive: (message: Message, now: number) => void;
-  countParts: () => number;
-};
-
-export type CreatePolicy = (gateway: number, drawRandom: proofs.DrawRandom) => PartPolicy;
+import type * as partPolicy from './part-policy.js';
 
 export type ReplayOptions = {
   setting: load.Setting;
-  createPolicy: CreatePolicy;
+  createPolicy: partPolicy.CreatePolicy;
   seed: number;
-  /** Time from the first event on after which a stream proves its parts sound, milliseconds. */
-  proofMs?: number;
 };
 
 export type ReplayResult = {
@@ -66,7 +37,7 @@
   due: (() => void)[][];
   servers: Server[];
   started: number;
-  policies: PartPolicy[];
+  policies: partPolicy.PartPolicy[];
   bytes: number;
   /** Servers that the crashing part has ended, and when it ended the fifth, milliseconds. */
   crashed: number;
@@ -92,6 +63,7 @@
 const RETRY_MS = 50;
 const WAIT_MS = 100;
 const MAX_WAITS = 20;
+/** Time from the first event on after which a stream proves its parts sound, milliseconds. */
 const PROOF_MS = 1000;
 /** Time after the last arrival in which requests may end, milliseconds. */
 const DRAIN_MS = 5000;
@@ -115,7 +87,7 @@
   const { isSilent = false } = world.options.setting;
   const { gateway, parts, attempts } = request;
   const streamedMs = server.endedMs - sentMs - FIRST_EVENT_MS;
-  if (streamedMs < (world.options.proofMs ?? PROOF_MS)) {
+  if (streamedMs < PROOF_MS) {
     const run = { parts, serverId: server.id, sentMs, lostMs: world.now, isSilent };
     world.policies[gateway].noteLost(run, world.now);
   }
@@ -161,7 +133,6 @@
 
 /** Runs a request at a server. */
 function startRun(world: World, request: load.Request, server: Server): void {
-  const { proofMs = PROOF_MS } = world.options;
   const run = { request, server, sentMs: world.now };
   if (server.endedMs < Infinity) {
     schedule(world, proofs.drawBetween(world.draw, ...GIVE_UP_MS), () => abandonRun(world, run));
@@ -174,8 +145,8 @@
     return;
   }
   schedule(world, request.runMs, () => server.endedMs === Infinity && completeRun(world, run));
-  if (request.runMs > proofMs + FIRST_EVENT_MS) {
-    schedule(world, proofMs + FIRST_EVENT_MS, () => {
+  if (request.runMs > PROOF_MS + FIRST_EVENT_MS) {
+    schedule(world, PROOF_MS + FIRST_EVENT_MS, () => {
       if (server.endedMs === Infinity && server.runs.has(run)) {
         world.policies[request.gateway].noteSound(request.parts, world.now);
       }
@@ -208,7 +179,7 @@
 /** Sends messages of one gateway to some others. */
 function sendMessages(
   world: World,
-  messages: readonly Message[],
+  messages: readonly partPolicy.Message[],
   receivers: readonly number[],
 ): void {
   messages.forEach((message) =>
--- a/packages/measure/src/suspect-parts/gateway-policy.ts
+++ b/packages/measure/src/suspect-parts/gateway-policy.ts
@@ -1,7 +1,7 @@
 /** Drives the decisions of real gateways about prompt parts, with their messages. */
 import * as gateway from '@toucanproxy/core/gateway';
 import * as schema from '@toucanproxy/schema';
-import type * as fleetReplay from './fleet-replay.js';
+import type * as partPolicy from './part-policy.js';
 
 const BOUNDS = {
   leaseMs: 3000,
@@ -31,7 +31,7 @@
 /** Builds the fields of a request that decisions about its parts depend on. */
 function buildRequest(
   parts: readonly string[],
-  run: Partial<fleetReplay.LostRun> = {},
+  run: Partial<partPolicy.LostRun> = {},
 ): gateway.GatewayRequest {
   const promptParts = [...parts.map((part) => Buffer.from(part).toString('hex')), 'f'];
   const request = {
@@ -53,7 +53,7 @@
   state: gateway.GatewayState,
   parts: readonly string[],
   now: number,
-): fleetReplay.Verdict {
+): partPolicy.Verdict {
   const request = buildRequest(parts);
   if (gateway.findArrivalRefusal(state, request, now) !== undefined) {
     return 'refuse';
@@ -95,7 +95,7 @@
 }
 
 /** Converts messages of which each goes to several gateways. */
-function toMessages(messages: readonly gateway.OutgoingMessage[]): fleetReplay.Message[] {
+function toMessages(messages: readonly gateway.OutgoingMessage[]): partPolicy.Message[] {
   return messages
     .filter(({ to }) => to === messages[0].to)
     .flatMap((message) => (message.kind === 'lostRuns' ? [message.lostRuns] : []))
@@ -103,12 +103,12 @@
 }
 
 /** Measures the content of a message. */
-function toMessage(content: schema.LostRuns): fleetReplay.Message {
+function toMessage(content: schema.LostRuns): partPolicy.Message {
   return { content, bytes: schema.toBinary(schema.LostRunsSchema, content).length };
 }
 
 /** Creates the policy of gateways as they are. */
-export function createGatewayPolicy(gateways: number): fleetReplay.CreatePolicy {
+export function createGatewayPolicy(gateways: number): partPolicy.CreatePolicy {
   return (index, drawRandom) => {
     const state = gateway.createGatewayState(buildIdentity(index), BOUNDS, drawRandom, 0);
     return {
