--- a/packages/core/src/gateway/index.ts
+++ b/packages/core/src/gateway/index.ts
@@ -20,6 +20,7 @@
 export { expireParts } from './part-losses.js';
 export { listReportPartRuns, listReportStandings, receivePartStandings } from './part-messages.js';
 export type { SuspendedPart } from './prompt-parts.js';
+export { noteSent as notePartsSent } from './prompt-parts.js';
 export {
   findRequestPart,
   findSuspension as findPartSuspension,
