Forward streams without a length in chunks

Callers of a stream without a length could take a part of it for the whole: the gateway marked a broken one by a reset only, and the library sends the normal end of a connection just before the reset. A caller that reads in between sees a complete response.

A response that is forwarded as it arrives has chunked coding now, so that its end is told apart from the end of its connection. One that is forwarded once it is whole still has no length if it came without one.

--- a/packages/gateway/src/caller-exchange.ts
+++ b/packages/gateway/src/caller-exchange.ts
@@ -28,29 +28,29 @@
 /**
  * Starts a response: sends its status and headers.
  *
- * A response without a length ends when its connection closes, and nobody can tell whether it was
- * truncated. If the gateway added a length or chunked coding, a truncated response would look
- * complete to the caller. It is therefore forwarded as received, without either.
+ * A response without a length gets chunked coding. Otherwise the end of its connection would be
+ * its only end: a caller may read the end before the reset that marks the response as truncated.
  */
 export function startResponse(exchange: CallerExchange, head: heldRequest.ResponseHead): void {
   const { response } = exchange;
   response.sendDate = false;
-  if (!head.isSelfDelimited) {
-    response.shouldKeepAlive = false;
-    response.useChunkedEncodingByDefault = false;
-  }
   response.writeHead(head.status, head.headers);
 }
 
-/** Sends a complete response. */
+/** Sends a complete response; one that came without a length is forwarded without one. */
 export function sendResponse(
   exchange: CallerExchange,
   head: heldRequest.ResponseHead,
   body: Buffer,
 ): void {
+  const { response } = exchange;
   const length = head.isSelfDelimited ? ['Content-Length', String(body.length)] : [];
+  if (!head.isSelfDelimited) {
+    response.shouldKeepAlive = false;
+    response.useChunkedEncodingByDefault = false;
+  }
   startResponse(exchange, { ...head, headers: [...head.headers, ...length] });
-  exchange.response.end(body);
+  response.end(body);
 }
 
 /** Responds with a refusal; a response that has already started is aborted instead. */
@@ -68,7 +68,7 @@
  * Aborts a response that cannot be completed.
  *
  * If it ended normally, the caller would take the part it has received for the complete response. A
- * response without a length needs a connection reset to be recognised as truncated.
+ * response to an HTTP/1.0 caller has no chunks; only a connection reset can mark it as truncated.
  */
 export function abortResponse({ response }: CallerExchange): void {
   if (response.useChunkedEncodingByDefault) {
