Check the end of streams that do not state their type

Callers of a route whose streams cannot be resumed got a stream that ended inside an event as a complete one if its server had not stated a content type (the soak's do not): only streams of a stated type were read for event ends there.

A response without a type on a route that streams counts as an event stream now. The new test fails without the change.

--- a/packages/gateway/src/response-relay.ts
+++ b/packages/gateway/src/response-relay.ts
@@ -124,14 +124,13 @@
 }
 
 /**
- * Returns whether a response consists of server-sent events. Only such a stream can be resumed, so
- * one that does not state its type does so on routes whose streams are resumable.
+ * Returns whether a response consists of server-sent events. One that does not state its type does
+ * so on routes that stream.
  */
 function isEventStream({ options }: Relay, head: heldRequest.ResponseHead): boolean {
-  const { request, events } = options.held;
   const type = endToEndHeaders.findHeader(head.headers, 'content-type');
   return type === undefined
-    ? request.repeatable && events !== undefined
+    ? options.held.events !== undefined
     : type.split(';')[0].trim().toLowerCase() === EVENT_STREAM_TYPE;
 }
 
