--- a/packages/core/src/gateway/gateway-state.ts
+++ b/packages/core/src/gateway/gateway-state.ts
@@ -7,6 +7,7 @@
 import type * as configurationIndex from './configuration-index.js';
 import type * as deadlineStats from './deadline-stats.js';
 import * as cellMap from './cell-map.js';
+import * as connectionLoad from './connection-load.js';
 import * as gatewayLoad from './gateway-load.js';
 import type * as gatewayRequest from './gateway-request.js';
 import * as lostRuns from './lost-runs.js';
@@ -120,6 +121,7 @@
   checkedRevision: number;
   /** What is known of the load of this process. */
   load: gatewayLoad.GatewayLoad;
+  connectionLoad: connectionLoad.ConnectionLoad;
   /** When shutdown of the process was requested, milliseconds; 0 before. */
   shutdownMs: number;
 };
@@ -169,6 +171,7 @@
     nextSerial: 1,
     checkedRevision: -1,
     load: gatewayLoad.createGatewayLoad(),
+    connectionLoad: connectionLoad.createConnectionLoad(),
     shutdownMs: 0,
   };
 }
--- a/packages/core/src/gateway/index.ts
+++ b/packages/core/src/gateway/index.ts
@@ -11,6 +11,7 @@
 export * from './evacuations.js';
 export * from './configuration-index.js';
 export * from './crash-detection.js';
+export * from './connection-load.js';
 export * from './gateway-load.js';
 export * from './gateway-request.js';
 export * from './gateway-state.js';
--- a/packages/gateway/src/accept-delay.ts
+++ b/packages/gateway/src/accept-delay.ts
@@ -17,6 +17,8 @@
   noteAccepted: (socket: net.Socket, unreadMs: number) => boolean;
   /** Returns how long a connection that is accepted now may have waited, milliseconds. */
   getDelayMs: () => number;
+  /** Returns how long connections have waited as measured, milliseconds; 0 without a queue. */
+  getMeasuredMs: () => number;
   stop: () => void;
 };
 
@@ -83,17 +85,20 @@
   return port !== undefined && port === socket.remotePort;
 }
 
+/** Returns the measured delay, milliseconds; that of an open measurement if it is longer. */
+function getMeasuredMs({ probe, delayMs, readNow }: DelayState): number {
+  return Math.max(delayMs ?? 0, probe === undefined ? 0 : readNow() - probe.startMs);
+}
+
 /**
  * Computes how long a connection that is accepted now may have waited, milliseconds. After a stall,
  * it may have been queued at the beginning of the stall as long as nothing has been measured.
  */
 function computeDelay(state: DelayState): number {
-  const { probe, queuedSinceMs, delayMs, isAfterStall } = state;
-  const now = state.readNow();
-  if (delayMs === undefined && isAfterStall && queuedSinceMs !== undefined) {
-    return now - queuedSinceMs;
-  }
-  return Math.max(delayMs ?? 0, probe === undefined ? 0 : now - probe.startMs);
+  const { queuedSinceMs, delayMs, isAfterStall } = state;
+  return delayMs === undefined && isAfterStall && queuedSinceMs !== undefined
+    ? state.readNow() - queuedSinceMs
+    : getMeasuredMs(state);
 }
 
 /**
@@ -131,6 +136,7 @@
       return false;
     },
     getDelayMs: () => computeDelay(state),
+    getMeasuredMs: () => getMeasuredMs(state),
     stop: () => closeProbe(state),
   };
 }
--- a/packages/gateway/src/app.ts
+++ b/packages/gateway/src/app.ts
@@ -127,13 +127,15 @@
 /** Creates the server for callers; it does not listen yet. */
 function createCallers(
   { settings }: GatewayOptions,
-  { log, metrics, eventLoop: { computeUnreadMs } }: ReturnType<typeof createComponents>,
+  components: ReturnType<typeof createComponents>,
   task: gatewayTask.GatewayTask,
 ): callerServer.CallerServer {
+  const { log, metrics, eventLoop } = components;
   return callerServer.createCallerServer({
     listen: settings.callers,
     receive: task.receive,
-    computeUnreadMs,
+    computeUnreadMs: eventLoop.computeUnreadMs,
+    isClosedUnread: loadReports.createConnectionJudge(components, clocks.readSteadyMs),
     reportRefusal: (code) => {
       log.write('refused', { result: schema.ResultCode[code] }, clocks.readSteadyMs());
       metrics.recordEnd('', '', code, false);
--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -29,6 +29,11 @@
   reportRefusal: (code: schema.ResultCode) => void;
   /** Computes how long data that is read now may have waited, milliseconds. */
   computeUnreadMs: () => number;
+  /**
+   * Returns whether a new connection that has waited for the given time, milliseconds, is closed
+   * unread.
+   */
+  isClosedUnread: (waitedMs: number) => boolean;
 };
 
 type ServerState = {
@@ -111,6 +116,10 @@
   if (state.acceptDelay.noteAccepted(socket, stallMs)) {
     return;
   }
+  if (state.options.isClosedUnread(state.acceptDelay.getMeasuredMs())) {
+    socket.resetAndDestroy();
+    return;
+  }
   const unreadMs = Math.max(stallMs, gateway.computeUnreadMs(state.acceptDelay.getDelayMs()));
   if (unreadMs > 0) {
     state.openedMs.set(socket, clocks.readSteadyMs() - unreadMs);
--- a/packages/gateway/src/gateway-metrics.ts
+++ b/packages/gateway/src/gateway-metrics.ts
@@ -27,6 +27,8 @@
   recordShed: () => void;
   /** Records that a request was withdrawn before its first byte was sent. */
   recordWithdrawal: (reason: WithdrawalReason) => void;
+  /** Records that a new connection was closed unread. */
+  recordClosedUnread: () => void;
   /** Records by how much a first event came later than predicted, milliseconds. */
   recordFirstEventError: (service: string, ms: number) => void;
   render: () => string;
@@ -183,6 +185,7 @@
     recordShed: () =>
       runtime.addCount(metrics, 'requests_shed_total', { reason: 'gateway-overloaded' }),
     recordWithdrawal: (reason) => runtime.addCount(metrics, 'requests_withdrawn_total', { reason }),
+    recordClosedUnread: () => runtime.addCount(metrics, 'connections_closed_unread_total', {}),
     recordFirstEventError: (service, ms) => {
       const labels = { service, sign: ms < 0 ? 'early' : 'late' };
       runtime.recordDuration(metrics, 'first_event_error_ms', labels, Math.abs(ms));
--- a/packages/gateway/src/load-reports.ts
+++ b/packages/gateway/src/load-reports.ts
@@ -73,3 +73,25 @@
     }
   };
 }
+
+/** Creates the function that judges new connections by how long they have waited, milliseconds. */
+export function createConnectionJudge(
+  { state: { connectionLoad }, log, metrics }: LoadDependencies,
+  readNow: () => number,
+): (waitedMs: number) => boolean {
+  let closed = 0;
+  return (waitedMs) => {
+    const { isClosed, change } = gateway.judgeConnection(connectionLoad, waitedMs, readNow());
+    if (change === 'begun') {
+      closed = 0;
+      log.writeAlways('connections-late', { waitedMs: Math.round(waitedMs) });
+    } else if (change === 'ended') {
+      log.writeAlways('connections-in-time', { closed });
+    }
+    if (isClosed) {
+      closed += 1;
+      metrics.recordClosedUnread();
+    }
+    return isClosed;
+  };
+}
