Close new connections unread that have waited too long

With most new connections at one gateway, they waited in the queue of its listening socket until their callers had left; the gateway then read only requests of such callers and served hardly any, also long after. Nobody refused them.

A connection that has waited for more than 250 ms, as measured, is closed unread if another gateway of the failure domain reports a load of at most 70 %, and for more than 700 ms in any case.

--- a/packages/core/src/gateway/connection-load.ts
+++ b/packages/core/src/gateway/connection-load.ts
@@ -5,7 +5,11 @@
  * The load: most new connections of a failure domain at one gateway. They wait in the queue of its
  * listening socket until their callers have left, and so do those that follow. A caller whose
  * connection is closed unread tries another gateway at once.
+ * Connections are closed only while another gateway of the failure domain has processor time left;
+ * otherwise the retries would add to the load of all.
  */
+import type * as gatewayState from './gateway-state.js';
+import * as peerCounts from './peer-counts.js';
 
 export type ConnectionLoad = {
   /** Since when new connections have waited too long, milliseconds; undefined if they have not. */
@@ -21,8 +25,15 @@
  * second, and the request waits for further turns of the event loop after it has been read.
  */
 const MAX_WAIT_MS = 250;
+/**
+ * The same while no other gateway has processor time left, milliseconds. Most callers have left by
+ * the time the request would be read, and the gateway would only read requests of such callers.
+ */
+const MAX_WAIT_ALONE_MS = 700;
 /** Connections are closed once they have waited too long for this time, milliseconds. */
 const GRACE_MS = 200;
+/** Highest load of a peer that is expected to accept more connections, percent. */
+const MAX_SPARE_PERCENT = 70;
 
 /** Creates the load of a gateway that has just started. */
 export function createConnectionLoad(): ConnectionLoad {
@@ -34,12 +45,15 @@
  *
  * @param waitedMs how long it has waited to be accepted, as measured, milliseconds
  */
-export function judgeConnection(
-  load: ConnectionLoad,
+export function checkConnection(
+  { connectionLoad: load, peers, failureDomain }: gatewayState.GatewayState,
   waitedMs: number,
   now: number,
 ): ConnectionVerdict {
-  load.lateSinceMs = waitedMs <= MAX_WAIT_MS ? undefined : (load.lateSinceMs ?? now);
+  const hasSpare =
+    waitedMs > MAX_WAIT_MS && peerCounts.hasSparePeer(peers, failureDomain, MAX_SPARE_PERCENT, now);
+  const maxWaitMs = hasSpare ? MAX_WAIT_MS : MAX_WAIT_ALONE_MS;
+  load.lateSinceMs = waitedMs <= maxWaitMs ? undefined : (load.lateSinceMs ?? now);
   const wasClosing = load.isClosing;
   load.isClosing = load.lateSinceMs !== undefined && now - load.lateSinceMs >= GRACE_MS;
   if (load.isClosing === wasClosing) {
--- a/packages/core/src/gateway/peer-counts.ts
+++ b/packages/core/src/gateway/peer-counts.ts
@@ -51,6 +51,18 @@
   return listReachable(view, now).map(([address]) => address);
 }
 
+/** Returns whether a reachable peer of a failure domain has a load of at most `maxPercent`. */
+export function hasSparePeer(
+  view: peerView.PeerView,
+  domain: string,
+  maxPercent: number,
+  now: number,
+): boolean {
+  return listReachable(view, now).some(
+    ([, { failureDomain, loadPercent }]) => failureDomain === domain && loadPercent <= maxPercent,
+  );
+}
+
 /** A gateway that may be the scheduler of cells. */
 export type SchedulerCandidate = {
   address: string;
--- a/packages/gateway/src/app.ts
+++ b/packages/gateway/src/app.ts
@@ -130,12 +130,12 @@
   components: ReturnType<typeof createComponents>,
   task: gatewayTask.GatewayTask,
 ): callerServer.CallerServer {
-  const { log, metrics, eventLoop } = components;
+  const { log, metrics } = components;
   return callerServer.createCallerServer({
     listen: settings.callers,
     receive: task.receive,
-    computeUnreadMs: eventLoop.computeUnreadMs,
-    isClosedUnread: loadReports.createConnectionJudge(components, clocks.readSteadyMs),
+    computeUnreadMs: components.eventLoop.computeUnreadMs,
+    isClosedUnread: loadReports.createConnectionCheck(components, clocks.readSteadyMs),
     reportRefusal: (code) => {
       log.write('refused', { result: schema.ResultCode[code] }, clocks.readSteadyMs());
       metrics.recordEnd('', '', code, false);
--- a/packages/gateway/src/gateway-metrics.ts
+++ b/packages/gateway/src/gateway-metrics.ts
@@ -185,7 +185,7 @@
     recordShed: () =>
       runtime.addCount(metrics, 'requests_shed_total', { reason: 'gateway-overloaded' }),
     recordWithdrawal: (reason) => runtime.addCount(metrics, 'requests_withdrawn_total', { reason }),
-    recordClosedUnread: () => runtime.addCount(metrics, 'connections_closed_unread_total', {}),
+    recordClosedUnread: () => runtime.addCount(metrics, 'connections_closed_total', {}),
     recordFirstEventError: (service, ms) => {
       const labels = { service, sign: ms < 0 ? 'early' : 'late' };
       runtime.recordDuration(metrics, 'first_event_error_ms', labels, Math.abs(ms));
--- a/packages/gateway/src/load-reports.ts
+++ b/packages/gateway/src/load-reports.ts
@@ -74,14 +74,14 @@
   };
 }
 
-/** Creates the function that judges new connections by how long they have waited, milliseconds. */
-export function createConnectionJudge(
-  { state: { connectionLoad }, log, metrics }: LoadDependencies,
+/** Creates the function that checks new connections by how long they have waited, milliseconds. */
+export function createConnectionCheck(
+  { state, log, metrics }: LoadDependencies,
   readNow: () => number,
 ): (waitedMs: number) => boolean {
   let closed = 0;
   return (waitedMs) => {
-    const { isClosed, change } = gateway.judgeConnection(connectionLoad, waitedMs, readNow());
+    const { isClosed, change } = gateway.checkConnection(state, waitedMs, readNow());
     if (change === 'begun') {
       closed = 0;
       log.writeAlways('connections-late', { waitedMs: Math.round(waitedMs) });
--- a/packages/runtime/src/metric-definitions.ts
+++ b/packages/runtime/src/metric-definitions.ts
@@ -42,7 +42,7 @@
     type: MetricType.COUNTER,
     help: 'Requests refused on arrival to keep this process within its targets, by reason.',
   },
-  connections_closed_unread_total: {
+  connections_closed_total: {
     type: MetricType.COUNTER,
     help: 'New connections that had waited too long and were closed before anything was read.',
   },
