--- /dev/null
+++ b/packages/core/src/gateway/connection-load.ts
@@ -0,0 +1,63 @@
+/**
+ * Decides which new connections a gateway closes unread because it gets more of them than it can
+ * accept in time.
+ *
+ * The load: most new connections of a failure domain at one gateway. They wait in the queue of its
+ * listening socket until their callers have left, and so do those that follow. A caller whose
+ * connection is closed unread tries another gateway at once.
+ * Connections are closed only while another gateway of the failure domain has processor time left;
+ * otherwise the retries would add to the load of all.
+ */
+import type * as gatewayState from './gateway-state.js';
+import * as peerCounts from './peer-counts.js';
+
+export type ConnectionLoad = {
+  /** Since when new connections have waited too long, milliseconds; undefined if they have not. */
+  lateSinceMs: number | undefined;
+  isClosing: boolean;
+};
+
+/** What to do with a new connection, and whether that begins or ends a series of closed ones. */
+export type ConnectionVerdict = { isClosed: boolean; change: 'begun' | 'ended' | undefined };
+
+/**
+ * Longest wait of a new connection, milliseconds. Callers abandon a request that is not read for a
+ * second, and the request waits for further turns of the event loop after it has been read.
+ */
+const MAX_WAIT_MS = 250;
+/**
+ * The same while no other gateway has processor time left, milliseconds. Most callers have left by
+ * the time the request would be read, and the gateway would only read requests of such callers.
+ */
+const MAX_WAIT_ALONE_MS = 700;
+/** Connections are closed once they have waited too long for this time, milliseconds. */
+const GRACE_MS = 200;
+/** Highest load of a peer that is expected to accept more connections, percent. */
+const MAX_SPARE_PERCENT = 70;
+
+/** Creates the load of a gateway that has just started. */
+export function createConnectionLoad(): ConnectionLoad {
+  return { lateSinceMs: undefined, isClosing: false };
+}
+
+/**
+ * Decides whether a new connection is closed unread.
+ *
+ * @param waitedMs how long it has waited to be accepted, as measured, milliseconds
+ */
+export function checkConnection(
+  { connectionLoad: load, peers, failureDomain }: gatewayState.GatewayState,
+  waitedMs: number,
+  now: number,
+): ConnectionVerdict {
+  const hasSpare =
+    waitedMs > MAX_WAIT_MS && peerCounts.hasSparePeer(peers, failureDomain, MAX_SPARE_PERCENT, now);
+  const maxWaitMs = hasSpare ? MAX_WAIT_MS : MAX_WAIT_ALONE_MS;
+  load.lateSinceMs = waitedMs <= maxWaitMs ? undefined : (load.lateSinceMs ?? now);
+  const wasClosing = load.isClosing;
+  load.isClosing = load.lateSinceMs !== undefined && now - load.lateSinceMs >= GRACE_MS;
+  if (load.isClosing === wasClosing) {
+    return { isClosed: load.isClosing, change: undefined };
+  }
+  return { isClosed: load.isClosing, change: load.isClosing ? 'begun' : 'ended' };
+}
--- a/packages/gateway/src/gateway-metrics.ts
+++ b/packages/gateway/src/gateway-metrics.ts
@@ -30,6 +30,8 @@
   recordWithdrawal: (reason: WithdrawalReason) => void;
   /** Records that a shutdown ended a request. */
   recordShutdownEnd: (phase: heldRequest.HeldPhase, code: schema.ResultCode) => void;
+  /** Records that a new connection was closed unread. */
+  recordClosedUnread: () => void;
   /** Records by how much a first event came later than predicted, milliseconds. */
   recordFirstEventError: (service: string, ms: number) => void;
   render: () => string;
@@ -196,6 +198,7 @@
         phase,
         result: schema.ResultCode[code],
       }),
+    recordClosedUnread: () => runtime.addCount(metrics, 'connections_closed_total', {}),
     recordFirstEventError: (service, ms) => {
       const labels = { service, sign: ms < 0 ? 'early' : 'late' };
       runtime.recordDuration(metrics, 'first_event_error_ms', labels, Math.abs(ms));
