Let a leaving gateway ask the scheduler that the others ask

A backend server of 20 slots got 40 requests at once while the gateway that scheduled its cell stopped: the others dropped it as a scheduler at once, and it went on granting the same slots to its own requests. Callers see requests refused or delayed by a full server.

A gateway that shuts down is no candidate for a scheduler any more unless it knows no other reachable gateway.

Trial with three gateways in one process, one server of 20 slots, runs of 1 s, 40 requests each at the stopping gateway and another one, 1.2 s after SIGTERM: at most 40 requests at the server before, 20 after (one run each; with another gateway stopped 20 before and after). Four requests at the stopping gateway with free slots get their response after 1.09 to 1.19 s before, 1.11 to 1.12 s after: the other schedulers do serve a leaving gateway. The new unit test covers the choice; it was not run on the code before.

--- a/packages/core/src/gateway/pending-asks.ts
+++ b/packages/core/src/gateway/pending-asks.ts
@@ -35,7 +35,7 @@
 ): schedulerRanking.ChosenScheduler {
   const { address, processorPercent } = state;
   const loadPercent = gatewayLoad.computeLoadPercent(state.load);
-  const own = { address, processorPercent, loadPercent };
+  const own = { address, processorPercent, loadPercent, isLeaving: state.shutdownMs > 0 };
   return schedulerRanking.chooseScheduler(state.ranking, state.peers, own, cellName, now);
 }
 
--- a/packages/core/src/gateway/scheduler-ranking.test.ts
+++ b/packages/core/src/gateway/scheduler-ranking.test.ts
@@ -15,7 +15,7 @@
   const ranking = schedulerRanking.createSchedulerRanking();
   const view = peerView.createPeerView();
   let now = 0;
-  return (ownLoad: number, loads: ReportedLoads): Set<string> => {
+  return (ownLoad: number, loads: ReportedLoads, isLeaving = false): Set<string> => {
     now += RANKING_MS;
     Object.entries(loads).forEach(([address, loadPercent]) =>
       peerView.applyReport(
@@ -34,7 +34,7 @@
         now,
       ),
     );
-    const own = { address: 'own', processorPercent: 50, loadPercent: ownLoad };
+    const own = { address: 'own', processorPercent: 50, loadPercent: ownLoad, isLeaving };
     const choose = (cell: string) =>
       schedulerRanking.chooseScheduler(ranking, view, own, cell, now).address;
     return new Set(CELLS.map(choose));
@@ -59,3 +59,11 @@
   // Guards against passing over gateways of the previous version.
   assert.ok(createChooser()(100, { b: undefined }).has('b'));
 });
+
+test('leaving gateway schedules only if it is alone', () => {
+  // Guards against two schedulers of one cell, as the others no longer ask a leaving gateway.
+  const choose = createChooser();
+  assert.ok(choose(0, { 'peer-1': 0 }).has('own'));
+  assert.deepEqual(choose(0, { 'peer-1': 0 }, true), new Set(['peer-1']));
+  assert.deepEqual(createChooser()(0, {}, true), new Set(['own']));
+});
--- a/packages/core/src/gateway/scheduler-ranking.ts
+++ b/packages/core/src/gateway/scheduler-ranking.ts
@@ -52,16 +52,21 @@
   };
 }
 
+/** This gateway as a candidate. */
+export type OwnCandidate = peerCounts.SchedulerCandidate & {
+  /** It has announced that it is leaving; false if absent. */
+  isLeaving?: boolean;
+};
+
 /**
  * Lists the gateways that are strong enough to schedule. Those that are saturated are passed over
- * unless all are: their grants would be late.
+ * unless all are: their grants would be late. This one is left out once it has announced that it is
+ * leaving, unless it is the only one: the others then ask another scheduler, and the slots of a
+ * cell that two gateways schedule would be granted twice.
  */
-function listCapableGateways(
-  view: peerView.PeerView,
-  own: peerCounts.SchedulerCandidate,
-  now: number,
-): string[] {
-  const all = [own, ...peerCounts.listSchedulerCandidates(view, now)];
+function listCapableGateways(view: peerView.PeerView, own: OwnCandidate, now: number): string[] {
+  const others = peerCounts.listSchedulerCandidates(view, now);
+  const all = own.isLeaving === true && others.length > 0 ? others : [own, ...others];
   const strongest = Math.max(...all.map(({ processorPercent }) => processorPercent));
   const capable = all.filter(
     ({ processorPercent }) => processorPercent >= MIN_PROCESSOR_SHARE * strongest,
@@ -76,7 +81,7 @@
 function updateRanking(
   ranking: SchedulerRanking,
   view: peerView.PeerView,
-  own: peerCounts.SchedulerCandidate,
+  own: OwnCandidate,
   now: number,
 ): void {
   if (ranking.revision === view.revision && now - ranking.computedMs <= MAX_RANKING_AGE_MS) {
@@ -134,7 +139,7 @@
 export function chooseScheduler(
   ranking: SchedulerRanking,
   view: peerView.PeerView,
-  own: peerCounts.SchedulerCandidate,
+  own: OwnCandidate,
   cellName: string,
   now: number,
 ): ChosenScheduler {
--- a/packages/core/src/gateway/shutdown-limits.ts
+++ b/packages/core/src/gateway/shutdown-limits.ts
@@ -41,6 +41,8 @@
   }
   state.shutdownMs = now;
   state.shutdownGraceMs = graceMs;
+  // Outdated: this gateway schedules no cells from now on.
+  state.ranking.revision = -1;
   return true;
 }
 
