Apply a reloaded grace period to the shutdown

SIGHUP with a shorter grace period had no effect on a later stop: the shutdown used the settings of the start, so that a gateway with 5 s of grace exited after 7.8 s, and the platform's kill cut what it held.

The shutdown uses the grace period of the last settings that were applied. One that is reloaded during a shutdown does not change it.

--- a/packages/gateway/src/app.ts
+++ b/packages/gateway/src/app.ts
@@ -221,15 +221,26 @@
   await waitForFirstRead(follower);
   const callerPort = await callers.listen();
   log.writeAlways('started', { settings });
+  let { stopMs } = settings;
   return {
     callerPort,
     operatorPort: operators[0].port,
     countBackendServers: () => state.servers.byId.size,
     reload: (changed) => {
       state.bounds = buildBounds(changed);
+      stopMs = changed.stopMs;
       log.writeAlways('reload', { settings: changed });
     },
-    shutDown: () => shutdown.beginShutdown({ state, callers, task, peers, log, ...options }),
+    shutDown: () =>
+      shutdown.beginShutdown({
+        state,
+        callers,
+        task,
+        peers,
+        log,
+        stopMs,
+        stopped: options.stopped,
+      }),
     stop: () =>
       [follower, task, peers, callers, ...operators, connections, components.eventLoop].forEach(
         (component) => component.stop(),
--- a/packages/gateway/src/shutdown.ts
+++ b/packages/gateway/src/shutdown.ts
@@ -3,13 +3,13 @@
 import type * as callerServer from './caller-server.js';
 import * as clocks from './clocks.js';
 import type * as decisionLog from './decision-log.js';
-import type * as gatewaySettings from './gateway-settings.js';
 import type * as gatewayTask from './gateway-task.js';
 import type * as peerTask from './peer-task.js';
 
 type ShutdownDependencies = {
   state: gateway.GatewayState;
-  settings: gatewaySettings.GatewaySettings;
+  /** Time after which the process is killed, milliseconds. */
+  stopMs: number;
   callers: callerServer.CallerServer;
   task: gatewayTask.GatewayTask;
   peers: peerTask.PeerTask;
@@ -46,8 +46,8 @@
 
 /** Begins a graceful shutdown; `stopped` is called at its end. */
 export function beginShutdown(dependencies: ShutdownDependencies): void {
-  const { state, settings, callers, task, peers, log, stopped } = dependencies;
-  if (!gateway.beginShutdown(state, settings.stopMs, clocks.readSteadyMs())) {
+  const { state, stopMs, callers, task, peers, log, stopped } = dependencies;
+  if (!gateway.beginShutdown(state, stopMs, clocks.readSteadyMs())) {
     return;
   }
   log.writeAlways('shutdown', { held: task.countPhases() });
@@ -70,5 +70,5 @@
     }
   }, ACCEPT_AFTER_SHUTDOWN_MS);
   setTimeout(task.endUnfinished, gateway.computeRunLimitMs(state));
-  setTimeout(end, settings.stopMs - EXIT_MS);
+  setTimeout(end, stopMs - EXIT_MS);
 }
