Test the safeguards of a shutdown that no test noticed

Four changes went unnoticed by the tests of waiting requests: to use a grant that comes too late, to admit requests for as long as short runs fit, to leave the ask of a refused request at its scheduler, and to ignore the seeds when the Retry-After of a refusal is chosen.

--- a/packages/core/src/gateway/shutdown-limits.test.ts
+++ b/packages/core/src/gateway/shutdown-limits.test.ts
@@ -1,12 +1,14 @@
 import * as assert from 'node:assert/strict';
 import * as nodeTest from 'node:test';
 import * as schema from '@toucanproxy/schema';
-import type * as assignment from './assignment.js';
+import * as askMessages from './ask-messages.js';
+import * as assignment from './assignment.js';
 import type * as gatewayRequest from './gateway-request.js';
 import type * as gatewayState from './gateway-state.js';
 import * as gatewayFixture from './mocks/gateway-fixture.js';
 import * as requestAdmission from './request-admission.js';
 import * as runTimes from './run-times.js';
+import * as serverEntries from './server-entries.js';
 import * as shutdownLimits from './shutdown-limits.js';
 
 const { test } = nodeTest;
@@ -124,3 +126,45 @@
   assert.equal(shutdownLimits.beginShutdown(state, 1000, 5000), false);
   assert.deepEqual([state.shutdownMs, state.shutdownGraceMs], [1, GRACE_MS]);
 });
+
+test('requests are refused once callers know that the gateway stops', () => {
+  // Guards against admission that lasts as long as short runs fit.
+  const state = createStopping([30]);
+  assert.notEqual(admit(state, 2400), undefined);
+  assert.equal(admit(state, 2600), undefined);
+});
+
+test('grant that comes too late is not used', () => {
+  // Guards against a send between two checks of the waiting requests.
+  const state = createStopping([]);
+  serverEntries.applyEntry(state.servers, gatewayFixture.buildEntry('a'), 1);
+  const { serial, cell = '' } = admit(state, 1) as gatewayRequest.GatewayRequest;
+  askMessages.collectAsks(state, 3050);
+  const reply = schema.create(schema.ScheduleReplySchema, {
+    address: gatewayFixture.ADDRESS,
+    cell,
+    echo: state.links.get(cell)?.sequence,
+    grants: [{ number: 1, serial, serverId: 'a' }],
+  });
+  const clocks = gatewayFixture.buildClocks(3110);
+  state.lease.confirmed = clocks;
+  const [applied] = assignment.applyReply(state, reply, clocks);
+  assert.equal(applied.kind === 'refuse' && applied.refusal.code, SHUTTING_DOWN);
+  assert.equal(state.inFlight.get('a'), undefined);
+});
+
+test('ask of a refused request is withdrawn', () => {
+  // Guards against a slot that is granted to a request that has ended.
+  const state = createStopping([]);
+  const { serial, cell = '' } = admit(state, 1) as gatewayRequest.GatewayRequest;
+  shutdownLimits.refuseLate(state, 5000);
+  assert.deepEqual(state.links.get(cell)?.withdrawn, [serial]);
+});
+
+test('caller returns at once if other gateways are only known as seeds', () => {
+  const state = createStopping([]);
+  Object.assign(state, { seeds: ['10.0.0.2:1'] });
+  admit(state, 1);
+  const [{ refusal }] = shutdownLimits.refuseLate(state, 5000);
+  assert.equal(refusal.retryAfterMs, 150);
+});
