Determine refused prompt parts again only when a lost server is first heard

Each response of a server that had lost a run and lived on discarded the list of refused parts, which was then determined anew for the next request. The new test failed before.

--- a/packages/core/src/gateway/part-losses.ts
+++ b/packages/core/src/gateway/part-losses.ts
@@ -105,8 +105,9 @@
 ): void {
   const known = partLosses.lostServers.get(serverId);
   if (known?.bornMs === bornMs && now - known.lostMs > lostRuns.TRANSIT_MS) {
+    const isFirst = known.heardMs - known.lostMs <= lostRuns.TRANSIT_MS;
     known.heardMs = now;
-    partLosses.suspended = undefined;
+    partLosses.suspended = isFirst ? undefined : partLosses.suspended;
   }
 }
 
--- a/packages/core/src/gateway/part-suspension.test.ts
+++ b/packages/core/src/gateway/part-suspension.test.ts
@@ -142,3 +142,17 @@
   assert.ok(state.unsentRuns.length <= 256);
   assert.ok(isSuspended(state, CAUSE));
 });
+
+// Guards against determining the refused parts again for each response of a server that lives on.
+test('later responses of a server change nothing', () => {
+  const state = partLosses.createPartLosses();
+  const server = { serverId: 'server-0', bornMs: 1 };
+  endServers(state, 3, []);
+  partLosses.noteHeardServer(state, server, 1000);
+  const suspended = partSuspension.listSuspendedParts(state);
+  partLosses.noteHeardServer(state, server, 1001);
+  assert.equal(partSuspension.listSuspendedParts(state), suspended);
+  failRun(state, [CAUSE], 0, 1500);
+  partLosses.noteHeardServer(state, server, 1900);
+  assert.notEqual(partSuspension.listSuspendedParts(state), suspended);
+});
