--- a/packages/core/src/gateway/part-suspension.ts
+++ b/packages/core/src/gateway/part-suspension.ts
@@ -10,34 +10,38 @@
 
 /**
  * Losses from which on a part is refused: those in sequence, and those at servers that have fallen
- * silent, also if all at once.
+ * silent, also if the runs overlap.
  */
 type LossLimits = { inSequence: number; silent: number };
 
 const LIMITS: LossLimits = { inSequence: 2, silent: 3 };
 /** Limits of a part that has been in sound runs. */
 const SOUND_LIMITS: LossLimits = { inSequence: 6, silent: 6 };
-/** Losses from which on the first trial of a part is later. */
+/**
+ * Losses at silent servers within this time count as one, milliseconds. When a gateway has stalled,
+ * the time of many runs is over at once, and what their servers sent has not been read.
+ */
+const STALL_MS = 50;
+/** Losses from which on the first trial of a part is later that no sound run is known of. */
 const MANY_LOSSES = 4;
 /** Time from the last loss to the first trial of a refused part, milliseconds. */
 const FIRST_TRIAL_MS = 1000;
 /** Factor by which the time to the next trial grows with each trial. */
 const TRIAL_FACTOR = 10;
 
-/** Returns whether the losses of a part are enough to refuse it. */
-function isOverLimit(losses: readonly partLosses.PartLoss[], limits: LossLimits): boolean {
-  const silent = losses.filter(({ isSilent }) => isSilent).length;
-  return silent >= limits.silent || lostRuns.countSequence(losses) >= limits.inSequence;
+/** Counts losses at silent servers; those that happen at once count as one. */
+function countSilent(losses: readonly partLosses.PartLoss[]): number {
+  const times = losses.filter(({ isSilent }) => isSilent).map(({ lostMs }) => lostMs);
+  return times
+    .sort((a, b) => a - b)
+    .filter((ms, at, sorted) => at === 0 || ms - sorted[at - 1] > STALL_MS).length;
 }
 
-/** Computes when a refused part may be tried again. */
-function computeTrialMs(
-  { trials, trialMs }: partLosses.PartRecord,
-  losses: readonly partLosses.PartLoss[],
-): number {
-  const lastMs = Math.max(trialMs, ...losses.map(({ lostMs }) => lostMs));
-  const step = trials + (losses.length >= MANY_LOSSES ? 1 : 0);
-  return lastMs + Math.min(FIRST_TRIAL_MS * TRIAL_FACTOR ** step, lostRuns.KEEP_MS);
+/** Returns whether the losses of a part are enough to refuse it. */
+function isOverLimit(losses: readonly partLosses.PartLoss[], limits: LossLimits): boolean {
+  return (
+    countSilent(losses) >= limits.silent || lostRuns.countSequence(losses) >= limits.inSequence
+  );
 }
 
 /** A part that may be refused. */
@@ -48,6 +52,16 @@
   isSound: boolean;
 };
 
+/** Computes when a refused part may be tried again, given the losses that count against it. */
+function computeTrialMs(
+  { record: { trials, trialMs }, isSound }: Candidate,
+  losses: readonly partLosses.PartLoss[],
+): number {
+  const lastMs = Math.max(trialMs, ...losses.map(({ lostMs }) => lostMs));
+  const step = trials + (!isSound && losses.length >= MANY_LOSSES ? 1 : 0);
+  return lastMs + Math.min(FIRST_TRIAL_MS * TRIAL_FACTOR ** step, lostRuns.KEEP_MS);
+}
+
 /** Compares two candidates: the more likely cause comes first. */
 function compareCandidates(a: Candidate, b: Candidate): number {
   return Number(a.isSound) - Number(b.isSound) || b.losses.length - a.losses.length;
@@ -87,11 +101,11 @@
         .forEach((key) => explained.add(key));
       likeliest = [];
     }
-    const { part, record, isSound } = candidate;
+    const { part, isSound } = candidate;
     const losses = candidate.losses.filter((loss) => !explained.has(buildServerKey(loss)));
     if (isOverLimit(losses, isSound ? SOUND_LIMITS : LIMITS)) {
       likeliest.push(candidate);
-      found.set(part, { part, losses: losses.length, trialMs: computeTrialMs(record, losses) });
+      found.set(part, { part, losses: losses.length, trialMs: computeTrialMs(candidate, losses) });
     }
   });
   return found;
--- a/packages/core/src/gateway/prompt-parts.ts
+++ b/packages/core/src/gateway/prompt-parts.ts
@@ -9,6 +9,11 @@
 
 /** Time after its first event from which on a stream proves its parts to be sound, milliseconds. */
 const SOUND_STREAM_MS = 1000;
+/**
+ * Gateways with a later turn than this one to try a refused part take it together: by then nearly
+ * all of a large fleet know of a trial that was sent in an earlier turn.
+ */
+const MAX_TURN = 30;
 /** Time for which an admitted trial may wait until another one is admitted, milliseconds. */
 const TRIAL_WAIT_MS = 1000;
 
@@ -90,7 +95,7 @@
   }
   const { part, trialMs } = found;
   const record = partLosses.getRecord(state.partLosses, part);
-  const turnMs = trialMs + trialTurns.computeTurnMs(state, part, Infinity, now);
+  const turnMs = trialMs + trialTurns.computeTurnMs(state, part, MAX_TURN, now);
   const dueMs = Math.max(turnMs, record.admittedMs + TRIAL_WAIT_MS);
   if (now < dueMs) {
     return buildPartRefusal(part, dueMs, now);
