Do not judge long runs by a few short ones at a shutdown

Callers got 504 after a request had been sent 5 s after SIGTERM and cut at 7.6 s: one earlier run of 30 ms counted as proof that nine of ten are short. As long as fewer than 10 runs of a route are known, a long one may take any time, so that its waiting requests are refused as not run early.

--- a/packages/core/src/gateway/run-times.ts
+++ b/packages/core/src/gateway/run-times.ts
@@ -12,6 +12,8 @@
 /** Shares of the runs that take less than a typical and than a long one. */
 const TYPICAL_SHARE = 0.5;
 const LONG_SHARE = 0.9;
+/** Number of runs from which on they show how long a long one takes. */
+const MIN_RUNS = 10;
 
 /** How long runs of a route take, milliseconds. */
 export type RunTimeEstimate = { typicalMs: number; longMs: number };
@@ -31,11 +33,13 @@
   runs.splice(0, runs.length - MAX_RUNS);
 }
 
-/** Estimates how long runs of a route take; undefined if none has completed yet. */
+/**
+ * Estimates how long runs of a route take; undefined if none has completed yet. A long one may take
+ * any time as long as few runs are known.
+ */
 export function estimateRunTime(times: RunTimes, routeName: string): RunTimeEstimate | undefined {
   const sorted = [...(times.get(routeName) ?? [])].sort((one, other) => one - other);
   const findQuantile = (share: number) => sorted[Math.floor(sorted.length * share)];
-  return sorted.length === 0
-    ? undefined
-    : { typicalMs: findQuantile(TYPICAL_SHARE), longMs: findQuantile(LONG_SHARE) };
+  const longMs = sorted.length < MIN_RUNS ? Infinity : findQuantile(LONG_SHARE);
+  return sorted.length === 0 ? undefined : { typicalMs: findQuantile(TYPICAL_SHARE), longMs };
 }
--- a/packages/core/src/gateway/shutdown-limits.test.ts
+++ b/packages/core/src/gateway/shutdown-limits.test.ts
@@ -14,6 +14,7 @@
 const { test } = nodeTest;
 
 const GRACE_MS = 8000;
+const SHORT_RUNS = Array<number>(10).fill(30);
 const { SHUTTING_DOWN, ANSWER_BROKEN } = schema.ResultCode;
 
 /** Admits a request whose caller waits for the given time; undefined if it is refused. */
@@ -56,7 +57,7 @@
 }
 
 test('waiting request is refused while a long run still fits', () => {
-  const state = createStopping([30, 30, 30, 1000]);
+  const state = createStopping([...SHORT_RUNS, 1000, 1000]);
   admit(state, 1);
   assert.equal(findRefusedMs(state), 6601);
 });
@@ -84,13 +85,13 @@
 });
 
 test('refused caller has time for another gateway', () => {
-  const state = createStopping([30]);
+  const state = createStopping(SHORT_RUNS);
   admit(state, 1, 7600);
   assert.equal(findRefusedMs(state), 7101);
 });
 
 test('request that ends by its own deadline is not refused earlier', () => {
-  const state = createStopping([30]);
+  const state = createStopping(SHORT_RUNS);
   admit(state, 1, 7000);
   assert.equal(findRefusedMs(state), 7501);
 });
@@ -129,7 +130,7 @@
 
 test('requests are refused once callers know that the gateway stops', () => {
   // Guards against admission that lasts as long as short runs fit.
-  const state = createStopping([30]);
+  const state = createStopping(SHORT_RUNS);
   assert.notEqual(admit(state, 2400), undefined);
   assert.equal(admit(state, 2600), undefined);
 });
