Resume begun streams for as long as the grace period lasts

A caller's stream was aborted 4 s after SIGTERM when its server broke off, although another server could have ended it in time: a begun response that waited for a slot was judged like a request that has not begun, and refused once a whole run might not fit. But it can't be refused as not run, and no other gateway can complete it.

Begun responses wait for a slot until the end of the grace period.

--- a/packages/core/src/gateway/attempt-end.ts
+++ b/packages/core/src/gateway/attempt-end.ts
@@ -137,6 +137,7 @@
   now: number,
 ): boolean {
   request.phase = gatewayRequest.RequestPhase.WAITING;
+  request.hasBegun = hasBegun;
   if (hasBegun) {
     request.urgency = 0;
     request.targetMs = now + RESUME_TARGET_MS;
--- a/packages/core/src/gateway/gateway-request.ts
+++ b/packages/core/src/gateway/gateway-request.ts
@@ -108,6 +108,8 @@
   soundMs: number;
   /** Backend servers that could not be used, refused the request or failed it. */
   triedIds: Set<string>;
+  /** Its caller has a part of the response, and the rest must follow on the same connection. */
+  hasBegun: boolean;
   /** Number of times that it was sent. */
   sends: number;
   /** Number of times that it ran or may have run. */
--- a/packages/core/src/gateway/request-admission.ts
+++ b/packages/core/src/gateway/request-admission.ts
@@ -99,6 +99,7 @@
     aheadMs: 0,
     predictedFirstMs: 0,
     hasFirstEvent: false,
+    hasBegun: false,
     firstEventMs: Infinity,
     soundMs: -Infinity,
     triedIds: new Set<string>(),
--- a/packages/core/src/gateway/shutdown-limits.ts
+++ b/packages/core/src/gateway/shutdown-limits.ts
@@ -58,7 +58,7 @@
  */
 function computeLastSendMs(
   state: gatewayState.GatewayState,
-  { giveUpMs }: gatewayRequest.GatewayRequest,
+  { giveUpMs, hasBegun }: gatewayRequest.GatewayRequest,
   estimate: runTimes.RunTimeEstimate | undefined,
 ): number {
   const { shutdownMs, shutdownGraceMs } = state;
@@ -66,6 +66,10 @@
     return Infinity;
   }
   const endMs = shutdownMs + computeRunLimitMs(state) - RESPONSE_MS;
+  // Only this gateway can complete a begun response, so it is not given up as long as there is time.
+  if (hasBegun) {
+    return endMs;
+  }
   const earlyMs = Math.min(shutdownMs + shutdownGraceMs * EARLY_SHARE, endMs);
   const { typicalMs, longMs } = estimate ?? { typicalMs: 0, longMs: Infinity };
   const lastMs = Math.max(Math.min(earlyMs, endMs - typicalMs), endMs - longMs);
