--- a/packages/proofs/src/soak/soak.test.ts
+++ b/packages/proofs/src/soak/soak.test.ts
@@ -59,3 +59,12 @@
 nodeTest.test('guarantees hold while a request ends servers, seed 7', () =>
   expectNoViolations(7, { crashes: 16 }),
 );
+nodeTest.test('guarantees hold while gateways stop one after the other, seed 8', () =>
+  expectNoViolations(8, { stops: 1 }),
+);
+nodeTest.test('guarantees hold while a part of prompts ends servers, seed 7', () =>
+  expectNoViolations(7, { crashes: 16, parts: 1 }),
+);
+nodeTest.test('guarantees hold while streams have no length, seed 2', () =>
+  expectNoViolations(2, { unframedShare: 0.3 }),
+);
