--- a/packages/proofs/src/soak/soak-server.ts
+++ b/packages/proofs/src/soak/soak-server.ts
@@ -183,10 +183,13 @@
   run: soakRecords.RunRecord,
 ): void {
   const chance = state.draw();
-  const whole = backendServerStandIn.buildResponse(request, `${run.id} for ${run.workspace}`);
-  const response = addStatements(state, run.id, whole);
-  if (chance < FAILED_SHARE) {
-    socket.write(platformFixtures.buildFailedResponse(request));
+  const isFailed = chance < FAILED_SHARE;
+  const bare = isFailed
+    ? platformFixtures.buildFailedResponse(request)
+    : backendServerStandIn.buildResponse(request, `${run.id} for ${run.workspace}`);
+  const response = addStatements(state, run.id, bare);
+  if (isFailed) {
+    socket.write(response);
   } else if (chance < FAILED_SHARE + TRUNCATED_SHARE) {
     run.isBrokenOff = true;
     socket.write(response.slice(0, -3), () => socket.resetAndDestroy());
