Close late connections at once instead of by a reset

A reset by the library ends the connection in order first and resets it once that has been written; a request that arrives in between could be read and sent to a backend server, and its caller would get no response. A connection that is destroyed reads nothing more. The tests of late connections pass before and after.

--- a/packages/core/src/gateway/connection-load.ts
+++ b/packages/core/src/gateway/connection-load.ts
@@ -5,8 +5,8 @@
  * The load: most new connections of a failure domain at one gateway. They wait in the queue of its
  * listening socket until their callers have left, and so do those that follow. A caller whose
  * connection is closed unread tries another gateway at once.
- * Connections are closed only while another gateway of the failure domain has processor time left;
- * otherwise the retries would add to the load of all.
+ * While no other gateway of the failure domain has processor time left, retries would add to the
+ * load of all, so that only connections whose callers have probably left are closed.
  */
 import type * as gatewayState from './gateway-state.js';
 import * as peerCounts from './peer-counts.js';
--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -120,7 +120,8 @@
     return;
   }
   if (state.options.isClosedUnread(state.acceptDelay.getMeasuredMs())) {
-    socket.resetAndDestroy();
+    // A reset would first end the connection in order, and a request could be read meanwhile.
+    socket.destroy();
     return;
   }
   const unreadMs = Math.max(stallMs, gateway.computeUnreadMs(state.acceptDelay.getDelayMs()));
