--- a/packages/core/src/gateway/ask-messages.test.ts
+++ b/packages/core/src/gateway/ask-messages.test.ts
@@ -64,8 +64,7 @@
 });
 
 test('request asks again when its cell is dropped', () => {
-  // Guards against a request that waits without an ask: one cell has declined it, and the other one
-  // is gone as backend servers left.
+  // Guards against a request that waits without an ask after its cell has gone.
   const ids = Array.from({ length: 60 }, (_, index) => `server-${index}`);
   const state = gatewayFixture.createTestGateway(ids);
   state.drawRandom = () => 0;
