--- a/packages/runtime/src/metric-definitions.ts
+++ b/packages/runtime/src/metric-definitions.ts
@@ -70,6 +70,10 @@
     type: MetricType.GAUGE,
     help: 'Contents that a gateway refuses because their runs ended backend servers.',
   },
+  suspended_prompt_parts: {
+    type: MetricType.GAUGE,
+    help: 'Parts of prompts that a gateway refuses because their runs ended backend servers.',
+  },
   stream_origins: {
     type: MetricType.GAUGE,
     help: 'Streams whose software version this process knows.',
