--- a/packages/proofs/src/mocks/forwarder.ts
+++ b/packages/proofs/src/mocks/forwarder.ts
@@ -25,6 +25,12 @@
 
 type ForwarderState = { pairs: Set<Pair>; blocked: boolean; delayMs: number; connections: number };
 
+/** Resets a connection at once; the library would end it in order before the reset. */
+function resetNow(socket: net.Socket): void {
+  Object.assign(socket, { destroySoon: () => socket.destroy() });
+  socket.resetAndDestroy();
+}
+
 /** Forwards data, end and errors from one side to the other while `isPassing` returns true. */
 function forwardBytes(
   state: ForwarderState,
@@ -47,7 +53,7 @@
   };
   from.on('data', (bytes) => passOn(() => to.write(bytes)));
   from.on('end', () => passOn(() => to.end()));
-  from.on('error', () => passOn(() => to.resetAndDestroy()));
+  from.on('error', () => passOn(() => resetNow(to)));
 }
 
 /** Accepts one connection. */
@@ -104,8 +110,8 @@
     dropResponses: () => state.pairs.forEach((pair) => Object.assign(pair, { passesNear: false })),
     reset: () =>
       state.pairs.forEach(({ near, far }) => {
-        near.resetAndDestroy();
-        far.resetAndDestroy();
+        resetNow(near);
+        resetNow(far);
       }),
     setDelay: (ms) => {
       state.delayMs = ms;
