--- a/packages/core/src/gateway/prompt-parts.test.ts
+++ b/packages/core/src/gateway/prompt-parts.test.ts
@@ -233,8 +233,7 @@
   assert.deepEqual(lostRunMessages.collectLostRuns(first, 800), []);
 });
 
-// Guards against losses of streams that break long after their first event, and against forgetting
-// that their parts are sound.
+// Guards against blaming the parts of streams that break long after their first event.
 test('stream that has gone on for a second is sound', () => {
   const state = gatewayFixture.createTestGateway(SERVERS);
   const request = sendRequest(state, 100) as gatewayRequest.GatewayRequest;
