--- a/packages/gateway/src/attempt-sending.ts
+++ b/packages/gateway/src/attempt-sending.ts
@@ -5,6 +5,7 @@
 import * as callerExchange from './caller-exchange.js';
 import * as gatewayMetrics from './gateway-metrics.js';
 import * as domainTraffic from './domain-traffic.js';
+import * as endToEndHeaders from './end-to-end-headers.js';
 import * as eventStream from './event-stream.js';
 import type * as heldRequest from './held-request.js';
 import * as outgoingRequest from './outgoing-request.js';
@@ -56,11 +57,8 @@
 }
 
 /** Returns whether a response shows that its request has run to its end. */
-function isProof({
-  status,
-  isSelfDelimited,
-}: Extract<responseRelay.AttemptOutcome, { kind: 'complete' }>): boolean {
-  return status <= MAX_SUCCESS && isSelfDelimited;
+function isProof({ status, framing }: heldRequest.ResponseHead): boolean {
+  return status <= MAX_SUCCESS && framing !== endToEndHeaders.BodyFraming.UNTIL_CLOSE;
 }
 
 /** Handles the outcome of an attempt. */
@@ -87,12 +85,15 @@
     if (gateway.noteCompleteResponse(task.state, request, now)) {
       requestReports.reportCleared(task, request, now);
     }
-    if (isProof(outcome) && gateway.noteSoundRun(task.state, request, now)) {
+    if (isProof(outcome.head) && gateway.noteSoundRun(task.state, request, now)) {
       requestReports.reportPartsCleared(task, request, now);
     }
     gateway.endRequest(task.state, request);
     requestEnding.removeRequest(task, held);
-    const fields = { server: serverId, status: outcome.status };
+    const { head, events } = outcome;
+    const contentType = endToEndHeaders.findHeader(head.headers, 'content-type');
+    const { status, framing } = head;
+    const fields = { server: serverId, status, framing, contentType, events };
     requestReports.reportEnd(task, held, schema.ResultCode.COMPLETED, fields);
     task.assign();
     return;
--- a/packages/gateway/src/backend-attempt.ts
+++ b/packages/gateway/src/backend-attempt.ts
@@ -88,7 +88,8 @@
       }
       resume = resumeReading;
       const headers = toRawHeaders(rawHeaders);
-      isDelimited = endToEndHeaders.isSelfDelimited(status, headers);
+      isDelimited =
+        endToEndHeaders.detectFraming(status, headers) !== endToEndHeaders.BodyFraming.UNTIL_CLOSE;
       isKeptAlive = endToEndHeaders.findHeader(headers, 'connection')?.toLowerCase() !== 'close';
       if (!ended && !listener.onHead(status, headers, isNewConnection)) {
         end(() => {}, false);
--- a/packages/gateway/src/caller-exchange.ts
+++ b/packages/gateway/src/caller-exchange.ts
@@ -1,6 +1,7 @@
 /** One request of a caller and the response to it. */
 import * as http from 'node:http';
 import type * as gateway from '@toucanproxy/core/gateway';
+import * as endToEndHeaders from './end-to-end-headers.js';
 import * as localResponse from './local-response.js';
 import type * as heldRequest from './held-request.js';
 import type * as wireProtocol from './wire-protocol.js';
@@ -44,8 +45,9 @@
   body: Buffer,
 ): void {
   const { response } = exchange;
-  const length = head.isSelfDelimited ? ['Content-Length', String(body.length)] : [];
-  if (!head.isSelfDelimited) {
+  const isUntilClose = head.framing === endToEndHeaders.BodyFraming.UNTIL_CLOSE;
+  const length = isUntilClose ? [] : ['Content-Length', String(body.length)];
+  if (isUntilClose) {
     response.shouldKeepAlive = false;
     response.useChunkedEncodingByDefault = false;
   }
--- a/packages/gateway/src/end-to-end-headers.ts
+++ b/packages/gateway/src/end-to-end-headers.ts
@@ -45,15 +45,25 @@
   return index === -1 ? undefined : headers[index + 1];
 }
 
+/** How the end of a response body is marked (RFC 9112, section 6.3). */
+export enum BodyFraming {
+  LENGTH = 'length',
+  CHUNKED = 'chunked',
+  /** The body ends with the connection; a body that was cut short looks the same. */
+  UNTIL_CLOSE = 'until-close',
+}
+
 const STATUS_NO_CONTENT = 204;
 const STATUS_NOT_MODIFIED = 304;
 
-/** Returns whether the end of a response body is known without the connection being closed. */
-export function isSelfDelimited(status: number, headers: wireProtocol.RawHeaders): boolean {
-  return (
-    status === STATUS_NO_CONTENT ||
+/** Detects how the end of a response body is marked. */
+export function detectFraming(status: number, headers: wireProtocol.RawHeaders): BodyFraming {
+  if (findHeader(headers, 'transfer-encoding') !== undefined) {
+    return BodyFraming.CHUNKED;
+  }
+  return status === STATUS_NO_CONTENT ||
     status === STATUS_NOT_MODIFIED ||
-    findHeader(headers, 'content-length') !== undefined ||
-    findHeader(headers, 'transfer-encoding') !== undefined
-  );
+    findHeader(headers, 'content-length') !== undefined
+    ? BodyFraming.LENGTH
+    : BodyFraming.UNTIL_CLOSE;
 }
--- a/packages/gateway/src/event-stream.ts
+++ b/packages/gateway/src/event-stream.ts
@@ -9,6 +9,8 @@
  */
 
 export type EventStream = {
+  /** Complete events in the response that is being read. */
+  events: number;
   /** Bytes that are held back: an incomplete event. */
   pending: Buffer[];
   pendingBytes: number;
@@ -47,6 +49,7 @@
 /** Creates the state before the first line of a response. */
 function createReadingState() {
   return {
+    events: 0,
     pending: [],
     pendingBytes: 0,
     isPartForwarded: false,
@@ -122,6 +125,7 @@
   stream.hasFields = false;
   stream.hasData = false;
   stream.id = undefined;
+  stream.events += 1;
   return 1;
 }
 
--- a/packages/gateway/src/held-request.ts
+++ b/packages/gateway/src/held-request.ts
@@ -5,6 +5,7 @@
 import * as gateway from '@toucanproxy/core/gateway';
 import type * as backendAttempt from './backend-attempt.js';
 import type * as callerExchange from './caller-exchange.js';
+import type * as endToEndHeaders from './end-to-end-headers.js';
 import type * as eventStream from './event-stream.js';
 import type * as wireProtocol from './wire-protocol.js';
 
@@ -12,8 +13,7 @@
 export type ResponseHead = {
   status: number;
   headers: wireProtocol.RawHeaders;
-  /** Whether the end of the body is known without the connection being closed. */
-  isSelfDelimited: boolean;
+  framing: endToEndHeaders.BodyFraming;
 };
 
 /** How far a request in progress is. */
--- a/packages/gateway/src/response-relay.ts
+++ b/packages/gateway/src/response-relay.ts
@@ -17,9 +17,9 @@
 export type AttemptOutcome =
   | {
       kind: 'complete';
-      status: number;
-      /** The end of its body was known without the connection being closed. */
-      isSelfDelimited: boolean;
+      head: heldRequest.ResponseHead;
+      /** Events that were found in the body. */
+      events: number;
     }
   | {
       kind: 'fault';
@@ -237,18 +237,21 @@
   const { held, settle } = relay.options;
   startResponseOnce(relay);
   held.exchange.response.end(eventStream.takePending(relay.eventStream));
-  const { status = 0, isSelfDelimited = false } = relay.head ?? {};
-  settle({ kind: 'complete', status, isSelfDelimited });
+  settle({
+    kind: 'complete',
+    head: relay.head as heldRequest.ResponseHead,
+    events: relay.eventStream.events,
+  });
 }
 
 /** Handles the end of a buffered response; a server error is reported as a fault with its body. */
 function endBuffered(relay: Relay): void {
   const { held, settle, readNow, observeUnitTime } = relay.options;
   const head = relay.head as heldRequest.ResponseHead;
-  const end = { status: head.status, isSelfDelimited: head.isSelfDelimited };
+  const outcome: AttemptOutcome = { kind: 'complete', head, events: relay.eventStream.events };
   if (held.exchange.response.headersSent) {
     held.exchange.response.end();
-    settle({ kind: 'complete', ...end });
+    settle(outcome);
     return;
   }
   const body = Buffer.concat(relay.chunks);
@@ -262,7 +265,7 @@
     observeUnitTime(readNow() - held.request.sentMs);
   }
   callerExchange.sendResponse(held.exchange, head, body);
-  settle({ kind: 'complete', ...end });
+  settle(outcome);
 }
 
 /** Handles the end of a response. */
@@ -291,8 +294,8 @@
   };
   return {
     onHead: (status, headers, isNewConnection) => {
-      const isSelfDelimited = endToEndHeaders.isSelfDelimited(status, headers);
-      return handleHead(relay, { status, headers, isSelfDelimited }, isNewConnection);
+      const framing = endToEndHeaders.detectFraming(status, headers);
+      return handleHead(relay, { status, headers, framing }, isNewConnection);
     },
     onData: (chunk) => handleBodyChunk(relay, chunk),
     canSend: options.canSend,
