Check that the server lives before a response without length is completed

What callers saw: a response without length and chunks whose server had crashed arrived with a last chunk, as if it were complete; a resumable stream was not resumed, and a short plain response was passed on though it could be run again.

Cause: the end of a connection was taken for the end of the response. A process that crashes closes its connections in order, like one that has finished, and the last chunk states more than the gateway has heard.

Change: after such an end the gateway calls the server's report, which needs no slot, over a new connection. A response, silence on an open connection or a connection that is still accepted 150 ms later show that the server has outlived the end; a refused connection, another server at the address (421) or no connection for a second show the opposite. Only then is the response completed, and only then does its run count as proof that its content ends no servers; otherwise it is broken off, resumed or run again like after a reset.

--- a/packages/gateway/src/attempt-sending.ts
+++ b/packages/gateway/src/attempt-sending.ts
@@ -12,6 +12,7 @@
 import * as requestEnding from './request-ending.js';
 import * as requestReports from './request-reports.js';
 import * as responseRelay from './response-relay.js';
+import * as serverCheck from './server-check.js';
 import * as statementReports from './statement-reports.js';
 import type * as taskState from './task-state.js';
 import * as unknownNames from './unknown-names.js';
@@ -56,11 +57,6 @@
   return hasEnded;
 }
 
-/** Returns whether a response shows that its request has run to its end. */
-function isProof({ status, framing }: heldRequest.ResponseHead): boolean {
-  return status <= MAX_SUCCESS && framing !== endToEndHeaders.BodyFraming.UNTIL_CLOSE;
-}
-
 /** Handles the outcome of an attempt. */
 function handleOutcome(
   task: taskState.TaskState,
@@ -85,7 +81,7 @@
     if (gateway.noteCompleteResponse(task.state, request, now)) {
       requestReports.reportCleared(task, request, now);
     }
-    if (isProof(outcome.head) && gateway.noteSoundRun(task.state, request, now)) {
+    if (outcome.head.status <= MAX_SUCCESS && gateway.noteSoundRun(task.state, request, now)) {
       requestReports.reportPartsCleared(task, request, now);
     }
     gateway.endRequest(task.state, request);
@@ -155,6 +151,31 @@
   }
 }
 
+/** Checks whether a backend server has outlived the connection of an attempt. */
+function checkServer(
+  task: taskState.TaskState,
+  held: heldRequest.HeldRequest,
+  server: gateway.BackendServerEntry,
+  settle: (isPresent: boolean) => void,
+): void {
+  const readNow = () => task.readClocks().steadyMs;
+  const { abort } = serverCheck.startServerCheck({
+    open: () => task.connections.open(server.address),
+    request: task.protocol.buildServerCheck(server.id),
+    isMisdirected: (status, headers) =>
+      task.protocol.parseResponseHeaders(status, headers).isMisdirected,
+    readNow,
+    settle: (isPresent) => {
+      task.metrics.recordServerCheck(held.request.service, isPresent);
+      if (isPresent) {
+        gateway.noteServerHeard(task.state, held.request, readNow());
+      }
+      settle(isPresent);
+    },
+  });
+  held.attempt = { abort, resume: () => {}, mayHaveBeenSent: () => true };
+}
+
 /** Sends a request to a backend server. */
 export function send(
   task: taskState.TaskState,
@@ -199,6 +220,7 @@
       findUnwantedReason(task, held) === undefined &&
       gateway.findPartSuspension(task.state, request, readNow()) === undefined &&
       gateway.isStillUsable(task.state, request, readNow()),
+    checkServer: (settle) => checkServer(task, held, server, settle),
     observeStatements: (parsed) => {
       gateway.noteServerHeard(task.state, request, readNow());
       statementReports.applyStatements(task, request, parsed);
--- a/packages/gateway/src/backend-connections.ts
+++ b/packages/gateway/src/backend-connections.ts
@@ -19,6 +19,7 @@
 export type BackendConnections = {
   /** Takes an idle connection to an address, or opens a new one. */
   take: (address: string) => BackendConnection;
+  open: (address: string) => BackendConnection;
   /** Closes idle connections to addresses that are no longer used. */
   closeOthers: (addresses: ReadonlySet<string>) => void;
   stop: () => void;
@@ -117,20 +118,21 @@
     idle.delete(address);
     connections.forEach(({ client }) => client.destroy());
   };
+  const open = (address: string) =>
+    openConnection(
+      address,
+      (connection) => removeIdle(address, connection),
+      (connection) => {
+        // If the server asked to close the connection, the client is already destroyed here.
+        if (!connection.client.destroyed) {
+          getIdle(address).push(connection);
+        }
+      },
+      runWhenPolled,
+    );
   return {
-    take: (address) =>
-      getIdle(address).pop() ??
-      openConnection(
-        address,
-        (connection) => removeIdle(address, connection),
-        (connection) => {
-          // If the server asked to close the connection, the client is already destroyed here.
-          if (!connection.client.destroyed) {
-            getIdle(address).push(connection);
-          }
-        },
-        runWhenPolled,
-      ),
+    take: (address) => getIdle(address).pop() ?? open(address),
+    open,
     closeOthers: (addresses) =>
       [...idle.keys()].filter((address) => !addresses.has(address)).forEach(closeAll),
     stop: () => [...idle.keys()].forEach(closeAll),
--- a/packages/gateway/src/gateway-metrics.ts
+++ b/packages/gateway/src/gateway-metrics.ts
@@ -18,6 +18,8 @@
   recordEnd: (route: string, service: string, code: schema.ResultCode, inTime: boolean) => void;
   /** Records that an attempt at a backend server has failed. */
   recordFault: (service: string, fault: gateway.AttemptFault) => void;
+  /** Records whether a backend server had outlived the connection that ended a response. */
+  recordServerCheck: (service: string, isPresent: boolean) => void;
   /** Records the time from arrival to the first send, milliseconds. */
   recordWait: (urgency: number, ms: number) => void;
   /** Records the time from sending to the first event, milliseconds. */
@@ -185,6 +187,11 @@
       runtime.recordObservation(metrics, { kind: 'outcome', service, tier: route, code, inTime }),
     recordFault: (service, fault) =>
       runtime.addCount(metrics, 'attempt_faults_total', { service, fault }),
+    recordServerCheck: (service, isPresent) =>
+      runtime.addCount(metrics, 'server_checks_total', {
+        service,
+        server: isPresent ? 'present' : 'gone',
+      }),
     recordWait: (urgency, ms) =>
       runtime.recordObservation(metrics, { kind: 'queueWait', tier: String(urgency), ms }),
     recordFirstEvent: (route, ms) =>
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -4,5 +4,6 @@
 export * from './app.js';
 export * from './gateway-settings.js';
 export * from './store-codec.js';
+export type { OutgoingRequest } from './backend-attempt.js';
 export type { UnknownName } from './unknown-names.js';
 export * from './wire-protocol.js';
--- /dev/null
+++ b/packages/gateway/src/response-head.ts
@@ -0,0 +1,47 @@
+/** Judges whether a response belongs to the request that was sent, by its status and headers. */
+import * as gateway from '@toucanproxy/core/gateway';
+import * as endToEndHeaders from './end-to-end-headers.js';
+import type * as heldRequest from './held-request.js';
+import type * as wireProtocol from './wire-protocol.js';
+
+const MAX_SUCCESS = 299;
+
+/** Finds the fault that the status and headers of a response show. */
+export function findHeadFault(
+  attemptId: string,
+  head: heldRequest.ResponseHead,
+  parsed: wireProtocol.ParsedResponseHeaders,
+  isNewConnection: boolean,
+): { fault: gateway.AttemptFault; reason: string } | undefined {
+  const isSameRequest = parsed.attemptId === attemptId;
+  const notRun = parsed.isNotRun || parsed.isMisdirected;
+  // A refusal by a backend server may lack the id. On a new connection it cannot belong to another
+  // request.
+  if (!isSameRequest && !(parsed.attemptId === undefined && notRun && isNewConnection)) {
+    return { fault: gateway.AttemptFault.BROKEN, reason: 'other-request' };
+  }
+  if (parsed.isMisdirected) {
+    return { fault: gateway.AttemptFault.MISDIRECTED, reason: 'misdirected' };
+  }
+  if (parsed.isNotRun) {
+    return { fault: gateway.AttemptFault.REFUSED, reason: String(head.status) };
+  }
+  const isSuccess = head.status <= MAX_SUCCESS;
+  const isEncoded = endToEndHeaders.findHeader(head.headers, 'content-encoding') !== undefined;
+  return isSuccess && (!parsed.isSigned || isEncoded)
+    ? { fault: gateway.AttemptFault.BROKEN, reason: 'not-the-servers' }
+    : undefined;
+}
+
+/**
+ * Returns whether a response comes from the intended backend server. A refusal without an id may
+ * belong to an earlier request on the connection. It then does not count as the response to this
+ * request, but what it states about the backend server is still valid.
+ */
+export function isFromServer(
+  { attemptId, isNotRun, isMisdirected }: wireProtocol.ParsedResponseHeaders,
+  fault: gateway.AttemptFault | undefined,
+): boolean {
+  const isPlainRefusal = attemptId === undefined && isNotRun && !isMisdirected;
+  return fault === undefined || fault === gateway.AttemptFault.REFUSED || isPlainRefusal;
+}
--- a/packages/gateway/src/response-relay.ts
+++ b/packages/gateway/src/response-relay.ts
@@ -11,6 +11,7 @@
 import * as endToEndHeaders from './end-to-end-headers.js';
 import * as eventStream from './event-stream.js';
 import type * as heldRequest from './held-request.js';
+import * as responseHead from './response-head.js';
 import type * as wireProtocol from './wire-protocol.js';
 
 /** How an attempt ended. */
@@ -48,6 +49,8 @@
   observeStreamBegun: () => void;
   /** Whether the request may still be sent now that its connection is open. */
   canSend: () => boolean;
+  /** Finds out whether the backend server has outlived the connection that ended the response. */
+  checkServer: (settle: (isPresent: boolean) => void) => void;
   /** Called for each response that comes from the intended backend server. */
   observeStatements: (parsed: wireProtocol.ParsedResponseHeaders) => void;
 };
@@ -82,47 +85,6 @@
   relay.options.settle({ kind: 'fault', fault, reason, failure: undefined });
 }
 
-/** Finds the fault that the status and headers of a response show. */
-function findHeadFault(
-  { options }: Relay,
-  head: heldRequest.ResponseHead,
-  parsed: wireProtocol.ParsedResponseHeaders,
-  isNewConnection: boolean,
-): { fault: gateway.AttemptFault; reason: string } | undefined {
-  const { attemptId } = options.held.request.arrived;
-  const isSameRequest = parsed.attemptId === attemptId;
-  const notRun = parsed.isNotRun || parsed.isMisdirected;
-  // A refusal by a backend server may lack the id. On a new connection it cannot belong to another
-  // request.
-  if (!isSameRequest && !(parsed.attemptId === undefined && notRun && isNewConnection)) {
-    return { fault: gateway.AttemptFault.BROKEN, reason: 'other-request' };
-  }
-  if (parsed.isMisdirected) {
-    return { fault: gateway.AttemptFault.MISDIRECTED, reason: 'misdirected' };
-  }
-  if (parsed.isNotRun) {
-    return { fault: gateway.AttemptFault.REFUSED, reason: String(head.status) };
-  }
-  const isSuccess = head.status <= MAX_SUCCESS;
-  const isEncoded = endToEndHeaders.findHeader(head.headers, 'content-encoding') !== undefined;
-  return isSuccess && (!parsed.isSigned || isEncoded)
-    ? { fault: gateway.AttemptFault.BROKEN, reason: 'not-the-servers' }
-    : undefined;
-}
-
-/**
- * Returns whether a response comes from the intended backend server. A refusal without an id may
- * belong to an earlier request on the connection. It then does not count as the response to this
- * request, but what it states about the backend server is still valid.
- */
-function isFromServer(
-  { attemptId, isNotRun, isMisdirected }: wireProtocol.ParsedResponseHeaders,
-  fault: gateway.AttemptFault | undefined,
-): boolean {
-  const isPlainRefusal = attemptId === undefined && isNotRun && !isMisdirected;
-  return fault === undefined || fault === gateway.AttemptFault.REFUSED || isPlainRefusal;
-}
-
 /**
  * Returns whether a response consists of server-sent events. One that does not state its type does
  * so on routes that stream.
@@ -140,16 +102,21 @@
   head: heldRequest.ResponseHead,
   isNewConnection: boolean,
 ): boolean {
-  const parsed = relay.options.protocol.parseResponseHeaders(head.status, head.headers);
-  const found = findHeadFault(relay, head, parsed, isNewConnection);
-  if (isFromServer(parsed, found?.fault)) {
+  const { held, protocol } = relay.options;
+  const parsed = protocol.parseResponseHeaders(head.status, head.headers);
+  const found = responseHead.findHeadFault(
+    held.request.arrived.attemptId,
+    head,
+    parsed,
+    isNewConnection,
+  );
+  if (responseHead.isFromServer(parsed, found?.fault)) {
     relay.options.observeStatements(parsed);
   }
   if (found !== undefined) {
     endWithFault(relay, found.fault, found.reason);
     return false;
   }
-  const { held } = relay.options;
   const isStream = held.events !== undefined && head.status <= MAX_SUCCESS;
   relay.hasEvents = head.status <= MAX_SUCCESS && isEventStream(relay, head);
   if (held.exchange.response.headersSent && !(isStream && relay.hasEvents)) {
@@ -268,15 +235,38 @@
   settle(outcome);
 }
 
+/** Completes a response whose end is known. */
+function completeResponse(relay: Relay): void {
+  if (relay.isStream) {
+    endStream(relay);
+  } else {
+    endBuffered(relay);
+  }
+}
+
+/** Returns whether only the end of the connection has ended a response. */
+function isEndUnproven({ options, head }: Relay): boolean {
+  const hasBody = options.held.exchange.method !== 'HEAD';
+  return hasBody && head?.framing === endToEndHeaders.BodyFraming.UNTIL_CLOSE;
+}
+
 /** Handles the end of a response. */
 function endResponse(relay: Relay): void {
   if (relay.hasEvents && eventStream.isInsideEvent(relay.eventStream)) {
     endWithFault(relay, gateway.AttemptFault.BROKEN, 'ended-in-event');
-  } else if (relay.isStream) {
-    endStream(relay);
-  } else {
-    endBuffered(relay);
+    return;
   }
+  if (!isEndUnproven(relay)) {
+    completeResponse(relay);
+    return;
+  }
+  relay.options.checkServer((isPresent) => {
+    if (isPresent) {
+      completeResponse(relay);
+    } else {
+      endWithFault(relay, gateway.AttemptFault.BROKEN, 'server-gone');
+    }
+  });
 }
 
 /** Creates the listener that relays the response of one attempt. */
--- /dev/null
+++ b/packages/gateway/src/server-check.test.ts
@@ -0,0 +1,107 @@
+import * as assert from 'node:assert/strict';
+import * as net from 'node:net';
+import * as nodeTest from 'node:test';
+import * as backendConnections from './backend-connections.js';
+import * as serverCheck from './server-check.js';
+
+const { test } = nodeTest;
+const REQUEST = { method: 'GET', path: '/report', headers: ['host', 'a.example'], body: null };
+const MISDIRECTED = 421;
+
+type Server = { server: net.Server; port: number; countConnections: () => number };
+
+/** Starts a server that handles each connection in a given way. */
+async function startServer(
+  context: nodeTest.TestContext,
+  handle: (socket: net.Socket, server: net.Server) => void,
+): Promise<Server> {
+  const sockets = new Set<net.Socket>();
+  let connections = 0;
+  const server = net.createServer((socket) => {
+    connections += 1;
+    sockets.add(socket);
+    socket.on('error', () => {});
+    handle(socket, server);
+  });
+  await new Promise<void>((resolve) => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  context.after(() => {
+    server.close();
+    sockets.forEach((socket) => socket.destroy());
+  });
+  const { port } = server.address() as net.AddressInfo;
+  return { server, port, countConnections: () => connections };
+}
+
+/** Runs one check; returns its result and the time it took, milliseconds. */
+async function runCheck(port: number): Promise<{ isPresent: boolean; ms: number }> {
+  const connections = backendConnections.createBackendConnections((step) => step());
+  const startedMs = performance.now();
+  const isPresent = await new Promise<boolean>((resolve) => {
+    serverCheck.startServerCheck({
+      open: () => connections.open(`127.0.0.1:${port}`),
+      request: REQUEST,
+      isMisdirected: (status) => status === MISDIRECTED,
+      readNow: () => performance.now(),
+      settle: resolve,
+    });
+  });
+  connections.stop();
+  return { isPresent, ms: performance.now() - startedMs };
+}
+
+/** Builds a handler that responds to the first bytes with a status. */
+function buildResponder(status: number) {
+  return (socket: net.Socket) => {
+    socket.once('data', () => socket.write(`HTTP/1.1 ${status} X\r\nContent-Length: 0\r\n\r\n`));
+  };
+}
+
+test('server that responds is present', async (context) => {
+  const { port, countConnections } = await startServer(context, buildResponder(503));
+  assert.equal((await runCheck(port)).isPresent, true);
+  assert.equal(countConnections(), 1);
+});
+
+test('server that responds in bytes of no response is present', async (context) => {
+  const { port } = await startServer(context, (socket) => {
+    socket.once('data', () => socket.write('none\r\n\r\n'));
+  });
+  assert.equal((await runCheck(port)).isPresent, true);
+});
+
+test('server that is too busy to respond is present', async (context) => {
+  // Guards against breaking off the responses of a server that is slow to respond to the check.
+  const { port } = await startServer(context, () => {});
+  assert.equal((await runCheck(port)).isPresent, true);
+});
+
+test('server that closes surplus connections is present', async (context) => {
+  // Guards against taking a server that has reached its limit of connections for a crashed one.
+  const { port } = await startServer(context, (socket) => socket.resetAndDestroy());
+  assert.equal((await runCheck(port)).isPresent, true);
+});
+
+test('closed port means that the server is gone', async (context) => {
+  const { server, port } = await startServer(context, () => {});
+  await new Promise((resolve) => {
+    server.close(resolve);
+  });
+  assert.equal((await runCheck(port)).isPresent, false);
+});
+
+test('process that is exiting is gone', async (context) => {
+  // Guards against a connection that is accepted before an exiting process closes its port.
+  const { port } = await startServer(context, (socket, server) => {
+    server.close();
+    setTimeout(() => socket.resetAndDestroy(), 20);
+  });
+  assert.equal((await runCheck(port)).isPresent, false);
+});
+
+test('another server at the address means that the first one is gone', async (context) => {
+  // Guards against taking the successor at the address for the server that crashed there.
+  const { port } = await startServer(context, buildResponder(MISDIRECTED));
+  assert.equal((await runCheck(port)).isPresent, false);
+});
--- /dev/null
+++ b/packages/gateway/src/server-check.ts
@@ -0,0 +1,118 @@
+/**
+ * Checks whether a backend server has outlived the end of a connection.
+ *
+ * A process that crashes closes its connections like one that has sent a complete response. While it
+ * exits, its port may still accept connections, so an accepted one proves nothing at first.
+ */
+import * as backendAttempt from './backend-attempt.js';
+import type * as backendConnections from './backend-connections.js';
+import type * as wireProtocol from './wire-protocol.js';
+
+export type ServerCheckOptions = {
+  /** Opens a new connection to the backend server. */
+  open: () => backendConnections.BackendConnection;
+  request: backendAttempt.OutgoingRequest;
+  /** Returns whether a response comes from another backend server at the same address. */
+  isMisdirected: (status: number, headers: wireProtocol.RawHeaders) => boolean;
+  readNow: () => number;
+  /** Called once, unless the check is aborted; a server that cannot be reached counts as gone. */
+  settle: (isPresent: boolean) => void;
+};
+
+export type ServerCheck = { abort: () => void };
+
+type CheckState = {
+  options: ServerCheckOptions;
+  startedMs: number;
+  isSettled: boolean;
+  attempt: backendAttempt.BackendAttempt | undefined;
+  retryTimer: NodeJS.Timeout | undefined;
+};
+
+/** A process that is exiting closes its port and its connections within this time, milliseconds. */
+const EXIT_MS = 150;
+/** Pause before the next connection, milliseconds. */
+const RETRY_MS = 50;
+/** Time after which a backend server that cannot be reached counts as gone, milliseconds. */
+const MAX_CHECK_MS = 1000;
+/** A longer response to the check closes its connection; bytes. */
+const MAX_RESPONSE_BYTES = 65_536;
+const REFUSED = 'ECONNREFUSED';
+const RESET = 'ECONNRESET';
+
+/** Ends the check with a result. */
+function endCheck(state: CheckState, isPresent: boolean): void {
+  if (!state.isSettled) {
+    state.isSettled = true;
+    state.options.settle(isPresent);
+  }
+}
+
+/** Handles a connection that failed before the response. */
+function handleBroken(state: CheckState, reason: string, wasOpen: boolean): void {
+  if (state.isSettled) {
+    return;
+  }
+  const elapsedMs = state.options.readNow() - state.startedMs;
+  const wasAccepted = wasOpen || reason === RESET;
+  if (wasAccepted && elapsedMs >= EXIT_MS) {
+    endCheck(state, true);
+  } else if (reason === REFUSED || elapsedMs >= MAX_CHECK_MS) {
+    endCheck(state, false);
+  } else {
+    state.retryTimer = setTimeout(() => sendRequest(state), RETRY_MS);
+  }
+}
+
+/** Sends the request of the check over a new connection. */
+function sendRequest(state: CheckState): void {
+  const { open, request, isMisdirected } = state.options;
+  let receivedBytes = 0;
+  let silenceTimer: NodeJS.Timeout | undefined;
+  const attempt = backendAttempt.startAttempt(open(), request, {
+    canSend: () => {
+      silenceTimer = setTimeout(() => {
+        attempt.abort();
+        endCheck(state, true);
+      }, EXIT_MS);
+      return !state.isSettled;
+    },
+    onHead: (status, headers) => {
+      endCheck(state, !isMisdirected(status, headers));
+      return true;
+    },
+    onData: (chunk) => {
+      receivedBytes += chunk.length;
+      if (receivedBytes > MAX_RESPONSE_BYTES) {
+        attempt.abort();
+      }
+      return true;
+    },
+    onEnd: () => clearTimeout(silenceTimer),
+    onWithdrawn: () => clearTimeout(silenceTimer),
+    onBroken: (reason, wasOpen) => {
+      clearTimeout(silenceTimer);
+      handleBroken(state, reason, wasOpen);
+    },
+  });
+  state.attempt = attempt;
+}
+
+/** Starts a check. */
+export function startServerCheck(options: ServerCheckOptions): ServerCheck {
+  const state: CheckState = {
+    options,
+    startedMs: options.readNow(),
+    isSettled: false,
+    attempt: undefined,
+    retryTimer: undefined,
+  };
+  sendRequest(state);
+  return {
+    abort: () => {
+      state.isSettled = true;
+      clearTimeout(state.retryTimer);
+      state.attempt?.abort();
+    },
+  };
+}
--- a/packages/gateway/src/wire-protocol.ts
+++ b/packages/gateway/src/wire-protocol.ts
@@ -3,6 +3,7 @@
  * and backend servers. An adapter only translates; all decisions are made in the gateway.
  */
 import type * as gateway from '@toucanproxy/core/gateway';
+import type * as backendAttempt from './backend-attempt.js';
 import type * as unknownNames from './unknown-names.js';
 
 /** Headers as received: names and values alternating. */
@@ -60,4 +61,6 @@
   /** Builds the headers of a request to a backend server from the caller's end-to-end headers. */
   buildForwardHeaders: (headers: RawHeaders, context: ForwardingContext) => RawHeaders;
   parseResponseHeaders: (status: number, headers: RawHeaders) => ParsedResponseHeaders;
+  /** Builds a request that a backend server answers at once, without a slot. */
+  buildServerCheck: (serverId: string) => backendAttempt.OutgoingRequest;
 };
--- a/packages/runtime/src/metric-definitions.ts
+++ b/packages/runtime/src/metric-definitions.ts
@@ -58,6 +58,10 @@
     type: MetricType.COUNTER,
     help: 'Attempts at backend servers that failed, by fault.',
   },
+  server_checks_total: {
+    type: MetricType.COUNTER,
+    help: 'Checks whether a backend server outlived the connection that ended its response.',
+  },
   retries_total: {
     type: MetricType.COUNTER,
     help: 'Retries to backend servers, by service and by whether the retry budget allowed or denied them.',
