Break off streams that end with their connection before any event

What callers saw: a stream without length and chunks that ended before its first event arrived as an empty complete one, and a resumed response that ended so completed the stream, also where the server was still there.

Cause: only an event that had begun was checked at the end of a connection. No event at all proves nothing; a server that breaks off looks the same.

Change: such a response counts as broken. A stream that has not begun and may run again does so, another is refused with 502; a begun one is resumed again or broken off. A resumed response that states its end (chunks, length) still completes a stream without a further event.

--- a/packages/gateway/src/response-relay.ts
+++ b/packages/gateway/src/response-relay.ts
@@ -260,6 +260,10 @@
     completeResponse(relay);
     return;
   }
+  if (relay.isStream && relay.hasEvents && relay.eventStream.events === 0) {
+    endWithFault(relay, gateway.AttemptFault.BROKEN, 'ended-before-event');
+    return;
+  }
   relay.options.checkServer((isPresent) => {
     if (isPresent) {
       completeResponse(relay);
