Check the end of streams that state another type or an empty one

What callers saw: on a route that streams, a response of type text/plain, application/octet-stream or of an empty type that was cut inside an event arrived as complete, resumable or not; on resumable routes a part of the event was forwarded as well.

Cause: the check of the end depended on what the response says of itself, not on what its route is.

Change: on a route that streams, a response of another type is checked as a stream if a line of it is a field of an event, or its only line may become one. JSON and other bodies remain whole responses. An empty type is no type; of several stated types, that of event streams counts.

The other way, to reject every other type on such routes, was dropped: servers that respond in JSON there (an existing test) would have lost their responses.

--- a/packages/gateway/src/event-stream.ts
+++ b/packages/gateway/src/event-stream.ts
@@ -23,6 +23,10 @@
   isFirstLine: boolean;
   /** The last line ended with CR; an LF that follows belongs to it. */
   isAfterReturn: boolean;
+  /** A field that only event streams have was read. */
+  hasEventField: boolean;
+  /** A line was read that is neither such a field nor a comment. */
+  hasOtherLine: boolean;
   /** The event that is being read has fields already. */
   hasFields: boolean;
   hasData: boolean;
@@ -35,6 +39,7 @@
 /** Complete events, and comments or blank lines between them. */
 export type CompleteEvents = { bytes: Buffer; events: number };
 
+const EVENT_FIELDS = ['data', 'event', 'id', 'retry'];
 const LF = 0x0a;
 const CR = 0x0d;
 const EMPTY = Buffer.alloc(0);
@@ -56,6 +61,8 @@
     line: '',
     isFirstLine: true,
     isAfterReturn: false,
+    hasEventField: false,
+    hasOtherLine: false,
     hasFields: false,
     hasData: false,
     id: undefined,
@@ -88,11 +95,29 @@
   return stream.hasFields || getLine(stream) !== '';
 }
 
+/** Returns whether the beginning of a line may be that of a field of an event, or of a comment. */
+function isFieldBeginning(begun: string): boolean {
+  return (
+    begun.startsWith(':') ||
+    EVENT_FIELDS.some((name) => `${name}:`.startsWith(begun.slice(0, name.length + 1)))
+  );
+}
+
+/**
+ * Returns whether a body may consist of events, judged by its lines. An empty one may.
+ */
+export function hasPossibleEvents(stream: EventStream): boolean {
+  return stream.hasEventField || (!stream.hasOtherLine && isFieldBeginning(getLine(stream)));
+}
+
 /** Handles a field; `line` is the whole line. */
 function handleField(stream: EventStream, line: string): void {
   stream.hasFields = true;
   const colon = line.indexOf(':');
   const name = colon === -1 ? line : line.slice(0, colon);
+  const isEventField = EVENT_FIELDS.includes(name);
+  stream.hasEventField = stream.hasEventField || isEventField;
+  stream.hasOtherLine = stream.hasOtherLine || !isEventField;
   stream.hasData = stream.hasData || name === 'data';
   if (name === 'id') {
     const value = colon === -1 ? '' : line.slice(colon + 1);
--- a/packages/gateway/src/response-head.ts
+++ b/packages/gateway/src/response-head.ts
@@ -4,7 +4,15 @@
 import type * as heldRequest from './held-request.js';
 import type * as wireProtocol from './wire-protocol.js';
 
+/** What a response states about the type of its body. */
+export enum BodyType {
+  EVENTS = 'events',
+  OTHER = 'other',
+  UNSTATED = 'unstated',
+}
+
 const MAX_SUCCESS = 299;
+const EVENT_STREAM_TYPE = 'text/event-stream';
 
 /** Finds the fault that the status and headers of a response show. */
 export function findHeadFault(
@@ -45,3 +53,16 @@
   const isPlainRefusal = attemptId === undefined && isNotRun && !isMisdirected;
   return fault === undefined || fault === gateway.AttemptFault.REFUSED || isPlainRefusal;
 }
+
+/** Detects the type that a response states for its body; of several types, events go first. */
+export function detectBodyType(headers: wireProtocol.RawHeaders): BodyType {
+  const types = headers
+    .filter((_, at) => at % 2 === 1 && headers[at - 1].toLowerCase() === 'content-type')
+    .flatMap((value) => value.split(','))
+    .map((value) => value.split(';')[0].trim().toLowerCase())
+    .filter((type) => type !== '');
+  if (types.length === 0) {
+    return BodyType.UNSTATED;
+  }
+  return types.includes(EVENT_STREAM_TYPE) ? BodyType.EVENTS : BodyType.OTHER;
+}
--- a/packages/gateway/src/response-relay.ts
+++ b/packages/gateway/src/response-relay.ts
@@ -59,8 +59,8 @@
   options: RelayOptions;
   head: heldRequest.ResponseHead | undefined;
   isStream: boolean;
-  /** Whether the response consists of server-sent events. */
-  hasEvents: boolean;
+  /** Whether the response states that it consists of server-sent events. */
+  statesEvents: boolean;
   /** Events forwarded so far; of this attempt only on routes that do not stream. */
   eventStream: eventStream.EventStream;
   /** Body of a response that is buffered until it is complete. */
@@ -78,24 +78,12 @@
 const SAMPLE_EVENTS = 8;
 const MIN_SERVER_ERROR = 500;
 const MAX_SUCCESS = 299;
-const EVENT_STREAM_TYPE = 'text/event-stream';
 
 /** Ends an attempt with a fault. */
 function endWithFault(relay: Relay, fault: gateway.AttemptFault, reason: string): void {
   relay.options.settle({ kind: 'fault', fault, reason, failure: undefined });
 }
 
-/**
- * Returns whether a response consists of server-sent events. One that does not state its type does
- * so on routes that stream.
- */
-function isEventStream({ options }: Relay, head: heldRequest.ResponseHead): boolean {
-  const type = endToEndHeaders.findHeader(head.headers, 'content-type');
-  return type === undefined
-    ? options.held.events !== undefined
-    : type.split(';')[0].trim().toLowerCase() === EVENT_STREAM_TYPE;
-}
-
 /** Handles the status and headers of a response; returns false if the attempt has ended. */
 function handleHead(
   relay: Relay,
@@ -118,8 +106,12 @@
     return false;
   }
   const isStream = held.events !== undefined && head.status <= MAX_SUCCESS;
-  relay.hasEvents = head.status <= MAX_SUCCESS && isEventStream(relay, head);
-  if (held.exchange.response.headersSent && !(isStream && relay.hasEvents)) {
+  const type = responseHead.detectBodyType(head.headers);
+  relay.statesEvents =
+    type === responseHead.BodyType.EVENTS
+      ? head.status <= MAX_SUCCESS
+      : isStream && type === responseHead.BodyType.UNSTATED;
+  if (held.exchange.response.headersSent && !(isStream && relay.statesEvents)) {
     endWithFault(relay, gateway.AttemptFault.FAILED, `resumed-${head.status}`);
     return false;
   }
@@ -162,9 +154,7 @@
   if (!relay.options.held.request.repeatable) {
     return { bytes: chunk, events: eventStream.readChunk(relay.eventStream, chunk).events };
   }
-  return relay.hasEvents
-    ? eventStream.pushChunk(relay.eventStream, chunk)
-    : { bytes: chunk, events: 1 };
+  return eventStream.pushChunk(relay.eventStream, chunk);
 }
 
 /** Forwards a chunk of a stream; returns false if the caller reads too slowly. */
@@ -184,7 +174,7 @@
   if (relay.isStream) {
     return forwardStreamChunk(relay, chunk);
   }
-  if (relay.hasEvents) {
+  if (relay.statesEvents) {
     eventStream.readChunk(relay.eventStream, chunk);
   }
   if (exchange.response.headersSent) {
@@ -244,6 +234,14 @@
   }
 }
 
+/**
+ * Returns whether a response consists of server-sent events. On routes that stream, the body decides
+ * for a response that states another type.
+ */
+function hasEvents({ statesEvents, isStream, eventStream: stream }: Relay): boolean {
+  return statesEvents || (isStream && eventStream.hasPossibleEvents(stream));
+}
+
 /** Returns whether only the end of the connection has ended a response. */
 function isEndUnproven({ options, head }: Relay): boolean {
   const hasBody = options.held.exchange.method !== 'HEAD';
@@ -252,7 +250,7 @@
 
 /** Handles the end of a response. */
 function endResponse(relay: Relay): void {
-  if (relay.hasEvents && eventStream.isInsideEvent(relay.eventStream)) {
+  if (hasEvents(relay) && eventStream.isInsideEvent(relay.eventStream)) {
     endWithFault(relay, gateway.AttemptFault.BROKEN, 'ended-in-event');
     return;
   }
@@ -260,7 +258,7 @@
     completeResponse(relay);
     return;
   }
-  if (relay.isStream && relay.hasEvents && relay.eventStream.events === 0) {
+  if (relay.isStream && hasEvents(relay) && relay.eventStream.events === 0) {
     endWithFault(relay, gateway.AttemptFault.BROKEN, 'ended-before-event');
     return;
   }
@@ -279,7 +277,7 @@
     options,
     head: undefined,
     isStream: false,
-    hasEvents: false,
+    statesEvents: false,
     eventStream: options.held.events ?? eventStream.createEventStream(),
     chunks: [],
     bufferedBytes: 0,
