Take a body for delimited only if its last transfer coding is chunked

What callers saw: a response with a transfer coding other than chunked that was reset arrived as a whole one, with a length that the gateway had added.

Cause: any Transfer-Encoding counted as a mark of the end. A body whose last coding is not chunked ends with its connection (RFC 9112, section 6.3), so that the library takes its reset for the end, and the check for a reset was left out.

--- a/packages/gateway/src/end-to-end-headers.ts
+++ b/packages/gateway/src/end-to-end-headers.ts
@@ -56,10 +56,24 @@
 const STATUS_NO_CONTENT = 204;
 const STATUS_NOT_MODIFIED = 304;
 
+/** Lists the items of all values of a header, in lower case; `name` is in lower case. */
+export function listItems(headers: wireProtocol.RawHeaders, name: string): string[] {
+  return headers
+    .filter((_, at) => at % 2 === 1 && headers[at - 1].toLowerCase() === name)
+    .flatMap((value) => value.split(','))
+    .map((item) => item.trim().toLowerCase());
+}
+
+/** Finds the last transfer coding; the only one that marks the end of a body is `chunked`. */
+function findLastCoding(headers: wireProtocol.RawHeaders): string | undefined {
+  return listItems(headers, 'transfer-encoding').at(-1);
+}
+
 /** Detects how the end of a response body is marked. */
 export function detectFraming(status: number, headers: wireProtocol.RawHeaders): BodyFraming {
-  if (findHeader(headers, 'transfer-encoding') !== undefined) {
-    return BodyFraming.CHUNKED;
+  const coding = findLastCoding(headers);
+  if (coding !== undefined) {
+    return coding === 'chunked' ? BodyFraming.CHUNKED : BodyFraming.UNTIL_CLOSE;
   }
   return status === STATUS_NO_CONTENT ||
     status === STATUS_NOT_MODIFIED ||
--- a/packages/gateway/src/response-head.ts
+++ b/packages/gateway/src/response-head.ts
@@ -56,10 +56,9 @@
 
 /** Detects the type that a response states for its body; of several types, events go first. */
 export function detectBodyType(headers: wireProtocol.RawHeaders): BodyType {
-  const types = headers
-    .filter((_, at) => at % 2 === 1 && headers[at - 1].toLowerCase() === 'content-type')
-    .flatMap((value) => value.split(','))
-    .map((value) => value.split(';')[0].trim().toLowerCase())
+  const types = endToEndHeaders
+    .listItems(headers, 'content-type')
+    .map((item) => item.split(';')[0].trim())
     .filter((type) => type !== '');
   if (types.length === 0) {
     return BodyType.UNSTATED;
