Bound the bytes of a response that are not in its body

What callers saw: empty lines, a status line, interim responses, a chunk size or a chunk extension without end held a request until its deadline, and a safe one was not sent to another server.

Cause: the HTTP library limits header fields only; it reads other bytes outside a body without a limit and reports none of them.

Change: an attempt counts the bytes that its connection has read beside the body. Over 256 KiB, and 16 for each byte of the body, it counts as broken and its connection is closed.

--- a/packages/gateway/src/backend-attempt.ts
+++ b/packages/gateway/src/backend-attempt.ts
@@ -43,6 +43,13 @@
 };
 
 const MAX_INFORMATIONAL_STATUS = 199;
+/**
+ * Limit of the bytes of a response that are not in its body, such as interim responses and the
+ * framing of chunks. It includes bytes that have been read and not yet parsed.
+ */
+const MAX_OVERHEAD_BYTES = 262_144;
+/** Overhead that each byte of the body adds to the limit; a chunk of one byte has 5. */
+const OVERHEAD_PER_BODY_BYTE = 16;
 
 /** Converts the raw headers of the HTTP library to text. */
 function toRawHeaders(headers: Buffer[]): wireProtocol.RawHeaders {
@@ -66,9 +73,12 @@
   let isKeptAlive = true;
   let resume = () => {};
   const isNewConnection = connection.completedResponses === 0;
+  const bytesBefore = connection.countBytesRead();
+  let bodyBytes = 0;
   const end = (notify: () => void, isReusable: boolean) => {
     if (!ended) {
       ended = true;
+      connection.setReadListener(() => {});
       connection.release(isReusable);
       notify();
     }
@@ -96,7 +106,10 @@
       }
       return true;
     },
-    onData: (chunk: Buffer) => ended || listener.onData(chunk),
+    onData: (chunk: Buffer) => {
+      bodyBytes += chunk.length;
+      return ended || listener.onData(chunk);
+    },
     onComplete: () => {
       const isTruncated = connection.wasReset() && !isDelimited;
       const notify = isTruncated ? () => listener.onBroken('reset', true) : listener.onEnd;
@@ -106,6 +119,12 @@
       end(() => listener.onBroken(describeError(error), isSent), false);
     },
   };
+  connection.setReadListener(() => {
+    const overheadBytes = connection.countBytesRead() - bytesBefore - bodyBytes;
+    if (overheadBytes > MAX_OVERHEAD_BYTES + OVERHEAD_PER_BODY_BYTE * bodyBytes) {
+      end(() => listener.onBroken('overhead-too-long', true), false);
+    }
+  });
   const options = { ...request, idempotent: true, blocking: false };
   connection.client.dispatch(options, handler);
   return {
--- a/packages/gateway/src/backend-connections.ts
+++ b/packages/gateway/src/backend-connections.ts
@@ -12,6 +12,10 @@
   /** Number of responses received completely; -1 once the connection has been discarded. */
   completedResponses: number;
   wasReset: () => boolean;
+  /** Returns how many bytes have been read from the connection. */
+  countBytesRead: () => number;
+  /** Sets what is called when bytes have been read, before they are parsed. */
+  setReadListener: (listener: () => void) => void;
   /** Returns the connection to the pool if it can be reused; closes it otherwise. */
   release: (isReusable: boolean) => void;
 };
@@ -48,6 +52,8 @@
   runWhenPolled: (step: () => void) => void,
 ): BackendConnection {
   let isReset = false;
+  let countBytesRead = () => 0;
+  let readListener = () => {};
   const connector = undici.buildConnector({ timeout: 0 });
   const client: undici.Client = new undici.Client(`http://${address}`, {
     pipelining: 1,
@@ -67,6 +73,8 @@
         socket?.prependListener('error', () => {
           isReset = true;
         });
+        socket?.on('readable', () => readListener());
+        countBytesRead = () => socket?.bytesRead ?? 0;
         runWhenPolled(() => callback(...results));
       });
     },
@@ -75,6 +83,10 @@
     client,
     completedResponses: 0,
     wasReset: () => isReset,
+    countBytesRead: () => countBytesRead(),
+    setReadListener: (listener) => {
+      readListener = listener;
+    },
     release: (isReusable) => {
       if (!isReusable) {
         connection.completedResponses = -1;
