--- a/packages/gateway/src/backend-attempt.ts
+++ b/packages/gateway/src/backend-attempt.ts
@@ -61,6 +61,27 @@
   return (error as { code?: string }).code ?? error.message;
 }
 
+/** Adds a limit of the bytes outside the body of the response to a handler. */
+function addOverheadLimit<H extends { onData: (chunk: Buffer) => boolean }>(
+  handler: H,
+  connection: backendConnections.BackendConnection,
+  handleExcess: () => void,
+): H {
+  const bytesBefore = connection.countBytesRead();
+  let bodyBytes = 0;
+  connection.setReadListener(() => {
+    const overheadBytes = connection.countBytesRead() - bytesBefore - bodyBytes;
+    if (overheadBytes > MAX_OVERHEAD_BYTES + OVERHEAD_PER_BODY_BYTE * bodyBytes) {
+      handleExcess();
+    }
+  });
+  const onData = (chunk: Buffer) => {
+    bodyBytes += chunk.length;
+    return handler.onData(chunk);
+  };
+  return { ...handler, onData };
+}
+
 /** Starts an attempt: sends a request over a connection. */
 export function startAttempt(
   connection: backendConnections.BackendConnection,
@@ -73,8 +94,6 @@
   let isKeptAlive = true;
   let resume = () => {};
   const isNewConnection = connection.completedResponses === 0;
-  const bytesBefore = connection.countBytesRead();
-  let bodyBytes = 0;
   const end = (notify: () => void, isReusable: boolean) => {
     if (!ended) {
       ended = true;
@@ -83,6 +102,7 @@
       notify();
     }
   };
+  const endBroken = (reason: string) => end(() => listener.onBroken(reason, isSent), false);
   const handler = {
     onConnect: (abort: () => void) => {
       if (ended || listener.canSend()) {
@@ -106,27 +126,17 @@
       }
       return true;
     },
-    onData: (chunk: Buffer) => {
-      bodyBytes += chunk.length;
-      return ended || listener.onData(chunk);
-    },
-    onComplete: () => {
-      const isTruncated = connection.wasReset() && !isDelimited;
-      const notify = isTruncated ? () => listener.onBroken('reset', true) : listener.onEnd;
-      end(notify, !isTruncated && isDelimited && isKeptAlive);
-    },
-    onError: (error: Error) => {
-      end(() => listener.onBroken(describeError(error), isSent), false);
-    },
+    onData: (chunk: Buffer) => ended || listener.onData(chunk),
+    onComplete: () =>
+      connection.wasReset() && !isDelimited
+        ? endBroken('reset')
+        : end(listener.onEnd, isDelimited && isKeptAlive),
+    onError: (error: Error) => endBroken(describeError(error)),
   };
-  connection.setReadListener(() => {
-    const overheadBytes = connection.countBytesRead() - bytesBefore - bodyBytes;
-    if (overheadBytes > MAX_OVERHEAD_BYTES + OVERHEAD_PER_BODY_BYTE * bodyBytes) {
-      end(() => listener.onBroken('overhead-too-long', true), false);
-    }
-  });
-  const options = { ...request, idempotent: true, blocking: false };
-  connection.client.dispatch(options, handler);
+  connection.client.dispatch(
+    { ...request, idempotent: true, blocking: false },
+    addOverheadLimit(handler, connection, () => endBroken('overhead-too-long')),
+  );
   return {
     abort: () => end(() => {}, false),
     resume: () => resume(),
