Bound the body of a failure and the bytes of a stream without an event

What callers saw: the body of a failure, comments or an event without end held a request until its deadline; a safe request was not sent to another server.

Cause: a response of more than 1 MiB was passed on whatever its status, and the bytes between two events had no limit.

Change: a failure whose body is longer than 1 MiB, and a stream in which no event ends within 8 MiB, count as broken; an attempt that ends so closes its connection. The body of a success has no limit of its own: it ends at the deadline of its caller, as a whole one may be long.

--- a/packages/gateway/src/attempt-sending.ts
+++ b/packages/gateway/src/attempt-sending.ts
@@ -74,6 +74,7 @@
   const { serverId } = request;
   const clocks = task.readClocks();
   const now = clocks.steadyMs;
+  held.attempt?.abort();
   held.attempt = undefined;
   if (outcome.kind === 'complete') {
     gateway.noteGoodAnswer(task.state, request, now);
--- a/packages/gateway/src/response-relay.ts
+++ b/packages/gateway/src/response-relay.ts
@@ -68,12 +68,16 @@
   bufferedBytes: number;
   /** When the current sample of the time between events began. */
   sampleStartMs: number;
+  /** Bytes of a stream since the end of its last event. */
+  unfinishedBytes: number;
   /** Events counted in the current sample; 0 before the first event. */
   events: number;
 };
 
 /** Responses up to this size are buffered until they are complete, bytes. */
 const MAX_BUFFERED_BYTES = 1_048_576;
+/** Limit of the bytes of a stream in which no event ends. */
+const MAX_UNFINISHED_BYTES = 8_388_608;
 /** Number of events over which the time between events is averaged. */
 const SAMPLE_EVENTS = 8;
 const MIN_SERVER_ERROR = 500;
@@ -159,7 +163,14 @@
 
 /** Forwards a chunk of a stream; returns false if the caller reads too slowly. */
 function forwardStreamChunk(relay: Relay, chunk: Buffer): boolean {
+  const eventsBefore = relay.eventStream.events;
   const complete = readEvents(relay, chunk);
+  const hasEnded = relay.eventStream.events > eventsBefore;
+  relay.unfinishedBytes = hasEnded ? 0 : relay.unfinishedBytes + chunk.length;
+  if (relay.unfinishedBytes > MAX_UNFINISHED_BYTES && hasEvents(relay)) {
+    endWithFault(relay, gateway.AttemptFault.BROKEN, 'event-too-long');
+    return true;
+  }
   if (complete.bytes.length === 0) {
     return true;
   }
@@ -185,6 +196,10 @@
   if (relay.bufferedBytes <= MAX_BUFFERED_BYTES) {
     return true;
   }
+  if ((relay.head?.status ?? 0) >= MIN_SERVER_ERROR) {
+    endWithFault(relay, gateway.AttemptFault.BROKEN, 'failure-too-long');
+    return true;
+  }
   startResponseOnce(relay);
   return exchange.response.write(Buffer.concat(relay.chunks.splice(0)));
 }
@@ -281,6 +296,7 @@
     eventStream: options.held.events ?? eventStream.createEventStream(),
     chunks: [],
     bufferedBytes: 0,
+    unfinishedBytes: 0,
     sampleStartMs: 0,
     events: 0,
   };
