Hand the slots in use over to the next scheduler when one leaves

Cause: the next scheduler began to grant before it had heard from the gateways what they had in flight; and the leaving one went on granting to requests that were queued at it.

Change: a leaving scheduler drops its cells and sends the next one, on behalf of each gateway, what it has in flight or was granted, before it reports that it leaves. The messages are asks with the number of the gateway's last one, so that any later ask replaces them. It answers no further asks for these cells.

--- a/packages/core/src/gateway/ask-receipt.ts
+++ b/packages/core/src/gateway/ask-receipt.ts
@@ -2,6 +2,7 @@
 import type * as schema from '@toucanproxy/schema';
 import * as scheduler from '../scheduler/index.js';
 import * as backendServers from './backend-servers.js';
+import * as cellHandover from './cell-handover.js';
 import type * as gatewayState from './gateway-state.js';
 import * as serverStatements from './server-statements.js';
 
@@ -10,7 +11,8 @@
  *
  * A backend server's statement to another gateway that it is leaving applies here too until the
  * server restarts; otherwise the scheduler would grant slots there. Statements about an earlier
- * incarnation, from a gateway that has not read of the restart yet, are ignored.
+ * incarnation, from a gateway that has not read of the restart yet, are ignored. Asks for a cell that
+ * was handed over are not answered: its next scheduler would grant the same slots.
  */
 export function receiveAsk(
   state: gatewayState.GatewayState,
@@ -24,6 +26,9 @@
       const life = { id: serverId, bornMs };
       return backendServers.applyStatement(state.servers, life, departure, now);
     });
+  if (cellHandover.isHandedOver(state, ask.cell, now)) {
+    return changes;
+  }
   const statements = ask.statements.filter((statement) => {
     const known = state.servers.byId.get(statement.serverId);
     return known === undefined || serverStatements.isAboutLife(statement, known.entry.bornMs);
--- a/packages/core/src/gateway/index.ts
+++ b/packages/core/src/gateway/index.ts
@@ -4,6 +4,7 @@
 export * from './response-statements.js';
 export * from './ask-receipt.js';
 export * from './backend-servers.js';
+export { releaseCells } from './cell-handover.js';
 export * from './configuration-lease.js';
 export * from './configuration-status.js';
 export * from './configuration.js';
--- a/packages/core/src/scheduler/index.ts
+++ b/packages/core/src/scheduler/index.ts
@@ -1,6 +1,7 @@
 /** Scheduling: assigns the waiting requests of a cell to slots at its backend servers. */
 export * from './cell.js';
 export * from './cell-split.js';
+export { buildCellHandover } from './handover.js';
 export * from './places.js';
 export * from './replies.js';
 export * from './scheduled-request.js';
--- a/packages/gateway/src/peer-task.ts
+++ b/packages/gateway/src/peer-task.ts
@@ -283,6 +283,8 @@
     send: (outgoing) => peerSending.sendOutgoing(peer, outgoing),
     sendLeaving: () => {
       peer.isLeaving = true;
+      // Before the report, so that the next schedulers know what is in use when they are asked.
+      peerSending.sendOutgoing(peer, gateway.releaseCells(options.state, options.readNow()));
       sendReport(peer);
       peerSending.sendOutgoing(peer, gateway.buildHandover(options.state, options.readNow()));
     },
