Keep the connection of a server check for the next request

What was wrong: the outcome of an attempt ends the attempt, and that ended the check as well, so that a server that sends no lengths got two new connections for each response.

The new test needs a pooled connection after a check.

--- a/packages/gateway/src/server-check.test.ts
+++ b/packages/gateway/src/server-check.test.ts
@@ -1,6 +1,7 @@
 import * as assert from 'node:assert/strict';
 import * as net from 'node:net';
 import * as nodeTest from 'node:test';
+import * as timers from 'node:timers/promises';
 import * as backendConnections from './backend-connections.js';
 import * as serverCheck from './server-check.js';
 
@@ -34,21 +35,24 @@
   return { server, port, countConnections: () => connections };
 }
 
-/** Runs one check; returns its result and the time it took, milliseconds. */
-async function runCheck(port: number): Promise<{ isPresent: boolean; ms: number }> {
-  const connections = backendConnections.createBackendConnections((step) => step());
-  const startedMs = performance.now();
+/** Runs one check; returns its result. */
+async function runCheck(
+  port: number,
+  connections = backendConnections.createBackendConnections((step) => step()),
+): Promise<boolean> {
   const isPresent = await new Promise<boolean>((resolve) => {
-    serverCheck.startServerCheck({
+    const check = serverCheck.startServerCheck({
       open: () => connections.open(`127.0.0.1:${port}`),
       request: REQUEST,
       isMisdirected: (status) => status === MISDIRECTED,
       readNow: () => performance.now(),
-      settle: resolve,
+      settle: (result) => {
+        check.abort();
+        resolve(result);
+      },
     });
   });
-  connections.stop();
-  return { isPresent, ms: performance.now() - startedMs };
+  return isPresent;
 }
 
 /** Builds a handler that responds to the first bytes with a status. */
@@ -60,7 +64,7 @@
 
 test('server that responds is present', async (context) => {
   const { port, countConnections } = await startServer(context, buildResponder(503));
-  assert.equal((await runCheck(port)).isPresent, true);
+  assert.equal(await runCheck(port), true);
   assert.equal(countConnections(), 1);
 });
 
@@ -68,19 +72,19 @@
   const { port } = await startServer(context, (socket) => {
     socket.once('data', () => socket.write('none\r\n\r\n'));
   });
-  assert.equal((await runCheck(port)).isPresent, true);
+  assert.equal(await runCheck(port), true);
 });
 
 test('server that is too busy to respond is present', async (context) => {
   // Guards against breaking off the responses of a server that is slow to respond to the check.
   const { port } = await startServer(context, () => {});
-  assert.equal((await runCheck(port)).isPresent, true);
+  assert.equal(await runCheck(port), true);
 });
 
 test('server that closes surplus connections is present', async (context) => {
   // Guards against taking a server that has reached its limit of connections for a crashed one.
   const { port } = await startServer(context, (socket) => socket.resetAndDestroy());
-  assert.equal((await runCheck(port)).isPresent, true);
+  assert.equal(await runCheck(port), true);
 });
 
 test('closed port means that the server is gone', async (context) => {
@@ -88,7 +92,7 @@
   await new Promise((resolve) => {
     server.close(resolve);
   });
-  assert.equal((await runCheck(port)).isPresent, false);
+  assert.equal(await runCheck(port), false);
 });
 
 test('process that is exiting is gone', async (context) => {
@@ -97,11 +101,21 @@
     server.close();
     setTimeout(() => socket.resetAndDestroy(), 20);
   });
-  assert.equal((await runCheck(port)).isPresent, false);
+  assert.equal(await runCheck(port), false);
 });
 
 test('another server at the address means that the first one is gone', async (context) => {
   // Guards against taking the successor at the address for the server that crashed there.
   const { port } = await startServer(context, buildResponder(MISDIRECTED));
-  assert.equal((await runCheck(port)).isPresent, false);
+  assert.equal(await runCheck(port), false);
+});
+
+test('connection of a check serves the next request', async (context) => {
+  // Guards against a second connection for each response without a length.
+  const { port } = await startServer(context, buildResponder(200));
+  const connections = backendConnections.createBackendConnections((step) => step());
+  await runCheck(port, connections);
+  await timers.setTimeout(20);
+  assert.equal(connections.take(`127.0.0.1:${port}`).completedResponses, 1);
+  connections.stop();
 });
--- a/packages/gateway/src/server-check.ts
+++ b/packages/gateway/src/server-check.ts
@@ -19,6 +19,7 @@
   settle: (isPresent: boolean) => void;
 };
 
+/** Once the check has ended, `abort` has no effect: its connection serves the next request. */
 export type ServerCheck = { abort: () => void };
 
 type CheckState = {
@@ -110,9 +111,11 @@
   sendRequest(state);
   return {
     abort: () => {
-      state.isSettled = true;
-      clearTimeout(state.retryTimer);
-      state.attempt?.abort();
+      if (!state.isSettled) {
+        state.isSettled = true;
+        clearTimeout(state.retryTimer);
+        state.attempt?.abort();
+      }
     },
   };
 }
