Pass short responses of a server that leaves on as they came

What callers would see: a server that leaves as planned may close its port before its last responses end. The check then finds it gone, and a short response without a length to a request that may not run again became a 502, though whole.

Change: if the server was known to leave and nothing has been sent to the caller, such a response is passed on without a length and ends with its connection, which states no more than the gateway has heard. A repeatable request runs again, a resumable stream is resumed; a begun one that cannot be resumed is broken off.

--- a/packages/gateway/src/attempt-sending.ts
+++ b/packages/gateway/src/attempt-sending.ts
@@ -9,6 +9,7 @@
 import * as eventStream from './event-stream.js';
 import type * as heldRequest from './held-request.js';
 import * as outgoingRequest from './outgoing-request.js';
+import type * as relayState from './relay-state.js';
 import * as requestEnding from './request-ending.js';
 import * as requestReports from './request-reports.js';
 import * as responseRelay from './response-relay.js';
@@ -61,7 +62,7 @@
 function handleOutcome(
   task: taskState.TaskState,
   held: heldRequest.HeldRequest,
-  outcome: responseRelay.AttemptOutcome,
+  outcome: relayState.AttemptOutcome,
 ): void {
   if (held.done) {
     return;
@@ -120,7 +121,7 @@
   task: taskState.TaskState,
   held: heldRequest.HeldRequest,
   verdict: gateway.AttemptVerdict,
-  failure: Extract<responseRelay.AttemptOutcome, { kind: 'fault' }>['failure'],
+  failure: Extract<relayState.AttemptOutcome, { kind: 'fault' }>['failure'],
 ): void {
   if (verdict.kind === 'refuse') {
     requestEnding.refuse(task, held, verdict.refusal);
@@ -221,6 +222,7 @@
       findUnwantedReason(task, held) === undefined &&
       gateway.findPartSuspension(task.state, request, readNow()) === undefined &&
       gateway.isStillUsable(task.state, request, readNow()),
+    isLeaving: () => gateway.findUsable(task.state.servers, server.id, readNow()) === undefined,
     checkServer: (settle) => checkServer(task, held, server, settle),
     observeStatements: (parsed) => {
       gateway.noteServerHeard(task.state, request, readNow());
