Judge a server check by what has arrived after a stall of the event loop

What callers would see: at a gateway whose event loop stalled for longer than 150 ms, the timer of a check fired before the end of its connection was read, and a crashed server counted as present. A connection that an exiting process had accepted could also look like one that was accepted late, as its end was.

Cause: times were taken when events were handled, not when they happened.

Change: the timer waits until the event loop has polled, and how late a connection was opened decides, not how late its end is read.

--- a/packages/gateway/src/attempt-sending.ts
+++ b/packages/gateway/src/attempt-sending.ts
@@ -167,6 +167,7 @@
     isMisdirected: (status, headers) =>
       task.protocol.parseResponseHeaders(status, headers).isMisdirected,
     readNow,
+    runAfterPoll: task.eventLoop.runAfterPoll,
     settle: (isPresent) => {
       task.metrics.recordServerCheck(held.request.service, isPresent);
       if (isPresent) {
--- a/packages/gateway/src/server-check.test.ts
+++ b/packages/gateway/src/server-check.test.ts
@@ -2,6 +2,7 @@
 import * as net from 'node:net';
 import * as nodeTest from 'node:test';
 import * as timers from 'node:timers/promises';
+import * as workerThreads from 'node:worker_threads';
 import * as backendConnections from './backend-connections.js';
 import * as serverCheck from './server-check.js';
 
@@ -46,6 +47,7 @@
       request: REQUEST,
       isMisdirected: (status) => status === MISDIRECTED,
       readNow: () => performance.now(),
+      runAfterPoll: (step) => setImmediate(step),
       settle: (result) => {
         check.abort();
         resolve(result);
@@ -119,3 +121,29 @@
   assert.equal(connections.take(`127.0.0.1:${port}`).completedResponses, 1);
   connections.stop();
 });
+
+/** A server in another thread that closes its port and, later, the connection that it got. */
+const EXITING_SERVER = `
+  const { parentPort } = require('node:worker_threads');
+  const server = require('node:net').createServer((socket) => {
+    socket.on('error', () => {});
+    setTimeout(() => server.close(), 20);
+    setTimeout(() => socket.resetAndDestroy(), 40);
+  });
+  server.listen(0, '127.0.0.1', () => parentPort.postMessage(server.address().port));
+`;
+const STALL_MS = 400;
+
+test('exit that is read after a stall of the event loop is noticed', async (context) => {
+  // Guards against a timer that fires before the end of the connection is read.
+  const worker = new workerThreads.Worker(EXITING_SERVER, { eval: true });
+  context.after(() => worker.terminate());
+  const port = await new Promise<number>((resolve) => {
+    worker.once('message', resolve);
+  });
+  const result = runCheck(port);
+  await timers.setTimeout(10);
+  const endMs = performance.now() + STALL_MS;
+  while (performance.now() < endMs);
+  assert.equal(await result, false);
+});
--- a/packages/gateway/src/server-check.ts
+++ b/packages/gateway/src/server-check.ts
@@ -15,6 +15,8 @@
   /** Returns whether a response comes from another backend server at the same address. */
   isMisdirected: (status: number, headers: wireProtocol.RawHeaders) => boolean;
   readNow: () => number;
+  /** Runs a step once the event loop has read what has arrived. */
+  runAfterPoll: (step: () => void) => void;
   /** Called once, unless the check is aborted; a server that cannot be reached counts as gone. */
   settle: (isPresent: boolean) => void;
 };
@@ -49,16 +51,18 @@
   }
 }
 
-/** Handles a connection that failed before the response. */
-function handleBroken(state: CheckState, reason: string, wasOpen: boolean): void {
+/**
+ * Handles a connection that failed before the response. How late it was opened counts, not how late
+ * its end is read.
+ */
+function handleBroken(state: CheckState, openedMs: number, reason: string, wasOpen: boolean): void {
   if (state.isSettled) {
     return;
   }
-  const elapsedMs = state.options.readNow() - state.startedMs;
   const wasAccepted = wasOpen || reason === RESET;
-  if (wasAccepted && elapsedMs >= EXIT_MS) {
+  if (wasAccepted && openedMs - state.startedMs >= EXIT_MS) {
     endCheck(state, true);
-  } else if (reason === REFUSED || elapsedMs >= MAX_CHECK_MS) {
+  } else if (reason === REFUSED || state.options.readNow() - state.startedMs >= MAX_CHECK_MS) {
     endCheck(state, false);
   } else {
     state.retryTimer = setTimeout(() => sendRequest(state), RETRY_MS);
@@ -67,15 +71,24 @@
 
 /** Sends the request of the check over a new connection. */
 function sendRequest(state: CheckState): void {
-  const { open, request, isMisdirected } = state.options;
+  const { open, request, isMisdirected, readNow, runAfterPoll } = state.options;
+  const openedMs = readNow();
   let receivedBytes = 0;
   let silenceTimer: NodeJS.Timeout | undefined;
+  let isOver = false;
+  const handleSilence = () => {
+    if (!isOver) {
+      state.attempt?.abort();
+      endCheck(state, true);
+    }
+  };
+  const handleEnd = () => {
+    isOver = true;
+    clearTimeout(silenceTimer);
+  };
   const attempt = backendAttempt.startAttempt(open(), request, {
     canSend: () => {
-      silenceTimer = setTimeout(() => {
-        attempt.abort();
-        endCheck(state, true);
-      }, EXIT_MS);
+      silenceTimer = setTimeout(() => runAfterPoll(handleSilence), EXIT_MS);
       return !state.isSettled;
     },
     onHead: (status, headers) => {
@@ -89,11 +102,11 @@
       }
       return true;
     },
-    onEnd: () => clearTimeout(silenceTimer),
-    onWithdrawn: () => clearTimeout(silenceTimer),
+    onEnd: handleEnd,
+    onWithdrawn: handleEnd,
     onBroken: (reason, wasOpen) => {
-      clearTimeout(silenceTimer);
-      handleBroken(state, reason, wasOpen);
+      handleEnd();
+      handleBroken(state, openedMs, reason, wasOpen);
     },
   });
   state.attempt = attempt;
