Count no run as proof whose response was passed on with an unproven end

A short response of a server that leaves is passed on as it came, and its run then counted as proof that its content ends no servers, though the server may have crashed. Such an outcome now says that its end is not known. Found on reading; no test shows the wrong clearance.

The limit of a stream in which no event ends is 4 MiB instead of 8: reading 8 MiB of comments took up to a second.

--- a/packages/gateway/src/attempt-sending.ts
+++ b/packages/gateway/src/attempt-sending.ts
@@ -83,7 +83,8 @@
     if (gateway.noteCompleteResponse(task.state, request, now)) {
       requestReports.reportCleared(task, request, now);
     }
-    if (outcome.head.status <= MAX_SUCCESS && gateway.noteSoundRun(task.state, request, now)) {
+    const isProof = outcome.isEndKnown && outcome.head.status <= MAX_SUCCESS;
+    if (isProof && gateway.noteSoundRun(task.state, request, now)) {
       requestReports.reportPartsCleared(task, request, now);
     }
     gateway.endRequest(task.state, request);
--- a/packages/gateway/src/relay-state.ts
+++ b/packages/gateway/src/relay-state.ts
@@ -12,6 +12,8 @@
       head: heldRequest.ResponseHead;
       /** Events that were found in the body. */
       events: number;
+      /** False if the response was passed on although its end is unproven. */
+      isEndKnown: boolean;
     }
   | {
       kind: 'fault';
@@ -59,6 +61,7 @@
   /** Body of a response that is buffered until it is complete. */
   chunks: Buffer[];
   bufferedBytes: number;
+  isEndKnown: boolean;
   /** When the current sample of the time between events began. */
   sampleStartMs: number;
   /** Bytes of a stream since the end of its last event. */
--- a/packages/gateway/src/response-end.ts
+++ b/packages/gateway/src/response-end.ts
@@ -6,30 +6,30 @@
 import type * as heldRequest from './held-request.js';
 import * as relayState from './relay-state.js';
 
+/** Builds the outcome of an attempt whose response is passed on to its end. */
+function buildComplete({
+  head,
+  eventStream: { events },
+  isEndKnown,
+}: relayState.Relay): relayState.AttemptOutcome {
+  return { kind: 'complete', head: head as heldRequest.ResponseHead, events, isEndKnown };
+}
+
 /** Handles the end of a stream. */
 function endStream(relay: relayState.Relay): void {
   const { held, settle } = relay.options;
   relayState.startResponseOnce(relay);
   held.exchange.response.end(eventStream.takePending(relay.eventStream));
-  settle({
-    kind: 'complete',
-    head: relay.head as heldRequest.ResponseHead,
-    events: relay.eventStream.events,
-  });
+  settle(buildComplete(relay));
 }
 
 /** Handles the end of a buffered response; a server error is reported as a fault with its body. */
 function endBuffered(relay: relayState.Relay): void {
   const { held, settle, readNow, observeUnitTime } = relay.options;
   const head = relay.head as heldRequest.ResponseHead;
-  const outcome: relayState.AttemptOutcome = {
-    kind: 'complete',
-    head,
-    events: relay.eventStream.events,
-  };
   if (held.exchange.response.headersSent) {
     held.exchange.response.end();
-    settle(outcome);
+    settle(buildComplete(relay));
     return;
   }
   const body = Buffer.concat(relay.chunks);
@@ -43,7 +43,7 @@
     observeUnitTime(readNow() - held.request.sentMs);
   }
   callerExchange.sendResponse(held.exchange, head, body);
-  settle(outcome);
+  settle(buildComplete(relay));
 }
 
 /** Completes a response whose end is known. */
@@ -97,6 +97,7 @@
     return;
   }
   relay.options.checkServer((isPresent) => {
+    relay.isEndKnown = isPresent;
     if (isPresent || isPassedAsReceived(relay)) {
       completeResponse(relay);
     } else {
--- a/packages/gateway/src/response-relay.ts
+++ b/packages/gateway/src/response-relay.ts
@@ -17,7 +17,7 @@
 /** Responses up to this size are buffered until they are complete, bytes. */
 const MAX_BUFFERED_BYTES = 1_048_576;
 /** Limit of the bytes of a stream in which no event ends. */
-const MAX_UNFINISHED_BYTES = 8_388_608;
+const MAX_UNFINISHED_BYTES = 4_194_304;
 /** Number of events over which the time between events is averaged. */
 const SAMPLE_EVENTS = 8;
 
@@ -136,6 +136,7 @@
     eventStream: options.held.events ?? eventStream.createEventStream(),
     chunks: [],
     bufferedBytes: 0,
+    isEndKnown: true,
     unfinishedBytes: 0,
     sampleStartMs: 0,
     events: 0,
