Ask a model engine for the rest of a response that ended with its connection

What callers would see: an engine that crashed, or reset its connection, during a response without length and chunks completed it; the library hides the reset.

Change: the agent resumes the run from the next byte, as after a broken connection. Nothing more from an engine that knows the run shows that the response is complete; an engine that is down, or does not know the run, shows the opposite. Successes of model engines only: a plain service cannot be asked.

--- a/packages/agent/src/engine-client.ts
+++ b/packages/agent/src/engine-client.ts
@@ -35,13 +35,17 @@
   receivedBytes: number;
 };
 
+const MAX_SUCCESS = 299;
 const STREAMS_PATH = '/v1/streams/';
 
 /** Maximum number of resumptions of one run before it fails. */
 const MAX_RESUMPTIONS = 5;
 
+/** Error code of a response that ended with its connection, and may be a part. */
+const UNPROVEN = 'UNPROVEN_END';
 /** Error codes of a connection that broke during a response. */
 const BROKEN_CODES = [
+  UNPROVEN,
   'ECONNRESET',
   'EPIPE',
   'UND_ERR_SOCKET',
@@ -71,7 +75,21 @@
   return new URL(`${STREAMS_PATH}${encodeURIComponent(refKey)}`, engineUrl);
 }
 
-/** Reports a response while it arrives. */
+/** Returns whether only the end of its connection ends a response (RFC 9112, section 6.3). */
+function isOpenEnded({ headers }: undici.Dispatcher.ResponseData): boolean {
+  const coding = [headers['transfer-encoding'] ?? []].flat().join();
+  return coding === ''
+    ? headers['content-length'] === undefined
+    : !/(^|,)\s*chunked\s*$/i.test(coding);
+}
+
+/**
+ * Reports a response while it arrives.
+ *
+ * An engine that crashes ends its connections like one that has finished, and the library hides a
+ * reset. A model engine is therefore asked for the rest of an open-ended response; nothing more from
+ * an engine that knows the run shows that it is complete.
+ */
 async function forwardResponse(
   options: EngineClientOptions,
   run: Run,
@@ -83,10 +101,17 @@
     const contentType = String(response.headers['content-type'] ?? 'application/octet-stream');
     options.post({ kind: 'engineHead', refKey, status: response.statusCode, contentType });
   }
+  const isResumed = run.receivedBytes > 0;
+  let bytes = 0;
   for await (const data of response.body) {
+    bytes += (data as Buffer).length;
     run.receivedBytes += (data as Buffer).length;
     options.post({ kind: 'engineData', refKey, data });
   }
+  const isProven = response.statusCode > MAX_SUCCESS || (isResumed && bytes === 0);
+  if (options.isModelEngine() && isOpenEnded(response) && !isProven) {
+    throw Object.assign(new Error('the end of the response is not known'), { code: UNPROVEN });
+  }
   options.post({ kind: 'engineEnd', refKey });
 }
 
