Count connections that break as no evidence in a server check

Cause: there a forwarder holds the port of the crashed server. It accepts a connection and closes it, which 150 ms after the end counted as a server that is at its limit of connections.

Change: only a response, any bytes, or a connection that stays open show that a server is present. Others are opened anew for up to a second; a server at its limit is reached meanwhile, as the response's own connection has been closed.

--- a/packages/gateway/src/server-check.ts
+++ b/packages/gateway/src/server-check.ts
@@ -41,7 +41,6 @@
 /** A longer response to the check closes its connection; bytes. */
 const MAX_RESPONSE_BYTES = 65_536;
 const REFUSED = 'ECONNREFUSED';
-const RESET = 'ECONNRESET';
 
 /** Ends the check with a result. */
 function endCheck(state: CheckState, isPresent: boolean): void {
@@ -52,17 +51,17 @@
 }
 
 /**
- * Handles a connection that failed before the response. How late it was opened counts, not how late
- * its end is read.
+ * Handles a connection that failed before a whole head; any bytes on it are a sign of life. A port may accept connections for a server
+ * that is gone, and a server may reset those beyond its limit, so that it is asked again.
  */
-function handleBroken(state: CheckState, openedMs: number, reason: string, wasOpen: boolean): void {
+function handleBroken(state: CheckState, reason: string, hasResponded: boolean): void {
   if (state.isSettled) {
     return;
   }
-  const wasAccepted = wasOpen || reason === RESET;
-  if (wasAccepted && openedMs - state.startedMs >= EXIT_MS) {
+  const elapsedMs = state.options.readNow() - state.startedMs;
+  if (hasResponded) {
     endCheck(state, true);
-  } else if (reason === REFUSED || state.options.readNow() - state.startedMs >= MAX_CHECK_MS) {
+  } else if (reason === REFUSED || elapsedMs >= MAX_CHECK_MS) {
     endCheck(state, false);
   } else {
     state.retryTimer = setTimeout(() => sendRequest(state), RETRY_MS);
@@ -71,8 +70,7 @@
 
 /** Sends the request of the check over a new connection. */
 function sendRequest(state: CheckState): void {
-  const { open, request, isMisdirected, readNow, runAfterPoll } = state.options;
-  const openedMs = readNow();
+  const { open, request, isMisdirected, runAfterPoll } = state.options;
   let receivedBytes = 0;
   let silenceTimer: NodeJS.Timeout | undefined;
   let isOver = false;
@@ -86,7 +84,8 @@
     isOver = true;
     clearTimeout(silenceTimer);
   };
-  const attempt = backendAttempt.startAttempt(open(), request, {
+  const connection = open();
+  const attempt = backendAttempt.startAttempt(connection, request, {
     canSend: () => {
       silenceTimer = setTimeout(() => runAfterPoll(handleSilence), EXIT_MS);
       return !state.isSettled;
@@ -104,9 +103,9 @@
     },
     onEnd: handleEnd,
     onWithdrawn: handleEnd,
-    onBroken: (reason, wasOpen) => {
+    onBroken: (reason) => {
       handleEnd();
-      handleBroken(state, openedMs, reason, wasOpen);
+      handleBroken(state, reason, connection.countBytesRead() > 0);
     },
   });
   state.attempt = attempt;
