--- a/packages/gateway/src/server-check.ts
+++ b/packages/gateway/src/server-check.ts
@@ -36,7 +36,7 @@
 const EXIT_MS = 150;
 /** Pause before the next connection, milliseconds. */
 const RETRY_MS = 50;
-/** Time after which a backend server that cannot be reached counts as gone, milliseconds. */
+/** Time after which a backend server that has not responded counts as gone, milliseconds. */
 const MAX_CHECK_MS = 1000;
 /** A longer response to the check closes its connection; bytes. */
 const MAX_RESPONSE_BYTES = 65_536;
@@ -51,8 +51,9 @@
 }
 
 /**
- * Handles a connection that failed before a whole head; any bytes on it are a sign of life. A port may accept connections for a server
- * that is gone, and a server may reset those beyond its limit, so that it is asked again.
+ * Handles a connection that failed before a whole head. Any bytes on it show that the server is
+ * present. A break alone shows nothing, and the server is asked again: a port may accept connections
+ * for a server that is gone, and a server may reset those beyond its limit.
  */
 function handleBroken(state: CheckState, reason: string, hasResponded: boolean): void {
   if (state.isSettled) {
