Show the streams of two versions in two services

It now plays two services at once and judges each by itself. Stand-ins that no case uses any more are gone, and the configuration of the deployment stands in its own module.

--- a/review/1/play.js
+++ b/review/1/play.js
@@ -3,6 +3,7 @@
  * `coldRemainingMs` and `sequence` are missing, and its address is none.
  */
 import * as url from 'node:url';
+import * as configuration from '../stand-ins/configuration.js';
 import * as deploymentStandIn from '../stand-ins/deployment.js';
 import * as keptCallers from '../stand-ins/kept-callers.js';
 
@@ -41,6 +42,6 @@
 deploymentStandIn.runCase({
   recordFile: url.fileURLToPath(new URL('./record.txt', import.meta.url)),
   gateways: GATEWAYS,
-  routes: [deploymentStandIn.buildRoute('plain', 'unsafe', { timeoutMs: 4000, maxAttempts: 1 })],
+  routes: [configuration.buildRoute('plain', 'unsafe', { timeoutMs: 4000, maxAttempts: 1 })],
   runPlay,
 });
--- a/review/2/play.js
+++ b/review/2/play.js
@@ -1,6 +1,7 @@
 /** Clients ask for generations that are larger than the memory of any runner. */
 import * as url from 'node:url';
 import * as caller from '../stand-ins/caller.js';
+import * as configuration from '../stand-ins/configuration.js';
 import * as deploymentStandIn from '../stand-ins/deployment.js';
 import * as keptCallers from '../stand-ins/kept-callers.js';
 
@@ -60,8 +61,8 @@
   recordFile: url.fileURLToPath(new URL('./record.txt', import.meta.url)),
   gateways: GATEWAYS,
   routes: [
-    deploymentStandIn.buildRoute('plain', 'unsafe', { timeoutMs: 4000, maxAttempts: 1 }),
-    deploymentStandIn.buildRoute('stream', 'stream', { resumable: true, maxAttempts: 1 }),
+    configuration.buildRoute('plain', 'unsafe', { timeoutMs: 4000, maxAttempts: 1 }),
+    configuration.buildRoute('stream', 'stream', { resumable: true, maxAttempts: 1 }),
   ],
   runPlay,
 });
--- a/review/stand-ins/deployment.js
+++ b/review/stand-ins/deployment.js
@@ -8,6 +8,7 @@
 import * as os from 'node:os';
 import * as path from 'node:path';
 import * as url from 'node:url';
+import * as configuration from './configuration.js';
 import * as storeStandIn from './store.js';
 
 export const ROOT = url.fileURLToPath(new URL('../../', import.meta.url));
@@ -56,39 +57,6 @@
   });
 }
 
-/** Builds a route. */
-export function buildRoute(name, routeType, changes = {}) {
-  return {
-    name,
-    hostname: 'a.example',
-    prefix: `/${name}/`,
-    routeType,
-    timeoutMs: 15_000,
-    targetLatencyMs: 800,
-    targetGapMs: routeType === 'stream' ? 400 : 0,
-    priority: 0,
-    service: 'one',
-    maxAttempts: 2,
-    ...changes,
-  };
-}
-
-/** Builds a configuration with one tenant, which has no quota. */
-function buildConfiguration(routes) {
-  return {
-    version: 7,
-    routes,
-    services: [{ name: 'one', healthPath: '/healthz', maxConnections: 360 }],
-    limits: {
-      maxHeaderBytes: 16_384,
-      maxBodyBytes: 4_194_304,
-      headerTimeoutMs: 3000,
-      idleTimeoutMs: 15_000,
-    },
-    tenants: [{ name: 'tenant-1', apiKeys: ['key-1'], ratePerS: 0, burst: 0 }],
-  };
-}
-
 /** Asks a gateway whether it is ready. */
 async function isReady({ ip, readiness }) {
   const answer = await fetch(`http://${ip}:${readiness}/api/readyz`).catch(() => undefined);
@@ -195,14 +163,14 @@
 /** Starts a runner process; resolves once it serves, or waits to be told to (`isHeld`). */
 async function startRunner(deployment, id, options, port) {
   const usedPort = port ?? (await findPort());
-  const { slots = 9, firstEntryMs = 0, ...rest } = options;
+  const { service = 'one', slots = 9, firstEntryMs = 0, ...rest } = options;
   const argument = JSON.stringify({ id, port: usedPort, ...rest });
   const child = childProcess.spawn(process.execPath, [RUNNER, argument], {
     stdio: ['ignore', 'pipe', 'inherit'],
   });
   const address = `127.0.0.1:${usedPort}`;
   const version = options.version ?? 'v1';
-  const entry = { service: 'one', address, zone: 'zone-1', version, slots, state: 'ready' };
+  const entry = { service, address, zone: 'zone-1', version, slots, state: 'ready' };
   const runner = { id, port: usedPort, child, sequence: 0, firstEntryMs };
   runner.entry = { ...entry, coldRemainingMs: 0 };
   deployment.children.add(child);
@@ -265,7 +233,7 @@
     note: record.note,
     lines: record.lines,
   };
-  deployment.store.put('op/config', buildConfiguration(routes));
+  deployment.store.put('op/config', configuration.buildConfiguration(routes));
   deployment.startRunner = (id, options, port) => startRunner(deployment, id, options, port);
   deployment.writeEntry = (runner, changes) => writeEntry(deployment, runner, changes);
   deployment.startGateways = async () => {
--- a/review/stand-ins/runner.js
+++ b/review/stand-ins/runner.js
@@ -6,7 +6,6 @@
  * - `eventMs`, `events`: a stream has so many events, one in each `eventMs`
  * - `workMs`: how long a plain request runs
  * - `kvCapacity`: its memory, tokens; a larger request is rejected as if it were full
- * - `isUnframed`: plain answers come without a length and end with their connection
  * - `isHeld`: it begins to listen on SIGUSR2, so that the time of its start is exact
  *
  * It prints one JSON line for each start and end of a run. SIGTERM ends it.
@@ -15,7 +14,7 @@
 
 const options = JSON.parse(process.argv[2]);
 const { id, port, version = 'v1', eventMs = 100, events = 10, workMs = 100 } = options;
-const { kvCapacity = Infinity, isUnframed = false, isHeld = false } = options;
+const { kvCapacity = Infinity, isHeld = false } = options;
 let bornMs = 0;
 
 /** Prints what has happened. */
@@ -59,23 +58,16 @@
   response.on('close', () => clearInterval(timer));
 }
 
-/** Runs a plain request: sends the first half of its body at once and the rest at the end. */
+/** Runs a plain request. */
 function runPlain(response, attempt) {
-  const halves = [`first half of ${attempt};`, `second half of ${attempt};`];
-  const headers = {
-    ...buildHeaders(attempt),
-    'X-Toucanproxy-Response-Signature': `${id}.${attempt}`,
-  };
-  if (isUnframed) {
-    response.useChunkedEncodingByDefault = false;
-    response.shouldKeepAlive = false;
-  } else {
-    headers['Content-Length'] = String(halves.join('').length);
-  }
-  response.writeHead(200, headers);
-  response.write(halves[0]);
+  const body = `answer to ${attempt}`;
   const timer = setTimeout(() => {
-    response.end(halves[1]);
+    response.writeHead(200, {
+      ...buildHeaders(attempt),
+      'X-Toucanproxy-Response-Signature': `${id}.${attempt}`,
+      'Content-Length': String(body.length),
+    });
+    response.end(body);
     report({ kind: 'ended', attempt });
   }, workMs);
   response.on('close', () => clearTimeout(timer));
@@ -102,7 +94,7 @@
     return;
   }
   report({ kind: 'began', attempt, path: request.url });
-  if (request.url.startsWith('/stream/')) {
+  if (request.url.startsWith('/stream')) {
     runStream(request, response, attempt);
   } else {
     runPlain(response, attempt);
