Ignore store entries whose address is none of a host

Cause: the pattern for an entry's address took octets up to 999 and ports up to 99999. The address went on unchecked to the HTTP library, whose constructor throws on what is no URL, in a turn of the event loop in which nobody catches it. The same pattern stood in the settings.

Change: entries name the IPv4 address of a host: no port 0, no "this network" (a connection to 0.0.0.0 reaches the VM itself), no multicast or reserved numbers. A sound entry that turns malformed counts as removed: it takes nothing new, and what runs there ends undisturbed.

Weighed: to let the connection fail as unreachable instead. Taken for nothing here, as each request would lose tries to a server that cannot exist and nobody would be told which entry it was.

--- a/packages/gateway/src/app.ts
+++ b/packages/gateway/src/app.ts
@@ -12,6 +12,7 @@
 import * as gatewayMetrics from './gateway-metrics.js';
 import type * as gatewaySettings from './gateway-settings.js';
 import * as gatewayTask from './gateway-task.js';
+import type * as ignoredEntries from './ignored-entries.js';
 import * as loadReports from './load-reports.js';
 import * as peerTask from './peer-task.js';
 import * as shutdown from './shutdown.js';
@@ -102,6 +103,7 @@
     metrics,
     storeStatus,
     unknown,
+    ignored,
     traffic,
   }: ReturnType<typeof createComponents>,
 ): Promise<runtime.OperatorServer[]> {
@@ -114,7 +116,7 @@
         ...address,
         renderMetrics: metrics.render,
         describeStatus: () => ({
-          ...status.describeStatus(state, storeStatus, unknown, readClocks()),
+          ...status.describeStatus(state, storeStatus, unknown, ignored, readClocks()),
           traffic,
         }),
         isReady: () => isReady(state, readClocks),
@@ -188,6 +190,7 @@
     log,
     storeStatus: { isLost: false },
     unknown: new Map() as unknownNames.UnknownNames,
+    ignored: new Map() as ignoredEntries.IgnoredEntries,
     metrics,
   };
 }
--- a/packages/gateway/src/server-items.ts
+++ b/packages/gateway/src/server-items.ts
@@ -4,6 +4,7 @@
 import type * as clocks from './clocks.js';
 import type * as decisionLog from './decision-log.js';
 import type * as gatewaySettings from './gateway-settings.js';
+import * as ignoredEntries from './ignored-entries.js';
 import type * as storeCodec from './store-codec.js';
 
 export type ServerDependencies = {
@@ -13,6 +14,8 @@
   readClocks: clocks.ReadClocks;
   log: decisionLog.DecisionLog;
   connections: backendConnections.BackendConnections;
+  /** Entries that are malformed; the other entries hold. */
+  ignored: ignoredEntries.IgnoredEntries;
 };
 
 /** Filters the items that are entries of backend servers. */
@@ -23,12 +26,27 @@
   return items.filter(({ key }) => key.startsWith(settings.serversPrefix));
 }
 
+/** Decodes an item; undefined if it was deleted, or is malformed and therefore ignored. */
+function decodeItem(
+  { codec, ignored, log, readClocks }: ServerDependencies,
+  item: storeCodec.StoreItem,
+): gateway.BackendServerEntry | undefined {
+  const parsed = item.value && codec.decodeBackendServer(item);
+  if (parsed?.kind === 'faulty') {
+    ignoredEntries.noteIgnored(ignored, log, item.key, parsed.faults, readClocks().steadyMs);
+    return undefined;
+  }
+  ignored.delete(item.key);
+  return parsed?.value;
+}
+
 /** Applies one changed entry; an item without a valid entry removes the backend server. */
 function applyItem(
-  { state, codec, readClocks }: ServerDependencies,
+  dependencies: ServerDependencies,
   item: storeCodec.StoreItem,
 ): gateway.MembershipChange | undefined {
-  const entry = item.value && codec.decodeBackendServer(item);
+  const { state, codec, readClocks } = dependencies;
+  const entry = decodeItem(dependencies, item);
   return entry === undefined
     ? gateway.removeEntry(state.servers, codec.parseServerId(item.key), readClocks().steadyMs)
     : gateway.applyEntry(state.servers, entry, readClocks().steadyMs);
@@ -60,9 +78,11 @@
   items: readonly storeCodec.StoreItem[],
   revision: gateway.StoreRevision,
 ): void {
-  const entries = listEntries(dependencies, items)
-    .map((item) => dependencies.codec.decodeBackendServer(item))
+  const listed = listEntries(dependencies, items);
+  const entries = listed
+    .map((item) => decodeItem(dependencies, item))
     .filter((entry) => entry !== undefined);
+  ignoredEntries.forgetOthers(dependencies.ignored, new Set(listed.map(({ key }) => key)));
   const now = dependencies.readClocks().steadyMs;
   applyMembership(
     dependencies,
--- a/packages/gateway/src/status.ts
+++ b/packages/gateway/src/status.ts
@@ -1,5 +1,6 @@
 /** Describes the current state of a gateway for operators. */
 import * as gateway from '@toucanproxy/core/gateway';
+import * as ignoredEntries from './ignored-entries.js';
 import type * as storeFollower from './store-follower.js';
 import * as unknownNames from './unknown-names.js';
 
@@ -71,6 +72,7 @@
   state: gateway.GatewayState,
   storeStatus: storeFollower.StoreStatus,
   unknown: unknownNames.UnknownNames,
+  ignored: ignoredEntries.IgnoredEntries,
   now: gateway.ClockReading,
 ): Record<string, unknown> {
   return {
@@ -83,6 +85,7 @@
     requestsHeld: state.requests.size,
     load: describeLoad(state),
     backendServers: [...state.servers.byId.values()],
+    ignoredEntries: ignoredEntries.listIgnored(ignored),
     evacuatedDomains: gateway.listEvacuated(state.servers.evacuations),
     warming: describeWarming(state, now.steadyMs),
     statements: describeStatements(state, now.steadyMs),
--- a/packages/gateway/src/store-codec.ts
+++ b/packages/gateway/src/store-codec.ts
@@ -1,5 +1,6 @@
 /** Interface that a platform adapter implements to translate between its store and the gateway. */
 import type * as gateway from '@toucanproxy/core/gateway';
+import type * as schema from '@toucanproxy/schema';
 import type * as unknownNames from './unknown-names.js';
 
 /** An item of the store; `value` is undefined if the item was deleted. */
@@ -32,8 +33,8 @@
   decodeChanges: (body: string, epoch: number) => StoreChanges;
   /** Decodes a configuration; throws if it is invalid. */
   decodeConfiguration: (value: Buffer) => gateway.Configuration;
-  /** Decodes the entry of a backend server; undefined if the item is not a valid entry. */
-  decodeBackendServer: (item: StoreItem) => gateway.BackendServerEntry | undefined;
+  /** Decodes the entry of a backend server, or lists the faults of an item that is not one. */
+  decodeBackendServer: (item: StoreItem) => schema.ParseResult<gateway.BackendServerEntry>;
   /** List the keys, fields and headers that the gateway does not know. */
   findUnknownFields: (item: StoreItem) => unknownNames.UnknownName[];
   findUnknownHeaders: (headers: ReadonlyMap<string, string>) => unknownNames.UnknownName[];
--- a/packages/gateway/src/store-reader.test.ts
+++ b/packages/gateway/src/store-reader.test.ts
@@ -25,7 +25,7 @@
   decodeConfiguration: () => {
     throw new Error('there is no configuration');
   },
-  decodeBackendServer: () => undefined,
+  decodeBackendServer: () => ({ kind: 'faulty', faults: [] }),
   findUnknownFields: () => [],
   findUnknownHeaders: () => [],
   parseServerId: (key) => key,
--- a/packages/schema/src/address.ts
+++ b/packages/schema/src/address.ts
@@ -3,8 +3,13 @@
 
 const ADDRESS_PATTERN = /^(?:\[([^\]]+)\]|([^:[\]]+)):(\d{1,5})$/;
 const MAX_PORT = 65_535;
+/** First octets of IPv4 numbers that no host has: "this network", and from multicast on. */
+const THIS_NETWORK = 0;
+const FIRST_MULTICAST = 224;
 
 export const ADDRESS_RULE = 'an IP number and a port, such as "10.0.0.7:7402" or "[fd00::7]:7402"';
+export const HOST_RULE = 'the IPv4 number and port of a host, such as "10.0.0.7:7402"';
+export const LISTEN_RULE = 'an IPv4 number and a port, such as "10.0.0.7:7402"; port 0 is chosen';
 export const URL_RULE = 'an http URL with an IP number, such as "http://10.0.0.2:8500"';
 
 /** Whether a number is a port that can be connected to, which excludes 0. */
@@ -23,6 +28,23 @@
   return isIp && isPort(Number(port));
 }
 
+/** Whether text is "IP:port" of a host that can be connected to over IPv4. */
+export function isHostAddress(text: string): boolean {
+  const firstOctet = Number(text.split('.', 1)[0]);
+  return (
+    isAddress(text) &&
+    !text.startsWith('[') &&
+    firstOctet !== THIS_NETWORK &&
+    firstOctet < FIRST_MULTICAST
+  );
+}
+
+/** Whether text is "IP:port" to listen on over IPv4; port 0 lets the system choose. */
+export function isListenAddress(text: string): boolean {
+  const [host, port] = text.split(':', 2);
+  return net.isIPv4(host) && (isAddress(text) || (port === '0' && text === `${host}:0`));
+}
+
 /** Whether text is an http URL whose host is an IP address. */
 export function isHttpUrl(text: string): boolean {
   if (!URL.canParse(text)) {
--- a/packages/schema/src/index.ts
+++ b/packages/schema/src/index.ts
@@ -10,6 +10,7 @@
 export * from './generated/toucanproxy/v1/settings_pb.js';
 export * from './generated/toucanproxy/v1/suspect_pb.js';
 export { create, fromJson, toBinary, toJson, fromBinary } from '@bufbuild/protobuf';
+export { HOST_RULE, LISTEN_RULE, isHostAddress, isListenAddress } from './address.js';
 export * from './check-change.js';
 export { HARD_BODY_LIMIT } from './check-document.js';
 export * from './document-defaults.js';
