Bound the amounts that callers state, and send messages whatever they hold

A gateway that schedules the cell itself went on, as it encodes no message to itself.

Cause: amounts that callers state (up to 12 digits) went on unbounded to sums and to 32-bit fields of the messages between gateways. The encoder throws on a number that a field cannot hold, in a turn of the event loop in which nobody catches it. Besides `TierUse.work_tokens` this held for `WaitingRequest.prompt_tokens` and `answer_tokens` from 2^32 on.

The log names the field (`peer-problem`).

Weighed: to drop a message that cannot be encoded. It carries requests of other callers too, and they would wait for a slot that nobody was asked for. Trimming is done only after the encoder has thrown, so that other messages cost what they did.

Evidence: 'amounts of tokens beyond any engine do not end a gateway' and 'amount that has no bound counts as the largest' failed before (the first with "invalid uint32:" for answer_tokens) and pass now.

--- a/packages/core/src/gateway/recent-use.ts
+++ b/packages/core/src/gateway/recent-use.ts
@@ -68,7 +68,9 @@
       const tiers = [...workTokens]
         .map(([urgency, count]) => ({
           urgency,
-          workTokens: Math.round(decayingCount.getCount(count, now, scheduler.USE_DECAY_MS)),
+          workTokens: scheduler.toWireNumber(
+            decayingCount.getCount(count, now, scheduler.USE_DECAY_MS),
+          ),
         }))
         .filter((tier) => tier.workTokens > 0);
       const all = tiers.reduce((sum, tier) => sum + tier.workTokens, 0);
--- a/packages/core/src/gateway/request-admission.ts
+++ b/packages/core/src/gateway/request-admission.ts
@@ -26,6 +26,11 @@
 const PLAIN_WORK_TOKENS = 500;
 /** Number of prompt tokens that cost an engine as much as one response token. */
 const PROMPT_TOKENS_PER_ANSWER_TOKEN = 19;
+/**
+ * Most work that a request counts for, response tokens. Callers that want no limit state a huge one;
+ * with it, a single request would hold back all others of its workspace, and those queued behind it.
+ */
+const MAX_WORK_TOKENS = 65_536;
 /** Time allowed for the response to reach the caller, milliseconds. */
 const RESPONSE_TRANSIT_MS = 10;
 /** Number of route urgencies that are distinguished within each workspace urgency. */
@@ -46,7 +51,7 @@
     return PLAIN_WORK_TOKENS;
   }
   const answer = Math.min(answerGuess ?? tokens.answer, tokens.answer);
-  return tokens.prompt / PROMPT_TOKENS_PER_ANSWER_TOKEN + answer;
+  return Math.min(tokens.prompt / PROMPT_TOKENS_PER_ANSWER_TOKEN + answer, MAX_WORK_TOKENS);
 }
 
 /** Computes the tier of a request: workspace urgency first, then route urgency. */
--- a/packages/gateway/src/peer-sending.ts
+++ b/packages/gateway/src/peer-sending.ts
@@ -42,7 +42,10 @@
   content: Content,
 ): void {
   const message = schema.create(schema.PeerMessageSchema, { content });
-  const bytes = schema.toBinary(schema.PeerMessageSchema, message);
+  const { bytes, trimmed } = schema.encodePeerMessage(message);
+  if (trimmed.length > 0) {
+    options.reportProblem(`out of range: ${[...new Set(trimmed)].join()}`);
+  }
   addresses.forEach((address) => {
     const [host, port] = address.split(':');
     countSent(options, address, content.case, bytes.length);
--- a/packages/schema/src/index.ts
+++ b/packages/schema/src/index.ts
@@ -17,5 +17,6 @@
 export { formatFault } from './fault.js';
 export type { Fault, ParseResult } from './fault.js';
 export * from './parse-document.js';
+export * from './peer-datagram.js';
 export * from './result-status.js';
 export * from './settings-defaults.js';
