Take a configuration with impossible numbers, each replaced by the nearest valid one

Operators would have seen: one number of a configuration ends every gateway that reads it, and again after each restart, while the configuration stands.

Cause: as with entries and headers: the schema of a configuration asked for numbers, of any size and sign, and they went on to timers, sums and messages.

Change: each number of a configuration has a range, and is whole where it must be. `toucanproxy check` lists what is out of range as a fault. The version alone has no nearest number, as it orders configurations: a configuration with an impossible one is refused.

Weighed: to refuse the configuration whole, as for a field of another type. The last one would then stay in force with the keys that the new one revokes, and requests would be handled as only an older version allows, because of a number elsewhere.

Evidence: the three tests of odd configurations failed before (the first by the end of the process, "socket hang up") and pass now; the first plays seven odd values of 20 fields on a real process.

--- a/packages/gateway/src/configuration-items.ts
+++ b/packages/gateway/src/configuration-items.ts
@@ -1,5 +1,6 @@
 /** Activates configurations that are read from the store. */
 import * as gateway from '@toucanproxy/core/gateway';
+import * as schema from '@toucanproxy/schema';
 import type * as callerServer from './caller-server.js';
 import type * as decisionLog from './decision-log.js';
 import type * as gatewaySettings from './gateway-settings.js';
@@ -13,6 +14,24 @@
   callers: callerServer.CallerServer;
 };
 
+/** Maximum number of faults in one log line. */
+const MAX_LOGGED_FAULTS = 20;
+const FAULT_CODE = schema.ResultCode.CONFIGURATION_FAULT;
+const FAULT_FIELDS = { code: FAULT_CODE, result: schema.ResultCode[FAULT_CODE] };
+
+/** Logs the numbers of an active configuration that were replaced. */
+function reportReplaced(
+  log: decisionLog.DecisionLog,
+  version: number,
+  replaced: readonly schema.Fault[],
+): void {
+  if (replaced.length > 0) {
+    const faults = replaced.slice(0, MAX_LOGGED_FAULTS).map(schema.formatFault);
+    const fields = { ...FAULT_FIELDS, version, count: replaced.length, faults };
+    log.writeAlways('configuration-replaced', fields);
+  }
+}
+
 /** Activates a configuration if its version is newer than the active one; returns whether it is. */
 function applyItem(
   dependencies: ConfigurationDependencies,
@@ -23,7 +42,7 @@
     log.writeAlways('configuration-deleted', {});
     return false;
   }
-  const configuration = codec.decodeConfiguration(value);
+  const { configuration, replaced } = codec.decodeConfiguration(value);
   const version = state.index?.configuration.version ?? -1;
   if (configuration.version <= version) {
     return false;
@@ -31,6 +50,7 @@
   state.index = gateway.buildConfigurationIndex(configuration);
   callers.applyBounds(configuration.callerBounds);
   log.writeAlways('configuration', { version: configuration.version, before: version });
+  reportReplaced(log, configuration.version, replaced);
   return true;
 }
 
@@ -39,7 +59,10 @@
   try {
     return applyItem(dependencies, item);
   } catch (error) {
-    dependencies.log.writeAlways('configuration-faulty', { reason: (error as Error).message });
+    dependencies.log.writeAlways('configuration-faulty', {
+      ...FAULT_FIELDS,
+      reason: (error as Error).message,
+    });
     return false;
   }
 }
--- a/packages/gateway/src/store-codec.ts
+++ b/packages/gateway/src/store-codec.ts
@@ -21,6 +21,12 @@
 export type ParsedEpoch =
   { kind: 'none' } | { kind: 'told'; epoch: number } | { kind: 'unreadable'; text: string };
 
+/** A configuration, with a fault for each number that was replaced by the nearest valid one. */
+export type DecodedConfiguration = {
+  configuration: gateway.Configuration;
+  replaced: schema.Fault[];
+};
+
 export type StoreCodec = {
   /** Builds the path that lists the items under a prefix, starting after a key if one is given. */
   buildRangePath: (prefix: string, afterKey: string | undefined) => string;
@@ -32,7 +38,7 @@
   decodePage: (body: string, epoch: number) => StorePage;
   decodeChanges: (body: string, epoch: number) => StoreChanges;
   /** Decodes a configuration; throws if it is invalid. */
-  decodeConfiguration: (value: Buffer) => gateway.Configuration;
+  decodeConfiguration: (value: Buffer) => DecodedConfiguration;
   /** Decodes the entry of a backend server, or lists the faults of an item that is not one. */
   decodeBackendServer: (item: StoreItem) => schema.ParseResult<gateway.BackendServerEntry>;
   /** List the keys, fields and headers that the gateway does not know. */
