Check the addresses and numbers in datagrams between gateways

A gateway of another build, or one whose settings are wrong, can end all others: an address with port 70000 in a report is kept as a peer, and the next round of reports throws on it in a timer ("Port should be > 0 and < 65536"). An entry that this gateway ignores reaches it all the same with a grant of an older scheduler, and its address goes to the HTTP library. A double that is infinite or not a number makes a total of usage so for good.

Change: datagrams are decoded in one place, after which all numbers are finite and all addresses are those of hosts.

--- a/packages/gateway/src/peer-task.ts
+++ b/packages/gateway/src/peer-task.ts
@@ -202,7 +202,7 @@
 
 /** Handles one datagram. */
 export function receiveMessage(peer: PeerState, bytes: Uint8Array): void {
-  const { content } = schema.fromBinary(schema.PeerMessageSchema, bytes);
+  const { content } = schema.decodePeerMessage(bytes);
   switch (content.case) {
     case 'report':
       receiveReport(peer, content.value);
--- a/packages/schema/src/field-ranges.ts
+++ b/packages/schema/src/field-ranges.ts
@@ -15,14 +15,20 @@
 const SIGNED: Range = { least: -(2 ** 31), most: 2 ** 31 - 1, isWhole: true };
 const DOUBLE: Range = { least: -Number.MAX_VALUE, most: Number.MAX_VALUE, isWhole: false };
 
-/** Ranges of the scalar types that are numbers; 64-bit integers are not used for amounts. */
-const RANGE_BY_TYPE: ReadonlyMap<protobuf.ScalarType, Range> = new Map([
+/** Ranges by scalar type; 64-bit integers are not used for amounts. */
+export type Ranges = ReadonlyMap<protobuf.ScalarType, Range>;
+
+/** Ranges of the fields of doubles, which may hold infinities and what is not a number. */
+export const DOUBLE_RANGES: Ranges = new Map([[ScalarType.DOUBLE, DOUBLE]]);
+
+/** Ranges of all fields that hold numbers. */
+export const NUMBER_RANGES: Ranges = new Map([
+  ...DOUBLE_RANGES,
   [ScalarType.UINT32, UNSIGNED],
   [ScalarType.FIXED32, UNSIGNED],
   [ScalarType.INT32, SIGNED],
   [ScalarType.SINT32, SIGNED],
   [ScalarType.SFIXED32, SIGNED],
-  [ScalarType.DOUBLE, DOUBLE],
 ]);
 
 /** Returns the nearest number in a range, 0 for what is not a number. */
@@ -34,24 +40,31 @@
   return isWhole ? Math.round(within) : within;
 }
 
-/** A field of a message that holds numbers or messages. */
+/** A field that holds numbers of a range, or messages with such fields. */
 type NumericField = { field: protobuf.DescField; range: Range | undefined };
 
-const fieldsByMessage = new WeakMap<protobuf.DescMessage, NumericField[]>();
+type FieldsByMessage = WeakMap<protobuf.DescMessage, NumericField[]>;
+const fieldsByRanges = new WeakMap<Ranges, FieldsByMessage>();
 
-/** Lists the fields of a message type that hold numbers or messages. */
-function listNumericFields(message: protobuf.DescMessage): NumericField[] {
-  const known = fieldsByMessage.get(message);
+/** Lists the fields of a message type that hold numbers, also within other messages. */
+function listNumericFields(ranges: Ranges, type: protobuf.DescMessage): NumericField[] {
+  const byMessage: FieldsByMessage = fieldsByRanges.get(ranges) ?? new WeakMap();
+  fieldsByRanges.set(ranges, byMessage);
+  const known = byMessage.get(type);
   if (known !== undefined) {
     return known;
   }
-  const found = message.fields
+  const found = type.fields
     .map((field) => ({
       field,
-      range: field.scalar === undefined ? undefined : RANGE_BY_TYPE.get(field.scalar),
+      range: field.scalar === undefined ? undefined : ranges.get(field.scalar),
     }))
-    .filter(({ field, range }) => range !== undefined || field.message !== undefined);
-  fieldsByMessage.set(message, found);
+    .filter(
+      ({ field, range }) =>
+        range !== undefined ||
+        (field.message !== undefined && listNumericFields(ranges, field.message).length > 0),
+    );
+  byMessage.set(type, found);
   return found;
 }
 
@@ -68,13 +81,17 @@
 }
 
 /**
- * Brings all numbers of a message into the ranges of their fields, in place.
+ * Brings the numbers of a message into the ranges of their fields, in place.
  *
  * @returns the names of the fields that changed
  */
-export function trimNumbers(type: protobuf.DescMessage, message: protobuf.Message): string[] {
+export function trimNumbers(
+  ranges: Ranges,
+  type: protobuf.DescMessage,
+  message: protobuf.Message,
+): string[] {
   const changed: string[] = [];
-  listNumericFields(type).forEach(({ field, range }) => {
+  listNumericFields(ranges, type).forEach(({ field, range }) => {
     const holder = findHolder(field, message);
     if (holder === undefined) {
       return;
@@ -83,7 +100,7 @@
     const trimValue = (value: unknown): unknown => {
       if (range === undefined) {
         const inner = field.message as protobuf.DescMessage;
-        changed.push(...trimNumbers(inner, value as protobuf.Message));
+        changed.push(...trimNumbers(ranges, inner, value as protobuf.Message));
         return value;
       }
       const trimmed = trimNumber(value as number, range);
--- a/packages/schema/src/peer-datagram.ts
+++ b/packages/schema/src/peer-datagram.ts
@@ -1,5 +1,6 @@
 /** Encodes and decodes the datagrams between gateways. */
 import * as protobuf from '@bufbuild/protobuf';
+import * as address from './address.js';
 import * as fieldRanges from './field-ranges.js';
 import * as schedulingPb from './generated/toucanproxy/v1/scheduling_pb.js';
 
@@ -16,7 +17,51 @@
     return { bytes: protobuf.toBinary(type, message), trimmed: [] };
   } catch {
     // Trimming visits each field, so it is done only where the encoder has found a number too large.
-    const trimmed = fieldRanges.trimNumbers(type, message);
+    const trimmed = fieldRanges.trimNumbers(fieldRanges.NUMBER_RANGES, type, message);
     return { bytes: protobuf.toBinary(type, message), trimmed };
   }
 }
+
+/** Throws unless an address is one that a datagram can be sent to. */
+function assertAddress(text: string): void {
+  if (!address.isHostAddress(text)) {
+    throw new Error(`address of the sender: ${JSON.stringify(text)}`);
+  }
+}
+
+/** Removes the addresses of others that nothing can be sent to; throws if the sender's is such. */
+function checkAddresses({ content }: schedulingPb.PeerMessage): void {
+  switch (content.case) {
+    case 'report':
+      assertAddress(content.value.address);
+      content.value.peers = content.value.peers.filter(address.isHostAddress);
+      return;
+    case 'reply':
+      assertAddress(content.value.address);
+      content.value.grants
+        .filter(({ entry }) => entry !== undefined && !address.isHostAddress(entry.address))
+        .forEach((grant) => {
+          grant.entry = undefined;
+        });
+      return;
+    case 'ask':
+    case 'origins':
+    case 'originQuery':
+      assertAddress(content.value.address);
+      
+    default:
+  }
+}
+
+/**
+ * Decodes a datagram, which may come from a gateway of another build; throws if it is no message.
+ *
+ * All numbers of the result are finite, and all its addresses are those of hosts.
+ */
+export function decodePeerMessage(bytes: Uint8Array): schedulingPb.PeerMessage {
+  const type = schedulingPb.PeerMessageSchema;
+  const message = protobuf.fromBinary(type, bytes);
+  fieldRanges.trimNumbers(fieldRanges.DOUBLE_RANGES, type, message);
+  checkAddresses(message);
+  return message;
+}
