--- a/packages/schema/src/peer-datagram.ts
+++ b/packages/schema/src/peer-datagram.ts
@@ -22,34 +22,23 @@
   }
 }
 
-/** Throws unless an address is one that a datagram can be sent to. */
-function assertAddress(text: string): void {
-  if (!address.isHostAddress(text)) {
-    throw new Error(`address of the sender: ${JSON.stringify(text)}`);
+/** Throws if a message names a sender that no datagram can be sent to. */
+function assertSender({ content: { value } }: schedulingPb.PeerMessage): void {
+  if (value !== undefined && 'address' in value && !address.isHostAddress(value.address)) {
+    throw new Error(`address of the sender: ${JSON.stringify(value.address)}`);
   }
 }
 
-/** Removes the addresses of others that nothing can be sent to; throws if the sender's is such. */
-function checkAddresses({ content }: schedulingPb.PeerMessage): void {
-  switch (content.case) {
-    case 'report':
-      assertAddress(content.value.address);
-      content.value.peers = content.value.peers.filter(address.isHostAddress);
-      return;
-    case 'reply':
-      assertAddress(content.value.address);
-      content.value.grants
-        .filter(({ entry }) => entry !== undefined && !address.isHostAddress(entry.address))
-        .forEach((grant) => {
-          grant.entry = undefined;
-        });
-      return;
-    case 'ask':
-    case 'origins':
-    case 'originQuery':
-      assertAddress(content.value.address);
-      
-    default:
+/** Removes the addresses of others that nothing can be sent to. */
+function removeAddresses({ content }: schedulingPb.PeerMessage): void {
+  if (content.case === 'report') {
+    content.value.peers = content.value.peers.filter(address.isHostAddress);
+  } else if (content.case === 'reply') {
+    content.value.grants
+      .filter(({ entry }) => entry !== undefined && !address.isHostAddress(entry.address))
+      .forEach((grant) => {
+        grant.entry = undefined;
+      });
   }
 }
 
@@ -62,6 +51,7 @@
   const type = schedulingPb.PeerMessageSchema;
   const message = protobuf.fromBinary(type, bytes);
   fieldRanges.trimNumbers(fieldRanges.DOUBLE_RANGES, type, message);
-  checkAddresses(message);
+  assertSender(message);
+  removeAddresses(message);
   return message;
 }
