Let an unexpected exception end its unit of work, not the process

Change: the handling of a request (admission, sending, each callback of its connection, its time-out and end), a pass that assigns requests and a round of reports are units of work. An exception ends the unit: the request is answered with 500, result 501, and its slot is free; a pass or a round is left to the next one. Each is logged with its stack (`internal-error`) and counted (`internal_errors_total`). Pages for operators fail with 500.

Also, by reading and without a test: an error of the listening socket after the first, as when descriptors run out, was thrown where nobody listens for it; it is logged now (`caller-problem`).

--- a/packages/gateway/src/app.ts
+++ b/packages/gateway/src/app.ts
@@ -8,6 +8,7 @@
 import * as clocks from './clocks.js';
 import * as decisionLog from './decision-log.js';
 import * as eventLoop from './event-loop.js';
+import * as failureGuard from './failure-guard.js';
 import * as domainTraffic from './domain-traffic.js';
 import * as gatewayMetrics from './gateway-metrics.js';
 import type * as gatewaySettings from './gateway-settings.js';
@@ -137,6 +138,7 @@
     listen: settings.callers,
     receive: task.receive,
     computeUnreadMs: components.eventLoop.computeUnreadMs,
+    reportProblem: (reason) => log.write('caller-problem', { reason }, clocks.readSteadyMs()),
     isClosedUnread: loadReports.createConnectionCheck(components, clocks.readSteadyMs),
     reportRefusal: (code) => {
       log.write('refused', { result: schema.ResultCode[code] }, clocks.readSteadyMs());
@@ -185,6 +187,7 @@
     traffic,
     protocol,
     eventLoop: loop,
+    runGuarded: failureGuard.createFailureGuard(log, metrics, clocks.readSteadyMs),
     connections: backendConnections.createBackendConnections(loop.runWhenPolled),
     readClocks: clocks.createClockReader(),
     log,
@@ -209,6 +212,7 @@
     state,
     traffic: components.traffic,
     readNow: clocks.readSteadyMs,
+    runGuarded: components.runGuarded,
     reportProblem,
   });
   const task = gatewayTask.createGatewayTask({ ...components, sendToPeers: peers.send });
--- a/packages/gateway/src/attempt-sending.ts
+++ b/packages/gateway/src/attempt-sending.ts
@@ -174,12 +174,30 @@
       if (isPresent) {
         gateway.noteServerHeard(task.state, held.request, readNow());
       }
-      settle(isPresent);
+      requestEnding.runForRequest(task, held, () => settle(isPresent), undefined);
     },
   });
   held.attempt = { abort, resume: () => {}, mayHaveBeenSent: () => true };
 }
 
+/** Wraps the callbacks of an attempt, so that an exception in one ends this request and no other. */
+function buildGuardedListener(
+  task: taskState.TaskState,
+  held: heldRequest.HeldRequest,
+  listener: backendAttempt.AttemptListener,
+): backendAttempt.AttemptListener {
+  const run = <T>(step: () => T, resultOfFailure: T) =>
+    requestEnding.runForRequest(task, held, step, resultOfFailure);
+  return {
+    onHead: (...head) => run(() => listener.onHead(...head), false),
+    onData: (chunk) => run(() => listener.onData(chunk), true),
+    onEnd: () => run(listener.onEnd, undefined),
+    canSend: () => run(listener.canSend, false),
+    onWithdrawn: () => run(listener.onWithdrawn, undefined),
+    onBroken: (...outcome) => run(() => listener.onBroken(...outcome), undefined),
+  };
+}
+
 /** Sends a request to a backend server. */
 export function send(
   task: taskState.TaskState,
@@ -200,7 +218,7 @@
     eventStream.restart(held.events, held.exchange.response.headersSent);
   }
   const readNow = () => task.readClocks().steadyMs;
-  const listener = responseRelay.createRelay({
+  const relay = responseRelay.createRelay({
     held,
     protocol: task.protocol,
     readNow,
@@ -232,6 +250,7 @@
       unknownNames.recordUnknownNames(task.unknown, task.log, parsed.unknown, readNow());
     },
   });
+  const listener = buildGuardedListener(task, held, relay);
   const connection = task.connections.take(server.address);
   const outgoing = outgoingRequest.buildOutgoingRequest(task.protocol, held, server, readNow());
   held.attempt = backendAttempt.startAttempt(
--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -30,6 +30,8 @@
   /** Called with each request that has been read completely. */
   receive: (exchange: callerExchange.CallerExchange) => void;
   reportRefusal: (code: schema.ResultCode) => void;
+  /** Called if connections cannot be accepted, as without free descriptors. */
+  reportProblem: (reason: string) => void;
   /** Computes how long data that is read now may have waited, milliseconds. */
   computeUnreadMs: () => number;
   /**
@@ -216,6 +218,7 @@
   server.on('clientError', (error, socket) =>
     handleClientError(state, error, socket as net.Socket),
   );
+  server.on('error', (error) => state.options.reportProblem(error.message));
   server.on('connect', (_request, socket) => socket.destroy());
   server.on('upgrade', (_request, socket) => socket.destroy());
   return server;
--- a/packages/gateway/src/gateway-metrics.ts
+++ b/packages/gateway/src/gateway-metrics.ts
@@ -32,6 +32,8 @@
   recordWithdrawal: (reason: WithdrawalReason) => void;
   /** Records that a shutdown ended a request. */
   recordShutdownEnd: (phase: heldRequest.HeldPhase, code: schema.ResultCode) => void;
+  /** Records that an exception has ended a unit of work. */
+  recordInternalError: (unit: string) => void;
   /** Records that a new connection was closed unread. */
   recordClosedUnread: () => void;
   /** Records by how much a first event came later than predicted, milliseconds. */
@@ -205,6 +207,7 @@
         phase,
         result: schema.ResultCode[code],
       }),
+    recordInternalError: (unit) => runtime.addCount(metrics, 'internal_errors_total', { unit }),
     recordClosedUnread: () => runtime.addCount(metrics, 'connections_closed_total', {}),
     recordFirstEventError: (service, ms) => {
       const labels = { service, sign: ms < 0 ? 'early' : 'late' };
--- a/packages/gateway/src/gateway-task.ts
+++ b/packages/gateway/src/gateway-task.ts
@@ -5,6 +5,7 @@
 import * as callerExchange from './caller-exchange.js';
 import * as contentDigest from './content-digest.js';
 import * as endToEndHeaders from './end-to-end-headers.js';
+import * as failureGuard from './failure-guard.js';
 import * as eventStream from './event-stream.js';
 import * as heldRequest from './held-request.js';
 import * as requestEnding from './request-ending.js';
@@ -44,11 +45,19 @@
 ): void {
   const held = task.held.get(assignment.request.serial);
   if (held !== undefined) {
-    gateway.noteSending(held.request, task.readClocks());
-    attemptSending.send(task, held, assignment);
+    const send = () => {
+      gateway.noteSending(held.request, task.readClocks());
+      attemptSending.send(task, held, assignment);
+    };
+    requestEnding.runForRequest(task, held, send, undefined);
   }
 }
 
+/** Runs a step that concerns the requests of a pass; what it leaves undone, the next pass does. */
+function runPass(task: taskState.TaskState, step: () => void): void {
+  task.runGuarded(failureGuard.WorkUnit.ASSIGNMENT, step, () => {});
+}
+
 /**
  * Applies assignments: refuses requests, reports grants that were not used, and sends requests. If
  * that takes long, the event loop polls in between, as more callers may have left.
@@ -61,7 +70,8 @@
     const held = task.held.get(assignment.request.serial);
     if (held !== undefined && assignment.kind === 'refuse') {
       const refuse = assignment.isShutdown ? requestEnding.refuseAtShutdown : requestEnding.refuse;
-      refuse(task, held, assignment.refusal);
+      const step = () => refuse(task, held, assignment.refusal);
+      requestEnding.runForRequest(task, held, step, undefined);
     } else if (held !== undefined && assignment.kind === 'waitOn') {
       requestReports.reportUnused(task, assignment);
     }
@@ -95,7 +105,7 @@
       isDue = true;
       task.eventLoop.runAfterPoll(() => {
         isDue = false;
-        assignNow(task);
+        runPass(task, () => assignNow(task));
       });
     }
   };
@@ -109,7 +119,7 @@
 
 /** Handles a reply after the event loop has read which callers have left during a stall. */
 function receiveReply(task: taskState.TaskState, reply: schema.ScheduleReply): void {
-  task.eventLoop.runWhenPolled(() => applyReply(task, reply));
+  task.eventLoop.runWhenPolled(() => runPass(task, () => applyReply(task, reply)));
 }
 
 /** Handles a message in which another gateway asks the scheduler of this one. */
@@ -165,20 +175,35 @@
     firstEventMs: undefined,
     done: false,
   };
+  const run = (step: () => void) => requestEnding.runForRequest(task, held, step, undefined);
   held.timeoutTimer = setTimeout(
-    () => requestEnding.handleTimeout(task, held),
+    () => run(() => requestEnding.handleTimeout(task, held)),
     request.giveUpMs - task.readClocks().steadyMs,
   );
   task.held.set(request.serial, held);
-  exchange.response.on('close', () => requestEnding.handleCallerLeft(task, held));
-  exchange.response.on('drain', () => held.attempt?.resume());
+  exchange.response.on('close', () => run(() => requestEnding.handleCallerLeft(task, held)));
+  exchange.response.on('drain', () => run(() => held.attempt?.resume()));
 }
 
-/** Admits or refuses a request. */
+/** Admits or refuses a request; an exception ends this request and no other. */
 function admit(
   task: taskState.TaskState,
   exchange: callerExchange.CallerExchange,
   unreadMs: number,
+): void {
+  const refusal = { code: schema.ResultCode.INTERNAL, retryAfterMs: undefined };
+  task.runGuarded(
+    failureGuard.WorkUnit.REQUEST,
+    () => admitUnguarded(task, exchange, unreadMs),
+    () => refuseArrived(task, exchange, '', refusal),
+  );
+}
+
+/** Admits or refuses a request. */
+function admitUnguarded(
+  task: taskState.TaskState,
+  exchange: callerExchange.CallerExchange,
+  unreadMs: number,
 ): void {
   const parsed = task.protocol.parseRequestHeaders(exchange.headers);
   const host = endToEndHeaders.findHeader(exchange.headers, 'host');
--- a/packages/gateway/src/mocks/report-fleet.ts
+++ b/packages/gateway/src/mocks/report-fleet.ts
@@ -97,6 +97,7 @@
     state,
     traffic: domainTraffic.createDomainTraffic(),
     readNow: () => fleet.nowMs,
+    runGuarded: (_unit, step) => step(),
     reportProblem: (reason) => {
       throw new Error(reason);
     },
--- a/packages/gateway/src/peer-task.test.ts
+++ b/packages/gateway/src/peer-task.test.ts
@@ -37,6 +37,7 @@
     state: createState(),
     traffic: domainTraffic.createDomainTraffic(),
     readNow: () => performance.now(),
+    runGuarded: (_unit, step) => step(),
     reportProblem: (reason) => assert.fail(reason),
   });
   const leaving: boolean[] = [];
@@ -77,6 +78,7 @@
     state,
     traffic: domainTraffic.createDomainTraffic(),
     readNow: () => performance.now(),
+    runGuarded: (_unit, step) => step(),
     reportProblem: (reason) => problems.push(reason),
   });
   context.after(() => {
--- a/packages/gateway/src/peer-task.ts
+++ b/packages/gateway/src/peer-task.ts
@@ -9,6 +9,7 @@
 import * as gateway from '@toucanproxy/core/gateway';
 import * as schema from '@toucanproxy/schema';
 import type * as domainTraffic from './domain-traffic.js';
+import * as failureGuard from './failure-guard.js';
 import type * as gatewaySettings from './gateway-settings.js';
 import type * as gatewayTask from './gateway-task.js';
 import * as peerSending from './peer-sending.js';
@@ -35,6 +36,7 @@
   state: gateway.GatewayState;
   traffic: domainTraffic.DomainTraffic;
   readNow: () => number;
+  runGuarded: failureGuard.RunGuarded;
   reportProblem: (reason: string) => void;
 };
 
@@ -255,6 +257,16 @@
   return Object.assign(peer, { groups });
 }
 
+/** Forgets what has expired and sends the reports of a round. */
+function runRound(peer: PeerState): void {
+  const { state, readNow } = peer.options;
+  gateway.expirePeers(state.peers, readNow());
+  gateway.expireRuns(state.lostRuns, readNow());
+  gateway.expireParts(state.partLosses, readNow());
+  gateway.expireOrigins(state.origins, readNow());
+  sendReport(peer);
+}
+
 /** Opens the socket and starts sending periodic reports. */
 export function startPeerTask(options: PeerTaskOptions): PeerTask {
   const { host, port } = options.listen;
@@ -270,11 +282,11 @@
   });
   socket.bind(port, host, () => sendPeerListToNew(peer, options.seeds));
   const timer = setInterval(() => {
-    gateway.expirePeers(options.state.peers, options.readNow());
-    gateway.expireRuns(options.state.lostRuns, options.readNow());
-    gateway.expireParts(options.state.partLosses, options.readNow());
-    gateway.expireOrigins(options.state.origins, options.readNow());
-    sendReport(peer);
+    options.runGuarded(
+      failureGuard.WorkUnit.REPORT,
+      () => runRound(peer),
+      () => {},
+    );
   }, gateway.REPORT_MS);
   return {
     setReceiver: (receiver) => {
--- a/packages/gateway/src/request-ending.ts
+++ b/packages/gateway/src/request-ending.ts
@@ -2,6 +2,7 @@
 import * as gateway from '@toucanproxy/core/gateway';
 import * as schema from '@toucanproxy/schema';
 import * as callerExchange from './caller-exchange.js';
+import * as failureGuard from './failure-guard.js';
 import * as heldRequest from './held-request.js';
 import * as requestReports from './request-reports.js';
 import type * as taskState from './task-state.js';
@@ -84,3 +85,48 @@
   requestReports.reportEnd(task, held, schema.ResultCode.CLIENT_LEFT, { server, mayHaveRun });
   task.assign();
 }
+
+/**
+ * Ends a request whose handling has thrown an exception. A caller that has a part of the response
+ * sees it broken off.
+ */
+function fail(task: taskState.TaskState, held: heldRequest.HeldRequest): void {
+  if (held.done) {
+    if (!held.exchange.response.writableEnded) {
+      callerExchange.abortResponse(held.exchange);
+    }
+    return;
+  }
+  const { serverId: server } = held.request;
+  const mayHaveRun = abandon(task, held);
+  const refusal = { code: schema.ResultCode.INTERNAL, retryAfterMs: undefined };
+  refuse(task, held, refusal, { server, mayHaveRun });
+  task.assign();
+}
+
+/** Gives up a request that cannot even be ended in order; its slot is free again. */
+function dropFailed(task: taskState.TaskState, held: heldRequest.HeldRequest): void {
+  removeRequest(task, held);
+  task.state.requests.delete(held.request.serial);
+  held.exchange.response.destroy();
+}
+
+/** Runs a step of one request; an exception ends this request and no other. */
+export function runForRequest<T>(
+  task: taskState.TaskState,
+  held: heldRequest.HeldRequest,
+  step: () => T,
+  resultOfFailure: T,
+): T {
+  const { REQUEST } = failureGuard.WorkUnit;
+  const endFailed = () =>
+    task.runGuarded(
+      REQUEST,
+      () => fail(task, held),
+      () => dropFailed(task, held),
+    );
+  return task.runGuarded(REQUEST, step, () => {
+    endFailed();
+    return resultOfFailure;
+  });
+}
--- a/packages/gateway/src/task-state.ts
+++ b/packages/gateway/src/task-state.ts
@@ -5,6 +5,7 @@
 import type * as decisionLog from './decision-log.js';
 import type * as eventLoop from './event-loop.js';
 import type * as domainTraffic from './domain-traffic.js';
+import type * as failureGuard from './failure-guard.js';
 import type * as gatewayMetrics from './gateway-metrics.js';
 import type * as heldRequest from './held-request.js';
 import type * as unknownNames from './unknown-names.js';
@@ -20,6 +21,7 @@
   unknown: unknownNames.UnknownNames;
   eventLoop: eventLoop.EventLoop;
   traffic: domainTraffic.DomainTraffic;
+  runGuarded: failureGuard.RunGuarded;
   sendToPeers: (outgoing: readonly gateway.OutgoingMessage[]) => void;
 };
 
--- a/packages/runtime/src/metric-definitions.ts
+++ b/packages/runtime/src/metric-definitions.ts
@@ -158,6 +158,10 @@
     type: MetricType.COUNTER,
     help: 'Messages between processes that were dropped, by reason.',
   },
+  internal_errors_total: {
+    type: MetricType.COUNTER,
+    help: 'Unexpected exceptions, by the unit of work that they ended.',
+  },
   invariants_broken_total: {
     type: MetricType.COUNTER,
     help: 'Checks inside the program that failed. Each one is a fault of the program.',
--- a/packages/runtime/src/operator-server.ts
+++ b/packages/runtime/src/operator-server.ts
@@ -24,22 +24,40 @@
   response.writeHead(isReady ? 200 : 503, TEXT).end(isReady ? 'ok\n' : 'leaving\n');
 }
 
+/** Responds to a request. */
+function serveRequest(
+  options: OperatorServerOptions,
+  request: http.IncomingMessage,
+  response: http.ServerResponse,
+): void {
+  const isReadiness = request.url === (options.readinessPath ?? HEALTH_PATH);
+  switch (isReadiness ? HEALTH_PATH : request.url) {
+    case '/metrics': {
+      const text = options.renderMetrics();
+      response.writeHead(200, TEXT).end(text);
+      return;
+    }
+    case '/status': {
+      const text = JSON.stringify(options.describeStatus());
+      response.writeHead(200, JSON_TYPE).end(text);
+      return;
+    }
+    case HEALTH_PATH:
+      serveHealth(response, options.isReady?.() ?? true);
+      return;
+    default:
+      response.writeHead(404, TEXT).end('not found\n');
+  }
+}
+
 /** Starts listening. */
 export async function startOperatorServer(options: OperatorServerOptions): Promise<OperatorServer> {
   const server = http.createServer((request, response) => {
-    const isReadiness = request.url === (options.readinessPath ?? HEALTH_PATH);
-    switch (isReadiness ? HEALTH_PATH : request.url) {
-      case '/metrics':
-        response.writeHead(200, TEXT).end(options.renderMetrics());
-        return;
-      case '/status':
-        response.writeHead(200, JSON_TYPE).end(JSON.stringify(options.describeStatus()));
-        return;
-      case HEALTH_PATH:
-        serveHealth(response, options.isReady?.() ?? true);
-        return;
-      default:
-        response.writeHead(404, TEXT).end('not found\n');
+    try {
+      serveRequest(options, request, response);
+    } catch (error) {
+      // Operators see what has failed; the requests of callers are not concerned.
+      response.writeHead(500, TEXT).end(`${(error as Error).message}\n`);
     }
   });
   await new Promise<void>((resolve, reject) => {
