Send the beginning of a caller's id to schedulers, not all of it

Not seen by callers; found on a related path. A caller's id of an attempt goes into each ask for a slot, for the log of the scheduler. Eight ids of 16,000 characters (the headers may have 16,384 bytes) made a message of 128,343 bytes; a datagram takes 65,507, so it was never sent, and nor were the other requests in it until their time was over.

Change: 64 characters are sent. Evidence: 'ask with long ids of callers fits a datagram' failed before with 128,343 bytes and passes now.

--- a/packages/core/src/gateway/ask-messages.test.ts
+++ b/packages/core/src/gateway/ask-messages.test.ts
@@ -82,3 +82,21 @@
   askMessages.collectAsks(state, 40);
   assert.deepEqual([...(state.links.get(request.cell)?.asks.keys() ?? [])], [request.serial]);
 });
+
+test('ask with long ids of callers fits a datagram', () => {
+  // Guards against a caller's id so long that no request in its message gets a slot.
+  const state = gatewayFixture.createTestGateway(SERVERS);
+  Array.from({ length: REQUESTS }, (_, index) => index).forEach((index) => {
+    const arrived = gatewayFixture.buildArrived(`${index}${'x'.repeat(16_000)}`);
+    requestAdmission.admitRequest(state, arrived, gatewayFixture.buildClocks(10));
+  });
+  const asks = askMessages.collectAsks(state, 20).map(({ ask }) => ask);
+  assert.equal(
+    asks.reduce((sum, one) => sum + one.requests.length, 0),
+    REQUESTS,
+  );
+  asks.forEach((ask) => {
+    const bytes = schema.toBinary(schema.ScheduleAskSchema, ask).length;
+    assert.ok(bytes <= MAX_DATAGRAM_BYTES, String(bytes));
+  });
+});
--- a/packages/core/src/gateway/ask-messages.ts
+++ b/packages/core/src/gateway/ask-messages.ts
@@ -48,6 +48,8 @@
 const MAX_STATEMENTS = 8;
 /** The same for requests in an ask that reports recent use; such an ask carries no statements. */
 const MAX_REQUESTS_WITH_USE = 5;
+/** Characters of a caller's id that are sent; schedulers use it for their log only. */
+const MAX_ID_LENGTH = 64;
 
 /** Lists the backend servers of a cell at which this gateway has requests in flight. */
 function listUsedServers(
@@ -125,7 +127,7 @@
   const { tokens, answerGuess } = arrived;
   return schema.create(schema.WaitingRequestSchema, {
     serial,
-    attemptId: arrived.attemptId,
+    attemptId: arrived.attemptId.slice(0, MAX_ID_LENGTH),
     workspace,
     urgency,
     isBeyondQuota,
