Count no work for a request that no server ran

While requests wait, schedulers put a workspace behind others for what it used recently, so it waited for work that nobody did: up to 65,536 tokens a send, decaying to 1/e in 5 s.

Change: a send that was not run is taken back, less what has decayed since it was sent.

Evidence: 'request that no server ran is no use of its workspace' failed before and passes now; 286 tests of the gateway's and scheduler's core pass.

--- a/packages/core/src/gateway/attempt-end.test.ts
+++ b/packages/core/src/gateway/attempt-end.test.ts
@@ -4,7 +4,8 @@
 import type * as assignment from './assignment.js';
 import * as attemptEnd from './attempt-end.js';
 import * as configuration from './configuration.js';
-import type * as gatewayState from './gateway-state.js';
+import * as gatewayState from './gateway-state.js';
+import * as recentUse from './recent-use.js';
 import * as requestAdmission from './request-admission.js';
 import * as gatewayFixture from './mocks/gateway-fixture.js';
 
@@ -143,3 +144,26 @@
   const retries = sends - 200;
   assert.ok(retries >= 10 && retries <= 52, String(retries));
 });
+
+/** Sends a request of 60,000 tokens; returns its workspace's use 10 ms after the given fault. */
+function measureUse(fault: attemptEnd.AttemptFault): number {
+  const state = gatewayFixture.createTestGateway(['a']);
+  const tokens = { prompt: 0, answer: 60_000 };
+  const arrived = gatewayFixture.buildArrived('1', { tokens });
+  requestAdmission.admitRequest(state, arrived, gatewayFixture.buildClocks(10));
+  const [sent] = gatewayFixture.assignWaiting(state, gatewayFixture.buildClocks(10));
+  const clocks = gatewayFixture.buildClocks(1010);
+  attemptEnd.handleAttemptFault(state, sent.request, fault, NOT_BEGUN, clocks);
+  const { use } = gatewayState.getServiceState(state, 'one');
+  const [reported] = recentUse.listRecentUse(use, undefined, 1020);
+  return reported?.tiers.reduce((sum, { workTokens }) => sum + workTokens, 0) ?? 0;
+}
+
+test('request that no server ran is no use of its workspace', () => {
+  // Guards against a workspace that waits behind others for work that all servers have refused.
+  const { REFUSED, UNREACHABLE, WITHDRAWN, MISDIRECTED, FAILED, BROKEN } = AttemptFault;
+  [REFUSED, UNREACHABLE, WITHDRAWN, MISDIRECTED].forEach((fault) =>
+    assert.equal(measureUse(fault), 0, fault),
+  );
+  [FAILED, BROKEN].forEach((fault) => assert.ok(measureUse(fault) > 40_000, fault));
+});
--- a/packages/core/src/gateway/attempt-end.ts
+++ b/packages/core/src/gateway/attempt-end.ts
@@ -7,6 +7,7 @@
 import * as crashDetection from './crash-detection.js';
 import * as gatewayRequest from './gateway-request.js';
 import * as gatewayState from './gateway-state.js';
+import * as recentUse from './recent-use.js';
 import * as refusal from './refusal.js';
 import * as requestEnd from './request-end.js';
 import * as retries from './retries.js';
@@ -167,6 +168,10 @@
   const notRun = NOT_RUN.has(fault);
   request.runs += notRun ? 0 : 1;
   request.mayHaveArrived ||= !NOT_ARRIVED.has(fault);
+  if (notRun) {
+    const { use } = gatewayState.getServiceState(state, request.service);
+    recentUse.noteNotRun(use, request, now);
+  }
   if (serverId !== undefined) {
     noteServerFault(state, request, serverId, fault, now);
     if (fault === AttemptFault.BROKEN) {
--- a/packages/core/src/gateway/recent-use.ts
+++ b/packages/core/src/gateway/recent-use.ts
@@ -56,6 +56,20 @@
   decayingCount.addCount(count, workTokens, now, scheduler.USE_DECAY_MS);
 }
 
+/** Takes back the work of a request that was sent and not run. */
+export function noteNotRun(
+  use: ServiceUse,
+  { workspace, urgency, workTokens, sentMs }: gatewayRequest.GatewayRequest,
+  now: number,
+): void {
+  const count = use.get(workspace)?.workTokens.get(urgency);
+  if (count !== undefined) {
+    const left = workTokens * Math.exp((sentMs - now) / scheduler.USE_DECAY_MS);
+    decayingCount.addCount(count, -left, now, scheduler.USE_DECAY_MS);
+    count.value = Math.max(count.value, 0);
+  }
+}
+
 /** Lists the recent use of a service by the workspaces with the highest use per share. */
 export function listRecentUse(
   use: ServiceUse,
