--- a/packages/proofs/src/soak/main.ts
+++ b/packages/proofs/src/soak/main.ts
@@ -23,6 +23,7 @@
     crashes: { type: 'string', default: '20' },
     stops: { type: 'string', default: '2' },
     parts: { type: 'string', default: '1' },
+    odd: { type: 'string', default: '60' },
     unframed: { type: 'string', default: '0.3' },
   },
 });
@@ -50,6 +51,7 @@
       crashes: Number(values.crashes),
       stops: Number(values.stops),
       parts: Number(values.parts),
+      oddInputs: Number(values.odd),
       unframedShare: Number(values.unframed),
       areTimesChecked: true,
     });
--- a/packages/proofs/src/soak/run-soak.ts
+++ b/packages/proofs/src/soak/run-soak.ts
@@ -12,6 +12,7 @@
 import * as soakFleet from './soak-fleet.js';
 import * as soakLimits from './soak-limits.js';
 import * as soakMemory from './soak-memory.js';
+import * as soakOddInput from './soak-odd-input.js';
 import * as soakParts from './soak-parts.js';
 import type * as soakRecords from './soak-records.js';
 import * as soakStalls from './soak-stalls.js';
@@ -40,6 +41,8 @@
   stops: number;
   /** Rounds of requests with a part that ends backend servers, after the other events. */
   parts: number;
+  /** Number of times that gateways get input that means nothing. */
+  oddInputs: number;
   /** Share of streams without a length; the same share of requests gets events with CRLF. */
   unframedShare: number;
   /** Also checks response times, which hold only on a machine with spare CPU. */
@@ -76,6 +79,7 @@
 const CRASHES_STEP = 32_452_843;
 const STOPS_STEP = 49_979_687;
 const PARTS_STEP = 67_867_967;
+const ODD_INPUT_STEP = 86_028_121;
 const USUAL_TIMES = { graceMs: 5000, routeTimes: { timeoutMs: 5000, targetMs: 1000 } };
 /** With planned stops a request may wait in a queue for longer than the grace period. */
 const STOPS_TIMES = { graceMs: 8000, routeTimes: { timeoutMs: 20_000, targetMs: 15_000 } };
@@ -105,6 +109,7 @@
     soakEpochs.runEpochs(fleet, createSource(EPOCHS_STEP), options.epochs),
     soakCrashes.runCrashes(fleet, createSource(CRASHES_STEP), options.crashes),
     soakStops.runStops(fleet, createSource(STOPS_STEP), options.stops),
+    soakOddInput.runOddInput(fleet, createSource(ODD_INPUT_STEP), options.oddInputs),
   ]);
   await soakParts.runParts(fleet, createSource(PARTS_STEP), options.parts);
 }
@@ -140,14 +145,18 @@
     RETRY_RATIO: retryRatio,
     RETRY_EXTRA: retryExtra,
   } = soakFleet;
-  const violations = soakChecks.checkRecords(fleet.records, {
+  const bounds = {
     revocationMs,
     evacuationMs,
     retryRatio,
     retryExtra,
     routeTimeoutMs: fleet.routeTimes.timeoutMs,
     areTimesChecked: options.areTimesChecked,
-  });
+  };
+  const violations = [
+    ...soakChecks.checkRecords(fleet.records, bounds),
+    ...soakOddInput.checkFailures(fleet),
+  ];
   return isServing
     ? violations
     : [...violations, { guarantee: 'serves again', detail: 'a gateway does not serve' }];
--- a/packages/proofs/src/soak/soak-call.ts
+++ b/packages/proofs/src/soak/soak-call.ts
@@ -13,6 +13,7 @@
   disconnectAfterMs?: number;
   resumes?: soakRecords.CallRecord['resumes'];
   parts?: string;
+  extraHeaders?: http.OutgoingHttpHeaders;
 };
 
 /** A caller gives up on a call after this multiple of its deadline. */
--- a/packages/proofs/src/soak/soak-fleet.ts
+++ b/packages/proofs/src/soak/soak-fleet.ts
@@ -30,6 +30,8 @@
   store: forwarder.Forwarder;
   /** Port on which the process itself accepts callers. */
   port: number;
+  /** Address at which other gateways reach the process. */
+  peerAddress: string;
 };
 
 export type SoakBackend = {
@@ -176,7 +178,15 @@
   });
   fs.writeFileSync(settingsFile, settings);
   const logFile = path.join(fleet.folder, `gateway-${index}.log`);
-  const parts = { child: undefined, isStopping: false, callers, store, port: frontend };
+  const peerAddress = `${peers.addresses[index]}:${peers.port}`;
+  const parts = {
+    child: undefined,
+    isStopping: false,
+    callers,
+    store,
+    port: frontend,
+    peerAddress,
+  };
   fleet.gateways.push({ index, settingsFile, logFile, ...parts });
 }
 
--- a/packages/proofs/src/soak/soak.test.ts
+++ b/packages/proofs/src/soak/soak.test.ts
@@ -18,6 +18,7 @@
     stops = 0,
     parts = 0,
     unframedShare = 0,
+    oddInputs = 0,
   },
 ): Promise<void> {
   const report = await runSoak.runSoak({
@@ -35,6 +36,7 @@
     stops,
     parts,
     unframedShare,
+    oddInputs,
     areTimesChecked: false,
   });
   assert.deepEqual(report.violations, [], `logs in ${report.folder}`);
@@ -68,3 +70,6 @@
 nodeTest.test('guarantees hold while streams have no length, seed 2', () =>
   expectNoViolations(2, { unframedShare: 0.3 }),
 );
+nodeTest.test('guarantees hold while gateways read input that means nothing, seed 9', () =>
+  expectNoViolations(9, { oddInputs: 40 }),
+);
