Continue streams only where the server states the start that its entry has

Cause: the version of a server was taken from its last entry, however old, also right after its connections had broken. Until the next incarnation has written its entry and the gateway has read it, the entry describes the one before.

Change: a request that continues a stream goes over a connection on which the server has stated, in its report, the start that its entry has. A connection belongs to one process, so the statement holds for the request that follows on it. One that begins a stream, after the other side has ended a connection to that address, asks as well; if the start differs or is not stated, the stream has no version and ends at its next fault.

Left: a stream that begins at a restarted server through a gateway that had no connection there may still be attributed to the version before.

--- a/packages/core/src/gateway/assignment.ts
+++ b/packages/core/src/gateway/assignment.ts
@@ -127,6 +127,7 @@
   request.serverId = serverId;
   request.serverBornMs = found.server.bornMs;
   request.serverVersion = found.server.softwareVersion;
+  request.isIncarnationUnknown = false;
   request.sentMs = now;
   request.sentWallMs = clocks.wallMs;
   promptParts.noteSent(state, request, now);
--- a/packages/core/src/gateway/gateway-request.ts
+++ b/packages/core/src/gateway/gateway-request.ts
@@ -81,6 +81,8 @@
   serverBornMs: number;
   /** Version of the software of that backend server; undefined if unknown. */
   serverVersion: string | undefined;
+  /** It is not certain that the process which got it is the one that the entry describes. */
+  isIncarnationUnknown: boolean;
   /**
    * Software version that produced the part of the stream that the caller has; only backend servers
    * of this version may continue it. Undefined if any may run the request.
--- a/packages/core/src/gateway/request-admission.ts
+++ b/packages/core/src/gateway/request-admission.ts
@@ -96,6 +96,7 @@
     serverId: undefined,
     serverBornMs: 0,
     serverVersion: undefined,
+    isIncarnationUnknown: false,
     streamVersion: undefined,
     sentMs: 0,
     sentWallMs: 0,
--- a/packages/core/src/gateway/stream-versions.ts
+++ b/packages/core/src/gateway/stream-versions.ts
@@ -39,7 +39,8 @@
  * copies are renewed: some of the gateways that kept them may be gone.
  *
  * The version stays unknown if the entry of the backend server has changed since the request was
- * sent: the event may come from the software before the change or after it.
+ * sent, or may not describe the process that got it: the event may come from the software before the
+ * change or after it.
  */
 export function noteStreamBegun(
   state: gatewayState.GatewayState,
@@ -49,8 +50,9 @@
   const { arrived, route, service, serverId, serverBornMs, serverVersion } = request;
   const entry = state.servers.byId.get(serverId ?? '')?.entry;
   const isUnchanged =
-    entry === undefined ||
-    (entry.bornMs === serverBornMs && entry.softwareVersion === serverVersion);
+    !request.isIncarnationUnknown &&
+    (entry === undefined ||
+      (entry.bornMs === serverBornMs && entry.softwareVersion === serverVersion));
   request.streamVersion ??= isUnchanged ? serverVersion : undefined;
   if (request.streamVersion === undefined || !route.resumable) {
     return [];
--- a/packages/gateway/src/attempt-sending.ts
+++ b/packages/gateway/src/attempt-sending.ts
@@ -2,6 +2,7 @@
 import * as gateway from '@toucanproxy/core/gateway';
 import * as schema from '@toucanproxy/schema';
 import * as backendAttempt from './backend-attempt.js';
+import type * as backendConnections from './backend-connections.js';
 import * as callerExchange from './caller-exchange.js';
 import * as gatewayMetrics from './gateway-metrics.js';
 import * as domainTraffic from './domain-traffic.js';
@@ -14,6 +15,7 @@
 import * as requestReports from './request-reports.js';
 import * as responseRelay from './response-relay.js';
 import * as serverCheck from './server-check.js';
+import * as streamConnection from './stream-connection.js';
 import * as statementReports from './statement-reports.js';
 import type * as taskState from './task-state.js';
 import * as unknownNames from './unknown-names.js';
@@ -198,27 +200,15 @@
   };
 }
 
-/** Sends a request to a backend server. */
-export function send(
+/** Creates the listener that relays the response to a request and records what it shows. */
+function createRelay(
   task: taskState.TaskState,
   held: heldRequest.HeldRequest,
-  { server, scheduler }: Extract<gateway.Assignment, { kind: 'send' }>,
-): void {
+  server: gateway.BackendServerEntry,
+): backendAttempt.AttemptListener {
   const { request } = held;
-  if (endIfUnwanted(task, held)) {
-    return;
-  }
-  requestReports.reportSent(task, held, server, scheduler);
-  const isOwnDomain = server.failureDomain === task.state.failureDomain;
-  domainTraffic.addAmount(task.traffic.placements, isOwnDomain, 1);
-  if (request.sends === 1) {
-    task.metrics.recordWait(request.urgency, request.sentMs - request.arrivedMs);
-  }
-  if (held.events !== undefined) {
-    eventStream.restart(held.events, held.exchange.response.headersSent);
-  }
   const readNow = () => task.readClocks().steadyMs;
-  const relay = responseRelay.createRelay({
+  return responseRelay.createRelay({
     held,
     protocol: task.protocol,
     readNow,
@@ -250,12 +240,40 @@
       unknownNames.recordUnknownNames(task.unknown, task.log, parsed.unknown, readNow());
     },
   });
-  const listener = buildGuardedListener(task, held, relay);
-  const connection = task.connections.take(server.address);
-  const outgoing = outgoingRequest.buildOutgoingRequest(task.protocol, held, server, readNow());
-  held.attempt = backendAttempt.startAttempt(
-    connection,
-    outgoing,
-    domainTraffic.countBodies(task.traffic, isOwnDomain, outgoing.body, listener),
-  );
+}
+
+/** Sends a request to a backend server. */
+export function send(
+  task: taskState.TaskState,
+  held: heldRequest.HeldRequest,
+  { server, scheduler }: Extract<gateway.Assignment, { kind: 'send' }>,
+): void {
+  const { request } = held;
+  if (endIfUnwanted(task, held)) {
+    return;
+  }
+  requestReports.reportSent(task, held, server, scheduler);
+  const isOwnDomain = server.failureDomain === task.state.failureDomain;
+  domainTraffic.addAmount(task.traffic.placements, isOwnDomain, 1);
+  if (request.sends === 1) {
+    task.metrics.recordWait(request.urgency, request.sentMs - request.arrivedMs);
+  }
+  if (held.events !== undefined) {
+    eventStream.restart(held.events, held.exchange.response.headersSent);
+  }
+  const listener = buildGuardedListener(task, held, createRelay(task, held, server));
+  const refuseRestarted = () => {
+    const fault = gateway.AttemptFault.WITHDRAWN;
+    handleOutcome(task, held, { kind: 'fault', fault, reason: 'restarted', failure: undefined });
+  };
+  const useConnection = (connection: backendConnections.BackendConnection) => {
+    const now = task.readClocks().steadyMs;
+    const outgoing = outgoingRequest.buildOutgoingRequest(task.protocol, held, server, now);
+    held.attempt = backendAttempt.startAttempt(
+      connection,
+      outgoing,
+      domainTraffic.countBodies(task.traffic, isOwnDomain, outgoing.body, listener),
+    );
+  };
+  streamConnection.takeConnection(task, held, server, useConnection, refuseRestarted);
 }
--- a/packages/gateway/src/backend-connections.ts
+++ b/packages/gateway/src/backend-connections.ts
@@ -11,6 +11,8 @@
   client: undici.Client;
   /** Number of responses received completely; -1 once the connection has been discarded. */
   completedResponses: number;
+  /** When the process at the other end started, as it has stated on this connection. */
+  bornMs: number | undefined;
   wasReset: () => boolean;
   /** Returns how many bytes have been read from the connection. */
   countBytesRead: () => number;
@@ -23,7 +25,16 @@
 export type BackendConnections = {
   /** Takes an idle connection to an address, or opens a new one. */
   take: (address: string) => BackendConnection;
+  /** Takes an idle connection to a process that has stated the given start on it, if there is one. */
+  takeKnown: (address: string, bornMs: number) => BackendConnection | undefined;
   open: (address: string) => BackendConnection;
+  /**
+   * Whether a connection to an address was ended by the other side or could not be opened, so that
+   * another incarnation of the server may listen there by now.
+   */
+  isDoubtful: (address: string) => boolean;
+  /** Records that the present incarnation is known, until the next such end. */
+  clearDoubt: (address: string) => void;
   /** Closes idle connections to addresses that are no longer used. */
   closeOthers: (addresses: ReadonlySet<string>) => void;
   stop: () => void;
@@ -44,11 +55,29 @@
 /** Upper limit for a keep-alive timeout that the backend server announces, milliseconds. */
 const MAX_KEEP_ALIVE_MS = 30_000;
 
+/** Returns whether an error comes from the other side or the network, not from this process. */
+function isForeign(error: Error): boolean {
+  const { code, syscall } = error as NodeJS.ErrnoException;
+  return code === 'UND_ERR_SOCKET' || syscall !== undefined;
+}
+
+/** Calls a listener when the other side ends a connection, or it cannot be opened. */
+function watchEnds(client: undici.Client, handleEnd: () => void): void {
+  const noteError = (_url: URL, _targets: unknown, error: Error) => {
+    if (isForeign(error)) {
+      handleEnd();
+    }
+  };
+  client.on('connectionError', noteError);
+  client.on('disconnect', noteError);
+}
+
 /** Opens a connection; a listener on its socket records a reset before the library handles it. */
 function openConnection(
   address: string,
   removeIdle: (connection: BackendConnection) => void,
   addIdle: (connection: BackendConnection) => void,
+  markDoubtful: () => void,
   runWhenPolled: (step: () => void) => void,
 ): BackendConnection {
   let isReset = false;
@@ -82,6 +111,7 @@
   const connection: BackendConnection = {
     client,
     completedResponses: 0,
+    bornMs: undefined,
     wasReset: () => isReset,
     countBytesRead: () => countBytesRead(),
     setReadListener: (listener) => {
@@ -97,6 +127,7 @@
       addIdle(connection);
     },
   };
+  watchEnds(client, markDoubtful);
   client.on('disconnect', () => {
     removeIdle(connection);
     client.destroy();
@@ -113,6 +144,7 @@
   runWhenPolled: (step: () => void) => void,
 ): BackendConnections {
   const idle = new Map<string, BackendConnection[]>();
+  const doubtful = new Set<string>();
   const getIdle = (address: string) => {
     const connections = idle.get(address) ?? [];
     idle.set(address, connections);
@@ -140,13 +172,28 @@
           getIdle(address).push(connection);
         }
       },
+      () => doubtful.add(address),
       runWhenPolled,
     );
   return {
     take: (address) => getIdle(address).pop() ?? open(address),
+    takeKnown: (address, bornMs) => {
+      const known = idle.get(address)?.find((connection) => connection.bornMs === bornMs);
+      if (known !== undefined) {
+        removeIdle(address, known);
+      }
+      return known;
+    },
     open,
+    isDoubtful: (address) => doubtful.has(address),
+    clearDoubt: (address) => doubtful.delete(address),
     closeOthers: (addresses) =>
-      [...idle.keys()].filter((address) => !addresses.has(address)).forEach(closeAll),
+      [...idle.keys(), ...doubtful]
+        .filter((address) => !addresses.has(address))
+        .forEach((address) => {
+          closeAll(address);
+          doubtful.delete(address);
+        }),
     stop: () => [...idle.keys()].forEach(closeAll),
   };
 }
--- a/packages/gateway/src/wire-protocol.ts
+++ b/packages/gateway/src/wire-protocol.ts
@@ -63,4 +63,9 @@
   parseResponseHeaders: (status: number, headers: RawHeaders) => ParsedResponseHeaders;
   /** Builds a request that a backend server answers at once, without a slot. */
   buildServerCheck: (serverId: string) => backendAttempt.OutgoingRequest;
+  /**
+   * Parses from the response to that request when the backend server's process started, milliseconds
+   * since the Unix epoch; undefined if it is not stated.
+   */
+  parseReportedStart: (report: Buffer) => number | undefined;
 };
--- a/packages/proofs/src/soak/soak-faults.ts
+++ b/packages/proofs/src/soak/soak-faults.ts
@@ -217,6 +217,7 @@
     backend.incarnations += 1;
     backend.bornMs = Date.now();
     backend.version = isSameId ? backend.version : soakFleet.formatVersion(backend.incarnations);
+    server.setBornMs(backend.bornMs);
     server.rename(isSameId ? before : `${before}.${backend.incarnations}`, backend.version);
     soakFleet.publishBackend(fleet, backend);
   }, forMs);
--- a/packages/proofs/src/soak/soak-fleet.ts
+++ b/packages/proofs/src/soak/soak-fleet.ts
@@ -206,6 +206,7 @@
   );
   const link = await forwarder.startForwarder(server.port);
   const bornMs = Date.now();
+  server.setBornMs(bornMs);
   fleet.backends.push({ server, link, incarnations: 1, bornMs, failureDomain, version });
 }
 
--- a/packages/proofs/src/soak/soak-server.ts
+++ b/packages/proofs/src/soak/soak-server.ts
@@ -13,6 +13,8 @@
   port: number;
   /** Starts a new incarnation under an id; requests for any other id are answered with 421. */
   rename: (id: string, version: string) => void;
+  /** Sets when the process started, as its report states it, milliseconds since the Unix epoch. */
+  setBornMs: (bornMs: number) => void;
   /** Announces a rate limit in all responses from now on; none if undefined. */
   setLimit: (limit: soakRecords.LimitRecord | undefined) => void;
   /** Makes a statement about itself in responses from now on; none if undefined. */
@@ -303,6 +305,7 @@
     setWork: (drawWorkMs) => {
       state.drawWorkMs = drawWorkMs;
     },
+    setBornMs: runner.setBornMs,
     rename: (changed, changedVersion) => {
       state.limit = undefined;
       state.statement = undefined;
