Bound the check of an incarnation, and use what a server check has heard

The check after a response without a length reads the same report, so the connection that it leaves behind now counts as known: where servers answer without a length, the next stream needs no second call.

--- a/packages/gateway/src/attempt-sending.ts
+++ b/packages/gateway/src/attempt-sending.ts
@@ -167,6 +167,7 @@
   const { abort } = serverCheck.startServerCheck({
     open: () => task.connections.open(server.address),
     request: task.protocol.buildServerCheck(server.id),
+    parseStart: task.protocol.parseReportedStart,
     isMisdirected: (status, headers) =>
       task.protocol.parseResponseHeaders(status, headers).isMisdirected,
     readNow,
--- a/packages/gateway/src/incarnation-check.ts
+++ b/packages/gateway/src/incarnation-check.ts
@@ -20,6 +20,7 @@
 
 /** A server that has not responded after this time counts as not stating its start, milliseconds. */
 const MAX_CHECK_MS = 400;
+const STATUS_OK = 200;
 /** A longer report closes its connection; bytes. */
 const MAX_REPORT_BYTES = 65_536;
 
@@ -32,36 +33,48 @@
 }: IncarnationCheckOptions): { abort: () => void } {
   const chunks: Buffer[] = [];
   let bytes = 0;
+  let isReport = false;
+  let isOver = false;
   let timer: NodeJS.Timeout | undefined;
   const end = (bornMs: number | undefined) => {
-    clearTimeout(timer);
-    settle(bornMs);
+    if (!isOver) {
+      isOver = true;
+      clearTimeout(timer);
+      settle(bornMs);
+    }
   };
+  const endUnknown = () => end(undefined);
   const attempt = backendAttempt.startAttempt(connection, request, {
-    canSend: () => true,
-    onHead: () => true,
+    canSend: () => !isOver,
+    onHead: (status) => {
+      isReport = status === STATUS_OK;
+      return true;
+    },
     onData: (chunk) => {
       bytes += chunk.length;
-      if (bytes <= MAX_REPORT_BYTES) {
-        chunks.push(chunk);
+      chunks.push(chunk);
+      if (bytes > MAX_REPORT_BYTES) {
+        attempt.abort();
+        endUnknown();
       }
       return true;
     },
     onEnd: () => {
-      const bornMs = bytes <= MAX_REPORT_BYTES ? parseStart(Buffer.concat(chunks)) : undefined;
-      connection.bornMs = bornMs;
-      end(bornMs);
+      connection.bornMs = isReport ? parseStart(Buffer.concat(chunks)) : undefined;
+      end(connection.bornMs);
     },
-    onWithdrawn: () => end(undefined),
-    onBroken: () => end(undefined),
+    onWithdrawn: endUnknown,
+    onBroken: endUnknown,
   });
-  const abort = () => {
-    clearTimeout(timer);
-    attempt.abort();
-  };
   timer = setTimeout(() => {
     attempt.abort();
-    settle(undefined);
+    endUnknown();
   }, MAX_CHECK_MS);
-  return { abort };
+  return {
+    abort: () => {
+      isOver = true;
+      clearTimeout(timer);
+      attempt.abort();
+    },
+  };
 }
--- a/packages/gateway/src/server-check.test.ts
+++ b/packages/gateway/src/server-check.test.ts
@@ -45,6 +45,7 @@
     const check = serverCheck.startServerCheck({
       open: () => connections.open(`127.0.0.1:${port}`),
       request: REQUEST,
+      parseStart: () => undefined,
       isMisdirected: (status) => status === MISDIRECTED,
       readNow: () => performance.now(),
       runAfterPoll: (step) => setImmediate(step),
--- a/packages/gateway/src/server-check.ts
+++ b/packages/gateway/src/server-check.ts
@@ -12,6 +12,8 @@
   /** Opens a new connection to the backend server. */
   open: () => backendConnections.BackendConnection;
   request: backendAttempt.OutgoingRequest;
+  /** Parses when the process of the backend server started, milliseconds since the Unix epoch. */
+  parseStart: (report: Buffer) => number | undefined;
   /** Returns whether a response comes from another backend server at the same address. */
   isMisdirected: (status: number, headers: wireProtocol.RawHeaders) => boolean;
   readNow: () => number;
@@ -71,8 +73,10 @@
 
 /** Sends the request of the check over a new connection. */
 function sendRequest(state: CheckState): void {
-  const { open, request, isMisdirected, runAfterPoll } = state.options;
+  const { open, request, isMisdirected, parseStart, runAfterPoll } = state.options;
+  const chunks: Buffer[] = [];
   let receivedBytes = 0;
+  let isReport = false;
   let silenceTimer: NodeJS.Timeout | undefined;
   let isOver = false;
   const handleSilence = () => {
@@ -92,17 +96,23 @@
       return !state.isSettled;
     },
     onHead: (status, headers) => {
-      endCheck(state, !isMisdirected(status, headers));
+      isReport = !isMisdirected(status, headers);
+      endCheck(state, isReport);
       return true;
     },
     onData: (chunk) => {
       receivedBytes += chunk.length;
+      chunks.push(chunk);
       if (receivedBytes > MAX_RESPONSE_BYTES) {
         attempt.abort();
       }
       return true;
     },
-    onEnd: handleEnd,
+    onEnd: () => {
+      // Streams that begin or go on over this connection need not ask again.
+      connection.bornMs = isReport ? parseStart(Buffer.concat(chunks)) : undefined;
+      handleEnd();
+    },
     onWithdrawn: handleEnd,
     onBroken: (reason) => {
       handleEnd();
--- a/packages/gateway/src/stream-connection.ts
+++ b/packages/gateway/src/stream-connection.ts
@@ -21,16 +21,20 @@
   { id, address }: gateway.BackendServerEntry,
   settle: (statedMs: number | undefined) => void,
 ): void {
+  let isSettled = false;
   const { abort } = incarnationCheck.startIncarnationCheck({
     connection: task.connections.take(address),
     request: task.protocol.buildServerCheck(id),
     parseStart: task.protocol.parseReportedStart,
     settle: (statedMs) => {
+      isSettled = true;
       held.attempt = undefined;
       requestEnding.runForRequest(task, held, () => settle(statedMs), undefined);
     },
   });
-  held.attempt = { abort, resume: () => {}, mayHaveBeenSent: () => false };
+  if (!isSettled) {
+    held.attempt = { abort, resume: () => {}, mayHaveBeenSent: () => false };
+  }
 }
 
 /**
