Print why a test that is known to be red has failed

The script named such tests only. 'responses to pipelined requests arrive before their connection closes' has failed once in the whole check, and its assertion names the requests that arrive; without its text a second failure would tell nothing.

--- a/.ci/run-tests.js
+++ b/.ci/run-tests.js
@@ -45,13 +45,15 @@
 function noteFailure(data) {
   const { name, details } = data;
   const isFile = details.type === 'suite' || name.endsWith('.test.js');
+  const error = details.error?.cause ?? details.error;
+  const text = `${name}${isFile ? ' (file)' : ''}\n${error?.stack ?? error}\n`;
   if (knownRed.includes(name)) {
     red.push(name);
+    process.stdout.write(`known red, failed: ${text}`);
     return;
   }
   failures.push(name);
-  const error = details.error?.cause ?? details.error;
-  process.stdout.write(`FAILED ${name}${isFile ? ' (file)' : ''}\n${error?.stack ?? error}\n`);
+  process.stdout.write(`FAILED ${text}`);
 }
 
 const run = nodeTest.run({ files: listTestFiles(), concurrency: CONCURRENCY });
