--- a/packages/gateway/src/request-ending.ts
+++ b/packages/gateway/src/request-ending.ts
@@ -104,7 +104,7 @@
   task.assign();
 }
 
-/** Gives up a request that cannot even be ended in order; its slot is free again. */
+/** Gives up a request that cannot even be ended in order. */
 function dropFailed(task: taskState.TaskState, held: heldRequest.HeldRequest): void {
   removeRequest(task, held);
   task.state.requests.delete(held.request.serial);
