Read the platform's responses over a connection per call

Seen: against a server that responds twice, the configuration watch took the document before for the newer one and then waited for its retry delay; the VM list poll took a document for the list and failed.

Cause: both clients keep connections, which they share where the two have one origin, and compare nothing with the call. A second response that arrives after the next call was sent is the response to it.

Change: the connection is closed after each response. The calls are 3 s or more apart, so a connection each costs little. Weighed and left out: comparing the version of a document; it does not cover the status 204 nor the VM list.

--- a/packages/runtime/src/configuration-watch.ts
+++ b/packages/runtime/src/configuration-watch.ts
@@ -70,7 +70,11 @@
   url.searchParams.set('newer_than', String(options.getVersion()));
   url.searchParams.set('wait_ms', String(waitMs));
   const timeout = AbortSignal.timeout(waitMs + RESPONSE_GRACE_MS);
-  const response = await undici.request(url, { signal: AbortSignal.any([signal, timeout]) });
+  const response = await undici.request(url, {
+    signal: AbortSignal.any([signal, timeout]),
+    // On a kept connection, a late second response would pass for the response to the next call.
+    reset: true,
+  });
   const text = await response.body.text();
   if (response.statusCode === 204) {
     return undefined;
--- a/packages/runtime/src/vm-list-poll.ts
+++ b/packages/runtime/src/vm-list-poll.ts
@@ -27,7 +27,8 @@
 /** Reads the list once. */
 async function readList(options: VmListOptions): Promise<void> {
   const signal = AbortSignal.timeout(RESPONSE_TIMEOUT_MS);
-  const response = await undici.request(options.vmListUrl, { signal });
+  // On a kept connection, a late second response would pass for the response to the next call.
+  const response = await undici.request(options.vmListUrl, { signal, reset: true });
   if (response.statusCode !== 200) {
     await response.body.dump();
     throw new Error(`VM list responded with status ${response.statusCode}`);
