Resume a run from bytes that were received, and compare them

Seen: a model engine that responds twice, the first response without a length: the caller got both responses as one complete body, in 36 of 36 cases of own stand-ins. An engine that crashed as it began to resume a run passed for one that had nothing more to send.

Cause: the agent asked for the rest after all bytes that it had counted. The bytes of the second response were counted too, so the engine had nothing more to give, and that was taken for proof of a complete response. A response to a question for nothing proves nothing.

Change: a resumption asks for the last 64 bytes once more and compares them. Bytes beyond the end of the run are not repeated, so the attempt fails instead of completing. As the engine responds, its fault is FAILED and not CRASHED. Weighed and left out: reading the whole run again and comparing all of it, which doubles what long runs send.

--- a/packages/agent/src/engine-client.ts
+++ b/packages/agent/src/engine-client.ts
@@ -7,6 +7,7 @@
 import * as core from '@toucanproxy/core';
 import * as schema from '@toucanproxy/schema';
 import * as undici from 'undici';
+import * as runProgress from './run-progress.js';
 
 export type EngineClient = {
   start: (refKey: string, offer: schema.Offer) => void;
@@ -31,8 +32,7 @@
   refKey: string;
   controller: AbortController;
   headSent: boolean;
-  /** Response bytes received so far. */
-  receivedBytes: number;
+  progress: runProgress.RunProgress;
 };
 
 const MAX_SUCCESS = 299;
@@ -43,18 +43,31 @@
 
 /** Error code of a response that ended with its connection, and may be a part. */
 const UNPROVEN = 'UNPROVEN_END';
+/** Error code of a resumption that ended before it had repeated the last bytes received. */
+const NOT_REPEATED = 'NOT_REPEATED';
+/** Error code of a resumption that began with other bytes than the last ones received. */
+const OTHER_RESPONSE = 'OTHER_RESPONSE';
 /** Error codes of a connection that broke during a response. */
 const BROKEN_CODES = [
   UNPROVEN,
+  NOT_REPEATED,
   'ECONNRESET',
   'EPIPE',
   'UND_ERR_SOCKET',
   'UND_ERR_RES_CONTENT_LENGTH_MISMATCH',
 ];
 
+/** Error codes with which a resumption fails though the engine still responds. */
+const ALIVE_CODES = [NOT_REPEATED, OTHER_RESPONSE];
+
 /** Name of the error that the HTTP library throws for a connection that ends during a response. */
 const PARSER_ERROR = 'HTTPParserError';
 
+/** Creates an error with a code. */
+function makeError(code: string, message: string): Error {
+  return Object.assign(new Error(message), { code });
+}
+
 /** Returns the code of an error of the HTTP library. */
 function getCode(error: unknown): string {
   return (error as { code?: string }).code ?? '';
@@ -87,8 +100,8 @@
  * Reports a response while it arrives.
  *
  * An engine that crashes ends its connections like one that has finished, and the library hides a
- * reset. A model engine is therefore asked for the rest of an open-ended response; nothing more from
- * an engine that knows the run shows that it is complete.
+ * reset. A model engine is therefore asked for the rest of an open-ended response; nothing more than
+ * the repeated bytes, from an engine that knows the run, shows that it is complete.
  */
 async function forwardResponse(
   options: EngineClientOptions,
@@ -101,22 +114,42 @@
     const contentType = String(response.headers['content-type'] ?? 'application/octet-stream');
     options.post({ kind: 'engineHead', refKey, status: response.statusCode, contentType });
   }
-  const isResumed = run.receivedBytes > 0;
-  let bytes = 0;
-  for await (const data of response.body) {
-    bytes += (data as Buffer).length;
-    run.receivedBytes += (data as Buffer).length;
-    options.post({ kind: 'engineData', refKey, data });
-  }
-  const isProven = response.statusCode > MAX_SUCCESS || (isResumed && bytes === 0);
+  const newBytes = await forwardBody(options, run, response);
+  const isResumed = newBytes < run.progress.receivedBytes;
+  const isProven = response.statusCode > MAX_SUCCESS || (isResumed && newBytes === 0);
   if (options.isModelEngine() && isOpenEnded(response) && !isProven) {
-    throw Object.assign(new Error('the end of the response is not known'), { code: UNPROVEN });
+    throw makeError(UNPROVEN, 'the end of the response is not known');
   }
   options.post({ kind: 'engineEnd', refKey });
 }
 
+/** Reports the new bytes of a response while they arrive; returns their number. */
+async function forwardBody(
+  { post }: EngineClientOptions,
+  { refKey, progress }: Run,
+  response: undici.Dispatcher.ResponseData,
+): Promise<number> {
+  const before = progress.receivedBytes;
+  let left = progress.lastBytes;
+  for await (const bytes of response.body as AsyncIterable<Buffer>) {
+    const taken = runProgress.takeRepeated(left, bytes);
+    if (taken === undefined) {
+      throw makeError(OTHER_RESPONSE, 'the engine resumed with other bytes');
+    }
+    left = taken.left;
+    if (taken.rest.length > 0) {
+      runProgress.recordReceived(progress, taken.rest);
+      post({ kind: 'engineData', refKey, data: taken.rest });
+    }
+  }
+  if (left.length > 0) {
+    throw makeError(NOT_REPEATED, 'the engine did not repeat the last bytes');
+  }
+  return progress.receivedBytes - before;
+}
+
 /**
- * Resumes a run whose connection broke, if the engine still has it.
+ * Resumes a run whose connection broke, if the engine still has it; it repeats the last bytes.
  *
  * Sending the request again would run it twice. An engine that does not know the
  * run has crashed in the meantime or cannot resume: in both cases the response
@@ -124,7 +157,7 @@
  */
 async function resumeRun(options: EngineClientOptions, run: Run): Promise<void> {
   const url = buildStreamUrl(options.engineUrl, run.refKey);
-  url.searchParams.set('from', String(run.receivedBytes));
+  url.searchParams.set('from', String(runProgress.computeResumeFrom(run.progress)));
   const response = await undici.request(url, { signal: run.controller.signal, reset: true });
   if (response.statusCode !== 200) {
     await response.body.dump();
@@ -138,17 +171,19 @@
   options: EngineClientOptions,
   run: Run,
 ): Promise<core.EngineFault | undefined> {
+  let isAlive = false;
   for (let resumptions = 0; resumptions < MAX_RESUMPTIONS; resumptions += 1) {
     try {
       await resumeRun(options, run);
       return undefined;
     } catch (error) {
+      isAlive = ALIVE_CODES.includes(getCode(error));
       if (!isBroken(error)) {
         break;
       }
     }
   }
-  return run.controller.signal.aborted ? core.EngineFault.FAILED : core.EngineFault.CRASHED;
+  return toFault(!isAlive && !run.controller.signal.aborted);
 }
 
 /** Creates the client of one engine. */
@@ -183,7 +218,12 @@
 
   return {
     start: (refKey, offer) => {
-      const run = { refKey, controller: new AbortController(), headSent: false, receivedBytes: 0 };
+      const run = {
+        refKey,
+        controller: new AbortController(),
+        headSent: false,
+        progress: runProgress.createProgress(),
+      };
       runs.set(refKey, run);
       execute(run, offer).then((fault) => {
         runs.delete(refKey);
