End a response without a length where a further response begins

Cause: the end of the connection was the only end of such a body, so the HTTP library handed over the second response, status line and all, as the rest of it, and nothing looked at the bytes.

Change: the bytes of such a body are searched for the head of a response that states the id of a call which the connection has carried. The body ends before it; from there on nothing is passed on, and the server is asked as after the end of a connection. A head that is cut before an id breaks the response off. A body that quotes HTTP stays whole: a status line, or a head with another id, proves nothing. Held back are only bytes that may begin a head. Each case is counted (extra_responses_total) and logged (extra-response with its server), so that a server which stutters is seen.

--- a/packages/gateway/src/app.ts
+++ b/packages/gateway/src/app.ts
@@ -188,7 +188,10 @@
     protocol,
     eventLoop: loop,
     runGuarded: failureGuard.createFailureGuard(log, metrics, clocks.readSteadyMs),
-    connections: backendConnections.createBackendConnections(loop.runWhenPolled),
+    connections: backendConnections.createBackendConnections(
+      loop.runWhenPolled,
+      (code, headers) => protocol.parseResponseHeaders(code, headers).attemptId,
+    ),
     readClocks: clocks.createClockReader(),
     log,
     storeStatus: { isLost: false },
--- a/packages/gateway/src/attempt-sending.ts
+++ b/packages/gateway/src/attempt-sending.ts
@@ -195,6 +195,7 @@
     onHead: (...head) => run(() => listener.onHead(...head), false),
     onData: (chunk) => run(() => listener.onData(chunk), true),
     onEnd: () => run(listener.onEnd, undefined),
+    onExtraResponse: () => run(() => listener.onExtraResponse?.(), undefined),
     canSend: () => run(listener.canSend, false),
     onWithdrawn: () => run(listener.onWithdrawn, undefined),
     onBroken: (...outcome) => run(() => listener.onBroken(...outcome), undefined),
@@ -235,6 +236,8 @@
       gateway.isStillUsable(task.state, request, readNow()),
     isLeaving: () => gateway.findUsable(task.state.servers, server.id, readNow()) === undefined,
     checkServer: (settle) => checkServer(task, held, server, settle),
+    observeExtraResponse: () =>
+      requestReports.reportExtraResponse(task, request, server.id, readNow()),
     observeStatements: (parsed) => {
       gateway.noteServerHeard(task.state, request, readNow());
       statementReports.applyStatements(task, request, parsed);
--- a/packages/gateway/src/backend-attempt.test.ts
+++ b/packages/gateway/src/backend-attempt.test.ts
@@ -22,7 +22,7 @@
   await new Promise<void>((resolve) => {
     server.listen(0, '127.0.0.1', resolve);
   });
-  const connections = backendConnections.createBackendConnections(runWhenPolled);
+  const connections = backendConnections.createBackendConnections(runWhenPolled, () => undefined);
   const { port } = server.address() as net.AddressInfo;
   const ending = await new Promise<string>((resolve) => {
     backendAttempt.startAttempt(connections.take(`127.0.0.1:${port}`), REQUEST, {
--- a/packages/gateway/src/backend-attempt.ts
+++ b/packages/gateway/src/backend-attempt.ts
@@ -5,7 +5,9 @@
  * truncated response would look complete to the caller. The connection therefore records a reset
  * itself, before the library handles it, and the attempt checks for one.
  */
+import * as runtime from '@toucanproxy/runtime';
 import type * as backendConnections from './backend-connections.js';
+import * as carriedCalls from './carried-calls.js';
 import * as endToEndHeaders from './end-to-end-headers.js';
 import type * as wireProtocol from './wire-protocol.js';
 
@@ -19,6 +21,8 @@
   /** Returns false to pause until `resume` is called. */
   onData: (chunk: Buffer) => boolean;
   onEnd: () => void;
+  /** Called before the end of the attempt if bytes of a further response followed its body. */
+  onExtraResponse?: () => void;
   /** Called before the first byte is sent; returning false withdraws the request. */
   canSend: () => boolean;
   /** The attempt ended because `canSend` returned false; no byte of the request was sent. */
@@ -28,6 +32,8 @@
 };
 
 export type OutgoingRequest = {
+  /** Id that the headers state, by which a response names its request; absent if they state none. */
+  attemptId?: string;
   method: string;
   path: string;
   headers: wireProtocol.RawHeaders;
@@ -82,64 +88,137 @@
   return { ...handler, onData };
 }
 
-/** Starts an attempt: sends a request over a connection. */
-export function startAttempt(
-  connection: backendConnections.BackendConnection,
-  request: OutgoingRequest,
-  listener: AttemptListener,
-): BackendAttempt {
-  let isSent = false;
-  let ended = false;
-  let isDelimited = false;
-  let isKeptAlive = true;
-  let resume = () => {};
-  const isNewConnection = connection.completedResponses === 0;
-  const end = (notify: () => void, isReusable: boolean) => {
-    if (!ended) {
-      ended = true;
-      connection.setReadListener(() => {});
-      connection.release(isReusable);
-      notify();
-    }
-  };
-  const endBroken = (reason: string) => end(() => listener.onBroken(reason, isSent), false);
-  const handler = {
+type AttemptState = {
+  connection: backendConnections.BackendConnection;
+  listener: AttemptListener;
+  attemptId: string | undefined;
+  isNewConnection: boolean;
+  isSent: boolean;
+  hasEnded: boolean;
+  /** Whether the response marks its own end. */
+  isDelimited: boolean;
+  isKeptAlive: boolean;
+  scan: runtime.ResponseScan;
+  resume: () => void;
+};
+
+/** Ends an attempt once; its connection is closed unless it can be used again. */
+function endAttempt(state: AttemptState, notify: () => void, isReusable: boolean): void {
+  if (!state.hasEnded) {
+    state.hasEnded = true;
+    state.connection.setReadListener(() => {});
+    state.connection.release(isReusable);
+    notify();
+  }
+}
+
+/** Ends an attempt that has failed. */
+function endBroken(state: AttemptState, reason: string): void {
+  endAttempt(state, () => state.listener.onBroken(reason, state.isSent), false);
+}
+
+/** Handles the status and headers of the final response. */
+function handleHead(state: AttemptState, status: number, headers: wireProtocol.RawHeaders): void {
+  const { connection, listener, attemptId, isNewConnection } = state;
+  if (attemptId === undefined) {
+    carriedCalls.recordPlainHead(connection.calls, status, headers);
+  }
+  state.isDelimited =
+    endToEndHeaders.detectFraming(status, headers) !== endToEndHeaders.BodyFraming.UNTIL_CLOSE;
+  state.isKeptAlive = endToEndHeaders.findHeader(headers, 'connection')?.toLowerCase() !== 'close';
+  if (!state.hasEnded && !listener.onHead(status, headers, isNewConnection)) {
+    endAttempt(state, () => {}, false);
+  }
+}
+
+/** Passes on bytes of the body, up to a further response; returns false to pause. */
+function passBody(state: AttemptState, { body, next }: runtime.ScanResult): boolean {
+  const { listener } = state;
+  const canContinue = body.length === 0 || listener.onData(body);
+  if (next === runtime.HeadVerdict.BODY || state.hasEnded) {
+    return canContinue;
+  }
+  listener.onExtraResponse?.();
+  if (next === runtime.HeadVerdict.RESPONSE) {
+    endAttempt(state, listener.onEnd, false);
+  } else {
+    endBroken(state, 'extra-response');
+  }
+  return canContinue;
+}
+
+/** Handles the end of the response, or of its connection. */
+function handleComplete(state: AttemptState): void {
+  const { connection, listener, scan, isDelimited, isKeptAlive } = state;
+  if (connection.wasReset() && !isDelimited) {
+    endBroken(state, 'reset');
+    return;
+  }
+  if (!isDelimited) {
+    passBody(state, runtime.completeScan(scan));
+  }
+  endAttempt(state, listener.onEnd, isDelimited && isKeptAlive);
+}
+
+/** Builds the callbacks of the HTTP library. */
+function buildHandler(state: AttemptState) {
+  const { listener, scan } = state;
+  return {
     onConnect: (abort: () => void) => {
-      if (ended || listener.canSend()) {
-        isSent = true;
+      if (state.hasEnded || listener.canSend()) {
+        state.isSent = true;
         return;
       }
-      end(listener.onWithdrawn, false);
+      endAttempt(state, listener.onWithdrawn, false);
       abort();
     },
     onHeaders: (status: number, rawHeaders: Buffer[], resumeReading: () => void) => {
-      if (status <= MAX_INFORMATIONAL_STATUS) {
-        return true;
-      }
-      resume = resumeReading;
-      const headers = toRawHeaders(rawHeaders);
-      isDelimited =
-        endToEndHeaders.detectFraming(status, headers) !== endToEndHeaders.BodyFraming.UNTIL_CLOSE;
-      isKeptAlive = endToEndHeaders.findHeader(headers, 'connection')?.toLowerCase() !== 'close';
-      if (!ended && !listener.onHead(status, headers, isNewConnection)) {
-        end(() => {}, false);
+      if (status > MAX_INFORMATIONAL_STATUS) {
+        state.resume = resumeReading;
+        handleHead(state, status, toRawHeaders(rawHeaders));
       }
       return true;
     },
-    onData: (chunk: Buffer) => ended || listener.onData(chunk),
-    onComplete: () =>
-      connection.wasReset() && !isDelimited
-        ? endBroken('reset')
-        : end(listener.onEnd, isDelimited && isKeptAlive),
-    onError: (error: Error) => endBroken(describeError(error)),
+    onData: (chunk: Buffer) =>
+      state.hasEnded ||
+      (state.isDelimited
+        ? listener.onData(chunk)
+        : passBody(state, runtime.scanChunk(scan, chunk))),
+    onComplete: () => handleComplete(state),
+    onError: (error: Error) => endBroken(state, describeError(error)),
+  };
+}
+
+/** Starts an attempt: sends a request over a connection. */
+export function startAttempt(
+  connection: backendConnections.BackendConnection,
+  { attemptId, ...message }: OutgoingRequest,
+  listener: AttemptListener,
+): BackendAttempt {
+  const state: AttemptState = {
+    connection,
+    listener,
+    attemptId,
+    isNewConnection: connection.completedResponses === 0,
+    isSent: false,
+    hasEnded: false,
+    isDelimited: false,
+    isKeptAlive: true,
+    scan: runtime.createResponseScan((status, headers) =>
+      carriedCalls.judgeHead(connection.calls, status, headers),
+    ),
+    resume: () => {},
   };
+  if (attemptId !== undefined) {
+    carriedCalls.recordCall(connection.calls, attemptId);
+  }
   connection.client.dispatch(
-    { ...request, idempotent: true, blocking: false },
-    addOverheadLimit(handler, connection, () => endBroken('overhead-too-long')),
+    { ...message, idempotent: true, blocking: false },
+    addOverheadLimit(buildHandler(state), connection, () => endBroken(state, 'overhead-too-long')),
   );
   return {
-    abort: () => end(() => {}, false),
-    resume: () => resume(),
-    mayHaveBeenSent: () => isSent,
+    abort: () => endAttempt(state, () => {}, false),
+    resume: () => state.resume(),
+    mayHaveBeenSent: () => state.isSent,
   };
 }
--- a/packages/gateway/src/backend-connections.ts
+++ b/packages/gateway/src/backend-connections.ts
@@ -6,6 +6,8 @@
  * request that they could belong to.
  */
 import * as undici from 'undici';
+import * as carriedCalls from './carried-calls.js';
+import * as idleConnections from './idle-connections.js';
 
 export type BackendConnection = {
   client: undici.Client;
@@ -14,6 +16,8 @@
   /** When the process at the other end started, as it has stated on this connection. */
   bornMs: number | undefined;
   wasReset: () => boolean;
+  /** What was sent on the connection. */
+  calls: carriedCalls.CarriedCalls;
   /** Returns how many bytes have been read from the connection. */
   countBytesRead: () => number;
   /** Sets what is called when bytes have been read, before they are parsed. */
@@ -72,13 +76,18 @@
   client.on('disconnect', noteError);
 }
 
+type ConnectionHooks = {
+  removeIdle: (connection: BackendConnection) => void;
+  addIdle: (connection: BackendConnection) => void;
+  markDoubtful: () => void;
+  runWhenPolled: (step: () => void) => void;
+  findAttemptId: carriedCalls.FindAttemptId;
+};
+
 /** Opens a connection; a listener on its socket records a reset before the library handles it. */
 function openConnection(
   address: string,
-  removeIdle: (connection: BackendConnection) => void,
-  addIdle: (connection: BackendConnection) => void,
-  markDoubtful: () => void,
-  runWhenPolled: (step: () => void) => void,
+  { removeIdle, addIdle, markDoubtful, runWhenPolled, findAttemptId }: ConnectionHooks,
 ): BackendConnection {
   let isReset = false;
   let countBytesRead = () => 0;
@@ -113,6 +122,7 @@
     completedResponses: 0,
     bornMs: undefined,
     wasReset: () => isReset,
+    calls: carriedCalls.createCarriedCalls(findAttemptId),
     countBytesRead: () => countBytesRead(),
     setReadListener: (listener) => {
       readListener = listener;
@@ -139,51 +149,31 @@
  * Creates an empty connection pool.
  *
  * @param runWhenPolled runs a step once the event loop has read which callers have left
+ * @param findAttemptId finds the id of the call that a response states
  */
 export function createBackendConnections(
   runWhenPolled: (step: () => void) => void,
+  findAttemptId: carriedCalls.FindAttemptId,
 ): BackendConnections {
-  const idle = new Map<string, BackendConnection[]>();
+  const idle: idleConnections.IdleConnections = new Map();
   const doubtful = new Set<string>();
-  const getIdle = (address: string) => {
-    const connections = idle.get(address) ?? [];
-    idle.set(address, connections);
-    return connections;
-  };
-  const removeIdle = (address: string, connection: BackendConnection) => {
-    const connections = getIdle(address);
-    const index = connections.indexOf(connection);
-    if (index !== -1) {
-      connections.splice(index, 1);
-    }
-  };
-  const closeAll = (address: string) => {
-    const connections = idle.get(address) ?? [];
-    idle.delete(address);
-    connections.forEach(({ client }) => client.destroy());
-  };
   const open = (address: string) =>
-    openConnection(
-      address,
-      (connection) => removeIdle(address, connection),
-      (connection) => {
+    openConnection(address, {
+      removeIdle: (connection) => idleConnections.removeIdle(idle, address, connection),
+      addIdle: (connection) => {
         // If the server asked to close the connection, the client is already destroyed here.
         if (!connection.client.destroyed) {
-          getIdle(address).push(connection);
+          idleConnections.addIdle(idle, address, connection);
         }
       },
-      () => doubtful.add(address),
+      markDoubtful: () => doubtful.add(address),
       runWhenPolled,
-    );
+      findAttemptId,
+    });
   return {
-    take: (address) => getIdle(address).pop() ?? open(address),
-    takeKnown: (address, bornMs) => {
-      const known = idle.get(address)?.find((connection) => connection.bornMs === bornMs);
-      if (known !== undefined) {
-        removeIdle(address, known);
-      }
-      return known;
-    },
+    take: (address) => idleConnections.takeIdle(idle, address, () => true) ?? open(address),
+    takeKnown: (address, bornMs) =>
+      idleConnections.takeIdle(idle, address, (connection) => connection.bornMs === bornMs),
     open,
     isDoubtful: (address) => doubtful.has(address),
     clearDoubt: (address) => doubtful.delete(address),
@@ -191,9 +181,9 @@
       [...idle.keys(), ...doubtful]
         .filter((address) => !addresses.has(address))
         .forEach((address) => {
-          closeAll(address);
+          idleConnections.closeIdle(idle, address);
           doubtful.delete(address);
         }),
-    stop: () => [...idle.keys()].forEach(closeAll),
+    stop: () => [...idle.keys()].forEach((address) => idleConnections.closeIdle(idle, address)),
   };
 }
--- a/packages/gateway/src/gateway-metrics.ts
+++ b/packages/gateway/src/gateway-metrics.ts
@@ -18,6 +18,8 @@
   recordEnd: (route: string, service: string, code: schema.ResultCode, inTime: boolean) => void;
   /** Records that an attempt at a backend server has failed. */
   recordFault: (service: string, fault: gateway.AttemptFault) => void;
+  /** Records that a backend server responded to a request a second time. */
+  recordExtraResponse: (service: string) => void;
   /** Records whether a backend server had outlived the connection that ended a response. */
   recordServerCheck: (service: string, isPresent: boolean) => void;
   /** Records the time from arrival to the first send, milliseconds. */
@@ -189,6 +191,8 @@
       runtime.recordObservation(metrics, { kind: 'outcome', service, tier: route, code, inTime }),
     recordFault: (service, fault) =>
       runtime.addCount(metrics, 'attempt_faults_total', { service, fault }),
+    recordExtraResponse: (service) =>
+      runtime.addCount(metrics, 'extra_responses_total', { service }),
     recordServerCheck: (service, isPresent) =>
       runtime.addCount(metrics, 'server_checks_total', {
         service,
--- a/packages/gateway/src/outgoing-request.ts
+++ b/packages/gateway/src/outgoing-request.ts
@@ -22,6 +22,7 @@
     resumeAfter: response.headersSent ? events?.lastEventId : undefined,
   };
   return {
+    attemptId: request.arrived.attemptId,
     method,
     path: target,
     headers: protocol.buildForwardHeaders(endToEndHeaders.listEndToEnd(headers), context),
--- a/packages/gateway/src/relay-state.ts
+++ b/packages/gateway/src/relay-state.ts
@@ -46,6 +46,8 @@
   checkServer: (settle: (isPresent: boolean) => void) => void;
   /** Whether the backend server was known to leave, so that its absence shows no crash. */
   isLeaving: () => boolean;
+  /** Called when bytes of a further response were found behind the body. */
+  observeExtraResponse: () => void;
   /** Called for each response that comes from the intended backend server. */
   observeStatements: (parsed: wireProtocol.ParsedResponseHeaders) => void;
 };
--- a/packages/gateway/src/request-reports.ts
+++ b/packages/gateway/src/request-reports.ts
@@ -173,6 +173,17 @@
   metrics.recordFault(service, fields.fault);
 }
 
+/** Reports that a backend server sent a further response behind that to a request. */
+export function reportExtraResponse(
+  { log, metrics }: ReportDependencies,
+  { arrived, service }: gateway.GatewayRequest,
+  server: string,
+  now: number,
+): void {
+  log.write('extra-response', { request: arrived.attemptId, server }, now);
+  metrics.recordExtraResponse(service);
+}
+
 /** Reports that content is refused from now on, as its runs have ended backend servers. */
 export function reportSuspended(
   { log }: ReportDependencies,
--- a/packages/gateway/src/response-relay.ts
+++ b/packages/gateway/src/response-relay.ts
@@ -151,6 +151,7 @@
     onWithdrawn: () =>
       relayState.endWithFault(relay, gateway.AttemptFault.WITHDRAWN, 'not-to-be-used'),
     onEnd: () => responseEnd.endResponse(relay),
+    onExtraResponse: options.observeExtraResponse,
     onBroken: (reason, mayHaveBeenSent) => {
       const { BROKEN, UNREACHABLE } = gateway.AttemptFault;
       relayState.endWithFault(relay, mayHaveBeenSent ? BROKEN : UNREACHABLE, reason);
--- a/packages/gateway/src/server-check.test.ts
+++ b/packages/gateway/src/server-check.test.ts
@@ -39,7 +39,10 @@
 /** Runs one check; returns its result. */
 async function runCheck(
   port: number,
-  connections = backendConnections.createBackendConnections((step) => step()),
+  connections = backendConnections.createBackendConnections(
+    (step) => step(),
+    () => undefined,
+  ),
 ): Promise<boolean> {
   const isPresent = await new Promise<boolean>((resolve) => {
     const check = serverCheck.startServerCheck({
@@ -130,7 +133,10 @@
 test('connection of a check serves the next request', async (context) => {
   // Guards against a second connection for each response without a length.
   const { port } = await startServer(context, buildResponder(200));
-  const connections = backendConnections.createBackendConnections((step) => step());
+  const connections = backendConnections.createBackendConnections(
+    (step) => step(),
+    () => undefined,
+  );
   await runCheck(port, connections);
   await timers.setTimeout(20);
   assert.equal(connections.take(`127.0.0.1:${port}`).completedResponses, 1);
--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -3,6 +3,7 @@
 export * from './configuration-watch.js';
 export * from './core-task.js';
 export * from './document-receiver.js';
+export * from './extra-response.js';
 export * from './link-client.js';
 export * from './link-server.js';
 export * from './logger.js';
--- a/packages/runtime/src/metric-definitions.ts
+++ b/packages/runtime/src/metric-definitions.ts
@@ -58,6 +58,10 @@
     type: MetricType.COUNTER,
     help: 'Attempts at backend servers that failed, by fault.',
   },
+  extra_responses_total: {
+    type: MetricType.COUNTER,
+    help: 'Responses of backend servers with a further response behind them, by service.',
+  },
   server_checks_total: {
     type: MetricType.COUNTER,
     help: 'Checks whether a backend server outlived the connection that ended its response.',
