End an engine's response where a second one begins

Seen: a plain service that responds twice, the first response without a length: the caller got both as one complete body (36 of 36 cases of own stand-ins). A body cut short of its length was filled from the second response and complete (72 of 72, model engines and plain services). A model engine's response without a length was broken off after bytes of both.

Cause: the end of the connection, or the count of bytes, was the only end of such a body, and nothing looked at its bytes. Engines send no id that could be compared.

Change: the scan for further responses judges a head by the content. A head with a header line has no place in JSON text, and none with a name that is no event field in an event stream; other content needs the id of the request. The run goes on from the byte before the head: a model engine is asked for the rest, a plain service's response is complete only if nothing speaks against it.

--- /dev/null
+++ b/packages/agent/src/engine-response.ts
@@ -0,0 +1,164 @@
+/** Reads the responses of an engine and reports them while they arrive. */
+import * as core from '@toucanproxy/core';
+import * as runtime from '@toucanproxy/runtime';
+import type * as undici from 'undici';
+import * as contentState from './content-state.js';
+import * as runProgress from './run-progress.js';
+
+/** Codes of errors with which a response ends. */
+export enum ResponseError {
+  /** The response ended with its connection, and may be a part. */
+  UNPROVEN_END = 'UNPROVEN_END',
+  /** A further response began before the end of this one, or where it may not have ended. */
+  EXTRA_RESPONSE = 'EXTRA_RESPONSE',
+  /** A resumption ended before it had repeated the last bytes received. */
+  NOT_REPEATED = 'NOT_REPEATED',
+  /** A resumption began with other bytes than the last ones received. */
+  OTHER_RESPONSE = 'OTHER_RESPONSE',
+}
+
+/** What ends the body of a response. */
+enum BodyFraming {
+  LENGTH = 'length',
+  CHUNKS = 'chunks',
+  CONNECTION = 'connection',
+}
+
+/** One attempt that runs on the engine. */
+export type Run = {
+  refKey: string;
+  controller: AbortController;
+  /** Undefined until the head of its response has been reported. */
+  progress: runProgress.RunProgress | undefined;
+};
+
+export type ResponseOptions = {
+  /** Whether runs can be resumed, so that the engine can be asked whether a response is complete. */
+  isModelEngine: () => boolean;
+  post: (event: core.AgentEvent) => void;
+};
+
+const MAX_SUCCESS = 299;
+const DEFAULT_CONTENT_TYPE = 'application/octet-stream';
+
+/** Creates an error with a code. */
+function makeError(code: ResponseError): Error {
+  return Object.assign(new Error(code), { code });
+}
+
+/** Finds what ends the body of a response (RFC 9112, section 6.3). */
+function findFraming({ headers }: undici.Dispatcher.ResponseData): BodyFraming {
+  const coding = [headers['transfer-encoding'] ?? []].flat().join();
+  if (coding !== '') {
+    return /(^|,)\s*chunked\s*$/i.test(coding) ? BodyFraming.CHUNKS : BodyFraming.CONNECTION;
+  }
+  return headers['content-length'] === undefined ? BodyFraming.CONNECTION : BodyFraming.LENGTH;
+}
+
+/** Reports the head of a response, once for a run. */
+function reportHead(
+  { post }: ResponseOptions,
+  run: Run,
+  { statusCode: status, headers }: undici.Dispatcher.ResponseData,
+): runProgress.RunProgress {
+  if (run.progress === undefined) {
+    const contentType = String(headers['content-type'] ?? DEFAULT_CONTENT_TYPE);
+    run.progress = runProgress.createProgress(contentType);
+    post({ kind: 'engineHead', refKey: run.refKey, status, contentType });
+  }
+  return run.progress;
+}
+
+/** Creates the scan of a body. Chunks show by themselves what belongs to it. */
+function createScan(
+  { content }: runProgress.RunProgress,
+  { refKey: requestId }: Run,
+  response: undici.Dispatcher.ResponseData,
+): runtime.ResponseScan {
+  const judge = contentState.createHeadJudge(content, { status: response.statusCode, requestId });
+  const isChunked = findFraming(response) === BodyFraming.CHUNKS;
+  return runtime.createResponseScan(isChunked ? () => runtime.HeadVerdict.BODY : judge);
+}
+
+/** Returns what is left of a body that has ended by its framing. */
+function completeBody(
+  { held }: runtime.ResponseScan,
+  { content }: runProgress.RunProgress,
+  framing: BodyFraming,
+): runtime.ScanResult {
+  return held.length === 0 ||
+    framing === BodyFraming.CHUNKS ||
+    contentState.isEndOfBody(content, held)
+    ? { body: held, next: runtime.HeadVerdict.BODY }
+    : { body: Buffer.alloc(0), next: runtime.HeadVerdict.UNCERTAIN };
+}
+
+/** Reports the new bytes of a response up to its end or up to a further response. */
+async function forwardBody(
+  { post }: ResponseOptions,
+  run: Run,
+  progress: runProgress.RunProgress,
+  response: undici.Dispatcher.ResponseData,
+): Promise<runtime.HeadVerdict> {
+  let left = progress.lastBytes;
+  const scan = createScan(progress, run, response);
+  const receive = (result: runtime.ScanResult) => {
+    const taken = runProgress.takeRepeated(left, result.body);
+    if (taken === undefined) {
+      throw makeError(ResponseError.OTHER_RESPONSE);
+    }
+    left = taken.left;
+    if (taken.rest.length > 0) {
+      runProgress.recordReceived(progress, taken.rest);
+      post({ kind: 'engineData', refKey: run.refKey, data: taken.rest });
+    }
+    return result.next;
+  };
+  let next = runtime.HeadVerdict.BODY;
+  for await (const chunk of response.body as AsyncIterable<Buffer>) {
+    next = receive(runtime.scanChunk(scan, chunk));
+    if (next !== runtime.HeadVerdict.BODY) {
+      break;
+    }
+  }
+  if (next === runtime.HeadVerdict.BODY) {
+    next = receive(completeBody(scan, progress, findFraming(response)));
+  }
+  if (left.length > 0) {
+    throw makeError(ResponseError.NOT_REPEATED);
+  }
+  return next;
+}
+
+/**
+ * Reports a response while it arrives.
+ *
+ * An engine that crashes ends its connections like one that has finished, and the library hides a
+ * reset. A model engine is therefore asked for the rest of an open-ended response; nothing more than
+ * the repeated bytes, from an engine that knows the run, shows that it is complete.
+ */
+export async function forwardResponse(
+  options: ResponseOptions,
+  run: Run,
+  response: undici.Dispatcher.ResponseData,
+): Promise<void> {
+  const isResumed = run.progress !== undefined && run.progress.receivedBytes > 0;
+  const progress = reportHead(options, run, response);
+  const before = progress.receivedBytes;
+  const isOpenEnded = findFraming(response) === BodyFraming.CONNECTION;
+  const end = await forwardBody(options, run, progress, response);
+  const isWhole =
+    end === runtime.HeadVerdict.BODY ||
+    (end === runtime.HeadVerdict.RESPONSE &&
+      isOpenEnded &&
+      !contentState.isUnfinished(progress.content));
+  if (!isWhole) {
+    throw makeError(ResponseError.EXTRA_RESPONSE);
+  }
+  const hasNothingNew = isResumed && progress.receivedBytes === before;
+  const isProven = response.statusCode > MAX_SUCCESS || hasNothingNew;
+  if (options.isModelEngine() && isOpenEnded && !isProven) {
+    throw makeError(ResponseError.UNPROVEN_END);
+  }
+  options.post({ kind: 'engineEnd', refKey: run.refKey });
+}
--- a/packages/agent/src/run-progress.ts
+++ b/packages/agent/src/run-progress.ts
@@ -5,8 +5,11 @@
  * another response, received after the end of this one, are beyond what the engine has to repeat.
  */
 
+import * as contentState from './content-state.js';
+
 export type RunProgress = {
   receivedBytes: number;
+  content: contentState.ContentState;
   /** The last bytes received. */
   lastBytes: Buffer;
 };
@@ -14,19 +17,21 @@
 /** Bytes that a resumption repeats at most. */
 const MAX_REPEATED_BYTES = 64;
 
-/** Creates the progress of a run that has not begun to respond. */
-export function createProgress(): RunProgress {
-  return { receivedBytes: 0, lastBytes: Buffer.alloc(0) };
+/** Creates the progress of a run whose response has begun. */
+export function createProgress(contentType: string): RunProgress {
+  const content = contentState.createContentState(contentType);
+  return { receivedBytes: 0, content, lastBytes: Buffer.alloc(0) };
 }
 
 /** Computes from which byte on a resumption asks for the response. */
-export function computeResumeFrom({ receivedBytes, lastBytes }: RunProgress): number {
-  return receivedBytes - lastBytes.length;
+export function computeResumeFrom(progress: RunProgress | undefined): number {
+  return progress === undefined ? 0 : progress.receivedBytes - progress.lastBytes.length;
 }
 
 /** Records new bytes of the response. */
 export function recordReceived(progress: RunProgress, data: Buffer): void {
   progress.receivedBytes += data.length;
+  progress.content = contentState.readContent(progress.content, data);
   const last = data.subarray(-MAX_REPEATED_BYTES);
   progress.lastBytes = Buffer.concat([progress.lastBytes, last]).subarray(-MAX_REPEATED_BYTES);
 }
