Count and log second responses in agents

An engine that responds twice showed nowhere once its second responses were left out. The agent counts them in extra_responses_total by service and logs extra-response with the attempt, like a gateway.

--- a/packages/agent/src/app.ts
+++ b/packages/agent/src/app.ts
@@ -76,6 +76,26 @@
   return core.createAgentState({ backendServerId, service, life, firstTrafficMs }, Date.now());
 }
 
+/** Creates the client of the engine. */
+function createEngine(
+  { engineUrl }: schema.AgentSettings,
+  { documents, service }: core.AgentState,
+  { post }: AgentTask,
+  { logger, metrics }: Pick<DaemonParts, 'logger' | 'metrics'>,
+  onFault: () => void,
+): engineClient.EngineClient {
+  return engineClient.createEngineClient({
+    engineUrl,
+    isModelEngine: () => documents.get(service)?.document.kind === schema.ServiceKind.MODEL,
+    post,
+    onFault,
+    onExtraResponse: (refKey) => {
+      runtime.addCount(metrics, 'extra_responses_total', { service });
+      logger.warn({ event: 'extra-response', refKey }, 'extra-response');
+    },
+  });
+}
+
 /** Starts to poll whether the platform lists this VM as leaving. */
 function startVmList(
   settings: schema.AgentSettings,
@@ -111,20 +131,11 @@
     readClock: Date.now,
     buildTick: (): core.AgentEvent => ({ kind: 'ticked' }),
   });
-  const { engineUrl } = settings;
   const probe = engineProbe.startEngineProbe({
-    engineUrl,
+    engineUrl: settings.engineUrl,
     report: (available) => task.post({ kind: 'engineAvailable', available }),
   });
-  const onFault = probe.probeSoon;
-  const isModelEngine = () =>
-    state.documents.get(service)?.document.kind === schema.ServiceKind.MODEL;
-  const engine = engineClient.createEngineClient({
-    engineUrl,
-    isModelEngine,
-    post: task.post,
-    onFault,
-  });
+  const engine = createEngine(settings, state, task, { logger, metrics }, probe.probeSoon);
   const receiveDocument = runtime.createDocumentReceiver(logger, task.post);
   const links = await startLinks(settings, task);
   const parts = { state, logger, metrics, links, engine, receiveDocument, stopped };
--- a/packages/agent/src/engine-client.ts
+++ b/packages/agent/src/engine-client.ts
@@ -16,14 +16,8 @@
   stop: () => void;
 };
 
-type EngineClientOptions = {
+type EngineClientOptions = engineResponse.ResponseOptions & {
   engineUrl: string;
-  /**
-   * Whether this is a model engine, whose streams can be resumed and cancelled.
-   * On a plain service the same paths may have any other meaning.
-   */
-  isModelEngine: () => boolean;
-  post: (event: core.AgentEvent) => void;
   /** Called when an attempt ends with a fault, before the fault is reported. */
   onFault: () => void;
 };
--- a/packages/agent/src/engine-response.ts
+++ b/packages/agent/src/engine-response.ts
@@ -33,9 +33,14 @@
 };
 
 export type ResponseOptions = {
-  /** Whether runs can be resumed, so that the engine can be asked whether a response is complete. */
+  /**
+   * Whether this is a model engine, whose streams can be resumed and cancelled.
+   * On a plain service the same paths may have any other meaning.
+   */
   isModelEngine: () => boolean;
   post: (event: core.AgentEvent) => void;
+  /** Called when a further response was found inside a body, or may have been. */
+  onExtraResponse?: (refKey: string) => void;
 };
 
 const MAX_SUCCESS = 299;
@@ -95,7 +100,7 @@
 
 /** Reports the new bytes of a response up to its end or up to a further response. */
 async function forwardBody(
-  { post }: ResponseOptions,
+  { post, onExtraResponse }: ResponseOptions,
   run: Run,
   progress: runProgress.RunProgress,
   response: undici.Dispatcher.ResponseData,
@@ -124,6 +129,9 @@
   if (next === runtime.HeadVerdict.BODY) {
     next = receive(completeBody(scan, progress, findFraming(response)));
   }
+  if (next !== runtime.HeadVerdict.BODY) {
+    onExtraResponse?.(run.refKey);
+  }
   if (left.length > 0) {
     throw makeError(ResponseError.NOT_REPEATED);
   }
--- a/packages/agent/src/second-responses.test.ts
+++ b/packages/agent/src/second-responses.test.ts
@@ -39,6 +39,8 @@
   text: string;
   /** The fault, or undefined if the response is complete. */
   fault: core.EngineFault | undefined;
+  /** How many further responses were reported. */
+  extra: number;
 };
 
 /** Runs one request on an engine. */
@@ -57,6 +59,7 @@
     server.listen(0, '127.0.0.1', resolve);
   });
   let text = '';
+  let extra = 0;
   return new Promise((resolve) => {
     const client = engineClient.createEngineClient({
       engineUrl: `http://127.0.0.1:${(server.address() as net.AddressInfo).port}`,
@@ -65,10 +68,13 @@
         if (event.kind === 'engineData') {
           text += Buffer.from(event.data).toString();
         } else if (event.kind === 'engineEnd' || event.kind === 'engineFailed') {
-          resolve({ text, fault: event.kind === 'engineFailed' ? event.fault : undefined });
+          resolve({ text, fault: event.kind === 'engineFailed' ? event.fault : undefined, extra });
         }
       },
       onFault: () => {},
+      onExtraResponse: () => {
+        extra += 1;
+      },
     });
     context.after(() => {
       client.stop();
@@ -112,13 +118,13 @@
       isModelEngine: false,
       respond: () => buildOpenEnded(body, type) + buildOpenEnded(body, type),
     });
-  const complete = { fault: undefined };
+  const complete = { fault: undefined, extra: 1 };
   assert.deepEqual(await runPlain(JSON_TEXT, JSON_TYPE), { text: JSON_TEXT, ...complete });
   assert.deepEqual(await runPlain(EVENTS, EVENTS_TYPE), { text: EVENTS, ...complete });
 });
 
 test('run continues where a second response cut it off', async (context) => {
-  // The engine responds twice to each call, also to the resumption.
+  // The engine responds twice to each of three calls: two resumptions, the last one without news.
   const outcome = await runOnce(context, {
     isModelEngine: true,
     respond: (from) => {
@@ -129,7 +135,7 @@
       return first + buildOpenEnded(JSON_TEXT, JSON_TYPE);
     },
   });
-  assert.deepEqual(outcome, { text: JSON_TEXT, fault: undefined });
+  assert.deepEqual(outcome, { text: JSON_TEXT, fault: undefined, extra: 3 });
 });
 
 test('body that is shorter than its length is not filled', async (context) => {
@@ -149,7 +155,7 @@
       isModelEngine: false,
       respond: () => buildOpenEnded(JSON_TEXT, JSON_TYPE) + addition,
     });
-  const failed = { text: JSON_TEXT, fault: core.EngineFault.FAILED };
+  const failed = { text: JSON_TEXT, fault: core.EngineFault.FAILED, extra: 1 };
   assert.deepEqual(await runWith(failure), failed);
   assert.deepEqual(await runWith('HTTP/1.1 200 OK\r\nConte'), failed);
 });
@@ -159,7 +165,7 @@
     isModelEngine: false,
     respond: () => buildOpenEnded('data: wo', EVENTS_TYPE) + buildOpenEnded(EVENTS, EVENTS_TYPE),
   });
-  assert.deepEqual(outcome, { text: 'data: wo', fault: core.EngineFault.FAILED });
+  assert.deepEqual(outcome, { text: 'data: wo', fault: core.EngineFault.FAILED, extra: 1 });
 });
 
 test('second response that names the request is found in any content', async (context) => {
@@ -170,7 +176,7 @@
       return buildOpenEnded(TEXT) + buildOpenEnded(TEXT, `text/plain\r\nX-Request-Id: ${id}`);
     },
   });
-  assert.deepEqual(outcome, { text: TEXT, fault: undefined });
+  assert.deepEqual(outcome, { text: TEXT, fault: undefined, extra: 1 });
 });
 
 test('bodies that quote HTTP are whole', async (context) => {
@@ -188,6 +194,6 @@
   const outcomes = await Promise.all(quotes.map(([body, type]) => runPlain(body, type)));
   assert.deepEqual(
     outcomes,
-    quotes.map(([text]) => ({ text, fault: undefined })),
+    quotes.map(([text]) => ({ text, fault: undefined, extra: 0 })),
   );
 });
