Take a response without a body by its status for complete

Seen: a model engine that responds 204, without a length as the standard has it, counted as crashed: the attempt failed, and the engine went out of use until its next probe.

Cause: a missing length alone made a response one that ends with its connection, whose end is to be proven by a resumption.

Change: a 204 or 304 has no body, so its head is its end.

The new test failed before (fault crashed) and passes now, as do the 21 tests of the agent's client.

--- a/packages/agent/src/engine-response.ts
+++ b/packages/agent/src/engine-response.ts
@@ -44,6 +44,7 @@
 };
 
 const MAX_SUCCESS = 299;
+const STATUSES_WITHOUT_BODY = [204, 304];
 const DEFAULT_CONTENT_TYPE = 'application/octet-stream';
 
 /** Creates an error with a code. */
@@ -52,7 +53,10 @@
 }
 
 /** Finds what ends the body of a response (RFC 9112, section 6.3). */
-function findFraming({ headers }: undici.Dispatcher.ResponseData): BodyFraming {
+function findFraming({ statusCode, headers }: undici.Dispatcher.ResponseData): BodyFraming {
+  if (STATUSES_WITHOUT_BODY.includes(statusCode)) {
+    return BodyFraming.LENGTH;
+  }
   const coding = [headers['transfer-encoding'] ?? []].flat().join();
   if (coding !== '') {
     return /(^|,)\s*chunked\s*$/i.test(coding) ? BodyFraming.CHUNKS : BodyFraming.CONNECTION;
--- a/packages/proofs/src/engine-open-ends.test.ts
+++ b/packages/proofs/src/engine-open-ends.test.ts
@@ -83,3 +83,12 @@
   );
   assert.equal(end, 'engineFailed');
 });
+
+test('response that has no body by its status needs no proof of its end', async (context) => {
+  // Guards against taking the missing length for a crash of the engine.
+  const { end, resumptions } = await runOnce(
+    context,
+    () => 'HTTP/1.1 204 No Content\r\nConnection: close\r\n\r\n',
+  );
+  assert.deepEqual([end, resumptions], ['engineEnd', 0]);
+});
