Fail a plain service's response that ends inside its content

Seen: a plain service whose response has neither length nor chunks, and whose connection ended inside a JSON value or an event: the attempt was complete, with the part as its body (3 of 3 cases of the new test).

Cause: the end of the connection was taken for the end of the body. A model engine is asked for the rest; a plain service cannot be.

Change: JSON that leaves a bracket or a string open, and an event stream that does not end behind an event, have been broken off. The fault is FAILED and not CRASHED: the content alone shows no crash, and a service that always writes so must not have its content refused. Responses with a length or in chunks are passed on as they are, as is other content.

--- a/packages/agent/src/engine-response.ts
+++ b/packages/agent/src/engine-response.ts
@@ -9,6 +9,8 @@
 export enum ResponseError {
   /** The response ended with its connection, and may be a part. */
   UNPROVEN_END = 'UNPROVEN_END',
+  /** The response ended with its connection, inside its content. */
+  UNFINISHED = 'UNFINISHED',
   /** A further response began before the end of this one, or where it may not have ended. */
   EXTRA_RESPONSE = 'EXTRA_RESPONSE',
   /** A resumption ended before it had repeated the last bytes received. */
@@ -147,7 +149,8 @@
  *
  * An engine that crashes ends its connections like one that has finished, and the library hides a
  * reset. A model engine is therefore asked for the rest of an open-ended response; nothing more than
- * the repeated bytes, from an engine that knows the run, shows that it is complete.
+ * the repeated bytes, from an engine that knows the run, shows that it is complete. A plain service
+ * cannot be asked; its content shows whether it has broken off, if anything does.
  */
 export async function forwardResponse(
   options: ResponseOptions,
@@ -169,8 +172,11 @@
   }
   const hasNothingNew = isResumed && progress.receivedBytes === before;
   const isProven = response.statusCode > MAX_SUCCESS || hasNothingNew;
-  if (options.isModelEngine() && isOpenEnded && !isProven) {
+  if (isOpenEnded && options.isModelEngine() && !isProven) {
     throw makeError(ResponseError.UNPROVEN_END);
   }
+  if (isOpenEnded && !options.isModelEngine() && contentState.isUnfinished(progress.content)) {
+    throw makeError(ResponseError.UNFINISHED);
+  }
   options.post({ kind: 'engineEnd', refKey: run.refKey });
 }
--- a/packages/proofs/src/engine-open-ends.test.ts
+++ b/packages/proofs/src/engine-open-ends.test.ts
@@ -14,6 +14,7 @@
 async function runOnce(
   context: nodeTest.TestContext,
   respond: (from: number | undefined, server: net.Server) => string,
+  isModel = true,
 ): Promise<{ text: string; end: core.AgentEvent['kind']; resumptions: number }> {
   let resumptions = 0;
   const server = net.createServer((socket) => {
@@ -32,7 +33,7 @@
   const end = await new Promise<core.AgentEvent['kind']>((resolve) => {
     const client = agent.createEngineClient({
       engineUrl: `http://127.0.0.1:${port}`,
-      isModelEngine: () => true,
+      isModelEngine: () => isModel,
       post: (event) => {
         if (event.kind === 'engineData') {
           text += Buffer.from(event.data).toString();
@@ -51,6 +52,16 @@
   return { text, end, resumptions };
 }
 
+/** Runs one request on a plain service that responds without a length; returns the end. */
+async function runPlainService(
+  context: nodeTest.TestContext,
+  type: string,
+  body: string,
+): Promise<core.AgentEvent['kind']> {
+  const head = `HTTP/1.1 200 OK\r\nContent-Type: ${type}\r\nConnection: close\r\n\r\n`;
+  return (await runOnce(context, () => head + body, false)).end;
+}
+
 test('engine that crashes between two events does not complete its response', async (context) => {
   // Guards against taking the end of a connection for the end of a response without a length.
   const { end } = await runOnce(context, (_, server) => {
@@ -92,3 +103,26 @@
   );
   assert.deepEqual([end, resumptions], ['engineEnd', 0]);
 });
+
+test('response of a plain service that ends inside its content is not complete', async (context) => {
+  // Guards against taking the end of a service that crashes for the end of its response.
+  assert.equal(await runPlainService(context, 'application/json', '{"items":[1,2'), 'engineFailed');
+  assert.equal(
+    await runPlainService(context, 'application/json', '{"items":[1,"2]}'),
+    'engineFailed',
+  );
+  assert.equal(
+    await runPlainService(context, 'text/event-stream', 'data: a\n\ndata: b'),
+    'engineFailed',
+  );
+});
+
+test('response of a plain service that ends with its content is complete', async (context) => {
+  assert.equal(
+    await runPlainService(context, 'application/json', '{"quote":"\\"{"}\n'),
+    'engineEnd',
+  );
+  assert.equal(await runPlainService(context, 'application/json', ''), 'engineEnd');
+  assert.equal(await runPlainService(context, 'text/event-stream', 'data: a\r\n\r\n'), 'engineEnd');
+  assert.equal(await runPlainService(context, 'text/plain', '{"items":[1,2'), 'engineEnd');
+});
