Take a reset for no end of an engine's response

A model engine that reset the connection of a resumption right behind the repeated bytes passed for one that had nothing more to send.

Cause: the HTTP library takes a reset for the end of such a body and reports none to its caller.

Change: each request has a connection of its own, which notes an error of the system on its socket before the library does. Errors by which the library itself closes a connection have no system call. Resumptions now also have the time limits of first requests (none) instead of the library's 300 s.

The fixture of engine-open-ends takes options to choose the kind of service and how a connection ends; what its tests expect is unchanged. Not covered: a reset that is read together with the last bytes, which the runtime reports as a plain end.

--- a/packages/agent/src/engine-client.ts
+++ b/packages/agent/src/engine-client.ts
@@ -1,12 +1,8 @@
-/**
- * The task that runs attempts on the engine and reports its responses.
- *
- * Each run has its own connection: on a keep-alive connection, a request may be
- * sent just as the engine closes it, which looks like a crash.
- */
+/** The task that runs attempts on the engine and reports its responses. */
 import * as core from '@toucanproxy/core';
 import * as schema from '@toucanproxy/schema';
 import * as undici from 'undici';
+import * as engineConnection from './engine-connection.js';
 import * as engineResponse from './engine-response.js';
 import * as runProgress from './run-progress.js';
 
@@ -77,6 +73,24 @@
   return new URL(`${STREAMS_PATH}${encodeURIComponent(refKey)}`, engineUrl);
 }
 
+/** Sends the request of a run and reports its response. */
+async function sendRequest(
+  options: EngineClientOptions,
+  run: engineResponse.Run,
+  offer: schema.Offer,
+  { client, wasReset }: engineConnection.EngineConnection,
+): Promise<void> {
+  const response = await undici.request(new URL(offer.path, options.engineUrl), {
+    method: offer.method,
+    headers: { 'content-type': offer.contentType, 'x-request-id': run.refKey },
+    body: offer.payload.length > 0 ? offer.payload : null,
+    dispatcher: client,
+    signal: run.controller.signal,
+    reset: true,
+  });
+  await engineResponse.forwardResponse(options, run, response, wasReset);
+}
+
 /**
  * Resumes a run whose connection broke, if the engine still has it; it repeats the last bytes.
  *
@@ -84,27 +98,36 @@
  * run has crashed in the meantime or cannot resume: in both cases the response
  * is lost, and the attempt fails as run.
  */
-async function resumeRun(options: EngineClientOptions, run: engineResponse.Run): Promise<void> {
+async function resumeRun(
+  options: EngineClientOptions,
+  run: engineResponse.Run,
+  { client, wasReset }: engineConnection.EngineConnection,
+): Promise<void> {
   const url = buildStreamUrl(options.engineUrl, run.refKey);
   url.searchParams.set('from', String(runProgress.computeResumeFrom(run.progress)));
-  const response = await undici.request(url, { signal: run.controller.signal, reset: true });
+  const response = await undici.request(url, {
+    dispatcher: client,
+    signal: run.controller.signal,
+    reset: true,
+  });
   if (response.statusCode !== 200) {
     await response.body.dump();
     throw Object.assign(new Error('the engine does not know the run'), { code: UNKNOWN_RUN });
   }
-  await engineResponse.forwardResponse(options, run, response);
+  await engineResponse.forwardResponse(options, run, response, wasReset);
 }
 
 /** Resumes a broken run until it completes; returns the fault where it does not. */
 async function resumeUntilEnd(
   options: EngineClientOptions,
   run: engineResponse.Run,
+  connections: engineConnection.EngineConnections,
   brokenBy: unknown,
 ): Promise<core.EngineFault | undefined> {
   let hasCrashed = !isAlive(brokenBy);
   for (let resumptions = 0; resumptions < MAX_RESUMPTIONS; resumptions += 1) {
     try {
-      await resumeRun(options, run);
+      await connections.run((connection) => resumeRun(options, run, connection));
       return undefined;
     } catch (error) {
       hasCrashed = getCode(error) === UNKNOWN_RUN ? hasCrashed : !isAlive(error);
@@ -119,26 +142,15 @@
 /** Creates the client of one engine. */
 export function createEngineClient(options: EngineClientOptions): EngineClient {
   const { engineUrl, post } = options;
-  const dispatcher = new undici.Agent({ connections: null, headersTimeout: 0, bodyTimeout: 0 });
+  const connections = engineConnection.createEngineConnections(engineUrl);
   const runs = new Map<string, engineResponse.Run>();
 
-  const send = async (run: engineResponse.Run, offer: schema.Offer) => {
-    const response = await undici.request(new URL(offer.path, engineUrl), {
-      method: offer.method,
-      headers: { 'content-type': offer.contentType, 'x-request-id': run.refKey },
-      body: offer.payload.length > 0 ? offer.payload : null,
-      dispatcher,
-      signal: run.controller.signal,
-      reset: true,
-    });
-    await engineResponse.forwardResponse(options, run, response);
-  };
   const execute = async (
     run: engineResponse.Run,
     offer: schema.Offer,
   ): Promise<core.EngineFault | undefined> => {
     try {
-      await send(run, offer);
+      await connections.run((connection) => sendRequest(options, run, offer, connection));
       return undefined;
     } catch (error) {
       if (getCode(error) === 'ECONNREFUSED') {
@@ -146,7 +158,7 @@
       }
       const broken = isBroken(error) && !run.controller.signal.aborted;
       return broken && options.isModelEngine()
-        ? resumeUntilEnd(options, run, error)
+        ? resumeUntilEnd(options, run, connections, error)
         : toFault(broken && !isAlive(error));
     }
   };
@@ -174,8 +186,6 @@
         .then((response) => response.body.dump())
         .catch(options.onFault);
     },
-    stop: () => {
-      dispatcher.destroy();
-    },
+    stop: connections.stop,
   };
 }
--- a/packages/agent/src/engine-response.ts
+++ b/packages/agent/src/engine-response.ts
@@ -9,6 +9,8 @@
 export enum ResponseError {
   /** The response ended with its connection, and may be a part. */
   UNPROVEN_END = 'UNPROVEN_END',
+  /** The connection of a response that only its connection ends was reset. */
+  RESET = 'ECONNRESET',
   /** The response ended with its connection, inside its content. */
   UNFINISHED = 'UNFINISHED',
   /** A further response began before the end of this one, or where it may not have ended. */
@@ -147,8 +149,7 @@
 /**
  * Reports a response while it arrives.
  *
- * An engine that crashes ends its connections like one that has finished, and the library hides a
- * reset. A model engine is therefore asked for the rest of an open-ended response; nothing more than
+ * An engine that crashes may end its connections like one that has finished. A model engine is therefore asked for the rest of an open-ended response; nothing more than
  * the repeated bytes, from an engine that knows the run, shows that it is complete. A plain service
  * cannot be asked; its content shows whether it has broken off, if anything does.
  */
@@ -156,6 +157,7 @@
   options: ResponseOptions,
   run: Run,
   response: undici.Dispatcher.ResponseData,
+  wasReset: () => boolean,
 ): Promise<void> {
   const isResumed = run.progress !== undefined && run.progress.receivedBytes > 0;
   const progress = reportHead(options, run, response);
@@ -170,6 +172,9 @@
   if (!isWhole) {
     throw makeError(ResponseError.EXTRA_RESPONSE);
   }
+  if (isOpenEnded && wasReset()) {
+    throw makeError(ResponseError.RESET);
+  }
   const hasNothingNew = isResumed && progress.receivedBytes === before;
   const isProven = response.statusCode > MAX_SUCCESS || hasNothingNew;
   if (isOpenEnded && options.isModelEngine() && !isProven) {
--- a/packages/proofs/src/engine-open-ends.test.ts
+++ b/packages/proofs/src/engine-open-ends.test.ts
@@ -10,11 +10,20 @@
 const HEAD = 'HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n';
 const UNKNOWN = 'HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\nConnection: close\r\n\r\n';
 
+/** Time to read what has been sent, milliseconds. */
+const READ_MS = 20;
+
+type EngineBehaviour = {
+  isModel?: boolean;
+  /** Sends a response and ends its connection. */
+  end?: (socket: net.Socket, text: string) => void;
+};
+
 /** Runs one request on an engine that responds without a length; returns its response and end. */
 async function runOnce(
   context: nodeTest.TestContext,
   respond: (from: number | undefined, server: net.Server) => string,
-  isModel = true,
+  { isModel = true, end = (socket, text) => socket.end(text) }: EngineBehaviour = {},
 ): Promise<{ text: string; end: core.AgentEvent['kind']; resumptions: number }> {
   let resumptions = 0;
   const server = net.createServer((socket) => {
@@ -22,7 +31,7 @@
     socket.once('data', (data) => {
       const from = /from=(\d+)/.exec(data.toString())?.[1];
       resumptions += from === undefined ? 0 : 1;
-      socket.end(respond(from === undefined ? undefined : Number(from), server));
+      end(socket, respond(from === undefined ? undefined : Number(from), server));
     });
   });
   await new Promise<void>((resolve) => {
@@ -30,7 +39,7 @@
   });
   const { port } = server.address() as net.AddressInfo;
   let text = '';
-  const end = await new Promise<core.AgentEvent['kind']>((resolve) => {
+  const kind = await new Promise<core.AgentEvent['kind']>((resolve) => {
     const client = agent.createEngineClient({
       engineUrl: `http://127.0.0.1:${port}`,
       isModelEngine: () => isModel,
@@ -49,7 +58,12 @@
     });
     client.start(REF_KEY, schema.create(schema.OfferSchema, { method: 'POST', path: '/v1/x' }));
   });
-  return { text, end, resumptions };
+  return { text, end: kind, resumptions };
+}
+
+/** Sends a response, and resets the connection once it has been read. */
+function sendAndReset(socket: net.Socket, text: string): void {
+  socket.write(text, () => setTimeout(() => socket.resetAndDestroy(), READ_MS));
 }
 
 /** Runs one request on a plain service that responds without a length; returns the end. */
@@ -59,7 +73,7 @@
   body: string,
 ): Promise<core.AgentEvent['kind']> {
   const head = `HTTP/1.1 200 OK\r\nContent-Type: ${type}\r\nConnection: close\r\n\r\n`;
-  return (await runOnce(context, () => head + body, false)).end;
+  return (await runOnce(context, () => head + body, { isModel: false })).end;
 }
 
 test('engine that crashes between two events does not complete its response', async (context) => {
@@ -126,3 +140,21 @@
   assert.equal(await runPlainService(context, 'text/event-stream', 'data: a\r\n\r\n'), 'engineEnd');
   assert.equal(await runPlainService(context, 'text/plain', '{"items":[1,2'), 'engineEnd');
 });
+
+test('response that ends with a reset is not complete', async (context) => {
+  // Guards against passing on what a service had sent when it crashed; the HTTP library takes a reset
+  // for the end of a response that has no other.
+  const head = 'HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nConnection: close\r\n\r\n';
+  const { end } = await runOnce(context, () => `${head}half of the`, {
+    isModel: false,
+    end: sendAndReset,
+  });
+  assert.equal(end, 'engineFailed');
+});
+
+test('resumption that ends with a reset proves nothing', async (context) => {
+  const { end } = await runOnce(context, (from) => HEAD + 'data: a\n\n'.slice(from), {
+    end: sendAndReset,
+  });
+  assert.equal(end, 'engineFailed');
+});
