Find a second response by the head of the first in any content

Seen: a plain service that responds twice with plain text, the first response without a length: the caller got both as one complete body; from a model engine the attempt broke off after bytes of both.

Cause: for content other than JSON and events only the id of the request told the two apart, which few services repeat.

Change: a head with the same status and all headers of the response, but for its date, is the server's own again. As a document could in theory quote it, this breaks a plain service's response off and does not complete it; a model engine goes on from there. Weighed and left out: any head with a fresh date, which a service that shows responses of others sends too.

--- a/packages/agent/src/content-state.ts
+++ b/packages/agent/src/content-state.ts
@@ -29,6 +29,7 @@
 /** The names of all fields that an event has. */
 const EVENT_FIELDS = ['data', 'event', 'id', 'retry'];
 const REQUEST_ID_HEADER = 'x-request-id';
+const DATE_HEADER = 'date';
 const EVENT_END = /(?:\n\n|\r\n\r\n|\r\r)$/;
 const EVENT_END_BYTES = 4;
 /** Fewer bytes may as well end a text that is wrongly declared as JSON: the name of the protocol. */
@@ -122,22 +123,51 @@
   }
 }
 
+/** The response whose body is read. */
+export type ContentOrigin = {
+  status: number;
+  headers: Record<string, string | string[] | undefined>;
+  /** Id that the request stated. */
+  requestId: string;
+};
+
+/**
+ * Whether a head is the one of the response itself, but for its date. Only a server that responds
+ * again repeats all of it; a quoted response has headers, or at least a framing, of its own.
+ */
+function isRepeatedHead(headers: string[], own: ContentOrigin['headers']): boolean {
+  const repeated = new Map<string, string[]>();
+  headers.forEach((header, index) => {
+    if (index % 2 === 0) {
+      const name = header.toLowerCase();
+      repeated.set(name, [...(repeated.get(name) ?? []), headers[index + 1]]);
+    }
+  });
+  return (
+    repeated.has(DATE_HEADER) &&
+    own[DATE_HEADER] !== undefined &&
+    repeated.size === Object.keys(own).length &&
+    [...repeated].every(
+      ([name, values]) => name === DATE_HEADER || String(own[name]) === String(values),
+    )
+  );
+}
+
 /**
  * Creates the function that judges a head inside the body of a response.
  *
  * A server that fails within a body may send an error response behind it, so a response with another
  * status does not show that the one before it was complete.
  */
-export function createHeadJudge(
-  { kind }: ContentState,
-  response: { status: number; requestId: string },
-): runtime.JudgeHead {
+export function createHeadJudge({ kind }: ContentState, own: ContentOrigin): runtime.JudgeHead {
   return (status, headers) => {
-    if (!isForeignHead(kind, headers, response.requestId)) {
-      return runtime.HeadVerdict.BODY;
+    if (isForeignHead(kind, headers, own.requestId)) {
+      return status === own.status ? runtime.HeadVerdict.RESPONSE : runtime.HeadVerdict.UNCERTAIN;
     }
-    return status === response.status
-      ? runtime.HeadVerdict.RESPONSE
-      : runtime.HeadVerdict.UNCERTAIN;
+    return kind === ContentKind.OTHER &&
+      status === own.status &&
+      isRepeatedHead(headers, own.headers)
+      ? runtime.HeadVerdict.UNCERTAIN
+      : runtime.HeadVerdict.BODY;
   };
 }
--- a/packages/agent/src/engine-response.ts
+++ b/packages/agent/src/engine-response.ts
@@ -88,7 +88,8 @@
   { refKey: requestId }: Run,
   response: undici.Dispatcher.ResponseData,
 ): runtime.ResponseScan {
-  const judge = contentState.createHeadJudge(content, { status: response.statusCode, requestId });
+  const { statusCode: status, headers } = response;
+  const judge = contentState.createHeadJudge(content, { status, headers, requestId });
   const isChunked = findFraming(response) === BodyFraming.CHUNKS;
   return runtime.createResponseScan(isChunked ? () => runtime.HeadVerdict.BODY : judge);
 }
--- a/packages/agent/src/second-responses.test.ts
+++ b/packages/agent/src/second-responses.test.ts
@@ -197,3 +197,20 @@
     quotes.map(([text]) => ({ text, fault: undefined, extra: 0 })),
   );
 });
+
+test('second response with the head of the first is found in any content', async (context) => {
+  const buildDated = (seconds: number) =>
+    buildOpenEnded(TEXT, `text/plain\r\nDate: Mon, 01 Jan 2024 00:00:0${seconds} GMT`);
+  const respond = (from: number | undefined) =>
+    from === undefined ? buildDated(1) + buildDated(2) : buildOpenEnded(TEXT.slice(from));
+  assert.deepEqual(await runOnce(context, { isModelEngine: false, respond }), {
+    text: TEXT,
+    fault: core.EngineFault.FAILED,
+    extra: 1,
+  });
+  assert.deepEqual(await runOnce(context, { isModelEngine: true, respond }), {
+    text: TEXT,
+    fault: undefined,
+    extra: 1,
+  });
+});
