Break off a response whose length a second response fills

A caller got a whole body of 200 that ended with the beginning of a second response: of a server that sent 200 of 400 bytes and then answered again on the same connection (safe and unsafe routes; a stream was cut).

Cause: a body is complete for the HTTP library once its length has arrived, whatever the bytes are.

Change: all bodies are searched for the head of a further response. Inside a stated length it shows that the body was cut short, so the attempt counts as broken; bytes that only may begin a head belong to a body whose length is complete.

Evidence: 'second response does not fill up a body that was cut short' failed before (200 instead of 502) and passes now.

--- a/packages/gateway/src/backend-attempt.ts
+++ b/packages/gateway/src/backend-attempt.ts
@@ -139,7 +139,8 @@
     return canContinue;
   }
   listener.onExtraResponse?.();
-  if (next === runtime.HeadVerdict.RESPONSE) {
+  // A body that is shorter than its length has not ended where the next response begins.
+  if (next === runtime.HeadVerdict.RESPONSE && !state.isDelimited) {
     endAttempt(state, listener.onEnd, false);
   } else {
     endBroken(state, 'extra-response');
@@ -154,9 +155,7 @@
     endBroken(state, 'reset');
     return;
   }
-  if (!isDelimited) {
-    passBody(state, runtime.completeScan(scan));
-  }
+  passBody(state, isDelimited ? runtime.releaseHeld(scan) : runtime.completeScan(scan));
   endAttempt(state, listener.onEnd, isDelimited && isKeptAlive);
 }
 
@@ -179,11 +178,7 @@
       }
       return true;
     },
-    onData: (chunk: Buffer) =>
-      state.hasEnded ||
-      (state.isDelimited
-        ? listener.onData(chunk)
-        : passBody(state, runtime.scanChunk(scan, chunk))),
+    onData: (chunk: Buffer) => state.hasEnded || passBody(state, runtime.scanChunk(scan, chunk)),
     onComplete: () => handleComplete(state),
     onError: (error: Error) => endBroken(state, describeError(error)),
   };
--- a/packages/runtime/src/extra-response.ts
+++ b/packages/runtime/src/extra-response.ts
@@ -143,3 +143,10 @@
   const isProven = verdict === HeadVerdict.RESPONSE;
   return { body: EMPTY, next: isProven ? verdict : HeadVerdict.UNCERTAIN };
 }
+
+/** Completes the scan of a body whose length is complete: bytes that are held back belong to it. */
+export function releaseHeld(scan: ResponseScan): ScanResult {
+  const body = scan.held;
+  scan.held = EMPTY;
+  return { body, next: HeadVerdict.BODY };
+}
