Send a request again over another connection than before

A caller got 500 for a run that answered 200: a server failed a request twice, with a length, and the second failure arrived when the request had been sent there again (route that may be repeated, one server).

Cause: all sends of a request state the same id, and a connection was used again after a complete failure, so that a late response to the first send passed for the response to the next one.

A refusal closes its connection already.

--- a/packages/gateway/src/backend-attempt.test.ts
+++ b/packages/gateway/src/backend-attempt.test.ts
@@ -25,7 +25,7 @@
   const connections = backendConnections.createBackendConnections(runWhenPolled, () => undefined);
   const { port } = server.address() as net.AddressInfo;
   const ending = await new Promise<string>((resolve) => {
-    backendAttempt.startAttempt(connections.take(`127.0.0.1:${port}`), REQUEST, {
+    backendAttempt.startAttempt(connections.take(`127.0.0.1:${port}`, 'a'), REQUEST, {
       canSend: () => {
         noteCheck();
         return canSend;
--- a/packages/gateway/src/backend-connections.ts
+++ b/packages/gateway/src/backend-connections.ts
@@ -27,10 +27,13 @@
 };
 
 export type BackendConnections = {
-  /** Takes an idle connection to an address, or opens a new one. */
-  take: (address: string) => BackendConnection;
+  /**
+   * Takes an idle connection to an address, or opens a new one. No connection carries two calls with
+   * the same id: a second response to the first one could not be told from that to the other.
+   */
+  take: (address: string, attemptId: string) => BackendConnection;
   /** Takes an idle connection to a process that has stated the given start on it, if there is one. */
-  takeKnown: (address: string, bornMs: number) => BackendConnection | undefined;
+  takeKnown: (address: string, bornMs: number, attemptId: string) => BackendConnection | undefined;
   open: (address: string) => BackendConnection;
   /**
    * Whether a connection to an address was ended by the other side or could not be opened, so that
@@ -170,10 +173,21 @@
       runWhenPolled,
       findAttemptId,
     });
+  const takeIdle = (
+    address: string,
+    attemptId: string,
+    isSuitable: (connection: BackendConnection) => boolean,
+  ) =>
+    idleConnections.takeIdle(
+      idle,
+      address,
+      (connection) =>
+        isSuitable(connection) && !carriedCalls.hasCarried(connection.calls, attemptId),
+    );
   return {
-    take: (address) => idleConnections.takeIdle(idle, address, () => true) ?? open(address),
-    takeKnown: (address, bornMs) =>
-      idleConnections.takeIdle(idle, address, (connection) => connection.bornMs === bornMs),
+    take: (address, attemptId) => takeIdle(address, attemptId, () => true) ?? open(address),
+    takeKnown: (address, bornMs, attemptId) =>
+      takeIdle(address, attemptId, (connection) => connection.bornMs === bornMs),
     open,
     isDoubtful: (address) => doubtful.has(address),
     clearDoubt: (address) => doubtful.delete(address),
--- a/packages/gateway/src/server-check.test.ts
+++ b/packages/gateway/src/server-check.test.ts
@@ -139,7 +139,7 @@
   );
   await runCheck(port, connections);
   await timers.setTimeout(20);
-  assert.equal(connections.take(`127.0.0.1:${port}`).completedResponses, 1);
+  assert.equal(connections.take(`127.0.0.1:${port}`, 'a').completedResponses, 1);
   connections.stop();
 });
 
--- a/packages/gateway/src/stream-connection.ts
+++ b/packages/gateway/src/stream-connection.ts
@@ -23,7 +23,7 @@
 ): void {
   let isSettled = false;
   const { abort } = incarnationCheck.startIncarnationCheck({
-    connection: task.connections.take(address),
+    connection: task.connections.take(address, held.request.arrived.attemptId),
     request: task.protocol.buildServerCheck(id),
     parseStart: task.protocol.parseReportedStart,
     settle: (statedMs) => {
@@ -57,13 +57,14 @@
   const { connections } = task;
   const { request } = held;
   const { address, bornMs } = server;
+  const { attemptId } = request.arrived;
   const continues = request.streamVersion !== undefined;
   const needsProof = continues || (request.route.resumable && connections.isDoubtful(address));
   if (!needsProof || bornMs === 0) {
-    useConnection(connections.take(address));
+    useConnection(connections.take(address, attemptId));
     return;
   }
-  const known = connections.takeKnown(address, bornMs);
+  const known = connections.takeKnown(address, bornMs, attemptId);
   if (known !== undefined) {
     useConnection(known);
     return;
@@ -72,14 +73,15 @@
     if (statedMs === bornMs) {
       connections.clearDoubt(address);
     }
-    const proven = statedMs === bornMs ? connections.takeKnown(address, bornMs) : undefined;
+    const proven =
+      statedMs === bornMs ? connections.takeKnown(address, bornMs, attemptId) : undefined;
     if (proven !== undefined) {
       useConnection(proven);
     } else if (continues) {
       refuse();
     } else {
       request.isIncarnationUnknown = true;
-      useConnection(connections.take(address));
+      useConnection(connections.take(address, attemptId));
     }
   });
 }
