Take no response to a request for the report of a server

Seen in a test, not by callers: a late second response to a request, arriving where the report is expected on the same connection, was read as the report. A number 'born' in its body became the start of the process at the other end, and a stream that goes on, or begins, could be given the wrong software version.

Cause: the check of an incarnation looked at the status alone. Change: a response that states the id of a request is none to a call without one; the connection is closed and the start counts as not stated.

Evidence: 'late second response to a request is not taken for the report' failed before (5 as the start, connection kept) and passes now; 5 tests of restarted servers and versions pass.

--- a/packages/gateway/src/incarnation-check.ts
+++ b/packages/gateway/src/incarnation-check.ts
@@ -46,7 +46,12 @@
   const endUnknown = () => end(undefined);
   const attempt = backendAttempt.startAttempt(connection, request, {
     canSend: () => !isOver,
-    onHead: (status) => {
+    onHead: (status, headers) => {
+      // A response that states the id of a request is a late one to that request.
+      if (connection.calls.findAttemptId(status, headers) !== undefined) {
+        endUnknown();
+        return false;
+      }
       isReport = status === STATUS_OK;
       return true;
     },
