Search bodies for further responses in linear time

Of two status lines the first one is text before the head that the second one begins.

Tests: heads of several forms, cut heads and quoted ones, each whole and byte by byte, and a property: what is found does not depend on how a body is split.

--- /dev/null
+++ b/packages/runtime/src/extra-response.test.ts
@@ -0,0 +1,113 @@
+import * as assert from 'node:assert/strict';
+import * as nodeTest from 'node:test';
+import * as fc from 'fast-check';
+import * as extraResponse from './extra-response.js';
+
+const { test } = nodeTest;
+const { BODY, RESPONSE, UNCERTAIN } = extraResponse.HeadVerdict;
+const OWN_HEAD = 'HTTP/1.1 200 OK\r\nCall-Id: own\r\nContent-Length: 2\r\n\r\n';
+const QUOTED_HEAD = 'HTTP/1.1 200 OK\r\nCall-Id: other\r\n\r\n';
+
+/** Takes a head that states the id `own` for that of another response. */
+function judgeHead(_: number, headers: string[]): extraResponse.HeadVerdict {
+  const id = headers.find(
+    (value, at) => at % 2 === 1 && headers[at - 1].toLowerCase() === 'call-id',
+  );
+  return id === 'own' ? RESPONSE : BODY;
+}
+
+/** Scans a body that arrives in parts; returns its text, and what was found behind it. */
+function scanParts(parts: string[]) {
+  const scan = extraResponse.createResponseScan(judgeHead);
+  let body = '';
+  let found = BODY;
+  parts.forEach((part) => {
+    if (found === BODY) {
+      const result = extraResponse.scanChunk(scan, Buffer.from(part, 'latin1'));
+      body += result.body.toString('latin1');
+      found = result.next;
+    }
+  });
+  if (found === BODY) {
+    const rest = extraResponse.completeScan(scan);
+    body += rest.body.toString('latin1');
+    found = rest.next;
+  }
+  return { body, found };
+}
+
+const CASES = [
+  { name: 'head', rest: OWN_HEAD, found: RESPONSE },
+  { name: 'head with line ends of LF', rest: OWN_HEAD.replaceAll('\r', ''), found: RESPONSE },
+  { name: 'head of HTTP/1.0', rest: OWN_HEAD.replace('1.1', '1.0'), found: RESPONSE },
+  { name: 'head without a reason', rest: OWN_HEAD.replace(' OK', ''), found: RESPONSE },
+  {
+    name: 'head with a folded line',
+    rest: OWN_HEAD.replace('own', 'own\r\nA: b\r\n c'),
+    found: RESPONSE,
+  },
+  { name: 'head in other case', rest: OWN_HEAD.replace('Call-Id', 'CALL-ID'), found: RESPONSE },
+  { name: 'head behind a quoted status line', rest: `HTTP/1.1 404 No${OWN_HEAD}`, found: RESPONSE },
+  { name: 'head that is cut after the id', rest: OWN_HEAD.slice(0, -5), found: RESPONSE },
+  { name: 'head that is cut before the id', rest: OWN_HEAD.slice(0, 20), found: UNCERTAIN },
+];
+
+CASES.forEach(({ name, rest, found }) =>
+  test(`body ends before a ${name}`, () => {
+    const prefix = name.includes('quoted') ? '{"a":1}HTTP/1.1 404 No' : '{"a":1}';
+    const expected = { body: found === UNCERTAIN ? '{"a":1}' : prefix, found };
+    assert.deepEqual(scanParts([`{"a":1}${rest}`]), expected);
+    assert.deepEqual(scanParts([...`{"a":1}${rest}`]), expected);
+  }),
+);
+
+const TEXTS = [
+  QUOTED_HEAD,
+  `${QUOTED_HEAD}ok`,
+  'uses HTTP/1.1',
+  'HTTP/1.1 200',
+  'HTTP/1.1 200 OK, as text\r\nwith no colon',
+  'HTTP/2 200 OK\r\n\r\n',
+  `HTTP/1.1 200 OK\r\nA: ${'x'.repeat(20_000)}`,
+  'GET / HTTP/1.1\r\nCall-Id: own\r\n\r\n',
+  'HTT',
+];
+
+TEXTS.forEach((text) =>
+  test(`body that quotes HTTP is whole: ${JSON.stringify(text.slice(0, 40))}`, () => {
+    assert.deepEqual(scanParts([text]), { body: text, found: BODY });
+    assert.deepEqual(scanParts([...text.slice(0, 60), text.slice(60)]), {
+      body: text,
+      found: BODY,
+    });
+  }),
+);
+
+test('what is found does not depend on how a body is split', () => {
+  const piece = fc.constantFrom(
+    'a',
+    '\n',
+    '\r\n',
+    'HTTP/1.',
+    'HTTP/1.1 200 OK\r\n',
+    QUOTED_HEAD,
+    'A: b\r\n',
+  );
+  fc.assert(
+    fc.property(fc.array(piece), fc.boolean(), fc.array(fc.nat(400)), (pieces, isTwice, cuts) => {
+      const text = pieces.join('') + (isTwice ? OWN_HEAD : '');
+      const at = [...new Set([0, ...cuts.filter((cut) => cut < text.length)])].sort(
+        (a, b) => a - b,
+      );
+      const parts = at.map((from, index) => text.slice(from, at[index + 1]));
+      assert.deepEqual(scanParts(parts), scanParts([text]));
+    }),
+  );
+});
+
+test('bytes that are held back belong to a body whose length is complete', () => {
+  const scan = extraResponse.createResponseScan(judgeHead);
+  const result = extraResponse.scanChunk(scan, Buffer.from('a HTTP/1.1 200 OK\r\n'));
+  assert.equal(result.body.toString(), 'a ');
+  assert.equal(extraResponse.releaseHeld(scan).body.toString(), 'HTTP/1.1 200 OK\r\n');
+});
--- a/packages/runtime/src/extra-response.ts
+++ b/packages/runtime/src/extra-response.ts
@@ -39,14 +39,23 @@
 
 const EMPTY = Buffer.alloc(0);
 const MARK = Buffer.from('HTTP/1.');
+const BLANK_LINES = ['\n\r\n', '\n\n'];
 /** A longer head counts as text of the body; bytes. */
 const MAX_HEAD_BYTES = 16_384;
 const STATUS_LINE = /^HTTP\/1\.[01] ([1-9]\d\d)(?: .*)?\r?$/;
-const STATUS_LINE_BEGINNING = /^HTTP\/1\.(?:[01](?: (?:[1-9](?:\d(?:\d(?: .*)?\r?)?)?)?)?)?$/;
+/** The first bytes of a status line, or as many of them as have arrived. */
+const STATUS_BEGINNING = /^HTTP\/1\.(?:$|[01](?:$| (?:$|[1-9](?:$|\d(?:$|\d(?:$|[ \r\n]))))))/;
+const STATUS_BEGINNING_BYTES = 13;
+const FURTHER_STATUS = /^HTTP\/1\.[01] [1-9]\d\d/;
 const FIELD_LINE = /^([!#$%&'*+.^_`|~\w-]+):[ \t]*(.*?)[ \t]*\r?$/;
 const FIELD_LINE_BEGINNING = /^(?:[!#$%&'*+.^_`|~\w-]*(?::.*)?|[ \t].*)\r?$/;
 const FOLDED_LINE = /^[ \t]/;
 
+/** Reads the first bytes of what may be a status line. */
+function readStatusBeginning(bytes: Buffer, at: number): string {
+  return bytes.toString('latin1', at, at + STATUS_BEGINNING_BYTES);
+}
+
 /** Parses the text after a status line, as far as it has arrived; undefined if it is no head. */
 function parseFields(lines: string[], rest: string, status: number): ParsedHead | undefined {
   const headers: string[] = [];
@@ -68,14 +77,49 @@
     : undefined;
 }
 
+/** Finds the first further status line; -1 if there is none. */
+function findFurtherStatus(bytes: Buffer): number {
+  let at = bytes.indexOf(MARK, 1);
+  while (at !== -1 && !FURTHER_STATUS.test(readStatusBeginning(bytes, at))) {
+    at = bytes.indexOf(MARK, at + 1);
+  }
+  return at;
+}
+
+/** Finds the end of the first blank line; -1 if there is none. */
+function findBlankEnd(bytes: Buffer): number {
+  const ends = BLANK_LINES.map((blank) => ({ blank, at: bytes.indexOf(blank) }))
+    .filter(({ at }) => at !== -1)
+    .map(({ blank, at }) => at + blank.length);
+  return ends.length === 0 ? -1 : Math.min(...ends);
+}
+
+/**
+ * Finds the bytes of a head, or of the beginning of one; undefined if a second status line comes before
+ * its end, so that the first one is text before another head.
+ */
+function findHead(bytes: Buffer): Buffer | undefined {
+  const further = findFurtherStatus(bytes);
+  const region = further === -1 ? bytes : bytes.subarray(0, further);
+  const end = findBlankEnd(region);
+  if (end !== -1) {
+    return region.subarray(0, end);
+  }
+  return further === -1 ? region : undefined;
+}
+
 /** Parses a head, or the beginning of one; undefined if the text is none. */
 function parseHead(bytes: Buffer): ParsedHead | undefined {
-  const lines = bytes.toString('latin1', 0, MAX_HEAD_BYTES).split('\n');
+  if (!STATUS_BEGINNING.test(readStatusBeginning(bytes, 0))) {
+    return undefined;
+  }
+  const lines = findHead(bytes.subarray(0, MAX_HEAD_BYTES))?.toString('latin1').split('\n');
+  if (lines === undefined) {
+    return undefined;
+  }
   const rest = lines.pop() as string;
   if (lines.length === 0) {
-    return STATUS_LINE_BEGINNING.test(rest)
-      ? { isWhole: false, status: 0, headers: [] }
-      : undefined;
+    return { isWhole: false, status: 0, headers: [] };
   }
   const status = STATUS_LINE.exec(lines[0])?.[1];
   return status === undefined ? undefined : parseFields(lines.slice(1), rest, Number(status));
@@ -95,6 +139,9 @@
 
 /** Counts the last bytes that may be the beginning of the mark. */
 function countMarkBeginning(bytes: Buffer): number {
+  if (bytes.length === 0 || !MARK.includes(bytes[bytes.length - 1])) {
+    return 0;
+  }
   const longest = Math.min(MARK.length - 1, bytes.length);
   const lengths = Array.from({ length: longest }, (_, index) => longest - index);
   return (
