Test that a gateway behind a partition keeps its share of quotas

Two gateways that have stopped hearing each other are asked for many times a quota of 1,000 tokens a second for 59 s. From the tenth second on, both together admit no more than the quota.

--- a/packages/core/src/gateway/token-quota.test.ts
+++ b/packages/core/src/gateway/token-quota.test.ts
@@ -1,6 +1,8 @@
 import * as assert from 'node:assert/strict';
 import * as nodeTest from 'node:test';
 import * as configuration from './configuration.js';
+import * as gatewayState from './gateway-state.js';
+import * as gatewayFixture from './mocks/gateway-fixture.js';
 import * as peerCounts from './peer-counts.js';
 import * as peerView from './peer-view.js';
 import * as quotaLimit from './quota-limit.js';
@@ -283,3 +285,20 @@
   peerView.applyReport(view, { ...buildReport(2, 0), leaving: true }, 5001);
   assert.equal(peerCounts.countGateways(view), 1);
 });
+
+test('gateways on both sides of a partition keep one quota', () => {
+  // Guards against forgetting a gateway that still serves behind a partition of nearly a minute:
+  // each side would admit the whole quota.
+  const states = [gatewayFixture.createTestGateway([]), gatewayFixture.createTestGateway([])];
+  states.forEach(({ peers }) => peerView.applyReport(peers, buildReport(1, 0), 0));
+  const seconds = Array.from({ length: 59 }, (_, second) => second * 1000);
+  const within = seconds.map((now) =>
+    states.reduce((sum, state) => {
+      peerView.expirePeers(state.peers, now);
+      const share = gatewayState.computeQuotaShare(state, now);
+      return sum + countWithin(state.quotas, share, now, now + 1000);
+    }, 0),
+  );
+  const admitted = 100 * within.slice(10).reduce((sum, one) => sum + one, 0);
+  assert.ok(admitted <= 1.02 * DECLARED.perSecond * 49, String(admitted));
+});
