Have the soak's backend servers respond twice

Its servers sent responses without a length and spoiled ones, but never a second response, so that it could not show a caller who gets two responses as one body.

A drawn share (--extra, 0.1) of all responses, refusals and failures too, is followed by a second one: whole or cut, with a length, in chunks or with neither, 0 to 400 ms later on the same connection. A run whose own end cannot be told from the second response, or that follows one on its connection, is marked: such a response may be broken off at a planned stop and run again. No other check changes; a success still has to equal the expected body.

--- a/packages/proofs/src/soak/main.ts
+++ b/packages/proofs/src/soak/main.ts
@@ -25,6 +25,7 @@
     parts: { type: 'string', default: '1' },
     odd: { type: 'string', default: '60' },
     unframed: { type: 'string', default: '0.3' },
+    extra: { type: 'string', default: '0.1' },
   },
 });
 const first = Number(values.first);
@@ -53,6 +54,7 @@
       parts: Number(values.parts),
       oddInputs: Number(values.odd),
       unframedShare: Number(values.unframed),
+      extraShare: Number(values.extra),
       areTimesChecked: true,
     });
     process.stdout.write(`${JSON.stringify(report)}\n`);
--- a/packages/proofs/src/soak/run-soak.ts
+++ b/packages/proofs/src/soak/run-soak.ts
@@ -45,6 +45,8 @@
   oddInputs: number;
   /** Share of streams without a length; the same share of requests gets events with CRLF. */
   unframedShare: number;
+  /** Share of responses that are followed by a second one on their connection. */
+  extraShare: number;
   /** Also checks response times, which hold only on a machine with spare CPU. */
   areTimesChecked: boolean;
 };
@@ -192,7 +194,10 @@
       throw new Error(`the fleet does not start; its logs are in ${fleet.folder}`);
     }
     recordStartup(fleet);
-    fleet.backends.forEach(({ server }) => server.setUnframedShare(options.unframedShare));
+    fleet.backends.forEach(({ server }) => {
+      server.setUnframedShare(options.unframedShare);
+      server.setExtraShare(options.extraShare);
+    });
     const endMemory = soakMemory.watchMemory(fleet);
     const endWatch = soakStalls.watchStalls(fleet.records, fleet.readNow);
     const violations = await runCalls(fleet, options, faults);
--- a/packages/proofs/src/soak/soak-records.ts
+++ b/packages/proofs/src/soak/soak-records.ts
@@ -66,6 +66,11 @@
   isBrokenOff: boolean;
   /** The backend server sent the whole response of a successful run. */
   isWhole: boolean;
+  /**
+   * A second response on its connection came before its own had ended, or follows its own, which
+   * nothing but the connection ends.
+   */
+  isMixedUp: boolean;
 };
 
 /** A revoked key, and when the store had the revocation. */
--- a/packages/proofs/src/soak/soak-responses.ts
+++ b/packages/proofs/src/soak/soak-responses.ts
@@ -3,6 +3,7 @@
 import * as backendServerStandIn from '@toucanproxy/platform/mocks/backend-server-stand-in';
 import * as platformFixtures from '@toucanproxy/platform/mocks/platform-fixtures';
 import type * as randomSource from '../mocks/random-source.js';
+import * as soakExtraResponses from './soak-extra-responses.js';
 import * as soakRecords from './soak-records.js';
 
 export type ServerState = {
@@ -18,11 +19,12 @@
   crash: () => void;
   /** Share of streams that have no length and end with their connection. */
   unframedShare: number;
+  extra: soakExtraResponses.ExtraState;
   drawWorkMs: (() => number) | undefined;
 };
 
 /** How a stream is sent: chunked or without a length, and where it is broken off, if it is. */
-type StreamShape = { isFramed: boolean; truncateAfter: number; cut: number };
+type StreamShape = { head: string; isFramed: boolean; truncateAfter: number; cut: number };
 
 /** Shares of requests that fail or have a truncated response. */
 const FAILED_SHARE = 0.03;
@@ -47,34 +49,52 @@
   return isLeaving ? platformFixtures.addLeavingHeader(limited) : limited;
 }
 
+/** Builds an event of a run. */
+function buildEvent({ id, path, version }: soakRecords.RunRecord, number: number): string {
+  const isVersioned = path.startsWith(RESUMABLE_PATH);
+  return soakRecords.buildEvent(id, number, isVersioned ? version : undefined);
+}
+
+/** Builds all events of a run. */
+function buildEvents(run: soakRecords.RunRecord): string[] {
+  const count = soakRecords.STREAM_EVENTS - run.resumeAfter;
+  return Array.from({ length: count }, (_, index) => buildEvent(run, run.resumeAfter + index + 1));
+}
+
 /**
  * Sends the events of a stream. A truncated one is reset in the middle of an event; without a
  * length it ends there as a complete one does.
  */
 function sendEvents(
+  extra: soakExtraResponses.ExtraState,
   run: soakRecords.RunRecord,
   socket: net.Socket,
-  { isFramed, truncateAfter, cut }: StreamShape,
+  { head, isFramed, truncateAfter, cut }: StreamShape,
   end: () => void,
 ): void {
   let number = run.resumeAfter;
-  const isVersioned = run.path.startsWith(RESUMABLE_PATH);
   const frame = (text: string) => (isFramed ? backendServerStandIn.buildChunk(text) : text);
+  const follow = (close: () => void) => {
+    const body = buildEvents(run).join('');
+    const isFollowed = soakExtraResponses.sendExtra(extra, socket, { head, body }, close);
+    run.isMixedUp ||= isFollowed && (!isFramed || run.isBrokenOff);
+  };
   const sendNext = () => {
     number += 1;
-    const event = soakRecords.buildEvent(run.id, number, isVersioned ? run.version : undefined);
+    const event = buildEvent(run, number);
     if (socket.destroyed) {
       end();
     } else if (number > truncateAfter) {
       run.isBrokenOff = true;
       // Two bytes less than the event: a CR alone would also end its last line.
       socket.write(frame(event.slice(0, 1 + Math.floor(cut * (event.length - 2)))));
-      socket[isFramed ? 'resetAndDestroy' : 'end']();
       end();
+      follow(() => socket[isFramed ? 'resetAndDestroy' : 'end']());
     } else if (number > soakRecords.STREAM_EVENTS) {
       run.isWhole = true;
-      socket[isFramed ? 'write' : 'end'](isFramed ? '0\r\n\r\n' : '');
+      socket.write(isFramed ? '0\r\n\r\n' : '');
       end();
+      follow(() => (isFramed ? undefined : socket.end()));
     } else {
       socket.write(frame(event));
       setTimeout(sendNext, EVENT_MS);
@@ -97,7 +117,21 @@
   const head = addStatements(state, run.id, backendServerStandIn.buildStreamHead(request));
   socket.write(isFramed ? head : head.replace('\r\nTransfer-Encoding: chunked', ''));
   const truncateAfter = isTruncated ? run.resumeAfter + 2 : Infinity;
-  sendEvents(run, socket, { isFramed, truncateAfter, cut: isFramed ? CUT : draw() }, end);
+  const shape = { head, isFramed, truncateAfter, cut: isFramed ? CUT : draw() };
+  sendEvents(state.extra, run, socket, shape, end);
+}
+
+/** Sends a plain response without a length, which ends with its connection. */
+function sendUnframed(
+  extra: soakExtraResponses.ExtraState,
+  socket: net.Socket,
+  run: soakRecords.RunRecord,
+  response: string,
+): void {
+  const text = response.replace(/Content-Length: \d+\r\n/, '');
+  socket.write(text);
+  const parts = soakExtraResponses.parseResponse(text);
+  run.isMixedUp ||= soakExtraResponses.sendExtra(extra, socket, parts, () => socket.end());
 }
 
 /** Sends a plain response: complete, truncated, failed or without a length. */
@@ -114,15 +148,21 @@
     : backendServerStandIn.buildResponse(request, `${run.id} for ${run.workspace}`);
   const response = addStatements(state, run.id, bare);
   if (isFailed) {
-    socket.write(response);
+    soakExtraResponses.sendResponse(state.extra, socket, response);
   } else if (chance < FAILED_SHARE + TRUNCATED_SHARE) {
     run.isBrokenOff = true;
-    socket.write(response.slice(0, -3), () => socket.resetAndDestroy());
+    socket.write(response.slice(0, -3));
+    soakExtraResponses.sendExtra(
+      state.extra,
+      socket,
+      soakExtraResponses.parseResponse(response),
+      () => socket.resetAndDestroy(),
+    );
   } else if (chance < FAILED_SHARE + TRUNCATED_SHARE + UNFRAMED_SHARE) {
     run.isWhole = true;
-    socket.end(response.replace(/Content-Length: \d+\r\n/, ''));
+    sendUnframed(state.extra, socket, run, response);
   } else {
     run.isWhole = true;
-    socket.write(response);
+    soakExtraResponses.sendResponse(state.extra, socket, response);
   }
 }
--- a/packages/proofs/src/soak/soak-server.ts
+++ b/packages/proofs/src/soak/soak-server.ts
@@ -6,6 +6,7 @@
 import * as backendServerStandIn from '@toucanproxy/platform/mocks/backend-server-stand-in';
 import * as platformFixtures from '@toucanproxy/platform/mocks/platform-fixtures';
 import * as randomSource from '../mocks/random-source.js';
+import * as soakExtraResponses from './soak-extra-responses.js';
 import * as soakRecords from './soak-records.js';
 import * as soakResponses from './soak-responses.js';
 
@@ -24,6 +25,8 @@
   setCrash: (crash: () => void) => void;
   /** Sets the share of streams that have no length and end with their connection. */
   setUnframedShare: (share: number) => void;
+  /** Sets the share of responses that are followed by a second one on their connection. */
+  setExtraShare: (share: number) => void;
   /** Sets how the time of each run is drawn, milliseconds; the usual times if undefined. */
   setWork: (drawWorkMs: (() => number) | undefined) => void;
   stop: () => void;
@@ -64,6 +67,7 @@
     endedMs: 0,
     isBrokenOff: false,
     isWhole: false,
+    isMixedUp: false,
   };
   state.records.runs.push(run);
   return run;
@@ -73,7 +77,7 @@
 function refuseWithBackoff(
   { statement, draw, readNow }: soakResponses.ServerState,
   request: backendServerStandIn.ReceivedRequest,
-  socket: net.Socket,
+  send: (response: string) => void,
 ): boolean {
   const isAsking = statement?.kind === soakRecords.StatementKind.BACKOFF;
   if (!isAsking || draw() >= REFUSED_SHARE) {
@@ -81,7 +85,7 @@
   }
   const { attemptId: id } = platformFixtures.parseForwardedRequest(request);
   statement.announced.push({ id, atMs: readNow() });
-  socket.write(platformFixtures.buildBackoffResponse(request, statement.backoffMs));
+  send(platformFixtures.buildBackoffResponse(request, statement.backoffMs));
   return true;
 }
 
@@ -119,18 +123,20 @@
   arrivals.set(id, [...(arrivals.get(id) ?? []), state.readNow()]);
   state.limit?.arrivals.push({ id, atMs: state.readNow() });
   state.statement?.arrivals.push({ id, atMs: state.readNow() });
+  const send = (response: string) => soakExtraResponses.sendResponse(state.extra, socket, response);
   if (serverId !== state.id) {
-    socket.write(platformFixtures.buildMisdirectedResponse(request));
+    send(platformFixtures.buildMisdirectedResponse(request));
     return;
   }
-  if (refuseWithBackoff(state, request, socket)) {
+  if (refuseWithBackoff(state, request, send)) {
     return;
   }
   if (state.active >= SLOTS) {
-    socket.write(backendServerStandIn.buildNotRunResponse(request));
+    send(backendServerStandIn.buildNotRunResponse(request));
     return;
   }
   const run = recordRun(state, request);
+  soakExtraResponses.addRun(state.extra, socket, run);
   const end = holdSlot(state, run, socket);
   setTimeout(
     () => {
@@ -146,8 +152,8 @@
       ) {
         soakResponses.sendStream(state, request, socket, run, end);
       } else {
-        soakResponses.sendPlain(state, request, socket, run);
         end();
+        soakResponses.sendPlain(state, request, socket, run);
       }
     },
     soakRecords.hasCrashingPart(run) ? CRASH_MS : drawWork(state),
@@ -172,6 +178,7 @@
     statement: undefined,
     crash: () => {},
     unframedShare: 0,
+    extra: soakExtraResponses.createExtraState(draw),
     drawWorkMs: undefined,
   };
   runner.setRequestHandler((request, socket) => serve(state, request, socket));
@@ -190,6 +197,9 @@
     setUnframedShare: (share) => {
       state.unframedShare = share;
     },
+    setExtraShare: (share) => {
+      state.extra.share = share;
+    },
     setWork: (drawWorkMs) => {
       state.drawWorkMs = drawWorkMs;
     },
--- a/packages/proofs/src/soak/soak-stop-checks.test.ts
+++ b/packages/proofs/src/soak/soak-stop-checks.test.ts
@@ -44,6 +44,7 @@
     endedMs: 17_600,
     isBrokenOff: false,
     isWhole: false,
+    isMixedUp: false,
     ...changes,
   };
 }
@@ -111,6 +112,7 @@
 nodeTest.test('other faults, broken responses and timeouts do not count', () => {
   const isPlanned = true;
   assert.equal(countViolations({}, [{ isBrokenOff: true, atMs: 14_000 }]), 0);
+  assert.equal(countViolations({}, [{ isMixedUp: true, atMs: 14_000 }]), 0);
   assert.equal(countViolations({ deadlineMs: 8000 }), 0);
   assert.equal(countViolations({}, [], { disturbances: [{ gateway: 0, ...fault }] }), 0);
   assert.equal(countViolations({}, [], { disturbances: [{ gateway: 1, ...fault }] }), 1);
--- a/packages/proofs/src/soak/soak-stop-checks.ts
+++ b/packages/proofs/src/soak/soak-stop-checks.ts
@@ -91,7 +91,7 @@
   return (
     isCrossing(context, call, stop) ||
     call.endedMs - call.sentMs >= Math.min(call.deadlineMs, routeTimeoutMs) ||
-    runs.some((run) => run.isBrokenOff || isUnfinished(run, stop)) ||
+    runs.some((run) => run.isBrokenOff || run.isMixedUp || isUnfinished(run, stop)) ||
     isDisturbed(records, call, runs)
   );
 }
--- a/packages/proofs/src/soak/soak-stream-checks.test.ts
+++ b/packages/proofs/src/soak/soak-stream-checks.test.ts
@@ -38,6 +38,7 @@
     endedMs: atMs + 50,
     isBrokenOff: !isWhole,
     isWhole,
+    isMixedUp: false,
   };
 }
 
@@ -55,6 +56,8 @@
   assert.equal(countFor([buildRun(1100, false), buildRun(1200, true)]), 0);
   assert.equal(countFor([buildRun(1100, true), buildRun(1120, true)]), 0);
   assert.equal(countFor([buildRun(1100, true), buildRun(1200, true)], [{ server: 'server-0' }]), 0);
+  const mixedUp = { ...buildRun(1100, true), isMixedUp: true };
+  assert.equal(countFor([mixedUp, buildRun(1200, true)]), 0);
 });
 
 nodeTest.test('events with CRLF are read like the others', () => {
--- a/packages/proofs/src/soak/soak-stream-checks.ts
+++ b/packages/proofs/src/soak/soak-stream-checks.ts
@@ -18,8 +18,9 @@
 }
 
 /** Describes a run without its body. */
-function describeRun({ server, atMs, endedMs, isWhole, isBrokenOff }: soakRecords.RunRecord) {
-  return { server, atMs, endedMs, isWhole, isBrokenOff };
+function describeRun(run: soakRecords.RunRecord) {
+  const { server, atMs, endedMs, isWhole, isBrokenOff, isMixedUp } = run;
+  return { server, atMs, endedMs, isWhole, isBrokenOff, isMixedUp };
 }
 
 /** Checks that a request is not run again once a backend server has sent its whole response. */
@@ -29,7 +30,7 @@
 ): StreamViolation[] {
   return records.calls.flatMap((call) => {
     const runs = runsById.get(call.id) ?? [];
-    const whole = runs.find(({ isWhole }) => isWhole);
+    const whole = runs.find(({ isWhole, isMixedUp }) => isWhole && !isMixedUp);
     const again = runs.find(({ atMs }) => whole !== undefined && atMs > whole.endedMs);
     const isBroken = again !== undefined && !isDisturbed(records, call, runs);
     const { id, path, gateway } = call;
--- a/packages/proofs/src/soak/soak.test.ts
+++ b/packages/proofs/src/soak/soak.test.ts
@@ -18,6 +18,7 @@
     stops = 0,
     parts = 0,
     unframedShare = 0,
+    extraShare = 0,
     oddInputs = 0,
   },
 ): Promise<void> {
@@ -36,6 +37,7 @@
     stops,
     parts,
     unframedShare,
+    extraShare,
     oddInputs,
     areTimesChecked: false,
   });
@@ -73,3 +75,6 @@
 nodeTest.test('guarantees hold while gateways read input that means nothing, seed 9', () =>
   expectNoViolations(9, { oddInputs: 40 }),
 );
+nodeTest.test('guarantees hold while servers respond twice, seed 2', () =>
+  expectNoViolations(2, { unframedShare: 0.3, extraShare: 0.3 }),
+);
