Log what the check of a backend server found

A response without a length that is taken for complete left no trace of why: whether the server responded to the check, was silent on an open connection, or another one had its address, and after which time. The check now names its finding, and the gateway logs it as server-check with the start of the incarnation that was sent the request.

--- a/packages/gateway/src/attempt-sending.ts
+++ b/packages/gateway/src/attempt-sending.ts
@@ -163,6 +163,7 @@
   server: gateway.BackendServerEntry,
   settle: (isPresent: boolean) => void,
 ): void {
+  const { request } = held;
   const readNow = () => task.readClocks().steadyMs;
   const { abort } = serverCheck.startServerCheck({
     open: () => task.connections.open(server.address),
@@ -172,10 +173,17 @@
       task.protocol.parseResponseHeaders(status, headers).isMisdirected,
     readNow,
     runAfterPoll: task.eventLoop.runAfterPoll,
-    settle: (isPresent) => {
-      task.metrics.recordServerCheck(held.request.service, isPresent);
+    settle: (finding, ms) => {
+      const isPresent = serverCheck.isPresent(finding);
+      requestReports.reportServerCheck(
+        task,
+        request,
+        { server: server.id, finding, ms },
+        readNow(),
+      );
+      task.metrics.recordServerCheck(request.service, isPresent);
       if (isPresent) {
-        gateway.noteServerHeard(task.state, held.request, readNow());
+        gateway.noteServerHeard(task.state, request, readNow());
       }
       requestEnding.runForRequest(task, held, () => settle(isPresent), undefined);
     },
--- a/packages/gateway/src/request-reports.ts
+++ b/packages/gateway/src/request-reports.ts
@@ -173,6 +173,17 @@
   metrics.recordFault(service, fields.fault);
 }
 
+/** Reports whether a backend server was found to have outlived the end of a response. */
+export function reportServerCheck(
+  { log }: ReportDependencies,
+  { arrived, serverBornMs }: gateway.GatewayRequest,
+  { server, finding, ms }: { server: string; finding: string; ms: number },
+  now: number,
+): void {
+  const line = { request: arrived.attemptId, server, serverBornMs, finding, ms: Math.round(ms) };
+  log.write('server-check', line, now);
+}
+
 /** Reports that content is refused from now on, as its runs have ended backend servers. */
 export function reportSuspended(
   { log }: ReportDependencies,
--- a/packages/gateway/src/server-check.test.ts
+++ b/packages/gateway/src/server-check.test.ts
@@ -49,9 +49,9 @@
       isMisdirected: (status) => status === MISDIRECTED,
       readNow: () => performance.now(),
       runAfterPoll: (step) => setImmediate(step),
-      settle: (result) => {
+      settle: (finding) => {
         check.abort();
-        resolve(result);
+        resolve(serverCheck.isPresent(finding));
       },
     });
   });
--- a/packages/gateway/src/server-check.ts
+++ b/packages/gateway/src/server-check.ts
@@ -8,6 +8,28 @@
 import type * as backendConnections from './backend-connections.js';
 import type * as wireProtocol from './wire-protocol.js';
 
+/** What a check has found. */
+export enum CheckFinding {
+  RESPONDED = 'responded',
+  /** No response on an open connection. */
+  SILENT = 'silent',
+  /** Another backend server has the address. */
+  MISDIRECTED = 'misdirected',
+  REFUSED = 'refused',
+  /** No connection, or only ones that break. */
+  UNREACHABLE = 'unreachable',
+}
+
+const PRESENT_FINDINGS: ReadonlySet<CheckFinding> = new Set([
+  CheckFinding.RESPONDED,
+  CheckFinding.SILENT,
+]);
+
+/** Returns whether a finding means that the backend server has outlived the connection. */
+export function isPresent(finding: CheckFinding): boolean {
+  return PRESENT_FINDINGS.has(finding);
+}
+
 export type ServerCheckOptions = {
   /** Opens a new connection to the backend server. */
   open: () => backendConnections.BackendConnection;
@@ -20,7 +42,7 @@
   /** Runs a step once the event loop has read what has arrived. */
   runAfterPoll: (step: () => void) => void;
   /** Called once, unless the check is aborted; a server that cannot be reached counts as gone. */
-  settle: (isPresent: boolean) => void;
+  settle: (finding: CheckFinding, ms: number) => void;
 };
 
 /** Once the check has ended, `abort` has no effect: its connection serves the next request. */
@@ -45,10 +67,10 @@
 const REFUSED = 'ECONNREFUSED';
 
 /** Ends the check with a result. */
-function endCheck(state: CheckState, isPresent: boolean): void {
+function endCheck(state: CheckState, finding: CheckFinding): void {
   if (!state.isSettled) {
     state.isSettled = true;
-    state.options.settle(isPresent);
+    state.options.settle(finding, state.options.readNow() - state.startedMs);
   }
 }
 
@@ -63,9 +85,11 @@
   }
   const elapsedMs = state.options.readNow() - state.startedMs;
   if (hasResponded) {
-    endCheck(state, true);
-  } else if (reason === REFUSED || elapsedMs >= MAX_CHECK_MS) {
-    endCheck(state, false);
+    endCheck(state, CheckFinding.RESPONDED);
+  } else if (reason === REFUSED) {
+    endCheck(state, CheckFinding.REFUSED);
+  } else if (elapsedMs >= MAX_CHECK_MS) {
+    endCheck(state, CheckFinding.UNREACHABLE);
   } else {
     state.retryTimer = setTimeout(() => sendRequest(state), RETRY_MS);
   }
@@ -82,7 +106,7 @@
   const handleSilence = () => {
     if (!isOver) {
       state.attempt?.abort();
-      endCheck(state, true);
+      endCheck(state, CheckFinding.SILENT);
     }
   };
   const handleEnd = () => {
@@ -97,7 +121,7 @@
     },
     onHead: (status, headers) => {
       isReport = !isMisdirected(status, headers);
-      endCheck(state, isReport);
+      endCheck(state, isReport ? CheckFinding.RESPONDED : CheckFinding.MISDIRECTED);
       return true;
     },
     onData: (chunk) => {
