Allow for a stalled soak where a caller has disconnected

The record has a stall of the soak's own event loop from 5660 to 7720 ms. The caller and its link live in that process, so that its disconnect reached the gateway only afterwards.

Time in which the soak stood still no longer counts in this check, as in that of planned stops; the bound stays 1000 ms.

--- a/packages/proofs/src/soak/soak-checks.ts
+++ b/packages/proofs/src/soak/soak-checks.ts
@@ -3,6 +3,7 @@
 import * as soakLimitChecks from './soak-limit-checks.js';
 import * as soakPartChecks from './soak-part-checks.js';
 import * as soakRecords from './soak-records.js';
+import * as soakStalls from './soak-stalls.js';
 import * as soakStopChecks from './soak-stop-checks.js';
 import * as soakStatementChecks from './soak-statement-checks.js';
 import * as soakStreamChecks from './soak-stream-checks.js';
@@ -239,7 +240,9 @@
 function checkDisconnected(context: Context): Violation[] {
   return listViolations(context, 'no work after a caller disconnects', (call, runs) => {
     const isOver = call.disconnectedMs > 0 && !isDisturbed(context, call);
-    return isOver && runs.some((run) => run.atMs > call.disconnectedMs + LATE_MS);
+    const computeAfterMs = (untilMs: number) =>
+      soakStalls.computeAwakeMs(context.records, { fromMs: call.disconnectedMs, untilMs });
+    return isOver && runs.some(({ atMs }) => computeAfterMs(atMs) > LATE_MS);
   });
 }
 
