Take no restarted server for the one that a response came from

A caller got a stream without a length as complete that its server had not finished: the server crashed between two events and was back under its id when the gateway asked whether it had outlived the connection.

Cause: any response to that check but 421 counted as the server's presence. The report states the start of its process, which the check read only for later requests.

Change: a report counts only if the incarnation that it states can have sent the response: it is the one that the connection or the entry of the server has stated, or had begun when the request was sent, by the rule for statements. A check is settled at the end of the report instead of at its head.

Evidence: 'response to /stream/ whose server restarts under its id is broken off' and the same for /unsafe/ failed before (200, complete) and pass now.

--- a/packages/gateway/src/attempt-sending.ts
+++ b/packages/gateway/src/attempt-sending.ts
@@ -156,18 +156,26 @@
   }
 }
 
-/** Checks whether a backend server has outlived the connection of an attempt. */
+/**
+ * Checks whether a backend server has outlived the connection of an attempt.
+ *
+ * @param senderBornMs start of the incarnation that the request was sent to; 0 if unknown
+ */
 function checkServer(
   task: taskState.TaskState,
   held: heldRequest.HeldRequest,
   server: gateway.BackendServerEntry,
+  senderBornMs: number,
   settle: (isPresent: boolean) => void,
 ): void {
   const { request } = held;
+  const { sentWallMs } = request;
   const readNow = () => task.readClocks().steadyMs;
   const { abort } = serverCheck.startServerCheck({
     open: () => task.connections.open(server.address),
     request: task.protocol.buildServerCheck(server.id),
+    canBeSender: (bornMs) =>
+      senderBornMs === 0 || gateway.isAboutLife({ bornMs: senderBornMs, sentWallMs }, bornMs),
     parseStart: task.protocol.parseReportedStart,
     isMisdirected: (status, headers) =>
       task.protocol.parseResponseHeaders(status, headers).isMisdirected,
@@ -215,6 +223,7 @@
   task: taskState.TaskState,
   held: heldRequest.HeldRequest,
   server: gateway.BackendServerEntry,
+  getSenderBornMs: () => number,
 ): backendAttempt.AttemptListener {
   const { request } = held;
   const readNow = () => task.readClocks().steadyMs;
@@ -243,7 +252,7 @@
       gateway.findPartSuspension(task.state, request, readNow()) === undefined &&
       gateway.isStillUsable(task.state, request, readNow()),
     isLeaving: () => gateway.findUsable(task.state.servers, server.id, readNow()) === undefined,
-    checkServer: (settle) => checkServer(task, held, server, settle),
+    checkServer: (settle) => checkServer(task, held, server, getSenderBornMs(), settle),
     observeExtraResponse: () =>
       requestReports.reportExtraResponse(task, request, server.id, readNow()),
     observeStatements: (parsed) => {
@@ -273,12 +282,15 @@
   if (held.events !== undefined) {
     eventStream.restart(held.events, held.exchange.response.headersSent);
   }
-  const listener = buildGuardedListener(task, held, createRelay(task, held, server));
+  let senderBornMs = server.bornMs;
+  const relay = createRelay(task, held, server, () => senderBornMs);
+  const listener = buildGuardedListener(task, held, relay);
   const refuseRestarted = () => {
     const fault = gateway.AttemptFault.WITHDRAWN;
     handleOutcome(task, held, { kind: 'fault', fault, reason: 'restarted', failure: undefined });
   };
   const useConnection = (connection: backendConnections.BackendConnection) => {
+    senderBornMs = connection.bornMs ?? senderBornMs;
     const now = task.readClocks().steadyMs;
     const outgoing = outgoingRequest.buildOutgoingRequest(task.protocol, held, server, now);
     held.attempt = backendAttempt.startAttempt(
--- a/packages/gateway/src/server-check.test.ts
+++ b/packages/gateway/src/server-check.test.ts
@@ -9,6 +9,7 @@
 const { test } = nodeTest;
 const REQUEST = { method: 'GET', path: '/report', headers: ['host', 'a.example'], body: null };
 const MISDIRECTED = 421;
+const SENDER_BORN_MS = 7;
 
 type Server = { server: net.Server; port: number; countConnections: () => number };
 
@@ -48,7 +49,8 @@
     const check = serverCheck.startServerCheck({
       open: () => connections.open(`127.0.0.1:${port}`),
       request: REQUEST,
-      parseStart: () => undefined,
+      canBeSender: (bornMs) => bornMs === SENDER_BORN_MS,
+      parseStart: (report) => (report.length === 0 ? undefined : Number(report)),
       isMisdirected: (status) => status === MISDIRECTED,
       readNow: () => performance.now(),
       runAfterPoll: (step) => setImmediate(step),
@@ -130,6 +132,17 @@
   assert.equal(await runCheck(port), false);
 });
 
+['7', '8'].forEach((stated) =>
+  test(`server that states the start ${stated} is present only if it is the sender`, async (context) => {
+    // Guards against an incarnation that answers for the one that has gone.
+    const { port } = await startServer(context, (socket) => {
+      socket.once('data', () => socket.write(`HTTP/1.1 200 X\r\nContent-Length: 1\r\n\r\n`));
+      setTimeout(() => socket.write(stated), 20);
+    });
+    assert.equal(await runCheck(port), stated === '7');
+  }),
+);
+
 test('connection of a check serves the next request', async (context) => {
   // Guards against a second connection for each response without a length.
   const { port } = await startServer(context, buildResponder(200));
--- a/packages/gateway/src/server-check.ts
+++ b/packages/gateway/src/server-check.ts
@@ -13,6 +13,8 @@
   RESPONDED = 'responded',
   /** No response on an open connection. */
   SILENT = 'silent',
+  /** Another incarnation of the backend server, which cannot have sent the response. */
+  RESTARTED = 'restarted',
   /** Another backend server has the address. */
   MISDIRECTED = 'misdirected',
   REFUSED = 'refused',
@@ -34,6 +36,8 @@
   /** Opens a new connection to the backend server. */
   open: () => backendConnections.BackendConnection;
   request: backendAttempt.OutgoingRequest;
+  /** Returns whether an incarnation that started at a time can have sent the response. */
+  canBeSender: (bornMs: number) => boolean;
   /** Parses when the process of the backend server started, milliseconds since the Unix epoch. */
   parseStart: (report: Buffer) => number | undefined;
   /** Returns whether a response comes from another backend server at the same address. */
@@ -65,6 +69,7 @@
 /** A longer response to the check closes its connection; bytes. */
 const MAX_RESPONSE_BYTES = 65_536;
 const REFUSED = 'ECONNREFUSED';
+const STATUS_OK = 200;
 
 /** Ends the check with a result. */
 function endCheck(state: CheckState, finding: CheckFinding): void {
@@ -75,7 +80,7 @@
 }
 
 /**
- * Handles a connection that failed before a whole head. Any bytes on it show that the server is
+ * Handles a connection that failed before a whole report. Any bytes on it show that the server is
  * present. A break alone shows nothing, and the server is asked again: a port may accept connections
  * for a server that is gone, and a server may reset those beyond its limit.
  */
@@ -97,7 +102,7 @@
 
 /** Sends the request of the check over a new connection. */
 function sendRequest(state: CheckState): void {
-  const { open, request, isMisdirected, parseStart, runAfterPoll } = state.options;
+  const { open, request, isMisdirected, canBeSender, parseStart, runAfterPoll } = state.options;
   const chunks: Buffer[] = [];
   let receivedBytes = 0;
   let isReport = false;
@@ -120,8 +125,11 @@
       return !state.isSettled;
     },
     onHead: (status, headers) => {
-      isReport = !isMisdirected(status, headers);
-      endCheck(state, isReport ? CheckFinding.RESPONDED : CheckFinding.MISDIRECTED);
+      isReport = status === STATUS_OK;
+      if (!isReport) {
+        const isOther = isMisdirected(status, headers);
+        endCheck(state, isOther ? CheckFinding.MISDIRECTED : CheckFinding.RESPONDED);
+      }
       return true;
     },
     onData: (chunk) => {
@@ -133,8 +141,11 @@
       return true;
     },
     onEnd: () => {
+      const bornMs = isReport ? parseStart(Buffer.concat(chunks)) : undefined;
       // Streams that begin or go on over this connection need not ask again.
-      connection.bornMs = isReport ? parseStart(Buffer.concat(chunks)) : undefined;
+      connection.bornMs = bornMs;
+      const isSender = bornMs === undefined || canBeSender(bornMs);
+      endCheck(state, isSender ? CheckFinding.RESPONDED : CheckFinding.RESTARTED);
       handleEnd();
     },
     onWithdrawn: handleEnd,
