Recognise a reset that comes together with the last bytes

Cause: the runtime reads the bytes, sees that the connection is over and reports a plain end; the error stays in the system.

Change: at the end of a connection the address of the other side is asked for. After a reset there is none; after an end by the other side there is.

--- a/packages/agent/src/engine-connection.ts
+++ b/packages/agent/src/engine-connection.ts
@@ -19,7 +19,7 @@
   stop: () => void;
 };
 
-/** Opens a connection; a listener on its socket records a reset before the library handles it. */
+/** Opens a connection; listeners on its socket record a reset before the library handles it. */
 function openConnection(engineUrl: string): EngineConnection {
   let isReset = false;
   const connector = undici.buildConnector({});
@@ -32,6 +32,11 @@
           // The library ends connections with errors of its own.
           isReset ||= syscall !== undefined;
         });
+        results[1]?.prependListener('end', () => {
+          // The runtime reports a reset that it reads together with the last bytes as a plain end;
+          // after it the system knows no other side any more.
+          isReset ||= results[1]?.remoteAddress === undefined;
+        });
         callback(...results);
       }),
   });
--- a/packages/proofs/src/engine-open-ends.test.ts
+++ b/packages/proofs/src/engine-open-ends.test.ts
@@ -8,6 +8,7 @@
 const { test } = nodeTest;
 const REF_KEY = 'entry-1#1';
 const HEAD = 'HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n';
+const TEXT_HEAD = 'HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nConnection: close\r\n\r\n';
 const UNKNOWN = 'HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\nConnection: close\r\n\r\n';
 
 /** Time to read what has been sent, milliseconds. */
@@ -144,8 +145,7 @@
 test('response that ends with a reset is not complete', async (context) => {
   // Guards against passing on what a service had sent when it crashed; the HTTP library takes a reset
   // for the end of a response that has no other.
-  const head = 'HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nConnection: close\r\n\r\n';
-  const { end } = await runOnce(context, () => `${head}half of the`, {
+  const { end } = await runOnce(context, () => `${TEXT_HEAD}half of the`, {
     isModel: false,
     end: sendAndReset,
   });
@@ -158,3 +158,12 @@
   });
   assert.equal(end, 'engineFailed');
 });
+
+test('response that ends with a reset behind its last bytes is not complete', async (context) => {
+  // Guards against a reset that the runtime reports as a plain end, as it read both at once.
+  const { end } = await runOnce(context, () => `${TEXT_HEAD}half of the`, {
+    isModel: false,
+    end: (socket, text) => socket.write(text, () => socket.resetAndDestroy()),
+  });
+  assert.equal(end, 'engineFailed');
+});
