Break off a body whose last bytes begin a second response

Cause: less of a head than identifies a response had arrived when the length was complete, so it counted as the rest of the body; the remainder of the second response ended the connection afterwards, unnoticed.

Change: where the last bytes of a body with a length may begin a head, the response is held for 20 ms. If bytes that belong to no response follow, it counts as broken. A body that ends with an H, or within quoted HTTP, is 20 ms later than before.

Left: a response that states 'Connection: close' is not read beyond its length, so that nothing can follow it.

Evidence: 'second response does not fill up the last 3 (40) bytes of a body' failed before and pass now, beside two bodies that end like a head.

--- a/packages/gateway/src/backend-attempt.ts
+++ b/packages/gateway/src/backend-attempt.ts
@@ -57,6 +57,9 @@
 /** Overhead that each byte of the body adds to the limit; a chunk of one byte has 5. */
 const OVERHEAD_PER_BODY_BYTE = 16;
 
+/** Time in which the rest of a further response follows its first bytes, milliseconds. */
+const EXCESS_MS = 20;
+
 /** Converts the raw headers of the HTTP library to text. */
 function toRawHeaders(headers: Buffer[]): wireProtocol.RawHeaders {
   return headers.map((part) => part.toString('latin1'));
@@ -155,10 +158,32 @@
     endBroken(state, 'reset');
     return;
   }
-  passBody(state, isDelimited ? runtime.releaseHeld(scan) : runtime.completeScan(scan));
+  if (isDelimited && scan.held.length > 0) {
+    setTimeout(() => handleHeldEnd(state), EXCESS_MS);
+    return;
+  }
+  passBody(state, runtime.completeScan(scan));
   endAttempt(state, listener.onEnd, isDelimited && isKeptAlive);
 }
 
+/**
+ * Handles the end of a body of a stated length whose last bytes may begin a further response: it does
+ * if more bytes follow.
+ */
+function handleHeldEnd(state: AttemptState): void {
+  const { connection, listener, scan, isKeptAlive } = state;
+  if (state.hasEnded) {
+    return;
+  }
+  if (connection.hasExcess()) {
+    listener.onExtraResponse?.();
+    endBroken(state, 'extra-response');
+    return;
+  }
+  passBody(state, runtime.releaseHeld(scan));
+  endAttempt(state, listener.onEnd, isKeptAlive);
+}
+
 /** Builds the callbacks of the HTTP library. */
 function buildHandler(state: AttemptState) {
   const { listener, scan } = state;
--- a/packages/gateway/src/backend-connections.ts
+++ b/packages/gateway/src/backend-connections.ts
@@ -17,6 +17,8 @@
   /** When the process at the other end started, as it has stated on this connection. */
   bornMs: number | undefined;
   wasReset: () => boolean;
+  /** Whether bytes that belong to no response were read. */
+  hasExcess: () => boolean;
   /** What was sent on the connection. */
   calls: carriedCalls.CarriedCalls;
   /** Returns how many bytes have been read from the connection. */
@@ -63,6 +65,16 @@
 /** Upper limit for a keep-alive timeout that the backend server announces, milliseconds. */
 const MAX_KEEP_ALIVE_MS = 30_000;
 
+const CLIENT_OPTIONS = {
+  pipelining: 1,
+  headersTimeout: 0,
+  bodyTimeout: 0,
+  keepAliveTimeout: KEEP_ALIVE_MS,
+  keepAliveMaxTimeout: MAX_KEEP_ALIVE_MS,
+};
+/** Message of the library's error for bytes that belong to no response. */
+const EXCESS_ERROR = 'bad response';
+
 /** Returns whether an error comes from the other side or the network, not from this process. */
 function isForeign(error: Error): boolean {
   const { code, syscall } = error as NodeJS.ErrnoException;
@@ -106,15 +118,12 @@
   { removeIdle, addIdle, markDoubtful, runWhenPolled, findAttemptId }: ConnectionHooks,
 ): BackendConnection {
   let isReset = false;
+  let hasExcess = false;
   let countBytesRead = () => 0;
   let readListener = () => {};
   const connector = undici.buildConnector({ timeout: 0 });
   const client: undici.Client = new undici.Client(`http://${address}`, {
-    pipelining: 1,
-    headersTimeout: 0,
-    bodyTimeout: 0,
-    keepAliveTimeout: KEEP_ALIVE_MS,
-    keepAliveMaxTimeout: MAX_KEEP_ALIVE_MS,
+    ...CLIENT_OPTIONS,
     connect: (options, callback) => {
       // The library's own connection timers fire up to a second late.
       const timer = setTimeout(
@@ -138,6 +147,7 @@
     completedResponses: 0,
     bornMs: undefined,
     wasReset: () => isReset,
+    hasExcess: () => hasExcess,
     calls: carriedCalls.createCarriedCalls(findAttemptId),
     countBytesRead: () => countBytesRead(),
     setReadListener: (listener) => {
@@ -154,7 +164,8 @@
     },
   };
   watchEnds(client, markDoubtful);
-  client.on('disconnect', () => {
+  client.on('disconnect', (_url, _targets, error) => {
+    hasExcess = error.message === EXCESS_ERROR;
     removeIdle(connection);
     client.destroy();
   });
