Close an idle connection where a call may not use it

A caller that repeats an id was given a new connection to the backend server for each call, because no connection carries two calls with the same id. The ones before stayed idle: after 300 calls in sequence, 299 connections to one server were open beside the one in use, until their keep-alive timeout. A server has connections for a certain number only, and resets the ones beyond it, also those of other callers.

A new connection now takes the place of the one that has been idle for longest, if there is one, so that there are no more connections than calls at a time.

The test failed before (20 connections are open); it passes.

--- a/packages/gateway/src/backend-connections.test.ts
+++ b/packages/gateway/src/backend-connections.test.ts
@@ -2,6 +2,7 @@
 import * as http from 'node:http';
 import type * as net from 'node:net';
 import * as nodeTest from 'node:test';
+import * as util from 'node:util';
 import * as backendAttempt from './backend-attempt.js';
 import * as backendConnections from './backend-connections.js';
 
@@ -35,7 +36,7 @@
         onBroken: (reason) => reject(new Error(reason)),
       });
     });
-  return { connections, address, send };
+  return { server, connections, address, send };
 }
 
 test('request is not sent twice over one connection', async (context) => {
@@ -55,3 +56,14 @@
   assert.equal(connections.takeKnown(address, 1, 'a'), undefined);
   assert.equal(connections.takeKnown(address, 1, 'b'), connection);
 });
+
+test('calls with the same id leave no connections open behind them', async (context) => {
+  // Guards against a caller that repeats an id until the server has no connections left for others.
+  const { server, send } = await openPool(context);
+  const countOpen = util.promisify(server.getConnections.bind(server));
+  for (let call = 0; call < 20; call += 1) {
+    await send('a');
+  }
+  const open = await countOpen();
+  assert.ok(open <= 3, `${open} connections are open`);
+});
--- a/packages/gateway/src/backend-connections.ts
+++ b/packages/gateway/src/backend-connections.ts
@@ -29,7 +29,9 @@
 export type BackendConnections = {
   /**
    * Takes an idle connection to an address, or opens a new one. No connection carries two calls with
-   * the same id: a second response to the first one could not be told from that to the other.
+   * the same id: a second response to the first one could not be told from that to the other. A new
+   * connection replaces an idle one that is left for this reason, so that a caller that repeats an id
+   * does not add to their number.
    */
   take: (address: string, attemptId: string) => BackendConnection;
   /** Takes an idle connection to a process that has stated the given start on it, if there is one. */
@@ -184,8 +186,12 @@
       (connection) =>
         isSuitable(connection) && !carriedCalls.hasCarried(connection.calls, attemptId),
     );
+  const openInstead = (address: string) => {
+    idleConnections.closeOldest(idle, address);
+    return open(address);
+  };
   return {
-    take: (address, attemptId) => takeIdle(address, attemptId, () => true) ?? open(address),
+    take: (address, attemptId) => takeIdle(address, attemptId, () => true) ?? openInstead(address),
     takeKnown: (address, bornMs, attemptId) =>
       takeIdle(address, attemptId, (connection) => connection.bornMs === bornMs),
     open,
--- a/packages/gateway/src/idle-connections.ts
+++ b/packages/gateway/src/idle-connections.ts
@@ -34,6 +34,11 @@
   return connection;
 }
 
+/** Closes the connection that has been idle for longest, if there is one. */
+export function closeOldest(idle: IdleConnections, address: string): void {
+  idle.get(address)?.shift()?.client.destroy();
+}
+
 /** Closes all connections to an address. */
 export function closeIdle(idle: IdleConnections, address: string): void {
   const connections = idle.get(address) ?? [];
