Hold back no events behind a line that ends with CR

Lines of an event stream may end with CR alone. An event that quotes a status line was then held back with all events after it, up to 16 KiB or to the end of the stream: only an LF ended the line that may have been a status line. A caller saw a pause as long as that, and would abandon the stream.

A CR that no LF follows ends no line of a head, so that such text counts as body at once; the header lines were judged in this way already.

The test failed before; it passes. Ten events 100 ms apart with the quote in the second one: before the change the caller got the last nine bytes of them in one piece after 1011 ms, with it each event as it was sent.

--- a/packages/runtime/src/extra-response.test.ts
+++ b/packages/runtime/src/extra-response.test.ts
@@ -111,3 +111,12 @@
   assert.equal(result.body.toString(), 'a ');
   assert.equal(extraResponse.releaseHeld(scan).body.toString(), 'HTTP/1.1 200 OK\r\n');
 });
+
+test('bytes after a line that ends with CR alone are not held back', () => {
+  // Guards against holding back the events that follow one that quotes a status line, as only a line
+  // that ends with LF was read as a whole one.
+  const scan = extraResponse.createResponseScan(judgeHead);
+  ['data: HTTP/1.1 200 OK\r\r', 'data: b\r\r'].forEach((event) =>
+    assert.equal(extraResponse.scanChunk(scan, Buffer.from(event)).body.toString(), event),
+  );
+});
--- a/packages/runtime/src/extra-response.ts
+++ b/packages/runtime/src/extra-response.ts
@@ -46,6 +46,8 @@
 /** The first bytes of a status line, or as many of them as have arrived. */
 const STATUS_BEGINNING = /^HTTP\/1\.(?:$|[01](?:$| (?:$|[1-9](?:$|\d(?:$|\d(?:$|[ \r\n]))))))/;
 const STATUS_BEGINNING_BYTES = 13;
+/** A line that has not ended. A CR ends lines of events, but is no part of a head without an LF. */
+const UNFINISHED_LINE = /^[^\r]*\r?$/;
 const FURTHER_STATUS = /^HTTP\/1\.[01] [1-9]\d\d/;
 const FIELD_LINE = /^([!#$%&'*+.^_`|~\w-]+):[ \t]*(.*?)[ \t]*\r?$/;
 const FIELD_LINE_BEGINNING = /^(?:[!#$%&'*+.^_`|~\w-]*(?::.*)?|[ \t].*)\r?$/;
@@ -119,7 +121,7 @@
   }
   const rest = lines.pop() as string;
   if (lines.length === 0) {
-    return { isWhole: false, status: 0, headers: [] };
+    return UNFINISHED_LINE.test(rest) ? { isWhole: false, status: 0, headers: [] } : undefined;
   }
   const status = STATUS_LINE.exec(lines[0])?.[1];
   return status === undefined ? undefined : parseFields(lines.slice(1), rest, Number(status));
