Read each line of a quoted head once, however its body arrives

The bytes from a status line on are held back until their head is whole or is none, and each chunk that arrived meanwhile had all of them parsed again.

--- a/packages/runtime/src/extra-response.test.ts
+++ b/packages/runtime/src/extra-response.test.ts
@@ -8,6 +8,9 @@
 const OWN_HEAD = 'HTTP/1.1 200 OK\r\nCall-Id: own\r\nContent-Length: 2\r\n\r\n';
 const QUOTED_HEAD = 'HTTP/1.1 200 OK\r\nCall-Id: other\r\n\r\n';
 
+/** Limit of the processor time of a scan of 16 KiB, microseconds. */
+const MAX_SCAN_US = 2_000_000;
+
 /** Takes a head that states the id `own` for that of another response. */
 function judgeHead(_: number, headers: string[]): extraResponse.HeadVerdict {
   const id = headers.find(
@@ -120,3 +123,13 @@
     assert.equal(extraResponse.scanChunk(scan, Buffer.from(event)).body.toString(), event),
   );
 });
+
+test('quoted head in single bytes is scanned in little time', () => {
+  // Guards against reading all lines again at each chunk, which keeps the process from its other calls.
+  const scan = extraResponse.createResponseScan(judgeHead);
+  const bytes = Buffer.from(`HTTP/1.1 200 OK\n${'A: b\n'.repeat(3200)}`);
+  const before = process.cpuUsage();
+  bytes.forEach((_, at) => extraResponse.scanChunk(scan, bytes.subarray(at, at + 1)));
+  const { user } = process.cpuUsage(before);
+  assert.ok(user < MAX_SCAN_US, `${user} us`);
+});
--- a/packages/runtime/src/extra-response.ts
+++ b/packages/runtime/src/extra-response.ts
@@ -21,25 +21,31 @@
 /** Judges a head by its status and headers, names and values alternating. */
 export type JudgeHead = (status: number, headers: string[]) => HeadVerdict;
 
+/** How far a head has been read, so that no line is read again when more bytes arrive. */
+export type HeadReading = {
+  isWhole: boolean;
+  /** 0 while the status line has not ended. */
+  status: number;
+  headers: string[];
+  /** Offset of the line that has not ended. */
+  lineAt: number;
+  /** Offset from which a further status line is searched. */
+  searchAt: number;
+};
+
 export type ResponseScan = {
   judgeHead: JudgeHead;
   /** Bytes that may be the beginning of a head. */
   held: Buffer;
+  reading: HeadReading;
 };
 
 /** Bytes that belong to the body, and what follows them. */
 export type ScanResult = { body: Buffer; next: HeadVerdict };
 
-type ParsedHead = {
-  isWhole: boolean;
-  /** 0 while the status line has not ended. */
-  status: number;
-  headers: string[];
-};
-
 const EMPTY = Buffer.alloc(0);
 const MARK = Buffer.from('HTTP/1.');
-const BLANK_LINES = ['\n\r\n', '\n\n'];
+const LF = 0x0a;
 /** A longer head counts as text of the body; bytes. */
 const MAX_HEAD_BYTES = 16_384;
 const STATUS_LINE = /^HTTP\/1\.[01] ([1-9]\d\d)(?: .*)?\r?$/;
@@ -58,83 +64,82 @@
   return bytes.toString('latin1', at, at + STATUS_BEGINNING_BYTES);
 }
 
-/** Parses the text after a status line, as far as it has arrived; undefined if it is no head. */
-function parseFields(lines: string[], rest: string, status: number): ParsedHead | undefined {
-  const headers: string[] = [];
-  const end = lines.findIndex((line) => line === '' || line === '\r');
-  const fieldLines = end === -1 ? lines : lines.slice(0, end);
-  const isHead = fieldLines.every((line, at) => {
-    if (at > 0 && FOLDED_LINE.test(line)) {
-      return true;
-    }
-    const [, name, value] = FIELD_LINE.exec(line) ?? [];
-    if (name !== undefined) {
-      headers.push(name, value);
-    }
-    return name !== undefined;
-  });
-  const isWhole = end !== -1;
-  return isHead && (isWhole || FIELD_LINE_BEGINNING.test(rest))
-    ? { isWhole, status, headers }
-    : undefined;
+/** Creates the reading of a head of which nothing has been read. */
+function createReading(): HeadReading {
+  return { isWhole: false, status: 0, headers: [], lineAt: 0, searchAt: 1 };
+}
+
+/** Reads the next line; returns false if it is none of a head. */
+function readLine(reading: HeadReading, line: string): boolean {
+  const { lineAt, headers } = reading;
+  if (lineAt === 0) {
+    reading.status = Number(STATUS_LINE.exec(line)?.[1] ?? 0);
+    return reading.status > 0;
+  }
+  if (line === '' || line === '\r') {
+    reading.isWhole = true;
+    return true;
+  }
+  if (headers.length > 0 && FOLDED_LINE.test(line)) {
+    return true;
+  }
+  const [, name, value] = FIELD_LINE.exec(line) ?? [];
+  if (name !== undefined) {
+    headers.push(name, value);
+  }
+  return name !== undefined;
+}
+
+/** Returns whether a line that has not ended may be one of a head. */
+function isLineBeginning({ lineAt }: HeadReading, text: string): boolean {
+  return (lineAt === 0 ? UNFINISHED_LINE : FIELD_LINE_BEGINNING).test(text);
 }
 
 /** Finds the first further status line; -1 if there is none. */
-function findFurtherStatus(bytes: Buffer): number {
-  let at = bytes.indexOf(MARK, 1);
+function findFurtherStatus(reading: HeadReading, bytes: Buffer): number {
+  let at = bytes.indexOf(MARK, reading.searchAt);
   while (at !== -1 && !FURTHER_STATUS.test(readStatusBeginning(bytes, at))) {
     at = bytes.indexOf(MARK, at + 1);
   }
+  reading.searchAt = Math.max(1, bytes.length - STATUS_BEGINNING_BYTES);
   return at;
 }
 
-/** Finds the end of the first blank line; -1 if there is none. */
-function findBlankEnd(bytes: Buffer): number {
-  const ends = BLANK_LINES.map((blank) => ({ blank, at: bytes.indexOf(blank) }))
-    .filter(({ at }) => at !== -1)
-    .map(({ blank, at }) => at + blank.length);
-  return ends.length === 0 ? -1 : Math.min(...ends);
-}
-
 /**
- * Finds the bytes of a head, or of the beginning of one; undefined if a second status line comes before
- * its end, so that the first one is text before another head.
+ * Reads on in a head, of which `bytes` are all bytes so far; returns false if they are no head. That
+ * is also so if a further status line comes before its end: the first one is text before another head.
  */
-function findHead(bytes: Buffer): Buffer | undefined {
-  const further = findFurtherStatus(bytes);
-  const region = further === -1 ? bytes : bytes.subarray(0, further);
-  const end = findBlankEnd(region);
-  if (end !== -1) {
-    return region.subarray(0, end);
-  }
-  return further === -1 ? region : undefined;
-}
-
-/** Parses a head, or the beginning of one; undefined if the text is none. */
-function parseHead(bytes: Buffer): ParsedHead | undefined {
-  if (!STATUS_BEGINNING.test(readStatusBeginning(bytes, 0))) {
-    return undefined;
+function readHead(reading: HeadReading, bytes: Buffer): boolean {
+  if (reading.lineAt === 0 && !STATUS_BEGINNING.test(readStatusBeginning(bytes, 0))) {
+    return false;
   }
-  const lines = findHead(bytes.subarray(0, MAX_HEAD_BYTES))?.toString('latin1').split('\n');
-  if (lines === undefined) {
-    return undefined;
-  }
-  const rest = lines.pop() as string;
-  if (lines.length === 0) {
-    return UNFINISHED_LINE.test(rest) ? { isWhole: false, status: 0, headers: [] } : undefined;
+  const further = findFurtherStatus(reading, bytes);
+  const end = further === -1 ? bytes.length : further;
+  let lineEnd = bytes.indexOf(LF, reading.lineAt);
+  while (lineEnd !== -1 && lineEnd < end) {
+    if (!readLine(reading, bytes.toString('latin1', reading.lineAt, lineEnd))) {
+      return false;
+    }
+    if (reading.isWhole) {
+      return true;
+    }
+    reading.lineAt = lineEnd + 1;
+    lineEnd = bytes.indexOf(LF, reading.lineAt);
   }
-  const status = STATUS_LINE.exec(lines[0])?.[1];
-  return status === undefined ? undefined : parseFields(lines.slice(1), rest, Number(status));
+  return further === -1 && isLineBeginning(reading, bytes.toString('latin1', reading.lineAt));
 }
 
 /** Judges the bytes from a possible status line on; undefined while more bytes decide. */
-function findVerdict({ judgeHead }: ResponseScan, bytes: Buffer): HeadVerdict | undefined {
-  const head = parseHead(bytes);
-  if (head === undefined) {
+function findVerdict(
+  judgeHead: JudgeHead,
+  reading: HeadReading,
+  bytes: Buffer,
+): HeadVerdict | undefined {
+  if (!readHead(reading, bytes.subarray(0, MAX_HEAD_BYTES))) {
     return HeadVerdict.BODY;
   }
-  if (head.isWhole) {
-    return judgeHead(head.status, head.headers);
+  if (reading.isWhole) {
+    return judgeHead(reading.status, reading.headers);
   }
   return bytes.length > MAX_HEAD_BYTES ? HeadVerdict.BODY : undefined;
 }
@@ -155,7 +160,7 @@
 
 /** Creates the scan of one response body. */
 export function createResponseScan(judgeHead: JudgeHead): ResponseScan {
-  return { judgeHead, held: EMPTY };
+  return { judgeHead, held: EMPTY, reading: createReading() };
 }
 
 /** Adds a chunk of the body; returns what belongs to the body for certain. */
@@ -164,11 +169,12 @@
   scan.held = EMPTY;
   let at = bytes.indexOf(MARK);
   while (at !== -1) {
-    const verdict = findVerdict(scan, bytes.subarray(at));
+    const verdict = findVerdict(scan.judgeHead, scan.reading, bytes.subarray(at));
     if (verdict === undefined) {
       scan.held = bytes.subarray(at);
       return { body: bytes.subarray(0, at), next: HeadVerdict.BODY };
     }
+    scan.reading = createReading();
     if (verdict !== HeadVerdict.BODY) {
       return { body: bytes.subarray(0, at), next: verdict };
     }
@@ -182,13 +188,13 @@
 /** Completes the scan of a body that ends with its connection; a head may have been cut short there. */
 export function completeScan(scan: ResponseScan): ScanResult {
   const bytes = scan.held;
+  const { status, headers } = scan.reading;
   scan.held = EMPTY;
-  const head = bytes.length < MARK.length ? undefined : parseHead(bytes);
   // Text may well end with the name of the protocol, but hardly with a whole status line.
-  if (head === undefined || head.status === 0) {
+  if (status === 0) {
     return { body: bytes, next: HeadVerdict.BODY };
   }
-  const verdict = scan.judgeHead(head.status, head.headers);
+  const verdict = scan.judgeHead(status, headers);
   const isProven = verdict === HeadVerdict.RESPONSE;
   return { body: EMPTY, next: isProven ? verdict : HeadVerdict.UNCERTAIN };
 }
