Tell long ids of calls apart by all of their characters

Only the first 64 characters of an id were compared. A body without a length that quotes the head of a response to another call, whose id differs behind them, was cut before the quote and passed on as whole. Besides, a caller whose ids begin alike got a new connection for each call: 299 for 300.

A longer id is now kept as its digest.

--- a/packages/gateway/src/carried-calls.ts
+++ b/packages/gateway/src/carried-calls.ts
@@ -2,6 +2,7 @@
  * The calls that a connection has carried, to tell a further response to one of them from the body
  * of another.
  */
+import * as crypto from 'node:crypto';
 import * as runtime from '@toucanproxy/runtime';
 import type * as wireProtocol from './wire-protocol.js';
 
@@ -13,7 +14,7 @@
 
 export type CarriedCalls = {
   findAttemptId: FindAttemptId;
-  /** Beginnings of the ids of the last calls. */
+  /** Ids of the last calls; of a long one its digest. */
   ids: Set<string>;
   /** Heads of responses that state no id, such as that to a call for the server's report. */
   plainHeads: Set<string>;
@@ -23,7 +24,7 @@
 const MAX_IDS = 64;
 /** Number of different heads without an id that are known. */
 const MAX_PLAIN_HEADS = 4;
-/** Compared part of an id; characters. */
+/** A longer id is kept as its digest, to limit the memory; characters. */
 const MAX_ID_LENGTH = 64;
 
 /** Creates the record of a new connection. */
@@ -37,9 +38,16 @@
   return [status, ...names].join(' ').toLowerCase();
 }
 
+/** Returns what is kept of an id. Long ids may differ in their last characters alone. */
+function toKept(attemptId: string): string {
+  return attemptId.length <= MAX_ID_LENGTH
+    ? attemptId
+    : crypto.createHash('sha256').update(attemptId, 'latin1').digest('base64');
+}
+
 /** Records that a call was sent. */
 export function recordCall(calls: CarriedCalls, attemptId: string): void {
-  calls.ids.add(attemptId.slice(0, MAX_ID_LENGTH));
+  calls.ids.add(toKept(attemptId));
   if (calls.ids.size > MAX_IDS) {
     const [oldest] = calls.ids;
     calls.ids.delete(oldest);
@@ -59,7 +67,7 @@
 
 /** Returns whether one of the last calls had this id. */
 export function hasCarried({ ids }: CarriedCalls, attemptId: string): boolean {
-  return ids.has(attemptId.slice(0, MAX_ID_LENGTH));
+  return ids.has(toKept(attemptId));
 }
 
 /**
