End a connection after as many calls as it knows the ids of

A connection knew the ids of its last 64 calls. The late second response to a call before them, in front of the end of a body without a length, was passed on as part of that body: a caller got the response to another call behind its own one, as whole.

A connection now carries 256 calls at most and knows the ids of all, so that it brings no response whose call it does not know. That is one new connection for 256 calls.

--- a/packages/gateway/src/backend-connections.test.ts
+++ b/packages/gateway/src/backend-connections.test.ts
@@ -5,6 +5,7 @@
 import * as util from 'node:util';
 import * as backendAttempt from './backend-attempt.js';
 import * as backendConnections from './backend-connections.js';
+import * as carriedCalls from './carried-calls.js';
 
 const { test } = nodeTest;
 
@@ -67,3 +68,20 @@
   const open = await countOpen();
   assert.ok(open <= 3, `${open} connections are open`);
 });
+
+test('connection knows all calls that it has carried', async (context) => {
+  // Guards against a late second response to a call so long ago that its id is no longer known: it
+  // would count as part of the body that is being received.
+  const { send } = await openPool(context);
+  const idsByConnection = new Map<backendConnections.BackendConnection, string[]>();
+  for (let call = 0; call < 600; call += 1) {
+    const connection = await send(`id-${call}`);
+    const ids = idsByConnection.get(connection) ?? [];
+    idsByConnection.set(connection, [...ids, `id-${call}`]);
+  }
+  const isKnown = [...idsByConnection].every(([{ calls }, ids]) =>
+    ids.every((id) => carriedCalls.hasCarried(calls, id)),
+  );
+  assert.equal(isKnown, true);
+  assert.ok(idsByConnection.size < 10, `${idsByConnection.size} connections`);
+});
--- a/packages/gateway/src/backend-connections.ts
+++ b/packages/gateway/src/backend-connections.ts
@@ -133,7 +133,7 @@
       readListener = listener;
     },
     release: (isReusable) => {
-      if (!isReusable) {
+      if (!isReusable || carriedCalls.isFull(connection.calls)) {
         connection.completedResponses = -1;
         client.destroy();
         return;
--- a/packages/gateway/src/carried-calls.ts
+++ b/packages/gateway/src/carried-calls.ts
@@ -14,14 +14,14 @@
 
 export type CarriedCalls = {
   findAttemptId: FindAttemptId;
-  /** Ids of the last calls; of a long one its digest. */
+  /** Ids of all calls; of a long one its digest. */
   ids: Set<string>;
   /** Heads of responses that state no id, such as that to a call for the server's report. */
   plainHeads: Set<string>;
 };
 
-/** Number of calls to which a connection may still bring a further response. */
-const MAX_IDS = 64;
+/** Number of calls that a connection carries, to limit the memory for their ids. */
+const MAX_CALLS = 256;
 /** Number of different heads without an id that are known. */
 const MAX_PLAIN_HEADS = 4;
 /** A longer id is kept as its digest, to limit the memory; characters. */
@@ -48,10 +48,14 @@
 /** Records that a call was sent. */
 export function recordCall(calls: CarriedCalls, attemptId: string): void {
   calls.ids.add(toKept(attemptId));
-  if (calls.ids.size > MAX_IDS) {
-    const [oldest] = calls.ids;
-    calls.ids.delete(oldest);
-  }
+}
+
+/**
+ * Returns whether a connection may carry no more calls. Were ids dropped instead, a late response to
+ * one of them would count as part of a body.
+ */
+export function isFull({ ids }: CarriedCalls): boolean {
+  return ids.size >= MAX_CALLS;
 }
 
 /** Records the head of a response to a call without an id, unless it states one. */
@@ -65,7 +69,7 @@
   }
 }
 
-/** Returns whether one of the last calls had this id. */
+/** Returns whether one of the calls had this id. */
 export function hasCarried({ ids }: CarriedCalls, attemptId: string): boolean {
   return ids.has(toKept(attemptId));
 }
