--- a/packages/gateway/src/backend-connections.ts
+++ b/packages/gateway/src/backend-connections.ts
@@ -5,6 +5,7 @@
  * Bytes that arrive between two requests close the connection, because the HTTP library has no
  * request that they could belong to.
  */
+import type * as net from 'node:net';
 import * as undici from 'undici';
 import * as carriedCalls from './carried-calls.js';
 import * as idleConnections from './idle-connections.js';
@@ -16,6 +17,8 @@
   /** When the process at the other end started, as it has stated on this connection. */
   bornMs: number | undefined;
   wasReset: () => boolean;
+  /** Whether bytes that belong to no response were read. */
+  hasExcess: () => boolean;
   /** What was sent on the connection. */
   calls: carriedCalls.CarriedCalls;
   /** Returns how many bytes have been read from the connection. */
@@ -64,12 +67,34 @@
 /** Upper limit for a keep-alive timeout that the backend server announces, milliseconds. */
 const MAX_KEEP_ALIVE_MS = 30_000;
 
+const CLIENT_OPTIONS = {
+  pipelining: 1,
+  headersTimeout: 0,
+  bodyTimeout: 0,
+  keepAliveTimeout: KEEP_ALIVE_MS,
+  keepAliveMaxTimeout: MAX_KEEP_ALIVE_MS,
+};
+/** Message of the library's error for bytes that belong to no response. */
+const EXCESS_ERROR = 'bad response';
+
 /** Returns whether an error comes from the other side or the network, not from this process. */
 function isForeign(error: Error): boolean {
   const { code, syscall } = error as NodeJS.ErrnoException;
   return code === 'UND_ERR_SOCKET' || syscall !== undefined;
 }
 
+/** Calls a listener before the library handles the end of a connection that was reset. */
+function watchResets(socket: net.Socket | null, handleReset: () => void): void {
+  socket?.prependListener('error', handleReset);
+  socket?.prependListener('end', () => {
+    // The runtime reports a reset that it reads together with the last bytes as a plain end; after it
+    // the system knows no other side any more.
+    if (socket.remoteAddress === undefined) {
+      handleReset();
+    }
+  });
+}
+
 /** Calls a listener when the other side ends a connection, or it cannot be opened. */
 function watchEnds(client: undici.Client, handleEnd: () => void): void {
   const noteError = (_url: URL, _targets: unknown, error: Error) => {
@@ -89,21 +114,18 @@
   findAttemptId: carriedCalls.FindAttemptId;
 };
 
-/** Opens a connection; a listener on its socket records a reset before the library handles it. */
+/** Opens a connection, and records whether it was reset. */
 function openConnection(
   address: string,
   { removeIdle, addIdle, markDoubtful, runWhenPolled, findAttemptId }: ConnectionHooks,
 ): BackendConnection {
   let isReset = false;
+  let hasExcess = false;
   let countBytesRead = () => 0;
   let readListener = () => {};
   const connector = undici.buildConnector({ timeout: 0 });
   const client: undici.Client = new undici.Client(`http://${address}`, {
-    pipelining: 1,
-    headersTimeout: 0,
-    bodyTimeout: 0,
-    keepAliveTimeout: KEEP_ALIVE_MS,
-    keepAliveMaxTimeout: MAX_KEEP_ALIVE_MS,
+    ...CLIENT_OPTIONS,
     connect: (options, callback) => {
       // The library's own connection timers fire up to a second late.
       const timer = setTimeout(
@@ -113,7 +135,7 @@
       connector(options, (...results) => {
         clearTimeout(timer);
         const socket = results[1];
-        socket?.prependListener('error', () => {
+        watchResets(socket, () => {
           isReset = true;
         });
         socket?.on('readable', () => readListener());
@@ -127,6 +149,7 @@
     completedResponses: 0,
     bornMs: undefined,
     wasReset: () => isReset,
+    hasExcess: () => hasExcess,
     calls: carriedCalls.createCarriedCalls(findAttemptId),
     countBytesRead: () => countBytesRead(),
     setReadListener: (listener) => {
@@ -143,7 +166,8 @@
     },
   };
   watchEnds(client, markDoubtful);
-  client.on('disconnect', () => {
+  client.on('disconnect', (_url, _targets, error) => {
+    hasExcess = error.message === EXCESS_ERROR;
     removeIdle(connection);
     client.destroy();
   });
