Break off a body inside which an earlier call is answered again

A caller got a stream without a length as complete that lacked its last events: the second response to an earlier request came between two events, on the connection that this request had taken.

Cause: any id that was sent on a connection proved the end of the body. Only a second response to the same request comes after its first one; one to an earlier request may come at any time.

Change: the head of a response to an earlier call leaves the end uncertain, so that the attempt counts as broken.

--- a/packages/gateway/src/carried-calls.ts
+++ b/packages/gateway/src/carried-calls.ts
@@ -15,6 +15,8 @@
   findAttemptId: FindAttemptId;
   /** Beginnings of the ids of the last calls. */
   ids: Set<string>;
+  /** Beginning of the id of the present call; undefined if it has none. */
+  presentId: string | undefined;
   /** Heads of responses that state no id, such as that to a call for the server's report. */
   plainHeads: Set<string>;
 };
@@ -28,7 +30,7 @@
 
 /** Creates the record of a new connection. */
 export function createCarriedCalls(findAttemptId: FindAttemptId): CarriedCalls {
-  return { findAttemptId, ids: new Set(), plainHeads: new Set() };
+  return { findAttemptId, ids: new Set(), presentId: undefined, plainHeads: new Set() };
 }
 
 /** Describes a head by its status and the names of its headers. */
@@ -39,7 +41,11 @@
 
 /** Records that a call was sent. */
 export function recordCall(calls: CarriedCalls, attemptId: string): void {
-  calls.ids.add(attemptId.slice(0, MAX_ID_LENGTH));
+  const id = attemptId.slice(0, MAX_ID_LENGTH);
+  // A set keeps the order of insertion; the oldest id is dropped first.
+  calls.ids.delete(id);
+  calls.ids.add(id);
+  calls.presentId = id;
   if (calls.ids.size > MAX_IDS) {
     const [oldest] = calls.ids;
     calls.ids.delete(oldest);
@@ -64,7 +70,8 @@
 
 /**
  * Judges a head inside a body by the id that it states. An id that was sent on the connection proves a
- * further response; another one may be quoted in a body. Without an id, only a head like that of a
+ * further response; another one may be quoted in a body. A further response to an earlier call may
+ * arrive at any time, also before the body has ended. Without an id, only a head like that of a
  * response that stated none before may begin one.
  */
 export function judgeHead(
@@ -77,5 +84,8 @@
   if (attemptId === undefined) {
     return calls.plainHeads.has(describeHead(status, headers)) ? UNCERTAIN : BODY;
   }
-  return hasCarried(calls, attemptId) ? RESPONSE : BODY;
+  if (!hasCarried(calls, attemptId)) {
+    return BODY;
+  }
+  return attemptId.slice(0, MAX_ID_LENGTH) === calls.presentId ? RESPONSE : UNCERTAIN;
 }
