Break off a body inside which the head of a second response is cut short

A caller got a stream with 'HTTP/1.1 200 OK' and some headers between two events: the second response to an earlier request ended within its head, and the events went on behind it.

Change: the fields before such a line are judged like those of a whole head; if they state the id of a call on the connection, the end of the body is uncertain. A cut before the end of the line with the id cannot be told from text.

--- a/packages/runtime/src/extra-response.test.ts
+++ b/packages/runtime/src/extra-response.test.ts
@@ -111,3 +111,12 @@
   assert.equal(result.body.toString(), 'a ');
   assert.equal(extraResponse.releaseHeld(scan).body.toString(), 'HTTP/1.1 200 OK\r\n');
 });
+
+test('head that is cut short before other text leaves the end uncertain', () => {
+  // Guards against a second response that ends within its head, inside the body of another one.
+  const cut = OWN_HEAD.slice(0, OWN_HEAD.indexOf('Content-Length') + 4);
+  const parts = ['id: 1\n\n', cut, 'id: 2\n: v1\n\n'];
+  assert.deepEqual(scanParts(parts), { body: 'id: 1\n\n', found: UNCERTAIN });
+  const quoted = ['id: 1\n\n', cut.replace('own', 'other'), 'id: 2\n: v1\n\n'];
+  assert.deepEqual(scanParts(quoted), { body: quoted.join(''), found: BODY });
+});
--- a/packages/runtime/src/extra-response.ts
+++ b/packages/runtime/src/extra-response.ts
@@ -32,6 +32,8 @@
 
 type ParsedHead = {
   isWhole: boolean;
+  /** A line follows that belongs to no head. */
+  isCut: boolean;
   /** 0 while the status line has not ended. */
   status: number;
   headers: string[];
@@ -56,7 +58,10 @@
   return bytes.toString('latin1', at, at + STATUS_BEGINNING_BYTES);
 }
 
-/** Parses the text after a status line, as far as it has arrived; undefined if it is no head. */
+/**
+ * Parses the text after a status line, as far as it has arrived; undefined if it is no head. A head may
+ * be cut short before other text.
+ */
 function parseFields(lines: string[], rest: string, status: number): ParsedHead | undefined {
   const headers: string[] = [];
   const end = lines.findIndex((line) => line === '' || line === '\r');
@@ -72,9 +77,10 @@
     return name !== undefined;
   });
   const isWhole = end !== -1;
-  return isHead && (isWhole || FIELD_LINE_BEGINNING.test(rest))
-    ? { isWhole, status, headers }
-    : undefined;
+  const isCut = !isHead || !(isWhole || FIELD_LINE_BEGINNING.test(rest));
+  return isCut && headers.length === 0
+    ? undefined
+    : { isWhole: isWhole && !isCut, isCut, status, headers };
 }
 
 /** Finds the first further status line; -1 if there is none. */
@@ -119,7 +125,7 @@
   }
   const rest = lines.pop() as string;
   if (lines.length === 0) {
-    return { isWhole: false, status: 0, headers: [] };
+    return { isWhole: false, isCut: false, status: 0, headers: [] };
   }
   const status = STATUS_LINE.exec(lines[0])?.[1];
   return status === undefined ? undefined : parseFields(lines.slice(1), rest, Number(status));
@@ -131,6 +137,10 @@
   if (head === undefined) {
     return HeadVerdict.BODY;
   }
+  if (head.isCut) {
+    const verdict = judgeHead(head.status, head.headers);
+    return verdict === HeadVerdict.BODY ? verdict : HeadVerdict.UNCERTAIN;
+  }
   if (head.isWhole) {
     return judgeHead(head.status, head.headers);
   }
@@ -183,7 +193,7 @@
   scan.held = EMPTY;
   const head = bytes.length < MARK.length ? undefined : parseHead(bytes);
   // Text may well end with the name of the protocol, but hardly with a whole status line.
-  if (head === undefined || head.status === 0) {
+  if (head === undefined || head.isCut || head.status === 0) {
     return { body: bytes, next: HeadVerdict.BODY };
   }
   const verdict = scan.judgeHead(head.status, head.headers);
