Send what has been written of a response before it is aborted

A caller got no response at all, only the end of its connection, for a stream whose first event arrived together with a break: it lost the head and the events that the gateway had counted as forwarded.

Cause: the HTTP library holds back the first bytes of a response until the next step, and a socket that is destroyed before drops them.

Change: the socket is flushed before a response is aborted.

--- a/packages/gateway/src/caller-exchange.ts
+++ b/packages/gateway/src/caller-exchange.ts
@@ -73,6 +73,8 @@
  * response to an HTTP/1.0 caller has no chunks; only a connection reset can mark it as truncated.
  */
 export function abortResponse({ response }: CallerExchange): void {
+  // The library holds back the first bytes until the next step, and a destroyed socket drops them.
+  response.socket?.uncork();
   if (response.useChunkedEncodingByDefault) {
     response.destroy();
   } else {
