--- a/packages/gateway/src/carried-calls.ts
+++ b/packages/gateway/src/carried-calls.ts
@@ -16,6 +16,8 @@
   findAttemptId: FindAttemptId;
   /** Ids of all calls; of a long one its digest. */
   ids: Set<string>;
+  /** What is kept of the id of the present call; undefined if it has none. */
+  presentId: string | undefined;
   /** Heads of responses that state no id, such as that to a call for the server's report. */
   plainHeads: Set<string>;
 };
@@ -29,7 +31,7 @@
 
 /** Creates the record of a new connection. */
 export function createCarriedCalls(findAttemptId: FindAttemptId): CarriedCalls {
-  return { findAttemptId, ids: new Set(), plainHeads: new Set() };
+  return { findAttemptId, ids: new Set(), presentId: undefined, plainHeads: new Set() };
 }
 
 /** Describes a head by its status and the names of its headers. */
@@ -47,7 +49,9 @@
 
 /** Records that a call was sent. */
 export function recordCall(calls: CarriedCalls, attemptId: string): void {
-  calls.ids.add(toKept(attemptId));
+  const id = toKept(attemptId);
+  calls.ids.add(id);
+  calls.presentId = id;
 }
 
 /**
@@ -76,7 +80,8 @@
 
 /**
  * Judges a head inside a body by the id that it states. An id that was sent on the connection proves a
- * further response; another one may be quoted in a body. Without an id, only a head like that of a
+ * further response; another one may be quoted in a body. A further response to an earlier call may
+ * arrive at any time, also before the body has ended. Without an id, only a head like that of a
  * response that stated none before may begin one.
  */
 export function judgeHead(
@@ -89,5 +94,8 @@
   if (attemptId === undefined) {
     return calls.plainHeads.has(describeHead(status, headers)) ? UNCERTAIN : BODY;
   }
-  return hasCarried(calls, attemptId) ? RESPONSE : BODY;
+  if (!hasCarried(calls, attemptId)) {
+    return BODY;
+  }
+  return toKept(attemptId) === calls.presentId ? RESPONSE : UNCERTAIN;
 }
--- a/packages/runtime/src/extra-response.test.ts
+++ b/packages/runtime/src/extra-response.test.ts
@@ -133,3 +133,12 @@
   const { user } = process.cpuUsage(before);
   assert.ok(user < MAX_SCAN_US, `${user} us`);
 });
+
+test('head that is cut short before other text leaves the end uncertain', () => {
+  // Guards against a second response that ends within its head, inside the body of another one.
+  const cut = OWN_HEAD.slice(0, OWN_HEAD.indexOf('Content-Length') + 4);
+  const parts = ['id: 1\n\n', cut, 'id: 2\n: v1\n\n'];
+  assert.deepEqual(scanParts(parts), { body: 'id: 1\n\n', found: UNCERTAIN });
+  const quoted = ['id: 1\n\n', cut.replace('own', 'other'), 'id: 2\n: v1\n\n'];
+  assert.deepEqual(scanParts(quoted), { body: quoted.join(''), found: BODY });
+});
--- a/packages/runtime/src/extra-response.ts
+++ b/packages/runtime/src/extra-response.ts
@@ -129,6 +129,12 @@
   return further === -1 && isLineBeginning(reading, bytes.toString('latin1', reading.lineAt));
 }
 
+/** Judges a head that is cut short before other text, by its lines up to there. */
+function findCutVerdict(judgeHead: JudgeHead, { status, headers }: HeadReading): HeadVerdict {
+  const verdict = headers.length === 0 ? HeadVerdict.BODY : judgeHead(status, headers);
+  return verdict === HeadVerdict.BODY ? verdict : HeadVerdict.UNCERTAIN;
+}
+
 /** Judges the bytes from a possible status line on; undefined while more bytes decide. */
 function findVerdict(
   judgeHead: JudgeHead,
@@ -136,7 +142,7 @@
   bytes: Buffer,
 ): HeadVerdict | undefined {
   if (!readHead(reading, bytes.subarray(0, MAX_HEAD_BYTES))) {
-    return HeadVerdict.BODY;
+    return findCutVerdict(judgeHead, reading);
   }
   if (reading.isWhole) {
     return judgeHead(reading.status, reading.headers);
