End unfinished requests at a shutdown only after the event loop has polled

After a stall of the event loop, the timer that ends what is unfinished fired before the responses that had arrived were read. The caller of a complete run got 504, which an unsafe request can't be repeated after.

The step now waits for one poll.

Test: failed before (504 in place of 200, 3 of 3 runs), passes now (3 of 3).

--- a/packages/gateway/src/shutdown.ts
+++ b/packages/gateway/src/shutdown.ts
@@ -69,6 +69,7 @@
       idleTimer = runWhenIdle(callers, end);
     }
   }, ACCEPT_AFTER_SHUTDOWN_MS);
-  setTimeout(task.endUnfinished, gateway.computeRunLimitMs(state));
+  // After a stall of the event loop, responses may have arrived that it reads only after its timers.
+  setTimeout(() => setImmediate(task.endUnfinished), gateway.computeRunLimitMs(state));
   setTimeout(end, stopMs - EXIT_MS);
 }
