Copy the parts of a response that is held back into one buffer

A backend server that sends a body in chunks of one byte made the gateway keep one buffer object for each of them, up to 1 MiB of body for each request: a body that is buffered until it is complete, that of a failure, and an event that has not ended. Four such failures at once ended a process with a heap of 160 MB (SIGABRT, out of memory), and with it the requests of all other callers. The limit of the bytes outside a body does not apply, as each byte of the body raises it.

These bytes, and the responses to the two checks of a server, are copied into one buffer that grows by doubling.

--- a/packages/gateway/src/event-stream.ts
+++ b/packages/gateway/src/event-stream.ts
@@ -7,13 +7,13 @@
  * Lines end with LF, CR or CRLF. An event ends with a blank line; comments and blank lines between
  * events belong to none. A byte order mark may precede the first line.
  */
+import * as byteCollector from './byte-collector.js';
 
 export type EventStream = {
   /** Complete events in the response that is being read. */
   events: number;
   /** Bytes that are held back: an incomplete event. */
-  pending: Buffer[];
-  pendingBytes: number;
+  pending: byteCollector.ByteCollector;
   /** The response continues a stream; a byte order mark at its beginning is left out. */
   isContinued: boolean;
   /** Part of the incomplete event has been forwarded. */
@@ -55,8 +55,7 @@
 function createReadingState() {
   return {
     events: 0,
-    pending: [],
-    pendingBytes: 0,
+    pending: byteCollector.createByteCollector(),
     isPartForwarded: false,
     line: '',
     isFirstLine: true,
@@ -209,10 +208,7 @@
 
 /** Takes the bytes that are held back. */
 export function takePending(stream: EventStream): Buffer {
-  const bytes = stream.pending.length === 0 ? EMPTY : Buffer.concat(stream.pending);
-  stream.pending = [];
-  stream.pendingBytes = 0;
-  return trimMark(stream, bytes);
+  return trimMark(stream, byteCollector.takeBytes(stream.pending));
 }
 
 /** Adds a chunk to the stream and returns the complete events that can be forwarded. */
@@ -220,15 +216,14 @@
   const { events, end } = readChunk(stream, chunk);
   let bytes: Buffer = EMPTY;
   if (end > 0) {
-    stream.pending.push(chunk.subarray(0, end));
+    byteCollector.addBytes(stream.pending, chunk.subarray(0, end));
     bytes = takePending(stream);
   }
   if (end < chunk.length) {
-    stream.pending.push(chunk.subarray(end));
-    stream.pendingBytes += chunk.length - end;
+    byteCollector.addBytes(stream.pending, chunk.subarray(end));
   }
   stream.isPartForwarded = stream.isPartForwarded && end === 0;
-  if (stream.pendingBytes <= MAX_EVENT_BYTES) {
+  if (stream.pending.length <= MAX_EVENT_BYTES) {
     return { bytes, events };
   }
   stream.isPartForwarded = true;
--- a/packages/gateway/src/incarnation-check.ts
+++ b/packages/gateway/src/incarnation-check.ts
@@ -7,6 +7,7 @@
  */
 import * as backendAttempt from './backend-attempt.js';
 import type * as backendConnections from './backend-connections.js';
+import * as byteCollector from './byte-collector.js';
 
 export type IncarnationCheckOptions = {
   connection: backendConnections.BackendConnection;
@@ -31,8 +32,7 @@
   parseStart,
   settle,
 }: IncarnationCheckOptions): { abort: () => void } {
-  const chunks: Buffer[] = [];
-  let bytes = 0;
+  const report = byteCollector.createByteCollector();
   let isReport = false;
   let isOver = false;
   let timer: NodeJS.Timeout | undefined;
@@ -51,16 +51,15 @@
       return true;
     },
     onData: (chunk) => {
-      bytes += chunk.length;
-      chunks.push(chunk);
-      if (bytes > MAX_REPORT_BYTES) {
+      byteCollector.addBytes(report, chunk);
+      if (report.length > MAX_REPORT_BYTES) {
         attempt.abort();
         endUnknown();
       }
       return true;
     },
     onEnd: () => {
-      connection.bornMs = isReport ? parseStart(Buffer.concat(chunks)) : undefined;
+      connection.bornMs = isReport ? parseStart(byteCollector.takeBytes(report)) : undefined;
       end(connection.bornMs);
     },
     onWithdrawn: endUnknown,
--- a/packages/gateway/src/relay-state.ts
+++ b/packages/gateway/src/relay-state.ts
@@ -1,5 +1,6 @@
 /** State of the relay of one attempt's response, and what its parts share. */
 import * as gateway from '@toucanproxy/core/gateway';
+import type * as byteCollector from './byte-collector.js';
 import * as callerExchange from './caller-exchange.js';
 import type * as eventStream from './event-stream.js';
 import type * as heldRequest from './held-request.js';
@@ -59,8 +60,7 @@
   /** Events forwarded so far; of this attempt only on routes that do not stream. */
   eventStream: eventStream.EventStream;
   /** Body of a response that is buffered until it is complete. */
-  chunks: Buffer[];
-  bufferedBytes: number;
+  body: byteCollector.ByteCollector;
   isEndKnown: boolean;
   /** When the current sample of the time between events began. */
   sampleStartMs: number;
--- a/packages/gateway/src/response-end.ts
+++ b/packages/gateway/src/response-end.ts
@@ -1,5 +1,6 @@
 /** Handles the end of a response: completes it, or breaks it off if its end is not known. */
 import * as gateway from '@toucanproxy/core/gateway';
+import * as byteCollector from './byte-collector.js';
 import * as callerExchange from './caller-exchange.js';
 import * as endToEndHeaders from './end-to-end-headers.js';
 import * as eventStream from './event-stream.js';
@@ -32,7 +33,7 @@
     settle(buildComplete(relay));
     return;
   }
-  const body = Buffer.concat(relay.chunks);
+  const body = byteCollector.takeBytes(relay.body);
   if (head.status >= relayState.MIN_SERVER_ERROR) {
     const failure = { ...head, body };
     const reason = String(head.status);
--- a/packages/gateway/src/response-relay.ts
+++ b/packages/gateway/src/response-relay.ts
@@ -7,6 +7,7 @@
  */
 import * as gateway from '@toucanproxy/core/gateway';
 import type * as backendAttempt from './backend-attempt.js';
+import * as byteCollector from './byte-collector.js';
 import * as endToEndHeaders from './end-to-end-headers.js';
 import * as eventStream from './event-stream.js';
 import type * as heldRequest from './held-request.js';
@@ -113,9 +114,8 @@
   if (exchange.response.headersSent) {
     return exchange.response.write(chunk);
   }
-  relay.chunks.push(chunk);
-  relay.bufferedBytes += chunk.length;
-  if (relay.bufferedBytes <= MAX_BUFFERED_BYTES) {
+  byteCollector.addBytes(relay.body, chunk);
+  if (relay.body.length <= MAX_BUFFERED_BYTES) {
     return true;
   }
   if ((relay.head?.status ?? 0) >= relayState.MIN_SERVER_ERROR) {
@@ -123,7 +123,7 @@
     return true;
   }
   relayState.startResponseOnce(relay);
-  return exchange.response.write(Buffer.concat(relay.chunks.splice(0)));
+  return exchange.response.write(byteCollector.takeBytes(relay.body));
 }
 
 /** Creates the listener that relays the response of one attempt. */
@@ -134,8 +134,7 @@
     isStream: false,
     statesEvents: false,
     eventStream: options.held.events ?? eventStream.createEventStream(),
-    chunks: [],
-    bufferedBytes: 0,
+    body: byteCollector.createByteCollector(),
     isEndKnown: true,
     unfinishedBytes: 0,
     sampleStartMs: 0,
--- a/packages/gateway/src/server-check.ts
+++ b/packages/gateway/src/server-check.ts
@@ -6,6 +6,7 @@
  */
 import * as backendAttempt from './backend-attempt.js';
 import type * as backendConnections from './backend-connections.js';
+import * as byteCollector from './byte-collector.js';
 import type * as wireProtocol from './wire-protocol.js';
 
 export type ServerCheckOptions = {
@@ -74,8 +75,7 @@
 /** Sends the request of the check over a new connection. */
 function sendRequest(state: CheckState): void {
   const { open, request, isMisdirected, parseStart, runAfterPoll } = state.options;
-  const chunks: Buffer[] = [];
-  let receivedBytes = 0;
+  const report = byteCollector.createByteCollector();
   let isReport = false;
   let silenceTimer: NodeJS.Timeout | undefined;
   let isOver = false;
@@ -101,16 +101,15 @@
       return true;
     },
     onData: (chunk) => {
-      receivedBytes += chunk.length;
-      chunks.push(chunk);
-      if (receivedBytes > MAX_RESPONSE_BYTES) {
+      byteCollector.addBytes(report, chunk);
+      if (report.length > MAX_RESPONSE_BYTES) {
         attempt.abort();
       }
       return true;
     },
     onEnd: () => {
       // Streams that begin or go on over this connection need not ask again.
-      connection.bornMs = isReport ? parseStart(Buffer.concat(chunks)) : undefined;
+      connection.bornMs = isReport ? parseStart(byteCollector.takeBytes(report)) : undefined;
       handleEnd();
     },
     onWithdrawn: handleEnd,
