--- a/packages/gateway/src/server-check.ts
+++ b/packages/gateway/src/server-check.ts
@@ -6,6 +6,7 @@
  */
 import * as backendAttempt from './backend-attempt.js';
 import type * as backendConnections from './backend-connections.js';
+import * as byteCollector from './byte-collector.js';
 import type * as wireProtocol from './wire-protocol.js';
 
 /** What a check has found. */
@@ -103,8 +104,7 @@
 /** Sends the request of the check over a new connection. */
 function sendRequest(state: CheckState): void {
   const { open, request, isMisdirected, canBeSender, parseStart, runAfterPoll } = state.options;
-  const chunks: Buffer[] = [];
-  let receivedBytes = 0;
+  const report = byteCollector.createByteCollector();
   let isReport = false;
   let silenceTimer: NodeJS.Timeout | undefined;
   let isOver = false;
@@ -133,15 +133,14 @@
       return true;
     },
     onData: (chunk) => {
-      receivedBytes += chunk.length;
-      chunks.push(chunk);
-      if (receivedBytes > MAX_RESPONSE_BYTES) {
+      byteCollector.addBytes(report, chunk);
+      if (report.length > MAX_RESPONSE_BYTES) {
         attempt.abort();
       }
       return true;
     },
     onEnd: () => {
-      const bornMs = isReport ? parseStart(Buffer.concat(chunks)) : undefined;
+      const bornMs = isReport ? parseStart(byteCollector.takeBytes(report)) : undefined;
       // Streams that begin or go on over this connection need not ask again.
       connection.bornMs = bornMs;
       const isSender = bornMs === undefined || canBeSender(bornMs);
