Ask a server for its start where no open connection proves it

A gateway took the version of a server from its entry unless the other side had ended a connection to it. A gateway that has just started, as after the loss of all gateways, or whose connections were idle, has seen no such end. If the server had restarted under its id with another version and had not yet written its entry, its streams counted as of the version before.

A resumable stream now begins without a call only if an open connection leads to the process that has stated the start in the entry; a process that ends closes its connections. Otherwise it asks first, as after an end.

--- a/packages/gateway/src/backend-connections.ts
+++ b/packages/gateway/src/backend-connections.ts
@@ -6,6 +6,7 @@
  * request that they could belong to.
  */
 import * as undici from 'undici';
+import * as connectionGroups from './connection-groups.js';
 
 export type BackendConnection = {
   client: undici.Client;
@@ -29,11 +30,12 @@
   takeKnown: (address: string, bornMs: number) => BackendConnection | undefined;
   open: (address: string) => BackendConnection;
   /**
-   * Whether a connection to an address was ended by the other side or could not be opened, so that
-   * another incarnation of the server may listen there by now.
+   * Whether another incarnation of the server than the one with the given start may listen at an
+   * address: no open connection leads to the process that has stated it, or the other side has ended
+   * a connection since, or one could not be opened.
    */
-  isDoubtful: (address: string) => boolean;
-  /** Records that the present incarnation is known, until the next such end. */
+  isDoubtful: (address: string, bornMs: number) => boolean;
+  /** Records that the incarnation is known, until the other side ends a connection. */
   clearDoubt: (address: string) => void;
   /** Closes idle connections to addresses that are no longer used. */
   closeOthers: (addresses: ReadonlySet<string>) => void;
@@ -72,10 +74,15 @@
   client.on('disconnect', noteError);
 }
 
+/** Limits the time for connecting; the library's own timers fire up to a second late. */
+function startConnectTimer(client: undici.Client): NodeJS.Timeout {
+  return setTimeout(() => client.destroy(new Error('connect-timeout')), CONNECT_TIMEOUT_MS);
+}
+
 /** Opens a connection; a listener on its socket records a reset before the library handles it. */
 function openConnection(
   address: string,
-  removeIdle: (connection: BackendConnection) => void,
+  removeClosed: (connection: BackendConnection) => void,
   addIdle: (connection: BackendConnection) => void,
   markDoubtful: () => void,
   runWhenPolled: (step: () => void) => void,
@@ -91,11 +98,7 @@
     keepAliveTimeout: KEEP_ALIVE_MS,
     keepAliveMaxTimeout: MAX_KEEP_ALIVE_MS,
     connect: (options, callback) => {
-      // The library's own connection timers fire up to a second late.
-      const timer = setTimeout(
-        () => client.destroy(new Error('connect-timeout')),
-        CONNECT_TIMEOUT_MS,
-      );
+      const timer = startConnectTimer(client);
       connector(options, (...results) => {
         clearTimeout(timer);
         const socket = results[1];
@@ -120,6 +123,7 @@
     release: (isReusable) => {
       if (!isReusable) {
         connection.completedResponses = -1;
+        removeClosed(connection);
         client.destroy();
         return;
       }
@@ -129,12 +133,46 @@
   };
   watchEnds(client, markDoubtful);
   client.on('disconnect', () => {
-    removeIdle(connection);
+    removeClosed(connection);
     client.destroy();
   });
   return connection;
 }
 
+/** Creates the part of a pool that keeps idle connections. */
+function createIdleConnections() {
+  const idle = new Map<string, BackendConnection[]>();
+  const getIdle = (address: string) => {
+    const connections = idle.get(address) ?? [];
+    idle.set(address, connections);
+    return connections;
+  };
+  return {
+    add: (address: string, connection: BackendConnection) => {
+      // If the server asked to close the connection, the client is already destroyed here.
+      if (!connection.client.destroyed) {
+        getIdle(address).push(connection);
+      }
+    },
+    remove: (address: string, connection: BackendConnection) => {
+      const connections = getIdle(address);
+      const index = connections.indexOf(connection);
+      if (index !== -1) {
+        connections.splice(index, 1);
+      }
+    },
+    take: (address: string) => getIdle(address).pop(),
+    findKnown: (address: string, bornMs: number) =>
+      idle.get(address)?.find((connection) => connection.bornMs === bornMs),
+    listAddresses: () => [...idle.keys()],
+    closeAll: (address: string) => {
+      const connections = idle.get(address) ?? [];
+      idle.delete(address);
+      connections.forEach(({ client }) => client.destroy());
+    },
+  };
+}
+
 /**
  * Creates an empty connection pool.
  *
@@ -143,57 +181,44 @@
 export function createBackendConnections(
   runWhenPolled: (step: () => void) => void,
 ): BackendConnections {
-  const idle = new Map<string, BackendConnection[]>();
+  const idle = createIdleConnections();
+  const all: connectionGroups.ConnectionGroups<BackendConnection> = new Map();
   const doubtful = new Set<string>();
-  const getIdle = (address: string) => {
-    const connections = idle.get(address) ?? [];
-    idle.set(address, connections);
-    return connections;
-  };
-  const removeIdle = (address: string, connection: BackendConnection) => {
-    const connections = getIdle(address);
-    const index = connections.indexOf(connection);
-    if (index !== -1) {
-      connections.splice(index, 1);
-    }
-  };
-  const closeAll = (address: string) => {
-    const connections = idle.get(address) ?? [];
-    idle.delete(address);
-    connections.forEach(({ client }) => client.destroy());
-  };
-  const open = (address: string) =>
-    openConnection(
+  const open = (address: string) => {
+    const opened = openConnection(
       address,
-      (connection) => removeIdle(address, connection),
       (connection) => {
-        // If the server asked to close the connection, the client is already destroyed here.
-        if (!connection.client.destroyed) {
-          getIdle(address).push(connection);
-        }
+        idle.remove(address, connection);
+        connectionGroups.removeConnection(all, address, connection);
       },
+      (connection) => idle.add(address, connection),
       () => doubtful.add(address),
       runWhenPolled,
     );
+    connectionGroups.addConnection(all, address, opened);
+    return opened;
+  };
   return {
-    take: (address) => getIdle(address).pop() ?? open(address),
+    take: (address) => idle.take(address) ?? open(address),
     takeKnown: (address, bornMs) => {
-      const known = idle.get(address)?.find((connection) => connection.bornMs === bornMs);
+      const known = idle.findKnown(address, bornMs);
       if (known !== undefined) {
-        removeIdle(address, known);
+        idle.remove(address, known);
       }
       return known;
     },
     open,
-    isDoubtful: (address) => doubtful.has(address),
+    isDoubtful: (address, bornMs) =>
+      doubtful.has(address) ||
+      !connectionGroups.hasConnection(all, address, (known) => known.bornMs === bornMs),
     clearDoubt: (address) => doubtful.delete(address),
     closeOthers: (addresses) =>
-      [...idle.keys(), ...doubtful]
+      [...idle.listAddresses(), ...doubtful]
         .filter((address) => !addresses.has(address))
         .forEach((address) => {
-          closeAll(address);
+          idle.closeAll(address);
           doubtful.delete(address);
         }),
-    stop: () => [...idle.keys()].forEach(closeAll),
+    stop: () => idle.listAddresses().forEach(idle.closeAll),
   };
 }
--- a/packages/gateway/src/stream-connection.ts
+++ b/packages/gateway/src/stream-connection.ts
@@ -58,7 +58,8 @@
   const { request } = held;
   const { address, bornMs } = server;
   const continues = request.streamVersion !== undefined;
-  const needsProof = continues || (request.route.resumable && connections.isDoubtful(address));
+  const needsProof =
+    continues || (request.route.resumable && connections.isDoubtful(address, bornMs));
   if (!needsProof || bornMs === 0) {
     useConnection(connections.take(address));
     return;
