--- a/packages/gateway/src/backend-connections.ts
+++ b/packages/gateway/src/backend-connections.ts
@@ -6,7 +6,9 @@
  * request that they could belong to.
  */
 import * as undici from 'undici';
+import * as carriedCalls from './carried-calls.js';
 import * as connectionGroups from './connection-groups.js';
+import * as idleConnections from './idle-connections.js';
 
 export type BackendConnection = {
   client: undici.Client;
@@ -15,6 +17,8 @@
   /** When the process at the other end started, as it has stated on this connection. */
   bornMs: number | undefined;
   wasReset: () => boolean;
+  /** What was sent on the connection. */
+  calls: carriedCalls.CarriedCalls;
   /** Returns how many bytes have been read from the connection. */
   countBytesRead: () => number;
   /** Sets what is called when bytes have been read, before they are parsed. */
@@ -24,10 +28,13 @@
 };
 
 export type BackendConnections = {
-  /** Takes an idle connection to an address, or opens a new one. */
-  take: (address: string) => BackendConnection;
+  /**
+   * Takes an idle connection to an address, or opens a new one. No connection carries two calls with
+   * the same id: a second response to the first one could not be told from that to the other.
+   */
+  take: (address: string, attemptId: string) => BackendConnection;
   /** Takes an idle connection to a process that has stated the given start on it, if there is one. */
-  takeKnown: (address: string, bornMs: number) => BackendConnection | undefined;
+  takeKnown: (address: string, bornMs: number, attemptId: string) => BackendConnection | undefined;
   open: (address: string) => BackendConnection;
   /**
    * Whether another incarnation of the server than the one with the given start may listen at an
@@ -79,13 +86,18 @@
   return setTimeout(() => client.destroy(new Error('connect-timeout')), CONNECT_TIMEOUT_MS);
 }
 
+type ConnectionHooks = {
+  removeClosed: (connection: BackendConnection) => void;
+  addIdle: (connection: BackendConnection) => void;
+  markDoubtful: () => void;
+  runWhenPolled: (step: () => void) => void;
+  findAttemptId: carriedCalls.FindAttemptId;
+};
+
 /** Opens a connection; a listener on its socket records a reset before the library handles it. */
 function openConnection(
   address: string,
-  removeClosed: (connection: BackendConnection) => void,
-  addIdle: (connection: BackendConnection) => void,
-  markDoubtful: () => void,
-  runWhenPolled: (step: () => void) => void,
+  { removeClosed, addIdle, markDoubtful, runWhenPolled, findAttemptId }: ConnectionHooks,
 ): BackendConnection {
   let isReset = false;
   let countBytesRead = () => 0;
@@ -116,6 +128,7 @@
     completedResponses: 0,
     bornMs: undefined,
     wasReset: () => isReset,
+    calls: carriedCalls.createCarriedCalls(findAttemptId),
     countBytesRead: () => countBytesRead(),
     setReadListener: (listener) => {
       readListener = listener;
@@ -139,86 +152,65 @@
   return connection;
 }
 
-/** Creates the part of a pool that keeps idle connections. */
-function createIdleConnections() {
-  const idle = new Map<string, BackendConnection[]>();
-  const getIdle = (address: string) => {
-    const connections = idle.get(address) ?? [];
-    idle.set(address, connections);
-    return connections;
-  };
-  return {
-    add: (address: string, connection: BackendConnection) => {
-      // If the server asked to close the connection, the client is already destroyed here.
-      if (!connection.client.destroyed) {
-        getIdle(address).push(connection);
-      }
-    },
-    remove: (address: string, connection: BackendConnection) => {
-      const connections = getIdle(address);
-      const index = connections.indexOf(connection);
-      if (index !== -1) {
-        connections.splice(index, 1);
-      }
-    },
-    take: (address: string) => getIdle(address).pop(),
-    findKnown: (address: string, bornMs: number) =>
-      idle.get(address)?.find((connection) => connection.bornMs === bornMs),
-    listAddresses: () => [...idle.keys()],
-    closeAll: (address: string) => {
-      const connections = idle.get(address) ?? [];
-      idle.delete(address);
-      connections.forEach(({ client }) => client.destroy());
-    },
-  };
-}
-
 /**
  * Creates an empty connection pool.
  *
  * @param runWhenPolled runs a step once the event loop has read which callers have left
+ * @param findAttemptId finds the id of the call that a response states
  */
 export function createBackendConnections(
   runWhenPolled: (step: () => void) => void,
+  findAttemptId: carriedCalls.FindAttemptId,
 ): BackendConnections {
-  const idle = createIdleConnections();
+  const idle: idleConnections.IdleConnections = new Map();
   const all: connectionGroups.ConnectionGroups<BackendConnection> = new Map();
   const doubtful = new Set<string>();
   const open = (address: string) => {
-    const opened = openConnection(
-      address,
-      (connection) => {
-        idle.remove(address, connection);
+    const opened = openConnection(address, {
+      removeClosed: (connection) => {
+        idleConnections.removeIdle(idle, address, connection);
         connectionGroups.removeConnection(all, address, connection);
       },
-      (connection) => idle.add(address, connection),
-      () => doubtful.add(address),
+      addIdle: (connection) => {
+        // If the server asked to close the connection, the client is already destroyed here.
+        if (!connection.client.destroyed) {
+          idleConnections.addIdle(idle, address, connection);
+        }
+      },
+      markDoubtful: () => doubtful.add(address),
       runWhenPolled,
-    );
+      findAttemptId,
+    });
     connectionGroups.addConnection(all, address, opened);
     return opened;
   };
+  const takeIdle = (
+    address: string,
+    attemptId: string,
+    isSuitable: (connection: BackendConnection) => boolean,
+  ) =>
+    idleConnections.takeIdle(
+      idle,
+      address,
+      (connection) =>
+        isSuitable(connection) && !carriedCalls.hasCarried(connection.calls, attemptId),
+    );
   return {
-    take: (address) => idle.take(address) ?? open(address),
-    takeKnown: (address, bornMs) => {
-      const known = idle.findKnown(address, bornMs);
-      if (known !== undefined) {
-        idle.remove(address, known);
-      }
-      return known;
-    },
+    take: (address, attemptId) => takeIdle(address, attemptId, () => true) ?? open(address),
+    takeKnown: (address, bornMs, attemptId) =>
+      takeIdle(address, attemptId, (connection) => connection.bornMs === bornMs),
     open,
     isDoubtful: (address, bornMs) =>
       doubtful.has(address) ||
       !connectionGroups.hasConnection(all, address, (known) => known.bornMs === bornMs),
     clearDoubt: (address) => doubtful.delete(address),
     closeOthers: (addresses) =>
-      [...idle.listAddresses(), ...doubtful]
+      [...idle.keys(), ...doubtful]
         .filter((address) => !addresses.has(address))
         .forEach((address) => {
-          idle.closeAll(address);
+          idleConnections.closeIdle(idle, address);
           doubtful.delete(address);
         }),
-    stop: () => idle.listAddresses().forEach(idle.closeAll),
+    stop: () => [...idle.keys()].forEach((address) => idleConnections.closeIdle(idle, address)),
   };
 }
--- a/packages/gateway/src/request-reports.ts
+++ b/packages/gateway/src/request-reports.ts
@@ -173,6 +173,28 @@
   metrics.recordFault(service, fields.fault);
 }
 
+/** Reports whether a backend server was found to have outlived the end of a response. */
+export function reportServerCheck(
+  { log }: ReportDependencies,
+  { arrived, serverBornMs }: gateway.GatewayRequest,
+  { server, finding, ms }: { server: string; finding: string; ms: number },
+  now: number,
+): void {
+  const line = { request: arrived.attemptId, server, serverBornMs, finding, ms: Math.round(ms) };
+  log.write('server-check', line, now);
+}
+
+/** Reports that a backend server sent a further response behind that to a request. */
+export function reportExtraResponse(
+  { log, metrics }: ReportDependencies,
+  { arrived, service }: gateway.GatewayRequest,
+  server: string,
+  now: number,
+): void {
+  log.write('extra-response', { request: arrived.attemptId, server }, now);
+  metrics.recordExtraResponse(service);
+}
+
 /** Reports that content is refused from now on, as its runs have ended backend servers. */
 export function reportSuspended(
   { log }: ReportDependencies,
--- a/packages/gateway/src/server-check.ts
+++ b/packages/gateway/src/server-check.ts
@@ -8,10 +8,36 @@
 import type * as backendConnections from './backend-connections.js';
 import type * as wireProtocol from './wire-protocol.js';
 
+/** What a check has found. */
+export enum CheckFinding {
+  RESPONDED = 'responded',
+  /** No response on an open connection. */
+  SILENT = 'silent',
+  /** Another incarnation of the backend server, which cannot have sent the response. */
+  RESTARTED = 'restarted',
+  /** Another backend server has the address. */
+  MISDIRECTED = 'misdirected',
+  REFUSED = 'refused',
+  /** No connection, or only ones that break. */
+  UNREACHABLE = 'unreachable',
+}
+
+const PRESENT_FINDINGS: ReadonlySet<CheckFinding> = new Set([
+  CheckFinding.RESPONDED,
+  CheckFinding.SILENT,
+]);
+
+/** Returns whether a finding means that the backend server has outlived the connection. */
+export function isPresent(finding: CheckFinding): boolean {
+  return PRESENT_FINDINGS.has(finding);
+}
+
 export type ServerCheckOptions = {
   /** Opens a new connection to the backend server. */
   open: () => backendConnections.BackendConnection;
   request: backendAttempt.OutgoingRequest;
+  /** Returns whether an incarnation that started at a time can have sent the response. */
+  canBeSender: (bornMs: number) => boolean;
   /** Parses when the process of the backend server started, milliseconds since the Unix epoch. */
   parseStart: (report: Buffer) => number | undefined;
   /** Returns whether a response comes from another backend server at the same address. */
@@ -20,7 +46,7 @@
   /** Runs a step once the event loop has read what has arrived. */
   runAfterPoll: (step: () => void) => void;
   /** Called once, unless the check is aborted; a server that cannot be reached counts as gone. */
-  settle: (isPresent: boolean) => void;
+  settle: (finding: CheckFinding, ms: number) => void;
 };
 
 /** Once the check has ended, `abort` has no effect: its connection serves the next request. */
@@ -43,17 +69,18 @@
 /** A longer response to the check closes its connection; bytes. */
 const MAX_RESPONSE_BYTES = 65_536;
 const REFUSED = 'ECONNREFUSED';
+const STATUS_OK = 200;
 
 /** Ends the check with a result. */
-function endCheck(state: CheckState, isPresent: boolean): void {
+function endCheck(state: CheckState, finding: CheckFinding): void {
   if (!state.isSettled) {
     state.isSettled = true;
-    state.options.settle(isPresent);
+    state.options.settle(finding, state.options.readNow() - state.startedMs);
   }
 }
 
 /**
- * Handles a connection that failed before a whole head. Any bytes on it show that the server is
+ * Handles a connection that failed before a whole report. Any bytes on it show that the server is
  * present. A break alone shows nothing, and the server is asked again: a port may accept connections
  * for a server that is gone, and a server may reset those beyond its limit.
  */
@@ -63,9 +90,11 @@
   }
   const elapsedMs = state.options.readNow() - state.startedMs;
   if (hasResponded) {
-    endCheck(state, true);
-  } else if (reason === REFUSED || elapsedMs >= MAX_CHECK_MS) {
-    endCheck(state, false);
+    endCheck(state, CheckFinding.RESPONDED);
+  } else if (reason === REFUSED) {
+    endCheck(state, CheckFinding.REFUSED);
+  } else if (elapsedMs >= MAX_CHECK_MS) {
+    endCheck(state, CheckFinding.UNREACHABLE);
   } else {
     state.retryTimer = setTimeout(() => sendRequest(state), RETRY_MS);
   }
@@ -73,7 +102,7 @@
 
 /** Sends the request of the check over a new connection. */
 function sendRequest(state: CheckState): void {
-  const { open, request, isMisdirected, parseStart, runAfterPoll } = state.options;
+  const { open, request, isMisdirected, canBeSender, parseStart, runAfterPoll } = state.options;
   const chunks: Buffer[] = [];
   let receivedBytes = 0;
   let isReport = false;
@@ -82,7 +111,7 @@
   const handleSilence = () => {
     if (!isOver) {
       state.attempt?.abort();
-      endCheck(state, true);
+      endCheck(state, CheckFinding.SILENT);
     }
   };
   const handleEnd = () => {
@@ -96,8 +125,11 @@
       return !state.isSettled;
     },
     onHead: (status, headers) => {
-      isReport = !isMisdirected(status, headers);
-      endCheck(state, isReport);
+      isReport = status === STATUS_OK;
+      if (!isReport) {
+        const isOther = isMisdirected(status, headers);
+        endCheck(state, isOther ? CheckFinding.MISDIRECTED : CheckFinding.RESPONDED);
+      }
       return true;
     },
     onData: (chunk) => {
@@ -109,8 +141,11 @@
       return true;
     },
     onEnd: () => {
+      const bornMs = isReport ? parseStart(Buffer.concat(chunks)) : undefined;
       // Streams that begin or go on over this connection need not ask again.
-      connection.bornMs = isReport ? parseStart(Buffer.concat(chunks)) : undefined;
+      connection.bornMs = bornMs;
+      const isSender = bornMs === undefined || canBeSender(bornMs);
+      endCheck(state, isSender ? CheckFinding.RESPONDED : CheckFinding.RESTARTED);
       handleEnd();
     },
     onWithdrawn: handleEnd,
