--- a/packages/gateway/src/backend-connections.ts
+++ b/packages/gateway/src/backend-connections.ts
@@ -8,6 +8,7 @@
 import type * as net from 'node:net';
 import * as undici from 'undici';
 import * as carriedCalls from './carried-calls.js';
+import * as connectionGroups from './connection-groups.js';
 import * as idleConnections from './idle-connections.js';
 
 export type BackendConnection = {
@@ -41,11 +42,12 @@
   takeKnown: (address: string, bornMs: number, attemptId: string) => BackendConnection | undefined;
   open: (address: string) => BackendConnection;
   /**
-   * Whether a connection to an address was ended by the other side or could not be opened, so that
-   * another incarnation of the server may listen there by now.
+   * Whether another incarnation of the server than the one with the given start may listen at an
+   * address: no open connection leads to the process that has stated it, or the other side has ended
+   * a connection since, or one could not be opened.
    */
-  isDoubtful: (address: string) => boolean;
-  /** Records that the present incarnation is known, until the next such end. */
+  isDoubtful: (address: string, bornMs: number) => boolean;
+  /** Records that the incarnation is known, until the other side ends a connection. */
   clearDoubt: (address: string) => void;
   /** Closes idle connections to addresses that are no longer used. */
   closeOthers: (addresses: ReadonlySet<string>) => void;
@@ -106,8 +108,13 @@
   client.on('disconnect', noteError);
 }
 
+/** Limits the time for connecting; the library's own timers fire up to a second late. */
+function startConnectTimer(client: undici.Client): NodeJS.Timeout {
+  return setTimeout(() => client.destroy(new Error('connect-timeout')), CONNECT_TIMEOUT_MS);
+}
+
 type ConnectionHooks = {
-  removeIdle: (connection: BackendConnection) => void;
+  removeClosed: (connection: BackendConnection) => void;
   addIdle: (connection: BackendConnection) => void;
   markDoubtful: () => void;
   runWhenPolled: (step: () => void) => void;
@@ -117,7 +124,7 @@
 /** Opens a connection, and records whether it was reset. */
 function openConnection(
   address: string,
-  { removeIdle, addIdle, markDoubtful, runWhenPolled, findAttemptId }: ConnectionHooks,
+  { removeClosed, addIdle, markDoubtful, runWhenPolled, findAttemptId }: ConnectionHooks,
 ): BackendConnection {
   let isReset = false;
   let hasExcess = false;
@@ -127,11 +134,7 @@
   const client: undici.Client = new undici.Client(`http://${address}`, {
     ...CLIENT_OPTIONS,
     connect: (options, callback) => {
-      // The library's own connection timers fire up to a second late.
-      const timer = setTimeout(
-        () => client.destroy(new Error('connect-timeout')),
-        CONNECT_TIMEOUT_MS,
-      );
+      const timer = startConnectTimer(client);
       connector(options, (...results) => {
         clearTimeout(timer);
         const socket = results[1];
@@ -158,6 +161,7 @@
     release: (isReusable) => {
       if (!isReusable || carriedCalls.isFull(connection.calls)) {
         connection.completedResponses = -1;
+        removeClosed(connection);
         client.destroy();
         return;
       }
@@ -168,7 +172,7 @@
   watchEnds(client, markDoubtful);
   client.on('disconnect', (_url, _targets, error) => {
     hasExcess = error.message === EXCESS_ERROR;
-    removeIdle(connection);
+    removeClosed(connection);
     client.destroy();
   });
   return connection;
@@ -185,10 +189,14 @@
   findAttemptId: carriedCalls.FindAttemptId,
 ): BackendConnections {
   const idle: idleConnections.IdleConnections = new Map();
+  const all: connectionGroups.ConnectionGroups<BackendConnection> = new Map();
   const doubtful = new Set<string>();
-  const open = (address: string) =>
-    openConnection(address, {
-      removeIdle: (connection) => idleConnections.removeIdle(idle, address, connection),
+  const open = (address: string) => {
+    const opened = openConnection(address, {
+      removeClosed: (connection) => {
+        idleConnections.removeIdle(idle, address, connection);
+        connectionGroups.removeConnection(all, address, connection);
+      },
       addIdle: (connection) => {
         // If the server asked to close the connection, the client is already destroyed here.
         if (!connection.client.destroyed) {
@@ -199,6 +207,9 @@
       runWhenPolled,
       findAttemptId,
     });
+    connectionGroups.addConnection(all, address, opened);
+    return opened;
+  };
   const takeIdle = (
     address: string,
     attemptId: string,
@@ -219,7 +230,9 @@
     takeKnown: (address, bornMs, attemptId) =>
       takeIdle(address, attemptId, (connection) => connection.bornMs === bornMs),
     open,
-    isDoubtful: (address) => doubtful.has(address),
+    isDoubtful: (address, bornMs) =>
+      doubtful.has(address) ||
+      !connectionGroups.hasConnection(all, address, (known) => known.bornMs === bornMs),
     clearDoubt: (address) => doubtful.delete(address),
     closeOthers: (addresses) =>
       [...idle.keys(), ...doubtful]
--- a/packages/gateway/src/stream-connection.ts
+++ b/packages/gateway/src/stream-connection.ts
@@ -59,7 +59,8 @@
   const { address, bornMs } = server;
   const { attemptId } = request.arrived;
   const continues = request.streamVersion !== undefined;
-  const needsProof = continues || (request.route.resumable && connections.isDoubtful(address));
+  const needsProof =
+    continues || (request.route.resumable && connections.isDoubtful(address, bornMs));
   if (!needsProof || bornMs === 0) {
     useConnection(connections.take(address, attemptId));
     return;
