Break off a body that a second response ends where its connection closes

A body that was cut short of its length, and filled by the beginning of a second response, is broken off if more bytes follow. Where the response closes its connection, the HTTP library reads nothing behind it, and no bytes passed for proof that the last ones are of the body: a caller got 200, with the beginning of the second response as its last 100 bytes.

If the connection has been closed by then, the held bytes are now judged as at the end of a body without a length: a whole status line that cannot be told from a quoted one breaks the response off.

The test failed before; it passes. Still passed on: fewer bytes than a status line has, such as the last 8.

--- a/packages/gateway/src/backend-attempt.ts
+++ b/packages/gateway/src/backend-attempt.ts
@@ -180,7 +180,9 @@
     endBroken(state, 'extra-response');
     return;
   }
-  passBody(state, runtime.releaseHeld(scan));
+  // Behind a body whose connection is closed, nothing more is read.
+  const isOpen = !connection.client.destroyed;
+  passBody(state, isOpen ? runtime.releaseHeld(scan) : runtime.completeScan(scan));
   endAttempt(state, listener.onEnd, isKeptAlive);
 }
 
