Deliver the refusal of a request whose caller is still sending

The server closed the connection as soon as the refusal was written, and a close with unread data resets the connection (RFC 9112, section 9.6).

--- a/deploy/bundle/build.js
+++ b/deploy/bundle/build.js
@@ -1,14 +1,15 @@
-/** Bundles the gateway into one file under target/, from the sources. */
+/** Bundles the gateway into one file under target/, from the sources. Argument: name of the file. */
 import * as esbuild from 'esbuild';
 
 /** Modules that the logger takes where they can be loaded, and does without else. */
 const OPTIONAL = ['dtrace-provider', 'mv', 'safe-json-stringify', 'source-map-support'];
 /** A module that is never there. */
 const ABSENT = 'toucanproxy-absent';
+const [outputName = 'gateway.mjs'] = process.argv.slice(2);
 
 await esbuild.build({
   entryPoints: ['platform/src/main.ts'],
-  outfile: 'target/gateway.mjs',
+  outfile: `target/${outputName}`,
   bundle: true,
   platform: 'node',
   format: 'esm',
--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -8,6 +8,7 @@
 import * as callerConnections from './caller-connections.js';
 import type * as callerExchange from './caller-exchange.js';
 import * as clocks from './clocks.js';
+import * as earlyRefusal from './early-refusal.js';
 import type * as gatewaySettings from './gateway-settings.js';
 import * as localResponse from './local-response.js';
 
@@ -73,15 +74,15 @@
 /** Interval at which request timeouts are checked, milliseconds. */
 const TIMEOUT_CHECK_MS = 1000;
 
-/** Refuses a request before it has been read completely, and closes its connection. */
-function refuse(state: ServerState, response: http.ServerResponse, code: schema.ResultCode): void {
+/** Refuses a request that has not been read completely, and closes its connection. */
+function refuse(
+  state: ServerState,
+  request: http.IncomingMessage,
+  response: http.ServerResponse,
+  code: schema.ResultCode,
+): void {
   state.options.reportRefusal(code);
-  const { status, headers, body } = localResponse.buildLocalResponse({
-    code,
-    retryAfterMs: undefined,
-  });
-  response.writeHead(status, { ...headers, connection: 'close' });
-  response.end(body);
+  earlyRefusal.refuseEarly(request, response, { code, retryAfterMs: undefined });
 }
 
 /** Counts the bytes of raw headers, with two bytes of separators for each name and each value. */
@@ -153,7 +154,7 @@
     if (bytes <= state.bounds.maxBodyBytes) {
       chunks.push(chunk);
     } else if (!response.headersSent) {
-      refuse(state, response, schema.ResultCode.BODY_TOO_LARGE);
+      refuse(state, request, response, schema.ResultCode.BODY_TOO_LARGE);
     }
   });
   request.on('end', () => {
@@ -180,7 +181,7 @@
   }
   const fault = findHeadFault(state, request);
   if (fault !== undefined) {
-    refuse(state, response, fault);
+    refuse(state, request, response, fault);
     return;
   }
   readBody(state, request, response);
