Hold the bodies of requests within a budget that follows from memoryMb

A gateway kept every body that it was sent, in parts and once more when they were joined, and nothing read memoryMb. Some tens of callers with bodies of 4 MB, all within the limits, took it far above 350 MB; a process above its limit is killed, and every request that it holds ends with it.

Requests now have one budget. A large body claims its length when its headers have been read, in the share of its workspace and urgency (dynamic thresholds), waits without being read for up to 400 ms, and is refused as not run otherwise (217 BODY_MEMORY_SPENT, 503, Retry-After). It is read into one buffer.

--- a/packages/core/src/gateway/authorization.ts
+++ b/packages/core/src/gateway/authorization.ts
@@ -31,7 +31,7 @@
  */
 export function checkAuthorization(
   state: gatewayState.GatewayState,
-  arrived: gatewayRequest.ArrivedRequest,
+  arrived: Pick<gatewayRequest.ArrivedRequest, 'host' | 'path' | 'credential'>,
   clocks: configurationLease.ClockReading,
 ): AuthorizationDecision {
   const { index } = state;
--- a/packages/core/src/gateway/gateway-state.ts
+++ b/packages/core/src/gateway/gateway-state.ts
@@ -7,6 +7,7 @@
 import type * as configurationIndex from './configuration-index.js';
 import type * as deadlineStats from './deadline-stats.js';
 import * as cellMap from './cell-map.js';
+import * as bodyBudget from './body-budget.js';
 import * as connectionLoad from './connection-load.js';
 import * as gatewayLoad from './gateway-load.js';
 import type * as gatewayRequest from './gateway-request.js';
@@ -126,6 +127,8 @@
   /** What is known of the load of this process. */
   load: gatewayLoad.GatewayLoad;
   connectionLoad: connectionLoad.ConnectionLoad;
+  /** Memory that requests hold. */
+  bodies: bodyBudget.BodyBudget;
   /** When shutdown of the process was requested, milliseconds; 0 before. */
   shutdownMs: number;
   /** Time from then until the process is killed, milliseconds. */
@@ -143,6 +146,8 @@
   regionByDomain: ReadonlyMap<string, string>;
   /** The whole system starts for the first time; false if absent. */
   isFirstStart?: boolean;
+  /** Memory that the process may use, MB; no limit if absent. */
+  memoryMb?: number;
 };
 
 /** Creates the state of a gateway that has just started. */
@@ -180,6 +185,7 @@
     checkedRevision: -1,
     load: gatewayLoad.createGatewayLoad(),
     connectionLoad: connectionLoad.createConnectionLoad(),
+    bodies: bodyBudget.createBodyBudget(identity.memoryMb),
     shutdownMs: 0,
     shutdownGraceMs: Infinity,
     runTimes: new Map(),
--- a/packages/core/src/gateway/index.ts
+++ b/packages/core/src/gateway/index.ts
@@ -5,6 +5,8 @@
 export * from './ask-receipt.js';
 export * from './backend-servers.js';
 export { releaseCells } from './cell-handover.js';
+export * from './body-budget.js';
+export * from './body-holder.js';
 export * from './configuration-lease.js';
 export * from './configuration-status.js';
 export * from './configuration.js';
--- a/packages/core/src/gateway/request-admission.ts
+++ b/packages/core/src/gateway/request-admission.ts
@@ -55,7 +55,7 @@
 }
 
 /** Computes the tier of a request: workspace urgency first, then route urgency. */
-function rankUrgency({ route, workspace }: authorization.Authorization): number {
+export function rankUrgency({ route, workspace }: authorization.Authorization): number {
   const routeUrgency = Math.min(route.urgency, ROUTE_URGENCIES - 1);
   return (workspace?.urgency ?? 0) * ROUTE_URGENCIES + routeUrgency;
 }
--- a/packages/gateway/src/app.ts
+++ b/packages/gateway/src/app.ts
@@ -4,6 +4,7 @@
 import * as runtime from '@toucanproxy/runtime';
 import * as schema from '@toucanproxy/schema';
 import * as backendConnections from './backend-connections.js';
+import * as bodyMemory from './body-memory.js';
 import * as callerServer from './caller-server.js';
 import * as clocks from './clocks.js';
 import * as decisionLog from './decision-log.js';
@@ -140,8 +141,10 @@
     computeUnreadMs: components.eventLoop.computeUnreadMs,
     reportProblem: (reason) => log.write('caller-problem', { reason }, clocks.readSteadyMs()),
     isClosedUnread: loadReports.createConnectionCheck(components, clocks.readSteadyMs),
-    reportRefusal: (code) => {
-      log.write('refused', { result: schema.ResultCode[code] }, clocks.readSteadyMs());
+    bodyMemory: bodyMemory.createBodyMemory(components),
+    reportRefusal: (code, fields) => {
+      const line = { ...fields, result: schema.ResultCode[code] };
+      log.write('refused', line, clocks.readSteadyMs());
       metrics.recordEnd('', '', code, false);
     },
   });
@@ -167,12 +170,21 @@
 function createComponents({ settings, protocol }: GatewayOptions, life: string) {
   const logger = runtime.createLogger('toucanproxy-gateway', { gateway: settings.name, life });
   const { peerListen, failureDomain, processorPercent, peerSeeds, domainRegions } = settings;
-  const { isFirstStart } = settings;
+  const { isFirstStart, memoryMb } = settings;
   const address = `${peerListen.host}:${peerListen.port}`;
   const seeds = peerSeeds.filter((seed) => seed !== address);
   const regionByDomain = new Map(Object.entries(domainRegions));
   const state = gateway.createGatewayState(
-    { address, life, failureDomain, processorPercent, seeds, regionByDomain, isFirstStart },
+    {
+      address,
+      life,
+      failureDomain,
+      processorPercent,
+      seeds,
+      regionByDomain,
+      isFirstStart,
+      memoryMb,
+    },
     buildBounds(settings),
     Math.random,
     clocks.readSteadyMs(),
@@ -237,6 +249,7 @@
     countBackendServers: () => state.servers.byId.size,
     reload: (changed) => {
       state.bounds = buildBounds(changed);
+      state.bodies.capacityBytes = gateway.computeCapacity(changed.memoryMb);
       stopMs = changed.stopMs;
       log.writeAlways('reload', { settings: changed });
     },
--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -5,6 +5,8 @@
 import * as runtime from '@toucanproxy/runtime';
 import * as schema from '@toucanproxy/schema';
 import * as acceptDelay from './accept-delay.js';
+import type * as bodyMemory from './body-memory.js';
+import * as bodyReading from './body-reading.js';
 import * as callerConnections from './caller-connections.js';
 import type * as callerExchange from './caller-exchange.js';
 import * as clocks from './clocks.js';
@@ -30,7 +32,8 @@
   listen: gatewaySettings.ListenAddress;
   /** Called with each request that has been read completely. */
   receive: (exchange: callerExchange.CallerExchange) => void;
-  reportRefusal: (code: schema.ResultCode) => void;
+  reportRefusal: (code: schema.ResultCode, fields: Record<string, unknown>) => void;
+  bodyMemory: bodyMemory.BodyMemory;
   /** Called if connections cannot be accepted, as without free descriptors. */
   reportProblem: (reason: string) => void;
   /** Computes how long data that is read now may have waited, milliseconds. */
@@ -79,10 +82,11 @@
   state: ServerState,
   request: http.IncomingMessage,
   response: http.ServerResponse,
-  code: schema.ResultCode,
+  refusal: gateway.Refusal,
+  fields: Record<string, unknown> = {},
 ): void {
-  state.options.reportRefusal(code);
-  earlyRefusal.refuseEarly(request, response, { code, retryAfterMs: undefined });
+  state.options.reportRefusal(refusal.code, fields);
+  earlyRefusal.refuseEarly(request, response, refusal, state.options.bodyMemory.noteCopied);
 }
 
 /** Counts the bytes of raw headers, with two bytes of separators for each name and each value. */
@@ -96,9 +100,10 @@
 function findHeadFault(
   state: ServerState,
   request: http.IncomingMessage,
+  headerBytes: number,
 ): schema.ResultCode | undefined {
   const { maxHeaderBytes, maxBodyBytes } = state.bounds;
-  if (countHeaderBytes(request.rawHeaders) > maxHeaderBytes) {
+  if (headerBytes > maxHeaderBytes) {
     return schema.ResultCode.HEADERS_TOO_LARGE;
   }
   if (Number(request.headers['content-length'] ?? 0) > maxBodyBytes) {
@@ -145,26 +150,23 @@
   state: ServerState,
   request: http.IncomingMessage,
   response: http.ServerResponse,
+  headerBytes: number,
 ): void {
+  const { options, bounds } = state;
   const headUnreadMs = computeRequestUnreadMs(state, request.socket);
-  const chunks: Buffer[] = [];
-  let bytes = 0;
-  request.on('data', (chunk: Buffer) => {
-    bytes += chunk.length;
-    if (bytes <= state.bounds.maxBodyBytes) {
-      chunks.push(chunk);
-    } else if (!response.headersSent) {
-      refuse(state, request, response, schema.ResultCode.BODY_TOO_LARGE);
-    }
-  });
-  request.on('end', () => {
-    if (!response.headersSent && request.complete) {
-      const body = chunks.length === 1 ? chunks[0] : Buffer.concat(chunks);
-      const { method = '', url = '', rawHeaders } = request;
-      const unreadMs = Math.max(headUnreadMs, computeUnreadMs(state));
-      state.options.receive({ method, target: url, headers: rawHeaders, body, response, unreadMs });
-    }
-  });
+  const receive = (body: Buffer, stoppedMs: number) => {
+    const { method = '', url = '', rawHeaders } = request;
+    const unreadMs = Math.max(headUnreadMs, computeUnreadMs(state)) + stoppedMs;
+    options.receive({ method, target: url, headers: rawHeaders, body, response, unreadMs });
+  };
+  const listener: bodyReading.BodyListener = {
+    receive,
+    refuse: (refusal, fields) => refuse(state, request, response, refusal, fields),
+  };
+  const { bodyMemory: memory } = options;
+  const { maxBodyBytes } = bounds;
+  const readNow = clocks.readSteadyMs;
+  bodyReading.readBody({ memory, readNow, maxBodyBytes, request, response, listener }, headerBytes);
 }
 
 /** Handles one request. */
@@ -179,12 +181,13 @@
   if (!state.connections.hold(response)) {
     return;
   }
-  const fault = findHeadFault(state, request);
+  const headerBytes = countHeaderBytes(request.rawHeaders);
+  const fault = findHeadFault(state, request, headerBytes);
   if (fault !== undefined) {
-    refuse(state, request, response, fault);
+    refuse(state, request, response, { code: fault, retryAfterMs: undefined });
     return;
   }
-  readBody(state, request, response);
+  readBody(state, request, response, headerBytes);
 }
 
 /** Responds on a connection whose request could not be parsed or timed out. */
@@ -194,7 +197,7 @@
     socket.destroy();
     return;
   }
-  state.options.reportRefusal(code);
+  state.options.reportRefusal(code, {});
   runtime.writeErrorResponse(
     socket,
     localResponse.buildLocalResponse({ code, retryAfterMs: undefined }),
@@ -216,6 +219,7 @@
     noteConnection(state, socket);
   });
   server.on('request', (request, response) => handleRequest(state, request, response));
+  server.on('checkContinue', (request, response) => handleRequest(state, request, response));
   server.on('clientError', (error, socket) =>
     handleClientError(state, error, socket as net.Socket),
   );
--- a/packages/gateway/src/early-refusal.ts
+++ b/packages/gateway/src/early-refusal.ts
@@ -16,6 +16,7 @@
   request: http.IncomingMessage,
   response: http.ServerResponse,
   refusal: gateway.Refusal,
+  noteDropped: (bytes: number) => void,
 ): void {
   const { status, headers, body } = localResponse.buildLocalResponse(refusal);
   const length = Buffer.byteLength(body);
@@ -32,6 +33,7 @@
   request.on('end', () => response.end());
   request.on('data', (chunk: Buffer) => {
     discardedBytes += chunk.length;
+    noteDropped(chunk.length);
     if (discardedBytes > MAX_DISCARDED_BYTES) {
       response.end();
     }
--- a/packages/gateway/src/gateway-metrics.ts
+++ b/packages/gateway/src/gateway-metrics.ts
@@ -137,6 +137,22 @@
   ];
 }
 
+/** Lists the use of the budget for the bytes of requests, and the decisions about it. */
+function listBodyValues({ bodies }: gateway.GatewayState): runtime.MetricSample[] {
+  const { capacityBytes, smallBytes, largeBytes, totals } = bodies;
+  const budgetBytes = Number.isFinite(capacityBytes) ? capacityBytes : 0;
+  return [
+    { name: 'body_budget_bytes', labels: {}, value: budgetBytes },
+    { name: 'body_bytes_held', labels: { size: 'small' }, value: smallBytes },
+    { name: 'body_bytes_held', labels: { size: 'large' }, value: largeBytes },
+    ...Object.entries(totals).map(([decision, value]) => ({
+      name: 'body_decisions_total',
+      labels: { decision },
+      value,
+    })),
+  ];
+}
+
 /** Lists the current values of a gateway that are not recorded as they change. */
 function listSamples(state: gateway.GatewayState, now: number): runtime.MetricSample[] {
   const version = state.index?.configuration.version ?? 0;
@@ -169,6 +185,7 @@
     { name: 'load_percent', labels: {}, value: gateway.computeLoadPercent(state.load) },
     { name: 'admitted_share', labels: {}, value: state.load.admittedShare },
     ...listOriginValues(state),
+    ...listBodyValues(state),
     ...listStatementValues(state, now),
     ...listSchedulingValues(state),
     ...listRetryValues(state),
--- a/packages/gateway/src/gateway-settings.ts
+++ b/packages/gateway/src/gateway-settings.ts
@@ -20,6 +20,8 @@
   peerListen: ListenAddress;
   /** Processor time that the process may use, in percent of one core. */
   processorPercent: number;
+  /** Memory that the process may use, MB; undefined for no limit. */
+  memoryMb: number | undefined;
   /** Addresses ("IP:port") of the gateways to contact first; some may no longer exist. */
   peerSeeds: string[];
   store: ListenAddress;
--- a/packages/gateway/src/status.ts
+++ b/packages/gateway/src/status.ts
@@ -58,6 +58,20 @@
   return [...services].map(([service, { retryTotals }]) => ({ service, ...retryTotals }));
 }
 
+/** Describes the memory that requests hold; the budget is null if there is no limit. */
+function describeBodies({ bodies }: gateway.GatewayState): Record<string, unknown> {
+  const { capacityBytes: budgetBytes, smallBytes, largeBytes, byWorkspace, waiting } = bodies;
+  return {
+    budgetBytes,
+    smallBytes,
+    largeBytes,
+    waiting: waiting.size,
+    holdMs: Math.round(bodies.holdMs),
+    workspaces: [...byWorkspace].map(([workspace, bytes]) => ({ workspace, bytes })),
+    totals: bodies.totals,
+  };
+}
+
 /** Describes the load of this process. */
 function describeLoad({ load }: gateway.GatewayState): Record<string, unknown> {
   return {
@@ -84,6 +98,7 @@
     storeRevision: state.servers.readRevision,
     requestsHeld: state.requests.size,
     load: describeLoad(state),
+    bodies: describeBodies(state),
     backendServers: [...state.servers.byId.values()],
     ignoredEntries: ignoredEntries.listIgnored(ignored),
     evacuatedDomains: gateway.listEvacuated(state.servers.evacuations),
--- a/packages/runtime/src/metric-definitions.ts
+++ b/packages/runtime/src/metric-definitions.ts
@@ -42,6 +42,18 @@
     type: MetricType.COUNTER,
     help: 'Requests refused on arrival to keep this process within its targets, by reason.',
   },
+  body_budget_bytes: {
+    type: MetricType.GAUGE,
+    help: 'Bytes of requests that this process may hold in memory; 0 for no limit.',
+  },
+  body_bytes_held: {
+    type: MetricType.GAUGE,
+    help: 'Bytes of requests that this process holds in memory, by size of the request.',
+  },
+  body_decisions_total: {
+    type: MetricType.COUNTER,
+    help: 'Claims of memory for requests, by decision.',
+  },
   connections_closed_total: {
     type: MetricType.COUNTER,
     help: 'New connections that had waited too long and were closed before anything was read.',
--- a/packages/runtime/src/metrics.ts
+++ b/packages/runtime/src/metrics.ts
@@ -43,6 +43,7 @@
   schema.ResultCode.EVICTED,
   schema.ResultCode.QUEUE_FULL,
   schema.ResultCode.GATEWAY_OVERLOADED,
+  schema.ResultCode.BODY_MEMORY_SPENT,
   schema.ResultCode.RETRY_BUDGET_SPENT,
 ]);
 
--- a/packages/schema/src/result-status.ts
+++ b/packages/schema/src/result-status.ts
@@ -33,6 +33,7 @@
   [resultPb.ResultCode.DOMAINS_EVACUATED]: 503,
   [resultPb.ResultCode.GATEWAY_OVERLOADED]: 503,
   [resultPb.ResultCode.STREAM_VERSION_UNKNOWN]: 503,
+  [resultPb.ResultCode.BODY_MEMORY_SPENT]: 503,
   [resultPb.ResultCode.LINK_LOST]: 504,
   [resultPb.ResultCode.AGENT_RESTARTED]: 502,
   [resultPb.ResultCode.KEY_UNDECIDED]: 409,
