End queued pipelined requests when their connection closes

A caller that sent several requests ahead on one connection and left was noticed for the first one only. The others went on at the backend server up to their timeout, and the memory they held was not given back: the new test, which waits for that, failed after 20 s without this change and passes in 0.2 s with it.

The HTTP library gives a response its connection only when those before it have been sent, and emits "close" only for the response that has it. The record of connections now does so for those that are queued.

--- a/packages/gateway/src/caller-connections.ts
+++ b/packages/gateway/src/caller-connections.ts
@@ -62,7 +62,12 @@
   return {
     add: (socket) => {
       connections.set(socket, { open: new Set(), requestBytes: undefined, last: undefined });
-      socket.on('close', () => connections.delete(socket));
+      socket.on('close', () => {
+        const { open } = connections.get(socket) ?? {};
+        connections.delete(socket);
+        // The HTTP library does not close responses that are queued behind another one.
+        open?.forEach((response) => response.socket === null && response.emit('close'));
+      });
     },
     hold: (response) => {
       const { socket } = response.req;
