Give back the memory of a refused request at once

With large bodies, refused callers kept the room that others waited for.

A caller that expected 100 Continue and had got it was refused without reading on, so that it could get a reset instead. Wait times are whole milliseconds: bodies that did not wait are no longer treated as late ones.

--- a/packages/gateway/src/body-reading.ts
+++ b/packages/gateway/src/body-reading.ts
@@ -38,15 +38,25 @@
  */
 const FIRST_BUFFER_BYTES = 4_194_304;
 
+/** Gives back all memory of a request. */
+function releaseAll(reading: BodyReading): void {
+  reading.isEnded = true;
+  reading.memory.releaseSmall(reading.smallBytes);
+  reading.smallBytes = 0;
+  if (reading.claim !== undefined) {
+    reading.memory.release(reading.claim);
+  }
+}
+
 /** Forgets what has been read, and refuses the request. */
 function refuse(
   reading: BodyReading,
   refusal: gateway.Refusal,
   fields: Record<string, unknown> = {},
 ): void {
-  reading.isEnded = true;
   reading.parts = [];
   reading.whole = undefined;
+  releaseAll(reading);
   reading.listener.refuse(refusal, fields);
 }
 
@@ -72,7 +82,7 @@
   const startMs = readNow();
   reading.claim ??= memory.createClaim(request.url ?? '', request.rawHeaders);
   memory.request(reading.claim, bytes, (isGranted) => {
-    reading.stoppedMs += readNow() - startMs;
+    reading.stoppedMs += Math.floor(readNow() - startMs);
     if (isGranted) {
       proceed();
     } else {
@@ -184,7 +194,7 @@
 
 /** Reads a large body, or one without a length. */
 function readLarge(options: ReadingOptions, headBytes: number, length: number | undefined): void {
-  const { memory, response } = options;
+  const { response } = options;
   const reading: BodyReading = {
     ...options,
     smallBytes: 0,
@@ -195,13 +205,7 @@
     stoppedMs: 0,
     isEnded: false,
   };
-  response.on('close', () => {
-    reading.isEnded = true;
-    memory.releaseSmall(reading.smallBytes);
-    if (reading.claim !== undefined) {
-      memory.release(reading.claim);
-    }
-  });
+  response.on('close', () => releaseAll(reading));
   if (!takeSmall(reading, headBytes)) {
     return;
   }
--- a/packages/gateway/src/early-refusal.ts
+++ b/packages/gateway/src/early-refusal.ts
@@ -21,8 +21,7 @@
   const { status, headers, body } = localResponse.buildLocalResponse(refusal);
   const length = Buffer.byteLength(body);
   response.writeHead(status, { ...headers, 'content-length': length, connection: 'close' });
-  const isAwaitingContinue = request.headers.expect !== undefined;
-  if (request.complete || isAwaitingContinue) {
+  if (request.complete) {
     response.end(body);
     return;
   }
