--- a/packages/gateway/src/backend-connections.ts
+++ b/packages/gateway/src/backend-connections.ts
@@ -5,7 +5,10 @@
  * Bytes that arrive between two requests close the connection, because the HTTP library has no
  * request that they could belong to.
  */
+import type * as net from 'node:net';
 import * as undici from 'undici';
+import * as carriedCalls from './carried-calls.js';
+import * as idleConnections from './idle-connections.js';
 
 export type BackendConnection = {
   client: undici.Client;
@@ -14,6 +17,10 @@
   /** When the process at the other end started, as it has stated on this connection. */
   bornMs: number | undefined;
   wasReset: () => boolean;
+  /** Whether bytes that belong to no response were read. */
+  hasExcess: () => boolean;
+  /** What was sent on the connection. */
+  calls: carriedCalls.CarriedCalls;
   /** Returns how many bytes have been read from the connection. */
   countBytesRead: () => number;
   /** Sets what is called when bytes have been read, before they are parsed. */
@@ -23,10 +30,15 @@
 };
 
 export type BackendConnections = {
-  /** Takes an idle connection to an address, or opens a new one. */
-  take: (address: string) => BackendConnection;
+  /**
+   * Takes an idle connection to an address, or opens a new one. No connection carries two calls with
+   * the same id: a second response to the first one could not be told from that to the other. A new
+   * connection replaces an idle one that is left for this reason, so that a caller that repeats an id
+   * does not add to their number.
+   */
+  take: (address: string, attemptId: string) => BackendConnection;
   /** Takes an idle connection to a process that has stated the given start on it, if there is one. */
-  takeKnown: (address: string, bornMs: number) => BackendConnection | undefined;
+  takeKnown: (address: string, bornMs: number, attemptId: string) => BackendConnection | undefined;
   open: (address: string) => BackendConnection;
   /**
    * Whether a connection to an address was ended by the other side or could not be opened, so that
@@ -55,12 +67,34 @@
 /** Upper limit for a keep-alive timeout that the backend server announces, milliseconds. */
 const MAX_KEEP_ALIVE_MS = 30_000;
 
+const CLIENT_OPTIONS = {
+  pipelining: 1,
+  headersTimeout: 0,
+  bodyTimeout: 0,
+  keepAliveTimeout: KEEP_ALIVE_MS,
+  keepAliveMaxTimeout: MAX_KEEP_ALIVE_MS,
+};
+/** Message of the library's error for bytes that belong to no response. */
+const EXCESS_ERROR = 'bad response';
+
 /** Returns whether an error comes from the other side or the network, not from this process. */
 function isForeign(error: Error): boolean {
   const { code, syscall } = error as NodeJS.ErrnoException;
   return code === 'UND_ERR_SOCKET' || syscall !== undefined;
 }
 
+/** Calls a listener before the library handles the end of a connection that was reset. */
+function watchResets(socket: net.Socket | null, handleReset: () => void): void {
+  socket?.prependListener('error', handleReset);
+  socket?.prependListener('end', () => {
+    // The runtime reports a reset that it reads together with the last bytes as a plain end; after it
+    // the system knows no other side any more.
+    if (socket.remoteAddress === undefined) {
+      handleReset();
+    }
+  });
+}
+
 /** Calls a listener when the other side ends a connection, or it cannot be opened. */
 function watchEnds(client: undici.Client, handleEnd: () => void): void {
   const noteError = (_url: URL, _targets: unknown, error: Error) => {
@@ -72,24 +106,26 @@
   client.on('disconnect', noteError);
 }
 
-/** Opens a connection; a listener on its socket records a reset before the library handles it. */
+type ConnectionHooks = {
+  removeIdle: (connection: BackendConnection) => void;
+  addIdle: (connection: BackendConnection) => void;
+  markDoubtful: () => void;
+  runWhenPolled: (step: () => void) => void;
+  findAttemptId: carriedCalls.FindAttemptId;
+};
+
+/** Opens a connection, and records whether it was reset. */
 function openConnection(
   address: string,
-  removeIdle: (connection: BackendConnection) => void,
-  addIdle: (connection: BackendConnection) => void,
-  markDoubtful: () => void,
-  runWhenPolled: (step: () => void) => void,
+  { removeIdle, addIdle, markDoubtful, runWhenPolled, findAttemptId }: ConnectionHooks,
 ): BackendConnection {
   let isReset = false;
+  let hasExcess = false;
   let countBytesRead = () => 0;
   let readListener = () => {};
   const connector = undici.buildConnector({ timeout: 0 });
   const client: undici.Client = new undici.Client(`http://${address}`, {
-    pipelining: 1,
-    headersTimeout: 0,
-    bodyTimeout: 0,
-    keepAliveTimeout: KEEP_ALIVE_MS,
-    keepAliveMaxTimeout: MAX_KEEP_ALIVE_MS,
+    ...CLIENT_OPTIONS,
     connect: (options, callback) => {
       // The library's own connection timers fire up to a second late.
       const timer = setTimeout(
@@ -99,7 +135,7 @@
       connector(options, (...results) => {
         clearTimeout(timer);
         const socket = results[1];
-        socket?.prependListener('error', () => {
+        watchResets(socket, () => {
           isReset = true;
         });
         socket?.on('readable', () => readListener());
@@ -113,12 +149,14 @@
     completedResponses: 0,
     bornMs: undefined,
     wasReset: () => isReset,
+    hasExcess: () => hasExcess,
+    calls: carriedCalls.createCarriedCalls(findAttemptId),
     countBytesRead: () => countBytesRead(),
     setReadListener: (listener) => {
       readListener = listener;
     },
     release: (isReusable) => {
-      if (!isReusable) {
+      if (!isReusable || carriedCalls.isFull(connection.calls)) {
         connection.completedResponses = -1;
         client.destroy();
         return;
@@ -128,7 +166,8 @@
     },
   };
   watchEnds(client, markDoubtful);
-  client.on('disconnect', () => {
+  client.on('disconnect', (_url, _targets, error) => {
+    hasExcess = error.message === EXCESS_ERROR;
     removeIdle(connection);
     client.destroy();
   });
@@ -139,51 +178,46 @@
  * Creates an empty connection pool.
  *
  * @param runWhenPolled runs a step once the event loop has read which callers have left
+ * @param findAttemptId finds the id of the call that a response states
  */
 export function createBackendConnections(
   runWhenPolled: (step: () => void) => void,
+  findAttemptId: carriedCalls.FindAttemptId,
 ): BackendConnections {
-  const idle = new Map<string, BackendConnection[]>();
+  const idle: idleConnections.IdleConnections = new Map();
   const doubtful = new Set<string>();
-  const getIdle = (address: string) => {
-    const connections = idle.get(address) ?? [];
-    idle.set(address, connections);
-    return connections;
-  };
-  const removeIdle = (address: string, connection: BackendConnection) => {
-    const connections = getIdle(address);
-    const index = connections.indexOf(connection);
-    if (index !== -1) {
-      connections.splice(index, 1);
-    }
-  };
-  const closeAll = (address: string) => {
-    const connections = idle.get(address) ?? [];
-    idle.delete(address);
-    connections.forEach(({ client }) => client.destroy());
-  };
   const open = (address: string) =>
-    openConnection(
-      address,
-      (connection) => removeIdle(address, connection),
-      (connection) => {
+    openConnection(address, {
+      removeIdle: (connection) => idleConnections.removeIdle(idle, address, connection),
+      addIdle: (connection) => {
         // If the server asked to close the connection, the client is already destroyed here.
         if (!connection.client.destroyed) {
-          getIdle(address).push(connection);
+          idleConnections.addIdle(idle, address, connection);
         }
       },
-      () => doubtful.add(address),
+      markDoubtful: () => doubtful.add(address),
       runWhenPolled,
+      findAttemptId,
+    });
+  const takeIdle = (
+    address: string,
+    attemptId: string,
+    isSuitable: (connection: BackendConnection) => boolean,
+  ) =>
+    idleConnections.takeIdle(
+      idle,
+      address,
+      (connection) =>
+        isSuitable(connection) && !carriedCalls.hasCarried(connection.calls, attemptId),
     );
+  const openInstead = (address: string) => {
+    idleConnections.closeOldest(idle, address);
+    return open(address);
+  };
   return {
-    take: (address) => getIdle(address).pop() ?? open(address),
-    takeKnown: (address, bornMs) => {
-      const known = idle.get(address)?.find((connection) => connection.bornMs === bornMs);
-      if (known !== undefined) {
-        removeIdle(address, known);
-      }
-      return known;
-    },
+    take: (address, attemptId) => takeIdle(address, attemptId, () => true) ?? openInstead(address),
+    takeKnown: (address, bornMs, attemptId) =>
+      takeIdle(address, attemptId, (connection) => connection.bornMs === bornMs),
     open,
     isDoubtful: (address) => doubtful.has(address),
     clearDoubt: (address) => doubtful.delete(address),
@@ -191,9 +225,9 @@
       [...idle.keys(), ...doubtful]
         .filter((address) => !addresses.has(address))
         .forEach((address) => {
-          closeAll(address);
+          idleConnections.closeIdle(idle, address);
           doubtful.delete(address);
         }),
-    stop: () => [...idle.keys()].forEach(closeAll),
+    stop: () => [...idle.keys()].forEach((address) => idleConnections.closeIdle(idle, address)),
   };
 }
--- a/packages/gateway/src/body-reading.ts
+++ b/packages/gateway/src/body-reading.ts
@@ -3,6 +3,7 @@
 import * as gateway from '@toucanproxy/core/gateway';
 import * as schema from '@toucanproxy/schema';
 import type * as bodyMemory from './body-memory.js';
+import * as byteCollector from './byte-collector.js';
 
 export type BodyListener = {
   /** Called with the whole body and for how long reading was stopped, milliseconds. */
@@ -24,8 +25,8 @@
   /** Taken as for a small request. */
   smallBytes: number;
   claim: gateway.BodyClaim | undefined;
-  /** What has been read: the parts of a small body, or the buffer of a large one. */
-  parts: Buffer[];
+  /** What has been read of a small body, and the buffer of a large one. */
+  collector: byteCollector.ByteCollector;
   whole: Buffer | undefined;
   bytes: number;
   stoppedMs: number;
@@ -54,7 +55,7 @@
   refusal: gateway.Refusal,
   fields: Record<string, unknown> = {},
 ): void {
-  reading.parts = [];
+  byteCollector.takeBytes(reading.collector);
   reading.whole = undefined;
   releaseAll(reading);
   reading.listener.refuse(refusal, fields);
@@ -98,17 +99,16 @@
     part.copy(whole, bytes);
     reading.memory.noteCopied(part.length);
   } else {
-    reading.parts.push(part);
+    byteCollector.addBytes(reading.collector, part);
   }
   reading.bytes += part.length;
 }
 
 /** Copies what has been read to a buffer of the given length, which has been granted. */
 function copyToBuffer(reading: BodyReading, length: number): void {
-  const { memory, claim, whole, parts } = reading;
+  const { memory, claim, whole, collector } = reading;
   const buffer = Buffer.allocUnsafeSlow(length);
-  (whole === undefined ? parts : [whole]).reduce((at, part) => at + part.copy(buffer, at), 0);
-  reading.parts = [];
+  (whole ?? byteCollector.takeBytes(collector)).copy(buffer);
   reading.whole = buffer;
   if (claim !== undefined && whole !== undefined) {
     memory.releasePart(claim, whole.length);
@@ -142,7 +142,7 @@
 
 /** Passes on a body that has been read completely. */
 function complete(reading: BodyReading): void {
-  const { parts, bytes, claim, memory, request, listener, stoppedMs } = reading;
+  const { collector, bytes, claim, memory, request, listener, stoppedMs } = reading;
   if (reading.isEnded || !request.complete) {
     return;
   }
@@ -151,9 +151,8 @@
     memory.releasePart(claim, claim.heldBytes - bytes);
   }
   reading.isEnded = true;
-  reading.parts = [];
   reading.whole = undefined;
-  listener.receive(whole ?? (parts.length === 1 ? parts[0] : Buffer.concat(parts)), stoppedMs);
+  listener.receive(whole ?? byteCollector.takeBytes(collector), stoppedMs);
 }
 
 /** Begins to read; a caller that waits for permission to send its body gets it. */
@@ -170,7 +169,7 @@
   request.on('end', () => complete(reading));
 }
 
-/** Reads a small body whose length is stated; it is held in the parts in which it arrives. */
+/** Reads a small body whose length is stated. */
 function readSmall(
   { memory, request, response, listener }: ReadingOptions,
   takenBytes: number,
@@ -183,11 +182,11 @@
   if (request.headers.expect !== undefined) {
     response.writeContinue();
   }
-  const parts: Buffer[] = [];
-  request.on('data', (part: Buffer) => parts.push(part));
+  const collector = byteCollector.createByteCollector();
+  request.on('data', (part: Buffer) => byteCollector.addBytes(collector, part));
   request.on('end', () => {
     if (request.complete) {
-      listener.receive(parts.length === 1 ? parts[0] : Buffer.concat(parts), 0);
+      listener.receive(byteCollector.takeBytes(collector), 0);
     }
   });
 }
@@ -199,7 +198,7 @@
     ...options,
     smallBytes: 0,
     claim: undefined,
-    parts: [],
+    collector: byteCollector.createByteCollector(),
     whole: undefined,
     bytes: 0,
     stoppedMs: 0,
--- a/packages/gateway/src/incarnation-check.ts
+++ b/packages/gateway/src/incarnation-check.ts
@@ -7,6 +7,7 @@
  */
 import * as backendAttempt from './backend-attempt.js';
 import type * as backendConnections from './backend-connections.js';
+import * as byteCollector from './byte-collector.js';
 
 export type IncarnationCheckOptions = {
   connection: backendConnections.BackendConnection;
@@ -31,8 +32,7 @@
   parseStart,
   settle,
 }: IncarnationCheckOptions): { abort: () => void } {
-  const chunks: Buffer[] = [];
-  let bytes = 0;
+  const report = byteCollector.createByteCollector();
   let isReport = false;
   let isOver = false;
   let timer: NodeJS.Timeout | undefined;
@@ -46,21 +46,25 @@
   const endUnknown = () => end(undefined);
   const attempt = backendAttempt.startAttempt(connection, request, {
     canSend: () => !isOver,
-    onHead: (status) => {
+    onHead: (status, headers) => {
+      // A response that states the id of a request is a late one to that request.
+      if (connection.calls.findAttemptId(status, headers) !== undefined) {
+        endUnknown();
+        return false;
+      }
       isReport = status === STATUS_OK;
       return true;
     },
     onData: (chunk) => {
-      bytes += chunk.length;
-      chunks.push(chunk);
-      if (bytes > MAX_REPORT_BYTES) {
+      byteCollector.addBytes(report, chunk);
+      if (report.length > MAX_REPORT_BYTES) {
         attempt.abort();
         endUnknown();
       }
       return true;
     },
     onEnd: () => {
-      connection.bornMs = isReport ? parseStart(Buffer.concat(chunks)) : undefined;
+      connection.bornMs = isReport ? parseStart(byteCollector.takeBytes(report)) : undefined;
       end(connection.bornMs);
     },
     onWithdrawn: endUnknown,
