Break off a stream in which a status line stands where a field belongs

Cause: such a head identifies no response, so it counted as body, and an event stream passes on lines that are no field of an event.

Change: in a response that states that it consists of events, a status line where a field belongs cannot be part of it. The events before it are passed on, then the stream counts as broken. Text of other types, and data that quotes HTTP, are not concerned.

Evidence: 'second response cut before its id is no event of /stream/ (and /resumable/)' failed before and passes now.

--- a/packages/gateway/src/event-stream.ts
+++ b/packages/gateway/src/event-stream.ts
@@ -27,6 +27,10 @@
   hasEventField: boolean;
   /** A line was read that is neither such a field nor a comment. */
   hasOtherLine: boolean;
+  /** The response states that it consists of events, so that no other text is expected. */
+  isStated: boolean;
+  /** A status line was read where a field belongs; such a stream is not read further. */
+  hasStatusLine: boolean;
   /** The event that is being read has fields already. */
   hasFields: boolean;
   hasData: boolean;
@@ -40,6 +44,7 @@
 export type CompleteEvents = { bytes: Buffer; events: number };
 
 const EVENT_FIELDS = ['data', 'event', 'id', 'retry'];
+const STATUS_LINE = /^HTTP\/1\.[01] [1-9]\d\d/;
 const LF = 0x0a;
 const CR = 0x0d;
 const EMPTY = Buffer.alloc(0);
@@ -62,6 +67,8 @@
     isAfterReturn: false,
     hasEventField: false,
     hasOtherLine: false,
+    isStated: false,
+    hasStatusLine: false,
     hasFields: false,
     hasData: false,
     id: undefined,
@@ -115,6 +122,7 @@
   const colon = line.indexOf(':');
   const name = colon === -1 ? line : line.slice(0, colon);
   const isEventField = EVENT_FIELDS.includes(name);
+  stream.hasStatusLine = stream.isStated && (stream.hasStatusLine || STATUS_LINE.test(line));
   stream.hasEventField = stream.hasEventField || isEventField;
   stream.hasOtherLine = stream.hasOtherLine || !isEventField;
   stream.hasData = stream.hasData || name === 'data';
@@ -177,7 +185,7 @@
   let events = 0;
   let end = 0;
   let at = 0;
-  while (at < chunk.length) {
+  while (at < chunk.length && !stream.hasStatusLine) {
     if (stream.isAfterReturn && chunk[at] === LF) {
       at += 1;
     } else {
--- a/packages/gateway/src/response-relay.ts
+++ b/packages/gateway/src/response-relay.ts
@@ -53,6 +53,7 @@
     relayState.endWithFault(relay, gateway.AttemptFault.FAILED, `resumed-${head.status}`);
     return false;
   }
+  relay.eventStream.isStated = relay.statesEvents;
   relay.head = { ...head, headers: endToEndHeaders.listEndToEnd(head.headers) };
   relay.isStream = isStream;
   return true;
@@ -79,7 +80,8 @@
 /** Reads a chunk of a stream; returns what can be forwarded of it. */
 function readEvents(relay: relayState.Relay, chunk: Buffer): eventStream.CompleteEvents {
   if (!relay.options.held.request.repeatable) {
-    return { bytes: chunk, events: eventStream.readChunk(relay.eventStream, chunk).events };
+    const { events, end } = eventStream.readChunk(relay.eventStream, chunk);
+    return { bytes: relay.eventStream.hasStatusLine ? chunk.subarray(0, end) : chunk, events };
   }
   return eventStream.pushChunk(relay.eventStream, chunk);
 }
@@ -94,12 +96,21 @@
     relayState.endWithFault(relay, gateway.AttemptFault.BROKEN, 'event-too-long');
     return true;
   }
-  if (complete.bytes.length === 0) {
-    return true;
+  const canContinue = complete.bytes.length === 0 || writeEvents(relay, complete);
+  if (relay.eventStream.hasStatusLine) {
+    relayState.endWithFault(relay, gateway.AttemptFault.BROKEN, 'extra-response');
   }
-  recordEvents(relay, Math.max(complete.events, 1));
+  return canContinue;
+}
+
+/** Sends events to the caller; returns false if it reads too slowly. */
+function writeEvents(
+  relay: relayState.Relay,
+  { bytes, events }: eventStream.CompleteEvents,
+): boolean {
+  recordEvents(relay, Math.max(events, 1));
   relayState.startResponseOnce(relay);
-  return relay.options.held.exchange.response.write(complete.bytes);
+  return relay.options.held.exchange.response.write(bytes);
 }
 
 /** Handles a chunk of a response body; returns false if the caller reads too slowly. */
