--- a/packages/gateway/src/backend-connections.test.ts
+++ b/packages/gateway/src/backend-connections.test.ts
@@ -2,8 +2,10 @@
 import * as http from 'node:http';
 import type * as net from 'node:net';
 import * as nodeTest from 'node:test';
+import * as util from 'node:util';
 import * as backendAttempt from './backend-attempt.js';
 import * as backendConnections from './backend-connections.js';
+import * as carriedCalls from './carried-calls.js';
 
 const { test } = nodeTest;
 
@@ -35,7 +37,7 @@
         onBroken: (reason) => reject(new Error(reason)),
       });
     });
-  return { connections, address, send };
+  return { server, connections, address, send };
 }
 
 test('request is not sent twice over one connection', async (context) => {
@@ -55,3 +57,31 @@
   assert.equal(connections.takeKnown(address, 1, 'a'), undefined);
   assert.equal(connections.takeKnown(address, 1, 'b'), connection);
 });
+
+test('calls with the same id leave no connections open behind them', async (context) => {
+  // Guards against a caller that repeats an id until the server has no connections left for others.
+  const { server, send } = await openPool(context);
+  const countOpen = util.promisify(server.getConnections.bind(server));
+  for (let call = 0; call < 20; call += 1) {
+    await send('a');
+  }
+  const open = await countOpen();
+  assert.ok(open <= 3, `${open} connections are open`);
+});
+
+test('connection knows all calls that it has carried', async (context) => {
+  // Guards against a late second response to a call so long ago that its id is no longer known: it
+  // would count as part of the body that is being received.
+  const { send } = await openPool(context);
+  const idsByConnection = new Map<backendConnections.BackendConnection, string[]>();
+  for (let call = 0; call < 600; call += 1) {
+    const connection = await send(`id-${call}`);
+    const ids = idsByConnection.get(connection) ?? [];
+    idsByConnection.set(connection, [...ids, `id-${call}`]);
+  }
+  const isKnown = [...idsByConnection].every(([{ calls }, ids]) =>
+    ids.every((id) => carriedCalls.hasCarried(calls, id)),
+  );
+  assert.equal(isKnown, true);
+  assert.ok(idsByConnection.size < 10, `${idsByConnection.size} connections`);
+});
--- a/packages/gateway/src/backend-connections.ts
+++ b/packages/gateway/src/backend-connections.ts
@@ -5,6 +5,7 @@
  * Bytes that arrive between two requests close the connection, because the HTTP library has no
  * request that they could belong to.
  */
+import type * as net from 'node:net';
 import * as undici from 'undici';
 import * as carriedCalls from './carried-calls.js';
 import * as connectionGroups from './connection-groups.js';
@@ -17,6 +18,8 @@
   /** When the process at the other end started, as it has stated on this connection. */
   bornMs: number | undefined;
   wasReset: () => boolean;
+  /** Whether bytes that belong to no response were read. */
+  hasExcess: () => boolean;
   /** What was sent on the connection. */
   calls: carriedCalls.CarriedCalls;
   /** Returns how many bytes have been read from the connection. */
@@ -30,7 +33,9 @@
 export type BackendConnections = {
   /**
    * Takes an idle connection to an address, or opens a new one. No connection carries two calls with
-   * the same id: a second response to the first one could not be told from that to the other.
+   * the same id: a second response to the first one could not be told from that to the other. A new
+   * connection replaces an idle one that is left for this reason, so that a caller that repeats an id
+   * does not add to their number.
    */
   take: (address: string, attemptId: string) => BackendConnection;
   /** Takes an idle connection to a process that has stated the given start on it, if there is one. */
@@ -64,12 +69,34 @@
 /** Upper limit for a keep-alive timeout that the backend server announces, milliseconds. */
 const MAX_KEEP_ALIVE_MS = 30_000;
 
+const CLIENT_OPTIONS = {
+  pipelining: 1,
+  headersTimeout: 0,
+  bodyTimeout: 0,
+  keepAliveTimeout: KEEP_ALIVE_MS,
+  keepAliveMaxTimeout: MAX_KEEP_ALIVE_MS,
+};
+/** Message of the library's error for bytes that belong to no response. */
+const EXCESS_ERROR = 'bad response';
+
 /** Returns whether an error comes from the other side or the network, not from this process. */
 function isForeign(error: Error): boolean {
   const { code, syscall } = error as NodeJS.ErrnoException;
   return code === 'UND_ERR_SOCKET' || syscall !== undefined;
 }
 
+/** Calls a listener before the library handles the end of a connection that was reset. */
+function watchResets(socket: net.Socket | null, handleReset: () => void): void {
+  socket?.prependListener('error', handleReset);
+  socket?.prependListener('end', () => {
+    // The runtime reports a reset that it reads together with the last bytes as a plain end; after it
+    // the system knows no other side any more.
+    if (socket.remoteAddress === undefined) {
+      handleReset();
+    }
+  });
+}
+
 /** Calls a listener when the other side ends a connection, or it cannot be opened. */
 function watchEnds(client: undici.Client, handleEnd: () => void): void {
   const noteError = (_url: URL, _targets: unknown, error: Error) => {
@@ -94,27 +121,24 @@
   findAttemptId: carriedCalls.FindAttemptId;
 };
 
-/** Opens a connection; a listener on its socket records a reset before the library handles it. */
+/** Opens a connection, and records whether it was reset. */
 function openConnection(
   address: string,
   { removeClosed, addIdle, markDoubtful, runWhenPolled, findAttemptId }: ConnectionHooks,
 ): BackendConnection {
   let isReset = false;
+  let hasExcess = false;
   let countBytesRead = () => 0;
   let readListener = () => {};
   const connector = undici.buildConnector({ timeout: 0 });
   const client: undici.Client = new undici.Client(`http://${address}`, {
-    pipelining: 1,
-    headersTimeout: 0,
-    bodyTimeout: 0,
-    keepAliveTimeout: KEEP_ALIVE_MS,
-    keepAliveMaxTimeout: MAX_KEEP_ALIVE_MS,
+    ...CLIENT_OPTIONS,
     connect: (options, callback) => {
       const timer = startConnectTimer(client);
       connector(options, (...results) => {
         clearTimeout(timer);
         const socket = results[1];
-        socket?.prependListener('error', () => {
+        watchResets(socket, () => {
           isReset = true;
         });
         socket?.on('readable', () => readListener());
@@ -128,13 +152,14 @@
     completedResponses: 0,
     bornMs: undefined,
     wasReset: () => isReset,
+    hasExcess: () => hasExcess,
     calls: carriedCalls.createCarriedCalls(findAttemptId),
     countBytesRead: () => countBytesRead(),
     setReadListener: (listener) => {
       readListener = listener;
     },
     release: (isReusable) => {
-      if (!isReusable) {
+      if (!isReusable || carriedCalls.isFull(connection.calls)) {
         connection.completedResponses = -1;
         removeClosed(connection);
         client.destroy();
@@ -145,7 +170,8 @@
     },
   };
   watchEnds(client, markDoubtful);
-  client.on('disconnect', () => {
+  client.on('disconnect', (_url, _targets, error) => {
+    hasExcess = error.message === EXCESS_ERROR;
     removeClosed(connection);
     client.destroy();
   });
@@ -195,8 +221,12 @@
       (connection) =>
         isSuitable(connection) && !carriedCalls.hasCarried(connection.calls, attemptId),
     );
+  const openInstead = (address: string) => {
+    idleConnections.closeOldest(idle, address);
+    return open(address);
+  };
   return {
-    take: (address, attemptId) => takeIdle(address, attemptId, () => true) ?? open(address),
+    take: (address, attemptId) => takeIdle(address, attemptId, () => true) ?? openInstead(address),
     takeKnown: (address, bornMs, attemptId) =>
       takeIdle(address, attemptId, (connection) => connection.bornMs === bornMs),
     open,
--- a/packages/gateway/src/carried-calls.ts
+++ b/packages/gateway/src/carried-calls.ts
@@ -2,6 +2,7 @@
  * The calls that a connection has carried, to tell a further response to one of them from the body
  * of another.
  */
+import * as crypto from 'node:crypto';
 import * as runtime from '@toucanproxy/runtime';
 import type * as wireProtocol from './wire-protocol.js';
 
@@ -13,22 +14,24 @@
 
 export type CarriedCalls = {
   findAttemptId: FindAttemptId;
-  /** Beginnings of the ids of the last calls. */
+  /** Ids of all calls; of a long one its digest. */
   ids: Set<string>;
+  /** What is kept of the id of the present call; undefined if it has none. */
+  presentId: string | undefined;
   /** Heads of responses that state no id, such as that to a call for the server's report. */
   plainHeads: Set<string>;
 };
 
-/** Number of calls to which a connection may still bring a further response. */
-const MAX_IDS = 64;
+/** Number of calls that a connection carries, to limit the memory for their ids. */
+const MAX_CALLS = 256;
 /** Number of different heads without an id that are known. */
 const MAX_PLAIN_HEADS = 4;
-/** Compared part of an id; characters. */
+/** A longer id is kept as its digest, to limit the memory; characters. */
 const MAX_ID_LENGTH = 64;
 
 /** Creates the record of a new connection. */
 export function createCarriedCalls(findAttemptId: FindAttemptId): CarriedCalls {
-  return { findAttemptId, ids: new Set(), plainHeads: new Set() };
+  return { findAttemptId, ids: new Set(), presentId: undefined, plainHeads: new Set() };
 }
 
 /** Describes a head by its status and the names of its headers. */
@@ -37,13 +40,26 @@
   return [status, ...names].join(' ').toLowerCase();
 }
 
+/** Returns what is kept of an id. Long ids may differ in their last characters alone. */
+function toKept(attemptId: string): string {
+  return attemptId.length <= MAX_ID_LENGTH
+    ? attemptId
+    : crypto.createHash('sha256').update(attemptId, 'latin1').digest('base64');
+}
+
 /** Records that a call was sent. */
 export function recordCall(calls: CarriedCalls, attemptId: string): void {
-  calls.ids.add(attemptId.slice(0, MAX_ID_LENGTH));
-  if (calls.ids.size > MAX_IDS) {
-    const [oldest] = calls.ids;
-    calls.ids.delete(oldest);
-  }
+  const id = toKept(attemptId);
+  calls.ids.add(id);
+  calls.presentId = id;
+}
+
+/**
+ * Returns whether a connection may carry no more calls. Were ids dropped instead, a late response to
+ * one of them would count as part of a body.
+ */
+export function isFull({ ids }: CarriedCalls): boolean {
+  return ids.size >= MAX_CALLS;
 }
 
 /** Records the head of a response to a call without an id, unless it states one. */
@@ -57,14 +73,15 @@
   }
 }
 
-/** Returns whether one of the last calls had this id. */
+/** Returns whether one of the calls had this id. */
 export function hasCarried({ ids }: CarriedCalls, attemptId: string): boolean {
-  return ids.has(attemptId.slice(0, MAX_ID_LENGTH));
+  return ids.has(toKept(attemptId));
 }
 
 /**
  * Judges a head inside a body by the id that it states. An id that was sent on the connection proves a
- * further response; another one may be quoted in a body. Without an id, only a head like that of a
+ * further response; another one may be quoted in a body. A further response to an earlier call may
+ * arrive at any time, also before the body has ended. Without an id, only a head like that of a
  * response that stated none before may begin one.
  */
 export function judgeHead(
@@ -77,5 +94,8 @@
   if (attemptId === undefined) {
     return calls.plainHeads.has(describeHead(status, headers)) ? UNCERTAIN : BODY;
   }
-  return hasCarried(calls, attemptId) ? RESPONSE : BODY;
+  if (!hasCarried(calls, attemptId)) {
+    return BODY;
+  }
+  return toKept(attemptId) === calls.presentId ? RESPONSE : UNCERTAIN;
 }
--- a/packages/runtime/src/extra-response.test.ts
+++ b/packages/runtime/src/extra-response.test.ts
@@ -8,6 +8,9 @@
 const OWN_HEAD = 'HTTP/1.1 200 OK\r\nCall-Id: own\r\nContent-Length: 2\r\n\r\n';
 const QUOTED_HEAD = 'HTTP/1.1 200 OK\r\nCall-Id: other\r\n\r\n';
 
+/** Limit of the processor time of a scan of 16 KiB, microseconds. */
+const MAX_SCAN_US = 2_000_000;
+
 /** Takes a head that states the id `own` for that of another response. */
 function judgeHead(_: number, headers: string[]): extraResponse.HeadVerdict {
   const id = headers.find(
@@ -111,3 +114,31 @@
   assert.equal(result.body.toString(), 'a ');
   assert.equal(extraResponse.releaseHeld(scan).body.toString(), 'HTTP/1.1 200 OK\r\n');
 });
+
+test('bytes after a line that ends with CR alone are not held back', () => {
+  // Guards against holding back the events that follow one that quotes a status line, as only a line
+  // that ends with LF was read as a whole one.
+  const scan = extraResponse.createResponseScan(judgeHead);
+  ['data: HTTP/1.1 200 OK\r\r', 'data: b\r\r'].forEach((event) =>
+    assert.equal(extraResponse.scanChunk(scan, Buffer.from(event)).body.toString(), event),
+  );
+});
+
+test('quoted head in single bytes is scanned in little time', () => {
+  // Guards against reading all lines again at each chunk, which keeps the process from its other calls.
+  const scan = extraResponse.createResponseScan(judgeHead);
+  const bytes = Buffer.from(`HTTP/1.1 200 OK\n${'A: b\n'.repeat(3200)}`);
+  const before = process.cpuUsage();
+  bytes.forEach((_, at) => extraResponse.scanChunk(scan, bytes.subarray(at, at + 1)));
+  const { user } = process.cpuUsage(before);
+  assert.ok(user < MAX_SCAN_US, `${user} us`);
+});
+
+test('head that is cut short before other text leaves the end uncertain', () => {
+  // Guards against a second response that ends within its head, inside the body of another one.
+  const cut = OWN_HEAD.slice(0, OWN_HEAD.indexOf('Content-Length') + 4);
+  const parts = ['id: 1\n\n', cut, 'id: 2\n: v1\n\n'];
+  assert.deepEqual(scanParts(parts), { body: 'id: 1\n\n', found: UNCERTAIN });
+  const quoted = ['id: 1\n\n', cut.replace('own', 'other'), 'id: 2\n: v1\n\n'];
+  assert.deepEqual(scanParts(quoted), { body: quoted.join(''), found: BODY });
+});
