Send the parts of a report in order in a test of the check

'server that states the start 8 is present only if it is the sender' failed once of the gateway's tests at a load of 26: the body was sent 20 ms after the connection was accepted, which may be before the request is read and the head sent. The body now follows the head.

--- a/packages/gateway/src/server-check.test.ts
+++ b/packages/gateway/src/server-check.test.ts
@@ -136,8 +136,10 @@
   test(`server that states the start ${stated} is present only if it is the sender`, async (context) => {
     // Guards against an incarnation that answers for the one that has gone.
     const { port } = await startServer(context, (socket) => {
-      socket.once('data', () => socket.write(`HTTP/1.1 200 X\r\nContent-Length: 1\r\n\r\n`));
-      setTimeout(() => socket.write(stated), 20);
+      socket.once('data', () => {
+        socket.write('HTTP/1.1 200 X\r\nContent-Length: 1\r\n\r\n');
+        setImmediate(() => socket.write(stated));
+      });
     });
     assert.equal(await runCheck(port), stated === '7');
   }),
