--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -6,3 +6,7 @@
 for file in review/stand-ins-2/*.js review/[4-8]/case.js; do
   node --check "$file"
 done
+# One of them is a Perl program; the cases 4 and 5, which need it, exit with 2 without Perl.
+if command -v perl >/dev/null; then
+  perl -c review/stand-ins-2/slow-link.pl
+fi
--- a/review/stand-ins-2/processes.js
+++ b/review/stand-ins-2/processes.js
@@ -94,6 +94,7 @@
     hosts.map(async (host, at) => {
       const frontendPort = await findPort(host);
       const readinessPort = await findPort(host);
+      const metricsPort = await findPort(host);
       const settings = {
         nodeName: `edge-${at + 1}`,
         role: 'gateway',
@@ -137,7 +138,8 @@
         },
       };
       const file = path.join(folder, `node-${at + 1}.json`);
-      return { name: settings.nodeName, host, frontendPort, readinessPort, settings, file };
+      const name = settings.nodeName;
+      return { name, host, frontendPort, readinessPort, metricsPort, settings, file };
     }),
   );
 }
@@ -148,7 +150,12 @@
   const log = fs.openSync(`${gateway.file}.log`, 'a');
   gateway.child = childProcess.spawn(process.execPath, GATEWAY_COMMAND, {
     cwd: ROOT,
-    env: { PATH: process.env.PATH, HOME: process.env.HOME, TOUCANPROXY_SETTINGS: gateway.file },
+    env: {
+      PATH: process.env.PATH,
+      HOME: process.env.HOME,
+      TOUCANPROXY_SETTINGS: gateway.file,
+      TOUCAN_METRICS_PORT: String(gateway.metricsPort),
+    },
     stdio: ['ignore', log, log],
   });
   fs.closeSync(log);
