Log what connections are open for when a stopping gateway closes its port and exits

`port-closed` (new) and `stopped` count the open connections: responding, reading (a part of a request has been read), unused, idle. Nothing else changes.

--- a/packages/gateway/src/caller-connections.ts
+++ b/packages/gateway/src/caller-connections.ts
@@ -16,6 +16,18 @@
   last: http.ServerResponse | undefined;
 };
 
+/** What connections are open for, at the end of a shutdown. */
+export type ConnectionCounts = {
+  /** A response has not left the process. */
+  responding: number;
+  /** A part of a request has been read. */
+  reading: number;
+  /** Nothing has been read. */
+  unused: number;
+  /** The last request has its response. */
+  idle: number;
+};
+
 export type CallerConnections = {
   add: (socket: net.Socket) => void;
   /**
@@ -27,10 +39,33 @@
   closeAfterResponses: () => void;
   /** Counts the responses that are held. */
   countOpen: () => number;
+  /** Counts the connections by what they are open for. */
+  countConnections: () => ConnectionCounts;
   /** Closes connections without a request, now and as they become idle. */
   closeIdle: () => void;
 };
 
+/** Finds what a connection is open for. */
+function findUse(socket: net.Socket, connection: Connection): keyof ConnectionCounts {
+  const { open, requestBytes } = connection;
+  if (open.size > 0) {
+    return 'responding';
+  }
+  if (socket.bytesRead !== (requestBytes ?? 0)) {
+    return 'reading';
+  }
+  return requestBytes === undefined ? 'unused' : 'idle';
+}
+
+/** Counts connections by what they are open for. */
+function countUses(connections: Map<net.Socket, Connection>): ConnectionCounts {
+  const counts = { responding: 0, reading: 0, unused: 0, idle: 0 };
+  connections.forEach((connection, socket) => {
+    counts[findUse(socket, connection)] += 1;
+  });
+  return counts;
+}
+
 /** Chooses the newest response of a connection as its last one; returns false if it is too late. */
 function chooseLast(connection: Connection): boolean {
   const { last, open } = connection;
@@ -54,8 +89,8 @@
   let isLeaving = false;
   let isClosing = false;
   const closeIfIdle = (socket: net.Socket) => {
-    const { open, requestBytes } = connections.get(socket) ?? {};
-    if (open?.size === 0 && socket.bytesRead === requestBytes) {
+    const connection = connections.get(socket);
+    if (connection !== undefined && findUse(socket, connection) === 'idle') {
       socket.destroySoon();
     }
   };
@@ -95,6 +130,7 @@
       connections.forEach(chooseLast);
     },
     countOpen: () => [...connections.values()].reduce((sum, { open }) => sum + open.size, 0),
+    countConnections: () => countUses(connections),
     closeIdle: () => {
       isClosing = true;
       [...connections.keys()].forEach(closeIfIdle);
--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -25,6 +25,8 @@
   stopListening: () => void;
   /** Counts the requests that are being read or whose response has not left the process. */
   countOpen: () => number;
+  /** Counts the connections by what they are open for. */
+  countConnections: () => callerConnections.ConnectionCounts;
   stop: () => void;
 };
 
@@ -273,6 +275,7 @@
       state.connections.closeIdle();
     },
     countOpen: state.connections.countOpen,
+    countConnections: state.connections.countConnections,
     stop: () => {
       state.acceptDelay.stop();
       server.close();
--- a/packages/gateway/src/shutdown.ts
+++ b/packages/gateway/src/shutdown.ts
@@ -59,12 +59,14 @@
     if (!isEnded) {
       isEnded = true;
       clearInterval(idleTimer);
-      log.writeAlways('stopped', { held: task.countPhases() });
+      const connections = callers.countConnections();
+      log.writeAlways('stopped', { held: task.countPhases(), connections });
       stopped();
     }
   };
   setTimeout(() => {
     callers.stopListening();
+    log.writeAlways('port-closed', { connections: callers.countConnections() });
     if (!isEnded) {
       idleTimer = runWhenIdle(callers, end);
     }
