Accept the connections that wait before a stopping gateway closes its port

What callers saw: whole requests on new connections were reset without a byte 3.5 s after SIGTERM, and so were requests on kept connections that had arrived but were not read.

Cause: a timer closed the listening socket and the idle connections. Timers fire before the event loop polls, and the loop accepts one connection in each turn, so the kernel's queue held connections with whole requests, and idle connections held unread ones; closing resets both.

Change: the port stays open until no request is left, and is closed right after a turn of the loop that accepted nothing and was not interrupted; idle connections are closed after a poll. Closing at 3.5 s with an empty queue was weighed (docs/design/shutdown.md). What remains: a handshake in progress at that moment is reset.

--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -21,8 +21,10 @@
   applyBounds: (bounds: gateway.CallerBounds) => void;
   /** Closes each connection after its next response. */
   beginShutdown: () => void;
-  /** Stops accepting connections and closes idle ones, now and as they become idle. */
-  stopListening: () => void;
+  /** Closes idle connections, now and as they become idle. */
+  closeIdle: () => void;
+  /** Accepts the connections that wait, and closes the listening socket; then calls `stopped`. */
+  stopListening: (stopped: () => void) => void;
   /** Counts the requests that are being read or whose response has not left the process. */
   countOpen: () => number;
   /** Counts the connections by what they are open for. */
@@ -269,11 +271,12 @@
       server.keepAliveTimeout = bounds.idleTimeoutMs;
     },
     beginShutdown: state.connections.closeAfterResponses,
-    stopListening: () => {
+    stopListening: (stopped) => {
       // The method of the HTTP server would also close connections whose response is being read.
-      net.Server.prototype.close.call(server);
-      state.connections.closeIdle();
+      const close = () => net.Server.prototype.close.call(server);
+      runtime.closeWhenDrained(server, clocks.readSteadyMs, close, stopped);
     },
+    closeIdle: state.connections.closeIdle,
     countOpen: state.connections.countOpen,
     countConnections: state.connections.countConnections,
     stop: () => {
--- a/packages/gateway/src/shutdown.ts
+++ b/packages/gateway/src/shutdown.ts
@@ -17,18 +17,33 @@
   stopped: () => void;
 };
 
+enum ShutdownStep {
+  /** The port is open; a caller that comes late is refused. */
+  LISTENING,
+  /** The port is being closed or is closed. */
+  CLOSING,
+  ENDED,
+}
+
+type ShutdownRun = {
+  dependencies: ShutdownDependencies;
+  step: ShutdownStep;
+  idleTimer: NodeJS.Timeout | undefined;
+};
+
 /**
- * Time for which new connections are still accepted, milliseconds. The load balancer checks
- * readiness once a second and needs two failed checks; until then it still sends callers, which
- * would otherwise find a closed port.
+ * Time after which the process may stop to accept connections, milliseconds. The load balancer checks
+ * readiness once a second and needs two failed checks; until then it still sends callers.
  */
 const ACCEPT_AFTER_SHUTDOWN_MS = 3500;
-/** Time without requests after which the process exits, milliseconds. */
+/** Time without requests after which the port closes, and then the process exits, milliseconds. */
 const IDLE_MS = 200;
 /** Interval at which this is checked, milliseconds. */
 const CHECK_MS = 50;
 /** Time before the end of the grace period at which the process exits, milliseconds. */
 const EXIT_MS = 100;
+/** Time before the exit at which the port closes in any case, milliseconds. */
+const CLOSE_MS = 200;
 
 /** Runs a step once there has been no request for a while. */
 function runWhenIdle({ countOpen }: callerServer.CallerServer, step: () => void): NodeJS.Timeout {
@@ -44,34 +59,60 @@
   return timer;
 }
 
+/** Ends the shutdown. */
+function end(run: ShutdownRun): void {
+  const { dependencies, step, idleTimer } = run;
+  if (step === ShutdownStep.ENDED) {
+    return;
+  }
+  run.step = ShutdownStep.ENDED;
+  clearInterval(idleTimer);
+  const { callers, task, log, stopped } = dependencies;
+  const connections = callers.countConnections();
+  log.writeAlways('stopped', { held: task.countPhases(), connections });
+  stopped();
+}
+
+/** Closes the port. Callers that connected before are served until they have been idle for a while. */
+function closePort(run: ShutdownRun): void {
+  const { dependencies, step, idleTimer } = run;
+  if (step !== ShutdownStep.LISTENING) {
+    return;
+  }
+  run.step = ShutdownStep.CLOSING;
+  clearInterval(idleTimer);
+  const { callers, log } = dependencies;
+  callers.stopListening(() => {
+    log.writeAlways('port-closed', { connections: callers.countConnections() });
+    if (run.step === ShutdownStep.CLOSING) {
+      run.idleTimer = runWhenIdle(callers, () => end(run));
+    }
+  });
+}
+
 /** Begins a graceful shutdown; `stopped` is called at its end. */
 export function beginShutdown(dependencies: ShutdownDependencies): void {
-  const { state, stopMs, callers, task, peers, log, stopped } = dependencies;
+  const { state, stopMs, callers, task, peers, log } = dependencies;
   if (!gateway.beginShutdown(state, stopMs, clocks.readSteadyMs())) {
     return;
   }
   log.writeAlways('shutdown', { held: task.countPhases() });
   callers.beginShutdown();
   peers.sendLeaving();
-  let isEnded = false;
-  let idleTimer: NodeJS.Timeout | undefined;
-  const end = () => {
-    if (!isEnded) {
-      isEnded = true;
-      clearInterval(idleTimer);
-      const connections = callers.countConnections();
-      log.writeAlways('stopped', { held: task.countPhases(), connections });
-      stopped();
-    }
-  };
+  const run: ShutdownRun = { dependencies, step: ShutdownStep.LISTENING, idleTimer: undefined };
   setTimeout(() => {
-    callers.stopListening();
-    log.writeAlways('port-closed', { connections: callers.countConnections() });
-    if (!isEnded) {
-      idleTimer = runWhenIdle(callers, end);
+    setImmediate(callers.closeIdle);
+    if (run.step === ShutdownStep.LISTENING) {
+      run.idleTimer = runWhenIdle(callers, () => closePort(run));
     }
   }, ACCEPT_AFTER_SHUTDOWN_MS);
   // After a stall of the event loop, responses may have arrived that it reads only after its timers.
   setTimeout(() => setImmediate(task.endUnfinished), gateway.computeRunLimitMs(state));
-  setTimeout(end, stopMs - EXIT_MS);
+  setTimeout(
+    () => {
+      closePort(run);
+    },
+    stopMs - EXIT_MS - CLOSE_MS,
+  );
+  setTimeout(() => end(run), stopMs - EXIT_MS);
 }
