Let the exit of a gateway wait for a request of which a part was read

What callers saw: a whole request got no byte of a response as its head came in two parts around the exit, 3.7 s after SIGTERM with four seconds of grace left.

Cause: only requests whose head was complete counted as work, and the timer that found none for 0.2 s ended the process without a poll, so that after a stall what had arrived did not count either.

Why it is enough: a connection counts as busy from the first byte of a request until its response has left, and a new one for 0.2 s; the exit follows a turn of the loop that has read nothing.

--- a/packages/gateway/src/caller-connections.ts
+++ b/packages/gateway/src/caller-connections.ts
@@ -14,6 +14,7 @@
   requestBytes: number | undefined;
   /** The response after which the connection is closed, if one is chosen. */
   last: http.ServerResponse | undefined;
+  openedMs: number;
 };
 
 /** What connections are open for, at the end of a shutdown. */
@@ -37,14 +38,19 @@
   hold: (response: http.ServerResponse) => boolean;
   /** Closes each connection after its last response, of those that are open or still to come. */
   closeAfterResponses: () => void;
-  /** Counts the responses that are held. */
-  countOpen: () => number;
+  /** Returns whether a connection has or may soon have a request without a response. */
+  areBusy: (now: number) => boolean;
+  /** Counts the bytes that have been read from the connections that are open. */
+  countBytes: () => number;
   /** Counts the connections by what they are open for. */
   countConnections: () => ConnectionCounts;
   /** Closes connections without a request, now and as they become idle. */
   closeIdle: () => void;
 };
 
+/** Time within which a caller sends its first request on a connection, milliseconds. */
+const FIRST_REQUEST_MS = 200;
+
 /** Finds what a connection is open for. */
 function findUse(socket: net.Socket, connection: Connection): keyof ConnectionCounts {
   const { open, requestBytes } = connection;
@@ -66,6 +72,13 @@
   return counts;
 }
 
+/** Returns whether a connection has or may soon have a request without a response. */
+function isBusy(socket: net.Socket, connection: Connection, now: number): boolean {
+  const use = findUse(socket, connection);
+  const isNew = now - connection.openedMs < FIRST_REQUEST_MS;
+  return use === 'responding' || use === 'reading' || (use === 'unused' && isNew);
+}
+
 /** Chooses the newest response of a connection as its last one; returns false if it is too late. */
 function chooseLast(connection: Connection): boolean {
   const { last, open } = connection;
@@ -84,7 +97,7 @@
 }
 
 /** Creates a record without connections. */
-export function createCallerConnections(): CallerConnections {
+export function createCallerConnections(readNow: () => number): CallerConnections {
   const connections = new Map<net.Socket, Connection>();
   let isLeaving = false;
   let isClosing = false;
@@ -96,7 +109,9 @@
   };
   return {
     add: (socket) => {
-      connections.set(socket, { open: new Set(), requestBytes: undefined, last: undefined });
+      const openedMs = readNow();
+      const connection = { open: new Set<http.ServerResponse>(), openedMs };
+      connections.set(socket, { ...connection, requestBytes: undefined, last: undefined });
       socket.on('close', () => {
         const { open } = connections.get(socket) ?? {};
         connections.delete(socket);
@@ -129,7 +144,9 @@
       isLeaving = true;
       connections.forEach(chooseLast);
     },
-    countOpen: () => [...connections.values()].reduce((sum, { open }) => sum + open.size, 0),
+    areBusy: (now) =>
+      [...connections].some(([socket, connection]) => isBusy(socket, connection, now)),
+    countBytes: () => [...connections.keys()].reduce((sum, { bytesRead }) => sum + bytesRead, 0),
     countConnections: () => countUses(connections),
     closeIdle: () => {
       isClosing = true;
--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -25,8 +25,10 @@
   closeIdle: () => void;
   /** Accepts the connections that wait, and closes the listening socket; then calls `stopped`. */
   stopListening: (stopped: () => void) => void;
-  /** Counts the requests that are being read or whose response has not left the process. */
-  countOpen: () => number;
+  /** Returns whether a connection has or may soon have a request without a response. */
+  areBusy: (now: number) => boolean;
+  /** Counts the bytes that have been read from the connections that are open. */
+  countBytes: () => number;
   /** Counts the connections by what they are open for. */
   countConnections: () => callerConnections.ConnectionCounts;
   stop: () => void;
@@ -248,7 +250,7 @@
   const state: ServerState = {
     options,
     bounds: DEFAULT_BOUNDS,
-    connections: callerConnections.createCallerConnections(),
+    connections: callerConnections.createCallerConnections(clocks.readSteadyMs),
     openedMs: new WeakMap(),
     acceptDelay: acceptDelay.startAcceptDelay(() => openProbe(state), clocks.readSteadyMs),
     listeningMs: Infinity,
@@ -277,7 +279,8 @@
       runtime.closeWhenDrained(server, clocks.readSteadyMs, close, stopped);
     },
     closeIdle: state.connections.closeIdle,
-    countOpen: state.connections.countOpen,
+    areBusy: state.connections.areBusy,
+    countBytes: state.connections.countBytes,
     countConnections: state.connections.countConnections,
     stop: () => {
       state.acceptDelay.stop();
--- a/packages/gateway/src/shutdown.ts
+++ b/packages/gateway/src/shutdown.ts
@@ -1,5 +1,6 @@
 /** Graceful shutdown: stops a gateway without aborting requests in progress. */
 import * as gateway from '@toucanproxy/core/gateway';
+import * as runtime from '@toucanproxy/runtime';
 import type * as callerServer from './caller-server.js';
 import * as clocks from './clocks.js';
 import type * as decisionLog from './decision-log.js';
@@ -45,18 +46,32 @@
 /** Time before the exit at which the port closes in any case, milliseconds. */
 const CLOSE_MS = 200;
 
-/** Runs a step once there has been no request for a while. */
-function runWhenIdle({ countOpen }: callerServer.CallerServer, step: () => void): NodeJS.Timeout {
+/**
+ * Runs a step once there has been no request for a while. Timers fire before the event loop polls,
+ * so that requests may have arrived meanwhile.
+ */
+function runWhenIdle(callers: callerServer.CallerServer, step: () => void): NodeJS.Timeout {
+  const { areBusy, countBytes } = callers;
   let busyMs = clocks.readSteadyMs();
-  const timer = setInterval(() => {
+  let isChecking = false;
+  const check = () => {
     const now = clocks.readSteadyMs();
-    if (countOpen() > 0) {
+    if (areBusy(now)) {
       busyMs = now;
-    } else if (now - busyMs >= IDLE_MS) {
-      step();
+    }
+    return now - busyMs >= IDLE_MS;
+  };
+  return setInterval(() => {
+    if (!isChecking && check()) {
+      isChecking = true;
+      runtime.runAfterEmptyTurn(countBytes, clocks.readSteadyMs, () => {
+        isChecking = false;
+        if (check()) {
+          step();
+        }
+      });
     }
   }, CHECK_MS);
-  return timer;
 }
 
 /** Ends the shutdown. */
