Answer what has arrived before a gateway exits at the end of its grace period

What callers saw: a request that arrived during a stall of the event loop before the last exit, 0.1 s before the end of the grace period, got no byte of a response.

Cause: the same as that of the closing port: the timer of the exit fires before the event loop polls.

After the timer the loop goes on until no connection is busy, for 40 ms at most, so that the process still ends before it is killed.

--- a/packages/gateway/src/shutdown.ts
+++ b/packages/gateway/src/shutdown.ts
@@ -45,6 +45,8 @@
 const EXIT_MS = 100;
 /** Time before the exit at which the port closes in any case, milliseconds. */
 const CLOSE_MS = 200;
+/** Time in which requests that have arrived are refused before the process exits, milliseconds. */
+const LAST_MS = 40;
 
 /**
  * Runs a step once there has been no request for a while. Timers fire before the event loop polls,
@@ -74,6 +76,20 @@
   }, CHECK_MS);
 }
 
+/** Runs a step once what has arrived has its response; at the latest after `LAST_MS`. */
+function runWhenAnswered({ areBusy }: callerServer.CallerServer, step: () => void): void {
+  const endMs = clocks.readSteadyMs() + LAST_MS;
+  const check = () => {
+    const now = clocks.readSteadyMs();
+    if (now < endMs && areBusy(now)) {
+      setImmediate(check);
+    } else {
+      step();
+    }
+  };
+  setImmediate(check);
+}
+
 /** Ends the shutdown. */
 function end(run: ShutdownRun): void {
   const { dependencies, step, idleTimer } = run;
@@ -129,5 +145,5 @@
     },
     stopMs - EXIT_MS - CLOSE_MS,
   );
-  setTimeout(() => end(run), stopMs - EXIT_MS);
+  setTimeout(() => runWhenAnswered(callers, () => end(run)), stopMs - EXIT_MS);
 }
