Refuse requests that are still being read when a gateway exits

Cause: only requests that were read completely are ended at the end of the grace period; those that are being read, or whose bodies wait for memory, are not held by the task.

The refusal is true: such a request is never admitted.

--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -25,6 +25,8 @@
   closeIdle: () => void;
   /** Accepts the connections that wait, and closes the listening socket; then calls `stopped`. */
   stopListening: (stopped: () => void) => void;
+  /** Refuses the requests that have not been read completely. */
+  refuseUnread: (refusal: gateway.Refusal) => void;
   /** Returns whether a connection has or may soon have a request without a response. */
   areBusy: (now: number) => boolean;
   /** Counts the bytes that have been read from the connections that are open. */
@@ -55,6 +57,8 @@
   options: CallerServerOptions;
   bounds: gateway.CallerBounds;
   connections: callerConnections.CallerConnections;
+  /** Requests that have not been read completely, with what refuses them. */
+  unread: Map<http.ServerResponse, bodyReading.BodyListener['refuse']>;
   /**
    * When connections that were just accepted after a stall of the event loop may have been opened,
    * milliseconds.
@@ -161,14 +165,23 @@
   const { options, bounds } = state;
   const headUnreadMs = computeRequestUnreadMs(state, request.socket);
   const receive = (body: Buffer, stoppedMs: number) => {
+    if (!state.unread.delete(response)) {
+      return;
+    }
     const { method = '', url = '', rawHeaders } = request;
     const unreadMs = Math.max(headUnreadMs, computeUnreadMs(state)) + stoppedMs;
     options.receive({ method, target: url, headers: rawHeaders, body, response, unreadMs });
   };
   const listener: bodyReading.BodyListener = {
     receive,
-    refuse: (refusal, fields) => refuse(state, request, response, refusal, fields),
+    refuse: (refusal, fields) => {
+      if (state.unread.delete(response)) {
+        refuse(state, request, response, refusal, fields);
+      }
+    },
   };
+  state.unread.set(response, listener.refuse);
+  response.on('close', () => state.unread.delete(response));
   const { bodyMemory: memory } = options;
   const { maxBodyBytes } = bounds;
   const readNow = clocks.readSteadyMs;
@@ -251,6 +264,7 @@
     options,
     bounds: DEFAULT_BOUNDS,
     connections: callerConnections.createCallerConnections(clocks.readSteadyMs),
+    unread: new Map(),
     openedMs: new WeakMap(),
     acceptDelay: acceptDelay.startAcceptDelay(() => openProbe(state), clocks.readSteadyMs),
     listeningMs: Infinity,
@@ -279,6 +293,8 @@
       runtime.closeWhenDrained(server, clocks.readSteadyMs, close, stopped);
     },
     closeIdle: state.connections.closeIdle,
+    refuseUnread: (refusal) =>
+      [...state.unread.values()].forEach((refuseOne) => refuseOne(refusal, {})),
     areBusy: state.connections.areBusy,
     countBytes: state.connections.countBytes,
     countConnections: state.connections.countConnections,
--- a/packages/gateway/src/shutdown.ts
+++ b/packages/gateway/src/shutdown.ts
@@ -43,7 +43,10 @@
 const CHECK_MS = 50;
 /** Time before the end of the grace period at which the process exits, milliseconds. */
 const EXIT_MS = 100;
-/** Time before the exit at which the port closes in any case, milliseconds. */
+/**
+ * Time before the exit at which the port closes in any case and requests that are still being read are
+ * refused, milliseconds.
+ */
 const CLOSE_MS = 200;
 /** Time in which requests that have arrived are refused before the process exits, milliseconds. */
 const LAST_MS = 40;
@@ -141,6 +144,7 @@
   setTimeout(() => setImmediate(task.endUnfinished), gateway.computeRunLimitMs(state));
   setTimeout(
     () => {
+      callers.refuseUnread(gateway.buildShutdownRefusal(state, clocks.readSteadyMs()));
       closePort(run);
     },
     stopMs - EXIT_MS - CLOSE_MS,
