Keep a connection that ends while its parser is paused from ending the gateway

A whole response with a length was broken off (UND_ERR_SOCKET) where its connection ended in order while it was paused.

Cause: the HTTP library asserts that its parser is not paused when a connection ends or is reset and the response does not keep it alive. The runtime reads nothing (`read(0)`) at the end of a connection and so emits `end` although a paused parser has asked for nothing. The exception comes in an event of the socket, where nothing of ours contains it.

Why this is enough: the end of a socket is emitted when the parser asks for more than there is, so never while it is paused; a reset reaches the library as an error of a broken connection, for which it never finishes the parser. What else throws in an event of a socket closes this connection and ends its attempt (new test), as unit `connection` of `internal_errors_total`.

--- a/packages/gateway/src/app.ts
+++ b/packages/gateway/src/app.ts
@@ -194,15 +194,17 @@
   const metrics = gatewayMetrics.createGatewayMetrics(state, clocks.readSteadyMs, traffic);
   const noteDelay = loadReports.createDelayObserver({ state, log, metrics });
   const loop = eventLoop.startEventLoop(clocks.readSteadyMs, noteDelay);
+  const runGuarded = failureGuard.createFailureGuard(log, metrics, clocks.readSteadyMs);
   return {
     state,
     traffic,
     protocol,
     eventLoop: loop,
-    runGuarded: failureGuard.createFailureGuard(log, metrics, clocks.readSteadyMs),
+    runGuarded,
     connections: backendConnections.createBackendConnections(
       loop.runWhenPolled,
       (code, headers) => protocol.parseResponseHeaders(code, headers).attemptId,
+      (step, recover) => runGuarded(failureGuard.WorkUnit.CONNECTION, step, recover),
     ),
     readClocks: clocks.createClockReader(),
     log,
--- a/packages/gateway/src/backend-attempt.test.ts
+++ b/packages/gateway/src/backend-attempt.test.ts
@@ -1,6 +1,6 @@
 import * as assert from 'node:assert/strict';
 import * as http from 'node:http';
-import type * as net from 'node:net';
+import * as net from 'node:net';
 import * as nodeTest from 'node:test';
 import * as backendAttempt from './backend-attempt.js';
 import * as backendConnections from './backend-connections.js';
@@ -69,3 +69,116 @@
   // gateway was connecting to it.
   assert.deepEqual(await sendOnce(false), { ending: 'withdrawn', arrived: 0 });
 });
+
+type ServerStep = (socket: net.Socket) => void;
+
+/** Receives a response and pauses at each chunk; `act` is called once the server has sent it. */
+async function receivePaused(context: nodeTest.TestContext, framing: string, act: ServerStep) {
+  const server = net.createServer((socket) => {
+    socket.on('error', () => {});
+    socket.once('data', () => {
+      socket.write(`HTTP/1.1 200 OK\r\n${framing}\r\n\r\nab`, () => setTimeout(act, 20, socket));
+    });
+  });
+  await new Promise<void>((resolve) => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  const { port } = server.address() as net.AddressInfo;
+  const connections = backendConnections.createBackendConnections(
+    (run) => run(),
+    () => undefined,
+  );
+  context.after(() => {
+    connections.stop();
+    server.close();
+  });
+  let body = '';
+  const ending = await new Promise<string>((resolve) => {
+    const attempt = backendAttempt.startAttempt(
+      connections.take(`127.0.0.1:${port}`, 'a'),
+      REQUEST,
+      {
+        canSend: () => true,
+        onHead: () => true,
+        onData: (chunk) => {
+          body += chunk.toString();
+          setTimeout(attempt.resume, 60);
+          return false;
+        },
+        onEnd: () => resolve('end'),
+        onWithdrawn: () => resolve('withdrawn'),
+        onBroken: resolve,
+      },
+    );
+  });
+  return { body, ending };
+}
+
+const FRAMINGS = [
+  'connection: close',
+  'content-length: 2',
+  'content-length: 2\r\nconnection: close',
+];
+
+FRAMINGS.forEach((framing) =>
+  test(`response (${framing}) that ends while it is paused is complete`, async (context) => {
+    // Guards against an end of the connection that finds the parser paused: it ended the process, or
+    // broke a whole response off.
+    const received = await receivePaused(context, framing, (socket) => socket.end());
+    assert.deepEqual(received, { body: 'ab', ending: 'end' });
+  }),
+);
+
+test('reset of a paused response breaks it off', async (context) => {
+  // Guards against an exception of the HTTP library that ends the process.
+  const reset = (socket: net.Socket) => socket.resetAndDestroy();
+  const received = await receivePaused(context, 'connection: close', reset);
+  assert.deepEqual(received, { body: 'ab', ending: 'ECONNRESET' });
+});
+
+test('exception in an event of a connection ends this attempt and no other', async (context) => {
+  // Guards against an exception of the HTTP library, where no code of ours can catch it.
+  const server = http.createServer((_, response) => setTimeout(() => response.end('ok'), 50));
+  await new Promise<void>((resolve) => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  const address = `127.0.0.1:${(server.address() as net.AddressInfo).port}`;
+  const failures: unknown[] = [];
+  const connections = backendConnections.createBackendConnections(
+    (step) => step(),
+    () => undefined,
+    (step, recover) => {
+      try {
+        return step();
+      } catch (error) {
+        failures.push(error);
+        return recover();
+      }
+    },
+  );
+  context.after(() => {
+    connections.stop();
+    server.close();
+  });
+  const send = (change: (connection: backendConnections.BackendConnection) => void) =>
+    new Promise<string>((resolve) => {
+      const connection = connections.open(address);
+      backendAttempt.startAttempt(connection, REQUEST, {
+        canSend: () => true,
+        onHead: () => true,
+        onData: () => true,
+        onEnd: () => resolve('end'),
+        onWithdrawn: () => resolve('withdrawn'),
+        onBroken: resolve,
+      });
+      change(connection);
+    });
+  const failure = new Error('failure');
+  const failing = send((connection) =>
+    connection.setReadListener(() => {
+      throw failure;
+    }),
+  );
+  assert.deepEqual(await Promise.all([failing, send(() => {})]), ['internal-error', 'end']);
+  assert.deepEqual(failures, [failure]);
+});
--- a/packages/gateway/src/backend-attempt.ts
+++ b/packages/gateway/src/backend-attempt.ts
@@ -65,11 +65,6 @@
   return headers.map((part) => part.toString('latin1'));
 }
 
-/** Describes an error for the log: its code if it has one, otherwise its message. */
-function describeError(error: Error): string {
-  return (error as { code?: string }).code ?? error.message;
-}
-
 /** Adds a limit of the bytes outside the body of the response to a handler. */
 function addOverheadLimit<H extends { onData: (chunk: Buffer) => boolean }>(
   handler: H,
@@ -110,6 +105,7 @@
   if (!state.hasEnded) {
     state.hasEnded = true;
     state.connection.setReadListener(() => {});
+    state.connection.setFailureListener(() => {});
     state.connection.release(isReusable);
     notify();
   }
@@ -207,7 +203,7 @@
     },
     onData: (chunk: Buffer) => state.hasEnded || passBody(state, runtime.scanChunk(scan, chunk)),
     onComplete: () => handleComplete(state),
-    onError: (error: Error) => endBroken(state, describeError(error)),
+    onError: (error: Error) => endBroken(state, runtime.describeConnectionError(error)),
   };
 }
 
@@ -234,6 +230,7 @@
   if (attemptId !== undefined) {
     carriedCalls.recordCall(connection.calls, attemptId);
   }
+  connection.setFailureListener(() => endBroken(state, 'internal-error'));
   connection.client.dispatch(
     { ...message, idempotent: true, blocking: false },
     addOverheadLimit(buildHandler(state), connection, () => endBroken(state, 'overhead-too-long')),
--- a/packages/gateway/src/backend-connections.ts
+++ b/packages/gateway/src/backend-connections.ts
@@ -5,8 +5,9 @@
  * Bytes that arrive between two requests close the connection, because the HTTP library has no
  * request that they could belong to.
  */
-import type * as net from 'node:net';
+import type * as runtime from '@toucanproxy/runtime';
 import * as undici from 'undici';
+import * as backendSocket from './backend-socket.js';
 import * as carriedCalls from './carried-calls.js';
 import * as connectionGroups from './connection-groups.js';
 import * as idleConnections from './idle-connections.js';
@@ -26,6 +27,11 @@
   countBytesRead: () => number;
   /** Sets what is called when bytes have been read, before they are parsed. */
   setReadListener: (listener: () => void) => void;
+  /**
+   * Sets what is called when the connection is closed because an exception was thrown in one of its
+   * events. The client may report nothing more.
+   */
+  setFailureListener: (listener: () => void) => void;
   /** Returns the connection to the pool if it can be reused; closes it otherwise. */
   release: (isReusable: boolean) => void;
 };
@@ -54,11 +60,6 @@
   stop: () => void;
 };
 
-/**
- * Timeout for connecting, milliseconds. The latency between failure domains is a few milliseconds;
- * an unresponsive backend server must not delay a request for long.
- */
-const CONNECT_TIMEOUT_MS = 400;
 /**
  * Idle connections are closed after this time, milliseconds, or one second before the keep-alive
  * timeout that the backend server announces. It is shorter than the usual idle timeouts of
@@ -85,18 +86,6 @@
   return code === 'UND_ERR_SOCKET' || syscall !== undefined;
 }
 
-/** Calls a listener before the library handles the end of a connection that was reset. */
-function watchResets(socket: net.Socket | null, handleReset: () => void): void {
-  socket?.prependListener('error', handleReset);
-  socket?.prependListener('end', () => {
-    // The runtime reports a reset that it reads together with the last bytes as a plain end; after it
-    // the system knows no other side any more.
-    if (socket.remoteAddress === undefined) {
-      handleReset();
-    }
-  });
-}
-
 /** Calls a listener when the other side ends a connection, or it cannot be opened. */
 function watchEnds(client: undici.Client, handleEnd: () => void): void {
   const noteError = (_url: URL, _targets: unknown, error: Error) => {
@@ -108,55 +97,43 @@
   client.on('disconnect', noteError);
 }
 
-/** Limits the time for connecting; the library's own timers fire up to a second late. */
-function startConnectTimer(client: undici.Client): NodeJS.Timeout {
-  return setTimeout(() => client.destroy(new Error('connect-timeout')), CONNECT_TIMEOUT_MS);
-}
-
-type ConnectionHooks = {
+type ConnectionHooks = Pick<backendSocket.ConnectHooks, 'runWhenPolled' | 'runContained'> & {
   removeClosed: (connection: BackendConnection) => void;
   addIdle: (connection: BackendConnection) => void;
   markDoubtful: () => void;
-  runWhenPolled: (step: () => void) => void;
   findAttemptId: carriedCalls.FindAttemptId;
 };
 
 /** Opens a connection, and records whether it was reset. */
 function openConnection(
   address: string,
-  { removeClosed, addIdle, markDoubtful, runWhenPolled, findAttemptId }: ConnectionHooks,
+  { removeClosed, addIdle, markDoubtful, findAttemptId, ...hooks }: ConnectionHooks,
 ): BackendConnection {
-  let isReset = false;
+  const socket = backendSocket.createBackendSocket();
   let hasExcess = false;
-  let countBytesRead = () => 0;
-  let readListener = () => {};
-  const connector = undici.buildConnector({ timeout: 0 });
   const client: undici.Client = new undici.Client(`http://${address}`, {
     ...CLIENT_OPTIONS,
-    connect: (options, callback) => {
-      const timer = startConnectTimer(client);
-      connector(options, (...results) => {
-        clearTimeout(timer);
-        const socket = results[1];
-        watchResets(socket, () => {
-          isReset = true;
-        });
-        socket?.on('readable', () => readListener());
-        countBytesRead = () => socket?.bytesRead ?? 0;
-        runWhenPolled(() => callback(...results));
-      });
-    },
+    connect: backendSocket.buildConnect(socket, {
+      ...hooks,
+      handleTimeout: () => client.destroy(new Error('connect-timeout')),
+    }),
   });
   const connection: BackendConnection = {
     client,
     completedResponses: 0,
     bornMs: undefined,
-    wasReset: () => isReset,
+    wasReset: () => socket.isReset,
     hasExcess: () => hasExcess,
     calls: carriedCalls.createCarriedCalls(findAttemptId),
-    countBytesRead: () => countBytesRead(),
+    countBytesRead: () => socket.countBytesRead(),
     setReadListener: (listener) => {
-      readListener = listener;
+      socket.readListener = listener;
+    },
+    setFailureListener: (listener) => {
+      socket.failureListener = () => {
+        connection.release(false);
+        listener();
+      };
     },
     release: (isReusable) => {
       if (!isReusable || carriedCalls.isFull(connection.calls)) {
@@ -183,10 +160,12 @@
  *
  * @param runWhenPolled runs a step once the event loop has read which callers have left
  * @param findAttemptId finds the id of the call that a response states
+ * @param runContained runs each event of a connection; an exception closes this connection
  */
 export function createBackendConnections(
   runWhenPolled: (step: () => void) => void,
   findAttemptId: carriedCalls.FindAttemptId,
+  runContained: runtime.RunContained = (step) => step(),
 ): BackendConnections {
   const idle: idleConnections.IdleConnections = new Map();
   const all: connectionGroups.ConnectionGroups<BackendConnection> = new Map();
@@ -206,15 +185,13 @@
       markDoubtful: () => doubtful.add(address),
       runWhenPolled,
       findAttemptId,
+      runContained,
     });
     connectionGroups.addConnection(all, address, opened);
     return opened;
   };
-  const takeIdle = (
-    address: string,
-    attemptId: string,
-    isSuitable: (connection: BackendConnection) => boolean,
-  ) =>
+  type IsSuitable = (connection: BackendConnection) => boolean;
+  const takeIdle = (address: string, attemptId: string, isSuitable: IsSuitable) =>
     idleConnections.takeIdle(
       idle,
       address,
--- a/packages/gateway/src/failure-guard.ts
+++ b/packages/gateway/src/failure-guard.ts
@@ -16,6 +16,8 @@
   ASSIGNMENT = 'assignment',
   /** A round of reports to other gateways. */
   REPORT = 'report',
+  /** What the HTTP library does in an event of a connection to a backend server. */
+  CONNECTION = 'connection',
 }
 
 /** Runs a step; if it throws, reports that and returns what `recover` returns. */
--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -1,5 +1,6 @@
 /** Code that the daemons share: logging, metrics, platform clients and links. */
 export * from './client-error.js';
+export * from './client-socket.js';
 export * from './configuration-watch.js';
 export * from './core-task.js';
 export * from './document-receiver.js';
