Contain exceptions in events of callers' connections

Callers saw: none in the field; by reading and by test: an exception while a request is read, before it is admitted, ended the process for all of them. The headers of a request with a large body are parsed for its share of the memory outside of any unit of work.

Cause: only what follows `receive` ran in `runForRequest`.

Why this is enough: events of the server, its connections, requests and responses run contained at the function that emits them, so handlers of the library and later ones are covered.

--- a/packages/gateway/src/app.ts
+++ b/packages/gateway/src/app.ts
@@ -134,10 +134,11 @@
   components: ReturnType<typeof createComponents>,
   task: gatewayTask.GatewayTask,
 ): callerServer.CallerServer {
-  const { log, metrics } = components;
+  const { log, metrics, runGuarded } = components;
   return callerServer.createCallerServer({
     listen: settings.callers,
     receive: task.receive,
+    runContained: (step, recover) => runGuarded(failureGuard.WorkUnit.CALLER, step, recover),
     computeUnreadMs: components.eventLoop.computeUnreadMs,
     reportProblem: (reason) => log.write('caller-problem', { reason }, clocks.readSteadyMs()),
     isClosedUnread: loadReports.createConnectionCheck(components, clocks.readSteadyMs),
--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -8,6 +8,7 @@
 import type * as bodyMemory from './body-memory.js';
 import * as bodyReading from './body-reading.js';
 import * as callerConnections from './caller-connections.js';
+import * as callerContainment from './caller-containment.js';
 import type * as callerExchange from './caller-exchange.js';
 import * as clocks from './clocks.js';
 import * as earlyRefusal from './early-refusal.js';
@@ -34,6 +35,8 @@
   receive: (exchange: callerExchange.CallerExchange) => void;
   reportRefusal: (code: schema.ResultCode, fields: Record<string, unknown>) => void;
   bodyMemory: bodyMemory.BodyMemory;
+  /** Runs an event of a caller's connection. */
+  runContained: runtime.RunContained;
   /** Called if connections cannot be accepted, as without free descriptors. */
   reportProblem: (reason: string) => void;
   /** Computes how long data that is read now may have waited, milliseconds. */
@@ -214,6 +217,12 @@
     connectionsCheckingInterval: TIMEOUT_CHECK_MS,
     noDelay: true,
   });
+  callerContainment.runServerContained(server, state.options.runContained, (request, response) =>
+    refuse(state, request, response, {
+      code: schema.ResultCode.INTERNAL,
+      retryAfterMs: undefined,
+    }),
+  );
   server.on('connection', (socket) => {
     state.connections.add(socket);
     noteConnection(state, socket);
--- a/packages/gateway/src/failure-guard.ts
+++ b/packages/gateway/src/failure-guard.ts
@@ -18,6 +18,8 @@
   REPORT = 'report',
   /** What the HTTP library does in an event of a connection to a backend server. */
   CONNECTION = 'connection',
+  /** An event of the connection of a caller, beside the requests that are admitted. */
+  CALLER = 'caller',
 }
 
 /** Runs a step; if it throws, reports that and returns what `recover` returns. */
--- a/packages/runtime/src/client-socket.ts
+++ b/packages/runtime/src/client-socket.ts
@@ -7,9 +7,7 @@
  */
 import type * as net from 'node:net';
 import * as undici from 'undici';
-
-/** Runs a step; if it throws, reports that and returns what `recover` returns. */
-export type RunContained = <T>(step: () => T, recover: () => T) => T;
+import * as containedEvents from './contained-events.js';
 
 const RESET = 'ECONNRESET';
 
@@ -42,24 +40,6 @@
   socket.read = (size) => (size === 0 && hasEnded ? null : (read.call(socket, size) as unknown));
 }
 
-/** Runs all events of a socket contained. */
-function runEventsContained(
-  socket: net.Socket,
-  runContained: RunContained,
-  handleFailure: () => void,
-): void {
-  const emit = socket.emit.bind(socket) as (name: string, ...values: unknown[]) => boolean;
-  const emitContained = (name: string, ...values: unknown[]) =>
-    runContained(
-      () => emit(name, ...(name === 'error' ? values.map(toClientError) : values)),
-      () => {
-        handleFailure();
-        return true;
-      },
-    );
-  socket.emit = emitContained as typeof socket.emit;
-}
-
 /**
  * Makes a connected socket safe; to be called before the client listens to its events.
  *
@@ -67,9 +47,11 @@
  */
 export function makeSocketSafe(
   socket: net.Socket,
-  runContained: RunContained,
+  runContained: containedEvents.RunContained,
   handleFailure: () => void,
 ): void {
   holdEnd(socket);
-  runEventsContained(socket, runContained, handleFailure);
+  containedEvents.runEventsContained(socket, runContained, handleFailure, (name, values) =>
+    name === 'error' ? values.map(toClientError) : values,
+  );
 }
--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -2,6 +2,7 @@
 export * from './client-error.js';
 export * from './client-socket.js';
 export * from './configuration-watch.js';
+export * from './contained-events.js';
 export * from './core-task.js';
 export * from './document-receiver.js';
 export * from './extra-response.js';
