Answer what has arrived before an entry closes its port and ends

Callers saw: at SIGTERM of an entry, connections that waited to be accepted were reset with whole requests on them; kept connections were closed as idle although a request had arrived; the process ended without reading what had arrived on accepted connections.

Cause: the port, idle connections and the process were closed by what had been read, not by what had arrived. The HTTP server's own close also ends connections whose response is still being sent.

Why this is enough: the port is closed, and the process ended, right after a turn of the event loop in which nothing was accepted or read. Connections stay open to the end and get a refusal that closes them, so none has to be judged idle. Closing idle ones early was weighed: it needs to know for each what has arrived, and gains nothing, as they do not delay the end.

The test server takes the limit of its connections as an argument; no check was changed.

--- a/packages/entry/src/caller-server.test.ts
+++ b/packages/entry/src/caller-server.test.ts
@@ -2,6 +2,7 @@
 import * as http from 'node:http';
 import * as net from 'node:net';
 import * as nodeTest from 'node:test';
+import * as timers from 'node:timers/promises';
 import * as core from '@toucanproxy/core';
 import * as schema from '@toucanproxy/schema';
 import * as callerServer from './caller-server.js';
@@ -20,7 +21,7 @@
 };
 
 /** Starts a server with one service and small limits. */
-async function startServer(context: nodeTest.TestContext): Promise<Setup> {
+async function startServer(context: nodeTest.TestContext, maxConnections = 2): Promise<Setup> {
   const document = schema.create(schema.ServiceDocumentSchema, {
     service: SERVICE,
     credentials: [{ tokenSha256: TOKEN_SHA256, workspace: 'brim', tier: 'stall' }],
@@ -36,7 +37,7 @@
     port: 0,
     limits: {
       ...schema.DEFAULT_CALLER_LIMITS,
-      maxConnections: 2,
+      maxConnections,
       maxAnswerBufferBytes: BUFFER_BYTES,
       reportSlowCaller: (callerId) => slowCallers.push(callerId),
     },
@@ -214,3 +215,57 @@
   await arrival;
   client.socket.destroy();
 });
+
+const ONE_REQUEST = `${HEAD}content-length: 1\r\n\r\nx`;
+
+/** Waits until a connection is open. */
+function waitForConnect(socket: net.Socket): Promise<void> {
+  return new Promise((resolve) => {
+    socket.once('connect', resolve);
+  });
+}
+
+/** Begins a shutdown; resolves once every response has been sent, and ends the connections then. */
+function shutDown(server: callerServer.CallerServer): Promise<void> {
+  server.stopListening();
+  return new Promise((resolve) => {
+    server.notifyIdle(() => {
+      server.stop();
+      resolve();
+    });
+  });
+}
+
+nodeTest.test('shutdown: connections that wait to be accepted are answered', async (context) => {
+  // Guards against closing the port while the kernel holds connections that nobody has accepted: it
+  // resets them, with whole requests on them.
+  const { server } = await startServer(context, 100);
+  const clients = Array.from({ length: 20 }, () => sendBytes(context, server.port, ONE_REQUEST));
+  await Promise.all(clients.map(({ socket }) => waitForConnect(socket)));
+  const texts = clients.map(({ read }) => read(/never/));
+  await shutDown(server);
+  const refused = (await Promise.all(texts)).filter((text) => /^HTTP\/1.1 503 /.test(text));
+  assert.equal(refused.length, clients.length);
+});
+
+nodeTest.test('shutdown: a request that has arrived unread is answered', async (context) => {
+  // Guards against closing a kept connection as idle, or ending the process, before the event loop
+  // has read what the kernel holds.
+  const { server, waitForRequest } = await startServer(context, 100);
+  const arrival = waitForRequest();
+  const client = sendBytes(context, server.port, ONE_REQUEST);
+  const { callerId } = await arrival;
+  const contentType = 'text/plain';
+  server.applyEffect({ kind: 'answerHead', callerId, requestId: 'r', status: 200, contentType });
+  server.applyEffect({ kind: 'answerEnd', callerId });
+  await client.read(/200 OK[^]*\r\n\r\n/);
+  const unused = sendBytes(context, server.port, '');
+  await waitForConnect(unused.socket);
+  await timers.setTimeout(20);
+  const texts = [client, unused].map(({ socket, read }) => {
+    socket.write(ONE_REQUEST);
+    return read(/never/);
+  });
+  await shutDown(server);
+  (await Promise.all(texts)).forEach((text) => assert.match(text, /HTTP\/1.1 503 /));
+});
--- a/packages/entry/src/caller-server.ts
+++ b/packages/entry/src/caller-server.ts
@@ -5,15 +5,16 @@
 import * as runtime from '@toucanproxy/runtime';
 import * as schema from '@toucanproxy/schema';
 import * as callerResponse from './caller-response.js';
+import * as callerShutdown from './caller-shutdown.js';
 import * as failureResponse from './failure-response.js';
 import * as requestReader from './request-reader.js';
 
 export type CallerServer = {
   port: number;
   applyEffect: (effect: callerResponse.CallerEffect) => void;
-  /** Stops accepting connections and closes idle ones. */
+  /** Refuses further requests, and stops accepting connections once none waits. */
   stopListening: () => void;
-  /** Calls `idle` once every response has been sent. */
+  /** Calls `idle` once every response has been sent, and nothing that has arrived is unread. */
   notifyIdle: (idle: () => void) => void;
   stop: () => void;
 };
@@ -37,7 +38,7 @@
   overLimit: WeakSet<net.Socket>;
   nextCallerId: number;
   closing: boolean;
-  onIdle: (() => void) | undefined;
+  shutdown: callerShutdown.CallerShutdown | undefined;
 };
 
 /** Maximum interval between checks for slow requests, milliseconds. */
@@ -72,9 +73,7 @@
   state.exchanges.delete(callerId);
   state.bySocket.get(request.socket)?.delete(exchange);
   state.options.post({ kind: 'callerLeft', callerId });
-  if (state.exchanges.size === 0) {
-    state.onIdle?.();
-  }
+  state.shutdown?.check();
 }
 
 /** Creates and registers the record of a request. */
@@ -262,9 +261,15 @@
     overLimit: new WeakSet(),
     nextCallerId: 1,
     closing: false,
-    onIdle: undefined,
+    shutdown: undefined,
   };
   const server = createServer(state);
+  const shutdown = callerShutdown.createCallerShutdown({
+    server,
+    connections: state.connections,
+    countOpen: () => state.exchanges.size,
+  });
+  state.shutdown = shutdown;
   await new Promise<void>((resolve, reject) => {
     server.once('error', reject);
     server.listen(options.port, options.host, resolve);
@@ -274,16 +279,10 @@
     applyEffect: (effect) => applyCallerEffect(state, effect),
     stopListening: () => {
       state.closing = true;
-      server.close();
-      server.closeIdleConnections();
       closeAfterResponses(state);
+      shutdown.begin();
     },
-    notifyIdle: (idle) => {
-      state.onIdle = idle;
-      if (state.exchanges.size === 0) {
-        idle();
-      }
-    },
+    notifyIdle: shutdown.notify,
     stop: () => {
       server.close();
       server.closeAllConnections();
--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -8,6 +8,7 @@
 export * from './extra-response.js';
 export * from './link-client.js';
 export * from './link-server.js';
+export * from './listening-socket.js';
 export * from './logger.js';
 export * from './metric-definitions.js';
 export * from './metrics.js';
