End the requests of an entry before its grace period does

Cause: an entry did not know when it would be killed. The process ends by a timer of the platform, what it owes by the callers' deadlines, and nothing related the two.

Why this is enough: at the stop, each deadline that lies later is moved to half a second before the end, so that every state of a request, also one whose key is being closed, ends by what ends overdue requests. The other way, a pass over all requests at the end, would need its own rule for each state. Requests are not refused as soon as a usual run no longer fits, as a gateway does: an entry does not know run times by route.

Setting `graceMs` of an entry is new; without it nothing changes.

--- a/packages/core/src/entry/admission.ts
+++ b/packages/core/src/entry/admission.ts
@@ -110,6 +110,7 @@
     repeatable: route.repeat === schema.Repeat.ALLOWED,
     arrivedMs: now,
     deadlineMs: computeDeadline(state, given, now),
+    endsAtShutdown: false,
     status: entryState.RequestStatus.WAITING,
     attempts: 0,
     target: undefined,
--- a/packages/core/src/entry/attempt-reports.ts
+++ b/packages/core/src/entry/attempt-reports.ts
@@ -188,7 +188,7 @@
   if (RETRY_ELSEWHERE_CODES.has(notRun.code) && now < request.deadlineMs) {
     return dispatch.placeAgain(state, request, now);
   }
-  const code = now >= request.deadlineMs ? schema.ResultCode.DEADLINE_UNREACHABLE : notRun.code;
+  const code = now >= request.deadlineMs ? outcomes.getUnreachableCode(request) : notRun.code;
   const retryAfterMs =
     notRun.retryAfterMs || shedding.drawRetryAfter(state, service, request.tierRank);
   return outcomes.fail(state, request, outcomes.buildNotRun(code, retryAfterMs), now);
--- a/packages/core/src/entry/deadlines.ts
+++ b/packages/core/src/entry/deadlines.ts
@@ -29,9 +29,10 @@
 ): Effects {
   // A timeout proves nothing about the agent: it may be paused, and start the
   // request when it resumes. Only the agent's own report can establish "not run".
-  const failure = target.started
-    ? outcomes.buildRan(schema.ResultCode.DEADLINE_EXCEEDED)
-    : outcomes.buildMayHaveRun(schema.ResultCode.LINK_LOST);
+  const { DEADLINE_EXCEEDED, LINK_LOST, GATEWAY_STOPPED } = schema.ResultCode;
+  const code = target.started ? DEADLINE_EXCEEDED : LINK_LOST;
+  const build = target.started ? outcomes.buildRan : outcomes.buildMayHaveRun;
+  const failure = build(request.endsAtShutdown ? GATEWAY_STOPPED : code);
   const cancel = sendCancel(state, target);
   const recorded = agentMeasurements.recordFailure(state, request, now);
   return [...cancel, ...recorded, ...outcomes.fail(state, request, failure, now)];
@@ -68,7 +69,7 @@
   }
   const service = requestAccounting.getRequestService(state, request);
   const retryAfterMs = shedding.drawRetryAfter(state, service, request.tierRank);
-  const code = schema.ResultCode.DEADLINE_UNREACHABLE;
+  const code = outcomes.getUnreachableCode(request);
   return outcomes.fail(state, request, outcomes.buildNotRun(code, retryAfterMs), now);
 }
 
--- a/packages/core/src/entry/entry-event.ts
+++ b/packages/core/src/entry/entry-event.ts
@@ -41,7 +41,11 @@
   | { kind: 'documentRead'; stored: documentStore.StoredDocument }
   | { kind: 'vmsLeaving'; addresses: string[] }
   | { kind: 'ticked' }
-  | { kind: 'shutdownStarted' };
+  | {
+      kind: 'shutdownStarted';
+      /** Time until the process is killed, milliseconds; absent or 0 if nothing limits it. */
+      graceMs?: number;
+    };
 
 export type EntryEffect =
   | { kind: 'openLink'; backendServerId: string; address: string }
--- a/packages/core/src/entry/entry-state.ts
+++ b/packages/core/src/entry/entry-state.ts
@@ -62,6 +62,8 @@
   repeatable: boolean;
   arrivedMs: number;
   deadlineMs: number;
+  /** The deadline is that of the process, not the caller's. */
+  endsAtShutdown: boolean;
   status: RequestStatus;
   attempts: number;
   target: Target | undefined;
--- a/packages/core/src/entry/handle-entry-event.ts
+++ b/packages/core/src/entry/handle-entry-event.ts
@@ -18,6 +18,7 @@
 import * as membership from './membership.js';
 import * as outcomes from './outcomes.js';
 import * as parking from './parking.js';
+import * as shutdown from './shutdown.js';
 
 type Effects = entryEvent.EntryEffect[];
 type EventOf<K extends entryEvent.EntryEvent['kind']> = Extract<entryEvent.EntryEvent, { kind: K }>;
@@ -221,7 +222,7 @@
     case 'ticked':
       return handleTick(state, now);
     case 'shutdownStarted':
-      state.shutdownStarted = true;
+      shutdown.startShutdown(state, event.graceMs ?? 0, now);
       return stopWhenIdle(state);
     default:
       return [];
--- a/packages/core/src/entry/key-claims.ts
+++ b/packages/core/src/entry/key-claims.ts
@@ -152,7 +152,7 @@
   }
   state.claiming.delete(request.requestId);
   if (now >= request.deadlineMs) {
-    const failure = outcomes.buildNotRun(schema.ResultCode.DEADLINE_UNREACHABLE);
+    const failure = outcomes.buildNotRun(outcomes.getUnreachableCode(request));
     return [line, ...outcomes.fail(state, request, failure, now)];
   }
   request.claim = undefined;
--- a/packages/core/src/entry/outcomes.ts
+++ b/packages/core/src/entry/outcomes.ts
@@ -30,6 +30,12 @@
   return { code, runState: schema.RunState.MAY_HAVE_RUN, retryAfterMs: 0 };
 }
 
+/** Returns the code of a request that cannot be run before its deadline. */
+export function getUnreachableCode(request: entryState.EntryRequest): schema.ResultCode {
+  const { SHUTTING_DOWN, DEADLINE_UNREACHABLE } = schema.ResultCode;
+  return request.endsAtShutdown ? SHUTTING_DOWN : DEADLINE_UNREACHABLE;
+}
+
 /**
  * Combines the run states of two attempts.
  *
--- a/packages/core/src/entry/parking.ts
+++ b/packages/core/src/entry/parking.ts
@@ -36,7 +36,7 @@
     request.refusedBy.size > 0 && request.deadlineRefusedBy.size >= request.refusedBy.size;
   if (unreachable || now + waitMs >= request.deadlineMs) {
     const retryAfterMs = shedding.drawRetryAfter(state, service, request.tierRank);
-    const code = schema.ResultCode.DEADLINE_UNREACHABLE;
+    const code = outcomes.getUnreachableCode(request);
     return outcomes.fail(state, request, outcomes.buildNotRun(code, retryAfterMs), now);
   }
   requestAccounting.addParked(state, request, now);
--- a/packages/entry/src/app.ts
+++ b/packages/entry/src/app.ts
@@ -178,7 +178,7 @@
     shutDown: () => {
       callers.stopListening();
       logger.info({ event: 'shutdown' }, 'shutdown');
-      task.post({ kind: 'shutdownStarted' });
+      task.post({ kind: 'shutdownStarted', graceMs: settings.graceMs });
     },
     stop: () => [...readers, task, links, callers, operators].forEach((part) => part.stop()),
   };
