Shut a daemon down gracefully that gets a signal while it starts

Callers saw: by test: `toucanproxy entry` opens its port before it has started as a whole; SIGTERM in between ended it at once, with what it had read.

Cause: a signal before the daemon is known was taken for one before there is anything to lose.

Evidence: 'signal before the daemon has started shuts it down gracefully' failed before (130 !== 0).

Why this is enough: the signal is kept, and the shutdown begins in the turn in which the daemon is known. A daemon that does not start is ended by a second signal, as before. Weighed against opening the port last: the order of three daemons would have to stay so, and nothing would check it.

--- a/packages/cli/src/run-daemon.ts
+++ b/packages/cli/src/run-daemon.ts
@@ -5,8 +5,8 @@
 type StartDaemon<Settings> = (settings: Settings, stopped: () => void) => Promise<Daemon>;
 
 /**
- * Runs a daemon. The first SIGTERM or SIGINT shuts it down gracefully; a second one, or one that
- * comes before the daemon has started, stops it immediately.
+ * Runs a daemon. The first SIGTERM or SIGINT shuts it down gracefully, once it has started if it comes
+ * before; a second one stops it immediately.
  */
 export async function runDaemon<Settings>(
   settings: Settings,
@@ -21,17 +21,21 @@
     };
     const handleSignal = () => {
       signals += 1;
-      if (signals > 1 || daemon === undefined) {
+      if (signals > 1) {
         daemon?.stop();
         resolve(exitCode.ExitCode.INTERRUPTED);
         return;
       }
-      daemon.shutDown();
+      daemon?.shutDown();
     };
     process.on('SIGTERM', handleSignal);
     process.on('SIGINT', handleSignal);
     startDaemon(settings, stopped).then((started) => {
       daemon = started;
+      // Its port may have been open for a while.
+      if (signals > 0) {
+        daemon.shutDown();
+      }
     }, reject);
   });
 }
