Go on without a reader of the log

Callers saw: by trial: the reader of a gateway's standard output ends, and the gateway with it: not ready 2.6 s later (1.7 s with standard error), exit code 1 after 4.3 s. One reader of several logs would end all gateways at once.

Cause: the error of the closed pipe (EPIPE) is an event of the output without a handler, so an uncaught exception.

Evidence: 'gateway whose log is no longer read goes on' failed before with 503; it passes now, and the process exits with 0 after SIGTERM.

Why this is enough: the error is handled for both outputs, in each process that has a logger. Lines are lost, as they are where a reader stalls.

--- a/packages/runtime/src/log-output.ts
+++ b/packages/runtime/src/log-output.ts
@@ -21,6 +21,16 @@
 /** Limit of buffered bytes; enough for a stall of ten seconds at 400 lines per second. */
 const MAX_BUFFERED_BYTES = 1_048_576;
 
+/** Ignores that nobody reads the output of this process any more: what it logs is lost, nothing else. */
+export function keepWithoutReader(): void {
+  [process.stdout, process.stderr]
+    .filter((output) => !output.listeners('error').includes(dropError))
+    .forEach((output) => output.on('error', dropError));
+}
+
+/** Drops the error of a line that could not be written. */
+function dropError(): void {}
+
 /**
  * Creates a log output that writes to a sink.
  *
--- a/packages/runtime/src/logger.ts
+++ b/packages/runtime/src/logger.ts
@@ -14,6 +14,7 @@
 
 /** Creates the logger of one process. */
 export function createLogger(name: string, fields: Record<string, unknown>): bunyan {
+  logOutput.keepWithoutReader();
   const direct = bunyan.createLogger({ name, ...fields });
   const output = logOutput.createLogOutput(process.stdout, (lines) =>
     direct.warn({ event: 'log-dropped', lines }, 'log-dropped'),
