--- a/packages/gateway/src/app.ts
+++ b/packages/gateway/src/app.ts
@@ -134,10 +134,11 @@
   components: ReturnType<typeof createComponents>,
   task: gatewayTask.GatewayTask,
 ): callerServer.CallerServer {
-  const { log, metrics } = components;
+  const { log, metrics, runGuarded } = components;
   return callerServer.createCallerServer({
     listen: settings.callers,
     receive: task.receive,
+    runContained: (step, recover) => runGuarded(failureGuard.WorkUnit.CALLER, step, recover),
     computeUnreadMs: components.eventLoop.computeUnreadMs,
     reportProblem: (reason) => log.write('caller-problem', { reason }, clocks.readSteadyMs()),
     isClosedUnread: loadReports.createConnectionCheck(components, clocks.readSteadyMs),
@@ -194,15 +195,17 @@
   const metrics = gatewayMetrics.createGatewayMetrics(state, clocks.readSteadyMs, traffic);
   const noteDelay = loadReports.createDelayObserver({ state, log, metrics });
   const loop = eventLoop.startEventLoop(clocks.readSteadyMs, noteDelay);
+  const runGuarded = failureGuard.createFailureGuard(log, metrics, clocks.readSteadyMs);
   return {
     state,
     traffic,
     protocol,
     eventLoop: loop,
-    runGuarded: failureGuard.createFailureGuard(log, metrics, clocks.readSteadyMs),
+    runGuarded,
     connections: backendConnections.createBackendConnections(
       loop.runWhenPolled,
       (code, headers) => protocol.parseResponseHeaders(code, headers).attemptId,
+      (step, recover) => runGuarded(failureGuard.WorkUnit.CONNECTION, step, recover),
     ),
     readClocks: clocks.createClockReader(),
     log,
