Send refusals of unreadable bytes after the responses before them

What callers saw: a caller that sent a request and, behind it on the same connection, bytes that could not be parsed, a head that was too large or one that arrived too slowly got the 400, 431 or 408 at once, as the response to its first request. The first request ran, its response was dropped and the connection closed. A 408 promises that the request has not run. On a stream, the refusal appeared between its chunks.

Cause: the handler of `clientError` wrote to the socket, whatever responses were due on it.

Two ways: closing after the open responses without a refusal, or the refusal in its turn. The second is what the order of responses on a connection means, and what packages/entry does already; a slow caller learns why. An error inside a request whose head was read is sent through the response of that request, so that the library keeps the order. A caller that ends its side inside a further request has left, as without one.

`refuse` sends nothing twice: the wait for body memory may end after the request has been refused for its time.

--- a/packages/gateway/src/caller-connections.ts
+++ b/packages/gateway/src/caller-connections.ts
@@ -25,6 +25,8 @@
   hold: (response: http.ServerResponse) => boolean;
   /** Closes each connection after its last response, of those that are open or still to come. */
   closeAfterResponses: () => void;
+  /** Lists the responses of a connection that are held, the oldest first. */
+  listOpen: (socket: net.Socket) => http.ServerResponse[];
   /** Counts the responses that are held. */
   countOpen: () => number;
   /** Closes connections without a request, now and as they become idle. */
@@ -94,6 +96,7 @@
       isLeaving = true;
       connections.forEach(chooseLast);
     },
+    listOpen: (socket) => [...(connections.get(socket)?.open ?? [])],
     countOpen: () => [...connections.values()].reduce((sum, { open }) => sum + open.size, 0),
     closeIdle: () => {
       isClosing = true;
--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -2,17 +2,16 @@
 import * as http from 'node:http';
 import * as net from 'node:net';
 import * as gateway from '@toucanproxy/core/gateway';
-import * as runtime from '@toucanproxy/runtime';
 import * as schema from '@toucanproxy/schema';
 import * as acceptDelay from './accept-delay.js';
 import type * as bodyMemory from './body-memory.js';
 import * as bodyReading from './body-reading.js';
 import * as callerConnections from './caller-connections.js';
 import type * as callerExchange from './caller-exchange.js';
+import * as clientErrors from './client-errors.js';
 import * as clocks from './clocks.js';
 import * as earlyRefusal from './early-refusal.js';
 import type * as gatewaySettings from './gateway-settings.js';
-import * as localResponse from './local-response.js';
 
 export type CallerServer = {
   /** Starts listening; resolves to the port. */
@@ -85,6 +84,10 @@
   refusal: gateway.Refusal,
   fields: Record<string, unknown> = {},
 ): void {
+  // A refusal for another reason may have been sent already.
+  if (response.headersSent) {
+    return;
+  }
   state.options.reportRefusal(refusal.code, fields);
   earlyRefusal.refuseEarly(request, response, refusal, state.options.bodyMemory.noteCopied);
 }
@@ -190,18 +193,14 @@
   readBody(state, request, response, headerBytes);
 }
 
-/** Responds on a connection whose request could not be parsed or timed out. */
-function handleClientError(state: ServerState, error: Error, socket: net.Socket): void {
-  const code = runtime.toResultCode(error);
-  if (code === undefined) {
-    socket.destroy();
-    return;
-  }
-  state.options.reportRefusal(code, {});
-  runtime.writeErrorResponse(
-    socket,
-    localResponse.buildLocalResponse({ code, retryAfterMs: undefined }),
-  );
+/** Creates the function that handles errors of the HTTP parser and timeouts. */
+function createErrorHandler(state: ServerState): (error: Error, socket: net.Socket) => void {
+  return clientErrors.createErrorHandler({
+    listOpen: state.connections.listOpen,
+    refuse: (response, code) =>
+      refuse(state, response.req, response, { code, retryAfterMs: undefined }),
+    reportRefusal: state.options.reportRefusal,
+  });
 }
 
 /** Creates the HTTP server. */
@@ -220,9 +219,8 @@
   });
   server.on('request', (request, response) => handleRequest(state, request, response));
   server.on('checkContinue', (request, response) => handleRequest(state, request, response));
-  server.on('clientError', (error, socket) =>
-    handleClientError(state, error, socket as net.Socket),
-  );
+  const handleError = createErrorHandler(state);
+  server.on('clientError', (error, socket) => handleError(error, socket as net.Socket));
   server.on('error', (error) => state.options.reportProblem(error.message));
   server.on('connect', (_request, socket) => socket.destroy());
   server.on('upgrade', (_request, socket) => socket.destroy());
