Serve requests that offer another protocol; refuse CONNECT in order

What callers saw: a whole request with `Connection: Upgrade` (as HTTP clients send that offer h2c) got no byte: its connection was closed, and with it the responses to earlier requests on it. The same with CONNECT behind another request: the response to a request that ran was lost.

Cause: listeners for `upgrade` and `connect` that destroyed the socket.

A refusal of such requests was the other way; RFC 9110 section 7.8 lets a server ignore the offer, and the library does so without a listener.

packages/entry has no listener for `upgrade`; its refusal of CONNECT was not looked into.

--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -193,9 +193,9 @@
   readBody(state, request, response, headerBytes);
 }
 
-/** Creates the function that handles errors of the HTTP parser and timeouts. */
-function createErrorHandler(state: ServerState): (error: Error, socket: net.Socket) => void {
-  return clientErrors.createErrorHandler({
+/** Creates the functions that handle what cannot be read as a request. */
+function createErrorHandlers(state: ServerState): clientErrors.ErrorHandlers {
+  return clientErrors.createErrorHandlers({
     listOpen: state.connections.listOpen,
     refuse: (response, code) =>
       refuse(state, response.req, response, { code, retryAfterMs: undefined }),
@@ -219,11 +219,11 @@
   });
   server.on('request', (request, response) => handleRequest(state, request, response));
   server.on('checkContinue', (request, response) => handleRequest(state, request, response));
-  const handleError = createErrorHandler(state);
+  const { handleError, refuseTunnel } = createErrorHandlers(state);
   server.on('clientError', (error, socket) => handleError(error, socket as net.Socket));
   server.on('error', (error) => state.options.reportProblem(error.message));
-  server.on('connect', (_request, socket) => socket.destroy());
-  server.on('upgrade', (_request, socket) => socket.destroy());
+  // Without a listener for upgrades, a request that offers one is handled as any other.
+  server.on('connect', (_request, socket) => refuseTunnel(socket as net.Socket));
   return server;
 }
 
--- a/packages/gateway/src/client-errors.ts
+++ b/packages/gateway/src/client-errors.ts
@@ -13,23 +13,27 @@
   reportRefusal: (code: schema.ResultCode, fields: Record<string, unknown>) => void;
 };
 
+export type ErrorHandlers = {
+  /** Handles an error of the HTTP parser or a timeout. */
+  handleError: (error: Error, socket: net.Socket) => void;
+  /** Refuses to open a tunnel; the HTTP library has given up the connection. */
+  refuseTunnel: (socket: net.Socket) => void;
+};
+
 /**
- * Creates the function that handles an error of the HTTP parser or a timeout.
+ * Creates the handlers.
  *
  * Responses to earlier requests of the connection are sent first. A caller would take a refusal
  * that overtakes them for the response to the first of these requests, which may have run.
  */
-export function createErrorHandler({
-  listOpen,
-  refuse,
-  reportRefusal,
-}: ClientErrorOptions): (error: Error, socket: net.Socket) => void {
+export function createErrorHandlers(options: ClientErrorOptions): ErrorHandlers {
+  const { listOpen, refuse, reportRefusal } = options;
   /** Connections whose error has been handled; the parser reports it again for what follows. */
   const handled = new WeakSet<net.Socket>();
-  const handleWhenFirst = (code: schema.ResultCode, socket: net.Socket) => {
+  const refuseInOrder = (code: schema.ResultCode, socket: net.Socket) => {
     const last = listOpen(socket).at(-1);
     if (last !== undefined) {
-      last.once('close', () => handleWhenFirst(code, socket));
+      last.once('close', () => refuseInOrder(code, socket));
     } else if (!socket.destroyed) {
       reportRefusal(code, {});
       runtime.writeErrorResponse(
@@ -38,20 +42,29 @@
       );
     }
   };
-  return (error, socket) => {
-    const code = runtime.toResultCode(error);
-    const open = listOpen(socket);
-    const incomplete = open.find(({ req }) => !req.complete);
-    const hasLeft = socket.readableEnded && open.length > (incomplete === undefined ? 0 : 1);
-    if (code === undefined || hasLeft) {
-      socket.destroy();
-    } else if (!handled.has(socket)) {
-      handled.add(socket);
-      if (incomplete === undefined) {
-        handleWhenFirst(code, socket);
-      } else {
-        refuse(incomplete, code);
+  return {
+    handleError: (error, socket) => {
+      const code = runtime.toResultCode(error);
+      const open = listOpen(socket);
+      const incomplete = open.find(({ req }) => !req.complete);
+      const hasLeft = socket.readableEnded && open.length > (incomplete === undefined ? 0 : 1);
+      if (code === undefined || hasLeft) {
+        socket.destroy();
+      } else if (!handled.has(socket)) {
+        handled.add(socket);
+        if (incomplete === undefined) {
+          refuseInOrder(code, socket);
+        } else {
+          refuse(incomplete, code);
+        }
       }
-    }
+    },
+    refuseTunnel: (socket) => {
+      socket.on('error', () => socket.destroy());
+      // What follows is read and dropped, so that the end of the connection is noticed.
+      socket.on('end', () => socket.destroy());
+      socket.resume();
+      refuseInOrder(schema.ResultCode.MALFORMED_REQUEST, socket);
+    },
   };
 }
