Break off a response whose leaving server can no longer be asked

What callers saw: a server said that it leaves and was ended 2 s later, with three of four parts of a response sent. Callers on routes that run once got 600 of 800 bytes as a success that ended with its connection.

Cause: where the check found the server gone, a response without a length was passed on all the same if the server was known to leave. That a server leaves says nothing of whether it had finished.

Change: a response whose end is not proven is broken off, whatever is known of the server. The flag for a response passed on without proof goes with it.

Weighed: pass it on with a mark of its state (no status or framing says "perhaps whole"); ask another gateway (none saw more). A server that ends its last response and exits before the check arrives costs a 502 on routes that run once; others run again.

--- a/packages/gateway/src/attempt-sending.ts
+++ b/packages/gateway/src/attempt-sending.ts
@@ -85,7 +85,7 @@
     if (gateway.noteCompleteResponse(task.state, request, now)) {
       requestReports.reportCleared(task, request, now);
     }
-    const isProof = outcome.isEndKnown && outcome.head.status <= MAX_SUCCESS;
+    const isProof = outcome.head.status <= MAX_SUCCESS;
     if (isProof && gateway.noteSoundRun(task.state, request, now)) {
       requestReports.reportPartsCleared(task, request, now);
     }
@@ -251,7 +251,6 @@
       findUnwantedReason(task, held) === undefined &&
       gateway.findPartSuspension(task.state, request, readNow()) === undefined &&
       gateway.isStillUsable(task.state, request, readNow()),
-    isLeaving: () => gateway.findUsable(task.state.servers, server.id, readNow()) === undefined,
     checkServer: (settle) => checkServer(task, held, server, getSenderBornMs(), settle),
     observeExtraResponse: () =>
       requestReports.reportExtraResponse(task, request, server.id, readNow()),
--- a/packages/gateway/src/relay-state.ts
+++ b/packages/gateway/src/relay-state.ts
@@ -13,8 +13,6 @@
       head: heldRequest.ResponseHead;
       /** Events that were found in the body. */
       events: number;
-      /** False if the response was passed on although its end is unproven. */
-      isEndKnown: boolean;
     }
   | {
       kind: 'fault';
@@ -45,8 +43,6 @@
   canSend: () => boolean;
   /** Finds out whether the backend server has outlived the connection that ended the response. */
   checkServer: (settle: (isPresent: boolean) => void) => void;
-  /** Whether the backend server was known to leave, so that its absence shows no crash. */
-  isLeaving: () => boolean;
   /** Called when bytes of a further response were found behind the body. */
   observeExtraResponse: () => void;
   /** Called for each response that comes from the intended backend server. */
@@ -63,7 +59,6 @@
   eventStream: eventStream.EventStream;
   /** Body of a response that is buffered until it is complete. */
   body: byteCollector.ByteCollector;
-  isEndKnown: boolean;
   /** When the current sample of the time between events began. */
   sampleStartMs: number;
   /** Bytes of a stream since the end of its last event. */
--- a/packages/gateway/src/response-end.ts
+++ b/packages/gateway/src/response-end.ts
@@ -11,9 +11,8 @@
 function buildComplete({
   head,
   eventStream: { events },
-  isEndKnown,
 }: relayState.Relay): relayState.AttemptOutcome {
-  return { kind: 'complete', head: head as heldRequest.ResponseHead, events, isEndKnown };
+  return { kind: 'complete', head: head as heldRequest.ResponseHead, events };
 }
 
 /** Handles the end of a stream. */
@@ -74,15 +73,6 @@
   return hasBody && head?.framing === endToEndHeaders.BodyFraming.UNTIL_CLOSE;
 }
 
-/**
- * Returns whether a response whose end is unproven is passed on as it came: without a length, ended by
- * its connection. That states nothing, and its caller could not send the request again.
- */
-function isPassedAsReceived({ options, isStream }: relayState.Relay): boolean {
-  const { request, exchange } = options.held;
-  return !isStream && !exchange.response.headersSent && !request.repeatable && options.isLeaving();
-}
-
 /** Handles the end of a response. */
 export function endResponse(relay: relayState.Relay): void {
   if (hasEvents(relay) && eventStream.isInsideEvent(relay.eventStream)) {
@@ -98,8 +88,7 @@
     return;
   }
   relay.options.checkServer((isPresent) => {
-    relay.isEndKnown = isPresent;
-    if (isPresent || isPassedAsReceived(relay)) {
+    if (isPresent) {
       completeResponse(relay);
     } else {
       relayState.endWithFault(relay, gateway.AttemptFault.BROKEN, 'server-gone');
--- a/packages/gateway/src/response-relay.ts
+++ b/packages/gateway/src/response-relay.ts
@@ -146,7 +146,6 @@
     statesEvents: false,
     eventStream: options.held.events ?? eventStream.createEventStream(),
     body: byteCollector.createByteCollector(),
-    isEndKnown: true,
     unfinishedBytes: 0,
     sampleStartMs: 0,
     events: 0,
