Send a whole response with its length

What callers saw: a gateway was killed while it sent responses of 1 MB that their server had sent without a length.

Cause: the gateway held the whole body and had proven its end by the check of the server, and still left the length out.

Change: a response that is whole is sent with its length. One to HEAD without a length keeps none.

--- a/packages/gateway/src/caller-exchange.ts
+++ b/packages/gateway/src/caller-exchange.ts
@@ -38,19 +38,20 @@
   response.writeHead(head.status, head.headers);
 }
 
-/** Sends a complete response; one that came without a length is forwarded without one. */
+/**
+ * Sends a complete response with the length of its body, also one that came without a length: the
+ * caller would take a part for the whole if this process ends while it sends.
+ */
 export function sendResponse(
   exchange: CallerExchange,
   head: heldRequest.ResponseHead,
   body: Buffer,
 ): void {
   const { response } = exchange;
-  const isUntilClose = head.framing === endToEndHeaders.BodyFraming.UNTIL_CLOSE;
-  const length = isUntilClose ? [] : ['Content-Length', String(body.length)];
-  if (isUntilClose) {
-    response.shouldKeepAlive = false;
-    response.useChunkedEncodingByDefault = false;
-  }
+  // The response to HEAD has no body that would tell the length.
+  const isUnknown =
+    exchange.method === 'HEAD' && head.framing === endToEndHeaders.BodyFraming.UNTIL_CLOSE;
+  const length = isUnknown ? [] : ['Content-Length', String(body.length)];
   startResponse(exchange, { ...head, headers: [...head.headers, ...length] });
   response.end(body);
 }
