Send a long response with the length that its server stated

What callers would see: a response of more than 1 MiB is sent on before it is whole. A caller of HTTP/1.0 has no chunks, so that the part which a killed gateway leaves passed for the whole, though the server had stated the length.

Change: the stated length is passed on. A body that stays below it is broken off as before; one in chunks, or without a length, gets chunks.

--- a/packages/gateway/src/relay-state.ts
+++ b/packages/gateway/src/relay-state.ts
@@ -52,6 +52,8 @@
 export type Relay = {
   options: RelayOptions;
   head: heldRequest.ResponseHead | undefined;
+  /** Length of the body as the server stated it; undefined for streams, which may be resumed. */
+  statedLength: string | undefined;
   isStream: boolean;
   /** Whether the response states that it consists of server-sent events. */
   statesEvents: boolean;
@@ -84,6 +86,8 @@
     if (relay.isStream) {
       relay.options.observeStreamBegun();
     }
-    callerExchange.startResponse(exchange, relay.head);
+    const { head, statedLength } = relay;
+    const length = statedLength === undefined ? [] : ['Content-Length', statedLength];
+    callerExchange.startResponse(exchange, { ...head, headers: [...head.headers, ...length] });
   }
 }
--- a/packages/gateway/src/response-relay.ts
+++ b/packages/gateway/src/response-relay.ts
@@ -56,6 +56,10 @@
   relay.eventStream.isStated = relay.statesEvents;
   relay.head = { ...head, headers: endToEndHeaders.listEndToEnd(head.headers) };
   relay.isStream = isStream;
+  relay.statedLength =
+    !isStream && head.framing === endToEndHeaders.BodyFraming.LENGTH
+      ? endToEndHeaders.findHeader(head.headers, 'content-length')
+      : undefined;
   return true;
 }
 
@@ -142,6 +146,7 @@
   const relay: relayState.Relay = {
     options,
     head: undefined,
+    statedLength: undefined,
     isStream: false,
     statesEvents: false,
     eventStream: options.held.events ?? eventStream.createEventStream(),
