Take only a start that was known before for proof of the sender

What callers saw: a server crashed behind a cut and was back under its id. What it had sent, and the ends of its connections, arrived after the cut.

Cause: the check took 150 ms of silence on an open connection, any failure and any bytes for the sender's, and a start before the time of sending, by two clocks, for that of the process which got the request.

Change: the sender is present only if a report after the end states a start that this gateway knew before it sent the request: from that connection, the entry, or a report of that address. What proves nothing is asked again for 1 s and then counts as gone. Where no start is known, any response counts, silence no longer.

Weighed: a longer time of silence (no bound is known for a start or a stall); a call before each request (exact, and paid by all); clocks (what hides the restart).

Tests: "server that is too busy to respond is present" demanded the fault and is replaced by three: one that responds late is present, one that does not respond is not proven, one that states another start late is gone. The two for 503 and for bytes of no response hold where no start is known; where one is, such a server is asked again (four tests).

--- a/packages/gateway/src/attempt-sending.ts
+++ b/packages/gateway/src/attempt-sending.ts
@@ -157,25 +157,35 @@
 }
 
 /**
- * Checks whether a backend server has outlived the connection of an attempt.
- *
- * @param senderBornMs start of the incarnation that the request was sent to; 0 if unknown
+ * Lists the starts of processes at the address of a server that are known before a request is sent: one
+ * that states such a start after the response has lived all the while, so that it sent the response.
  */
+function listKnownStarts(
+  { connections }: taskState.TaskState,
+  { address, bornMs }: gateway.BackendServerEntry,
+  connection: backendConnections.BackendConnection,
+): number[] {
+  const starts =
+    connection.bornMs === undefined
+      ? [bornMs, connections.getStatedStart(address) ?? 0]
+      : [connection.bornMs];
+  return starts.filter((start) => start > 0);
+}
+
+/** Checks whether the process that sent the response to an attempt has outlived its connection. */
 function checkServer(
   task: taskState.TaskState,
   held: heldRequest.HeldRequest,
   server: gateway.BackendServerEntry,
-  senderBornMs: number,
+  knownStarts: readonly number[],
   settle: (isPresent: boolean) => void,
 ): void {
   const { request } = held;
-  const { sentWallMs } = request;
   const readNow = () => task.readClocks().steadyMs;
   const { abort } = serverCheck.startServerCheck({
     open: () => task.connections.open(server.address),
     request: task.protocol.buildServerCheck(server.id),
-    canBeSender: (bornMs) =>
-      senderBornMs === 0 || gateway.isAboutLife({ bornMs: senderBornMs, sentWallMs }, bornMs),
+    knownStarts,
     parseStart: task.protocol.parseReportedStart,
     isMisdirected: (status, headers) =>
       task.protocol.parseResponseHeaders(status, headers).isMisdirected,
@@ -223,7 +233,7 @@
   task: taskState.TaskState,
   held: heldRequest.HeldRequest,
   server: gateway.BackendServerEntry,
-  getSenderBornMs: () => number,
+  getKnownStarts: () => readonly number[],
 ): backendAttempt.AttemptListener {
   const { request } = held;
   const readNow = () => task.readClocks().steadyMs;
@@ -251,7 +261,7 @@
       findUnwantedReason(task, held) === undefined &&
       gateway.findPartSuspension(task.state, request, readNow()) === undefined &&
       gateway.isStillUsable(task.state, request, readNow()),
-    checkServer: (settle) => checkServer(task, held, server, getSenderBornMs(), settle),
+    checkServer: (settle) => checkServer(task, held, server, getKnownStarts(), settle),
     observeExtraResponse: () =>
       requestReports.reportExtraResponse(task, request, server.id, readNow()),
     observeStatements: (parsed) => {
@@ -281,15 +291,15 @@
   if (held.events !== undefined) {
     eventStream.restart(held.events, held.exchange.response.headersSent);
   }
-  let senderBornMs = server.bornMs;
-  const relay = createRelay(task, held, server, () => senderBornMs);
+  let knownStarts: readonly number[] = [];
+  const relay = createRelay(task, held, server, () => knownStarts);
   const listener = buildGuardedListener(task, held, relay);
   const refuseRestarted = () => {
     const fault = gateway.AttemptFault.WITHDRAWN;
     handleOutcome(task, held, { kind: 'fault', fault, reason: 'restarted', failure: undefined });
   };
   const useConnection = (connection: backendConnections.BackendConnection) => {
-    senderBornMs = connection.bornMs ?? senderBornMs;
+    knownStarts = listKnownStarts(task, server, connection);
     const now = task.readClocks().steadyMs;
     const outgoing = outgoingRequest.buildOutgoingRequest(task.protocol, held, server, now);
     held.attempt = backendAttempt.startAttempt(
--- a/packages/gateway/src/backend-connections.ts
+++ b/packages/gateway/src/backend-connections.ts
@@ -17,6 +17,8 @@
   completedResponses: number;
   /** When the process at the other end started, as it has stated on this connection. */
   bornMs: number | undefined;
+  /** Records what a report on this connection has stated. */
+  noteStart: (bornMs: number | undefined) => void;
   wasReset: () => boolean;
   /** Whether bytes that belong to no response were read. */
   hasExcess: () => boolean;
@@ -49,6 +51,8 @@
   isDoubtful: (address: string, bornMs: number) => boolean;
   /** Records that the incarnation is known, until the other side ends a connection. */
   clearDoubt: (address: string) => void;
+  /** Returns the start that was last stated at an address, on any connection. */
+  getStatedStart: (address: string) => number | undefined;
   /** Closes idle connections to addresses that are no longer used. */
   closeOthers: (addresses: ReadonlySet<string>) => void;
   stop: () => void;
@@ -117,15 +121,14 @@
   removeClosed: (connection: BackendConnection) => void;
   addIdle: (connection: BackendConnection) => void;
   markDoubtful: () => void;
+  keepStart: (bornMs: number | undefined) => void;
   runWhenPolled: (step: () => void) => void;
   findAttemptId: carriedCalls.FindAttemptId;
 };
 
 /** Opens a connection, and records whether it was reset. */
-function openConnection(
-  address: string,
-  { removeClosed, addIdle, markDoubtful, runWhenPolled, findAttemptId }: ConnectionHooks,
-): BackendConnection {
+function openConnection(address: string, hooks: ConnectionHooks): BackendConnection {
+  const { removeClosed, addIdle, markDoubtful, keepStart, runWhenPolled, findAttemptId } = hooks;
   let isReset = false;
   let hasExcess = false;
   let countBytesRead = () => 0;
@@ -151,6 +154,10 @@
     client,
     completedResponses: 0,
     bornMs: undefined,
+    noteStart: (bornMs) => {
+      connection.bornMs = bornMs;
+      keepStart(bornMs);
+    },
     wasReset: () => isReset,
     hasExcess: () => hasExcess,
     calls: carriedCalls.createCarriedCalls(findAttemptId),
@@ -178,6 +185,14 @@
   return connection;
 }
 
+/** Lists the addresses of a collection that are no longer used. */
+function listOthers(
+  collection: { keys: () => Iterable<string> },
+  addresses: ReadonlySet<string>,
+): string[] {
+  return [...collection.keys()].filter((address) => !addresses.has(address));
+}
+
 /**
  * Creates an empty connection pool.
  *
@@ -191,6 +206,7 @@
   const idle: idleConnections.IdleConnections = new Map();
   const all: connectionGroups.ConnectionGroups<BackendConnection> = new Map();
   const doubtful = new Set<string>();
+  const stated = new Map<string, number | undefined>();
   const open = (address: string) => {
     const opened = openConnection(address, {
       removeClosed: (connection) => {
@@ -204,6 +220,7 @@
         }
       },
       markDoubtful: () => doubtful.add(address),
+      keepStart: (bornMs) => stated.set(address, bornMs),
       runWhenPolled,
       findAttemptId,
     });
@@ -234,13 +251,12 @@
       doubtful.has(address) ||
       !connectionGroups.hasConnection(all, address, (known) => known.bornMs === bornMs),
     clearDoubt: (address) => doubtful.delete(address),
-    closeOthers: (addresses) =>
-      [...idle.keys(), ...doubtful]
-        .filter((address) => !addresses.has(address))
-        .forEach((address) => {
-          idleConnections.closeIdle(idle, address);
-          doubtful.delete(address);
-        }),
+    getStatedStart: (address) => stated.get(address),
+    closeOthers: (addresses) => {
+      listOthers(idle, addresses).forEach((address) => idleConnections.closeIdle(idle, address));
+      listOthers(doubtful, addresses).forEach((address) => doubtful.delete(address));
+      listOthers(stated, addresses).forEach((address) => stated.delete(address));
+    },
     stop: () => [...idle.keys()].forEach((address) => idleConnections.closeIdle(idle, address)),
   };
 }
--- a/packages/gateway/src/incarnation-check.ts
+++ b/packages/gateway/src/incarnation-check.ts
@@ -64,7 +64,7 @@
       return true;
     },
     onEnd: () => {
-      connection.bornMs = isReport ? parseStart(byteCollector.takeBytes(report)) : undefined;
+      connection.noteStart(isReport ? parseStart(byteCollector.takeBytes(report)) : undefined);
       end(connection.bornMs);
     },
     onWithdrawn: endUnknown,
--- a/packages/gateway/src/server-check.test.ts
+++ b/packages/gateway/src/server-check.test.ts
@@ -10,6 +10,8 @@
 const REQUEST = { method: 'GET', path: '/report', headers: ['host', 'a.example'], body: null };
 const MISDIRECTED = 421;
 const SENDER_BORN_MS = 7;
+/** Longer than a process takes that is exiting and still accepts connections, milliseconds. */
+const SLOW_MS = 300;
 
 type Server = { server: net.Server; port: number; countConnections: () => number };
 
@@ -40,6 +42,7 @@
 /** Runs one check; returns its result. */
 async function runCheck(
   port: number,
+  knownStarts: readonly number[] = [],
   connections = backendConnections.createBackendConnections(
     (step) => step(),
     () => undefined,
@@ -49,7 +52,7 @@
     const check = serverCheck.startServerCheck({
       open: () => connections.open(`127.0.0.1:${port}`),
       request: REQUEST,
-      canBeSender: (bornMs) => bornMs === SENDER_BORN_MS,
+      knownStarts,
       parseStart: (report) => (report.length === 0 ? undefined : Number(report)),
       isMisdirected: (status) => status === MISDIRECTED,
       readNow: () => performance.now(),
@@ -63,6 +66,11 @@
   return isPresent;
 }
 
+/** Builds a report that states a start. */
+function buildReport(start: string): string {
+  return `HTTP/1.1 200 X\r\nContent-Length: ${start.length}\r\n\r\n${start}`;
+}
+
 /** Builds a handler that responds to the first bytes with a status. */
 function buildResponder(status: number) {
   return (socket: net.Socket) => {
@@ -70,25 +78,61 @@
   };
 }
 
-test('server that responds is present', async (context) => {
+test('server that states no start is present if it responds', async (context) => {
   const { port, countConnections } = await startServer(context, buildResponder(503));
   assert.equal(await runCheck(port), true);
   assert.equal(countConnections(), 1);
 });
 
-test('server that responds in bytes of no response is present', async (context) => {
+test('server that states no start is present if it sends any bytes', async (context) => {
   const { port } = await startServer(context, (socket) => {
     socket.once('data', () => socket.write('none\r\n\r\n'));
   });
   assert.equal(await runCheck(port), true);
 });
 
-test('server that is too busy to respond is present', async (context) => {
-  // Guards against breaking off the responses of a server that is slow to respond to the check.
+test('server that is slow to state its start is present', async (context) => {
+  // Guards against breaking off the responses of a server that is busy.
+  const { port } = await startServer(context, (socket) => {
+    socket.once('data', () => setTimeout(() => socket.write(buildReport('7')), SLOW_MS));
+  });
+  assert.equal(await runCheck(port, [SENDER_BORN_MS]), true);
+});
+
+test('server that does not respond is not proven to be present', async (context) => {
+  // Guards against taking the silence of a process that has just started for the sender's.
   const { port } = await startServer(context, () => {});
-  assert.equal(await runCheck(port), true);
+  assert.equal(await runCheck(port), false);
+  assert.equal(await runCheck(port, [SENDER_BORN_MS]), false);
 });
 
+test('server that is slow to state another start is gone', async (context) => {
+  // Guards against the same where the next process responds at last.
+  const { port } = await startServer(context, (socket) => {
+    socket.once('data', () => setTimeout(() => socket.write(buildReport('8')), SLOW_MS));
+  });
+  assert.equal(await runCheck(port, [SENDER_BORN_MS]), false);
+});
+
+[
+  ['a failure', 'HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n'],
+  ['bytes of no response', 'none\r\n\r\n'],
+  ['a part of a report', 'HTTP/1.1 200 X\r\nContent-Length: 9\r\n\r\n7'],
+  ['a report without a start', 'HTTP/1.1 200 X\r\nContent-Length: 0\r\n\r\n'],
+].forEach(([name, bytes]) =>
+  test(`server that sends ${name} is asked again for its start`, async (context) => {
+    // Guards against taking any process at the address for the one whose start is known.
+    let isFirst = true;
+    const { port } = await startServer(context, (socket) => {
+      const response = isFirst ? bytes : buildReport('8');
+      isFirst = false;
+      socket.once('data', () => socket.end(response));
+    });
+    assert.equal(await runCheck(port, [SENDER_BORN_MS]), false);
+    assert.equal(await runCheck(port, [8]), true);
+  }),
+);
+
 test('server that resets surplus connections for a while is present', async (context) => {
   // Guards against taking a server that has reached its limit of connections for a crashed one.
   let left = 5;
@@ -141,7 +185,7 @@
         setImmediate(() => socket.write(stated));
       });
     });
-    assert.equal(await runCheck(port), stated === '7');
+    assert.equal(await runCheck(port, [SENDER_BORN_MS]), stated === '7');
   }),
 );
 
@@ -152,7 +196,7 @@
     (step) => step(),
     () => undefined,
   );
-  await runCheck(port, connections);
+  await runCheck(port, [], connections);
   await timers.setTimeout(20);
   assert.equal(connections.take(`127.0.0.1:${port}`, 'a').completedResponses, 1);
   connections.stop();
--- a/packages/gateway/src/server-check.ts
+++ b/packages/gateway/src/server-check.ts
@@ -1,8 +1,9 @@
 /**
- * Checks whether a backend server has outlived the end of a connection.
+ * Checks whether the process that sent a response has outlived the end of its connection.
  *
- * A process that crashes closes its connections like one that has sent a complete response. While it
- * exits, its port may still accept connections, so an accepted one proves nothing at first.
+ * A process that crashes closes its connections like one that has sent a complete response, and
+ * another one may listen in its place at once. Only a statement of the process itself, asked for
+ * after the end, proves that it lives; silence proves nothing, on an open connection neither.
  */
 import * as backendAttempt from './backend-attempt.js';
 import type * as backendConnections from './backend-connections.js';
@@ -11,34 +12,30 @@
 
 /** What a check has found. */
 export enum CheckFinding {
+  /** A report with a start that was known before the request was sent; any response if none was. */
   RESPONDED = 'responded',
-  /** No response on an open connection. */
-  SILENT = 'silent',
-  /** Another incarnation of the backend server, which cannot have sent the response. */
+  /** A report with another start: of an incarnation that may have replaced the sender since. */
   RESTARTED = 'restarted',
   /** Another backend server has the address. */
   MISDIRECTED = 'misdirected',
   REFUSED = 'refused',
-  /** No connection, or only ones that break. */
+  /** No report on an open connection. */
+  SILENT = 'silent',
+  /** No connection, or only ones that break or bring no report. */
   UNREACHABLE = 'unreachable',
 }
 
-const PRESENT_FINDINGS: ReadonlySet<CheckFinding> = new Set([
-  CheckFinding.RESPONDED,
-  CheckFinding.SILENT,
-]);
-
-/** Returns whether a finding means that the backend server has outlived the connection. */
+/** Returns whether a finding proves that the sender has outlived the connection. */
 export function isPresent(finding: CheckFinding): boolean {
-  return PRESENT_FINDINGS.has(finding);
+  return finding === CheckFinding.RESPONDED;
 }
 
 export type ServerCheckOptions = {
   /** Opens a new connection to the backend server. */
   open: () => backendConnections.BackendConnection;
   request: backendAttempt.OutgoingRequest;
-  /** Returns whether an incarnation that started at a time can have sent the response. */
-  canBeSender: (bornMs: number) => boolean;
+  /** Starts at this address that were known before the request was sent; none if it states none. */
+  knownStarts: readonly number[];
   /** Parses when the process of the backend server started, milliseconds since the Unix epoch. */
   parseStart: (report: Buffer) => number | undefined;
   /** Returns whether a response comes from another backend server at the same address. */
@@ -46,7 +43,7 @@
   readNow: () => number;
   /** Runs a step once the event loop has read what has arrived. */
   runAfterPoll: (step: () => void) => void;
-  /** Called once, unless the check is aborted; a server that cannot be reached counts as gone. */
+  /** Called once, unless the check is aborted. */
   settle: (finding: CheckFinding, ms: number) => void;
 };
 
@@ -57,78 +54,106 @@
   options: ServerCheckOptions;
   startedMs: number;
   isSettled: boolean;
+  /** Whether the request was sent on the present connection. */
+  isOpen: boolean;
   attempt: backendAttempt.BackendAttempt | undefined;
   retryTimer: NodeJS.Timeout | undefined;
+  endTimer: NodeJS.Timeout | undefined;
 };
 
-/** A process that is exiting closes its port and its connections within this time, milliseconds. */
-const EXIT_MS = 150;
 /** Pause before the next connection, milliseconds. */
 const RETRY_MS = 50;
-/** Time after which a backend server that has not responded counts as gone, milliseconds. */
+/** Time after which a backend server that has not stated its start counts as gone, milliseconds. */
 const MAX_CHECK_MS = 1000;
 /** A longer response to the check closes its connection; bytes. */
 const MAX_RESPONSE_BYTES = 65_536;
 const REFUSED = 'ECONNREFUSED';
 const STATUS_OK = 200;
 
+/** Stops the timers of a check. */
+function stopTimers({ retryTimer, endTimer }: CheckState): void {
+  clearTimeout(retryTimer);
+  clearTimeout(endTimer);
+}
+
 /** Ends the check with a result. */
 function endCheck(state: CheckState, finding: CheckFinding): void {
   if (!state.isSettled) {
     state.isSettled = true;
+    stopTimers(state);
     state.options.settle(finding, state.options.readNow() - state.startedMs);
   }
 }
 
+/** Ends a check whose time is over. */
+function endLate(state: CheckState): void {
+  if (!state.isSettled) {
+    endCheck(state, state.isOpen ? CheckFinding.SILENT : CheckFinding.UNREACHABLE);
+    state.attempt?.abort();
+  }
+}
+
+/** Asks again after what proves nothing. */
+function askAgain(state: CheckState): void {
+  if (!state.isSettled) {
+    state.isOpen = false;
+    state.retryTimer = setTimeout(() => sendRequest(state), RETRY_MS);
+  }
+}
+
 /**
- * Handles a connection that failed before a whole report. Any bytes on it show that the server is
- * present. A break alone shows nothing, and the server is asked again: a port may accept connections
- * for a server that is gone, and a server may reset those beyond its limit.
+ * Handles a response that does not state a start, or a connection that failed before a whole report
+ * with any bytes on it. Where no start is known, nothing more can be had.
  */
-function handleBroken(state: CheckState, reason: string, hasResponded: boolean): void {
-  if (state.isSettled) {
-    return;
+function handleUnstated(state: CheckState): void {
+  if (state.options.knownStarts.length === 0) {
+    endCheck(state, CheckFinding.RESPONDED);
+  } else {
+    askAgain(state);
   }
-  const elapsedMs = state.options.readNow() - state.startedMs;
+}
+
+/**
+ * Handles a connection that failed before a whole report. A break shows nothing, and the server is
+ * asked again: a port may accept connections for a server that is gone, and a server may reset those
+ * beyond its limit.
+ */
+function handleBroken(state: CheckState, reason: string, hasResponded: boolean): void {
   if (hasResponded) {
-    endCheck(state, CheckFinding.RESPONDED);
+    handleUnstated(state);
   } else if (reason === REFUSED) {
     endCheck(state, CheckFinding.REFUSED);
-  } else if (elapsedMs >= MAX_CHECK_MS) {
-    endCheck(state, CheckFinding.UNREACHABLE);
   } else {
-    state.retryTimer = setTimeout(() => sendRequest(state), RETRY_MS);
+    askAgain(state);
+  }
+}
+
+/** Handles the start that a report states. */
+function handleStart(state: CheckState, bornMs: number | undefined): void {
+  const { knownStarts } = state.options;
+  if (bornMs === undefined) {
+    handleUnstated(state);
+  } else {
+    const isSender = knownStarts.length === 0 || knownStarts.includes(bornMs);
+    endCheck(state, isSender ? CheckFinding.RESPONDED : CheckFinding.RESTARTED);
   }
 }
 
 /** Sends the request of the check over a new connection. */
 function sendRequest(state: CheckState): void {
-  const { open, request, isMisdirected, canBeSender, parseStart, runAfterPoll } = state.options;
+  const { open, request, isMisdirected, parseStart } = state.options;
   const report = byteCollector.createByteCollector();
   let isReport = false;
-  let silenceTimer: NodeJS.Timeout | undefined;
-  let isOver = false;
-  const handleSilence = () => {
-    if (!isOver) {
-      state.attempt?.abort();
-      endCheck(state, CheckFinding.SILENT);
-    }
-  };
-  const handleEnd = () => {
-    isOver = true;
-    clearTimeout(silenceTimer);
-  };
   const connection = open();
   const attempt = backendAttempt.startAttempt(connection, request, {
     canSend: () => {
-      silenceTimer = setTimeout(() => runAfterPoll(handleSilence), EXIT_MS);
+      state.isOpen = true;
       return !state.isSettled;
     },
     onHead: (status, headers) => {
       isReport = status === STATUS_OK;
-      if (!isReport) {
-        const isOther = isMisdirected(status, headers);
-        endCheck(state, isOther ? CheckFinding.MISDIRECTED : CheckFinding.RESPONDED);
+      if (!isReport && isMisdirected(status, headers)) {
+        endCheck(state, CheckFinding.MISDIRECTED);
       }
       return true;
     },
@@ -136,22 +161,18 @@
       byteCollector.addBytes(report, chunk);
       if (report.length > MAX_RESPONSE_BYTES) {
         attempt.abort();
+        handleUnstated(state);
       }
       return true;
     },
     onEnd: () => {
       const bornMs = isReport ? parseStart(byteCollector.takeBytes(report)) : undefined;
       // Streams that begin or go on over this connection need not ask again.
-      connection.bornMs = bornMs;
-      const isSender = bornMs === undefined || canBeSender(bornMs);
-      endCheck(state, isSender ? CheckFinding.RESPONDED : CheckFinding.RESTARTED);
-      handleEnd();
-    },
-    onWithdrawn: handleEnd,
-    onBroken: (reason) => {
-      handleEnd();
-      handleBroken(state, reason, connection.countBytesRead() > 0);
+      connection.noteStart(bornMs);
+      handleStart(state, bornMs);
     },
+    onWithdrawn: () => {},
+    onBroken: (reason) => handleBroken(state, reason, connection.countBytesRead() > 0),
   });
   state.attempt = attempt;
 }
@@ -162,15 +183,18 @@
     options,
     startedMs: options.readNow(),
     isSettled: false,
+    isOpen: false,
     attempt: undefined,
     retryTimer: undefined,
+    endTimer: undefined,
   };
+  state.endTimer = setTimeout(() => options.runAfterPoll(() => endLate(state)), MAX_CHECK_MS);
   sendRequest(state);
   return {
     abort: () => {
       if (!state.isSettled) {
         state.isSettled = true;
-        clearTimeout(state.retryTimer);
+        stopTimers(state);
         state.attempt?.abort();
       }
     },
