Begin resumable streams only where the server has stated its start

What callers saw: a server went dark, was back under its id with another version of its software, and crashed before it had written its entry.

Cause: no call for the start preceded a stream if an open connection led to the process that had stated the start of the entry and the other side had ended none. A process that goes dark ends none; the silent connection of a long stream counted as its sign of life.

Change: a stream that may be resumed begins, as it went on before, over a connection on which the server has stated the start of its entry. What other connections do proves nothing, so that the record of doubtful addresses and the groups of open connections go. A call that could not be sent counts as a server that cannot be reached, in place of a second connection that fails too.

Weighed: bytes on such a connection in the last moments (a cut holds them up); a call on another connection while the stream begins (no time, but a connection more, and a record that changes later).

--- a/packages/gateway/src/attempt-sending.ts
+++ b/packages/gateway/src/attempt-sending.ts
@@ -294,10 +294,8 @@
   let knownStarts: readonly number[] = [];
   const relay = createRelay(task, held, server, () => knownStarts);
   const listener = buildGuardedListener(task, held, relay);
-  const refuseRestarted = () => {
-    const fault = gateway.AttemptFault.WITHDRAWN;
-    handleOutcome(task, held, { kind: 'fault', fault, reason: 'restarted', failure: undefined });
-  };
+  const refuse = (fault: gateway.AttemptFault, reason: string) =>
+    handleOutcome(task, held, { kind: 'fault', fault, reason, failure: undefined });
   const useConnection = (connection: backendConnections.BackendConnection) => {
     knownStarts = listKnownStarts(task, server, connection);
     const now = task.readClocks().steadyMs;
@@ -308,5 +306,5 @@
       domainTraffic.countBodies(task.traffic, isOwnDomain, outgoing.body, listener),
     );
   };
-  streamConnection.takeConnection(task, held, server, useConnection, refuseRestarted);
+  streamConnection.takeConnection(task, held, server, useConnection, refuse);
 }
--- a/packages/gateway/src/backend-connections.ts
+++ b/packages/gateway/src/backend-connections.ts
@@ -8,7 +8,6 @@
 import type * as net from 'node:net';
 import * as undici from 'undici';
 import * as carriedCalls from './carried-calls.js';
-import * as connectionGroups from './connection-groups.js';
 import * as idleConnections from './idle-connections.js';
 
 export type BackendConnection = {
@@ -43,14 +42,6 @@
   /** Takes an idle connection to a process that has stated the given start on it, if there is one. */
   takeKnown: (address: string, bornMs: number, attemptId: string) => BackendConnection | undefined;
   open: (address: string) => BackendConnection;
-  /**
-   * Whether another incarnation of the server than the one with the given start may listen at an
-   * address: no open connection leads to the process that has stated it, or the other side has ended
-   * a connection since, or one could not be opened.
-   */
-  isDoubtful: (address: string, bornMs: number) => boolean;
-  /** Records that the incarnation is known, until the other side ends a connection. */
-  clearDoubt: (address: string) => void;
   /** Returns the start that was last stated at an address, on any connection. */
   getStatedStart: (address: string) => number | undefined;
   /** Closes idle connections to addresses that are no longer used. */
@@ -83,12 +74,6 @@
 /** Message of the library's error for bytes that belong to no response. */
 const EXCESS_ERROR = 'bad response';
 
-/** Returns whether an error comes from the other side or the network, not from this process. */
-function isForeign(error: Error): boolean {
-  const { code, syscall } = error as NodeJS.ErrnoException;
-  return code === 'UND_ERR_SOCKET' || syscall !== undefined;
-}
-
 /** Calls a listener before the library handles the end of a connection that was reset. */
 function watchResets(socket: net.Socket | null, handleReset: () => void): void {
   socket?.prependListener('error', handleReset);
@@ -101,17 +86,6 @@
   });
 }
 
-/** Calls a listener when the other side ends a connection, or it cannot be opened. */
-function watchEnds(client: undici.Client, handleEnd: () => void): void {
-  const noteError = (_url: URL, _targets: unknown, error: Error) => {
-    if (isForeign(error)) {
-      handleEnd();
-    }
-  };
-  client.on('connectionError', noteError);
-  client.on('disconnect', noteError);
-}
-
 /** Limits the time for connecting; the library's own timers fire up to a second late. */
 function startConnectTimer(client: undici.Client): NodeJS.Timeout {
   return setTimeout(() => client.destroy(new Error('connect-timeout')), CONNECT_TIMEOUT_MS);
@@ -120,7 +94,6 @@
 type ConnectionHooks = {
   removeClosed: (connection: BackendConnection) => void;
   addIdle: (connection: BackendConnection) => void;
-  markDoubtful: () => void;
   keepStart: (bornMs: number | undefined) => void;
   runWhenPolled: (step: () => void) => void;
   findAttemptId: carriedCalls.FindAttemptId;
@@ -128,7 +101,7 @@
 
 /** Opens a connection, and records whether it was reset. */
 function openConnection(address: string, hooks: ConnectionHooks): BackendConnection {
-  const { removeClosed, addIdle, markDoubtful, keepStart, runWhenPolled, findAttemptId } = hooks;
+  const { removeClosed, addIdle, keepStart, runWhenPolled, findAttemptId } = hooks;
   let isReset = false;
   let hasExcess = false;
   let countBytesRead = () => 0;
@@ -176,7 +149,6 @@
       addIdle(connection);
     },
   };
-  watchEnds(client, markDoubtful);
   client.on('disconnect', (_url, _targets, error) => {
     hasExcess = error.message === EXCESS_ERROR;
     removeClosed(connection);
@@ -204,29 +176,20 @@
   findAttemptId: carriedCalls.FindAttemptId,
 ): BackendConnections {
   const idle: idleConnections.IdleConnections = new Map();
-  const all: connectionGroups.ConnectionGroups<BackendConnection> = new Map();
-  const doubtful = new Set<string>();
   const stated = new Map<string, number | undefined>();
-  const open = (address: string) => {
-    const opened = openConnection(address, {
-      removeClosed: (connection) => {
-        idleConnections.removeIdle(idle, address, connection);
-        connectionGroups.removeConnection(all, address, connection);
-      },
+  const open = (address: string) =>
+    openConnection(address, {
+      removeClosed: (connection) => idleConnections.removeIdle(idle, address, connection),
       addIdle: (connection) => {
         // If the server asked to close the connection, the client is already destroyed here.
         if (!connection.client.destroyed) {
           idleConnections.addIdle(idle, address, connection);
         }
       },
-      markDoubtful: () => doubtful.add(address),
       keepStart: (bornMs) => stated.set(address, bornMs),
       runWhenPolled,
       findAttemptId,
     });
-    connectionGroups.addConnection(all, address, opened);
-    return opened;
-  };
   const takeIdle = (
     address: string,
     attemptId: string,
@@ -247,14 +210,9 @@
     takeKnown: (address, bornMs, attemptId) =>
       takeIdle(address, attemptId, (connection) => connection.bornMs === bornMs),
     open,
-    isDoubtful: (address, bornMs) =>
-      doubtful.has(address) ||
-      !connectionGroups.hasConnection(all, address, (known) => known.bornMs === bornMs),
-    clearDoubt: (address) => doubtful.delete(address),
     getStatedStart: (address) => stated.get(address),
     closeOthers: (addresses) => {
       listOthers(idle, addresses).forEach((address) => idleConnections.closeIdle(idle, address));
-      listOthers(doubtful, addresses).forEach((address) => doubtful.delete(address));
       listOthers(stated, addresses).forEach((address) => stated.delete(address));
     },
     stop: () => [...idle.keys()].forEach((address) => idleConnections.closeIdle(idle, address)),
--- a/packages/gateway/src/incarnation-check.test.ts
+++ b/packages/gateway/src/incarnation-check.test.ts
@@ -46,7 +46,7 @@
       onBroken: (reason) => reject(new Error(reason)),
     });
   });
-  const bornMs = await new Promise((resolve) => {
+  const { bornMs } = await new Promise<incarnationCheck.IncarnationFinding>((resolve) => {
     incarnationCheck.startIncarnationCheck({
       connection: connections.take(address, 'b'),
       request: REPORT,
--- a/packages/gateway/src/incarnation-check.ts
+++ b/packages/gateway/src/incarnation-check.ts
@@ -15,8 +15,15 @@
   request: backendAttempt.OutgoingRequest;
   /** Parses from the report when the process started, milliseconds since the Unix epoch. */
   parseStart: (report: Buffer) => number | undefined;
-  /** Called once, unless the check is aborted; undefined if the server has not stated its start. */
-  settle: (bornMs: number | undefined) => void;
+  /** Called once, unless the check is aborted. */
+  settle: (finding: IncarnationFinding) => void;
+};
+
+export type IncarnationFinding = {
+  /** Undefined if the server has not stated its start. */
+  bornMs: number | undefined;
+  /** False if the call could not be sent. */
+  isReachable: boolean;
 };
 
 /** A server that has not responded after this time counts as not stating its start, milliseconds. */
@@ -36,14 +43,14 @@
   let isReport = false;
   let isOver = false;
   let timer: NodeJS.Timeout | undefined;
-  const end = (bornMs: number | undefined) => {
+  const end = (finding: IncarnationFinding) => {
     if (!isOver) {
       isOver = true;
       clearTimeout(timer);
-      settle(bornMs);
+      settle(finding);
     }
   };
-  const endUnknown = () => end(undefined);
+  const endUnknown = () => end({ bornMs: undefined, isReachable: true });
   const attempt = backendAttempt.startAttempt(connection, request, {
     canSend: () => !isOver,
     onHead: (status, headers) => {
@@ -65,14 +72,15 @@
     },
     onEnd: () => {
       connection.noteStart(isReport ? parseStart(byteCollector.takeBytes(report)) : undefined);
-      end(connection.bornMs);
+      end({ bornMs: connection.bornMs, isReachable: true });
     },
     onWithdrawn: endUnknown,
-    onBroken: endUnknown,
+    onBroken: (_, mayHaveBeenSent) => end({ bornMs: undefined, isReachable: mayHaveBeenSent }),
   });
   timer = setTimeout(() => {
+    const isReachable = attempt.mayHaveBeenSent();
     attempt.abort();
-    endUnknown();
+    end({ bornMs: undefined, isReachable });
   }, MAX_CHECK_MS);
   return {
     abort: () => {
--- a/packages/gateway/src/stream-connection.ts
+++ b/packages/gateway/src/stream-connection.ts
@@ -3,9 +3,9 @@
  *
  * Until the entry of a server that has restarted is written and read, it describes the incarnation
  * before, which may have had another version. What a server states of its start on a connection holds
- * for that connection.
+ * for that connection, and for no other: a process that has gone silent leaves its connections open.
  */
-import type * as gateway from '@toucanproxy/core/gateway';
+import * as gateway from '@toucanproxy/core/gateway';
 import type * as backendConnections from './backend-connections.js';
 import type * as heldRequest from './held-request.js';
 import * as incarnationCheck from './incarnation-check.js';
@@ -14,22 +14,22 @@
 
 type UseConnection = (connection: backendConnections.BackendConnection) => void;
 
-/** Asks a server for its start on a connection, then passes on what it has stated. */
+/** Asks a server for its start on a connection, then passes on what was found. */
 function checkIncarnation(
   task: taskState.TaskState,
   held: heldRequest.HeldRequest,
   { id, address }: gateway.BackendServerEntry,
-  settle: (statedMs: number | undefined) => void,
+  settle: (finding: incarnationCheck.IncarnationFinding) => void,
 ): void {
   let isSettled = false;
   const { abort } = incarnationCheck.startIncarnationCheck({
     connection: task.connections.take(address, held.request.arrived.attemptId),
     request: task.protocol.buildServerCheck(id),
     parseStart: task.protocol.parseReportedStart,
-    settle: (statedMs) => {
+    settle: (finding) => {
       isSettled = true;
       held.attempt = undefined;
-      requestEnding.runForRequest(task, held, () => settle(statedMs), undefined);
+      requestEnding.runForRequest(task, held, () => settle(finding), undefined);
     },
   });
   if (!isSettled) {
@@ -40,28 +40,26 @@
 /**
  * Takes a connection for a request.
  *
- * A request that continues a stream is sent only where the server has stated that it is the
- * incarnation of its entry. One that begins a stream is sent in any case; if it is not certain which
- * incarnation begins it, its version counts as unknown.
+ * A stream that may be resumed begins, and goes on, over a connection on which the server has stated
+ * that it is the incarnation of its entry. Where it has stated another start or none, a request that
+ * continues a stream is not sent; one that begins a stream is, and its version counts as unknown.
  *
  * @param useConnection called with the connection, now or once the server has responded
- * @param refuse called instead if another incarnation may be behind it
+ * @param refuse called instead if the request is not sent to this server
  */
 export function takeConnection(
   task: taskState.TaskState,
   held: heldRequest.HeldRequest,
   server: gateway.BackendServerEntry,
   useConnection: UseConnection,
-  refuse: () => void,
+  refuse: (fault: gateway.AttemptFault, reason: string) => void,
 ): void {
   const { connections } = task;
   const { request } = held;
   const { address, bornMs } = server;
   const { attemptId } = request.arrived;
   const continues = request.streamVersion !== undefined;
-  const needsProof =
-    continues || (request.route.resumable && connections.isDoubtful(address, bornMs));
-  if (!needsProof || bornMs === 0) {
+  if (!(continues || request.route.resumable) || bornMs === 0) {
     useConnection(connections.take(address, attemptId));
     return;
   }
@@ -70,16 +68,15 @@
     useConnection(known);
     return;
   }
-  checkIncarnation(task, held, server, (statedMs) => {
-    if (statedMs === bornMs) {
-      connections.clearDoubt(address);
-    }
+  checkIncarnation(task, held, server, ({ bornMs: statedMs, isReachable }) => {
     const proven =
       statedMs === bornMs ? connections.takeKnown(address, bornMs, attemptId) : undefined;
     if (proven !== undefined) {
       useConnection(proven);
+    } else if (!isReachable) {
+      refuse(gateway.AttemptFault.UNREACHABLE, 'unreachable');
     } else if (continues) {
-      refuse();
+      refuse(gateway.AttemptFault.WITHDRAWN, 'restarted');
     } else {
       request.isIncarnationUnknown = true;
       useConnection(connections.take(address, attemptId));
