--- a/packages/gateway/src/attempt-sending.ts
+++ b/packages/gateway/src/attempt-sending.ts
@@ -85,7 +85,7 @@
     if (gateway.noteCompleteResponse(task.state, request, now)) {
       requestReports.reportCleared(task, request, now);
     }
-    const isProof = outcome.isEndKnown && outcome.head.status <= MAX_SUCCESS;
+    const isProof = outcome.head.status <= MAX_SUCCESS;
     if (isProof && gateway.noteSoundRun(task.state, request, now)) {
       requestReports.reportPartsCleared(task, request, now);
     }
@@ -157,25 +157,35 @@
 }
 
 /**
- * Checks whether a backend server has outlived the connection of an attempt.
- *
- * @param senderBornMs start of the incarnation that the request was sent to; 0 if unknown
+ * Lists the starts of processes at the address of a server that are known before a request is sent: one
+ * that states such a start after the response has lived all the while, so that it sent the response.
  */
+function listKnownStarts(
+  { connections }: taskState.TaskState,
+  { address, bornMs }: gateway.BackendServerEntry,
+  connection: backendConnections.BackendConnection,
+): number[] {
+  const starts =
+    connection.bornMs === undefined
+      ? [bornMs, connections.getStatedStart(address) ?? 0]
+      : [connection.bornMs];
+  return starts.filter((start) => start > 0);
+}
+
+/** Checks whether the process that sent the response to an attempt has outlived its connection. */
 function checkServer(
   task: taskState.TaskState,
   held: heldRequest.HeldRequest,
   server: gateway.BackendServerEntry,
-  senderBornMs: number,
+  knownStarts: readonly number[],
   settle: (isPresent: boolean) => void,
 ): void {
   const { request } = held;
-  const { sentWallMs } = request;
   const readNow = () => task.readClocks().steadyMs;
   const { abort } = serverCheck.startServerCheck({
     open: () => task.connections.open(server.address),
     request: task.protocol.buildServerCheck(server.id),
-    canBeSender: (bornMs) =>
-      senderBornMs === 0 || gateway.isAboutLife({ bornMs: senderBornMs, sentWallMs }, bornMs),
+    knownStarts,
     parseStart: task.protocol.parseReportedStart,
     isMisdirected: (status, headers) =>
       task.protocol.parseResponseHeaders(status, headers).isMisdirected,
@@ -223,7 +233,7 @@
   task: taskState.TaskState,
   held: heldRequest.HeldRequest,
   server: gateway.BackendServerEntry,
-  getSenderBornMs: () => number,
+  getKnownStarts: () => readonly number[],
 ): backendAttempt.AttemptListener {
   const { request } = held;
   const readNow = () => task.readClocks().steadyMs;
@@ -251,8 +261,7 @@
       findUnwantedReason(task, held) === undefined &&
       gateway.findPartSuspension(task.state, request, readNow()) === undefined &&
       gateway.isStillUsable(task.state, request, readNow()),
-    isLeaving: () => gateway.findUsable(task.state.servers, server.id, readNow()) === undefined,
-    checkServer: (settle) => checkServer(task, held, server, getSenderBornMs(), settle),
+    checkServer: (settle) => checkServer(task, held, server, getKnownStarts(), settle),
     observeExtraResponse: () =>
       requestReports.reportExtraResponse(task, request, server.id, readNow()),
     observeStatements: (parsed) => {
@@ -282,15 +291,13 @@
   if (held.events !== undefined) {
     eventStream.restart(held.events, held.exchange.response.headersSent);
   }
-  let senderBornMs = server.bornMs;
-  const relay = createRelay(task, held, server, () => senderBornMs);
+  let knownStarts: readonly number[] = [];
+  const relay = createRelay(task, held, server, () => knownStarts);
   const listener = buildGuardedListener(task, held, relay);
-  const refuseRestarted = () => {
-    const fault = gateway.AttemptFault.WITHDRAWN;
-    handleOutcome(task, held, { kind: 'fault', fault, reason: 'restarted', failure: undefined });
-  };
+  const refuse = (fault: gateway.AttemptFault, reason: string) =>
+    handleOutcome(task, held, { kind: 'fault', fault, reason, failure: undefined });
   const useConnection = (connection: backendConnections.BackendConnection) => {
-    senderBornMs = connection.bornMs ?? senderBornMs;
+    knownStarts = listKnownStarts(task, server, connection);
     const now = task.readClocks().steadyMs;
     const outgoing = outgoingRequest.buildOutgoingRequest(task.protocol, held, server, now);
     held.attempt = backendAttempt.startAttempt(
@@ -299,5 +306,5 @@
       domainTraffic.countBodies(task.traffic, isOwnDomain, outgoing.body, listener),
     );
   };
-  streamConnection.takeConnection(task, held, server, useConnection, refuseRestarted);
+  streamConnection.takeConnection(task, held, server, useConnection, refuse);
 }
--- a/packages/gateway/src/backend-connections.ts
+++ b/packages/gateway/src/backend-connections.ts
@@ -9,7 +9,6 @@
 import * as undici from 'undici';
 import * as backendSocket from './backend-socket.js';
 import * as carriedCalls from './carried-calls.js';
-import * as connectionGroups from './connection-groups.js';
 import * as idleConnections from './idle-connections.js';
 
 export type BackendConnection = {
@@ -18,6 +17,8 @@
   completedResponses: number;
   /** When the process at the other end started, as it has stated on this connection. */
   bornMs: number | undefined;
+  /** Records what a report on this connection has stated. */
+  noteStart: (bornMs: number | undefined) => void;
   wasReset: () => boolean;
   /** Whether bytes that belong to no response were read. */
   hasExcess: () => boolean;
@@ -47,14 +48,8 @@
   /** Takes an idle connection to a process that has stated the given start on it, if there is one. */
   takeKnown: (address: string, bornMs: number, attemptId: string) => BackendConnection | undefined;
   open: (address: string) => BackendConnection;
-  /**
-   * Whether another incarnation of the server than the one with the given start may listen at an
-   * address: no open connection leads to the process that has stated it, or the other side has ended
-   * a connection since, or one could not be opened.
-   */
-  isDoubtful: (address: string, bornMs: number) => boolean;
-  /** Records that the incarnation is known, until the other side ends a connection. */
-  clearDoubt: (address: string) => void;
+  /** Returns the start that was last stated at an address, on any connection. */
+  getStatedStart: (address: string) => number | undefined;
   /** Closes idle connections to addresses that are no longer used. */
   closeOthers: (addresses: ReadonlySet<string>) => void;
   stop: () => void;
@@ -80,34 +75,17 @@
 /** Message of the library's error for bytes that belong to no response. */
 const EXCESS_ERROR = 'bad response';
 
-/** Returns whether an error comes from the other side or the network, not from this process. */
-function isForeign(error: Error): boolean {
-  const { code, syscall } = error as NodeJS.ErrnoException;
-  return code === 'UND_ERR_SOCKET' || syscall !== undefined;
-}
-
-/** Calls a listener when the other side ends a connection, or it cannot be opened. */
-function watchEnds(client: undici.Client, handleEnd: () => void): void {
-  const noteError = (_url: URL, _targets: unknown, error: Error) => {
-    if (isForeign(error)) {
-      handleEnd();
-    }
-  };
-  client.on('connectionError', noteError);
-  client.on('disconnect', noteError);
-}
-
 type ConnectionHooks = Pick<backendSocket.ConnectHooks, 'runWhenPolled' | 'runContained'> & {
   removeClosed: (connection: BackendConnection) => void;
   addIdle: (connection: BackendConnection) => void;
-  markDoubtful: () => void;
+  keepStart: (bornMs: number | undefined) => void;
   findAttemptId: carriedCalls.FindAttemptId;
 };
 
 /** Opens a connection, and records whether it was reset. */
 function openConnection(
   address: string,
-  { removeClosed, addIdle, markDoubtful, findAttemptId, ...hooks }: ConnectionHooks,
+  { removeClosed, addIdle, keepStart, findAttemptId, ...hooks }: ConnectionHooks,
 ): BackendConnection {
   const socket = backendSocket.createBackendSocket();
   let hasExcess = false;
@@ -122,6 +100,10 @@
     client,
     completedResponses: 0,
     bornMs: undefined,
+    noteStart: (bornMs) => {
+      connection.bornMs = bornMs;
+      keepStart(bornMs);
+    },
     wasReset: () => socket.isReset,
     hasExcess: () => hasExcess,
     calls: carriedCalls.createCarriedCalls(findAttemptId),
@@ -146,7 +128,6 @@
       addIdle(connection);
     },
   };
-  watchEnds(client, markDoubtful);
   client.on('disconnect', (_url, _targets, error) => {
     hasExcess = error.message === EXCESS_ERROR;
     removeClosed(connection);
@@ -155,6 +136,14 @@
   return connection;
 }
 
+/** Lists the addresses of a collection that are no longer used. */
+function listOthers(
+  collection: { keys: () => Iterable<string> },
+  addresses: ReadonlySet<string>,
+): string[] {
+  return [...collection.keys()].filter((address) => !addresses.has(address));
+}
+
 /**
  * Creates an empty connection pool.
  *
@@ -168,28 +157,21 @@
   runContained: runtime.RunContained = (step) => step(),
 ): BackendConnections {
   const idle: idleConnections.IdleConnections = new Map();
-  const all: connectionGroups.ConnectionGroups<BackendConnection> = new Map();
-  const doubtful = new Set<string>();
-  const open = (address: string) => {
-    const opened = openConnection(address, {
-      removeClosed: (connection) => {
-        idleConnections.removeIdle(idle, address, connection);
-        connectionGroups.removeConnection(all, address, connection);
-      },
+  const stated = new Map<string, number | undefined>();
+  const open = (address: string) =>
+    openConnection(address, {
+      removeClosed: (connection) => idleConnections.removeIdle(idle, address, connection),
       addIdle: (connection) => {
         // If the server asked to close the connection, the client is already destroyed here.
         if (!connection.client.destroyed) {
           idleConnections.addIdle(idle, address, connection);
         }
       },
-      markDoubtful: () => doubtful.add(address),
+      keepStart: (bornMs) => stated.set(address, bornMs),
       runWhenPolled,
       findAttemptId,
       runContained,
     });
-    connectionGroups.addConnection(all, address, opened);
-    return opened;
-  };
   type IsSuitable = (connection: BackendConnection) => boolean;
   const takeIdle = (address: string, attemptId: string, isSuitable: IsSuitable) =>
     idleConnections.takeIdle(
@@ -207,17 +189,11 @@
     takeKnown: (address, bornMs, attemptId) =>
       takeIdle(address, attemptId, (connection) => connection.bornMs === bornMs),
     open,
-    isDoubtful: (address, bornMs) =>
-      doubtful.has(address) ||
-      !connectionGroups.hasConnection(all, address, (known) => known.bornMs === bornMs),
-    clearDoubt: (address) => doubtful.delete(address),
-    closeOthers: (addresses) =>
-      [...idle.keys(), ...doubtful]
-        .filter((address) => !addresses.has(address))
-        .forEach((address) => {
-          idleConnections.closeIdle(idle, address);
-          doubtful.delete(address);
-        }),
+    getStatedStart: (address) => stated.get(address),
+    closeOthers: (addresses) => {
+      listOthers(idle, addresses).forEach((address) => idleConnections.closeIdle(idle, address));
+      listOthers(stated, addresses).forEach((address) => stated.delete(address));
+    },
     stop: () => [...idle.keys()].forEach((address) => idleConnections.closeIdle(idle, address)),
   };
 }
