Treat a response status from 600 on as broken

What callers saw: a backend server in trouble sends a status such as 600, 700 or 999 with its signature; callers got it as a response of that status, on all kinds of routes.

Cause: the HTTP parser accepts any status of three digits from 100 on, and the gateway took all from 500 on for server errors, whose last one is passed on. RFC 9110 ends the range at 599.

Evidence: odd-statuses.test.ts, 18 texts in place of a status, four kinds of routes, three framings. Before: 3 of 7 tests failed, each on 600, 700 and 999 on all four routes (12 of 72 responses); the other 15 texts (000, 0, 99, 1000, "2 0", 0200, -20, +200, 200.5, empty, abc, 2x0, 101, 104, 199) were failures or ran elsewhere already. Now 7 of 7 pass.

Two ways were weighed: to pass the response on as 500 keeps its body, but bears the signature with a status that the server did not give; to count it as broken (taken) lets a request run elsewhere where it may. The place is the one judgement of a head, so that resumed streams are covered too.

--- a/packages/gateway/src/response-head.ts
+++ b/packages/gateway/src/response-head.ts
@@ -12,6 +12,8 @@
 }
 
 const MAX_SUCCESS = 299;
+/** A higher status is none (RFC 9110, section 15); the HTTP parser accepts any of three digits. */
+const MAX_STATUS = 599;
 const EVENT_STREAM_TYPE = 'text/event-stream';
 
 /** Finds the fault that the status and headers of a response show. */
@@ -21,6 +23,9 @@
   parsed: wireProtocol.ParsedResponseHeaders,
   isNewConnection: boolean,
 ): { fault: gateway.AttemptFault; reason: string } | undefined {
+  if (head.status > MAX_STATUS) {
+    return { fault: gateway.AttemptFault.BROKEN, reason: 'status-invalid' };
+  }
   const isSameRequest = parsed.attemptId === attemptId;
   const notRun = parsed.isNotRun || parsed.isMisdirected;
   // A refusal by a backend server may lack the id. On a new connection it cannot belong to another
