Read transfer codings as the HTTP parser does

What callers saw: a backend server states `Transfer-Encoding: chunked` with a tab or a no-break space beside it, sends a part of a body and resets the connection; callers got 200 with that part, framed as whole, on all kinds of routes. Where a coding was one that the parser does not decode (gzip, "chunked,", xchunked, chunked;a=b), they got its bytes, chunk sizes included, as the body.

Cause: the gateway trimmed all white space and looked at the last coding, the parser trims spaces only and reads what it does not know as body up to the end of the connection. So the gateway took a body for delimited that a reset had ended. The header is removed as hop-by-hop, the bytes were kept.

Two ways were weighed: to match the parser for the end alone leaves coded bytes in bodies; to count any success in a coding that nobody asked for as broken (taken) covers both, as for Content-Encoding. `identity` stays what it was: the body ends with its connection.

--- a/packages/gateway/src/end-to-end-headers.ts
+++ b/packages/gateway/src/end-to-end-headers.ts
@@ -53,6 +53,9 @@
   UNTIL_CLOSE = 'until-close',
 }
 
+const CHUNKED = 'chunked';
+/** Transfer codings after which the body is that of the server. */
+const DECODED_CODINGS: ReadonlySet<string> = new Set([CHUNKED, 'identity']);
 const STATUS_NO_CONTENT = 204;
 const STATUS_NOT_MODIFIED = 304;
 
@@ -64,16 +67,33 @@
     .map((item) => item.trim().toLowerCase());
 }
 
-/** Finds the last transfer coding; the only one that marks the end of a body is `chunked`. */
-function findLastCoding(headers: wireProtocol.RawHeaders): string | undefined {
-  return listItems(headers, 'transfer-encoding').at(-1);
+/**
+ * Finds the transfer codings as the HTTP parser reads them, in lower case: it leaves out spaces around
+ * them, but no other white space, and takes a coding that it does not know for the body.
+ */
+function findTransferCoding(headers: wireProtocol.RawHeaders): string | undefined {
+  const values = headers.filter(
+    (_, at) => at % 2 === 1 && headers[at - 1].toLowerCase() === 'transfer-encoding',
+  );
+  return values.length === 0
+    ? undefined
+    : values.join().toLowerCase().replace(/^ +/, '').replace(/ +$/, '');
+}
+
+/** Returns whether the bytes of a body that the HTTP parser passes on are in a coding. */
+export function isCoded(headers: wireProtocol.RawHeaders): boolean {
+  const coding = findTransferCoding(headers);
+  return (
+    findHeader(headers, 'content-encoding') !== undefined ||
+    (coding !== undefined && !DECODED_CODINGS.has(coding))
+  );
 }
 
 /** Detects how the end of a response body is marked. */
 export function detectFraming(status: number, headers: wireProtocol.RawHeaders): BodyFraming {
-  const coding = findLastCoding(headers);
+  const coding = findTransferCoding(headers);
   if (coding !== undefined) {
-    return coding === 'chunked' ? BodyFraming.CHUNKED : BodyFraming.UNTIL_CLOSE;
+    return coding === CHUNKED ? BodyFraming.CHUNKED : BodyFraming.UNTIL_CLOSE;
   }
   return status === STATUS_NO_CONTENT ||
     status === STATUS_NOT_MODIFIED ||
--- a/packages/gateway/src/response-head.ts
+++ b/packages/gateway/src/response-head.ts
@@ -40,8 +40,7 @@
     return { fault: gateway.AttemptFault.REFUSED, reason: String(head.status) };
   }
   const isSuccess = head.status <= MAX_SUCCESS;
-  const isEncoded = endToEndHeaders.findHeader(head.headers, 'content-encoding') !== undefined;
-  return isSuccess && (!parsed.isSigned || isEncoded)
+  return isSuccess && (!parsed.isSigned || endToEndHeaders.isCoded(head.headers))
     ? { fault: gateway.AttemptFault.BROKEN, reason: 'not-the-servers' }
     : undefined;
 }
