Count a response as broken whose head holds a further status line

What callers saw: a backend server stops inside a value of its head, or inside the reason of its status, and a further response follows on the connection (its own failure, or that of a process in front of it). Callers got 200 with the signature of the first and the body of the other one, framed as whole, on all kinds of routes.

Cause: a parser takes "Content-Type: textHTTP/1.1 500 Internal Server Error" for one line, so that the headers behind it, with their length, become those of the first response. Second responses were looked for in bodies alone.

Two ways were weighed: a head that states its id or length twice is found only where both state them, and a plain failure of a proxy states neither again; a status line inside a value (taken) is in each case. A sound server that quotes a whole status line in a header gets its response broken; there is no such header in HTTP.

What cannot be told stays: an unframed response that ends in order right after its head, or within its body, at a server that lives.

--- a/packages/gateway/src/backend-attempt.ts
+++ b/packages/gateway/src/backend-attempt.ts
@@ -120,6 +120,14 @@
   endAttempt(state, () => state.listener.onBroken(reason, state.isSent), false);
 }
 
+/** Ends an attempt whose response cannot be told from a further one behind it. */
+function endWithExtraResponse(state: AttemptState): void {
+  if (!state.hasEnded) {
+    state.listener.onExtraResponse?.();
+    endBroken(state, 'extra-response');
+  }
+}
+
 /** Handles the status and headers of the final response. */
 function handleHead(state: AttemptState, status: number, headers: wireProtocol.RawHeaders): void {
   const { connection, listener, attemptId, isNewConnection } = state;
@@ -176,8 +184,7 @@
     return;
   }
   if (connection.hasExcess()) {
-    listener.onExtraResponse?.();
-    endBroken(state, 'extra-response');
+    endWithExtraResponse(state);
     return;
   }
   // Behind a body whose connection is closed, nothing more is read.
@@ -198,10 +205,18 @@
       endAttempt(state, listener.onWithdrawn, false);
       abort();
     },
-    onHeaders: (status: number, rawHeaders: Buffer[], resumeReading: () => void) => {
-      if (status > MAX_INFORMATIONAL_STATUS) {
+    onHeaders: (
+      status: number,
+      rawHeaders: Buffer[],
+      resumeReading: () => void,
+      reason: string,
+    ) => {
+      const headers = toRawHeaders(rawHeaders);
+      if (runtime.hasFurtherHead(reason, headers)) {
+        endWithExtraResponse(state);
+      } else if (status > MAX_INFORMATIONAL_STATUS) {
         state.resume = resumeReading;
-        handleHead(state, status, toRawHeaders(rawHeaders));
+        handleHead(state, status, headers);
       }
       return true;
     },
--- a/packages/runtime/src/extra-response.ts
+++ b/packages/runtime/src/extra-response.ts
@@ -55,6 +55,7 @@
 /** A line that has not ended. A CR ends lines of events, but is no part of a head without an LF. */
 const UNFINISHED_LINE = /^[^\r]*\r?$/;
 const FURTHER_STATUS = /^HTTP\/1\.[01] [1-9]\d\d/;
+const STATUS_INSIDE = /HTTP\/1\.[01] [1-9]\d\d/;
 const FIELD_LINE = /^([!#$%&'*+.^_`|~\w-]+):[ \t]*(.*?)[ \t]*\r?$/;
 const FIELD_LINE_BEGINNING = /^(?:[!#$%&'*+.^_`|~\w-]*(?::.*)?|[ \t].*)\r?$/;
 const FOLDED_LINE = /^[ \t]/;
@@ -164,6 +165,14 @@
   );
 }
 
+/**
+ * Returns whether the head of a further response begins inside a head that was cut short: its status
+ * line then stands in a value, or in the reason of the status, and its headers follow.
+ */
+export function hasFurtherHead(reason: string, headers: readonly string[]): boolean {
+  return [reason, ...headers].some((text) => STATUS_INSIDE.test(text));
+}
+
 /** Creates the scan of one response body. */
 export function createResponseScan(judgeHead: JudgeHead): ResponseScan {
   return { judgeHead, held: EMPTY, reading: createReading() };
