--- a/packages/runtime/src/extra-response.ts
+++ b/packages/runtime/src/extra-response.ts
@@ -65,6 +65,7 @@
 /** More status lines that are cut before their reason, one behind the other, count as text. */
 const MAX_CUT_LINES = 4;
 const FURTHER_STATUS = /^HTTP\/1\.[01] [1-9]\d\d/;
+const STATUS_INSIDE = /HTTP\/1\.[01] [1-9]\d\d/;
 const FIELD_LINE = /^([!#$%&'*+.^_`|~\w-]+):[ \t]*(.*?)[ \t]*\r?$/;
 const FIELD_LINE_BEGINNING = /^(?:[!#$%&'*+.^_`|~\w-]*(?::.*)?|[ \t].*)\r?$/;
 const FOLDED_LINE = /^[ \t]/;
@@ -187,6 +188,14 @@
   return { kind, verdict };
 }
 
+/**
+ * Returns whether the head of a further response begins inside a head that was cut short: its status
+ * line then stands in a value, or in the reason of the status, and its headers follow.
+ */
+export function hasFurtherHead(reason: string, headers: readonly string[]): boolean {
+  return [reason, ...headers].some((text) => STATUS_INSIDE.test(text));
+}
+
 /** Creates the scan of one response body. */
 export function createResponseScan(judgeHead: JudgeHead): ResponseScan {
   return { judgeHead, held: EMPTY, headAt: 0, isBehindCut: false, reading: createReading() };
