Have callers of the soak open a connection for each request through whole stops

What callers saw: whole requests whose connection closed without a byte of a response at the closing of a stopping gateway's port. The soak could not see it: its callers keep their connections and reach gateways through a link, which accepts connections that the gateway refuses, and its check allows resets within 1.5 s.

With `--closings N` gateways are stopped one after the other under callers that connect to the process itself, a connection for each request until the process has ended, beside kept connections; the process of some stops is paused for half of each 100 ms, with SIGHUP, SIGTERM and large configurations meanwhile, and some are stopped again as they start.

Two ways to record connections: a link that passes refusals on, and callers without a link. A link stays a second process in the way of the time of an end, so callers connect directly.

--- a/packages/proofs/src/soak/run-soak.ts
+++ b/packages/proofs/src/soak/run-soak.ts
@@ -5,6 +5,8 @@
 import * as randomSource from '../mocks/random-source.js';
 import * as soakCaller from './soak-caller.js';
 import * as soakChecks from './soak-checks.js';
+import * as soakClosings from './soak-closings.js';
+import * as soakConnectionChecks from './soak-connection-checks.js';
 import * as soakCrashes from './soak-crashes.js';
 import * as soakEpochs from './soak-epochs.js';
 import * as soakEvacuations from './soak-evacuations.js';
@@ -39,6 +41,8 @@
   crashes: number;
   /** Number of rounds of planned stops; their grace period and route timeout are longer. */
   stops: number;
+  /** Rounds of planned stops under callers that open a connection for each request. */
+  closings: number;
   /** Rounds of requests with a part that ends backend servers, after the other events. */
   parts: number;
   /** Number of times that gateways get input that means nothing. */
@@ -61,6 +65,8 @@
   takeUps: Record<string, number>;
   faults: string[];
   violations: soakChecks.Violation[];
+  /** Requests that crossed the close of their connection at a planned stop. */
+  crossings: number;
   /** Most resident memory of all processes together, MB. */
   memoryMb: number;
   /** Directory with the gateways' logs. */
@@ -82,6 +88,7 @@
 const STOPS_STEP = 49_979_687;
 const PARTS_STEP = 67_867_967;
 const ODD_INPUT_STEP = 86_028_121;
+const CLOSINGS_STEP = 122_949_823;
 const USUAL_TIMES = { graceMs: 5000, routeTimes: { timeoutMs: 5000, targetMs: 1000 } };
 /** With planned stops a request may wait in a queue for longer than the grace period. */
 const STOPS_TIMES = { graceMs: 8000, routeTimes: { timeoutMs: 20_000, targetMs: 15_000 } };
@@ -114,6 +121,7 @@
     soakOddInput.runOddInput(fleet, createSource(ODD_INPUT_STEP), options.oddInputs),
   ]);
   await soakParts.runParts(fleet, createSource(PARTS_STEP), options.parts);
+  await soakClosings.runClosings(fleet, createSource(CLOSINGS_STEP), options.closings);
 }
 
 /** Runs the callers and the faults, then checks the records. */
@@ -180,14 +188,15 @@
 
 /** Runs one seed. */
 export async function runSoak(options: SoakOptions): Promise<SoakReport> {
-  const { seed, gateways, backends, stops } = options;
+  const { seed, gateways, backends } = options;
+  const hasStops = options.stops + options.closings > 0;
   const draw = randomSource.createRandomSource(seed);
   const faults = soakFaults.drawFaults(draw, options.faults, 0, options.faultsMs);
   const fleet = await soakFleet.startFleet(draw, {
     gateways,
     backends,
-    hasStops: stops > 0,
-    ...(stops > 0 ? STOPS_TIMES : USUAL_TIMES),
+    hasStops,
+    ...(hasStops ? STOPS_TIMES : USUAL_TIMES),
   });
   try {
     if (!(await soakFleet.waitForService(fleet))) {
@@ -214,6 +223,7 @@
         ({ kind, atMs, forMs }) => `${kind}@${Math.round(atMs)}+${Math.round(forMs)}`,
       ),
       violations,
+      crossings: soakConnectionChecks.countCrossings(fleet.records),
       memoryMb: endMemory(),
       folder: fleet.folder,
     };
--- a/packages/proofs/src/soak/soak-call.ts
+++ b/packages/proofs/src/soak/soak-call.ts
@@ -2,6 +2,7 @@
 import * as http from 'node:http';
 import * as gatewayFixture from '@toucanproxy/platform/mocks/gateway-fixture';
 import * as platformFixtures from '@toucanproxy/platform/mocks/platform-fixtures';
+import * as soakConnections from './soak-connections.js';
 import type * as soakRecords from './soak-records.js';
 
 /** A call to be sent. */
@@ -14,6 +15,8 @@
   resumes?: soakRecords.CallRecord['resumes'];
   parts?: string;
   extraHeaders?: http.OutgoingHttpHeaders;
+  /** The port is that of the gateway's process; its connection is recorded. */
+  isDirect?: boolean;
 };
 
 /** A caller gives up on a call after this multiple of its deadline. */
@@ -30,13 +33,16 @@
 /** Sends a call, waits for its end and adds it to the records. */
 export async function makeCall(
   { records, readNow }: { records: soakRecords.SoakRecords; readNow: () => number },
-  { disconnectAfterMs, ...planned }: PlannedCall,
+  { disconnectAfterMs, isDirect = false, ...planned }: PlannedCall,
   port: number,
   agent: http.Agent | undefined,
 ): Promise<soakRecords.CallRecord> {
   const sentMs = readNow();
+  const connection = { isNew: true, sentMs: 0, responseBytes: 0 };
+  let completeConnection = () => {};
   const call: soakRecords.CallRecord = {
     ...planned,
+    ...(isDirect ? { connection } : {}),
     sentMs,
     disconnectedMs: 0,
     isReset: false,
@@ -54,7 +60,11 @@
     disconnectAfterMs ?? LOST_FACTOR * call.deadlineMs,
   );
   const headers = platformFixtures.buildCallHeaders(call, call.resumes);
-  const options = { method: 'POST', body: call.body, agent, signal: leaving.signal, headers };
+  const watchRequest = (request: http.ClientRequest) => {
+    completeConnection = soakConnections.watchConnection(request, connection, readNow);
+  };
+  const sending = { method: 'POST', body: call.body, agent, signal: leaving.signal, headers };
+  const options = { ...sending, watchRequest };
   try {
     const {
       status,
@@ -70,6 +80,7 @@
     call.response = undefined;
   } finally {
     clearTimeout(timer);
+    completeConnection();
     call.endedMs = readNow();
   }
   return call;
--- a/packages/proofs/src/soak/soak-checks.ts
+++ b/packages/proofs/src/soak/soak-checks.ts
@@ -1,4 +1,5 @@
 /** Checks the documented guarantees against what callers and backend servers recorded. */
+import * as soakConnectionChecks from './soak-connection-checks.js';
 import * as soakCrashChecks from './soak-crash-checks.js';
 import * as soakLimitChecks from './soak-limit-checks.js';
 import * as soakPartChecks from './soak-part-checks.js';
@@ -252,6 +253,7 @@
   records.runs.forEach((run) => runsById.set(run.id, [...(runsById.get(run.id) ?? []), run]));
   const callById = new Map(records.calls.map((call) => [call.id, call]));
   const context = { records, bounds, runsById, callById };
+  const stopContext = { records, runsById, routeTimeoutMs: bounds.routeTimeoutMs };
   const always = [
     checkRunsOnce,
     checkNotRun,
@@ -269,7 +271,8 @@
     ...soakLimitChecks.checkLimits(records, callById),
     ...soakStatementChecks.checkStatements(records, callById),
     ...soakPartChecks.checkParts(records),
-    ...soakStopChecks.checkStops({ records, runsById, routeTimeoutMs: bounds.routeTimeoutMs }),
+    ...soakStopChecks.checkStops(stopContext),
+    ...soakConnectionChecks.checkConnections(stopContext),
     ...soakStreamChecks.checkRunAgain(records, runsById),
     ...soakVersionChecks.checkVersions(records),
   ];
--- a/packages/proofs/src/soak/soak-fleet.ts
+++ b/packages/proofs/src/soak/soak-fleet.ts
@@ -107,11 +107,11 @@
   return `v${1 + (index % VERSIONS)}`;
 }
 
-/** Writes the next version of the configuration to the store. */
-export function publishConfiguration(fleet: SoakFleet): void {
+/** Writes the next version of the configuration to the store, with further routes that nobody uses. */
+export function publishConfiguration(fleet: SoakFleet, furtherRoutes = 0): void {
   fleet.version += 1;
   const { store, version, credentials, routeTimes } = fleet;
-  platformFixtures.writeCredentials(store, version, credentials, routeTimes);
+  platformFixtures.writeCredentials(store, version, credentials, routeTimes, furtherRoutes);
 }
 
 /** Writes the store entry of a backend server. */
--- a/packages/proofs/src/soak/soak-records.ts
+++ b/packages/proofs/src/soak/soak-records.ts
@@ -32,6 +32,18 @@
   resumes?: { id: string; after: number };
   /** Parts of the prompt, as the caller sends them; undefined if it sends none. */
   parts?: string;
+  /** Its connection, if the caller connects to the gateway without a link between. */
+  connection?: ConnectionRecord;
+};
+
+/** The connection of a call, as its caller sees it. */
+export type ConnectionRecord = {
+  /** The call is the first one on its connection. */
+  isNew: boolean;
+  /** When the connection was established and the whole request sent on it, ms; 0 if it was not. */
+  sentMs: number;
+  /** Bytes received on the connection from then on. */
+  responseBytes: number;
 };
 
 export type CallResponse = {
--- a/packages/proofs/src/soak/soak-stop-checks.ts
+++ b/packages/proofs/src/soak/soak-stop-checks.ts
@@ -20,7 +20,7 @@
 const LAST_PART = 1 / 6;
 
 /** What the checks of one call need. */
-type StopContext = {
+export type StopContext = {
   records: soakRecords.SoakRecords;
   routeTimeoutMs: number;
   runsById: ReadonlyMap<string, readonly soakRecords.RunRecord[]>;
@@ -57,7 +57,7 @@
 }
 
 /** Whether a run was sent in time and still went on in the last part of the grace period. */
-function isUnfinished(
+export function isUnfinished(
   { atMs, endedMs }: soakRecords.RunRecord,
   { fromMs, graceMs }: soakRecords.StopRecord,
 ): boolean {
--- a/packages/proofs/src/soak/soak-stops.ts
+++ b/packages/proofs/src/soak/soak-stops.ts
@@ -32,16 +32,18 @@
 const MAX_SEED = 2 ** 31;
 
 /** Sends further signals and publishes configurations while a gateway stops. */
-function addSignals(
+export function addSignals(
   fleet: soakFleet.SoakFleet,
   draw: randomSource.DrawRandom,
   gateway: soakFleet.SoakGateway,
+  furtherActions: readonly (() => void)[] = [],
 ): void {
   const { child } = gateway;
   const actions = [
     () => child?.kill('SIGTERM'),
     () => gateway.child === child && soakSignals.applyReload(gateway),
     () => soakFleet.publishConfiguration(fleet),
+    ...furtherActions,
   ];
   Array.from({ length: Math.floor(draw() * MAX_SIGNALS) }, () => {
     const act = randomSource.drawFrom(draw, actions);
