--- a/packages/proofs/src/soak/soak-connection-checks.ts
+++ b/packages/proofs/src/soak/soak-connection-checks.ts
@@ -12,7 +12,7 @@
  * Time from the last byte of a request to the sight of a close that it crossed on loopback,
  * milliseconds. Stalls of the callers' own event loop do not count.
  */
-const CROSSING_MS = 8;
+const CROSSING_MS = 7;
 
 type Unanswered = {
   call: soakRecords.CallRecord;
