--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -21,10 +21,16 @@
   applyBounds: (bounds: gateway.CallerBounds) => void;
   /** Closes each connection after its next response. */
   beginShutdown: () => void;
-  /** Stops accepting connections and closes idle ones, now and as they become idle. */
-  stopListening: () => void;
-  /** Counts the requests that are being read or whose response has not left the process. */
-  countOpen: () => number;
+  /** Closes idle connections, now and as they become idle. */
+  closeIdle: () => void;
+  /** Accepts the connections that wait, and closes the listening socket; then calls `stopped`. */
+  stopListening: (stopped: () => void) => void;
+  /** Returns whether a connection has or may soon have a request without a response. */
+  areBusy: (now: number) => boolean;
+  /** Counts the bytes that have been read from the connections that are open. */
+  countBytes: () => number;
+  /** Counts the connections by what they are open for. */
+  countConnections: () => callerConnections.ConnectionCounts;
   stop: () => void;
 };
 
@@ -244,7 +250,7 @@
   const state: ServerState = {
     options,
     bounds: DEFAULT_BOUNDS,
-    connections: callerConnections.createCallerConnections(),
+    connections: callerConnections.createCallerConnections(clocks.readSteadyMs),
     openedMs: new WeakMap(),
     acceptDelay: acceptDelay.startAcceptDelay(() => openProbe(state), clocks.readSteadyMs),
     listeningMs: Infinity,
@@ -267,12 +273,15 @@
       server.keepAliveTimeout = bounds.idleTimeoutMs;
     },
     beginShutdown: state.connections.closeAfterResponses,
-    stopListening: () => {
+    stopListening: (stopped) => {
       // The method of the HTTP server would also close connections whose response is being read.
-      net.Server.prototype.close.call(server);
-      state.connections.closeIdle();
+      const close = () => net.Server.prototype.close.call(server);
+      runtime.closeWhenDrained(server, clocks.readSteadyMs, close, stopped);
     },
-    countOpen: state.connections.countOpen,
+    closeIdle: state.connections.closeIdle,
+    areBusy: state.connections.areBusy,
+    countBytes: state.connections.countBytes,
+    countConnections: state.connections.countConnections,
     stop: () => {
       state.acceptDelay.stop();
       server.close();
