--- a/packages/gateway/src/backend-connections.ts
+++ b/packages/gateway/src/backend-connections.ts
@@ -5,10 +5,10 @@
  * Bytes that arrive between two requests close the connection, because the HTTP library has no
  * request that they could belong to.
  */
-import type * as net from 'node:net';
+import type * as runtime from '@toucanproxy/runtime';
 import * as undici from 'undici';
+import * as backendSocket from './backend-socket.js';
 import * as carriedCalls from './carried-calls.js';
-import * as connectionGroups from './connection-groups.js';
 import * as idleConnections from './idle-connections.js';
 
 export type BackendConnection = {
@@ -17,6 +17,8 @@
   completedResponses: number;
   /** When the process at the other end started, as it has stated on this connection. */
   bornMs: number | undefined;
+  /** Records what a report on this connection has stated. */
+  noteStart: (bornMs: number | undefined) => void;
   wasReset: () => boolean;
   /** Whether bytes that belong to no response were read. */
   hasExcess: () => boolean;
@@ -26,6 +28,11 @@
   countBytesRead: () => number;
   /** Sets what is called when bytes have been read, before they are parsed. */
   setReadListener: (listener: () => void) => void;
+  /**
+   * Sets what is called when the connection is closed because an exception was thrown in one of its
+   * events. The client may report nothing more.
+   */
+  setFailureListener: (listener: () => void) => void;
   /** Returns the connection to the pool if it can be reused; closes it otherwise. */
   release: (isReusable: boolean) => void;
 };
@@ -41,24 +48,13 @@
   /** Takes an idle connection to a process that has stated the given start on it, if there is one. */
   takeKnown: (address: string, bornMs: number, attemptId: string) => BackendConnection | undefined;
   open: (address: string) => BackendConnection;
-  /**
-   * Whether another incarnation of the server than the one with the given start may listen at an
-   * address: no open connection leads to the process that has stated it, or the other side has ended
-   * a connection since, or one could not be opened.
-   */
-  isDoubtful: (address: string, bornMs: number) => boolean;
-  /** Records that the incarnation is known, until the other side ends a connection. */
-  clearDoubt: (address: string) => void;
+  /** Returns the start that was last stated at an address, on any connection. */
+  getStatedStart: (address: string) => number | undefined;
   /** Closes idle connections to addresses that are no longer used. */
   closeOthers: (addresses: ReadonlySet<string>) => void;
   stop: () => void;
 };
 
-/**
- * Timeout for connecting, milliseconds. The latency between failure domains is a few milliseconds;
- * an unresponsive backend server must not delay a request for long.
- */
-const CONNECT_TIMEOUT_MS = 400;
 /**
  * Idle connections are closed after this time, milliseconds, or one second before the keep-alive
  * timeout that the backend server announces. It is shorter than the usual idle timeouts of
@@ -79,84 +75,47 @@
 /** Message of the library's error for bytes that belong to no response. */
 const EXCESS_ERROR = 'bad response';
 
-/** Returns whether an error comes from the other side or the network, not from this process. */
-function isForeign(error: Error): boolean {
-  const { code, syscall } = error as NodeJS.ErrnoException;
-  return code === 'UND_ERR_SOCKET' || syscall !== undefined;
-}
-
-/** Calls a listener before the library handles the end of a connection that was reset. */
-function watchResets(socket: net.Socket | null, handleReset: () => void): void {
-  socket?.prependListener('error', handleReset);
-  socket?.prependListener('end', () => {
-    // The runtime reports a reset that it reads together with the last bytes as a plain end; after it
-    // the system knows no other side any more.
-    if (socket.remoteAddress === undefined) {
-      handleReset();
-    }
-  });
-}
-
-/** Calls a listener when the other side ends a connection, or it cannot be opened. */
-function watchEnds(client: undici.Client, handleEnd: () => void): void {
-  const noteError = (_url: URL, _targets: unknown, error: Error) => {
-    if (isForeign(error)) {
-      handleEnd();
-    }
-  };
-  client.on('connectionError', noteError);
-  client.on('disconnect', noteError);
-}
-
-/** Limits the time for connecting; the library's own timers fire up to a second late. */
-function startConnectTimer(client: undici.Client): NodeJS.Timeout {
-  return setTimeout(() => client.destroy(new Error('connect-timeout')), CONNECT_TIMEOUT_MS);
-}
-
-type ConnectionHooks = {
+type ConnectionHooks = Pick<backendSocket.ConnectHooks, 'runWhenPolled' | 'runContained'> & {
   removeClosed: (connection: BackendConnection) => void;
   addIdle: (connection: BackendConnection) => void;
-  markDoubtful: () => void;
-  runWhenPolled: (step: () => void) => void;
+  keepStart: (bornMs: number | undefined) => void;
   findAttemptId: carriedCalls.FindAttemptId;
 };
 
 /** Opens a connection, and records whether it was reset. */
 function openConnection(
   address: string,
-  { removeClosed, addIdle, markDoubtful, runWhenPolled, findAttemptId }: ConnectionHooks,
+  { removeClosed, addIdle, keepStart, findAttemptId, ...hooks }: ConnectionHooks,
 ): BackendConnection {
-  let isReset = false;
+  const socket = backendSocket.createBackendSocket();
   let hasExcess = false;
-  let countBytesRead = () => 0;
-  let readListener = () => {};
-  const connector = undici.buildConnector({ timeout: 0 });
   const client: undici.Client = new undici.Client(`http://${address}`, {
     ...CLIENT_OPTIONS,
-    connect: (options, callback) => {
-      const timer = startConnectTimer(client);
-      connector(options, (...results) => {
-        clearTimeout(timer);
-        const socket = results[1];
-        watchResets(socket, () => {
-          isReset = true;
-        });
-        socket?.on('readable', () => readListener());
-        countBytesRead = () => socket?.bytesRead ?? 0;
-        runWhenPolled(() => callback(...results));
-      });
-    },
+    connect: backendSocket.buildConnect(socket, {
+      ...hooks,
+      handleTimeout: () => client.destroy(new Error('connect-timeout')),
+    }),
   });
   const connection: BackendConnection = {
     client,
     completedResponses: 0,
     bornMs: undefined,
-    wasReset: () => isReset,
+    noteStart: (bornMs) => {
+      connection.bornMs = bornMs;
+      keepStart(bornMs);
+    },
+    wasReset: () => socket.isReset,
     hasExcess: () => hasExcess,
     calls: carriedCalls.createCarriedCalls(findAttemptId),
-    countBytesRead: () => countBytesRead(),
+    countBytesRead: () => socket.countBytesRead(),
     setReadListener: (listener) => {
-      readListener = listener;
+      socket.readListener = listener;
+    },
+    setFailureListener: (listener) => {
+      socket.failureListener = () => {
+        connection.release(false);
+        listener();
+      };
     },
     release: (isReusable) => {
       if (!isReusable || carriedCalls.isFull(connection.calls)) {
@@ -169,7 +128,6 @@
       addIdle(connection);
     },
   };
-  watchEnds(client, markDoubtful);
   client.on('disconnect', (_url, _targets, error) => {
     hasExcess = error.message === EXCESS_ERROR;
     removeClosed(connection);
@@ -178,43 +136,44 @@
   return connection;
 }
 
+/** Lists the addresses of a collection that are no longer used. */
+function listOthers(
+  collection: { keys: () => Iterable<string> },
+  addresses: ReadonlySet<string>,
+): string[] {
+  return [...collection.keys()].filter((address) => !addresses.has(address));
+}
+
 /**
  * Creates an empty connection pool.
  *
  * @param runWhenPolled runs a step once the event loop has read which callers have left
  * @param findAttemptId finds the id of the call that a response states
+ * @param runContained runs each event of a connection; an exception closes this connection
  */
 export function createBackendConnections(
   runWhenPolled: (step: () => void) => void,
   findAttemptId: carriedCalls.FindAttemptId,
+  runContained: runtime.RunContained = (step) => step(),
 ): BackendConnections {
   const idle: idleConnections.IdleConnections = new Map();
-  const all: connectionGroups.ConnectionGroups<BackendConnection> = new Map();
-  const doubtful = new Set<string>();
-  const open = (address: string) => {
-    const opened = openConnection(address, {
-      removeClosed: (connection) => {
-        idleConnections.removeIdle(idle, address, connection);
-        connectionGroups.removeConnection(all, address, connection);
-      },
+  const stated = new Map<string, number | undefined>();
+  const open = (address: string) =>
+    openConnection(address, {
+      removeClosed: (connection) => idleConnections.removeIdle(idle, address, connection),
       addIdle: (connection) => {
         // If the server asked to close the connection, the client is already destroyed here.
         if (!connection.client.destroyed) {
           idleConnections.addIdle(idle, address, connection);
         }
       },
-      markDoubtful: () => doubtful.add(address),
+      keepStart: (bornMs) => stated.set(address, bornMs),
       runWhenPolled,
       findAttemptId,
+      runContained,
     });
-    connectionGroups.addConnection(all, address, opened);
-    return opened;
-  };
-  const takeIdle = (
-    address: string,
-    attemptId: string,
-    isSuitable: (connection: BackendConnection) => boolean,
-  ) =>
+  type IsSuitable = (connection: BackendConnection) => boolean;
+  const takeIdle = (address: string, attemptId: string, isSuitable: IsSuitable) =>
     idleConnections.takeIdle(
       idle,
       address,
@@ -230,17 +189,11 @@
     takeKnown: (address, bornMs, attemptId) =>
       takeIdle(address, attemptId, (connection) => connection.bornMs === bornMs),
     open,
-    isDoubtful: (address, bornMs) =>
-      doubtful.has(address) ||
-      !connectionGroups.hasConnection(all, address, (known) => known.bornMs === bornMs),
-    clearDoubt: (address) => doubtful.delete(address),
-    closeOthers: (addresses) =>
-      [...idle.keys(), ...doubtful]
-        .filter((address) => !addresses.has(address))
-        .forEach((address) => {
-          idleConnections.closeIdle(idle, address);
-          doubtful.delete(address);
-        }),
+    getStatedStart: (address) => stated.get(address),
+    closeOthers: (addresses) => {
+      listOthers(idle, addresses).forEach((address) => idleConnections.closeIdle(idle, address));
+      listOthers(stated, addresses).forEach((address) => stated.delete(address));
+    },
     stop: () => [...idle.keys()].forEach((address) => idleConnections.closeIdle(idle, address)),
   };
 }
--- a/packages/gateway/src/caller-connections.ts
+++ b/packages/gateway/src/caller-connections.ts
@@ -38,6 +38,8 @@
   hold: (response: http.ServerResponse) => boolean;
   /** Closes each connection after its last response, of those that are open or still to come. */
   closeAfterResponses: () => void;
+  /** Lists the responses of a connection that are held, the oldest first. */
+  listOpen: (socket: net.Socket) => http.ServerResponse[];
   /** Returns whether a connection has or may soon have a request without a response. */
   areBusy: (now: number) => boolean;
   /** Counts the bytes that have been read from the connections that are open. */
@@ -144,6 +146,7 @@
       isLeaving = true;
       connections.forEach(chooseLast);
     },
+    listOpen: (socket) => [...(connections.get(socket)?.open ?? [])],
     areBusy: (now) =>
       [...connections].some(([socket, connection]) => isBusy(socket, connection, now)),
     countBytes: () => [...connections.keys()].reduce((sum, { bytesRead }) => sum + bytesRead, 0),
--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -8,11 +8,12 @@
 import type * as bodyMemory from './body-memory.js';
 import * as bodyReading from './body-reading.js';
 import * as callerConnections from './caller-connections.js';
+import * as callerContainment from './caller-containment.js';
 import type * as callerExchange from './caller-exchange.js';
+import * as clientErrors from './client-errors.js';
 import * as clocks from './clocks.js';
 import * as earlyRefusal from './early-refusal.js';
 import type * as gatewaySettings from './gateway-settings.js';
-import * as localResponse from './local-response.js';
 
 export type CallerServer = {
   /** Starts listening; resolves to the port. */
@@ -25,6 +26,8 @@
   closeIdle: () => void;
   /** Accepts the connections that wait, and closes the listening socket; then calls `stopped`. */
   stopListening: (stopped: () => void) => void;
+  /** Refuses the requests that have not been read completely. */
+  refuseUnread: (refusal: gateway.Refusal) => void;
   /** Returns whether a connection has or may soon have a request without a response. */
   areBusy: (now: number) => boolean;
   /** Counts the bytes that have been read from the connections that are open. */
@@ -40,6 +43,8 @@
   receive: (exchange: callerExchange.CallerExchange) => void;
   reportRefusal: (code: schema.ResultCode, fields: Record<string, unknown>) => void;
   bodyMemory: bodyMemory.BodyMemory;
+  /** Runs an event of a caller's connection. */
+  runContained: runtime.RunContained;
   /** Called if connections cannot be accepted, as without free descriptors. */
   reportProblem: (reason: string) => void;
   /** Computes how long data that is read now may have waited, milliseconds. */
@@ -55,6 +60,8 @@
   options: CallerServerOptions;
   bounds: gateway.CallerBounds;
   connections: callerConnections.CallerConnections;
+  /** Requests that have not been read completely, with what refuses them. */
+  unread: Map<http.ServerResponse, bodyReading.BodyListener['refuse']>;
   /**
    * When connections that were just accepted after a stall of the event loop may have been opened,
    * milliseconds.
@@ -91,6 +98,10 @@
   refusal: gateway.Refusal,
   fields: Record<string, unknown> = {},
 ): void {
+  // A refusal for another reason may have been sent already.
+  if (response.headersSent) {
+    return;
+  }
   state.options.reportRefusal(refusal.code, fields);
   earlyRefusal.refuseEarly(request, response, refusal, state.options.bodyMemory.noteCopied);
 }
@@ -161,14 +172,23 @@
   const { options, bounds } = state;
   const headUnreadMs = computeRequestUnreadMs(state, request.socket);
   const receive = (body: Buffer, stoppedMs: number) => {
+    if (!state.unread.delete(response)) {
+      return;
+    }
     const { method = '', url = '', rawHeaders } = request;
     const unreadMs = Math.max(headUnreadMs, computeUnreadMs(state)) + stoppedMs;
     options.receive({ method, target: url, headers: rawHeaders, body, response, unreadMs });
   };
   const listener: bodyReading.BodyListener = {
     receive,
-    refuse: (refusal, fields) => refuse(state, request, response, refusal, fields),
+    refuse: (refusal, fields) => {
+      if (state.unread.delete(response)) {
+        refuse(state, request, response, refusal, fields);
+      }
+    },
   };
+  state.unread.set(response, listener.refuse);
+  response.on('close', () => state.unread.delete(response));
   const { bodyMemory: memory } = options;
   const { maxBodyBytes } = bounds;
   const readNow = clocks.readSteadyMs;
@@ -196,18 +216,14 @@
   readBody(state, request, response, headerBytes);
 }
 
-/** Responds on a connection whose request could not be parsed or timed out. */
-function handleClientError(state: ServerState, error: Error, socket: net.Socket): void {
-  const code = runtime.toResultCode(error);
-  if (code === undefined) {
-    socket.destroy();
-    return;
-  }
-  state.options.reportRefusal(code, {});
-  runtime.writeErrorResponse(
-    socket,
-    localResponse.buildLocalResponse({ code, retryAfterMs: undefined }),
-  );
+/** Creates the functions that handle what cannot be read as a request. */
+function createErrorHandlers(state: ServerState): clientErrors.ErrorHandlers {
+  return clientErrors.createErrorHandlers({
+    listOpen: state.connections.listOpen,
+    refuse: (response, code) =>
+      refuse(state, response.req, response, { code, retryAfterMs: undefined }),
+    reportRefusal: state.options.reportRefusal,
+  });
 }
 
 /** Creates the HTTP server. */
@@ -220,18 +236,23 @@
     connectionsCheckingInterval: TIMEOUT_CHECK_MS,
     noDelay: true,
   });
+  callerContainment.runServerContained(server, state.options.runContained, (request, response) =>
+    refuse(state, request, response, {
+      code: schema.ResultCode.INTERNAL,
+      retryAfterMs: undefined,
+    }),
+  );
   server.on('connection', (socket) => {
     state.connections.add(socket);
     noteConnection(state, socket);
   });
   server.on('request', (request, response) => handleRequest(state, request, response));
   server.on('checkContinue', (request, response) => handleRequest(state, request, response));
-  server.on('clientError', (error, socket) =>
-    handleClientError(state, error, socket as net.Socket),
-  );
+  const { handleError, refuseTunnel } = createErrorHandlers(state);
+  server.on('clientError', (error, socket) => handleError(error, socket as net.Socket));
   server.on('error', (error) => state.options.reportProblem(error.message));
-  server.on('connect', (_request, socket) => socket.destroy());
-  server.on('upgrade', (_request, socket) => socket.destroy());
+  // Without a listener for upgrades, a request that offers one is handled as any other.
+  server.on('connect', (_request, socket) => refuseTunnel(socket as net.Socket));
   return server;
 }
 
@@ -251,6 +272,7 @@
     options,
     bounds: DEFAULT_BOUNDS,
     connections: callerConnections.createCallerConnections(clocks.readSteadyMs),
+    unread: new Map(),
     openedMs: new WeakMap(),
     acceptDelay: acceptDelay.startAcceptDelay(() => openProbe(state), clocks.readSteadyMs),
     listeningMs: Infinity,
@@ -279,6 +301,8 @@
       runtime.closeWhenDrained(server, clocks.readSteadyMs, close, stopped);
     },
     closeIdle: state.connections.closeIdle,
+    refuseUnread: (refusal) =>
+      [...state.unread.values()].forEach((refuseOne) => refuseOne(refusal, {})),
     areBusy: state.connections.areBusy,
     countBytes: state.connections.countBytes,
     countConnections: state.connections.countConnections,
--- a/packages/gateway/src/relay-state.ts
+++ b/packages/gateway/src/relay-state.ts
@@ -13,8 +13,6 @@
       head: heldRequest.ResponseHead;
       /** Events that were found in the body. */
       events: number;
-      /** False if the response was passed on although its end is unproven. */
-      isEndKnown: boolean;
     }
   | {
       kind: 'fault';
@@ -45,8 +43,6 @@
   canSend: () => boolean;
   /** Finds out whether the backend server has outlived the connection that ended the response. */
   checkServer: (settle: (isPresent: boolean) => void) => void;
-  /** Whether the backend server was known to leave, so that its absence shows no crash. */
-  isLeaving: () => boolean;
   /** Called when bytes of a further response were found behind the body. */
   observeExtraResponse: () => void;
   /** Called for each response that comes from the intended backend server. */
@@ -56,6 +52,8 @@
 export type Relay = {
   options: RelayOptions;
   head: heldRequest.ResponseHead | undefined;
+  /** Length of the body as the server stated it; undefined for streams, which may be resumed. */
+  statedLength: string | undefined;
   isStream: boolean;
   /** Whether the response states that it consists of server-sent events. */
   statesEvents: boolean;
@@ -63,7 +61,6 @@
   eventStream: eventStream.EventStream;
   /** Body of a response that is buffered until it is complete. */
   body: byteCollector.ByteCollector;
-  isEndKnown: boolean;
   /** When the current sample of the time between events began. */
   sampleStartMs: number;
   /** Bytes of a stream since the end of its last event. */
@@ -89,6 +86,8 @@
     if (relay.isStream) {
       relay.options.observeStreamBegun();
     }
-    callerExchange.startResponse(exchange, relay.head);
+    const { head, statedLength } = relay;
+    const length = statedLength === undefined ? [] : ['Content-Length', statedLength];
+    callerExchange.startResponse(exchange, { ...head, headers: [...head.headers, ...length] });
   }
 }
--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -1,6 +1,8 @@
 /** Code that the daemons share: logging, metrics, platform clients and links. */
 export * from './client-error.js';
+export * from './client-socket.js';
 export * from './configuration-watch.js';
+export * from './contained-events.js';
 export * from './core-task.js';
 export * from './document-receiver.js';
 export * from './extra-response.js';
