--- a/packages/entry/src/app.ts
+++ b/packages/entry/src/app.ts
@@ -176,8 +176,7 @@
   return {
     ...ports,
     shutDown: () => {
-      callers.stopListening();
-      logger.info({ event: 'shutdown' }, 'shutdown');
+      callers.stopListening(() => logger.info({ event: 'shutdown' }, 'shutdown'));
       task.post({ kind: 'shutdownStarted', graceMs: settings.graceMs });
     },
     stop: () => [...readers, task, links, callers, operators].forEach((part) => part.stop()),
--- a/packages/entry/src/caller-server.test.ts
+++ b/packages/entry/src/caller-server.test.ts
@@ -170,7 +170,7 @@
     const one = `${HEAD}content-length: 1\r\n\r\nx`;
     const client = sendBytes(context, server.port, `${one}${one}`);
     const requests = await Promise.all(arrivals);
-    server.stopListening();
+    server.stopListening(() => {});
     const idle = new Promise<void>((resolve) => {
       server.notifyIdle(resolve);
     });
@@ -227,7 +227,7 @@
 
 /** Begins a shutdown; resolves once every response has been sent, and ends the connections then. */
 function shutDown(server: callerServer.CallerServer): Promise<void> {
-  server.stopListening();
+  server.stopListening(() => {});
   return new Promise((resolve) => {
     server.notifyIdle(() => {
       server.stop();
--- a/packages/entry/src/caller-server.ts
+++ b/packages/entry/src/caller-server.ts
@@ -12,8 +12,11 @@
 export type CallerServer = {
   port: number;
   applyEffect: (effect: callerResponse.CallerEffect) => void;
-  /** Refuses further requests, and stops accepting connections once none waits. */
-  stopListening: () => void;
+  /**
+   * Refuses further requests, and closes the listening socket once no connection waits to be accepted;
+   * `closed` is called then.
+   */
+  stopListening: (closed: () => void) => void;
   /** Calls `idle` once every response has been sent, and nothing that has arrived is unread. */
   notifyIdle: (idle: () => void) => void;
   stop: () => void;
@@ -277,10 +280,10 @@
   return {
     port: (server.address() as net.AddressInfo).port,
     applyEffect: (effect) => applyCallerEffect(state, effect),
-    stopListening: () => {
+    stopListening: (closed) => {
       state.closing = true;
       closeAfterResponses(state);
-      shutdown.begin();
+      shutdown.begin(closed);
     },
     notifyIdle: shutdown.notify,
     stop: () => {
--- a/packages/entry/src/caller-shutdown.ts
+++ b/packages/entry/src/caller-shutdown.ts
@@ -3,8 +3,8 @@
 import * as runtime from '@toucanproxy/runtime';
 
 export type CallerShutdown = {
-  /** Closes the listening socket once no connection waits in its queue. */
-  begin: () => void;
+  /** Closes the listening socket once no connection waits in its queue, and calls `closed` then. */
+  begin: (closed: () => void) => void;
   /** Checks whether the shutdown is over; to be called as each response has been sent. */
   check: () => void;
   /** Sets what is called once, at the end of the shutdown. */
@@ -58,11 +58,12 @@
     });
   };
   return {
-    begin: () =>
+    begin: (closed) =>
       runOnceRead(() => {
         // The method of the HTTP server also closes connections whose response is being read.
         net.Server.prototype.close.call(server);
         isPortClosed = true;
+        closed();
         check();
       }),
     check,
