Contain exceptions in the timer that ends a held response

Cause: that end is handled in a timer, which is neither an event of the connection nor a callback of the library.

Evidence: 'exception in a timer of an attempt ends this attempt' failed before with an uncaught exception.

Why this is enough: the timer runs as an event of its connection does.

--- a/packages/gateway/src/backend-attempt.test.ts
+++ b/packages/gateway/src/backend-attempt.test.ts
@@ -136,6 +136,51 @@
   assert.deepEqual(received, { body: 'ab', ending: 'ECONNRESET' });
 });
 
+test('exception in a timer of an attempt ends this attempt', async (context) => {
+  // Guards against the same where the end of a body is known only after a while.
+  const server = net.createServer((socket) => {
+    socket.on('error', () => {});
+    socket.once('data', () => socket.write('HTTP/1.1 200 OK\r\ncontent-length: 8\r\n\r\nabHTTP/1'));
+  });
+  await new Promise<void>((resolve) => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  const connections = backendConnections.createBackendConnections(
+    (step) => step(),
+    () => undefined,
+    (step, recover) => {
+      try {
+        return step();
+      } catch {
+        return recover();
+      }
+    },
+  );
+  context.after(() => {
+    connections.stop();
+    server.close();
+  });
+  const { port } = server.address() as net.AddressInfo;
+  const parts: string[] = [];
+  const ending = await new Promise<string>((resolve) => {
+    backendAttempt.startAttempt(connections.open(`127.0.0.1:${port}`), REQUEST, {
+      canSend: () => true,
+      onHead: () => true,
+      onData: (chunk) => {
+        parts.push(chunk.toString());
+        if (parts.length > 1) {
+          throw new Error('failure');
+        }
+        return true;
+      },
+      onEnd: () => resolve('end'),
+      onWithdrawn: () => resolve('withdrawn'),
+      onBroken: resolve,
+    });
+  });
+  assert.deepEqual([parts, ending], [['ab', 'HTTP/1'], 'internal-error']);
+});
+
 test('exception in an event of a connection ends this attempt and no other', async (context) => {
   // Guards against an exception of the HTTP library, where no code of ours can catch it.
   const server = http.createServer((_, response) => setTimeout(() => response.end('ok'), 50));
--- a/packages/gateway/src/backend-attempt.ts
+++ b/packages/gateway/src/backend-attempt.ts
@@ -155,7 +155,7 @@
     return;
   }
   if (isDelimited && scan.held.length > 0) {
-    setTimeout(() => handleHeldEnd(state), EXCESS_MS);
+    setTimeout(() => connection.runContained(() => handleHeldEnd(state)), EXCESS_MS);
     return;
   }
   passBody(state, runtime.completeScan(scan));
--- a/packages/gateway/src/backend-connections.ts
+++ b/packages/gateway/src/backend-connections.ts
@@ -32,6 +32,8 @@
    * events. The client may report nothing more.
    */
   setFailureListener: (listener: () => void) => void;
+  /** Runs a step of what the connection carries; an exception closes the connection. */
+  runContained: (step: () => void) => void;
   /** Returns the connection to the pool if it can be reused; closes it otherwise. */
   release: (isReusable: boolean) => void;
 };
@@ -135,6 +137,7 @@
         listener();
       };
     },
+    runContained: (step) => hooks.runContained(step, () => socket.failureListener()),
     release: (isReusable) => {
       if (!isReusable || carriedCalls.isFull(connection.calls)) {
         connection.completedResponses = -1;
