Contain exceptions of one body while another one is released

Callers saw: none in the field. Memory for a large body is granted in a timer or in the event of another caller, whose body is released. An exception in the one that is granted (such as a buffer that cannot be allocated) ended the process or the other caller's request; the claims behind it got no answer, and what was granted stayed taken.

Cause: settling ran in the unit of work of whoever made room.

Evidence: 'exception while one body gets its memory keeps it from no other' failed before with the exception at the caller that releases.

Why this is enough: each claim is told in a unit of its own. A request that cannot take what it is granted is refused as one for which there is no room (not run), which gives the memory back.

--- a/packages/gateway/src/body-memory.ts
+++ b/packages/gateway/src/body-memory.ts
@@ -3,6 +3,7 @@
 import * as bodyGarbage from './body-garbage.js';
 import type * as clocks from './clocks.js';
 import * as endToEndHeaders from './end-to-end-headers.js';
+import * as failureGuard from './failure-guard.js';
 import type * as wireProtocol from './wire-protocol.js';
 
 export type BodyMemory = {
@@ -27,8 +28,9 @@
 
 type Dependencies = {
   state: gateway.GatewayState;
-  protocol: wireProtocol.WireProtocol;
+  protocol: Pick<wireProtocol.WireProtocol, 'parseRequestHeaders'>;
   readClocks: clocks.ReadClocks;
+  runGuarded: failureGuard.RunGuarded;
 };
 
 /** Interval at which waiting claims are checked, milliseconds. */
@@ -47,9 +49,30 @@
   return gateway.findBodyHolder(state, { host, path, credential }, readClocks());
 }
 
+/**
+ * Tells a claim whether it is granted. An exception concerns the claim, not the caller whose event has
+ * made room for it; a request that cannot take what it is granted is refused.
+ */
+function notifyClaim(
+  runGuarded: failureGuard.RunGuarded,
+  settler: (isGranted: boolean) => void,
+  isGranted: boolean,
+): void {
+  const { CALLER } = failureGuard.WorkUnit;
+  runGuarded(
+    CALLER,
+    () => settler(isGranted),
+    () => {
+      if (isGranted) {
+        notifyClaim(runGuarded, settler, false);
+      }
+    },
+  );
+}
+
 /** Creates the memory of one gateway. */
 export function createBodyMemory(dependencies: Dependencies): BodyMemory {
-  const { state, readClocks } = dependencies;
+  const { state, readClocks, runGuarded } = dependencies;
   const { bodies } = state;
   const garbage = bodyGarbage.createBodyGarbage(globalThis.gc);
   const settlers = new Map<gateway.BodyClaim, (isGranted: boolean) => void>();
@@ -57,7 +80,9 @@
   const settle = (claim: gateway.BodyClaim, isGranted: boolean) => {
     const settler = settlers.get(claim);
     settlers.delete(claim);
-    settler?.(isGranted);
+    if (settler !== undefined) {
+      notifyClaim(runGuarded, settler, isGranted);
+    }
   };
   const advance = () => {
     if (bodies.waiting.size > 0) {
