Refuse late connections instead of closing them without a byte

What callers saw: under planned work, also at a gateway alone, where there is nowhere else to go, whole requests on new connections got neither a response nor a refusal: their connection was reset as it had waited too long to be accepted.

Cause: `isClosedUnread` destroyed the socket. A caller cannot tell that from a request that ran, comes back at once and adds to the queue.

Now the connection gets 503 (GATEWAY_OVERLOADED), Retry-After and the end of this direction, without anything being read from it, and is closed a second later. The refusal is true, since no request on it is ever read, also one that crosses it. The decision itself (250 and 700 ms) is as before.

Log and metrics: `connections-in-time` has `refused` in place of `closed`; `connections_refused_total` counts refusals, `connections_closed_total` those whose connection was closed before its caller may have read them.

--- a/packages/core/src/gateway/connection-load.test.ts
+++ b/packages/core/src/gateway/connection-load.test.ts
@@ -1,5 +1,6 @@
 import * as assert from 'node:assert/strict';
 import * as nodeTest from 'node:test';
+import * as schema from '@toucanproxy/schema';
 import * as connectionLoad from './connection-load.js';
 import type * as gatewayState from './gateway-state.js';
 import * as peerView from './peer-view.js';
@@ -34,14 +35,16 @@
   return { peers, failureDomain: DOMAIN, connectionLoad: load } as gatewayState.GatewayState;
 }
 
-/** Checks connections that have waited for the given times, one each step; lists the closed ones. */
+/** Checks connections that have waited for the given times, one each step; lists the refused ones. */
 function checkEach(state: gatewayState.GatewayState, waits: number[]): number[] {
   return waits.flatMap((waitedMs, index) =>
-    connectionLoad.checkConnection(state, waitedMs, index * STEP_MS).isClosed ? [index] : [],
+    connectionLoad.checkConnection(state, waitedMs, index * STEP_MS).refusal !== undefined
+      ? [index]
+      : [],
   );
 }
 
-test('connections that wait long are closed while a peer has time left', () => {
+test('connections that wait long are refused while a peer has time left', () => {
   // Guards against connections that wait in the queue until their callers have left.
   assert.deepEqual(checkEach(createGateway(30), Array(7).fill(LATE_MS)), [4, 5, 6]);
 });
@@ -51,8 +54,8 @@
   assert.deepEqual(checkEach(state, [...Array(5).fill(LATE_MS), 100, LATE_MS]), [4]);
 });
 
-test('a short queue closes nothing', () => {
-  // Guards against closing connections after a single stall.
+test('a short queue refuses nothing', () => {
+  // Guards against refusing connections after a single stall.
   assert.deepEqual(checkEach(createGateway(30), [TOO_LATE_MS, TOO_LATE_MS, 0]), []);
 });
 
@@ -66,7 +69,7 @@
   }),
 );
 
-test('connections whose callers have left are closed in any case', () => {
+test('connections whose callers have left are refused in any case', () => {
   // Guards against a gateway that reads only requests of callers that have left.
   assert.deepEqual(checkEach(createGateway(100), Array(6).fill(TOO_LATE_MS)), [4, 5]);
 });
@@ -80,3 +83,16 @@
   );
   assert.deepEqual(changes, ['', '', '', '', 'begun', '', 'ended', '']);
 });
+
+test('caller is sent to another gateway at once if that has time left', () => {
+  // Guards against callers that all come back to a gateway before its queue is shorter.
+  [
+    { loadPercent: 30, waitedMs: LATE_MS, retryAfterMs: 100 },
+    { loadPercent: 100, waitedMs: TOO_LATE_MS, retryAfterMs: TOO_LATE_MS },
+  ].forEach(({ loadPercent, waitedMs, retryAfterMs }) => {
+    const state = createGateway(loadPercent);
+    checkEach(state, Array(5).fill(waitedMs) as number[]);
+    const { refusal } = connectionLoad.checkConnection(state, waitedMs, 5 * STEP_MS);
+    assert.deepEqual(refusal, { code: schema.ResultCode.GATEWAY_OVERLOADED, retryAfterMs });
+  });
+});
--- a/packages/gateway/src/app.ts
+++ b/packages/gateway/src/app.ts
@@ -140,7 +140,8 @@
     receive: task.receive,
     computeUnreadMs: components.eventLoop.computeUnreadMs,
     reportProblem: (reason) => log.write('caller-problem', { reason }, clocks.readSteadyMs()),
-    isClosedUnread: loadReports.createConnectionCheck(components, clocks.readSteadyMs),
+    findLateRefusal: loadReports.createConnectionCheck(components, clocks.readSteadyMs),
+    reportClosedUnread: metrics.recordClosedUnread,
     bodyMemory: bodyMemory.createBodyMemory(components),
     reportRefusal: (code, fields) => {
       const line = { ...fields, result: schema.ResultCode[code] };
--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -12,6 +12,7 @@
 import * as clocks from './clocks.js';
 import * as earlyRefusal from './early-refusal.js';
 import type * as gatewaySettings from './gateway-settings.js';
+import * as unreadRefusals from './unread-refusals.js';
 
 export type CallerServer = {
   /** Starts listening; resolves to the port. */
@@ -38,10 +39,12 @@
   /** Computes how long data that is read now may have waited, milliseconds. */
   computeUnreadMs: () => number;
   /**
-   * Returns whether a new connection that has waited for the given time, milliseconds, is closed
-   * unread.
+   * Returns why a new connection that has waited for the given time, milliseconds, is refused
+   * unread; undefined if it is served.
    */
-  isClosedUnread: (waitedMs: number) => boolean;
+  findLateRefusal: (waitedMs: number) => gateway.Refusal | undefined;
+  /** Called for each connection that was closed soon after it was refused unread. */
+  reportClosedUnread: () => void;
 };
 
 type ServerState = {
@@ -54,6 +57,7 @@
    */
   openedMs: WeakMap<net.Socket, number>;
   acceptDelay: acceptDelay.AcceptDelay;
+  unreadRefusals: unreadRefusals.UnreadRefusals;
   /** When the server began to listen, milliseconds. */
   listeningMs: number;
   server: http.Server | undefined;
@@ -123,23 +127,25 @@
 
 /**
  * Records when a new connection may have been opened, if it was accepted late. What its
- * caller sent meanwhile is read in the next turn of the event loop.
+ * caller sent meanwhile is read in the next turn of the event loop. Returns whether nothing is read
+ * from the connection, as it was opened by this process or has been refused.
  */
-function noteConnection(state: ServerState, socket: net.Socket): void {
+function noteConnection(state: ServerState, socket: net.Socket): boolean {
   const stallMs = computeUnreadMs(state);
   if (state.acceptDelay.noteAccepted(socket, stallMs)) {
-    return;
+    return true;
   }
-  if (state.options.isClosedUnread(state.acceptDelay.getMeasuredMs())) {
-    // A reset would first end the connection in order, and a request could be read meanwhile.
-    socket.destroy();
-    return;
+  const refusal = state.options.findLateRefusal(state.acceptDelay.getMeasuredMs());
+  if (refusal !== undefined) {
+    state.unreadRefusals.refuse(socket, refusal);
+    return true;
   }
   const unreadMs = Math.max(stallMs, gateway.computeUnreadMs(state.acceptDelay.getDelayMs()));
   if (unreadMs > 0) {
     state.openedMs.set(socket, clocks.readSteadyMs() - unreadMs);
     setImmediate(() => setImmediate(() => state.openedMs.delete(socket)));
   }
+  return false;
 }
 
 /** Computes how long a request whose headers are read now may have waited, milliseconds. */
@@ -213,10 +219,8 @@
     connectionsCheckingInterval: TIMEOUT_CHECK_MS,
     noDelay: true,
   });
-  server.on('connection', (socket) => {
-    state.connections.add(socket);
-    noteConnection(state, socket);
-  });
+  server.on('connection', state.connections.add);
+  unreadRefusals.filterConnections(server, (socket) => noteConnection(state, socket));
   server.on('request', (request, response) => handleRequest(state, request, response));
   server.on('checkContinue', (request, response) => handleRequest(state, request, response));
   const { handleError, refuseTunnel } = createErrorHandlers(state);
@@ -245,6 +249,7 @@
     connections: callerConnections.createCallerConnections(),
     openedMs: new WeakMap(),
     acceptDelay: acceptDelay.startAcceptDelay(() => openProbe(state), clocks.readSteadyMs),
+    unreadRefusals: unreadRefusals.createUnreadRefusals(options.reportClosedUnread),
     listeningMs: Infinity,
     server: undefined,
   };
@@ -270,8 +275,9 @@
       net.Server.prototype.close.call(server);
       state.connections.closeIdle();
     },
-    countOpen: state.connections.countOpen,
+    countOpen: () => state.connections.countOpen() + state.unreadRefusals.countOpen(),
     stop: () => {
+      state.unreadRefusals.stop();
       state.acceptDelay.stop();
       server.close();
       server.closeAllConnections();
--- a/packages/gateway/src/gateway-metrics.ts
+++ b/packages/gateway/src/gateway-metrics.ts
@@ -37,6 +37,9 @@
   /** Records that an exception has ended a unit of work. */
   recordInternalError: (unit: string) => void;
   /** Records that a new connection was closed unread. */
+  /** Records a new connection that was refused without reading from it. */
+  recordRefusedUnread: () => void;
+  /** Records one that was closed before its caller may have received the refusal. */
   recordClosedUnread: () => void;
   /** Records by how much a first event came later than predicted, milliseconds. */
   recordFirstEventError: (service: string, ms: number) => void;
@@ -229,6 +232,7 @@
         result: schema.ResultCode[code],
       }),
     recordInternalError: (unit) => runtime.addCount(metrics, 'internal_errors_total', { unit }),
+    recordRefusedUnread: () => runtime.addCount(metrics, 'connections_refused_total', {}),
     recordClosedUnread: () => runtime.addCount(metrics, 'connections_closed_total', {}),
     recordFirstEventError: (service, ms) => {
       const labels = { service, sign: ms < 0 ? 'early' : 'late' };
--- a/packages/gateway/src/load-reports.ts
+++ b/packages/gateway/src/load-reports.ts
@@ -78,20 +78,20 @@
 export function createConnectionCheck(
   { state, log, metrics }: LoadDependencies,
   readNow: () => number,
-): (waitedMs: number) => boolean {
-  let closed = 0;
+): (waitedMs: number) => gateway.Refusal | undefined {
+  let refused = 0;
   return (waitedMs) => {
-    const { isClosed, change } = gateway.checkConnection(state, waitedMs, readNow());
+    const { refusal, change } = gateway.checkConnection(state, waitedMs, readNow());
     if (change === 'begun') {
-      closed = 0;
+      refused = 0;
       log.writeAlways('connections-late', { waitedMs: Math.round(waitedMs) });
     } else if (change === 'ended') {
-      log.writeAlways('connections-in-time', { closed });
+      log.writeAlways('connections-in-time', { refused });
     }
-    if (isClosed) {
-      closed += 1;
-      metrics.recordClosedUnread();
+    if (refusal !== undefined) {
+      refused += 1;
+      metrics.recordRefusedUnread();
     }
-    return isClosed;
+    return refusal;
   };
 }
--- a/packages/runtime/src/client-error.ts
+++ b/packages/runtime/src/client-error.ts
@@ -18,6 +18,17 @@
   return CODE_BY_ERROR[name] ?? (isSyntax ? schema.ResultCode.MALFORMED_REQUEST : undefined);
 }
 
+/** Formats the bytes of a response after which the connection closes. */
+export function formatResponse({ status, headers, body }: LocalResponse): string {
+  const lines = [
+    `HTTP/1.1 ${status} ${http.STATUS_CODES[status] ?? ''}`,
+    ...Object.entries(headers).map(([name, value]) => `${name}: ${value}`),
+    `content-length: ${Buffer.byteLength(body)}`,
+    'connection: close',
+  ];
+  return `${lines.join('\r\n')}\r\n\r\n${body}`;
+}
+
 /** Writes an error response to a connection whose request could not be read, and closes it. */
 export function writeErrorResponse(socket: net.Socket, response: LocalResponse): void {
   // Node.js leaves no error listener on the connection of a tunnel, and an unhandled error event
@@ -27,12 +38,5 @@
     socket.destroy();
     return;
   }
-  const { status, headers, body } = response;
-  const lines = [
-    `HTTP/1.1 ${status} ${http.STATUS_CODES[status] ?? ''}`,
-    ...Object.entries(headers).map(([name, value]) => `${name}: ${value}`),
-    `content-length: ${Buffer.byteLength(body)}`,
-    'connection: close',
-  ];
-  socket.end(`${lines.join('\r\n')}\r\n\r\n${body}`, () => socket.destroySoon());
+  socket.end(formatResponse(response), () => socket.destroySoon());
 }
--- a/packages/runtime/src/metric-definitions.ts
+++ b/packages/runtime/src/metric-definitions.ts
@@ -54,9 +54,13 @@
     type: MetricType.COUNTER,
     help: 'Claims of memory for requests, by decision.',
   },
+  connections_refused_total: {
+    type: MetricType.COUNTER,
+    help: 'New connections that had waited too long and were refused before anything was read.',
+  },
   connections_closed_total: {
     type: MetricType.COUNTER,
-    help: 'New connections that had waited too long and were closed before anything was read.',
+    help: 'Of these, connections that were closed before the caller may have read the refusal.',
   },
   requests_withdrawn_total: {
     type: MetricType.COUNTER,
