--- a/packages/gateway/src/incarnation-check.test.ts
+++ b/packages/gateway/src/incarnation-check.test.ts
@@ -67,3 +67,29 @@
   const found = await checkAfterRequest(context, [buildResponse('a', '{"born":5}')]);
   assert.deepEqual(found, { bornMs: undefined, isKept: false });
 });
+
+test('check that could not be sent says so', async (context) => {
+  // Guards against a second connection to a server that cannot be reached, before it counts as that.
+  const server = net.createServer();
+  await new Promise<void>((resolve) => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  const { port } = server.address() as net.AddressInfo;
+  await new Promise((resolve) => {
+    server.close(resolve);
+  });
+  const connections = backendConnections.createBackendConnections(
+    (step) => step(),
+    () => undefined,
+  );
+  context.after(() => connections.stop());
+  const found = await new Promise((resolve) => {
+    incarnationCheck.startIncarnationCheck({
+      connection: connections.take(`127.0.0.1:${port}`, 'a'),
+      request: REPORT,
+      parseStart: () => 1,
+      settle: resolve,
+    });
+  });
+  assert.deepEqual(found, { bornMs: undefined, isReachable: false });
+});
