Name only domains with known servers when asking a scheduler

What callers saw: somebody writes some hundreds of long keys under the evacuations; every question to another gateway's scheduler then names them all, is longer than a datagram and is not sent (EMSGSIZE).

Cause: the list of what operators evacuate went into messages as it stood, without a check that it concerns any server. Class: the length of a message follows from what anybody has written.

Two ways were weighed: a limit of the list drops evacuations that matter; the domains of known servers (taken) are all that a scheduler can propose to this gateway, as a server that it does not know is not used.

--- a/packages/core/src/gateway/allowed-domains.ts
+++ b/packages/core/src/gateway/allowed-domains.ts
@@ -22,16 +22,21 @@
   return regions === undefined || (region !== undefined && regions.has(region));
 }
 
-/** Lists the evacuated domains, and the known servers' domains outside the request's regions. */
+/**
+ * Lists the domains of known servers that are evacuated or outside the request's regions. Others need
+ * not be named: a server that this gateway does not know is not used, and a list of whatever somebody
+ * has evacuated may not fit in a datagram.
+ */
 export function listExcluded(
   state: gatewayState.GatewayState,
   regions: regionBinding.RegionBinding,
 ): string[] {
-  const evacuated = evacuations.listEvacuated(state.servers.evacuations);
-  if (regions === undefined) {
-    return evacuated;
+  const { servers } = state;
+  if (regions === undefined && !evacuations.hasEvacuations(servers.evacuations)) {
+    return [];
   }
-  const domains = [...state.servers.byId.values()].map(({ entry }) => entry.failureDomain);
-  const outside = domains.filter((one) => !isInRegions(state, regions, one));
-  return [...new Set([...evacuated, ...outside])];
+  const domains = new Set([...servers.byId.values()].map(({ entry }) => entry.failureDomain));
+  return [...domains].filter(
+    (one) => evacuations.isEvacuated(servers.evacuations, one) || !isInRegions(state, regions, one),
+  );
 }
