Fail a run whose engine responds with a status from 600 on

What callers saw: as at the gateway: an engine sends a status of 600, 700 or 999, and the agent reports it to the entry as the status of a complete response.

Two ways were weighed, as there: to report 500 in place of it would state what the engine has not said; a failed run (taken) is retried where the route allows. The runner of the tests moves to mocks/engine-run.ts, unchanged but for how a response is sent.

--- a/packages/agent/src/engine-response.ts
+++ b/packages/agent/src/engine-response.ts
@@ -19,6 +19,8 @@
   NOT_REPEATED = 'NOT_REPEATED',
   /** A resumption began with other bytes than the last ones received. */
   OTHER_RESPONSE = 'OTHER_RESPONSE',
+  /** The head is none of a response that can be passed on. */
+  INVALID_HEAD = 'INVALID_HEAD',
 }
 
 /** What ends the body of a response. */
@@ -48,6 +50,8 @@
 };
 
 const MAX_SUCCESS = 299;
+/** A higher status is none (RFC 9110, section 15); the HTTP parser accepts any of three digits. */
+const MAX_STATUS = 599;
 const STATUSES_WITHOUT_BODY = [204, 304];
 const DEFAULT_CONTENT_TYPE = 'application/octet-stream';
 
@@ -68,6 +72,20 @@
   return headers['content-length'] === undefined ? BodyFraming.CONNECTION : BodyFraming.LENGTH;
 }
 
+/** Finds the error that a head shows, if it shows any. */
+function findHeadError({ statusCode }: undici.Dispatcher.ResponseData): ResponseError | undefined {
+  return statusCode > MAX_STATUS ? ResponseError.INVALID_HEAD : undefined;
+}
+
+/** Throws if the head of a response shows an error; its body is not read. */
+function checkHead(response: undici.Dispatcher.ResponseData): void {
+  const code = findHeadError(response);
+  if (code !== undefined) {
+    response.body.on('error', () => {}).destroy();
+    throw makeError(code);
+  }
+}
+
 /** Reports the head of a response, once for a run. */
 function reportHead(
   { post }: ResponseOptions,
@@ -160,6 +178,7 @@
   response: undici.Dispatcher.ResponseData,
   wasReset: () => boolean,
 ): Promise<void> {
+  checkHead(response);
   const isResumed = run.progress !== undefined && run.progress.receivedBytes > 0;
   const progress = reportHead(options, run, response);
   const before = progress.receivedBytes;
--- a/packages/agent/src/second-responses.test.ts
+++ b/packages/agent/src/second-responses.test.ts
@@ -3,12 +3,11 @@
  * stutters responds twice over one connection, and its first response may end with the connection.
  */
 import * as assert from 'node:assert/strict';
-import * as net from 'node:net';
 import * as nodeTest from 'node:test';
 import * as core from '@toucanproxy/core';
-import * as schema from '@toucanproxy/schema';
-import * as engineClient from './engine-client.js';
+import * as engineRun from './mocks/engine-run.js';
 
+const { runOnce } = engineRun;
 const { test } = nodeTest;
 const TEXT = 'words of the response\n';
 
@@ -29,61 +28,6 @@
   return `${head}Content-Length: ${body.length}\r\n\r\n${part}`;
 }
 
-type EngineOptions = {
-  isModelEngine: boolean;
-  /** Returns what is sent for a request; `from` is undefined unless it resumes a run. */
-  respond: (from: number | undefined, request: string) => string;
-};
-
-type Outcome = {
-  text: string;
-  /** The fault, or undefined if the response is complete. */
-  fault: core.EngineFault | undefined;
-  /** How many further responses were reported. */
-  extra: number;
-};
-
-/** Runs one request on an engine. */
-async function runOnce(
-  context: nodeTest.TestContext,
-  { isModelEngine, respond }: EngineOptions,
-): Promise<Outcome> {
-  const server = net.createServer((socket) => {
-    socket.on('error', () => {});
-    socket.once('data', (data) => {
-      const from = /from=(\d+)/.exec(data.toString())?.[1];
-      socket.end(respond(from === undefined ? undefined : Number(from), data.toString()));
-    });
-  });
-  await new Promise<void>((resolve) => {
-    server.listen(0, '127.0.0.1', resolve);
-  });
-  let text = '';
-  let extra = 0;
-  return new Promise((resolve) => {
-    const client = engineClient.createEngineClient({
-      engineUrl: `http://127.0.0.1:${(server.address() as net.AddressInfo).port}`,
-      isModelEngine: () => isModelEngine,
-      post: (event) => {
-        if (event.kind === 'engineData') {
-          text += Buffer.from(event.data).toString();
-        } else if (event.kind === 'engineEnd' || event.kind === 'engineFailed') {
-          resolve({ text, fault: event.kind === 'engineFailed' ? event.fault : undefined, extra });
-        }
-      },
-      onFault: () => {},
-      onExtraResponse: () => {
-        extra += 1;
-      },
-    });
-    context.after(() => {
-      client.stop();
-      server.close();
-    });
-    client.start('run', schema.create(schema.OfferSchema, { method: 'POST', path: '/v1/x' }));
-  });
-}
-
 test('run with a second response behind its body is not complete', async (context) => {
   const { fault } = await runOnce(context, {
     isModelEngine: true,
