Read transfer codings in the agent as the HTTP parser does

What callers saw: as at the gateway: of an engine that states `chunked` with a tab or a no-break space beside it, a part whose connection was reset counted as complete; of codings that the parser does not decode, the coded bytes were the body.

Cause: the same as there; the agent looked at the last coding, with all white space left out.

A resumption with such a head no longer counts as a crash either, as the engine has responded.

Weighed: one function for both packages would have to live in runtime with a type for raw and one for parsed headers; two short ones with the same rule (taken) keep each at the library's form that it has.

--- a/packages/agent/src/broken-responses.test.ts
+++ b/packages/agent/src/broken-responses.test.ts
@@ -1,6 +1,6 @@
 /**
  * Guards against taking what an engine sends in trouble for a complete response: a status that is none,
- * or a part of a head or of a body.
+ * a body in a coding, or a part of a head or of a body.
  */
 import * as assert from 'node:assert/strict';
 import type * as net from 'node:net';
@@ -26,6 +26,11 @@
   'abc',
   '101',
 ];
+const ODD_CODINGS = [
+  ...['\u00a0chunked', 'chunked\t', 'chunked,', 'chunked;a=b', 'xchunked', 'gzip', 'gzip, chunked'],
+  ...['chunked\r\nTransfer-Encoding: gzip', '"chunked"'],
+];
+
 /** Builds a response with further lines in its head. */
 function build(lines: string[], body: string, status = '200'): string {
   return [`HTTP/1.1 ${status} OK`, ...LINES, ...lines, '', body].join('\r\n');
@@ -76,6 +81,14 @@
   assert.deepEqual(await listComplete(context, texts), []);
 });
 
+test('response in a coding, or a part of it that is reset, is not complete', async (context) => {
+  const lines = ODD_CODINGS.map((coding) => `Transfer-Encoding: ${coding}`);
+  const coded = lines.map((line) => build([line], encode(EVENTS)));
+  const parts = lines.map((line) => build([line], EVENTS));
+  assert.deepEqual(await listComplete(context, coded), []);
+  assert.deepEqual(await listComplete(context, parts, sendAndReset), []);
+});
+
 Object.entries(WHOLE).forEach(([name, whole]) =>
   test(`part of a response that ends by its ${name} is not complete`, async (context) => {
     const cuts = Array.from({ length: whole.length }, (_, at) => whole.slice(0, at));
--- a/packages/agent/src/engine-client.ts
+++ b/packages/agent/src/engine-client.ts
@@ -40,6 +40,7 @@
   ResponseError.EXTRA_RESPONSE,
   ResponseError.NOT_REPEATED,
   ResponseError.OTHER_RESPONSE,
+  ResponseError.INVALID_HEAD,
 ];
 
 /** Error code of an engine that does not know a run. */
--- a/packages/agent/src/engine-response.ts
+++ b/packages/agent/src/engine-response.ts
@@ -52,6 +52,9 @@
 const MAX_SUCCESS = 299;
 /** A higher status is none (RFC 9110, section 15); the HTTP parser accepts any of three digits. */
 const MAX_STATUS = 599;
+const CHUNKED = 'chunked';
+/** Transfer codings after which the body is that of the engine. */
+const DECODED_CODINGS = [CHUNKED, 'identity', undefined];
 const STATUSES_WITHOUT_BODY = [204, 304];
 const DEFAULT_CONTENT_TYPE = 'application/octet-stream';
 
@@ -60,21 +63,36 @@
   return Object.assign(new Error(code), { code });
 }
 
+/**
+ * Finds the transfer codings as the HTTP parser reads them, in lower case: it leaves out spaces around
+ * them, but no other white space, and takes a coding that it does not know for the body.
+ */
+function findTransferCoding({ headers }: undici.Dispatcher.ResponseData): string | undefined {
+  const value = headers['transfer-encoding'];
+  return value === undefined
+    ? undefined
+    : [value].flat().join().toLowerCase().replace(/^ +/, '').replace(/ +$/, '');
+}
+
 /** Finds what ends the body of a response (RFC 9112, section 6.3). */
-function findFraming({ statusCode, headers }: undici.Dispatcher.ResponseData): BodyFraming {
+function findFraming(response: undici.Dispatcher.ResponseData): BodyFraming {
+  const { statusCode, headers } = response;
   if (STATUSES_WITHOUT_BODY.includes(statusCode)) {
     return BodyFraming.LENGTH;
   }
-  const coding = [headers['transfer-encoding'] ?? []].flat().join();
-  if (coding !== '') {
-    return /(^|,)\s*chunked\s*$/i.test(coding) ? BodyFraming.CHUNKS : BodyFraming.CONNECTION;
+  const coding = findTransferCoding(response);
+  if (coding !== undefined) {
+    return coding === CHUNKED ? BodyFraming.CHUNKS : BodyFraming.CONNECTION;
   }
   return headers['content-length'] === undefined ? BodyFraming.CONNECTION : BodyFraming.LENGTH;
 }
 
 /** Finds the error that a head shows, if it shows any. */
-function findHeadError({ statusCode }: undici.Dispatcher.ResponseData): ResponseError | undefined {
-  return statusCode > MAX_STATUS ? ResponseError.INVALID_HEAD : undefined;
+function findHeadError(response: undici.Dispatcher.ResponseData): ResponseError | undefined {
+  const { statusCode } = response;
+  const isCoded = !DECODED_CODINGS.includes(findTransferCoding(response));
+  const isInvalid = statusCode > MAX_STATUS || (statusCode <= MAX_SUCCESS && isCoded);
+  return isInvalid ? ResponseError.INVALID_HEAD : undefined;
 }
 
 /** Throws if the head of a response shows an error; its body is not read. */
