Fail a run whose response has a further status line in its head

It counts as a further response (EXTRA_RESPONSE): a model engine is asked for the rest of its run, a plain service's run fails.

--- a/packages/agent/src/broken-responses.test.ts
+++ b/packages/agent/src/broken-responses.test.ts
@@ -1,6 +1,6 @@
 /**
  * Guards against taking what an engine sends in trouble for a complete response: a status that is none,
- * a body in a coding, or a part of a head or of a body.
+ * a part of a head or of a body, a body in a coding, or a head that a further response continues.
  */
 import * as assert from 'node:assert/strict';
 import type * as net from 'node:net';
@@ -31,6 +31,8 @@
   ...['chunked\r\nTransfer-Encoding: gzip', '"chunked"'],
 ];
 
+const FURTHER = 'HTTP/1.1 500 Internal Server Error\r\nContent-Length: 6\r\n\r\nfailed';
+
 /** Builds a response with further lines in its head. */
 function build(lines: string[], body: string, status = '200'): string {
   return [`HTTP/1.1 ${status} OK`, ...LINES, ...lines, '', body].join('\r\n');
@@ -99,3 +101,10 @@
     assert.deepEqual(await listComplete(context, inOrder), []);
   }),
 );
+
+test('head that is cut short before a further response is not complete', async (context) => {
+  const head = build(['X-Note: words', 'Transfer-Encoding: chunked'], '');
+  const end = head.indexOf('Transfer-Encoding');
+  const cuts = Array.from({ length: end - 1 }, (_, at) => head.slice(0, at + 1) + FURTHER);
+  assert.deepEqual(await listComplete(context, cuts), []);
+});
--- a/packages/agent/src/engine-response.ts
+++ b/packages/agent/src/engine-response.ts
@@ -89,15 +89,26 @@
 
 /** Finds the error that a head shows, if it shows any. */
 function findHeadError(response: undici.Dispatcher.ResponseData): ResponseError | undefined {
-  const { statusCode } = response;
+  const { statusCode, statusText, headers } = response;
+  const values = Object.values(headers).flatMap((value) => value ?? []);
+  if (runtime.hasFurtherHead(statusText, values)) {
+    return ResponseError.EXTRA_RESPONSE;
+  }
   const isCoded = !DECODED_CODINGS.includes(findTransferCoding(response));
   const isInvalid = statusCode > MAX_STATUS || (statusCode <= MAX_SUCCESS && isCoded);
   return isInvalid ? ResponseError.INVALID_HEAD : undefined;
 }
 
 /** Throws if the head of a response shows an error; its body is not read. */
-function checkHead(response: undici.Dispatcher.ResponseData): void {
+function checkHead(
+  { onExtraResponse }: ResponseOptions,
+  { refKey }: Run,
+  response: undici.Dispatcher.ResponseData,
+): void {
   const code = findHeadError(response);
+  if (code === ResponseError.EXTRA_RESPONSE) {
+    onExtraResponse?.(refKey);
+  }
   if (code !== undefined) {
     response.body.on('error', () => {}).destroy();
     throw makeError(code);
@@ -196,7 +207,7 @@
   response: undici.Dispatcher.ResponseData,
   wasReset: () => boolean,
 ): Promise<void> {
-  checkHead(response);
+  checkHead(options, run, response);
   const isResumed = run.progress !== undefined && run.progress.receivedBytes > 0;
   const progress = reportHead(options, run, response);
   const before = progress.receivedBytes;
