Test early responses of engines that are broken off

An open-ended response of a plain service that ends in order after a part is judged by its content, as before.

--- a/packages/agent/src/broken-responses.test.ts
+++ b/packages/agent/src/broken-responses.test.ts
@@ -10,6 +10,8 @@
 const { test } = nodeTest;
 const EVENTS = 'data: words\n\ndata: of the response\n\n';
 const LINES = ['Content-Type: text/event-stream', 'Connection: close'];
+/** Longer than what the buffers of a connection hold. */
+const BODY_BYTES = 12_000_000;
 /** Time in which the agent reads what was sent, milliseconds. */
 const READ_MS = 20;
 const ODD_STATUSES = [
@@ -59,10 +61,11 @@
   context: nodeTest.TestContext,
   texts: readonly string[],
   send?: engineRun.EngineOptions['send'],
+  payload?: Buffer,
 ): Promise<string[]> {
   const outcomes = await Promise.all(
     texts.map(async (text) => {
-      const options = { isModelEngine: false, respond: () => text, send };
+      const options = { isModelEngine: false, respond: () => text, send, payload };
       const { fault, text: received } = await engineRun.runOnce(context, options);
       return fault === undefined ? JSON.stringify([text, received]) : '';
     }),
@@ -108,3 +111,18 @@
   const cuts = Array.from({ length: end - 1 }, (_, at) => head.slice(0, at + 1) + FURTHER);
   assert.deepEqual(await listComplete(context, cuts), []);
 });
+
+const EARLY_SENDS: Record<string, (socket: net.Socket, bytes: Buffer) => void> = {
+  'reset at once': (socket, bytes) => socket.write(bytes, () => socket.resetAndDestroy()),
+  'reset once it is read': sendAndReset,
+  'closed with the body unread': (socket, bytes) => socket.write(bytes, () => socket.destroy()),
+};
+
+// The engine responds before it has read the body of the request, and breaks off while that is sent.
+Object.entries(EARLY_SENDS).forEach(([name, send]) =>
+  test(`part of an early response is not complete, ${name}`, async (context) => {
+    const sendUnread = (socket: net.Socket, bytes: Buffer) => send(socket.pause(), bytes);
+    const parts = Object.values(WHOLE).map((whole) => whole.slice(0, whole.indexOf('data: of')));
+    assert.deepEqual(await listComplete(context, parts, sendUnread, Buffer.alloc(BODY_BYTES)), []);
+  }),
+);
--- a/packages/agent/src/mocks/engine-run.ts
+++ b/packages/agent/src/mocks/engine-run.ts
@@ -11,6 +11,8 @@
   respond: (from: number | undefined, request: string) => string;
   /** Sends a response; absent if the connection ends in order behind it. */
   send?: (socket: net.Socket, bytes: Buffer) => void;
+  /** Body of the request. */
+  payload?: Buffer;
 };
 
 /** Sends a response and ends its connection in order. */
@@ -29,7 +31,7 @@
 /** Runs one request on an engine. */
 export async function runOnce(
   context: nodeTest.TestContext,
-  { isModelEngine, respond, send = sendAndEnd }: EngineOptions,
+  { isModelEngine, respond, send = sendAndEnd, payload }: EngineOptions,
 ): Promise<Outcome> {
   const server = net.createServer((socket) => {
     socket.on('error', () => {});
@@ -64,6 +66,9 @@
       client.stop();
       server.close();
     });
-    client.start('run', schema.create(schema.OfferSchema, { method: 'POST', path: '/v1/x' }));
+    client.start(
+      'run',
+      schema.create(schema.OfferSchema, { method: 'POST', path: '/v1/x', payload }),
+    );
   });
 }
