--- a/packages/agent/src/engine-response.ts
+++ b/packages/agent/src/engine-response.ts
@@ -19,6 +19,8 @@
   NOT_REPEATED = 'NOT_REPEATED',
   /** A resumption began with other bytes than the last ones received. */
   OTHER_RESPONSE = 'OTHER_RESPONSE',
+  /** The head is none of a response that can be passed on. */
+  INVALID_HEAD = 'INVALID_HEAD',
 }
 
 /** What ends the body of a response. */
@@ -48,6 +50,11 @@
 };
 
 const MAX_SUCCESS = 299;
+/** A higher status is none (RFC 9110, section 15); the HTTP parser accepts any of three digits. */
+const MAX_STATUS = 599;
+const CHUNKED = 'chunked';
+/** Transfer codings after which the body is that of the engine. */
+const DECODED_CODINGS = [CHUNKED, 'identity', undefined];
 const STATUSES_WITHOUT_BODY = [204, 304];
 const DEFAULT_CONTENT_TYPE = 'application/octet-stream';
 
@@ -56,18 +63,58 @@
   return Object.assign(new Error(code), { code });
 }
 
+/**
+ * Finds the transfer codings as the HTTP parser reads them, in lower case: it leaves out spaces around
+ * them, but no other white space, and takes a coding that it does not know for the body.
+ */
+function findTransferCoding({ headers }: undici.Dispatcher.ResponseData): string | undefined {
+  const value = headers['transfer-encoding'];
+  return value === undefined
+    ? undefined
+    : [value].flat().join().toLowerCase().replace(/^ +/, '').replace(/ +$/, '');
+}
+
 /** Finds what ends the body of a response (RFC 9112, section 6.3). */
-function findFraming({ statusCode, headers }: undici.Dispatcher.ResponseData): BodyFraming {
+function findFraming(response: undici.Dispatcher.ResponseData): BodyFraming {
+  const { statusCode, headers } = response;
   if (STATUSES_WITHOUT_BODY.includes(statusCode)) {
     return BodyFraming.LENGTH;
   }
-  const coding = [headers['transfer-encoding'] ?? []].flat().join();
-  if (coding !== '') {
-    return /(^|,)\s*chunked\s*$/i.test(coding) ? BodyFraming.CHUNKS : BodyFraming.CONNECTION;
+  const coding = findTransferCoding(response);
+  if (coding !== undefined) {
+    return coding === CHUNKED ? BodyFraming.CHUNKS : BodyFraming.CONNECTION;
   }
   return headers['content-length'] === undefined ? BodyFraming.CONNECTION : BodyFraming.LENGTH;
 }
 
+/** Finds the error that a head shows, if it shows any. */
+function findHeadError(response: undici.Dispatcher.ResponseData): ResponseError | undefined {
+  const { statusCode, statusText, headers } = response;
+  const values = Object.values(headers).flatMap((value) => value ?? []);
+  if (runtime.hasFurtherHead(statusText, values)) {
+    return ResponseError.EXTRA_RESPONSE;
+  }
+  const isCoded = !DECODED_CODINGS.includes(findTransferCoding(response));
+  const isInvalid = statusCode > MAX_STATUS || (statusCode <= MAX_SUCCESS && isCoded);
+  return isInvalid ? ResponseError.INVALID_HEAD : undefined;
+}
+
+/** Throws if the head of a response shows an error; its body is not read. */
+function checkHead(
+  { onExtraResponse }: ResponseOptions,
+  { refKey }: Run,
+  response: undici.Dispatcher.ResponseData,
+): void {
+  const code = findHeadError(response);
+  if (code === ResponseError.EXTRA_RESPONSE) {
+    onExtraResponse?.(refKey);
+  }
+  if (code !== undefined) {
+    response.body.on('error', () => {}).destroy();
+    throw makeError(code);
+  }
+}
+
 /** Reports the head of a response, once for a run. */
 function reportHead(
   { post }: ResponseOptions,
@@ -160,6 +207,7 @@
   response: undici.Dispatcher.ResponseData,
   wasReset: () => boolean,
 ): Promise<void> {
+  checkHead(options, run, response);
   const isResumed = run.progress !== undefined && run.progress.receivedBytes > 0;
   const progress = reportHead(options, run, response);
   const before = progress.receivedBytes;
