--- a/packages/proofs/src/soak/soak-closings.ts
+++ b/packages/proofs/src/soak/soak-closings.ts
@@ -25,6 +25,8 @@
 const MAX_INTERVAL_MS = 20;
 const KEPT_INTERVAL_MS = 20;
 const KEPT_CALLERS = 4;
+/** Connections that are idle from before SIGTERM on; one after the other is used once more. */
+const IDLE_CONNECTIONS = 40;
 /** Share of stops of a process that is paused for half of its time. */
 const PAUSED_SHARE = 0.5;
 /** Share of stops after which the gateway is stopped again as soon as its port is open. */
@@ -106,6 +108,23 @@
   agent.destroy();
 }
 
+/** Sends a call on a connection, and another one on it after a time. */
+async function resumeConnection(
+  fleet: soakFleet.SoakFleet,
+  gateway: soakFleet.SoakGateway,
+  name: string,
+  idleMs: number,
+): Promise<void> {
+  const agent = new http.Agent({ keepAlive: true, maxSockets: 1 });
+  await sendCall(fleet, gateway, `${name}-first`, 0, agent);
+  await timers.setTimeout(idleMs);
+  // A connection that is closed already is not used; a new one would be refused.
+  if (Object.keys(agent.freeSockets).length > 0) {
+    await sendCall(fleet, gateway, `${name}-second`, 1, agent);
+  }
+  agent.destroy();
+}
+
 /** Starts all callers of a gateway; they call until `isOver` returns true. */
 function startCallers(
   fleet: soakFleet.SoakFleet,
@@ -116,7 +135,11 @@
   const kept = Array.from({ length: KEPT_CALLERS }, (_, index) =>
     keepConnection(fleet, gateway, `${plan.name}-kept-${index}`, isOver),
   );
-  return Promise.all([...kept, openConnections(fleet, gateway, plan, isOver)]);
+  const idle = Array.from({ length: IDLE_CONNECTIONS }, (_, index) => {
+    const idleMs = LEAD_MS + (fleet.graceMs * index) / IDLE_CONNECTIONS;
+    return resumeConnection(fleet, gateway, `${plan.name}-idle-${index}`, idleMs);
+  });
+  return Promise.all([...kept, ...idle, openConnections(fleet, gateway, plan, isOver)]);
 }
 
 /** Publishes large configurations one after the other, and a small one at their end. */
