--- a/packages/proofs/src/soak/pair-cells.ts
+++ b/packages/proofs/src/soak/pair-cells.ts
@@ -254,4 +254,32 @@
     pair: ['processor quota', 'new connection for each request'],
     test: 'requests at a planned stop are answered or refused, seed 13',
   },
+  {
+    pair: ['response before the end of the body', 'server connections reset'],
+    test: 'stream goes on elsewhere after an early response is reset',
+  },
+  {
+    pair: ['response before the end of the body', 'response without a length'],
+    test: 'stream goes on elsewhere after an early response is reset',
+  },
+  {
+    pair: ['pipelined requests', 'bytes that are no request'],
+    test: 'refusal does not appear inside a stream',
+  },
+  {
+    pair: ['planned stop', 'new connection for each request'],
+    test: 'connections that wait to be accepted when the port closes get a response',
+  },
+  {
+    pair: ['pipelined requests', 'caller leaves'],
+    test: 'pipelined requests of a caller that has left hold no memory',
+  },
+  {
+    pair: ['response without end', 'failed response'],
+    test: 'body of a failure without end lets a safe request run elsewhere',
+  },
+  {
+    pair: ['response without end', 'response without a length'],
+    test: 'body of a failure without end lets a safe request run elsewhere',
+  },
 ];
