--- a/packages/proofs/src/soak/run-soak.ts
+++ b/packages/proofs/src/soak/run-soak.ts
@@ -137,6 +137,7 @@
     soakStops.runStops(fleet, createSource(STOPS_STEP), options.stops),
     soakOddInput.runOddInput(fleet, createSource(ODD_INPUT_STEP), options.oddInputs),
   ]);
+  await soakParts.runParts(fleet, createSource(PARTS_STEP), options.parts);
   const { givenPairs = [] } = options;
   const pairs = await soakPairs.runPairs(
     fleet,
@@ -144,7 +145,6 @@
     options.pairs,
     givenPairs,
   );
-  await soakParts.runParts(fleet, createSource(PARTS_STEP), options.parts);
   await soakClosings.runClosings(
     fleet,
     createMixedSource(options.seed + CLOSINGS_STEP),
