Wait for the first request of a new connection before an entry ends

Callers saw: by test: a caller whose connection an entry accepted as it stopped, and whose request was on its way, found the connection closed with no response.

Cause: a connection without a request counted as one that owes nothing, however new.

Evidence: 'shutdown: the first request of a new connection is answered' failed before with no byte of a response; it passes now.

Why this is enough: a caller opens a connection for a request, which follows within a round trip; 200 ms are those of a gateway. Longer ones would delay the end for connections that callers open ahead of time.

--- a/packages/entry/src/caller-server.test.ts
+++ b/packages/entry/src/caller-server.test.ts
@@ -269,3 +269,17 @@
   await shutDown(server);
   (await Promise.all(texts)).forEach((text) => assert.match(text, /HTTP\/1.1 503 /));
 });
+
+nodeTest.test('shutdown: the first request of a new connection is answered', async (context) => {
+  // Guards against ending the process between the opening of a connection and the arrival of the
+  // request that its caller has sent right after it.
+  const { server } = await startServer(context, 100);
+  const client = sendBytes(context, server.port, '');
+  await waitForConnect(client.socket);
+  const text = client.read(/never/);
+  const ended = shutDown(server);
+  await timers.setTimeout(50);
+  client.socket.write(ONE_REQUEST);
+  assert.match(await text, /HTTP\/1.1 503 /);
+  await ended;
+});
--- a/packages/entry/src/caller-server.ts
+++ b/packages/entry/src/caller-server.ts
@@ -271,6 +271,7 @@
     server,
     connections: state.connections,
     countOpen: () => state.exchanges.size,
+    isUsed: (socket) => state.bySocket.has(socket),
   });
   state.shutdown = shutdown;
   await new Promise<void>((resolve, reject) => {
--- a/packages/entry/src/caller-shutdown.ts
+++ b/packages/entry/src/caller-shutdown.ts
@@ -16,8 +16,15 @@
   connections: ReadonlySet<net.Socket>;
   /** Counts the requests without a complete response. */
   countOpen: () => number;
+  /** Returns whether a connection has had a request. */
+  isUsed: (socket: net.Socket) => boolean;
 };
 
+/** Time within which a caller sends its first request on a connection, milliseconds. */
+const FIRST_REQUEST_MS = 200;
+/** Interval at which this is checked, milliseconds. */
+const CHECK_MS = 20;
+
 /** Returns the present time of a clock that is never set, milliseconds. */
 function readSteadyMs(): number {
   return performance.now();
@@ -31,14 +38,19 @@
   server,
   connections,
   countOpen,
+  isUsed,
 }: ShutdownOptions): CallerShutdown {
+  const openedMs = new WeakMap<net.Socket, number>();
   let accepted = 0;
   let isPortClosed = false;
   let isChecking = false;
   let ended: (() => void) | undefined;
-  server.on('connection', () => {
+  server.on('connection', (socket) => {
     accepted += 1;
+    openedMs.set(socket, readSteadyMs());
   });
+  const isExpectingRequest = (socket: net.Socket) =>
+    !isUsed(socket) && readSteadyMs() - (openedMs.get(socket) ?? 0) < FIRST_REQUEST_MS;
   const countRead = () =>
     [...connections].reduce((sum, { bytesRead }) => sum + bytesRead, accepted);
   // The turn in which this is called may have polled already.
@@ -51,7 +63,9 @@
     isChecking = true;
     runOnceRead(() => {
       isChecking = false;
-      if (countOpen() === 0) {
+      if ([...connections].some(isExpectingRequest)) {
+        setTimeout(check, CHECK_MS);
+      } else if (countOpen() === 0) {
         ended?.();
         ended = undefined;
       }
