Decide on timeouts of callers' connections after the next poll

What callers saw: a whole request that arrived while the gateway stalled got 408, if it was the first of its connection and the stall outlasted the header timeout, or its connection was closed without a byte, if that had nearly been idle for its time.

Cause: the timers of the HTTP library fire after a stall before the event loop polls. What the kernel holds is unread then, and counted as not sent.

Now a timeout is decided on in the check phase of its turn, after the poll: an idle connection is closed unless something has been read from it, and a request is refused unless it has been read. A request of which only the head has arrived gets the time of a whole request, as the library checks a connection that has timed out no more.

Other way: longer timeouts after a stall that the event loop measured. It would need a bound for each stall, where one poll is enough.

Not changed: idle connections have a second more than `Keep-Alive` tells their callers (by the library).

--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -8,6 +8,7 @@
 import * as bodyReading from './body-reading.js';
 import * as callerConnections from './caller-connections.js';
 import type * as callerExchange from './caller-exchange.js';
+import * as callerTimeouts from './caller-timeouts.js';
 import * as clientErrors from './client-errors.js';
 import * as clocks from './clocks.js';
 import * as earlyRefusal from './early-refusal.js';
@@ -200,12 +201,13 @@
 }
 
 /** Creates the functions that handle what cannot be read as a request. */
-function createErrorHandlers(state: ServerState): clientErrors.ErrorHandlers {
+function createErrorHandlers(state: ServerState, server: http.Server): clientErrors.ErrorHandlers {
   return clientErrors.createErrorHandlers({
     listOpen: state.connections.listOpen,
     refuse: (response, code) =>
       refuse(state, response.req, response, { code, retryAfterMs: undefined }),
     reportRefusal: state.options.reportRefusal,
+    ...callerTimeouts.watchTimeouts(server),
   });
 }
 
@@ -223,7 +225,7 @@
   unreadRefusals.filterConnections(server, (socket) => noteConnection(state, socket));
   server.on('request', (request, response) => handleRequest(state, request, response));
   server.on('checkContinue', (request, response) => handleRequest(state, request, response));
-  const { handleError, refuseTunnel } = createErrorHandlers(state);
+  const { handleError, refuseTunnel } = createErrorHandlers(state, server);
   server.on('clientError', (error, socket) => handleError(error, socket as net.Socket));
   server.on('error', (error) => state.options.reportProblem(error.message));
   // Without a listener for upgrades, a request that offers one is handled as any other.
--- a/packages/gateway/src/client-errors.ts
+++ b/packages/gateway/src/client-errors.ts
@@ -11,6 +11,8 @@
   /** Refuses a request whose head has been read. */
   refuse: (response: http.ServerResponse, code: schema.ResultCode) => void;
   reportRefusal: (code: schema.ResultCode, fields: Record<string, unknown>) => void;
+  /** Calls `refuseLate` unless the request that timed out is about to be read. */
+  handleRequestTimeout: (socket: net.Socket, refuseLate: () => void) => void;
 };
 
 export type ErrorHandlers = {
@@ -27,7 +29,7 @@
  * that overtakes them for the response to the first of these requests, which may have run.
  */
 export function createErrorHandlers(options: ClientErrorOptions): ErrorHandlers {
-  const { listOpen, refuse, reportRefusal } = options;
+  const { listOpen, refuse, reportRefusal, handleRequestTimeout } = options;
   /** Connections whose error has been handled; the parser reports it again for what follows. */
   const handled = new WeakSet<net.Socket>();
   const refuseInOrder = (code: schema.ResultCode, socket: net.Socket) => {
@@ -42,21 +44,29 @@
       );
     }
   };
+  const handleParserError = (code: schema.ResultCode | undefined, socket: net.Socket) => {
+    const open = listOpen(socket);
+    const incomplete = open.find(({ req }) => !req.complete);
+    const hasLeft = socket.readableEnded && open.length > (incomplete === undefined ? 0 : 1);
+    if (code === undefined || hasLeft) {
+      socket.destroy();
+    } else if (!handled.has(socket)) {
+      handled.add(socket);
+      if (incomplete === undefined) {
+        refuseInOrder(code, socket);
+      } else {
+        refuse(incomplete, code);
+      }
+    }
+  };
   return {
     handleError: (error, socket) => {
       const code = runtime.toResultCode(error);
-      const open = listOpen(socket);
-      const incomplete = open.find(({ req }) => !req.complete);
-      const hasLeft = socket.readableEnded && open.length > (incomplete === undefined ? 0 : 1);
-      if (code === undefined || hasLeft) {
-        socket.destroy();
-      } else if (!handled.has(socket)) {
-        handled.add(socket);
-        if (incomplete === undefined) {
-          refuseInOrder(code, socket);
-        } else {
-          refuse(incomplete, code);
-        }
+      const handle = () => handleParserError(code, socket);
+      if (code === schema.ResultCode.REQUEST_TIMEOUT) {
+        handleRequestTimeout(socket, handle);
+      } else {
+        handle();
       }
     },
     refuseTunnel: (socket) => {
