Wait for the refusal itself in a test of unread refusals

'refusal reaches a caller that is still sending' failed once in about 20 runs of its file, beside five other files and at a load of the machine of 31; what it had received was not kept, and it did not fail again in 11 runs. It waited for a fixed 300 ms; now it waits for the end of what the caller receives. The checks are the same.

--- a/packages/gateway/src/unread-refusals.test.ts
+++ b/packages/gateway/src/unread-refusals.test.ts
@@ -66,7 +66,10 @@
   const caller = openConnection(port, true);
   context.after(() => caller.socket.destroy());
   caller.socket.write(REQUEST + BODY);
-  await timers.setTimeout(300);
+  await new Promise((resolve) => {
+    caller.socket.once('end', resolve);
+    caller.socket.once('close', resolve);
+  });
   assert.match(caller.received, /^HTTP\/1\.1 503 [^]*retry-after: 0\.7\r\n[^]*connection: close/);
   assert.deepEqual([caller.hasEnded, caller.error], [true, '']);
   assert.deepEqual([counts.requests, refusals.countOpen()], [0, 1]);
