Close connections in order when requests behind the close are dropped

What callers saw: a caller that sent a further request with a large body, after a response had announced that the connection closes, lost the rest of that response, of a request that had run, to a reset.

Cause: a request that `hold` turns away was not read, so that the connection was closed with unread bytes once the response had left the process.

The request is not run and gets nothing: its caller has been told so by `Connection: close`, and sees the end of the connection behind the response, no reset. A refusal behind a response with `Connection: close` was the other way; the RFC has the caller ignore it.

--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -11,6 +11,7 @@
 import * as callerTimeouts from './caller-timeouts.js';
 import * as clientErrors from './client-errors.js';
 import * as clocks from './clocks.js';
+import * as droppedRequests from './dropped-requests.js';
 import * as earlyRefusal from './early-refusal.js';
 import type * as gatewaySettings from './gateway-settings.js';
 import * as unreadRefusals from './unread-refusals.js';
@@ -189,6 +190,7 @@
   request.on('error', () => response.destroy());
   response.on('error', () => response.destroy());
   if (!state.connections.hold(response)) {
+    droppedRequests.dropRequest(request, state.options.bodyMemory.noteCopied);
     return;
   }
   const headerBytes = countHeaderBytes(request.rawHeaders);
