Give up measurements of the accept queue that are not queued

What callers would see: connections refused as late that hardly wait.

Cause: if the queue of the listening socket is full, the kernel drops the first packet of the process's connection to itself and sends it again a second later. Its age was taken for the wait of the queue, from 0.25 s on with another gateway that has time left, and from 0.7 s on otherwise, and more than a second as the result once it was accepted, however short the queue was by then.

Now a measurement whose connection is not established after 100 ms, as seen after a poll, is given up, and the next one follows.

Evidence: accept-delay.test.ts, on the code before: 2 of 6 tests failed (900 ms measured for a connection that is not queued; one measurement instead of three); now 6 of 6 pass. With real connections the loss itself was not brought about: a measurement begins as an accepted connection has left the queue, so that a full queue has room for it in nearly all cases.

Other way: counting the age from the event that tells of the establishment. It needs the same bound for measurements that never begin.

Mocked connections of the test now tell whether they are established.

--- a/packages/gateway/src/accept-delay.test.ts
+++ b/packages/gateway/src/accept-delay.test.ts
@@ -17,22 +17,26 @@
 }
 
 /** Builds a connection between the given ports. */
-function buildSocket(localPort: number, remotePort: number): net.Socket {
+function buildSocket(localPort: number, remotePort: number, isEstablished = true): net.Socket {
   const socket = {
     remotePort,
     address: () => ({ port: localPort }),
-    on: () => {},
+    on: (name: string, listener: () => void) => {
+      if (name === 'connect' && isEstablished) {
+        listener();
+      }
+    },
     destroy: () => {},
   };
   return socket as unknown as net.Socket;
 }
 
-/** Starts to measure with a clock that the test sets. */
-function startMeasuring() {
+/** Starts to measure with a clock that the test sets; its probes are established or lost. */
+function startMeasuring(isEstablished = true) {
   const clock = { now: 0, probes: 0 };
   const openProbe = () => {
     clock.probes += 1;
-    return buildSocket(PROBE_PORT, 1);
+    return buildSocket(PROBE_PORT, 1, isEstablished);
   };
   const delay = acceptDelay.startAcceptDelay(openProbe, () => clock.now);
   const accept = (port: number, unreadMs = 0) => delay.noteAccepted(buildSocket(1, port), unreadMs);
@@ -71,3 +75,35 @@
   assert.equal(clock.probes, 0);
   assert.equal(delay.getDelayMs(), 0);
 });
+
+[
+  { name: 'lost', isEstablished: false, measuredMs: 0 },
+  { name: 'queued', isEstablished: true, measuredMs: 900 },
+].forEach(({ name, isEstablished, measuredMs }) =>
+  test(`age of a probe counts as the wait only in the queue: ${name}`, async () => {
+    // Guards against refusing connections that hardly wait, as a probe was dropped by the kernel.
+    const { clock, delay, accept } = startMeasuring(isEstablished);
+    accept(2);
+    clock.now = 60;
+    accept(3);
+    assert.equal(clock.probes, 1);
+    await timers.setImmediate();
+    clock.now = 960;
+    accept(4);
+    await timers.setImmediate();
+    accept(5);
+    await timers.setImmediate();
+    assert.equal(delay.getMeasuredMs(), measuredMs);
+  }),
+);
+
+test('lost probe is followed by another one', async () => {
+  const { clock, accept } = startMeasuring(false);
+  accept(2);
+  for (let turn = 1; turn <= 2 * TURNS; turn += 1) {
+    clock.now = turn * 60;
+    accept(2 + turn);
+    await timers.setImmediate();
+  }
+  assert.ok(clock.probes >= 3);
+});
--- a/packages/gateway/src/accept-delay.ts
+++ b/packages/gateway/src/accept-delay.ts
@@ -22,7 +22,12 @@
   stop: () => void;
 };
 
-type Probe = { socket: net.Socket; startMs: number };
+type Probe = {
+  socket: net.Socket;
+  startMs: number;
+  /** Whether the connection has been established, and so is in the queue. */
+  isQueued: boolean;
+};
 
 type DelayState = {
   openProbe: () => net.Socket;
@@ -43,12 +48,33 @@
 /** Time between two measurements, milliseconds. */
 const PROBE_MS = 100;
 
+/**
+ * Time after which a probe that has not been established is given up, milliseconds. The kernel
+ * drops the first packet of a connection if the queue is full, and sends it again after a second;
+ * the age of the probe would then be taken for the wait of connections that are queued.
+ */
+const CONNECT_MS = 100;
+
 /** Ends a measurement. */
 function closeProbe(state: DelayState): void {
   state.probe?.socket.destroy();
   state.probe = undefined;
 }
 
+/** Ends a measurement whose connection is not established in time, as seen after a poll. */
+function giveUpUnqueued(state: DelayState, probe: Probe): void {
+  setImmediate(() => {
+    if (state.probe !== probe || probe.isQueued) {
+      return;
+    }
+    if (state.readNow() - probe.startMs >= CONNECT_MS) {
+      closeProbe(state);
+    } else {
+      giveUpUnqueued(state, probe);
+    }
+  });
+}
+
 /** Starts a measurement if one is due. */
 function startProbe(state: DelayState): void {
   const { queuedSinceMs, probe, lastProbeMs, readNow } = state;
@@ -60,7 +86,13 @@
   const socket = state.openProbe();
   // A probe that fails measures nothing; the next one follows.
   socket.on('error', () => closeProbe(state));
-  state.probe = { socket, startMs: now };
+  const started: Probe = { socket, startMs: now, isQueued: false };
+  socket.on('connect', () => {
+    started.isQueued = true;
+  });
+  state.probe = started;
+  // The first callback runs before the next poll.
+  setImmediate(() => giveUpUnqueued(state, started));
   state.lastProbeMs = now;
 }
 
