--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -10,8 +10,10 @@
 import * as callerConnections from './caller-connections.js';
 import * as callerContainment from './caller-containment.js';
 import type * as callerExchange from './caller-exchange.js';
+import * as callerTimeouts from './caller-timeouts.js';
 import * as clientErrors from './client-errors.js';
 import * as clocks from './clocks.js';
+import * as droppedRequests from './dropped-requests.js';
 import * as earlyRefusal from './early-refusal.js';
 import type * as gatewaySettings from './gateway-settings.js';
 import * as unreadRefusals from './unread-refusals.js';
@@ -209,6 +211,7 @@
   request.on('error', () => response.destroy());
   response.on('error', () => response.destroy());
   if (!state.connections.hold(response)) {
+    droppedRequests.dropRequest(request, state.options.bodyMemory.noteCopied);
     return;
   }
   const headerBytes = countHeaderBytes(request.rawHeaders);
@@ -221,12 +224,13 @@
 }
 
 /** Creates the functions that handle what cannot be read as a request. */
-function createErrorHandlers(state: ServerState): clientErrors.ErrorHandlers {
+function createErrorHandlers(state: ServerState, server: http.Server): clientErrors.ErrorHandlers {
   return clientErrors.createErrorHandlers({
     listOpen: state.connections.listOpen,
     refuse: (response, code) =>
       refuse(state, response.req, response, { code, retryAfterMs: undefined }),
     reportRefusal: state.options.reportRefusal,
+    ...callerTimeouts.watchTimeouts(server),
   });
 }
 
@@ -250,7 +254,7 @@
   unreadRefusals.filterConnections(server, (socket) => noteConnection(state, socket));
   server.on('request', (request, response) => handleRequest(state, request, response));
   server.on('checkContinue', (request, response) => handleRequest(state, request, response));
-  const { handleError, refuseTunnel } = createErrorHandlers(state);
+  const { handleError, refuseTunnel } = createErrorHandlers(state, server);
   server.on('clientError', (error, socket) => handleError(error, socket as net.Socket));
   server.on('error', (error) => state.options.reportProblem(error.message));
   // Without a listener for upgrades, a request that offers one is handled as any other.
