--- a/packages/proofs/src/soak/soak-extra-responses.ts
+++ b/packages/proofs/src/soak/soak-extra-responses.ts
@@ -33,6 +33,8 @@
 };
 
 const MAX_DELAY_MS = 400;
+/** Cut responses of which less than this part is sent are followed by a whole one at once. */
+const FOLLOWED_SHARE = 0.4;
 /** Share of second responses that follow at once, and of those that are cut. */
 const AT_ONCE_SHARE = 0.3;
 const CUT_SHARE = 0.4;
@@ -75,7 +77,7 @@
 
 /**
  * Builds the bytes of a second response. A cut one keeps its status line: shorter ones are no
- * different from bytes of the first response.
+ * different from bytes of the first response. One that is cut early is followed by a whole one.
  */
 export function buildExtra(
   head: string,
@@ -86,7 +88,8 @@
   const framed = framing === Framing.CHUNKS ? chunked : body;
   const text = `${setFraming(head, framing, Buffer.byteLength(body))}${framed}`;
   const kept = text.indexOf(LINE_END) + LINE_END.length;
-  return text.slice(0, kept + Math.floor(sentShare * (text.length - kept)));
+  const sent = text.slice(0, kept + Math.floor(sentShare * (text.length - kept)));
+  return sentShare < FOLLOWED_SHARE ? `${sent}${text}` : sent;
 }
 
 /** Records a run on a connection; its response may be unreadable behind a second one. */
