--- a/packages/gateway/src/app.ts
+++ b/packages/gateway/src/app.ts
@@ -141,7 +141,8 @@
     runContained: (step, recover) => runGuarded(failureGuard.WorkUnit.CALLER, step, recover),
     computeUnreadMs: components.eventLoop.computeUnreadMs,
     reportProblem: (reason) => log.write('caller-problem', { reason }, clocks.readSteadyMs()),
-    isClosedUnread: loadReports.createConnectionCheck(components, clocks.readSteadyMs),
+    findLateRefusal: loadReports.createConnectionCheck(components, clocks.readSteadyMs),
+    reportClosedUnread: metrics.recordClosedUnread,
     bodyMemory: bodyMemory.createBodyMemory(components),
     reportRefusal: (code, fields) => {
       const line = { ...fields, result: schema.ResultCode[code] };
