--- a/packages/proofs/src/soak/pair-cells.ts
+++ b/packages/proofs/src/soak/pair-cells.ts
@@ -212,7 +212,7 @@
   },
   {
     pair: ['event loop stalled', 'new connection for each request'],
-    test: 'connections that wait too long are closed unread',
+    test: 'connections that wait too long are refused unread',
   },
   {
     pair: ['event loop stalled', 'all slots taken'],
