--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -16,6 +16,7 @@
 import * as droppedRequests from './dropped-requests.js';
 import * as earlyRefusal from './early-refusal.js';
 import type * as gatewaySettings from './gateway-settings.js';
+import * as requestHead from './request-head.js';
 import * as unreadRefusals from './unread-refusals.js';
 
 export type CallerServer = {
@@ -112,30 +113,6 @@
   earlyRefusal.refuseEarly(request, response, refusal, state.options.bodyMemory.noteCopied);
 }
 
-/** Counts the bytes of raw headers, with two bytes of separators for each name and each value. */
-function countHeaderBytes(headers: string[]): number {
-  return headers.reduce((sum, part) => sum + part.length + 2, 0);
-}
-
-/**
- * Checks the headers and target of a request; returns the result code if they are not acceptable.
- */
-function findHeadFault(
-  state: ServerState,
-  request: http.IncomingMessage,
-  headerBytes: number,
-): schema.ResultCode | undefined {
-  const { maxHeaderBytes, maxBodyBytes } = state.bounds;
-  if (headerBytes > maxHeaderBytes) {
-    return schema.ResultCode.HEADERS_TOO_LARGE;
-  }
-  if (Number(request.headers['content-length'] ?? 0) > maxBodyBytes) {
-    return schema.ResultCode.BODY_TOO_LARGE;
-  }
-  const isPath = request.url?.startsWith('/') === true;
-  return isPath ? undefined : schema.ResultCode.MALFORMED_REQUEST;
-}
-
 /** Computes how long data that is read now may have waited, milliseconds. */
 function computeUnreadMs({ options, listeningMs }: ServerState): number {
   return Math.min(options.computeUnreadMs(), clocks.readSteadyMs() - listeningMs);
@@ -214,8 +191,8 @@
     droppedRequests.dropRequest(request, state.options.bodyMemory.noteCopied);
     return;
   }
-  const headerBytes = countHeaderBytes(request.rawHeaders);
-  const fault = findHeadFault(state, request, headerBytes);
+  const headerBytes = requestHead.countHeaderBytes(request.rawHeaders);
+  const fault = requestHead.findFault(request, headerBytes, state.bounds);
   if (fault !== undefined) {
     refuse(state, request, response, { code: fault, retryAfterMs: undefined });
     return;
